--- /dev/null
+++ b/src/saddlestack/control/__init__.py
@@ -0,0 +1,1 @@
+"""The services of an entry VM that schedules through the platform's store."""
--- /dev/null
+++ b/src/saddlestack/control/configuration.py
@@ -0,0 +1,76 @@
+"""The configuration in force on this VM: the newest that the store has shown."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from saddlestack.control.context import EntryContext
+from saddlestack.control.feed import Feed
+from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces import Item, PoolConfiguration
+from saddlestack.kernel.service import Service
+
+log = logging.getLogger("saddlestack.configuration")
+
+NAME = "pool configuration"
+STALE_S = 6.0
+
+Listener = Callable[[PoolConfiguration], None]
+
+
+class Configuration(Service):
+    """Follows the operators' document. Versions only rise within a life of the process."""
+
+    def __init__(self, context: EntryContext) -> None:
+        super().__init__(NAME, context.clock)
+        self._context = context
+        self._key = context.documents.places.configuration_key
+        self.current: PoolConfiguration | None = None
+        self._listeners: list[Listener] = []
+        self._feed = Feed(
+            context, context.documents.places.configuration_prefix, self._take, self._take
+        )
+
+    def listen(self, listener: Listener) -> None:
+        """Tell of each new configuration, beginning with the present one."""
+        self._listeners.append(listener)
+        if self.current is not None:
+            listener(self.current)
+
+    def unlisten(self, listener: Listener) -> None:
+        """Tell no more."""
+        self._listeners.remove(listener)
+
+    @property
+    def store_answers(self) -> bool:
+        """Whether the store has answered this VM lately."""
+        return self.current is not None and not self._feed.failing
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self.tasks.spawn(self._feed.run())
+
+    def _take(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            if item.key == self._key and item.revision:
+                self._apply(item)
+
+    def _apply(self, item: Item) -> None:
+        try:
+            configuration = self._context.documents.configuration(item.value)
+        except SaddlestackError as error:
+            log.error(
+                "configuration cannot be read",
+                extra={"event": "configuration_bad", "reason": str(error)},
+            )
+            return
+        if self.current is not None and configuration.version <= self.current.version:
+            return
+        self.current = configuration
+        log.info(
+            "configuration in force",
+            extra={"event": "configuration", "version": configuration.version},
+        )
+        for listener in list(self._listeners):
+            listener(configuration)
--- /dev/null
+++ b/src/saddlestack/control/context.py
@@ -0,0 +1,34 @@
+"""What every service of an entry VM is given."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from saddlestack.control.settings import EntrySettings
+from saddlestack.interfaces import DocumentReader, MetadataStore, WorkerOrders, WorkerRecord
+from saddlestack.kernel.clock import Clock
+from saddlestack.kernel.registry import Registry
+from saddlestack.wire.dialer import Dialer
+
+OrdersFactory = Callable[[WorkerRecord], WorkerOrders]
+"""Opens the way to one life of a worker."""
+
+
+@dataclass(slots=True)
+class EntryContext:
+    """Settings, clock, randomness, the platform and the registry of one entry VM.
+
+    :param incarnation: rises with each start of the VM's process.
+    """
+
+    settings: EntrySettings
+    clock: Clock
+    rng: random.Random
+    dialer: Dialer
+    registry: Registry
+    incarnation: int
+    store: MetadataStore
+    documents: DocumentReader
+    orders: OrdersFactory
--- /dev/null
+++ b/src/saddlestack/control/entry.py
@@ -0,0 +1,201 @@
+"""One entry VM's process on the platform's machines: its services, started and stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import random
+import signal
+import time
+from pathlib import Path
+
+from saddlestack.control.configuration import Configuration
+from saddlestack.control.context import EntryContext, OrdersFactory
+from saddlestack.control.jobs import Jobs
+from saddlestack.control.leadership import LeaderRecord, Leadership, Term
+from saddlestack.control.peers import (
+    LeaderDesk,
+    Peers,
+    PendingAnswer,
+    PendingQuestion,
+    StateAnswer,
+    StateQuestion,
+)
+from saddlestack.control.scheduler import Scheduler
+from saddlestack.control.settings import EntrySettings, load, parse_address
+from saddlestack.interfaces import DocumentReader, MetadataStore, WorkerOrders, WorkerRecord
+from saddlestack.kernel.clock import Clock
+from saddlestack.kernel.registry import Registry
+from saddlestack.kernel.service import TaskGroup
+from saddlestack.platform.documents import PlatformDocuments
+from saddlestack.platform.gateway import Gateway
+from saddlestack.platform.kv import KvStore
+from saddlestack.platform.orders import HttpWorkerOrders
+from saddlestack.wire.dialer import Dialer
+from saddlestack.wire.http import HttpServer
+
+log = logging.getLogger("saddlestack.entry")
+
+MAX_CONNECTIONS = 3000
+NOTICE_S = 2.2
+"""After a stop is asked for, the platform sends new connections for so long."""
+LAST_CLOSE_S = 0.5
+
+
+class _Desk(LeaderDesk):
+    """Answers from the scheduler of this VM's term."""
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self._scheduler = scheduler
+
+    def state(self, question: StateQuestion) -> StateAnswer:
+        account = self._scheduler.account(question.job_id)
+        if account is None or not self._scheduler.loaded.is_set():
+            return StateAnswer(None)
+        if question.account and account and account != question.account:
+            return StateAnswer(None)
+        return StateAnswer(self._scheduler.state(question.job_id))
+
+    def pending(self, question: PendingQuestion) -> PendingAnswer:
+        if not self._scheduler.loaded.is_set():
+            return LeaderDesk.pending(self, question)
+        return PendingAnswer(self._scheduler.pending(question.queue))
+
+
+class EntryVm:
+    """All services of one entry VM."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        *,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+        dialer: Dialer | None = None,
+        store: MetadataStore | None = None,
+        documents: DocumentReader | None = None,
+        orders: OrdersFactory | None = None,
+    ) -> None:
+        self.settings = settings
+        dialer = dialer or Dialer()
+        address = parse_address(settings.store)
+        self.context = EntryContext(
+            settings=settings,
+            clock=clock or Clock(),
+            rng=rng or random.Random(),
+            dialer=dialer,
+            registry=Registry(),
+            incarnation=time.time_ns() // 1_000_000,
+            store=store or KvStore(address.address, address.port, dialer=dialer),
+            documents=documents or PlatformDocuments(),
+            orders=orders or _orders_by(dialer),
+        )
+        self.configuration = Configuration(self.context)
+        self.peers = Peers(self.context, self._desk)
+        self.leadership = Leadership(self.context, self)
+        self.jobs = Jobs(self.context, self.peers)
+        gateway = Gateway(self.jobs, lambda: self.configuration.current, self._ready)
+        self.clients = HttpServer(gateway.handle, max_connections=MAX_CONNECTIONS)
+        self.readiness = HttpServer(gateway.readiness)
+        self.scheduler: Scheduler | None = None
+        self.asked_to_leave = asyncio.Event()
+        self._tasks = TaskGroup("entry")
+        for service in (self.configuration, self.peers, self.leadership):
+            self.context.registry.add(service.name, service)
+
+    async def start(self) -> None:
+        """Serve clients and take part in scheduling."""
+        await self.peers.start()
+        for server, text in (
+            (self.clients, self.settings.clients),
+            (self.readiness, self.settings.readiness),
+        ):
+            address = parse_address(text)
+            await server.start(address.address, address.port)
+        await self.configuration.start()
+        await self.leadership.start()
+        log.info("started", extra={"event": "started", "data_hall": self.settings.data_hall})
+
+    async def drain(self) -> None:
+        """A planned stop: hand the leadership over, answer what was read, leave."""
+        log.info("stopping", extra={"event": "stopping"})
+        self.asked_to_leave.set()
+        await self.leadership.resign()
+        await asyncio.sleep(NOTICE_S)
+        grace_s = self.settings.timings.grace_s - NOTICE_S - LAST_CLOSE_S
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.5, grace_s)):
+                await self.clients.drain()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop every service."""
+        await self.deposed()
+        await self.leadership.stop()
+        await self.configuration.stop()
+        await self.clients.stop()
+        await self.readiness.stop()
+        await self.peers.stop()
+        await self._tasks.cancel()
+        log.info("stopped", extra={"event": "stopped"})
+
+    def abort(self) -> None:
+        """Close all sockets at once, as when the process dies."""
+        self.clients.abort()
+        self.readiness.abort()
+
+    # What leadership tells
+
+    async def elected(self, term: Term) -> None:
+        """This VM leads now."""
+        await self.deposed()
+        self.scheduler = Scheduler(
+            self.context, term, self.configuration, lambda: self._give_up(term)
+        )
+        await self.scheduler.run()
+
+    async def deposed(self) -> None:
+        """This VM no longer leads."""
+        scheduler, self.scheduler = self.scheduler, None
+        if scheduler is not None:
+            await scheduler.stop()
+
+    def leader_changed(self, record: LeaderRecord | None) -> None:
+        """Another VM leads, or nobody."""
+        self.peers.leader_is(record)
+
+    def _give_up(self, term: Term) -> None:
+        """The scheduler found that another leader has taken over."""
+        self._tasks.spawn(self.leadership.give_up(term))
+
+    def _desk(self) -> LeaderDesk:
+        return LeaderDesk() if self.scheduler is None else _Desk(self.scheduler)
+
+    def _ready(self) -> bool:
+        return self.configuration.store_answers and not self.asked_to_leave.is_set()
+
+
+def _orders_by(dialer: Dialer) -> OrdersFactory:
+    def open_orders(record: WorkerRecord) -> WorkerOrders:
+        address = parse_address(record.address)
+        return HttpWorkerOrders(record.worker_id, address.address, address.port, dialer=dialer)
+
+    return open_orders
+
+
+async def serve(settings: EntrySettings, path: Path) -> None:
+    """Run an entry VM until SIGTERM or SIGINT, then drain it. SIGHUP re-reads the settings."""
+    entry = EntryVm(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, entry.asked_to_leave.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path)
+    await entry.start()
+    await entry.asked_to_leave.wait()
+    await entry.drain()
+
+
+def _reload(path: Path) -> None:
+    load(path)
+    log.info("settings read again", extra={"event": "reload"})
--- /dev/null
+++ b/src/saddlestack/control/feed.py
@@ -0,0 +1,102 @@
+"""Follows a prefix of the store: everything once, then each change."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from saddlestack.control.context import EntryContext
+from saddlestack.interfaces import HistoryGone, Item, StoreUnavailable
+
+log = logging.getLogger("saddlestack.feed")
+
+WAIT_S = 3.0
+"""Short, since a watch whose connection has died says nothing."""
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 1.0
+
+Snapshot = Callable[[tuple[Item, ...]], None]
+"""Takes everything under the prefix."""
+Changed = Callable[[tuple[Item, ...]], None]
+"""Takes changed keys; removed ones have revision 0."""
+
+
+class Feed:
+    """Keeps a service in step with a prefix of the store.
+
+    Reads everything, then watches; where the store has forgotten the changes, reads
+    everything again. Changes may be told twice, never skipped.
+
+    :param wait_s: how long one watch waits.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        prefix: str,
+        on_snapshot: Snapshot,
+        on_change: Changed,
+        *,
+        wait_s: float = WAIT_S,
+    ) -> None:
+        self._context = context
+        self._prefix = prefix
+        self._on_snapshot = on_snapshot
+        self._on_change = on_change
+        self._wait_s = wait_s
+        self._failures = 0
+        self.loaded = asyncio.Event()
+        self.answered_s: float | None = None
+
+    @property
+    def failing(self) -> bool:
+        """Whether the latest call was not answered."""
+        return self._failures > 0
+
+    async def run(self) -> None:
+        """Follow the prefix until cancelled."""
+        while True:
+            try:
+                await self._follow()
+            except HistoryGone:
+                log.info(
+                    "store forgot its history, reading all",
+                    extra={"event": "history_gone", "prefix": self._prefix},
+                )
+            except StoreUnavailable as error:
+                await self._pause(error)
+
+    async def _follow(self) -> None:
+        store = self._context.store
+        listing = await store.list(self._prefix)
+        self._answered()
+        self._on_snapshot(listing.items)
+        self.loaded.set()
+        revision = listing.revision
+        while True:
+            try:
+                changes = await store.watch(self._prefix, revision, self._wait_s)
+            except StoreUnavailable as error:
+                await self._pause(error)
+                continue
+            self._answered()
+            revision = max(revision, changes.revision)
+            if changes.items:
+                self._on_change(changes.items)
+
+    def _answered(self) -> None:
+        if self._failures:
+            log.info("store answers again", extra={"event": "store_back", "prefix": self._prefix})
+        self._failures = 0
+        self.answered_s = self._context.clock.now()
+
+    async def _pause(self, error: StoreUnavailable) -> None:
+        if not self._failures:
+            log.warning(
+                "store does not answer",
+                extra={"event": "store_lost", "prefix": self._prefix, "reason": str(error)},
+            )
+        self._failures += 1
+        most = min(LONGEST_RETRY_S, FIRST_RETRY_S * float(2 ** min(self._failures, 8)))
+        await asyncio.sleep(self._context.rng.uniform(most / 2, most))
--- /dev/null
+++ b/src/saddlestack/control/journal.py
@@ -0,0 +1,109 @@
+"""Writes the leader's records, each guarded by the leadership and by its own revision."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Mapping
+
+from saddlestack.control.context import EntryContext
+from saddlestack.control.keys import LEADER
+from saddlestack.interfaces import (
+    Committed,
+    Conflict,
+    Item,
+    LeaseOver,
+    Put,
+    StoreUnavailable,
+    Transaction,
+    WriteInDoubt,
+)
+
+log = logging.getLogger("saddlestack.journal")
+
+RECORDS_A_WRITE = 15
+"""A transaction has at most 32 entries: the guard, and two for each record."""
+FIRST_RETRY_S = 0.03
+LONGEST_RETRY_S = 0.5
+
+
+class Displaced(Exception):
+    """Another leader has taken over: nothing more can be written."""
+
+
+class Journal:
+    """The records of one term.
+
+    A write that was not answered may still be done while its conditions hold. It is repeated
+    under the same conditions until one of the two is known to have been done, so an older
+    write can never follow a newer one.
+
+    :param fence: revision of the leader key in this term.
+    """
+
+    def __init__(self, context: EntryContext, fence: int) -> None:
+        self._context = context
+        self._fence = fence
+        self._revisions: dict[str, int] = {}
+        self.writes = 0
+
+    def known(self, item: Item) -> None:
+        """Note a record that was read."""
+        self._revisions[item.key] = item.revision
+
+    async def commit(self, records: Mapping[str, bytes]) -> None:
+        """Write records, by key; returns when all are in the store.
+
+        :raises Displaced: another leader has taken over.
+        """
+        keys = list(records)
+        for start in range(0, len(keys), RECORDS_A_WRITE):
+            part = {key: records[key] for key in keys[start : start + RECORDS_A_WRITE]}
+            await self._write(part)
+
+    async def _write(self, records: Mapping[str, bytes]) -> None:
+        transaction = self._transaction(records)
+        failures = 0
+        while True:
+            self.writes += 1
+            try:
+                outcome = await self._context.store.transact(transaction)
+            except LeaseOver as error:
+                raise Displaced from error
+            except (StoreUnavailable, WriteInDoubt) as error:
+                failures += 1
+                if failures == 1:
+                    log.warning(
+                        "records wait for the store",
+                        extra={"event": "journal_waits", "reason": type(error).__name__},
+                    )
+                await asyncio.sleep(self._pause(failures))
+                continue
+            if isinstance(outcome, Committed):
+                for key in records:
+                    self._revisions[key] = outcome.revision
+                return
+            self._settle(outcome, records)
+            return
+
+    def _transaction(self, records: Mapping[str, bytes]) -> Transaction:
+        guard = ((LEADER, self._fence),)
+        own = tuple((key, self._revisions.get(key, 0)) for key in records)
+        puts = tuple(Put(key, value) for key, value in records.items())
+        return Transaction(expect=guard + own, puts=puts)
+
+    def _settle(self, conflict: Conflict, records: Mapping[str, bytes]) -> None:
+        """An earlier try of the same write was done after all, or somebody else leads."""
+        present = {item.key: item for item in conflict.items}
+        leader = present.get(LEADER)
+        if leader is None or leader.revision != self._fence:
+            raise Displaced
+        for key, value in records.items():
+            item = present.get(key)
+            if item is None or item.value != value:
+                raise Displaced
+            self._revisions[key] = item.revision
+
+    def _pause(self, failures: int) -> float:
+        most = min(LONGEST_RETRY_S, FIRST_RETRY_S * float(2 ** min(failures, 6)))
+        return self._context.rng.uniform(most / 2, most)
--- /dev/null
+++ b/src/saddlestack/control/keys.py
@@ -0,0 +1,62 @@
+"""Where saddlestack keeps what must last, in the platform's store.
+
+``job`` and ``cancel`` keys are written by whoever accepts or cancels, ``progress`` keys by
+the leader alone; no two writers share a key.
+"""
+
+from __future__ import annotations
+
+from saddlestack.policy.board.records import OccurrenceRecord
+from saddlestack.work import AcceptedJob
+
+LEADER = "saddlestack/leader"
+REQUESTS = "saddlestack/requests/"
+PROGRESS = "saddlestack/progress/"
+_JOB = REQUESTS + "job/"
+_CANCEL = REQUESTS + "cancel/"
+
+
+def job_key(job_id: str) -> str:
+    """Where an accepted job is kept."""
+    return _JOB + job_id
+
+
+def cancel_key(job_id: str) -> str:
+    """Where the mark is kept that a job is cancelled."""
+    return _CANCEL + job_id
+
+
+def progress_key(occurrence: str) -> str:
+    """Where the progress of an occurrence (``JOB.NUMBER``) is kept."""
+    return PROGRESS + occurrence
+
+
+def job_of(key: str) -> str | None:
+    """The job that a ``job`` key is of."""
+    return key.removeprefix(_JOB) if key.startswith(_JOB) else None
+
+
+def cancelled_job_of(key: str) -> str | None:
+    """The job that a ``cancel`` key is of."""
+    return key.removeprefix(_CANCEL) if key.startswith(_CANCEL) else None
+
+
+def occurrence_of(key: str) -> tuple[str, int]:
+    """The job and the number of the occurrence that a ``progress`` key is of."""
+    job_id, _, number = key.removeprefix(PROGRESS).rpartition(".")
+    return job_id, int(number)
+
+
+__all__ = [
+    "LEADER",
+    "PROGRESS",
+    "REQUESTS",
+    "AcceptedJob",
+    "OccurrenceRecord",
+    "cancel_key",
+    "cancelled_job_of",
+    "job_key",
+    "job_of",
+    "occurrence_of",
+    "progress_key",
+]
--- /dev/null
+++ b/src/saddlestack/control/leadership.py
@@ -0,0 +1,240 @@
+"""Which VM schedules: a key of the store with a lease, whose revision is the fencing token."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from dataclasses import dataclass
+from typing import Protocol
+
+from saddlestack.codec import from_json, to_json
+from saddlestack.control.context import EntryContext
+from saddlestack.control.keys import LEADER
+from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces import (
+    Committed,
+    HistoryGone,
+    Item,
+    LeaseOver,
+    Put,
+    StoreUnavailable,
+    Transaction,
+    WriteInDoubt,
+)
+from saddlestack.kernel.service import Service
+from saddlestack.models import Model
+
+log = logging.getLogger("saddlestack.leadership")
+
+NAME = "leadership"
+LEASE_S = 1.5
+KEEP_S = 0.4
+KEEP_RETRY_S = 0.15
+WATCH_S = 3.0
+CAMPAIGN_S = 0.15
+RETRY_S = 0.4
+RENEWING_S = 8.0
+"""For so long after its lease a leader without the store still renews what runs."""
+
+
+class LeaderRecord(Model, frozen=True):
+    """Who leads, and where it is asked.
+
+    :param secret: the key of streams to the leader.
+    :param lease: the lease that the record hangs on.
+    """
+
+    vm: str
+    data_hall: str
+    incarnation: int
+    address: str
+    port: int
+    secret: str
+    lease: int
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """One leadership of this VM.
+
+    :param fence: the revision that created the leader key; higher terms have higher ones.
+    """
+
+    fence: int
+    record: LeaderRecord
+
+
+class Candidate(Protocol):
+    """What is told of leaderships."""
+
+    async def elected(self, term: Term) -> None:
+        """This VM leads now."""
+        ...
+
+    async def deposed(self) -> None:
+        """This VM no longer leads."""
+        ...
+
+    def leader_changed(self, record: LeaderRecord | None) -> None:
+        """Another VM leads, or nobody."""
+        ...
+
+
+class Leadership(Service):
+    """Follows the leader key, takes it where it is free, and keeps it."""
+
+    def __init__(self, context: EntryContext, candidate: Candidate) -> None:
+        super().__init__(NAME, context.clock)
+        self._context = context
+        self._candidate = candidate
+        self._secret = secrets.token_hex(16)
+        self._held: LeaderRecord | None = None
+        self._leaving = False
+        self.leader: LeaderRecord | None = None
+        self.term: Term | None = None
+        self._valid_s = 0.0
+
+    async def start(self) -> None:
+        """Begin to follow the leader key."""
+        self.tasks.spawn(self._run())
+
+    async def resign(self) -> None:
+        """Give the leadership up for good, so that another VM takes it at once."""
+        self._leaving = True
+        term = self.term
+        if term is None:
+            return
+        await self._depose("resigned")
+        try:
+            await self._context.store.end_lease(term.record.lease)
+        except (StoreUnavailable, LeaseOver) as error:
+            log.warning(
+                "lease could not be ended",
+                extra={"event": "resign_failed", "reason": type(error).__name__},
+            )
+
+    async def give_up(self, term: Term) -> None:
+        """End a term that was found to be over."""
+        if self.term is term:
+            await self._depose("found displaced")
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                listing = await self._context.store.list(LEADER)
+                await self._observe(listing.items[0] if listing.items else Item(LEADER, b"", 0))
+                await self._follow(listing.revision)
+            except HistoryGone:
+                continue
+            except StoreUnavailable:
+                await asyncio.sleep(self._context.rng.uniform(RETRY_S / 4, RETRY_S))
+
+    async def _follow(self, revision: int) -> None:
+        store = self._context.store
+        while True:
+            free = self.leader is None and not self._leaving
+            wait = self._context.rng.uniform(0.0, CAMPAIGN_S) if free else WATCH_S
+            changes = await store.watch(LEADER, revision, wait)
+            revision = max(revision, changes.revision)
+            for item in changes.items:
+                await self._observe(item)
+            if self.leader is None and not self._leaving:
+                await self._campaign()
+
+    async def _observe(self, item: Item) -> None:
+        record = _read(item)
+        if record == self.leader:
+            return
+        self.leader = record
+        log.info(
+            "leader changed",
+            extra={
+                "event": "leader",
+                "leader": record.vm if record else None,
+                "revision": item.revision,
+            },
+        )
+        if self.term is not None and record != self.term.record:
+            await self._depose("displaced")
+        if record is not None and record == self._held and self.term is None:
+            await self._begin(Term(item.revision, record))
+        self._candidate.leader_changed(record)
+
+    async def _campaign(self) -> None:
+        store = self._context.store
+        sent = self.clock.now()
+        lease, lasts = await store.grant_lease(LEASE_S)
+        address = self._context.settings.peer_address
+        record = LeaderRecord(
+            vm=self._context.settings.vm,
+            data_hall=self._context.settings.data_hall,
+            incarnation=self._context.incarnation,
+            address=address.address,
+            port=address.port,
+            secret=self._secret,
+            lease=lease,
+        )
+        self._held = record
+        self._valid_s = sent + lasts
+        transaction = Transaction(
+            expect=((LEADER, 0),), puts=(Put(LEADER, to_json(record), lease),)
+        )
+        try:
+            outcome = await store.transact(transaction)
+        except WriteInDoubt:
+            item = await store.get(LEADER)
+            await self._observe(item)
+            return
+        except LeaseOver:
+            return
+        if isinstance(outcome, Committed):
+            await self._observe(Item(LEADER, to_json(record), outcome.revision))
+        else:
+            await self._observe(outcome.items[0])
+
+    async def _begin(self, term: Term) -> None:
+        self.term = term
+        log.info("elected", extra={"event": "elected", "fence": term.fence})
+        self.tasks.spawn(self._keep(term))
+        await self._candidate.elected(term)
+
+    async def _keep(self, term: Term) -> None:
+        """Renew the lease until the term is over."""
+        while self.term is term:
+            sent = self.clock.now()
+            try:
+                await self._context.store.keep_lease(term.record.lease)
+            except LeaseOver:
+                await self._depose("lease over")
+                return
+            except StoreUnavailable:
+                if self.clock.now() > self._valid_s + RENEWING_S:
+                    await self._depose("store lost")
+                    return
+                await asyncio.sleep(KEEP_RETRY_S)
+                continue
+            self._valid_s = sent + LEASE_S
+            await asyncio.sleep(KEEP_S)
+
+    async def _depose(self, reason: str) -> None:
+        if self.term is None:
+            return
+        log.warning(
+            "no longer leader",
+            extra={"event": "deposed", "reason": reason, "fence": self.term.fence},
+        )
+        self.term = None
+        self._held = None
+        if self.leader is not None and self.leader.vm == self._context.settings.vm:
+            self.leader = None
+        await self._candidate.deposed()
+
+
+def _read(item: Item) -> LeaderRecord | None:
+    if not item.revision:
+        return None
+    try:
+        return from_json(item.value, LeaderRecord, item.key)
+    except SaddlestackError:
+        return None
--- /dev/null
+++ b/src/saddlestack/control/scheduler.py
@@ -0,0 +1,316 @@
+"""The leader's scheduler: events to the board, records to the store, orders to workers.
+
+The order of writes is what keeps work from being lost or doubled: an assignment is in the
+store before its worker hears of it, and an end is in the store before it is acknowledged,
+shown or followed by anything.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from saddlestack.codec import from_msgpack, to_msgpack
+from saddlestack.control import keys
+from saddlestack.control.configuration import Configuration
+from saddlestack.control.context import EntryContext
+from saddlestack.control.feed import Feed
+from saddlestack.control.journal import Displaced, Journal
+from saddlestack.control.leadership import LEASE_S, RENEWING_S, Term
+from saddlestack.control.session import CLOCK_DRIFT, LAPSE_SLACK_S, WorkerSession
+from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces import Item, PoolConfiguration, StoreUnavailable
+from saddlestack.kernel.service import TaskGroup
+from saddlestack.policy.board.board import Board, Changes
+from saddlestack.policy.board.records import OccurrenceRecord
+from saddlestack.work import AcceptedJob, JobState
+
+log = logging.getLogger("saddlestack.scheduler")
+
+TICK_S = 0.5
+LOAD_RETRY_S = 0.2
+
+
+class Scheduler:
+    """Schedules the pool for one term of this VM.
+
+    :param on_displaced: called once when another leader has taken over.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        term: Term,
+        configuration: Configuration,
+        on_displaced: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._clock = context.clock
+        self._configuration = configuration
+        self._on_displaced = on_displaced
+        self.board = Board()
+        self.fence = term.fence
+        self.hold_s = context.settings.timings.longest_hold_ms / 1000
+        self._inherited_until = (
+            self._clock.now() + LEASE_S + RENEWING_S + self.hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
+        )
+        self._journal = Journal(context, term.fence)
+        self._sessions: dict[str, WorkerSession] = {}
+        self._tasks = TaskGroup("scheduler")
+        self._wake = asyncio.Event()
+        self._known = 0
+        self._written = 0
+        self._advanced = asyncio.Condition()
+        self._early: list[Item] = []
+        self.loaded = asyncio.Event()
+        self.over = False
+
+    async def run(self) -> None:
+        """Read what the store has, then decide until stopped."""
+        self._tasks.spawn(self._work())
+
+    async def stop(self) -> None:
+        """End the term: no order leaves after this."""
+        self.over = True
+        self._configuration.unlisten(self._configured)
+        await self._tasks.cancel()
+        for session in list(self._sessions.values()):
+            await session.close()
+
+    def state(self, job_id: str) -> JobState | None:
+        """What clients are told of a job; ``None`` where it is not known here."""
+        job = self.board.jobs.get(job_id)
+        return None if job is None else job.shown
+
+    def account(self, job_id: str) -> str | None:
+        """The client account of a job; ``None`` where it is not known here."""
+        job = self.board.jobs.get(job_id)
+        return None if job is None else job.accepted.account
+
+    def pending(self, queue: str) -> int:
+        """Accepted jobs of a queue none of whose tasks has begun."""
+        return self.board.pending(queue)
+
+    # What sessions need
+
+    def changed(self) -> None:
+        """Decide anew."""
+        self._known += 1
+        self._wake.set()
+
+    async def written(self) -> None:
+        """Wait until the store has all that is known by now."""
+        mark = self._known
+        async with self._advanced:
+            await self._advanced.wait_for(lambda: self._written >= mark)
+
+    def fenced(self) -> None:
+        """A worker obeys a later term."""
+        self._displaced("a worker obeys a later term")
+
+    # Beginning
+
+    async def _work(self) -> None:
+        places = self._context.documents.places
+        self._configuration.listen(self._configured)
+        workers = Feed(
+            self._context, places.workers_prefix, self._workers_listed, self._workers_changed
+        )
+        self._tasks.spawn(workers.run())
+        await workers.loaded.wait()
+        records = await self._load_progress()
+        requests = Feed(
+            self._context,
+            keys.REQUESTS,
+            lambda items: self._requests(items, records),
+            lambda items: self._requests(items, {}),
+        )
+        self._tasks.spawn(requests.run())
+        await requests.loaded.wait()
+        self.loaded.set()
+        log.info(
+            "scheduling",
+            extra={"event": "scheduling", "fence": self.fence, "jobs": len(self.board.jobs)},
+        )
+        self._open_sessions()
+        self._tasks.spawn(self._tick())
+        try:
+            await self._decide()
+        except Displaced:
+            self._displaced("the store has another leader")
+
+    async def _load_progress(self) -> dict[str, dict[int, OccurrenceRecord]]:
+        while True:
+            try:
+                listing = await self._context.store.list(keys.PROGRESS)
+                break
+            except StoreUnavailable:
+                await asyncio.sleep(LOAD_RETRY_S)
+        records: dict[str, dict[int, OccurrenceRecord]] = {}
+        for item in listing.items:
+            self._journal.known(item)
+            job_id, number = keys.occurrence_of(item.key)
+            records.setdefault(job_id, {})[number] = from_msgpack(item.value, OccurrenceRecord)
+        return records
+
+    # Events
+
+    def _configured(self, configuration: PoolConfiguration) -> None:
+        guaranteed = {account.name: account.guaranteed for account in configuration.accounts}
+        services = {queue.name: queue.service for queue in configuration.queues}
+        self.board.configure(guaranteed, services)
+        self.changed()
+
+    def _requests(
+        self, items: tuple[Item, ...], records: dict[str, dict[int, OccurrenceRecord]]
+    ) -> None:
+        cancelled: list[str] = []
+        for item in items:
+            job_id = keys.job_of(item.key)
+            if job_id is not None and item.revision:
+                accepted = from_msgpack(item.value, AcceptedJob)
+                self.board.add_job(accepted, records.get(job_id, {}))
+                continue
+            job_id = keys.cancelled_job_of(item.key)
+            if job_id is not None and item.revision:
+                cancelled.append(job_id)
+        for job_id in cancelled:
+            self.board.cancel(job_id)
+        self.changed()
+
+    def _workers_listed(self, items: tuple[Item, ...]) -> None:
+        self._workers_changed(items)
+        listed = {self._worker_id(item) for item in items}
+        for worker_id in [w for w in self.board.workers if w not in listed]:
+            self.board.unlist_worker(worker_id)
+        self.changed()
+
+    def _workers_changed(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            if not item.revision:
+                self.board.unlist_worker(self._worker_id(item))
+                continue
+            try:
+                record = self._context.documents.worker(item)
+            except SaddlestackError as error:
+                log.error(
+                    "worker record cannot be read",
+                    extra={"event": "worker_bad", "key": item.key, "reason": str(error)},
+                )
+                continue
+            self.board.set_worker(record)
+        if self.loaded.is_set():
+            self._open_sessions()
+        self.changed()
+
+    def _worker_id(self, item: Item) -> str:
+        return item.key.removeprefix(self._context.documents.places.workers_prefix)
+
+    def _open_sessions(self) -> None:
+        for worker in list(self.board.workers.values()):
+            if worker.runs and worker.record.address:
+                self._session(worker.worker_id)
+
+    def _session(self, worker_id: str) -> WorkerSession | None:
+        session = self._sessions.get(worker_id)
+        if session is not None and not session.over:
+            return session
+        worker = self.board.workers.get(worker_id)
+        if worker is None or not worker.record.address:
+            return None
+        session = WorkerSession(
+            worker,
+            self._context.orders(worker.record),
+            self,
+            self._clock,
+            self._inherited_until if worker.runs else 0.0,
+        )
+        self._sessions[worker_id] = session
+        session.begin()
+        return session
+
+    # Deciding
+
+    async def _decide(self) -> None:
+        while not self.over:
+            await self._wake.wait()
+            self._wake.clear()
+            mark = self._known
+            self.board.plan(self._clock.now(), self._clock.wall() * 1000)
+            changes = self.board.take()
+            self._order_stops(changes)
+            encoded = {
+                keys.progress_key(key): to_msgpack(record)
+                for key, record in changes.records.items()
+            }
+            if encoded:
+                await self._journal.commit(encoded)
+            for job, state in changes.shown:
+                self._show(job.job_id, state)
+            self._order_starts(changes)
+            self._written = mark
+            async with self._advanced:
+                self._advanced.notify_all()
+
+    def _show(self, job_id: str, state: JobState) -> None:
+        job = self.board.jobs.get(job_id)
+        if job is None or job.shown is state:
+            return
+        job.shown = state
+        log.info("job", extra={"event": "job", "job": job_id, "state": state.value})
+
+    def _order_stops(self, changes: Changes) -> None:
+        for stop in changes.stops:
+            session = self._session(stop.worker_id)
+            if session is not None:
+                session.stop(stop.task, stop.number)
+            log.info(
+                "stop",
+                extra={
+                    "event": "stop",
+                    "task": str(stop.task),
+                    "run": stop.number,
+                    "worker": stop.worker_id,
+                },
+            )
+
+    def _order_starts(self, changes: Changes) -> None:
+        for start in changes.starts:
+            run = start.run
+            log.info(
+                "start",
+                extra={
+                    "event": "start",
+                    "task": str(run.task.name),
+                    "run": run.number,
+                    "worker": run.worker_id,
+                },
+            )
+            session = self._session(run.worker_id)
+            if session is None:
+                self.board.not_started(run)
+                self.changed()
+                continue
+            session.start(start)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._end_ghosts()
+            self.changed()
+
+    def _end_ghosts(self) -> None:
+        """Lives that nobody can reach any more hold their runs until every lease has lapsed."""
+        if self._clock.now() < self._inherited_until:
+            return
+        for worker in list(self.board.workers.values()):
+            if worker.runs and not worker.record.address:
+                self.board.worker_over(worker.worker_id)
+
+    def _displaced(self, reason: str) -> None:
+        if self.over:
+            return
+        self.over = True
+        log.warning("displaced", extra={"event": "displaced", "reason": reason})
+        self._on_displaced()
--- /dev/null
+++ b/src/saddlestack/control/session.py
@@ -0,0 +1,399 @@
+"""A leader's dealings with one life of a worker: starts, stops, leases and ends."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import Protocol
+
+from saddlestack.interfaces import (
+    Refusal,
+    StartOrder,
+    StartReply,
+    WorkerBusy,
+    WorkerFenced,
+    WorkerOrders,
+    WorkerReplaced,
+    WorkerReport,
+    WorkerUnreachable,
+)
+from saddlestack.kernel.clock import Clock
+from saddlestack.kernel.service import TaskGroup
+from saddlestack.policy.board.board import Board, Start
+from saddlestack.policy.board.jobs import Run
+from saddlestack.policy.board.workers import RunKey, Worker
+from saddlestack.work import TaskName
+
+log = logging.getLogger("saddlestack.session")
+
+ORDER_TIMEOUT_S = 0.6
+ORDERS_AT_ONCE = 2
+START_TRIES = 3
+RETRY_S = 0.3
+PROBE_S = 1.0
+WAIT_S = 2.0
+HOLD_SLACK_S = 0.8
+COMMIT_WAIT_S = 1.0
+CLOCK_DRIFT = 1.02
+"""A worker's clock may run this much slower than ours."""
+LAPSE_SLACK_S = 0.5
+
+
+class Owner(Protocol):
+    """What a session needs of its scheduler."""
+
+    @property
+    def board(self) -> Board:
+        """What is known and decided."""
+        ...
+
+    @property
+    def fence(self) -> int:
+        """The fencing token of the term."""
+        ...
+
+    @property
+    def hold_s(self) -> float:
+        """How long workers lease at most."""
+        ...
+
+    def changed(self) -> None:
+        """Decide anew."""
+        ...
+
+    async def written(self) -> None:
+        """Wait until the store has all that is known by now."""
+        ...
+
+    def fenced(self) -> None:
+        """A worker obeys a later term."""
+        ...
+
+
+@dataclass(slots=True)
+class WorkerClock:
+    """A worker's clock as last heard.
+
+    :param clock_ms: what it said...
+    :param at: ...and when, on our clock.
+    """
+
+    clock_ms: int
+    at: float
+
+    def hear(self, clock_ms: int, now: float) -> None:
+        """Note a newer reading."""
+        self.clock_ms = clock_ms
+        self.at = now
+
+    def read(self, now: float) -> int:
+        """What it says about now."""
+        return self.clock_ms + round((now - self.at) * 1000)
+
+
+class WorkerSession:
+    """Orders to one worker while this VM leads.
+
+    A run's fate is taken from the worker's own account only: its end, or a report, asked for
+    after the last order about the run was answered, that knows nothing of it.
+
+    :param inherited_until: when leases granted by earlier leaders have lapsed for sure.
+    """
+
+    def __init__(
+        self,
+        worker: Worker,
+        orders: WorkerOrders,
+        owner: Owner,
+        clock: Clock,
+        inherited_until: float,
+    ) -> None:
+        self.worker = worker
+        self._orders = orders
+        self._owner = owner
+        self._clock = clock
+        self._times = WorkerClock(worker.record.clock_ms, clock.now())
+        self._lapses = inherited_until
+        self._tasks = TaskGroup(f"session {worker.worker_id}")
+        self._gate = asyncio.Semaphore(ORDERS_AT_ONCE)
+        self._wake = asyncio.Event()
+        self._in_hand: set[RunKey] = set()
+        self._stops: set[RunKey] = set()
+        self._settled: dict[RunKey, float] = {}
+        self._noted = 0
+        self._seen = 0
+        self.over = False
+
+    def begin(self) -> None:
+        """Start to look after the worker."""
+        self._tasks.spawn(self._look())
+
+    async def close(self) -> None:
+        """End all dealings."""
+        self.over = True
+        await self._tasks.cancel()
+        self._orders.close()
+
+    def start(self, start: Start) -> None:
+        """Order a run to start."""
+        key = (start.run.task.name, start.run.number)
+        self._in_hand.add(key)
+        self._tasks.spawn(self._start(start, key))
+        self._wake.set()
+
+    def stop(self, task: TaskName, number: int) -> None:
+        """Order a run to stop; once is enough."""
+        key = (task, number)
+        if key in self._stops or self.over:
+            return
+        self._tasks.spawn(self._stop(key))
+        self._wake.set()
+
+    # Orders
+
+    async def _start(self, start: Start, key: RunKey) -> None:
+        run = start.run
+        clean = True
+        for _ in range(START_TRIES):
+            if run.stopping and clean:
+                self._never_began(run, key)
+                return
+            try:
+                reply = await self._send(start)
+            except WorkerUnreachable:
+                clean = False
+                self._lost()
+                continue
+            except WorkerBusy:
+                self.worker.refused(self._clock.now())
+                reply = StartReply(None, Refusal.ROOM)
+            except WorkerReplaced:
+                self._replaced()
+                return
+            if reply.refusal is Refusal.LATE and clean:
+                continue
+            self._answered(run, key, reply, clean)
+            return
+        await self._stop(key)
+
+    async def _send(self, start: Start) -> StartReply:
+        run = start.run
+        async with self._gate:
+            now = self._clock.now()
+            order = StartOrder(
+                task=str(run.task.name),
+                run=run.number,
+                payload=start.payload,
+                saved=start.saved,
+                deadline_ms=self._deadline(now),
+                fence=self._owner.fence,
+            )
+            reply = await self._orders.start(order, ORDER_TIMEOUT_S)
+        if reply.clock_ms is not None:
+            self._times.hear(reply.clock_ms, self._clock.now())
+        self._heard()
+        return reply
+
+    def _answered(self, run: Run, key: RunKey, reply: StartReply, clean: bool) -> None:
+        now = self._clock.now()
+        if reply.refusal is None:
+            self._settle(key)
+            self._owner.board.started(run, now)
+            self._owner.changed()
+            return
+        log.info(
+            "start refused",
+            extra={
+                "event": "start_refused",
+                "task": str(run.task.name),
+                "run": run.number,
+                "worker": self.worker.worker_id,
+                "reason": reply.refusal.value,
+            },
+        )
+        if reply.refusal is Refusal.FENCED:
+            self._owner.fenced()
+        elif reply.refusal is Refusal.OLD:
+            self._settle(key)
+        elif clean:
+            self.worker.refused(now)
+            self._never_began(run, key)
+        else:
+            self._tasks.spawn(self._stop(key))
+
+    async def _stop(self, key: RunKey) -> None:
+        """Order a stop until it is answered; then the worker's next report tells."""
+        name, number = key
+        self._stops.add(key)
+        while not self.over:
+            try:
+                async with self._gate:
+                    await self._orders.stop(str(name), number, self._owner.fence, ORDER_TIMEOUT_S)
+                self._heard()
+                self._settle(key)
+                return
+            except WorkerReplaced:
+                self._replaced()
+                return
+            except WorkerFenced:
+                self._owner.fenced()
+                return
+            except WorkerUnreachable:
+                self._lost()
+            except WorkerBusy:
+                self.worker.refused(self._clock.now())
+            await asyncio.sleep(RETRY_S)
+
+    def _settle(self, key: RunKey) -> None:
+        """No order about the run is open: reports asked for from now on tell of it."""
+        self._in_hand.discard(key)
+        self._settled[key] = self._clock.now()
+        self._wake.set()
+
+    def _never_began(self, run: Run, key: RunKey) -> None:
+        self._in_hand.discard(key)
+        self._owner.board.not_started(run)
+        self._owner.changed()
+
+    # Looking
+
+    async def _look(self) -> None:
+        while not self.over:
+            if self._idle():
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            asked = self._clock.now()
+            try:
+                report = await self._hold(asked)
+            except WorkerReplaced:
+                self._replaced()
+                return
+            except WorkerFenced:
+                self._owner.fenced()
+                return
+            except (WorkerUnreachable, WorkerBusy):
+                if self._unanswered():
+                    return
+                await asyncio.sleep(RETRY_S if self.worker.runs else PROBE_S)
+                continue
+            await self._take(report, asked)
+
+    def _idle(self) -> bool:
+        return (
+            not self.worker.runs
+            and self._seen == self._noted
+            and self.worker.reachable
+            and not self._in_hand
+        )
+
+    async def _hold(self, asked: float) -> WorkerReport:
+        waits = bool(self.worker.runs) and self._seen == self._noted and not self._unsettled()
+        wait_s = WAIT_S if waits and self.worker.reachable else 0.0
+        deadline = self._deadline(asked) if self.worker.runs else None
+        return await self._orders.hold(
+            self._owner.fence, deadline, self._seen, wait_s, wait_s + HOLD_SLACK_S
+        )
+
+    def _unsettled(self) -> bool:
+        """Whether inherited runs wait to be told of by the next report."""
+        return any(
+            run.inherited and key not in self._settled for key, run in self.worker.runs.items()
+        )
+
+    async def _take(self, report: WorkerReport, asked: float) -> None:
+        now = self._clock.now()
+        self._times.hear(report.clock_ms, now)
+        self._heard()
+        board = self._owner.board
+        board.reported(self.worker.worker_id, report.running)
+        fresh = [end for end in report.ended if end.number > self._noted]
+        for end in fresh:
+            board.ended(self.worker.worker_id, end, now)
+            self._noted = max(self._noted, end.number)
+        present = {(row.task, row.run) for row in report.running}
+        self._judge_absent(present, asked, now)
+        self._owner.changed()
+        if self._noted > self._seen:
+            await self._acknowledge()
+
+    def _judge_absent(self, present: set[tuple[str, int]], asked: float, now: float) -> None:
+        for key, run in list(self.worker.runs.items()):
+            if key in self._in_hand:
+                continue
+            if (str(key[0]), key[1]) in present:
+                self._settled.setdefault(key, now)
+                if run.started_s is None:
+                    self._owner.board.started(run, now)
+                continue
+            ordered = self._settled.get(key)
+            if ordered is None and not run.inherited:
+                continue
+            if ordered is not None and ordered > asked:
+                continue
+            log.info(
+                "run is not there",
+                extra={
+                    "event": "run_absent",
+                    "task": str(key[0]),
+                    "run": key[1],
+                    "worker": self.worker.worker_id,
+                    "confirmed": run.started_s is not None,
+                },
+            )
+            self._owner.board.not_started(run)
+
+    async def _acknowledge(self) -> None:
+        """Let the worker forget its ends, once the store has them."""
+        noted = self._noted
+        try:
+            async with asyncio.timeout(COMMIT_WAIT_S):
+                await self._owner.written()
+        except TimeoutError:
+            return
+        self._seen = max(self._seen, noted)
+        for key in [key for key in self._settled if key not in self.worker.runs]:
+            del self._settled[key]
+
+    # Leases
+
+    def _deadline(self, now: float) -> int:
+        hold = self._owner.hold_s
+        self._lapses = max(self._lapses, now + hold * CLOCK_DRIFT + LAPSE_SLACK_S)
+        return self._times.read(now) + round(hold * 1000)
+
+    def _heard(self) -> None:
+        if not self.worker.reachable:
+            self.worker.reachable = True
+            self._owner.changed()
+
+    def _lost(self) -> None:
+        if self.worker.reachable:
+            self.worker.reachable = False
+            log.warning(
+                "worker does not answer",
+                extra={"event": "worker_silent", "worker": self.worker.worker_id},
+            )
+            self._wake.set()
+
+    def _unanswered(self) -> bool:
+        """Note a failed look; ``True`` where nothing can be running there any more."""
+        self._lost()
+        if self._clock.now() < self._lapses:
+            return False
+        if self.worker.runs:
+            self._owner.board.worker_over(self.worker.worker_id)
+            self._in_hand.clear()
+            self._owner.changed()
+        return not self.worker.listed
+
+    def _replaced(self) -> None:
+        log.info(
+            "worker was replaced",
+            extra={"event": "worker_replaced", "worker": self.worker.worker_id},
+        )
+        self.over = True
+        self.worker.listed = False
+        self._owner.board.worker_over(self.worker.worker_id)
+        self._owner.changed()
--- /dev/null
+++ b/src/saddlestack/control/settings.py
@@ -0,0 +1,115 @@
+"""Settings of an entry VM on the platform's machines: JSON with comments, checked whole."""
+
+from __future__ import annotations
+
+import ipaddress
+from pathlib import Path
+
+from saddlestack.codec import read_commented
+from saddlestack.errors import invalid
+from saddlestack.models import Model
+from saddlestack.settings import LOG_LEVELS, Address
+
+MAX_PORT = 65_535
+
+
+class Timings(Model, frozen=True):
+    """Times that the platform promises or asks for.
+
+    :param longest_hold_ms: the longest lease that a worker grants.
+    :param gang_ms: how long a member of a gang waits for the others.
+    :param stop_ms: how long a stop takes at most.
+    :param grace_s: from SIGTERM to SIGKILL.
+    :param status_s: for how long a job's state is kept at least.
+    """
+
+    longest_hold_ms: int
+    gang_ms: int
+    stop_ms: int
+    grace_s: float
+    status_s: float
+
+
+class EntrySettings(Model, frozen=True):
+    """What an entry VM has to know to start.
+
+    :param vm: the name of this VM.
+    :param data_hall: the data hall it stands in.
+    :param clients: where clients are served, as ``IP:PORT``.
+    :param readiness: where the platform asks whether we are ready.
+    :param peer_ports: first and last port kept free for traffic between daemons.
+    :param store: the platform's store.
+    """
+
+    vm: str
+    data_hall: str
+    clients: str
+    readiness: str
+    peer_ports: tuple[int, int]
+    store: str
+    timings: Timings
+    log_level: str = "info"
+
+    @property
+    def peer_address(self) -> Address:
+        """Where other daemons connect."""
+        return Address(address=parse_address(self.clients).address, port=self.peer_ports[0])
+
+    @property
+    def metrics_address(self) -> Address:
+        """Where counters and histograms are served."""
+        return Address(address=parse_address(self.clients).address, port=self.peer_ports[0] + 1)
+
+
+def load(path: Path) -> EntrySettings:
+    """Read and check a settings file.
+
+    :raises SaddlestackError: with every fault found, each with its line or key path.
+    """
+    settings = read_commented(path, EntrySettings)
+    faults = check(settings)
+    if faults:
+        raise invalid("; ".join(faults), str(path))
+    return settings
+
+
+def check(settings: EntrySettings) -> list[str]:
+    """Every fault of the settings: key path and what was expected.
+
+    :rtype: list[str]
+    """
+    faults: list[str] = []
+    for key, text in (("vm", settings.vm), ("data_hall", settings.data_hall)):
+        if not text.strip():
+            faults.append(f"{key}: expected a name")
+    for key in ("clients", "readiness", "store"):
+        faults += _address_faults(key, getattr(settings, key))
+    first, last = settings.peer_ports
+    if not 0 <= first < last <= MAX_PORT:
+        faults.append("peer_ports: expected a first port below a last one, from 0 to 65535")
+    if settings.log_level not in LOG_LEVELS:
+        faults.append(f"log_level: expected one of {', '.join(LOG_LEVELS)}")
+    for key in ("longest_hold_ms", "gang_ms", "stop_ms", "grace_s", "status_s"):
+        value = getattr(settings.timings, key)
+        if value <= 0:
+            faults.append(f"timings.{key}: expected a number above 0, got {value}")
+    return faults
+
+
+def parse_address(text: str) -> Address:
+    """The address that ``IP:PORT`` spells.
+
+    :raises ValueError: it spells none.
+    """
+    address, _, port = text.rpartition(":")
+    return Address(address=str(ipaddress.ip_address(address)), port=int(port))
+
+
+def _address_faults(key: str, text: str) -> list[str]:
+    try:
+        port = parse_address(text).port
+    except ValueError:
+        return [f"{key}: expected IP:PORT, got {text!r}"]
+    if not 0 <= port <= MAX_PORT:
+        return [f"{key}: expected a port from 0 to {MAX_PORT}, got {port}"]
+    return []
--- a/src/saddlestack/errors.py
+++ b/src/saddlestack/errors.py
@@ -19,6 +19,7 @@
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
+    UNKNOWN_JOB = "unknown_job"
     CONFLICT = "conflict"
     SHAPE_IMPOSSIBLE = "shape_impossible"
     GUARANTEE_UNPACKABLE = "guarantee_unpackable"
@@ -75,6 +76,7 @@
     ErrorKind.UNAUTHENTICATED: ErrorRule(401, EXIT_REFUSED, False, Ran.NO),
     ErrorKind.FORBIDDEN: ErrorRule(403, EXIT_REFUSED, False, Ran.NO),
     ErrorKind.NOT_FOUND: ErrorRule(404, EXIT_REFUSED, False, Ran.NO),
+    ErrorKind.UNKNOWN_JOB: ErrorRule(410, EXIT_REFUSED, False, Ran.NO),
     ErrorKind.CONFLICT: ErrorRule(409, EXIT_CONFLICT, False, Ran.NO),
     ErrorKind.SHAPE_IMPOSSIBLE: ErrorRule(422, EXIT_REFUSED, False, Ran.NO),
     ErrorKind.GUARANTEE_UNPACKABLE: ErrorRule(422, EXIT_REFUSED, False, Ran.NO),
--- a/src/saddlestack/logs.py
+++ b/src/saddlestack/logs.py
@@ -10,9 +10,14 @@
 FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
+def level_of(name: str) -> int:
+    """The level of the logging module that settings name."""
+    return int(getattr(logging, name.upper()))
+
+
 def configure(level: int, vm: str) -> None:
-    """Send the logs of saddlestack to standard error, one JSON object a line."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Send the logs of saddlestack to standard output, one JSON object a line."""
+    handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(
         JsonFormatter(
             FORMAT,
--- /dev/null
+++ b/src/saddlestack/platform/gateway.py
@@ -0,0 +1,207 @@
+"""The HTTP interface that clients of the platform speak.
+
+Translates calls into those of a :class:`saddlestack.interfaces.JobService`. See the
+platform's protocol page, "jobs" and "ingress".
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+
+import msgspec
+
+from saddlestack.codec import from_json, to_json
+from saddlestack.errors import ErrorKind, SaddlestackError, invalid
+from saddlestack.interfaces import ClientCall, JobService, PoolConfiguration, Queue
+from saddlestack.wire.http import Request, Response
+from saddlestack.work import JobRequest, Resources, Step
+
+KEY_HEADER = "saddlestack-credential"
+DEADLINE_HEADER = "saddlestack-deadline-ms"
+READY_PATH = "/api/ready"
+DEFAULT_DEADLINE_MS = 3000.0
+NO_CONFIGURATION_RETRY_S = 1.0
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+
+
+class _Step(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    est_ms: float = 0
+    after_rev: tuple[int, ...] = ()
+    gang: bool = False
+    same_rack: bool = False
+    constraints: str = ""
+    colocate: str = ""
+    anti_affinity: int = 0
+    checkpoint: bool = False
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+    steps: list[_Step]
+    spec: str = ""
+    times: int = 0
+    start_delay_ms: float = 0
+    interval_ms: float = 0
+
+
+class _State(msgspec.Struct):
+    state: str
+
+
+class _Pending(msgspec.Struct):
+    pending: int
+
+
+class Gateway:
+    """Answers the clients' calls and the platform's question whether we are ready.
+
+    :param configuration: the configuration in force, or ``None`` while there is none.
+    :param ready: whether new connections are welcome.
+    """
+
+    def __init__(
+        self,
+        jobs: JobService,
+        configuration: Callable[[], PoolConfiguration | None],
+        ready: Callable[[], bool],
+    ) -> None:
+        self._jobs = jobs
+        self._configuration = configuration
+        self._ready = ready
+
+    async def readiness(self, request: Request) -> Response:
+        """Answer the platform's question."""
+        if request.path != READY_PATH:
+            return Response(404)
+        return Response(200 if self._ready() else 503)
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one call of a client.
+
+        :raises SaddlestackError: the call is refused.
+        """
+        configuration = self._configuration()
+        if configuration is None:
+            raise SaddlestackError(
+                ErrorKind.CELL_UNAVAILABLE,
+                "no configuration has been read yet",
+                retry_after=NO_CONFIGURATION_RETRY_S,
+            )
+        queue = _queue_of(request, configuration)
+        call = ClientCall(queue, _account_of(request, queue, configuration), _deadline_of(request))
+        name = request.path[len(queue.prefix) :]
+        if not name:
+            return await self._pending(request, call)
+        if not _JOB_ID.fullmatch(name):
+            raise invalid("expected 16 hexadecimal digits", where=f"path: {name}")
+        return await self._job(request, call, name, configuration)
+
+    async def _pending(self, request: Request, call: ClientCall) -> Response:
+        if request.method != "GET":
+            raise _no_method(request)
+        return Response(200, to_json(_Pending(await self._jobs.pending(call))))
+
+    async def _job(
+        self, request: Request, call: ClientCall, name: str, configuration: PoolConfiguration
+    ) -> Response:
+        if request.method == "POST":
+            if len(request.body) > configuration.limits.body_bytes:
+                raise SaddlestackError(
+                    ErrorKind.TOO_LARGE,
+                    f"the body is over {configuration.limits.body_bytes} bytes",
+                )
+            await self._jobs.submit(call, name, _request_of(request.body))
+            return Response(200, b"{}")
+        if request.method == "GET":
+            state = await self._jobs.state(call, name)
+            if state is None:
+                raise _unknown(name)
+            return Response(200, to_json(_State(state.value)))
+        if request.method == "DELETE":
+            if not await self._jobs.cancel(call, name):
+                raise _unknown(name)
+            return Response(200, b"{}")
+        raise _no_method(request)
+
+
+def _unknown(name: str) -> SaddlestackError:
+    return SaddlestackError(ErrorKind.UNKNOWN_JOB, f"no job {name}")
+
+
+def _no_method(request: Request) -> SaddlestackError:
+    return SaddlestackError(ErrorKind.NOT_FOUND, f"no {request.method} here")
+
+
+def _queue_of(request: Request, configuration: PoolConfiguration) -> Queue:
+    host = request.headers.get("host", "").partition(":")[0].lower()
+    found: Queue | None = None
+    for queue in configuration.queues:
+        matches = queue.host.lower() == host and request.path.startswith(queue.prefix)
+        if matches and (found is None or len(queue.prefix) > len(found.prefix)):
+            found = queue
+    if found is None:
+        raise SaddlestackError(ErrorKind.NOT_FOUND, "no such queue", where=f"path: {request.path}")
+    return found
+
+
+def _account_of(request: Request, queue: Queue, configuration: PoolConfiguration) -> str:
+    key = request.headers.get(KEY_HEADER, "")
+    for account in configuration.accounts:
+        if key and key in account.keys:
+            return account.name
+    if queue.open:
+        return ""
+    raise SaddlestackError(
+        ErrorKind.UNAUTHENTICATED, "expected a key of a client account", where=KEY_HEADER
+    )
+
+
+def _deadline_of(request: Request) -> float:
+    text = request.headers.get(DEADLINE_HEADER, "")
+    try:
+        deadline = float(text) if text else DEFAULT_DEADLINE_MS
+    except ValueError:
+        raise invalid("expected a number of milliseconds", where=DEADLINE_HEADER) from None
+    return max(0.0, deadline) / 1000
+
+
+def _request_of(body: bytes) -> JobRequest:
+    job = from_json(body, _Job)
+    return JobRequest(
+        payload=job.spec,
+        steps=tuple(_step(step) for step in job.steps),
+        times=job.times,
+        first_at_ms=int(job.start_delay_ms),
+        interval_ms=int(job.interval_ms),
+    )
+
+
+def _step(step: _Step) -> Step:
+    return Step(
+        count=step.count,
+        needs=Resources(step.cpu, step.mem_mb, step.gpu),
+        estimate_ms=int(step.est_ms),
+        after=step.after_rev,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        label=step.constraints,
+        data_rack=step.colocate,
+        per_worker=step.anti_affinity,
+        checkpoint=step.checkpoint,
+        speculative=step.speculative,
+        long_running=step.long_running,
+        image=step.image,
+        target_ms=int(step.target_ms),
+        fills=step.fills,
+        may_miss=step.may_miss,
+    )
--- /dev/null
+++ b/src/saddlestack/platform/kv.py
@@ -0,0 +1,211 @@
+"""The platform's store as a :class:`saddlestack.interfaces.MetadataStore`.
+
+HTTP/1.1 with JSON bodies; values travel as base64. See the platform's protocol page,
+"metadata store".
+"""
+
+from __future__ import annotations
+
+import base64
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from saddlestack.codec import from_json
+from saddlestack.interfaces import (
+    Committed,
+    Conflict,
+    HistoryGone,
+    Item,
+    LeaseOver,
+    Listing,
+    StoreUnavailable,
+    Transaction,
+    WriteInDoubt,
+)
+from saddlestack.wire.dialer import Dialer
+from saddlestack.wire.http import AnswerLost, HttpClient, NotSent, Response
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_S = 1.0
+LIST_TIMEOUT_S = 3.0
+WATCH_SLACK_S = 1.0
+MAX_WAIT_MS = 30_000
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str = ""
+    rev: int = 0
+    gone: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    at: int
+    more: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    at: int
+
+
+class _Expected(msgspec.Struct):
+    key: str
+    rev: int
+
+
+class _Put(msgspec.Struct, omit_defaults=True):
+    key: str
+    value: str
+    lease: int = 0
+
+
+class _Transaction(msgspec.Struct, rename={"expect": "expect-rev"}):
+    expect: list[_Expected]
+    put: list[_Put]
+    delete: list[str]
+
+
+class _Committed(msgspec.Struct):
+    rev: int
+
+
+class _Conflict(msgspec.Struct):
+    items: list[_Item] = []
+
+
+class _LeaseRequest(msgspec.Struct):
+    ttl_ms: int
+
+
+class _Lease(msgspec.Struct):
+    ttl_ms: int
+    lease: int = 0
+
+
+class KvStore:
+    """Client of the platform's store. Counts its calls in :attr:`calls`."""
+
+    def __init__(self, address: str, port: int, *, dialer: Dialer | None = None) -> None:
+        self._http = HttpClient(address, port, dialer=dialer)
+        self.calls = 0
+
+    async def get(self, key: str) -> Item:
+        """A key; revision 0 where it is absent."""
+        response = await self._read(f"/api/kv-key?{urlencode({'key': key})}", CALL_TIMEOUT_S)
+        if response.status == 404:
+            return Item(key, b"", 0)
+        return _item(_expect(response, _Item))
+
+    async def list(self, prefix: str) -> Listing:
+        """All keys under a prefix, page by page; changes since the first page are to be watched."""
+        items: list[Item] = []
+        after = ""
+        revision: int | None = None
+        while True:
+            query = {"path-prefix": prefix}
+            if after:
+                query["after-rev"] = after
+            response = await self._read(f"/api/kv-range?{urlencode(query)}", LIST_TIMEOUT_S)
+            page = _expect(response, _Range)
+            items += [_item(item) for item in page.items]
+            if revision is None:
+                revision = page.at
+            if not page.more or not page.items:
+                return Listing(tuple(items), revision)
+            after = page.items[-1].key
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
+        """Changes after a revision; removed keys have revision 0."""
+        wait_ms = min(MAX_WAIT_MS, round(wait_s * 1000))
+        query = urlencode({"path-prefix": prefix, "after-rev": after, "wait-ms": wait_ms})
+        response = await self._read(f"/api/kv-watch?{query}", wait_s + WATCH_SLACK_S)
+        if response.status == 410:
+            raise HistoryGone(prefix)
+        events = _expect(response, _Events)
+        return Listing(tuple(_item(event) for event in events.events), events.at)
+
+    async def transact(self, transaction: Transaction) -> Committed | Conflict:
+        """Make changes all together."""
+        body = _Transaction(
+            expect=[_Expected(key, revision) for key, revision in transaction.expect],
+            put=[
+                _Put(put.key, base64.b64encode(put.value).decode(), put.lease)
+                for put in transaction.puts
+            ],
+            delete=list(transaction.deletes),
+        )
+        response = await self._write("POST", "/api/kv-txn", body)
+        if response.status == 412:
+            conflict = from_json(response.body, _Conflict, "answer of the store")
+            return Conflict(tuple(_item(item) for item in conflict.items))
+        if response.status == 404:
+            raise LeaseOver
+        return Committed(_expect(response, _Committed).rev)
+
+    async def grant_lease(self, ttl_s: float) -> tuple[int, float]:
+        """A new lease and the seconds it lasts."""
+        request = _LeaseRequest(round(ttl_s * 1000))
+        try:
+            response = await self._write("POST", "/api/kv-lease", request)
+        except WriteInDoubt as error:
+            raise StoreUnavailable(str(error)) from error
+        lease = _expect(response, _Lease)
+        return lease.lease, lease.ttl_ms / 1000
+
+    async def keep_lease(self, lease: int) -> None:
+        """Renew a lease."""
+        await self._on_lease("POST", f"/api/kv-keep/{lease}")
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and its keys."""
+        await self._on_lease("DELETE", f"/api/kv-lease-end/{lease}")
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._http.close()
+
+    async def _on_lease(self, method: str, path: str) -> None:
+        try:
+            response = await self._write(method, path, None)
+        except WriteInDoubt as error:
+            raise StoreUnavailable(str(error)) from error
+        if response.status == 404:
+            raise LeaseOver
+        _check(response)
+
+    async def _read(self, path: str, timeout: float) -> Response:
+        self.calls += 1
+        try:
+            return await self._http.request("GET", path, timeout=timeout)
+        except (NotSent, AnswerLost) as error:
+            raise StoreUnavailable(str(error)) from error
+
+    async def _write(self, method: str, path: str, body: object) -> Response:
+        self.calls += 1
+        try:
+            return await self._http.request(method, path, body, timeout=CALL_TIMEOUT_S)
+        except NotSent as error:
+            raise StoreUnavailable(str(error)) from error
+        except AnswerLost as error:
+            raise WriteInDoubt(str(error)) from error
+
+
+def _item(item: _Item) -> Item:
+    if item.gone or item.rev == 0:
+        return Item(item.key, b"", 0)
+    return Item(item.key, base64.b64decode(item.value), item.rev)
+
+
+def _check(response: Response) -> None:
+    if response.status not in {200, 204}:
+        raise StoreUnavailable(f"answered {response.status}")
+
+
+def _expect(response: Response, kind: type[T]) -> T:
+    _check(response)
+    return from_json(response.body, kind, "answer of the store")
--- /dev/null
+++ b/src/saddlestack/platform/orders.py
@@ -0,0 +1,162 @@
+"""Orders to one worker as a :class:`saddlestack.interfaces.WorkerOrders`.
+
+See the platform's protocol page, "running tasks".
+"""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from saddlestack.codec import from_json
+from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces import (
+    EndedTask,
+    EndKind,
+    Refusal,
+    RunningTask,
+    StartOrder,
+    StartReply,
+    WorkerBusy,
+    WorkerFenced,
+    WorkerReplaced,
+    WorkerReport,
+    WorkerUnreachable,
+)
+from saddlestack.wire.dialer import Dialer
+from saddlestack.wire.http import AnswerLost, HttpClient, NotSent, Response
+
+T = TypeVar("T")
+
+LIFE_HEADER = "Saddlestack-Target-Instance"
+KEPT_CONNECTIONS = 4
+_REFUSALS = {
+    "fence": Refusal.FENCED,
+    "old": Refusal.OLD,
+    "late": Refusal.LATE,
+    "room": Refusal.ROOM,
+    "ticket": Refusal.TICKET,
+}
+
+
+class _Start(msgspec.Struct, rename="kebab", omit_defaults=True):
+    task: str
+    run: int
+    spec: str
+    deadline_ms: int
+    fence: int
+    saved: str = ""
+
+
+class _Stop(msgspec.Struct):
+    task: str
+    run: int
+    fence: int
+
+
+class _Hold(msgspec.Struct, rename="kebab", omit_defaults=True):
+    fence: int
+    last_seen: int
+    deadline_ms: int | None = None
+    wait_ms: int = 0
+
+
+class _Answer(msgspec.Struct, rename="kebab"):
+    clock_ms: int | None = None
+    reason: str = ""
+
+
+class _Running(msgspec.Struct, array_like=True):
+    task: str
+    run: int
+    saved: str = ""
+    percent: float = 0
+
+
+class _Ended(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    how: str
+    saved: str = ""
+
+
+class _Report(msgspec.Struct, rename="kebab"):
+    clock_ms: int
+    running: list[_Running] = []
+    ended: list[_Ended] = []
+
+
+class HttpWorkerOrders:
+    """Orders to one life of a worker, over kept connections."""
+
+    def __init__(
+        self, worker_id: str, address: str, port: int, *, dialer: Dialer | None = None
+    ) -> None:
+        self._http = HttpClient(address, port, dialer=dialer, kept=KEPT_CONNECTIONS)
+        self._headers = ((LIFE_HEADER, worker_id),)
+
+    async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
+        """Start a run."""
+        body = _Start(
+            order.task, order.run, order.payload, order.deadline_ms, order.fence, order.saved
+        )
+        response = await self._call("/api/run-start", body, timeout_s)
+        if response.status == 400:
+            return StartReply(None, Refusal.INVALID)
+        answer = _read(response, _Answer, (200, 409))
+        if response.status == 200:
+            return StartReply(answer.clock_ms, None)
+        return StartReply(answer.clock_ms, _REFUSALS.get(answer.reason, Refusal.OLD))
+
+    async def stop(self, task: str, run: int, fence: int, timeout_s: float) -> None:
+        """Stop a run; one that is not there yet will be refused when it comes."""
+        response = await self._call("/api/run-stop", _Stop(task, run, fence), timeout_s)
+        _not_fenced(response)
+        _read(response, _Answer, (200, 409))
+
+    async def hold(
+        self, fence: int, deadline_ms: int | None, seen: int, wait_s: float, timeout_s: float
+    ) -> WorkerReport:
+        """Renew the lease of what runs, acknowledge ends up to ``seen``, and look."""
+        body = _Hold(fence, seen, deadline_ms, round(wait_s * 1000))
+        response = await self._call("/api/hold", body, timeout_s)
+        _not_fenced(response)
+        report = _read(response, _Report, (200,))
+        running = tuple(RunningTask(r.task, r.run, r.saved, int(r.percent)) for r in report.running)
+        ended = tuple(
+            EndedTask(e.number, e.task, e.run, EndKind(e.how), e.saved) for e in report.ended
+        )
+        return WorkerReport(report.clock_ms, running, ended)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._http.close()
+
+    async def _call(self, path: str, body: object, timeout_s: float) -> Response:
+        try:
+            response = await self._http.request(
+                "POST", path, body, timeout=timeout_s, headers=self._headers
+            )
+        except (NotSent, AnswerLost) as error:
+            raise WorkerUnreachable(str(error)) from error
+        if response.status == 421:
+            raise WorkerReplaced
+        if response.status in {429, 503}:
+            raise WorkerBusy(f"answered {response.status}")
+        return response
+
+
+def _not_fenced(response: Response) -> None:
+    if response.status == 409 and _read(response, _Answer, (409,)).reason == "fence":
+        raise WorkerFenced
+
+
+def _read(response: Response, kind: type[T], statuses: tuple[int, ...]) -> T:
+    if response.status not in statuses:
+        raise WorkerUnreachable(f"answered {response.status}")
+    try:
+        return from_json(response.body or b"{}", kind, "answer of the worker")
+    except SaddlestackError as error:
+        raise WorkerUnreachable(str(error)) from error
--- /dev/null
+++ b/src/saddlestack/policy/board/board.py
@@ -0,0 +1,366 @@
+"""The board: everything a leader knows, and what follows from each event.
+
+Pure: events and times come in as arguments; what is to be written, started and stopped is
+collected and taken with :meth:`Board.take`. Times ``now`` are seconds on a steady clock,
+``wall_ms`` milliseconds since 1970.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from saddlestack.interfaces import EndedTask, EndKind, RunningTask, WorkerRecord
+from saddlestack.policy.board.jobs import Job, Occurrence, Run, StepState, Task, new_job
+from saddlestack.policy.board.queue import Planner
+from saddlestack.policy.board.records import OccurrenceRecord, OccurrenceStatus, TaskStatus
+from saddlestack.policy.board.workers import Worker
+from saddlestack.work import AcceptedJob, JobState, Resources, TaskName
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """A run to be started, once its record is in the store."""
+
+    run: Run
+    payload: str
+    saved: str
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """A run to be stopped."""
+
+    worker_id: str
+    task: TaskName
+    number: int
+
+
+@dataclass(slots=True)
+class Changes:
+    """What has followed since the last call of :meth:`Board.take`.
+
+    :param records: occurrences to be written, by key.
+    :param starts: to be ordered after the records are written.
+    :param stops: to be ordered at once.
+    :param shown: jobs whose state may be shown after the records are written.
+    """
+
+    records: dict[str, OccurrenceRecord] = field(default_factory=dict)
+    starts: list[Start] = field(default_factory=list)
+    stops: list[Stop] = field(default_factory=list)
+    shown: list[tuple[Job, JobState]] = field(default_factory=list)
+
+
+class Board:
+    """Jobs, workers and decisions of one leader."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.workers: dict[str, Worker] = {}
+        self._guaranteed: dict[str, int] = {}
+        self._services: dict[str, str] = {}
+        self._dirty: dict[str, Occurrence] = {}
+        self._starts: list[Start] = []
+        self._stops: list[Stop] = []
+        self._touched: dict[str, Job] = {}
+        self._planner = Planner(self)
+
+    # Configuration
+
+    def configure(self, guaranteed: Mapping[str, int], services: Mapping[str, str]) -> None:
+        """Take over what the configuration says.
+
+        :param guaranteed: accelerators by client account.
+        :param services: the service of each queue.
+        """
+        self._guaranteed = dict(guaranteed)
+        self._services = dict(services)
+
+    def guaranteed(self, account: str) -> int:
+        """Accelerators that an account owns for jobs of priority 0."""
+        return self._guaranteed.get(account, 0)
+
+    def service_of(self, job: Job) -> str:
+        """The service whose workers run a job's tasks."""
+        return self._services.get(job.accepted.queue, job.accepted.service)
+
+    # Jobs
+
+    def add_job(self, accepted: AcceptedJob, records: Mapping[int, OccurrenceRecord]) -> Job:
+        """A job that the store has, with its progress; known ones stay as they are."""
+        job = self.jobs.get(accepted.job_id)
+        if job is not None:
+            return job
+        job = new_job(accepted, dict(records))
+        self.jobs[accepted.job_id] = job
+        for occurrence in job.occurrences:
+            for step in occurrence.steps:
+                for task in step.tasks:
+                    self._restore(task)
+        self._planner.add(job)
+        return job
+
+    def _restore(self, task: Task) -> None:
+        record = task.record
+        if record.status is not TaskStatus.ASSIGNED:
+            return
+        run = Run(task, record.run, record.worker, task.step.step.room, 0.0, inherited=True)
+        run.saved = record.saved
+        task.run = run
+        worker = self.workers.get(record.worker)
+        if worker is None:
+            worker = self._ghost(record.worker)
+        worker.add(run)
+
+    def _ghost(self, worker_id: str) -> Worker:
+        """A life that is not in the list, but may still run something."""
+        record = _unlisted(worker_id)
+        worker = Worker(record, listed=False, reachable=False)
+        self.workers[worker_id] = worker
+        return worker
+
+    def cancel(self, job_id: str) -> None:
+        """A client has cancelled a job: nothing of it starts again, what runs is stopped."""
+        job = self.jobs.get(job_id)
+        if job is None or job.over:
+            return
+        job.cancelled = True
+        self._touched[job_id] = job
+        for occurrence in job.occurrences:
+            self._stop_all(occurrence)
+
+    def forget(self, job_id: str) -> None:
+        """A job that the store no longer has."""
+        self.jobs.pop(job_id, None)
+        self._planner.remove(job_id)
+
+    # Workers
+
+    def set_worker(self, record: WorkerRecord) -> Worker:
+        """A life of a worker is in the list, or its record changed."""
+        worker = self.workers.get(record.worker_id)
+        if worker is None:
+            worker = self.workers[record.worker_id] = Worker(record)
+        worker.record = record
+        if not worker.listed:
+            worker.listed = True
+            worker.reachable = True
+        return worker
+
+    def unlist_worker(self, worker_id: str) -> None:
+        """A life is no longer in the list; what it runs may go on."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return
+        worker.listed = False
+        if not worker.runs:
+            del self.workers[worker_id]
+
+    def worker_over(self, worker_id: str) -> None:
+        """A life has ended, or its lease has lapsed for sure: nothing runs there."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return
+        for run in list(worker.runs.values()):
+            worker.remove(run.task.name, run.number)
+            self._run_over(run, EndKind.LAPSED, run.saved)
+        if not worker.listed:
+            del self.workers[worker_id]
+
+    # Runs
+
+    def started(self, run: Run, now: float) -> None:
+        """The worker has confirmed a run."""
+        if run.started_s is None:
+            run.started_s = now
+        run.task.step.occurrence.job.begun = True
+        self._touched[run.task.name.job_id] = run.task.step.occurrence.job
+
+    def not_started(self, run: Run) -> None:
+        """A run never began, and never will."""
+        worker = self.workers.get(run.worker_id)
+        if worker is not None:
+            worker.remove(run.task.name, run.number)
+        self._run_over(run, EndKind.STOPPED, "")
+
+    def reported(self, worker_id: str, running: Iterable[RunningTask]) -> None:
+        """A worker tells what it runs; what we do not know of is stopped."""
+        worker = self.workers[worker_id]
+        for row in running:
+            name = TaskName.parse(row.task)
+            run = worker.runs.get((name, row.run))
+            if run is None:
+                self._stops.append(Stop(worker_id, name, row.run))
+                continue
+            run.percent = row.percent
+            if row.saved:
+                run.saved = row.saved
+
+    def ended(self, worker_id: str, end: EndedTask, now: float) -> None:
+        """A worker tells that a run is over."""
+        worker = self.workers[worker_id]
+        run = worker.remove(TaskName.parse(end.task), end.run)
+        if run is None:
+            return
+        if end.how is EndKind.DONE:
+            worker.succeeded()
+        elif end.how is EndKind.FAILED:
+            self._judge(worker, run, now)
+        self._run_over(run, end.how, end.saved or run.saved)
+
+    def _judge(self, worker: Worker, run: Run, now: float) -> None:
+        """A task that fails everywhere says nothing about its worker."""
+        elsewhere = run.task.avoid - {worker.worker_id}
+        run.task.avoid.add(worker.worker_id)
+        if not elsewhere:
+            worker.failed(now)
+
+    def _run_over(self, run: Run, how: EndKind, saved: str) -> None:
+        task = run.task
+        if task.run is not run:
+            return
+        task.run = None
+        step = task.step
+        occurrence = step.occurrence
+        self._mark(occurrence)
+        if task.status is not TaskStatus.ASSIGNED:
+            return
+        if how is EndKind.DONE:
+            self._done(task)
+            return
+        task.record.status = TaskStatus.WAITING
+        if step.step.checkpoint and saved:
+            self._save(task, saved)
+        if how is EndKind.FAILED:
+            self._failed(task, run)
+        elif step.step.gang:
+            self._stop_step(step)
+        if occurrence.open:
+            self._planner.returned(step)
+
+    def _save(self, task: Task, saved: str) -> None:
+        tasks = task.step.tasks if task.step.step.gang else [task]
+        for each in tasks:
+            each.record.saved = saved
+
+    def _done(self, task: Task) -> None:
+        step = task.step
+        tasks = step.tasks if step.step.gang else [task]
+        for each in tasks:
+            if each.status is not TaskStatus.DONE:
+                each.record.status = TaskStatus.DONE
+                each.record.saved = ""
+                step.done += 1
+        occurrence = step.occurrence
+        if occurrence.status is OccurrenceStatus.OPEN and all(s.finished for s in occurrence.steps):
+            occurrence.status = OccurrenceStatus.DONE
+            self._touched[occurrence.job.job_id] = occurrence.job
+        self._planner.finished(step)
+
+    def _failed(self, task: Task, run: Run) -> None:
+        step = task.step
+        task.record.failures += 1
+        failures = task.record.failures
+        if step.step.gang:
+            if run.number > step.record.failed_run:
+                step.record.failed_run = run.number
+                step.record.gang_failures += 1
+            failures = step.record.gang_failures
+            self._stop_step(step)
+        if step.step.long_running or failures < step.occurrence.job.accepted.attempts:
+            return
+        occurrence = step.occurrence
+        if occurrence.status is OccurrenceStatus.OPEN:
+            occurrence.status = OccurrenceStatus.FAILED
+            self._touched[occurrence.job.job_id] = occurrence.job
+            for other in occurrence.job.occurrences:
+                self._stop_all(other)
+
+    # Stopping
+
+    def stop_run(self, run: Run) -> None:
+        """Order a run to stop; its room is free when its end is reported."""
+        if not run.stopping:
+            run.stopping = True
+            self._stops.append(Stop(run.worker_id, run.task.name, run.number))
+
+    def stop_group(self, run: Run) -> None:
+        """Stop a run and all that it cannot run without."""
+        for member in self.members(run):
+            self.stop_run(member)
+
+    def members(self, run: Run) -> Sequence[Run]:
+        """The runs that stop together with a run."""
+        step = run.task.step
+        if not step.step.gang:
+            return [run]
+        return [task.run for task in step.tasks if task.run is not None]
+
+    def _stop_step(self, step: StepState) -> None:
+        for task in step.tasks:
+            if task.run is not None:
+                self.stop_run(task.run)
+
+    def _stop_all(self, occurrence: Occurrence) -> None:
+        for step in occurrence.steps:
+            self._stop_step(step)
+
+    # Decisions
+
+    def plan(self, now: float, wall_ms: float) -> None:
+        """Decide what starts and what has to give room."""
+        self._planner.plan(now, wall_ms)
+
+    def assign(self, task: Task, worker: Worker, number: int, now: float) -> None:
+        """Give a run of a task to a worker."""
+        run = Run(task, number, worker.worker_id, task.step.step.room, assigned_s=now)
+        task.run = run
+        task.record.status = TaskStatus.ASSIGNED
+        task.record.run = number
+        task.record.worker = worker.worker_id
+        worker.add(run)
+        occurrence = task.step.occurrence
+        self._mark(occurrence)
+        saved = task.record.saved if task.step.step.checkpoint else ""
+        self._starts.append(Start(run, occurrence.job.accepted.request.payload, saved))
+
+    def _mark(self, occurrence: Occurrence) -> None:
+        self._dirty[occurrence.key] = occurrence
+        self._touched[occurrence.job.job_id] = occurrence.job
+
+    def next_due_ms(self) -> int | None:
+        """Wall time at which the next occurrence falls due, or ``None``."""
+        return self._planner.next_due_ms
+
+    def take(self) -> Changes:
+        """What has followed since the last call."""
+        changes = Changes(starts=self._starts, stops=self._stops)
+        for key, occurrence in self._dirty.items():
+            changes.records[key] = occurrence.to_record()
+        changes.shown = [(job, job.state) for job in self._touched.values()]
+        self._starts, self._stops = [], []
+        self._dirty, self._touched = {}, {}
+        return changes
+
+    def pending(self, queue: str) -> int:
+        """Accepted jobs of a queue none of whose tasks has begun."""
+        return sum(
+            1
+            for job in self.jobs.values()
+            if job.accepted.queue == queue and job.state is JobState.QUEUED
+        )
+
+
+def _unlisted(worker_id: str) -> WorkerRecord:
+    return WorkerRecord(
+        worker_id=worker_id,
+        service="",
+        address="",
+        data_hall="",
+        draining=True,
+        capacity=Resources(),
+        labels=(),
+        rack="",
+        clock_ms=0,
+    )
--- /dev/null
+++ b/src/saddlestack/policy/board/jobs.py
@@ -0,0 +1,207 @@
+"""Jobs, occurrences, steps, tasks and runs as the board keeps them in memory."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from saddlestack.policy.board.records import (
+    OccurrenceRecord,
+    OccurrenceStatus,
+    StepRecord,
+    TaskRecord,
+    TaskStatus,
+)
+from saddlestack.work import AcceptedJob, JobState, Resources, Step, TaskName
+
+ACCELERATOR_CORES = 8
+"""An accelerator counts as this many cores where work is compared."""
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One run of a task at one life of a worker.
+
+    :param inherited: an earlier leader assigned it; what became of it is not known yet.
+    :param assigned_s: when it was decided, seconds on the board's clock.
+    :param started_s: when the worker confirmed it, or ``None``.
+    :param stopping: a stop was ordered.
+    :param saved: the latest checkpoint that the worker reported.
+    :param percent: of the work done, as the worker reported.
+    """
+
+    task: Task
+    number: int
+    worker_id: str
+    room: Resources
+    assigned_s: float
+    inherited: bool = False
+    started_s: float | None = None
+    stopping: bool = False
+    saved: str = ""
+    percent: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task of one occurrence.
+
+    :param avoid: workers on which it failed.
+    """
+
+    name: TaskName
+    step: StepState
+    record: TaskRecord
+    run: Run | None = None
+    avoid: set[str] = field(default_factory=set)
+
+    @property
+    def status(self) -> TaskStatus:
+        """Where it stands."""
+        return self.record.status
+
+
+@dataclass(slots=True, eq=False)
+class StepState:
+    """One step of one occurrence."""
+
+    step: Step
+    number: int
+    occurrence: Occurrence
+    record: StepRecord
+    tasks: list[Task]
+    done: int = 0
+
+    @property
+    def finished(self) -> bool:
+        """Whether every task has ended done."""
+        return self.done == len(self.tasks)
+
+    @property
+    def next_run(self) -> int:
+        """The number of a gang's next run."""
+        return max(task.record.run for task in self.tasks) + 1
+
+
+@dataclass(slots=True, eq=False)
+class Occurrence:
+    """One time that the steps of a job run.
+
+    :param due_ms: wall time before which nothing may start; 0 means at once.
+    """
+
+    job: Job
+    number: int
+    due_ms: int
+    status: OccurrenceStatus
+    steps: list[StepState]
+
+    @property
+    def key(self) -> str:
+        """Names the occurrence in the store."""
+        return f"{self.job.job_id}.{self.number}"
+
+    @property
+    def open(self) -> bool:
+        """Whether work is left to do."""
+        return self.status is OccurrenceStatus.OPEN and not self.job.cancelled
+
+    def to_record(self) -> OccurrenceRecord:
+        """What the store is to keep."""
+        if self.status is not OccurrenceStatus.OPEN:
+            return OccurrenceRecord(self.status)
+        return OccurrenceRecord(self.status, [step.record for step in self.steps])
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A job that was accepted.
+
+    :param shown: its state as far as the store has it; what clients are told.
+    """
+
+    accepted: AcceptedJob
+    occurrences: list[Occurrence] = field(default_factory=list)
+    cancelled: bool = False
+    begun: bool = False
+    shown: JobState = JobState.QUEUED
+
+    @property
+    def job_id(self) -> str:
+        """The job's name."""
+        return self.accepted.job_id
+
+    @property
+    def priority(self) -> int:
+        """0 goes first and may take room back."""
+        return self.accepted.priority
+
+    @property
+    def failed(self) -> bool:
+        """Whether one of its occurrences has failed."""
+        return any(each.status is OccurrenceStatus.FAILED for each in self.occurrences)
+
+    @property
+    def state(self) -> JobState:
+        """Its state, with what is not yet in the store."""
+        if self.failed:
+            return JobState.FAILED
+        if all(each.status is OccurrenceStatus.DONE for each in self.occurrences):
+            return JobState.COMPLETED
+        if self.cancelled:
+            return JobState.CANCELLED
+        return JobState.RUNNING if self.begun else JobState.QUEUED
+
+    @property
+    def over(self) -> bool:
+        """Whether nothing more is to run."""
+        return self.state in {JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED}
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators that its widest open occurrence takes at once, at most."""
+        return max(
+            (
+                sum(s.step.count * s.step.needs.accelerators for s in each.steps[:1])
+                for each in self.occurrences
+                if each.open
+            ),
+            default=0,
+        )
+
+
+def new_job(accepted: AcceptedJob, records: dict[int, OccurrenceRecord]) -> Job:
+    """A job with the progress that the store has of it.
+
+    :param records: by number of the occurrence; missing ones have not begun.
+    """
+    job = Job(accepted)
+    for number in range(accepted.request.occurrences):
+        job.occurrences.append(_occurrence(job, number, records.get(number)))
+    job.begun = bool(records)
+    job.shown = job.state
+    return job
+
+
+def _occurrence(job: Job, number: int, record: OccurrenceRecord | None) -> Occurrence:
+    status = OccurrenceStatus.OPEN if record is None else record.status
+    due_ms = job.accepted.request.due_ms(number)
+    occurrence = Occurrence(job, number, due_ms, status, [])
+    for index, step in enumerate(job.accepted.request.steps):
+        kept = record.steps[index] if record is not None and record.steps else None
+        occurrence.steps.append(_step(occurrence, index, step, kept))
+    return occurrence
+
+
+def _step(occurrence: Occurrence, number: int, step: Step, kept: StepRecord | None) -> StepState:
+    record = kept or StepRecord([TaskRecord() for _ in range(step.count)])
+    state = StepState(step, number, occurrence, record, [])
+    for index, task_record in enumerate(record.tasks):
+        name = TaskName(occurrence.job.job_id, occurrence.number, number, index)
+        state.tasks.append(Task(name, state, task_record))
+    state.done = sum(1 for task in state.tasks if task.status is TaskStatus.DONE)
+    return state
+
+
+def weight(room: Resources) -> float:
+    """Cores that some room stands for, accelerators included."""
+    return room.cpu / 1000 + room.accelerators * ACCELERATOR_CORES
--- /dev/null
+++ b/src/saddlestack/policy/board/placement.py
@@ -0,0 +1,94 @@
+"""Where tasks go: near their data, on one rack where they must, and as tight as possible."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+
+from saddlestack.policy.board.jobs import StepState
+from saddlestack.policy.board.workers import Worker
+from saddlestack.work import Resources
+
+Copies = Callable[[Worker], int]
+"""How many tasks of the step in question a worker may take."""
+
+
+def domains(step: StepState, workers: Sequence[Worker]) -> list[list[Worker]]:
+    """Groups of workers that a gang may lie in, the best first.
+
+    A gang that wants one rack gets one group a rack; near its data first. Only where no rack
+    could ever hold it do all workers form the group.
+    """
+    if not step.step.same_rack:
+        return [_near_first(step, workers)]
+    racks = by_rack(workers)
+    able = [
+        rack
+        for rack in racks.values()
+        if sum(worker.copies(step, worker.record.capacity) for worker in rack) >= step.step.count
+    ]
+    if not able:
+        return [_near_first(step, workers)]
+    near = step.step.data_rack
+    return sorted(able, key=lambda rack: rack[0].record.rack != near)
+
+
+def by_rack(workers: Iterable[Worker]) -> dict[str, list[Worker]]:
+    """Workers by the rack they stand in."""
+    racks: dict[str, list[Worker]] = {}
+    for worker in workers:
+        racks.setdefault(worker.record.rack, []).append(worker)
+    return racks
+
+
+def place_gang(step: StepState, workers: Sequence[Worker], copies: Copies) -> list[Worker] | None:
+    """A worker for each task of a gang, or ``None`` where it does not fit whole."""
+    best: list[Worker] | None = None
+    best_key: tuple[bool, int] | None = None
+    for domain in domains(step, workers):
+        chosen = _fill(step.step.count, domain, copies)
+        if chosen is None:
+            continue
+        far = bool(step.step.data_rack) and domain[0].record.rack != step.step.data_rack
+        key = (far, sum(worker.free.accelerators for worker in domain))
+        if best_key is None or key < best_key:
+            best, best_key = chosen, key
+    return best
+
+
+def place_task(step: StepState, workers: Iterable[Worker], copies: Copies) -> Worker | None:
+    """The worker for one task: near its data, then the one that it fills best."""
+    best: Worker | None = None
+    best_key: tuple[bool, int, int] | None = None
+    near = step.step.data_rack
+    for worker in workers:
+        if copies(worker) < 1:
+            continue
+        left = worker.free - step.step.room
+        key = (bool(near) and worker.record.rack != near, left.accelerators, left.cpu)
+        if best_key is None or key < best_key:
+            best, best_key = worker, key
+    return best
+
+
+def _near_first(step: StepState, workers: Sequence[Worker]) -> list[Worker]:
+    near = step.step.data_rack
+    if not near:
+        return list(workers)
+    return sorted(workers, key=lambda worker: worker.record.rack != near)
+
+
+def _fill(wanted: int, domain: Sequence[Worker], copies: Copies) -> list[Worker] | None:
+    able = [(worker, count) for worker in domain if (count := copies(worker)) > 0]
+    if sum(count for _, count in able) < wanted:
+        return None
+    able.sort(key=lambda pair: _tightness(pair[0].free))
+    chosen: list[Worker] = []
+    for worker, count in able:
+        chosen += [worker] * min(count, wanted - len(chosen))
+        if len(chosen) == wanted:
+            return chosen
+    return None
+
+
+def _tightness(free: Resources) -> tuple[int, int]:
+    return free.accelerators, free.cpu
--- /dev/null
+++ b/src/saddlestack/policy/board/queue.py
@@ -0,0 +1,266 @@
+"""What starts next, in which order, and what has to give room for it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from saddlestack.policy.board.jobs import Job, Run, StepState, Task
+from saddlestack.policy.board.placement import Copies, place_gang, place_task
+from saddlestack.policy.board.preemption import Preemptor
+from saddlestack.policy.board.records import TaskStatus
+from saddlestack.policy.board.workers import Worker
+
+if TYPE_CHECKING:
+    from saddlestack.policy.board.board import Board
+
+TOP_PRIORITY = 0
+RESERVATION_S = 2.5
+"""A reservation that could not be used by then is given up and searched anew."""
+NEAR_PATIENCE_S = 8.0
+"""Work of lower priority waits this long for a place near its data."""
+
+
+@dataclass(slots=True)
+class Reservation:
+    """Room set aside for a step's tasks until the runs that hold it have stopped."""
+
+    places: list[Worker]
+    until_s: float
+
+
+class Planner:
+    """Goes through the waiting work of all jobs in order and gives it workers."""
+
+    def __init__(self, board: Board) -> None:
+        self._board = board
+        self._open: dict[str, Job] = {}
+        self._reservations: dict[int, tuple[StepState, Reservation]] = {}
+        self._waiting_s: dict[int, float] = {}
+        self.next_due_ms: int | None = None
+
+    def add(self, job: Job) -> None:
+        """A job with work left."""
+        if not job.over:
+            self._open[job.job_id] = job
+
+    def remove(self, job_id: str) -> None:
+        """A job that is forgotten."""
+        self._open.pop(job_id, None)
+
+    def returned(self, step: StepState) -> None:
+        """Tasks of a step wait again."""
+        self._open[step.occurrence.job.job_id] = step.occurrence.job
+
+    def finished(self, step: StepState) -> None:
+        """Tasks of a step are done; what it reserved is given up."""
+        if step.finished:
+            self._release(step)
+            self._waiting_s.pop(id(step), None)
+
+    def plan(self, now: float, wall_ms: float) -> None:
+        """Decide what starts and what has to give room."""
+        self._drop_stale(now)
+        self.next_due_ms = None
+        entitled = self._entitled()
+        steps = list(self._ready_steps(wall_ms))
+        steps.sort(key=lambda step: self._order(step, entitled))
+        for step in steps:
+            self._waiting_s.setdefault(id(step), now)
+            self._place(step, step.occurrence.job.job_id in entitled, entitled, now)
+
+    # Order
+
+    def _order(self, step: StepState, entitled: set[str]) -> tuple[int, bool, int]:
+        job = step.occurrence.job
+        return job.priority, job.job_id not in entitled, job.accepted.accepted_ms
+
+    def _entitled(self) -> set[str]:
+        """Jobs of top priority that lie within their account's guarantee."""
+        entitled: set[str] = set()
+        left: dict[str, int] = {}
+        jobs = [job for job in self._open.values() if job.priority == TOP_PRIORITY]
+        for job in sorted(jobs, key=lambda job: job.accepted.accepted_ms):
+            account = job.accepted.account
+            room = left.get(account)
+            if room is None:
+                room = self._board.guaranteed(account)
+            left[account] = room - job.accelerators
+            if left[account] >= 0:
+                entitled.add(job.job_id)
+        return entitled
+
+    def _ready_steps(self, wall_ms: float) -> Iterator[StepState]:
+        for job_id, job in list(self._open.items()):
+            if job.over:
+                del self._open[job_id]
+                for occurrence in job.occurrences:
+                    for step in occurrence.steps:
+                        self._release(step)
+                continue
+            for occurrence in job.occurrences:
+                if not occurrence.open:
+                    continue
+                if occurrence.due_ms > wall_ms:
+                    self._note_due(occurrence.due_ms)
+                    continue
+                for step in occurrence.steps:
+                    if self._ready(step):
+                        yield step
+
+    def _ready(self, step: StepState) -> bool:
+        if step.finished:
+            return False
+        steps = step.occurrence.steps
+        if not all(steps[number].finished for number in step.step.after):
+            return False
+        if step.step.gang:
+            return all(_waits(task) for task in step.tasks)
+        return any(_waits(task) for task in step.tasks)
+
+    def _note_due(self, due_ms: int) -> None:
+        if self.next_due_ms is None or due_ms < self.next_due_ms:
+            self.next_due_ms = due_ms
+
+    # Placing
+
+    def _place(self, step: StepState, within: bool, entitled: set[str], now: float) -> None:
+        workers = self._candidates(step, now)
+        if self._use_reservation(step, now):
+            return
+        if step.step.gang:
+            placed = self._place_gang(step, workers, now)
+        else:
+            placed = self._place_tasks(step, workers, now)
+        if placed or step.occurrence.job.priority != TOP_PRIORITY:
+            return
+        if id(step) not in self._reservations:
+            self._preempt(step, workers, within, entitled, now)
+
+    def _candidates(self, step: StepState, now: float) -> list[Worker]:
+        service = self._board.service_of(step.occurrence.job)
+        able = [
+            worker
+            for worker in self._board.workers.values()
+            if worker.record.service == service
+            and worker.takes_work(now)
+            and worker.matches(step.step)
+        ]
+        near = [worker for worker in able if worker.record.rack == step.step.data_rack]
+        waited = now - self._waiting_s.get(id(step), now)
+        if near and waited < NEAR_PATIENCE_S:
+            return near
+        return able
+
+    def _place_gang(self, step: StepState, workers: list[Worker], now: float) -> bool:
+        places = place_gang(step, workers, _free_copies(step))
+        if places is None:
+            return False
+        self._release(step)
+        self._assign_gang(step, places, now)
+        return True
+
+    def _assign_gang(self, step: StepState, places: list[Worker], now: float) -> None:
+        number = step.next_run
+        for task, worker in zip(step.tasks, places, strict=True):
+            self._board.assign(task, worker, number, now)
+
+    def _place_tasks(self, step: StepState, workers: list[Worker], now: float) -> bool:
+        for task in step.tasks:
+            if not _waits(task):
+                continue
+            worker = self._worker_for(task, workers)
+            if worker is None:
+                return False
+            self._board.assign(task, worker, task.record.run + 1, now)
+        self._release(step)
+        return True
+
+    def _worker_for(self, task: Task, workers: list[Worker]) -> Worker | None:
+        fresh = [worker for worker in workers if worker.worker_id not in task.avoid]
+        copies = _free_copies(task.step)
+        worker = place_task(task.step, fresh, copies)
+        if worker is None and not fresh:
+            worker = place_task(task.step, workers, copies)
+        return worker
+
+    # Preemption
+
+    def _preempt(
+        self,
+        step: StepState,
+        workers: list[Worker],
+        within: bool,
+        entitled: set[str],
+        now: float,
+    ) -> None:
+        job = step.occurrence.job
+
+        def may_stop(run: Run) -> bool:
+            other = run.task.step.occurrence.job
+            if other is job:
+                return False
+            if run.stopping or other.priority > job.priority:
+                return True
+            return within and other.job_id not in entitled
+
+        preemptor = Preemptor(self._board.members, may_stop, now)
+        wanted = sum(1 for task in step.tasks if _waits(task))
+        found = preemptor.cheapest(step, wanted, workers)
+        if found is None and not step.step.gang:
+            found = preemptor.cheapest(step, 1, workers)
+        if found is None:
+            return
+        for run in found.victims:
+            self._board.stop_group(run)
+        self._reserve(step, found.places, now)
+
+    def _reserve(self, step: StepState, places: list[Worker], now: float) -> None:
+        for worker in places:
+            worker.reserved = worker.reserved + step.step.room
+        self._reservations[id(step)] = (step, Reservation(places, now + RESERVATION_S))
+
+    def _release(self, step: StepState) -> None:
+        held = self._reservations.pop(id(step), None)
+        if held is None:
+            return
+        for worker in held[1].places:
+            worker.reserved = worker.reserved - step.step.room
+
+    def _use_reservation(self, step: StepState, now: float) -> bool:
+        """Start what has its room by now; ``True`` where all of it could."""
+        held = self._reservations.get(id(step))
+        if held is None:
+            return False
+        places = held[1].places
+        if not all(_has_room(worker, places.count(worker), step) for worker in set(places)):
+            return False
+        self._release(step)
+        if step.step.gang:
+            self._assign_gang(step, places, now)
+            return True
+        waiting = [task for task in step.tasks if _waits(task)]
+        for task, worker in zip(waiting, places, strict=False):
+            self._board.assign(task, worker, task.record.run + 1, now)
+        return len(waiting) <= len(places)
+
+    def _drop_stale(self, now: float) -> None:
+        for step, reservation in list(self._reservations.values()):
+            usable = all(worker.takes_work(now) for worker in reservation.places)
+            if not usable or now > reservation.until_s or not step.occurrence.open:
+                self._release(step)
+
+
+def _waits(task: Task) -> bool:
+    return task.status is TaskStatus.WAITING and task.run is None
+
+
+def _free_copies(step: StepState) -> Copies:
+    return lambda worker: worker.copies(step, worker.free)
+
+
+def _has_room(worker: Worker, count: int, step: StepState) -> bool:
+    room = step.step.room
+    free = worker.record.capacity - worker.used
+    return room.copies_in(free) >= count
--- /dev/null
+++ b/src/saddlestack/policy/board/workers.py
@@ -0,0 +1,95 @@
+"""Workers as the board sees them: room, runs, and how far each is to be trusted."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from saddlestack.interfaces import WorkerRecord
+from saddlestack.policy.board.jobs import Run, StepState
+from saddlestack.work import Resources, Step, TaskName
+
+FIRST_QUARANTINE_S = 2.0
+LONGEST_QUARANTINE_S = 16.0
+BUSY_QUARANTINE_S = 1.5
+
+RunKey = tuple[TaskName, int]
+"""A task and the number of its run."""
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """One life of a worker.
+
+    :param listed: it is in the platform's list.
+    :param reachable: its latest call was answered.
+    :param strikes: runs that failed there since one last ended well.
+    :param quarantine_s: no new work until then.
+    :param reserved: room set aside for work that waits for others to stop.
+    """
+
+    record: WorkerRecord
+    listed: bool = True
+    reachable: bool = True
+    strikes: int = 0
+    quarantine_s: float = 0.0
+    used: Resources = field(default_factory=Resources)
+    reserved: Resources = field(default_factory=Resources)
+    runs: dict[RunKey, Run] = field(default_factory=dict)
+
+    @property
+    def worker_id(self) -> str:
+        """Its life's name."""
+        return self.record.worker_id
+
+    @property
+    def free(self) -> Resources:
+        """Room that nothing holds or waits for."""
+        return self.record.capacity - self.used - self.reserved
+
+    def takes_work(self, now: float) -> bool:
+        """Whether new work may go there."""
+        if not self.listed or self.record.draining or not self.reachable:
+            return False
+        if now < self.quarantine_s:
+            return False
+        return self.strikes == 0 or not self.runs
+
+    def matches(self, step: Step) -> bool:
+        """Whether it has the label that a step asks for."""
+        return not step.label or step.label in self.record.labels
+
+    def copies(self, step: StepState, room: Resources) -> int:
+        """Tasks of a step that fit into some room of it."""
+        copies = step.step.room.copies_in(room)
+        limit = step.step.per_worker
+        if not limit:
+            return copies
+        held = sum(1 for run in self.runs.values() if run.task.step is step)
+        return max(0, min(copies, limit - held))
+
+    def add(self, run: Run) -> None:
+        """Hold room for a run."""
+        self.runs[(run.task.name, run.number)] = run
+        self.used = self.used + run.room
+
+    def remove(self, task: TaskName, number: int) -> Run | None:
+        """Free the room of a run that is over."""
+        run = self.runs.pop((task, number), None)
+        if run is not None:
+            self.used = self.used - run.room
+        return run
+
+    def succeeded(self) -> None:
+        """A run ended well there."""
+        self.strikes = 0
+        self.quarantine_s = 0.0
+
+    def failed(self, now: float) -> None:
+        """A run failed there."""
+        self.strikes += 1
+        pause = min(LONGEST_QUARANTINE_S, FIRST_QUARANTINE_S * float(2 ** (self.strikes - 1)))
+        self.quarantine_s = max(self.quarantine_s, now + pause)
+
+    def refused(self, now: float) -> None:
+        """It turned an order away as unhealthy."""
+        self.quarantine_s = max(self.quarantine_s, now + BUSY_QUARANTINE_S)
--- a/src/saddlestack/wire/http.py
+++ b/src/saddlestack/wire/http.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -312,19 +312,26 @@
         self._open: set[_Connection] = set()
 
     async def request(
-        self, method: str, path: str, body: object = None, *, timeout: float
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        timeout: float,
+        headers: Sequence[tuple[str, str]] = (),
     ) -> Response:
         """Send a request and read the whole answer.
 
         :param body: a model, sent as JSON, or ``None``.
         :param timeout: seconds for the whole exchange.
+        :param headers: sent besides the usual ones.
         :raises NotSent: nothing left.
         :raises AnswerLost: the answer did not come, or not whole.
         """
         connection = await self._connect(timeout)
         try:
             async with asyncio.timeout(timeout):
-                response = await connection.exchange(self._encode(method, path, body))
+                response = await connection.exchange(self._encode(method, path, body, headers))
             self.bytes += connection.count()
         except (OSError, TimeoutError, h11.ProtocolError) as error:
             raise AnswerLost(f"{method} {path}: {type(error).__name__}") from error
@@ -360,11 +367,16 @@
         connection.close()
         self._open.discard(connection)
 
-    def _encode(self, method: str, path: str, body: object) -> tuple[h11.Request, bytes]:
+    def _encode(
+        self, method: str, path: str, body: object, extra: Sequence[tuple[str, str]]
+    ) -> tuple[h11.Request, bytes]:
         data = b"" if body is None else to_json(body)
         headers = [("host", f"{self.address}:{self.port}"), ("content-length", str(len(data)))]
+        if body is not None:
+            headers.append(("content-type", "application/json"))
         if self._token is not None:
             headers.append(("authorization", f"Bearer {self._token}"))
+        headers.extend(extra)
         return h11.Request(method=method, target=path, headers=headers), data
 
 
