--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -199,7 +199,7 @@
                     extra={"event": "worker_bad", "key": item.key, "reason": str(error)},
                 )
                 continue
-            self.board.set_worker(record)
+            self.board.set_worker(record, self._clock.now())
         if self.loaded.is_set():
             self._open_sessions()
         self.changed()
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -290,8 +290,10 @@
 
     async def _hold(self, asked: float) -> WorkerReport:
         waits = bool(self.worker.runs) and self._seen == self._noted and not self._unsettled()
-        wait_s = WAIT_S if waits and self.worker.reachable else 0.0
-        deadline = self._deadline(asked) if self.worker.runs else None
+        reachable = self.worker.reachable
+        wait_s = WAIT_S if waits and reachable else 0.0
+        # A worker that does not answer gets no longer lease, so that it lapses some day.
+        deadline = self._deadline(asked) if self.worker.runs and reachable else None
         return await self._orders.hold(
             self._owner.fence, deadline, self._seen, wait_s, wait_s + HOLD_SLACK_S
         )
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from saddlestack.interfaces import EndedTask, EndKind, RunningTask, WorkerRecord
+from saddlestack.policy.board.evacuation import leaving
 from saddlestack.policy.board.jobs import Job, Occurrence, Run, StepState, Task, new_job
 from saddlestack.policy.board.queue import Planner
 from saddlestack.policy.board.records import OccurrenceRecord, OccurrenceStatus, TaskStatus
@@ -137,12 +138,12 @@
 
     # Workers
 
-    def set_worker(self, record: WorkerRecord) -> Worker:
+    def set_worker(self, record: WorkerRecord, now: float) -> Worker:
         """A life of a worker is in the list, or its record changed."""
         worker = self.workers.get(record.worker_id)
         if worker is None:
             worker = self.workers[record.worker_id] = Worker(record)
-        worker.record = record
+        worker.note(record, now)
         if not worker.listed:
             worker.listed = True
             worker.reachable = True
@@ -310,6 +311,8 @@
 
     def plan(self, now: float, wall_ms: float) -> None:
         """Decide what starts and what has to give room."""
+        for run in leaving(self.workers.values(), now):
+            self.stop_group(run)
         self._planner.plan(now, wall_ms)
 
     def assign(self, task: Task, worker: Worker, number: int, now: float) -> None:
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -22,6 +22,7 @@
 
     :param listed: it is in the platform's list.
     :param reachable: its latest call was answered.
+    :param leaves_s: when it may leave at the earliest, on the board's clock.
     :param strikes: runs that failed there since one last ended well.
     :param quarantine_s: no new work until then.
     :param reserved: room set aside for work that waits for others to stop.
@@ -30,6 +31,7 @@
     record: WorkerRecord
     listed: bool = True
     reachable: bool = True
+    leaves_s: float | None = None
     strikes: int = 0
     quarantine_s: float = 0.0
     used: Resources = field(default_factory=Resources)
@@ -54,6 +56,13 @@
             return False
         return self.strikes == 0 or not self.runs
 
+    def note(self, record: WorkerRecord, now: float) -> None:
+        """Take over a newer record of it."""
+        if record.draining and record.remaining_ms is not None:
+            leaves = now + record.remaining_ms / 1000
+            self.leaves_s = leaves if self.leaves_s is None else min(self.leaves_s, leaves)
+        self.record = record
+
     def matches(self, step: Step) -> bool:
         """Whether it has the label that a step asks for."""
         return not step.label or step.label in self.record.labels
