--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -18,6 +18,10 @@
 TOP_PRIORITY = 0
 RESERVATION_S = 2.5
 """A reservation that could not be used by then is given up and searched anew."""
+HEADROOM = 0.25
+"""Share of a pool's accelerators, on empty workers, that only urgent work may open..."""
+HEADROOM_PATIENCE_S = 15.0
+"""...until other work has waited for so long."""
 NEAR_PATIENCE_S = 8.0
 """Work of lower priority waits this long for a place near its data."""
 
@@ -155,7 +159,7 @@
 
     def _place_gang(self, step: StepState, workers: list[Worker], now: float) -> bool:
         places = place_gang(step, workers, _free_copies(step))
-        if places is None:
+        if places is None or not self._may_open(step, places, now):
             return False
         self._release(step)
         self._assign_gang(step, places, now)
@@ -171,7 +175,7 @@
             if not _waits(task):
                 continue
             worker = self._worker_for(task, workers)
-            if worker is None:
+            if worker is None or not self._may_open(step, [worker], now):
                 return False
             self._board.assign(task, worker, task.record.run + 1, now)
         self._release(step)
@@ -185,6 +189,25 @@
             worker = place_task(task.step, workers, copies)
         return worker
 
+    # Headroom
+
+    def _may_open(self, step: StepState, places: list[Worker], now: float) -> bool:
+        """Whether work of lower priority may take these workers, some of them empty."""
+        if step.occurrence.job.priority == TOP_PRIORITY:
+            return True
+        opened = {worker.worker_id for worker in places if not worker.runs}
+        if not opened or now - self._waiting_s.get(id(step), now) > HEADROOM_PATIENCE_S:
+            return True
+        service = self._board.service_of(step.occurrence.job)
+        workers = [w for w in self._board.workers.values() if w.record.service == service]
+        total = sum(w.record.capacity.accelerators for w in workers)
+        left = sum(
+            w.record.capacity.accelerators
+            for w in workers
+            if not w.runs and w.takes_work(now) and w.worker_id not in opened
+        )
+        return left >= total * HEADROOM
+
     # Preemption
 
     def _preempt(
