--- /dev/null
+++ b/src/saddlestack/control/desk.py
@@ -0,0 +1,100 @@
+"""Questions that only the leader's scheduler answers, asked from any VM."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+
+from saddlestack.control.leadership import Leadership
+from saddlestack.control.peers import Peers, PeerUnavailable
+from saddlestack.control.scheduler import Scheduler
+from saddlestack.errors import ErrorKind, SaddlestackError
+from saddlestack.work import JobState
+
+T = TypeVar("T")
+
+
+class StateQuestion(msgspec.Struct, frozen=True):
+    """Asks for the state of a job of an account; an empty account sees all jobs."""
+
+    job_id: str
+    account: str
+
+
+class StateAnswer(msgspec.Struct, frozen=True):
+    """A job's state; ``None`` where the leader does not know the job."""
+
+    state: JobState | None
+
+
+class PendingQuestion(msgspec.Struct, frozen=True):
+    """Asks how many jobs of a queue have not begun."""
+
+    queue: str
+
+
+class PendingAnswer(msgspec.Struct, frozen=True):
+    """How many jobs of a queue have not begun."""
+
+    count: int
+
+
+class NoLeader(Exception):
+    """There is no leader, or it did not answer."""
+
+
+class Desk:
+    """Asks the leader, and answers while this VM leads.
+
+    :param scheduler: this VM's scheduler, or ``None`` while it does not lead.
+    """
+
+    def __init__(
+        self, peers: Peers, leadership: Leadership, scheduler: Callable[[], Scheduler | None]
+    ) -> None:
+        self._peers = peers
+        self._leadership = leadership
+        self._scheduler = scheduler
+        peers.serve(StateQuestion, self._state)
+        peers.serve(PendingQuestion, self._pending)
+
+    async def state(self, job_id: str, account: str) -> JobState | None:
+        """A job's state, as far as the leader knows the job.
+
+        :raises NoLeader: nobody answered.
+        """
+        return (await self._ask(StateQuestion(job_id, account), StateAnswer)).state
+
+    async def pending(self, queue: str) -> int:
+        """How many jobs of a queue have not begun.
+
+        :raises NoLeader: nobody answered.
+        """
+        return (await self._ask(PendingQuestion(queue), PendingAnswer)).count
+
+    async def _ask(self, question: object, kind: type[T]) -> T:
+        leader = self._leadership.leader
+        if leader is None:
+            raise NoLeader("nobody leads")
+        try:
+            return await self._peers.ask(leader.vm, question, kind)
+        except (PeerUnavailable, SaddlestackError) as error:
+            raise NoLeader(str(error)) from error
+
+    def _leading(self) -> Scheduler:
+        scheduler = self._scheduler()
+        if scheduler is None or scheduler.over or not scheduler.loaded.is_set():
+            raise SaddlestackError(ErrorKind.CELL_UNAVAILABLE, "not the leader")
+        return scheduler
+
+    async def _state(self, question: StateQuestion) -> StateAnswer:
+        scheduler = self._leading()
+        account = scheduler.account(question.job_id)
+        if account and question.account and account != question.account:
+            return StateAnswer(None)
+        return StateAnswer(scheduler.state(question.job_id))
+
+    async def _pending(self, question: PendingQuestion) -> PendingAnswer:
+        return PendingAnswer(self._leading().pending(question.queue))
--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -10,18 +10,14 @@
 import time
 from pathlib import Path
 
+from saddlestack.control.access import StoreAccess
 from saddlestack.control.configuration import Configuration
 from saddlestack.control.context import EntryContext, OrdersFactory
+from saddlestack.control.desk import Desk
 from saddlestack.control.jobs import Jobs
-from saddlestack.control.leadership import LeaderRecord, Leadership, Term
-from saddlestack.control.peers import (
-    LeaderDesk,
-    Peers,
-    PendingAnswer,
-    PendingQuestion,
-    StateAnswer,
-    StateQuestion,
-)
+from saddlestack.control.leadership import Leadership, Term
+from saddlestack.control.membership import Membership
+from saddlestack.control.peers import Peers
 from saddlestack.control.scheduler import Scheduler
 from saddlestack.control.settings import EntrySettings, load, parse_address
 from saddlestack.interfaces import DocumentReader, MetadataStore, WorkerOrders, WorkerRecord
@@ -43,26 +39,6 @@
 LAST_CLOSE_S = 0.5
 
 
-class _Desk(LeaderDesk):
-    """Answers from the scheduler of this VM's term."""
-
-    def __init__(self, scheduler: Scheduler) -> None:
-        self._scheduler = scheduler
-
-    def state(self, question: StateQuestion) -> StateAnswer:
-        account = self._scheduler.account(question.job_id)
-        if account is None or not self._scheduler.loaded.is_set():
-            return StateAnswer(None)
-        if question.account and account and account != question.account:
-            return StateAnswer(None)
-        return StateAnswer(self._scheduler.state(question.job_id))
-
-    def pending(self, question: PendingQuestion) -> PendingAnswer:
-        if not self._scheduler.loaded.is_set():
-            return LeaderDesk.pending(self, question)
-        return PendingAnswer(self._scheduler.pending(question.queue))
-
-
 class EntryVm:
     """All services of one entry VM."""
 
@@ -92,16 +68,24 @@
             orders=orders or _orders_by(dialer),
         )
         self.configuration = Configuration(self.context)
-        self.peers = Peers(self.context, self._desk)
+        self.membership = Membership(self.context)
+        self.peers = Peers(self.context, self.membership)
         self.leadership = Leadership(self.context, self)
-        self.jobs = Jobs(self.context, self.peers)
+        desk = Desk(self.peers, self.leadership, lambda: self.scheduler)
+        access = StoreAccess(
+            self.context,
+            self.peers,
+            self.membership,
+            lambda: not self.configuration.store_answers,
+        )
+        self.jobs = Jobs(self.context, access, desk)
         gateway = Gateway(self.jobs, lambda: self.configuration.current, self._ready)
         self.clients = HttpServer(gateway.handle, max_connections=MAX_CONNECTIONS)
         self.readiness = HttpServer(gateway.readiness)
         self.scheduler: Scheduler | None = None
         self.asked_to_leave = asyncio.Event()
         self._tasks = TaskGroup("entry")
-        for service in (self.configuration, self.peers, self.leadership):
+        for service in (self.configuration, self.membership, self.peers, self.leadership):
             self.context.registry.add(service.name, service)
 
     async def start(self) -> None:
@@ -114,6 +98,7 @@
             address = parse_address(text)
             await server.start(address.address, address.port)
         await self.configuration.start()
+        await self.membership.start()
         await self.leadership.start()
         log.info("started", extra={"event": "started", "data_hall": self.settings.data_hall})
 
@@ -133,6 +118,7 @@
         """Stop every service."""
         await self.deposed()
         await self.leadership.stop()
+        await self.membership.stop()
         await self.configuration.stop()
         await self.clients.stop()
         await self.readiness.stop()
@@ -161,17 +147,10 @@
         if scheduler is not None:
             await scheduler.stop()
 
-    def leader_changed(self, record: LeaderRecord | None) -> None:
-        """Another VM leads, or nobody."""
-        self.peers.leader_is(record)
-
     def _give_up(self, term: Term) -> None:
         """The scheduler found that another leader has taken over."""
         self._tasks.spawn(self.leadership.give_up(term))
 
-    def _desk(self) -> LeaderDesk:
-        return LeaderDesk() if self.scheduler is None else _Desk(self.scheduler)
-
     def _ready(self) -> bool:
         return self.configuration.store_answers and not self.asked_to_leave.is_set()
 
--- a/src/saddlestack/control/keys.py
+++ b/src/saddlestack/control/keys.py
@@ -10,12 +10,18 @@
 from saddlestack.work import AcceptedJob
 
 LEADER = "saddlestack/leader"
+MEMBERS = "saddlestack/members/"
 REQUESTS = "saddlestack/requests/"
 PROGRESS = "saddlestack/progress/"
 _JOB = REQUESTS + "job/"
 _CANCEL = REQUESTS + "cancel/"
 
 
+def member_key(vm: str) -> str:
+    """Where an entry VM tells how it is reached."""
+    return MEMBERS + vm
+
+
 def job_key(job_id: str) -> str:
     """Where an accepted job is kept."""
     return _JOB + job_id
@@ -49,6 +55,7 @@
 
 __all__ = [
     "LEADER",
+    "MEMBERS",
     "PROGRESS",
     "REQUESTS",
     "AcceptedJob",
@@ -57,6 +64,7 @@
     "cancelled_job_of",
     "job_key",
     "job_of",
+    "member_key",
     "occurrence_of",
     "progress_key",
 ]
--- a/src/saddlestack/control/leadership.py
+++ b/src/saddlestack/control/leadership.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import secrets
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -39,18 +38,13 @@
 
 
 class LeaderRecord(Model, frozen=True):
-    """Who leads, and where it is asked.
+    """Who leads.
 
-    :param secret: the key of streams to the leader.
     :param lease: the lease that the record hangs on.
     """
 
     vm: str
-    data_hall: str
     incarnation: int
-    address: str
-    port: int
-    secret: str
     lease: int
 
 
@@ -76,10 +70,6 @@
         """This VM no longer leads."""
         ...
 
-    def leader_changed(self, record: LeaderRecord | None) -> None:
-        """Another VM leads, or nobody."""
-        ...
-
 
 class Leadership(Service):
     """Follows the leader key, takes it where it is free, and keeps it."""
@@ -88,7 +78,6 @@
         super().__init__(NAME, context.clock)
         self._context = context
         self._candidate = candidate
-        self._secret = secrets.token_hex(16)
         self._held: LeaderRecord | None = None
         self._leaving = False
         self.leader: LeaderRecord | None = None
@@ -159,21 +148,13 @@
             await self._depose("displaced")
         if record is not None and record == self._held and self.term is None:
             await self._begin(Term(item.revision, record))
-        self._candidate.leader_changed(record)
 
     async def _campaign(self) -> None:
         store = self._context.store
         sent = self.clock.now()
         lease, lasts = await store.grant_lease(LEASE_S)
-        address = self._context.settings.peer_address
         record = LeaderRecord(
-            vm=self._context.settings.vm,
-            data_hall=self._context.settings.data_hall,
-            incarnation=self._context.incarnation,
-            address=address.address,
-            port=address.port,
-            secret=self._secret,
-            lease=lease,
+            vm=self._context.settings.vm, incarnation=self._context.incarnation, lease=lease
         )
         self._held = record
         self._valid_s = sent + lasts
--- /dev/null
+++ b/src/saddlestack/control/membership.py
@@ -0,0 +1,118 @@
+"""Which entry VMs there are and where each is reached, kept in the store under leases."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+
+from saddlestack.codec import from_json, to_json
+from saddlestack.control.context import EntryContext
+from saddlestack.control.feed import Feed
+from saddlestack.control.keys import MEMBERS, member_key
+from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces import (
+    Item,
+    LeaseOver,
+    Put,
+    StoreUnavailable,
+    Transaction,
+    WriteInDoubt,
+)
+from saddlestack.kernel.service import Service
+from saddlestack.models import Model
+
+log = logging.getLogger("saddlestack.membership")
+
+NAME = "membership"
+LEASE_S = 10.0
+KEEP_S = 3.0
+RETRY_S = 0.5
+SECRET_BYTES = 16
+
+
+class Member(Model, frozen=True):
+    """One life of an entry VM.
+
+    :param secret: the key of streams to it.
+    """
+
+    vm: str
+    data_hall: str
+    incarnation: int
+    address: str
+    port: int
+    secret: str
+
+
+class Membership(Service):
+    """Tells the others of this VM, and remembers what they told.
+
+    What was heard last is kept while the store does not answer.
+    """
+
+    def __init__(self, context: EntryContext) -> None:
+        super().__init__(NAME, context.clock)
+        self._context = context
+        address = context.settings.peer_address
+        self.me = Member(
+            vm=context.settings.vm,
+            data_hall=context.settings.data_hall,
+            incarnation=context.incarnation,
+            address=address.address,
+            port=address.port,
+            secret=secrets.token_hex(SECRET_BYTES),
+        )
+        self._members: dict[str, Member] = {}
+        self._feed = Feed(context, MEMBERS, self._replace, self._change)
+
+    async def start(self) -> None:
+        """Begin to tell and to follow."""
+        self.tasks.spawn(self._feed.run())
+        self.tasks.spawn(self._tell())
+
+    def member(self, vm: str) -> Member | None:
+        """The latest life of a VM, if it is known."""
+        return self.me if vm == self.me.vm else self._members.get(vm)
+
+    def others(self) -> list[Member]:
+        """All other VMs, in an order of chance."""
+        others = [member for member in self._members.values() if member.vm != self.me.vm]
+        self._context.rng.shuffle(others)
+        return others
+
+    async def _tell(self) -> None:
+        while True:
+            try:
+                lease, _ = await self._context.store.grant_lease(LEASE_S)
+                put = Put(member_key(self.me.vm), to_json(self.me), lease)
+                await self._context.store.transact(Transaction(puts=(put,)))
+                await self._keep(lease)
+            except (StoreUnavailable, WriteInDoubt, LeaseOver):
+                await asyncio.sleep(self._context.rng.uniform(RETRY_S / 2, RETRY_S))
+
+    async def _keep(self, lease: int) -> None:
+        while True:
+            await asyncio.sleep(KEEP_S)
+            try:
+                await self._context.store.keep_lease(lease)
+            except StoreUnavailable:
+                continue
+
+    def _replace(self, items: tuple[Item, ...]) -> None:
+        self._members.clear()
+        self._change(items)
+
+    def _change(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            vm = item.key.removeprefix(MEMBERS)
+            if not item.revision:
+                self._members.pop(vm, None)
+                continue
+            try:
+                self._members[vm] = from_json(item.value, Member, item.key)
+            except SaddlestackError as error:
+                log.error(
+                    "member record cannot be read",
+                    extra={"event": "member_bad", "key": item.key, "reason": str(error)},
+                )
