--- a/src/saddlestack/control/context.py
+++ b/src/saddlestack/control/context.py
@@ -7,7 +7,14 @@
 from dataclasses import dataclass
 
 from saddlestack.control.settings import EntrySettings
-from saddlestack.interfaces import DocumentReader, MetadataStore, WorkerOrders, WorkerRecord
+from saddlestack.interfaces import (
+    Adviser,
+    DocumentReader,
+    Machines,
+    MetadataStore,
+    WorkerOrders,
+    WorkerRecord,
+)
 from saddlestack.kernel.clock import Clock
 from saddlestack.kernel.registry import Registry
 from saddlestack.wire.dialer import Dialer
@@ -20,6 +27,8 @@
 class EntryContext:
     """Settings, clock, randomness, the platform and the registry of one entry VM.
 
+    :param machines: orders about whole machines, where the platform takes them.
+    :param adviser: knows which workers may run a step, where there is one.
     :param incarnation: rises with each start of the VM's process.
     """
 
@@ -32,3 +41,5 @@
     store: MetadataStore
     documents: DocumentReader
     orders: OrdersFactory
+    machines: Machines | None = None
+    adviser: Adviser | None = None
--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -20,13 +20,22 @@
 from saddlestack.control.peers import Peers
 from saddlestack.control.scheduler import Scheduler
 from saddlestack.control.settings import EntrySettings, load, parse_address
-from saddlestack.interfaces import DocumentReader, MetadataStore, WorkerOrders, WorkerRecord
+from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces import (
+    Adviser,
+    DocumentReader,
+    Machines,
+    MetadataStore,
+    WorkerOrders,
+    WorkerRecord,
+)
 from saddlestack.kernel.clock import Clock
 from saddlestack.kernel.registry import Registry
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.platform.documents import PlatformDocuments
 from saddlestack.platform.gateway import Gateway
 from saddlestack.platform.kv import KvStore
+from saddlestack.platform.machines import HttpAdviser, HttpMachines
 from saddlestack.platform.orders import HttpWorkerOrders
 from saddlestack.wire.dialer import Dialer
 from saddlestack.wire.http import HttpServer
@@ -52,6 +61,8 @@
         store: MetadataStore | None = None,
         documents: DocumentReader | None = None,
         orders: OrdersFactory | None = None,
+        machines: Machines | None = None,
+        adviser: Adviser | None = None,
     ) -> None:
         self.settings = settings
         dialer = dialer or Dialer()
@@ -66,6 +77,8 @@
             store=store or KvStore(address.address, address.port, dialer=dialer),
             documents=documents or PlatformDocuments(),
             orders=orders or _orders_by(dialer),
+            machines=machines or _machines_at(settings.machines, dialer),
+            adviser=adviser or _adviser_at(settings.adviser, dialer),
         )
         self.configuration = Configuration(self.context)
         self.membership = Membership(self.context)
@@ -163,6 +176,20 @@
     return open_orders
 
 
+def _machines_at(text: str | None, dialer: Dialer) -> Machines | None:
+    if text is None:
+        return None
+    address = parse_address(text)
+    return HttpMachines(address.address, address.port, dialer=dialer)
+
+
+def _adviser_at(text: str | None, dialer: Dialer) -> Adviser | None:
+    if text is None:
+        return None
+    address = parse_address(text)
+    return HttpAdviser(address.address, address.port, dialer=dialer)
+
+
 async def serve(settings: EntrySettings, path: Path) -> None:
     """Run an entry VM until SIGTERM or SIGINT, then drain it. SIGHUP re-reads the settings."""
     entry = EntryVm(settings)
@@ -176,5 +203,10 @@
 
 
 def _reload(path: Path) -> None:
-    load(path)
+    """Check the settings anew; what a life began with stays in force until its end."""
+    try:
+        load(path)
+    except SaddlestackError as error:
+        log.error("settings are wrong", extra={"event": "reload_failed", "reason": str(error)})
+        return
     log.info("settings read again", extra={"event": "reload"})
--- a/src/saddlestack/control/keys.py
+++ b/src/saddlestack/control/keys.py
@@ -13,10 +13,16 @@
 MEMBERS = "saddlestack/members/"
 REQUESTS = "saddlestack/requests/"
 PROGRESS = "saddlestack/progress/"
+_WAVES = "saddlestack/waves/"
 _JOB = REQUESTS + "job/"
 _CANCEL = REQUESTS + "cancel/"
 
 
+def wave_key(wave: int) -> str:
+    """Where it is kept how far a wave of upkeep is."""
+    return f"{_WAVES}{wave}"
+
+
 def member_key(vm: str) -> str:
     """Where an entry VM tells how it is reached."""
     return MEMBERS + vm
@@ -67,4 +73,5 @@
     "member_key",
     "occurrence_of",
     "progress_key",
+    "wave_key",
 ]
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -19,10 +19,11 @@
 from saddlestack.control.journal import Displaced, Journal
 from saddlestack.control.leadership import LEASE_S, RENEWING_S, Term
 from saddlestack.control.session import CLOCK_DRIFT, LAPSE_SLACK_S, WorkerSession
+from saddlestack.control.upkeep import Upkeep
 from saddlestack.errors import SaddlestackError
-from saddlestack.interfaces import Item, PoolConfiguration, StoreUnavailable
+from saddlestack.interfaces import AdviserUnavailable, Item, PoolConfiguration, StoreUnavailable
 from saddlestack.kernel.service import TaskGroup
-from saddlestack.policy.board.board import Board, Changes
+from saddlestack.policy.board.board import Board, Changes, Question
 from saddlestack.policy.board.records import OccurrenceRecord
 from saddlestack.work import AcceptedJob, JobState
 
@@ -30,6 +31,9 @@
 
 TICK_S = 0.5
 LOAD_RETRY_S = 0.2
+ADVICE_RETRY_S = 0.5
+ADVICE_AT_ONCE = 4
+"""The adviser takes one call of a VM at a time; few wait there, the others here."""
 
 
 class Scheduler:
@@ -62,7 +66,7 @@
         self._known = 0
         self._written = 0
         self._advanced = asyncio.Condition()
-        self._early: list[Item] = []
+        self._advice_gate = asyncio.Semaphore(ADVICE_AT_ONCE)
         self.loaded = asyncio.Event()
         self.over = False
 
@@ -135,6 +139,9 @@
         )
         self._open_sessions()
         self._tasks.spawn(self._tick())
+        if self._context.machines is not None:
+            upkeep = Upkeep(self._context, self._context.machines, self.board, self.fence)
+            self._tasks.spawn(upkeep.run())
         try:
             await self._decide()
         except Displaced:
@@ -159,7 +166,8 @@
     def _configured(self, configuration: PoolConfiguration) -> None:
         guaranteed = {account.name: account.guaranteed for account in configuration.accounts}
         services = {queue.name: queue.service for queue in configuration.queues}
-        self.board.configure(guaranteed, services)
+        advised = [queue.name for queue in configuration.queues if queue.advised]
+        self.board.configure(guaranteed, services, advised)
         self.changed()
 
     def _requests(
@@ -240,6 +248,9 @@
             self.board.plan(self._clock.now(), self._clock.wall() * 1000)
             changes = self.board.take()
             self._order_stops(changes)
+            self._order_paces(changes)
+            for question in changes.questions:
+                self._tasks.spawn(self._ask(question))
             encoded = {
                 keys.progress_key(key): to_msgpack(record)
                 for key, record in changes.records.items()
@@ -296,6 +307,41 @@
                 continue
             session.start(start)
 
+    def _order_paces(self, changes: Changes) -> None:
+        for pace in changes.paces:
+            session = self._session(pace.run.worker_id)
+            if session is not None:
+                session.pace(pace.run, pace.percent)
+            log.info(
+                "pace",
+                extra={
+                    "event": "pace",
+                    "task": str(pace.run.task.name),
+                    "worker": pace.run.worker_id,
+                    "percent": pace.percent,
+                },
+            )
+
+    async def _ask(self, question: Question) -> None:
+        """Ask the adviser; where it does not answer, the step is asked about again later."""
+        step = question.step
+        adviser = self._context.adviser
+        try:
+            if adviser is None:
+                raise AdviserUnavailable("no adviser is set up")
+            async with self._advice_gate:
+                leaves = await adviser.advise(step.key, question.workers)
+        except AdviserUnavailable as error:
+            log.warning(
+                "adviser does not answer",
+                extra={"event": "adviser_lost", "step": step.key, "reason": str(error)},
+            )
+            await asyncio.sleep(ADVICE_RETRY_S)
+        else:
+            step.advice.told(question.workers, leaves, self._clock.now())
+        step.advice.asking = False
+        self.changed()
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -22,6 +22,7 @@
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.policy.board.board import Board, Start
 from saddlestack.policy.board.jobs import Run
+from saddlestack.policy.board.pacing import needs_watching
 from saddlestack.policy.board.workers import RunKey, Worker
 from saddlestack.work import TaskName
 
@@ -33,6 +34,8 @@
 RETRY_S = 0.3
 PROBE_S = 1.0
 WAIT_S = 2.0
+WATCHED_WAIT_S = 0.5
+"""How often a worker is looked at on which serving and filling work meet."""
 HOLD_SLACK_S = 0.8
 COMMIT_WAIT_S = 1.0
 CLOCK_DRIFT = 1.02
@@ -150,8 +153,31 @@
         self._tasks.spawn(self._stop(key))
         self._wake.set()
 
+    def pace(self, run: Run, percent: int) -> None:
+        """Order a run to work at a share of its full speed."""
+        self._tasks.spawn(self._pace(run, percent))
+
     # Orders
 
+    async def _pace(self, run: Run, percent: int) -> None:
+        """Order a pace until it is answered, or another one has taken its place."""
+        name = str(run.task.name)
+        while run.pace == percent and run.task.run is run and not self.over:
+            try:
+                async with self._gate:
+                    await self._orders.pace(
+                        name, run.number, percent, self._owner.fence, ORDER_TIMEOUT_S
+                    )
+                return
+            except WorkerFenced:
+                self._owner.fenced()
+                return
+            except WorkerReplaced:
+                self._replaced()
+                return
+            except (WorkerUnreachable, WorkerBusy):
+                await asyncio.sleep(RETRY_S)
+
     async def _start(self, start: Start, key: RunKey) -> None:
         run = start.run
         clean = True
@@ -188,6 +214,7 @@
                 saved=start.saved,
                 deadline_ms=self._deadline(now),
                 fence=self._owner.fence,
+                ticket=start.ticket,
             )
             reply = await self._orders.start(order, ORDER_TIMEOUT_S)
         if reply.clock_ms is not None:
@@ -217,7 +244,10 @@
         elif reply.refusal is Refusal.OLD:
             self._settle(key)
         elif clean:
-            self.worker.refused(now)
+            if reply.refusal is Refusal.TICKET:
+                run.task.step.advice.refused(self.worker.worker_id)
+            else:
+                self.worker.refused(now)
             self._never_began(run, key)
         else:
             self._tasks.spawn(self._stop(key))
@@ -291,7 +321,8 @@
     async def _hold(self, asked: float) -> WorkerReport:
         waits = bool(self.worker.runs) and self._seen == self._noted and not self._unsettled()
         reachable = self.worker.reachable
-        wait_s = WAIT_S if waits and reachable else 0.0
+        longest = WATCHED_WAIT_S if needs_watching(self.worker) else WAIT_S
+        wait_s = longest if waits and reachable else 0.0
         # A worker that does not answer gets no longer lease, so that it lapses some day.
         deadline = self._deadline(asked) if self.worker.runs and reachable else None
         return await self._orders.hold(
@@ -309,7 +340,7 @@
         self._times.hear(report.clock_ms, now)
         self._heard()
         board = self._owner.board
-        board.reported(self.worker.worker_id, report.running)
+        board.reported(self.worker.worker_id, report.running, now)
         fresh = [end for end in report.ended if end.number > self._noted]
         for end in fresh:
             log.info(
--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -19,6 +19,8 @@
     :param longest_hold_ms: the longest lease that a worker grants.
     :param gang_ms: how long a member of a gang waits for the others.
     :param stop_ms: how long a stop takes at most.
+    :param machine_lease_ms: orders about a machine by two holders lie further apart than this.
+    :param upkeep_ms: how long a machine is down for its upkeep.
     :param grace_s: from SIGTERM to SIGKILL.
     :param status_s: for how long a job's state is kept at least.
     """
@@ -28,6 +30,8 @@
     stop_ms: int
     grace_s: float
     status_s: float
+    machine_lease_ms: int = 3000
+    upkeep_ms: int = 2000
 
 
 class EntrySettings(Model, frozen=True):
@@ -39,6 +43,8 @@
     :param readiness: where the platform asks whether we are ready.
     :param peer_ports: first and last port kept free for traffic between daemons.
     :param store: the platform's store.
+    :param machines: the platform's interface for whole machines, if there is one.
+    :param adviser: the service that knows which workers may run a step, if there is one.
     """
 
     vm: str
@@ -48,6 +54,8 @@
     peer_ports: tuple[int, int]
     store: str
     timings: Timings
+    machines: str | None = None
+    adviser: str | None = None
     log_level: str = "info"
 
     @property
@@ -84,12 +92,16 @@
             faults.append(f"{key}: expected a name")
     for key in ("clients", "readiness", "store"):
         faults += _address_faults(key, getattr(settings, key))
+    for key in ("machines", "adviser"):
+        text = getattr(settings, key)
+        if text is not None:
+            faults += _address_faults(key, text)
     first, last = settings.peer_ports
     if not 0 <= first < last <= MAX_PORT:
         faults.append("peer_ports: expected a first port below a last one, from 0 to 65535")
     if settings.log_level not in LOG_LEVELS:
         faults.append(f"log_level: expected one of {', '.join(LOG_LEVELS)}")
-    for key in ("longest_hold_ms", "gang_ms", "stop_ms", "grace_s", "status_s"):
+    for key in ("longest_hold_ms", "gang_ms", "stop_ms", "grace_s", "status_s", "upkeep_ms"):
         value = getattr(settings.timings, key)
         if value <= 0:
             faults.append(f"timings.{key}: expected a number above 0, got {value}")
--- /dev/null
+++ b/src/saddlestack/control/upkeep.py
@@ -0,0 +1,181 @@
+"""Drives the operators' waves of upkeep while this VM leads.
+
+A machine gets no new work, runs empty as far as time allows, and is then ordered down. Orders
+carry the term's fencing token; a new leader waits until no order of an earlier one can count
+as taking turns with its own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from saddlestack.codec import from_json, to_json
+from saddlestack.control.context import EntryContext
+from saddlestack.control.feed import Feed
+from saddlestack.control.keys import LEADER, wave_key
+from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces import (
+    Conflict,
+    Item,
+    Machines,
+    MachinesUnavailable,
+    Put,
+    StoreUnavailable,
+    Transaction,
+    UpkeepOutcome,
+    WriteInDoubt,
+)
+from saddlestack.models import Model
+from saddlestack.policy.board.board import Board
+from saddlestack.policy.board.workers import Worker
+from saddlestack.policy.upkeep import WaveState
+
+log = logging.getLogger("saddlestack.upkeep")
+
+TICK_S = 0.25
+STORE_RETRY_S = 0.3
+
+
+class WaveRecord(Model, frozen=True):
+    """What is kept of a wave: machines whose upkeep has begun, and whether it is over."""
+
+    begun: tuple[str, ...] = ()
+    completed: bool = False
+
+
+class Upkeep:
+    """The waves of one term.
+
+    :param fence: the term's fencing token.
+    """
+
+    def __init__(self, context: EntryContext, machines: Machines, board: Board, fence: int) -> None:
+        self._context = context
+        self._machines = machines
+        self._board = board
+        self._fence = fence
+        self._clock = context.clock
+        self._waves: dict[int, WaveState] = {}
+        self._completed: set[int] = set()
+        self._feed = Feed(
+            context, context.documents.places.waves_prefix, self._ordered, self._ordered
+        )
+        self._fresh: list[Item] = []
+
+    async def run(self) -> None:
+        """Drive waves until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._feed.run())
+            group.create_task(self._drive())
+
+    def _ordered(self, items: tuple[Item, ...]) -> None:
+        self._fresh += [item for item in items if item.revision]
+
+    async def _drive(self) -> None:
+        await asyncio.sleep(self._context.settings.timings.machine_lease_ms / 1000)
+        while True:
+            while self._fresh:
+                await self._take(self._fresh.pop(0))
+            for number, state in list(self._waves.items()):
+                await self._advance(state)
+                if state.finished:
+                    await self._keep(state, completed=True)
+                    self._completed.add(number)
+                    del self._waves[number]
+            await asyncio.sleep(TICK_S)
+
+    async def _take(self, item: Item) -> None:
+        try:
+            wave = self._context.documents.wave(item)
+        except SaddlestackError as error:
+            log.error(
+                "wave cannot be read",
+                extra={"event": "wave_bad", "key": item.key, "reason": str(error)},
+            )
+            return
+        if wave.wave in self._waves or wave.wave in self._completed:
+            return
+        kept = await self._read(wave.wave)
+        if kept.completed:
+            self._completed.add(wave.wave)
+            return
+        down_s = self._context.settings.timings.upkeep_ms / 1000
+        state = WaveState(wave, self._clock.now(), down_s)
+        for name in kept.begun:
+            state.is_gone(name)
+        self._waves[wave.wave] = state
+        log.info(
+            "wave of upkeep",
+            extra={"event": "wave", "wave": wave.wave, "machines": len(wave.machines)},
+        )
+        await self._keep(state, completed=False)
+
+    async def _advance(self, state: WaveState) -> None:
+        workers = self._by_machine()
+        now = self._clock.now()
+        for worker, leaves_s in state.prepare(workers, now):
+            worker.closing = True
+            worker.leaves_s = leaves_s
+        due = state.due(workers, now)
+        if due:
+            await asyncio.gather(*(self._order(state, name) for name in due))
+
+    def _by_machine(self) -> dict[str, Worker]:
+        return {
+            worker.record.machine: worker
+            for worker in self._board.workers.values()
+            if worker.listed and worker.record.machine
+        }
+
+    async def _order(self, state: WaveState, machine: str) -> None:
+        try:
+            outcome = await self._machines.upkeep(
+                machine, state.wave.wave, self._context.settings.vm, self._fence
+            )
+        except MachinesUnavailable as error:
+            log.warning(
+                "machines do not answer",
+                extra={"event": "machines_lost", "machine": machine, "reason": str(error)},
+            )
+            return
+        log.info(
+            "upkeep",
+            extra={"event": "upkeep", "machine": machine, "outcome": outcome.value},
+        )
+        if outcome is UpkeepOutcome.BEGUN:
+            state.went_down(machine)
+            await self._keep(state, completed=False)
+        elif outcome in {UpkeepOutcome.UNKNOWN_MACHINE, UpkeepOutcome.NOT_IN_WAVE}:
+            state.is_gone(machine)
+
+    async def _read(self, wave: int) -> WaveRecord:
+        while True:
+            try:
+                item = await self._context.store.get(wave_key(wave))
+                return from_json(item.value, WaveRecord) if item.revision else WaveRecord()
+            except StoreUnavailable:
+                await asyncio.sleep(STORE_RETRY_S)
+
+    async def _keep(self, state: WaveState, *, completed: bool) -> None:
+        """Write how far a wave is, for the operator and for the next leader."""
+        number = state.wave.wave
+        places = self._context.documents.places
+        status = self._context.documents.wave_status(completed=completed)
+        record = WaveRecord(begun=state.begun, completed=completed)
+        transaction = Transaction(
+            expect=((LEADER, self._fence),),
+            puts=(
+                Put(f"{places.wave_status_prefix}{number}", status),
+                Put(wave_key(number), to_json(record)),
+            ),
+        )
+        while True:
+            try:
+                outcome = await self._context.store.transact(transaction)
+            except (StoreUnavailable, WriteInDoubt):
+                await asyncio.sleep(STORE_RETRY_S)
+                continue
+            if isinstance(outcome, Conflict):
+                log.warning("wave is another leader's", extra={"event": "wave_displaced"})
+            return
--- a/src/saddlestack/interfaces.py
+++ b/src/saddlestack/interfaces.py
@@ -186,13 +186,16 @@
 class RunningTask:
     """A run that a worker reports as present.
 
-    :param percent: of the work done, 0 to 100.
+    :param percent: of the work done, 0 to 100; a lasting task is at work at 100.
+    :param figure: of the last half second: the tail of a serving task's answers in
+        milliseconds, else the processor time in use in thousandths of a core.
     """
 
     task: str
     run: int
     saved: str
     percent: int
+    figure: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,6 +226,7 @@
     """One run of a task to be started.
 
     :param deadline_ms: until when, on the worker's clock, everything there may run.
+    :param ticket: the adviser's leave, where the queue asks for one.
     """
 
     task: str
@@ -231,6 +235,7 @@
     saved: str
     deadline_ms: int
     fence: int
+    ticket: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,6 +261,10 @@
         """Stop a run; one that is not there yet will be refused when it comes."""
         ...
 
+    async def pace(self, task: str, run: int, percent: int, fence: int, timeout_s: float) -> None:
+        """Let a run work at a share of its full speed, 0 to 100."""
+        ...
+
     async def hold(
         self, fence: int, deadline_ms: int | None, seen: int, wait_s: float, timeout_s: float
     ) -> WorkerReport:
@@ -294,6 +303,7 @@
     """A queue of the configuration.
 
     :param open: needs no key.
+    :param advised: a start needs the adviser's leave.
     """
 
     name: str
@@ -306,6 +316,7 @@
     target_ms: float
     timeout_ms: float
     open: bool
+    advised: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -356,6 +367,74 @@
     configuration_prefix: str
     configuration_key: str
     workers_prefix: str
+    waves_prefix: str
+    wave_status_prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class Wave:
+    """The operator's order that machines have their upkeep.
+
+    :param deadline_s: seconds from the order until all should have had it.
+    :param most: machines that may be down for it at once.
+    """
+
+    wave: int
+    machines: tuple[str, ...]
+    deadline_s: float
+    most: int
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The adviser's leave for a step to run at one life of a worker.
+
+    :param valid_s: for so long.
+    """
+
+    worker_id: str
+    ticket: str
+    valid_s: float
+
+
+class Adviser(Protocol):
+    """Knows which workers may run a step of an advised queue."""
+
+    async def advise(self, step: str, workers: tuple[str, ...]) -> tuple[Leave, ...]:
+        """The workers among these that may run a step.
+
+        :raises AdviserUnavailable: no answer.
+        """
+        ...
+
+
+class AdviserUnavailable(Exception):
+    """The adviser did not answer, or has too many calls waiting."""
+
+
+class UpkeepOutcome(enum.StrEnum):
+    """What became of an order of upkeep."""
+
+    BEGUN = "begun"
+    BUSY = "busy"
+    FENCED = "fenced"
+    NOT_IN_WAVE = "not_in_wave"
+    UNKNOWN_MACHINE = "unknown_machine"
+
+
+class MachinesUnavailable(Exception):
+    """The platform's machines interface did not answer; an order may have been done."""
+
+
+class Machines(Protocol):
+    """Orders to the platform about whole machines."""
+
+    async def upkeep(self, machine: str, wave: int, holder: str, fence: int) -> UpkeepOutcome:
+        """Take a machine down for its upkeep; all that runs there dies at once.
+
+        :raises MachinesUnavailable: no answer.
+        """
+        ...
 
 
 class DocumentReader(Protocol):
@@ -373,6 +452,17 @@
         """
         ...
 
+    def wave(self, item: Item) -> Wave:
+        """The wave of upkeep that a document orders.
+
+        :raises SaddlestackError: it orders none.
+        """
+        ...
+
+    def wave_status(self, *, completed: bool) -> bytes:
+        """What tells the operator how far a wave is."""
+        ...
+
     def worker(self, item: Item) -> WorkerRecord:
         """The worker that a record describes.
 
--- a/src/saddlestack/platform/documents.py
+++ b/src/saddlestack/platform/documents.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from saddlestack.codec import from_json
+from saddlestack.codec import from_json, to_json
 from saddlestack.interfaces import (
     ClientAccount,
     ClientLimits,
@@ -16,6 +16,7 @@
     Pool,
     PoolConfiguration,
     Queue,
+    Wave,
     WorkerRecord,
 )
 from saddlestack.work import Resources
@@ -23,7 +24,24 @@
 RACK_LABEL = 1
 """A worker's labels are its kind and its rack, in this order."""
 
-PLACES = Documents("op/", "op/config", "servers/")
+PLACES = Documents("op/", "op/config", "servers/", "op/wave/", "status/wave/")
+
+
+class _Advice(msgspec.Struct, rename="kebab"):
+    decide_ms: float = 0
+    period_ms: float = 0
+    valid_ms: float = 0
+
+
+class _Wave(msgspec.Struct, rename="kebab"):
+    wave: int
+    machines: list[str]
+    deadline_s: float = 0
+    max_tasks: int = 1
+
+
+class _WaveStatus(msgspec.Struct):
+    state: str
 
 
 class _Route(msgspec.Struct, rename="kebab"):
@@ -37,6 +55,7 @@
     target_latency_ms: float = 0.0
     timeout_ms: float = 3000.0
     no_auth: bool = False
+    advice: _Advice | None = None
 
 
 class _Guaranteed(msgspec.Struct):
@@ -103,6 +122,15 @@
             limits=ClientLimits(document.limits.max_body_bytes),
         )
 
+    def wave(self, item: Item) -> Wave:
+        """The wave of upkeep that a document orders."""
+        wave = from_json(item.value, _Wave, item.key)
+        return Wave(wave.wave, tuple(wave.machines), wave.deadline_s, wave.max_tasks)
+
+    def wave_status(self, *, completed: bool) -> bytes:
+        """What tells the operator how far a wave is."""
+        return to_json(_WaveStatus("completed" if completed else "running"))
+
     def worker(self, item: Item) -> WorkerRecord:
         """The worker that a record describes."""
         record = from_json(item.value, _Worker, item.key)
@@ -140,4 +168,5 @@
         target_ms=route.target_latency_ms,
         timeout_ms=route.timeout_ms,
         open=route.no_auth,
+        advised=route.advice is not None,
     )
--- a/src/saddlestack/platform/orders.py
+++ b/src/saddlestack/platform/orders.py
@@ -47,6 +47,7 @@
     deadline_ms: int
     fence: int
     saved: str = ""
+    ticket: str = ""
 
 
 class _Stop(msgspec.Struct):
@@ -55,6 +56,13 @@
     fence: int
 
 
+class _Pace(msgspec.Struct):
+    task: str
+    run: int
+    percent: int
+    fence: int
+
+
 class _Hold(msgspec.Struct, rename="kebab", omit_defaults=True):
     fence: int
     last_seen: int
@@ -72,6 +80,7 @@
     run: int
     saved: str = ""
     percent: float = 0
+    figure: float = 0
 
 
 class _Ended(msgspec.Struct, array_like=True):
@@ -100,7 +109,13 @@
     async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
         """Start a run."""
         body = _Start(
-            order.task, order.run, order.payload, order.deadline_ms, order.fence, order.saved
+            order.task,
+            order.run,
+            order.payload,
+            order.deadline_ms,
+            order.fence,
+            order.saved,
+            order.ticket,
         )
         response = await self._call("/api/run-start", body, timeout_s)
         if response.status == 400:
@@ -116,6 +131,12 @@
         _not_fenced(response)
         _read(response, _Answer, (200, 409))
 
+    async def pace(self, task: str, run: int, percent: int, fence: int, timeout_s: float) -> None:
+        """Let a run work at a share of its full speed, 0 to 100."""
+        response = await self._call("/api/pace", _Pace(task, run, percent, fence), timeout_s)
+        _not_fenced(response)
+        _read(response, _Answer, (200, 409))
+
     async def hold(
         self, fence: int, deadline_ms: int | None, seen: int, wait_s: float, timeout_s: float
     ) -> WorkerReport:
@@ -124,7 +145,9 @@
         response = await self._call("/api/hold", body, timeout_s)
         _not_fenced(response)
         report = _read(response, _Report, (200,))
-        running = tuple(RunningTask(r.task, r.run, r.saved, int(r.percent)) for r in report.running)
+        running = tuple(
+            RunningTask(r.task, r.run, r.saved, int(r.percent), r.figure) for r in report.running
+        )
         ended = tuple(
             EndedTask(e.number, e.task, e.run, EndKind(e.how), e.saved) for e in report.ended
         )
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -14,6 +14,7 @@
 from saddlestack.interfaces import EndedTask, EndKind, RunningTask, WorkerRecord
 from saddlestack.policy.board.evacuation import leaving
 from saddlestack.policy.board.jobs import Job, Occurrence, Run, StepState, Task, new_job
+from saddlestack.policy.board.pacing import Pace, paces
 from saddlestack.policy.board.queue import Planner
 from saddlestack.policy.board.records import OccurrenceRecord, OccurrenceStatus, TaskStatus
 from saddlestack.policy.board.workers import Worker
@@ -27,6 +28,15 @@
     run: Run
     payload: str
     saved: str
+    ticket: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """The adviser is to be asked which of some workers may run a step."""
+
+    step: StepState
+    workers: tuple[str, ...]
 
 
 class StopReason(enum.StrEnum):
@@ -61,12 +71,16 @@
     :param records: occurrences to be written, by key.
     :param starts: to be ordered after the records are written.
     :param stops: to be ordered at once.
+    :param paces: to be ordered at once.
+    :param questions: to be asked of the adviser.
     :param shown: jobs whose state may be shown after the records are written.
     """
 
     records: dict[str, OccurrenceRecord] = field(default_factory=dict)
     starts: list[Start] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
+    paces: list[Pace] = field(default_factory=list)
+    questions: list[Question] = field(default_factory=list)
     shown: list[tuple[Job, JobState]] = field(default_factory=list)
 
 
@@ -81,17 +95,27 @@
         self._dirty: dict[str, Occurrence] = {}
         self._starts: list[Start] = []
         self._stops: list[Stop] = []
+        self._paces: list[Pace] = []
+        self._questions: list[Question] = []
+        self._advised: frozenset[str] = frozenset()
         self._touched: dict[str, Job] = {}
         self._planner = Planner(self)
 
     # Configuration
 
-    def configure(self, guaranteed: Mapping[str, int], services: Mapping[str, str]) -> None:
+    def configure(
+        self,
+        guaranteed: Mapping[str, int],
+        services: Mapping[str, str],
+        advised: Iterable[str] = (),
+    ) -> None:
         """Take over what the configuration says.
 
         :param guaranteed: accelerators by client account.
         :param services: the service of each queue.
+        :param advised: queues whose starts need the adviser's leave.
         """
+        self._advised = frozenset(advised)
         self._guaranteed = dict(guaranteed)
         self._services = dict(services)
 
@@ -99,6 +123,15 @@
         """Accelerators that an account owns for jobs of priority 0."""
         return self._guaranteed.get(account, 0)
 
+    def is_advised(self, job: Job) -> bool:
+        """Whether a start of a job's tasks needs the adviser's leave."""
+        return job.accepted.queue in self._advised
+
+    def ask(self, step: StepState, workers: tuple[str, ...]) -> None:
+        """Have the adviser asked which of some workers may run a step."""
+        step.advice.asking = True
+        self._questions.append(Question(step, workers))
+
     def service_of(self, job: Job) -> str:
         """The service whose workers run a job's tasks."""
         return self._services.get(job.accepted.queue, job.accepted.service)
@@ -202,7 +235,7 @@
             worker.remove(run.task.name, run.number)
         self._run_over(run, EndKind.STOPPED, "")
 
-    def reported(self, worker_id: str, running: Iterable[RunningTask]) -> None:
+    def reported(self, worker_id: str, running: Iterable[RunningTask], now: float) -> None:
         """A worker tells what it runs; what we do not know of is stopped."""
         worker = self.workers[worker_id]
         for row in running:
@@ -212,8 +245,10 @@
                 self._stops.append(Stop(worker_id, name, row.run, StopReason.NOT_OURS))
                 continue
             run.percent = row.percent
+            run.figure = row.figure
             if row.saved:
                 run.saved = row.saved
+        self._paces += paces(worker, now)
 
     def ended(self, worker_id: str, end: EndedTask, now: float) -> None:
         """A worker tells that a run is over."""
@@ -244,7 +279,7 @@
         self._mark(occurrence)
         if task.status is not TaskStatus.ASSIGNED:
             return
-        if how is EndKind.DONE:
+        if how is EndKind.DONE and not step.step.long_running:
             self._done(task)
             return
         task.record.status = TaskStatus.WAITING
@@ -347,7 +382,8 @@
         occurrence = task.step.occurrence
         self._mark(occurrence)
         saved = task.record.saved if task.step.step.checkpoint else ""
-        self._starts.append(Start(run, occurrence.job.accepted.request.payload, saved))
+        ticket = task.step.advice.ticket(worker.worker_id, now) or ""
+        self._starts.append(Start(run, occurrence.job.accepted.request.payload, saved, ticket))
 
     def _mark(self, occurrence: Occurrence) -> None:
         self._dirty[occurrence.key] = occurrence
@@ -359,11 +395,13 @@
 
     def take(self) -> Changes:
         """What has followed since the last call."""
-        changes = Changes(starts=self._starts, stops=self._stops)
+        changes = Changes(
+            starts=self._starts, stops=self._stops, paces=self._paces, questions=self._questions
+        )
         for key, occurrence in self._dirty.items():
             changes.records[key] = occurrence.to_record()
         changes.shown = [(job, job.state) for job in self._touched.values()]
-        self._starts, self._stops = [], []
+        self._starts, self._stops, self._paces, self._questions = [], [], [], []
         self._dirty, self._touched = {}, {}
         return changes
 
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from saddlestack.policy.board.advice import StepAdvice
 from saddlestack.policy.board.records import (
     OccurrenceRecord,
     OccurrenceStatus,
@@ -13,6 +14,7 @@
 )
 from saddlestack.work import AcceptedJob, JobState, Resources, Step, TaskName
 
+WORKING_PERCENT = 100
 ACCELERATOR_CORES = 8
 """An accelerator counts as this many cores where work is compared."""
 
@@ -26,7 +28,9 @@
     :param started_s: when the worker confirmed it, or ``None``.
     :param stopping: a stop was ordered.
     :param saved: the latest checkpoint that the worker reported.
-    :param percent: of the work done, as the worker reported.
+    :param percent: of the work done, as the worker reported; a lasting task works at 100.
+    :param figure: the worker's figure of the last half second.
+    :param pace: the share of full speed that it was last ordered to work at.
     """
 
     task: Task
@@ -39,6 +43,8 @@
     stopping: bool = False
     saved: str = ""
     percent: int = 0
+    figure: float = 0.0
+    pace: int = 100
 
 
 @dataclass(slots=True, eq=False)
@@ -70,6 +76,20 @@
     record: StepRecord
     tasks: list[Task]
     done: int = 0
+    advice: StepAdvice = field(default_factory=StepAdvice)
+
+    @property
+    def key(self) -> str:
+        """Names the step of one occurrence."""
+        return f"{self.occurrence.key}.{self.number}"
+
+    @property
+    def may_stop(self) -> int | None:
+        """Tasks that may be taken away now; ``None`` where nothing limits them."""
+        if not self.step.may_miss:
+            return None
+        away = sum(1 for task in self.tasks if not _at_work(task.run))
+        return max(0, self.step.may_miss - away)
 
     @property
     def finished(self) -> bool:
@@ -202,6 +222,10 @@
     return state
 
 
+def _at_work(run: Run | None) -> bool:
+    return run is not None and not run.stopping and run.percent >= WORKING_PERCENT
+
+
 def weight(room: Resources) -> float:
     """Cores that some room stands for, accelerators included."""
     return room.cpu / 1000 + room.accelerators * ACCELERATOR_CORES
--- a/src/saddlestack/policy/board/preemption.py
+++ b/src/saddlestack/policy/board/preemption.py
@@ -78,12 +78,12 @@
         since = run.started_s if run.started_s is not None else run.assigned_s
         lost = max(0.0, self._now - since)
         if run.task.step.step.checkpoint and run.saved:
-            lost *= CHECKPOINT_LOSS
+            lost = min(lost, CHECKPOINT_LOSS_S)
         return lost * weight(run.room) + TOUCH_COST
 
 
-CHECKPOINT_LOSS = 0.1
-"""Share of a run's work that is lost although it saves its progress."""
+CHECKPOINT_LOSS_S = 1.0
+"""Seconds of work that are lost at most where a run saves its progress."""
 TOUCH_COST = 1.0
 """Core-seconds that any stop is held to cost, so that fewer runs are touched."""
 
@@ -125,6 +125,14 @@
             places += [worker] * min(self._copies(worker), wanted - len(places))
         return Preemption(places, list(self._victims.values()), self._lost)
 
+    def _taken(self) -> dict[int, int]:
+        """Victims so far, by step."""
+        taken: dict[int, int] = {}
+        for run in self._victims.values():
+            step = id(run.task.step)
+            taken[step] = taken.get(step, 0) + 1
+        return taken
+
     def _copies(self, worker: Worker) -> int:
         freed = self._freed.get(worker.worker_id, Resources())
         return worker.copies(self._step, worker.free + freed)
@@ -134,12 +142,13 @@
         before = self._copies(worker)
         room = worker.free + self._freed.get(worker.worker_id, Resources())
         groups: list[tuple[float, Sequence[Run]]] = []
+        taken = self._taken()
         seen: set[int] = set()
         for run in worker.runs.values():
             if id(run) in self._victims or id(run) in seen:
                 continue
             members = self._owner.group(run)
-            if members is None:
+            if members is None or not _spared(members, taken):
                 continue
             seen.update(id(member) for member in members)
             fresh = [member for member in members if id(member) not in self._victims]
@@ -148,6 +157,8 @@
         chosen: list[Run] = []
         cost = 0.0
         for group_cost, members in groups:
+            if not _spared(members, _count(chosen, taken)):
+                continue
             chosen += members
             cost += group_cost
             for member in members:
@@ -156,3 +167,18 @@
             if worker.copies(self._step, room) > before:
                 return cost, chosen
         return None
+
+
+def _spared(members: Sequence[Run], taken: dict[int, int]) -> bool:
+    """Whether a step can miss these runs beside the victims it has to give already."""
+    step = members[0].task.step
+    limit = step.may_stop
+    return limit is None or taken.get(id(step), 0) + len(members) <= limit
+
+
+def _count(chosen: Sequence[Run], taken: dict[int, int]) -> dict[int, int]:
+    counted = dict(taken)
+    for run in chosen:
+        step = id(run.task.step)
+        counted[step] = counted.get(step, 0) + 1
+    return counted
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -11,6 +11,7 @@
 from saddlestack.policy.board.preemption import Preemptor
 from saddlestack.policy.board.records import TaskStatus
 from saddlestack.policy.board.workers import Worker
+from saddlestack.work import Resources
 
 if TYPE_CHECKING:
     from saddlestack.policy.board.board import Board
@@ -151,12 +152,26 @@
             and worker.takes_work(now)
             and worker.matches(step.step)
         ]
+        if self._board.is_advised(step.occurrence.job):
+            able = self._with_leave(step, able, now)
         near = [worker for worker in able if worker.record.rack == step.step.data_rack]
         waited = now - self._waiting_s.get(id(step), now)
         if near and waited < NEAR_PATIENCE_S:
             return near
         return able
 
+    def _with_leave(self, step: StepState, able: list[Worker], now: float) -> list[Worker]:
+        """The workers that may run a step; the adviser is asked about more where they are few."""
+        advice = step.advice
+        allowed = [w for w in able if advice.ticket(w.worker_id, now) is not None]
+        room = sum(worker.copies(step, worker.free) for worker in allowed)
+        wanted = sum(1 for task in step.tasks if _waits(task))
+        if room < wanted and not advice.asking:
+            unknown = advice.unknown(able, now)
+            if unknown:
+                self._board.ask(step, unknown)
+        return allowed
+
     def _place_gang(self, step: StepState, workers: list[Worker], now: float) -> bool:
         places = place_gang(step, workers, _free_copies(step))
         if places is None or not self._may_open(step, places, now):
@@ -193,7 +208,7 @@
 
     def _may_open(self, step: StepState, places: list[Worker], now: float) -> bool:
         """Whether work of lower priority may take these workers, some of them empty."""
-        if step.occurrence.job.priority == TOP_PRIORITY:
+        if step.occurrence.job.priority == TOP_PRIORITY or step.step.long_running:
             return True
         opened = {worker.worker_id for worker in places if not worker.runs}
         if not opened or now - self._waiting_s.get(id(step), now) > HEADROOM_PATIENCE_S:
@@ -206,7 +221,9 @@
             for w in workers
             if not w.runs and w.takes_work(now) and w.worker_id not in opened
         )
-        return left >= total * HEADROOM
+        if left >= total * HEADROOM:
+            return True
+        return not any(_half_used(workers))
 
     # Preemption
 
@@ -279,6 +296,17 @@
     return task.status is TaskStatus.WAITING and task.run is None
 
 
+def _half_used(workers: list[Worker]) -> Iterator[bool]:
+    """For each kind of room, whether half of a pool's is in use."""
+    used = Resources()
+    total = Resources()
+    for worker in workers:
+        used = used + worker.used
+        total = total + worker.record.capacity
+    yield used.accelerators * 2 >= total.accelerators
+    yield used.cpu * 2 >= total.cpu
+
+
 def _free_copies(step: StepState) -> Copies:
     return lambda worker: worker.copies(step, worker.free)
 
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -23,6 +23,8 @@
     :param listed: it is in the platform's list.
     :param reachable: its latest call was answered.
     :param leaves_s: when it may leave at the earliest, on the board's clock.
+    :param closing: its machine is about to have its upkeep.
+    :param calm_s: since when all that serves there is well below its target.
     :param strikes: runs that failed there since one last ended well.
     :param quarantine_s: no new work until then.
     :param reserved: room set aside for work that waits for others to stop.
@@ -32,6 +34,8 @@
     listed: bool = True
     reachable: bool = True
     leaves_s: float | None = None
+    closing: bool = False
+    calm_s: float | None = None
     strikes: int = 0
     quarantine_s: float = 0.0
     used: Resources = field(default_factory=Resources)
@@ -50,7 +54,7 @@
 
     def takes_work(self, now: float) -> bool:
         """Whether new work may go there."""
-        if not self.listed or self.record.draining or not self.reachable:
+        if not self.listed or self.record.draining or self.closing or not self.reachable:
             return False
         if now < self.quarantine_s:
             return False
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -14,6 +14,7 @@
 from saddlestack.control.settings import EntrySettings, Timings
 from saddlestack.interfaces import ClientCall, Queue, WorkerOrders, WorkerRecord
 from saddlestack.standins.loop import VirtualClock
+from saddlestack.standins.pool.machines import FloorAdviser, FloorMachines
 from saddlestack.standins.pool.store import StoreState, StoreView
 from saddlestack.standins.pool.workers import Floor, FloorOrders, FloorTimes, TaskPlan, payload
 from saddlestack.work import JobRequest, JobState, Resources, Step
@@ -52,6 +53,9 @@
     times: FloorTimes = field(default_factory=FloorTimes)
     store: StoreState = field(default_factory=StoreState)
     floor: Floor = field(init=False)
+    machines: FloorMachines = field(init=False)
+    adviser: FloorAdviser = field(default_factory=FloorAdviser)
+    advised: frozenset[str] = frozenset()
     members: dict[str, _Member] = field(default_factory=dict)
     version: int = 0
     _lives: int = 0
@@ -59,6 +63,9 @@
 
     def __post_init__(self) -> None:
         self.floor = Floor(self.store, SERVICE, self.times)
+        self.machines = FloorMachines(self.floor)
+        if self.advised:
+            self.floor.adviser = self.adviser
 
     async def start(self) -> None:
         """Start the workers and the entry VMs, and wait for a leader."""
@@ -88,6 +95,8 @@
             rng=random.Random(self.seed * 1000 + self._lives),
             store=view,
             orders=lambda record: self._orders(name, record),
+            machines=self.machines,
+            adviser=self.adviser,
         )
         self.members[name] = _Member(vm, view)
         await vm.start()
@@ -132,6 +141,7 @@
                 "service": SERVICE,
                 "priority": priority,
                 "max-attempts": ATTEMPTS,
+                **({"advice": {"decide-ms": 10}} if name in self.advised else {}),
             }
             for name, priority in QUEUES
         ]
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import msgspec
 
@@ -40,12 +41,18 @@
     :param failures: so many runs of each task fail, at their end.
     :param room: accelerators that each task takes.
     :param gang: tasks of a gang; 0 where they work alone.
+    :param lasts: it works until it is stopped.
+    :param tail_ms: the tail of its answers' times while nothing disturbs it.
+    :param harm_ms: what it adds to others' tails at full pace.
     """
 
     work_s: float = 1.0
     failures: int = 0
     room: int = 1
     gang: int = 0
+    lasts: bool = False
+    tail_ms: float = 0.0
+    harm_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -63,6 +70,7 @@
     began: float
     done_s: float = 0.0
     stopping_at: float | None = None
+    pace: int = 100
     ended: EndKind | None = None
     ended_at: float = 0.0
 
@@ -85,6 +93,7 @@
     accelerators: int
     rack: str
     data_hall: str
+    machine: str = ""
     up: bool = True
     unreachable: bool = False
     late_orders: int = 0
@@ -105,6 +114,15 @@
         return self.accelerators - sum(run.plan.room for run in self.runs.values())
 
 
+class TicketOffice(Protocol):
+    """Knows the tickets given: step, worker and until when, by ticket."""
+
+    @property
+    def tickets(self) -> dict[str, tuple[str, str, float]]:
+        """All tickets."""
+        ...
+
+
 class Floor:
     """All workers of a pool, and the account of everything that ran."""
 
@@ -119,16 +137,20 @@
         self._taken_note: set[TaskName] = set()
         self.orders = 0
         self.looks = 0
+        self.adviser: TicketOffice | None = None
         self.resumed: list[tuple[TaskName, int, str]] = []
 
     # The platform's side
 
-    def add(self, rack: str, data_hall: str, accelerators: int = 8) -> FloorWorker:
+    def add(
+        self, rack: str, data_hall: str, accelerators: int = 8, machine: str = ""
+    ) -> FloorWorker:
         """A new life of a worker, recorded in the store."""
         self._lives += 1
         worker = FloorWorker(
             f"i-{self._lives:04d}", f"127.0.0.1:{9000 + self._lives}", accelerators, rack, data_hall
         )
+        worker.machine = machine or f"m-{self._lives:04d}"
         self.workers[worker.worker_id] = worker
         self.record(worker)
         return worker
@@ -143,6 +165,7 @@
             "capacity": {"cpu": 32_000, "mem-mb": 65_536, "gpu": worker.accelerators},
             "labels": ["a", worker.rack],
             "clock-ms": self.clock_ms(),
+            "machine": worker.machine,
         }
         if remaining_ms is not None:
             record["remaining-ms"] = remaining_ms
@@ -195,6 +218,8 @@
             return StartReply(clock, None)
         if order.run <= worker.highest.get(name, 0):
             return StartReply(clock, Refusal.OLD)
+        if self.adviser is not None and not self._ticket_holds(worker, name, order.ticket):
+            return StartReply(clock, Refusal.TICKET)
         plan = msgspec.json.decode(order.payload, type=TaskPlan)
         if plan.room > worker.free:
             return StartReply(clock, Refusal.ROOM)
@@ -219,6 +244,14 @@
         if run is not None and run.stopping_at is None:
             run.stopping_at = _now() + self.times.stop_s
 
+    def pace(self, worker: FloorWorker, task: str, number: int, percent: int, fence: int) -> None:
+        """Let a run work at a share of its speed."""
+        if fence < worker.fence:
+            raise WorkerFenced
+        run = worker.runs.get((TaskName.parse(task), number))
+        if run is not None:
+            run.pace = percent
+
     async def hold(
         self, worker: FloorWorker, fence: int, deadline_ms: int | None, seen: int, wait_s: float
     ) -> WorkerReport:
@@ -243,7 +276,9 @@
         if not worker.up:
             raise WorkerUnreachable("gone")
         running = tuple(
-            RunningTask(str(run.task), run.number, f"{run.done_s:.3f}", _percent(run))
+            RunningTask(
+                str(run.task), run.number, f"{run.done_s:.3f}", _percent(run), _figure(worker, run)
+            )
             for run in worker.runs.values()
         )
         return WorkerReport(self.clock_ms(), running, tuple(worker.ended))
@@ -254,6 +289,12 @@
         until = min((deadline_ms - CLOCK_START_MS) / 1000, _now() + self.times.hold_s)
         worker.lease_until = max(worker.lease_until, until)
 
+    def _ticket_holds(self, worker: FloorWorker, name: TaskName, ticket: str) -> bool:
+        assert self.adviser is not None
+        step, worker_id, until = self.adviser.tickets.get(ticket, ("", "", 0.0))
+        whole = f"{name.job_id}.{name.occurrence}.{name.step}"
+        return step == whole and worker_id == worker.worker_id and _now() <= until
+
     def _check_start(self, name: TaskName) -> None:
         if name in self._taken_note:
             self.violations.append(f"{name} starts after its end was taken note of")
@@ -280,7 +321,7 @@
                 self._end(worker, run, EndKind.ALONE)
             return
         run.done_s += STEP_S
-        if run.done_s < run.plan.work_s:
+        if run.plan.lasts or run.done_s < run.plan.work_s:
             return
         failed = worker.fails_all or self._failures(run) < run.plan.failures
         self._end(worker, run, EndKind.FAILED if failed else EndKind.DONE)
@@ -349,6 +390,11 @@
         self.floor.stop(self.worker, task, run, fence)
         await asyncio.sleep(TRIP_S)
 
+    async def pace(self, task: str, run: int, percent: int, fence: int, timeout_s: float) -> None:
+        """Let a run work at a share of its speed."""
+        await self._reach(timeout_s)
+        self.floor.pace(self.worker, task, run, percent, fence)
+
     async def hold(
         self, fence: int, deadline_ms: int | None, seen: int, wait_s: float, timeout_s: float
     ) -> WorkerReport:
@@ -400,6 +446,13 @@
     return min(100, round(100 * run.done_s / run.plan.work_s))
 
 
+def _figure(worker: FloorWorker, run: FloorRun) -> float:
+    if not run.plan.tail_ms:
+        return 0.0
+    harm = sum(other.plan.harm_ms * other.pace / 100 for other in worker.runs.values())
+    return run.plan.tail_ms + harm
+
+
 def _step_of(task: TaskName) -> tuple[str, int, int]:
     return task.job_id, task.occurrence, task.step
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import unittest
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from saddlestack.control.journal import Displaced, Journal
 from saddlestack.errors import ErrorKind, SaddlestackError
 from saddlestack.interfaces import EndKind
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.standins.pool.workers import TaskPlan, payload
 from saddlestack.work import JobRequest, JobState, Resources, Step
 
 A = "00000000000000aa"
@@ -215,6 +219,136 @@
         self.play(body)
 
 
+def lasting(
+    tasks: int,
+    *,
+    may_miss: int = 0,
+    accelerators: int = 1,
+    plan: TaskPlan | None = None,
+    target_ms: int = 0,
+    fills: bool = False,
+) -> JobRequest:
+    plan = plan or TaskPlan(lasts=True, room=accelerators, work_s=0.2)
+    step = Step(
+        count=tasks,
+        needs=Resources(1000, 1024, accelerators),
+        long_running=True,
+        may_miss=may_miss,
+        target_ms=target_ms,
+        fills=fills,
+    )
+    return JobRequest(payload=payload(plan), steps=(step,))
+
+
+class LastingTest(PoolTest):
+    def test_lasting_tasks_start_again_however_they_end(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            plan = TaskPlan(work_s=1.0, failures=99)
+            await cluster.submit(A, lasting(2, plan=plan))
+            await cluster.until(lambda: cluster.floor.starts_of(A) >= 10)
+            self.assertIs(await cluster.state(A), JobState.RUNNING)
+            await cluster.cancel(A)
+            await cluster.until_state(A, JobState.CANCELLED)
+
+        self.play(body)
+
+    def test_lasting_tasks_use_the_headroom(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, lasting(32), queue="bulk")
+            await cluster.until(lambda: cluster.floor.starts_of(A) == 32, 1.0)
+
+        self.play(body)
+
+    def test_preemption_takes_no_more_than_a_step_may_miss(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, lasting(4, may_miss=1, accelerators=8), queue="bulk")
+            await cluster.until(lambda: cluster.floor.starts_of(A) == 4)
+            await asyncio.sleep(3.0)
+            await cluster.submit(B, job(1, accelerators=8, work_s=4.0), queue="urgent")
+            await cluster.submit(C, job(1, accelerators=8, work_s=1.0), queue="urgent")
+            await cluster.until_state(B, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.ends_of(A, EndKind.STOPPED), 1)
+            await cluster.until_state(C, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.ends_of(A, EndKind.STOPPED), 1)
+
+        self.play(body)
+
+    def test_what_fills_is_slowed_while_what_serves_is_over_its_target(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            serving = TaskPlan(lasts=True, tail_ms=60.0, work_s=0.2)
+            filling = TaskPlan(lasts=True, harm_ms=80.0, work_s=0.2)
+            await cluster.submit(A, lasting(1, plan=serving, target_ms=100))
+            await cluster.until(lambda: cluster.floor.starts_of(A) == 1)
+            await cluster.submit(B, lasting(1, plan=filling, fills=True))
+            await cluster.until(lambda: cluster.floor.starts_of(B) == 1)
+            serving_run = next(run for run in cluster.floor.history if run.task.job_id == A)
+            filling_run = next(run for run in cluster.floor.history if run.task.job_id == B)
+            self.assertEqual(serving_run.worker, filling_run.worker)
+            await cluster.until(lambda: filling_run.pace <= 50, 4.0)
+
+        self.play(body, racks=1, workers=1)
+
+
+class AdviceTest(PoolTest):
+    def test_advised_work_starts_only_with_a_ticket(self) -> None:
+        async def main() -> None:
+            cluster = PoolCluster(advised=frozenset({"normal"}))
+            cluster.adviser.failing = 1
+            await cluster.start()
+            await cluster.submit(A, job(6, accelerators=4, work_s=4.0))
+            await cluster.submit(B, job(2, accelerators=8, gang=True))
+            await cluster.until_state(A, JobState.COMPLETED, 60.0)
+            await cluster.until_state(B, JobState.COMPLETED, 60.0)
+            places = {run.worker for run in cluster.floor.history}
+            self.assertEqual(places, {"i-0002", "i-0004"})
+            self.assertLess(cluster.adviser.calls, 20)
+            await cluster.stop()
+            self.assertEqual(cluster.floor.violations, [])
+
+        run(main())
+
+
+class UpkeepTest(PoolTest):
+    def order(self, cluster: PoolCluster, most: int = 1) -> None:
+        machines = [worker.machine for worker in cluster.floor.workers.values()]
+        wave = {"wave": 1, "machines": machines, "deadline-s": 30, "max-tasks": most}
+        cluster.store.put("op/wave/1", msgspec.json.encode(wave))
+
+    def status(self, cluster: PoolCluster) -> str:
+        value = cluster.store.item("status/wave/1").value
+        return str(msgspec.json.decode(value)["state"]) if value else ""
+
+    def test_a_wave_takes_every_machine_down_once_and_no_more_at_once(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(12, work_s=4.0, checkpoint=True))
+            cluster.machines.lose_answers = 1
+            self.order(cluster)
+            await cluster.until(lambda: self.status(cluster) == "running", 8.0)
+            await cluster.until(lambda: self.status(cluster) == "completed", 40.0)
+            self.assertEqual(len(cluster.machines.done), 4)
+            self.assertEqual(cluster.machines.most_down, 1)
+            await cluster.until_state(A, JobState.COMPLETED, 60.0)
+
+        self.play(body)
+
+    def test_a_new_leader_goes_on_with_a_wave_and_takes_no_turns(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            self.order(cluster, most=2)
+            await cluster.until(lambda: len(cluster.machines.done) >= 1, 12.0)
+            await cluster.kill(cluster.leader_name)
+            await cluster.until(lambda: self.status(cluster) == "completed", 60.0)
+            self.assertEqual(len(cluster.machines.done), 4)
+            self.assertLessEqual(cluster.machines.most_down, 2)
+            for machine in {machine for _, machine, _, _ in cluster.machines.orders}:
+                orders = [order for order in cluster.machines.orders if order[1] == machine]
+                for before, after in itertools.pairwise(orders):
+                    if before[2] != after[2]:
+                        self.assertGreater(after[3], before[3])
+                        self.assertGreater(after[0] - before[0], 3.0)
+
+        self.play(body)
+
+
 class LeaderLossTest(PoolTest):
     def test_a_killed_leader_is_followed_and_nothing_starts_again(self) -> None:
         async def body(cluster: PoolCluster) -> None:
