--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -20,18 +20,18 @@
     :param gang_ms: how long a member of a gang waits for the others.
     :param stop_ms: how long a stop takes at most.
     :param machine_lease_ms: orders about a machine by two holders lie further apart than this.
-    :param upkeep_ms: how long a machine is down for its upkeep.
+    :param upkeep_s: how long a machine is down for its upkeep.
     :param grace_s: from SIGTERM to SIGKILL.
     :param status_s: for how long a job's state is kept at least.
     """
 
-    longest_hold_ms: int
-    gang_ms: int
-    stop_ms: int
+    longest_hold_ms: float
+    gang_ms: float
+    stop_ms: float
     grace_s: float
     status_s: float
-    machine_lease_ms: int = 3000
-    upkeep_ms: int = 2000
+    machine_lease_ms: float = 3000
+    upkeep_s: float = 2.0
 
 
 class EntrySettings(Model, frozen=True):
@@ -101,7 +101,7 @@
         faults.append("peer_ports: expected a first port below a last one, from 0 to 65535")
     if settings.log_level not in LOG_LEVELS:
         faults.append(f"log_level: expected one of {', '.join(LOG_LEVELS)}")
-    for key in ("longest_hold_ms", "gang_ms", "stop_ms", "grace_s", "status_s", "upkeep_ms"):
+    for key in ("longest_hold_ms", "gang_ms", "stop_ms", "grace_s", "status_s", "upkeep_s"):
         value = getattr(settings.timings, key)
         if value <= 0:
             faults.append(f"timings.{key}: expected a number above 0, got {value}")
--- a/src/saddlestack/control/upkeep.py
+++ b/src/saddlestack/control/upkeep.py
@@ -100,7 +100,7 @@
         if kept.completed:
             self._completed.add(wave.wave)
             return
-        down_s = self._context.settings.timings.upkeep_ms / 1000
+        down_s = self._context.settings.timings.upkeep_s
         state = WaveState(wave, self._clock.now(), down_s)
         for name in kept.begun:
             state.is_gone(name)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,544 @@
+"""The adapter of the platform: names, formats and calls, against small HTTP servers."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import re
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import msgspec
+
+from saddlestack.codec import parse_commented
+from saddlestack.control.settings import EntrySettings, check, parse_address
+from saddlestack.errors import ErrorKind, SaddlestackError
+from saddlestack.interfaces import (
+    Committed,
+    Conflict,
+    EndKind,
+    HistoryGone,
+    Item,
+    LeaseOver,
+    Put,
+    Refusal,
+    StartOrder,
+    StoreUnavailable,
+    Transaction,
+    UpkeepOutcome,
+    WorkerBusy,
+    WorkerFenced,
+    WorkerReplaced,
+    WorkerUnreachable,
+    WriteInDoubt,
+)
+from saddlestack.platform.documents import PlatformDocuments
+from saddlestack.platform.gateway import Gateway
+from saddlestack.platform.kv import KvStore
+from saddlestack.platform.machines import HttpAdviser, HttpMachines
+from saddlestack.platform.orders import HttpWorkerOrders
+from saddlestack.standins.loop import run
+from saddlestack.wire.http import HttpServer, Request, Response
+from saddlestack.work import AcceptedJob, JobRequest, JobState, Resources
+
+ROOT = Path(__file__).resolve().parent.parent
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "checks",
+            "host": "jobs.example",
+            "path-prefix": "/a/",
+            "service": "pool",
+            "priority": 0,
+            "max-attempts": 4,
+            "stretch": 1.5,
+            "target-latency-ms": 250,
+        },
+        {"name": "nested", "host": "jobs.example", "path-prefix": "/a/b/", "service": "pool"},
+        {
+            "name": "open",
+            "host": "jobs.example",
+            "path-prefix": "/o/",
+            "service": "pool",
+            "no-auth": True,
+            "advice": {"decide-ms": 5},
+        },
+    ],
+    "tenants": [{"name": "depots", "api-keys": ["k1", "k2"], "guaranteed": {"gpu": 32}}],
+    "services": [{"name": "pool", "admission-check": True, "unknown": 1}],
+    "limits": {"max-body-bytes": 2000},
+}
+JOB = "00000000000000aa"
+
+
+class Served:
+    """An HTTP server that answers from a list and notes what it was asked."""
+
+    def __init__(self) -> None:
+        self.answers: list[Response | float] = []
+        self.asked: list[Request] = []
+        self.server = HttpServer(self._handle)
+
+    async def _handle(self, request: Request) -> Response:
+        self.asked.append(request)
+        answer = self.answers.pop(0)
+        if isinstance(answer, float):
+            await asyncio.sleep(answer)
+            return Response(500)
+        return answer
+
+    def answer(self, status: int, body: object = None) -> None:
+        self.answers.append(Response(status, b"" if body is None else msgspec.json.encode(body)))
+
+    def body(self) -> object:
+        return msgspec.json.decode(self.asked[-1].body)
+
+
+def with_server(body: Callable[[Served], Awaitable[None]]) -> None:
+    async def main() -> None:
+        served = Served()
+        await served.server.start("127.0.0.1", 0)
+        try:
+            await body(served)
+        finally:
+            await served.server.stop()
+
+    run(main())
+
+
+def text(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+class StoreTest(unittest.TestCase):
+    def test_reads_and_pages(self) -> None:
+        async def body(served: Served) -> None:
+            store = KvStore("127.0.0.1", served.server.port)
+            served.answer(404)
+            self.assertEqual(await store.get("a/b"), Item("a/b", b"", 0))
+            self.assertEqual(served.asked[-1].query, {"key": "a/b"})
+            item = {"key": "a/b", "value": text(b"x"), "rev": 4, "made": 4, "lease": 0}
+            served.answer(200, {**item, "at": 9})
+            self.assertEqual(await store.get("a/b"), Item("a/b", b"x", 4))
+            served.answer(200, {"items": [item], "more": True, "at": 9})
+            served.answer(200, {"items": [{**item, "key": "a/c"}], "more": False, "at": 12})
+            listing = await store.list("a/")
+            self.assertEqual([each.key for each in listing.items], ["a/b", "a/c"])
+            self.assertEqual(listing.revision, 9)
+            self.assertEqual(served.asked[-1].query, {"path-prefix": "a/", "after-rev": "a/b"})
+
+        with_server(body)
+
+    def test_watches(self) -> None:
+        async def body(served: Served) -> None:
+            store = KvStore("127.0.0.1", served.server.port)
+            events = [
+                {"key": "a", "value": text(b"x"), "rev": 5, "made": 5, "lease": 0},
+                {"key": "b", "rev": 6, "gone": True},
+            ]
+            served.answer(200, {"events": events, "at": 6})
+            listing = await store.watch("", 4, 2.0)
+            self.assertEqual(listing.items, (Item("a", b"x", 5), Item("b", b"", 0)))
+            self.assertEqual(listing.revision, 6)
+            self.assertEqual(served.asked[-1].query["wait-ms"], "2000")
+            served.answer(410)
+            with self.assertRaises(HistoryGone):
+                await store.watch("", 1, 2.0)
+
+        with_server(body)
+
+    def test_transactions_tell_done_refused_and_in_doubt_apart(self) -> None:
+        async def body(served: Served) -> None:
+            store = KvStore("127.0.0.1", served.server.port)
+            change = Transaction((("a", 0),), (Put("a", b"x", 7),), ("b",))
+            served.answer(200, {"rev": 8})
+            self.assertEqual(await store.transact(change), Committed(8))
+            self.assertEqual(
+                served.body(),
+                {
+                    "expect-rev": [{"key": "a", "rev": 0}],
+                    "put": [{"key": "a", "value": text(b"x"), "lease": 7}],
+                    "delete": ["b"],
+                },
+            )
+            served.answer(412, {"items": [{"key": "a", "value": text(b"y"), "rev": 3}]})
+            self.assertEqual(await store.transact(change), Conflict((Item("a", b"y", 3),)))
+            served.answer(404)
+            with self.assertRaises(LeaseOver):
+                await store.transact(change)
+            for status in (429, 503):
+                served.answer(status)
+                with self.assertRaises(StoreUnavailable):
+                    await store.transact(change)
+            served.answers.append(5.0)
+            with self.assertRaises(WriteInDoubt):
+                await store.transact(change)
+            await served.server.stop()
+            with self.assertRaises(StoreUnavailable):
+                await store.transact(change)
+
+        with_server(body)
+
+    def test_leases(self) -> None:
+        async def body(served: Served) -> None:
+            store = KvStore("127.0.0.1", served.server.port)
+            served.answer(200, {"lease": 77, "ttl_ms": 1500})
+            self.assertEqual(await store.grant_lease(1.5), (77, 1.5))
+            self.assertEqual(served.body(), {"ttl_ms": 1500})
+            served.answer(200, {"ttl_ms": 1500})
+            await store.keep_lease(77)
+            self.assertEqual(served.asked[-1].path, "/api/kv-keep/77")
+            served.answer(404)
+            with self.assertRaises(LeaseOver):
+                await store.keep_lease(77)
+            served.answer(200)
+            await store.end_lease(77)
+            self.assertEqual(served.asked[-1].method, "DELETE")
+
+        with_server(body)
+
+
+class WorkerTest(unittest.TestCase):
+    ORDER = StartOrder("00000000000000aa.0.1.2", 3, "spec", "s1", 9000, 5, "t1")
+
+    def test_starts(self) -> None:
+        async def body(served: Served) -> None:
+            orders = HttpWorkerOrders("i-1", "127.0.0.1", served.server.port)
+            served.answer(200, {"clock-ms": 1234})
+            reply = await orders.start(self.ORDER, 1.0)
+            self.assertEqual((reply.clock_ms, reply.refusal), (1234, None))
+            self.assertEqual(served.asked[-1].headers["saddlestack-target-instance"], "i-1")
+            self.assertEqual(
+                served.body(),
+                {
+                    "task": "00000000000000aa.0.1.2",
+                    "run": 3,
+                    "spec": "spec",
+                    "deadline-ms": 9000,
+                    "fence": 5,
+                    "saved": "s1",
+                    "ticket": "t1",
+                },
+            )
+            for reason, refusal in (
+                ("fence", Refusal.FENCED),
+                ("old", Refusal.OLD),
+                ("late", Refusal.LATE),
+                ("room", Refusal.ROOM),
+                ("ticket", Refusal.TICKET),
+            ):
+                served.answer(409, {"clock-ms": 1, "reason": reason})
+                self.assertIs((await orders.start(self.ORDER, 1.0)).refusal, refusal)
+            served.answer(400)
+            self.assertIs((await orders.start(self.ORDER, 1.0)).refusal, Refusal.INVALID)
+
+        with_server(body)
+
+    def test_what_is_no_answer(self) -> None:
+        async def body(served: Served) -> None:
+            orders = HttpWorkerOrders("i-1", "127.0.0.1", served.server.port)
+            for status, error in (
+                (421, WorkerReplaced),
+                (429, WorkerBusy),
+                (503, WorkerBusy),
+                (500, WorkerUnreachable),
+            ):
+                served.answer(status)
+                with self.assertRaises(error):
+                    await orders.start(self.ORDER, 1.0)
+            served.answer(409, {"clock-ms": 1, "reason": "fence"})
+            with self.assertRaises(WorkerFenced):
+                await orders.stop("00000000000000aa.0.1.2", 3, 4, 1.0)
+            served.answers.append(5.0)
+            with self.assertRaises(WorkerUnreachable):
+                await orders.hold(5, None, 0, 0.0, 0.5)
+
+        with_server(body)
+
+    def test_reports(self) -> None:
+        async def body(served: Served) -> None:
+            orders = HttpWorkerOrders("i-1", "127.0.0.1", served.server.port)
+            served.answer(
+                200,
+                {
+                    "clock-ms": 50,
+                    "running": [["00000000000000aa.0.0.0", 2, "s", 41, 17.5]],
+                    "ended": [[58, "00000000000000aa.0.0.1", 1, "done", ""]],
+                },
+            )
+            report = await orders.hold(5, 9000, 57, 1.0, 2.0)
+            self.assertEqual(
+                served.body(), {"fence": 5, "last-seen": 57, "deadline-ms": 9000, "wait-ms": 1000}
+            )
+            self.assertEqual((report.running[0].percent, report.running[0].figure), (41, 17.5))
+            self.assertEqual((report.ended[0].number, report.ended[0].how), (58, EndKind.DONE))
+
+        with_server(body)
+
+
+class MachinesTest(unittest.TestCase):
+    def test_upkeep(self) -> None:
+        async def body(served: Served) -> None:
+            machines = HttpMachines("127.0.0.1", served.server.port)
+            for status, reason, outcome in (
+                (200, None, UpkeepOutcome.BEGUN),
+                (409, "busy", UpkeepOutcome.BUSY),
+                (409, "fence", UpkeepOutcome.FENCED),
+                (409, "wave", UpkeepOutcome.NOT_IN_WAVE),
+                (400, None, UpkeepOutcome.UNKNOWN_MACHINE),
+            ):
+                served.answer(status, None if reason is None else {"reason": reason})
+                self.assertIs(await machines.upkeep("m-1", 2, "entry-1", 12), outcome)
+            self.assertEqual(served.body(), {"machine": "m-1", "wave": 2})
+            self.assertEqual(served.asked[-1].headers["saddlestack-lease-holder"], "entry-1")
+            self.assertEqual(served.asked[-1].headers["saddlestack-fence-token"], "12")
+
+        with_server(body)
+
+    def test_advice(self) -> None:
+        async def body(served: Served) -> None:
+            adviser = HttpAdviser("127.0.0.1", served.server.port)
+            served.answer(200, {"good": [["i-1", "t-1"]], "valid-ms": 3000})
+            leaves = await adviser.advise("00000000000000aa.0.1", ("i-1", "i-2"))
+            self.assertEqual(
+                served.body(), {"step": "00000000000000aa.0.1", "workers": ["i-1", "i-2"]}
+            )
+            self.assertEqual(
+                (leaves[0].worker_id, leaves[0].ticket, leaves[0].valid_s), ("i-1", "t-1", 3.0)
+            )
+
+        with_server(body)
+
+
+class DocumentsTest(unittest.TestCase):
+    def test_configuration(self) -> None:
+        read = PlatformDocuments().configuration(msgspec.json.encode(CONFIGURATION))
+        self.assertEqual(read.version, 7)
+        self.assertEqual(read.accounts[0].guaranteed, 32)
+        self.assertEqual(read.queues[0].attempts, 4)
+        self.assertTrue(read.queues[2].advised)
+
+    def test_worker(self) -> None:
+        record = {
+            "service": "pool",
+            "address": "10.0.0.1:80",
+            "zone": "z",
+            "state": "draining",
+            "remaining-ms": 1500,
+            "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 4},
+            "labels": ["a", "r1-3"],
+            "clock-ms": 482113,
+            "seq": 4,
+        }
+        worker = PlatformDocuments().worker(Item("servers/i-1", msgspec.json.encode(record), 3))
+        self.assertEqual((worker.worker_id, worker.rack), ("i-1", "r1-3"))
+        self.assertEqual(worker.capacity, Resources(16000, 32768, 4))
+        self.assertTrue(worker.draining)
+        self.assertEqual(worker.remaining_ms, 1500)
+
+    def test_bad_documents_are_named(self) -> None:
+        with self.assertRaises(SaddlestackError) as caught:
+            PlatformDocuments().configuration(b'{"version": "x"}')
+        self.assertIn("op/config", str(caught.exception))
+
+
+class _Jobs:
+    """Notes what clients ask."""
+
+    def __init__(self) -> None:
+        self.asked: list[tuple[str, str, object]] = []
+        self.state_: JobState | None = JobState.RUNNING
+
+    async def submit(self, call, job_id, request):  # type: ignore[no-untyped-def]
+        self.asked.append((call.queue.name, job_id, request))
+        return AcceptedJob(
+            job_id=job_id,
+            account=call.account,
+            queue=call.queue.name,
+            service="pool",
+            priority=0,
+            attempts=1,
+            accepted_ms=0,
+            request=request,
+        )
+
+    async def state(self, call, job_id):  # type: ignore[no-untyped-def]
+        return self.state_
+
+    async def cancel(self, call, job_id):  # type: ignore[no-untyped-def]
+        return self.state_ is not None
+
+    async def pending(self, call):  # type: ignore[no-untyped-def]
+        return 12
+
+
+class GatewayTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.jobs = _Jobs()
+        self.configuration = PlatformDocuments().configuration(msgspec.json.encode(CONFIGURATION))
+        self.ready = True
+        self.gateway = Gateway(self.jobs, lambda: self.configuration, lambda: self.ready)
+
+    def ask(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        key: str = "k1",
+        host: str = "jobs.example:80",
+    ) -> Response:
+        data = body if isinstance(body, bytes) else msgspec.json.encode(body)
+        headers = {"host": host, "saddlestack-credential": key}
+        request = Request(method, path, {}, headers, data)
+        return run(self.gateway.handle(request))
+
+    def refused(self, kind: ErrorKind, *arguments: object, **options: object) -> SaddlestackError:
+        with self.assertRaises(SaddlestackError) as caught:
+            self.ask(*arguments, **options)  # type: ignore[arg-type]
+        self.assertIs(caught.exception.kind, kind)
+        return caught.exception
+
+    def test_a_job_is_translated(self) -> None:
+        step = {
+            "count": 4,
+            "cpu": 500,
+            "mem-mb": 256,
+            "gpu": 2,
+            "est-ms": 900,
+            "after-rev": [],
+            "gang": True,
+            "same-rack": True,
+            "constraints": "a",
+            "colocate": "r1-3",
+            "anti-affinity": 2,
+            "checkpoint": True,
+            "speculative": True,
+            "long-running": True,
+            "image": "x",
+            "target-ms": 90,
+            "fills": True,
+            "may-miss": 1,
+        }
+        body = {"spec": "t", "steps": [step], "times": 3, "start-delay-ms": 5, "interval-ms": 7}
+        self.assertEqual(self.ask("POST", f"/a/{JOB}", body).status, 200)
+        queue, job_id, request = self.jobs.asked[0]
+        self.assertEqual((queue, job_id), ("checks", JOB))
+        assert isinstance(request, JobRequest)
+        self.assertEqual((request.times, request.first_at_ms, request.interval_ms), (3, 5, 7))
+        made = request.steps[0]
+        self.assertEqual(made.needs, Resources(500, 256, 2))
+        self.assertEqual((made.label, made.data_rack, made.per_worker), ("a", "r1-3", 2))
+        self.assertTrue(made.gang and made.same_rack and made.checkpoint and made.speculative)
+        self.assertTrue(made.long_running and made.fills)
+        self.assertEqual((made.image, made.target_ms, made.may_miss), ("x", 90, 1))
+
+    def test_the_longest_prefix_wins(self) -> None:
+        self.ask("POST", f"/a/b/{JOB}", {"steps": [{"count": 1}]})
+        self.assertEqual(self.jobs.asked[0][0], "nested")
+
+    def test_states_cancels_and_counts(self) -> None:
+        self.assertEqual(self.ask("GET", f"/a/{JOB}").body, b'{"state":"running"}')
+        self.assertEqual(self.ask("DELETE", f"/a/{JOB}").status, 200)
+        self.assertEqual(self.ask("GET", "/a/").body, b'{"pending":12}')
+        self.jobs.state_ = None
+        self.refused(ErrorKind.UNKNOWN_JOB, "GET", f"/a/{JOB}")
+        self.refused(ErrorKind.UNKNOWN_JOB, "DELETE", f"/a/{JOB}")
+
+    def test_who_may_call(self) -> None:
+        self.refused(ErrorKind.UNAUTHENTICATED, "GET", f"/a/{JOB}", key="nobody")
+        self.refused(ErrorKind.UNAUTHENTICATED, "GET", f"/a/{JOB}", key="")
+        self.assertEqual(self.ask("GET", f"/o/{JOB}", key="").status, 200)
+        self.refused(ErrorKind.NOT_FOUND, "GET", f"/nowhere/{JOB}")
+        self.refused(ErrorKind.NOT_FOUND, "GET", f"/a/{JOB}", host="other.example")
+
+    def test_bad_bodies_are_refused_with_their_place(self) -> None:
+        for body, kind, place in (
+            (b"{", ErrorKind.MALFORMED, "body"),
+            (b"\xff", ErrorKind.MALFORMED, "body"),
+            ({}, ErrorKind.INVALID, "body"),
+            ({"steps": [{"count": "x"}]}, ErrorKind.INVALID, "steps[0].count"),
+            ({"steps": [{"count": 1, "colour": 1}]}, ErrorKind.INVALID, "steps[0]"),
+            ({"steps": [], "more": 1}, ErrorKind.INVALID, "body"),
+            ({"spec": "x" * 3000, "steps": []}, ErrorKind.TOO_LARGE, ""),
+        ):
+            error = self.refused(kind, "POST", f"/a/{JOB}", body)
+            self.assertIn(place, str(error))
+        self.refused(ErrorKind.INVALID, "POST", "/a/notanid", {"steps": [{"count": 1}]})
+        self.refused(ErrorKind.NOT_FOUND, "PUT", f"/a/{JOB}")
+        self.assertEqual(self.jobs.asked, [])
+
+    def test_without_a_configuration_nothing_is_unknown(self) -> None:
+        self.gateway = Gateway(self.jobs, lambda: None, lambda: False)
+        error = self.refused(ErrorKind.CELL_UNAVAILABLE, "GET", f"/nowhere/{JOB}")
+        self.assertIsNotNone(error.retry_after)
+
+    def test_readiness(self) -> None:
+        request = Request("GET", "/api/ready", {}, {}, b"")
+        self.assertEqual(run(self.gateway.readiness(request)).status, 200)
+        self.ready = False
+        self.assertEqual(run(self.gateway.readiness(request)).status, 503)
+
+
+class SettingsTest(unittest.TestCase):
+    FIELDS = {
+        "node": "entry-1",
+        "zone": "hall",
+        "listen.front": "10.0.0.1:80",
+        "listen.ready": "10.0.0.1:81",
+        "port-range": "7000,7015",
+        "platform.address": "10.0.0.2:80",
+        "cloud.address": "10.0.0.3:80",
+        "advice": "10.0.0.4:80",
+        "bounds.max-hold-ms": "10000",
+        "bounds.gang-timeout-ms": "3000",
+        "bounds.stop-timeout-ms": "900",
+        "bounds.grace-s": "6",
+        "bounds.status_s": "120",
+        "bounds.lease-ms": "3000",
+        "bounds.maintenance-s": "1.5",
+    }
+
+    def fill(self, fields: dict[str, str]) -> str:
+        """A small part of the platform's filling: values, and parts for what is given."""
+        template = (ROOT / "deploy" / "settings.template").read_text()
+        template = re.sub(
+            r"\{\{#([a-z.]+)\}\}(.*?)\{\{/\1\}\}",
+            lambda found: found[2] if fields.get(found[1]) else "",
+            template,
+            flags=re.DOTALL,
+        )
+
+        def value(found: re.Match[str]) -> str:
+            plain = fields[found[1]]
+            return f'"{plain}"' if found[2] else plain
+
+        return re.sub(r"\{\{([a-z._-]+)(\|json)?\}\}", value, template)
+
+    def test_the_template_makes_good_settings(self) -> None:
+        settings = parse_commented(self.fill(self.FIELDS), EntrySettings, "settings")
+        self.assertEqual(check(settings), [])
+        self.assertEqual(settings.peer_ports, (7000, 7015))
+        self.assertEqual(settings.timings.upkeep_s, 1.5)
+        self.assertEqual(settings.adviser, "10.0.0.4:80")
+
+    def test_what_a_deployment_lacks_is_left_out(self) -> None:
+        fields = {**self.FIELDS, "advice": "", "cloud.address": ""}
+        settings = parse_commented(self.fill(fields), EntrySettings, "settings")
+        self.assertIsNone(settings.adviser)
+        self.assertIsNone(settings.machines)
+
+    def test_every_fault_is_named(self) -> None:
+        fields = {**self.FIELDS, "listen.front": "nowhere", "port-range": "9,7", "node": " "}
+        settings = parse_commented(self.fill(fields), EntrySettings, "settings")
+        faults = "; ".join(check(settings))
+        for place in ("vm", "clients", "peer_ports"):
+            self.assertIn(place, faults)
+        with self.assertRaises(ValueError):
+            parse_address("10.0.0.1")
+
+
+if __name__ == "__main__":
+    unittest.main()
