--- a/src/saddlestack/control/context.py
+++ b/src/saddlestack/control/context.py
@@ -17,6 +17,7 @@
 )
 from saddlestack.kernel.clock import Clock
 from saddlestack.kernel.registry import Registry
+from saddlestack.services.metrics import Metrics
 from saddlestack.wire.dialer import Dialer
 
 OrdersFactory = Callable[[WorkerRecord], WorkerOrders]
@@ -41,5 +42,6 @@
     store: MetadataStore
     documents: DocumentReader
     orders: OrdersFactory
+    metrics: Metrics
     machines: Machines | None = None
     adviser: Adviser | None = None
--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -37,8 +37,9 @@
 from saddlestack.platform.kv import KvStore
 from saddlestack.platform.machines import HttpAdviser, HttpMachines
 from saddlestack.platform.orders import HttpWorkerOrders
+from saddlestack.services.metrics import Metrics, as_text
 from saddlestack.wire.dialer import Dialer
-from saddlestack.wire.http import HttpServer
+from saddlestack.wire.http import HttpServer, Request, Response
 
 log = logging.getLogger("saddlestack.entry")
 
@@ -46,6 +47,7 @@
 NOTICE_S = 2.2
 """After a stop is asked for, the platform sends new connections for so long."""
 LAST_CLOSE_S = 0.5
+METRICS_PATH = "/metrics"
 
 
 class EntryVm:
@@ -66,10 +68,12 @@
     ) -> None:
         self.settings = settings
         dialer = dialer or Dialer()
+        clock = clock or Clock()
+        self.metrics = Metrics(settings.vm, clock)
         address = parse_address(settings.store)
         self.context = EntryContext(
             settings=settings,
-            clock=clock or Clock(),
+            clock=clock,
             rng=rng or random.Random(),
             dialer=dialer,
             registry=Registry(),
@@ -77,6 +81,7 @@
             store=store or KvStore(address.address, address.port, dialer=dialer),
             documents=documents or PlatformDocuments(),
             orders=orders or _orders_by(dialer),
+            metrics=self.metrics,
             machines=machines or _machines_at(settings.machines, dialer),
             adviser=adviser or _adviser_at(settings.adviser, dialer),
         )
@@ -95,6 +100,7 @@
         gateway = Gateway(self.jobs, lambda: self.configuration.current, self._ready)
         self.clients = HttpServer(gateway.handle, max_connections=MAX_CONNECTIONS)
         self.readiness = HttpServer(gateway.readiness)
+        self.figures = HttpServer(self._figures)
         self.scheduler: Scheduler | None = None
         self.asked_to_leave = asyncio.Event()
         self._tasks = TaskGroup("entry")
@@ -110,6 +116,8 @@
         ):
             address = parse_address(text)
             await server.start(address.address, address.port)
+        figures = self.settings.metrics_address
+        await self.figures.start(figures.address, figures.port)
         await self.configuration.start()
         await self.membership.start()
         await self.leadership.start()
@@ -135,6 +143,7 @@
         await self.configuration.stop()
         await self.clients.stop()
         await self.readiness.stop()
+        await self.figures.stop()
         await self.peers.stop()
         await self._tasks.cancel()
         log.info("stopped", extra={"event": "stopped"})
@@ -143,6 +152,7 @@
         """Close all sockets at once, as when the process dies."""
         self.clients.abort()
         self.readiness.abort()
+        self.figures.abort()
 
     # What leadership tells
 
@@ -164,6 +174,13 @@
         """The scheduler found that another leader has taken over."""
         self._tasks.spawn(self.leadership.give_up(term))
 
+    async def _figures(self, request: Request) -> Response:
+        """Answer with counters and latencies as text."""
+        if request.path != METRICS_PATH:
+            return Response(404)
+        text = as_text(self.metrics.view())
+        return Response(200, text.encode(), content_type="text/plain")
+
     def _ready(self) -> bool:
         return self.configuration.store_answers and not self.asked_to_leave.is_set()
 
--- a/src/saddlestack/control/jobs.py
+++ b/src/saddlestack/control/jobs.py
@@ -27,6 +27,7 @@
 
     def __init__(self, context: EntryContext, access: StoreAccess, desk: Desk) -> None:
         self._access = access
+        self._metrics = context.metrics
         self._desk = desk
         self._clock = context.clock
 
@@ -39,9 +40,12 @@
         if faults:
             raise invalid("; ".join(faults), "body")
         accepted = self._accepted(call, job_id, request)
+        began = self._clock.now()
         answer = await self._create(call, keys.job_key(job_id), to_msgpack(accepted), job_id)
         if not answer.created:
             accepted = _known(answer.value, call, job_id)
+        self._metrics.time("accept", self._clock.now() - began)
+        self._metrics.count("jobs_accepted" if answer.created else "jobs_repeated")
         log.info(
             "accepted",
             extra={
@@ -146,6 +150,7 @@
                     "reason": error.reason,
                 },
             )
+            self._metrics.count("calls_in_doubt" if error.doubt else "calls_refused")
             if error.doubt:
                 raise SaddlestackError(ErrorKind.OUTCOME_UNKNOWN, error.reason) from error
             raise _unavailable(error.reason) from error
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -133,6 +133,7 @@
         self._tasks.spawn(requests.run())
         await requests.loaded.wait()
         self.loaded.set()
+        self._context.metrics.count("terms")
         log.info(
             "scheduling",
             extra={"event": "scheduling", "fence": self.fence, "jobs": len(self.board.jobs)},
@@ -256,7 +257,9 @@
                 for key, record in changes.records.items()
             }
             if encoded:
+                began = self._clock.now()
                 await self._journal.commit(encoded)
+                self._context.metrics.time("commit", self._clock.now() - began)
             for job, state in changes.shown:
                 self._show(job.job_id, state)
             self._order_starts(changes)
@@ -273,6 +276,7 @@
 
     def _order_stops(self, changes: Changes) -> None:
         for stop in changes.stops:
+            self._context.metrics.count(f"stops_{stop.reason.value}")
             session = self._session(stop.worker_id)
             if session is not None:
                 session.stop(stop.task, stop.number)
@@ -289,6 +293,7 @@
             )
 
     def _order_starts(self, changes: Changes) -> None:
+        self._context.metrics.count("starts", len(changes.starts))
         for start in changes.starts:
             run = start.run
             log.info(
--- a/src/saddlestack/daemon.py
+++ b/src/saddlestack/daemon.py
@@ -78,7 +78,7 @@
         )
         self.registry.add(names.STORE, self.store)
         self.registry.add(names.RPC, Rpc())
-        self.metrics = self._add(Metrics(context))
+        self.metrics = self._add(Metrics(context.vm, context.clock))
         self.membership = self._add(Membership(context))
         self.inventory = self._add(Inventory(context))
         self.audit = self._add(Audit(context))
--- a/src/saddlestack/services/metrics.py
+++ b/src/saddlestack/services/metrics.py
@@ -9,9 +9,9 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from saddlestack.kernel.clock import Clock
 from saddlestack.kernel.service import Service
 from saddlestack.services import names
-from saddlestack.services.context import Context
 
 MAX_MS = 24 * 3600 * 1000
 DIGITS = 2
@@ -44,9 +44,9 @@
 class Metrics(Service):
     """Collects what the other services count and time."""
 
-    def __init__(self, context: Context) -> None:
-        super().__init__(names.METRICS, context.clock)
-        self._context = context
+    def __init__(self, vm: str, clock: Clock) -> None:
+        super().__init__(names.METRICS, clock)
+        self._vm = vm
         self._counters: Counter[str] = Counter()
         self._histograms: dict[str, HdrHistogram] = {}
         self._gauges: dict[str, Callable[[], int]] = {}
@@ -72,7 +72,7 @@
             self._counters[name] = read()
         usage = resource.getrusage(resource.RUSAGE_SELF)
         return MetricsView(
-            vm=self._context.vm,
+            vm=self._vm,
             counters=dict(sorted(self._counters.items())),
             latencies={name: _short(h) for name, h in sorted(self._histograms.items())},
             resident_bytes=usage.ru_maxrss * 1024,
@@ -80,6 +80,20 @@
         )
 
 
+def as_text(view: MetricsView) -> str:
+    """A line for each figure: its name and value."""
+    lines = [f"{name} {value}" for name, value in view.counters.items()]
+    for name, shape in view.latencies.items():
+        lines.append(f"{name}_count {shape.count}")
+        lines.append(f"{name}_mean_ms {shape.mean_ms:.1f}")
+        lines.append(f"{name}_p50_ms {shape.p50_ms:.0f}")
+        lines.append(f"{name}_p99_ms {shape.p99_ms:.0f}")
+        lines.append(f"{name}_max_ms {shape.max_ms:.0f}")
+    lines.append(f"resident_bytes {view.resident_bytes}")
+    lines.append(f"cpu_seconds {view.cpu_s:.3f}")
+    return "\n".join(lines) + "\n"
+
+
 def _short(histogram: HdrHistogram) -> Distribution:
     return Distribution(
         count=histogram.get_total_count(),
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -254,7 +254,7 @@
 
 
 def _settings(name: str, times: FloorTimes) -> EntrySettings:
-    first = _free_port()
+    first = _free_ports()
     return EntrySettings(
         vm=name,
         data_hall="hall-1",
@@ -272,7 +272,14 @@
     )
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+def _free_ports() -> int:
+    """The first of two neighbouring free ports."""
+    while True:
+        with socket.socket() as first, socket.socket() as second:
+            first.bind(("127.0.0.1", 0))
+            port = int(first.getsockname()[1])
+            try:
+                second.bind(("127.0.0.1", port + 1))
+            except (OSError, OverflowError):
+                continue
+            return port
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -15,6 +15,7 @@
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.standins.pool.workers import TaskPlan, payload
+from saddlestack.wire.http import HttpClient
 from saddlestack.work import JobRequest, JobState, Resources, Step
 
 A = "00000000000000aa"
@@ -56,6 +57,21 @@
 
         self.play(body)
 
+    def test_figures_are_served_as_text(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(2))
+            await cluster.until_state(A, JobState.COMPLETED)
+            leader = cluster.leader
+            assert leader is not None
+            figures = HttpClient("127.0.0.1", leader.figures.port)
+            response = await figures.request("GET", "/metrics", timeout=1.0)
+            figures.close()
+            text = response.body.decode()
+            self.assertIn("starts 2\n", text)
+            self.assertIn("commit_p99_ms", text)
+
+        self.play(body)
+
     def test_a_gang_over_many_workers_starts_once(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             await cluster.submit(A, job(4, accelerators=8, gang=True))
