--- /dev/null
+++ b/benchmarks/days/generate.py
@@ -0,0 +1,88 @@
+"""Writes days that combine troubles, each twice over, for the users' bench.
+
+Usage: python benchmarks/days/generate.py; then run each day by its path.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+HEAD = """\
+name = "{name}"
+slot = "trouble"
+seed = {seed}
+length_s = 41.0
+one = 0.9
+zero = 0.0
+goal = {{ floor = 0.2 }}
+labels = []
+wall = 3.0
+light = false
+"""
+CLOSINGS = ('{ kind = "power_off_all", down_s = 1.2, how = "taken" }', '{ kind = "kill_all", down_s = 1.0 }')
+DAYS: dict[str, tuple[str, ...]] = {
+    "freeze": (
+        'kind = "node_freeze", share = 0.3, for_s = 4.0',
+        'kind = "node_freeze", count = 1, for_s = 3.0, how = "leader"',
+        'kind = "applied_late", x = 0.2, for_s = 6.0',
+        'kind = "srv_slow", share = 0.2, x = 5.0, for_s = 6.0',
+    ),
+    "clocks": (
+        'kind = "clock_step", share = 0.5, x = 4000.0, for_s = 5.0, how = "back"',
+        'kind = "clock_step", share = 0.5, x = 4000.0, for_s = 5.0, how = "ahead"',
+        'kind = "reset_conns", share = 0.6, x = 0.8',
+        'kind = "core_cut", count = 1, for_s = 5.0, how = "leader one_way"',
+    ),
+    "workers-cut": (
+        'kind = "srv_cut", share = 0.3, for_s = 6.0',
+        'kind = "srv_cut", share = 0.3, for_s = 6.0, how = "fronts"',
+        'kind = "srv_cut", share = 0.3, for_s = 5.0, how = "one_way"',
+        'kind = "srv_crash", share = 0.2, for_s = 4.0, how = "dark"',
+        'kind = "answer_lost", share = 0.5, x = 0.2, for_s = 6.0',
+    ),
+    "store": (
+        'kind = "platform_lost", x = 0.5, for_s = 6.0, how = "late"',
+        'kind = "platform_slow", x = 60.0, for_s = 5.0',
+        'kind = "platform_down", for_s = 4.0, how = "silent lapse"',
+        'kind = "platform_compact", x = 5.0, for_s = 8.0, how = "drain"',
+        'kind = "after_ack_kill", for_s = 2.0, how = "taken"',
+    ),
+    "leaders": (
+        'kind = "node_kill", count = 1, for_s = 2.0, how = "leader race drain"',
+        'kind = "node_kill", count = 1, for_s = 3.0, how = "leader power"',
+        'kind = "roll_term", share = 1.0, x = 1.0, gap_s = 1.0, how = "busy"',
+        'kind = "platform_down", count = 1, for_s = 5.0, how = "nodes leader silent"',
+        'kind = "replace_core", how = "leader", x = 2.0',
+    ),
+    "workers-grey": (
+        'kind = "srv_grey", share = 0.15, x = 1.0, for_s = 7.0, how = "errors"',
+        'kind = "srv_grey", share = 0.15, x = 1.0, for_s = 7.0, how = "hang"',
+        'kind = "srv_grey", share = 0.15, x = 1.0, for_s = 5.0, how = "mute"',
+        'kind = "srv_grey", share = 0.15, x = 1.0, for_s = 5.0, how = "busy"',
+        'kind = "scale_in", share = 0.15, how = "spot", x = 2.0, for_s = 5.0',
+        'kind = "release", share = 0.5, x = 2.0, gap_s = 1.0',
+    ),
+}
+PLANNED = ("roll_term", "scale_in", "release")
+
+
+def main() -> None:
+    """Write one file a day."""
+    for number, (name, troubles) in enumerate(DAYS.items()):
+        lines = {"plan": [], "faults": []}
+        for index, trouble in enumerate(troubles * 2):
+            at = 2.0 + index * 30.0 / (2 * len(troubles))
+            kind = trouble.split('"')[1]
+            lines["plan" if kind in PLANNED else "faults"].append(f"  {{ at = {at:.1f}, {trouble} }},")
+        lines["plan"].append('  { at = 3.0, kind = "config_storm", for_s = 4.0, gap_s = 0.4 },')
+        lines["faults"].append('  { at = 6.0, kind = "burst", x = 2.0, for_s = 5.0 },')
+        text = HEAD.format(name=name, seed=9_000 + number)
+        text += f"closing = {CLOSINGS[number % len(CLOSINGS)]}\n"
+        for key, entries in lines.items():
+            text += f"{key} = [\n" + "\n".join(entries) + "\n]\n"
+        (HERE / f"{name}.toml").write_text(text)
+
+
+if __name__ == "__main__":
+    main()
