--- a/src/saddlestack/cli/entry.py
+++ b/src/saddlestack/cli/entry.py
@@ -17,5 +17,8 @@
     :raises SaddlestackError: settings that are wrong, with each fault and its place.
     """
     settings = load(path)
-    logs.configure(logs.level_of(settings.log_level), settings.vm)
-    asyncio.run(serve(settings, path))
+    handler = logs.configure(logs.level_of(settings.log_level), settings.vm)
+    try:
+        asyncio.run(serve(settings, path))
+    finally:
+        handler.close()
--- a/src/saddlestack/logs.py
+++ b/src/saddlestack/logs.py
@@ -1,13 +1,23 @@
-"""Logs as JSON lines with stable event names; no payloads and no tokens."""
+"""Logs as JSON lines with stable event names; no payloads and no tokens.
+
+Lines go through a bounded queue to a thread that writes them: a reader that stalls costs
+lines, never requests. How many lines were left out is told as soon as there is room again.
+"""
 
 from __future__ import annotations
 
 import logging
+import queue
 import sys
+import threading
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+QUEUED_LINES = 10_000
+LINES_A_SECOND = 2_000
+LAST_WORDS_S = 0.5
 
 
 def level_of(name: str) -> int:
@@ -15,9 +25,86 @@
     return int(getattr(logging, name.upper()))
 
 
-def configure(level: int, vm: str) -> None:
+class BoundedHandler(logging.Handler):
+    """Queues lines for a writing thread; lines that find no room are counted.
+
+    :param stream: where the thread writes.
+    :param queued: lines that may wait.
+    :param rate: lines a second that are taken in the mean.
+    """
+
+    def __init__(
+        self, stream: TextIO, *, queued: int = QUEUED_LINES, rate: float = LINES_A_SECOND
+    ) -> None:
+        super().__init__()
+        self._stream = stream
+        self._lines: queue.Queue[str | None] = queue.Queue(queued)
+        self._rate = rate
+        self._allowance = rate
+        self._refilled: float | None = None
+        self.left_out = 0
+        self._thread = threading.Thread(target=self._write, name="log writer", daemon=True)
+        self._thread.start()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a line, or count it as left out."""
+        if not self._allowed(record.created):
+            self.left_out += 1
+            return
+        if self.left_out and self._queue(self._left_out_line(record)):
+            self.left_out = 0
+        if not self._queue(self.format(record)):
+            self.left_out += 1
+
+    def close(self) -> None:
+        """Write what is queued, as far as the reader takes it in a short time."""
+        try:
+            self._lines.put(None, timeout=LAST_WORDS_S)
+        except queue.Full:
+            pass
+        self._thread.join(LAST_WORDS_S)
+        super().close()
+
+    def _allowed(self, now: float) -> bool:
+        if self._refilled is not None:
+            gained = max(0.0, now - self._refilled) * self._rate
+            self._allowance = min(self._rate, self._allowance + gained)
+        self._refilled = now
+        if self._allowance < 1.0:
+            return False
+        self._allowance -= 1.0
+        return True
+
+    def _queue(self, line: str) -> bool:
+        try:
+            self._lines.put_nowait(line)
+        except queue.Full:
+            return False
+        return True
+
+    def _left_out_line(self, record: logging.LogRecord) -> str:
+        told = logging.LogRecord(
+            record.name, logging.WARNING, "", 0, "lines were left out", None, None
+        )
+        told.__dict__.update(event="log_left_out", lines=self.left_out)
+        return self.format(told)
+
+    def _write(self) -> None:
+        while True:
+            line = self._lines.get()
+            if line is None:
+                return
+            try:
+                self._stream.write(line + "\n")
+                if self._lines.empty():
+                    self._stream.flush()
+            except (OSError, ValueError):
+                self.left_out += 1
+
+
+def configure(level: int, vm: str) -> BoundedHandler:
     """Send the logs of saddlestack to standard output, one JSON object a line."""
-    handler = logging.StreamHandler(sys.stdout)
+    handler = BoundedHandler(sys.stdout)
     handler.setFormatter(
         JsonFormatter(
             FORMAT,
@@ -29,3 +116,4 @@
     logger.handlers = [handler]
     logger.propagate = False
     logger.setLevel(level)
+    return handler
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,77 @@
+"""Logs: bounded, and never in the way of requests."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+import threading
+import time
+import unittest
+
+from pythonjsonlogger.json import JsonFormatter
+
+from saddlestack.logs import BoundedHandler
+
+
+class StalledStream(io.StringIO):
+    """A stream whose reader does not read until it is released."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.released = threading.Event()
+
+    def write(self, text: str) -> int:
+        self.released.wait()
+        return super().write(text)
+
+
+class BoundedHandlerTest(unittest.TestCase):
+    def logger(self, handler: BoundedHandler) -> logging.Logger:
+        handler.setFormatter(JsonFormatter("%(message)s"))
+        logger = logging.Logger("test")
+        logger.addHandler(handler)
+        return logger
+
+    def test_lines_arrive_whole_and_in_order(self) -> None:
+        stream = io.StringIO()
+        handler = BoundedHandler(stream)
+        logger = self.logger(handler)
+        for number in range(100):
+            logger.info("line", extra={"number": number})
+        handler.close()
+        lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+        self.assertEqual([line["number"] for line in lines], list(range(100)))
+
+    def test_a_stalled_reader_costs_lines_and_no_time(self) -> None:
+        stream = StalledStream()
+        handler = BoundedHandler(stream, queued=10)
+        logger = self.logger(handler)
+        began = time.monotonic()
+        for number in range(500):
+            logger.info("line", extra={"number": number})
+        self.assertLess(time.monotonic() - began, 5.0)
+        stream.released.set()
+        while handler._lines.qsize():
+            threading.Event().wait(0.01)
+        logger.info("after")
+        handler.close()
+        lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+        told = sum(line["lines"] for line in lines if line.get("event") == "log_left_out")
+        written = sum(1 for line in lines if "number" in line)
+        self.assertEqual(told + written, 500)
+        self.assertLessEqual(written, 12)
+        self.assertEqual(lines[-1]["message"], "after")
+
+    def test_the_rate_is_bounded(self) -> None:
+        stream = io.StringIO()
+        handler = BoundedHandler(stream, rate=50)
+        logger = self.logger(handler)
+        for number in range(1000):
+            logger.info("line", extra={"number": number})
+        handler.close()
+        self.assertGreaterEqual(handler.left_out, 900)
+
+
+if __name__ == "__main__":
+    unittest.main()
