--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from saddlestack.control.access import StoreAccess
+from saddlestack.control.callers import Callers
 from saddlestack.control.configuration import Configuration
 from saddlestack.control.context import EntryContext, OrdersFactory
 from saddlestack.control.desk import Desk
@@ -98,6 +99,8 @@
         self.clients = HttpServer(gateway.handle, max_connections=MAX_CONNECTIONS)
         self.readiness = HttpServer(gateway.readiness)
         self.figures = HttpServer(self._figures)
+        callers = Callers(self.jobs, lambda: self.configuration.current)
+        self.callers = HttpServer(callers.handle, max_connections=MAX_CONNECTIONS)
         self.scheduler: Scheduler | None = None
         self.asked_to_leave = asyncio.Event()
         self._tasks = TaskGroup("entry")
@@ -115,6 +118,9 @@
             await server.start(address.address, address.port)
         figures = self.settings.metrics_address
         await self.figures.start(figures.address, figures.port)
+        if self.settings.callers is not None:
+            address = parse_address(self.settings.callers)
+            await self.callers.start(address.address, address.port)
         await self.configuration.start()
         await self.membership.start()
         await self.leadership.start()
@@ -129,7 +135,7 @@
         grace_s = self.settings.timings.grace_s - NOTICE_S - LAST_CLOSE_S
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.5, grace_s)):
-                await self.clients.drain()
+                await asyncio.gather(self.clients.drain(), self.callers.drain())
         await self.stop()
 
     async def stop(self) -> None:
@@ -142,6 +148,7 @@
         await self.clients.stop()
         await self.readiness.stop()
         await self.figures.stop()
+        await self.callers.stop()
         await self.peers.stop()
         await self._tasks.cancel()
         log.info("stopped", extra={"event": "stopped"})
@@ -151,6 +158,7 @@
         self.clients.abort()
         self.readiness.abort()
         self.figures.abort()
+        self.callers.abort()
 
     # What leadership tells
 
--- a/src/saddlestack/control/jobs.py
+++ b/src/saddlestack/control/jobs.py
@@ -63,6 +63,11 @@
         )
         return accepted
 
+    async def accepted(self, call: ClientCall, job_id: str) -> AcceptedJob | None:
+        """A job as it was accepted; ``None`` where no such job exists."""
+        value = await self._read(call, keys.job_key(job_id))
+        return None if value is None else _known(value, call, job_id)
+
     async def state(self, call: ClientCall, job_id: str) -> JobState | None:
         """A job's state; ``None`` where no such job exists."""
         try:
--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -45,6 +45,7 @@
     :param store: the platform's store.
     :param machines: the platform's interface for whole machines, if there is one.
     :param adviser: the service that knows which workers may run a step, if there is one.
+    :param callers: where the product's own interface is served, if it is.
     """
 
     vm: str
@@ -56,6 +57,7 @@
     timings: Timings
     machines: str | None = None
     adviser: str | None = None
+    callers: str | None = None
     log_level: str = "info"
 
     @property
@@ -92,7 +94,7 @@
             faults.append(f"{key}: expected a name")
     for key in ("clients", "readiness", "store"):
         faults += _address_faults(key, getattr(settings, key))
-    for key in ("machines", "adviser"):
+    for key in ("machines", "adviser", "callers"):
         text = getattr(settings, key)
         if text is not None:
             faults += _address_faults(key, text)
--- a/src/saddlestack/interfaces.py
+++ b/src/saddlestack/interfaces.py
@@ -478,6 +478,10 @@
         """Accept a job, or find it accepted."""
         ...
 
+    async def accepted(self, call: ClientCall, job_id: str) -> AcceptedJob | None:
+        """A job as it was accepted; ``None`` where no such job exists."""
+        ...
+
     async def state(self, call: ClientCall, job_id: str) -> JobState | None:
         """A job's state; ``None`` where no such job exists."""
         ...
--- a/src/saddlestack/logs.py
+++ b/src/saddlestack/logs.py
@@ -94,12 +94,20 @@
             line = self._lines.get()
             if line is None:
                 return
-            try:
-                self._stream.write(line + "\n")
-                if self._lines.empty():
-                    self._stream.flush()
-            except (OSError, ValueError):
-                self.left_out += 1
+            self._write_line(line)
+            self._lines.task_done()
+
+    def drain(self) -> None:
+        """Wait until the reader has taken every queued line."""
+        self._lines.join()
+
+    def _write_line(self, line: str) -> None:
+        try:
+            self._stream.write(line + "\n")
+            if self._lines.empty():
+                self._stream.flush()
+        except (OSError, ValueError):
+            self.left_out += 1
 
 
 def configure(level: int, vm: str) -> BoundedHandler:
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -233,6 +233,7 @@
         worker = self.workers.get(run.worker_id)
         if worker is not None:
             worker.remove(run.task.name, run.number)
+        run.never_began = True
         self._run_over(run, EndKind.STOPPED, "")
 
     def reported(self, worker_id: str, running: Iterable[RunningTask], now: float) -> None:
@@ -285,7 +286,9 @@
         task.record.status = TaskStatus.WAITING
         if step.step.checkpoint and saved:
             self._save(task, saved)
-        if how is EndKind.FAILED:
+        if step.step.once and _has_begun(run, how) and not task.record.saved:
+            self._give_up(occurrence)
+        elif how is EndKind.FAILED:
             self._failed(task, run)
         elif step.step.gang:
             self._stop_step(step, StopReason.GANG_BROKEN)
@@ -323,12 +326,16 @@
             self._stop_step(step, StopReason.GANG_BROKEN)
         if step.step.long_running or failures < step.occurrence.job.accepted.attempts:
             return
-        occurrence = step.occurrence
-        if occurrence.status is OccurrenceStatus.OPEN:
-            occurrence.status = OccurrenceStatus.FAILED
-            self._touched[occurrence.job.job_id] = occurrence.job
-            for other in occurrence.job.occurrences:
-                self._stop_all(other, StopReason.JOB_FAILED)
+        self._give_up(step.occurrence)
+
+    def _give_up(self, occurrence: Occurrence) -> None:
+        """A job can no longer be done: nothing of it starts again, what runs is stopped."""
+        if occurrence.status is not OccurrenceStatus.OPEN:
+            return
+        occurrence.status = OccurrenceStatus.FAILED
+        self._touched[occurrence.job.job_id] = occurrence.job
+        for other in occurrence.job.occurrences:
+            self._stop_all(other, StopReason.JOB_FAILED)
 
     # Stopping
 
@@ -414,6 +421,11 @@
         )
 
 
+def _has_begun(run: Run, how: EndKind) -> bool:
+    """Whether a run may have done some of its work."""
+    return not run.never_began and how is not EndKind.ALONE
+
+
 def _unlisted(worker_id: str) -> WorkerRecord:
     return WorkerRecord(
         worker_id=worker_id,
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -239,7 +239,7 @@
 
         def may_stop(run: Run) -> bool:
             other = run.task.step.occurrence.job
-            if other is job:
+            if other is job or _lost_if_stopped(run):
                 return False
             if run.stopping or other.priority > job.priority:
                 return True
@@ -292,6 +292,12 @@
                 self._release(step)
 
 
+def _lost_if_stopped(run: Run) -> bool:
+    """Work that may run only once and saves nothing cannot be taken back."""
+    step = run.task.step.step
+    return step.once and not (step.checkpoint and run.saved)
+
+
 def _waits(task: Task) -> bool:
     return task.status is TaskStatus.WAITING and task.run is None
 
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -262,6 +262,7 @@
         readiness="127.0.0.1:0",
         peer_ports=(first, 65_535),
         store="127.0.0.1:1",
+        callers="127.0.0.1:0",
         timings=Timings(
             longest_hold_ms=round(times.hold_s * 1000),
             gang_ms=round(times.gang_s * 1000),
--- a/src/saddlestack/work.py
+++ b/src/saddlestack/work.py
@@ -91,6 +91,7 @@
     :param target_ms: tail latency that a serving task should stay below.
     :param fills: the tasks take processor time that others leave unused.
     :param may_miss: tasks of a long-running step that may be away through us at once.
+    :param once: a task that may have begun never starts again, except from a checkpoint.
     """
 
     count: int
@@ -109,6 +110,7 @@
     target_ms: int = 0
     fills: bool = False
     may_miss: int = 0
+    once: bool = False
 
     @property
     def room(self) -> Resources:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -52,8 +52,7 @@
             logger.info("line", extra={"number": number})
         self.assertLess(time.monotonic() - began, 5.0)
         stream.released.set()
-        while handler._lines.qsize():
-            threading.Event().wait(0.01)
+        handler.drain()
         logger.info("after")
         handler.close()
         lines = [json.loads(line) for line in stream.getvalue().splitlines()]
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -9,11 +9,14 @@
 
 import msgspec
 
+from saddlestack.client import AsyncClient
+from saddlestack.control.callers import job_id_of
 from saddlestack.control.journal import Displaced, Journal
 from saddlestack.errors import ErrorKind, SaddlestackError
 from saddlestack.interfaces import EndKind
+from saddlestack.models import JobState as CallerState
 from saddlestack.standins.loop import run
-from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.standins.pool.cluster import ACCOUNT, KEY, PoolCluster, job
 from saddlestack.standins.pool.workers import TaskPlan, payload
 from saddlestack.wire.http import HttpClient
 from saddlestack.work import JobRequest, JobState, Resources, Step
@@ -256,6 +259,86 @@
     return JobRequest(payload=payload(plan), steps=(step,))
 
 
+class CallersTest(PoolTest):
+    """The product's own interface works on the same jobs as the platform's."""
+
+    def client(self, cluster: PoolCluster, key: str = KEY) -> AsyncClient:
+        ports = [member.vm.callers.port for member in cluster.members.values()]
+        return AsyncClient([("127.0.0.1", port) for port in ports], token=key)
+
+    def test_submit_show_and_cancel(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            client = self.client(cluster)
+            plan = payload(TaskPlan(work_s=1.0, room=8, gang=2))
+            job_ = await client.submit("split-1", 16, adjacent="rack", payload=plan)
+            self.assertEqual((job_.account, job_.accelerators), (ACCOUNT, 16))
+            await client.submit("split-1", 16, adjacent="rack", payload=plan)
+            await cluster.until_state(job_id_of(ACCOUNT, "split-1"), JobState.COMPLETED)
+            self.assertIs((await client.job("split-1")).state, CallerState.DONE)
+            self.assertEqual(cluster.floor.starts_of(job_id_of(ACCOUNT, "split-1")), 2)
+            await client.submit("split-2", 12, payload=payload(TaskPlan(work_s=60.0, gang=2)))
+            await client.cancel("split-2")
+            await cluster.until_state(job_id_of(ACCOUNT, "split-2"), JobState.CANCELLED)
+            with self.assertRaises(SaddlestackError) as caught:
+                await client.job("split-3")
+            self.assertIs(caught.exception.kind, ErrorKind.NOT_FOUND)
+            client.close()
+
+        self.play(body)
+
+    def test_bad_calls_are_refused_and_nothing_is_kept(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            client = self.client(cluster)
+            for name, accelerators in (("a b", 1), ("a", 0), ("a", 257)):
+                with self.assertRaises(SaddlestackError) as caught:
+                    await client.submit(name, accelerators)
+                self.assertIs(caught.exception.kind, ErrorKind.INVALID)
+            with self.assertRaises(SaddlestackError) as caught:
+                await client.submit("a", 1, deadline=5.0)
+            self.assertIn("deadline_s", str(caught.exception))
+            with self.assertRaises(SaddlestackError) as caught:
+                await client.submit("a", 1, account="others")
+            self.assertIs(caught.exception.kind, ErrorKind.FORBIDDEN)
+            client.close()
+            stranger = self.client(cluster, "nobody")
+            with self.assertRaises(SaddlestackError) as caught:
+                await stranger.submit("a", 1)
+            self.assertIs(caught.exception.kind, ErrorKind.UNAUTHENTICATED)
+            stranger.close()
+            self.assertEqual(cluster.store.keys("saddlestack/requests/"), [])
+
+        self.play(body)
+
+    def test_work_that_runs_once_is_neither_taken_back_nor_started_again(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            client = self.client(cluster)
+            for number in range(4):
+                plan = payload(TaskPlan(work_s=6.0, room=8))
+                await client.submit(
+                    f"payout-{number}", 8, run_once=True, payload=plan, job_class="bulk"
+                )
+            ids = [job_id_of(ACCOUNT, f"payout-{number}") for number in range(4)]
+            await cluster.until(lambda: all(cluster.floor.starts_of(each) for each in ids), 20.0)
+            await cluster.submit(B, job(1, accelerators=8), queue="urgent")
+            await cluster.until_state(B, JobState.COMPLETED)
+            self.assertEqual(
+                [cluster.floor.ends_of(each, EndKind.STOPPED) for each in ids], [0] * 4
+            )
+            await client.submit(
+                "payout-9", 8, run_once=True, payload=payload(TaskPlan(60.0, room=8))
+            )
+            last = job_id_of(ACCOUNT, "payout-9")
+            await cluster.until(lambda: cluster.floor.starts_of(last) == 1)
+            run_ = next(run_ for run_ in cluster.floor.history if run_.task.job_id == last)
+            cluster.floor.crash(cluster.floor.workers[run_.worker], recorded=False)
+            await cluster.until_state(last, JobState.FAILED, 40.0)
+            self.assertIs((await client.job("payout-9")).state, CallerState.UNKNOWN)
+            self.assertEqual(cluster.floor.starts_of(last), 1)
+            client.close()
+
+        self.play(body)
+
+
 class LastingTest(PoolTest):
     def test_lasting_tasks_start_again_however_they_end(self) -> None:
         async def body(cluster: PoolCluster) -> None:
