--- a/src/saddlestack/cli/main.py
+++ b/src/saddlestack/cli/main.py
@@ -5,7 +5,7 @@
 import click
 
 from saddlestack import __version__
-from saddlestack.cli import jobs, operators, running, trying
+from saddlestack.cli import entry, jobs, operators, running, trying
 from saddlestack.cli.connection import Connection
 
 
@@ -52,6 +52,8 @@
 main.add_command(operators.audit)
 main.add_command(operators.vm)
 main.add_command(running.daemon)
+main.add_command(entry.entry)
+main.add_command(entry.soak)
 main.add_command(running.settings)
 main.add_command(running.standin)
 main.add_command(trying.demo)
--- a/src/saddlestack/platform/gateway.py
+++ b/src/saddlestack/platform/gateway.py
@@ -25,7 +25,9 @@
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
 
-class _Step(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+class StepBody(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, omit_defaults=True):
+    """A step of a job as clients send it."""
+
     count: int = 1
     cpu: int = 0
     mem_mb: int = 0
@@ -46,19 +48,25 @@
     may_miss: int = 0
 
 
-class _Job(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
-    steps: list[_Step]
+class JobBody(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, omit_defaults=True):
+    """A job as clients send it."""
+
+    steps: list[StepBody]
     spec: str = ""
     times: int = 0
     start_delay_ms: float = 0
     interval_ms: float = 0
 
 
-class _State(msgspec.Struct):
+class StateBody(msgspec.Struct):
+    """A job's state."""
+
     state: str
 
 
-class _Pending(msgspec.Struct):
+class PendingBody(msgspec.Struct):
+    """How many jobs of a queue have not begun."""
+
     pending: int
 
 
@@ -109,7 +117,7 @@
     async def _pending(self, request: Request, call: ClientCall) -> Response:
         if request.method != "GET":
             raise _no_method(request)
-        return Response(200, to_json(_Pending(await self._jobs.pending(call))))
+        return Response(200, to_json(PendingBody(await self._jobs.pending(call))))
 
     async def _job(
         self, request: Request, call: ClientCall, name: str, configuration: PoolConfiguration
@@ -126,7 +134,7 @@
             state = await self._jobs.state(call, name)
             if state is None:
                 raise _unknown(name)
-            return Response(200, to_json(_State(state.value)))
+            return Response(200, to_json(StateBody(state.value)))
         if request.method == "DELETE":
             if not await self._jobs.cancel(call, name):
                 raise _unknown(name)
@@ -176,7 +184,7 @@
 
 
 def _request_of(body: bytes) -> JobRequest:
-    job = from_json(body, _Job)
+    job = from_json(body, JobBody)
     return JobRequest(
         payload=job.spec,
         steps=tuple(_step(step) for step in job.steps),
@@ -186,7 +194,7 @@
     )
 
 
-def _step(step: _Step) -> Step:
+def _step(step: StepBody) -> Step:
     return Step(
         count=step.count,
         needs=Resources(step.cpu, step.mem_mb, step.gpu),
--- a/src/saddlestack/platform/kv.py
+++ b/src/saddlestack/platform/kv.py
@@ -10,8 +10,6 @@
 from typing import TypeVar
 from urllib.parse import urlencode
 
-import msgspec
-
 from saddlestack.codec import from_json
 from saddlestack.interfaces import (
     Committed,
@@ -24,6 +22,18 @@
     Transaction,
     WriteInDoubt,
 )
+from saddlestack.platform.messages import (
+    CommittedBody,
+    ConflictBody,
+    ExpectedRow,
+    KeyRow,
+    LeaseBody,
+    LeaseRequest,
+    PutRow,
+    RangePage,
+    TransactionBody,
+    WatchPage,
+)
 from saddlestack.wire.dialer import Dialer
 from saddlestack.wire.http import AnswerLost, HttpClient, NotSent, Response
 
@@ -35,58 +45,6 @@
 MAX_WAIT_MS = 30_000
 
 
-class _Item(msgspec.Struct):
-    key: str
-    value: str = ""
-    rev: int = 0
-    gone: bool = False
-
-
-class _Range(msgspec.Struct):
-    items: list[_Item]
-    at: int
-    more: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[_Item]
-    at: int
-
-
-class _Expected(msgspec.Struct):
-    key: str
-    rev: int
-
-
-class _Put(msgspec.Struct, omit_defaults=True):
-    key: str
-    value: str
-    lease: int = 0
-
-
-class _Transaction(msgspec.Struct, rename={"expect": "expect-rev"}):
-    expect: list[_Expected]
-    put: list[_Put]
-    delete: list[str]
-
-
-class _Committed(msgspec.Struct):
-    rev: int
-
-
-class _Conflict(msgspec.Struct):
-    items: list[_Item] = []
-
-
-class _LeaseRequest(msgspec.Struct):
-    ttl_ms: int
-
-
-class _Lease(msgspec.Struct):
-    ttl_ms: int
-    lease: int = 0
-
-
 class KvStore:
     """Client of the platform's store. Counts its calls in :attr:`calls`."""
 
@@ -99,7 +57,7 @@
         response = await self._read(f"/api/kv-key?{urlencode({'key': key})}", CALL_TIMEOUT_S)
         if response.status == 404:
             return Item(key, b"", 0)
-        return _item(_expect(response, _Item))
+        return _item(_expect(response, KeyRow))
 
     async def list(self, prefix: str) -> Listing:
         """All keys under a prefix, page by page; changes since the first page are to be watched."""
@@ -111,7 +69,7 @@
             if after:
                 query["after-rev"] = after
             response = await self._read(f"/api/kv-range?{urlencode(query)}", LIST_TIMEOUT_S)
-            page = _expect(response, _Range)
+            page = _expect(response, RangePage)
             items += [_item(item) for item in page.items]
             if revision is None:
                 revision = page.at
@@ -126,35 +84,35 @@
         response = await self._read(f"/api/kv-watch?{query}", wait_s + WATCH_SLACK_S)
         if response.status == 410:
             raise HistoryGone(prefix)
-        events = _expect(response, _Events)
+        events = _expect(response, WatchPage)
         return Listing(tuple(_item(event) for event in events.events), events.at)
 
     async def transact(self, transaction: Transaction) -> Committed | Conflict:
         """Make changes all together."""
-        body = _Transaction(
-            expect=[_Expected(key, revision) for key, revision in transaction.expect],
+        body = TransactionBody(
+            expect=[ExpectedRow(key, revision) for key, revision in transaction.expect],
             put=[
-                _Put(put.key, base64.b64encode(put.value).decode(), put.lease)
+                PutRow(put.key, base64.b64encode(put.value).decode(), put.lease)
                 for put in transaction.puts
             ],
             delete=list(transaction.deletes),
         )
         response = await self._write("POST", "/api/kv-txn", body)
         if response.status == 412:
-            conflict = from_json(response.body, _Conflict, "answer of the store")
+            conflict = from_json(response.body, ConflictBody, "answer of the store")
             return Conflict(tuple(_item(item) for item in conflict.items))
         if response.status == 404:
             raise LeaseOver
-        return Committed(_expect(response, _Committed).rev)
+        return Committed(_expect(response, CommittedBody).rev)
 
     async def grant_lease(self, ttl_s: float) -> tuple[int, float]:
         """A new lease and the seconds it lasts."""
-        request = _LeaseRequest(round(ttl_s * 1000))
+        request = LeaseRequest(round(ttl_s * 1000))
         try:
             response = await self._write("POST", "/api/kv-lease", request)
         except WriteInDoubt as error:
             raise StoreUnavailable(str(error)) from error
-        lease = _expect(response, _Lease)
+        lease = _expect(response, LeaseBody)
         return lease.lease, lease.ttl_ms / 1000
 
     async def keep_lease(self, lease: int) -> None:
@@ -195,7 +153,7 @@
             raise WriteInDoubt(str(error)) from error
 
 
-def _item(item: _Item) -> Item:
+def _item(item: KeyRow) -> Item:
     if item.gone or item.rev == 0:
         return Item(item.key, b"", 0)
     return Item(item.key, base64.b64decode(item.value), item.rev)
--- /dev/null
+++ b/src/saddlestack/platform/messages.py
@@ -0,0 +1,153 @@
+"""The messages of the platform's store and workers, as they travel in JSON bodies.
+
+See the platform's protocol page. Clients and stand-ins share them.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class KeyRow(msgspec.Struct):
+    """A key of the store; ``gone`` where a watch tells that it was removed."""
+
+    key: str
+    value: str = ""
+    rev: int = 0
+    gone: bool = False
+
+
+class RangePage(msgspec.Struct):
+    """A page of keys under a prefix."""
+
+    items: list[KeyRow]
+    at: int
+    more: bool = False
+
+
+class WatchPage(msgspec.Struct):
+    """Changes under a prefix."""
+
+    events: list[KeyRow]
+    at: int
+
+
+class ExpectedRow(msgspec.Struct):
+    """A key and the revision that it must have."""
+
+    key: str
+    rev: int
+
+
+class PutRow(msgspec.Struct, omit_defaults=True):
+    """A key to write."""
+
+    key: str
+    value: str
+    lease: int = 0
+
+
+class TransactionBody(msgspec.Struct, rename={"expect": "expect-rev"}):
+    """Changes to be made all together."""
+
+    expect: list[ExpectedRow]
+    put: list[PutRow]
+    delete: list[str]
+
+
+class CommittedBody(msgspec.Struct):
+    """The revision of a transaction that was done."""
+
+    rev: int
+
+
+class ConflictBody(msgspec.Struct):
+    """The expected keys as they are, where a transaction was refused."""
+
+    items: list[KeyRow] = []
+
+
+class LeaseRequest(msgspec.Struct):
+    """Asks for a lease."""
+
+    ttl_ms: int
+
+
+class LeaseBody(msgspec.Struct):
+    """A lease as granted or renewed."""
+
+    ttl_ms: int
+    lease: int = 0
+
+
+class StartBody(msgspec.Struct, rename="kebab", omit_defaults=True):
+    """Starts a run."""
+
+    task: str
+    run: int
+    spec: str
+    deadline_ms: int
+    fence: int
+    saved: str = ""
+    ticket: str = ""
+
+
+class StopBody(msgspec.Struct):
+    """Stops a run."""
+
+    task: str
+    run: int
+    fence: int
+
+
+class PaceBody(msgspec.Struct):
+    """Lets a run work at a share of its speed."""
+
+    task: str
+    run: int
+    percent: int
+    fence: int
+
+
+class HoldBody(msgspec.Struct, rename="kebab", omit_defaults=True):
+    """Renews the lease, acknowledges ends, and looks."""
+
+    fence: int
+    last_seen: int
+    deadline_ms: int | None = None
+    wait_ms: int = 0
+
+
+class OrderAnswer(msgspec.Struct, rename="kebab"):
+    """Answers an order."""
+
+    clock_ms: int | None = None
+    reason: str = ""
+
+
+class RunningRow(msgspec.Struct, array_like=True):
+    """A run that is present."""
+
+    task: str
+    run: int
+    saved: str = ""
+    percent: float = 0
+    figure: float = 0
+
+
+class EndedRow(msgspec.Struct, array_like=True):
+    """A run that is over."""
+
+    number: int
+    task: str
+    run: int
+    how: str
+    saved: str = ""
+
+
+class ReportBody(msgspec.Struct, rename="kebab"):
+    """Answers a look."""
+
+    clock_ms: int
+    running: list[RunningRow] = []
+    ended: list[EndedRow] = []
--- a/src/saddlestack/platform/orders.py
+++ b/src/saddlestack/platform/orders.py
@@ -7,8 +7,6 @@
 
 from typing import TypeVar
 
-import msgspec
-
 from saddlestack.codec import from_json
 from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces import (
@@ -24,6 +22,14 @@
     WorkerReport,
     WorkerUnreachable,
 )
+from saddlestack.platform.messages import (
+    HoldBody,
+    OrderAnswer,
+    PaceBody,
+    ReportBody,
+    StartBody,
+    StopBody,
+)
 from saddlestack.wire.dialer import Dialer
 from saddlestack.wire.http import AnswerLost, HttpClient, NotSent, Response
 
@@ -40,63 +46,6 @@
 }
 
 
-class _Start(msgspec.Struct, rename="kebab", omit_defaults=True):
-    task: str
-    run: int
-    spec: str
-    deadline_ms: int
-    fence: int
-    saved: str = ""
-    ticket: str = ""
-
-
-class _Stop(msgspec.Struct):
-    task: str
-    run: int
-    fence: int
-
-
-class _Pace(msgspec.Struct):
-    task: str
-    run: int
-    percent: int
-    fence: int
-
-
-class _Hold(msgspec.Struct, rename="kebab", omit_defaults=True):
-    fence: int
-    last_seen: int
-    deadline_ms: int | None = None
-    wait_ms: int = 0
-
-
-class _Answer(msgspec.Struct, rename="kebab"):
-    clock_ms: int | None = None
-    reason: str = ""
-
-
-class _Running(msgspec.Struct, array_like=True):
-    task: str
-    run: int
-    saved: str = ""
-    percent: float = 0
-    figure: float = 0
-
-
-class _Ended(msgspec.Struct, array_like=True):
-    number: int
-    task: str
-    run: int
-    how: str
-    saved: str = ""
-
-
-class _Report(msgspec.Struct, rename="kebab"):
-    clock_ms: int
-    running: list[_Running] = []
-    ended: list[_Ended] = []
-
-
 class HttpWorkerOrders:
     """Orders to one life of a worker, over kept connections."""
 
@@ -108,7 +57,7 @@
 
     async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
         """Start a run."""
-        body = _Start(
+        body = StartBody(
             order.task,
             order.run,
             order.payload,
@@ -120,31 +69,31 @@
         response = await self._call("/api/run-start", body, timeout_s)
         if response.status == 400:
             return StartReply(None, Refusal.INVALID)
-        answer = _read(response, _Answer, (200, 409))
+        answer = _read(response, OrderAnswer, (200, 409))
         if response.status == 200:
             return StartReply(answer.clock_ms, None)
         return StartReply(answer.clock_ms, _REFUSALS.get(answer.reason, Refusal.OLD))
 
     async def stop(self, task: str, run: int, fence: int, timeout_s: float) -> None:
         """Stop a run; one that is not there yet will be refused when it comes."""
-        response = await self._call("/api/run-stop", _Stop(task, run, fence), timeout_s)
+        response = await self._call("/api/run-stop", StopBody(task, run, fence), timeout_s)
         _not_fenced(response)
-        _read(response, _Answer, (200, 409))
+        _read(response, OrderAnswer, (200, 409))
 
     async def pace(self, task: str, run: int, percent: int, fence: int, timeout_s: float) -> None:
         """Let a run work at a share of its full speed, 0 to 100."""
-        response = await self._call("/api/pace", _Pace(task, run, percent, fence), timeout_s)
+        response = await self._call("/api/pace", PaceBody(task, run, percent, fence), timeout_s)
         _not_fenced(response)
-        _read(response, _Answer, (200, 409))
+        _read(response, OrderAnswer, (200, 409))
 
     async def hold(
         self, fence: int, deadline_ms: int | None, seen: int, wait_s: float, timeout_s: float
     ) -> WorkerReport:
         """Renew the lease of what runs, acknowledge ends up to ``seen``, and look."""
-        body = _Hold(fence, seen, deadline_ms, round(wait_s * 1000))
+        body = HoldBody(fence, seen, deadline_ms, round(wait_s * 1000))
         response = await self._call("/api/hold", body, timeout_s)
         _not_fenced(response)
-        report = _read(response, _Report, (200,))
+        report = _read(response, ReportBody, (200,))
         running = tuple(
             RunningTask(r.task, r.run, r.saved, int(r.percent), r.figure) for r in report.running
         )
@@ -172,7 +121,7 @@
 
 
 def _not_fenced(response: Response) -> None:
-    if response.status == 409 and _read(response, _Answer, (409,)).reason == "fence":
+    if response.status == 409 and _read(response, OrderAnswer, (409,)).reason == "fence":
         raise WorkerFenced
 
 
--- /dev/null
+++ b/src/saddlestack/platform/serving.py
@@ -0,0 +1,220 @@
+"""The platform's calls from the other side: what a stand-in of it answers.
+
+Translates between HTTP and a stand-in's store and workers, and decides nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import Protocol
+
+from saddlestack.codec import from_json, to_json
+from saddlestack.interfaces import (
+    Conflict,
+    HistoryGone,
+    Item,
+    LeaseOver,
+    MetadataStore,
+    Put,
+    Refusal,
+    StartOrder,
+    StartReply,
+    Transaction,
+    WorkerFenced,
+    WorkerReport,
+    WriteInDoubt,
+)
+from saddlestack.platform.messages import (
+    CommittedBody,
+    ConflictBody,
+    EndedRow,
+    HoldBody,
+    KeyRow,
+    LeaseBody,
+    LeaseRequest,
+    OrderAnswer,
+    PaceBody,
+    RangePage,
+    ReportBody,
+    RunningRow,
+    StartBody,
+    StopBody,
+    TransactionBody,
+    WatchPage,
+)
+from saddlestack.platform.orders import LIFE_HEADER
+from saddlestack.wire.http import Request, Response
+
+SILENCE_S = 3600.0
+"""A call whose answer is lost is never answered."""
+_REASONS = {Refusal.FENCED: "fence"}
+
+
+class WorkerDesk(Protocol):
+    """One life of a stand-in's worker."""
+
+    @property
+    def worker_id(self) -> str:
+        """Its life's name."""
+        ...
+
+    def clock_ms(self) -> int:
+        """Its steady clock."""
+        ...
+
+    def start(self, order: StartOrder) -> StartReply:
+        """Start a run."""
+        ...
+
+    def stop(self, task: str, run: int, fence: int) -> None:
+        """Stop a run.
+
+        :raises WorkerFenced: a lower token than it has seen.
+        """
+        ...
+
+    def pace(self, task: str, run: int, percent: int, fence: int) -> None:
+        """Let a run work at a share of its speed.
+
+        :raises WorkerFenced: a lower token than it has seen.
+        """
+        ...
+
+    async def hold(
+        self, fence: int, deadline_ms: int | None, seen: int, wait_s: float
+    ) -> WorkerReport:
+        """Renew, acknowledge, and look.
+
+        :raises WorkerFenced: a lower token than it has seen.
+        """
+        ...
+
+
+class StoreServing:
+    """Answers the calls to the platform's store."""
+
+    def __init__(self, store: MetadataStore) -> None:
+        self._store = store
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one call."""
+        try:
+            return await self._route(request)
+        except HistoryGone:
+            return Response(410)
+        except LeaseOver:
+            return Response(404)
+        except WriteInDoubt:
+            await asyncio.sleep(SILENCE_S)
+            return Response(500)
+
+    async def _route(self, request: Request) -> Response:
+        query = request.query
+        name, _, lease = request.path.removeprefix("/api/kv-").partition("/")
+        if name == "key":
+            item = await self._store.get(query["key"])
+            return Response(200, to_json(_row(item))) if item.revision else Response(404)
+        if name == "range":
+            listing = await self._store.list(query["path-prefix"])
+            rows = [_row(item) for item in listing.items]
+            return Response(200, to_json(RangePage(rows, listing.revision)))
+        if name == "watch":
+            wait_s = int(query["wait-ms"]) / 1000
+            listing = await self._store.watch(query["path-prefix"], int(query["after-rev"]), wait_s)
+            rows = [_row(item) for item in listing.items]
+            return Response(200, to_json(WatchPage(rows, listing.revision)))
+        if name == "txn":
+            return await self._transact(from_json(request.body, TransactionBody))
+        if name == "lease":
+            ttl_ms = from_json(request.body, LeaseRequest).ttl_ms
+            number, ttl_s = await self._store.grant_lease(ttl_ms / 1000)
+            return Response(200, to_json(LeaseBody(round(ttl_s * 1000), number)))
+        if name == "keep":
+            await self._store.keep_lease(int(lease))
+            return Response(200, to_json(LeaseBody(0)))
+        if name == "lease-end":
+            await self._store.end_lease(int(lease))
+            return Response(200)
+        return Response(404)
+
+    async def _transact(self, body: TransactionBody) -> Response:
+        outcome = await self._store.transact(
+            Transaction(
+                tuple((row.key, row.rev) for row in body.expect),
+                tuple(Put(row.key, base64.b64decode(row.value), row.lease) for row in body.put),
+                tuple(body.delete),
+            )
+        )
+        if isinstance(outcome, Conflict):
+            return Response(412, to_json(ConflictBody([_row(item) for item in outcome.items])))
+        return Response(200, to_json(CommittedBody(outcome.revision)))
+
+
+class WorkerServing:
+    """Answers the calls to one worker."""
+
+    def __init__(self, desk: WorkerDesk) -> None:
+        self._desk = desk
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one call."""
+        if request.headers.get(LIFE_HEADER.lower()) != self._desk.worker_id:
+            return Response(421)
+        try:
+            return await self._route(request)
+        except WorkerFenced:
+            return self._answer(409, "fence")
+
+    async def _route(self, request: Request) -> Response:
+        if request.path == "/api/run-start":
+            return self._start(from_json(request.body, StartBody))
+        if request.path == "/api/run-stop":
+            stop = from_json(request.body, StopBody)
+            self._desk.stop(stop.task, stop.run, stop.fence)
+            return self._answer(200)
+        if request.path == "/api/pace":
+            pace = from_json(request.body, PaceBody)
+            self._desk.pace(pace.task, pace.run, pace.percent, pace.fence)
+            return self._answer(200)
+        if request.path == "/api/hold":
+            return await self._hold(from_json(request.body, HoldBody))
+        return Response(404)
+
+    def _start(self, body: StartBody) -> Response:
+        reply = self._desk.start(
+            StartOrder(
+                body.task,
+                body.run,
+                body.spec,
+                body.saved,
+                body.deadline_ms,
+                body.fence,
+                body.ticket,
+            )
+        )
+        if reply.refusal is None:
+            return self._answer(200)
+        return self._answer(409, _REASONS.get(reply.refusal, reply.refusal.value))
+
+    async def _hold(self, body: HoldBody) -> Response:
+        report = await self._desk.hold(
+            body.fence, body.deadline_ms, body.last_seen, body.wait_ms / 1000
+        )
+        running = [
+            RunningRow(row.task, row.run, row.saved, row.percent, row.figure)
+            for row in report.running
+        ]
+        ended = [
+            EndedRow(end.number, end.task, end.run, end.how.value, end.saved)
+            for end in report.ended
+        ]
+        return Response(200, to_json(ReportBody(report.clock_ms, running, ended)))
+
+    def _answer(self, status: int, reason: str = "") -> Response:
+        return Response(status, to_json(OrderAnswer(self._desk.clock_ms(), reason)))
+
+
+def _row(item: Item) -> KeyRow:
+    value = base64.b64encode(item.value).decode()
+    return KeyRow(item.key, value, item.revision, gone=not item.revision)
--- a/src/saddlestack/wire/http.py
+++ b/src/saddlestack/wire/http.py
@@ -319,19 +319,23 @@
         *,
         timeout: float,
         headers: Sequence[tuple[str, str]] = (),
+        host: str | None = None,
     ) -> Response:
         """Send a request and read the whole answer.
 
         :param body: a model, sent as JSON, or ``None``.
         :param timeout: seconds for the whole exchange.
         :param headers: sent besides the usual ones.
+        :param host: the host that is asked for, where it is not the address.
         :raises NotSent: nothing left.
         :raises AnswerLost: the answer did not come, or not whole.
         """
         connection = await self._connect(timeout)
         try:
             async with asyncio.timeout(timeout):
-                response = await connection.exchange(self._encode(method, path, body, headers))
+                response = await connection.exchange(
+                    self._encode(method, path, body, headers, host)
+                )
             self.bytes += connection.count()
         except (OSError, TimeoutError, h11.ProtocolError) as error:
             raise AnswerLost(f"{method} {path}: {type(error).__name__}") from error
@@ -368,10 +372,16 @@
         self._open.discard(connection)
 
     def _encode(
-        self, method: str, path: str, body: object, extra: Sequence[tuple[str, str]]
+        self,
+        method: str,
+        path: str,
+        body: object,
+        extra: Sequence[tuple[str, str]],
+        host: str | None,
     ) -> tuple[h11.Request, bytes]:
         data = b"" if body is None else to_json(body)
-        headers = [("host", f"{self.address}:{self.port}"), ("content-length", str(len(data)))]
+        asked = host or f"{self.address}:{self.port}"
+        headers = [("host", asked), ("content-length", str(len(data)))]
         if body is not None:
             headers.append(("content-type", "application/json"))
         if self._token is not None:
