--- a/src/saddlestack/control/journal.py
+++ b/src/saddlestack/control/journal.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from saddlestack.control.context import EntryContext
 from saddlestack.control.keys import LEADER
@@ -23,6 +23,7 @@
 
 RECORDS_A_WRITE = 15
 """A transaction has at most 32 entries: the guard, and two for each record."""
+KEYS_A_REMOVAL = 31
 FIRST_RETRY_S = 0.03
 LONGEST_RETRY_S = 0.5
 
@@ -61,6 +62,21 @@
             part = {key: records[key] for key in keys[start : start + RECORDS_A_WRITE]}
             await self._write(part)
 
+    async def remove(self, names: Sequence[str]) -> bool:
+        """Remove keys; ``False`` where that is to be tried again later."""
+        guard = ((LEADER, self._fence),)
+        for start in range(0, len(names), KEYS_A_REMOVAL):
+            part = tuple(names[start : start + KEYS_A_REMOVAL])
+            try:
+                outcome = await self._context.store.transact(Transaction(guard, deletes=part))
+            except (StoreUnavailable, WriteInDoubt, LeaseOver):
+                return False
+            if isinstance(outcome, Conflict):
+                return False
+            for key in part:
+                self._revisions.pop(key, None)
+        return True
+
     async def _write(self, records: Mapping[str, bytes]) -> None:
         transaction = self._transaction(records)
         failures = 0
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -30,6 +30,7 @@
 log = logging.getLogger("saddlestack.scheduler")
 
 TICK_S = 0.5
+FORGOTTEN_A_TICK = 5
 LOAD_RETRY_S = 0.2
 ADVICE_RETRY_S = 0.5
 ADVICE_AT_ONCE = 4
@@ -352,6 +353,17 @@
             await asyncio.sleep(TICK_S)
             self._end_ghosts()
             self.changed()
+            await self._forget_expired()
+
+    async def _forget_expired(self) -> None:
+        """Remove jobs from the store that nobody has to be told of any more."""
+        retention_s = self._context.settings.timings.retention_s
+        for job in self.board.expired(self._clock.now(), retention_s)[:FORGOTTEN_A_TICK]:
+            records = [keys.progress_key(each.key) for each in job.occurrences]
+            others = (keys.job_key(job.job_id), keys.cancel_key(job.job_id))
+            if await self._journal.remove([*records, *others]):
+                self.board.forget(job.job_id)
+                log.info("forgotten", extra={"event": "forgotten", "job": job.job_id})
 
     def _end_ghosts(self) -> None:
         """Lives that nobody can reach any more hold their runs until every lease has lapsed."""
--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -19,6 +19,7 @@
     :param longest_hold_ms: the longest lease that a worker grants.
     :param gang_ms: how long a member of a gang waits for the others.
     :param stop_ms: how long a stop takes at most.
+    :param retention_s: for how long a job that is over stays known, so that repeats find it.
     :param machine_lease_ms: orders about a machine by two holders lie further apart than this.
     :param upkeep_s: how long a machine is down for its upkeep.
     :param grace_s: from SIGTERM to SIGKILL.
@@ -30,6 +31,7 @@
     stop_ms: float
     grace_s: float
     status_s: float
+    retention_s: float = 3600.0
     machine_lease_ms: float = 3000
     upkeep_s: float = 2.0
 
@@ -103,10 +105,20 @@
         faults.append("peer_ports: expected a first port below a last one, from 0 to 65535")
     if settings.log_level not in LOG_LEVELS:
         faults.append(f"log_level: expected one of {', '.join(LOG_LEVELS)}")
-    for key in ("longest_hold_ms", "gang_ms", "stop_ms", "grace_s", "status_s", "upkeep_s"):
+    for key in (
+        "longest_hold_ms",
+        "gang_ms",
+        "stop_ms",
+        "grace_s",
+        "status_s",
+        "retention_s",
+        "upkeep_s",
+    ):
         value = getattr(settings.timings, key)
         if value <= 0:
             faults.append(f"timings.{key}: expected a number above 0, got {value}")
+    if settings.timings.retention_s < settings.timings.status_s:
+        faults.append("timings.retention_s: expected status_s or more")
     return faults
 
 
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -181,6 +181,18 @@
         for occurrence in job.occurrences:
             self._stop_all(occurrence, StopReason.CANCELLED)
 
+    def expired(self, now: float, retention_s: float) -> list[Job]:
+        """Jobs that have been over for longer than they have to be known."""
+        found = []
+        for job in self.jobs.values():
+            if not job.settled:
+                continue
+            if job.over_s is None:
+                job.over_s = now
+            if now - job.over_s > retention_s:
+                found.append(job)
+        return found
+
     def forget(self, job_id: str) -> None:
         """A job that the store no longer has."""
         self.jobs.pop(job_id, None)
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -12,7 +12,7 @@
     TaskRecord,
     TaskStatus,
 )
-from saddlestack.work import AcceptedJob, JobState, Resources, Step, TaskName
+from saddlestack.work import FINAL_STATES, AcceptedJob, JobState, Resources, Step, TaskName
 
 WORKING_PERCENT = 100
 ACCELERATOR_CORES = 8
@@ -139,6 +139,7 @@
     """A job that was accepted.
 
     :param shown: its state as far as the store has it; what clients are told.
+    :param over_s: since when it is known to be over, on the board's clock.
     """
 
     accepted: AcceptedJob
@@ -146,6 +147,7 @@
     cancelled: bool = False
     begun: bool = False
     shown: JobState = JobState.QUEUED
+    over_s: float | None = None
 
     @property
     def job_id(self) -> str:
@@ -176,7 +178,15 @@
     @property
     def over(self) -> bool:
         """Whether nothing more is to run."""
-        return self.state in {JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED}
+        return self.state in FINAL_STATES
+
+    @property
+    def settled(self) -> bool:
+        """Whether it is shown as over and nothing of it is present anywhere."""
+        if self.shown not in FINAL_STATES:
+            return False
+        steps = (step for occurrence in self.occurrences for step in occurrence.steps)
+        return all(task.run is None for step in steps for task in step.tasks)
 
     @property
     def accelerators(self) -> int:
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -42,7 +42,7 @@
         self._board = board
         self._open: dict[str, Job] = {}
         self._reservations: dict[int, tuple[StepState, Reservation]] = {}
-        self._waiting_s: dict[int, float] = {}
+        self._waiting_s: dict[str, float] = {}
         self.next_due_ms: int | None = None
 
     def add(self, job: Job) -> None:
@@ -62,7 +62,7 @@
         """Tasks of a step are done; what it reserved is given up."""
         if step.finished:
             self._release(step)
-            self._waiting_s.pop(id(step), None)
+            self._waiting_s.pop(step.key, None)
 
     def plan(self, now: float, wall_ms: float) -> None:
         """Decide what starts and what has to give room."""
@@ -72,7 +72,7 @@
         steps = list(self._ready_steps(wall_ms))
         steps.sort(key=lambda step: self._order(step, entitled))
         for step in steps:
-            self._waiting_s.setdefault(id(step), now)
+            self._waiting_s.setdefault(step.key, now)
             self._place(step, step.occurrence.job.job_id in entitled, entitled, now)
 
     # Order
@@ -100,9 +100,7 @@
         for job_id, job in list(self._open.items()):
             if job.over:
                 del self._open[job_id]
-                for occurrence in job.occurrences:
-                    for step in occurrence.steps:
-                        self._release(step)
+                self._give_up(job)
                 continue
             for occurrence in job.occurrences:
                 if not occurrence.open:
@@ -128,6 +126,13 @@
         if self.next_due_ms is None or due_ms < self.next_due_ms:
             self.next_due_ms = due_ms
 
+    def _give_up(self, job: Job) -> None:
+        """Nothing more of a job is to run."""
+        for occurrence in job.occurrences:
+            for step in occurrence.steps:
+                self._release(step)
+                self._waiting_s.pop(step.key, None)
+
     # Placing
 
     def _place(self, step: StepState, within: bool, entitled: set[str], now: float) -> None:
@@ -155,7 +160,7 @@
         if self._board.is_advised(step.occurrence.job):
             able = self._with_leave(step, able, now)
         near = [worker for worker in able if worker.record.rack == step.step.data_rack]
-        waited = now - self._waiting_s.get(id(step), now)
+        waited = now - self._waiting_s.get(step.key, now)
         if near and waited < NEAR_PATIENCE_S:
             return near
         return able
@@ -211,7 +216,7 @@
         if step.occurrence.job.priority == TOP_PRIORITY or step.step.long_running:
             return True
         opened = {worker.worker_id for worker in places if not worker.runs}
-        if not opened or now - self._waiting_s.get(id(step), now) > HEADROOM_PATIENCE_S:
+        if not opened or now - self._waiting_s.get(step.key, now) > HEADROOM_PATIENCE_S:
             return True
         service = self._board.service_of(step.occurrence.job)
         workers = [w for w in self._board.workers.values() if w.record.service == service]
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -26,6 +26,7 @@
 QUEUES = (("urgent", 0), ("normal", 1), ("bulk", 2))
 ATTEMPTS = 3
 GUARANTEED = 16
+RETENTION_S = 150.0
 STARTED_S = 30.0
 STEP_S = 0.05
 
@@ -269,6 +270,7 @@
             stop_ms=round(times.stop_s * 1000),
             grace_s=6.0,
             status_s=120.0,
+            retention_s=RETENTION_S,
         ),
     )
 
--- a/src/saddlestack/work.py
+++ b/src/saddlestack/work.py
@@ -27,6 +27,9 @@
     CANCELLED = "cancelled"
 
 
+FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
+
+
 class Resources(msgspec.Struct, frozen=True, array_like=True):
     """Room on a worker.
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -16,7 +16,7 @@
 from saddlestack.interfaces import EndKind
 from saddlestack.models import JobState as CallerState
 from saddlestack.standins.loop import run
-from saddlestack.standins.pool.cluster import ACCOUNT, KEY, PoolCluster, job
+from saddlestack.standins.pool.cluster import ACCOUNT, KEY, RETENTION_S, PoolCluster, job
 from saddlestack.standins.pool.workers import TaskPlan, payload
 from saddlestack.wire.http import HttpClient
 from saddlestack.work import JobRequest, JobState, Resources, Step
@@ -172,6 +172,21 @@
 
         self.play(body)
 
+    def test_jobs_that_are_over_are_forgotten_after_their_time(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(2, work_s=0.5))
+            await cluster.submit(B, job(1, work_s=300.0))
+            await cluster.until_state(A, JobState.COMPLETED)
+            await asyncio.sleep(RETENTION_S - 10.0)
+            self.assertIs(await cluster.state(A), JobState.COMPLETED)
+            await asyncio.sleep(20.0)
+            self.assertIsNone(await cluster.state(A))
+            self.assertEqual(len(cluster.store.keys("saddlestack/requests/")), 1)
+            self.assertEqual(len(cluster.store.keys("saddlestack/progress/")), 1)
+            self.assertIs(await cluster.state(B), JobState.RUNNING)
+
+        self.play(body)
+
     def test_unknown_jobs_and_other_accounts(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             self.assertIsNone(await cluster.state(A))
