--- /dev/null
+++ b/src/saddlestack/cli/explaining.py
@@ -0,0 +1,120 @@
+"""From a job's id to its cause, by the logs of all VMs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Sequence
+from pathlib import Path
+
+import click
+import msgspec
+
+from saddlestack.cli.output import errors_to_exit_codes
+
+CONTEXT_EVENTS = frozenset(
+    {"elected", "deposed", "displaced", "store_lost", "store_back", "gate_closed", "gate_opened"}
+)
+_MESSAGE_START = "{"
+
+
+class LogLine(msgspec.Struct):
+    """The fields of a log line that tell about a job."""
+
+    time: str = ""
+    vm: str = ""
+    event: str = ""
+    job: str = ""
+    task: str = ""
+    run: int = 0
+    worker: str = ""
+    reason: str = ""
+    cause: str | None = None
+    how: str = ""
+    state: str = ""
+    doubt: bool = False
+
+
+def read(files: Iterable[Path]) -> list[LogLine]:
+    """All log lines of some files, in order of time; what is no log line is left out."""
+    lines: list[LogLine] = []
+    for file in files:
+        with file.open(encoding="utf-8", errors="replace") as text:
+            lines += _parsed(text)
+    return sorted(lines, key=lambda line: line.time)
+
+
+def about(job_id: str, lines: Sequence[LogLine]) -> list[LogLine]:
+    """The lines about a job, and what happened to leaders and the store meanwhile."""
+    own = [line for line in lines if _concerns(line, job_id)]
+    if not own:
+        return []
+    first, last = own[0].time, own[-1].time
+    return [
+        line
+        for line in lines
+        if _concerns(line, job_id) or (line.event in CONTEXT_EVENTS and first <= line.time <= last)
+    ]
+
+
+def causes(job_id: str, lines: Sequence[LogLine]) -> list[str]:
+    """What the lines say went wrong with a job, a sentence each."""
+    found: list[str] = []
+    for line in lines:
+        if not _concerns(line, job_id):
+            continue
+        if line.event == "not_written":
+            what = "not known whether taken" if line.doubt else "refused"
+            found.append(f"{line.vm} could not reach the store ({line.reason}): {what}")
+        elif line.event == "stop" and line.reason == "preempted":
+            found.append(f"{line.task} run {line.run} gave its room to job {line.cause}")
+        elif line.event == "stop" and line.reason not in {"cancelled", "gang_broken"}:
+            found.append(f"{line.task} run {line.run} was stopped: {line.reason}")
+        elif line.event == "ended" and line.how not in {"done", "stopped", "broken"}:
+            found.append(f"{line.task} run {line.run} ended {line.how} on {line.worker}")
+        elif line.event == "start_refused":
+            found.append(f"{line.worker} refused {line.task} run {line.run}: {line.reason}")
+        elif line.event == "run_absent":
+            found.append(f"{line.worker} does not know {line.task} run {line.run}")
+    return found
+
+
+def _concerns(line: LogLine, job_id: str) -> bool:
+    return line.job == job_id or line.task.startswith(f"{job_id}.") or line.cause == job_id
+
+
+def _parsed(text: Iterable[str]) -> Iterator[LogLine]:
+    for line in text:
+        start = line.find(_MESSAGE_START)
+        if start < 0:
+            continue
+        try:
+            yield msgspec.json.decode(line[start:], type=LogLine)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            continue
+
+
+@click.command()
+@click.argument("job_id", metavar="ID")
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    metavar="FILE...",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+@errors_to_exit_codes
+def explain(job_id: str, files: tuple[Path, ...]) -> None:
+    """Tell what became of job ID, and why, from the log FILEs of all VMs."""
+    lines = about(job_id, read(files))
+    if not lines:
+        click.echo(f"no line tells of job {job_id}", err=True)
+        raise SystemExit(1)
+    for line in lines:
+        click.echo(f"{line.time} {line.vm:24} {_shown(line)}")
+    for sentence in causes(job_id, lines) or ["nothing went wrong with it, as far as is logged"]:
+        click.echo(f"- {sentence}")
+
+
+def _shown(line: LogLine) -> str:
+    task = f"{line.task} run {line.run}" if line.task else line.job
+    parts = (line.event, task, line.worker, line.state, line.how, line.reason, line.cause or "")
+    return " ".join(part for part in parts if part)
--- /dev/null
+++ b/src/saddlestack/control/owner.py
@@ -0,0 +1,60 @@
+"""What a worker's session needs of its scheduler, and the worker's clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from saddlestack.policy.board.board import Board
+
+
+class Owner(Protocol):
+    """What a session needs of its scheduler."""
+
+    @property
+    def board(self) -> Board:
+        """What is known and decided."""
+        ...
+
+    @property
+    def fence(self) -> int:
+        """The fencing token of the term."""
+        ...
+
+    @property
+    def hold_s(self) -> float:
+        """How long workers lease at most."""
+        ...
+
+    def changed(self) -> None:
+        """Decide anew."""
+        ...
+
+    async def written(self) -> None:
+        """Wait until the store has all that is known by now."""
+        ...
+
+    def fenced(self) -> None:
+        """A worker obeys a later term."""
+        ...
+
+
+@dataclass(slots=True)
+class WorkerClock:
+    """A worker's clock as last heard.
+
+    :param clock_ms: what it said...
+    :param at: ...and when, on our clock.
+    """
+
+    clock_ms: int
+    at: float
+
+    def hear(self, clock_ms: int, now: float) -> None:
+        """Note a newer reading."""
+        self.clock_ms = clock_ms
+        self.at = now
+
+    def read(self, now: float) -> int:
+        """What it says about now."""
+        return self.clock_ms + round((now - self.at) * 1000)
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -23,7 +23,8 @@
 from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces import AdviserUnavailable, Item, PoolConfiguration, StoreUnavailable
 from saddlestack.kernel.service import TaskGroup
-from saddlestack.policy.board.board import Board, Changes, Question
+from saddlestack.policy.board.board import Board
+from saddlestack.policy.board.changes import Changes, Question
 from saddlestack.policy.board.records import OccurrenceRecord
 from saddlestack.work import AcceptedJob, JobState
 
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
-from typing import Protocol
 
+from saddlestack.control.owner import Owner, WorkerClock
 from saddlestack.interfaces import (
     Refusal,
     StartOrder,
@@ -20,7 +19,7 @@
 )
 from saddlestack.kernel.clock import Clock
 from saddlestack.kernel.service import TaskGroup
-from saddlestack.policy.board.board import Board, Start
+from saddlestack.policy.board.changes import Start
 from saddlestack.policy.board.jobs import Run
 from saddlestack.policy.board.pacing import needs_watching
 from saddlestack.policy.board.workers import RunKey, Worker
@@ -43,58 +42,6 @@
 LAPSE_SLACK_S = 0.5
 
 
-class Owner(Protocol):
-    """What a session needs of its scheduler."""
-
-    @property
-    def board(self) -> Board:
-        """What is known and decided."""
-        ...
-
-    @property
-    def fence(self) -> int:
-        """The fencing token of the term."""
-        ...
-
-    @property
-    def hold_s(self) -> float:
-        """How long workers lease at most."""
-        ...
-
-    def changed(self) -> None:
-        """Decide anew."""
-        ...
-
-    async def written(self) -> None:
-        """Wait until the store has all that is known by now."""
-        ...
-
-    def fenced(self) -> None:
-        """A worker obeys a later term."""
-        ...
-
-
-@dataclass(slots=True)
-class WorkerClock:
-    """A worker's clock as last heard.
-
-    :param clock_ms: what it said...
-    :param at: ...and when, on our clock.
-    """
-
-    clock_ms: int
-    at: float
-
-    def hear(self, clock_ms: int, now: float) -> None:
-        """Note a newer reading."""
-        self.clock_ms = clock_ms
-        self.at = now
-
-    def read(self, now: float) -> int:
-        """What it says about now."""
-        return self.clock_ms + round((now - self.at) * 1000)
-
-
 class WorkerSession:
     """Orders to one worker while this VM leads.
 
--- /dev/null
+++ b/src/saddlestack/policy/board/changes.py
@@ -0,0 +1,74 @@
+"""What follows from events: records to write, and orders to give."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from saddlestack.policy.board.jobs import Job, Run, StepState
+from saddlestack.policy.board.pacing import Pace
+from saddlestack.policy.board.records import OccurrenceRecord
+from saddlestack.work import JobState, TaskName
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """A run to be started, once its record is in the store."""
+
+    run: Run
+    payload: str
+    saved: str
+    ticket: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """The adviser is to be asked which of some workers may run a step."""
+
+    step: StepState
+    workers: tuple[str, ...]
+
+
+class StopReason(enum.StrEnum):
+    """Why a run is stopped."""
+
+    CANCELLED = "cancelled"
+    JOB_FAILED = "job_failed"
+    GANG_BROKEN = "gang_broken"
+    PREEMPTED = "preempted"
+    WORKER_LEAVES = "worker_leaves"
+    NOT_OURS = "not_ours"
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """A run to be stopped.
+
+    :param cause: the job that takes the room, where one does.
+    """
+
+    worker_id: str
+    task: TaskName
+    number: int
+    reason: StopReason
+    cause: str = ""
+
+
+@dataclass(slots=True)
+class Changes:
+    """What has followed since the last call of :meth:`Board.take`.
+
+    :param records: occurrences to be written, by key.
+    :param starts: to be ordered after the records are written.
+    :param stops: to be ordered at once.
+    :param paces: to be ordered at once.
+    :param questions: to be asked of the adviser.
+    :param shown: jobs whose state may be shown after the records are written.
+    """
+
+    records: dict[str, OccurrenceRecord] = field(default_factory=dict)
+    starts: list[Start] = field(default_factory=list)
+    stops: list[Stop] = field(default_factory=list)
+    paces: list[Pace] = field(default_factory=list)
+    questions: list[Question] = field(default_factory=list)
+    shown: list[tuple[Job, JobState]] = field(default_factory=list)
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,79 @@
+"""From a job's id to its cause."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from saddlestack.cli.explaining import about, causes, read
+from saddlestack.cli.main import main
+
+JOB = "00000000000000aa"
+LINES = {
+    "one.log": [
+        {"time": "1", "vm": "one", "event": "accepted", "job": JOB},
+        {"time": "4", "vm": "one", "event": "elected"},
+        {"time": "9", "vm": "one", "event": "elected"},
+        {"time": "5", "vm": "one", "event": "not_written", "job": JOB, "reason": "reset"},
+    ],
+    "two.log": [
+        {"time": "2", "vm": "two", "event": "start", "task": f"{JOB}.0.0.1", "run": 1},
+        {
+            "time": "3",
+            "vm": "two",
+            "event": "stop",
+            "task": f"{JOB}.0.0.1",
+            "run": 1,
+            "reason": "preempted",
+            "cause": "other",
+        },
+        {
+            "time": "6",
+            "vm": "two",
+            "event": "ended",
+            "task": f"{JOB}.0.0.1",
+            "run": 2,
+            "how": "lapsed",
+        },
+        {"time": "6", "vm": "two", "event": "start", "task": "00000000000000ab.0.0.1", "run": 1},
+    ],
+}
+
+
+class ExplainTest(unittest.TestCase):
+    def files(self) -> list[Path]:
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(folder.rmdir)
+        files = []
+        for name, lines in LINES.items():
+            file = folder / name
+            file.write_text("not a log line\n" + "\n".join(json.dumps(line) for line in lines))
+            self.addCleanup(file.unlink)
+            files.append(file)
+        return files
+
+    def test_lines_of_all_vms_in_order_with_what_happened_meanwhile(self) -> None:
+        lines = about(JOB, read(self.files()))
+        self.assertEqual([line.time for line in lines], ["1", "2", "3", "4", "5", "6"])
+
+    def test_causes(self) -> None:
+        found = causes(JOB, about(JOB, read(self.files())))
+        self.assertEqual(len(found), 3)
+        self.assertIn("gave its room to job other", found[0])
+        self.assertIn("refused", found[1])
+        self.assertIn("ended lapsed", found[2])
+
+    def test_command(self) -> None:
+        files = [str(file) for file in self.files()]
+        result = CliRunner().invoke(main, ["explain", JOB, *files])
+        self.assertEqual(result.exit_code, 0)
+        self.assertIn("gave its room", result.output)
+        self.assertEqual(CliRunner().invoke(main, ["explain", "nobody", *files]).exit_code, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
