--- a/src/saddlestack/soak/platform.py
+++ b/src/saddlestack/soak/platform.py
@@ -116,6 +116,11 @@
             await machine.start()
         self._advancing = asyncio.get_running_loop().create_task(self.floor.run())
 
+    @property
+    def alive(self) -> bool:
+        """Whether work goes on at the workers."""
+        return self._advancing is not None and not self._advancing.done()
+
     async def stop(self) -> None:
         """Serve no more."""
         if self._advancing is not None:
--- a/src/saddlestack/soak/run.py
+++ b/src/saddlestack/soak/run.py
@@ -169,6 +169,8 @@
         accepted = [told for told in load.jobs if told.accepted]
         verdict.accepted = len(accepted)
         await self._settle(load, accepted)
+        if not self._platform.alive:
+            verdict.broken.append("the stand-in of the workers has failed")
         verdict.broken += self._platform.floor.violations
         for told in load.jobs:
             verdict.broken += self._faults_of(told)
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -305,7 +305,8 @@
     def _advance(self, worker: FloorWorker) -> None:
         if worker.runs and _now() > worker.lease_until:
             for run in list(worker.runs.values()):
-                self._end(worker, run, EndKind.LAPSED)
+                if run.ended is None:
+                    self._end(worker, run, EndKind.LAPSED)
             return
         for run in list(worker.runs.values()):
             if (run.task, run.number) in worker.runs:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -706,6 +706,21 @@
 
         self.play(body)
 
+    def test_a_gang_on_one_worker_lapses_whole(self) -> None:
+        """Found by soak seeds 101 and 124: the stand-in failed, and nothing ended any more."""
+
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(2, work_s=30.0, gang=True))
+            await cluster.until(lambda: cluster.floor.starts_of(A) == 2)
+            worker = cluster.floor.workers[cluster.floor.history[0].worker]
+            worker.unreachable = True
+            await cluster.until(lambda: cluster.floor.ends_of(A, EndKind.LAPSED) >= 1, 20.0)
+            worker.unreachable = False
+            await cluster.until_state(A, JobState.COMPLETED, 60.0)
+            self.assertEqual(cluster.floor.starts_of(A), 4)
+
+        self.play(body)
+
     def test_a_worker_cut_off_runs_on_and_nothing_doubles(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             await cluster.submit(A, job(4, work_s=30.0, accelerators=8))
