--- a/src/saddlestack/soak/load.py
+++ b/src/saddlestack/soak/load.py
@@ -9,7 +9,8 @@
 
 from saddlestack.platform.client import JobsClient, Outcome
 from saddlestack.soak.processes import EntryProcess
-from saddlestack.standins.pool.cluster import HOST, KEY, QUEUES, job
+from saddlestack.standins.pool.cluster import job
+from saddlestack.standins.pool.documents import HOST, KEY, QUEUES
 from saddlestack.work import JobRequest, JobState
 
 DEADLINE_S = 3.0
@@ -24,6 +25,7 @@
 
     :param accepted: one of its tries was answered with success.
     :param refused: all of its tries were refused.
+    :param cancelled: a cancel was sent; whether it arrived is not known.
     """
 
     job_id: str
@@ -91,8 +93,8 @@
             await asyncio.sleep(PAUSE_S)
         told.refused = all(outcome is Outcome.REFUSED for outcome in outcomes)
         if told.accepted and self.rng.random() < CANCEL_SHARE:
-            outcome = await self._client(told.queue).cancel(told.job_id, DEADLINE_S)
-            told.cancelled = outcome is not Outcome.REFUSED
+            told.cancelled = True
+            await self._client(told.queue).cancel(told.job_id, DEADLINE_S)
 
     def _client(self, queue: str) -> JobsClient:
         """A client of a VM drawn by chance; its connection stays open as long as it works."""
--- a/src/saddlestack/soak/platform.py
+++ b/src/saddlestack/soak/platform.py
@@ -5,12 +5,10 @@
 import asyncio
 from dataclasses import dataclass
 
-import msgspec
-
 from saddlestack.interfaces import StartOrder, StartReply, WorkerReport, WorkerUnreachable
 from saddlestack.platform.serving import StoreServing, WorkerServing
 from saddlestack.soak.proxy import Proxy
-from saddlestack.standins.pool.cluster import HOST, KEY, QUEUES, SERVICE
+from saddlestack.standins.pool.documents import SERVICE, pool_document
 from saddlestack.standins.pool.store import StoreState, StoreView
 from saddlestack.standins.pool.workers import Floor, FloorTimes, FloorWorker
 from saddlestack.wire.http import HttpServer, Request, Response
@@ -139,21 +137,5 @@
         return proxy
 
     def _configure(self) -> None:
-        routes = [
-            {
-                "name": name,
-                "host": HOST,
-                "path-prefix": f"/{name}/",
-                "service": SERVICE,
-                "priority": priority,
-                "max-attempts": ATTEMPTS,
-            }
-            for name, priority in QUEUES
-        ]
-        document = {
-            "version": 1,
-            "routes": routes,
-            "services": [{"name": SERVICE, "admission-check": True}],
-            "tenants": [{"name": "depots", "api-keys": [KEY], "guaranteed": {"gpu": GUARANTEED}}],
-        }
-        self.store.put("op/config", msgspec.json.encode(document))
+        document = pool_document(1, attempts=ATTEMPTS, guaranteed=GUARANTEED)
+        self.store.put("op/config", document)
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -8,22 +8,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import msgspec
-
 from saddlestack.control.entry import EntryVm
 from saddlestack.control.settings import EntrySettings, Timings
 from saddlestack.interfaces import ClientCall, Queue, WorkerOrders, WorkerRecord
 from saddlestack.standins.loop import VirtualClock
+from saddlestack.standins.pool.documents import ACCOUNT, HOST, QUEUES, SERVICE, pool_document
 from saddlestack.standins.pool.machines import FloorAdviser, FloorMachines
 from saddlestack.standins.pool.store import StoreState, StoreView
 from saddlestack.standins.pool.workers import Floor, FloorOrders, FloorTimes, TaskPlan, payload
 from saddlestack.work import JobRequest, JobState, Resources, Step
 
-SERVICE = "pool"
-HOST = "jobs.example"
-KEY = "a-key-of-the-account"
-ACCOUNT = "depots"
-QUEUES = (("urgent", 0), ("normal", 1), ("bulk", 2))
 ATTEMPTS = 3
 GUARANTEED = 16
 RETENTION_S = 150.0
@@ -134,28 +128,10 @@
     def configure(self, *, guaranteed: int = GUARANTEED) -> None:
         """Put a new version of the configuration into the store."""
         self.version += 1
-        routes = [
-            {
-                "name": name,
-                "host": HOST,
-                "path-prefix": f"/{name}/",
-                "service": SERVICE,
-                "priority": priority,
-                "max-attempts": ATTEMPTS,
-                **({"advice": {"decide-ms": 10}} if name in self.advised else {}),
-            }
-            for name, priority in QUEUES
-        ]
-        document = {
-            "version": self.version,
-            "routes": routes,
-            "services": [{"name": SERVICE, "admission-check": True}],
-            "tenants": [
-                {"name": ACCOUNT, "api-keys": [KEY], "guaranteed": {"gpu": guaranteed}},
-                {"name": "others", "api-keys": ["another-key"]},
-            ],
-        }
-        self.store.put("op/config", msgspec.json.encode(document))
+        document = pool_document(
+            self.version, attempts=ATTEMPTS, guaranteed=guaranteed, advised=self.advised
+        )
+        self.store.put("op/config", document)
 
     def call(self, queue: str, *, account: str = ACCOUNT) -> ClientCall:
         """A client's call about a queue."""
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -16,7 +16,8 @@
 from saddlestack.interfaces import EndKind
 from saddlestack.models import JobState as CallerState
 from saddlestack.standins.loop import run
-from saddlestack.standins.pool.cluster import ACCOUNT, KEY, RETENTION_S, PoolCluster, job
+from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
+from saddlestack.standins.pool.documents import ACCOUNT, KEY
 from saddlestack.standins.pool.workers import TaskPlan, payload
 from saddlestack.wire.http import HttpClient
 from saddlestack.work import JobRequest, JobState, Resources, Step
