--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -64,6 +64,7 @@
                     "store forgot its history, reading all",
                     extra={"event": "history_gone", "prefix": self._prefix},
                 )
+                await asyncio.sleep(self._context.rng.uniform(0.0, FIRST_RETRY_S))
             except StoreUnavailable as error:
                 await self._pause(error)
 
--- a/src/saddlestack/control/leadership.py
+++ b/src/saddlestack/control/leadership.py
@@ -114,9 +114,7 @@
                 listing = await self._context.store.list(LEADER)
                 await self._observe(listing.items[0] if listing.items else Item(LEADER, b"", 0))
                 await self._follow(listing.revision)
-            except HistoryGone:
-                continue
-            except StoreUnavailable:
+            except (HistoryGone, StoreUnavailable):
                 await asyncio.sleep(self._context.rng.uniform(RETRY_S / 4, RETRY_S))
 
     async def _follow(self, revision: int) -> None:
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -149,6 +149,9 @@
             await self._decide()
         except Displaced:
             self._displaced("the store has another leader")
+        except Exception:
+            log.exception("scheduler failed", extra={"event": "scheduler_failed"})
+            self._displaced("the scheduler failed")
 
     async def _load_progress(self) -> dict[str, dict[int, OccurrenceRecord]]:
         while True:
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -241,21 +241,31 @@
                 self._wake.clear()
                 await self._wake.wait()
                 continue
-            asked = self._clock.now()
             try:
-                report = await self._hold(asked)
-            except WorkerReplaced:
-                self._replaced()
-                return
-            except WorkerFenced:
-                self._owner.fenced()
-                return
-            except (WorkerUnreachable, WorkerBusy):
-                if self._unanswered():
+                if await self._look_once():
                     return
-                await asyncio.sleep(RETRY_S if self.worker.runs else PROBE_S)
-                continue
-            await self._take(report, asked)
+            except Exception:
+                log.exception("look failed", extra={"event": "look_failed"})
+                await asyncio.sleep(PROBE_S)
+
+    async def _look_once(self) -> bool:
+        """Look at the worker; ``True`` where nothing is left to look at."""
+        asked = self._clock.now()
+        try:
+            report = await self._hold(asked)
+        except WorkerReplaced:
+            self._replaced()
+            return True
+        except WorkerFenced:
+            self._owner.fenced()
+            return True
+        except (WorkerUnreachable, WorkerBusy):
+            if self._unanswered():
+                return True
+            await asyncio.sleep(RETRY_S if self.worker.runs else PROBE_S)
+            return False
+        await self._take(report, asked)
+        return False
 
     def _idle(self) -> bool:
         return (
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import unittest
+import unittest.mock
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -550,6 +551,47 @@
         self.play(body)
 
 
+class DefectTest(PoolTest):
+    """A defect of our own costs a term or a look, never the pool."""
+
+    def test_a_scheduler_that_fails_gives_way_to_the_next(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(4, work_s=4.0))
+            await cluster.until(lambda: cluster.floor.starts_of(A) == 4)
+            leader = cluster.leader
+            assert leader is not None and leader.scheduler is not None
+            fence = leader.scheduler.fence
+            with unittest.mock.patch.object(leader.scheduler.board, "plan", side_effect=KeyError):
+                await cluster.until(
+                    lambda: (
+                        cluster.leader is not None
+                        and cluster.leader.scheduler is not None
+                        and cluster.leader.scheduler.fence > fence
+                    ),
+                    6.0,
+                )
+            await cluster.submit(B, job(2))
+            await cluster.until_state(A, JobState.COMPLETED)
+            await cluster.until_state(B, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(A), 4)
+
+        self.play(body)
+
+    def test_a_look_that_fails_is_repeated(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(4, work_s=3.0))
+            await cluster.until(lambda: cluster.floor.starts_of(A) == 4)
+            leader = cluster.leader
+            assert leader is not None and leader.scheduler is not None
+            board = leader.scheduler.board
+            with unittest.mock.patch.object(board, "reported", side_effect=KeyError):
+                await asyncio.sleep(4.0)
+            await cluster.until_state(A, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(A), 4)
+
+        self.play(body)
+
+
 class StoreTest(PoolTest):
     def test_what_runs_outlives_an_outage_of_the_store(self) -> None:
         async def body(cluster: PoolCluster) -> None:
