--- a/src/saddlestack/soak/processes.py
+++ b/src/saddlestack/soak/processes.py
@@ -7,7 +7,7 @@
 import signal
 import socket
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from saddlestack.soak.platform import LOOPBACK
@@ -44,7 +44,7 @@
     store_port: int
     port: int = 0
     process: asyncio.subprocess.Process | None = None
-    frozen: bool = False
+    changing: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def write_settings(self) -> None:
         """Choose ports and write the settings file."""
@@ -86,22 +86,27 @@
             self.process.send_signal(number)
 
     async def kill_and_restart(self, pause_s: float) -> None:
-        """SIGKILL, and a new life after a pause."""
-        self.send(signal.SIGKILL)
-        await self._ended()
-        await asyncio.sleep(pause_s)
-        await self.start()
+        """SIGKILL, and a new life after a pause.
+
+        A VM has one process at a time: restarts of one VM follow each other.
+        """
+        async with self.changing:
+            self.send(signal.SIGKILL)
+            await self._ended()
+            await asyncio.sleep(pause_s)
+            await self.start()
 
     async def stop_and_restart(self) -> None:
         """SIGTERM, SIGKILL after the grace, and a new life."""
-        self.send(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(GRACE_S):
+        async with self.changing:
+            self.send(signal.SIGTERM)
+            try:
+                async with asyncio.timeout(GRACE_S):
+                    await self._ended()
+            except TimeoutError:
+                self.send(signal.SIGKILL)
                 await self._ended()
-        except TimeoutError:
-            self.send(signal.SIGKILL)
-            await self._ended()
-        await self.start()
+            await self.start()
 
     async def freeze(self, seconds: float) -> None:
         """SIGSTOP, and SIGCONT after a while."""
@@ -111,9 +116,10 @@
 
     async def end(self) -> None:
         """End the process for good."""
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGKILL)
-        await self._ended()
+        async with self.changing:
+            self.send(signal.SIGCONT)
+            self.send(signal.SIGKILL)
+            await self._ended()
 
     async def _ended(self) -> None:
         if self.process is not None:
--- a/src/saddlestack/soak/run.py
+++ b/src/saddlestack/soak/run.py
@@ -81,6 +81,9 @@
             await self._judge(load)
             load.close()
         finally:
+            for task in self._under_way:
+                task.cancel()
+            await asyncio.gather(*self._under_way, return_exceptions=True)
             for entry in self._entries:
                 await entry.end()
             await self._platform.stop()
@@ -233,7 +236,13 @@
 
 
 async def run(plan: SoakPlan) -> Verdict:
-    """Run a plan; the logs are kept where a promise broke."""
+    """Run a plan; the logs are kept where a promise broke.
+
+    SIGTERM ends the soak like SIGINT: its processes end first.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     folder = Path(tempfile.mkdtemp(prefix="saddlestack-soak-"))
     verdict = await Soak(plan, folder).run()
     if verdict.broken:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import unittest
+from dataclasses import dataclass, field
+from pathlib import Path
 
+from saddlestack.soak.processes import EntryProcess
 from saddlestack.soak.proxy import Proxy, Trouble
 from saddlestack.soak.run import SoakPlan, run
 from saddlestack.standins.loop import run as run_virtually
@@ -17,6 +20,34 @@
         self.assertGreater(verdict.accepted, 5)
 
 
+class EntryProcessTest(unittest.TestCase):
+    def test_restarts_that_overlap_leave_one_process(self) -> None:
+        """Found after a soak: processes of VMs restarted twice at once were left behind."""
+
+        async def body() -> None:
+            entry = CountedProcess("entry-1", Path("/nowhere"), 1)
+            await entry.start()
+            await asyncio.gather(
+                entry.kill_and_restart(0.1), entry.stop_and_restart(), entry.kill_and_restart(0.0)
+            )
+            self.assertEqual(sum(process.returncode is None for process in entry.all), 1)
+            await entry.end()
+            self.assertEqual(sum(process.returncode is None for process in entry.all), 0)
+
+        asyncio.run(body())
+
+
+@dataclass(slots=True)
+class CountedProcess(EntryProcess):
+    """Starts a process that waits for signals in place of an entry VM."""
+
+    all: list[asyncio.subprocess.Process] = field(default_factory=list)
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec("sleep", "60")
+        self.all.append(self.process)
+
+
 class ProxyTest(unittest.TestCase):
     def test_troubles(self) -> None:
         async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
