--- a/src/saddlestack/control/keys.py
+++ b/src/saddlestack/control/keys.py
@@ -6,9 +6,6 @@
 
 from __future__ import annotations
 
-from saddlestack.policy.board.records import OccurrenceRecord
-from saddlestack.work import AcceptedJob
-
 LEADER = "saddlestack/leader"
 MEMBERS = "saddlestack/members/"
 REQUESTS = "saddlestack/requests/"
@@ -57,21 +54,3 @@
     """The job and the number of the occurrence that a ``progress`` key is of."""
     job_id, _, number = key.removeprefix(PROGRESS).rpartition(".")
     return job_id, int(number)
-
-
-__all__ = [
-    "LEADER",
-    "MEMBERS",
-    "PROGRESS",
-    "REQUESTS",
-    "AcceptedJob",
-    "OccurrenceRecord",
-    "cancel_key",
-    "cancelled_job_of",
-    "job_key",
-    "job_of",
-    "member_key",
-    "occurrence_of",
-    "progress_key",
-    "wave_key",
-]
--- a/src/saddlestack/interfaces.py
+++ b/src/saddlestack/interfaces.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from saddlestack.errors import SaddlestackError
 from saddlestack.work import AcceptedJob, JobRequest, JobState, Resources
 
 
@@ -505,42 +504,3 @@
     queue: Queue
     account: str
     deadline_s: float
-
-
-__all__ = [
-    "AcceptedJob",
-    "ClientAccount",
-    "ClientCall",
-    "ClientLimits",
-    "Committed",
-    "Conflict",
-    "DocumentReader",
-    "Documents",
-    "EndKind",
-    "EndedTask",
-    "HistoryGone",
-    "Item",
-    "JobService",
-    "LeaseOver",
-    "Listing",
-    "MetadataStore",
-    "Pool",
-    "PoolConfiguration",
-    "Put",
-    "Queue",
-    "Refusal",
-    "RunningTask",
-    "SaddlestackError",
-    "StartOrder",
-    "StartReply",
-    "StoreUnavailable",
-    "Transaction",
-    "WorkerBusy",
-    "WorkerFenced",
-    "WorkerOrders",
-    "WorkerRecord",
-    "WorkerReplaced",
-    "WorkerReport",
-    "WorkerUnreachable",
-    "WriteInDoubt",
-]
--- /dev/null
+++ b/src/saddlestack/policy/board/pool.py
@@ -0,0 +1,46 @@
+"""What the planner needs of the board: jobs' standing, workers, and ways to decide."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import Protocol
+
+from saddlestack.policy.board.jobs import Job, Run, StepState, Task
+from saddlestack.policy.board.workers import Worker
+
+
+class Pool(Protocol):
+    """The board as its planner sees it."""
+
+    @property
+    def workers(self) -> Mapping[str, Worker]:
+        """All known lives of workers, by id."""
+        ...
+
+    def guaranteed(self, account: str) -> int:
+        """Accelerators that an account owns for jobs of priority 0."""
+        ...
+
+    def service_of(self, job: Job) -> str:
+        """The service whose workers run a job's tasks."""
+        ...
+
+    def is_advised(self, job: Job) -> bool:
+        """Whether a start of a job's tasks needs the adviser's leave."""
+        ...
+
+    def ask(self, step: StepState, workers: tuple[str, ...]) -> None:
+        """Have the adviser asked which of some workers may run a step."""
+        ...
+
+    def assign(self, task: Task, worker: Worker, number: int, now: float) -> None:
+        """Give a run of a task to a worker."""
+        ...
+
+    def preempt(self, run: Run, job: Job) -> None:
+        """Stop a run, and its gang, for a job that may take the room back."""
+        ...
+
+    def members(self, run: Run) -> Sequence[Run]:
+        """The runs that stop together with a run."""
+        ...
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -4,18 +4,15 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from saddlestack.policy.board.jobs import Job, Run, StepState, Task
 from saddlestack.policy.board.placement import Copies, place_gang, place_task
+from saddlestack.policy.board.pool import Pool
 from saddlestack.policy.board.preemption import Preemptor
 from saddlestack.policy.board.records import TaskStatus
 from saddlestack.policy.board.workers import Worker
 from saddlestack.work import Resources
 
-if TYPE_CHECKING:
-    from saddlestack.policy.board.board import Board
-
 TOP_PRIORITY = 0
 RESERVATION_S = 2.5
 """A reservation that could not be used by then is given up and searched anew."""
@@ -38,7 +35,7 @@
 class Planner:
     """Goes through the waiting work of all jobs in order and gives it workers."""
 
-    def __init__(self, board: Board) -> None:
+    def __init__(self, board: Pool) -> None:
         self._board = board
         self._open: dict[str, Job] = {}
         self._reservations: dict[int, tuple[StepState, Reservation]] = {}
