--- a/src/saddlestack/control/access.py
+++ b/src/saddlestack/control/access.py
@@ -139,8 +139,6 @@
                     if answer is not None:
                         return answer
                     await asyncio.sleep(RETRY_S)
-                    if not self._membership.others():
-                        await self._gate.opened(until)
         except TimeoutError:
             raise OutOfReach(attempt.reason, attempt.doubt) from None
 
--- a/src/saddlestack/control/context.py
+++ b/src/saddlestack/control/context.py
@@ -16,7 +16,6 @@
     WorkerRecord,
 )
 from saddlestack.kernel.clock import Clock
-from saddlestack.kernel.registry import Registry
 from saddlestack.services.metrics import Metrics
 from saddlestack.wire.dialer import Dialer
 
@@ -26,7 +25,7 @@
 
 @dataclass(slots=True)
 class EntryContext:
-    """Settings, clock, randomness, the platform and the registry of one entry VM.
+    """Settings, clock, randomness, and the platform of one entry VM.
 
     :param machines: orders about whole machines, where the platform takes them.
     :param adviser: knows which workers may run a step, where there is one.
@@ -37,7 +36,6 @@
     clock: Clock
     rng: random.Random
     dialer: Dialer
-    registry: Registry
     incarnation: int
     store: MetadataStore
     documents: DocumentReader
--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -32,7 +32,6 @@
     WorkerRecord,
 )
 from saddlestack.kernel.clock import Clock
-from saddlestack.kernel.registry import Registry
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.platform.documents import PlatformDocuments
 from saddlestack.platform.gateway import Gateway
@@ -78,7 +77,6 @@
             clock=clock,
             rng=rng or random.Random(),
             dialer=dialer,
-            registry=Registry(),
             incarnation=time.time_ns() // 1_000_000,
             store=store or KvStore(address.address, address.port, dialer=dialer),
             documents=documents or PlatformDocuments(),
@@ -104,8 +102,6 @@
         self.scheduler: Scheduler | None = None
         self.asked_to_leave = asyncio.Event()
         self._tasks = TaskGroup("entry")
-        for service in (self.configuration, self.membership, self.peers, self.leadership):
-            self.context.registry.add(service.name, service)
 
     async def start(self) -> None:
         """Serve clients and take part in scheduling."""
--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -8,6 +8,7 @@
 
 from saddlestack.control.context import EntryContext
 from saddlestack.interfaces import HistoryGone, Item, StoreUnavailable
+from saddlestack.policy.retry import pause
 
 log = logging.getLogger("saddlestack.feed")
 
@@ -99,5 +100,6 @@
                 extra={"event": "store_lost", "prefix": self._prefix, "reason": str(error)},
             )
         self._failures += 1
-        most = min(LONGEST_RETRY_S, FIRST_RETRY_S * float(2 ** min(self._failures, 8)))
-        await asyncio.sleep(self._context.rng.uniform(most / 2, most))
+        await asyncio.sleep(
+            pause(self._failures, FIRST_RETRY_S, LONGEST_RETRY_S, self._context.rng)
+        )
--- a/src/saddlestack/control/gate.py
+++ b/src/saddlestack/control/gate.py
@@ -42,18 +42,6 @@
         log.warning("store gate closes", extra={"event": "gate_closed", "reason": reason})
         self.tasks.spawn(self._probe())
 
-    async def opened(self, until: float) -> bool:
-        """Wait until calls may be sent again; ``False`` where time is up before.
-
-        :param until: on the VM's clock.
-        """
-        try:
-            async with asyncio.timeout(max(0.0, until - self.clock.now())):
-                await self._open.wait()
-        except TimeoutError:
-            return False
-        return True
-
     async def _probe(self) -> None:
         while True:
             try:
--- a/src/saddlestack/control/journal.py
+++ b/src/saddlestack/control/journal.py
@@ -18,6 +18,7 @@
     Transaction,
     WriteInDoubt,
 )
+from saddlestack.policy.retry import pause
 
 log = logging.getLogger("saddlestack.journal")
 
@@ -46,7 +47,6 @@
         self._context = context
         self._fence = fence
         self._revisions: dict[str, int] = {}
-        self.writes = 0
 
     def known(self, item: Item) -> None:
         """Note a record that was read."""
@@ -81,7 +81,6 @@
         transaction = self._transaction(records)
         failures = 0
         while True:
-            self.writes += 1
             try:
                 outcome = await self._context.store.transact(transaction)
             except LeaseOver as error:
@@ -93,7 +92,9 @@
                         "records wait for the store",
                         extra={"event": "journal_waits", "reason": type(error).__name__},
                     )
-                await asyncio.sleep(self._pause(failures))
+                await asyncio.sleep(
+                    pause(failures, FIRST_RETRY_S, LONGEST_RETRY_S, self._context.rng)
+                )
                 continue
             if isinstance(outcome, Committed):
                 for key in records:
@@ -119,7 +120,3 @@
             if item is None or item.value != value:
                 raise Displaced
             self._revisions[key] = item.revision
-
-    def _pause(self, failures: int) -> float:
-        most = min(LONGEST_RETRY_S, FIRST_RETRY_S * float(2 ** min(failures, 6)))
-        return self._context.rng.uniform(most / 2, most)
--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -17,8 +17,6 @@
     """Times that the platform promises or asks for.
 
     :param longest_hold_ms: the longest lease that a worker grants.
-    :param gang_ms: how long a member of a gang waits for the others.
-    :param stop_ms: how long a stop takes at most.
     :param retention_s: for how long a job that is over stays known, so that repeats find it.
     :param machine_lease_ms: orders about a machine by two holders lie further apart than this.
     :param upkeep_s: how long a machine is down for its upkeep.
@@ -27,8 +25,6 @@
     """
 
     longest_hold_ms: float
-    gang_ms: float
-    stop_ms: float
     grace_s: float
     status_s: float
     retention_s: float = 3600.0
@@ -107,8 +103,6 @@
         faults.append(f"log_level: expected one of {', '.join(LOG_LEVELS)}")
     for key in (
         "longest_hold_ms",
-        "gang_ms",
-        "stop_ms",
         "grace_s",
         "status_s",
         "retention_s",
--- a/src/saddlestack/logs.py
+++ b/src/saddlestack/logs.py
@@ -14,6 +14,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from saddlestack.policy.limits import TokenBucket
+
 FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 QUEUED_LINES = 10_000
 LINES_A_SECOND = 2_000
@@ -39,16 +41,14 @@
         super().__init__()
         self._stream = stream
         self._lines: queue.Queue[str | None] = queue.Queue(queued)
-        self._rate = rate
-        self._allowance = rate
-        self._refilled: float | None = None
+        self._bucket = TokenBucket(rate, rate)
         self.left_out = 0
         self._thread = threading.Thread(target=self._write, name="log writer", daemon=True)
         self._thread.start()
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a line, or count it as left out."""
-        if not self._allowed(record.created):
+        if not self._bucket.take(record.created):
             self.left_out += 1
             return
         if self.left_out and self._queue(self._left_out_line(record)):
@@ -65,16 +65,6 @@
         self._thread.join(LAST_WORDS_S)
         super().close()
 
-    def _allowed(self, now: float) -> bool:
-        if self._refilled is not None:
-            gained = max(0.0, now - self._refilled) * self._rate
-            self._allowance = min(self._rate, self._allowance + gained)
-        self._refilled = now
-        if self._allowance < 1.0:
-            return False
-        self._allowance -= 1.0
-        return True
-
     def _queue(self, line: str) -> bool:
         try:
             self._lines.put_nowait(line)
--- a/src/saddlestack/policy/retry.py
+++ b/src/saddlestack/policy/retry.py
@@ -12,6 +12,7 @@
 RETRY_SHARE = 0.2
 RETRY_BURST = 20.0
 RETRIES_PER_S = 20.0
+LARGEST_EXPONENT = 10
 BREAKER_FAILURES = 5
 BREAKER_OPEN_S = 5.0
 
@@ -21,6 +22,15 @@
     return rng.uniform(0.0, min(LAST_DELAY_S, FIRST_DELAY_S * float(2**attempt)))
 
 
+def pause(failures: int, first_s: float, longest_s: float, rng: random.Random) -> float:
+    """Seconds to wait after ``failures`` in a row where a caller has to go on for ever.
+
+    Doubles up to the longest, with half of it left to chance, so that it is never near none.
+    """
+    most = min(longest_s, first_s * float(2 ** min(failures, LARGEST_EXPONENT)))
+    return rng.uniform(most / 2, most)
+
+
 class RetryBudget:
     """Allows retries as a share of first tries, so that retries never multiply a load.
 
--- a/src/saddlestack/soak/platform.py
+++ b/src/saddlestack/soak/platform.py
@@ -11,9 +11,9 @@
 from saddlestack.standins.pool.documents import SERVICE, pool_document
 from saddlestack.standins.pool.store import StoreState, StoreView
 from saddlestack.standins.pool.workers import Floor, FloorTimes, FloorWorker
+from saddlestack.standins.ports import LOOPBACK
 from saddlestack.wire.http import HttpServer, Request, Response
 
-LOOPBACK = "127.0.0.1"
 ATTEMPTS = 4
 GUARANTEED = 16
 HALL = "hall-1"
--- a/src/saddlestack/soak/processes.py
+++ b/src/saddlestack/soak/processes.py
@@ -5,36 +5,16 @@
 import asyncio
 import json
 import signal
-import socket
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from saddlestack.soak.platform import LOOPBACK
+from saddlestack.standins.ports import LOOPBACK, free_ports
 
 GRACE_S = 6.0
 PORTS_A_VM = 4
 
 
-def free_ports(count: int) -> int:
-    """The first of some neighbouring free ports."""
-    while True:
-        with socket.socket() as probe:
-            probe.bind((LOOPBACK, 0))
-            first = int(probe.getsockname()[1])
-        if first + count < 65_536 and all(_is_free(first + n) for n in range(count)):
-            return first
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind((LOOPBACK, port))
-        except OSError:
-            return False
-        return True
-
-
 @dataclass(slots=True)
 class EntryProcess:
     """One entry VM: its settings file and its present process."""
@@ -58,8 +38,6 @@
             "store": f"{LOOPBACK}:{self.store_port}",
             "timings": {
                 "longest_hold_ms": 4000,
-                "gang_ms": 3000,
-                "stop_ms": 300,
                 "grace_s": GRACE_S,
                 "status_s": 120,
             },
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -16,6 +15,7 @@
 from saddlestack.standins.pool.machines import FloorAdviser, FloorMachines
 from saddlestack.standins.pool.store import StoreState, StoreView
 from saddlestack.standins.pool.workers import Floor, FloorOrders, FloorTimes, TaskPlan, payload
+from saddlestack.standins.ports import free_ports
 from saddlestack.work import JobRequest, JobState, Resources, Step
 
 ATTEMPTS = 3
@@ -231,7 +231,7 @@
 
 
 def _settings(name: str, times: FloorTimes) -> EntrySettings:
-    first = _free_ports()
+    first = free_ports(2)
     return EntrySettings(
         vm=name,
         data_hall="hall-1",
@@ -242,23 +242,8 @@
         callers="127.0.0.1:0",
         timings=Timings(
             longest_hold_ms=round(times.hold_s * 1000),
-            gang_ms=round(times.gang_s * 1000),
-            stop_ms=round(times.stop_s * 1000),
             grace_s=6.0,
             status_s=120.0,
             retention_s=RETENTION_S,
         ),
     )
-
-
-def _free_ports() -> int:
-    """The first of two neighbouring free ports."""
-    while True:
-        with socket.socket() as first, socket.socket() as second:
-            first.bind(("127.0.0.1", 0))
-            port = int(first.getsockname()[1])
-            try:
-                second.bind(("127.0.0.1", port + 1))
-            except (OSError, OverflowError):
-                continue
-            return port
--- a/src/saddlestack/standins/pool/store.py
+++ b/src/saddlestack/standins/pool/store.py
@@ -57,7 +57,6 @@
         self._forgotten = 0
         self._changed = asyncio.Event()
         self.revision = 1
-        self.leases_wait = False
         self.writes = 0
         self.reads = 0
 
@@ -171,8 +170,6 @@
         changed.set()
 
     def _expire(self) -> None:
-        if self.leases_wait:
-            return
         for lease in [lease for lease, kept in self._leases.items() if kept.until <= _now()]:
             self.end(lease)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import re
+import tomllib
 import unittest
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -12,6 +13,7 @@
 import msgspec
 
 from saddlestack.codec import parse_commented
+from saddlestack.control.entry import METRICS_PATH
 from saddlestack.control.settings import EntrySettings, check, parse_address
 from saddlestack.errors import ErrorKind, SaddlestackError
 from saddlestack.interfaces import (
@@ -493,8 +495,6 @@
         "cloud.address": "10.0.0.3:80",
         "advice": "10.0.0.4:80",
         "bounds.max-hold-ms": "10000",
-        "bounds.gang-timeout-ms": "3000",
-        "bounds.stop-timeout-ms": "900",
         "bounds.grace-s": "6",
         "bounds.status_s": "120",
         "bounds.lease-ms": "3000",
@@ -530,6 +530,17 @@
         self.assertIsNone(settings.adviser)
         self.assertIsNone(settings.machines)
 
+    def test_the_deploy_file_agrees_with_the_project(self) -> None:
+        project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+        wanted = {re.split("[<>=]", each)[0] for each in project["dependencies"]}
+        built = (ROOT / "deploy" / "requirements.txt").read_text().split()
+        self.assertLessEqual(wanted, {each.partition("==")[0] for each in built})
+        self.assertLessEqual(set(built), set((ROOT / "constraints.txt").read_text().split()))
+        role = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["entry"]
+        self.assertTrue((ROOT / role["template"]).is_file())
+        settings = parse_commented(self.fill(self.FIELDS), EntrySettings, "settings")
+        self.assertEqual(role["metrics"], f"{settings.metrics_address.port}{METRICS_PATH}")
+
     def test_every_fault_is_named(self) -> None:
         fields = {**self.FIELDS, "listen.front": "nowhere", "port-range": "9,7", "node": " "}
         settings = parse_commented(self.fill(fields), EntrySettings, "settings")
