--- a/src/saddlestack/control/access.py
+++ b/src/saddlestack/control/access.py
@@ -19,7 +19,7 @@
 from saddlestack.control.membership import Membership
 from saddlestack.control.peers import Peers, PeerUnavailable
 from saddlestack.errors import ErrorKind, SaddlestackError
-from saddlestack.interfaces import (
+from saddlestack.interfaces.store import (
     Committed,
     Item,
     Put,
--- a/src/saddlestack/control/callers.py
+++ b/src/saddlestack/control/callers.py
@@ -13,7 +13,8 @@
 from saddlestack.api import SubmitBody
 from saddlestack.codec import from_json
 from saddlestack.errors import ErrorKind, SaddlestackError, invalid
-from saddlestack.interfaces import ClientAccount, ClientCall, JobService, PoolConfiguration, Queue
+from saddlestack.interfaces.clients import ClientCall, JobService
+from saddlestack.interfaces.documents import ClientAccount, PoolConfiguration, Queue
 from saddlestack.models import MAX_NAME, Adjacency, JobClass, JobView
 from saddlestack.models import JobState as CallerState
 from saddlestack.shapes import check_accelerators
--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -8,7 +8,8 @@
 from saddlestack.control.context import EntryContext
 from saddlestack.control.feed import Feed
 from saddlestack.errors import SaddlestackError
-from saddlestack.interfaces import Item, PoolConfiguration
+from saddlestack.interfaces.documents import PoolConfiguration
+from saddlestack.interfaces.store import Item
 from saddlestack.kernel.service import Service
 
 log = logging.getLogger("saddlestack.configuration")
--- a/src/saddlestack/control/context.py
+++ b/src/saddlestack/control/context.py
@@ -7,14 +7,10 @@
 from dataclasses import dataclass
 
 from saddlestack.control.settings import EntrySettings
-from saddlestack.interfaces import (
-    Adviser,
-    DocumentReader,
-    Machines,
-    MetadataStore,
-    WorkerOrders,
-    WorkerRecord,
-)
+from saddlestack.interfaces.documents import DocumentReader
+from saddlestack.interfaces.machines import Adviser, Machines
+from saddlestack.interfaces.store import MetadataStore
+from saddlestack.interfaces.workers import WorkerOrders, WorkerRecord
 from saddlestack.kernel.clock import Clock
 from saddlestack.services.metrics import Metrics
 from saddlestack.wire.dialer import Dialer
--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -23,14 +23,10 @@
 from saddlestack.control.scheduler import Scheduler
 from saddlestack.control.settings import EntrySettings, load, parse_address
 from saddlestack.errors import SaddlestackError
-from saddlestack.interfaces import (
-    Adviser,
-    DocumentReader,
-    Machines,
-    MetadataStore,
-    WorkerOrders,
-    WorkerRecord,
-)
+from saddlestack.interfaces.documents import DocumentReader
+from saddlestack.interfaces.machines import Adviser, Machines
+from saddlestack.interfaces.store import MetadataStore
+from saddlestack.interfaces.workers import WorkerOrders, WorkerRecord
 from saddlestack.kernel.clock import Clock
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.platform.documents import PlatformDocuments
--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from saddlestack.control.context import EntryContext
-from saddlestack.interfaces import HistoryGone, Item, StoreUnavailable
+from saddlestack.interfaces.store import HistoryGone, Item, StoreUnavailable
 from saddlestack.policy.retry import pause
 
 log = logging.getLogger("saddlestack.feed")
--- a/src/saddlestack/control/gate.py
+++ b/src/saddlestack/control/gate.py
@@ -7,7 +7,7 @@
 
 from saddlestack.control.context import EntryContext
 from saddlestack.control.keys import LEADER
-from saddlestack.interfaces import StoreUnavailable
+from saddlestack.interfaces.store import StoreUnavailable
 from saddlestack.kernel.service import Service
 
 log = logging.getLogger("saddlestack.gate")
--- a/src/saddlestack/control/jobs.py
+++ b/src/saddlestack/control/jobs.py
@@ -10,7 +10,7 @@
 from saddlestack.control.context import EntryContext
 from saddlestack.control.desk import Desk, NoLeader
 from saddlestack.errors import ErrorKind, SaddlestackError, invalid
-from saddlestack.interfaces import ClientCall
+from saddlestack.interfaces.clients import ClientCall
 from saddlestack.policy.board.jobs import new_job
 from saddlestack.policy.board.records import OccurrenceRecord
 from saddlestack.work import AcceptedJob, JobRequest, JobState, Step, faults_of
--- a/src/saddlestack/control/journal.py
+++ b/src/saddlestack/control/journal.py
@@ -8,7 +8,7 @@
 
 from saddlestack.control.context import EntryContext
 from saddlestack.control.keys import LEADER
-from saddlestack.interfaces import (
+from saddlestack.interfaces.store import (
     Committed,
     Conflict,
     Item,
--- a/src/saddlestack/control/leadership.py
+++ b/src/saddlestack/control/leadership.py
@@ -11,7 +11,7 @@
 from saddlestack.control.context import EntryContext
 from saddlestack.control.keys import LEADER
 from saddlestack.errors import SaddlestackError
-from saddlestack.interfaces import (
+from saddlestack.interfaces.store import (
     Committed,
     HistoryGone,
     Item,
--- a/src/saddlestack/control/membership.py
+++ b/src/saddlestack/control/membership.py
@@ -11,7 +11,7 @@
 from saddlestack.control.feed import Feed
 from saddlestack.control.keys import MEMBERS, member_key
 from saddlestack.errors import SaddlestackError
-from saddlestack.interfaces import (
+from saddlestack.interfaces.store import (
     Item,
     LeaseOver,
     Put,
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -21,7 +21,9 @@
 from saddlestack.control.session import CLOCK_DRIFT, LAPSE_SLACK_S, WorkerSession
 from saddlestack.control.upkeep import Upkeep
 from saddlestack.errors import SaddlestackError
-from saddlestack.interfaces import AdviserUnavailable, Item, PoolConfiguration, StoreUnavailable
+from saddlestack.interfaces.documents import PoolConfiguration
+from saddlestack.interfaces.machines import AdviserUnavailable
+from saddlestack.interfaces.store import Item, StoreUnavailable
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import Changes, Question
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -6,7 +6,7 @@
 import logging
 
 from saddlestack.control.owner import Owner, WorkerClock
-from saddlestack.interfaces import (
+from saddlestack.interfaces.workers import (
     Refusal,
     StartOrder,
     StartReply,
--- a/src/saddlestack/control/upkeep.py
+++ b/src/saddlestack/control/upkeep.py
@@ -15,15 +15,13 @@
 from saddlestack.control.feed import Feed
 from saddlestack.control.keys import LEADER, wave_key
 from saddlestack.errors import SaddlestackError
-from saddlestack.interfaces import (
+from saddlestack.interfaces.machines import Machines, MachinesUnavailable, UpkeepOutcome
+from saddlestack.interfaces.store import (
     Conflict,
     Item,
-    Machines,
-    MachinesUnavailable,
     Put,
     StoreUnavailable,
     Transaction,
-    UpkeepOutcome,
     WriteInDoubt,
 )
 from saddlestack.models import Model
--- a/src/saddlestack/platform/documents.py
+++ b/src/saddlestack/platform/documents.py
@@ -8,17 +8,17 @@
 import msgspec
 
 from saddlestack.codec import from_json, to_json
-from saddlestack.interfaces import (
+from saddlestack.interfaces.documents import (
     ClientAccount,
     ClientLimits,
     Documents,
-    Item,
     Pool,
     PoolConfiguration,
     Queue,
-    Wave,
-    WorkerRecord,
 )
+from saddlestack.interfaces.machines import Wave
+from saddlestack.interfaces.store import Item
+from saddlestack.interfaces.workers import WorkerRecord
 from saddlestack.work import Resources
 
 RACK_LABEL = 1
--- a/src/saddlestack/platform/gateway.py
+++ b/src/saddlestack/platform/gateway.py
@@ -1,6 +1,6 @@
 """The HTTP interface that clients of the platform speak.
 
-Translates calls into those of a :class:`saddlestack.interfaces.JobService`. See the
+Translates calls into those of a :class:`saddlestack.interfaces.clients.JobService`. See the
 platform's protocol page, "jobs" and "ingress".
 """
 
@@ -13,7 +13,8 @@
 
 from saddlestack.codec import from_json, to_json
 from saddlestack.errors import ErrorKind, SaddlestackError, invalid
-from saddlestack.interfaces import ClientCall, JobService, PoolConfiguration, Queue
+from saddlestack.interfaces.clients import ClientCall, JobService
+from saddlestack.interfaces.documents import PoolConfiguration, Queue
 from saddlestack.wire.http import Request, Response
 from saddlestack.work import JobRequest, Resources, Step
 
--- a/src/saddlestack/platform/kv.py
+++ b/src/saddlestack/platform/kv.py
@@ -1,4 +1,4 @@
-"""The platform's store as a :class:`saddlestack.interfaces.MetadataStore`.
+"""The platform's store as a :class:`saddlestack.interfaces.store.MetadataStore`.
 
 HTTP/1.1 with JSON bodies; values travel as base64. See the platform's protocol page,
 "metadata store".
@@ -11,7 +11,7 @@
 from urllib.parse import urlencode
 
 from saddlestack.codec import from_json
-from saddlestack.interfaces import (
+from saddlestack.interfaces.store import (
     Committed,
     Conflict,
     HistoryGone,
--- a/src/saddlestack/platform/machines.py
+++ b/src/saddlestack/platform/machines.py
@@ -9,7 +9,7 @@
 
 from saddlestack.codec import from_json
 from saddlestack.errors import SaddlestackError
-from saddlestack.interfaces import (
+from saddlestack.interfaces.machines import (
     AdviserUnavailable,
     Leave,
     MachinesUnavailable,
--- a/src/saddlestack/platform/orders.py
+++ b/src/saddlestack/platform/orders.py
@@ -1,4 +1,4 @@
-"""Orders to one worker as a :class:`saddlestack.interfaces.WorkerOrders`.
+"""Orders to one worker as a :class:`saddlestack.interfaces.workers.WorkerOrders`.
 
 See the platform's protocol page, "running tasks".
 """
@@ -9,7 +9,7 @@
 
 from saddlestack.codec import from_json
 from saddlestack.errors import SaddlestackError
-from saddlestack.interfaces import (
+from saddlestack.interfaces.workers import (
     EndedTask,
     EndKind,
     Refusal,
--- a/src/saddlestack/platform/serving.py
+++ b/src/saddlestack/platform/serving.py
@@ -10,20 +10,22 @@
 from typing import Protocol
 
 from saddlestack.codec import from_json, to_json
-from saddlestack.interfaces import (
+from saddlestack.interfaces.store import (
     Conflict,
     HistoryGone,
     Item,
     LeaseOver,
     MetadataStore,
     Put,
+    Transaction,
+    WriteInDoubt,
+)
+from saddlestack.interfaces.workers import (
     Refusal,
     StartOrder,
     StartReply,
-    Transaction,
     WorkerFenced,
     WorkerReport,
-    WriteInDoubt,
 )
 from saddlestack.platform.messages import (
     CommittedBody,
--- a/src/saddlestack/policy/board/advice.py
+++ b/src/saddlestack/policy/board/advice.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from saddlestack.interfaces import Leave
+from saddlestack.interfaces.machines import Leave
 from saddlestack.work import Resources
 
 WORKERS_A_CALL = 30
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
-from saddlestack.interfaces import EndedTask, EndKind, RunningTask, WorkerRecord
+from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask, WorkerRecord
 from saddlestack.policy.board.changes import Changes, Question, Start, Stop, StopReason
 from saddlestack.policy.board.evacuation import leaving
 from saddlestack.policy.board.jobs import Job, Occurrence, Run, StepState, Task, new_job
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from saddlestack.interfaces import WorkerRecord
+from saddlestack.interfaces.workers import WorkerRecord
 from saddlestack.policy.board.jobs import Run, StepState
 from saddlestack.work import Resources, Step, TaskName
 
--- a/src/saddlestack/policy/upkeep.py
+++ b/src/saddlestack/policy/upkeep.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from saddlestack.interfaces import Wave
+from saddlestack.interfaces.machines import Wave
 from saddlestack.policy.board.workers import Worker
 
 SLACK_S = 1.0
--- a/src/saddlestack/soak/platform.py
+++ b/src/saddlestack/soak/platform.py
@@ -5,7 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from saddlestack.interfaces import StartOrder, StartReply, WorkerReport, WorkerUnreachable
+from saddlestack.interfaces.workers import StartOrder, StartReply, WorkerReport, WorkerUnreachable
 from saddlestack.platform.serving import StoreServing, WorkerServing
 from saddlestack.soak.proxy import Proxy
 from saddlestack.standins.pool.documents import SERVICE, pool_document
--- a/src/saddlestack/soak/run.py
+++ b/src/saddlestack/soak/run.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from saddlestack.interfaces import EndKind
+from saddlestack.interfaces.workers import EndKind
 from saddlestack.soak.load import Load, Told
 from saddlestack.soak.platform import SoakPlatform
 from saddlestack.soak.processes import EntryProcess
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -9,7 +9,9 @@
 
 from saddlestack.control.entry import EntryVm
 from saddlestack.control.settings import EntrySettings, Timings
-from saddlestack.interfaces import ClientCall, Queue, WorkerOrders, WorkerRecord
+from saddlestack.interfaces.clients import ClientCall
+from saddlestack.interfaces.documents import Queue
+from saddlestack.interfaces.workers import WorkerOrders, WorkerRecord
 from saddlestack.standins.loop import VirtualClock
 from saddlestack.standins.pool.documents import ACCOUNT, HOST, QUEUES, SERVICE, pool_document
 from saddlestack.standins.pool.machines import FloorAdviser, FloorMachines
--- a/src/saddlestack/standins/pool/machines.py
+++ b/src/saddlestack/standins/pool/machines.py
@@ -5,7 +5,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from saddlestack.interfaces import (
+from saddlestack.interfaces.machines import (
     AdviserUnavailable,
     Leave,
     MachinesUnavailable,
--- a/src/saddlestack/standins/pool/store.py
+++ b/src/saddlestack/standins/pool/store.py
@@ -10,7 +10,7 @@
 import itertools
 from dataclasses import dataclass, field
 
-from saddlestack.interfaces import (
+from saddlestack.interfaces.store import (
     Committed,
     Conflict,
     HistoryGone,
@@ -203,7 +203,7 @@
 
 @dataclass(slots=True)
 class StoreView:
-    """One VM's way to the store: a :class:`saddlestack.interfaces.MetadataStore`."""
+    """One VM's way to the store: a :class:`saddlestack.interfaces.store.MetadataStore`."""
 
     state: StoreState
     faults: StoreFaults = field(default_factory=StoreFaults)
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from saddlestack.interfaces import (
+from saddlestack.interfaces.workers import (
     EndedTask,
     EndKind,
     Refusal,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,24 +16,26 @@
 from saddlestack.control.entry import METRICS_PATH
 from saddlestack.control.settings import EntrySettings, check, parse_address
 from saddlestack.errors import ErrorKind, SaddlestackError
-from saddlestack.interfaces import (
+from saddlestack.interfaces.machines import UpkeepOutcome
+from saddlestack.interfaces.store import (
     Committed,
     Conflict,
-    EndKind,
     HistoryGone,
     Item,
     LeaseOver,
     Put,
-    Refusal,
-    StartOrder,
     StoreUnavailable,
     Transaction,
-    UpkeepOutcome,
+    WriteInDoubt,
+)
+from saddlestack.interfaces.workers import (
+    EndKind,
+    Refusal,
+    StartOrder,
     WorkerBusy,
     WorkerFenced,
     WorkerReplaced,
     WorkerUnreachable,
-    WriteInDoubt,
 )
 from saddlestack.platform.documents import PlatformDocuments
 from saddlestack.platform.gateway import Gateway
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -14,7 +14,7 @@
 from saddlestack.control.callers import job_id_of
 from saddlestack.control.journal import Displaced, Journal
 from saddlestack.errors import ErrorKind, SaddlestackError
-from saddlestack.interfaces import EndKind
+from saddlestack.interfaces.workers import EndKind
 from saddlestack.models import JobState as CallerState
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
