--- a/src/saddlestack/cli/trying.py
+++ b/src/saddlestack/cli/trying.py
@@ -176,7 +176,7 @@
     """
     from saddlestack.standins.chaos import Chaos
     from saddlestack.standins.loop import run
-    from saddlestack.standins.scenario import Outcome, Scenario, read, report
+    from saddlestack.standins.scenario.play import Outcome, Scenario, read, report
 
     logging.getLogger("saddlestack").setLevel(logging.CRITICAL)
     outcomes: list[Outcome] = []
--- a/src/saddlestack/standins/chaos.py
+++ b/src/saddlestack/standins/chaos.py
@@ -11,7 +11,7 @@
 from saddlestack.standins import promises
 from saddlestack.standins.cluster import Cluster, account, racks, token_of
 from saddlestack.standins.promises import Promise, Said
-from saddlestack.standins.scenario import ALONE_S, LEAVING_S, Outcome
+from saddlestack.standins.scenario.play import ALONE_S, LEAVING_S, Outcome
 
 HALLS = ("ulemiste", "mustamae", "maardu")
 JOB_EVERY_S = 0.6
--- /dev/null
+++ b/src/saddlestack/standins/scenario/play.py
@@ -0,0 +1,163 @@
+"""Plays a scenario and holds the promises at its end."""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from saddlestack.errors import SaddlestackError, invalid
+from saddlestack.standins import promises
+from saddlestack.standins.cluster import Cluster
+from saddlestack.standins.endpoint import GRACE_S
+from saddlestack.standins.promises import Promise, Said
+from saddlestack.standins.scenario.lines import Line, split
+from saddlestack.standins.scenario.stage import ScenarioFailed, Stage
+from saddlestack.standins.scenario.verbs import VERBS
+
+LEASE_S = 6.0
+ALONE_S = LEASE_S + GRACE_S + 1.5
+LEAVING_S = 3.0
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What became of a scenario."""
+
+    name: str
+    failures: list[str] = field(default_factory=list)
+    promises: list[Promise] = field(default_factory=list)
+    seconds: float = 0.0
+
+    @property
+    def held(self) -> bool:
+        """Whether everything held."""
+        return not self.failures and all(promise.held for promise in self.promises)
+
+
+def parse(text: str, name: str) -> list[Line]:
+    """Parse a scenario.
+
+    :raises SaddlestackError: with file and line.
+    """
+    return split(text, name, VERBS)
+
+
+def read(path: Path) -> list[Line]:
+    """Read and parse a scenario file.
+
+    :raises SaddlestackError: with file and line.
+    """
+    try:
+        return parse(path.read_text(encoding="utf-8"), str(path))
+    except (OSError, UnicodeDecodeError) as error:
+        raise invalid(str(error), str(path)) from None
+
+
+class Scenario:
+    """Plays the lines of one scenario."""
+
+    def __init__(self, name: str, lines: list[Line], seed: int = 1) -> None:
+        self.name = name
+        self._lines = lines
+        self._stage = Stage(seed)
+        self._revisions: dict[str, int] = {}
+
+    @property
+    def cluster(self) -> Cluster:
+        """The cluster.
+
+        :raises SaddlestackError: not started yet.
+        """
+        return self._stage.cluster
+
+    @property
+    def said(self) -> list[Said]:
+        """What callers were told."""
+        return self._stage.said
+
+    async def play(self) -> Outcome:
+        """Play all lines, then hold the promises.
+
+        :rtype: Outcome
+        """
+        outcome = Outcome(self.name)
+        loop = asyncio.get_running_loop()
+        watcher: asyncio.Task[None] | None = None
+        began = loop.time()
+        try:
+            for line in self._lines:
+                try:
+                    result = VERBS[line.verb](self._stage, line)
+                    if inspect.isawaitable(result):
+                        await result
+                except SaddlestackError as error:
+                    error.where = error.where or f"{self.name}:{line.number}"
+                    raise
+                except (ScenarioFailed, TimeoutError) as error:
+                    outcome.failures.append(f"{self.name}:{line.number}: {error}")
+                    break
+                if self._stage.started is not None and watcher is None:
+                    watcher = loop.create_task(self._watch_revisions(outcome))
+            outcome.promises = self._hold()
+        finally:
+            for task in [*self._stage.work, *([watcher] if watcher else [])]:
+                task.cancel()
+            if self._stage.started is not None:
+                await self._stage.started.stop()
+        outcome.seconds = loop.time() - began
+        return outcome
+
+    def _hold(self) -> list[Promise]:
+        if self._stage.started is None:
+            return []
+        now = asyncio.get_running_loop().time()
+        checks = promises.check(
+            self._stage.started.endpoints, self._stage.said, alone_s=ALONE_S, now=now
+        )
+        return [*checks, Promise("a leaving endpoint got no new work", self._late_work())]
+
+    def _late_work(self) -> tuple[str, ...]:
+        """Starts on an endpoint more than three seconds after it said that it leaves."""
+        return tuple(
+            f"{name} was given {entry.job} at {entry.at:.1f}"
+            for name, endpoint in self.cluster.endpoints.items()
+            for entry in endpoint.history
+            if endpoint.left_at is not None
+            and entry.event == "prepare"
+            and entry.at > endpoint.left_at + LEAVING_S
+        )
+
+    async def _watch_revisions(self, outcome: Outcome) -> None:
+        """No VM may ever have an older configuration in force than it had."""
+        while True:
+            for entry in self._stage.cluster.live():
+                key = f"{entry.name}#{entry.incarnation}"
+                revision = entry.daemon.configuration.document.revision
+                if revision < self._revisions.get(key, 0):
+                    outcome.failures.append(f"{entry.name} went back to revision {revision}")
+                self._revisions[key] = revision
+            await asyncio.sleep(0.1)
+
+
+class ScenarioReport(msgspec.Struct):
+    """The outcome of a scenario as JSON."""
+
+    name: str
+    held: bool
+    failures: list[str]
+    broken: list[str]
+    seconds: float
+
+
+def report(outcome: Outcome) -> ScenarioReport:
+    """An outcome as it is printed."""
+    broken = [
+        f"{promise.name}: {breach}" for promise in outcome.promises for breach in promise.breaches
+    ]
+    return ScenarioReport(
+        outcome.name, outcome.held, outcome.failures, broken, round(outcome.seconds, 2)
+    )
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -4,7 +4,7 @@
 from saddlestack.errors import SaddlestackError
 from saddlestack.standins.chaos import Chaos
 from saddlestack.standins.loop import run
-from saddlestack.standins.scenario import Scenario, parse, read
+from saddlestack.standins.scenario.play import Scenario, parse, read
 from tests import support as support
 
 FILES = sorted((Path(__file__).parent.parent / "scenarios").glob("*.scenario"))
