--- a/src/saddlestack/policy/board/placement.py
+++ b/src/saddlestack/policy/board/placement.py
@@ -24,7 +24,7 @@
     able = [
         rack
         for rack in racks.values()
-        if sum(worker.copies(step, worker.record.capacity) for worker in rack) >= step.step.count
+        if sum(worker.most(step.step) for worker in rack) >= step.step.count
     ]
     if not able:
         return [_near_first(step, workers)]
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -56,9 +56,7 @@
         """Whether new work may go there."""
         if not self.listed or self.record.draining or self.closing or not self.reachable:
             return False
-        if now < self.quarantine_s:
-            return False
-        return self.strikes == 0 or not self.runs
+        return now >= self.quarantine_s
 
     def note(self, record: WorkerRecord, now: float) -> None:
         """Take over a newer record of it."""
@@ -71,9 +69,16 @@
         """Whether it has the label that a step asks for."""
         return not step.label or step.label in self.record.labels
 
+    def most(self, step: Step) -> int:
+        """Tasks of a step that it could hold if it were empty and well."""
+        copies = step.room.copies_in(self.record.capacity)
+        return min(copies, step.per_worker) if step.per_worker else copies
+
     def copies(self, step: StepState, room: Resources) -> int:
-        """Tasks of a step that fit into some room of it."""
+        """Tasks of a step that fit into some room of it; one where it has failed lately."""
         copies = step.step.room.copies_in(room)
+        if self.strikes:
+            copies = min(copies, 0 if self.runs else 1)
         limit = step.step.per_worker
         if not limit:
             return copies
--- /dev/null
+++ b/tests/test_board.py
@@ -0,0 +1,469 @@
+"""The decisions of a pool, one by one and under random events."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from saddlestack.codec import from_msgpack, to_msgpack
+from saddlestack.interfaces.machines import Leave, Wave
+from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask, WorkerRecord
+from saddlestack.policy.board.advice import StepAdvice
+from saddlestack.policy.board.board import Board
+from saddlestack.policy.board.changes import Changes, StopReason
+from saddlestack.policy.board.pacing import paces
+from saddlestack.policy.board.records import OccurrenceRecord, TaskStatus
+from saddlestack.policy.retry import pause
+from saddlestack.policy.upkeep import MachineStatus, WaveState
+from saddlestack.work import AcceptedJob, JobRequest, JobState, Resources, Step, TaskName
+
+SERVICE = "pool"
+URGENT, NORMAL, BULK = 0, 1, 2
+PATIENT = 100.0
+"""Long enough for work of lower priority to open the headroom."""
+
+
+def record(
+    name: str,
+    *,
+    rack: str = "r1",
+    accelerators: int = 8,
+    draining: bool = False,
+    remaining_ms: int | None = None,
+) -> WorkerRecord:
+    return WorkerRecord(
+        worker_id=name,
+        service=SERVICE,
+        address="127.0.0.1:1",
+        data_hall="hall",
+        draining=draining,
+        capacity=Resources(32_000, 64_000, accelerators),
+        labels=("a", rack),
+        rack=rack,
+        clock_ms=0,
+        machine=f"m-{name}",
+        remaining_ms=remaining_ms,
+    )
+
+
+def step(count: int, accelerators: int = 1, **more: object) -> Step:
+    needs = Resources(1000, 1000, accelerators)
+    return Step(count=count, needs=needs, estimate_ms=1000, **more)  # type: ignore[arg-type]
+
+
+class BoardCase(unittest.TestCase):
+    """A board with workers and jobs, and the events that tests need."""
+
+    def setUp(self) -> None:
+        self.board = Board()
+        self.jobs = 0
+
+    def workers(self, racks: int = 1, each: int = 2, **more: int) -> None:
+        for rack in range(1, racks + 1):
+            for number in range(1, each + 1):
+                made = record(f"w{rack}{number}", rack=f"r{rack}", **more)  # type: ignore[arg-type]
+                self.board.set_worker(made, 0.0)
+
+    def add(
+        self, *steps: Step, priority: int = URGENT, account: str = "depots", attempts: int = 3
+    ) -> str:
+        self.jobs += 1
+        job_id = f"{self.jobs:016x}"
+        accepted = AcceptedJob(
+            job_id=job_id,
+            account=account,
+            queue="q",
+            service=SERVICE,
+            priority=priority,
+            attempts=attempts,
+            accepted_ms=self.jobs,
+            request=JobRequest(payload="", steps=steps),
+        )
+        self.board.add_job(accepted, {})
+        return job_id
+
+    def plan(self, now: float = 0.0) -> Changes:
+        self.board.plan(now, 0.0)
+        changes = self.board.take()
+        for start in changes.starts:
+            self.board.started(start.run, now)
+        return changes
+
+    def end(self, job_id: str, how: EndKind, now: float = 1.0, saved: str = "") -> None:
+        for worker in list(self.board.workers.values()):
+            for key, run in list(worker.runs.items()):
+                if key[0].job_id == job_id:
+                    end = EndedTask(1, str(key[0]), run.number, how, saved)
+                    self.board.ended(worker.worker_id, end, now)
+
+    def state(self, job_id: str) -> JobState:
+        return self.board.jobs[job_id].state
+
+
+class BoardTest(BoardCase):
+    def test_a_gang_waits_until_it_fits_whole(self) -> None:
+        self.workers(each=2)
+        self.add(step(1, 8))
+        self.plan()
+        gang = self.add(step(2, 8, gang=True))
+        self.assertEqual(self.plan().starts, [])
+        self.end(f"{1:016x}", EndKind.DONE)
+        starts = self.plan(1.0).starts
+        self.assertEqual({start.run.task.name.job_id for start in starts}, {gang})
+        self.assertEqual([start.run.number for start in starts], [1, 1])
+
+    def test_a_gang_of_one_rack_stays_on_one(self) -> None:
+        self.workers(racks=3, each=2)
+        self.add(step(1, 8))
+        self.plan()
+        self.add(step(2, 8, gang=True, same_rack=True))
+        places = {start.run.worker_id[:2] for start in self.plan().starts}
+        self.assertEqual(len(places), 1)
+
+    def test_a_gang_of_one_rack_waits_for_a_rack_whose_worker_is_on_trial(self) -> None:
+        self.workers(racks=2, each=2)
+        job = self.add(step(1, 1, label="r1"))
+        self.plan()
+        self.end(job, EndKind.FAILED)
+        self.add(step(1, 8, label="r2"))
+        self.plan(60.0)
+        self.add(step(4, 4, gang=True, same_rack=True))
+        self.assertEqual(self.plan(60.0).starts, [])
+
+    def test_work_goes_near_its_data_and_elsewhere_after_a_while(self) -> None:
+        self.workers(racks=2, each=1)
+        self.add(step(9, 1, data_rack="r2"), priority=URGENT)
+        first = self.plan().starts
+        self.assertEqual({start.run.worker_id for start in first}, {"w21"})
+        self.assertEqual(len(first), 8)
+        later = self.plan(10.0).starts
+        self.assertEqual([start.run.worker_id for start in later], ["w11"])
+
+    def test_labels_and_spread_are_kept(self) -> None:
+        self.workers(racks=2, each=1)
+        self.add(step(2, 1, label="r2"))
+        self.assertEqual({s.run.worker_id for s in self.plan().starts}, {"w21"})
+        self.add(step(4, 1, per_worker=1))
+        self.assertEqual(sorted(s.run.worker_id for s in self.plan().starts), ["w11", "w21"])
+
+    def test_the_cheapest_work_is_taken_back_first(self) -> None:
+        self.workers(each=2)
+        old = self.add(step(1, 8), priority=BULK)
+        self.plan(PATIENT)
+        young = self.add(step(1, 8), priority=BULK)
+        self.plan(PATIENT)
+        self.plan(2 * PATIENT)
+        self.assertEqual(self.state(young), JobState.RUNNING)
+        self.add(step(1, 8))
+        stops = self.plan(2 * PATIENT + 5).stops
+        self.assertEqual(
+            [(s.task.job_id, s.reason) for s in stops], [(young, StopReason.PREEMPTED)]
+        )
+        self.assertEqual(self.state(old), JobState.RUNNING)
+
+    def test_a_gang_is_taken_back_whole(self) -> None:
+        self.workers(each=2)
+        self.add(step(2, 8, gang=True), priority=BULK)
+        self.plan()
+        self.plan(PATIENT)
+        self.add(step(1, 8))
+        self.assertEqual(len(self.plan(PATIENT + 1).stops), 2)
+
+    def test_within_its_guarantee_an_account_takes_back_from_who_is_beyond(self) -> None:
+        self.workers(each=2)
+        self.board.configure({"depots": 8, "others": 8}, {"q": SERVICE})
+        inside = self.add(step(1, 8), account="others")
+        beyond = self.add(step(1, 8), account="others")
+        self.plan()
+        self.add(step(1, 8))
+        stops = self.plan(1.0).stops
+        self.assertEqual([stop.task.job_id for stop in stops], [beyond])
+        self.assertEqual(self.state(inside), JobState.RUNNING)
+
+    def test_beyond_its_guarantee_an_account_takes_nothing_of_its_equals(self) -> None:
+        self.workers(each=1)
+        self.board.configure({"depots": 4}, {"q": SERVICE})
+        self.add(step(1, 8), account="others")
+        self.plan()
+        self.add(step(1, 8))
+        self.assertEqual(self.plan(1.0).stops, [])
+
+    def test_a_reservation_is_given_up_with_its_worker(self) -> None:
+        self.workers(each=1)
+        self.add(step(1, 8), priority=BULK)
+        self.plan()
+        self.plan(PATIENT)
+        self.add(step(1, 8))
+        self.plan(PATIENT + 1)
+        self.board.unlist_worker("w11")
+        self.plan(PATIENT + 2)
+        self.assertEqual(self.board.workers["w11"].reserved, Resources())
+
+    def test_failures_count_per_task_and_once_for_a_gang(self) -> None:
+        self.workers(each=2)
+        alone = self.add(step(1), attempts=2)
+        gang = self.add(step(3, gang=True), attempts=2)
+        for now in (0.0, 60.0):
+            self.plan(now)
+            self.end(alone, EndKind.FAILED, now)
+            self.end(gang, EndKind.FAILED, now)
+            expected = JobState.RUNNING if now == 0.0 else JobState.FAILED
+            self.assertEqual((self.state(alone), self.state(gang)), (expected, expected))
+
+    def test_one_end_stands_for_a_gang(self) -> None:
+        self.workers(each=2)
+        gang = self.add(step(2, 8, gang=True))
+        run = self.plan().starts[0].run
+        end = EndedTask(1, str(run.task.name), 1, EndKind.DONE, "")
+        self.board.ended(run.worker_id, end, 1.0)
+        self.assertEqual(self.state(gang), JobState.COMPLETED)
+        self.assertEqual(sum(len(w.runs) for w in self.board.workers.values()), 1)
+
+    def test_a_worker_that_fails_work_is_left_alone_and_tried_with_one_task(self) -> None:
+        self.workers(each=1)
+        job = self.add(step(2, 1))
+        self.plan()
+        self.end(job, EndKind.FAILED)
+        self.assertEqual(self.plan(1.5).starts, [])
+        self.assertEqual(len(self.plan(60.0).starts), 1)
+
+    def test_what_runs_unknown_to_the_board_is_stopped(self) -> None:
+        self.workers(each=1)
+        row = RunningTask(str(TaskName("00000000000000ff", 0, 0, 0)), 3, "", 10)
+        self.board.reported("w11", [row], 0.0)
+        self.assertEqual([s.reason for s in self.board.take().stops], [StopReason.NOT_OURS])
+
+    def test_a_leaving_worker_keeps_only_what_ends_in_time(self) -> None:
+        self.workers(each=1)
+        short = self.add(step(1), priority=NORMAL)
+        long = self.add(step(1), priority=NORMAL)
+        self.plan()
+        now = 9.0
+        self.board.reported(
+            "w11",
+            [
+                RunningTask(f"{job}.0.0.0", 1, "", percent)
+                for job, percent in ((short, 90), (long, 10))
+            ],
+            now,
+        )
+        self.board.set_worker(record("w11", draining=True, remaining_ms=4000), now)
+        stops = self.plan(now).stops
+        self.assertEqual([stop.task.job_id for stop in stops], [long])
+        self.assertIs(stops[0].reason, StopReason.WORKER_LEAVES)
+
+
+class RecordTest(BoardCase):
+    def test_a_board_comes_back_from_its_records(self) -> None:
+        self.workers(each=2)
+        job = self.add(step(3, checkpoint=True), step(1, after=(0,)))
+        changes = self.plan()
+        kept = to_msgpack(changes.records[f"{job}.0"])
+        other = Board()
+        other.set_worker(record("w11"), 0.0)
+        accepted = self.board.jobs[job].accepted
+        other.add_job(accepted, {0: from_msgpack(kept, OccurrenceRecord)})
+        tasks = other.jobs[job].occurrences[0].steps[0].tasks
+        self.assertTrue(all(task.status is TaskStatus.ASSIGNED for task in tasks))
+        self.assertTrue(all(task.run is not None and task.run.inherited for task in tasks))
+        self.assertEqual(sum(len(w.runs) for w in other.workers.values()), 3)
+        other.plan(0.0, 0.0)
+        self.assertEqual(other.take().starts, [])
+
+
+class RandomEventsTest(unittest.TestCase):
+    """After any events: room is never exceeded, no task runs twice, gangs are whole."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_invariants(self, seed: int) -> None:
+        rng = random.Random(seed)
+        board = Board()
+        board.configure({"depots": 8}, {"q": SERVICE})
+        done: set[TaskName] = set()
+        now = 0.0
+        for number in range(60):
+            now += rng.uniform(0.1, 5.0)
+            self.happen(board, rng, number, now, done)
+            board.plan(now, now * 1000)
+            changes = board.take()
+            for start in changes.starts:
+                self.assertNotIn(start.run.task.name, done)
+                worker = board.workers[start.run.worker_id]
+                self.assertTrue(worker.listed and not worker.record.draining)
+            self.check(board)
+
+    def happen(
+        self, board: Board, rng: random.Random, number: int, now: float, done: set[TaskName]
+    ) -> None:
+        runs = [run for worker in board.workers.values() for run in worker.runs.values()]
+        event = rng.choice(("worker", "job", "job", "end", "end", "started", "lost", "cancel"))
+        if event == "worker" or not board.workers:
+            name = f"w{rng.randrange(4)}"
+            board.set_worker(record(name, rack=f"r{name[-1]}", draining=rng.random() < 0.2), now)
+        elif event == "job":
+            count = rng.randint(1, 4)
+            made = step(
+                count,
+                rng.choice((1, 2, 8)),
+                gang=count > 1 and rng.random() < 0.5,
+                same_rack=rng.random() < 0.3,
+                checkpoint=rng.random() < 0.3,
+                per_worker=rng.choice((0, 0, 1)),
+            )
+            steps = (made, step(1, after=(0,))) if rng.random() < 0.3 else (made,)
+            accepted = AcceptedJob(
+                job_id=f"{number:016x}",
+                account=rng.choice(("depots", "others")),
+                queue="q",
+                service=SERVICE,
+                priority=rng.choice((URGENT, NORMAL, BULK)),
+                attempts=3,
+                accepted_ms=number,
+                request=JobRequest(payload="", steps=steps),
+            )
+            board.add_job(accepted, {})
+        elif event == "cancel" and board.jobs:
+            board.cancel(rng.choice(list(board.jobs)))
+        elif event == "lost":
+            board.worker_over(rng.choice(list(board.workers)))
+        elif runs:
+            run = rng.choice(runs)
+            if event == "started":
+                board.started(run, now)
+                return
+            how = rng.choice(list(EndKind))
+            members = board.members(run) if run.task.step.step.gang else [run]
+            if how is EndKind.DONE:
+                done.update(member.task.name for member in members)
+            end = EndedTask(number, str(run.task.name), run.number, how, "saved")
+            board.ended(run.worker_id, end, now)
+
+    def check(self, board: Board) -> None:
+        seen: set[TaskName] = set()
+        for worker in board.workers.values():
+            used = Resources()
+            for run in worker.runs.values():
+                used = used + run.room
+                if run.task.run is run:
+                    self.assertNotIn(run.task.name, seen)
+                    seen.add(run.task.name)
+            self.assertEqual(used, worker.used)
+            self.assertTrue(used.fits(worker.record.capacity))
+            self.assertTrue(Resources().fits(worker.reserved))
+        for job in board.jobs.values():
+            for occurrence in job.occurrences:
+                for each in occurrence.steps:
+                    self.check_step(each)
+
+    def check_step(self, each) -> None:  # type: ignore[no-untyped-def]
+        runs = [task.run for task in each.tasks if task.run is not None]
+        if each.step.gang and runs and not any(run.stopping for run in runs):
+            self.assertEqual(len({run.number for run in runs}), 1)
+            done = [task for task in each.tasks if task.status is TaskStatus.DONE]
+            self.assertTrue(done or len(runs) == len(each.tasks))
+        if runs:
+            steps = each.occurrence.steps
+            self.assertTrue(all(steps[earlier].finished for earlier in each.step.after))
+
+
+class PacingTest(BoardCase):
+    def report(self, tail: float, now: float) -> list[int]:
+        worker = self.board.workers["w11"]
+        rows = [
+            RunningTask(str(run.task.name), 1, "", 100, tail if run.task.step.step.target_ms else 0)
+            for run in worker.runs.values()
+        ]
+        self.board.reported("w11", rows, now)
+        return [pace.percent for pace in self.board.take().paces]
+
+    def test_cut_at_once_and_raised_step_by_step(self) -> None:
+        self.workers(each=1)
+        self.add(step(1, long_running=True, target_ms=100))
+        self.add(step(1, long_running=True, fills=True))
+        self.plan()
+        self.assertEqual(self.report(90.0, 1.0), [])
+        self.assertEqual(self.report(120.0, 2.0), [30])
+        self.assertEqual(self.report(120.0, 2.5), [0])
+        self.assertEqual(self.report(120.0, 3.0), [])
+        self.assertEqual(self.report(50.0, 3.5), [])
+        self.assertEqual(self.report(50.0, 7.0), [20])
+        self.assertEqual(self.report(90.0, 7.5), [])
+
+    def test_what_fills_alone_runs_at_full_speed(self) -> None:
+        self.workers(each=1)
+        self.add(step(1, long_running=True, fills=True))
+        run = self.plan().starts[0].run
+        run.pace = 0
+        self.assertEqual([p.percent for p in paces(self.board.workers["w11"], 1.0)], [100])
+
+
+class AdviceTest(BoardCase):
+    def test_tickets_expire_and_denials_stand(self) -> None:
+        self.workers(each=3)
+        workers = list(self.board.workers.values())
+        advice = StepAdvice()
+        asked = advice.unknown(workers, 0.0)
+        self.assertEqual(set(asked), {"w11", "w12", "w13"})
+        advice.told(asked, [Leave("w12", "t", 3.0)], 0.0)
+        self.assertEqual(advice.ticket("w12", 1.0), "t")
+        self.assertIsNone(advice.ticket("w12", 2.6))
+        self.assertEqual(advice.unknown(workers, 2.6), ("w12",))
+        advice.told(("w12",), [Leave("w12", "u", 3.0)], 2.6)
+        advice.refused("w12")
+        self.assertIsNone(advice.ticket("w12", 2.7))
+
+
+class WaveTest(BoardCase):
+    def test_never_more_than_allowed_are_away_and_idle_ones_go_first(self) -> None:
+        self.workers(each=4)
+        self.add(step(1, 8, label="r1"))
+        self.plan()
+        workers = {w.record.machine: w for w in self.board.workers.values()}
+        busy = next(name for name, worker in workers.items() if worker.runs)
+        state = WaveState(Wave(1, tuple(workers), 60.0, 2), 0.0, 2.0)
+        chosen = state.prepare(workers, 0.0)
+        self.assertEqual(len(chosen), 2)
+        self.assertNotIn(busy, {worker.record.machine for worker, _ in chosen})
+        due = state.due(workers, 0.0)
+        self.assertEqual(len(due), 2)
+        self.assertEqual(state.prepare(workers, 1.0), [])
+        self.assertEqual(state.due(workers, 1.0), due, "an order without answer is repeated")
+        state.went_down(due[0])
+        self.assertEqual(state.prepare(workers, 1.5), [])
+        lives = dict(workers)
+        self.board.set_worker(record("new"), 2.0)
+        lives[due[0]] = self.board.workers["new"]
+        self.assertEqual(len(state.prepare(lives, 2.0)), 1)
+        self.assertFalse(state.finished)
+        for name in state.machines:
+            state.went_down(name)
+        self.assertTrue(state.finished)
+
+    def test_a_busy_machine_goes_down_when_its_time_has_come(self) -> None:
+        self.workers(each=1)
+        self.add(step(1, 8))
+        self.plan()
+        workers = {w.record.machine: w for w in self.board.workers.values()}
+        state = WaveState(Wave(1, tuple(workers), 20.0, 1), 0.0, 2.0)
+        (_, order_by) = state.prepare(workers, 0.0)[0]
+        self.assertLess(order_by, 18.0)
+        self.assertEqual(state.due(workers, order_by - 0.1), [])
+        self.assertEqual(len(state.due(workers, order_by)), 1)
+        self.assertIs(next(iter(state.machines.values())).status, MachineStatus.ORDERED)
+
+
+class PauseTest(unittest.TestCase):
+    def test_it_doubles_up_to_the_longest_and_is_never_near_none(self) -> None:
+        rng = random.Random(1)
+        for failures in range(1, 40):
+            most = min(1.0, 0.1 * 2**failures)
+            for _ in range(20):
+                self.assertTrue(most / 2 <= pause(failures, 0.1, 1.0, rng) <= most)
+
+
+if __name__ == "__main__":
+    unittest.main()
