Waiting gangs claim workers; the headroom lies in one rack; stopping a gang costs more

Change: a gang that waits keeps work of lower priority off the workers where it fits soonest, while half of the pool is used; half a rack of the headroom, 32 accelerators at most, is kept in one rack; a gang counts 4 s more work as lost when it is stopped.

--- a/src/saddlestack/policy/board/preemption.py
+++ b/src/saddlestack/policy/board/preemption.py
@@ -79,11 +79,15 @@
         lost = max(0.0, self._now - since)
         if run.task.step.step.checkpoint and run.saved:
             lost = min(lost, CHECKPOINT_LOSS_S)
+        if run.task.step.step.gang:
+            lost += REQUEUE_S
         return lost * weight(run.room) + TOUCH_COST
 
 
 CHECKPOINT_LOSS_S = 1.0
 """Seconds of work that are lost at most where a run saves its progress."""
+REQUEUE_S = 4.0
+"""Seconds of work that a gang is held to lose besides, since it waits for whole room again."""
 TOUCH_COST = 1.0
 """Core-seconds that any stop is held to cost, so that fewer runs are touched."""
 
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from saddlestack.policy.board.jobs import Job, Run, StepState, Task
-from saddlestack.policy.board.placement import Copies, place_gang, place_task
+from saddlestack.policy.board.placement import Copies, by_rack, claimed, place_gang, place_task
 from saddlestack.policy.board.pool import Pool
 from saddlestack.policy.board.preemption import Preemptor
 from saddlestack.policy.board.records import TaskStatus
@@ -18,6 +18,8 @@
 """A reservation that could not be used by then is given up and searched anew."""
 HEADROOM = 0.25
 """Share of a pool's accelerators, on empty workers, that only urgent work may open..."""
+HEADROOM_A_RACK = 32
+"""Accelerators of the headroom, half a rack at most, that are kept in one rack for urgent gangs."""
 HEADROOM_PATIENCE_S = 15.0
 """...until other work has waited for so long."""
 NEAR_PATIENCE_S = 8.0
@@ -40,6 +42,7 @@
         self._open: dict[str, Job] = {}
         self._reservations: dict[int, tuple[StepState, Reservation]] = {}
         self._waiting_s: dict[str, float] = {}
+        self._claims: dict[str, int] = {}
         self.next_due_ms: int | None = None
 
     def add(self, job: Job) -> None:
@@ -71,6 +74,7 @@
         for step in steps:
             self._waiting_s.setdefault(step.key, now)
             self._place(step, step.occurrence.job.job_id in entitled, entitled, now)
+        self._claims.clear()
 
     # Order
 
@@ -140,7 +144,11 @@
             placed = self._place_gang(step, workers, now)
         else:
             placed = self._place_tasks(step, workers, now)
-        if placed or step.occurrence.job.priority != TOP_PRIORITY:
+        if placed:
+            return
+        if step.occurrence.job.priority != TOP_PRIORITY:
+            if step.step.gang:
+                self._claim(step, workers)
             return
         if id(step) not in self._reservations:
             self._preempt(step, workers, within, entitled, now)
@@ -156,6 +164,7 @@
         ]
         if self._board.is_advised(step.occurrence.job):
             able = self._with_leave(step, able, now)
+        able = self._unclaimed(step, able)
         near = [worker for worker in able if worker.record.rack == step.step.data_rack]
         waited = now - self._waiting_s.get(step.key, now)
         if near and waited < NEAR_PATIENCE_S:
@@ -206,6 +215,22 @@
             worker = place_task(task.step, workers, copies)
         return worker
 
+    # Claims
+
+    def _claim(self, step: StepState, workers: list[Worker]) -> None:
+        """Keep work of lower priority off the workers where a waiting gang fits soonest."""
+        priority = step.occurrence.job.priority
+        for worker in claimed(step, workers):
+            held = self._claims.get(worker.worker_id, priority)
+            self._claims[worker.worker_id] = min(held, priority)
+
+    def _unclaimed(self, step: StepState, workers: list[Worker]) -> list[Worker]:
+        """The workers that no gang of higher priority waits for."""
+        priority = step.occurrence.job.priority
+        if not self._claims or not any(_half_used(workers)):
+            return workers
+        return [w for w in workers if self._claims.get(w.worker_id, priority) >= priority]
+
     # Headroom
 
     def _may_open(self, step: StepState, places: list[Worker], now: float) -> bool:
@@ -218,12 +243,11 @@
         service = self._board.service_of(step.occurrence.job)
         workers = [w for w in self._board.workers.values() if w.record.service == service]
         total = sum(w.record.capacity.accelerators for w in workers)
-        left = sum(
-            w.record.capacity.accelerators
-            for w in workers
-            if not w.runs and w.takes_work(now) and w.worker_id not in opened
-        )
-        if left >= total * HEADROOM:
+        empty = [w for w in workers if not w.runs and w.takes_work(now)]
+        left = [w for w in empty if w.worker_id not in opened]
+        room = sum(w.record.capacity.accelerators for w in left)
+        in_one = min(HEADROOM_A_RACK, _widest(workers) // 2, _widest(empty))
+        if room >= total * HEADROOM and _widest(left) >= in_one:
             return True
         return not any(_half_used(workers))
 
@@ -304,6 +328,12 @@
     return task.status is TaskStatus.WAITING and task.run is None
 
 
+def _widest(workers: list[Worker]) -> int:
+    """Accelerators of the rack that has most among some workers."""
+    racks = by_rack(workers).values()
+    return max((sum(w.record.capacity.accelerators for w in rack) for rack in racks), default=0)
+
+
 def _half_used(workers: list[Worker]) -> Iterator[bool]:
     """For each kind of room, whether half of a pool's is in use."""
     used = Resources()
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -172,6 +172,74 @@
         self.add(step(1, 8))
         self.assertEqual(len(self.plan(PATIENT + 1).stops), 2)
 
+    def test_bulk_work_keeps_off_the_rack_that_a_waiting_gang_needs(self) -> None:
+        """Found on loaded days: gangs waited 35 s while later bulk work took each free worker."""
+        self.workers(racks=2, each=2)
+        self.add(step(8, 1, label="r1"), priority=BULK)
+        self.add(step(8, 1, label="r2"), priority=BULK)
+        self.plan()
+        gang = self.add(step(2, 8, gang=True, same_rack=True), priority=NORMAL)
+        later = self.add(step(30, 1), priority=BULK)
+        starts = self.plan().starts + self.plan(PATIENT).starts
+        self.assertEqual({start.run.task.name.job_id for start in starts}, {later})
+        self.assertEqual(len({start.run.worker_id for start in starts}), 1)
+        self.assertEqual(len(starts), 8)
+        self.end(f"{1:016x}", EndKind.DONE)
+        starts = self.plan(PATIENT).starts
+        self.assertEqual({start.run.task.name.job_id for start in starts[:2]}, {gang})
+
+    def test_a_claim_ends_with_its_gang(self) -> None:
+        self.workers(racks=1, each=2)
+        self.add(step(8, 1), priority=BULK)
+        self.plan()
+        gang = self.add(step(2, 8, gang=True, same_rack=True), priority=NORMAL)
+        bulk = self.add(step(8, 1), priority=BULK)
+        self.plan()
+        self.assertEqual(self.plan(PATIENT).starts, [])
+        self.board.cancel(gang)
+        starts = self.plan(PATIENT).starts
+        self.assertEqual({start.run.task.name.job_id for start in starts}, {bulk})
+
+    def test_an_idle_pool_keeps_no_claims(self) -> None:
+        """Under half use nothing waits for a gang: the users' pages call that lost work."""
+        self.workers(racks=1, each=4)
+        self.add(step(1, 8), priority=NORMAL)
+        self.plan(PATIENT)
+        self.add(step(4, 8, gang=True, same_rack=True), priority=NORMAL)
+        self.plan(PATIENT)
+        bulk = self.add(step(2, 1), priority=BULK)
+        starts = self.plan(PATIENT).starts
+        self.assertEqual({start.run.task.name.job_id for start in starts}, {bulk})
+
+    def test_the_headroom_lies_in_one_rack(self) -> None:
+        """Found on calm days: urgent gangs met as many empty workers, spread over all racks."""
+        self.workers(racks=3, each=8)
+        for _ in range(6):
+            for rack in ("r1", "r2", "r3"):
+                self.add(step(1, 8, label=rack), priority=NORMAL)
+        self.plan(1.0)
+        empty = [worker for worker in self.board.workers.values() if not worker.runs]
+        by_rack = [sum(worker.record.rack == f"r{rack}" for worker in empty) for rack in (1, 2, 3)]
+        self.assertGreaterEqual(max(by_rack), 4)
+        gang = self.add(step(4, 8, gang=True, same_rack=True), priority=URGENT)
+        changes = self.plan(1.0)
+        self.assertEqual({start.run.task.name.job_id for start in changes.starts}, {gang})
+        self.assertEqual(changes.stops, [])
+
+    def test_a_young_gang_is_not_the_cheapest_to_stop(self) -> None:
+        """Found on loaded days: wide gangs were stopped four times, each just begun."""
+        self.workers(racks=2, each=1)
+        for rack in ("r1", "r2"):
+            self.add(step(4, 1, label=rack))
+        loose = self.add(step(4, 1, label="r1"), priority=BULK)
+        self.plan()
+        gang = self.add(step(4, 1, gang=True, label="r2"), priority=NORMAL)
+        self.plan(2.0)
+        self.add(step(1, 4))
+        stops = self.plan(3.0).stops
+        self.assertEqual({stop.task.job_id for stop in stops}, {loose})
+        self.assertIs(self.state(gang), JobState.RUNNING)
+
     def test_within_its_guarantee_an_account_takes_back_from_who_is_beyond(self) -> None:
         self.workers(each=2)
         self.board.configure({"depots": 8, "others": 8}, {"q": SERVICE})
