--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: traces demo test check format scenarios bench bench-policy bench-decisions bench-relay bench-capacity clean
+.PHONY: traces demo test check format scenarios bench bench-board bench-policy bench-decisions bench-relay bench-capacity clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -34,11 +34,14 @@
 bench-decisions: $(STAMP)
 	$(BIN)/python -m benchmarks.decisions
 
+bench-board: $(STAMP)
+	$(BIN)/python -m benchmarks.board
+
 bench-capacity: $(STAMP)
 	$(BIN)/python -m benchmarks.capacity
 	$(BIN)/python -m benchmarks.capacity --tables
 
-bench: bench-decisions bench-policy bench-relay bench-capacity
+bench: bench-board bench-decisions bench-policy bench-relay bench-capacity
 
 bench-relay: $(STAMP)
 	$(BIN)/python -m benchmarks.relay
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -314,7 +314,8 @@
             self._noted = max(self._noted, end.number)
         present = {(row.task, row.run) for row in report.running}
         self._judge_absent(present, asked, now)
-        self._owner.changed()
+        if fresh or board.has_news:
+            self._owner.changed()
         if self._noted > self._seen:
             await self._acknowledge()
 
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -348,6 +348,12 @@
         """Wall time at which the next occurrence falls due, or ``None``."""
         return self._planner.next_due_ms
 
+    @property
+    def has_news(self) -> bool:
+        """Whether something is to be taken that follows from events since the last plan."""
+        orders = self._starts or self._stops or self._paces or self._questions
+        return bool(orders or self._dirty or self._touched)
+
     def take(self) -> Changes:
         """What has followed since the last call."""
         changes = Changes(
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -26,6 +26,23 @@
 """Work of lower priority waits this long for a place near its data."""
 
 
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """What steps have to share so that where one finds no room, the other finds none.
+
+    :param count: tasks that have to fit at once.
+    :param near: the rack outside of which the step does not go yet; empty for none.
+    """
+
+    service: str
+    room: Resources
+    count: int
+    same_rack: bool
+    label: str
+    near: str
+    per_worker: int
+
+
 @dataclass(slots=True)
 class Reservation:
     """Room set aside for a step's tasks until the runs that hold it have stopped."""
@@ -43,6 +60,9 @@
         self._reservations: dict[int, tuple[StepState, Reservation]] = {}
         self._waiting_s: dict[str, float] = {}
         self._claims: dict[str, int] = {}
+        self._able: dict[str, list[Worker]] = {}
+        self._full: set[Shape] = set()
+        self._shut: set[Shape] = set()
         self.next_due_ms: int | None = None
 
     def add(self, job: Job) -> None:
@@ -66,6 +86,9 @@
 
     def plan(self, now: float, wall_ms: float) -> None:
         """Decide what starts and what has to give room."""
+        self._able.clear()
+        self._full.clear()
+        self._shut.clear()
         self._drop_stale(now)
         self.next_due_ms = None
         entitled = self._entitled()
@@ -137,38 +160,71 @@
     # Placing
 
     def _place(self, step: StepState, within: bool, entitled: set[str], now: float) -> None:
-        workers = self._candidates(step, now)
         if self._use_reservation(step, now):
             return
-        if step.step.gang:
-            placed = self._place_gang(step, workers, now)
-        else:
-            placed = self._place_tasks(step, workers, now)
-        if placed:
+        top = step.occurrence.job.priority == TOP_PRIORITY
+        shape = self._shape(step, now)
+        full = shape in self._full
+        if not top and (full or self._is_shut(step, shape, now)):
             return
-        if step.occurrence.job.priority != TOP_PRIORITY:
-            if step.step.gang:
-                self._claim(step, workers)
+        workers = self._candidates(step, now)
+        if not full and self._place_on(step, shape, workers, now):
             return
-        if id(step) not in self._reservations:
+        if not top and step.step.gang:
+            self._claim(step, workers)
+        elif top and id(step) not in self._reservations:
             self._preempt(step, workers, within, entitled, now)
 
+    def _place_on(
+        self, step: StepState, shape: Shape | None, workers: list[Worker], now: float
+    ) -> bool:
+        if step.step.gang:
+            return self._place_gang(step, shape, workers, now)
+        return self._place_tasks(step, shape, workers, now)
+
+    def _shape(self, step: StepState, now: float) -> Shape | None:
+        """What decides whether a step fits; ``None`` where more does than its shape."""
+        needs = step.step
+        if self._board.is_advised(step.occurrence.job):
+            return None
+        if not needs.gang and (needs.per_worker or any(task.avoid for task in step.tasks)):
+            return None
+        return Shape(
+            service=self._board.service_of(step.occurrence.job),
+            room=step.step.room,
+            count=needs.count if needs.gang else 1,
+            same_rack=needs.gang and needs.same_rack,
+            label=needs.label,
+            near=needs.data_rack if self._waits_near(step, now) else "",
+            per_worker=needs.per_worker,
+        )
+
+    def _waits_near(self, step: StepState, now: float) -> bool:
+        return now - self._waiting_s.get(step.key, now) < NEAR_PATIENCE_S
+
+    def _able_workers(self, service: str, now: float) -> list[Worker]:
+        """The workers of a service that take work, looked up once a round."""
+        able = self._able.get(service)
+        if able is None:
+            able = [
+                worker
+                for worker in self._board.workers.values()
+                if worker.record.service == service and worker.takes_work(now)
+            ]
+            self._able[service] = able
+        return able
+
     def _candidates(self, step: StepState, now: float) -> list[Worker]:
         service = self._board.service_of(step.occurrence.job)
-        able = [
-            worker
-            for worker in self._board.workers.values()
-            if worker.record.service == service
-            and worker.takes_work(now)
-            and worker.matches(step.step)
-        ]
+        able = self._able_workers(service, now)
+        if step.step.label:
+            able = [worker for worker in able if worker.matches(step.step)]
         if self._board.is_advised(step.occurrence.job):
             able = self._with_leave(step, able, now)
         able = self._unclaimed(step, able)
-        near = [worker for worker in able if worker.record.rack == step.step.data_rack]
-        waited = now - self._waiting_s.get(step.key, now)
-        if near and waited < NEAR_PATIENCE_S:
-            return near
+        if step.step.data_rack and self._waits_near(step, now):
+            near = [worker for worker in able if worker.record.rack == step.step.data_rack]
+            return near or able
         return able
 
     def _with_leave(self, step: StepState, able: list[Worker], now: float) -> list[Worker]:
@@ -183,9 +239,15 @@
                 self._board.ask(step, unknown)
         return allowed
 
-    def _place_gang(self, step: StepState, workers: list[Worker], now: float) -> bool:
+    def _place_gang(
+        self, step: StepState, shape: Shape | None, workers: list[Worker], now: float
+    ) -> bool:
         places = place_gang(step, workers, _free_copies(step))
-        if places is None or not self._may_open(step, places, now):
+        if places is None:
+            self._note_full(shape)
+            return False
+        if not self._may_open(step, places, now):
+            self._note_shut(shape)
             return False
         self._release(step)
         self._assign_gang(step, places, now)
@@ -196,19 +258,44 @@
         for task, worker in zip(step.tasks, places, strict=True):
             self._board.assign(task, worker, number, now)
 
-    def _place_tasks(self, step: StepState, workers: list[Worker], now: float) -> bool:
+    def _note_full(self, shape: Shape | None) -> None:
+        """Nothing of this shape fits any more in this round, since room only shrinks."""
+        if shape is not None:
+            self._full.add(shape)
+
+    def _note_shut(self, shape: Shape | None) -> None:
+        """The headroom is closed to this shape in this round."""
+        if shape is not None:
+            self._shut.add(shape)
+
+    def _is_shut(self, step: StepState, shape: Shape | None, now: float) -> bool:
+        return shape in self._shut and not self._is_impatient(step, now)
+
+    def _is_impatient(self, step: StepState, now: float) -> bool:
+        """Whether a step has waited so long that the headroom is open to it."""
+        return now - self._waiting_s.get(step.key, now) > HEADROOM_PATIENCE_S
+
+    def _place_tasks(
+        self, step: StepState, shape: Shape | None, workers: list[Worker], now: float
+    ) -> bool:
         for task in step.tasks:
             if not _waits(task):
                 continue
             worker = self._worker_for(task, workers)
-            if worker is None or not self._may_open(step, [worker], now):
+            if worker is None:
+                self._note_full(shape)
+                return False
+            if not self._may_open(step, [worker], now):
+                self._note_shut(shape)
                 return False
             self._board.assign(task, worker, task.record.run + 1, now)
         self._release(step)
         return True
 
     def _worker_for(self, task: Task, workers: list[Worker]) -> Worker | None:
-        fresh = [worker for worker in workers if worker.worker_id not in task.avoid]
+        fresh = workers
+        if task.avoid:
+            fresh = [worker for worker in workers if worker.worker_id not in task.avoid]
         copies = _free_copies(task.step)
         worker = place_task(task.step, fresh, copies)
         if worker is None and not fresh:
@@ -227,7 +314,7 @@
     def _unclaimed(self, step: StepState, workers: list[Worker]) -> list[Worker]:
         """The workers that no gang of higher priority waits for."""
         priority = step.occurrence.job.priority
-        if not self._claims or not any(_half_used(workers)):
+        if not self._claims or not _half_used(workers):
             return workers
         return [w for w in workers if self._claims.get(w.worker_id, priority) >= priority]
 
@@ -238,7 +325,7 @@
         if step.occurrence.job.priority == TOP_PRIORITY or step.step.long_running:
             return True
         opened = {worker.worker_id for worker in places if not worker.runs}
-        if not opened or now - self._waiting_s.get(step.key, now) > HEADROOM_PATIENCE_S:
+        if not opened or self._is_impatient(step, now):
             return True
         service = self._board.service_of(step.occurrence.job)
         workers = [w for w in self._board.workers.values() if w.record.service == service]
@@ -249,7 +336,7 @@
         in_one = min(HEADROOM_A_RACK, _widest(workers) // 2, _widest(empty))
         if room >= total * HEADROOM and _widest(left) >= in_one:
             return True
-        return not any(_half_used(workers))
+        return not _half_used(workers)
 
     # Preemption
 
@@ -291,6 +378,7 @@
         held = self._reservations.pop(id(step), None)
         if held is None:
             return
+        self._full.clear()
         for worker in held[1].places:
             worker.reserved = worker.reserved - step.step.room
 
@@ -334,15 +422,13 @@
     return max((sum(w.record.capacity.accelerators for w in rack) for rack in racks), default=0)
 
 
-def _half_used(workers: list[Worker]) -> Iterator[bool]:
-    """For each kind of room, whether half of a pool's is in use."""
-    used = Resources()
-    total = Resources()
-    for worker in workers:
-        used = used + worker.used
-        total = total + worker.record.capacity
-    yield used.accelerators * 2 >= total.accelerators
-    yield used.cpu * 2 >= total.cpu
+def _half_used(workers: list[Worker]) -> bool:
+    """Whether half of a pool's accelerators or processors is in use."""
+    accelerators = sum(worker.used.accelerators for worker in workers)
+    if accelerators * 2 >= sum(worker.record.capacity.accelerators for worker in workers):
+        return True
+    cpu = sum(worker.used.cpu for worker in workers)
+    return cpu * 2 >= sum(worker.record.capacity.cpu for worker in workers)
 
 
 def _free_copies(step: StepState) -> Copies:
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -342,6 +342,24 @@
         self.assertEqual(other.take().starts, [])
 
 
+class NewsTest(BoardCase):
+    def test_a_report_that_changes_nothing_is_no_news(self) -> None:
+        """Each report started a round of planning: on a large pool these took most of a core."""
+        self.workers(each=1)
+        job = self.add(step(1, 1))
+        start = self.plan().starts[0]
+        self.plan()
+        self.assertFalse(self.board.has_news)
+        name = str(start.run.task.name)
+        self.board.reported("w11", [RunningTask(name, 1, "", 40, 0)], 1.0)
+        self.assertFalse(self.board.has_news)
+        self.board.reported("w11", [RunningTask("0" * 16 + ".0.0.0", 1, "", 40, 0)], 1.0)
+        self.assertTrue(self.board.has_news)
+        self.plan(1.0)
+        self.end(job, EndKind.DONE)
+        self.assertTrue(self.board.has_news)
+
+
 class RandomEventsTest(unittest.TestCase):
     """After any events: room is never exceeded, no task runs twice, gangs are whole."""
 
@@ -364,6 +382,29 @@
                 self.assertTrue(worker.listed and not worker.record.draining)
             self.check(board)
 
+    @settings(max_examples=60, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_what_a_round_leaves_out_would_have_found_no_room(self, seed: int) -> None:
+        """A round does not try a shape again that found no room; the outcome is the same."""
+        outcomes = []
+        for forgetful in (False, True):
+            rng = random.Random(seed)
+            board = Board()
+            board.configure({"depots": 8}, {"q": SERVICE})
+            if forgetful:
+                board._planner._note_full = lambda shape: None  # type: ignore[method-assign]
+            now = 0.0
+            outcome = []
+            for number in range(60):
+                now += rng.uniform(0.1, 5.0)
+                self.happen(board, rng, number, now, set())
+                board.plan(now, now * 1000)
+                changes = board.take()
+                outcome.append([(str(s.run.task.name), s.run.worker_id) for s in changes.starts])
+                outcome.append([(str(s.task), s.worker_id) for s in changes.stops])
+            outcomes.append(outcome)
+        self.assertEqual(*outcomes)
+
     def happen(
         self, board: Board, rng: random.Random, number: int, now: float, done: set[TaskName]
     ) -> None:
