A worker whose record lapsed and came back gets a session of its own

Cause: the record of an idle worker that lapses, as with the store away, took the worker off the board; when it came back the board had a new object, but its session still looked after the old one. What then ran there was never renewed, and its ends never heard: lost. Ruled out: workers with runs, which stay on the board; the feed, which tells both changes. Change: a session is used only for the object that it looks after; it is closed when its worker leaves the board. Test: fails without the change (24 tasks never done), passes with it.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -199,13 +199,13 @@
         self._workers_changed(items)
         listed = {self._worker_id(item) for item in items}
         for worker_id in [w for w in self.board.workers if w not in listed]:
-            self.board.unlist_worker(worker_id)
+            self._unlist(worker_id)
         self.changed()
 
     def _workers_changed(self, items: tuple[Item, ...]) -> None:
         for item in items:
             if not item.revision:
-                self.board.unlist_worker(self._worker_id(item))
+                self._unlist(self._worker_id(item))
                 continue
             try:
                 record = self._context.documents.worker(item)
@@ -220,6 +220,17 @@
             self._open_sessions()
         self.changed()
 
+    def _unlist(self, worker_id: str) -> None:
+        """A record is gone; should it come back, the worker gets a session of its own."""
+        self.board.unlist_worker(worker_id)
+        if worker_id not in self.board.workers:
+            self._close_session(worker_id)
+
+    def _close_session(self, worker_id: str) -> None:
+        session = self._sessions.pop(worker_id, None)
+        if session is not None:
+            self._tasks.spawn(session.close())
+
     def _worker_id(self, item: Item) -> str:
         return item.key.removeprefix(self._context.documents.places.workers_prefix)
 
@@ -230,11 +241,12 @@
 
     def _session(self, worker_id: str) -> WorkerSession | None:
         session = self._sessions.get(worker_id)
-        if session is not None and not session.over:
-            return session
         worker = self.board.workers.get(worker_id)
+        if session is not None and not session.over and session.worker is worker:
+            return session
         if worker is None or not worker.record.address:
             return None
+        self._close_session(worker_id)
         session = WorkerSession(
             worker,
             self._context.orders(worker.record),
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -179,6 +179,10 @@
         if not recorded:
             self._store.remove(f"servers/{worker.worker_id}")
 
+    def lapse(self, worker: FloorWorker) -> None:
+        """A worker's record lapses, as while the store is away; the worker runs on."""
+        self._store.remove(f"servers/{worker.worker_id}")
+
     def clock_ms(self) -> int:
         """The steady clock of all workers."""
         return CLOCK_START_MS + round(_now() * 1000)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -748,6 +748,31 @@
 
 
 class WorkerTest(PoolTest):
+    def test_workers_whose_records_lapsed_and_came_back_are_as_before(self) -> None:
+        """The users' news: records that lapse with the store are back within two seconds.
+
+        A worker that was idle meanwhile came back as another object than the one that its
+        session looked after: what it ran then was never heard of again.
+        """
+
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(32))
+            await cluster.until_state(A, JobState.COMPLETED)
+            await cluster.submit(B, job(4, work_s=5.0))
+            await asyncio.sleep(0.5)
+            for worker in cluster.floor.workers.values():
+                cluster.floor.lapse(worker)
+            await asyncio.sleep(2.0)
+            for worker in cluster.floor.workers.values():
+                cluster.floor.record(worker)
+            await cluster.submit(C, job(24))
+            await cluster.until_state(C, JobState.COMPLETED)
+            await cluster.until_state(B, JobState.COMPLETED)
+            for job_id, tasks in ((B, 4), (C, 24)):
+                self.assertEqual(cluster.floor.starts_of(job_id), tasks)
+
+        self.play(body)
+
     def test_work_of_a_dark_worker_starts_again_when_its_lease_has_lapsed(self) -> None:
         """Found on a mix: unanswered looks kept the lease from ever counting as lapsed."""
 
