The planner in parts: claims, headroom, reservations, shapes

Lasting work heeded claims, which the users' pages do not allow (found in reading, no run showed it). Ruled out: a change of decisions otherwise; pool and workers that take work are looked up once a round, the headroom and the claims count the whole pool of a service. Lasting work heeds no claims, with a test.

--- a/src/saddlestack/policy/board/placement.py
+++ b/src/saddlestack/policy/board/placement.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
-from saddlestack.policy.board.jobs import StepState, weight
+from saddlestack.policy.board.jobs import StepState
 from saddlestack.policy.board.workers import Worker
 from saddlestack.work import Resources
 
@@ -70,51 +70,6 @@
     return best
 
 
-def claimed(step: StepState, workers: Sequence[Worker]) -> list[Worker]:
-    """Workers that a gang would fit on once all work of lower priority there has ended.
-
-    Empty where the gang would not fit even then. Of the domains, the one with the least such
-    work; of its workers, those with most room for the gang.
-    """
-    best: list[Worker] = []
-    least: tuple[bool, float] | None = None
-    for domain in domains(step, workers):
-        chosen, waits = _soonest(step, domain)
-        if not chosen:
-            continue
-        far = bool(step.step.data_rack) and chosen[0].record.rack != step.step.data_rack
-        if least is None or (far, waits) < least:
-            best, least = chosen, (far, waits)
-    return best
-
-
-def _soonest(step: StepState, domain: Sequence[Worker]) -> tuple[list[Worker], float]:
-    priority = step.occurrence.job.priority
-    able: list[tuple[float, int, Worker]] = []
-    for worker in domain:
-        lower = [
-            run.room
-            for run in worker.runs.values()
-            if run.task.step.occurrence.job.priority > priority
-        ]
-        room = sum(lower, worker.free)
-        copies = worker.copies(step, room)
-        if copies > 0:
-            waits = sum(weight(each) for each in lower) / copies
-            able.append((waits, copies, worker))
-    able.sort(key=lambda each: each[0])
-    chosen: list[Worker] = []
-    missing = step.step.count
-    total = 0.0
-    for waits, copies, worker in able:
-        chosen.append(worker)
-        total += waits * copies
-        missing -= copies
-        if missing <= 0:
-            return chosen, total
-    return [], 0.0
-
-
 def _near_first(step: StepState, workers: Sequence[Worker]) -> list[Worker]:
     near = step.step.data_rack
     if not near:
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -3,66 +3,35 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 
+from saddlestack.policy.board.claims import Claims
+from saddlestack.policy.board.headroom import HEADROOM_PATIENCE_S, half_used, may_open
 from saddlestack.policy.board.jobs import Job, Run, StepState, Task
-from saddlestack.policy.board.placement import Copies, by_rack, claimed, place_gang, place_task
+from saddlestack.policy.board.placement import Copies, place_gang, place_task
 from saddlestack.policy.board.pool import Pool
 from saddlestack.policy.board.preemption import Preemptor
 from saddlestack.policy.board.records import TaskStatus
+from saddlestack.policy.board.reservations import Reservations
+from saddlestack.policy.board.shapes import Misses, Shape
 from saddlestack.policy.board.workers import Worker
-from saddlestack.work import Resources
 
 TOP_PRIORITY = 0
-RESERVATION_S = 2.5
-"""A reservation that could not be used by then is given up and searched anew."""
-HEADROOM = 0.25
-"""Share of a pool's accelerators, on empty workers, that only urgent work may open..."""
-HEADROOM_A_RACK = 32
-"""Accelerators of the headroom, half a rack at most, that are kept in one rack for urgent gangs."""
-HEADROOM_PATIENCE_S = 15.0
-"""...until other work has waited for so long."""
 NEAR_PATIENCE_S = 8.0
 """Work of lower priority waits this long for a place near its data."""
 
 
-@dataclass(frozen=True, slots=True)
-class Shape:
-    """What steps have to share so that where one finds no room, the other finds none.
-
-    :param count: tasks that have to fit at once.
-    :param near: the rack outside of which the step does not go yet; empty for none.
-    """
-
-    service: str
-    room: Resources
-    count: int
-    same_rack: bool
-    label: str
-    near: str
-    per_worker: int
-
-
-@dataclass(slots=True)
-class Reservation:
-    """Room set aside for a step's tasks until the runs that hold it have stopped."""
-
-    places: list[Worker]
-    until_s: float
-
-
 class Planner:
     """Goes through the waiting work of all jobs in order and gives it workers."""
 
     def __init__(self, board: Pool) -> None:
         self._board = board
         self._open: dict[str, Job] = {}
-        self._reservations: dict[int, tuple[StepState, Reservation]] = {}
+        self._reservations = Reservations()
         self._waiting_s: dict[str, float] = {}
-        self._claims: dict[str, int] = {}
+        self._claims = Claims()
+        self._misses = Misses()
+        self._pools: dict[str, list[Worker]] = {}
         self._able: dict[str, list[Worker]] = {}
-        self._full: set[Shape] = set()
-        self._shut: set[Shape] = set()
         self.next_due_ms: int | None = None
 
     def add(self, job: Job) -> None:
@@ -86,10 +55,11 @@
 
     def plan(self, now: float, wall_ms: float) -> None:
         """Decide what starts and what has to give room."""
+        self._pools.clear()
         self._able.clear()
-        self._full.clear()
-        self._shut.clear()
-        self._drop_stale(now)
+        self._claims.clear()
+        self._misses.clear()
+        self._reservations.release_stale(now)
         self.next_due_ms = None
         entitled = self._entitled()
         steps = list(self._ready_steps(wall_ms))
@@ -97,7 +67,6 @@
         for step in steps:
             self._waiting_s.setdefault(step.key, now)
             self._place(step, step.occurrence.job.job_id in entitled, entitled, now)
-        self._claims.clear()
 
     # Order
 
@@ -164,15 +133,15 @@
             return
         top = step.occurrence.job.priority == TOP_PRIORITY
         shape = self._shape(step, now)
-        full = shape in self._full
+        full = shape in self._misses.full
         if not top and (full or self._is_shut(step, shape, now)):
             return
         workers = self._candidates(step, now)
         if not full and self._place_on(step, shape, workers, now):
             return
         if not top and step.step.gang:
-            self._claim(step, workers)
-        elif top and id(step) not in self._reservations:
+            self._claims.claim(step, workers)
+        elif top and self._reservations.of(step) is None:
             self._preempt(step, workers, within, entitled, now)
 
     def _place_on(
@@ -202,21 +171,26 @@
     def _waits_near(self, step: StepState, now: float) -> bool:
         return now - self._waiting_s.get(step.key, now) < NEAR_PATIENCE_S
 
-    def _able_workers(self, service: str, now: float) -> list[Worker]:
-        """The workers of a service that take work, looked up once a round."""
+    def _pool(self, step: StepState) -> list[Worker]:
+        """All workers of a step's service, looked up once a round."""
+        service = self._board.service_of(step.occurrence.job)
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = [w for w in self._board.workers.values() if w.record.service == service]
+            self._pools[service] = pool
+        return pool
+
+    def _able_workers(self, step: StepState, now: float) -> list[Worker]:
+        """Those of them that take work, looked up once a round."""
+        service = self._board.service_of(step.occurrence.job)
         able = self._able.get(service)
         if able is None:
-            able = [
-                worker
-                for worker in self._board.workers.values()
-                if worker.record.service == service and worker.takes_work(now)
-            ]
+            able = [worker for worker in self._pool(step) if worker.takes_work(now)]
             self._able[service] = able
         return able
 
     def _candidates(self, step: StepState, now: float) -> list[Worker]:
-        service = self._board.service_of(step.occurrence.job)
-        able = self._able_workers(service, now)
+        able = self._able_workers(step, now)
         if step.step.label:
             able = [worker for worker in able if worker.matches(step.step)]
         if self._board.is_advised(step.occurrence.job):
@@ -244,10 +218,10 @@
     ) -> bool:
         places = place_gang(step, workers, _free_copies(step))
         if places is None:
-            self._note_full(shape)
+            self._misses.note_full(shape)
             return False
         if not self._may_open(step, places, now):
-            self._note_shut(shape)
+            self._misses.note_shut(shape)
             return False
         self._release(step)
         self._assign_gang(step, places, now)
@@ -258,18 +232,8 @@
         for task, worker in zip(step.tasks, places, strict=True):
             self._board.assign(task, worker, number, now)
 
-    def _note_full(self, shape: Shape | None) -> None:
-        """Nothing of this shape fits any more in this round, since room only shrinks."""
-        if shape is not None:
-            self._full.add(shape)
-
-    def _note_shut(self, shape: Shape | None) -> None:
-        """The headroom is closed to this shape in this round."""
-        if shape is not None:
-            self._shut.add(shape)
-
     def _is_shut(self, step: StepState, shape: Shape | None, now: float) -> bool:
-        return shape in self._shut and not self._is_impatient(step, now)
+        return shape in self._misses.shut and not self._is_impatient(step, now)
 
     def _is_impatient(self, step: StepState, now: float) -> bool:
         """Whether a step has waited so long that the headroom is open to it."""
@@ -283,10 +247,10 @@
                 continue
             worker = self._worker_for(task, workers)
             if worker is None:
-                self._note_full(shape)
+                self._misses.note_full(shape)
                 return False
             if not self._may_open(step, [worker], now):
-                self._note_shut(shape)
+                self._misses.note_shut(shape)
                 return False
             self._board.assign(task, worker, task.record.run + 1, now)
         self._release(step)
@@ -302,41 +266,19 @@
             worker = place_task(task.step, workers, copies)
         return worker
 
-    # Claims
-
-    def _claim(self, step: StepState, workers: list[Worker]) -> None:
-        """Keep work of lower priority off the workers where a waiting gang fits soonest."""
-        priority = step.occurrence.job.priority
-        for worker in claimed(step, workers):
-            held = self._claims.get(worker.worker_id, priority)
-            self._claims[worker.worker_id] = min(held, priority)
+    # What is kept for others
 
     def _unclaimed(self, step: StepState, workers: list[Worker]) -> list[Worker]:
-        """The workers that no gang of higher priority waits for."""
-        priority = step.occurrence.job.priority
-        if not self._claims or not _half_used(workers):
+        """The workers that no gang of higher priority waits for; an idle pool keeps none back."""
+        if not self._claims or step.step.long_running or not half_used(self._pool(step)):
             return workers
-        return [w for w in workers if self._claims.get(w.worker_id, priority) >= priority]
-
-    # Headroom
+        return self._claims.open_to(step, workers)
 
     def _may_open(self, step: StepState, places: list[Worker], now: float) -> bool:
-        """Whether work of lower priority may take these workers, some of them empty."""
+        """Whether a step may take these workers, some of them empty."""
         if step.occurrence.job.priority == TOP_PRIORITY or step.step.long_running:
             return True
-        opened = {worker.worker_id for worker in places if not worker.runs}
-        if not opened or self._is_impatient(step, now):
-            return True
-        service = self._board.service_of(step.occurrence.job)
-        workers = [w for w in self._board.workers.values() if w.record.service == service]
-        total = sum(w.record.capacity.accelerators for w in workers)
-        empty = [w for w in workers if not w.runs and w.takes_work(now)]
-        left = [w for w in empty if w.worker_id not in opened]
-        room = sum(w.record.capacity.accelerators for w in left)
-        in_one = min(HEADROOM_A_RACK, _widest(workers) // 2, _widest(empty))
-        if room >= total * HEADROOM and _widest(left) >= in_one:
-            return True
-        return not _half_used(workers)
+        return self._is_impatient(step, now) or may_open(self._pool(step), places, now)
 
     # Preemption
 
@@ -367,29 +309,18 @@
             return
         for run in found.victims:
             self._board.preempt(run, job)
-        self._reserve(step, found.places, now)
-
-    def _reserve(self, step: StepState, places: list[Worker], now: float) -> None:
-        for worker in places:
-            worker.reserved = worker.reserved + step.step.room
-        self._reservations[id(step)] = (step, Reservation(places, now + RESERVATION_S))
+        self._reservations.reserve(step, found.places, now)
 
     def _release(self, step: StepState) -> None:
-        held = self._reservations.pop(id(step), None)
-        if held is None:
-            return
-        self._full.clear()
-        for worker in held[1].places:
-            worker.reserved = worker.reserved - step.step.room
+        if self._reservations.release(step):
+            self._misses.clear()
 
     def _use_reservation(self, step: StepState, now: float) -> bool:
         """Start what has its room by now; ``True`` where all of it could."""
-        held = self._reservations.get(id(step))
-        if held is None:
-            return False
-        places = held[1].places
-        if not all(_has_room(worker, places.count(worker), step) for worker in set(places)):
+        held = self._reservations.of(step)
+        if held is None or not held.is_free:
             return False
+        places = held.places
         self._release(step)
         if step.step.gang:
             self._assign_gang(step, places, now)
@@ -399,12 +330,6 @@
             self._board.assign(task, worker, task.record.run + 1, now)
         return len(waiting) <= len(places)
 
-    def _drop_stale(self, now: float) -> None:
-        for step, reservation in list(self._reservations.values()):
-            usable = all(worker.takes_work(now) for worker in reservation.places)
-            if not usable or now > reservation.until_s or not step.occurrence.open:
-                self._release(step)
-
 
 def _lost_if_stopped(run: Run) -> bool:
     """Work that may run only once and saves nothing cannot be taken back."""
@@ -416,26 +341,5 @@
     return task.status is TaskStatus.WAITING and task.run is None
 
 
-def _widest(workers: list[Worker]) -> int:
-    """Accelerators of the rack that has most among some workers."""
-    racks = by_rack(workers).values()
-    return max((sum(w.record.capacity.accelerators for w in rack) for rack in racks), default=0)
-
-
-def _half_used(workers: list[Worker]) -> bool:
-    """Whether half of a pool's accelerators or processors is in use."""
-    accelerators = sum(worker.used.accelerators for worker in workers)
-    if accelerators * 2 >= sum(worker.record.capacity.accelerators for worker in workers):
-        return True
-    cpu = sum(worker.used.cpu for worker in workers)
-    return cpu * 2 >= sum(worker.record.capacity.cpu for worker in workers)
-
-
 def _free_copies(step: StepState) -> Copies:
     return lambda worker: worker.copies(step, worker.free)
-
-
-def _has_room(worker: Worker, count: int, step: StepState) -> bool:
-    room = step.step.room
-    free = worker.record.capacity - worker.used
-    return room.copies_in(free) >= count
--- /dev/null
+++ b/src/saddlestack/policy/board/reservations.py
@@ -0,0 +1,62 @@
+"""Reservations: room kept for work until the runs that hold it have stopped."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from saddlestack.policy.board.jobs import StepState
+from saddlestack.policy.board.workers import Worker
+
+RESERVATION_S = 2.5
+"""A reservation that could not be used by then is given up and searched anew."""
+
+
+@dataclass(slots=True)
+class Reservation:
+    """Room on some workers, a task's worth for each time that a worker is named."""
+
+    step: StepState
+    places: list[Worker]
+    until_s: float
+
+    @property
+    def is_free(self) -> bool:
+        """Whether all that held the room has stopped."""
+        return all(self._has_room(worker) for worker in set(self.places))
+
+    def _has_room(self, worker: Worker) -> bool:
+        free = worker.record.capacity - worker.used
+        return self.step.step.room.copies_in(free) >= self.places.count(worker)
+
+
+class Reservations:
+    """All reservations of a pool, one a step."""
+
+    def __init__(self) -> None:
+        self._held: dict[int, Reservation] = {}
+
+    def of(self, step: StepState) -> Reservation | None:
+        """A step's reservation, if it has one."""
+        return self._held.get(id(step))
+
+    def reserve(self, step: StepState, places: list[Worker], now: float) -> None:
+        """Keep room on some workers from anything else."""
+        for worker in places:
+            worker.reserved = worker.reserved + step.step.room
+        self._held[id(step)] = Reservation(step, places, now + RESERVATION_S)
+
+    def release(self, step: StepState) -> bool:
+        """Give a step's reservation up; whether there was one."""
+        held = self._held.pop(id(step), None)
+        if held is None:
+            return False
+        for worker in held.places:
+            worker.reserved = worker.reserved - step.step.room
+        return True
+
+    def release_stale(self, now: float) -> None:
+        """Give up what cannot be used, or has not been for too long."""
+        for held in list(self._held.values()):
+            usable = all(worker.takes_work(now) for worker in held.places)
+            if not usable or now > held.until_s or not held.step.occurrence.open:
+                self.release(held.step)
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -16,6 +16,7 @@
 from saddlestack.policy.board.changes import Changes, StopReason
 from saddlestack.policy.board.pacing import paces
 from saddlestack.policy.board.records import OccurrenceRecord, TaskStatus
+from saddlestack.policy.board.shapes import Misses, Shape
 from saddlestack.policy.retry import pause
 from saddlestack.policy.upkeep import MachineStatus, WaveState
 from saddlestack.work import AcceptedJob, JobRequest, JobState, Resources, Step, TaskName
@@ -200,6 +201,16 @@
         starts = self.plan(PATIENT).starts
         self.assertEqual({start.run.task.name.job_id for start in starts}, {bulk})
 
+    def test_lasting_work_heeds_no_claims(self) -> None:
+        """The users' pages: a task that lasts starts again however full the service is."""
+        self.workers(racks=1, each=2)
+        self.add(step(8, 1), priority=BULK)
+        self.plan()
+        self.add(step(2, 8, gang=True, same_rack=True), priority=NORMAL)
+        lasting = self.add(step(2, 1, long_running=True), priority=BULK)
+        starts = self.plan().starts
+        self.assertEqual({start.run.task.name.job_id for start in starts}, {lasting})
+
     def test_an_idle_pool_keeps_no_claims(self) -> None:
         """Under half use nothing waits for a gang: the users' pages call that lost work."""
         self.workers(racks=1, each=4)
@@ -392,6 +403,13 @@
         self.assertTrue(self.board.has_news)
 
 
+class Forgetful(Misses):
+    """Tries each shape again."""
+
+    def note_full(self, shape: Shape | None) -> None:
+        pass
+
+
 class RandomEventsTest(unittest.TestCase):
     """After any events: room is never exceeded, no task runs twice, gangs are whole."""
 
@@ -424,7 +442,7 @@
             board = Board()
             board.configure({"depots": 8}, {"q": SERVICE})
             if forgetful:
-                board._planner._note_full = lambda shape: None  # type: ignore[method-assign]
+                board._planner._misses = Forgetful()
             now = 0.0
             outcome = []
             for number in range(60):
