The planner finds cells for guarantees that fit only apart from each other

Cause: shapes were dealt to cells once, the narrow ones first and to the emptiest cell, so 4 x 8@worker left no rack whole for 64@rack, and a plan that fits was refused with a wrong hint (three halls of one rack of 64: 1 x 64@rack, 2 x 16@rack, 4 x 8@worker). Ruled out: the packing of one cell, which is exact there. Tests: that plan; 150 random small plans against every way of dealing; both fail before.

--- a/src/saddlestack/policy/planner.py
+++ b/src/saddlestack/policy/planner.py
@@ -17,6 +17,7 @@
     Guarantee,
     Shape,
 )
+from saddlestack.policy.assigning import CellKind, CellSearch
 from saddlestack.policy.packing import PLANNER_BUDGET, Space, Want, pack
 from saddlestack.policy.room import Room, WorkerInfo, workers_of
 
@@ -115,6 +116,9 @@
         refused = self._extend(cells, wanted)
         if refused is None:
             return self._flat(cells)
+        found = self._search(wanted)
+        if found is not None:
+            return found
         account, shape = refused
         nearest = self._nearest(cells, account, shape)
         hint = f"; the nearest that would fit is {nearest}" if nearest else ""
@@ -125,6 +129,19 @@
             where=f"accounts.{account}",
         )
 
+    def _search(self, wanted: Sequence[tuple[str, Shape]]) -> tuple[Assignment, ...] | None:
+        """Assign the shapes where going through them once has not succeeded."""
+        kinds = [_kind_of(site) for site in self._sites]
+        search = CellSearch(kinds, lambda cell, shapes: self._holds(self._sites[cell], shapes))
+        chosen = search.cells([shape for _, shape in wanted])
+        if chosen is None:
+            return None
+        cells: dict[str, list[Assignment]] = {site.plan.name: [] for site in self._sites}
+        for (account, shape), cell in zip(wanted, chosen, strict=True):
+            name = self._sites[cell].plan.name
+            cells[name].append(_assignment(account, name, shape))
+        return self._flat(cells)
+
     def _wanted(self, accounts: Iterable[Account]) -> list[tuple[str, Shape]]:
         wanted = [
             (account.name, self.shape_of(guarantee))
@@ -150,14 +167,7 @@
     def _place(self, cells: dict[str, list[Assignment]], account: str, shape: Shape) -> bool:
         for site in sorted(self._sites, key=lambda site: self._fullness(site, cells)):
             assignments = cells[site.plan.name]
-            assignments.append(
-                Assignment(
-                    account=account,
-                    cell=site.plan.name,
-                    accelerators=shape.accelerators,
-                    adjacent=shape.adjacent,
-                )
-            )
+            assignments.append(_assignment(account, site.plan.name, shape))
             if self._site_packs(site, assignments):
                 return True
             assignments.pop()
@@ -171,8 +181,12 @@
         return all(self._site_packs(site, cells[site.plan.name]) for site in self._sites)
 
     def _site_packs(self, site: CellSite, assignments: Sequence[Assignment]) -> bool:
+        return self._holds(site, [assignment.shape for assignment in assignments])
+
+    def _holds(self, site: CellSite, shapes: Sequence[Shape]) -> bool:
+        """Whether a cell can form all shapes at once, also after the loss of its spare workers."""
         room = Room(site.workers)
-        wants = [Want(assignment.shape) for assignment in assignments]
+        wants = [Want(shape) for shape in shapes]
         if pack(Space(room.total, room.slots, room.racks), wants, PLANNER_BUDGET) is None:
             return False
         return all(self._packs_without(room, wants, lost) for lost in self._worst_losses(room))
@@ -203,5 +217,19 @@
         return tuple(a for site in self._sites for a in cells[site.plan.name])
 
 
+def _assignment(account: str, cell: str, shape: Shape) -> Assignment:
+    return Assignment(
+        account=account, cell=cell, accelerators=shape.accelerators, adjacent=shape.adjacent
+    )
+
+
+def _kind_of(site: CellSite) -> CellKind:
+    room = Room(site.workers)
+    layout = tuple(
+        tuple((room.total[worker], room.slots[worker]) for worker in rack) for rack in room.racks
+    )
+    return CellKind(sum(room.total), layout)
+
+
 def _hardest_first(shape: Shape) -> tuple[int, int]:
     return ADJACENCY_ORDER[shape.adjacent], -shape.accelerators
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,3 +1,4 @@
+import itertools
 import random
 import unittest
 
@@ -31,6 +32,11 @@
 HALL = DataHall(name="hall", racks=RACKS)
 
 
+def one_rack_hall(name: str, workers: int, accelerators: int) -> DataHall:
+    rack = Rack(name=f"{name}-rack", workers=workers, accelerators=accelerators)
+    return DataHall(name=name, racks=(rack,))
+
+
 def job(request: str, size: int = 1, **fields: object) -> JobSpec:
     base: dict[str, object] = {
         "account": "acct",
@@ -169,6 +175,63 @@
             )
         self.assertIn("nearest that would fit is 16@hall", str(caught.exception))
 
+    def test_shapes_that_fit_only_apart_from_each_other_are_assigned(self) -> None:
+        """Found by hand: the narrow shapes were spread first, and no rack was left whole."""
+        halls = [one_rack_hall(f"hall-{number}", workers=8, accelerators=8) for number in range(3)]
+        assigned = Planner(cells_of(halls)).assign(
+            [
+                self.account("wide", Guarantee(accelerators=64, adjacent=Adjacency.RACK)),
+                self.account("some", Guarantee(accelerators=16, adjacent=Adjacency.RACK, count=2)),
+                self.account("few", Guarantee(accelerators=8, adjacent=Adjacency.WORKER, count=4)),
+            ]
+        )
+        self.assertEqual(len(assigned), 7)
+        wide = next(each.cell for each in assigned if each.account == "wide")
+        self.assertEqual([each.account for each in assigned if each.cell == wide], ["wide"])
+
+    @settings(max_examples=150, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_small_plans_are_exact(self, seed: int) -> None:
+        """What some way of dealing the shapes to cells can hold is never refused."""
+        rng = random.Random(seed)
+        halls = [
+            one_rack_hall(f"hall-{number}", workers=rng.randint(1, 2), accelerators=4)
+            for number in range(rng.randint(2, 3))
+        ]
+        spare = rng.choice((0, 0, 1))
+        guarantees = [
+            Guarantee(
+                accelerators=rng.choice((2, 3, 4, 4, 8, 8)),
+                adjacent=rng.choice((Adjacency.WORKER, Adjacency.RACK)),
+            )
+            for _ in range(rng.randint(1, 5))
+        ]
+        accounts = [self.account(f"a{i}", guarantee) for i, guarantee in enumerate(guarantees)]
+        try:
+            fits = len(Planner(cells_of(halls), spare).assign(accounts)) == len(guarantees)
+        except SaddlestackError:
+            fits = False
+        self.assertEqual(fits, self.fits_some_way(halls, spare, guarantees))
+
+    def fits_some_way(self, halls: list[DataHall], spare: int, guarantees: list[Guarantee]) -> bool:
+        """Try every way to deal guarantees to halls; each hall is judged alone."""
+
+        def holds(hall: DataHall, dealt: list[Guarantee]) -> bool:
+            accounts = [self.account(f"a{i}", each) for i, each in enumerate(dealt)]
+            try:
+                Planner(cells_of([hall]), spare).assign(accounts)
+            except SaddlestackError:
+                return False
+            return True
+
+        for ways in itertools.product(range(len(halls)), repeat=len(guarantees)):
+            dealt: list[list[Guarantee]] = [[] for _ in halls]
+            for way, guarantee in zip(ways, guarantees, strict=True):
+                dealt[way].append(guarantee)
+            if all(holds(hall, each) for hall, each in zip(halls, dealt, strict=True)):
+                return True
+        return False
+
     def test_spare_workers_are_kept(self) -> None:
         full = Guarantee(accelerators=8, adjacent=Adjacency.WORKER, count=8)
         self.assertEqual(len(Planner(cells_of([HALL])).assign([self.account("a", full)])), 8)
