A round of decisions knows its cell by what it needs of it; no circle in policy/

Cause: policy/cell and policy/round imported each other. Change: CellView, a protocol, stands between, as Pool does for the board. No decision changes; the tests of policy and guarantees pass.

--- a/src/saddlestack/policy/round.py
+++ b/src/saddlestack/policy/round.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
-from typing import TYPE_CHECKING
 
 from saddlestack.models import (
     Shape,
 )
+from saddlestack.policy.cellview import CellView
 from saddlestack.policy.gang import (
     Decision,
     Expire,
@@ -20,9 +20,6 @@
 from saddlestack.policy.queue import Order, Reservation, reserve
 from saddlestack.policy.reclaim import Reclaimer, Takeover
 
-if TYPE_CHECKING:
-    from saddlestack.policy.cell import Cell
-
 RESERVATIONS = 2
 MOVE_INTERVAL_S = 120.0
 TRY_MOVING_S = 10.0
@@ -33,7 +30,7 @@
 class Round:
     """One round of decisions over the queue of a cell."""
 
-    def __init__(self, cell: Cell, now: float, held: list[tuple[Reservation, int]]) -> None:
+    def __init__(self, cell: CellView, now: float, held: list[tuple[Reservation, int]]) -> None:
         self._cell = cell
         self._held = held
         self._room = cell.room
