Replay sums its cells up once a round of moves, not once a waiting job

Cause: moving waiting jobs between cells summed up every cell anew for each waiting job: half of a long replay. Ruled out: the queue's order and the reservations (each under a fifth). Change: the sums are made anew only where a job has moved; the decisions are the same.

--- a/src/saddlestack/policy/fleet.py
+++ b/src/saddlestack/policy/fleet.py
@@ -60,12 +60,12 @@
 
     def _rebalance(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
+        summaries = self.summaries()
         for name, cell in self.cells.items():
             if not cell.waiting:
                 continue
             for gang in cell.movable():
-                summaries = {s.cell: s for s in self.summaries()}
-                there = better(gang.spec, name, summaries.values())
+                there = better(gang.spec, name, summaries)
                 if there is None:
                     continue
                 cell.cancel(gang.job_id)
@@ -79,6 +79,7 @@
                 )
                 self._cell_of[gang.job_id] = there
                 decisions += self.cells[there].decide(now)
+                summaries = self.summaries()
         return decisions
 
     def summaries(self) -> list[CellSummary]:
