Backfill in place of claims: the name was taken

Cause: claims are already the store's records of request ids; two meanings of one word. Change: module and class are called by the standard term. No decision changes.

--- a/src/saddlestack/policy/board/claims.py
+++ b/src/saddlestack/policy/board/backfill.py
@@ -1,4 +1,4 @@
-"""Claims: workers that work of lower priority leaves to a gang that waits for them."""
+"""Backfill: which workers work of lower priority may fill while gangs wait for room."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 from saddlestack.work import Resources
 
 
-class Claims:
-    """The claims of one round of planning, by worker."""
+class Backfill:
+    """Workers that are kept for waiting gangs, in one round of planning."""
 
     def __init__(self) -> None:
         self._priorities: dict[str, int] = {}
@@ -20,18 +20,18 @@
         return bool(self._priorities)
 
     def clear(self) -> None:
-        """Begin a round: nothing is claimed."""
+        """Begin a round: nothing is kept."""
         self._priorities.clear()
 
-    def claim(self, step: StepState, workers: Sequence[Worker]) -> None:
-        """Keep work of lower priority off the workers where a waiting gang fits soonest."""
+    def keep_for(self, step: StepState, workers: Sequence[Worker]) -> None:
+        """Keep the workers where a waiting gang fits soonest."""
         priority = step.occurrence.job.priority
         for worker in _soonest(step, workers):
             held = self._priorities.get(worker.worker_id, priority)
             self._priorities[worker.worker_id] = min(held, priority)
 
     def open_to(self, step: StepState, workers: Sequence[Worker]) -> list[Worker]:
-        """The workers that no gang of higher priority has claimed."""
+        """The workers that are not kept for a gang of higher priority."""
         priority = step.occurrence.job.priority
         return [w for w in workers if self._priorities.get(w.worker_id, priority) >= priority]
 
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from saddlestack.policy.board.claims import Claims
+from saddlestack.policy.board.backfill import Backfill
 from saddlestack.policy.board.headroom import HEADROOM_PATIENCE_S, half_used, may_open
 from saddlestack.policy.board.jobs import Job, Run, StepState, Task
 from saddlestack.policy.board.placement import Copies, place_gang, place_task
@@ -28,7 +28,7 @@
         self._open: dict[str, Job] = {}
         self._reservations = Reservations()
         self._waiting_s: dict[str, float] = {}
-        self._claims = Claims()
+        self._backfill = Backfill()
         self._misses = Misses()
         self._pools: dict[str, list[Worker]] = {}
         self._able: dict[str, list[Worker]] = {}
@@ -57,7 +57,7 @@
         """Decide what starts and what has to give room."""
         self._pools.clear()
         self._able.clear()
-        self._claims.clear()
+        self._backfill.clear()
         self._misses.clear()
         self._reservations.release_stale(now)
         self.next_due_ms = None
@@ -140,7 +140,7 @@
         if not full and self._place_on(step, shape, workers, now):
             return
         if not top and step.step.gang:
-            self._claims.claim(step, workers)
+            self._backfill.keep_for(step, workers)
         elif top and self._reservations.of(step) is None:
             self._preempt(step, workers, within, entitled, now)
 
@@ -195,7 +195,7 @@
             able = [worker for worker in able if worker.matches(step.step)]
         if self._board.is_advised(step.occurrence.job):
             able = self._with_leave(step, able, now)
-        able = self._unclaimed(step, able)
+        able = self._open_for_backfill(step, able)
         if step.step.data_rack and self._waits_near(step, now):
             near = [worker for worker in able if worker.record.rack == step.step.data_rack]
             return near or able
@@ -268,11 +268,11 @@
 
     # What is kept for others
 
-    def _unclaimed(self, step: StepState, workers: list[Worker]) -> list[Worker]:
-        """The workers that no gang of higher priority waits for; an idle pool keeps none back."""
-        if not self._claims or step.step.long_running or not half_used(self._pool(step)):
+    def _open_for_backfill(self, step: StepState, workers: list[Worker]) -> list[Worker]:
+        """The workers that no gang of higher priority waits for; an idle pool keeps none."""
+        if not self._backfill or step.step.long_running or not half_used(self._pool(step)):
             return workers
-        return self._claims.open_to(step, workers)
+        return self._backfill.open_to(step, workers)
 
     def _may_open(self, step: StepState, places: list[Worker], now: float) -> bool:
         """Whether a step may take these workers, some of them empty."""
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -189,7 +189,7 @@
         starts = self.plan(PATIENT).starts
         self.assertEqual({start.run.task.name.job_id for start in starts[:2]}, {gang})
 
-    def test_a_claim_ends_with_its_gang(self) -> None:
+    def test_workers_are_kept_no_longer_than_their_gang_waits(self) -> None:
         self.workers(racks=1, each=2)
         self.add(step(8, 1), priority=BULK)
         self.plan()
@@ -201,7 +201,7 @@
         starts = self.plan(PATIENT).starts
         self.assertEqual({start.run.task.name.job_id for start in starts}, {bulk})
 
-    def test_lasting_work_heeds_no_claims(self) -> None:
+    def test_lasting_work_waits_for_no_gang(self) -> None:
         """The users' pages: a task that lasts starts again however full the service is."""
         self.workers(racks=1, each=2)
         self.add(step(8, 1), priority=BULK)
@@ -211,7 +211,7 @@
         starts = self.plan().starts
         self.assertEqual({start.run.task.name.job_id for start in starts}, {lasting})
 
-    def test_an_idle_pool_keeps_no_claims(self) -> None:
+    def test_an_idle_pool_keeps_no_workers_for_gangs(self) -> None:
         """Under half use nothing waits for a gang: the users' pages call that lost work."""
         self.workers(racks=1, each=4)
         self.add(step(1, 8), priority=NORMAL)
