--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import random
-import re
 import resource
 import sys
 import time
 from dataclasses import dataclass
-from pathlib import Path
 
+from benchmarks.pages import MEASURES, replace_table
 from saddlestack.models import Adjacency, Assignment, JobClass, JobSpec, Rack
 from saddlestack.policy.cell import Cell
 from saddlestack.policy.room import workers_of
@@ -17,7 +16,6 @@
 from saddlestack.replay.runner import Replay
 from saddlestack.replay.trace import Trace
 
-PAGE = Path(__file__).parent.parent / "docs" / "MEASURES.md"
 SIZES = (24, 64, 256)
 ROUNDS = 400
 RUNNING_PER_WORKER = 500 / 256
@@ -134,9 +132,7 @@
         jobs, took, memory = time_replay()
         lines.append(f"Replay of {jobs} jobs on 24 workers: {took:.1f} s, {memory:.0f} MB.")
     table = "\n".join(lines) + "\n"
-    text = PAGE.read_text()
-    mark = re.compile(r"(<!-- decisions -->\n).*?(<!-- end -->)", re.DOTALL)
-    PAGE.write_text(mark.sub(lambda m: m.group(1) + table + m.group(2), text))
+    replace_table(MEASURES, "decisions", table)
     print(table)
 
 
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import json
-import re
 import statistics
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
+from benchmarks.pages import MEASURES, replace_table
 from saddlestack.replay.maker import RECIPES, config_of, make
 from saddlestack.replay.runner import POLICIES, Replay
 from saddlestack.replay.trace import Trace
 
 ROOT = Path(__file__).parent.parent
-PAGE = ROOT / "docs" / "MEASURES.md"
 RAW = ROOT / "benchmarks" / "policy.json"
 SEEDS = range(1, 11)
 LARGE = 16
@@ -77,9 +76,7 @@
         found = list(pool.map(_one, jobs))
     RAW.write_text(json.dumps([asdict(figures) for figures in found], indent=0) + "\n")
     table = _table(found)
-    text = PAGE.read_text()
-    mark = re.compile(r"(<!-- policy -->\n).*?(<!-- end -->)", re.DOTALL)
-    PAGE.write_text(mark.sub(lambda m: m.group(1) + table + m.group(2), text))
+    replace_table(MEASURES, "policy", table)
     print(table)
 
 
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -7,16 +7,14 @@
 
 import asyncio
 import logging
-import re
 import sys
-from pathlib import Path
 
+from benchmarks.pages import MEASURES, replace_table
 from saddlestack.models import DataHall, Intent
 from saddlestack.services.configuration import Configuration
 from saddlestack.standins.cluster import Cluster, account, racks
 from saddlestack.standins.loop import run
 
-PAGE = Path(__file__).parent.parent / "docs" / "MEASURES.md"
 QUIET_S = 120.0
 CHANGES = 10
 RELAYED = Configuration.watching
@@ -63,9 +61,7 @@
             lines.append(f"| {vms} | {name} | {quiet:.2f} | {change:.1f} |")
             print(lines[-1], flush=True)
     table = "\n".join(lines) + "\n"
-    text = PAGE.read_text()
-    mark = re.compile(r"(<!-- relay -->\n).*?(<!-- end -->)", re.DOTALL)
-    PAGE.write_text(mark.sub(lambda m: m.group(1) + table + m.group(2), text))
+    replace_table(MEASURES, "relay", table)
 
 
 if __name__ == "__main__":
--- a/benchmarks/tables.py
+++ b/benchmarks/tables.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import json
-import re
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from benchmarks.pages import replace_table
+
 WORKERS = 10_000
 CELL_ENDPOINTS = 256
 CELLS = 40
@@ -63,13 +64,8 @@
 def write_tables(raw_path: Path, page: Path) -> None:
     """Replace what stands between the page's marks."""
     raw: dict[str, Any] = json.loads(raw_path.read_text())
-    text = page.read_text()
     for name, table in _tables(raw).items():
-        mark = re.compile(rf"(<!-- {name} -->\n).*?(<!-- end -->)", re.DOTALL)
-        if not mark.search(text):
-            raise ValueError(f"{page} has no mark for {name}")
-        text = mark.sub(lambda found, table=table: found.group(1) + table + found.group(2), text)  # type: ignore[misc]
-    page.write_text(text)
+        replace_table(page, name, table)
 
 
 def _tables(raw: dict[str, Any]) -> dict[str, str]:
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -8,15 +8,13 @@
 
 import asyncio
 import logging
-import re
 import statistics
 from collections.abc import Awaitable, Callable
-from pathlib import Path
 
+from benchmarks.pages import MEASURES, replace_table
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import PoolCluster, job
 
-PAGE = Path(__file__).parent.parent / "docs" / "MEASURES.md"
 SEEDS = range(1, 31)
 ENTRIES = 6
 POLL_S = 0.01
@@ -115,9 +113,7 @@
         times = [time_without_leader(loss, seed) for seed in SEEDS]
         lines.append(f"| {name} | {statistics.median(times):.2f} | {max(times):.2f} |")
     table = "\n".join(lines) + "\n"
-    text = PAGE.read_text()
-    mark = re.compile(r"(<!-- takeover -->\n).*?(<!-- end -->)", re.DOTALL)
-    PAGE.write_text(mark.sub(lambda found: found.group(1) + table + found.group(2), text))
+    replace_table(MEASURES, "takeover", table)
     print(table)
 
 
