A test that could not fail: an idle pool and the workers that gangs wait for

Cause: the gang of that test waited for work of its own priority, for which no workers are kept at all, so it passed whether or not an idle pool was excepted. Change: bulk work in its place; with the exception taken out the test fails now. Random events place data on racks too.

--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -214,10 +214,9 @@
     def test_an_idle_pool_keeps_no_workers_for_gangs(self) -> None:
         """Under half use nothing waits for a gang: the users' pages call that lost work."""
         self.workers(racks=1, each=4)
-        self.add(step(1, 8), priority=NORMAL)
+        self.add(step(1, 8), priority=BULK)
         self.plan(PATIENT)
         self.add(step(4, 8, gang=True, same_rack=True), priority=NORMAL)
-        self.plan(PATIENT)
         bulk = self.add(step(2, 1), priority=BULK)
         starts = self.plan(PATIENT).starts
         self.assertEqual({start.run.task.name.job_id for start in starts}, {bulk})
@@ -471,6 +470,7 @@
                 gang=count > 1 and rng.random() < 0.5,
                 same_rack=rng.random() < 0.3,
                 checkpoint=rng.random() < 0.3,
+                data_rack=rng.choice(("", "", "r1", "r2")),
                 per_worker=rng.choice((0, 0, 1)),
             )
             steps = (made, step(1, after=(0,))) if rng.random() < 0.3 else (made,)
