--- /dev/null
+++ b/tests/test_planning.py
@@ -0,0 +1,214 @@
+"""The parts of a round of planning, each alone: headroom, backfill, reservations, cell search."""
+
+from __future__ import annotations
+
+import unittest
+
+from saddlestack.models import Adjacency, Shape
+from saddlestack.policy.assigning import CellKind, CellSearch
+from saddlestack.policy.board.backfill import Backfill
+from saddlestack.policy.board.board import Board
+from saddlestack.policy.board.headroom import half_used, may_open
+from saddlestack.policy.board.jobs import StepState
+from saddlestack.policy.board.reservations import RESERVATION_S, Reservations
+from saddlestack.policy.board.workers import Worker
+from saddlestack.work import Resources
+from tests.test_board import BULK, NORMAL, BoardCase, record, step
+
+
+class HeadroomTest(unittest.TestCase):
+    def pool(self, racks: int, each: int) -> list[Worker]:
+        return [
+            Worker(record(f"w{rack}{number}", rack=f"r{rack}"))
+            for rack in range(racks)
+            for number in range(each)
+        ]
+
+    def use(self, *workers: Worker) -> None:
+        """Fill workers whole, with something that counts as running there."""
+        board = Board()
+        for worker in workers:
+            board.workers[worker.worker_id] = worker
+        case = BoardCase()
+        case.board, case.jobs = board, 0
+        case.add(step(len(workers), 8))
+        case.plan()
+
+    def test_an_idle_pool_may_be_opened(self) -> None:
+        pool = self.pool(racks=1, each=4)
+        self.assertTrue(may_open(pool, pool[:1], 0.0))
+
+    def test_half_of_accelerators_or_of_processors_is_half_used(self) -> None:
+        pool = self.pool(racks=1, each=2)
+        self.assertFalse(half_used(pool))
+        pool[0].used = Resources(0, 0, 8)
+        self.assertTrue(half_used(pool))
+        pool[0].used = Resources(32_000, 0, 0)
+        self.assertTrue(half_used(pool))
+        pool[0].used = Resources(31_000, 0, 7)
+        self.assertFalse(half_used(pool))
+
+    def test_a_quarter_stays_shut_once_half_is_used(self) -> None:
+        pool = self.pool(racks=4, each=2)
+        self.use(*pool[0::2], pool[1])
+        self.assertTrue(may_open(pool, [pool[3]], 0.0))
+        self.use(pool[3])
+        self.assertFalse(may_open(pool, [pool[5]], 0.0))
+
+    def test_half_a_rack_stays_shut_where_one_is_free(self) -> None:
+        pool = self.pool(racks=2, each=8)
+        self.use(*pool[:8])
+        self.use(*pool[8:12])
+        self.assertFalse(may_open(pool, [pool[12]], 0.0))
+
+    def test_a_worker_in_use_is_no_headroom(self) -> None:
+        pool = self.pool(racks=1, each=2)
+        self.use(pool[0])
+        self.assertTrue(may_open(pool, [pool[0]], 0.0))
+
+    def test_a_worker_that_takes_no_work_is_none_either(self) -> None:
+        pool = self.pool(racks=2, each=8)
+        self.use(*pool[:8])
+        self.assertTrue(may_open(pool, [pool[8]], 0.0))
+        for worker in pool[9:14]:
+            worker.listed = False
+        self.assertFalse(may_open(pool, [pool[8]], 0.0))
+
+
+class BackfillTest(BoardCase):
+    def waiting(self, job_id: str) -> StepState:
+        return self.board.jobs[job_id].occurrences[0].steps[0]
+
+    def kept(self, gang: StepState, asking: StepState) -> set[str]:
+        """Workers that one step leaves to another."""
+        backfill = Backfill()
+        workers = list(self.board.workers.values())
+        backfill.keep_for(gang, workers)
+        return {w.worker_id for w in workers} - {
+            w.worker_id for w in backfill.open_to(asking, workers)
+        }
+
+    def test_the_rack_with_least_in_the_way_is_kept(self) -> None:
+        self.workers(racks=2, each=2)
+        self.add(step(6, 1, label="r1"), priority=BULK)
+        self.add(step(2, 1, label="r2"), priority=BULK)
+        self.plan()
+        gang = self.waiting(
+            self.add(step(2, 8, gang=True, same_rack=True, label=""), priority=NORMAL)
+        )
+        bulk = self.waiting(self.add(step(1, 1), priority=BULK))
+        self.assertEqual(self.kept(gang, bulk), {"w21", "w22"})
+
+    def test_no_more_workers_than_the_gang_needs_are_kept(self) -> None:
+        self.workers(racks=1, each=4)
+        self.add(step(8, 1), priority=BULK)
+        self.plan()
+        gang = self.waiting(self.add(step(2, 8, gang=True), priority=NORMAL))
+        bulk = self.waiting(self.add(step(1, 1), priority=BULK))
+        self.assertEqual(len(self.kept(gang, bulk)), 2)
+
+    def test_equals_and_betters_are_not_kept_off(self) -> None:
+        self.workers(racks=1, each=2)
+        gang = self.waiting(self.add(step(2, 8, gang=True), priority=NORMAL))
+        equal = self.waiting(self.add(step(1, 1), priority=NORMAL))
+        better = self.waiting(self.add(step(1, 1)))
+        self.assertEqual(self.kept(gang, equal), set())
+        self.assertEqual(self.kept(gang, better), set())
+
+    def test_nothing_is_kept_where_equals_are_in_the_way(self) -> None:
+        """Bulk work would wait for nothing: the gang fits no sooner."""
+        self.workers(racks=1, each=2)
+        self.add(step(1, 8), priority=NORMAL)
+        self.plan()
+        gang = self.waiting(self.add(step(2, 8, gang=True), priority=NORMAL))
+        bulk = self.waiting(self.add(step(1, 1), priority=BULK))
+        self.assertEqual(self.kept(gang, bulk), set())
+
+
+class ReservationsTest(BoardCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.workers(each=1)
+        self.worker = self.board.workers["w11"]
+        job = self.board.jobs[self.add(step(2, 4))]
+        self.step = job.occurrences[0].steps[0]
+        self.reservations = Reservations()
+
+    def test_reserved_room_is_not_free_until_it_is_released(self) -> None:
+        self.reservations.reserve(self.step, [self.worker, self.worker], 0.0)
+        self.assertEqual(self.worker.free.accelerators, 0)
+        self.assertTrue(self.reservations.release(self.step))
+        self.assertEqual(self.worker.free.accelerators, 8)
+        self.assertFalse(self.reservations.release(self.step))
+
+    def test_room_that_something_still_holds_is_not_free(self) -> None:
+        self.reservations.reserve(self.step, [self.worker, self.worker], 0.0)
+        held = self.reservations.of(self.step)
+        assert held is not None
+        self.worker.used = Resources(0, 0, 1)
+        self.assertFalse(held.is_free)
+        self.worker.used = Resources()
+        self.assertTrue(held.is_free)
+
+    def test_it_is_kept_for_a_while_and_no_longer(self) -> None:
+        self.reservations.reserve(self.step, [self.worker], 0.0)
+        self.reservations.release_stale(RESERVATION_S)
+        self.assertIsNotNone(self.reservations.of(self.step))
+        self.reservations.release_stale(RESERVATION_S + 0.1)
+        self.assert_given_up()
+
+    def test_it_is_given_up_with_its_worker(self) -> None:
+        self.reservations.reserve(self.step, [self.worker], 0.0)
+        self.worker.listed = False
+        self.reservations.release_stale(0.0)
+        self.assert_given_up()
+
+    def test_it_is_given_up_with_its_job(self) -> None:
+        self.reservations.reserve(self.step, [self.worker], 0.0)
+        self.step.occurrence.job.cancelled = True
+        self.reservations.release_stale(0.0)
+        self.assert_given_up()
+
+    def assert_given_up(self) -> None:
+        self.assertIsNone(self.reservations.of(self.step))
+        self.assertEqual(self.worker.reserved, Resources())
+
+
+class CellSearchTest(unittest.TestCase):
+    KIND = CellKind(8, (((4, 4), (4, 4)),))
+
+    def search(self, cells: int, shapes: list[Shape], steps: int = 100) -> list[int] | None:
+        """Cells of eight accelerators that hold what adds up to no more."""
+
+        def packs(cell: int, held: object) -> bool:
+            self.asked += 1
+            return sum(shape.accelerators for shape in held) <= 8  # type: ignore[attr-defined]
+
+        self.asked = 0
+        return CellSearch([self.KIND] * cells, packs, steps=steps).cells(shapes)
+
+    def shapes(self, *sizes: int) -> list[Shape]:
+        return [Shape(size, Adjacency.RACK) for size in sizes]
+
+    def test_answers_come_in_the_order_of_the_shapes(self) -> None:
+        chosen = self.search(2, self.shapes(2, 8, 6))
+        assert chosen is not None
+        self.assertEqual(chosen[0], chosen[2])
+        self.assertNotEqual(chosen[0], chosen[1])
+
+    def test_what_is_too_much_in_all_is_refused_unasked(self) -> None:
+        self.assertIsNone(self.search(2, self.shapes(8, 8, 1)))
+        self.assertEqual(self.asked, 0)
+
+    def test_cells_that_do_not_differ_are_asked_once(self) -> None:
+        self.assertIsNone(self.search(5, self.shapes(7, 7, 7, 7, 7, 5)))
+        self.assertLess(self.asked, 20)
+
+    def test_it_ends_with_its_steps(self) -> None:
+        shapes = self.shapes(*[5] * 6, *[4] * 6)
+        self.assertIsNone(self.search(8, shapes, steps=10))
+        self.assertLessEqual(self.asked, 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
