A lost look is repeated at once; short looks where runs are to stop

Change: a look without an answer is a missed call like an order's; it is repeated at once, without a wait and without a longer lease. Where runs are to stop looks wait 0.4 s, and the answer of any look 0.4 s more in place of 0.8.

--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import logging
 import math
 
@@ -30,18 +29,18 @@
 log = logging.getLogger("saddlestack.session")
 
 ORDER_TIMEOUT_S = 0.6
-FIRST_TIMEOUT_S = 0.3
-"""The first try of an order waits less: where its answer is lost, the second is answered."""
 ORDERS_AT_ONCE = 2
 START_TRIES = 3
 SILENT_AFTER = 2
-"""Orders in a row without an answer after which a worker counts as silent."""
+"""Calls in a row without an answer after which a worker counts as silent."""
 RETRY_S = 0.3
 PROBE_S = 1.0
 WAIT_S = 2.0
 WATCHED_WAIT_S = 0.5
 """How often a worker is looked at on which serving and filling work meet."""
-HOLD_SLACK_S = 0.8
+STOPPING_WAIT_S = 0.4
+"""How often one is looked at on which runs are to stop: room is waited for there."""
+HOLD_SLACK_S = 0.4
 COMMIT_WAIT_S = 1.0
 CLOCK_DRIFT = 1.02
 """A worker's clock may run this much slower than ours."""
@@ -136,13 +135,13 @@
     async def _start(self, start: Start, key: RunKey) -> None:
         run = start.run
         clean = True
-        for attempt in range(START_TRIES):
+        for _ in range(START_TRIES):
             if run.stopping and clean:
                 self._never_began(run, key)
                 return
             sent = self._clock.now()
             try:
-                reply = await self._send(start, _timeout(attempt))
+                reply = await self._send(start)
             except WorkerUnreachable:
                 clean = False
                 self._missed(sent)
@@ -159,7 +158,7 @@
             return
         await self._stop(key)
 
-    async def _send(self, start: Start, timeout_s: float) -> StartReply:
+    async def _send(self, start: Start) -> StartReply:
         run = start.run
         async with self._gate:
             now = self._clock.now()
@@ -172,7 +171,7 @@
                 fence=self._owner.fence,
                 ticket=start.ticket,
             )
-            reply = await self._orders.start(order, timeout_s)
+            reply = await self._orders.start(order, ORDER_TIMEOUT_S)
         if reply.clock_ms is not None:
             self._times.hear(reply.clock_ms, self._clock.now())
         self._heard()
@@ -212,13 +211,11 @@
         """Order a stop until it is answered; then the worker's next report tells."""
         name, number = key
         self._stops.add(key)
-        for attempt in itertools.count():
-            if self.over:
-                return
+        while not self.over:
             sent = self._clock.now()
             try:
                 async with self._gate:
-                    await self._orders.stop(str(name), number, self._owner.fence, _timeout(attempt))
+                    await self._orders.stop(str(name), number, self._owner.fence, ORDER_TIMEOUT_S)
                 self._heard()
                 self._settle(key)
                 return
@@ -232,8 +229,7 @@
                 self._missed(sent)
             except WorkerBusy:
                 self.worker.refused(self._clock.now())
-            if attempt:
-                await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(RETRY_S)
 
     def _settle(self, key: RunKey) -> None:
         """No order about the run is open: reports asked for from now on tell of it."""
@@ -275,7 +271,8 @@
         except (WorkerUnreachable, WorkerBusy):
             if self._unanswered(asked):
                 return True
-            await asyncio.sleep(RETRY_S if self.worker.runs else PROBE_S)
+            if self._misses != 1:
+                await asyncio.sleep(RETRY_S if self.worker.runs else PROBE_S)
             return False
         await self._take(report, asked)
         return False
@@ -289,16 +286,22 @@
         )
 
     async def _hold(self, asked: float) -> WorkerReport:
-        waits = bool(self.worker.runs) and self._seen == self._noted and not self._unsettled()
-        reachable = self.worker.reachable
-        longest = WATCHED_WAIT_S if needs_watching(self.worker) else WAIT_S
-        wait_s = longest if waits and reachable else 0.0
+        answers = self.worker.reachable and not self._misses
+        wait_s = self._wait_s() if answers else 0.0
         # A worker that does not answer gets no longer lease, so that it lapses some day.
-        deadline = self._deadline(asked) if self.worker.runs and reachable else None
+        deadline = self._deadline(asked) if self.worker.runs and answers else None
         return await self._orders.hold(
             self._owner.fence, deadline, self._seen, wait_s, wait_s + HOLD_SLACK_S
         )
 
+    def _wait_s(self) -> float:
+        """How long the worker may wait for an end before it answers a look."""
+        if not self.worker.runs or self._seen != self._noted or self._unsettled():
+            return 0.0
+        if any(run.stopping for run in self.worker.runs.values()):
+            return STOPPING_WAIT_S
+        return WATCHED_WAIT_S if needs_watching(self.worker) else WAIT_S
+
     def _unsettled(self) -> bool:
         """Whether inherited runs wait to be told of by the next report."""
         return any(
@@ -385,7 +388,7 @@
             self._owner.changed()
 
     def _missed(self, sent: float) -> None:
-        """An order was not answered; one lost answer says nothing about a worker."""
+        """A call was not answered; one lost answer says nothing about a worker."""
         if self._heard_s > sent:
             return
         self._misses += 1
@@ -403,8 +406,7 @@
 
     def _unanswered(self, asked: float) -> bool:
         """Note a failed look; ``True`` where nothing can be running there any more."""
-        if self._heard_s <= asked:
-            self._lost()
+        self._missed(asked)
         if self._clock.now() < self._lapses:
             return False
         if self.worker.runs:
@@ -422,8 +424,3 @@
         self.worker.listed = False
         self._owner.board.worker_over(self.worker.worker_id)
         self._owner.changed()
-
-
-def _timeout(attempt: int) -> float:
-    """How long a try of an order waits for its answer, counted from 0."""
-    return ORDER_TIMEOUT_S if attempt else FIRST_TIMEOUT_S
