--- a/src/saddlestack/cli/losses.py
+++ b/src/saddlestack/cli/losses.py
@@ -13,9 +13,11 @@
 from dataclasses import dataclass, field
 
 from saddlestack.cli.loglines import LogLine
+from saddlestack.cli.shapes import StepShape, shape_of
 
 _FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
-_SAVES = "saves"
+BASE_SIZE, LARGEST_SIZE = 0.3, 4.0
+"""The users' measure of a job: this much for any, the rest by its work, at most so much."""
 PROMPT_S = 0.1
 """Delays below this are nobody's cause: a start takes 0.03 s in the median."""
 
@@ -44,6 +46,7 @@
     """A job that was late or is not done.
 
     :param late_s: seconds past its objective; ``None`` where it is not done.
+    :param size: its work against the mean of its priority, as :func:`sizes` tells.
     """
 
     job_id: str
@@ -52,6 +55,7 @@
     at_s: float
     late_s: float | None
     cause: Cause
+    size: float = 1.0
 
 
 @dataclass(slots=True)
@@ -77,14 +81,47 @@
     Cancelled ones are left out.
     """
     stories, refused = _stories(lines)
+    known = sizes(lines)
     leaderless = _leaderless(lines)
     found = [loss for story in stories.values() if (loss := _loss(story, leaderless)) is not None]
     for line in refused.values():
         cause = Cause.DOUBT if line.doubt else Cause.STORE
         found.append(Loss(line.job, line.queue, line.priority, line.at_s, None, cause))
+    for loss in found:
+        loss.size = known.get(loss.job_id, 1.0)
     return sorted(found, key=lambda loss: loss.at_s)
 
 
+def sizes(lines: Iterable[LogLine]) -> dict[str, float]:
+    """How much each accepted job counts beside others of its priority.
+
+    A part of that is the same for all; the rest grows with its work (core-seconds, by the
+    estimates), up to :data:`LARGEST_SIZE`.
+    """
+    work: dict[str, float] = {}
+    priorities: dict[str, int] = {}
+    for line in lines:
+        if line.event == "accepted" and line.job not in work:
+            work[line.job] = sum(_work(shape_of(text)) for text in line.steps)
+            priorities[line.job] = line.priority
+    means: dict[int, float] = {}
+    for priority in set(priorities.values()):
+        alike = [work[job] for job, other in priorities.items() if other == priority]
+        means[priority] = sum(alike) / len(alike)
+    return {
+        job: _size(work[job], means[priority]) if means[priority] else 1.0
+        for job, priority in priorities.items()
+    }
+
+
+def _work(shape: StepShape | None) -> float:
+    return shape.count * shape.cores * shape.estimate_s if shape is not None else 0.0
+
+
+def _size(work: float, mean: float) -> float:
+    return min(LARGEST_SIZE, BASE_SIZE + (1.0 - BASE_SIZE) * work / mean)
+
+
 def _stories(lines: Iterable[LogLine]) -> tuple[dict[str, _Story], dict[str, LogLine]]:
     """The accepted jobs, and the last refusal of each job that never was."""
     stories: dict[str, _Story] = {}
@@ -178,7 +215,10 @@
 def _saves(story: _Story, task: str) -> bool:
     """Whether the step of a task (``JOB.OCCURRENCE.STEP.INDEX``) saves its progress."""
     step = int(task.split(".")[2])
-    return step < len(story.accepted.steps) and _SAVES in story.accepted.steps[step].split()
+    if step >= len(story.accepted.steps):
+        return False
+    shape = shape_of(story.accepted.steps[step])
+    return shape is not None and shape.saves
 
 
 def _cause(story: _Story, final: LogLine, leaderless: Sequence[tuple[float, float]]) -> Cause:
--- /dev/null
+++ b/src/saddlestack/cli/stops.py
@@ -0,0 +1,161 @@
+"""What stops of runs cost, and who asked for the room: from the logs of all VMs."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from saddlestack.cli.loglines import LogLine
+from saddlestack.cli.shapes import StepShape, shape_of
+
+SAVED_LOSS_S = 2.0
+"""Seconds that a stopped run loses at most where its step saves: it saves this often."""
+_PREEMPTED = "preempted"
+
+
+@dataclass(slots=True)
+class ReasonCost:
+    """All stops for one reason.
+
+    :param lost: core-seconds of work thrown away, an accelerator counting as eight cores.
+    """
+
+    runs: int = 0
+    lost: float = 0.0
+
+
+@dataclass(slots=True)
+class Asker:
+    """A job that others were stopped for.
+
+    :param rounds: moments at which it had others stopped; more than one means that the room made
+        first was not used.
+    :param used_s: from the first stop to its first start on one of the workers it made room on;
+        ``None`` where it never started there.
+    """
+
+    job_id: str
+    runs: int = 0
+    lost: float = 0.0
+    rounds: int = 0
+    used_s: float | None = None
+
+
+@dataclass(slots=True)
+class Stops:
+    """The stops of one stretch of logs.
+
+    :param tasks: how often each preempted task was preempted.
+    """
+
+    starts: int = 0
+    reasons: dict[str, ReasonCost] = field(default_factory=lambda: defaultdict(ReasonCost))
+    askers: dict[str, Asker] = field(default_factory=dict)
+    tasks: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def unused(self) -> list[Asker]:
+        """Jobs that never started where others were stopped for them."""
+        return [asker for asker in self.askers.values() if asker.used_s is None]
+
+    def add(self, other: Stops) -> None:
+        """Sum another stretch into this one."""
+        self.starts += other.starts
+        for reason, cost in other.reasons.items():
+            self.reasons[reason].runs += cost.runs
+            self.reasons[reason].lost += cost.lost
+        self.askers.update(other.askers)
+        self.tasks.update(other.tasks)
+
+
+class _Reader:
+    """Goes through log lines once, in order of time."""
+
+    def __init__(self) -> None:
+        self.found = Stops()
+        self._shapes: dict[str, list[StepShape | None]] = {}
+        self._began: dict[tuple[str, int], float] = {}
+        self._asked_on: dict[str, set[str]] = defaultdict(set)
+        self._first_asked_s: dict[str, float] = {}
+        self._last_asked_s: dict[str, float] = {}
+
+    def read(self, line: LogLine) -> None:
+        if line.event == "accepted":
+            self._shapes.setdefault(line.job, [shape_of(text) for text in line.steps])
+        elif line.event == "start":
+            self._start(line)
+        elif line.event == "stop":
+            self._stop(line)
+
+    def _start(self, line: LogLine) -> None:
+        self.found.starts += 1
+        self._began[line.task, line.run] = line.at_s
+        job_id = line.task.partition(".")[0]
+        asker = self.found.askers.get(job_id)
+        if asker is None or asker.used_s is not None:
+            return
+        if line.worker in self._asked_on[job_id]:
+            asker.used_s = line.at_s - self._first_asked_s[job_id]
+
+    def _stop(self, line: LogLine) -> None:
+        lost = self._lost(line)
+        cost = self.found.reasons[line.reason]
+        cost.runs += 1
+        cost.lost += lost
+        if line.reason != _PREEMPTED or not line.cause:
+            return
+        self.found.tasks[line.task] += 1
+        asker = self.found.askers.setdefault(line.cause, Asker(line.cause))
+        asker.runs += 1
+        asker.lost += lost
+        if self._last_asked_s.get(line.cause) != line.at_s:
+            asker.rounds += 1
+        self._first_asked_s.setdefault(line.cause, line.at_s)
+        self._last_asked_s[line.cause] = line.at_s
+        self._asked_on[line.cause].add(line.worker)
+
+    def _lost(self, line: LogLine) -> float:
+        began = self._began.get((line.task, line.run))
+        if began is None:
+            return 0.0
+        job_id, _, step, _ = line.task.split(".")
+        shapes = self._shapes.get(job_id, [])
+        shape = shapes[int(step)] if int(step) < len(shapes) else None
+        if shape is None:
+            return 0.0
+        worked_s = line.at_s - began
+        if shape.saves:
+            worked_s = min(worked_s, SAVED_LOSS_S)
+        return worked_s * shape.cores
+
+
+def stops(lines: Sequence[LogLine]) -> Stops:
+    """What the stops in some log lines cost, lines in order of time.
+
+    What a run had saved is not in the logs: a run of a step that saves is held to lose the time
+    between two savings.
+    """
+    reader = _Reader()
+    for line in lines:
+        reader.read(line)
+    return reader.found
+
+
+def described(found: Stops) -> Iterable[str]:
+    """The stops in words, a line each."""
+    runs = sum(cost.runs for cost in found.reasons.values())
+    yield f"{runs} stops of {found.starts} starts"
+    for reason, cost in sorted(found.reasons.items(), key=lambda each: -each[1].lost):
+        yield f"{cost.runs:8} runs {cost.lost:9.0f} core-seconds  {reason}"
+    if not found.askers:
+        return
+    sizes = sorted(asker.runs for asker in found.askers.values())
+    yield (
+        f"{len(sizes)} jobs had others stopped: {sizes[len(sizes) // 2]} runs in the median, "
+        f"{sizes[-1]} at most; {len(found.unused)} never started there"
+    )
+    again = sum(1 for asker in found.askers.values() if asker.rounds > 1)
+    yield f"{again} of them asked more than once"
+    twice = sum(1 for count in found.tasks.values() if count > 1)
+    yield f"{twice} of {len(found.tasks)} preempted tasks were preempted more than once"
--- a/tests/test_why.py
+++ b/tests/test_why.py
@@ -8,11 +8,14 @@
 from pathlib import Path
 from typing import Any
 
+import click
 from click.testing import CliRunner
 
 from saddlestack.cli.loglines import LogLine, read
-from saddlestack.cli.losses import Cause, Loss, losses
+from saddlestack.cli.losses import Cause, Loss, losses, sizes
 from saddlestack.cli.main import main
+from saddlestack.cli.stops import SAVED_LOSS_S, described, stops
+from saddlestack.cli.why import Worth, worth_by_priority
 
 JOB = "00000000000000aa"
 OTHER = "00000000000000bb"
@@ -118,6 +121,71 @@
         self.assertEqual(losses([accepted(0.0), line(9.0, "cancelled", job=JOB)]), [])
 
 
+class SizesTest(unittest.TestCase):
+    def test_work_counts_beside_a_part_that_is_the_same_for_all(self) -> None:
+        small, large = accepted(0.0), accepted(0.0, OTHER)
+        small.steps = ("1x1acc/0cpu/1mb 1000ms",)
+        large.steps = ("3x1acc/0cpu/1mb 1000ms gang",)
+        found = sizes([small, large])
+        self.assertAlmostEqual(found[JOB], 0.3 + 0.7 * 0.5)
+        self.assertAlmostEqual(found[OTHER], 0.3 + 0.7 * 1.5)
+
+    def test_a_job_without_shapes_counts_as_one(self) -> None:
+        self.assertEqual(sizes([accepted(0.0)]), {JOB: 1.0})
+
+    def test_worth_in_time_and_late(self) -> None:
+        worth = worth_by_priority(["0=4,0.8", "2=1"])
+        self.assertEqual(worth, {0: Worth(4.0, 0.8), 2: Worth(1.0, 0.0)})
+        late = Loss(JOB, "q", 0, 0.0, 1.0, Cause.ROOM, size=2.0)
+        self.assertAlmostEqual(worth[0].lost(late), 2.0 * 3.2)
+        late.late_s = None
+        self.assertAlmostEqual(worth[0].lost(late), 8.0)
+
+    def test_worth_that_cannot_be_read_is_told(self) -> None:
+        for text in ("0", "x=1", "0=one", "0=1,two"):
+            with self.subTest(text=text), self.assertRaises(click.BadParameter):
+                worth_by_priority([text])
+
+
+class StopsTest(unittest.TestCase):
+    def stop(self, at_s: float, run: int = 1, reason: str = "preempted") -> LogLine:
+        cause = OTHER if reason == "preempted" else None
+        return line(at_s, "stop", task=TASK, run=run, reason=reason, cause=cause, worker="w1")
+
+    def job(self, *marks: str) -> LogLine:
+        first = accepted(0.0)
+        first.steps = (" ".join(["1x2acc/4000cpu/1mb 9000ms", *marks]),)
+        return first
+
+    def test_work_thrown_away_by_reason_and_by_who_asked(self) -> None:
+        again = (start(5.0, 2), self.stop(6.0, 2, reason="worker_leaves"))
+        found = stops([self.job(), start(0.0), self.stop(3.0), *again])
+        self.assertEqual(found.starts, 2)
+        self.assertAlmostEqual(found.reasons["preempted"].lost, 3.0 * 20.0)
+        self.assertAlmostEqual(found.reasons["worker_leaves"].lost, 1.0 * 20.0)
+        self.assertAlmostEqual(found.askers[OTHER].lost, 60.0)
+
+    def test_saved_work_is_not_thrown_away(self) -> None:
+        found = stops([self.job("saves"), start(0.0), self.stop(9.0)])
+        self.assertAlmostEqual(found.reasons["preempted"].lost, SAVED_LOSS_S * 20.0)
+
+    def test_whether_room_was_used_by_whom_it_was_made_for(self) -> None:
+        made = [self.job(), start(0.0), self.stop(3.0)]
+        self.assertEqual([asker.job_id for asker in stops(made).unused], [OTHER])
+        there = line(3.5, "start", task=f"{OTHER}.0.0.0", run=1, worker="w1")
+        elsewhere = line(3.4, "start", task=f"{OTHER}.0.0.1", run=1, worker="w2")
+        found = stops([*made, elsewhere, there])
+        self.assertEqual(found.unused, [])
+        self.assertAlmostEqual(found.askers[OTHER].used_s or 0.0, 0.5)
+
+    def test_tasks_preempted_twice_and_jobs_that_asked_twice(self) -> None:
+        made = [self.job(), start(0.0), self.stop(3.0), start(4.0, 2), self.stop(5.0, 2)]
+        text = "\n".join(described(stops(made)))
+        self.assertIn("2 stops of 2 starts", text)
+        self.assertIn("1 of them asked more than once", text)
+        self.assertIn("1 of 1 preempted tasks were preempted more than once", text)
+
+
 class CommandTest(unittest.TestCase):
     def test_sums_and_each_job(self) -> None:
         rows = [
@@ -135,4 +203,4 @@
             result = CliRunner().invoke(main, ["why", "--each", str(file)])
         self.assertEqual(result.exit_code, 0, result.output)
         self.assertIn(f"day     0.000 {JOB} 0   3.25 s late: waited for room", result.output)
-        self.assertRegex(result.output, r"0 +1 +0  waited for room")
+        self.assertRegex(result.output, r"0 +1 +0 +1\.0  waited for room")
