--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: traces demo test check format scenarios bench bench-board bench-takeover bench-policy bench-decisions bench-relay bench-capacity clean
+.PHONY: traces demo test check format scenarios bench bench-rounds bench-takeover bench-policy bench-decisions bench-relay bench-capacity clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -34,7 +34,7 @@
 bench-decisions: $(STAMP)
 	$(BIN)/python -m benchmarks.decisions
 
-bench-board: $(STAMP)
+bench-rounds: $(STAMP)
 	$(BIN)/python -m benchmarks.board
 
 bench-takeover: $(STAMP)
@@ -44,7 +44,7 @@
 	$(BIN)/python -m benchmarks.capacity
 	$(BIN)/python -m benchmarks.capacity --tables
 
-bench: bench-board bench-takeover bench-decisions bench-policy bench-relay bench-capacity
+bench: bench-rounds bench-takeover bench-decisions bench-policy bench-relay bench-capacity
 
 bench-relay: $(STAMP)
 	$(BIN)/python -m benchmarks.relay
--- a/benchmarks/board.py
+++ b/benchmarks/board.py
@@ -1,21 +1,32 @@
-"""Times one round of planning on a loaded pool: running work, gangs that wait, urgent work."""
+"""Times rounds of planning on a loaded pool that changes between them.
+
+Running work, gangs that wait, urgent work; 2 % of the runs end between two rounds and as many jobs
+come. Only public methods of the board are used, so that another revision can be timed by the same
+file: put that revision's ``src`` on ``PYTHONPATH``.
+"""
 
 from __future__ import annotations
 
 import random
+import resource
 import statistics
 import time
 
-from saddlestack.interfaces.workers import WorkerRecord
+import click
+
+from saddlestack.interfaces.workers import EndedTask, EndKind, WorkerRecord
 from saddlestack.policy.board.board import Board
 from saddlestack.work import AcceptedJob, JobRequest, Resources, Step
 
 SERVICE = "pool"
-SIZES = (24, 176, 350)
+SIZES = (24, 350, 1_000, 2_500, 10_000)
 WORKERS_A_RACK = 20
 CAPACITY = Resources(32_000, 128_000, 8)
 BULK_CPU, NORMAL_CPU, URGENT_CPU = 2_800, 13_000, 3_700
-ROUNDS = 7
+ROUNDS = 50
+ROUND_S = 0.5
+CHURN = 0.02
+"""Share of the runs that end between two rounds; as many jobs come."""
 
 
 def loaded_board(workers: int, rng: random.Random) -> Board:
@@ -79,20 +90,62 @@
     )
 
 
-def main() -> None:
-    """Print the median of some rounds for each size, in milliseconds."""
-    for workers in SIZES:
-        board = loaded_board(workers, random.Random(1))
-        board.plan(0.0, 0.0)
+def churn(board: Board, rng: random.Random, now: float, number: int) -> int:
+    """Some runs end well, and as many jobs come; returns how many came.
+
+    :param number: of the first job that comes.
+    """
+    runs = [run for worker in board.workers.values() for run in worker.runs.values()]
+    came = max(1, round(len(runs) * CHURN))
+    for run in rng.sample(runs, min(came, len(runs))):
+        end = EndedTask(number, str(run.task.name), run.number, EndKind.DONE, "")
+        board.ended(run.worker_id, end, now)
+    for each in range(came):
+        priority = rng.choices((0, 1, 2), (1, 5, 4))[0]
+        step = (
+            _step(1, BULK_CPU, 1)
+            if priority == 2
+            else _gang(rng, (URGENT_CPU, NORMAL_CPU)[priority])
+        )
+        board.add_job(_job(number + each, priority, step), {})
+    return came
+
+
+def rounds(board: Board, rng: random.Random, number: int) -> list[float]:
+    """Seconds of each of some rounds, changes in between left out."""
+    times: list[float] = []
+    for index in range(ROUNDS):
+        now = 1.0 + index * ROUND_S
+        number += churn(board, rng, now, number)
+        began = time.perf_counter()
+        board.plan(now, now * 1000)
+        times.append(time.perf_counter() - began)
         for start in board.take().starts:
-            board.started(start.run, 0.0)
-        times = []
-        for number in range(ROUNDS):
-            began = time.perf_counter()
-            board.plan(1.0 + number / 10, 0.0)
-            times.append((time.perf_counter() - began) * 1000)
-            board.take()
-        print(f"{workers} workers: {statistics.median(times):.1f} ms a round")
+            board.started(start.run, now)
+    return times
+
+
+def timed(workers: int) -> None:
+    """Print the rounds of one size, and the memory that the process has taken by then."""
+    rng = random.Random(1)
+    board = loaded_board(workers, rng)
+    board.plan(0.0, 0.0)
+    for start in board.take().starts:
+        board.started(start.run, 0.0)
+    times = sorted(seconds * 1000 for seconds in rounds(board, rng, workers))
+    memory_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    click.echo(
+        f"{workers:6} workers: {statistics.median(times):8.1f} ms a round in the median, "
+        f"{times[int(len(times) * 0.99)]:8.1f} ms at the 99th percentile, {memory_mb:6.1f} MB"
+    )
+
+
+@click.command()
+@click.option("--size", "sizes", type=int, multiple=True, help="Workers; all sizes if not given.")
+def main(sizes: tuple[int, ...]) -> None:
+    """Time rounds of planning for each size."""
+    for workers in sizes or SIZES:
+        timed(workers)
 
 
 if __name__ == "__main__":
--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -67,8 +67,8 @@
         (
             Edit(
                 "policy/board/queue.py",
-                "            self._backfill.keep_for(step, workers)",
-                "            pass",
+                "            if not self._backfill.is_full:",
+                "            if False:",
             ),
         ),
     ),
@@ -100,6 +100,28 @@
             ),
         ),
     ),
+    Variant(
+        "spare",
+        "victims that proved needless are left out",
+        (
+            Edit(
+                "policy/board/preemption.py",
+                "        self._spare_needless(wanted)\n",
+                "",
+            ),
+        ),
+    ),
+    Variant(
+        "gain",
+        "victims priced by all tasks that they make room for",
+        (
+            Edit(
+                "policy/board/preemption.py",
+                "        return self.lost / min(self.gain, missing)",
+                "        return self.lost",
+            ),
+        ),
+    ),
     Variant(
         "quarantine",
         "workers that fail work are left alone for a while",
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -12,6 +12,7 @@
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask, WorkerRecord
 from saddlestack.policy.board.changes import Changes, Question, Start, Stop, StopReason
 from saddlestack.policy.board.evacuation import leaving
+from saddlestack.policy.board.index import RoomIndex
 from saddlestack.policy.board.jobs import Job, Occurrence, Run, StepState, Task, new_job
 from saddlestack.policy.board.pacing import Pace, paces
 from saddlestack.policy.board.queue import Planner
@@ -35,7 +36,8 @@
         self._questions: list[Question] = []
         self._advised: frozenset[str] = frozenset()
         self._touched: dict[str, Job] = {}
-        self._planner = Planner(self)
+        self._index = RoomIndex()
+        self._planner = Planner(self, self._index)
 
     # Configuration
 
@@ -104,7 +106,7 @@
         """A life that is not in the list, but may still run something."""
         record = _unlisted(worker_id)
         worker = Worker(record, listed=False, reachable=False)
-        self.workers[worker_id] = worker
+        self._know(worker)
         return worker
 
     def cancel(self, job_id: str) -> None:
@@ -132,7 +134,6 @@
     def forget(self, job_id: str) -> None:
         """A job that the store no longer has."""
         self.jobs.pop(job_id, None)
-        self._planner.remove(job_id)
 
     # Workers
 
@@ -140,7 +141,8 @@
         """A life of a worker is in the list, or its record changed."""
         worker = self.workers.get(record.worker_id)
         if worker is None:
-            worker = self.workers[record.worker_id] = Worker(record)
+            worker = Worker(record)
+            self._know(worker)
         worker.note(record, now)
         if not worker.listed:
             worker.listed = True
@@ -154,7 +156,7 @@
             return
         worker.listed = False
         if not worker.runs:
-            del self.workers[worker_id]
+            self._lose(worker)
 
     def worker_over(self, worker_id: str) -> None:
         """A life has ended, or its lease has lapsed for sure: nothing runs there."""
@@ -165,7 +167,15 @@
             worker.remove(run.task.name, run.number)
             self._run_over(run, EndKind.LAPSED, run.saved)
         if not worker.listed:
-            del self.workers[worker_id]
+            self._lose(worker)
+
+    def _know(self, worker: Worker) -> None:
+        self.workers[worker.worker_id] = worker
+        self._index.add(worker)
+
+    def _lose(self, worker: Worker) -> None:
+        del self.workers[worker.worker_id]
+        self._index.remove(worker)
 
     # Runs
 
@@ -324,7 +334,8 @@
 
     def plan(self, now: float, wall_ms: float) -> None:
         """Decide what starts and what has to give room."""
-        for run in leaving(self.workers.values(), now):
+        self._index.begin(now)
+        for run in leaving(self._index.leaving, now):
             self.stop_group(run, StopReason.WORKER_LEAVES)
         self._planner.plan(now, wall_ms)
 
--- a/src/saddlestack/policy/board/evacuation.py
+++ b/src/saddlestack/policy/board/evacuation.py
@@ -14,7 +14,7 @@
 
 
 def leaving(workers: Iterable[Worker], now: float) -> list[Run]:
-    """Runs on draining workers that would not end before the worker does."""
+    """Runs on leaving workers that would not end before the worker does."""
     found: list[Run] = []
     for worker in workers:
         if worker.leaves_s is None:
--- /dev/null
+++ b/src/saddlestack/policy/board/fits.py
@@ -0,0 +1,199 @@
+"""How many tasks of one size each rack holds, kept from round to round.
+
+Work that waits asks the same again and again; only racks of which something changed since it last
+asked are counted anew.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from heapq import merge
+from itertools import accumulate
+
+from sortedcontainers import SortedList
+
+from saddlestack.policy.board.index import Rack, RoomIndex, ServiceRooms
+from saddlestack.policy.board.jobs import weight
+from saddlestack.policy.board.workers import Worker
+from saddlestack.work import Resources
+
+FITS_KEPT = 64
+"""Sizes of tasks that are remembered; at 350 workers each takes some 0.1 MB and 1 ms to count."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """What tasks have to share so that a worker holds as many of the one as of the other.
+
+    :param label: that the worker must have, or empty.
+    :param proven: whether they go to no worker on probation.
+    """
+
+    service: str
+    room: Resources
+    label: str
+    proven: bool
+
+    def open_to(self, worker: Worker, now: float) -> bool:
+        """Whether such tasks may go to a worker that takes work."""
+        if self.proven and now < worker.probation_s:
+            return False
+        return not self.label or self.label in worker.record.labels
+
+
+@dataclass(frozen=True, slots=True)
+class Awaited:
+    """A worker that holds tasks once all work of lower priority there has ended.
+
+    :param weight: cores of that work for each task.
+    """
+
+    weight: float
+    copies: int
+    worker: Worker
+
+
+@dataclass(slots=True)
+class AwaitedRack:
+    """Such workers of a rack, those with the least lower work for each task first.
+
+    :param copies: of the first workers together, as is the weight.
+    """
+
+    workers: list[Awaited]
+    copies: list[int]
+    weights: list[float]
+
+    @classmethod
+    def of(cls, workers: Iterable[Awaited]) -> AwaitedRack:
+        """Sums over some workers."""
+        ordered = sorted(workers, key=lambda each: each.weight)
+        copies = list(accumulate(each.copies for each in ordered))
+        weights = list(accumulate(each.weight * each.copies for each in ordered))
+        return cls(ordered, copies, weights)
+
+    def needed(self, wanted: int) -> int | None:
+        """How many of its workers hold so many tasks; ``None`` where all together do not."""
+        if not self.copies or self.copies[-1] < wanted:
+            return None
+        return bisect_left(self.copies, wanted) + 1
+
+
+@dataclass(slots=True)
+class RackFit:
+    """What a rack holds of tasks of one size.
+
+    :param copies: that fit now.
+    :param most: that would fit if it were empty.
+    :param free: accelerators that its workers have left.
+    :param awaited: by priority, what fits once lower work has ended; counted where asked for.
+    """
+
+    copies: int = 0
+    most: int = 0
+    free: int = 0
+    awaited: dict[int, AwaitedRack] = field(default_factory=dict)
+
+
+class FitRooms:
+    """What each rack of a service holds of tasks of one size."""
+
+    def __init__(self, fit: Fit, rooms: ServiceRooms) -> None:
+        self.fit = fit
+        self.rooms = rooms
+        self.racks: list[RackFit] = []
+        self.total = 0
+        self._now = 0.0
+        self._seen = -1
+        self._by_copies: SortedList[tuple[int, int]] = SortedList()
+        self._by_most: SortedList[int] = SortedList()
+
+    @property
+    def most(self) -> int:
+        """Tasks that the largest rack would hold if it were empty."""
+        return self._by_most[-1] if self._by_most else 0
+
+    def holding(self, wanted: int) -> Iterator[Rack]:
+        """Racks where so many tasks fit now."""
+        for _, number in self._by_copies.irange((wanted, -1)):
+            yield self.rooms.racks[number]
+
+    def open_to(self, worker: Worker) -> bool:
+        """Whether such tasks may go to a worker that takes work."""
+        return self.fit.open_to(worker, self._now)
+
+    def workers(self, rack: Rack) -> list[Worker]:
+        """The workers of a rack that such tasks may go to."""
+        return [worker for worker in rack.able if self.open_to(worker)]
+
+    def awaited(self, rack: Rack, priority: int) -> AwaitedRack:
+        """What a rack holds once all work of lower priority there has ended."""
+        found = self.racks[rack.number].awaited
+        known = found.get(priority)
+        if known is None:
+            known = found[priority] = AwaitedRack.of(self._awaited(rack, priority))
+        return known
+
+    def soonest(self, priority: int) -> Iterator[Awaited]:
+        """Workers of all racks, those with the least lower work for each task first."""
+        lists = [self.awaited(rack, priority).workers for rack in self.rooms.racks]
+        return merge(*lists, key=lambda each: each.weight)
+
+    def refresh(self, now: float) -> None:
+        """Count the racks anew of which something changed."""
+        self._now = now
+        if self._seen == self.rooms.version:
+            return
+        while len(self.racks) < len(self.rooms.racks):
+            self._by_copies.add((0, len(self.racks)))
+            self._by_most.add(0)
+            self.racks.append(RackFit())
+        for rack in self.rooms.changed_since(self._seen):
+            self._count(rack)
+        self._seen = self.rooms.version
+
+    def _count(self, rack: Rack) -> None:
+        old = self.racks[rack.number]
+        new = RackFit()
+        for worker in self.workers(rack):
+            free = worker.free
+            new.copies += worker.fitting(self.fit.room, free)
+            new.most += self.fit.room.copies_in(worker.record.capacity)
+            new.free += free.accelerators
+        self.racks[rack.number] = new
+        self.total += new.copies - old.copies
+        if new.copies != old.copies:
+            self._by_copies.remove((old.copies, rack.number))
+            self._by_copies.add((new.copies, rack.number))
+        if new.most != old.most:
+            self._by_most.remove(old.most)
+            self._by_most.add(new.most)
+
+    def _awaited(self, rack: Rack, priority: int) -> Iterator[Awaited]:
+        for worker in self.workers(rack):
+            lower = worker.lower_work(priority)
+            copies = worker.fitting(self.fit.room, worker.free + lower)
+            if copies > 0:
+                yield Awaited(weight(lower) / copies, copies, worker)
+
+
+class Fits:
+    """The sizes that were asked for lately."""
+
+    def __init__(self, index: RoomIndex) -> None:
+        self._index = index
+        self._known: dict[Fit, FitRooms] = {}
+
+    def of(self, fit: Fit) -> FitRooms:
+        """The room for tasks of one size, with all changes up to now."""
+        rooms = self._index.service(fit.service)
+        known = self._known.pop(fit, None)
+        if known is None:
+            known = FitRooms(fit, rooms)
+            if len(self._known) >= FITS_KEPT:
+                del self._known[next(iter(self._known))]
+        self._known[fit] = known
+        known.refresh(self._index.now)
+        return known
--- a/src/saddlestack/policy/board/headroom.py
+++ b/src/saddlestack/policy/board/headroom.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from saddlestack.policy.board.placement import by_rack
+from saddlestack.policy.board.index import ServiceRooms
 from saddlestack.policy.board.workers import Worker
 
 HEADROOM = 0.25
@@ -15,35 +15,20 @@
 """...until other work has waited for so long."""
 
 
-def may_open(pool: Sequence[Worker], places: Sequence[Worker], now: float) -> bool:
+def may_open(rooms: ServiceRooms, places: Sequence[Worker]) -> bool:
     """Whether work of lower priority may take some workers and still leave the headroom.
 
-    :param pool: all workers of the service.
+    :param rooms: the room of all workers of the service.
     :param places: where the work would go.
     """
-    opened = {worker.worker_id for worker in places if not worker.runs}
+    opened: dict[str, int] = {}
+    for worker in {worker: None for worker in places if not worker.runs}:
+        rack = worker.record.rack
+        opened[rack] = opened.get(rack, 0) + worker.record.capacity.accelerators
     if not opened:
         return True
-    empty = [worker for worker in pool if not worker.runs and worker.takes_work(now)]
-    left = [worker for worker in empty if worker.worker_id not in opened]
-    in_one = min(HEADROOM_A_RACK, _widest(pool) // 2, _widest(empty))
-    if _accelerators(left) >= _accelerators(pool) * HEADROOM and _widest(left) >= in_one:
+    left = rooms.empty - sum(opened.values())
+    in_one = min(HEADROOM_A_RACK, rooms.widest // 2, rooms.widest_empty({}))
+    if left >= rooms.accelerators * HEADROOM and rooms.widest_empty(opened) >= in_one:
         return True
-    return not half_used(pool)
-
-
-def half_used(pool: Sequence[Worker]) -> bool:
-    """Whether half of a pool's accelerators or processors is in use."""
-    if sum(worker.used.accelerators for worker in pool) * 2 >= _accelerators(pool):
-        return True
-    cpu = sum(worker.used.cpu for worker in pool)
-    return cpu * 2 >= sum(worker.record.capacity.cpu for worker in pool)
-
-
-def _accelerators(workers: Sequence[Worker]) -> int:
-    return sum(worker.record.capacity.accelerators for worker in workers)
-
-
-def _widest(workers: Sequence[Worker]) -> int:
-    """Accelerators of the rack that has most among some workers."""
-    return max((_accelerators(rack) for rack in by_rack(workers).values()), default=0)
+    return not rooms.half_used
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -72,7 +72,10 @@
 
 @dataclass(slots=True, eq=False)
 class StepState:
-    """One step of one occurrence."""
+    """One step of one occurrence.
+
+    :param waits_since_s: when one of its tasks was first to be started, on the board's clock.
+    """
 
     step: Step
     number: int
@@ -80,6 +83,7 @@
     record: StepRecord
     tasks: list[Task]
     done: int = 0
+    waits_since_s: float | None = None
     advice: StepAdvice = field(default_factory=StepAdvice)
 
     @property
--- a/src/saddlestack/policy/board/placement.py
+++ b/src/saddlestack/policy/board/placement.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
-from saddlestack.policy.board.jobs import StepState
+from saddlestack.policy.board.jobs import StepState, weight
 from saddlestack.policy.board.workers import Worker
 from saddlestack.work import Resources
 
@@ -55,6 +55,46 @@
     return best
 
 
+def soonest(step: StepState, workers: Sequence[Worker]) -> list[Worker]:
+    """Workers that a gang would fit on once all work of lower priority there has ended.
+
+    Empty where the gang would not fit even then. Of the domains, the one with the least such
+    work; of its workers, those with the least such work for each task.
+    """
+    best: list[Worker] = []
+    best_key: tuple[bool, float] | None = None
+    near = step.step.data_rack
+    for domain in domains(step, workers):
+        chosen, awaited = _soonest_within(step, domain)
+        if not chosen:
+            continue
+        key = (bool(near) and chosen[0].record.rack != near, awaited)
+        if best_key is None or key < best_key:
+            best, best_key = chosen, key
+    return best
+
+
+def _soonest_within(step: StepState, domain: Sequence[Worker]) -> tuple[list[Worker], float]:
+    """The workers of one domain, and the weight of the work that has to end first."""
+    able: list[tuple[float, int, Worker]] = []
+    for worker in domain:
+        lower = worker.lower_work(step.occurrence.job.priority)
+        copies = worker.copies(step, worker.free + lower)
+        if copies > 0:
+            able.append((weight(lower) / copies, copies, worker))
+    able.sort(key=lambda each: each[0])
+    chosen: list[Worker] = []
+    missing = step.step.count
+    awaited = 0.0
+    for weight_a_task, copies, worker in able:
+        chosen.append(worker)
+        awaited += weight_a_task * copies
+        missing -= copies
+        if missing <= 0:
+            return chosen, awaited
+    return [], 0.0
+
+
 def place_task(step: StepState, workers: Iterable[Worker], copies: Copies) -> Worker | None:
     """The worker for one task: near its data, then the one that it fills best."""
     best: Worker | None = None
--- /dev/null
+++ b/src/saddlestack/policy/board/places.py
@@ -0,0 +1,245 @@
+"""Where a step's tasks may go now, and where they would fit soonest."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from typing import Protocol
+
+from saddlestack.policy.board.fits import AwaitedRack, FitRooms
+from saddlestack.policy.board.index import Rack
+from saddlestack.policy.board.jobs import StepState
+from saddlestack.policy.board.placement import Copies, domains, place_gang, place_task, soonest
+from saddlestack.policy.board.workers import Worker
+
+RACKS_SEARCHED = 32
+"""Racks that are searched for what to stop: all of a pool of 640 workers, and a bound of some
+10 ms for larger ones."""
+WORKERS_SEARCHED = 160
+"""Workers that are searched where the tasks may lie in several racks, and no more are needed."""
+
+Kept = Callable[[Worker], bool]
+"""Whether a worker is kept for others."""
+
+
+class Places(Protocol):
+    """The workers that a step's tasks may go to."""
+
+    def gang(self) -> list[Worker] | None:
+        """A worker for each task of a gang, or ``None`` where it does not fit whole."""
+        ...
+
+    def task(self, avoid: set[str]) -> Worker | None:
+        """The worker for one task.
+
+        :param avoid: workers on which it failed; they get it only where there is no other.
+        """
+        ...
+
+    def soonest(self) -> Sequence[Worker]:
+        """Workers where a gang fits once all work of lower priority there has ended.
+
+        Empty where it does not fit even then.
+        """
+        ...
+
+    def domains(self, wanted: int) -> Iterable[Sequence[Worker]]:
+        """Groups of workers to search for what to stop, so that so many tasks fit in one."""
+        ...
+
+
+class ListedPlaces:
+    """Some workers, each looked at: for what no index tells, and few workers."""
+
+    def __init__(self, step: StepState, workers: Sequence[Worker]) -> None:
+        self._step = step
+        self._workers = workers
+
+    def gang(self) -> list[Worker] | None:
+        """See :meth:`Places.gang`."""
+        return place_gang(self._step, self._workers, _free_copies(self._step))
+
+    def task(self, avoid: set[str]) -> Worker | None:
+        """See :meth:`Places.task`."""
+        fresh = [worker for worker in self._workers if worker.worker_id not in avoid]
+        return place_task(self._step, fresh or self._workers, _free_copies(self._step))
+
+    def soonest(self) -> Sequence[Worker]:
+        """See :meth:`Places.soonest`."""
+        return soonest(self._step, self._workers)
+
+    def domains(self, wanted: int) -> Iterable[Sequence[Worker]]:
+        """See :meth:`Places.domains`."""
+        return domains(self._step, self._workers)
+
+
+class IndexedPlaces:
+    """All workers of a service, found by the index of their room.
+
+    A gang of one rack is spread over racks only where none could ever hold it; workers that are
+    kept for others count there, since they are not kept for ever.
+
+    :param kept: tells workers that the step has to leave to others; ``None`` where there are none.
+    """
+
+    def __init__(self, step: StepState, fits: FitRooms, kept: Kept | None) -> None:
+        self._step = step
+        self._fits = fits
+        self._kept = kept
+        self._rooms = fits.rooms
+        self._in_rack = step.step.same_rack and fits.most >= step.step.count
+
+    def gang(self) -> list[Worker] | None:
+        """See :meth:`Places.gang`."""
+        if not self._in_rack:
+            return self._spread()
+        step = self._step.step
+        for rack in self._near():
+            places = place_gang(self._step, self._open(rack), _free_copies(self._step))
+            if places is not None:
+                return places
+        able = [rack for rack in self._fits.holding(step.count) if self._may_hold(rack)]
+        able.sort(key=lambda rack: (self._fits.racks[rack.number].free, rack.number))
+        for rack in able:
+            places = place_gang(self._step, self._open(rack), _free_copies(self._step))
+            if places is not None:
+                return places
+        return None
+
+    def task(self, avoid: set[str]) -> Worker | None:
+        """See :meth:`Places.task`."""
+        found = self._task(avoid)
+        if found is None and avoid and not self._has_other(avoid):
+            return self._task(set())
+        return found
+
+    def _task(self, avoid: set[str]) -> Worker | None:
+        for rack in self._near():
+            fresh = [w for w in self._open(rack) if w.worker_id not in avoid]
+            worker = place_task(self._step, fresh, _free_copies(self._step))
+            if worker is not None:
+                return worker
+        others = (w for w in self._tightest() if w.worker_id not in avoid)
+        return next(others, None)
+
+    def soonest(self) -> Sequence[Worker]:
+        """See :meth:`Places.soonest`."""
+        priority = self._step.occurrence.job.priority
+        if not self._in_rack:
+            return self._soonest_spread(priority)
+        wanted = self._step.step.count
+        near = {rack.number for rack in self._near()}
+        best: tuple[bool, float] | None = None
+        workers: Sequence[Worker] = ()
+        for number, fit in enumerate(self._fits.racks):
+            if fit.most < wanted:
+                continue
+            awaited = self._awaited(self._rooms.racks[number], priority)
+            needed = awaited.needed(wanted)
+            if needed is None:
+                continue
+            key = (number not in near, awaited.weights[needed - 1])
+            if best is None or key < best:
+                best, workers = key, [each.worker for each in awaited.workers[:needed]]
+        return workers
+
+    def domains(self, wanted: int) -> Iterable[Sequence[Worker]]:
+        """See :meth:`Places.domains`.
+
+        Those come first where the least work of lower priority holds the room, and no more than
+        :data:`RACKS_SEARCHED` racks or :data:`WORKERS_SEARCHED` workers are named.
+        """
+        if not self._in_rack:
+            return [self._cheapest_workers(wanted)]
+        near = {rack.number for rack in self._near()}
+        racks = [rack for rack in self._rooms.racks if self._may_hold(rack)]
+        racks.sort(key=lambda rack: (rack.number not in near, self._lower_weight(rack, wanted)))
+        return [self._open(rack) for rack in racks[:RACKS_SEARCHED]]
+
+    def _lower_weight(self, rack: Rack, wanted: int) -> float:
+        """Cores of lower work that has to end so that so many tasks fit in a rack."""
+        awaited = self._awaited(rack, self._step.occurrence.job.priority)
+        needed = awaited.needed(wanted)
+        return math.inf if needed is None else awaited.weights[needed - 1]
+
+    def _cheapest_workers(self, wanted: int) -> list[Worker]:
+        """Workers where the least lower work a task would have to end.
+
+        Where lower work is not enough, work of the same priority counts as well.
+        """
+        priority = self._step.occurrence.job.priority
+        for level in (priority, priority - 1):
+            chosen: list[Worker] = []
+            missing = wanted
+            for each in self._fits.soonest(level):
+                if missing <= 0 and len(chosen) >= WORKERS_SEARCHED:
+                    break
+                chosen.append(each.worker)
+                missing -= each.copies
+            if missing <= 0:
+                break
+        return chosen
+
+    def _near(self) -> list[Rack]:
+        """The rack near the step's data, if there is one."""
+        rack = self._rooms.rack(self._step.step.data_rack) if self._step.step.data_rack else None
+        return [] if rack is None else [rack]
+
+    def _open(self, rack: Rack) -> list[Worker]:
+        workers = self._fits.workers(rack)
+        if self._kept is None:
+            return workers
+        return [worker for worker in workers if not self._kept(worker)]
+
+    def _may_hold(self, rack: Rack) -> bool:
+        return self._fits.racks[rack.number].most >= self._step.step.count
+
+    def _tightest(self) -> Iterator[Worker]:
+        """Workers that hold one task or more, the fullest first."""
+        room = self._step.step.room
+        for worker in self._rooms.tightest(room.accelerators, room.cpu):
+            if self._kept is not None and self._kept(worker):
+                continue
+            if self._fits.open_to(worker) and worker.fitting(room, worker.free) > 0:
+                yield worker
+
+    def _spread(self) -> list[Worker] | None:
+        wanted = self._step.step.count
+        if self._fits.total < wanted:
+            return None
+        chosen: list[Worker] = []
+        for worker in self._tightest():
+            copies = worker.fitting(self._step.step.room, worker.free)
+            chosen += [worker] * min(copies, wanted - len(chosen))
+            if len(chosen) == wanted:
+                return chosen
+        return None
+
+    def _has_other(self, avoid: set[str]) -> bool:
+        return any(
+            worker.worker_id not in avoid
+            for rack in self._rooms.racks
+            for worker in self._open(rack)
+        )
+
+    def _awaited(self, rack: Rack, priority: int) -> AwaitedRack:
+        awaited = self._fits.awaited(rack, priority)
+        if self._kept is None or not any(self._kept(each.worker) for each in awaited.workers):
+            return awaited
+        return AwaitedRack.of(each for each in awaited.workers if not self._kept(each.worker))
+
+    def _soonest_spread(self, priority: int) -> Sequence[Worker]:
+        missing = self._step.step.count
+        chosen: list[Worker] = []
+        for each in self._fits.soonest(priority):
+            if self._kept is not None and self._kept(each.worker):
+                continue
+            chosen.append(each.worker)
+            missing -= each.copies
+            if missing <= 0:
+                return chosen
+        return ()
+
+
+def _free_copies(step: StepState) -> Copies:
+    return lambda worker: worker.copies(step, worker.free)
--- a/src/saddlestack/policy/board/pool.py
+++ b/src/saddlestack/policy/board/pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from typing import Protocol
 
 from saddlestack.policy.board.jobs import Job, Run, StepState, Task
@@ -12,11 +12,6 @@
 class Pool(Protocol):
     """The board as its planner sees it."""
 
-    @property
-    def workers(self) -> Mapping[str, Worker]:
-        """All known lives of workers, by id."""
-        ...
-
     def guaranteed(self, account: str) -> int:
         """Accelerators that an account owns for jobs of priority 0."""
         ...
--- a/src/saddlestack/policy/board/preemption.py
+++ b/src/saddlestack/policy/board/preemption.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+import math
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from saddlestack.policy.board.jobs import Run, StepState, weight
-from saddlestack.policy.board.placement import domains
 from saddlestack.policy.board.workers import Worker
 from saddlestack.work import Resources
 
+CHECKPOINT_LOSS_S = 1.0
+"""Seconds of work that are lost at most where a run saves its progress."""
+REQUEUE_S = 4.0
+"""Seconds of work that a gang is held to lose besides, since it waits for whole room again."""
+TOUCH_COST = 1.0
+"""Core-seconds that any stop is held to cost, so that fewer runs are touched."""
+
+DEARER = 2.0
+"""A search is given up once it loses this many times what the best one so far loses: of what was
+chosen needlessly less is left out again."""
+NOTHING = Resources()
+
 
 @dataclass(frozen=True, slots=True)
 class Preemption:
@@ -23,6 +35,40 @@
     lost: float
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class _Group:
+    """Runs that stop together.
+
+    :param lost: core-seconds that all of them lose.
+    :param rooms: what they hold, by worker.
+    """
+
+    runs: Sequence[Run]
+    lost: float
+    rooms: Mapping[str, Resources]
+
+    @property
+    def step(self) -> StepState:
+        """The step that they are of."""
+        return self.runs[0].task.step
+
+
+@dataclass(frozen=True, slots=True)
+class _Option:
+    """Groups that make room for one more task on some worker.
+
+    :param gain: tasks that fit more, on all workers of the search.
+    """
+
+    groups: list[_Group]
+    lost: float
+    gain: int
+
+    def price(self, missing: int) -> float:
+        """Core-seconds lost for each task that is still missing."""
+        return self.lost / min(self.gain, missing)
+
+
 class Preemptor:
     """Searches the cheapest set of runs to stop.
 
@@ -39,16 +85,21 @@
         self._members = members
         self._may_stop = may_stop
         self._now = now
+        self._groups: dict[int, _Group | None] = {}
 
     def cheapest(
-        self, step: StepState, wanted: int, workers: Sequence[Worker]
+        self, step: StepState, wanted: int, domains: Iterable[Sequence[Worker]]
     ) -> Preemption | None:
-        """The cheapest preemption that makes room for ``wanted`` tasks of a step."""
+        """The cheapest preemption that makes room for ``wanted`` tasks of a step.
+
+        :param domains: groups of workers; the tasks go to one of them.
+        """
         best: Preemption | None = None
         near = step.step.data_rack
         best_key: tuple[bool, float] | None = None
-        for domain in domains(step, workers):
-            found = self._within(step, wanted, domain)
+        for domain in domains:
+            limit = math.inf if best is None else best.lost * DEARER
+            found = _Search(self, step, domain).cheapest(wanted, limit)
             if found is None:
                 continue
             far = bool(near) and found.places[0].record.rack != near
@@ -57,19 +108,22 @@
                 best, best_key = found, key
         return best
 
-    def _within(self, step: StepState, wanted: int, domain: Sequence[Worker]) -> Preemption | None:
-        search = _Search(self, step, domain)
-        while search.total < wanted:
-            if not search.widen():
-                return None
-        return search.result(wanted)
-
-    def group(self, run: Run) -> Sequence[Run] | None:
+    def group(self, run: Run) -> _Group | None:
         """The runs that stop with a run, or ``None`` where one of them must not."""
+        step = run.task.step
+        key = id(step) if step.step.gang else id(run)
+        if key not in self._groups:
+            self._groups[key] = self._group(run)
+        return self._groups[key]
+
+    def _group(self, run: Run) -> _Group | None:
         members = self._members(run)
-        if all(self._may_stop(member) for member in members):
-            return members
-        return None
+        if not all(self._may_stop(member) for member in members):
+            return None
+        rooms: dict[str, Resources] = {}
+        for member in members:
+            rooms[member.worker_id] = rooms.get(member.worker_id, NOTHING) + member.room
+        return _Group(members, sum(self.loss(member) for member in members), rooms)
 
     def loss(self, run: Run) -> float:
         """Core-seconds thrown away if the run stops now."""
@@ -84,105 +138,165 @@
         return lost * weight(run.room) + TOUCH_COST
 
 
-CHECKPOINT_LOSS_S = 1.0
-"""Seconds of work that are lost at most where a run saves its progress."""
-REQUEUE_S = 4.0
-"""Seconds of work that a gang is held to lose besides, since it waits for whole room again."""
-TOUCH_COST = 1.0
-"""Core-seconds that any stop is held to cost, so that fewer runs are touched."""
-
-
 class _Search:
-    """Grows a set of victims until enough tasks fit."""
+    """Grows a set of groups until enough tasks fit, then leaves out what is not needed."""
 
     def __init__(self, owner: Preemptor, step: StepState, domain: Sequence[Worker]) -> None:
         self._owner = owner
         self._step = step
-        self._domain = domain
-        self._victims: dict[int, Run] = {}
+        self._domain = {worker.worker_id: worker for worker in domain}
         self._freed: dict[str, Resources] = {}
-        self._lost = 0.0
-        self.total = sum(self._copies(worker) for worker in domain)
-
-    def widen(self) -> bool:
-        """Add the victims of the cheapest next task; ``False`` where there are none."""
-        best: tuple[float, list[Run]] | None = None
-        for worker in self._domain:
-            option = self._next(worker)
-            if option is not None and (best is None or option[0] < best[0]):
+        self._copies = {worker.worker_id: worker.copies(step, worker.free) for worker in domain}
+        self._chosen: dict[_Group, None] = {}
+        self._options: dict[str, _Option | None] = {}
+
+    def cheapest(self, wanted: int, limit: float) -> Preemption | None:
+        """The cheapest set that was found, or ``None``.
+
+        :param limit: core-seconds beyond which the search is given up.
+        """
+        lost = 0.0
+        while (missing := wanted - self._total) > 0:
+            option = self._best(missing)
+            if option is None:
+                return None
+            lost += option.lost
+            if lost > limit:
+                return None
+            for group in option.groups:
+                self._choose(group)
+        self._spare_needless(wanted)
+        return self._result(wanted)
+
+    @property
+    def _total(self) -> int:
+        return sum(self._copies.values())
+
+    def _best(self, missing: int) -> _Option | None:
+        best: _Option | None = None
+        for worker_id in self._domain:
+            if worker_id not in self._options:
+                self._options[worker_id] = self._option(self._domain[worker_id])
+            option = self._options[worker_id]
+            if option is None:
+                continue
+            if best is None or option.price(missing) < best.price(missing):
                 best = option
-        if best is None:
-            return False
-        self._lost += best[0]
-        for run in best[1]:
-            self._victims[id(run)] = run
-            freed = self._freed.get(run.worker_id, Resources())
-            self._freed[run.worker_id] = freed + run.room
-        self.total = sum(self._copies(worker) for worker in self._domain)
-        return True
-
-    def result(self, wanted: int) -> Preemption:
-        """The place and victims found."""
-        places: list[Worker] = []
-        order = sorted(self._domain, key=lambda worker: worker.worker_id in self._freed)
-        for worker in order:
-            places += [worker] * min(self._copies(worker), wanted - len(places))
-        return Preemption(places, list(self._victims.values()), self._lost)
-
-    def _taken(self) -> dict[int, int]:
-        """Victims so far, by step."""
-        taken: dict[int, int] = {}
-        for run in self._victims.values():
-            step = id(run.task.step)
-            taken[step] = taken.get(step, 0) + 1
-        return taken
-
-    def _copies(self, worker: Worker) -> int:
-        freed = self._freed.get(worker.worker_id, Resources())
-        return worker.copies(self._step, worker.free + freed)
-
-    def _next(self, worker: Worker) -> tuple[float, list[Run]] | None:
-        """The cheapest runs to stop so that one more task fits on a worker."""
-        before = self._copies(worker)
-        room = worker.free + self._freed.get(worker.worker_id, Resources())
-        groups: list[tuple[float, Sequence[Run]]] = []
-        taken = self._taken()
-        seen: set[int] = set()
-        for run in worker.runs.values():
-            if id(run) in self._victims or id(run) in seen:
+        return best
+
+    def _choose(self, group: _Group) -> None:
+        self._chosen[group] = None
+        self._free(group, Resources.__add__)
+
+    def _free(self, group: _Group, change: Callable[[Resources, Resources], Resources]) -> None:
+        """Add the room of a group to what is freed, or take it away again."""
+        for worker_id, room in group.rooms.items():
+            worker = self._domain.get(worker_id)
+            if worker is None:
                 continue
-            members = self._owner.group(run)
-            if members is None or not _spared(members, taken):
+            freed = change(self._freed.get(worker_id, NOTHING), room)
+            self._freed[worker_id] = freed
+            self._copies[worker_id] = worker.copies(self._step, worker.free + freed)
+            self._options.pop(worker_id, None)
+
+    def _option(self, worker: Worker) -> _Option | None:
+        """The cheapest groups to stop so that one more task fits on a worker."""
+        groups = self._groups_on(worker)
+        free = self._room(worker)
+        alone = next(
+            (
+                group
+                for group in groups
+                if self._is_enough(worker, free + group.rooms[worker.worker_id])
+            ),
+            None,
+        )
+        chain = self._chain(worker, groups)
+        found = [
+            _Option(each, sum(group.lost for group in each), self._gain(each))
+            for each in ([alone] if alone is not None else [], chain)
+            if each
+        ]
+        return min(found, key=lambda option: option.lost / option.gain, default=None)
+
+    def _groups_on(self, worker: Worker) -> list[_Group]:
+        """What may stop on a worker and is not to be stopped already, the cheapest first."""
+        groups: dict[_Group, None] = {}
+        for run in worker.runs.values():
+            group = self._owner.group(run)
+            if group is not None and group not in self._chosen and self._spared([group]):
+                groups[group] = None
+        return sorted(groups, key=lambda group: group.lost)
+
+    def _chain(self, worker: Worker, groups: Sequence[_Group]) -> list[_Group]:
+        """The cheapest groups one after the other, without those that proved needless."""
+        chain: list[_Group] = []
+        room = self._room(worker)
+        for group in groups:
+            if not self._spared([*chain, group]):
                 continue
-            seen.update(id(member) for member in members)
-            fresh = [member for member in members if id(member) not in self._victims]
-            groups.append((sum(self._owner.loss(member) for member in fresh), fresh))
-        groups.sort(key=lambda group: group[0])
-        chosen: list[Run] = []
-        cost = 0.0
-        for group_cost, members in groups:
-            if not _spared(members, _count(chosen, taken)):
+            chain.append(group)
+            room = room + group.rooms[worker.worker_id]
+            if self._is_enough(worker, room):
+                break
+        else:
+            return []
+        for group in sorted(chain, key=lambda group: -group.lost):
+            less = room - group.rooms[worker.worker_id]
+            if self._is_enough(worker, less):
+                chain.remove(group)
+                room = less
+        return chain
+
+    def _room(self, worker: Worker) -> Resources:
+        """Free room of a worker, with what was freed so far."""
+        return worker.free + self._freed.get(worker.worker_id, NOTHING)
+
+    def _is_enough(self, worker: Worker, room: Resources) -> bool:
+        """Whether one more task fits on a worker in some room of it."""
+        return worker.copies(self._step, room) > self._copies[worker.worker_id]
+
+    def _gain(self, groups: Sequence[_Group]) -> int:
+        """Tasks that fit more on all workers once some groups have stopped."""
+        rooms: dict[str, Resources] = {}
+        for group in groups:
+            for worker_id, room in group.rooms.items():
+                rooms[worker_id] = rooms.get(worker_id, NOTHING) + room
+        gain = 0
+        for worker_id, freed in rooms.items():
+            worker = self._domain.get(worker_id)
+            if worker is not None:
+                copies = worker.copies(self._step, self._room(worker) + freed)
+                gain += copies - self._copies[worker_id]
+        return gain
+
+    def _spare_needless(self, wanted: int) -> None:
+        """Leave out groups without which enough tasks fit, the dearest first."""
+        for group in sorted(self._chosen, key=lambda group: -group.lost):
+            self._free(group, Resources.__sub__)
+            if self._total >= wanted:
+                del self._chosen[group]
                 continue
-            chosen += members
-            cost += group_cost
-            for member in members:
-                if member.worker_id == worker.worker_id:
-                    room = room + member.room
-            if worker.copies(self._step, room) > before:
-                return cost, chosen
-        return None
-
-
-def _spared(members: Sequence[Run], taken: dict[int, int]) -> bool:
-    """Whether a step can miss these runs beside the victims it has to give already."""
-    step = members[0].task.step
-    limit = step.may_stop
-    return limit is None or taken.get(id(step), 0) + len(members) <= limit
-
-
-def _count(chosen: Sequence[Run], taken: dict[int, int]) -> dict[int, int]:
-    counted = dict(taken)
-    for run in chosen:
-        step = id(run.task.step)
-        counted[step] = counted.get(step, 0) + 1
-    return counted
+            self._free(group, Resources.__add__)
+
+    def _result(self, wanted: int) -> Preemption:
+        places: list[Worker] = []
+        order = sorted(self._domain, key=lambda worker_id: worker_id in self._freed)
+        for worker_id in order:
+            count = min(self._copies[worker_id], wanted - len(places))
+            places += [self._domain[worker_id]] * count
+        victims = [run for group in self._chosen for run in group.runs]
+        return Preemption(places, victims, sum(group.lost for group in self._chosen))
+
+    def _spared(self, groups: Sequence[_Group]) -> bool:
+        """Whether all steps can miss the runs of some groups beside those chosen already."""
+        limited = [group for group in groups if group.step.step.may_miss]
+        if not limited:
+            return True
+        taken: dict[StepState, int] = {}
+        for group in (*self._chosen, *groups):
+            taken[group.step] = taken.get(group.step, 0) + len(group.runs)
+        return all(
+            group.step.may_stop is None or taken[group.step] <= group.step.may_stop
+            for group in limited
+        )
--- /dev/null
+++ b/src/saddlestack/policy/board/waiting.py
@@ -0,0 +1,112 @@
+"""The work that waits: which steps may start, since when they wait, and in which order."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+
+from saddlestack.policy.board.jobs import Job, Occurrence, StepState, Task
+from saddlestack.policy.board.records import TaskStatus
+
+TOP_PRIORITY = 0
+
+Guaranteed = Callable[[str], int]
+"""Accelerators that a client account owns for jobs of top priority."""
+
+
+class Waiting:
+    """Steps some of whose tasks may wait; what runs or is over costs nothing here."""
+
+    def __init__(self) -> None:
+        self._steps: dict[StepState, None] = {}
+        self._due: list[tuple[int, int, Occurrence]] = []
+        self._top: dict[str, Job] = {}
+        self._count = 0
+
+    @property
+    def next_due_ms(self) -> int | None:
+        """Wall time at which the next occurrence falls due, or ``None``."""
+        while self._due and not self._due[0][2].open:
+            heapq.heappop(self._due)
+        return self._due[0][0] if self._due else None
+
+    def add(self, job: Job) -> None:
+        """A job with work left."""
+        if job.over:
+            return
+        if job.priority == TOP_PRIORITY:
+            self._top[job.job_id] = job
+        for occurrence in job.occurrences:
+            if not occurrence.open:
+                continue
+            if occurrence.due_ms:
+                self._count += 1
+                heapq.heappush(self._due, (occurrence.due_ms, self._count, occurrence))
+            else:
+                self._open(occurrence)
+
+    def returned(self, step: StepState) -> None:
+        """A task of a step waits again."""
+        self._steps[step] = None
+
+    def finished(self, step: StepState) -> None:
+        """All tasks of a step are done: steps that waited for it may start."""
+        for later in step.occurrence.steps:
+            if step.number in later.step.after:
+                self._steps[later] = None
+
+    def ready(self, now: float, wall_ms: float, entitled: set[str]) -> list[StepState]:
+        """Steps that may start, those that go first first.
+
+        :param entitled: jobs of top priority that lie within their account's guarantee.
+        """
+        while self._due and self._due[0][0] <= wall_ms:
+            self._open(heapq.heappop(self._due)[2])
+        for step in [step for step in self._steps if not _may_start(step)]:
+            del self._steps[step]
+        for step in self._steps:
+            if step.waits_since_s is None:
+                step.waits_since_s = now
+        return sorted(self._steps, key=lambda step: _order(step, entitled))
+
+    def entitled(self, guaranteed: Guaranteed) -> set[str]:
+        """Jobs of top priority that lie within their account's guarantee."""
+        for job_id in [job_id for job_id, job in self._top.items() if job.over]:
+            del self._top[job_id]
+        found: set[str] = set()
+        left: dict[str, int] = {}
+        for job in sorted(self._top.values(), key=lambda job: job.accepted.accepted_ms):
+            account = job.accepted.account
+            room = left.get(account)
+            if room is None:
+                room = guaranteed(account)
+            left[account] = room - job.accelerators
+            if left[account] >= 0:
+                found.add(job.job_id)
+        return found
+
+    def _open(self, occurrence: Occurrence) -> None:
+        if occurrence.open:
+            for step in occurrence.steps:
+                self._steps[step] = None
+
+
+def waits(task: Task) -> bool:
+    """Whether a task is to be started."""
+    return task.status is TaskStatus.WAITING and task.run is None
+
+
+def _may_start(step: StepState) -> bool:
+    if step.finished or not step.occurrence.open:
+        return False
+    steps = step.occurrence.steps
+    if not all(steps[number].finished for number in step.step.after):
+        return False
+    if step.step.gang:
+        return all(waits(task) for task in step.tasks)
+    return any(waits(task) for task in step.tasks)
+
+
+def _order(step: StepState, entitled: set[str]) -> tuple[int, bool, int]:
+    job = step.occurrence.job
+    return job.priority, job.job_id not in entitled, job.accepted.accepted_ms
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -21,6 +21,24 @@
 RunKey = tuple[TaskName, int]
 """A task and the number of its run."""
 
+_NOTED = frozenset(
+    {
+        "record",
+        "listed",
+        "reachable",
+        "suspected",
+        "closing",
+        "strikes",
+        "quarantine_s",
+        "probation_s",
+        "used",
+        "reserved",
+        "leaves_s",
+    }
+)
+"""What decides where work fits: a change of any of these is noted."""
+_ROOM = frozenset({"record", "used", "reserved"})
+
 
 @dataclass(slots=True, eq=False)
 class Worker:
@@ -37,6 +55,9 @@
     :param quarantine_s: no new work until then.
     :param probation_s: neither urgent work nor gangs until then.
     :param reserved: room set aside for work that waits for others to stop.
+    :param held: room that runs hold, by the priority of their jobs.
+    :param changed: where to note that something about it has changed, if anywhere. Noting it where
+        it is set, and nowhere else, keeps the index of room true whoever changes a worker.
     """
 
     record: WorkerRecord
@@ -52,6 +73,18 @@
     used: Resources = field(default_factory=Resources)
     reserved: Resources = field(default_factory=Resources)
     runs: dict[RunKey, Run] = field(default_factory=dict)
+    held: dict[int, Resources] = field(default_factory=dict)
+    changed: dict[Worker, None] | None = None
+    _free: Resources | None = None
+
+    def __setattr__(self, name: str, value: object) -> None:
+        object.__setattr__(self, name, value)
+        if name in _ROOM:
+            object.__setattr__(self, "_free", None)
+        if name in _NOTED:
+            changed = getattr(self, "changed", None)
+            if changed is not None:
+                changed[self] = None
 
     @property
     def worker_id(self) -> str:
@@ -61,7 +94,9 @@
     @property
     def free(self) -> Resources:
         """Room that nothing holds or waits for."""
-        return self.record.capacity - self.used - self.reserved
+        if self._free is None:
+            self._free = self.record.capacity - self.used - self.reserved
+        return self._free
 
     def takes_work(self, now: float) -> bool:
         """Whether new work may go there."""
@@ -85,11 +120,24 @@
         copies = step.room.copies_in(self.record.capacity)
         return min(copies, step.per_worker) if step.per_worker else copies
 
-    def copies(self, step: StepState, room: Resources) -> int:
-        """Tasks of a step that fit into some room of it; one where it has failed lately."""
-        copies = step.step.room.copies_in(room)
+    def fitting(self, needs: Resources, room: Resources) -> int:
+        """Tasks of some size that fit into some room of it; one where it has failed lately."""
+        copies = needs.copies_in(room)
         if self.strikes:
             copies = min(copies, 0 if self.runs else 1)
+        return copies
+
+    def lower_work(self, priority: int) -> Resources:
+        """Room that runs of lower priority hold."""
+        lower = Resources()
+        for other, room in self.held.items():
+            if other > priority:
+                lower = lower + room
+        return lower
+
+    def copies(self, step: StepState, room: Resources) -> int:
+        """Tasks of a step that fit into some room of it."""
+        copies = self.fitting(step.step.room, room)
         limit = step.step.per_worker
         if not limit:
             return copies
@@ -99,12 +147,16 @@
     def add(self, run: Run) -> None:
         """Hold room for a run."""
         self.runs[(run.task.name, run.number)] = run
+        priority = run.task.step.occurrence.job.priority
+        self.held[priority] = self.held.get(priority, Resources()) + run.room
         self.used = self.used + run.room
 
     def remove(self, task: TaskName, number: int) -> Run | None:
         """Free the room of a run that is over."""
         run = self.runs.pop((task, number), None)
         if run is not None:
+            priority = run.task.step.occurrence.job.priority
+            self.held[priority] = self.held[priority] - run.room
             self.used = self.used - run.room
         return run
 
--- a/src/saddlestack/work.py
+++ b/src/saddlestack/work.py
@@ -67,13 +67,13 @@
     def copies_in(self, room: Resources) -> int:
         """How many times this fits into some room; a large number where it is empty."""
         copies = MAX_TASKS_OF_JOB
-        if self.cpu:
-            copies = min(copies, room.cpu // self.cpu)
-        if self.memory_mb:
-            copies = min(copies, room.memory_mb // self.memory_mb)
-        if self.accelerators:
-            copies = min(copies, room.accelerators // self.accelerators)
-        return max(0, copies)
+        if self.cpu and (fit := room.cpu // self.cpu) < copies:
+            copies = fit
+        if self.memory_mb and (fit := room.memory_mb // self.memory_mb) < copies:
+            copies = fit
+        if self.accelerators and (fit := room.accelerators // self.accelerators) < copies:
+            copies = fit
+        return copies if copies > 0 else 0
 
 
 class Step(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -6,73 +6,78 @@
 
 from saddlestack.models import Adjacency, Shape
 from saddlestack.policy.assigning import CellKind, CellSearch
-from saddlestack.policy.board.backfill import Backfill
-from saddlestack.policy.board.board import Board
-from saddlestack.policy.board.headroom import half_used, may_open
+from saddlestack.policy.board.backfill import KEPT_GANGS, Backfill
+from saddlestack.policy.board.fits import Fit, Fits
+from saddlestack.policy.board.headroom import may_open
+from saddlestack.policy.board.index import RoomIndex, ServiceRooms
 from saddlestack.policy.board.jobs import StepState
+from saddlestack.policy.board.places import IndexedPlaces, ListedPlaces
 from saddlestack.policy.board.reservations import RESERVATION_S, Reservations
 from saddlestack.policy.board.workers import Worker
-from saddlestack.work import Resources
-from tests.test_board import BULK, NORMAL, BoardCase, record, step
+from saddlestack.work import JobState, Resources, Step
+from tests.test_board import BULK, NORMAL, SERVICE, BoardCase, step
 
 
-class HeadroomTest(unittest.TestCase):
+class HeadroomTest(BoardCase):
     def pool(self, racks: int, each: int) -> list[Worker]:
-        return [
-            Worker(record(f"w{rack}{number}", rack=f"r{rack}"))
-            for rack in range(racks)
-            for number in range(each)
-        ]
+        self.workers(racks, each)
+        return list(self.board.workers.values())
 
     def use(self, *workers: Worker) -> None:
         """Fill workers whole, with something that counts as running there."""
-        board = Board()
         for worker in workers:
-            board.workers[worker.worker_id] = worker
-        case = BoardCase()
-        case.board, case.jobs = board, 0
-        case.add(step(len(workers), 8))
-        case.plan()
+            job = self.board.jobs[self.add(step(1, 8))]
+            self.board.assign(job.occurrences[0].steps[0].tasks[0], worker, 1, 0.0)
+
+    def rooms(self) -> ServiceRooms:
+        index = RoomIndex()
+        for worker in self.board.workers.values():
+            index.add(worker)
+        index.begin(0.0)
+        return index.service(SERVICE)
+
+    def may_open(self, *places: Worker) -> bool:
+        return may_open(self.rooms(), places)
 
     def test_an_idle_pool_may_be_opened(self) -> None:
         pool = self.pool(racks=1, each=4)
-        self.assertTrue(may_open(pool, pool[:1], 0.0))
+        self.assertTrue(self.may_open(pool[0]))
 
     def test_half_of_accelerators_or_of_processors_is_half_used(self) -> None:
         pool = self.pool(racks=1, each=2)
-        self.assertFalse(half_used(pool))
+        self.assertFalse(self.rooms().half_used)
         pool[0].used = Resources(0, 0, 8)
-        self.assertTrue(half_used(pool))
+        self.assertTrue(self.rooms().half_used)
         pool[0].used = Resources(32_000, 0, 0)
-        self.assertTrue(half_used(pool))
+        self.assertTrue(self.rooms().half_used)
         pool[0].used = Resources(31_000, 0, 7)
-        self.assertFalse(half_used(pool))
+        self.assertFalse(self.rooms().half_used)
 
     def test_a_quarter_stays_shut_once_half_is_used(self) -> None:
         pool = self.pool(racks=4, each=2)
         self.use(*pool[0::2], pool[1])
-        self.assertTrue(may_open(pool, [pool[3]], 0.0))
+        self.assertTrue(self.may_open(pool[3]))
         self.use(pool[3])
-        self.assertFalse(may_open(pool, [pool[5]], 0.0))
+        self.assertFalse(self.may_open(pool[5]))
 
     def test_half_a_rack_stays_shut_where_one_is_free(self) -> None:
         pool = self.pool(racks=2, each=8)
         self.use(*pool[:8])
         self.use(*pool[8:12])
-        self.assertFalse(may_open(pool, [pool[12]], 0.0))
+        self.assertFalse(self.may_open(pool[12]))
 
     def test_a_worker_in_use_is_no_headroom(self) -> None:
         pool = self.pool(racks=1, each=2)
         self.use(pool[0])
-        self.assertTrue(may_open(pool, [pool[0]], 0.0))
+        self.assertTrue(self.may_open(pool[0]))
 
     def test_a_worker_that_takes_no_work_is_none_either(self) -> None:
         pool = self.pool(racks=2, each=8)
         self.use(*pool[:8])
-        self.assertTrue(may_open(pool, [pool[8]], 0.0))
+        self.assertTrue(self.may_open(pool[8]))
         for worker in pool[9:14]:
             worker.listed = False
-        self.assertFalse(may_open(pool, [pool[8]], 0.0))
+        self.assertFalse(self.may_open(pool[8]))
 
 
 class BackfillTest(BoardCase):
@@ -80,13 +85,21 @@
         return self.board.jobs[job_id].occurrences[0].steps[0]
 
     def kept(self, gang: StepState, asking: StepState) -> set[str]:
-        """Workers that one step leaves to another."""
-        backfill = Backfill()
+        """Workers that one step leaves to another, alike by the index and by looking at each."""
         workers = list(self.board.workers.values())
-        backfill.keep_for(gang, workers)
-        return {w.worker_id for w in workers} - {
-            w.worker_id for w in backfill.open_to(asking, workers)
-        }
+        index = RoomIndex()
+        for worker in workers:
+            index.add(worker)
+        index.begin(0.0)
+        fits = Fits(index).of(Fit(SERVICE, gang.step.room, gang.step.label, proven=True))
+        found = []
+        for places in (ListedPlaces(gang, workers), IndexedPlaces(gang, fits, None)):
+            backfill = Backfill()
+            backfill.keep(places.soonest(), gang.occurrence.job.priority)
+            priority = asking.occurrence.job.priority
+            found.append({w.worker_id for w in workers if backfill.is_kept(w, priority)})
+        self.assertEqual(found[0], found[1])
+        return found[0]
 
     def test_the_rack_with_least_in_the_way_is_kept(self) -> None:
         self.workers(racks=2, each=2)
@@ -124,6 +137,57 @@
         bulk = self.waiting(self.add(step(1, 1), priority=BULK))
         self.assertEqual(self.kept(gang, bulk), set())
 
+    def test_no_more_gangs_than_the_bound_keep_workers(self) -> None:
+        backfill = Backfill()
+        for _ in range(KEPT_GANGS):
+            self.assertFalse(backfill.is_full)
+            backfill.keep((), NORMAL)
+        self.assertTrue(backfill.is_full)
+        backfill.clear()
+        self.assertFalse(backfill.is_full)
+
+
+class VictimsTest(BoardCase):
+    """Whole gangs are stopped, so what one gang frees has to count for all of the need."""
+
+    def run_on(self, made: Step, workers: list[str], now: float) -> str:
+        """Have a bulk job run on some workers since some time."""
+        job_id = self.add(made, priority=BULK)
+        tasks = self.board.jobs[job_id].occurrences[0].steps[0].tasks
+        for task, worker_id in zip(tasks, workers, strict=True):
+            self.board.assign(task, self.board.workers[worker_id], 1, now)
+        for start in self.board.take().starts:
+            self.board.started(start.run, now)
+        return job_id
+
+    def stopped(self, wanted: Step, now: float) -> list[str]:
+        """Jobs whose runs are stopped for an urgent one, one name a run."""
+        self.add(wanted)
+        return sorted(stop.task.job_id for stop in self.plan(now).stops)
+
+    def test_what_a_later_victim_made_needless_is_spared(self) -> None:
+        self.workers(each=3)
+        gang = self.run_on(step(2, 8, gang=True), ["w11", "w12"], 0.0)
+        self.run_on(step(1, 8), ["w13"], 0.0)
+        wanted = step(2, 8, gang=True, same_rack=True)
+        self.assertEqual(self.stopped(wanted, 1.0), [gang, gang])
+
+    def test_a_gang_counts_for_all_the_room_that_it_frees(self) -> None:
+        self.workers(each=8)
+        singles = ["w11", "w12", "w13", "w14"]
+        for worker_id in singles:
+            self.run_on(step(1, 8), [worker_id], 0.0)
+        gang = self.run_on(step(4, 8, gang=True), ["w15", "w16", "w17", "w18"], 9.0)
+        wanted = step(4, 8, gang=True, same_rack=True)
+        self.assertEqual(self.stopped(wanted, 10.0), [gang] * 4)
+
+    def test_small_runs_beside_a_large_one_are_spared_where_it_is_enough(self) -> None:
+        self.workers(each=1)
+        small = self.run_on(step(2, 1), ["w11", "w11"], 0.0)
+        large = self.run_on(step(1, 6), ["w11"], 0.0)
+        self.assertEqual(self.stopped(step(1, 6), 1.0), [large])
+        self.assertEqual(self.state(small), JobState.RUNNING)
+
 
 class ReservationsTest(BoardCase):
     def setUp(self) -> None:
