Progress counts as proof; urgent work is looked at beside the look that waits

Ruled out: a lost answer (none in the logs). Change: caution.py counts workers on which work stands still, and a run that gets on proves its worker (no longer before the first that was found out than it takes to find one out); a session looks every 0.3 s beside the look that waits while urgent work runs there. Tests: test_where_a_gang_stood_still_the_workers_that_got_on_are_used_again, test_what_got_on_before_the_first_was_found_out_proves_nothing, test_a_run_that_stands_still_is_noticed_beside_a_look_that_waits_for_an_end.

--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -75,6 +75,7 @@
         self._settled: dict[RunKey, float] = {}
         self._noted = 0
         self._seen = 0
+        self._watching = False
         self.over = False
 
     def begin(self) -> None:
@@ -183,6 +184,7 @@
             self._settle(key)
             self._owner.board.started(run, now)
             self._owner.changed()
+            self._watch_progress()
             return
         log.info(
             "start refused",
@@ -296,6 +298,21 @@
         else:
             await self._take(report, asked)
 
+    def _watch_progress(self) -> None:
+        """Look often while urgent work runs; the look that waits for an end may take 2 s."""
+        if not self._watching and needs_looks(self.worker):
+            self._watching = True
+            self._tasks.spawn(self._look_often())
+
+    async def _look_often(self) -> None:
+        try:
+            while needs_looks(self.worker) and not self.over:
+                await asyncio.sleep(LOOK_S)
+                if self.worker.reachable and needs_looks(self.worker):
+                    await self._look_now()
+        finally:
+            self._watching = False
+
     def _idle(self) -> bool:
         return (
             not self.worker.runs
@@ -322,8 +339,6 @@
             return 0.0
         if any(run.stopping for run in self.worker.runs.values()):
             return STOPPING_WAIT_S
-        if needs_looks(self.worker):
-            return LOOK_S
         return WATCHED_WAIT_S if needs_watching(self.worker) else WAIT_S
 
     def _unsettled(self) -> bool:
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -209,6 +209,7 @@
                 continue
             if row.percent > run.percent:
                 run.moved_s = now
+                worker.proved_s = now
             run.percent = row.percent
             run.reported_s = now
             run.figure = row.figure
@@ -222,6 +223,7 @@
         for run in list(worker.runs.values()):
             if is_stuck(run, self.members(run), now):
                 worker.failed(now, early=True)
+                self._caution.found_out(worker, now)
                 run.task.step.moves += 1
                 self.stop_group(run, StopReason.STUCK)
 
@@ -247,7 +249,7 @@
             early = now - since < EARLY_FAILURE_S
             worker.failed(now, early=early)
             if early:
-                self._caution.failed_at_once(worker, now)
+                self._caution.found_out(worker, now)
 
     def _run_over(self, run: Run, how: EndKind, saved: str) -> None:
         task = run.task
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from saddlestack.policy.board.backfill import Backfill
-from saddlestack.policy.board.caution import Caution, has_proved
+from saddlestack.policy.board.caution import Caution
 from saddlestack.policy.board.fits import Fit, Fits
 from saddlestack.policy.board.headroom import HEADROOM_PATIENCE_S, may_open
 from saddlestack.policy.board.index import RoomIndex, ServiceRooms
@@ -89,11 +89,11 @@
             self._preempt(step, places, entitled, now)
 
     def _place_with_caution(self, step: StepState, now: float) -> bool:
-        """Place a step where work has ended well lately, if that is called for and it fits."""
+        """Place a step where work gets on, if that is called for and it fits there."""
         if not self._caution.is_due(step, now):
             return False
         able = self._listed(step, self._fit(step), self._kept(step), now)
-        proved = [worker for worker in able if has_proved(worker, now)]
+        proved = [worker for worker in able if self._caution.has_proved(worker, now)]
         return bool(proved) and self._place_on(step, None, ListedPlaces(step, proved), now)
 
     def _place_on(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -54,7 +54,7 @@
     :param strikes: runs that failed there since one last ended well.
     :param quarantine_s: no new work until then.
     :param probation_s: neither urgent work nor gangs until then.
-    :param proved_s: when a run last ended well there.
+    :param proved_s: when a run last got on, or ended well, there.
     :param reserved: room set aside for work that waits for others to stop.
     :param held: room that runs hold, by the priority of their jobs.
     :param changed: where to note that something about it has changed, if anywhere. Noting it where
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -174,6 +174,34 @@
         self.prove("w16", 0.1)
         self.assertEqual(self.place(0.2)[1], "w16")
 
+    def test_where_a_gang_stood_still_the_workers_that_got_on_are_used_again(self) -> None:
+        self.workers(each=8)
+        gangs = [self.add(step(2, 8, gang=True)) for _ in range(2)]
+        self.plan(0.0)
+        bad = [self.board.jobs[g].occurrences[0].steps[0].tasks[0].run for g in gangs]
+        names = {run.worker_id for run in bad if run is not None}
+        for now in (0.3, 0.7):
+            for worker in list(self.board.workers.values()):
+                percent = 0 if worker.worker_id in names else round(now * 50)
+                rows = [
+                    RunningTask(str(name), number, "", percent, 0.0) for name, number in worker.runs
+                ]
+                self.board.reported(worker.worker_id, rows, now)
+        for gang in gangs:
+            self.end(gang, EndKind.STOPPED, now=0.9)
+        placed = {s.run.worker_id for s in self.plan(1.0).starts[:2]}
+        self.assertEqual(placed, {"w12", "w14"})
+
+    def test_what_got_on_before_the_first_was_found_out_proves_nothing(self) -> None:
+        self.workers(each=6)
+        self.prove("w16", 1.0)
+        for _ in range(2):
+            job_id = self.add(step(1, 8), attempts=9)
+            self.plan(3.0)
+            self.fail(job_id, 3.1)
+            self.board.cancel(job_id)
+        self.assertNotEqual(self.place(3.2)[1], "w16")
+
     def test_other_work_does_not_care_for_them(self) -> None:
         self.wave()
         self.prove("w16", 0.1)
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -30,6 +30,7 @@
 from saddlestack.kernel.clock import Clock
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import Changes, StopReason
+from saddlestack.policy.board.progress import LEAST_STILL_S, LOOK_S
 from saddlestack.policy.board.records import TaskStatus
 from saddlestack.policy.board.workers import Worker
 from saddlestack.standins.loop import run
@@ -218,6 +219,19 @@
 
         self.play(body)
 
+    def test_a_run_that_stands_still_is_noticed_beside_a_look_that_waits_for_an_end(self) -> None:
+        """Urgent work starts while a look at other work of the worker has 2 s to wait."""
+
+        async def body(scene: Scene) -> None:
+            scene.assign()
+            scene.is_there(percent=0)
+            await asyncio.sleep(LEAST_STILL_S + 2 * LOOK_S)
+            stops = scene.board.take().stops
+            self.assertEqual([stop.reason for stop in stops], [StopReason.STUCK])
+            self.assertGreaterEqual(len(scene.orders.seen), 4)
+
+        self.play(body)
+
     def test_where_runs_are_to_stop_a_lost_look_costs_little(self) -> None:
         async def body(scene: Scene) -> None:
             scene.assign()
