--- a/src/saddlestack/policy/board/evacuation.py
+++ b/src/saddlestack/policy/board/evacuation.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from saddlestack.policy.board.jobs import Run
+from saddlestack.policy.board.progress import remaining_s
 from saddlestack.policy.board.workers import Worker
 
 SAVE_MARGIN_S = 1.2
@@ -13,8 +14,6 @@
 END_MARGIN_S = 0.5
 """A run that has nothing to save is left alone if it ends this long before the worker may leave, or
 within this time from now. A notice is heard up to 0.3 s late, an end after 0.01 s."""
-LEAST_PERCENT = 3
-"""Progress below this says nothing about how long a run still takes."""
 
 
 def leaving(workers: Iterable[Worker], now: float) -> list[Run]:
@@ -38,14 +37,4 @@
     step = run.task.step.step
     if step.checkpoint or step.long_running:
         return left < SAVE_MARGIN_S
-    return _remaining(run, now) > max(left - END_MARGIN_S, END_MARGIN_S)
-
-
-def _remaining(run: Run, now: float) -> float:
-    """Seconds that a run still takes, as far as its progress and its estimate tell."""
-    since = run.started_s if run.started_s is not None else run.assigned_s
-    if run.percent >= LEAST_PERCENT:
-        done_s = max(0.0, run.reported_s - since)
-        left_s = done_s * (100 - run.percent) / run.percent
-        return max(0.0, left_s - (now - run.reported_s))
-    return max(0.0, run.task.step.step.estimate_ms / 1000 - (now - since))
+    return remaining_s(run, now) > max(left - END_MARGIN_S, END_MARGIN_S)
--- a/src/saddlestack/policy/board/progress.py
+++ b/src/saddlestack/policy/board/progress.py
@@ -1,4 +1,4 @@
-"""Which runs stand still, or go so slowly that they end sooner begun again elsewhere.
+"""How long runs still take, and which stand still or go so slowly that they had better begin anew.
 
 A worker may answer every call while what runs on it does not move, or at a sixth of its speed. Only
 the progress that it reports tells.
@@ -12,6 +12,8 @@
 from saddlestack.policy.board.waiting import TOP_PRIORITY
 from saddlestack.policy.board.workers import Worker
 
+LEAST_PERCENT = 3
+"""Progress below this says nothing about how long a run still takes."""
 LEAST_STILL_S = 0.6
 """Nothing is judged sooner: two looks of :data:`LOOK_S` have to agree..."""
 STILL_SHARE = 0.15
@@ -31,6 +33,16 @@
 """How often a worker is looked at on which urgent work runs."""
 
 
+def remaining_s(run: Run, now: float) -> float:
+    """Seconds that a run still takes, as far as its progress and its estimate tell."""
+    since = run.started_s if run.started_s is not None else run.assigned_s
+    if run.percent >= LEAST_PERCENT:
+        done_s = max(0.0, run.reported_s - since)
+        left_s = done_s * (100 - run.percent) / run.percent
+        return max(0.0, left_s - (now - run.reported_s))
+    return max(0.0, run.task.step.step.estimate_ms / 1000 - (now - since))
+
+
 def needs_looks(worker: Worker) -> bool:
     """Whether urgent work runs on a worker, so that its progress is asked for often."""
     held = worker.held.get(TOP_PRIORITY)
