--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -34,6 +34,7 @@
 from saddlestack.policy.board.changes import Changes, Question
 from saddlestack.policy.board.records import OccurrenceRecord
 from saddlestack.policy.board.workers import Worker
+from saddlestack.policy.suspicion import Suspicion
 from saddlestack.work import AcceptedJob, JobState
 
 log = logging.getLogger("saddlestack.scheduler")
@@ -75,6 +76,7 @@
         self._journal = Journal(context, term.fence)
         self._commits = Commits(context, self._journal, self._displaced)
         self._sessions = Sessions(context, self)
+        self._suspicion = Suspicion()
         self._halls = HallWatch(context, peers, membership, self._sessions.suspect)
         self._tasks = TaskGroup("scheduler")
         self._wake = asyncio.Event()
@@ -125,8 +127,12 @@
         await self._commits.written(self._known)
 
     def missed(self, worker: Worker) -> None:
-        """A call to a worker was not answered: look at all of its hall at once."""
-        self._sessions.suspect(worker.record.data_hall)
+        """A call to a worker was not answered: look at it, or at all of its hall, at once."""
+        hall = worker.record.data_hall
+        if self._suspicion.missed(hall, worker.worker_id, self._clock.now()):
+            self._sessions.suspect(hall)
+        else:
+            self._sessions.suspect_worker(worker)
 
     def fenced(self) -> None:
         """A worker obeys a later term."""
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -13,6 +13,7 @@
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.policy.board.changes import Start, Stop
 from saddlestack.policy.board.pacing import Pace
+from saddlestack.policy.board.workers import Worker
 
 log = logging.getLogger("saddlestack.sessions")
 
@@ -61,9 +62,13 @@
         """Give nothing new to the workers of a hall until each has been heard again."""
         for worker in list(self._owner.board.workers.values()):
             if worker.record.data_hall == hall and worker.listed:
-                session = self._session(worker.worker_id)
-                if session is not None:
-                    session.suspect()
+                self.suspect_worker(worker)
+
+    def suspect_worker(self, worker: Worker) -> None:
+        """Give nothing new to a worker until it has been heard again."""
+        session = self._session(worker.worker_id)
+        if session is not None:
+            session.suspect()
 
     def order_start(self, start: Start) -> bool:
         """Order a run to start; ``False`` where its worker is gone."""
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -864,6 +864,24 @@
 
         self.play(body)
 
+    def test_one_silent_worker_has_no_others_looked_at(self) -> None:
+        """On a large pool each lost answer cost 108 looks; two of a hall speak against the hall."""
+
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(1, work_s=60.0, accelerators=8))
+            await cluster.submit(B, job(1, work_s=60.0, accelerators=8))
+            await cluster.until(lambda: len(cluster.floor.history) == 2)
+            used = [cluster.floor.workers[run.worker] for run in cluster.floor.history]
+            hall = [w for w in cluster.floor.workers.values() if w.data_hall == used[0].data_hall]
+            self.assertGreater(len(hall), 2)
+            used[0].unreachable = True
+            await asyncio.sleep(6.0)
+            self.assertEqual([w for w in hall if w.fence and w not in used], [])
+            used[1].unreachable = True
+            await cluster.until(lambda: all(w.fence for w in hall if w not in used), 12.0)
+
+        self.play(body, racks=1, workers=6)
+
     def test_a_gang_on_one_worker_lapses_whole(self) -> None:
         """Found by soak seeds 101 and 124: the stand-in failed, and nothing ended any more."""
 
