--- a/src/saddlestack/policy/board/placement.py
+++ b/src/saddlestack/policy/board/placement.py
@@ -20,18 +20,26 @@
     """
     if not step.step.same_rack:
         return [_near_first(step, workers)]
-    racks = by_rack(workers)
-    able = [
-        rack
-        for rack in racks.values()
-        if sum(worker.most(step.step) for worker in rack) >= step.step.count
-    ]
+    able = _able_racks(step, workers)
     if not able:
         return [_near_first(step, workers)]
     near = step.step.data_rack
     return sorted(able, key=lambda rack: rack[0].record.rack != near)
 
 
+def whole_racks(step: StepState, workers: Iterable[Worker]) -> list[Worker]:
+    """Those of some workers that lie in racks where they could hold a whole gang."""
+    return [worker for rack in _able_racks(step, workers) for worker in rack]
+
+
+def _able_racks(step: StepState, workers: Iterable[Worker]) -> list[list[Worker]]:
+    return [
+        rack
+        for rack in by_rack(workers).values()
+        if sum(worker.most(step.step) for worker in rack) >= step.step.count
+    ]
+
+
 def by_rack(workers: Iterable[Worker]) -> dict[str, list[Worker]]:
     """Workers by the rack they stand in."""
     racks: dict[str, list[Worker]] = {}
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -10,6 +10,7 @@
 from saddlestack.policy.board.headroom import HEADROOM_PATIENCE_S, may_open
 from saddlestack.policy.board.index import RoomIndex, ServiceRooms
 from saddlestack.policy.board.jobs import Job, Run, StepState
+from saddlestack.policy.board.placement import whole_racks
 from saddlestack.policy.board.places import IndexedPlaces, Kept, ListedPlaces, Places
 from saddlestack.policy.board.pool import Pool
 from saddlestack.policy.board.preemption import Preemptor, StopTimes, fits_soon
@@ -99,6 +100,8 @@
             return False
         able = self._listed(step, self._fit(step), self._kept(step), now)
         proved = [worker for worker in able if self._caution.has_proved(worker, now)]
+        if step.step.gang and step.step.same_rack:
+            proved = whole_racks(step, proved)
         return bool(proved) and self._place_on(step, None, ListedPlaces(step, proved), now)
 
     def _place_on(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -212,6 +212,19 @@
         self.prove("w16", 5.0)
         self.assertNotEqual(self.place(0.1 + WAVE_S + 0.1)[1], "w16")
 
+    def test_a_gang_of_one_rack_is_not_spread_over_racks_for_it(self) -> None:
+        self.workers(racks=2, each=3)
+        job_id = self.add(step(2, 8, gang=True, same_rack=True), attempts=2)
+        self.plan(0.0)
+        self.fail(job_id, 1.0)
+        for worker in self.board.workers.values():
+            worker.quarantine_s = worker.probation_s = 0.0
+            worker.strikes = 0
+        self.prove("w13", 4.0)
+        self.prove("w23", 4.0)
+        racks = {s.run.worker_id[:2] for s in self.plan(4.0).starts}
+        self.assertEqual(len(racks), 1)
+
     def test_where_it_fits_nowhere_proved_it_goes_elsewhere(self) -> None:
         self.workers(each=3)
         job_id = self.add(step(2, 8, gang=True), attempts=2)
