Only urgent work that stands still between reports begins again; estimates judge no speed

Ruled out: waiting for others to end (none waited over 0.4 s there), gangs in one hall. Change: no rule on speed; a run stands still only between two reports that were received; urgent work alone is judged.

--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -105,7 +105,6 @@
         worker = self.workers.get(record.worker)
         if worker is None:
             worker = self._ghost(record.worker)
-        run.rack = worker.record.rack
         worker.add(run)
 
     def _ghost(self, worker_id: str) -> Worker:
@@ -210,8 +209,9 @@
                 self._stops.append(Stop(worker_id, name, row.run, StopReason.NOT_OURS))
                 continue
             if row.percent > run.percent:
-                run.moved_s = now
                 worker.proved_s = now
+            if row.percent != run.percent or run.moved_s is None:
+                run.moved_s = now
             run.percent = row.percent
             run.reported_s = now
             run.figure = row.figure
@@ -367,8 +367,7 @@
 
     def assign(self, task: Task, worker: Worker, number: int, now: float) -> None:
         """Give a run of a task to a worker."""
-        room, rack = task.step.step.room, worker.record.rack
-        run = Run(task, number, worker.worker_id, room, assigned_s=now, rack=rack)
+        run = Run(task, number, worker.worker_id, task.step.step.room, assigned_s=now)
         task.run = run
         task.record.status = TaskStatus.ASSIGNED
         task.record.run = number
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -33,8 +33,7 @@
     :param saved: the latest checkpoint that the worker reported.
     :param percent: of the work done, as the worker reported; a lasting task works at 100.
     :param reported_s: when it said so, on the board's clock.
-    :param moved_s: when it last said more than before, on the board's clock.
-    :param rack: of the worker.
+    :param moved_s: when it first said so, on the board's clock; ``None`` before it said anything.
     :param figure: the worker's figure of the last half second.
     :param pace: the share of full speed that it was last ordered to work at.
     """
@@ -52,8 +51,7 @@
     saved: str = ""
     percent: int = 0
     reported_s: float = 0.0
-    moved_s: float = 0.0
-    rack: str = ""
+    moved_s: float | None = None
     figure: float = 0.0
     pace: int = 100
 
@@ -83,7 +81,7 @@
 
     :param avoids: whether a task of it has failed somewhere, so that it goes elsewhere.
     :param shapes: the numbers of its shapes, once they were asked for.
-    :param moves: how often it was begun again elsewhere since it stood still or went slowly.
+    :param moves: how often it was begun again elsewhere since it stood still.
     :param waits_since_s: when one of its tasks was first to be started, on the board's clock.
     """
 
