--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -122,6 +122,32 @@
             ),
         ),
     ),
+    Variant(
+        "one hall",
+        "gangs in one data hall where they fit",
+        (
+            Edit(
+                "policy/board/placement.py",
+                "        if len(hall) == wanted:\n            return hall\n",
+                "",
+            ),
+            Edit(
+                "policy/board/places.py",
+                "        return able or [everywhere]",
+                "        return [everywhere]",
+            ),
+        ),
+    ),
+    Variant(
+        "stuck",
+        "urgent work that stands still begins again elsewhere",
+        (Edit("policy/board/progress.py", "MOST_MOVES = 2", "MOST_MOVES = 0"),),
+    ),
+    Variant(
+        "caution",
+        "urgent work goes where work gets on while workers are found out",
+        (Edit("policy/board/caution.py", "WAVE_WORKERS = 2", "WAVE_WORKERS = 1_000_000"),),
+    ),
     Variant(
         "quarantine",
         "workers that fail work are left alone for a while",
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -16,7 +16,6 @@
 from saddlestack.policy.board.index import RoomIndex
 from saddlestack.policy.board.jobs import Job, Occurrence, Run, StepState, Task, new_job
 from saddlestack.policy.board.pacing import Pace, paces
-from saddlestack.policy.board.preemption import StopTimes
 from saddlestack.policy.board.progress import is_stuck
 from saddlestack.policy.board.queue import Planner
 from saddlestack.policy.board.records import OccurrenceRecord, OccurrenceStatus, TaskStatus
@@ -41,8 +40,7 @@
         self._touched: dict[str, Job] = {}
         self._index = RoomIndex()
         self._caution = Caution()
-        self._stop_times = StopTimes()
-        self._planner = Planner(self, self._index, self._caution, self._stop_times)
+        self._planner = Planner(self, self._index, self._caution)
 
     # Configuration
 
@@ -239,8 +237,6 @@
             worker.succeeded(now)
         elif end.how is EndKind.FAILED:
             self._judge(worker, run, now)
-        elif end.how is EndKind.STOPPED and run.stop_s is not None:
-            self._stop_times.took(now - run.stop_s)
         self._run_over(run, end.how, end.saved or run.saved)
 
     def _judge(self, worker: Worker, run: Run, now: float) -> None:
@@ -328,7 +324,6 @@
         """Order a run to stop; its room is free when its end is reported."""
         if not run.stopping:
             run.stopping = True
-            run.stop_s = self._index.now
             self._stops.append(Stop(run.worker_id, run.task.name, run.number, reason, cause))
 
     def stop_group(self, run: Run, reason: StopReason, cause: str = "") -> None:
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -27,8 +27,7 @@
     :param inherited: an earlier leader assigned it; what became of it is not known yet.
     :param assigned_s: when it was decided, seconds on the board's clock.
     :param started_s: when the worker confirmed it, or ``None``.
-    :param stopping: a stop was ordered...
-    :param stop_s: ...at this time, on the board's clock.
+    :param stopping: a stop was ordered.
     :param never_began: it is known that the worker never began it.
     :param saved: the latest checkpoint that the worker reported.
     :param percent: of the work done, as the worker reported; a lasting task works at 100.
@@ -46,7 +45,6 @@
     inherited: bool = False
     started_s: float | None = None
     stopping: bool = False
-    stop_s: float | None = None
     never_began: bool = False
     saved: str = ""
     percent: int = 0
--- a/src/saddlestack/policy/board/preemption.py
+++ b/src/saddlestack/policy/board/preemption.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 
 from saddlestack.policy.board.jobs import Run, StepState, weight
-from saddlestack.policy.board.progress import remaining_s
 from saddlestack.policy.board.workers import Worker
 from saddlestack.work import Resources
 
@@ -25,60 +24,9 @@
 """After so many groups of workers in a row that are no better, the search ends. On 2,500 workers
 the 99th percentile of rounds is 0.43 s so, 0.71 s where all 32 racks are searched
 (``make bench-rounds``)."""
-ENDING_PERCENT = 50
-"""Before this much of its work no run is held to end by itself soon."""
-FIRST_EXPECTED_S = 0.4
-"""How long a stop is expected to take before any was seen."""
-STOPS_WEIGHT = 0.05
-"""What the latest stop counts for in the expected time."""
 NOTHING = Resources()
 
 
-class StopTimes:
-    """How long stops have taken lately, from the decision until the end was reported.
-
-    :param expected_s: of the next one.
-    """
-
-    def __init__(self) -> None:
-        self.expected_s = FIRST_EXPECTED_S
-
-    def took(self, seconds: float) -> None:
-        """A stop has taken so long."""
-        self.expected_s += STOPS_WEIGHT * (seconds - self.expected_s)
-
-
-def fits_soon(
-    step: StepState, wanted: int, domains: Iterable[Sequence[Worker]], now: float, within_s: float
-) -> bool:
-    """Whether a step will find room without any stop about as soon as by stops.
-
-    Of 52 jobs that had others stopped on a loaded day with 540 workers, 20 started 0.02 to 0.4 s
-    later where other work had ended by itself, and 740 runs had been stopped for them.
-
-    :param within_s: seconds that a stop takes.
-    """
-    for domain in domains:
-        fitting = 0
-        for worker in domain:
-            ending = [run for run in worker.runs.values() if _ends_soon(run, now, within_s)]
-            room = sum((run.room for run in ending), worker.free)
-            fitting += worker.copies(step, room)
-        if fitting >= wanted:
-            return True
-    return False
-
-
-def _ends_soon(run: Run, now: float, within_s: float) -> bool:
-    """Whether a run ends by itself within some time, or is being stopped already."""
-    if run.stopping:
-        return True
-    step = run.task.step.step
-    if step.long_running or run.percent < ENDING_PERCENT:
-        return False
-    return remaining_s(run, now) <= within_s
-
-
 @dataclass(frozen=True, slots=True)
 class Preemption:
     """A place for a step's tasks, and the runs that have to stop first.
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -13,7 +13,7 @@
 from saddlestack.policy.board.placement import whole_racks
 from saddlestack.policy.board.places import IndexedPlaces, Kept, ListedPlaces, Places
 from saddlestack.policy.board.pool import Pool
-from saddlestack.policy.board.preemption import Preemptor, StopTimes, fits_soon
+from saddlestack.policy.board.preemption import Preemptor
 from saddlestack.policy.board.reservations import Reservations
 from saddlestack.policy.board.shapes import Misses, Shape, Shapes, StepShapes
 from saddlestack.policy.board.waiting import TOP_PRIORITY, Waiting, may_start, waits
@@ -21,20 +21,15 @@
 
 NEAR_PATIENCE_S = 8.0
 """Work of lower priority waits this long for a place near its data."""
-PATIENT_STOPS = 1.5
-"""Urgent work waits for others to end by themselves for no longer than so many stops take."""
 
 
 class Planner:
     """Goes through the waiting work of all jobs in order and gives it workers."""
 
-    def __init__(
-        self, board: Pool, index: RoomIndex, caution: Caution, stop_times: StopTimes
-    ) -> None:
+    def __init__(self, board: Pool, index: RoomIndex, caution: Caution) -> None:
         self._board = board
         self._index = index
         self._caution = caution
-        self._stop_times = stop_times
         self._fits = Fits(index)
         self._waiting = Waiting()
         self._reservations = Reservations()
@@ -269,10 +264,6 @@
         preemptor = Preemptor(self._board.members, may_stop, now)
         wanted = sum(1 for task in step.tasks if waits(task))
         domains = list(places.domains(wanted))
-        stop_s = self._stop_times.expected_s
-        patient = _waited_s(step, now) < PATIENT_STOPS * stop_s
-        if patient and fits_soon(step, wanted, domains, now, stop_s):
-            return
         found = preemptor.cheapest(step, wanted, domains)
         if found is None and len(domains) > 1 and not step.step.same_rack:
             everywhere = [worker for domain in domains for worker in domain]
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -6,7 +6,6 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from saddlestack.interfaces.workers import EndKind, RunningTask
 from saddlestack.models import Adjacency, Shape
 from saddlestack.policy.assigning import CellKind, CellSearch
 from saddlestack.policy.board.backfill import KEPT_GANGS, Backfill
@@ -16,8 +15,6 @@
 from saddlestack.policy.board.index import RoomIndex, ServiceRooms
 from saddlestack.policy.board.jobs import StepState
 from saddlestack.policy.board.places import IndexedPlaces, ListedPlaces
-from saddlestack.policy.board.preemption import FIRST_EXPECTED_S, StopTimes
-from saddlestack.policy.board.queue import PATIENT_STOPS
 from saddlestack.policy.board.reservations import RESERVATION_S, Reservations
 from saddlestack.policy.board.workers import Worker
 from saddlestack.work import JobState, Resources, Step
@@ -195,43 +192,6 @@
         self.assertEqual(self.state(small), JobState.RUNNING)
 
 
-class EndingTest(BoardCase):
-    """Nothing is stopped where others end by themselves as soon as a stop would take."""
-
-    def full(self, percent: int) -> None:
-        """A worker full of bulk work that is so far done after 10 s."""
-        self.workers(each=1)
-        bulk = self.add(step(1, 8), priority=BULK)
-        self.plan(0.0)
-        row = RunningTask(f"{bulk}.0.0.0", 1, "", percent, 0.0)
-        self.board.reported("w11", [row], 10.0)
-
-    def test_work_that_is_nearly_done_is_waited_for(self) -> None:
-        self.full(percent=98)
-        self.add(step(1, 8))
-        self.assertEqual(self.plan(10.0).stops, [])
-        self.end(f"{1:016x}", EndKind.DONE, now=10.2)
-        self.assertEqual(len(self.plan(10.2).starts), 1)
-
-    def test_no_longer_than_for_some_stops(self) -> None:
-        self.full(percent=98)
-        self.add(step(1, 8))
-        self.assertEqual(self.plan(10.0).stops, [])
-        self.assertEqual(self.plan(10.0 + PATIENT_STOPS * FIRST_EXPECTED_S - 0.05).stops, [])
-        self.assertEqual(len(self.plan(10.0 + PATIENT_STOPS * FIRST_EXPECTED_S + 0.05).stops), 1)
-
-    def test_work_that_takes_longer_than_a_stop_is_stopped(self) -> None:
-        self.full(percent=90)
-        self.add(step(1, 8))
-        self.assertEqual(len(self.plan(10.0).stops), 1)
-
-    def test_how_long_stops_take_is_learned(self) -> None:
-        times = StopTimes()
-        for _ in range(200):
-            times.took(0.9)
-        self.assertAlmostEqual(times.expected_s, 0.9, places=2)
-
-
 class HallsTest(BoardCase):
     """A gang over several data halls is lost with each of them."""
 
