--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -140,8 +140,8 @@
     ),
     Variant(
         "caution",
-        "urgent work goes where work gets on while workers are found out",
-        (Edit("policy/board/caution.py", "WAVE_WORKERS = 2", "WAVE_WORKERS = 1_000_000"),),
+        "urgent work goes to healthy workers while faulty ones are noticed",
+        (Edit("policy/board/caution.py", "FAULTY_WORKERS = 2", "FAULTY_WORKERS = 1_000_000"),),
     ),
     Variant(
         "quarantine",
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -207,7 +207,7 @@
                 self._stops.append(Stop(worker_id, name, row.run, StopReason.NOT_OURS))
                 continue
             if row.percent > run.percent:
-                worker.proved_s = now
+                worker.healthy_s = now
             if row.percent != run.percent or run.moved_s is None:
                 run.moved_s = now
             run.percent = row.percent
@@ -223,7 +223,7 @@
         for run in list(worker.runs.values()):
             if is_stuck(run, self.members(run), now):
                 worker.failed(now, early=True)
-                self._caution.found_out(worker, now)
+                self._caution.note_faulty(worker, now)
                 run.task.step.moves += 1
                 self.stop_group(run, StopReason.STUCK)
 
@@ -249,7 +249,7 @@
             early = now - since < EARLY_FAILURE_S
             worker.failed(now, early=early)
             if early:
-                self._caution.found_out(worker, now)
+                self._caution.note_faulty(worker, now)
 
     def _run_over(self, run: Run, how: EndKind, saved: str) -> None:
         task = run.task
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -90,14 +90,14 @@
             self._preempt(step, places, entitled, now)
 
     def _place_with_caution(self, step: StepState, now: float) -> bool:
-        """Place a step where work gets on, if that is called for and it fits there."""
+        """Place a step on healthy workers, if that is called for and it fits there."""
         if not self._caution.is_due(step, now):
             return False
         able = self._listed(step, self._fit(step), self._kept(step), now)
-        proved = [worker for worker in able if self._caution.has_proved(worker, now)]
+        healthy = [worker for worker in able if self._caution.is_healthy(worker, now)]
         if step.step.gang and step.step.same_rack:
-            proved = whole_racks(step, proved)
-        return bool(proved) and self._place_on(step, None, ListedPlaces(step, proved), now)
+            healthy = whole_racks(step, healthy)
+        return bool(healthy) and self._place_on(step, None, ListedPlaces(step, healthy), now)
 
     def _place_on(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         if step.step.gang:
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -54,7 +54,7 @@
     :param strikes: runs that failed there since one last ended well.
     :param quarantine_s: no new work until then.
     :param probation_s: neither urgent work nor gangs until then.
-    :param proved_s: when a run last got on, or ended well, there.
+    :param healthy_s: when a run last made progress, or ended well, there.
     :param reserved: room set aside for work that waits for others to stop.
     :param held: room that runs hold, by the priority of their jobs.
     :param changed: where to note that something about it has changed, if anywhere. Noting it where
@@ -71,7 +71,7 @@
     strikes: int = 0
     quarantine_s: float = 0.0
     probation_s: float = 0.0
-    proved_s: float | None = None
+    healthy_s: float | None = None
     used: Resources = field(default_factory=Resources)
     reserved: Resources = field(default_factory=Resources)
     runs: dict[RunKey, Run] = field(default_factory=dict)
@@ -164,7 +164,7 @@
 
     def succeeded(self, now: float) -> None:
         """A run ended well there."""
-        self.proved_s = now
+        self.healthy_s = now
         self.strikes = 0
         self.quarantine_s = 0.0
         self.probation_s = 0.0
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -5,7 +5,7 @@
 import unittest
 
 from saddlestack.interfaces.workers import EndKind, RunningTask
-from saddlestack.policy.board.caution import WAVE_S
+from saddlestack.policy.board.caution import FAULTY_S
 from saddlestack.policy.board.changes import Changes, StopReason
 from saddlestack.policy.board.progress import LEAST_STILL_S, MOST_MOVES, RESUMING_S, needs_looks
 from saddlestack.work import Step
@@ -175,7 +175,7 @@
         self.prove("w16", 0.1)
         self.assertEqual(self.place(0.2)[1], "w16")
 
-    def test_where_a_gang_stood_still_the_workers_that_got_on_are_used_again(self) -> None:
+    def test_where_a_gang_stood_still_its_healthy_workers_are_used_again(self) -> None:
         self.workers(each=8)
         gangs = [self.add(step(2, 8, gang=True)) for _ in range(2)]
         self.plan(0.0)
@@ -193,7 +193,7 @@
         placed = {s.run.worker_id for s in self.plan(1.3).starts[:2]}
         self.assertEqual(placed, {"w12", "w14"})
 
-    def test_what_got_on_before_the_first_was_found_out_proves_nothing(self) -> None:
+    def test_progress_before_the_first_was_noticed_proves_nothing(self) -> None:
         self.workers(each=6)
         self.prove("w16", 1.0)
         for _ in range(2):
@@ -211,7 +211,7 @@
     def test_some_time_after_them_it_goes_where_it_fits_best(self) -> None:
         self.wave()
         self.prove("w16", 5.0)
-        self.assertNotEqual(self.place(0.1 + WAVE_S + 0.1)[1], "w16")
+        self.assertNotEqual(self.place(0.1 + FAULTY_S + 0.1)[1], "w16")
 
     def test_a_gang_of_one_rack_is_not_spread_over_racks_for_it(self) -> None:
         self.workers(racks=2, each=3)
