Evacuation of a data hall: nothing starts there until it is taken back

Ruled out: a guard in each record's transaction (an entry of 32 more a hall, and a conflict to settle); a watch on every VM, since only the leader starts work. Change: Evacuations, a feed of the leader's term that is read before it decides; Board.evacuate; workers that stay; an order that was not sent, or not answered, is taken back; sums count what is left; cold workers are read, urgent work prefers warm ones and is not called stuck on cold ones; explain, a gauge, log lines, guides. evacuation.py of the board, which told what leaves a worker, is departure.py.

--- a/src/saddlestack/cli/explaining.py
+++ b/src/saddlestack/cli/explaining.py
@@ -10,7 +10,11 @@
 from saddlestack.cli.loglines import LogLine, read
 from saddlestack.cli.output import errors_to_exit_codes
 
-CONTEXT_EVENTS = frozenset({"elected", "deposed", "displaced", "store_lost", "store_back"})
+EVACUATION = "evacuation"
+BEGUN = "begun"
+CONTEXT_EVENTS = frozenset(
+    {"elected", "deposed", "displaced", "store_lost", "store_back", EVACUATION}
+)
 
 
 def about(job_id: str, lines: Sequence[LogLine]) -> list[LogLine]:
@@ -19,17 +23,33 @@
     if not own:
         return []
     first, last = own[0].time, own[-1].time
-    return [
+    meanwhile = [
         line
         for line in lines
         if _concerns(line, job_id) or (line.event in CONTEXT_EVENTS and first <= line.time <= last)
     ]
+    return _evacuated_at(lines, first) + meanwhile
+
+
+def _evacuated_at(lines: Sequence[LogLine], time: str) -> list[LogLine]:
+    """The lines that tell which data halls had been evacuated and were not back yet."""
+    begun: dict[str, LogLine] = {}
+    for line in lines:
+        if line.event != EVACUATION or line.time >= time:
+            continue
+        if line.state == BEGUN:
+            begun.setdefault(line.data_hall, line)
+        else:
+            begun.pop(line.data_hall, None)
+    return list(begun.values())
 
 
 def causes(job_id: str, lines: Sequence[LogLine]) -> list[str]:
     """What the lines say went wrong with a job, a sentence each."""
     found: list[str] = []
     for line in lines:
+        if line.event == EVACUATION:
+            found.append(_evacuated(line))
         if not _concerns(line, job_id):
             continue
         if line.event == "not_written":
@@ -48,6 +68,14 @@
     return found
 
 
+def _evacuated(line: LogLine) -> str:
+    if line.state == BEGUN:
+        return (
+            f"{line.data_hall} was evacuated at {line.time}: nothing starts there until it is back"
+        )
+    return f"{line.data_hall} was back at {line.time}"
+
+
 def _concerns(line: LogLine, job_id: str) -> bool:
     return line.job == job_id or line.task.startswith(f"{job_id}.") or line.cause == job_id
 
@@ -76,5 +104,6 @@
 
 def _shown(line: LogLine) -> str:
     task = f"{line.task} run {line.run}" if line.task else line.job
-    parts = (line.event, task, line.worker, line.state, line.how, line.reason, line.cause or "")
-    return " ".join(part for part in parts if part)
+    what = (line.event, task, line.worker, line.state, line.how)
+    why = (line.data_hall, line.reason, line.cause or "")
+    return " ".join(part for part in what + why if part)
--- a/src/saddlestack/cli/loglines.py
+++ b/src/saddlestack/cli/loglines.py
@@ -41,6 +41,7 @@
     target_ms: float = 0.0
     steps: tuple[str, ...] = ()
     at_s: float = 0.0
+    data_hall: str = ""
     leader: str | None = None
     revision: int = 0
     fence: int = 0
--- /dev/null
+++ b/src/saddlestack/control/evacuations.py
@@ -0,0 +1,71 @@
+"""Which data halls the operators have evacuated: nothing is started in them until they are back."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from saddlestack.control.context import EntryContext
+from saddlestack.control.feed import Feed
+from saddlestack.interfaces.store import Item
+
+log = logging.getLogger("saddlestack.evacuations")
+
+Changed = Callable[[frozenset[str]], None]
+"""Takes the names of all data halls that are being evacuated."""
+
+
+class Evacuations:
+    """Follows the operators' evacuations during one term of the leader.
+
+    The store is read anew at the start of each term and wherever it has forgotten its history, so
+    neither a change of leader nor a gap leaves an evacuation out.
+
+    :param on_change: told once of those at the start, then whenever they change.
+    """
+
+    def __init__(self, context: EntryContext, on_change: Changed) -> None:
+        self._context = context
+        self._prefix = context.documents.places.evacuations_prefix
+        self._on_change = on_change
+        self._halls: frozenset[str] = frozenset()
+        self._feed = Feed(context, self._prefix, self._listed, self._changed)
+
+    @property
+    def loaded(self) -> asyncio.Event:
+        """Set once the store has been read."""
+        return self._feed.loaded
+
+    async def run(self) -> None:
+        """Follow them until cancelled."""
+        await self._feed.run()
+
+    def _listed(self, items: tuple[Item, ...]) -> None:
+        self._set(frozenset(self._hall(item) for item in items))
+
+    def _changed(self, items: tuple[Item, ...]) -> None:
+        halls = set(self._halls)
+        for item in items:
+            if item.revision:
+                halls.add(self._hall(item))
+            else:
+                halls.discard(self._hall(item))
+        self._set(frozenset(halls))
+
+    def _hall(self, item: Item) -> str:
+        return item.key.removeprefix(self._prefix)
+
+    def _set(self, halls: frozenset[str]) -> None:
+        self._log(halls - self._halls, "begun")
+        self._log(self._halls - halls, "taken_back")
+        self._halls = halls
+        self._context.metrics.gauge("evacuated_halls", lambda: len(halls))
+        self._on_change(halls)
+
+    def _log(self, halls: frozenset[str], state: str) -> None:
+        for hall in sorted(halls):
+            log.info(
+                "data hall is evacuated" if state == "begun" else "data hall is back",
+                extra={"event": "evacuation", "data_hall": hall, "state": state},
+            )
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -17,6 +17,7 @@
 from saddlestack.control.commits import Commits
 from saddlestack.control.configuration import Configuration
 from saddlestack.control.context import EntryContext
+from saddlestack.control.evacuations import Evacuations
 from saddlestack.control.feed import Feed
 from saddlestack.control.halls import HallWatch
 from saddlestack.control.journal import Journal
@@ -77,6 +78,7 @@
         self._commits = Commits(context, self._journal, self._displaced)
         self._sessions = Sessions(context, self)
         self._suspicion = Suspicion()
+        self._evacuations = Evacuations(context, self._evacuated)
         self._halls = HallWatch(context, peers, membership, self._sessions.suspect)
         self._tasks = TaskGroup("scheduler")
         self._wake = asyncio.Event()
@@ -151,6 +153,7 @@
             gap_s=WORKERS_GAP_S,
         )
         self._tasks.spawn(workers.run())
+        self._tasks.spawn(self._evacuations.run())
         # No other term can write progress any more, so it may be read beside the workers.
         records = await self._load_progress()
         await workers.loaded.wait()
@@ -162,6 +165,7 @@
         )
         self._tasks.spawn(requests.run())
         await requests.loaded.wait()
+        await self._evacuations.loaded.wait()
         self.loaded.set()
         self._context.metrics.count("terms")
         log.info(
@@ -203,6 +207,10 @@
         self.board.configure(guaranteed, services, advised)
         self.changed()
 
+    def _evacuated(self, halls: frozenset[str]) -> None:
+        self.board.evacuate(halls)
+        self.changed()
+
     def _requests(
         self, items: tuple[Item, ...], records: dict[str, dict[int, OccurrenceRecord]]
     ) -> None:
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -143,9 +143,11 @@
         run = start.run
         clean = True
         for _ in range(START_TRIES):
-            if run.stopping and clean:
-                self._never_began(run, key)
-                return
+            if run.stopping or self.worker.evacuated:
+                if clean:
+                    self._never_began(run, key)
+                    return
+                break
             sent = self._clock.now()
             try:
                 reply = await self._send(start)
--- a/src/saddlestack/interfaces/documents.py
+++ b/src/saddlestack/interfaces/documents.py
@@ -74,13 +74,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Documents:
-    """Where the platform keeps the operators' documents and the workers' records."""
+    """Where the platform keeps the operators' documents and the workers' records.
+
+    :param evacuations_prefix: of a key for each data hall that is being evacuated; the rest of the
+        key is the hall's name.
+    """
 
     configuration_prefix: str
     configuration_key: str
     workers_prefix: str
     waves_prefix: str
     wave_status_prefix: str
+    evacuations_prefix: str
 
 
 class DocumentReader(Protocol):
--- a/src/saddlestack/interfaces/workers.py
+++ b/src/saddlestack/interfaces/workers.py
@@ -148,6 +148,7 @@
     :param labels: its kind, its rack and others that steps may ask for.
     :param clock_ms: its steady clock when it wrote the record.
     :param remaining_ms: while it drains, the least time until it leaves.
+    :param cold_ms: for how long it is still slow.
     """
 
     worker_id: str
@@ -161,3 +162,4 @@
     clock_ms: int
     machine: str = ""
     remaining_ms: int | None = None
+    cold_ms: int = 0
--- a/src/saddlestack/platform/documents.py
+++ b/src/saddlestack/platform/documents.py
@@ -24,7 +24,14 @@
 RACK_LABEL = 1
 """A worker's labels are its kind and its rack, in this order."""
 
-PLACES = Documents("op/", "op/config", "servers/", "op/wave/", "status/wave/")
+PLACES = Documents(
+    configuration_prefix="op/",
+    configuration_key="op/config",
+    workers_prefix="servers/",
+    waves_prefix="op/wave/",
+    wave_status_prefix="status/wave/",
+    evacuations_prefix="op/evacuate/",
+)
 
 
 class _Advice(msgspec.Struct, rename="kebab"):
@@ -102,6 +109,7 @@
     clock_ms: int = 0
     remaining_ms: float | None = None
     machine: str = ""
+    cold_left_ms: float = 0
 
 
 class PlatformDocuments:
@@ -148,6 +156,7 @@
             clock_ms=record.clock_ms,
             machine=record.machine,
             remaining_ms=remaining,
+            cold_ms=int(record.cold_left_ms),
         )
 
 
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -12,7 +12,7 @@
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask, WorkerRecord
 from saddlestack.policy.board.caution import Caution
 from saddlestack.policy.board.changes import Changes, Question, Start, Stop, StopReason
-from saddlestack.policy.board.evacuation import leaving
+from saddlestack.policy.board.departure import leaving
 from saddlestack.policy.board.index import RoomIndex
 from saddlestack.policy.board.jobs import Job, Occurrence, Run, StepState, Task, new_job
 from saddlestack.policy.board.pacing import Pace, paces
@@ -37,6 +37,7 @@
         self._paces: list[Pace] = []
         self._questions: list[Question] = []
         self._advised: frozenset[str] = frozenset()
+        self._evacuated: frozenset[str] = frozenset()
         self._touched: dict[str, Job] = {}
         self._index = RoomIndex()
         self._caution = Caution()
@@ -147,6 +148,9 @@
             worker = Worker(record)
             self._know(worker)
         worker.note(record, now)
+        worker.evacuated = record.data_hall in self._evacuated
+        if worker.is_cold(now):
+            self._caution.note_cold(worker)
         if not worker.listed:
             worker.listed = True
             worker.reachable = True
@@ -172,6 +176,18 @@
         if not worker.listed:
             self._lose(worker)
 
+    def evacuate(self, halls: frozenset[str]) -> None:
+        """Start nothing in some data halls from now on, and in all others again.
+
+        What runs there goes on: it holds its room until it ends, and is stopped only for the
+        reasons for which it would be anywhere.
+
+        :param halls: all that are being evacuated.
+        """
+        self._evacuated = halls
+        for worker in self.workers.values():
+            worker.evacuated = worker.record.data_hall in halls
+
     def _know(self, worker: Worker) -> None:
         self.workers[worker.worker_id] = worker
         self._index.add(worker)
@@ -220,7 +236,7 @@
 
     def _move_stuck(self, worker: Worker, now: float) -> None:
         """Stop what stands still on a worker, so that it begins again elsewhere."""
-        if not needs_looks(worker):
+        if not needs_looks(worker) or worker.is_cold(now):
             return
         for run in list(worker.runs.values()):
             if is_stuck(run, self.members(run), now):
--- a/src/saddlestack/policy/board/caution.py
+++ b/src/saddlestack/policy/board/caution.py
@@ -1,4 +1,4 @@
-"""When work had better go only to workers that have shown to be healthy.
+"""When work had better go only to workers that have shown to be healthy, or that are warm.
 
 Workers that fail all that they start, or on which work stands still, are noticed one by one; until
 then they look like any other. Once several were noticed, others may be as faulty, and only a worker
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator
+
 from saddlestack.policy.board.jobs import StepState
 from saddlestack.policy.board.waiting import TOP_PRIORITY
 from saddlestack.policy.board.workers import Worker
@@ -22,11 +24,27 @@
 takes two looks of 0.3 s at least, and 0.6 s without progress."""
 
 
+Preference = Callable[[Worker], bool]
+"""Whether a step would rather go to a worker."""
+
+
 class Caution:
-    """Workers that were noticed as faulty in the last seconds."""
+    """Workers that were noticed as faulty in the last seconds, and those that are cold."""
 
     def __init__(self) -> None:
         self._faulty_s: dict[str, float] = {}
+        self._cold: dict[Worker, None] = {}
+
+    def preferences(self, step: StepState, now: float) -> Iterator[Preference]:
+        """Which workers a step should go to if it fits there, the best first; none for any."""
+        if self.is_due(step, now):
+            yield lambda worker: self.is_healthy(worker, now)
+        if step.occurrence.job.priority == TOP_PRIORITY and self._any_cold(now):
+            yield lambda worker: not worker.is_cold(now)
+
+    def note_cold(self, worker: Worker) -> None:
+        """A worker is slow since it has just begun, or was given back."""
+        self._cold[worker] = None
 
     def note_faulty(self, worker: Worker, now: float) -> None:
         """A run failed on a worker before it can have done any work, or stands still there."""
@@ -51,6 +69,11 @@
             since_s = max(since_s, min(self._faulty_s.values()) - NOTICED_S)
         return worker.healthy_s is not None and worker.healthy_s > since_s
 
+    def _any_cold(self, now: float) -> bool:
+        for worker in [worker for worker in self._cold if not worker.is_cold(now)]:
+            del self._cold[worker]
+        return bool(self._cold)
+
     def _several_faulty(self, now: float) -> bool:
         self._forget(now)
         return len(self._faulty_s) >= FAULTY_WORKERS
--- a/src/saddlestack/policy/board/index.py
+++ b/src/saddlestack/policy/board/index.py
@@ -20,6 +20,8 @@
 class _Standing:
     """What the sums hold of one worker.
 
+    One whose data hall is being evacuated counts nothing: its room is nobody's to plan with.
+
     :param service: of its record, as is the rack.
     :param able: whether it takes work and is not suspected.
     :param empty: its accelerators where it takes work and runs nothing, else 0.
@@ -254,15 +256,16 @@
     record = worker.record
     takes_work = worker.takes_work(now)
     free = worker.free
+    counted = not worker.evacuated
     return _Standing(
         service=record.service,
         rack=record.rack,
         able=takes_work and not worker.suspected,
         empty=record.capacity.accelerators if takes_work and not worker.runs else 0,
-        accelerators=record.capacity.accelerators,
-        cpu=record.capacity.cpu,
-        used_accelerators=worker.used.accelerators,
-        used_cpu=worker.used.cpu,
+        accelerators=record.capacity.accelerators if counted else 0,
+        cpu=record.capacity.cpu if counted else 0,
+        used_accelerators=worker.used.accelerators if counted else 0,
+        used_cpu=worker.used.cpu if counted else 0,
         free_accelerators=free.accelerators,
         free_cpu=free.cpu,
     )
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -90,14 +90,15 @@
             self._preempt(step, places, entitled, now)
 
     def _place_with_caution(self, step: StepState, now: float) -> bool:
-        """Place a step on healthy workers, if that is called for and it fits there."""
-        if not self._caution.is_due(step, now):
-            return False
-        able = self._listed(step, self._fit(step), self._kept(step), now)
-        healthy = [worker for worker in able if self._caution.is_healthy(worker, now)]
-        if step.step.gang and step.step.same_rack:
-            healthy = whole_racks(step, healthy)
-        return bool(healthy) and self._place_on(step, None, ListedPlaces(step, healthy), now)
+        """Place a step on workers that it had better go to, if there are such and it fits."""
+        for preferred in self._caution.preferences(step, now):
+            able = self._listed(step, self._fit(step), self._kept(step), now)
+            chosen = [worker for worker in able if preferred(worker)]
+            if step.step.gang and step.step.same_rack:
+                chosen = whole_racks(step, chosen)
+            if chosen and self._place_on(step, None, ListedPlaces(step, chosen), now):
+                return True
+        return False
 
     def _place_on(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         if step.step.gang:
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -34,6 +34,7 @@
         "used",
         "reserved",
         "leaves_s",
+        "evacuated",
     }
 )
 """What decides where work fits: a change of any of these is noted."""
@@ -50,6 +51,8 @@
         work goes there, what waits for its room goes on waiting.
     :param leaves_s: when it may leave at the earliest, on the board's clock.
     :param closing: its machine is about to have its upkeep.
+    :param evacuated: its data hall is being evacuated; what runs there goes on.
+    :param cold_s: it is slow until then.
     :param calm_s: since when all that serves there is well below its target.
     :param strikes: runs that failed there since one last ended well.
     :param quarantine_s: no new work until then.
@@ -67,6 +70,8 @@
     suspected: bool = False
     leaves_s: float | None = None
     closing: bool = False
+    evacuated: bool = False
+    cold_s: float = 0.0
     calm_s: float | None = None
     strikes: int = 0
     quarantine_s: float = 0.0
@@ -78,6 +83,7 @@
     held: dict[int, Resources] = field(default_factory=dict)
     changed: dict[Worker, None] | None = None
     _free: Resources | None = None
+    _noted_cold_ms: int = 0
 
     def __setattr__(self, name: str, value: object) -> None:
         object.__setattr__(self, name, value)
@@ -102,15 +108,26 @@
 
     def takes_work(self, now: float) -> bool:
         """Whether new work may go there."""
-        if not self.listed or self.record.draining or self.closing or not self.reachable:
-            return False
-        return now >= self.quarantine_s
+        return self.stays and self.reachable and now >= self.quarantine_s
+
+    @property
+    def stays(self) -> bool:
+        """Whether new work may go there once it is reachable and well."""
+        leaves = not self.listed or self.record.draining or self.closing
+        return not leaves and not self.evacuated
+
+    def is_cold(self, now: float) -> bool:
+        """Whether it is slow since it has just begun, or was given back."""
+        return now < self.cold_s
 
     def note(self, record: WorkerRecord, now: float) -> None:
         """Take over a newer record of it."""
         if record.draining and record.remaining_ms is not None:
             leaves = now + record.remaining_ms / 1000
             self.leaves_s = leaves if self.leaves_s is None else min(self.leaves_s, leaves)
+        if record.cold_ms != self._noted_cold_ms:
+            self.cold_s = now + record.cold_ms / 1000
+            self._noted_cold_ms = record.cold_ms
         self.record = record
 
     def matches(self, step: Step) -> bool:
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -135,6 +135,14 @@
         )
         self.store.put("op/config", document)
 
+    def evacuate(self, hall: str) -> None:
+        """Have nothing started in a data hall, as the operators do."""
+        self.store.put(f"op/evacuate/{hall}", b"{}")
+
+    def take_back(self, hall: str) -> None:
+        """End the evacuation of a data hall."""
+        self.store.remove(f"op/evacuate/{hall}")
+
     def call(self, queue: str, *, account: str = ACCOUNT) -> ClientCall:
         """A client's call about a queue."""
         priority = dict(QUEUES)[queue]
--- a/src/saddlestack/standins/pool/store.py
+++ b/src/saddlestack/standins/pool/store.py
@@ -194,6 +194,7 @@
     :param slow_s: calls take this much longer.
     :param lose_answers: so many writes are done, and not answered.
     :param late_s: so much later are the writes done whose answers are lost.
+    :param slow_lists: by prefix, how much longer it takes to list it.
     """
 
     silent: bool = False
@@ -201,6 +202,7 @@
     slow_s: float = 0.0
     lose_answers: int = 0
     late_s: float = 0.0
+    slow_lists: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -219,6 +221,7 @@
     async def list(self, prefix: str) -> Listing:
         """All keys under a prefix."""
         await self._read()
+        await asyncio.sleep(self.faults.slow_lists.get(prefix, 0.0))
         return Listing(tuple(self.state.keys(prefix)), self.state.revision)
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -14,7 +14,7 @@
 from saddlestack.policy.board.advice import StepAdvice
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import Changes, StopReason
-from saddlestack.policy.board.evacuation import SAVE_MARGIN_S
+from saddlestack.policy.board.departure import SAVE_MARGIN_S
 from saddlestack.policy.board.pacing import paces
 from saddlestack.policy.board.records import OccurrenceRecord, TaskStatus
 from saddlestack.policy.board.shapes import Misses
@@ -36,12 +36,14 @@
     accelerators: int = 8,
     draining: bool = False,
     remaining_ms: int | None = None,
+    hall: str = "hall",
+    cold_ms: int = 0,
 ) -> WorkerRecord:
     return WorkerRecord(
         worker_id=name,
         service=SERVICE,
         address="127.0.0.1:1",
-        data_hall="hall",
+        data_hall=hall,
         draining=draining,
         capacity=Resources(32_000, 64_000, accelerators),
         labels=("a", rack),
@@ -49,6 +51,7 @@
         clock_ms=0,
         machine=f"m-{name}",
         remaining_ms=remaining_ms,
+        cold_ms=cold_ms,
     )
 
 
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,267 @@
+"""Data halls that operators evacuate, and workers that are cold once they come back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from saddlestack.interfaces.workers import RunningTask, WorkerUnreachable
+from saddlestack.policy.board.progress import LEAST_STILL_S
+from saddlestack.policy.board.records import TaskStatus
+from saddlestack.standins.loop import run
+from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.work import JobState
+from tests.test_board import BULK, PATIENT, BoardCase, record, step
+from tests.test_pool import PoolTest
+from tests.test_session import Scene, SessionCase
+
+A = "00000000000000aa"
+B = "00000000000000bb"
+NEAR, FAR = "hall-1", "hall-2"
+HEARD_S = 0.2
+"""A watch tells of a change at once, in 4 ms; a round of decisions follows."""
+
+
+class BoardEvacuationTest(BoardCase):
+    def setUp(self) -> None:
+        super().setUp()
+        for hall, rack in ((NEAR, "r1"), (FAR, "r2")):
+            for number in (1, 2):
+                made = record(f"{rack}-{number}", rack=rack, hall=hall)
+                self.board.set_worker(made, 0.0)
+
+    def halls(self, now: float = 0.0) -> set[str]:
+        """The halls in which something is started now."""
+        starts = self.plan(now).starts
+        return {self.board.workers[start.run.worker_id].record.data_hall for start in starts}
+
+    def test_nothing_starts_there_from_then_on_and_what_runs_goes_on(self) -> None:
+        running = self.add(step(32, 1))
+        self.assertEqual(self.halls(), {NEAR, FAR})
+        self.board.evacuate(frozenset({FAR}))
+        changes = self.plan(1.0)
+        self.assertEqual(changes.stops, [])
+        self.board.evacuate(frozenset())
+        self.board.cancel(running)
+
+    def test_work_goes_to_what_is_left(self) -> None:
+        self.board.evacuate(frozenset({FAR}))
+        self.add(step(20, 1))
+        self.assertEqual(self.halls(), {NEAR})
+
+    def test_all_halls_are_evacuated_and_one_is_taken_back(self) -> None:
+        self.board.evacuate(frozenset({NEAR, FAR}))
+        self.add(step(2, 8, gang=True))
+        self.assertEqual(self.halls(), set())
+        self.board.evacuate(frozenset({NEAR}))
+        self.assertEqual(self.halls(1.0), {FAR})
+
+    def test_a_worker_that_comes_meanwhile_gets_nothing(self) -> None:
+        self.board.evacuate(frozenset({NEAR, FAR, "hall-3"}))
+        self.board.set_worker(record("new", rack="r3", hall="hall-3"), 1.0)
+        self.add(step(1, 1))
+        self.assertEqual(self.halls(1.0), set())
+
+    def test_room_that_is_being_made_there_is_given_up_and_made_elsewhere(self) -> None:
+        self.add(step(32, 1), priority=BULK)
+        self.plan(PATIENT)
+        self.add(step(2, 8, gang=True))
+        stops = self.plan(PATIENT + 1).stops
+        first = {self.board.workers[stop.worker_id].record.data_hall for stop in stops}
+        self.assertEqual(len(first), 1)
+        self.board.evacuate(frozenset(first))
+        stops = self.plan(PATIENT + 1.1).stops
+        second = {self.board.workers[stop.worker_id].record.data_hall for stop in stops}
+        self.assertEqual(second, {NEAR, FAR} - first)
+        held = [w for w in self.board.workers.values() if w.reserved.accelerators]
+        self.assertEqual({w.record.data_hall for w in held}, second)
+
+    def test_the_headroom_is_a_share_of_what_is_left(self) -> None:
+        """Half of what is left in use: with a hall that nobody may use it would seem a quarter."""
+        self.board.evacuate(frozenset({FAR}))
+        self.add(step(8, 1), priority=BULK)
+        self.plan()
+        self.add(step(8, 1), priority=BULK)
+        self.assertEqual(self.plan(1.0).starts, [])
+
+    def test_a_gang_of_one_rack_uses_a_rack_that_is_left(self) -> None:
+        self.board.evacuate(frozenset({FAR}))
+        self.add(step(2, 8, gang=True, same_rack=True))
+        self.assertEqual(self.halls(), {NEAR})
+
+    def test_urgent_work_goes_to_warm_workers_first(self) -> None:
+        for name in ("r1-1", "r1-2", "r2-1"):
+            rack = name[:2]
+            hall = NEAR if rack == "r1" else FAR
+            self.board.set_worker(record(name, rack=rack, hall=hall, cold_ms=4000), 1.0)
+        self.add(step(1, 8))
+        self.assertEqual([start.run.worker_id for start in self.plan(1.0).starts], ["r2-2"])
+        self.add(step(1, 8))
+        self.assertEqual(len(self.plan(1.1).starts), 1)
+
+    def test_a_record_that_is_read_again_makes_nobody_cold_again(self) -> None:
+        cold = record("r1-1", rack="r1", hall=NEAR, cold_ms=4000)
+        self.board.set_worker(cold, 1.0)
+        worker = self.board.set_worker(cold, 4.0)
+        self.assertFalse(worker.is_cold(5.1))
+
+    def test_no_run_is_called_stuck_while_its_worker_is_cold(self) -> None:
+        for worker in list(self.board.workers.values()):
+            cold = record(worker.worker_id, rack=worker.record.rack, cold_ms=30_000)
+            self.board.set_worker(cold, 0.0)
+        self.add(step(1, 1))
+        run = self.plan().starts[0].run
+        for now in (0.1, 1.0, 1.0 + LEAST_STILL_S, 9.0):
+            row = RunningTask(str(run.task.name), 1, "", 5)
+            self.board.reported(run.worker_id, [row], now)
+        self.assertEqual(self.board.take().stops, [])
+
+
+class OrderEvacuationTest(SessionCase):
+    def test_a_start_that_was_not_answered_is_stopped_in_place_of_repeated(self) -> None:
+        async def body(scene: Scene) -> None:
+            scene.orders.start_faults = [WorkerUnreachable]
+            scene.assign()
+            await asyncio.sleep(0.1)
+            scene.board.evacuate(frozenset({"hall"}))
+            await asyncio.sleep(2.0)
+            self.assertEqual(scene.orders.starts, 1)
+            self.assertEqual(len(scene.orders.stops), 1)
+            self.assertIs(scene.status, TaskStatus.WAITING)
+
+        self.play(body)
+
+    def test_a_start_that_has_not_left_yet_never_does(self) -> None:
+        async def body(scene: Scene) -> None:
+            scene.assign()
+            scene.board.evacuate(frozenset({"hall"}))
+            await asyncio.sleep(1.0)
+            self.assertEqual(scene.orders.starts, 0)
+            self.assertIs(scene.status, TaskStatus.WAITING)
+
+        self.play(body)
+
+
+class PoolEvacuationTest(PoolTest):
+    def starts_in(self, cluster: PoolCluster, hall: str) -> int:
+        """Runs that were begun in a hall."""
+        workers = cluster.floor.workers
+        return sum(1 for run in cluster.floor.history if workers[run.worker].data_hall == hall)
+
+    def evacuated(self, trouble: Callable[[PoolCluster], Awaitable[None]]) -> None:
+        """Nothing starts in an evacuated hall, whatever else happens; then it does again."""
+
+        async def body(cluster: PoolCluster) -> None:
+            cluster.evacuate(FAR)
+            await trouble(cluster)
+            await asyncio.sleep(HEARD_S)
+            for number in range(4):
+                await cluster.submit(f"{number:016x}", job(8, work_s=0.5), queue="urgent")
+                await asyncio.sleep(0.5)
+            await cluster.until_state(f"{3:016x}", JobState.COMPLETED)
+            self.assertEqual(self.starts_in(cluster, FAR), 0)
+            cluster.take_back(FAR)
+            await asyncio.sleep(HEARD_S)
+            await cluster.submit(A, job(4, accelerators=8), queue="urgent")
+            await cluster.until_state(A, JobState.COMPLETED)
+            self.assertGreater(self.starts_in(cluster, FAR), 0)
+
+        self.play(body)
+
+    def test_with_no_other_trouble(self) -> None:
+        async def trouble(cluster: PoolCluster) -> None:
+            await asyncio.sleep(0.0)
+
+        self.evacuated(trouble)
+
+    def test_the_leader_dies_right_after_it(self) -> None:
+        async def trouble(cluster: PoolCluster) -> None:
+            await cluster.kill(cluster.leader_name)
+            await cluster.until(lambda: cluster.leader is not None)
+
+        self.evacuated(trouble)
+
+    def test_a_new_leader_reads_of_it_before_it_decides(self) -> None:
+        async def trouble(cluster: PoolCluster) -> None:
+            for member in cluster.members.values():
+                member.view.faults.slow_lists["op/evacuate/"] = 0.9
+            await cluster.submit(B, job(16, work_s=0.5), queue="urgent", at="entry-2")
+            old = cluster.leader_name
+            await cluster.kill(old)
+            await cluster.until(lambda: cluster.leader is not None)
+
+        self.evacuated(trouble)
+
+    def test_the_store_forgets_its_history(self) -> None:
+        async def trouble(cluster: PoolCluster) -> None:
+            cluster.store.forget_history()
+            await asyncio.sleep(0.3)
+
+        self.evacuated(trouble)
+
+    def test_the_leader_cannot_hear_of_it_for_a_while(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            views = [member.view for member in cluster.members.values()]
+            for view in views:
+                view.faults.silent = True
+            cluster.evacuate(FAR)
+            await asyncio.sleep(2.0)
+            for view in views:
+                view.faults.silent = False
+            await asyncio.sleep(1.0)
+            await cluster.submit(A, job(16, work_s=0.5), queue="urgent")
+            await cluster.until_state(A, JobState.COMPLETED)
+            self.assertEqual(self.starts_in(cluster, FAR), 0)
+
+        self.play(body)
+
+    def test_taken_back_and_asked_again_within_a_second(self) -> None:
+        async def trouble(cluster: PoolCluster) -> None:
+            await asyncio.sleep(0.4)
+            cluster.take_back(FAR)
+            await asyncio.sleep(0.3)
+            cluster.evacuate(FAR)
+
+        self.evacuated(trouble)
+
+    def test_asked_before_any_vm_leads(self) -> None:
+        async def main() -> None:
+            cluster = PoolCluster()
+            cluster.evacuate(FAR)
+            await cluster.start()
+            try:
+                await cluster.submit(A, job(16, work_s=0.5), queue="urgent")
+                await cluster.until_state(A, JobState.COMPLETED)
+                self.assertEqual(self.starts_in(cluster, FAR), 0)
+            finally:
+                await cluster.stop()
+
+        run(main())
+
+    def test_what_was_decided_and_not_ordered_starts_elsewhere(self) -> None:
+        """The record of a start is on its way to a slow store when the hall is evacuated."""
+
+        async def body(cluster: PoolCluster) -> None:
+            leader = cluster.member(cluster.leader_name)
+            leader.view.faults.slow_s = 0.5
+            await cluster.submit(A, job(4, accelerators=8, gang=True), queue="urgent", at="entry-2")
+            await asyncio.sleep(0.4)
+            assert leader.vm.scheduler is not None
+            leader.vm.scheduler.board.evacuate(frozenset({FAR}))
+            await asyncio.sleep(3.0)
+            self.assertEqual(self.starts_in(cluster, FAR), 0)
+            leader.vm.scheduler.board.evacuate(frozenset())
+            leader.vm.scheduler.changed()
+            await cluster.until_state(A, JobState.COMPLETED)
+
+        self.play(body)
+
+    def test_it_is_shown_in_figures(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            cluster.evacuate(FAR)
+            await asyncio.sleep(HEARD_S)
+            leader = cluster.leader
+            assert leader is not None
+            self.assertEqual(leader.metrics.view().counters["evacuated_halls"], 1)
+
+        self.play(body)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -10,7 +10,7 @@
 from click.testing import CliRunner
 
 from saddlestack.cli.explaining import about, causes
-from saddlestack.cli.loglines import read
+from saddlestack.cli.loglines import LogLine, read
 from saddlestack.cli.main import main
 
 JOB = "00000000000000aa"
@@ -68,6 +68,24 @@
         self.assertIn("refused", found[1])
         self.assertIn("ended lapsed", found[2])
 
+    def test_a_hall_that_was_evacuated_meanwhile_is_named(self) -> None:
+        told = [
+            ("0.1", "evacuation", "back-before", "begun"),
+            ("0.2", "evacuation", "back-before", "taken_back"),
+            ("0.5", "evacuation", "emptied", "begun"),
+            ("1", "accepted", "", ""),
+            ("4", "evacuation", "emptied", "taken_back"),
+            ("6", "job", "", "completed"),
+        ]
+        lines = [
+            LogLine(time=time, event=event, data_hall=hall, state=state, job=JOB * (not hall))
+            for time, event, hall, state in told
+        ]
+        found = causes(JOB, about(JOB, lines))
+        self.assertEqual(len(found), 2)
+        self.assertIn("emptied was evacuated at 0.5", found[0])
+        self.assertIn("emptied was back at 4", found[1])
+
     def test_command(self) -> None:
         files = [str(file) for file in self.files()]
         result = CliRunner().invoke(main, ["explain", JOB, *files])
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -65,12 +65,14 @@
     dark: bool = False
     delay_s: float = 0.0
     timeouts: list[float] = field(default_factory=list)
+    starts: int = 0
     stops: list[str] = field(default_factory=list)
     seen: list[int] = field(default_factory=list)
     deadlines: list[int | None] = field(default_factory=list)
 
     async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
         self.timeouts.append(timeout_s)
+        self.starts += 1
         await self._meet(self.start_faults.pop(0) if self.start_faults else None, timeout_s)
         return StartReply(0, self.refusals.pop(0) if self.refusals else None)
 
@@ -171,7 +173,9 @@
         return self.board.jobs[JOB].occurrences[0].steps[0].tasks[0].status
 
 
-class SessionTest(unittest.TestCase):
+class SessionCase(unittest.TestCase):
+    """Runs a coroutine against one worker's session."""
+
     def play(self, body: Callable[[Scene], Awaitable[None]]) -> None:
         async def main() -> None:
             board = Board()
@@ -200,6 +204,8 @@
 
         run(main())
 
+
+class SessionTest(SessionCase):
     def test_one_order_without_answer_is_repeated_and_is_no_silence(self) -> None:
         async def body(scene: Scene) -> None:
             scene.orders.start_faults = [WorkerUnreachable]
