A start whose run is over before its order leaves is not sent

A worker that was looked at before it had work and then missed two calls had granted no lease, so a run that was decided and not ordered counted as lapsed; its start left once the record was in the store. Ruled out: late orders of an earlier leader (one starter, one term), stops that overtake starts (workers refuse those), stopped runs missing in reports (logs show them listed). Change: WorkerSession asks, once it has its turn to send, whether the run is still wanted: not over, not being stopped, its hall not evacuated.

--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -48,6 +48,10 @@
 COMMIT_WAIT_S = 1.0
 
 
+class _NotWanted(Exception):
+    """A start is not to be sent any more."""
+
+
 class WorkerSession:
     """Orders to one worker while this VM leads.
 
@@ -143,14 +147,14 @@
         run = start.run
         clean = True
         for _ in range(START_TRIES):
-            if run.stopping or self.worker.evacuated:
+            sent = self._clock.now()
+            try:
+                reply = await self._send(start)
+            except _NotWanted:
                 if clean:
                     self._never_began(run, key)
                     return
                 break
-            sent = self._clock.now()
-            try:
-                reply = await self._send(start)
             except WorkerUnreachable:
                 clean = False
                 self._missed(sent)
@@ -170,6 +174,8 @@
     async def _send(self, start: Start) -> StartReply:
         run = start.run
         async with self._gate:
+            if not self._is_wanted(run):
+                raise _NotWanted
             now = self._clock.now()
             order = StartOrder(
                 task=str(run.task.name),
@@ -184,6 +190,10 @@
         self._contact.heard(reply.clock_ms)
         return reply
 
+    def _is_wanted(self, run: Run) -> bool:
+        """Whether a run is still to start: it may be over, as lapsed, before its order leaves."""
+        return run.task.run is run and not run.stopping and not self.worker.evacuated
+
     def _answered(self, run: Run, key: RunKey, reply: StartReply, clean: bool) -> None:
         now = self._clock.now()
         if reply.refusal is None:
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -11,6 +11,7 @@
 from saddlestack.control.session import (
     HOLD_SLACK_S,
     ORDER_TIMEOUT_S,
+    ORDERS_AT_ONCE,
     START_TRIES,
     WAIT_S,
     WorkerSession,
@@ -34,7 +35,7 @@
 from saddlestack.policy.board.records import TaskStatus
 from saddlestack.policy.board.workers import Worker
 from saddlestack.standins.loop import run
-from saddlestack.work import AcceptedJob, JobRequest, Resources, Step
+from saddlestack.work import AcceptedJob, JobRequest, Resources, Step, TaskName
 from tests.test_board import SERVICE, record
 
 JOB = f"{1:016x}"
@@ -123,6 +124,7 @@
     hold_s: float = HOLD_S
     rounds: int = 0
     displaced: bool = False
+    on_missed: Callable[[], None] | None = None
     stored: asyncio.Event = field(default_factory=asyncio.Event)
 
     def changed(self) -> None:
@@ -132,7 +134,8 @@
         await self.stored.wait()
 
     def missed(self, worker: Worker) -> None:
-        pass
+        if self.on_missed is not None:
+            self.on_missed()
 
     def fenced(self) -> None:
         self.displaced = True
@@ -256,6 +259,44 @@
 
         self.play(body)
 
+    def test_a_start_whose_run_is_over_before_it_leaves_never_does(self) -> None:
+        """Found on trouble-3: decided while its worker was out of reach, and sent once it was back.
+
+        A call from before was not answered, nor was the look that followed. No lease had ever been
+        granted there, so what was decided and not sent yet counted as lapsed.
+        """
+
+        async def body(scene: Scene) -> None:
+            scene.owner.on_missed = scene.session.suspect
+            scene.orders.stop_faults = [WorkerUnreachable]
+            scene.session.stop(TaskName.parse(f"{JOB}.0.0.7"), 1)
+            await asyncio.sleep(0.1)
+            start = scene.plan().starts[0]
+            scene.orders.dark = True
+            await asyncio.sleep(1.2)
+            self.assertIs(scene.status, TaskStatus.WAITING)
+            scene.orders.dark = False
+            scene.session.start(start)
+            await asyncio.sleep(1.0)
+            self.assertEqual(scene.orders.starts, 0)
+
+        self.play(body)
+
+    def test_a_start_whose_run_is_over_while_it_waits_for_others_never_leaves(self) -> None:
+        async def body(scene: Scene) -> None:
+            start = scene.plan().starts[0]
+            scene.orders.stop_faults = [WorkerUnreachable] * ORDERS_AT_ONCE
+            for number in range(ORDERS_AT_ONCE):
+                scene.session.stop(TaskName.parse(f"{JOB}.0.0.7"), number)
+            await asyncio.sleep(0.1)
+            scene.session.start(start)
+            await asyncio.sleep(0.1)
+            scene.board.worker_over(start.run.worker_id)
+            await asyncio.sleep(2.0)
+            self.assertEqual(scene.orders.starts, 0)
+
+        self.play(body)
+
     def test_an_answer_that_was_sent_before_an_end_stops_nothing(self) -> None:
         """Found on calm days: runs that had ended were ordered to stop as not ours."""
 
