Work of a worker that left as announced starts again at once; headroom counts what is left, idleness all

Besides, half of a service counted as used sooner while a hall is evacuated, so that work could have waited for the headroom beside an idle service (read, not seen). Ruled out: to take any record that goes for an end (workers that are cut off lose theirs after three heartbeats and run on), to shorten leases (a cut of 6 s would lose what runs in the hall).

--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -33,6 +33,11 @@
         self._heard_s = -math.inf
         self.misses = 0
 
+    @property
+    def heard_s(self) -> float:
+        """When the worker last answered."""
+        return self._heard_s
+
     @property
     def lapsed(self) -> bool:
         """Whether every lease that was ever granted there is over."""
--- a/src/saddlestack/control/health.py
+++ b/src/saddlestack/control/health.py
@@ -44,6 +44,7 @@
 
     :ivar patience_s: how long an answer may take before it counts as overdue; follows how long
         the latest one took.
+    :ivar steady_s: since when the store has answered without a break, or will have.
     """
 
     def __init__(self, store: MetadataStore, clock: Clock) -> None:
@@ -56,6 +57,7 @@
         self._latest_s = -math.inf
         self._recovered_s = -math.inf
         self._lost_s: float | None = None
+        self.steady_s = clock.now()
         self._interval_s = HEARTBEAT_S
 
     def share_among(self, vms: int) -> None:
@@ -144,6 +146,7 @@
         self.patience_s = min(LONGEST_PATIENCE_S, wanted)
         if not self.answers:
             self._lost_s = None
+            self.steady_s = self.clock.now()
             log.info("store answers again", extra={"event": "store_back"})
             self._wake_all()
 
--- a/src/saddlestack/control/owner.py
+++ b/src/saddlestack/control/owner.py
@@ -27,6 +27,16 @@
         """How long workers lease at most."""
         ...
 
+    @property
+    def heartbeat_s(self) -> float:
+        """Between workers' heartbeats to the store; 0 where that is not known."""
+        ...
+
+    @property
+    def steady_s(self) -> float:
+        """Since when the store has answered without a break."""
+        ...
+
     def changed(self) -> None:
         """Decide anew."""
         ...
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -58,6 +58,12 @@
         if session is not None:
             self._tasks.spawn(session.close())
 
+    def unlisted(self, worker_id: str) -> None:
+        """The record of a worker that still runs something has gone."""
+        session = self._session(worker_id)
+        if session is not None:
+            session.unlisted()
+
     def suspect(self, hall: str) -> None:
         """Give nothing new to the workers of a hall until each has been heard again."""
         for worker in list(self._owner.board.workers.values()):
--- a/src/saddlestack/policy/board/departure.py
+++ b/src/saddlestack/policy/board/departure.py
@@ -1,4 +1,4 @@
-"""Which runs leave a worker before it does, so that no more of their work is lost than must be."""
+"""Workers that leave: which runs leave before them, and when one is known to have left."""
 
 from __future__ import annotations
 
@@ -15,6 +15,35 @@
 """A run that has nothing to save is left alone if it ends this long before the worker may leave, or
 within this time from now. A notice is heard up to 0.3 s late, an end after 0.01 s."""
 
+LEFT_HEARTBEATS = 1.5
+"""A worker whose record goes within so many of its heartbeats after it last answered has removed it
+itself: one that falls silent keeps it for three heartbeats after the last that it wrote, so for two
+at least after its last answer."""
+LAPSE_HEARTBEATS = 3.0
+"""Records may lapse while the store is away: their absence speaks only where it has answered for so
+long, which is how long a record outlives its worker."""
+ANNOUNCED_SLACK_S = 0.5
+"""A notice is heard up to 0.3 s late, the end of its worker's record as well."""
+
+
+def has_left(
+    worker: Worker, now: float, *, heard_s: float, heartbeat_s: float, steady_s: float
+) -> bool:
+    """Whether a worker whose record has just gone has ended, as it had announced.
+
+    What ran there is then over at once. Otherwise it counts as running until its lease has lapsed
+    for sure, 10.7 s: urgent gangs of seven waited for that, four to ten a day with two notices to a
+    seventh of the workers.
+
+    :param heard_s: when it last answered.
+    :param heartbeat_s: between its heartbeats to the store; 0 where that is not known.
+    :param steady_s: since when the store has answered without a break.
+    """
+    announced = worker.leaves_s is not None and now >= worker.leaves_s - ANNOUNCED_SLACK_S
+    removed = now - heard_s <= LEFT_HEARTBEATS * heartbeat_s
+    trusted = now - steady_s >= LAPSE_HEARTBEATS * heartbeat_s
+    return announced and removed and trusted
+
 
 def leaving(workers: Iterable[Worker], now: float) -> list[Run]:
     """Runs to be stopped since their worker leaves before they end.
--- a/src/saddlestack/policy/board/headroom.py
+++ b/src/saddlestack/policy/board/headroom.py
@@ -8,7 +8,8 @@
 from saddlestack.policy.board.workers import Worker
 
 HEADROOM = 0.25
-"""Share of a pool's accelerators, on empty workers, that only urgent work may open..."""
+"""Share of a pool's accelerators, on empty workers, that only urgent work may open; data halls that
+are being evacuated do not count..."""
 HEADROOM_A_RACK = 32
 """...of which so many, half a rack at most, lie in one rack, so that urgent gangs fit there..."""
 HEADROOM_PATIENCE_S = 15.0
@@ -29,6 +30,6 @@
         return True
     left = rooms.empty - sum(opened.values())
     in_one = min(HEADROOM_A_RACK, rooms.widest // 2, rooms.widest_empty({}))
-    if left >= rooms.accelerators * HEADROOM and rooms.widest_empty(opened) >= in_one:
+    if left >= rooms.open_accelerators * HEADROOM and rooms.widest_empty(opened) >= in_one:
         return True
     return not rooms.half_used
--- a/src/saddlestack/policy/board/index.py
+++ b/src/saddlestack/policy/board/index.py
@@ -20,17 +20,17 @@
 class _Standing:
     """What the sums hold of one worker.
 
-    One whose data hall is being evacuated counts nothing: its room is nobody's to plan with.
-
     :param service: of its record, as is the rack.
     :param able: whether it takes work and is not suspected.
     :param empty: its accelerators where it takes work and runs nothing, else 0.
+    :param open_accelerators: its accelerators unless its data hall is being evacuated, else 0.
     """
 
     service: str
     rack: str
     able: bool
     empty: int
+    open_accelerators: int
     accelerators: int
     cpu: int
     used_accelerators: int
@@ -65,8 +65,9 @@
     def __init__(self) -> None:
         self.racks: list[Rack] = []
         self.version = 0
-        self.accelerators = 0
+        self.open_accelerators = 0
         self.empty = 0
+        self._accelerators = 0
         self._cpu = 0
         self._used_accelerators = 0
         self._used_cpu = 0
@@ -84,8 +85,12 @@
 
     @property
     def half_used(self) -> bool:
-        """Whether half of the accelerators or of the processors is in use."""
-        if self._used_accelerators * 2 >= self.accelerators:
+        """Whether half of the accelerators or of the processors is in use.
+
+        Those of data halls that are being evacuated count as well: work is not to wait for the
+        headroom while most of a service is idle.
+        """
+        if self._used_accelerators * 2 >= self._accelerators:
             return True
         return self._used_cpu * 2 >= self._cpu
 
@@ -154,7 +159,8 @@
         return rack
 
     def _add(self, rack: Rack, standing: _Standing, sign: int) -> None:
-        self.accelerators += sign * standing.accelerators
+        self.open_accelerators += sign * standing.open_accelerators
+        self._accelerators += sign * standing.accelerators
         self.empty += sign * standing.empty
         self._cpu += sign * standing.cpu
         self._used_accelerators += sign * standing.used_accelerators
@@ -163,9 +169,9 @@
             self._by_empty.remove((rack.empty, rack.number))
             rack.empty += sign * standing.empty
             self._by_empty.add((rack.empty, rack.number))
-        if standing.accelerators:
+        if standing.open_accelerators:
             self._by_width.remove(rack.accelerators)
-            rack.accelerators += sign * standing.accelerators
+            rack.accelerators += sign * standing.open_accelerators
             self._by_width.add(rack.accelerators)
 
     def _touch(self, rack: Rack) -> None:
@@ -256,16 +262,16 @@
     record = worker.record
     takes_work = worker.takes_work(now)
     free = worker.free
-    counted = not worker.evacuated
     return _Standing(
         service=record.service,
         rack=record.rack,
         able=takes_work and not worker.suspected,
         empty=record.capacity.accelerators if takes_work and not worker.runs else 0,
-        accelerators=record.capacity.accelerators if counted else 0,
-        cpu=record.capacity.cpu if counted else 0,
-        used_accelerators=worker.used.accelerators if counted else 0,
-        used_cpu=worker.used.cpu if counted else 0,
+        open_accelerators=0 if worker.evacuated else record.capacity.accelerators,
+        accelerators=record.capacity.accelerators,
+        cpu=record.capacity.cpu,
+        used_accelerators=worker.used.accelerators,
+        used_cpu=worker.used.cpu,
         free_accelerators=free.accelerators,
         free_cpu=free.cpu,
     )
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -31,6 +31,7 @@
 from saddlestack.kernel.clock import Clock
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import Changes, StopReason
+from saddlestack.policy.board.departure import LAPSE_HEARTBEATS
 from saddlestack.policy.board.progress import LEAST_STILL_S, LOOK_S
 from saddlestack.policy.board.records import TaskStatus
 from saddlestack.policy.board.workers import Worker
@@ -42,6 +43,7 @@
 TASK = f"{JOB}.0.0.0"
 HOLD_S = 4.0
 FENCE = 7
+HEARTBEAT_S = 1.5
 MOMENT_S = 0.01
 
 Fault = type[Exception] | None
@@ -125,6 +127,8 @@
     rounds: int = 0
     displaced: bool = False
     on_missed: Callable[[], None] | None = None
+    heartbeat_s: float = HEARTBEAT_S
+    steady_s: float = -HEARTBEAT_S * LAPSE_HEARTBEATS
     stored: asyncio.Event = field(default_factory=asyncio.Event)
 
     def changed(self) -> None:
