A stop that found no way to its worker is ordered again once there is one

Ruled out: late starts whose job was cancelled meanwhile, and those of a starter that is gone: both tests passed before. Change: a new session with a worker orders the stops of all runs there that are to stop.

--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -113,6 +113,7 @@
         key = (task, number)
         if key in self._stops or self.over:
             return
+        self._stops.add(key)
         self._tasks.spawn(self._stop(key))
         self._wake.set()
 
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -127,7 +127,10 @@
         )
 
     def _session(self, worker_id: str) -> WorkerSession | None:
-        """The session with a worker's present life; ``None`` where it cannot be reached."""
+        """The session with a worker's present life; ``None`` where it cannot be reached.
+
+        A new one orders the stops again that found no way to the worker before.
+        """
         session = self._sessions.get(worker_id)
         worker = self._owner.board.workers.get(worker_id)
         if session is not None and not session.over and session.worker is worker:
@@ -144,4 +147,6 @@
         )
         self._sessions[worker_id] = session
         session.begin()
+        for task, number in [key for key, run in worker.runs.items() if run.stopping]:
+            session.stop(task, number)
         return session
