--- a/tests/test_cancelling.py
+++ b/tests/test_cancelling.py
@@ -1,4 +1,4 @@
-"""Work of a cancelled job stops, also where its worker starts it late or cannot be reached at first."""
+"""Work of a cancelled job stops, also where its worker starts it late or is out of reach at first."""
 
 from __future__ import annotations
 
