--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -100,6 +100,19 @@
         self.assertEqual(self.plan(1.0).starts, [])
         self.assertEqual(len(self.plan(1.5 + IDLE_PATIENCE_S).starts), 1)
 
+    def test_the_headroom_stays_shut_while_half_of_the_whole_service_is_in_use(self) -> None:
+        for name in ("r1-3", "r1-4"):
+            self.board.set_worker(record(name, rack="r1", hall=NEAR), 0.0)
+        self.board.evacuate(frozenset({NEAR}))
+        self.add(step(2, 8), priority=BULK)
+        self.assertEqual(self.halls(), {FAR})
+        self.board.evacuate(frozenset({FAR}))
+        self.add(step(2, 8), priority=BULK)
+        self.plan(1.0)
+        self.add(step(1, 8), priority=BULK)
+        self.assertEqual(self.plan(2.0).starts, [])
+        self.assertEqual(self.plan(2.5 + IDLE_PATIENCE_S).starts, [])
+
     def test_a_gang_of_one_rack_uses_a_rack_that_is_left(self) -> None:
         self.board.evacuate(frozenset({FAR}))
         self.add(step(2, 8, gang=True, same_rack=True))
