What reports tell stands in a module of its own

No decision changes. Measured: test_session, test_pool, test_departure, test_evacuation, test_cancelling, test_trials pass (122 tests).

--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -4,14 +4,12 @@
 
 import asyncio
 import logging
-import math
-from collections.abc import Sequence
 
 from saddlestack.control.contact import Contact
 from saddlestack.control.owner import Owner
+from saddlestack.control.reports import Reports
 from saddlestack.interfaces.workers import (
     Refusal,
-    RunningTask,
     StartOrder,
     StartReply,
     WorkerBusy,
@@ -50,7 +48,6 @@
 """So many looks in a row, of 0.3 s each, are to be without answer before a worker that has removed
 its record counts as gone."""
 HOLD_SLACK_S = 0.4
-COMMIT_WAIT_S = 1.0
 
 
 class _NotWanted(Exception):
@@ -58,10 +55,7 @@
 
 
 class WorkerSession:
-    """Orders to one worker while this VM leads.
-
-    A run's fate is taken from the worker's own account only: its end, or a report, asked for
-    after the last order about the run was answered, that knows nothing of it.
+    """Orders to one worker, and looks at it, while this VM leads.
 
     :param inherited_until: when leases granted by earlier leaders have lapsed for sure.
     """
@@ -82,13 +76,9 @@
         self._tasks = TaskGroup(f"session {worker.worker_id}")
         self._gate = asyncio.Semaphore(ORDERS_AT_ONCE)
         self._wake = asyncio.Event()
-        self._in_hand: set[RunKey] = set()
+        self._reports = Reports(worker, owner, clock)
         self._stops: set[RunKey] = set()
-        self._settled: dict[RunKey, float] = {}
-        self._noted = 0
-        self._seen = 0
         self._watching = False
-        self._ended_s = -math.inf
         self.over = False
 
     def begin(self) -> None:
@@ -104,7 +94,7 @@
     def start(self, start: Start) -> None:
         """Order a run to start."""
         key = (start.run.task.name, start.run.number)
-        self._in_hand.add(key)
+        self._reports.ordered(key)
         self._tasks.spawn(self._start(start, key))
         self._wake.set()
 
@@ -269,13 +259,11 @@
             await asyncio.sleep(RETRY_S)
 
     def _settle(self, key: RunKey) -> None:
-        """No order about the run is open: reports asked for from now on tell of it."""
-        self._in_hand.discard(key)
-        self._settled[key] = self._clock.now()
+        self._reports.settle(key)
         self._wake.set()
 
     def _never_began(self, run: Run, key: RunKey) -> None:
-        self._in_hand.discard(key)
+        self._reports.withdrawn(key)
         self._owner.board.not_started(run)
         self._owner.changed()
 
@@ -319,7 +307,7 @@
         asked = self._clock.now()
         try:
             report = await self._orders.hold(
-                self._owner.fence, None, self._seen, 0.0, LOOK_NOW_TIMEOUT_S
+                self._owner.fence, None, self._reports.seen, 0.0, LOOK_NOW_TIMEOUT_S
             )
         except WorkerReplaced:
             self._replaced()
@@ -345,7 +333,7 @@
     def _over(self) -> None:
         """Nothing runs there any more."""
         self._owner.board.worker_over(self.worker.worker_id)
-        self._in_hand.clear()
+        self._reports.clear()
         self._owner.changed()
 
     def _watch_progress(self) -> None:
@@ -367,9 +355,8 @@
         return (
             not self.worker.runs
             and not self.worker.suspected
-            and self._seen == self._noted
             and self.worker.reachable
-            and not self._in_hand
+            and self._reports.idle
         )
 
     async def _hold(self, asked: float) -> WorkerReport:
@@ -378,14 +365,12 @@
         # A worker that does not answer gets no longer lease, so that it lapses some day.
         deadline = self._contact.deadline(asked) if self.worker.runs and answers else None
         return await self._orders.hold(
-            self._owner.fence, deadline, self._seen, wait_s, wait_s + HOLD_SLACK_S
+            self._owner.fence, deadline, self._reports.seen, wait_s, wait_s + HOLD_SLACK_S
         )
 
     def _wait_s(self) -> float:
         """How long the worker may wait for an end before it answers a look."""
-        if not self.worker.runs or self._seen != self._noted or self._unsettled():
-            return 0.0
-        if self.worker.suspected:
+        if not self.worker.runs or self.worker.suspected or self._reports.awaited:
             return 0.0
         if self.worker.leaves_s is not None:
             return STOPPING_WAIT_S
@@ -393,87 +378,11 @@
             return STOPPING_WAIT_S
         return WATCHED_WAIT_S if needs_watching(self.worker) else WAIT_S
 
-    def _unsettled(self) -> bool:
-        """Whether inherited runs wait to be told of by the next report."""
-        return any(
-            run.inherited and key not in self._settled for key, run in self.worker.runs.items()
-        )
-
     async def _take(self, report: WorkerReport, asked: float) -> None:
-        now = self._clock.now()
         self._contact.heard(report.clock_ms)
-        board = self._owner.board
-        board.reported(self.worker.worker_id, self._still_true(report, asked), now)
-        fresh = [end for end in report.ended if end.number > self._noted]
-        for end in fresh:
-            log.info(
-                "run ended",
-                extra={
-                    "event": "ended",
-                    "task": end.task,
-                    "run": end.run,
-                    "worker": self.worker.worker_id,
-                    "how": end.how.value,
-                },
-            )
-            board.ended(self.worker.worker_id, end, now)
-            self._ended_s = now
-            self._noted = max(self._noted, end.number)
-        present = {(row.task, row.run) for row in report.running}
-        self._judge_absent(present, asked, now)
-        if fresh or board.has_news:
-            self._owner.changed()
+        self._reports.take(report, asked)
         self._watch_progress()
-        if self._noted > self._seen:
-            await self._acknowledge()
-
-    def _still_true(self, report: WorkerReport, asked: float) -> Sequence[RunningTask]:
-        """What a report lists as running, without runs whose end has been heard since it was asked.
-
-        Answers on different connections pass each other; such a run is not one that is unknown.
-        """
-        if asked >= self._ended_s:
-            return report.running
-        known = {(str(name), number) for name, number in self.worker.runs}
-        return [row for row in report.running if (row.task, row.run) in known]
-
-    def _judge_absent(self, present: set[tuple[str, int]], asked: float, now: float) -> None:
-        for key, run in list(self.worker.runs.items()):
-            if key in self._in_hand:
-                continue
-            if (str(key[0]), key[1]) in present:
-                self._settled.setdefault(key, now)
-                if run.started_s is None:
-                    self._owner.board.started(run, now)
-                continue
-            ordered = self._settled.get(key)
-            if ordered is None and not run.inherited:
-                continue
-            if ordered is not None and ordered > asked:
-                continue
-            log.info(
-                "run is not there",
-                extra={
-                    "event": "run_absent",
-                    "task": str(key[0]),
-                    "run": key[1],
-                    "worker": self.worker.worker_id,
-                    "confirmed": run.started_s is not None,
-                },
-            )
-            self._owner.board.not_started(run)
-
-    async def _acknowledge(self) -> None:
-        """Let the worker forget its ends, once the store has them."""
-        noted = self._noted
-        try:
-            async with asyncio.timeout(COMMIT_WAIT_S):
-                await self._owner.written()
-        except TimeoutError:
-            return
-        self._seen = max(self._seen, noted)
-        for key in [key for key in self._settled if key not in self.worker.runs]:
-            del self._settled[key]
+        await self._reports.acknowledge()
 
     def _missed(self, sent: float) -> None:
         if self._contact.missed(sent):
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -460,7 +460,7 @@
             scene.owner.stored.set()
             await asyncio.sleep(6.0)
             self.assertIs(scene.status, TaskStatus.DONE)
-            self.assertEqual(scene.session._seen, 1)
+            self.assertEqual(scene.session._reports.seen, 1)
 
         self.play(body)
 
