A gang is held to end with its last member when a worker leaves

Ruled out: members that end alone (gangs end together). Change: leaving() asks for the longest rest among the members. Measured: one test, failing before.

--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -374,7 +374,7 @@
     def plan(self, now: float, wall_ms: float) -> None:
         """Decide what starts and what has to give room."""
         self._index.begin(now)
-        for run in leaving(self._index.leaving, now):
+        for run in leaving(self._index.leaving, self.members, now):
             self.stop_group(run, StopReason.WORKER_LEAVES)
         self._planner.plan(now, wall_ms)
 
--- a/src/saddlestack/policy/board/departure.py
+++ b/src/saddlestack/policy/board/departure.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from saddlestack.policy.board.jobs import Run
 from saddlestack.policy.board.progress import remaining_s
@@ -25,6 +25,10 @@
 ANNOUNCED_SLACK_S = 0.5
 """A notice is heard up to 0.3 s late, the end of its worker's record as well."""
 
+Members = Callable[[Run], Sequence[Run]]
+"""All runs that work together with a run, itself among them. A gang ends with its last member: one
+that has done its own part waits, and looks as if it were about to end."""
+
 
 def has_left(
     worker: Worker, now: float, *, heard_s: float, heartbeat_s: float, steady_s: float
@@ -45,27 +49,30 @@
     return announced and removed and trusted
 
 
-def leaving(workers: Iterable[Worker], now: float) -> list[Run]:
+def leaving(workers: Iterable[Worker], members: Members, now: float) -> list[Run]:
     """Runs to be stopped since their worker leaves before they end.
 
     One that saves nothing is stopped as soon as that is clear, so that it begins again elsewhere;
     one that saves its progress uses the time that is left.
+
+    :param members: all runs that work, and end, together with a run.
     """
     found: list[Run] = []
     for worker in workers:
         if worker.leaves_s is None:
             continue
         left = worker.leaves_s - now
-        found += [run for run in worker.runs.values() if _is_to_stop(run, left, now)]
+        found += [run for run in worker.runs.values() if _is_to_stop(run, members, left, now)]
     return found
 
 
-def _is_to_stop(run: Run, left: float, now: float) -> bool:
+def _is_to_stop(run: Run, members: Members, left: float, now: float) -> bool:
     if run.stopping:
         return False
     step = run.task.step.step
     if step.long_running:
         return left < SAVE_MARGIN_S
-    if remaining_s(run, now) <= max(left - END_MARGIN_S, END_MARGIN_S):
+    remaining = max(remaining_s(member, now) for member in members(run))
+    if remaining <= max(left - END_MARGIN_S, END_MARGIN_S):
         return False
     return not step.checkpoint or left < SAVE_MARGIN_S
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -421,6 +421,18 @@
         self.assertEqual([stop.task.job_id for stop in self.plan(8.7).stops], [later])
         self.assertEqual(self.plan(10.0).stops, [])
 
+    def test_a_gang_ends_with_its_last_member_when_a_worker_leaves(self) -> None:
+        """A member that had done its part was left alone, and its gang was lost with the worker."""
+        self.workers(each=2)
+        gang = self.add(step(2, 8, gang=True))
+        self.plan()
+        for task, worker, percent in ((0, "w11", 99), (1, "w12", 50)):
+            row = RunningTask(f"{gang}.0.0.{task}", 1, "", percent)
+            self.board.reported(worker, [row], 10.0)
+        self.board.set_worker(record("w11", draining=True, remaining_ms=2000), 10.0)
+        stopped = {stop.worker_id for stop in self.plan(10.0).stops}
+        self.assertEqual(stopped, {"w11", "w12"})
+
     def test_a_leaving_worker_keeps_only_what_ends_in_time(self) -> None:
         self.workers(each=1)
         short = self.add(step(1), priority=NORMAL)
