--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 
 from saddlestack.control.owner import Owner, WorkerClock
 from saddlestack.kernel.clock import Clock
@@ -21,15 +22,18 @@
 class Contact:
     """The contact with one life of a worker.
 
-    :param lapses_s: when leases granted by earlier leaders have lapsed for sure.
+    :param inherited_until: tells when leases granted by earlier leaders have lapsed for sure.
     """
 
-    def __init__(self, worker: Worker, owner: Owner, clock: Clock, lapses_s: float) -> None:
+    def __init__(
+        self, worker: Worker, owner: Owner, clock: Clock, inherited_until: Callable[[], float]
+    ) -> None:
         self._worker = worker
         self._owner = owner
         self._clock = clock
         self._times = WorkerClock(worker.record.clock_ms, clock.now())
-        self._lapses_s = lapses_s
+        self._inherited_until = inherited_until
+        self._lapses_s = 0.0
         self._heard_s = -math.inf
         self.misses = 0
 
@@ -41,7 +45,7 @@
     @property
     def lapsed(self) -> bool:
         """Whether every lease that was ever granted there is over."""
-        return self._clock.now() >= self._lapses_s
+        return self._clock.now() >= max(self._lapses_s, self._inherited_until())
 
     def deadline(self, now: float) -> int:
         """Until when all that runs there may run from now on, on the worker's clock."""
--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -23,6 +23,7 @@
 from saddlestack.control.membership import Membership
 from saddlestack.control.peers import Peers
 from saddlestack.control.relays import Relays
+from saddlestack.control.renewals import Renewals
 from saddlestack.control.scheduler import Scheduler
 from saddlestack.control.settings import EntrySettings, load, parse_address
 from saddlestack.errors import SaddlestackError
@@ -90,6 +91,7 @@
         self.membership = Membership(self.context)
         self.peers = Peers(self.context, self.membership)
         self.peers.serve(PingQuestion, answer_ping)
+        self.renewals = Renewals(self.peers, self.membership, self._renews)
         self.leadership = Leadership(self.context, self)
         desk = Desk(self.peers, self.leadership, lambda: self.scheduler)
         relays = Relays(self.peers, self.membership, self.health)
@@ -102,6 +104,7 @@
         callers = Callers(self.jobs, lambda: self.configuration.current)
         self.callers = HttpServer(callers.handle, max_connections=MAX_CONNECTIONS)
         self.scheduler: Scheduler | None = None
+        self._ending = 0
         self.asked_to_leave = asyncio.Event()
         self._tasks = TaskGroup("entry")
 
@@ -170,6 +173,7 @@
             self.configuration,
             self.peers,
             self.membership,
+            self.renewals,
             lambda: self._give_up(term),
         )
         await self.scheduler.run()
@@ -177,8 +181,17 @@
     async def deposed(self) -> None:
         """This VM no longer leads."""
         scheduler, self.scheduler = self.scheduler, None
-        if scheduler is not None:
+        if scheduler is None:
+            return
+        self._ending += 1
+        try:
             await scheduler.stop()
+        finally:
+            self._ending -= 1
+
+    def _renews(self) -> bool:
+        """Whether this VM renews workers' leases, or may have done so this moment."""
+        return self.scheduler is not None or self._ending > 0
 
     def _give_up(self, term: Term) -> None:
         """The scheduler found that another leader has taken over."""
--- a/src/saddlestack/control/membership.py
+++ b/src/saddlestack/control/membership.py
@@ -26,6 +26,8 @@
 
 NAME = "membership"
 LEASE_S = 10.0
+"""A VM that is cut off stays known for at least this less :data:`KEEP_S`: for longer than a leader
+goes on renewing without the store, so that one that renews is always known."""
 KEEP_S = 3.0
 RETRY_S = 0.5
 SECRET_BYTES = 16
@@ -66,6 +68,11 @@
         self._members: dict[str, Member] = {}
         self._feed = Feed(context, MEMBERS, self._replace, self._change)
 
+    @property
+    def loaded(self) -> asyncio.Event:
+        """Set once the store has told of the others."""
+        return self._feed.loaded
+
     async def start(self) -> None:
         """Begin to tell and to follow."""
         self.tasks.spawn(self._feed.run())
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -24,6 +24,7 @@
 from saddlestack.control.leadership import Term
 from saddlestack.control.membership import Membership
 from saddlestack.control.peers import Peers
+from saddlestack.control.renewals import Renewals
 from saddlestack.control.sessions import Sessions
 from saddlestack.control.upkeep import Upkeep
 from saddlestack.errors import SaddlestackError
@@ -47,6 +48,10 @@
 FORGOTTEN_A_TICK = 5
 LOAD_RETRY_S = 0.2
 ADVICE_RETRY_S = 0.5
+RENEWALS_GAP_S = 1.0
+RENEWALS_ASKED = 5
+"""So often the other VMs are asked whether they renew leases: a leader without the store has
+stopped after 5.5 s, and a later answer would make no difference."""
 ADVICE_AT_ONCE = 4
 """The adviser takes one call of a VM at a time; few wait there, the others here."""
 
@@ -55,6 +60,7 @@
     """Schedules the pool for one term of this VM.
 
     :param peers: the way to the VMs of other halls.
+    :param renewals: tells whether an earlier leader may still renew leases.
     :param on_displaced: called once when another leader has taken over.
     """
 
@@ -65,6 +71,7 @@
         configuration: Configuration,
         peers: Peers,
         membership: Membership,
+        renewals: Renewals,
         on_displaced: Callable[[], None],
     ) -> None:
         self._context = context
@@ -79,6 +86,7 @@
         self._sessions = Sessions(context, self)
         self._suspicion = Suspicion()
         self._evacuations = Evacuations(context, self._evacuated)
+        self._renewals = renewals
         self._halls = HallWatch(context, peers, membership, self._sessions.suspect)
         self._tasks = TaskGroup("scheduler")
         self._wake = asyncio.Event()
@@ -185,6 +193,7 @@
         self._sessions.open()
         self._tasks.spawn(self._tick())
         self._tasks.spawn(self._halls.run())
+        self._tasks.spawn(self._see_renewals_over())
         if self._context.machines is not None:
             upkeep = Upkeep(self._context, self._context.machines, self.board, self.fence)
             self._tasks.spawn(upkeep.run())
@@ -340,6 +349,16 @@
             self.changed()
             await self._forget_expired()
 
+    async def _see_renewals_over(self) -> None:
+        """Ask the others until none renews a lease, or it makes no difference any more."""
+        for _ in range(RENEWALS_ASKED):
+            asked = self._clock.now()
+            if await self._renewals.are_over():
+                self._sessions.renewed_until(asked)
+                log.info("nobody else renews leases", extra={"event": "renewals_over"})
+                return
+            await asyncio.sleep(RENEWALS_GAP_S)
+
     async def _forget_expired(self) -> None:
         """Remove jobs from the store that nobody has to be told of any more."""
         retention_s = self._context.settings.timings.retention_s
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from saddlestack.control.contact import Contact
 from saddlestack.control.owner import Owner
@@ -57,7 +58,7 @@
 class WorkerSession:
     """Orders to one worker, and looks at it, while this VM leads.
 
-    :param inherited_until: when leases granted by earlier leaders have lapsed for sure.
+    :param inherited_until: tells when leases granted by earlier leaders have lapsed for sure.
     """
 
     def __init__(
@@ -66,7 +67,7 @@
         orders: WorkerOrders,
         owner: Owner,
         clock: Clock,
-        inherited_until: float,
+        inherited_until: Callable[[], float],
     ) -> None:
         self.worker = worker
         self._orders = orders
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -29,8 +29,8 @@
         self._owner = owner
         self._sessions: dict[str, WorkerSession] = {}
         self._tasks = TaskGroup("sessions")
-        longest = owner.hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
-        self.inherited_until = context.clock.now() + LEASE_S + RENEWING_S + longest
+        self._longest_s = owner.hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
+        self.inherited_until = context.clock.now() + LEASE_S + RENEWING_S + self._longest_s
         """When leases that earlier leaders granted have lapsed for sure."""
 
     def __len__(self) -> int:
@@ -40,6 +40,10 @@
         """The workers that are dealt with, by id."""
         return iter(self._sessions)
 
+    def renewed_until(self, moment: float) -> None:
+        """No earlier leader has renewed a lease after some moment."""
+        self.inherited_until = min(self.inherited_until, moment + self._longest_s)
+
     async def stop(self) -> None:
         """End all dealings with workers."""
         await self._tasks.cancel()
@@ -143,7 +147,7 @@
             self._context.orders(worker.record),
             self._owner,
             self._context.clock,
-            self.inherited_until if worker.runs else 0.0,
+            (lambda: self.inherited_until) if worker.runs else (lambda: 0.0),
         )
         self._sessions[worker_id] = session
         session.begin()
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -202,7 +202,7 @@
             owner = LoneOwner(board)
             owner.stored.set()
             orders = ScriptedOrders()
-            session = WorkerSession(worker, orders, owner, Clock(), 0.0)
+            session = WorkerSession(worker, orders, owner, Clock(), lambda: 0.0)
             session.begin()
             try:
                 await body(Scene(board, owner, orders, session))
