--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -40,7 +40,7 @@
         return index.service(SERVICE)
 
     def may_open(self, *places: Worker) -> bool:
-        return may_open(self.rooms(), places)
+        return may_open(self.rooms(), places, 0.0)
 
     def test_an_idle_pool_may_be_opened(self) -> None:
         pool = self.pool(racks=1, each=4)
@@ -48,13 +48,13 @@
 
     def test_half_of_accelerators_or_of_processors_is_half_used(self) -> None:
         pool = self.pool(racks=1, each=2)
-        self.assertFalse(self.rooms().half_used)
+        self.assertFalse(self.rooms().open.half_used)
         pool[0].used = Resources(0, 0, 8)
-        self.assertTrue(self.rooms().half_used)
+        self.assertTrue(self.rooms().open.half_used)
         pool[0].used = Resources(32_000, 0, 0)
-        self.assertTrue(self.rooms().half_used)
+        self.assertTrue(self.rooms().open.half_used)
         pool[0].used = Resources(31_000, 0, 7)
-        self.assertFalse(self.rooms().half_used)
+        self.assertFalse(self.rooms().open.half_used)
 
     def test_a_quarter_stays_shut_once_half_is_used(self) -> None:
         pool = self.pool(racks=4, each=2)
