--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -49,9 +49,9 @@
 LOAD_RETRY_S = 0.2
 ADVICE_RETRY_S = 0.5
 RENEWALS_GAP_S = 1.0
-RENEWALS_ASKED = 5
-"""So often the other VMs are asked whether they renew leases: a leader without the store has
-stopped after 5.5 s, and a later answer would make no difference."""
+RENEWALS_ASKED = 6
+"""For so many gaps the other VMs may be asked whether they renew leases: one that leads without the
+store has stopped after 5.5 s, and a later answer would make no difference."""
 ADVICE_AT_ONCE = 4
 """The adviser takes one call of a VM at a time; few wait there, the others here."""
 
@@ -350,14 +350,26 @@
             await self._forget_expired()
 
     async def _see_renewals_over(self) -> None:
-        """Ask the others until none renews a lease, or it makes no difference any more."""
+        """Ask the others until none renews a lease, or it makes no difference any more.
+
+        Nobody is asked while every worker answers that runs what an earlier leader started.
+        """
         for _ in range(RENEWALS_ASKED):
-            if await self._renewals.are_over():
+            if self._waits_for_lapse() and await self._renewals.are_over():
                 self._sessions.renewed_until(self._clock.now())
                 log.info("nobody else renews leases", extra={"event": "renewals_over"})
                 return
             await asyncio.sleep(RENEWALS_GAP_S)
 
+    def _waits_for_lapse(self) -> bool:
+        """Whether work that an earlier leader started is on a worker that does not answer."""
+        return any(
+            run.inherited
+            for worker in self.board.workers.values()
+            if not worker.reachable
+            for run in worker.runs.values()
+        )
+
     async def _forget_expired(self) -> None:
         """Remove jobs from the store that nobody has to be told of any more."""
         retention_s = self._context.settings.timings.retention_s
--- a/tests/test_renewals.py
+++ b/tests/test_renewals.py
@@ -8,6 +8,8 @@
 from saddlestack.control.leadership import LEASE_S, RENEWING_S
 from saddlestack.control.membership import KEEP_S
 from saddlestack.control.membership import LEASE_S as MEMBER_LEASE_S
+from saddlestack.control.renewals import ASKED_AT_ONCE
+from saddlestack.control.scheduler import RENEWALS_ASKED, RENEWALS_GAP_S
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.work import JobState
 from tests.test_pool import PoolTest
@@ -57,6 +59,34 @@
 
         self.play(body)
 
+    def test_nobody_is_asked_while_every_worker_answers(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(4, work_s=12.0))
+            await cluster.until(lambda: cluster.floor.starts_of(A) == 4)
+            await cluster.kill(cluster.leader_name)
+            await cluster.until(lambda: cluster.leader is not None)
+            leader = cluster.leader
+            assert leader is not None
+            leader.renewals.asked = 0
+            await asyncio.sleep(RENEWALS_ASKED * RENEWALS_GAP_S + 1.0)
+            self.assertEqual(leader.renewals.asked, 0)
+
+        self.play(body)
+
+    def test_few_are_asked_at_once_and_none_after_one_that_does_not_answer(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(1.0)
+            leader = cluster.leader
+            assert leader is not None
+            for name in list(cluster.members)[:2]:
+                if name != cluster.leader_name:
+                    await cluster.kill(name)
+            leader.renewals.asked = 0
+            self.assertFalse(await leader.renewals.are_over())
+            self.assertLessEqual(leader.renewals.asked, ASKED_AT_ONCE)
+
+        self.play(body, entries=ASKED_AT_ONCE + 6)
+
     def test_a_vm_that_renews_says_so(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             leader = cluster.leader
