--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -264,7 +264,7 @@
         self.play(body)
 
     def test_a_start_whose_run_is_over_before_it_leaves_never_does(self) -> None:
-        """Found on trouble-3: decided while its worker was out of reach, and sent once it was back.
+        """Decided while its worker was out of reach, and sent once it was back.
 
         A call from before was not answered, nor was the look that followed. No lease had ever been
         granted there, so what was decided and not sent yet counted as lapsed.
