A new leader asks at the address of a worker that is no longer listed

Cause: an assignment named its worker's life alone. Once the record of that life had lapsed, the next leader knew no address, asked nobody and counted its runs as present until every lease that an earlier leader may have renewed had lapsed.

Change: the record of an occurrence keeps where the workers of its runs are reached, once a life. A life that is in no list gets a session at that address: another life there ends its runs at once, a report of its own keeps those that it lists and frees the others, and silence, a refused connection or a busy answer leave the wait as it was. Such a life is given nothing new. Sessions of lives that are over and of which no record tells are closed.

Ruled out: an address in each task's record, which costs 16 to 22 bytes for each task instead of once for each life; a busy answer taken for a life (the test of it fails then: leases went on being counted).

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -346,6 +346,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._end_ghosts()
+            self._sessions.close_gone()
             self.changed()
             await self._forget_expired()
 
@@ -381,7 +382,7 @@
                 log.info("forgotten", extra={"event": "forgotten", "job": job.job_id})
 
     def _end_ghosts(self) -> None:
-        """Lives that nobody can reach any more hold their runs until every lease has lapsed."""
+        """Lives that nobody can ask hold their runs until every lease has lapsed."""
         if self._clock.now() < self._sessions.inherited_until:
             return
         for worker in list(self.board.workers.values()):
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 
 from saddlestack.control.contact import Contact
@@ -315,7 +316,8 @@
         except WorkerFenced:
             self._owner.fenced()
         except WorkerBusy:
-            self._contact.heard()
+            if self._is_known:
+                self._contact.heard()
         except WorkerUnreachable:
             self._missed(asked)
         else:
@@ -379,7 +381,18 @@
             return STOPPING_WAIT_S
         return WATCHED_WAIT_S if needs_watching(self.worker) else WAIT_S
 
+    @property
+    def _is_known(self) -> bool:
+        """Whether this life has told of itself, by its record or by an answer.
+
+        An address that answers that it is busy may be that of any life: it does not prove that one
+        is alive which only an assignment names, and its runs wait for the lease.
+        """
+        return self.worker.listed or self._contact.heard_s > -math.inf
+
     async def _take(self, report: WorkerReport, asked: float) -> None:
+        if self._owner.board.workers.get(self.worker.worker_id) is not self.worker:
+            return
         self._contact.heard(report.clock_ms)
         self._reports.take(report, asked)
         self._watch_progress()
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -62,6 +62,11 @@
         if session is not None:
             self._tasks.spawn(session.close())
 
+    def close_gone(self) -> None:
+        """End the sessions with lives that are over and of which no record tells any more."""
+        for worker_id in [each for each in self._sessions if each not in self._owner.board.workers]:
+            self.close(worker_id)
+
     def unlisted(self, worker_id: str) -> None:
         """The record of a worker that still runs something has gone."""
         session = self._session(worker_id)
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -88,13 +88,15 @@
         job = new_job(accepted, dict(records))
         self.jobs[accepted.job_id] = job
         for occurrence in job.occurrences:
+            record = records.get(occurrence.number)
+            addresses = {} if record is None else record.addresses
             for step in occurrence.steps:
                 for task in step.tasks:
-                    self._restore(task)
+                    self._restore(task, addresses)
         self._planner.add(job)
         return job
 
-    def _restore(self, task: Task) -> None:
+    def _restore(self, task: Task, addresses: Mapping[str, str]) -> None:
         record = task.record
         if record.status is not TaskStatus.ASSIGNED:
             return
@@ -103,12 +105,16 @@
         task.run = run
         worker = self.workers.get(record.worker)
         if worker is None:
-            worker = self._ghost(record.worker)
+            worker = self._ghost(record.worker, addresses.get(record.worker, ""))
+        run.address = worker.record.address
         worker.add(run)
 
-    def _ghost(self, worker_id: str) -> Worker:
-        """A life that is not in the list, but may still run something."""
-        record = _unlisted(worker_id)
+    def _ghost(self, worker_id: str, address: str) -> Worker:
+        """A life that is not in the list, but may still run something.
+
+        :param address: where to ask it, or empty.
+        """
+        record = _unlisted(worker_id, address)
         worker = Worker(record, listed=False, reachable=False)
         self._know(worker)
         return worker
@@ -381,6 +387,7 @@
     def assign(self, task: Task, worker: Worker, number: int, now: float) -> None:
         """Give a run of a task to a worker."""
         run = Run(task, number, worker.worker_id, task.step.step.room, assigned_s=now)
+        run.address = worker.record.address
         task.run = run
         task.record.status = TaskStatus.ASSIGNED
         task.record.run = number
@@ -432,11 +439,11 @@
     return not run.never_began and how is not EndKind.ALONE
 
 
-def _unlisted(worker_id: str) -> WorkerRecord:
+def _unlisted(worker_id: str, address: str) -> WorkerRecord:
     return WorkerRecord(
         worker_id=worker_id,
         service="",
-        address="",
+        address=address,
         data_hall="",
         draining=True,
         capacity=Resources(),
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -35,6 +35,7 @@
     :param moved_s: when it first said so, on the board's clock; ``None`` before it said anything.
     :param figure: the worker's figure of the last half second.
     :param pace: the share of full speed that it was last ordered to work at.
+    :param address: where that life of the worker is reached; empty where it is not known.
     """
 
     task: Task
@@ -52,6 +53,7 @@
     moved_s: float | None = None
     figure: float = 0.0
     pace: int = 100
+    address: str = ""
 
 
 @dataclass(slots=True, eq=False)
@@ -153,7 +155,17 @@
         """What the store is to keep."""
         if self.status is not OccurrenceStatus.OPEN:
             return OccurrenceRecord(self.status)
-        return OccurrenceRecord(self.status, [step.record for step in self.steps])
+        steps = [step.record for step in self.steps]
+        return OccurrenceRecord(self.status, steps, self._addresses())
+
+    def _addresses(self) -> dict[str, str]:
+        """Where the workers are reached that were given runs of it."""
+        return {
+            task.run.worker_id: task.run.address
+            for step in self.steps
+            for task in step.tasks
+            if task.run is not None and task.run.address
+        }
 
 
 @dataclass(slots=True, eq=False)
--- a/src/saddlestack/policy/board/records.py
+++ b/src/saddlestack/policy/board/records.py
@@ -56,7 +56,13 @@
 
 
 class OccurrenceRecord(msgspec.Struct, array_like=True):
-    """Progress of one occurrence; final ones keep no steps."""
+    """Progress of one occurrence; final ones keep no steps.
+
+    :param addresses: where the lives of workers are reached that were given its runs, by id. Their
+        own records may lapse, and a new leader is to ask there what became of the runs. Once a
+        life rather than once a task: many tasks of a wide step run on one worker.
+    """
 
     status: OccurrenceStatus
     steps: list[StepRecord] = []
+    addresses: dict[str, str] = {}
--- a/tests/test_inherited.py
+++ b/tests/test_inherited.py
@@ -11,15 +11,35 @@
 from __future__ import annotations
 
 import asyncio
+import unittest
 
+import msgspec
+
+from saddlestack.codec import from_msgpack, to_msgpack
+from saddlestack.control.contact import CLOCK_DRIFT, LAPSE_SLACK_S
+from saddlestack.control.leadership import LEASE_S, RENEWING_S
+from saddlestack.interfaces.workers import EndKind
+from saddlestack.policy.board.records import (
+    OccurrenceRecord,
+    OccurrenceStatus,
+    StepRecord,
+    TaskRecord,
+    TaskStatus,
+)
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.standins.pool.workers import FloorWorker
 from saddlestack.work import JobRequest, JobState
 from tests.test_pool import PoolTest
 
 A = "00000000000000aa"
+B = "00000000000000bb"
 SOON_S = 2.0
 """A new leader asks at once; the election is over by then."""
+HOLD_S = 10.0
+INHERITED_S = LEASE_S + RENEWING_S + HOLD_S * CLOCK_DRIFT + LAPSE_SLACK_S
+"""For so long a lease may hold that an earlier leader granted, counted from the next one's term."""
+READING_S = 1.0
+"""Within this a new leader has read the store."""
 
 
 class InheritedTest(PoolTest):
@@ -91,3 +111,156 @@
             self.assertEqual(cluster.floor.starts_of(A), 4)
 
         self.play(body, workers=3)
+
+    async def unlisted(self, cluster: PoolCluster, request: JobRequest) -> FloorWorker:
+        """A leader follows while the record of the worker of a first run has lapsed."""
+        worker = await self.run_on(cluster, request)
+        cluster.floor.lapse(worker)
+        await self.follow(cluster)
+        return worker
+
+    async def assert_waits_for_the_lease(self, cluster: PoolCluster) -> None:
+        waited = await self.begun_again_after(cluster, 2)
+        self.assertGreater(waited, INHERITED_S - READING_S)
+        self.assertLess(waited, INHERITED_S + READING_S)
+
+    def test_a_life_that_tells_of_its_runs_keeps_them(self) -> None:
+        """Its record lapsed; its lease, of 10 s, is renewed for as long as it works."""
+
+        async def body(cluster: PoolCluster) -> None:
+            await self.unlisted(cluster, job(2, work_s=3 * HOLD_S, accelerators=1))
+            await cluster.until_state(A, JobState.COMPLETED, 4 * HOLD_S)
+            self.assertEqual(cluster.floor.starts_of(A), 2)
+
+        self.play(body)
+
+    def test_a_life_that_is_not_listed_is_given_nothing_new(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.unlisted(cluster, job(1, work_s=HOLD_S))
+            await cluster.submit(B, job(31, work_s=1.0))
+            await cluster.until_state(B, JobState.COMPLETED)
+            self.assertNotIn(worker.worker_id, [r.worker for r in cluster.floor.history[1:]])
+
+        self.play(body)
+
+    def test_a_life_that_runs_nothing_any_more_frees_its_task_at_once(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=20.0))
+            cluster.floor.lapse(worker)
+            worker.runs.clear()
+            await self.follow(cluster)
+            self.assertLess(await self.begun_again_after(cluster, 2), SOON_S)
+
+        self.play(body)
+
+    def test_an_end_that_it_tells_of_counts(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=1.0))
+            worker.unreachable = True
+            await cluster.until(lambda: cluster.floor.ends_of(A, EndKind.DONE) == 1)
+            cluster.floor.lapse(worker)
+            await cluster.kill(cluster.leader_name)
+            worker.unreachable = False
+            await cluster.until_state(A, JobState.COMPLETED, 5.0)
+            self.assertEqual(cluster.floor.starts_of(A), 1)
+
+        self.play(body)
+
+    def test_silence_at_its_address_proves_nothing(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=20.0))
+            worker.unreachable = True
+            cluster.floor.crash(worker)
+            cluster.floor.lapse(worker)
+            await self.follow(cluster)
+            await self.assert_waits_for_the_lease(cluster)
+
+        self.play(body)
+
+    def test_a_connection_refused_at_its_address_proves_nothing(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=20.0))
+            cluster.floor.crash(worker)
+            cluster.floor.lapse(worker)
+            await self.follow(cluster)
+            await self.assert_waits_for_the_lease(cluster)
+
+        self.play(body)
+
+    def test_a_busy_answer_at_its_address_proves_nothing(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=60.0))
+            worker.busy = True
+            cluster.floor.lapse(worker)
+            await self.follow(cluster)
+            await self.assert_waits_for_the_lease(cluster)
+
+        self.play(body)
+
+    def test_one_that_was_cut_off_and_answers_later_frees_its_task_then(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=20.0))
+            worker.unreachable = True
+            self.restart(cluster, worker)
+            cluster.floor.lapse(worker)
+            await self.follow(cluster)
+            await asyncio.sleep(5.0)
+            self.assertEqual(cluster.floor.starts_of(A), 1)
+            worker.unreachable = False
+            self.assertLess(await self.begun_again_after(cluster, 2), SOON_S)
+
+        self.play(body)
+
+    def test_no_session_is_left_with_a_life_that_is_over(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=20.0))
+            cluster.floor.crash(worker)
+            cluster.floor.lapse(worker)
+            await self.follow(cluster)
+            leader = cluster.leader
+            assert leader is not None and leader.scheduler is not None
+            sessions = leader.scheduler._sessions
+            self.assertIn(worker.worker_id, sessions)
+            await self.begun_again_after(cluster, 2)
+            await cluster.until(lambda: worker.worker_id not in sessions, 1.0)
+
+        self.play(body)
+
+
+class OlderRecord(msgspec.Struct, array_like=True):
+    """The record of an occurrence as earlier versions wrote it, and read it."""
+
+    status: OccurrenceStatus
+    steps: list[StepRecord]
+
+
+class RecordTest(unittest.TestCase):
+    LIFE = "i-82a983281e"
+    ADDRESS = "127.123.104.203:41873"
+
+    def steps(self, tasks: int) -> list[StepRecord]:
+        return [StepRecord([TaskRecord(TaskStatus.ASSIGNED, 1, self.LIFE) for _ in range(tasks)])]
+
+    def record(self, tasks: int) -> OccurrenceRecord:
+        addresses = {self.LIFE: self.ADDRESS}
+        return OccurrenceRecord(OccurrenceStatus.OPEN, self.steps(tasks), addresses)
+
+    def test_records_without_addresses_are_read(self) -> None:
+        older = to_msgpack(OlderRecord(OccurrenceStatus.OPEN, self.steps(2)))
+        read = from_msgpack(older, OccurrenceRecord)
+        self.assertEqual(read, OccurrenceRecord(OccurrenceStatus.OPEN, self.steps(2), {}))
+
+    def test_earlier_versions_read_records_with_addresses(self) -> None:
+        read = from_msgpack(to_msgpack(self.record(2)), OlderRecord)
+        self.assertEqual(read, OlderRecord(OccurrenceStatus.OPEN, self.steps(2)))
+
+    def test_an_address_is_kept_once_a_worker_however_many_tasks_run_there(self) -> None:
+        for tasks in (1, 1000):
+            older = to_msgpack(OlderRecord(OccurrenceStatus.OPEN, self.steps(tasks)))
+            newer = to_msgpack(self.record(tasks))
+            most = len(self.LIFE) + len(self.ADDRESS) + 4
+            self.assertLessEqual(len(newer) - len(older), most)
+
+
+if __name__ == "__main__":
+    unittest.main()
