Logs tell which proof ended a run, and when a wait for a lease begins

Cause: runs that counted as over without an end of their own left no line, and a wait of a whole lease could only be inferred from a start that came late.

Change: one line run_over for each such run, with its proof and the proof's age; one line lease_wait when a worker that runs something falls out of reach, or is so from the term's beginning, with the longest that it takes. saddlestack explain shows both for the job whose task is on that worker.

Ruled out: lease_wait for each run, which is one line a run where a hall is cut off.

--- a/src/saddlestack/cli/explaining.py
+++ b/src/saddlestack/cli/explaining.py
@@ -17,20 +17,37 @@
 )
 
 
+LEASE_WAIT = "lease_wait"
+RUN_ENDS = frozenset({"ended", "run_over", "run_absent"})
+
+
 def about(job_id: str, lines: Sequence[LogLine]) -> list[LogLine]:
     """The lines about a job, and what happened to leaders and the store meanwhile."""
     own = [line for line in lines if _concerns(line, job_id)]
     if not own:
         return []
     first, last = own[0].time, own[-1].time
-    meanwhile = [
-        line
-        for line in lines
-        if _concerns(line, job_id) or (line.event in CONTEXT_EVENTS and first <= line.time <= last)
-    ]
+    meanwhile = []
+    places: dict[str, str] = {}
+    for line in lines:
+        waits = line.event == LEASE_WAIT and line.worker in places.values()
+        context = line.event in CONTEXT_EVENTS and first <= line.time <= last
+        if _concerns(line, job_id):
+            _note_place(line, places)
+            meanwhile.append(line)
+        elif waits or context:
+            meanwhile.append(line)
     return _evacuated_at(lines, first) + meanwhile
 
 
+def _note_place(line: LogLine, places: dict[str, str]) -> None:
+    """Keep on which worker each task is: a wait for a lease names the worker alone."""
+    if line.event == "start":
+        places[line.task] = line.worker
+    elif line.event in RUN_ENDS:
+        places.pop(line.task, None)
+
+
 def _evacuated_at(lines: Sequence[LogLine], time: str) -> list[LogLine]:
     """The lines that tell which data halls had been evacuated and were not back yet."""
     begun: dict[str, LogLine] = {}
@@ -50,6 +67,9 @@
     for line in lines:
         if line.event == EVACUATION:
             found.append(_evacuated(line))
+        elif line.event == LEASE_WAIT:
+            what = f"may go on unseen for {line.left_s:.1f} s at most"
+            found.append(f"{line.worker} did not answer at {line.time}: what runs there {what}")
         if not _concerns(line, job_id):
             continue
         if line.event == "not_written":
@@ -65,6 +85,9 @@
             found.append(f"{line.worker} refused {line.task} run {line.run}: {line.reason}")
         elif line.event == "run_absent":
             found.append(f"{line.worker} does not know {line.task} run {line.run}")
+        elif line.event == "run_over":
+            proof = f"{line.proof}, {line.age_s:.1f} s before"
+            found.append(f"{line.task} run {line.run} counted as over on {line.worker}: {proof}")
     return found
 
 
@@ -105,5 +128,5 @@
 def _shown(line: LogLine) -> str:
     task = f"{line.task} run {line.run}" if line.task else line.job
     what = (line.event, task, line.worker, line.state, line.how)
-    why = (line.data_hall, line.reason, line.cause or "")
+    why = (line.data_hall, line.reason, line.cause or "", line.proof)
     return " ".join(part for part in what + why if part)
--- a/src/saddlestack/cli/loglines.py
+++ b/src/saddlestack/cli/loglines.py
@@ -18,6 +18,9 @@
     :param leader: of an event ``leader``: who leads now, or ``None``.
     :param revision: of the leader key as it was seen, 0 where there was none.
     :param fence: the fencing token of the term, which is the revision of its key.
+    :param proof: of an event ``run_over``: why the run counts as over.
+    :param age_s: how old that is.
+    :param left_s: of an event ``lease_wait``: how long it lasts at most.
     :param at_s: when it was written: the number of seconds that a collector has put in front
         of the line, else the VM's time of day.
     """
@@ -45,6 +48,9 @@
     leader: str | None = None
     revision: int = 0
     fence: int = 0
+    proof: str = ""
+    age_s: float = 0.0
+    left_s: float = 0.0
 
 
 def read(files: Iterable[Path]) -> list[LogLine]:
--- a/src/saddlestack/control/reports.py
+++ b/src/saddlestack/control/reports.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Sequence
 
+from saddlestack.control.endings import Proof, log_over
 from saddlestack.control.owner import Owner
 from saddlestack.interfaces.workers import EndedTask, RunningTask, WorkerReport
 from saddlestack.kernel.clock import Clock
@@ -139,7 +140,7 @@
                 if run.started_s is None:
                     self._owner.board.started(run, now)
             elif self._is_told_of(key, run, asked):
-                self._absent(key, run)
+                self._absent(key, run, now - asked)
 
     def _is_told_of(self, key: RunKey, run: Run, asked: float) -> bool:
         """Whether a report would list a run if it were there."""
@@ -148,7 +149,7 @@
             return run.inherited
         return settled <= asked
 
-    def _absent(self, key: RunKey, run: Run) -> None:
+    def _absent(self, key: RunKey, run: Run, age_s: float) -> None:
         log.info(
             "run is not there",
             extra={
@@ -159,4 +160,5 @@
                 "confirmed": run.started_s is not None,
             },
         )
+        log_over([run], Proof.ABSENT, age_s)
         self._owner.board.not_started(run)
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -17,6 +17,7 @@
 from saddlestack.control.commits import Commits
 from saddlestack.control.configuration import Configuration
 from saddlestack.control.context import EntryContext
+from saddlestack.control.endings import Proof, log_over, log_wait
 from saddlestack.control.evacuations import Evacuations
 from saddlestack.control.feed import Feed
 from saddlestack.control.halls import HallWatch
@@ -191,6 +192,8 @@
             extra={"event": "scheduling", "fence": self.fence, "jobs": len(self.board.jobs)},
         )
         self._sessions.open()
+        for worker in self._ghosts():
+            log_wait(worker, self._sessions.inherited_until - self._clock.now())
         self._tasks.spawn(self._tick())
         self._tasks.spawn(self._halls.run())
         self._tasks.spawn(self._see_renewals_over())
@@ -383,11 +386,17 @@
 
     def _end_ghosts(self) -> None:
         """Lives that nobody can ask hold their runs until every lease has lapsed."""
-        if self._clock.now() < self._sessions.inherited_until:
+        now = self._clock.now()
+        if now < self._sessions.inherited_until:
             return
-        for worker in list(self.board.workers.values()):
-            if worker.runs and not worker.record.address:
-                self.board.worker_over(worker.worker_id)
+        for worker in self._ghosts():
+            log_over(worker.runs.values(), Proof.LAPSED, now - self._sessions.began_s)
+            self.board.worker_over(worker.worker_id)
+
+    def _ghosts(self) -> list[Worker]:
+        """Lives that may run something and are reached nowhere, as far as is known."""
+        workers = self.board.workers.values()
+        return [worker for worker in workers if worker.runs and not worker.record.address]
 
     def _displaced(self, reason: str) -> None:
         if self.over:
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -7,7 +7,8 @@
 import math
 from collections.abc import Callable
 
-from saddlestack.control.contact import Contact
+from saddlestack.control.contact import CLOCK_DRIFT, LAPSE_SLACK_S, Contact
+from saddlestack.control.endings import Proof, log_over, log_wait
 from saddlestack.control.owner import Owner
 from saddlestack.control.reports import Reports
 from saddlestack.interfaces.workers import (
@@ -74,6 +75,8 @@
         self._orders = orders
         self._owner = owner
         self._clock = clock
+        self._inherited_until = inherited_until
+        self._began_s = clock.now()
         self._contact = Contact(worker, owner, clock, inherited_until)
         self._tasks = TaskGroup(f"session {worker.worker_id}")
         self._gate = asyncio.Semaphore(ORDERS_AT_ONCE)
@@ -85,6 +88,8 @@
 
     def begin(self) -> None:
         """Start to look after the worker."""
+        if not self.worker.reachable:
+            self._wait_begins(self._inherited_until() - self._clock.now())
         self._tasks.spawn(self._look())
 
     async def close(self) -> None:
@@ -333,8 +338,10 @@
         log.info("worker has left", extra={"event": "worker_left", "worker": self.worker.worker_id})
         self._over()
 
-    def _over(self) -> None:
+    def _over(self, proof: Proof = Proof.LEFT) -> None:
         """Nothing runs there any more."""
+        heard_s = max(self._contact.heard_s, self._began_s)
+        log_over(self.worker.runs.values(), proof, self._clock.now() - heard_s)
         self._owner.board.worker_over(self.worker.worker_id)
         self._reports.clear()
         self._owner.changed()
@@ -401,6 +408,13 @@
     def _missed(self, sent: float) -> None:
         if self._contact.missed(sent):
             self._wake.set()
+            longest_s = self._owner.hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
+            self._wait_begins(max(longest_s, self._inherited_until() - self._clock.now()))
+
+    def _wait_begins(self, left_s: float) -> None:
+        """What runs there may go on unseen, for some seconds at most."""
+        if self.worker.runs:
+            log_wait(self.worker, max(0.0, left_s))
 
     def _unanswered(self, asked: float) -> bool:
         """Note a failed look; ``True`` where nothing can be running there any more."""
@@ -408,7 +422,7 @@
         if not self._contact.lapsed:
             return False
         if self.worker.runs:
-            self._over()
+            self._over(Proof.LAPSED)
         return not self.worker.listed
 
     def _replaced(self) -> None:
@@ -418,5 +432,6 @@
         )
         self.over = True
         self.worker.listed = False
+        log_over(self.worker.runs.values(), Proof.REPLACED, 0.0)
         self._owner.board.worker_over(self.worker.worker_id)
         self._owner.changed()
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -30,7 +30,8 @@
         self._sessions: dict[str, WorkerSession] = {}
         self._tasks = TaskGroup("sessions")
         self._longest_s = owner.hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
-        self.inherited_until = context.clock.now() + LEASE_S + RENEWING_S + self._longest_s
+        self.began_s = context.clock.now()
+        self.inherited_until = self.began_s + LEASE_S + RENEWING_S + self._longest_s
         """When leases that earlier leaders granted have lapsed for sure."""
 
     def __len__(self) -> int:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -86,6 +86,25 @@
         self.assertIn("emptied was evacuated at 0.5", found[0])
         self.assertIn("emptied was back at 4", found[1])
 
+    def test_a_wait_for_a_lease_and_the_proof_of_its_end_are_told(self) -> None:
+        task = f"{JOB}.0.0.1"
+        lines = [
+            LogLine(time="1", event="start", task=task, run=1, worker="w1"),
+            LogLine(time="2", event="lease_wait", worker="w1", left_s=10.7),
+            LogLine(time="2", event="lease_wait", worker="w2", left_s=10.7),
+            LogLine(time="3", event="run_over", task=task, run=1, worker="w1", proof="replaced"),
+            LogLine(time="4", event="start", task=task, run=2, worker="w3"),
+            LogLine(time="5", event="lease_wait", worker="w1", left_s=10.7),
+            LogLine(time="6", event="ended", task=task, run=2, worker="w3", how="done"),
+            LogLine(time="7", event="lease_wait", worker="w3", left_s=10.7),
+        ]
+        told = about(JOB, lines)
+        self.assertEqual([line.time for line in told], ["1", "2", "3", "4", "6"])
+        waits, over = causes(JOB, told)
+        self.assertIn("w1 did not answer at 2", waits)
+        self.assertIn("10.7 s at most", waits)
+        self.assertIn("run 1 counted as over on w1: replaced", over)
+
     def test_command(self) -> None:
         files = [str(file) for file in self.files()]
         result = CliRunner().invoke(main, ["explain", JOB, *files])
--- a/tests/test_inherited.py
+++ b/tests/test_inherited.py
@@ -42,7 +42,7 @@
 """Within this a new leader has read the store."""
 
 
-class InheritedTest(PoolTest):
+class InheritedCase(PoolTest):
     async def run_on(self, cluster: PoolCluster, request: JobRequest) -> FloorWorker:
         """Begin a job; returns the worker of its first run."""
         await cluster.submit(A, request)
@@ -86,6 +86,8 @@
         await cluster.until(lambda: cluster.floor.starts_of(A) == starts)
         return loop.time() - began
 
+
+class InheritedTest(InheritedCase):
     async def replaced_unwritten(self, cluster: PoolCluster, request: JobRequest) -> None:
         """A leader hears that a worker was replaced, cannot write it, and is followed."""
         worker = await self.run_on(cluster, request)
@@ -227,6 +229,53 @@
         self.play(body)
 
 
+class SightTest(InheritedCase):
+    """What is logged about runs that an earlier leader started."""
+
+    async def lines(self, cluster: PoolCluster) -> list[dict[str, object]]:
+        """What a new leader logs until the task runs again."""
+        with self.assertLogs("saddlestack.endings", "INFO") as caught:
+            await self.follow(cluster)
+            await self.begun_again_after(cluster, 2)
+        return [vars(line) for line in caught.records]
+
+    def test_the_wait_for_a_lease_and_its_end_are_told(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=20.0))
+            cluster.floor.crash(worker)
+            cluster.floor.lapse(worker)
+            wait, over = await self.lines(cluster)
+            self.assertEqual((wait["event"], over["event"]), ("lease_wait", "run_over"))
+            self.assertEqual(wait["worker"], worker.worker_id)
+            self.assertAlmostEqual(float(str(wait["left_s"])), INHERITED_S, delta=READING_S)
+            self.assertEqual((over["proof"], over["inherited"]), ("lapsed", True))
+            self.assertAlmostEqual(float(str(over["age_s"])), INHERITED_S, delta=READING_S)
+
+        self.play(body)
+
+    def test_another_life_and_an_absent_run_are_told_as_proof(self) -> None:
+        async def replaced(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=20.0))
+            worker.unreachable = True
+            self.restart(cluster, worker)
+            cluster.floor.lapse(worker)
+            worker.unreachable = False
+            over = (await self.lines(cluster))[-1]
+            self.assertEqual((over["task"], over["run"]), (f"{A}.0.0.0", 1))
+            self.assertEqual((over["proof"], over["age_s"]), ("replaced", 0.0))
+
+        async def absent(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=20.0))
+            cluster.floor.lapse(worker)
+            worker.runs.clear()
+            over = (await self.lines(cluster))[-1]
+            self.assertEqual((over["proof"], over["inherited"]), ("absent", True))
+            self.assertLess(float(str(over["age_s"])), 1.0)
+
+        self.play(replaced)
+        self.play(absent)
+
+
 class OlderRecord(msgspec.Struct, array_like=True):
     """The record of an occurrence as earlier versions wrote it, and read it."""
 
