Tests: a VM that may renew leases is not asked once its record has gone

Cause: a new leader asks the VMs that membership knows now. One that has lost the store loses its record as well, and is the one that may still renew: where the record goes first, all others say that they renew nothing, and its runs are freed while their leases last. The record goes first where the store drops leases while it is away, or where one renewal of it was refused within the 3 s before the loss, since the next try comes 3 s later: it then lapses 5.8 s after the loss, and renewing may last 6.5 s.

--- a/tests/test_renewals.py
+++ b/tests/test_renewals.py
@@ -5,12 +5,15 @@
 import asyncio
 
 from saddlestack.control.contact import CLOCK_DRIFT, LAPSE_SLACK_S
+from saddlestack.control.entry import EntryVm
+from saddlestack.control.keys import MEMBERS, member_key
 from saddlestack.control.leadership import LEASE_S, RENEWING_S
 from saddlestack.control.membership import KEEP_S
 from saddlestack.control.membership import LEASE_S as MEMBER_LEASE_S
-from saddlestack.control.renewals import ASKED_AT_ONCE
+from saddlestack.control.renewals import ASKED_AT_ONCE, RenewingAnswer, RenewingQuestion
 from saddlestack.control.scheduler import RENEWALS_ASKED, RENEWALS_GAP_S
 from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.standins.pool.store import CALL_TIMEOUT_S
 from saddlestack.work import JobState
 from tests.test_pool import PoolTest
 
@@ -20,6 +23,8 @@
 """After this a lease that nobody renews is over for sure."""
 TAKEOVER_S = 3.0
 """Within this a killed pool has a leader again that has asked all others."""
+RENEWS_S = LEASE_S + RENEWING_S + CALL_TIMEOUT_S
+"""For so long a leader may renew after it has lost the store."""
 
 
 class RenewalsTest(PoolTest):
@@ -101,3 +106,115 @@
     def test_a_vm_that_renews_without_the_store_is_still_known_to_the_others(self) -> None:
         """Its call for a renewal of its own lease takes a second to fail."""
         self.assertLess(LEASE_S + RENEWING_S + 1.2, MEMBER_LEASE_S - KEEP_S)
+
+
+class EarlierLeaderTest(PoolTest):
+    """A leader that has lost the store goes on renewing; the next one asks whether it does."""
+
+    async def deposed(self, cluster: PoolCluster) -> tuple[EntryVm, EntryVm]:
+        """A leader that renews without the store, and the one that has followed it."""
+        await asyncio.sleep(1.0)
+        old = cluster.member(cluster.leader_name)
+        others = [each.vm for each in cluster.members.values() if each is not old]
+        old.view.faults.silent = True
+        await cluster.until(lambda: any(vm.scheduler is not None for vm in others))
+        self.assertIsNotNone(old.vm.scheduler)
+        return old.vm, next(vm for vm in others if vm.scheduler is not None)
+
+    def freeze(self, vm: EntryVm) -> None:
+        """A VM takes connections, as its kernel does, and answers nothing on them."""
+
+        async def never(question: RenewingQuestion) -> RenewingAnswer:
+            await asyncio.Event().wait()
+            return RenewingAnswer(False)
+
+        vm.peers.serve(RenewingQuestion, never)
+
+    async def ever_over(self, vm: EntryVm, seconds: float) -> bool:
+        """Whether a VM finds at any moment of some seconds that nobody else renews."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            if await vm.renewals.are_over():
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    def test_one_that_answers_counts_until_it_renews_no_more(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            old, new = await self.deposed(cluster)
+            while old.scheduler is not None:
+                over = await new.renewals.are_over()
+                self.assertFalse(over and old.scheduler is not None)
+                await asyncio.sleep(0.1)
+            self.assertTrue(await new.renewals.are_over())
+
+        self.play(body)
+
+    def test_one_that_is_paused_or_out_of_reach_counts(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            old, new = await self.deposed(cluster)
+            self.freeze(old)
+            self.assertFalse(await self.ever_over(new, RENEWS_S))
+
+        self.play(body)
+
+    def test_one_that_is_no_longer_listed_is_asked_as_well(self) -> None:
+        """The lease of its record ran out while the store was away, and it cannot write another."""
+
+        async def body(cluster: PoolCluster) -> None:
+            old, new = await self.deposed(cluster)
+            cluster.store.remove(member_key(old.settings.vm))
+            await asyncio.sleep(0.1)
+            while old.scheduler is not None:
+                over = await new.renewals.are_over()
+                self.assertFalse(over and old.scheduler is not None)
+                await asyncio.sleep(0.1)
+            self.assertTrue(await new.renewals.are_over())
+
+        self.play(body)
+
+    def test_one_that_is_neither_listed_nor_answers_counts(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            old, new = await self.deposed(cluster)
+            self.freeze(old)
+            cluster.store.remove(member_key(old.settings.vm))
+            await asyncio.sleep(0.1)
+            self.assertFalse(await self.ever_over(new, RENEWS_S))
+
+        self.play(body)
+
+    def test_where_every_record_has_lapsed_nobody_is_taken_for_one_that_renews_nothing(
+        self,
+    ) -> None:
+        """The store was away, and every lease ran out in it."""
+
+        async def body(cluster: PoolCluster) -> None:
+            old, new = await self.deposed(cluster)
+            self.freeze(old)
+            for item in cluster.store.keys(MEMBERS):
+                cluster.store.remove(item.key)
+            await asyncio.sleep(0.1)
+            self.assertFalse(await self.ever_over(new, RENEWS_S))
+
+        self.play(body)
+
+    def test_the_record_of_a_vm_that_missed_a_renewal_outlives_its_renewing(self) -> None:
+        """One renewal of its record is refused; a second later it loses the store for good."""
+
+        async def body(cluster: PoolCluster) -> None:
+            name = next(name for name in cluster.members if name != cluster.leader_name)
+            faults = cluster.member(name).view.faults
+            lease = cluster.store._leases[cluster.store._keys[member_key(name)].lease]
+            until = lease.until
+            await cluster.until(lambda: lease.until > until)
+            await asyncio.sleep(KEEP_S - 0.2)
+            faults.refusing = True
+            await asyncio.sleep(0.4)
+            faults.refusing = False
+            await asyncio.sleep(1.0)
+            faults.silent = True
+            await asyncio.sleep(RENEWS_S)
+            self.assertTrue(cluster.store.item(member_key(name)).revision)
+
+        self.play(body)
