A VM whose record has just gone is asked whether it renews leases

Cause: membership forgot a VM with its record, and a new leader took all others' no for everyone's; a refused renewal of the record was repeated only 3 s later, so that the record could lapse before its VM had stopped renewing.

Change: membership keeps a VM for 12 s after its record went, longer than it may renew (11 s, summed in a test); it is asked, and one that does not answer counts as renewing. It is in no other list: no calls are relayed through it, no hall is judged by it. A refused renewal is repeated within 1 s.

Ruled out: asking every VM ever heard of, since one that was removed would then be waited for for good; repeating refused renewals every 0.5 s, which is six times the calls of all VMs while the store refuses them.

The price: work on a worker out of reach waits 5.5 s longer where a leader changes within 12 s after the record of another VM went for good. A VM that has just started knows of no record that went before; not mended.

--- a/src/saddlestack/control/membership.py
+++ b/src/saddlestack/control/membership.py
@@ -30,6 +30,13 @@
 goes on renewing without the store, so that one that renews is always known."""
 KEEP_S = 3.0
 RETRY_S = 0.5
+KEEP_RETRY_S = 1.0
+"""A refused renewal is repeated within this, sooner once the store answers again; not more often,
+since every VM does so at once where the store refuses all of them."""
+GONE_S = 12.0
+"""For so long after its record has gone a VM may still renew workers' leases: it writes its record
+again within :data:`KEEP_S`, a call of 1 s and :data:`RETRY_S` where it reaches the store; one that
+does not has stopped leading 1 s later, and renewing 4.5 s and another call after that: 11 s."""
 SECRET_BYTES = 16
 
 
@@ -66,6 +73,7 @@
             secret=secrets.token_hex(SECRET_BYTES),
         )
         self._members: dict[str, Member] = {}
+        self._gone: dict[str, tuple[Member, float]] = {}
         self._feed = Feed(context, MEMBERS, self._replace, self._change)
 
     @property
@@ -79,8 +87,10 @@
         self.tasks.spawn(self._tell())
 
     def member(self, vm: str) -> Member | None:
-        """The latest life of a VM, if it is known."""
-        return self.me if vm == self.me.vm else self._members.get(vm)
+        """The latest life of a VM, if it is known; its record may have gone lately."""
+        if vm == self.me.vm:
+            return self.me
+        return self._members.get(vm) or self._lately_gone().get(vm)
 
     def others(self) -> list[Member]:
         """All other VMs, in an order of chance."""
@@ -88,6 +98,16 @@
         self._context.rng.shuffle(others)
         return others
 
+    def may_renew(self) -> list[Member]:
+        """All other VMs that may renew workers' leases: also some whose record has gone."""
+        gone = [member for vm, member in self._lately_gone().items() if vm != self.me.vm]
+        return self.others() + gone
+
+    def _lately_gone(self) -> dict[str, Member]:
+        """VMs whose record went within :data:`GONE_S` and is not back."""
+        since = self.clock.now() - GONE_S
+        return {vm: member for vm, (member, gone_s) in self._gone.items() if gone_s >= since}
+
     def some_of_each_hall(self, most: int) -> dict[str, list[Member]]:
         """Some other VMs of each data hall, chosen by chance.
 
@@ -111,15 +131,32 @@
     async def _keep(self, lease: int) -> None:
         while True:
             await asyncio.sleep(KEEP_S)
+            await self._renew(lease)
+
+    async def _renew(self, lease: int) -> None:
+        """Renew the lease of the record, soon again where that fails.
+
+        A renewal left out would let the record lapse while this VM may still renew workers' leases.
+        """
+        while True:
             try:
                 await self._context.store.keep_lease(lease)
+                return
             except StoreUnavailable:
-                continue
+                wait_s = self._context.rng.uniform(KEEP_RETRY_S / 2, KEEP_RETRY_S)
+                await self._context.health.pause(wait_s)
 
     def _replace(self, items: tuple[Item, ...]) -> None:
-        self._members.clear()
+        listed = {item.key.removeprefix(MEMBERS) for item in items if item.revision}
+        for vm in [vm for vm in self._members if vm not in listed]:
+            self._lose(vm)
         self._change(items)
 
+    def _lose(self, vm: str) -> None:
+        member = self._members.pop(vm, None)
+        if member is not None:
+            self._gone[vm] = (member, self.clock.now())
+
     def _change(self, items: tuple[Item, ...]) -> None:
         self._note(items)
         self._context.health.share_among(len(self._members))
@@ -128,10 +165,11 @@
         for item in items:
             vm = item.key.removeprefix(MEMBERS)
             if not item.revision:
-                self._members.pop(vm, None)
+                self._lose(vm)
                 continue
             try:
                 self._members[vm] = from_json(item.value, Member, item.key)
+                self._gone.pop(vm, None)
             except SaddlestackError as error:
                 log.error(
                     "member record cannot be read",
--- a/src/saddlestack/control/renewals.py
+++ b/src/saddlestack/control/renewals.py
@@ -2,7 +2,9 @@
 
 A leader that has lost the store goes on renewing what runs for a while, which a new one cannot see.
 Where every VM that is known says that it renews nothing, no lease outlives that moment by more than
-its own length; where one does not say so, the longest that it may have renewed is counted.
+its own length; where one does not say so, the longest that it may have renewed is counted. A VM
+whose record has just gone is asked as well: it has lost the store, as has a leader that renews
+without it.
 """
 
 from __future__ import annotations
@@ -49,7 +51,7 @@
         """Whether all other VMs say that they renew nothing; asks until one does not say so."""
         if not self._membership.loaded.is_set():
             return False
-        others = self._membership.others()
+        others = self._membership.may_renew()
         for first in range(0, len(others), ASKED_AT_ONCE):
             some = others[first : first + ASKED_AT_ONCE]
             if not all(await asyncio.gather(*(self._says_no(member) for member in some))):
--- a/tests/test_renewals.py
+++ b/tests/test_renewals.py
@@ -8,7 +8,7 @@
 from saddlestack.control.entry import EntryVm
 from saddlestack.control.keys import MEMBERS, member_key
 from saddlestack.control.leadership import LEASE_S, RENEWING_S
-from saddlestack.control.membership import KEEP_S
+from saddlestack.control.membership import GONE_S, KEEP_S, RETRY_S
 from saddlestack.control.membership import LEASE_S as MEMBER_LEASE_S
 from saddlestack.control.renewals import ASKED_AT_ONCE, RenewingAnswer, RenewingQuestion
 from saddlestack.control.scheduler import RENEWALS_ASKED, RENEWALS_GAP_S
@@ -199,6 +199,33 @@
 
         self.play(body)
 
+    def test_one_whose_record_went_long_ago_is_not_asked(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            old, new = await self.deposed(cluster)
+            self.freeze(old)
+            cluster.store.remove(member_key(old.settings.vm))
+            await asyncio.sleep(GONE_S + 0.5)
+            self.assertTrue(await new.renewals.are_over())
+
+        self.play(body)
+
+    def test_records_that_are_written_again_leave_only_those_that_are_not(self) -> None:
+        """Every lease ran out in the store; all but the earlier leader reach it."""
+
+        async def body(cluster: PoolCluster) -> None:
+            old, new = await self.deposed(cluster)
+            for item in cluster.store.keys(MEMBERS):
+                cluster.store.remove(item.key)
+            await cluster.until(lambda: old.scheduler is None)
+            self.assertTrue(await new.renewals.are_over())
+
+        self.play(body)
+
+    def test_a_record_is_known_as_gone_for_as_long_as_its_vm_may_renew(self) -> None:
+        """The last call of each kind takes a second to fail."""
+        rewritten_s = KEEP_S + CALL_TIMEOUT_S + RETRY_S
+        self.assertLess(rewritten_s + RENEWS_S, GONE_S)
+
     def test_the_record_of_a_vm_that_missed_a_renewal_outlives_its_renewing(self) -> None:
         """One renewal of its record is refused; a second later it loses the store for good."""
 
