Tests: stops, lasting work, evacuated halls and many lives that are not listed

Cause: the same wait, and the same silence towards lives without a record, concerned more than single tasks: on the code before the repair a stop of a cancelled job did not reach such a life, and work of one that lived began again, since nobody renewed its lease.

Change: tests of these, of a record that comes back behind a cut, and of an answer that arrives after its life counts as over (without the check in the session, look_failed is logged for it).

Ruled out: that the record that comes back begins work again; the first form of that test had urgent work of the whole pool take the room back, which is as it should be, and asks for one task less now.

--- a/tests/test_inherited.py
+++ b/tests/test_inherited.py
@@ -27,7 +27,7 @@
     TaskStatus,
 )
 from saddlestack.standins.pool.cluster import PoolCluster, job
-from saddlestack.standins.pool.workers import FloorWorker
+from saddlestack.standins.pool.workers import FloorWorker, TaskPlan, payload
 from saddlestack.work import JobRequest, JobState
 from tests.test_pool import PoolTest
 
@@ -168,6 +168,80 @@
 
         self.play(body)
 
+    def test_a_stop_reaches_a_life_that_is_not_listed(self) -> None:
+        """A job is cancelled while its worker's record is away."""
+
+        async def body(cluster: PoolCluster) -> None:
+            await self.unlisted(cluster, job(2, work_s=2 * HOLD_S))
+            self.assertTrue(await cluster.cancel(A))
+            await cluster.until(lambda: cluster.floor.ends_of(A, EndKind.STOPPED) == 2, SOON_S)
+            await cluster.until_state(A, JobState.CANCELLED, SOON_S)
+
+        self.play(body)
+
+    def test_lasting_work_of_a_replaced_worker_begins_again_as_soon(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            once = job(1)
+            step = msgspec.structs.replace(once.steps[0], long_running=True)
+            lasting = JobRequest(payload=payload(TaskPlan(lasts=True)), steps=(step,))
+            await self.replaced_unwritten(cluster, lasting)
+            self.assertLess(await self.begun_again_after(cluster, 2), SOON_S)
+
+        self.play(body)
+
+    def test_in_an_evacuated_hall_what_an_unlisted_life_runs_goes_on(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(2, work_s=2 * HOLD_S))
+            cluster.evacuate(worker.data_hall)
+            cluster.floor.lapse(worker)
+            await self.follow(cluster)
+            await cluster.until_state(A, JobState.COMPLETED, 4 * HOLD_S)
+            self.assertEqual(cluster.floor.starts_of(A), 2)
+
+        self.play(body)
+
+    def test_many_unlisted_lives_are_asked_each(self) -> None:
+        """Some were replaced, some are silent, some live."""
+
+        async def body(cluster: PoolCluster) -> None:
+            await self.run_on(cluster, job(6, work_s=15.0, accelerators=8))
+            used = [cluster.floor.workers[run.worker] for run in cluster.floor.history]
+            for worker in used[:2]:
+                self.restart(cluster, worker)
+            for worker in used[2:4]:
+                worker.unreachable = True
+                cluster.floor.crash(worker)
+            for worker in used:
+                cluster.floor.lapse(worker)
+            await self.follow(cluster)
+            self.assertLess(await self.begun_again_after(cluster, 8), SOON_S)
+            await asyncio.sleep(INHERITED_S - SOON_S - READING_S)
+            self.assertEqual(cluster.floor.starts_of(A), 8)
+            await cluster.until_state(A, JobState.COMPLETED, 4 * HOLD_S)
+            self.assertEqual(cluster.floor.starts_of(A), 10)
+
+        self.play(body, workers=6)
+
+    def test_a_record_that_comes_back_makes_the_worker_one_like_others(self) -> None:
+        """Behind a cut its record is back first; its answers follow."""
+
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=HOLD_S))
+            worker.unreachable = True
+            cluster.floor.lapse(worker)
+            await self.follow(cluster)
+            await asyncio.sleep(1.0)
+            cluster.floor.record(worker)
+            await asyncio.sleep(1.0)
+            worker.unreachable = False
+            await cluster.submit(B, job(31, work_s=1.0), queue="urgent")
+            await cluster.until_state(B, JobState.COMPLETED)
+            await cluster.until_state(A, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(A), 1)
+            self.assertIn(worker.worker_id, [r.worker for r in cluster.floor.history[1:]])
+
+        self.play(body)
+
     def test_silence_at_its_address_proves_nothing(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             worker = await self.run_on(cluster, job(1, work_s=20.0))
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -491,6 +491,21 @@
 
         self.play(body)
 
+    def test_an_answer_of_a_life_that_counts_as_over_is_not_taken(self) -> None:
+        """It answers after its leases had lapsed and its record was gone: the board has lost it."""
+
+        async def body(scene: Scene) -> None:
+            scene.assign()
+            scene.is_there()
+            await asyncio.sleep(1.0)
+            scene.board.unlist_worker(scene.session.worker.worker_id)
+            scene.board.worker_over(scene.session.worker.worker_id)
+            with self.assertNoLogs("saddlestack.session", "ERROR"):
+                await asyncio.sleep(2 * WAIT_S)
+            self.assertIs(scene.status, TaskStatus.WAITING)
+
+        self.play(body)
+
     def test_a_worker_that_obeys_a_later_term_ends_this_one(self) -> None:
         async def body(scene: Scene) -> None:
             scene.orders.hold_fault = WorkerFenced
