--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 
-from saddlestack.control.contact import Contact
+from saddlestack.control.contact import CLOCK_DRIFT, LAPSE_SLACK_S, Contact
+from saddlestack.control.endings import Proof, log_over, log_wait
 from saddlestack.control.owner import Owner
 from saddlestack.control.reports import Reports
 from saddlestack.interfaces.workers import (
@@ -73,6 +75,8 @@
         self._orders = orders
         self._owner = owner
         self._clock = clock
+        self._inherited_until = inherited_until
+        self._began_s = clock.now()
         self._contact = Contact(worker, owner, clock, inherited_until)
         self._tasks = TaskGroup(f"session {worker.worker_id}")
         self._gate = asyncio.Semaphore(ORDERS_AT_ONCE)
@@ -84,6 +88,8 @@
 
     def begin(self) -> None:
         """Start to look after the worker."""
+        if not self.worker.reachable:
+            self._wait_begins(self._inherited_until() - self._clock.now())
         self._tasks.spawn(self._look())
 
     async def close(self) -> None:
@@ -315,7 +321,8 @@
         except WorkerFenced:
             self._owner.fenced()
         except WorkerBusy:
-            self._contact.heard()
+            if self._is_known:
+                self._contact.heard()
         except WorkerUnreachable:
             self._missed(asked)
         else:
@@ -331,8 +338,10 @@
         log.info("worker has left", extra={"event": "worker_left", "worker": self.worker.worker_id})
         self._over()
 
-    def _over(self) -> None:
+    def _over(self, proof: Proof = Proof.LEFT) -> None:
         """Nothing runs there any more."""
+        heard_s = max(self._contact.heard_s, self._began_s)
+        log_over(self.worker.runs.values(), proof, self._clock.now() - heard_s)
         self._owner.board.worker_over(self.worker.worker_id)
         self._reports.clear()
         self._owner.changed()
@@ -379,7 +388,18 @@
             return STOPPING_WAIT_S
         return WATCHED_WAIT_S if needs_watching(self.worker) else WAIT_S
 
+    @property
+    def _is_known(self) -> bool:
+        """Whether this life has told of itself, by its record or by an answer.
+
+        An address that answers that it is busy may be that of any life: it does not prove that one
+        is alive which only an assignment names, and its runs wait for the lease.
+        """
+        return self.worker.listed or self._contact.heard_s > -math.inf
+
     async def _take(self, report: WorkerReport, asked: float) -> None:
+        if self._owner.board.workers.get(self.worker.worker_id) is not self.worker:
+            return
         self._contact.heard(report.clock_ms)
         self._reports.take(report, asked)
         self._watch_progress()
@@ -388,6 +408,13 @@
     def _missed(self, sent: float) -> None:
         if self._contact.missed(sent):
             self._wake.set()
+            longest_s = self._owner.hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
+            self._wait_begins(max(longest_s, self._inherited_until() - self._clock.now()))
+
+    def _wait_begins(self, left_s: float) -> None:
+        """What runs there may go on unseen, for some seconds at most."""
+        if self.worker.runs:
+            log_wait(self.worker, max(0.0, left_s))
 
     def _unanswered(self, asked: float) -> bool:
         """Note a failed look; ``True`` where nothing can be running there any more."""
@@ -395,7 +422,7 @@
         if not self._contact.lapsed:
             return False
         if self.worker.runs:
-            self._over()
+            self._over(Proof.LAPSED)
         return not self.worker.listed
 
     def _replaced(self) -> None:
@@ -405,5 +432,6 @@
         )
         self.over = True
         self.worker.listed = False
+        log_over(self.worker.runs.values(), Proof.REPLACED, 0.0)
         self._owner.board.worker_over(self.worker.worker_id)
         self._owner.changed()
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -30,7 +30,8 @@
         self._sessions: dict[str, WorkerSession] = {}
         self._tasks = TaskGroup("sessions")
         self._longest_s = owner.hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
-        self.inherited_until = context.clock.now() + LEASE_S + RENEWING_S + self._longest_s
+        self.began_s = context.clock.now()
+        self.inherited_until = self.began_s + LEASE_S + RENEWING_S + self._longest_s
         """When leases that earlier leaders granted have lapsed for sure."""
 
     def __len__(self) -> int:
@@ -62,6 +63,11 @@
         if session is not None:
             self._tasks.spawn(session.close())
 
+    def close_gone(self) -> None:
+        """End the sessions with lives that are over and of which no record tells any more."""
+        for worker_id in [each for each in self._sessions if each not in self._owner.board.workers]:
+            self.close(worker_id)
+
     def unlisted(self, worker_id: str) -> None:
         """The record of a worker that still runs something has gone."""
         session = self._session(worker_id)
