A leader grants leases only while its successor counts them

Cause: a VM that stood still past its term went on with what was under way: renewals by its sessions' timers and starts that had not been answered, with fresh deadlines, 3 ms before the store told it that its term was over. Workers out of its successor's reach had seen no later fencing token and took them, after the moment up to which the successor counts. Class: authority used without asking how old it is. Ruled out: a longer count by successors (no length is enough for a VM that stands still), fewer time-outs (the timers fire at the thaw). Change: each lease, of a start or a renewal, is granted only up to RENEWING_S after the leader's own lease, asked right before it leaves (Leadership.grants_until_s); a start that may not leave waits.

--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -174,6 +174,7 @@
             self.peers,
             self.membership,
             self.renewals,
+            lambda: self.leadership.grants_until_s,
             lambda: self._give_up(term),
         )
         await self.scheduler.run()
--- a/src/saddlestack/control/leadership.py
+++ b/src/saddlestack/control/leadership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -90,6 +91,15 @@
         self._lasts_s = LEASE_S
         self._valid_s = 0.0
 
+    @property
+    def grants_until_s(self) -> float:
+        """Until when this VM may grant workers' leases, on its clock: a successor counts no longer.
+
+        Asked right before each grant, since a VM that stood still goes on before it learns that
+        its term is over.
+        """
+        return -math.inf if self.term is None else self._valid_s + RENEWING_S
+
     async def start(self) -> None:
         """Begin to follow the leader key."""
         self.tasks.spawn(self._run())
@@ -204,7 +214,7 @@
                 await self._depose("lease over")
                 return
             except StoreUnavailable:
-                if self.clock.now() > self._valid_s + RENEWING_S:
+                if self.clock.now() > self.grants_until_s:
                     await self._depose("store lost")
                     return
                 await self._context.health.pause(KEEP_RETRY_S)
--- a/src/saddlestack/control/owner.py
+++ b/src/saddlestack/control/owner.py
@@ -27,6 +27,11 @@
         """How long workers lease at most."""
         ...
 
+    @property
+    def may_grant(self) -> bool:
+        """Whether the term may still grant leases: a successor counts those that it granted."""
+        ...
+
     @property
     def heartbeat_s(self) -> float:
         """Between workers' heartbeats to the store; 0 where that is not known."""
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -62,6 +62,7 @@
 
     :param peers: the way to the VMs of other halls.
     :param renewals: tells whether an earlier leader may still renew leases.
+    :param grants_until: tells until when this term may grant leases, on the VM's clock.
     :param on_displaced: called once when another leader has taken over.
     """
 
@@ -73,6 +74,7 @@
         peers: Peers,
         membership: Membership,
         renewals: Renewals,
+        grants_until: Callable[[], float],
         on_displaced: Callable[[], None],
     ) -> None:
         self._context = context
@@ -88,6 +90,7 @@
         self._suspicion = Suspicion()
         self._evacuations = Evacuations(context, self._evacuated)
         self._renewals = renewals
+        self._grants_until = grants_until
         self._halls = HallWatch(context, peers, membership, self._sessions.suspect)
         self._tasks = TaskGroup("scheduler")
         self._wake = asyncio.Event()
@@ -133,6 +136,11 @@
         self._known += 1
         self._wake.set()
 
+    @property
+    def may_grant(self) -> bool:
+        """Whether this term may still grant leases."""
+        return self._clock.now() <= self._grants_until()
+
     @property
     def heartbeat_s(self) -> float:
         """Between workers' heartbeats to the store; 0 where that is not known."""
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -57,6 +57,10 @@
     """A start is not to be sent any more."""
 
 
+class _TermTooOld(Exception):
+    """A start may not leave: a successor need not count the lease that it brings."""
+
+
 class WorkerSession:
     """Orders to one worker, and looks at it, while this VM leads.
 
@@ -187,10 +191,24 @@
         await self._stop(key)
 
     async def _send(self, start: Start) -> StartReply:
+        """Send a start, once the term may grant the lease that it brings.
+
+        A VM that stood still past its term learns that only after it has gone on; where it leads
+        all the same, the wait ends with the next renewal, else with the session.
+        """
+        while True:
+            try:
+                return await self._send_now(start)
+            except _TermTooOld:
+                await asyncio.sleep(RETRY_S)
+
+    async def _send_now(self, start: Start) -> StartReply:
         run = start.run
         async with self._gate:
             if not self._is_wanted(run):
                 raise _NotWanted
+            if not self._owner.may_grant:
+                raise _TermTooOld
             now = self._clock.now()
             order = StartOrder(
                 task=str(run.task.name),
@@ -372,8 +390,10 @@
     async def _hold(self, asked: float) -> WorkerReport:
         answers = self.worker.reachable and not self._contact.misses
         wait_s = self._wait_s() if answers else 0.0
-        # A worker that does not answer gets no longer lease, so that it lapses some day.
-        deadline = self._contact.deadline(asked) if self.worker.runs and answers else None
+        # A worker that does not answer gets no longer lease, so that it lapses some day; nor does
+        # one from a leader that stood still, whose successor counts what it granted before.
+        renews = self.worker.runs and answers and self._owner.may_grant
+        deadline = self._contact.deadline(asked) if renews else None
         return await self._orders.hold(
             self._owner.fence, deadline, self._reports.seen, wait_s, wait_s + HOLD_SLACK_S
         )
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -128,6 +128,7 @@
     displaced: bool = False
     on_missed: Callable[[], None] | None = None
     heartbeat_s: float = HEARTBEAT_S
+    may_grant: bool = True
     steady_s: float = -HEARTBEAT_S * LAPSE_HEARTBEATS
     stored: asyncio.Event = field(default_factory=asyncio.Event)
 
