Tests: a worker that is late to leave, and cut off from the store, counts as gone

Cause: a record that goes soon after its worker's last answer counts as removed by the worker. One that is cut off from the store alone goes on answering the VMs while its record lapses. Three looks without answer then end its runs on the board, in no time where calls are reset. Ruled out: one that is cut off from all (its last answer is older).

--- a/tests/test_second_run.py
+++ b/tests/test_second_run.py
@@ -28,11 +28,13 @@
     WorkerReport,
     WorkerUnreachable,
 )
+from saddlestack.policy.board.departure import LAPSE_HEARTBEATS
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool import cluster as cluster_module
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.standins.pool.store import StoreView
 from saddlestack.standins.pool.workers import FloorOrders, FloorWorker
+from tests.test_session import HEARTBEAT_S
 
 T = TypeVar("T")
 
@@ -321,3 +323,53 @@
             await asyncio.sleep(25.0)
 
         self.play(body)
+
+
+class LeavingWorkerTest(SecondRunCase):
+    def leave(self, lost: Callable[[TroubledCluster, FloorWorker], None]) -> None:
+        """A worker that is late to leave, and cut off from the store, is not heard for a moment.
+
+        Its last heartbeat to the store is its notice; its record lapses three heartbeats later.
+
+        :param lost: what keeps it from being heard.
+        """
+
+        async def body(cluster: TroubledCluster) -> None:
+            await cluster.submit(A, job(1, work_s=90.0, accelerators=8))
+            await cluster.until(lambda: cluster.floor.starts_of(A) == 1)
+            await asyncio.sleep(6.0)
+            worker = cluster.worker_of(A)
+            worker.lost_stops, worker.late_s = 100, 60.0
+            cluster.floor.record(worker, remaining_ms=2000)
+            await asyncio.sleep(LAPSE_HEARTBEATS * HEARTBEAT_S - 0.2)
+            lost(cluster, worker)
+            await asyncio.sleep(0.3)
+            cluster.floor.lapse(worker)
+            await asyncio.sleep(1.3)
+            cluster.trouble.resets.clear()
+            cluster.trouble.cut.clear()
+            await asyncio.sleep(8.0)
+
+        self.play(body)
+
+    def test_a_worker_that_resets_calls_has_not_left(self) -> None:
+        """Looks that are reset, or answered with an error, take no time and prove nothing.
+
+        A worker announces its end in 2 s and serves on for longer, as it may; the stop of its run
+        is not answered. It is cut off from the store alone, so its record lapses while it answers
+        the VMs: it looks as if it had removed it. Then it resets each call for a moment. Its run
+        counts as over at once and starts elsewhere, while it goes on.
+        """
+
+        def lost(cluster: TroubledCluster, worker: FloorWorker) -> None:
+            cluster.trouble.resets.add(worker.worker_id)
+
+        self.leave(lost)
+
+    def test_a_worker_out_of_reach_for_a_second_has_not_left(self) -> None:
+        """The same where the path to it is lost for 1.5 s."""
+
+        def lost(cluster: TroubledCluster, worker: FloorWorker) -> None:
+            cluster.cut_from_all_but("", worker)
+
+        self.leave(lost)
