A worker counts as gone only where its record cannot have lapsed

Cause: the time since a worker's last answer told whether it had removed its record itself. A worker that is cut off from the store and not from the VMs answers until its record lapses; three looks without answer, in 0.9 s or at once where they are reset, then ended its runs on the board while they went on. Class: the silence of one channel taken for proof about another one. Ruled out: longer looks (a path may be lost for longer), a refused connection as proof (cuts may refuse). Change: the age of the record's last write, by the worker's own clock, decides: within two heartbeats it cannot have lapsed, which takes three. A worker whose clock was not heard proves nothing. Tests: the one of a worker that fell silent before its record went is replaced by two on the age of the record, as strict, and one on a worker that never answered.

--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -5,8 +5,9 @@
 import logging
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 
-from saddlestack.control.owner import Owner, WorkerClock
+from saddlestack.control.owner import Owner
 from saddlestack.kernel.clock import Clock
 from saddlestack.policy.board.workers import Worker
 
@@ -19,6 +20,30 @@
 LAPSE_SLACK_S = 0.5
 
 
+@dataclass(slots=True)
+class WorkerClock:
+    """A worker's clock as last heard.
+
+    :param clock_ms: what it said...
+    :param at: ...and when, on our clock.
+    :param heard: whether the worker itself said so; its record may be some heartbeats old.
+    """
+
+    clock_ms: int
+    at: float
+    heard: bool = False
+
+    def hear(self, clock_ms: int, now: float) -> None:
+        """Note a newer reading."""
+        self.clock_ms = clock_ms
+        self.at = now
+        self.heard = True
+
+    def read(self, now: float) -> int:
+        """What it says about now."""
+        return self.clock_ms + round((now - self.at) * 1000)
+
+
 class Contact:
     """The contact with one life of a worker.
 
@@ -42,6 +67,13 @@
         """When the worker last answered."""
         return self._heard_s
 
+    @property
+    def record_age_s(self) -> float:
+        """How long ago the worker wrote its record, by its own clock; infinite before it told."""
+        if not self._times.heard:
+            return math.inf
+        return (self._times.read(self._clock.now()) - self._worker.record.clock_ms) / 1000
+
     @property
     def lapsed(self) -> bool:
         """Whether every lease that was ever granted there is over."""
--- a/src/saddlestack/control/owner.py
+++ b/src/saddlestack/control/owner.py
@@ -1,8 +1,7 @@
-"""What a worker's session needs of its scheduler, and the worker's clock."""
+"""What a worker's session needs of its scheduler."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Protocol
 
 from saddlestack.policy.board.board import Board
@@ -57,24 +56,3 @@
     def fenced(self) -> None:
         """A worker obeys a later term."""
         ...
-
-
-@dataclass(slots=True)
-class WorkerClock:
-    """A worker's clock as last heard.
-
-    :param clock_ms: what it said...
-    :param at: ...and when, on our clock.
-    """
-
-    clock_ms: int
-    at: float
-
-    def hear(self, clock_ms: int, now: float) -> None:
-        """Note a newer reading."""
-        self.clock_ms = clock_ms
-        self.at = now
-
-    def read(self, now: float) -> int:
-        """What it says about now."""
-        return self.clock_ms + round((now - self.at) * 1000)
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -134,7 +134,7 @@
         left = has_left(
             self.worker,
             self._clock.now(),
-            heard_s=self._contact.heard_s,
+            record_age_s=self._contact.record_age_s,
             heartbeat_s=self._owner.heartbeat_s,
             steady_s=self._owner.steady_s,
         )
--- a/src/saddlestack/policy/board/departure.py
+++ b/src/saddlestack/policy/board/departure.py
@@ -15,13 +15,13 @@
 """A run that has nothing to save is left alone if it ends this long before the worker may leave, or
 within this time from now. A notice is heard up to 0.3 s late, an end after 0.01 s."""
 
-LEFT_HEARTBEATS = 1.5
-"""A worker whose record goes within so many of its heartbeats after it last answered has removed it
-itself: one that falls silent keeps it for three heartbeats after the last that it wrote, so for two
-at least after its last answer."""
 LAPSE_HEARTBEATS = 3.0
-"""Records may lapse while the store is away: their absence speaks only where it has answered for so
-long, which is how long a record outlives its worker."""
+"""A record lapses so many of its worker's heartbeats after it was last written. It may also lapse
+while the store is away: its absence speaks only where the store has answered for as long."""
+REMOVED_HEARTBEATS = 2.0
+"""A record that goes within so many heartbeats after it was last written has been removed by its
+worker. A worker may be cut off from the store alone, and answer us while its record lapses: its
+answers say nothing. What is written is heard of up to 0.3 s late, so a heartbeat may be missed."""
 ANNOUNCED_SLACK_S = 0.5
 """A notice is heard up to 0.3 s late, the end of its worker's record as well."""
 
@@ -31,7 +31,7 @@
 
 
 def has_left(
-    worker: Worker, now: float, *, heard_s: float, heartbeat_s: float, steady_s: float
+    worker: Worker, now: float, *, record_age_s: float, heartbeat_s: float, steady_s: float
 ) -> bool:
     """Whether a worker whose record has just gone has ended, as it had announced.
 
@@ -39,12 +39,12 @@
     for sure, 10.7 s: on a day with two notices to a seventh of the workers an urgent gang of seven
     stood still for 9.5 s.
 
-    :param heard_s: when it last answered.
+    :param record_age_s: how long before its record was last written, by the worker's clock.
     :param heartbeat_s: between its heartbeats to the store; 0 where that is not known.
     :param steady_s: since when the store has answered without a break.
     """
     announced = worker.leaves_s is not None and now >= worker.leaves_s - ANNOUNCED_SLACK_S
-    removed = now - heard_s <= LEFT_HEARTBEATS * heartbeat_s
+    removed = record_age_s <= REMOVED_HEARTBEATS * heartbeat_s
     trusted = now - steady_s >= LAPSE_HEARTBEATS * heartbeat_s
     return announced and removed and trusted
 
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import unittest
 
 from saddlestack.interfaces.workers import RunningTask
 from saddlestack.policy.board.departure import (
     ANNOUNCED_SLACK_S,
     LAPSE_HEARTBEATS,
-    LEFT_HEARTBEATS,
+    REMOVED_HEARTBEATS,
     SAVE_MARGIN_S,
     has_left,
 )
@@ -34,21 +35,27 @@
     def left(self, **changes: float) -> bool:
         worker = Worker(record("w"))
         worker.note(record("w", draining=True, remaining_ms=2000), 8.0)
-        given = {"now": 10.2, "heard_s": 9.8, "heartbeat_s": HEARTBEAT_S, "steady_s": 0.0}
+        given = {"now": 10.2, "record_age_s": 0.4, "heartbeat_s": HEARTBEAT_S, "steady_s": 0.0}
         return has_left(worker, **(given | changes))
 
-    def test_a_worker_whose_record_goes_right_after_its_last_answer_has_left(self) -> None:
+    def test_a_worker_whose_record_goes_right_after_it_was_written_has_left(self) -> None:
         self.assertTrue(self.left())
 
-    def test_one_that_fell_silent_before_may_run_on(self) -> None:
-        self.assertFalse(self.left(heard_s=10.2 - LEFT_HEARTBEATS * HEARTBEAT_S - 0.1))
+    def test_one_whose_record_may_have_lapsed_may_run_on(self) -> None:
+        self.assertFalse(self.left(record_age_s=LAPSE_HEARTBEATS * HEARTBEAT_S))
+        self.assertFalse(self.left(record_age_s=REMOVED_HEARTBEATS * HEARTBEAT_S + 0.1))
+
+    def test_one_that_never_answered_may_run_on(self) -> None:
+        self.assertFalse(self.left(record_age_s=math.inf))
 
     def test_before_its_time_it_may_run_on(self) -> None:
-        self.assertFalse(self.left(now=10.0 - ANNOUNCED_SLACK_S - 0.1, heard_s=9.3))
+        self.assertFalse(self.left(now=10.0 - ANNOUNCED_SLACK_S - 0.1))
 
     def test_without_a_notice_it_may_run_on(self) -> None:
         self.assertFalse(
-            has_left(Worker(record("w")), 10.2, heard_s=9.8, heartbeat_s=HEARTBEAT_S, steady_s=0.0)
+            has_left(
+                Worker(record("w")), 10.2, record_age_s=0.4, heartbeat_s=HEARTBEAT_S, steady_s=0.0
+            )
         )
 
     def test_records_say_nothing_right_after_an_outage_of_the_store(self) -> None:
@@ -94,7 +101,7 @@
         async def body(scene: Scene) -> None:
             self.run_on_leaving(scene)
             scene.orders.dark = True
-            await asyncio.sleep(LEFT_HEARTBEATS * HEARTBEAT_S + 0.5)
+            await asyncio.sleep(REMOVED_HEARTBEATS * HEARTBEAT_S + 0.5)
             scene.board.unlist_worker("w11")
             scene.session.unlisted()
             await asyncio.sleep(CONFIRMED_S)
