Tests: three more ways to take a run for over that goes on

Cause, each: a worker's clock read long ago, 2 % slow, lets a start that is carried out late last longer than it is counted; a job of 30 times or more is removed in parts, its progress first, and runs again if the leader dies between them; a report lists 500 ends at once, and a run whose end found no room counts as never begun.

--- a/tests/test_second_run.py
+++ b/tests/test_second_run.py
@@ -22,6 +22,8 @@
     WriteInDoubt,
 )
 from saddlestack.interfaces.workers import (
+    EndedTask,
+    EndKind,
     StartOrder,
     StartReply,
     WorkerRecord,
@@ -29,12 +31,14 @@
     WorkerUnreachable,
 )
 from saddlestack.policy.board.departure import LAPSE_HEARTBEATS
-from saddlestack.standins.loop import run
+from saddlestack.policy.board.records import TaskStatus
+from saddlestack.standins.loop import WALL_EPOCH_S, run
 from saddlestack.standins.pool import cluster as cluster_module
-from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
 from saddlestack.standins.pool.store import StoreView
-from saddlestack.standins.pool.workers import FloorOrders, FloorWorker
-from tests.test_session import HEARTBEAT_S
+from saddlestack.standins.pool.workers import CLOCK_START_MS, Floor, FloorOrders, FloorWorker
+from saddlestack.work import JobRequest, JobState
+from tests.test_session import HEARTBEAT_S, TASK, Scene, SessionCase
 
 T = TypeVar("T")
 
@@ -373,3 +377,112 @@
             cluster.cut_from_all_but("", worker)
 
         self.leave(lost)
+
+
+class SlowClockTest(SecondRunCase):
+    def test_a_late_start_after_a_long_rest_lasts_no_longer_than_it_is_counted(self) -> None:
+        """A lease is counted from its order; a clock read long ago lets it last longer.
+
+        Workers' clocks run 2 % slow. A worker had nothing to do for 300 s and was not looked at, so
+        the leader takes its clock to be 6 s further than it is. A start is not answered and carried
+        out 5 s later; it lasts for the longest lease from then, 15.2 s from its order, since the
+        worker's own limit counts from when it comes and the deadline lies 16 s ahead. The worker is
+        out of reach; the leader counts 10.7 s from its last try, and starts the task elsewhere.
+        """
+
+        def clock_ms(floor: Floor) -> int:
+            now = asyncio.get_running_loop().time()
+            return CLOCK_START_MS + round(now * SLOW * 1000)
+
+        def extend(floor: Floor, worker: FloorWorker, deadline_ms: int) -> None:
+            now = asyncio.get_running_loop().time()
+            until = (deadline_ms - CLOCK_START_MS) / 1000 / SLOW
+            longest = now + floor.times.hold_s / SLOW
+            worker.lease_until = max(worker.lease_until, min(until, longest))
+
+        async def body(cluster: TroubledCluster) -> None:
+            await cluster.submit(B, job(1, accelerators=8))
+            await cluster.until_state(B, JobState.COMPLETED)
+            worker = cluster.worker_of(B)
+            await asyncio.sleep(300.0)
+            worker.late_orders, worker.late_s = 1, 5.0
+            await cluster.submit(A, job(1, work_s=90.0, accelerators=8))
+            await cluster.until(lambda: not worker.late_orders)
+            worker.unreachable = True
+            cluster.floor.add(worker.rack, worker.data_hall)
+            await asyncio.sleep(20.0)
+            self.assertGreaterEqual(cluster.floor.starts_of(A), 2)
+
+        with (
+            unittest.mock.patch.object(Floor, "clock_ms", clock_ms),
+            unittest.mock.patch.object(Floor, "_extend", extend),
+        ):
+            self.play(body, workers=1)
+
+
+class ForgottenJobTest(SecondRunCase):
+    def test_a_job_of_many_times_is_forgotten_whole_or_not_at_all(self) -> None:
+        """Its records are removed in parts, the job itself with the last of them.
+
+        A job of 40 times is completed and due to be forgotten. The leader removes the records of
+        the first 31 times and dies before the second part. The next one finds the job, and no
+        progress of these times: it runs them again.
+        """
+
+        async def body(cluster: TroubledCluster) -> None:
+            once = job(1, work_s=0.2)
+            request = JobRequest(
+                payload=once.payload,
+                steps=once.steps,
+                times=40,
+                first_at_ms=round(WALL_EPOCH_S * 1000),
+                interval_ms=100,
+            )
+            await cluster.submit(A, request)
+            await cluster.until_state(A, JobState.COMPLETED, 60.0)
+            self.assertEqual(cluster.floor.starts_of(A), 40)
+            prefix = f"saddlestack/progress/{A}."
+            await asyncio.sleep(RETENTION_S - 5.0)
+            async with asyncio.timeout(10.0):
+                while len(cluster.store.keys(prefix)) == 40:
+                    await asyncio.sleep(0.001)
+            self.assertEqual(len(cluster.store.keys("saddlestack/requests/")), 1)
+            await cluster.kill(cluster.leader_name)
+            await asyncio.sleep(20.0)
+            self.assertEqual(cluster.floor.starts_of(A), 40)
+
+        self.play(body)
+
+
+class FullReportTest(SessionCase):
+    def test_a_report_with_as_many_ends_as_fit_tells_nothing_of_others(self) -> None:
+        """A worker lists 500 ends at once; the next ones come when these are forgotten.
+
+        The store is slow, so no end is acknowledged. A run ends done after 500 others: it is
+        neither among the running nor among the ends that fit. It counts as never begun and starts
+        again, and its end is taken note of later.
+        """
+
+        async def body(scene: Scene) -> None:
+            scene.owner.stored.clear()
+            scene.assign()
+            scene.is_there()
+            await asyncio.sleep(0.5)
+            earlier = tuple(
+                EndedTask(number, f"{number:016x}.0.0.0", 1, EndKind.DONE, "")
+                for number in range(2, ENDS_AT_ONCE + 2)
+            )
+            scene.orders.ended = tuple(
+                EndedTask(each.number - 1, each.task, each.run, each.how, each.saved)
+                for each in earlier
+            )
+            scene.orders.running = ()
+            await asyncio.sleep(6.0)
+            self.assertIsNot(scene.status, TaskStatus.WAITING)
+            scene.owner.stored.set()
+            await asyncio.sleep(3.0)
+            scene.orders.ended = (EndedTask(ENDS_AT_ONCE + 1, TASK, 1, EndKind.DONE, ""),)
+            await asyncio.sleep(6.0)
+            self.assertIs(scene.status, TaskStatus.DONE)
+
+        self.play(body)
