Slow clocks, full reports and jobs that are forgotten in parts start nothing twice

Cause: three beliefs without their limits. A worker's clock heard long ago counted as exact; a report with as many ends as fit counted as whole; a job's progress was removed before the job itself. Ruled out for the first: a longer count for every lease, which all lost work would wait for. Change: deadlines are reckoned by the earliest that the worker's clock may say; a report says whether there are more ends, and then tells nothing of runs that it lacks; a job is removed before its progress, and a new leader removes progress that has no job. Tests: two of them changed in what they set up, as strict: the worker lists the 501st end as soon as there is room, and the job's own record is gone first; the scripted worker lists 500 ends at most, as the platform's do.

--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -39,8 +39,12 @@
         self.at = now
         self.heard = True
 
-    def read(self, now: float) -> int:
-        """What it says about now."""
+    def earliest(self, now: float) -> int:
+        """What it says now if it runs as slow as it may: a deadline by it comes no later."""
+        return self.clock_ms + round((now - self.at) * 1000 / CLOCK_DRIFT)
+
+    def latest(self, now: float) -> int:
+        """What it says now if it does not run slow."""
         return self.clock_ms + round((now - self.at) * 1000)
 
 
@@ -72,7 +76,7 @@
         """How long ago the worker wrote its record, by its own clock; infinite before it told."""
         if not self._times.heard:
             return math.inf
-        return (self._times.read(self._clock.now()) - self._worker.record.clock_ms) / 1000
+        return (self._times.latest(self._clock.now()) - self._worker.record.clock_ms) / 1000
 
     @property
     def lapsed(self) -> bool:
@@ -80,10 +84,14 @@
         return self._clock.now() >= max(self._lapses_s, self._inherited_until())
 
     def deadline(self, now: float) -> int:
-        """Until when all that runs there may run from now on, on the worker's clock."""
+        """Until when all that runs there may run from now on, on the worker's clock.
+
+        That clock may have been heard long ago. A start that is carried out some seconds late would
+        outlast what is counted here by 2 % of that time, 6 s after a rest of 300 s.
+        """
         hold_s = self._owner.hold_s
         self._lapses_s = max(self._lapses_s, now + hold_s * CLOCK_DRIFT + LAPSE_SLACK_S)
-        return self._times.read(now) + round(hold_s * 1000)
+        return self._times.earliest(now) + round(hold_s * 1000)
 
     def heard(self, clock_ms: int | None = None) -> None:
         """A call was answered.
--- a/src/saddlestack/control/reports.py
+++ b/src/saddlestack/control/reports.py
@@ -87,8 +87,7 @@
         fresh = [end for end in report.ended if end.number > self._noted]
         for end in fresh:
             self._ended(end, now)
-        present = {(row.task, row.run) for row in report.running}
-        self._judge_absent(present, asked, now)
+        self._judge(report, asked, now)
         if fresh or board.has_news:
             self._owner.changed()
 
@@ -131,7 +130,9 @@
         known = {(str(name), number) for name, number in self._worker.runs}
         return [row for row in report.running if (row.task, row.run) in known]
 
-    def _judge_absent(self, present: set[tuple[str, int]], asked: float, now: float) -> None:
+    def _judge(self, report: WorkerReport, asked: float, now: float) -> None:
+        """Note which runs are there, and which never began."""
+        present = {(row.task, row.run) for row in report.running}
         for key, run in list(self._worker.runs.items()):
             if key in self._in_hand:
                 continue
@@ -139,7 +140,8 @@
                 self._settled.setdefault(key, now)
                 if run.started_s is None:
                     self._owner.board.started(run, now)
-            elif self._is_told_of(key, run, asked):
+            elif not report.more and self._is_told_of(key, run, asked):
+                # Where there are more ends, that of an absent run may be among them.
                 self._absent(key, run, now - asked)
 
     def _is_told_of(self, key: RunKey, run: Run, asked: float) -> bool:
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 from saddlestack.codec import from_msgpack, to_msgpack
@@ -205,6 +205,7 @@
         self._tasks.spawn(self._tick())
         self._tasks.spawn(self._halls.run())
         self._tasks.spawn(self._see_renewals_over())
+        self._tasks.spawn(self._forget_rest(records))
         if self._context.machines is not None:
             upkeep = Upkeep(self._context, self._context.machines, self.board, self.fence)
             self._tasks.spawn(upkeep.run())
@@ -386,12 +387,23 @@
         """Remove jobs from the store that nobody has to be told of any more."""
         retention_s = self._context.settings.timings.retention_s
         for job in self.board.expired(self._clock.now(), retention_s)[:FORGOTTEN_A_TICK]:
+            # The job goes first: without its progress it would run again under a new leader.
+            job_keys = (keys.job_key(job.job_id), keys.cancel_key(job.job_id))
             records = [keys.progress_key(each.key) for each in job.occurrences]
-            others = (keys.job_key(job.job_id), keys.cancel_key(job.job_id))
-            if await self._journal.remove([*records, *others]):
+            if await self._journal.remove([*job_keys, *records]):
                 self.board.forget(job.job_id)
                 log.info("forgotten", extra={"event": "forgotten", "job": job.job_id})
 
+    async def _forget_rest(self, records: Mapping[str, Mapping[int, OccurrenceRecord]]) -> None:
+        """Remove progress of jobs that an earlier leader did not forget whole.
+
+        :param records: all progress that was read, by job and number of the occurrence.
+        """
+        for job_id in [job_id for job_id in records if job_id not in self.board.jobs]:
+            names = [keys.progress_key(f"{job_id}.{number}") for number in records[job_id]]
+            if await self._journal.remove(names):
+                log.info("forgotten", extra={"event": "forgotten", "job": job_id})
+
     def _end_ghosts(self) -> None:
         """Lives that nobody can ask hold their runs until every lease has lapsed."""
         now = self._clock.now()
--- a/src/saddlestack/interfaces/workers.py
+++ b/src/saddlestack/interfaces/workers.py
@@ -79,11 +79,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
-    """What a worker answered: its clock, and what runs and ended there."""
+    """What a worker answered: its clock, and what runs and ended there.
+
+    :param more: there are more ends, which it tells of once these were acknowledged.
+    """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    more: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/saddlestack/platform/orders.py
+++ b/src/saddlestack/platform/orders.py
@@ -37,6 +37,8 @@
 
 LIFE_HEADER = "Saddlestack-Target-Instance"
 KEPT_CONNECTIONS = 4
+ENDS_AT_ONCE = 500
+"""A worker lists no more ends in one answer; the others come when these were acknowledged."""
 _REFUSALS = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD,
@@ -100,7 +102,7 @@
         ended = tuple(
             EndedTask(e.number, e.task, e.run, EndKind(e.how), e.saved) for e in report.ended
         )
-        return WorkerReport(report.clock_ms, running, ended)
+        return WorkerReport(report.clock_ms, running, ended, more=len(ended) >= ENDS_AT_ONCE)
 
     def close(self) -> None:
         """Close all connections."""
--- a/tests/test_second_run.py
+++ b/tests/test_second_run.py
@@ -30,6 +30,7 @@
     WorkerReport,
     WorkerUnreachable,
 )
+from saddlestack.platform.orders import ENDS_AT_ONCE
 from saddlestack.policy.board.departure import LAPSE_HEARTBEATS
 from saddlestack.policy.board.records import TaskStatus
 from saddlestack.standins.loop import WALL_EPOCH_S, run
@@ -46,7 +47,6 @@
 B = "00000000000000bb"
 SLOW = 0.98
 """Workers' clocks may run 2 % slow."""
-ENDS_AT_ONCE = 500
 
 
 @dataclass
@@ -446,10 +446,11 @@
             async with asyncio.timeout(10.0):
                 while len(cluster.store.keys(prefix)) == 40:
                     await asyncio.sleep(0.001)
-            self.assertEqual(len(cluster.store.keys("saddlestack/requests/")), 1)
+            self.assertNotEqual(cluster.store.keys(prefix), [])
             await cluster.kill(cluster.leader_name)
             await asyncio.sleep(20.0)
             self.assertEqual(cluster.floor.starts_of(A), 40)
+            self.assertEqual(cluster.store.keys(prefix), [])
 
         self.play(body)
 
@@ -468,20 +469,16 @@
             scene.assign()
             scene.is_there()
             await asyncio.sleep(0.5)
-            earlier = tuple(
+            others = tuple(
                 EndedTask(number, f"{number:016x}.0.0.0", 1, EndKind.DONE, "")
-                for number in range(2, ENDS_AT_ONCE + 2)
-            )
-            scene.orders.ended = tuple(
-                EndedTask(each.number - 1, each.task, each.run, each.how, each.saved)
-                for each in earlier
+                for number in range(1, ENDS_AT_ONCE + 1)
             )
+            own = EndedTask(ENDS_AT_ONCE + 1, TASK, 1, EndKind.DONE, "")
+            scene.orders.ended = (*others, own)
             scene.orders.running = ()
             await asyncio.sleep(6.0)
             self.assertIsNot(scene.status, TaskStatus.WAITING)
             scene.owner.stored.set()
-            await asyncio.sleep(3.0)
-            scene.orders.ended = (EndedTask(ENDS_AT_ONCE + 1, TASK, 1, EndKind.DONE, ""),)
             await asyncio.sleep(6.0)
             self.assertIs(scene.status, TaskStatus.DONE)
 
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -29,6 +29,7 @@
     WorkerUnreachable,
 )
 from saddlestack.kernel.clock import Clock
+from saddlestack.platform.orders import ENDS_AT_ONCE
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import Changes, StopReason
 from saddlestack.policy.board.departure import LAPSE_HEARTBEATS
@@ -95,9 +96,9 @@
         fault = self.hold_faults.pop(0) if self.hold_faults else self.hold_fault
         await self._meet(fault, timeout_s)
         await asyncio.sleep(wait_s)
-        ended = tuple(end for end in self.ended if end.number > seen)
+        ended = tuple(end for end in self.ended if end.number > seen)[:ENDS_AT_ONCE]
         clock_ms = round(asyncio.get_running_loop().time() * 1000)
-        report = WorkerReport(clock_ms, self.running, ended)
+        report = WorkerReport(clock_ms, self.running, ended, more=len(ended) >= ENDS_AT_ONCE)
         if not wait_s:
             await asyncio.sleep(self.delay_s)
         return report
