--- a/tests/test_second_run.py
+++ b/tests/test_second_run.py
@@ -470,7 +470,7 @@
             scene.is_there()
             await asyncio.sleep(0.5)
             others = tuple(
-                EndedTask(number, f"{number:016x}.0.0.0", 1, EndKind.DONE, "")
+                EndedTask(number, f"{number + 1:016x}.0.0.0", 1, EndKind.DONE, "")
                 for number in range(1, ENDS_AT_ONCE + 1)
             )
             own = EndedTask(ENDS_AT_ONCE + 1, TASK, 1, EndKind.DONE, "")
