--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -15,8 +15,8 @@
 
 SILENT_AFTER = 2
 """Calls in a row without an answer after which a worker counts as silent."""
-CLOCK_DRIFT = 1.02
-"""A worker's clock may run this much slower than ours."""
+CLOCK_DRIFT = 1 / 0.98
+"""What lasts a second by a worker's clock may last so long by ours: it may run 2 % slow."""
 LAPSE_SLACK_S = 0.5
 CLOCK_FRESH_S = 30.0
 """A clock that was not heard for longer may be 0.6 s behind, and leases by it are so much shorter:
@@ -25,30 +25,34 @@
 
 @dataclass(slots=True)
 class WorkerClock:
-    """A worker's clock as last heard.
+    """A worker's clock as far as it is known: it runs true, or up to 2 % slow.
 
-    :param clock_ms: what it said...
-    :param at: ...and when, on our clock.
-    :param heard: whether the worker itself said so; its record may be some heartbeats old.
+    :param clock_ms: what it said last, or its record...
+    :param heard_s: ...and when that was heard, on our clock.
+    :param ahead_ms: how far it is ahead of ours at most; infinite until the worker itself told.
     """
 
     clock_ms: int
-    at: float
-    heard: bool = False
+    heard_s: float
+    ahead_ms: float = math.inf
 
-    def hear(self, clock_ms: int, now: float) -> None:
-        """Note a newer reading."""
-        self.clock_ms = clock_ms
-        self.at = now
-        self.heard = True
+    def hear(self, clock_ms: int, asked_s: float, now: float) -> None:
+        """Note what it said at some moment between a question and now.
+
+        Answers on different connections pass each other.
+        """
+        self.ahead_ms = min(self.ahead_ms, clock_ms - asked_s * 1000)
+        if clock_ms >= self.clock_ms:
+            self.clock_ms = clock_ms
+            self.heard_s = now
 
     def earliest(self, now: float) -> int:
-        """What it says now if it runs as slow as it may: a deadline by it comes no later."""
-        return self.clock_ms + round((now - self.at) * 1000 / CLOCK_DRIFT)
+        """The least that it may say now."""
+        return self.clock_ms + round((now - self.heard_s) * 1000 / CLOCK_DRIFT)
 
-    def latest(self, now: float) -> int:
-        """What it says now if it does not run slow."""
-        return self.clock_ms + round((now - self.at) * 1000)
+    def latest(self, now: float) -> float:
+        """The most that it may say now; infinite until the worker itself told."""
+        return self.ahead_ms + now * 1000
 
 
 class Contact:
@@ -77,13 +81,11 @@
     @property
     def clock_is_old(self) -> bool:
         """Whether the worker's clock was heard so long ago that leases by it are short."""
-        return self._clock.now() - self._times.at > CLOCK_FRESH_S
+        return self._clock.now() - self._times.heard_s > CLOCK_FRESH_S
 
     @property
     def record_age_s(self) -> float:
         """How long ago the worker wrote its record, by its own clock; infinite before it told."""
-        if not self._times.heard:
-            return math.inf
         return (self._times.latest(self._clock.now()) - self._worker.record.clock_ms) / 1000
 
     @property
@@ -95,20 +97,25 @@
         """Until when all that runs there may run from now on, on the worker's clock.
 
         That clock may have been heard long ago. A start that is carried out some seconds late would
-        outlast what is counted here by 2 % of that time, 6 s after a rest of 300 s.
+        outlast what is counted here by 2 % of that time, 6 s after a rest of 300 s. The worker's
+        record tells of its clock as well, so that the lease is not shorter by as much.
         """
         hold_s = self._owner.hold_s
         self._lapses_s = max(self._lapses_s, now + hold_s * CLOCK_DRIFT + LAPSE_SLACK_S)
-        return self._times.earliest(now) + round(hold_s * 1000)
+        clock_ms = max(self._times.earliest(now), self._worker.record.clock_ms)
+        return clock_ms + round(hold_s * 1000)
 
-    def heard(self, clock_ms: int | None = None) -> None:
-        """A call was answered.
+    def told(self, clock_ms: int, asked_s: float) -> None:
+        """A call was answered, and the answer tells the worker's clock.
 
-        :param clock_ms: what the worker's clock said, where the answer told.
+        :param asked_s: when the call was sent.
         """
+        self._times.hear(clock_ms, asked_s, self._clock.now())
+        self.heard()
+
+    def heard(self) -> None:
+        """A call was answered."""
         now = self._clock.now()
-        if clock_ms is not None:
-            self._times.hear(clock_ms, now)
         self._heard_s = now
         self.misses = 0
         if not self._worker.reachable or self._worker.suspected:
--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -92,7 +92,7 @@
         self.peers = Peers(self.context, self.membership)
         self.peers.serve(PingQuestion, answer_ping)
         self.renewals = Renewals(self.peers, self.membership, self._renews)
-        self.leadership = Leadership(self.context, self)
+        self.leadership = Leadership(self.context, self, lambda: self.membership.is_told)
         desk = Desk(self.peers, self.leadership, lambda: self.scheduler)
         relays = Relays(self.peers, self.membership, self.health)
         access = StoreAccess(self.context, self.peers, relays)
@@ -174,7 +174,7 @@
             self.peers,
             self.membership,
             self.renewals,
-            lambda: self.leadership.grants_until_s,
+            lambda: self.leadership.grants_until(term),
             lambda: self._give_up(term),
         )
         await self.scheduler.run()
--- a/src/saddlestack/control/leadership.py
+++ b/src/saddlestack/control/leadership.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -78,12 +79,18 @@
 
 
 class Leadership(Service):
-    """Follows the leader key, takes it where it is free, and keeps it."""
+    """Follows the leader key, takes it where it is free, and keeps it.
 
-    def __init__(self, context: EntryContext, candidate: Candidate) -> None:
+    :param may_lead: whether the others would know of this VM for as long as it may renew leases.
+    """
+
+    def __init__(
+        self, context: EntryContext, candidate: Candidate, may_lead: Callable[[], bool]
+    ) -> None:
         super().__init__(NAME, context.clock)
         self._context = context
         self._candidate = candidate
+        self._may_lead = may_lead
         self._held: LeaderRecord | None = None
         self._leaving = False
         self.leader: LeaderRecord | None = None
@@ -91,14 +98,15 @@
         self._lasts_s = LEASE_S
         self._valid_s = 0.0
 
-    @property
-    def grants_until_s(self) -> float:
-        """Until when this VM may grant workers' leases, on its clock: a successor counts no longer.
+    def grants_until(self, term: Term) -> float:
+        """Until when a term may grant workers' leases: its successor counts no longer.
 
         Asked right before each grant, since a VM that stood still goes on before it learns that
         its term is over.
+
+        :return: a time on this VM's clock.
         """
-        return -math.inf if self.term is None else self._valid_s + RENEWING_S
+        return self._valid_s + RENEWING_S if self.term is term else -math.inf
 
     async def start(self) -> None:
         """Begin to follow the leader key."""
@@ -142,7 +150,7 @@
             revision = max(revision, changes.revision)
             for item in changes.items:
                 await self._observe(item)
-            waited = free or not self._weakness
+            waited = (free or not self._weakness) and self._may_lead()
             if self.leader is None and waited and not self._leaving:
                 await self._campaign()
 
@@ -214,7 +222,7 @@
                 await self._depose("lease over")
                 return
             except StoreUnavailable:
-                if self.clock.now() > self.grants_until_s:
+                if self.clock.now() > self.grants_until(term):
                     await self._depose("store lost")
                     return
                 await self._context.health.pause(KEEP_RETRY_S)
--- a/src/saddlestack/control/membership.py
+++ b/src/saddlestack/control/membership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import secrets
 
 from saddlestack.codec import from_json, to_json
@@ -28,15 +29,19 @@
 LEASE_S = 10.0
 """A VM that is cut off stays known for at least this less :data:`KEEP_S`: for longer than a leader
 goes on renewing without the store, so that one that renews is always known."""
-KEEP_S = 3.0
+KEEP_S = 2.0
 RETRY_S = 0.5
 KEEP_RETRY_S = 1.0
 """A refused renewal is repeated within this, sooner once the store answers again; not more often,
 since every VM does so at once where the store refuses all of them."""
 GONE_S = 12.0
-"""For so long after its record has gone a VM may still renew workers' leases: it writes its record
-again within :data:`KEEP_S`, a call of 1 s and :data:`RETRY_S` where it reaches the store; one that
-does not has stopped leading 1 s later, and renewing 4.5 s and another call after that: 11 s."""
+"""For so long after its record has gone a VM counts as one that may still renew workers' leases.
+One that reaches the store has written it again after 3.5 s (:data:`KEEP_S`, a call of 1 s,
+:data:`RETRY_S`); one that does not has stopped leading 1 s after that and renewing after 5.5 s."""
+TOLD_S = KEEP_S + 2.0
+"""So old may the last renewal of a VM's record be where it takes the leadership: two that fail may
+lie between. The record then lasts for 6 s more, and a leader without the store renews workers'
+leases for 5.5 s: also a VM that has just started finds it listed, and asks it."""
 SECRET_BYTES = 16
 
 
@@ -73,6 +78,7 @@
             secret=secrets.token_hex(SECRET_BYTES),
         )
         self._members: dict[str, Member] = {}
+        self._kept_s = -math.inf
         self._gone: dict[str, tuple[Member, float]] = {}
         self._feed = Feed(context, MEMBERS, self._replace, self._change)
 
@@ -81,6 +87,11 @@
         """Set once the store has told of the others."""
         return self._feed.loaded
 
+    @property
+    def is_told(self) -> bool:
+        """Whether the others find this VM listed for as long as it may renew workers' leases."""
+        return self.clock.now() - self._kept_s <= TOLD_S
+
     async def start(self) -> None:
         """Begin to tell and to follow."""
         self.tasks.spawn(self._feed.run())
@@ -121,16 +132,19 @@
     async def _tell(self) -> None:
         while True:
             try:
+                sent = self.clock.now()
                 lease, _ = await self._context.store.grant_lease(LEASE_S)
                 put = Put(member_key(self.me.vm), to_json(self.me), lease)
                 await self._context.store.transact(Transaction(puts=(put,)))
+                self._kept_s = sent
                 await self._keep(lease)
             except (StoreUnavailable, WriteInDoubt, LeaseOver):
                 await self._context.health.pause(self._context.rng.uniform(RETRY_S / 2, RETRY_S))
 
     async def _keep(self, lease: int) -> None:
         while True:
-            await asyncio.sleep(KEEP_S)
+            # Sooner where the store is back: its leases may have run out meanwhile.
+            await self._context.health.pause(KEEP_S)
             await self._renew(lease)
 
     async def _renew(self, lease: int) -> None:
@@ -139,8 +153,10 @@
         A renewal left out would let the record lapse while this VM may still renew workers' leases.
         """
         while True:
+            sent = self.clock.now()
             try:
                 await self._context.store.keep_lease(lease)
+                self._kept_s = sent
                 return
             except StoreUnavailable:
                 wait_s = self._context.rng.uniform(KEEP_RETRY_S / 2, KEEP_RETRY_S)
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -400,6 +400,8 @@
         :param records: all progress that was read, by job and number of the occurrence.
         """
         for job_id in [job_id for job_id in records if job_id not in self.board.jobs]:
+            if job_id in self.board.jobs:
+                continue  # handed in again meanwhile
             names = [keys.progress_key(f"{job_id}.{number}") for number in records[job_id]]
             if await self._journal.remove(names):
                 log.info("forgotten", extra={"event": "forgotten", "job": job_id})
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -220,7 +220,10 @@
                 ticket=start.ticket,
             )
             reply = await self._orders.start(order, ORDER_TIMEOUT_S)
-        self._contact.heard(reply.clock_ms)
+        if reply.clock_ms is None:
+            self._contact.heard()
+        else:
+            self._contact.told(reply.clock_ms, now)
         return reply
 
     def _is_wanted(self, run: Run) -> bool:
@@ -302,6 +305,8 @@
                 continue
             try:
                 if await self._look_once():
+                    # Should the worker come back, it is given a session that looks.
+                    self.over = True
                     return
             except Exception:
                 log.exception("look failed", extra={"event": "look_failed"})
@@ -422,7 +427,7 @@
     async def _take(self, report: WorkerReport, asked: float) -> None:
         if self._owner.board.workers.get(self.worker.worker_id) is not self.worker:
             return
-        self._contact.heard(report.clock_ms)
+        self._contact.told(report.clock_ms, asked)
         self._reports.take(report, asked)
         self._watch_progress()
         await self._reports.acknowledge()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -41,7 +41,7 @@
 from saddlestack.platform.gateway import Gateway
 from saddlestack.platform.kv import KvStore
 from saddlestack.platform.machines import HttpAdviser, HttpMachines
-from saddlestack.platform.orders import HttpWorkerOrders
+from saddlestack.platform.orders import ENDS_AT_ONCE, HttpWorkerOrders
 from saddlestack.standins.loop import run
 from saddlestack.wire.http import HttpServer, Request, Response
 from saddlestack.work import AcceptedJob, JobRequest, JobState, Resources
@@ -278,6 +278,21 @@
             )
             self.assertEqual((report.running[0].percent, report.running[0].figure), (41, 17.5))
             self.assertEqual((report.ended[0].number, report.ended[0].how), (58, EndKind.DONE))
+            self.assertFalse(report.more)
+
+        with_server(body)
+
+    def test_a_report_with_as_many_ends_as_fit_says_that_there_may_be_more(self) -> None:
+        async def body(served: Served) -> None:
+            orders = HttpWorkerOrders("i-1", "127.0.0.1", served.server.port)
+            ends = [
+                [number, f"00000000000000aa.0.0.{number}", 1, "done", ""]
+                for number in range(1, ENDS_AT_ONCE + 1)
+            ]
+            served.answer(200, {"clock-ms": 50, "running": [], "ended": ends})
+            self.assertTrue((await orders.hold(5, None, 0, 0.0, 2.0)).more)
+            served.answer(200, {"clock-ms": 50, "running": [], "ended": ends[1:]})
+            self.assertFalse((await orders.hold(5, None, 0, 0.0, 2.0)).more)
 
         with_server(body)
 
