--- a/tests/test_second_run.py
+++ b/tests/test_second_run.py
@@ -308,8 +308,8 @@
         next renewed it, up to 3 s later. Before that the leader started a task on a worker which
         only it reached, and was cut off from the store. It renewed for 4.5 s after its lease; the
         next leader asked all VMs that it knew, heard that nobody renewed, and counted one lease
-        from then. Now a VM leads only once it is listed. The next leader may have just started: it knows
-        of no entry that went before.
+        from then. Now a VM leads only once it is listed. The next leader may have just started: it
+        knows of no entry that went before.
         """
 
         async def body(cluster: TroubledCluster) -> None:
