--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -448,6 +448,29 @@
 
         self.play(body)
 
+    def test_a_session_that_has_nothing_left_to_look_at_is_over(self) -> None:
+        """Its worker's record was gone, and its last end not yet stored, as every lease lapsed.
+
+        Should the record come back, the worker needs a session that looks; this one was given out
+        again, and nobody looked.
+        """
+
+        async def body(scene: Scene) -> None:
+            scene.owner.stored.clear()
+            scene.assign()
+            scene.is_there()
+            await asyncio.sleep(0.5)
+            scene.board.unlist_worker("w11")
+            scene.orders.ended = (EndedTask(1, TASK, 1, EndKind.DONE, ""),)
+            scene.orders.running = ()
+            await asyncio.sleep(WAIT_S)
+            self.assertIs(scene.status, TaskStatus.DONE)
+            scene.orders.dark = True
+            await asyncio.sleep(2 * HOLD_S * CLOCK_DRIFT + LAPSE_SLACK_S)
+            self.assertTrue(scene.session.over)
+
+        self.play(body)
+
     def test_ends_are_forgotten_by_the_worker_only_once_they_are_stored(self) -> None:
         async def body(scene: Scene) -> None:
             scene.owner.stored.clear()
