--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -20,7 +20,8 @@
 LAPSE_SLACK_S = 0.5
 CLOCK_FRESH_S = 30.0
 """A clock that was not heard for longer may be 0.6 s behind, and leases by it are so much shorter:
-it is asked for at once. After a rest of 450 s the first lease of 10 s is one of 1.2 s."""
+it is asked for at once. After a rest of 450 s a first lease of 10 s is one of 1.2 s where the
+worker's record does not tell of its clock."""
 
 
 @dataclass(slots=True)
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -48,8 +48,8 @@
 """How often one is looked at on which runs are to stop, since room is waited for there, or that is
 about to leave, since its latest answer tells whether it has."""
 LEFT_LOOKS = 3
-"""So many looks in a row, of 0.3 s each, are to be without answer before a worker that has removed
-its record counts as gone."""
+"""So many looks in a row, of up to 0.3 s, are to be without answer before a worker that has removed
+its record counts as gone. The record is the proof; the looks spare one that still answers."""
 HOLD_SLACK_S = 0.4
 
 
