--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -15,13 +15,13 @@
 from saddlestack.control.journal import Displaced, Journal
 from saddlestack.control.keys import REQUESTS
 from saddlestack.errors import ErrorKind, SaddlestackError
-from saddlestack.interfaces.store import Listing
+from saddlestack.interfaces.store import Listing, StoreUnavailable
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.models import JobState as CallerState
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
 from saddlestack.standins.pool.documents import ACCOUNT, KEY
-from saddlestack.standins.pool.store import StoreView
+from saddlestack.standins.pool.store import WATCH_SLACK_S, StoreView
 from saddlestack.standins.pool.workers import TaskPlan, payload
 from saddlestack.wire.http import HttpClient
 from saddlestack.work import JobRequest, JobState, Resources, Step
@@ -29,6 +29,8 @@
 A = "00000000000000aa"
 B = "00000000000000bb"
 C = "00000000000000cc"
+DRAIN_S = 3.0
+"""A worker that has given notice may get work for so long."""
 IN_FORCE_S = 1.0
 """Heartbeats come every 0.2 s, and a call that is swallowed ends with the next one answered."""
 
@@ -57,6 +59,41 @@
         run(main())
 
 
+class SilentWatchTest(PoolTest):
+    def test_a_leaving_worker_gets_nothing_though_the_watch_of_workers_is_silent(self) -> None:
+        """Seen on a day of 300 VMs and 3,000 workers: starts 5.1 s after their worker's notice.
+
+        One connection of the leader goes silent, the one on which it waits for workers' records;
+        all others work. The watch then waited 3 s, and 1 s more for its answer, and the leader
+        heard of a notice up to 4 s late. Whether that was the cause of that day is not shown.
+        """
+        swallowed: list[float] = []
+
+        async def watch(view: StoreView, prefix: str, after: int, wait_s: float) -> Listing:
+            if prefix != "servers/" or not silent:
+                return await whole(view, prefix, after, wait_s)
+            silent.clear()
+            swallowed.append(wait_s)
+            await asyncio.sleep(wait_s + WATCH_SLACK_S)
+            raise StoreUnavailable("the watch was swallowed")
+
+        async def body(cluster: PoolCluster) -> None:
+            leader = cluster.leader_name
+            silent.append(leader)
+            await cluster.until(lambda: bool(swallowed))
+            [worker] = cluster.floor.workers.values()
+            cluster.floor.record(worker, remaining_ms=8000)
+            await asyncio.sleep(DRAIN_S)
+            await cluster.submit(A, job(1, accelerators=8))
+            await asyncio.sleep(0.5)
+            self.assertEqual(cluster.floor.starts_of(A), 0)
+
+        silent: list[str] = []
+        whole = StoreView.watch
+        with unittest.mock.patch.object(StoreView, "watch", watch):
+            self.play(body, entries=1, racks=1, workers=1)
+
+
 class CalmTest(PoolTest):
     def test_a_job_runs_and_is_shown_as_completed(self) -> None:
         async def body(cluster: PoolCluster) -> None:
