--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -16,7 +16,7 @@
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.standins.pool.workers import FloorWorker
 from saddlestack.work import JobState
-from tests.test_inherited import A, B, HOLD_S, INHERITED_S, InheritedCase
+from tests.test_inherited import HOLD_S, INHERITED_S, A, InheritedCase
 
 
 class EntryCase(InheritedCase):
