One account of leases for a term: nothing is over by time while a lease may hold

Cause: three places judged by time whether a life's runs are over, each with what it happened to know. The one for lives without an address asked only whether inherited leases had lapsed, which in an old term they have: a record that lost its address ended the runs of a worker in contact, at once. A session kept what it had granted for itself, and a session made anew with the same life knew of none of it. Class: what a record says now, taken for the state of a life. Change: the term keeps one account of leases by life (control/leases.py); sessions, lives without an address and log lines ask it. Sessions that were opened while nothing ran there count inherited leases as well.

--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -4,9 +4,9 @@
 
 import logging
 import math
-from collections.abc import Callable
 from dataclasses import dataclass
 
+from saddlestack.control.leases import CLOCK_DRIFT, Leases
 from saddlestack.control.owner import Owner
 from saddlestack.kernel.clock import Clock
 from saddlestack.policy.board.workers import Worker
@@ -15,9 +15,6 @@
 
 SILENT_AFTER = 2
 """Calls in a row without an answer after which a worker counts as silent."""
-CLOCK_DRIFT = 1 / 0.98
-"""What lasts a second by a worker's clock may last so long by ours: it may run 2 % slow."""
-LAPSE_SLACK_S = 0.5
 CLOCK_FRESH_S = 30.0
 """A clock that was not heard for longer may be 0.6 s behind, and leases by it are so much shorter:
 it is asked for at once. After a rest of 450 s a first lease of 10 s is one of 1.2 s where the
@@ -59,18 +56,15 @@
 class Contact:
     """The contact with one life of a worker.
 
-    :param inherited_until: tells when leases granted by earlier leaders have lapsed for sure.
+    :param leases: what was granted to workers in this term and before.
     """
 
-    def __init__(
-        self, worker: Worker, owner: Owner, clock: Clock, inherited_until: Callable[[], float]
-    ) -> None:
+    def __init__(self, worker: Worker, owner: Owner, clock: Clock, leases: Leases) -> None:
         self._worker = worker
         self._owner = owner
         self._clock = clock
         self._times = WorkerClock(worker.record.clock_ms, clock.now())
-        self._inherited_until = inherited_until
-        self._lapses_s = 0.0
+        self._leases = leases
         self._heard_s = -math.inf
         self.misses = 0
 
@@ -92,7 +86,7 @@
     @property
     def lapsed(self) -> bool:
         """Whether every lease that was ever granted there is over."""
-        return self._clock.now() >= max(self._lapses_s, self._inherited_until())
+        return self._clock.now() >= self._leases.lasts_until(self._worker.worker_id)
 
     def deadline(self, now: float) -> int:
         """Until when all that runs there may run from now on, on the worker's clock.
@@ -101,10 +95,9 @@
         outlast what is counted here by 2 % of that time, 6 s after a rest of 300 s. The worker's
         record tells of its clock as well, so that the lease is not shorter by as much.
         """
-        hold_s = self._owner.hold_s
-        self._lapses_s = max(self._lapses_s, now + hold_s * CLOCK_DRIFT + LAPSE_SLACK_S)
+        self._leases.granted(self._worker.worker_id, now)
         clock_ms = max(self._times.earliest(now), self._worker.record.clock_ms)
-        return clock_ms + round(hold_s * 1000)
+        return clock_ms + round(self._owner.hold_s * 1000)
 
     def told(self, clock_ms: int, asked_s: float) -> None:
         """A call was answered, and the answer tells the worker's clock.
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -23,6 +23,7 @@
 from saddlestack.control.halls import HallWatch
 from saddlestack.control.journal import Journal
 from saddlestack.control.leadership import Term
+from saddlestack.control.leases import Leases
 from saddlestack.control.membership import Membership
 from saddlestack.control.peers import Peers
 from saddlestack.control.renewals import Renewals
@@ -90,7 +91,9 @@
         self.hold_s = context.settings.timings.longest_hold_ms / 1000
         self._journal = Journal(context, term.fence)
         self._commits = Commits(context, self._journal, self._displaced)
-        self._sessions = Sessions(context, self)
+        self._began_s = context.clock.now()
+        self._leases = Leases(self.hold_s, self._began_s)
+        self._sessions = Sessions(context, self, self._leases)
         self._suspicion = Suspicion()
         self._evacuations = Evacuations(context, self._evacuated)
         self._renewals = renewals
@@ -206,7 +209,7 @@
         )
         self._sessions.open()
         for worker in self._ghosts():
-            log_wait(worker, self._sessions.inherited_until - self._clock.now())
+            log_wait(worker, self._leases.left_s(worker.worker_id, self._clock.now()))
         self._tasks.spawn(self._tick())
         self._tasks.spawn(self._halls.run())
         self._tasks.spawn(self._see_renewals_over())
@@ -374,7 +377,7 @@
         """
         for _ in range(RENEWALS_ASKED):
             if self._waits_for_lapse() and await self._renewals.are_over():
-                self._sessions.renewed_until(self._clock.now())
+                self._leases.renewed_until(self._clock.now())
                 log.info("nobody else renews leases", extra={"event": "renewals_over"})
                 return
             await asyncio.sleep(RENEWALS_GAP_S)
@@ -414,10 +417,10 @@
     def _end_ghosts(self) -> None:
         """Lives that nobody can ask hold their runs until every lease has lapsed."""
         now = self._clock.now()
-        if now < self._sessions.inherited_until:
-            return
         for worker in self._ghosts():
-            log_over(worker.runs.values(), Proof.LAPSED, now - self._sessions.began_s)
+            if now < self._leases.lasts_until(worker.worker_id):
+                continue
+            log_over(worker.runs.values(), Proof.LAPSED, now - self._began_s)
             self.board.worker_over(worker.worker_id)
 
     def _ghosts(self) -> list[Worker]:
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -5,10 +5,10 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable
 
-from saddlestack.control.contact import CLOCK_DRIFT, LAPSE_SLACK_S, Contact
+from saddlestack.control.contact import Contact
 from saddlestack.control.endings import Proof, log_over, log_wait
+from saddlestack.control.leases import Leases
 from saddlestack.control.owner import Owner
 from saddlestack.control.reports import Reports
 from saddlestack.interfaces.workers import (
@@ -64,7 +64,7 @@
 class WorkerSession:
     """Orders to one worker, and looks at it, while this VM leads.
 
-    :param inherited_until: tells when leases granted by earlier leaders have lapsed for sure.
+    :param leases: what was granted to workers in this term and before.
     """
 
     def __init__(
@@ -73,15 +73,15 @@
         orders: WorkerOrders,
         owner: Owner,
         clock: Clock,
-        inherited_until: Callable[[], float],
+        leases: Leases,
     ) -> None:
         self.worker = worker
         self._orders = orders
         self._owner = owner
         self._clock = clock
-        self._inherited_until = inherited_until
+        self._leases = leases
         self._began_s = clock.now()
-        self._contact = Contact(worker, owner, clock, inherited_until)
+        self._contact = Contact(worker, owner, clock, leases)
         self._tasks = TaskGroup(f"session {worker.worker_id}")
         self._gate = asyncio.Semaphore(ORDERS_AT_ONCE)
         self._wake = asyncio.Event()
@@ -93,7 +93,7 @@
     def begin(self) -> None:
         """Start to look after the worker."""
         if not self.worker.reachable:
-            self._wait_begins(self._inherited_until() - self._clock.now())
+            self._wait_begins()
         self._tasks.spawn(self._look())
 
     async def close(self) -> None:
@@ -435,13 +435,12 @@
     def _missed(self, sent: float) -> None:
         if self._contact.missed(sent):
             self._wake.set()
-            longest_s = self._owner.hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
-            self._wait_begins(max(longest_s, self._inherited_until() - self._clock.now()))
+            self._wait_begins()
 
-    def _wait_begins(self, left_s: float) -> None:
-        """What runs there may go on unseen, for some seconds at most."""
+    def _wait_begins(self) -> None:
+        """What runs there may go on unseen, until its leases have lapsed at most."""
         if self.worker.runs:
-            log_wait(self.worker, max(0.0, left_s))
+            log_wait(self.worker, self._leases.left_s(self.worker.worker_id, self._clock.now()))
 
     def _unanswered(self, asked: float) -> bool:
         """Note a failed look; ``True`` where nothing can be running there any more."""
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -5,9 +5,8 @@
 import logging
 from collections.abc import Iterator
 
-from saddlestack.control.contact import CLOCK_DRIFT, LAPSE_SLACK_S
 from saddlestack.control.context import EntryContext
-from saddlestack.control.leadership import LEASE_S, RENEWING_S
+from saddlestack.control.leases import Leases
 from saddlestack.control.owner import Owner
 from saddlestack.control.session import WorkerSession
 from saddlestack.kernel.service import TaskGroup
@@ -22,17 +21,15 @@
     """Opens sessions where they are needed, and passes orders on.
 
     :param owner: the scheduler whose board they serve.
+    :param leases: what was granted to workers in this term and before.
     """
 
-    def __init__(self, context: EntryContext, owner: Owner) -> None:
+    def __init__(self, context: EntryContext, owner: Owner, leases: Leases) -> None:
         self._context = context
         self._owner = owner
         self._sessions: dict[str, WorkerSession] = {}
         self._tasks = TaskGroup("sessions")
-        self._longest_s = owner.hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
-        self.began_s = context.clock.now()
-        self.inherited_until = self.began_s + LEASE_S + RENEWING_S + self._longest_s
-        """When leases that earlier leaders granted have lapsed for sure."""
+        self._leases = leases
 
     def __len__(self) -> int:
         return len(self._sessions)
@@ -41,10 +38,6 @@
         """The workers that are dealt with, by id."""
         return iter(self._sessions)
 
-    def renewed_until(self, moment: float) -> None:
-        """No earlier leader has renewed a lease after some moment."""
-        self.inherited_until = min(self.inherited_until, moment + self._longest_s)
-
     async def stop(self) -> None:
         """End all dealings with workers."""
         await self._tasks.cancel()
@@ -153,7 +146,7 @@
             self._context.orders(worker.record),
             self._owner,
             self._context.clock,
-            (lambda: self.inherited_until) if worker.runs else (lambda: 0.0),
+            self._leases,
         )
         self._sessions[worker_id] = session
         session.begin()
--- a/tests/test_renewals.py
+++ b/tests/test_renewals.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
-from saddlestack.control.contact import CLOCK_DRIFT, LAPSE_SLACK_S
 from saddlestack.control.entry import EntryVm
 from saddlestack.control.keys import MEMBERS, member_key
 from saddlestack.control.leadership import LEASE_S, RENEWING_S
+from saddlestack.control.leases import CLOCK_DRIFT, LAPSE_SLACK_S
 from saddlestack.control.membership import GONE_S, KEEP_S, RETRY_S
 from saddlestack.control.membership import LEASE_S as MEMBER_LEASE_S
 from saddlestack.control.renewals import ASKED_AT_ONCE, RenewingAnswer, RenewingQuestion
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from saddlestack.control.contact import CLOCK_DRIFT, LAPSE_SLACK_S
+from saddlestack.control.leases import CLOCK_DRIFT, LAPSE_SLACK_S, Leases
 from saddlestack.control.session import (
     HOLD_SLACK_S,
     ORDER_TIMEOUT_S,
@@ -46,6 +46,8 @@
 FENCE = 7
 HEARTBEAT_S = 1.5
 MOMENT_S = 0.01
+LONG_AGO_S = 60.0
+"""Since the term began: what earlier leaders granted has lapsed."""
 
 Fault = type[Exception] | None
 
@@ -155,6 +157,13 @@
     owner: LoneOwner
     orders: ScriptedOrders
     session: WorkerSession
+    leases: Leases
+
+    def session_anew(self) -> WorkerSession:
+        """Another session with the same life, of the same term."""
+        session = WorkerSession(self.session.worker, self.orders, self.owner, Clock(), self.leases)
+        session.begin()
+        return session
 
     def plan(self) -> Changes:
         self.board.plan(asyncio.get_running_loop().time(), 0.0)
@@ -204,10 +213,11 @@
             owner = LoneOwner(board)
             owner.stored.set()
             orders = ScriptedOrders()
-            session = WorkerSession(worker, orders, owner, Clock(), lambda: 0.0)
+            leases = Leases(HOLD_S, -LONG_AGO_S)
+            session = WorkerSession(worker, orders, owner, Clock(), leases)
             session.begin()
             try:
-                await body(Scene(board, owner, orders, session))
+                await body(Scene(board, owner, orders, session, leases))
             finally:
                 await session.close()
 
