Leases go by the clock that a worker itself told

Cause: the first lease to a life went by the clock in its record, and later ones by the record where that said more. A record may be another writer's. A worker cuts a lease by a clock too far ahead when it arrives, so one that is carried out late outlasts what its leader counts by that delay. Ruled out: to let a first start be refused as late, which tells the clock as well; starts then leave in another order. Change: before the first start of a session the worker is asked for its clock, one look in 1 to 3 ms; a record's clock counts only as far as the worker's own word allows. Tests: tests/test_false_clock.py fails before (two runs at once for 5 s) and passes.

--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -48,6 +48,16 @@
         """The least that it may say now."""
         return self.clock_ms + round((now - self.heard_s) * 1000 / CLOCK_DRIFT)
 
+    def by(self, record_ms: int, now: float) -> int:
+        """The clock to grant a lease by: the worker's record tells more, as far as it is possible.
+
+        A record may be another writer's. A lease by a clock too far ahead is cut by the worker when
+        it arrives: one that is carried out 2 to 12 s late would outlast what is counted by as much.
+
+        :param record_ms: what the clock said when the record was written.
+        """
+        return min(max(self.earliest(now), record_ms), int(self.latest(now)))
+
     def latest(self, now: float) -> float:
         """The most that it may say now; infinite until the worker itself told."""
         return self.ahead_ms + now * 1000
@@ -63,7 +73,7 @@
         self._worker = worker
         self._owner = owner
         self._clock = clock
-        self._times = WorkerClock(worker.record.clock_ms, clock.now())
+        self._times = WorkerClock(0, clock.now())
         self._leases = leases
         self._heard_s = -math.inf
         self.misses = 0
@@ -73,6 +83,11 @@
         """When the worker last answered."""
         return self._heard_s
 
+    @property
+    def clock_is_told(self) -> bool:
+        """Whether the worker itself has told its clock; its record proves none."""
+        return self._times.ahead_ms < math.inf
+
     @property
     def clock_is_old(self) -> bool:
         """Whether the worker's clock was heard so long ago that leases by it are short."""
@@ -91,13 +106,15 @@
     def deadline(self, now: float) -> int:
         """Until when all that runs there may run from now on, on the worker's clock.
 
+        Before the worker has told its clock this is past, and extends nothing.
         That clock may have been heard long ago. A start that is carried out some seconds late would
         outlast what is counted here by 2 % of that time, 6 s after a rest of 300 s. The worker's
         record tells of its clock as well, so that the lease is not shorter by as much.
         """
         self._leases.granted(self._worker.worker_id, now)
-        clock_ms = max(self._times.earliest(now), self._worker.record.clock_ms)
-        return clock_ms + round(self._owner.hold_s * 1000)
+        if not self.clock_is_told:
+            return 0
+        return self._times.by(self._worker.record.clock_ms, now) + round(self._owner.hold_s * 1000)
 
     def told(self, clock_ms: int, asked_s: float) -> None:
         """A call was answered, and the answer tells the worker's clock.
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -57,6 +57,10 @@
     """A start is not to be sent any more."""
 
 
+class _ClockUnknown(Exception):
+    """A start did not leave: the worker has not told the clock that its lease goes by."""
+
+
 class _TermTooOld(Exception):
     """A start may not leave: a successor need not count the lease that it brings."""
 
@@ -174,6 +178,8 @@
                     self._never_began(run, key)
                     return
                 break
+            except _ClockUnknown:
+                continue
             except WorkerUnreachable:
                 clean = False
                 self._missed(sent)
@@ -184,6 +190,9 @@
             except WorkerReplaced:
                 self._replaced()
                 return
+            except WorkerFenced:
+                self._owner.fenced()
+                return
             if reply.refusal is Refusal.LATE and clean:
                 continue
             self._answered(run, key, reply, clean)
@@ -205,6 +214,8 @@
     async def _send_now(self, start: Start) -> StartReply:
         run = start.run
         async with self._gate:
+            if not self._contact.clock_is_told:
+                await self._ask_clock()
             if not self._is_wanted(run):
                 raise _NotWanted
             if not self._owner.may_grant:
@@ -226,6 +237,21 @@
             self._contact.told(reply.clock_ms, now)
         return reply
 
+    async def _ask_clock(self) -> None:
+        """Have the worker tell its clock, once a session, in 1 to 3 ms.
+
+        :raises _ClockUnknown: it has not.
+        """
+        asked = self._clock.now()
+        try:
+            report = await self._orders.hold(
+                self._owner.fence, None, self._reports.seen, 0.0, LOOK_NOW_TIMEOUT_S
+            )
+        except WorkerUnreachable as error:
+            self._missed(asked)
+            raise _ClockUnknown from error
+        self._contact.told(report.clock_ms, asked)
+
     def _is_wanted(self, run: Run) -> bool:
         """Whether a run is still to start: it may be over, as lapsed, before its order leaves."""
         return run.task.run is run and not run.stopping and not self.worker.evacuated
--- /dev/null
+++ b/tests/test_false_clock.py
@@ -0,0 +1,48 @@
+"""A worker's record tells a clock that is far ahead: another writer wrote it.
+
+A worker cuts a lease that is longer than it grants, when it arrives. A start by that clock, carried
+out some seconds late on a worker that nobody hears of any more, lasted by as much longer than its
+leader counted: the task ran twice at once. The worker itself is asked for its clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.work import JobState
+from tests.test_entries import EntryCase
+from tests.test_inherited import HOLD_S, INHERITED_S, A
+
+AHEAD_MS = 3_600_000
+LATE_S = 5.0
+HEARD_S = 1.0
+"""Within this a record is heard of."""
+
+
+class FalseClockTest(EntryCase):
+    def test_a_lease_goes_by_the_workers_own_word(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(INHERITED_S)
+            floor = cluster.floor
+            workers = list(floor.workers.values())
+            for worker in workers:
+                self.rewrite(cluster, worker, clock_ms=floor.clock_ms() + AHEAD_MS)
+                worker.late_orders = 1
+                worker.late_s = LATE_S
+            await asyncio.sleep(HEARD_S)
+            await cluster.submit(A, job(1, work_s=2 * HOLD_S))
+            await cluster.until(lambda: any(not worker.late_orders for worker in workers))
+            for worker in workers:
+                worker.unreachable = not worker.late_orders
+                worker.late_orders = 0
+            await cluster.until_state(A, JobState.COMPLETED, 6 * HOLD_S)
+            self.assertEqual(floor.violations, [])
+            self.assertEqual(floor.starts_of(A), 2)
+
+        self.play(body)
+
+
+if __name__ == "__main__":
+    unittest.main()
