What a worker ran when it left is over with its lease, whatever it had announced

Cause: a worker that had announced its end, whose record had gone within two heartbeats of its last write, and that answered none of three looks of 0.3 s, counted as gone. Workers may serve on after the announced end, at times for many seconds, and some remove their record and serve on; lost looks, or a leader too slow to hear the answers in 0.3 s, do not tell these from one that has ended. Ruled out: more looks or longer ones (a path may be lost for longer); a refused connection (a worker may stop accepting before it ends, and cuts refuse); the record's age by the worker's clock (it tells who removed it, not when its runs end). Change: has_left, the looks that confirm it, the record's age and the setting worker_heartbeat_ms are gone; so is the health's steady_s that only it used, with its test. The look that waits no longer comes back early on such workers. Those of has_left held the wrong belief: in their place, work of a worker that left begins again when its lease has lapsed and not before, and one that serves on keeps its work.

--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -93,11 +93,6 @@
         """Whether the worker's clock was heard so long ago that leases by it are short."""
         return self._clock.now() - self._times.heard_s > CLOCK_FRESH_S
 
-    @property
-    def record_age_s(self) -> float:
-        """How long ago the worker wrote its record, by its own clock; infinite before it told."""
-        return (self._times.latest(self._clock.now()) - self._worker.record.clock_ms) / 1000
-
     @property
     def lapsed(self) -> bool:
         """Whether every lease that was ever granted there is over."""
--- a/src/saddlestack/control/endings.py
+++ b/src/saddlestack/control/endings.py
@@ -19,8 +19,6 @@
     """Another life answers at the worker's address."""
     ABSENT = "absent"
     """The worker's report does not list the run."""
-    LEFT = "left"
-    """The worker left as it had announced."""
     LAPSED = "lapsed"
     """Every lease that may have been granted there is over."""
 
--- a/src/saddlestack/control/health.py
+++ b/src/saddlestack/control/health.py
@@ -45,7 +45,6 @@
 
     :ivar patience_s: how long an answer may take before it counts as overdue; follows how long
         the latest one took.
-    :ivar steady_s: when the store last came back, or this VM began to ask it.
     """
 
     def __init__(self, store: MetadataStore, clock: Clock) -> None:
@@ -58,7 +57,6 @@
         self._latest_s = -math.inf
         self._recovered_s = -math.inf
         self._lost_s: float | None = None
-        self.steady_s = clock.now()
         self._interval_s = HEARTBEAT_S
 
     def share_among(self, vms: int) -> None:
@@ -147,7 +145,6 @@
         self.patience_s = min(LONGEST_PATIENCE_S, wanted)
         if not self.answers:
             self._lost_s = None
-            self.steady_s = self.clock.now()
             log.info("store answers again", extra={"event": "store_back"})
             self._wake_all()
 
--- a/src/saddlestack/control/owner.py
+++ b/src/saddlestack/control/owner.py
@@ -31,16 +31,6 @@
         """Whether the term may still grant leases: a successor counts those that it granted."""
         ...
 
-    @property
-    def heartbeat_s(self) -> float:
-        """Between workers' heartbeats to the store; 0 where that is not known."""
-        ...
-
-    @property
-    def steady_s(self) -> float:
-        """Since when the store has answered without a break."""
-        ...
-
     def changed(self) -> None:
         """Decide anew."""
         ...
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -148,16 +148,6 @@
         """Whether this term may still grant leases."""
         return self._clock.now() <= self._grants_until()
 
-    @property
-    def heartbeat_s(self) -> float:
-        """Between workers' heartbeats to the store; 0 where that is not known."""
-        return self._context.settings.timings.worker_heartbeat_ms / 1000
-
-    @property
-    def steady_s(self) -> float:
-        """Since when the store has answered without a break."""
-        return self._context.health.steady_s
-
     async def written(self) -> None:
         """Wait until the store has all that is known by now."""
         await self._commits.written(self._known)
@@ -293,12 +283,10 @@
         self.changed()
 
     def _unlist(self, worker_id: str) -> None:
-        """A record is gone; should it come back, the worker gets a session of its own."""
+        """A record is gone; what runs there may go on, whatever its worker had announced."""
         self.board.unlist_worker(worker_id)
         if worker_id not in self.board.workers:
             self._sessions.close(worker_id)
-        else:
-            self._sessions.unlisted(worker_id)
 
     def _worker_id(self, item: Item) -> str:
         return item.key.removeprefix(self._context.documents.places.workers_prefix)
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -25,7 +25,6 @@
 from saddlestack.kernel.clock import Clock
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.policy.board.changes import Start
-from saddlestack.policy.board.departure import has_left
 from saddlestack.policy.board.jobs import Run
 from saddlestack.policy.board.pacing import needs_watching
 from saddlestack.policy.board.progress import LOOK_S, needs_looks
@@ -45,11 +44,7 @@
 WATCHED_WAIT_S = 0.5
 """How often a worker is looked at on which serving and filling work meet."""
 STOPPING_WAIT_S = 0.4
-"""How often one is looked at on which runs are to stop, since room is waited for there, or that is
-about to leave, since its latest answer tells whether it has."""
-LEFT_LOOKS = 3
-"""So many looks in a row, of up to 0.3 s, are to be without answer before a worker that has removed
-its record counts as gone. The record is the proof; the looks spare one that still answers."""
+"""How often one is looked at on which runs are to stop, since room is waited for there."""
 HOLD_SLACK_S = 0.4
 
 
@@ -133,18 +128,6 @@
             self._tasks.spawn(self._look_now())
             self._wake.set()
 
-    def unlisted(self) -> None:
-        """The worker's record has gone: see whether it has left, as it had announced."""
-        left = has_left(
-            self.worker,
-            self._clock.now(),
-            record_age_s=self._contact.record_age_s,
-            heartbeat_s=self._owner.heartbeat_s,
-            steady_s=self._owner.steady_s,
-        )
-        if left and not self.over:
-            self._tasks.spawn(self._confirm_left())
-
     # Orders
 
     async def _pace(self, run: Run, percent: int) -> None:
@@ -377,20 +360,10 @@
         else:
             await self._take(report, asked)
 
-    async def _confirm_left(self) -> None:
-        """Take the worker's runs for over, unless it answers after all."""
-        since = self._clock.now()
-        for _ in range(LEFT_LOOKS):
-            await self._look_now()
-            if self._contact.heard_s >= since or self.over:
-                return
-        log.info("worker has left", extra={"event": "worker_left", "worker": self.worker.worker_id})
-        self._over()
-
-    def _over(self, proof: Proof = Proof.LEFT) -> None:
-        """Nothing runs there any more."""
+    def _over(self) -> None:
+        """Nothing runs there any more: every lease has lapsed."""
         heard_s = max(self._contact.heard_s, self._began_s)
-        log_over(self.worker.runs.values(), proof, self._clock.now() - heard_s)
+        log_over(self.worker.runs.values(), Proof.LAPSED, self._clock.now() - heard_s)
         self._owner.board.worker_over(self.worker.worker_id)
         self._reports.clear()
         self._owner.changed()
@@ -435,8 +408,6 @@
             return 0.0
         if self._contact.clock_is_old:
             return 0.0
-        if self.worker.leaves_s is not None:
-            return STOPPING_WAIT_S
         if any(run.stopping for run in self.worker.runs.values()):
             return STOPPING_WAIT_S
         return WATCHED_WAIT_S if needs_watching(self.worker) else WAIT_S
@@ -474,7 +445,7 @@
         if not self._contact.lapsed:
             return False
         if self.worker.runs:
-            self._over(Proof.LAPSED)
+            self._over()
         return not self.worker.listed
 
     def _replaced(self) -> None:
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -61,12 +61,6 @@
         for worker_id in [each for each in self._sessions if each not in self._owner.board.workers]:
             self.close(worker_id)
 
-    def unlisted(self, worker_id: str) -> None:
-        """The record of a worker that still runs something has gone."""
-        session = self._session(worker_id)
-        if session is not None:
-            session.unlisted()
-
     def suspect(self, hall: str) -> None:
         """Give nothing new to the workers of a hall until each has been heard again."""
         for worker in list(self._owner.board.workers.values()):
--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -26,7 +26,6 @@
     :param machine_lease_ms: orders about a machine by two holders lie further apart than this.
     :param upkeep_s: how long a machine is down for its upkeep.
     :param grace_s: from SIGTERM to SIGKILL.
-    :param worker_heartbeat_ms: between workers' heartbeats to the store; 0 where it is not known.
     :param status_s: for how long a job's state is kept at least.
     """
 
@@ -36,7 +35,6 @@
     retention_s: float = 3600.0
     machine_lease_ms: float = 3000
     upkeep_s: float = 2.0
-    worker_heartbeat_ms: float = 0.0
 
 
 class EntrySettings(Model, frozen=True):
@@ -132,9 +130,6 @@
         value = getattr(settings.timings, key)
         if value <= 0:
             faults.append(f"timings.{key}: expected a number above 0, got {value}")
-    heartbeat_ms = settings.timings.worker_heartbeat_ms
-    if heartbeat_ms < 0:
-        faults.append(f"timings.worker_heartbeat_ms: expected 0 or more, got {heartbeat_ms}")
     if settings.timings.retention_s < settings.timings.status_s:
         faults.append("timings.retention_s: expected status_s or more")
     return faults
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -23,7 +23,6 @@
 ATTEMPTS = 3
 GUARANTEED = 16
 RETENTION_S = 150.0
-WORKER_HEARTBEAT_MS = 1500.0
 STARTED_S = 30.0
 STEP_S = 0.05
 
@@ -256,6 +255,5 @@
             grace_s=6.0,
             status_s=120.0,
             retention_s=RETENTION_S,
-            worker_heartbeat_ms=WORKER_HEARTBEAT_MS,
         ),
     )
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -47,17 +47,6 @@
 
         self.play(body)
 
-    def test_an_outage_is_the_end_of_steady_answers(self) -> None:
-        async def body(view: StoreView, health: StoreHealth) -> None:
-            before = health.steady_s
-            view.faults.silent = True
-            await asyncio.sleep(2.0)
-            view.faults.silent = False
-            await asyncio.sleep(ANSWERED_S)
-            self.assertGreater(health.steady_s, before + 2.0)
-
-        self.play(body)
-
     def test_a_refusing_store_is_lost_at_the_next_heartbeat(self) -> None:
         async def body(view: StoreView, health: StoreHealth) -> None:
             view.faults.refusing = True
--- a/tests/test_second_run.py
+++ b/tests/test_second_run.py
@@ -31,7 +31,6 @@
     WorkerUnreachable,
 )
 from saddlestack.platform.orders import ENDS_AT_ONCE
-from saddlestack.policy.board.departure import LAPSE_HEARTBEATS
 from saddlestack.policy.board.records import TaskStatus
 from saddlestack.standins.loop import WALL_EPOCH_S, run
 from saddlestack.standins.pool import cluster as cluster_module
@@ -46,6 +45,8 @@
 A = "00000000000000aa"
 B = "00000000000000bb"
 NOTICE_S = 2.0
+LAPSE_HEARTBEATS = 3.0
+"""A worker's record lapses so many of its heartbeats after it was last written."""
 SLOW = 0.98
 """Workers' clocks may run 2 % slow."""
 
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -32,7 +32,6 @@
 from saddlestack.platform.orders import ENDS_AT_ONCE
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import Changes, StopReason
-from saddlestack.policy.board.departure import LAPSE_HEARTBEATS
 from saddlestack.policy.board.progress import LEAST_STILL_S, LOOK_S
 from saddlestack.policy.board.records import TaskStatus
 from saddlestack.policy.board.workers import Worker
@@ -130,9 +129,7 @@
     rounds: int = 0
     displaced: bool = False
     on_missed: Callable[[], None] | None = None
-    heartbeat_s: float = HEARTBEAT_S
     may_grant: bool = True
-    steady_s: float = -HEARTBEAT_S * LAPSE_HEARTBEATS
     stored: asyncio.Event = field(default_factory=asyncio.Event)
 
     def changed(self) -> None:
