Test: a worker whose record loses its address runs on, and its task starts twice

Fails on the code as it is: 'runs twice at once'. A leader older than all inherited leases takes a worker with runs but without address for one whose leases have all lapsed. The stand-in's lives now answer at their own address alone, so that records with another one can be played.

--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -211,7 +211,7 @@
 
     def _orders(self, name: str, record: WorkerRecord) -> WorkerOrders:
         worker = self.floor.workers[record.worker_id]
-        return FloorOrders(self.floor, worker, lambda: self._passes(name))
+        return FloorOrders(self.floor, worker, lambda: self._passes(name), record.address)
 
     def _passes(self, name: str) -> bool:
         member = self.members.get(name)
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -372,11 +372,13 @@
     """One VM's way to one life of a worker.
 
     :param passes: whether anything passes between the VM and the worker.
+    :param address: where the VM calls it; a life answers at its own address alone.
     """
 
     floor: Floor
     worker: FloorWorker
     passes: Callable[[], bool]
+    address: str
     late: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
@@ -419,9 +421,9 @@
         await asyncio.sleep(TRIP_S)
         if self.worker.unreachable or not self.passes():
             await self._silence(timeout_s)
-        if not self.worker.up:
+        if not self.worker.up or self.worker.address != self.address:
             others = self.floor.workers.values()
-            if any(other.up and other.address == self.worker.address for other in others):
+            if any(other.up and other.address == self.address for other in others):
                 raise WorkerReplaced
             raise WorkerUnreachable("refused")
         if self.worker.busy:
