--- a/benchmarks/days/generate.py
+++ b/benchmarks/days/generate.py
@@ -1,4 +1,7 @@
-"""Writes days that combine troubles, each twice over, for the users' bench.
+"""Writes the days of `deploy/days` that combine troubles, each twice over, for the users' bench.
+
+They fit any deployment: shares rather than counts, and no names but the ones that stand for a
+deployment's first service and data hall.
 
 Usage: python benchmarks/days/generate.py; then run each day by its path.
 """
@@ -7,7 +10,7 @@
 
 from pathlib import Path
 
-HERE = Path(__file__).resolve().parent
+DAYS_FOLDER = Path(__file__).resolve().parents[2] / "deploy" / "days"
 HEAD = """\
 name = "{name}"
 slot = "trouble"
@@ -66,8 +69,67 @@
         'kind = "scale_in", share = 0.15, how = "spot", x = 2.0, for_s = 5.0',
         'kind = "release", share = 0.5, x = 2.0, gap_s = 1.0',
     ),
+    "evacuation": (
+        'kind = "evacuate", for_s = 6.0, zone = "@z0", how = ""',
+        'kind = "core_cut", count = 1, for_s = 4.0, how = "leader"',
+        'kind = "evacuate", for_s = 5.0, zone = "@z0", how = "warm"',
+    ),
+    "leaving-workers": (
+        'kind = "scale_in", share = 0.1, service = "@s0"',
+        'kind = "node_cut", share = 0.2, for_s = 5.0, how = "servers", service = "@s0"',
+        'kind = "scale_in", share = 0.15, how = "spot", service = "@s0", x = 2.0, for_s = 4.0',
+        'kind = "srv_cut", share = 0.3, for_s = 5.0, x = 0.4, how = "some lossy"',
+        'kind = "platform_compact", x = 5.0, for_s = 4.0, how = "drain"',
+    ),
+    "late-store": (
+        'kind = "platform_slow", x = 60.0, for_s = 4.0',
+        'kind = "platform_lost", x = 0.5, for_s = 5.0, how = "late"',
+        'kind = "node_kill", on = "core", count = 1, for_s = 2.0, how = "leader"',
+    ),
+    "late-orders": (
+        'kind = "applied_late", x = 0.3, for_s = 5.0, how = "orders"',
+        'kind = "applied_late", x = 0.3, for_s = 5.0, how = "grants"',
+        'kind = "node_freeze", share = 0.2, for_s = 4.0, how = "renewed"',
+        'kind = "applied_late", x = 0.3, for_s = 5.0, how = "all"',
+    ),
+    "last-kill": (
+        'kind = "scale_in", share = 0.15, how = "spot", x = 2.0, for_s = 5.0',
+        'kind = "platform_lost", x = 0.4, for_s = 4.0, how = "late"',
+        'kind = "herd_kill", on = "core", share = 1.0, how = "taken"',
+    ),
+    "silent-connections": (
+        'kind = "reset_conns", share = 1.0, x = 0.6',
+        'kind = "platform_down", share = 0.35, for_s = 5.0, how = "nodes leader"',
+        'kind = "node_cut", share = 0.3, for_s = 4.0',
+        'kind = "srv_grey", share = 0.15, x = 1.0, for_s = 5.0, how = "mute"',
+    ),
+    "frozen-leader": (
+        'kind = "node_freeze", count = 1, for_s = 7.0, how = "renewed"',
+        'kind = "node_freeze", share = 0.2, for_s = 3.0, how = "renewed"',
+        'kind = "applied_late", x = 0.2, for_s = 5.0, how = "grants"',
+        'kind = "node_freeze", count = 1, for_s = 2.0, how = "leader hard"',
+    ),
+    "reborn-workers": (
+        'kind = "node_cut", share = 0.3, for_s = 6.0, how = "servers reborn"',
+        'kind = "core_cut", count = 1, for_s = 5.0, how = "leader"',
+        'kind = "srv_cut", share = 0.3, for_s = 5.0, how = "reborn"',
+        'kind = "platform_down", for_s = 4.0, how = "silent lapse"',
+    ),
+    "turned-away": (
+        'kind = "platform_down", share = 0.35, for_s = 6.0, how = "nodes leader busy"',
+        'kind = "platform_down", share = 0.35, for_s = 6.0, how = "nodes many meet"',
+        'kind = "platform_down", share = 0.35, for_s = 6.0, how = "nodes leader reset"',
+        'kind = "platform_down", share = 0.35, for_s = 6.0, how = "nodes leader silent"',
+    ),
+    "configuration-storm": (
+        'kind = "config_storm", for_s = 6.0, gap_s = 0.3',
+        'kind = "platform_down", for_s = 3.0, how = "silent"',
+        'kind = "config_storm", for_s = 5.0, gap_s = 0.3',
+        'kind = "platform_down", for_s = 3.0, how = "reset lapse"',
+        'kind = "reset_conns", share = 0.6, x = 0.8',
+    ),
 }
-PLANNED = ("roll_term", "scale_in", "release")
+PLANNED = ("roll_term", "scale_in", "release", "evacuate", "config_storm")
 
 
 def main() -> None:
@@ -86,7 +148,7 @@
         text += f"closing = {CLOSINGS[number % len(CLOSINGS)]}\n"
         for key, entries in lines.items():
             text += f"{key} = [\n" + "\n".join(entries) + "\n]\n"
-        (HERE / f"{name}.toml").write_text(text)
+        (DAYS_FOLDER / f"{name}.toml").write_text(text)
 
 
 if __name__ == "__main__":
