--- /dev/null
+++ b/tests/malformed.py
@@ -0,0 +1,163 @@
+"""Records as another writer may leave them: of workers, waves and configurations."""
+
+from __future__ import annotations
+
+import msgspec
+
+RECORD: dict[str, object] = {
+    "service": "pool",
+    "address": "127.0.0.1:9999",
+    "zone": "hall-1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-left-ms": 0,
+    "capacity": {"cpu": 32_000, "mem-mb": 65_536, "gpu": 8},
+    "labels": ["a", "r1-1"],
+    "clock-ms": 482_113,
+    "machine": "m-1",
+    "seq": 4,
+}
+"""A sound record of a worker."""
+
+NOT_TEXT: dict[str, object] = {"null": None, "number": 7, "list": [], "object": {}, "flag": True}
+NOT_A_NUMBER: dict[str, object] = {
+    "null": None,
+    "text": "7",
+    "list": [],
+    "object": {},
+    "flag": True,
+    "negative": -1,
+    "huge": 10**30,
+}
+ADDRESSES = {
+    "empty": "",
+    "blank": " ",
+    "no port": "127.0.0.1",
+    "empty port": "127.0.0.1:",
+    "port 0": "127.0.0.1:0",
+    "port above all": "127.0.0.1:99999",
+    "negative port": "127.0.0.1:-80",
+    "port that is no number": "127.0.0.1:http",
+    "port with blanks": "127.0.0.1: 80",
+    "port with underscores": "127.0.0.1:8_0",
+    "port of other digits": "127.0.0.1:\u0668\u0660",
+    "no host": ":80",
+    "host with blanks": "10.0. 0.1:80",
+    "line break": "127.0.0.1:80\r\n",
+    "host name": "worker.example:80",
+    "too many parts": "10.0.0.1.2:80",
+    "IPv6 junk": "[::zz]:80",
+    "IPv6 without brackets": "::1:80",
+    "IPv6 with a scope": "[fe80::1%eth0]:80",
+    "any address": "0.0.0.0:80",
+    "group": "224.0.0.1:80",
+    "very long": "1" * 5000 + ":80",
+}
+
+
+def encoded(**changes: object) -> bytes:
+    """A sound record with some fields changed; underscores stand for hyphens."""
+    fields = {name.replace("_", "-"): value for name, value in changes.items()}
+    return msgspec.json.encode({**RECORD, **fields})
+
+
+def without(field: str) -> bytes:
+    """A sound record without a field."""
+    return msgspec.json.encode({name: value for name, value in RECORD.items() if name != field})
+
+
+def unreadable() -> dict[str, bytes]:
+    """Values that hold no JSON object at all."""
+    deep = 100_000
+    return {
+        "empty": b"",
+        "not JSON": b"ready",
+        "cut short": encoded()[:-9],
+        "more after the end": encoded() + b"{}",
+        "not UTF-8": encoded().replace(b'"v1"', b'"\xff\xfe"'),
+        "null bytes": b"\x00" * 40,
+        "another code": encoded().decode().encode("utf-16"),
+        "list": b"[]",
+        "list of a record": b"[" + encoded() + b"]",
+        "string": b'"ready"',
+        "number": b"7",
+        "null": b"null",
+        "true": b"true",
+        "nested too deeply": b"[" * deep + b"]" * deep,
+        "a field nested too deeply": encoded()[:-1] + b',"x":' + b"[" * deep + b"]" * deep + b"}",
+    }
+
+
+def worker_records() -> dict[str, bytes]:
+    """Every malformed record of a worker, by what is wrong with it."""
+    rows = unreadable()
+    for field in ("service", "address", "zone", "state", "capacity"):
+        rows[f"no {field}"] = without(field)
+    for field in ("service", "address", "zone", "state", "version", "machine"):
+        for name, value in NOT_TEXT.items():
+            rows[f"{field}: {name}"] = encoded(**{field: value})
+    for field in ("clock_ms", "cold_left_ms", "remaining_ms", "slots"):
+        for name, value in NOT_A_NUMBER.items():
+            if not (field == "remaining_ms" and value is None):
+                rows[f"{field}: {name}"] = encoded(**{field: value})
+    for field in ("clock-ms", "cold-left-ms", "remaining-ms"):
+        for value in (b"NaN", b"Infinity", b"-Infinity", b"1e999", b"1e300"):
+            rows[f"{field}: {value.decode()}"] = encoded()[:-1].replace(
+                b'"' + field.encode() + b'":', b'"x":'
+            ) + (b',"' + field.encode() + b'":' + value + b"}")
+    for field in ("clock_ms", "slots"):
+        rows[f"{field}: fractional"] = encoded(**{field: 7.5})
+    rows |= _capacities() | _labels()
+    for name, address in ADDRESSES.items():
+        rows[f"address: {name}"] = encoded(address=address)
+    for field in ("service", "zone"):
+        rows[f"{field}: empty"] = encoded(**{field: ""})
+        rows[f"{field}: very long"] = encoded(**{field: "x" * 5000})
+    for state in ("", "Ready", "READY", "ready ", "starting", "dead", "drained"):
+        rows[f"state: {state!r}"] = encoded(state=state, remaining_ms=10)
+    rows["a field twice"] = encoded()[:-1] + b',"address":"127.0.0.1:80"}'
+    rows["a field twice, spelled in another way"] = encoded()[:-1] + b',"\\u0073tate":"ready"}'
+    rows["a field of the capacity twice"] = encoded().replace(b'"cpu":32000', b'"cpu":1,"cpu":2')
+    rows["very long"] = encoded(note="x" * 100_000)
+    return rows
+
+
+def _capacities() -> dict[str, bytes]:
+    rows = {f"capacity: {name}": encoded(capacity=value) for name, value in NOT_TEXT.items()}
+    rows["capacity: text"] = encoded(capacity="32000")
+    whole = {"cpu": 32_000, "mem-mb": 65_536, "gpu": 8}
+    for field in whole:
+        for name, value in {**NOT_A_NUMBER, "fractional": 1.5}.items():
+            rows[f"{field}: {name}"] = encoded(capacity={**whole, field: value})
+    for field in ("cpu", "mem-mb"):
+        rows[f"{field}: zero"] = encoded(capacity={**whole, field: 0})
+        left = {name: value for name, value in whole.items() if name != field}
+        rows[f"{field}: missing"] = encoded(capacity=left)
+    return rows
+
+
+def _labels() -> dict[str, bytes]:
+    values: dict[str, object] = {
+        "null": None,
+        "text": "r1-1",
+        "number": 7,
+        "object": {"rack": "r1-1"},
+        "of numbers": [1, 2],
+        "of lists": [["a"], ["r1-1"]],
+        "of null": ["a", None],
+        "very long": ["a", "r" * 5000],
+        "too many": ["a"] * 1000,
+    }
+    return {f"labels: {name}": encoded(labels=value) for name, value in values.items()}
+
+
+WORKER_IDS = {
+    "empty": "",
+    "blank": "i 1",
+    "line break": "i-1\r\nX: y",
+    "slash": "i-1/state",
+    "not ASCII": "i-\u00e9",
+    "very long": "i" * 300,
+}
+"""Keys under the workers' prefix that name no worker."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -45,6 +45,7 @@
 from saddlestack.standins.loop import run
 from saddlestack.wire.http import HttpServer, Request, Response
 from saddlestack.work import AcceptedJob, JobRequest, JobState, Resources
+from tests.malformed import WORKER_IDS, encoded, unreadable, without, worker_records
 
 ROOT = Path(__file__).resolve().parent.parent
 CONFIGURATION = {
@@ -135,6 +136,41 @@
 
         with_server(body)
 
+    def test_a_value_that_is_no_base64_reads_as_empty_and_spoils_no_page(self) -> None:
+        async def body(served: Served) -> None:
+            store = KvStore("127.0.0.1", served.server.port)
+            values = ("=", "a", "%%%%", "eA", "eA==x", "\u00e9\u00e9==", "e A=")
+            bad = [
+                {"key": f"a/{number}", "value": value, "rev": 4}
+                for number, value in enumerate(values)
+            ]
+            good = {"key": "a/x", "value": text(b"x"), "rev": 5}
+            served.answer(200, {"items": [*bad, good], "at": 9})
+            listing = await store.list("a/")
+            self.assertEqual({each.value for each in listing.items[:-1]}, {b""})
+            self.assertTrue(all(each.revision == 4 for each in listing.items[:-1]))
+            self.assertEqual(listing.items[-1], Item("a/x", b"x", 5))
+
+        with_server(body)
+
+    def test_an_answer_that_cannot_be_read_is_none(self) -> None:
+        async def body(served: Served) -> None:
+            store = KvStore("127.0.0.1", served.server.port)
+            put = Transaction(puts=(Put("a", b"x"),))
+            for answer in (b"", b"[]", b"{", b'{"items":[{"key":7}]}', b"\xff", b"[" * 100_000):
+                served.answers.append(Response(200, answer))
+                with self.subTest(answer[:20]), self.assertRaises(StoreUnavailable):
+                    await store.list("a/")
+                served.answers.append(Response(200, answer))
+                with self.subTest(answer[:20]), self.assertRaises(StoreUnavailable):
+                    await store.watch("a/", 3, 0.1)
+                for status in (200, 412):
+                    served.answers.append(Response(status, answer))
+                    with self.subTest(answer[:20], status=status), self.assertRaises(WriteInDoubt):
+                        await store.transact(put)
+
+        with_server(body)
+
     def test_watches(self) -> None:
         async def body(served: Served) -> None:
             store = KvStore("127.0.0.1", served.server.port)
@@ -357,6 +393,52 @@
         self.assertTrue(worker.draining)
         self.assertEqual(worker.remaining_ms, 1500)
 
+    def test_a_malformed_record_of_a_worker_is_refused(self) -> None:
+        documents = PlatformDocuments()
+        self.assertEqual(documents.worker(Item("servers/i-1", encoded(), 3)).worker_id, "i-1")
+        for name, value in worker_records().items():
+            with self.subTest(name):
+                with self.assertRaises(SaddlestackError) as caught:
+                    documents.worker(Item("servers/i-1", value, 3))
+                self.assertIn("servers/i-1", str(caught.exception))
+        for name, worker_id in WORKER_IDS.items():
+            with self.subTest(f"id: {name}"), self.assertRaises(SaddlestackError):
+                documents.worker(Item(f"servers/{worker_id}", encoded(), 3))
+
+    def test_records_that_leave_out_what_may_be_left_out_are_read(self) -> None:
+        for field in ("version", "slots", "cold-left-ms", "labels", "clock-ms", "machine", "seq"):
+            with self.subTest(field):
+                PlatformDocuments().worker(Item("servers/i-1", without(field), 3))
+        plain = encoded(capacity={"cpu": 16_000, "mem-mb": 1}, remaining_ms=7.5, cold_left_ms=0.5)
+        worker = PlatformDocuments().worker(Item("servers/i-1", plain, 3))
+        self.assertEqual((worker.capacity, worker.remaining_ms), (Resources(16_000, 1, 0), 7))
+        PlatformDocuments().worker(Item("servers/i-1", encoded(address="[fd00::1]:80"), 3))
+
+    def test_a_malformed_wave_or_configuration_is_refused(self) -> None:
+        documents = PlatformDocuments()
+        wave = {"wave": 3, "machines": ["m-1"], "deadline-s": 20, "max-tasks": 2}
+        self.assertEqual(documents.wave(Item("op/wave/3", msgspec.json.encode(wave), 3)).wave, 3)
+        changes: list[dict[str, object]] = [
+            {"wave": "3"},
+            {"wave": -3},
+            {"wave": 4},
+            {"machines": "m-1"},
+            {"machines": [1]},
+            {"deadline-s": -1},
+            {"deadline-s": "20"},
+            {"max-tasks": 0},
+            {"max-tasks": -1},
+        ]
+        for change in changes:
+            value = msgspec.json.encode({**wave, **change})
+            with self.subTest(change), self.assertRaises(SaddlestackError):
+                documents.wave(Item("op/wave/3", value, 3))
+        for name, value in unreadable().items():
+            with self.subTest(name), self.assertRaises(SaddlestackError):
+                documents.wave(Item("op/wave/3", value, 3))
+            with self.subTest(name), self.assertRaises(SaddlestackError):
+                documents.configuration(value)
+
     def test_bad_documents_are_named(self) -> None:
         with self.assertRaises(SaddlestackError) as caught:
             PlatformDocuments().configuration(b'{"version": "x"}')
