Malformed records of workers are refused where they are read

What is nested too deeply, no base64, or an answer of the store that cannot be read raises nothing else than the typed errors that callers handle.

--- a/src/saddlestack/codec.py
+++ b/src/saddlestack/codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 from pathlib import Path
 from typing import Any, TypeVar
@@ -44,10 +45,22 @@
         return msgspec.json.decode(data, type=kind)
     except msgspec.ValidationError as error:
         raise invalid(_reason(error), _place(error, where)) from None
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SaddlestackError(ErrorKind.MALFORMED, str(error), where=where) from None
 
 
+def has_repeated_keys(data: bytes) -> bool:
+    """Whether an object of a JSON document names a key twice: readers differ on which counts."""
+    repeated = False
+
+    def note(pairs: list[tuple[str, object]]) -> None:
+        nonlocal repeated
+        repeated = repeated or len({key for key, _ in pairs}) < len(pairs)
+
+    json.loads(data, object_pairs_hook=note)
+    return repeated
+
+
 def from_msgpack(data: bytes, kind: type[T]) -> T:
     """Decode msgpack into a model.
 
@@ -55,7 +68,7 @@
     """
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise SaddlestackError(ErrorKind.MALFORMED, str(error), where="frame") from None
 
 
--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -141,11 +141,13 @@
 
 
 def parse_address(text: str) -> Address:
-    """The address that ``IP:PORT`` spells.
+    """The address that ``IP:PORT`` spells; one of IPv6 stands in brackets.
 
     :raises ValueError: it spells none.
     """
     address, _, port = text.rpartition(":")
+    if address.startswith("["):
+        address = address.removeprefix("[").removesuffix("]")
     return Address(address=str(ipaddress.ip_address(address)), port=int(port))
 
 
--- a/src/saddlestack/platform/kv.py
+++ b/src/saddlestack/platform/kv.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import base64
+import binascii
 from typing import TypeVar
 from urllib.parse import urlencode
 
 from saddlestack.codec import from_json
+from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.store import (
     Committed,
     Conflict,
@@ -43,6 +45,7 @@
 LIST_TIMEOUT_S = 3.0
 WATCH_SLACK_S = 1.0
 MAX_WAIT_MS = 30_000
+ANSWER = "answer of the store"
 
 
 class KvStore:
@@ -103,11 +106,12 @@
         )
         response = await self._write("POST", "/api/kv-txn", body)
         if response.status == 412:
-            conflict = from_json(response.body, ConflictBody, "answer of the store")
+            conflict = _written(response, ConflictBody)
             return Conflict(tuple(_item(item) for item in conflict.items))
         if response.status == 404:
             raise LeaseOver
-        return Committed(_expect(response, CommittedBody).rev)
+        _check(response)
+        return Committed(_written(response, CommittedBody).rev)
 
     async def grant_lease(self, ttl_s: float) -> tuple[int, float]:
         """A new lease and the seconds it lasts."""
@@ -160,7 +164,15 @@
 def _item(item: KeyRow) -> Item:
     if item.gone or item.rev == 0:
         return Item(item.key, b"", 0)
-    return Item(item.key, base64.b64decode(item.value), item.rev)
+    return Item(item.key, _bytes(item.value), item.rev)
+
+
+def _bytes(text: str) -> bytes:
+    """What a value in base64 holds; nothing where it is none, so that one key spoils no page."""
+    try:
+        return base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError):
+        return b""
 
 
 def _check(response: Response) -> None:
@@ -170,4 +182,15 @@
 
 def _expect(response: Response, kind: type[T]) -> T:
     _check(response)
-    return from_json(response.body, kind, "answer of the store")
+    try:
+        return from_json(response.body, kind, ANSWER)
+    except SaddlestackError as error:
+        raise StoreUnavailable(str(error)) from error
+
+
+def _written(response: Response, kind: type[T]) -> T:
+    """What a write was answered; an answer that cannot be read does not tell whether it is done."""
+    try:
+        return from_json(response.body, kind, ANSWER)
+    except SaddlestackError as error:
+        raise WriteInDoubt(str(error)) from error
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -42,6 +42,7 @@
     :param entries: entry VMs.
     :param racks: racks, one a data hall.
     :param workers: workers a rack.
+    :ivar opened: workers that some VM has opened a way to.
     """
 
     entries: int = 3
@@ -56,6 +57,7 @@
     advised: frozenset[str] = frozenset()
     members: dict[str, _Member] = field(default_factory=dict)
     version: int = 0
+    opened: set[str] = field(default_factory=set)
     _lives: int = 0
     _floor_task: asyncio.Task[None] | None = None
 
@@ -210,6 +212,7 @@
                 await asyncio.sleep(STEP_S)
 
     def _orders(self, name: str, record: WorkerRecord) -> WorkerOrders:
+        self.opened.add(record.worker_id)
         worker = self.floor.workers[record.worker_id]
         return FloorOrders(self.floor, worker, lambda: self._passes(name), record.address)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -654,6 +654,8 @@
             self.assertIn(place, faults)
         with self.assertRaises(ValueError):
             parse_address("10.0.0.1")
+        address = parse_address("[fd00::1]:80")
+        self.assertEqual((address.address, address.port), ("fd00::1", 80))
 
 
 if __name__ == "__main__":
