--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -1,12 +1,14 @@
 """Records of workers that come from another writer: what runs there meanwhile, and what may follow.
 
 A record may lose its address, turn into bytes that nobody can read, or name another address, while
-the life that it is of works on. None of these tells that the life has ended.
+the life that it is of works on. None of these tells that the life has ended, and none names a
+worker to use.
 """
 
 from __future__ import annotations
 
 import asyncio
+import logging
 import unittest
 from collections.abc import Callable
 
@@ -14,9 +16,15 @@
 
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.standins.pool.documents import pool_document
 from saddlestack.standins.pool.workers import FloorWorker
 from saddlestack.work import JobState
-from tests.test_inherited import A, B, HOLD_S, INHERITED_S, InheritedCase
+from tests.malformed import encoded, worker_records
+from tests.test_inherited import A, B, HOLD_S, INHERITED_S, SOON_S, InheritedCase
+
+HEARD_S = 1.0
+"""Within this a leader has heard of a change of a record."""
+LONGEST_LINE = 400
 
 
 class EntryCase(InheritedCase):
@@ -32,22 +40,175 @@
         kept = {name: value for name, value in record.items() if value is not None}
         self.write(cluster, worker, msgspec.json.encode(kept))
 
+    def counted(self, cluster: PoolCluster, name: str) -> int:
+        """A counter of the present leader."""
+        leader = cluster.leader
+        assert leader is not None
+        return leader.metrics.view().counters.get(name, 0)
+
+    def known(self, cluster: PoolCluster) -> set[str]:
+        """Workers that the leader may give work to, by id."""
+        leader = cluster.leader
+        assert leader is not None and leader.scheduler is not None
+        board = leader.scheduler.board
+        return {worker.worker_id for worker in board.workers.values() if worker.stays}
+
+
+class MalformedTest(EntryCase):
+    """Records under ids that no worker has."""
+
+    def test_malformed_records_name_no_worker(self) -> None:
+        rows = worker_records()
+
+        async def body(cluster: PoolCluster) -> None:
+            for number, value in enumerate(rows.values()):
+                cluster.store.put(f"servers/bad-{number}", value)
+            await asyncio.sleep(HEARD_S)
+            self.assertEqual(self.known(cluster), set(cluster.floor.workers))
+            self.assertEqual(self.counted(cluster, "worker_records_refused"), len(rows))
+            # More than the sound workers hold at once: the others would be used if they were taken.
+            await cluster.submit(A, job(64))
+            await cluster.until_state(A, JobState.COMPLETED)
+            self.assertLessEqual(cluster.opened, set(cluster.floor.workers))
+            # The feed goes on.
+            late = cluster.floor.add("r1-1", "hall-1")
+            await asyncio.sleep(HEARD_S)
+            self.assertIn(late.worker_id, self.known(cluster))
+
+        self.play(body)
+
+    def test_a_leader_that_begins_with_them_is_one_like_others(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            for number, value in enumerate(worker_records().values()):
+                cluster.store.put(f"servers/bad-{number}", value)
+            await cluster.kill(cluster.leader_name)
+            await cluster.until(lambda: cluster.leader is not None, 5.0)
+            self.assertEqual(self.known(cluster), set(cluster.floor.workers))
+            await cluster.submit(A, job(4))
+            await cluster.until_state(A, JobState.COMPLETED)
+
+        self.play(body)
+
+    def test_a_hall_that_is_suspected_has_no_such_worker_asked(self) -> None:
+        """All workers of a hall are looked at where two of them do not answer."""
+
+        async def body(cluster: PoolCluster) -> None:
+            cluster.store.put("servers/bad-1", encoded(service="nobodys"))
+            cluster.store.put("servers/bad-2", encoded(capacity={"cpu": 0, "mem-mb": 1}))
+            await cluster.submit(A, job(32, work_s=5.0))
+            await cluster.until(lambda: cluster.floor.starts_of(A) == 32)
+            for worker in cluster.floor.workers.values():
+                worker.unreachable = worker.data_hall == "hall-1"
+            await asyncio.sleep(5.0)
+            self.assertLessEqual(cluster.opened, set(cluster.floor.workers))
+
+        self.play(body)
+
+    def test_each_is_logged_once_and_in_a_short_line(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            long_key = "servers/" + "x" * 190
+            with self.assertLogs("saddlestack", logging.ERROR) as caught:
+                for beat in range(20):
+                    cluster.store.put("servers/bad", encoded(state="dead", seq=beat))
+                    cluster.store.put("servers/cut", encoded(seq=10**beat)[:-1])
+                    cluster.store.put(long_key, encoded(zone="z" * 300, seq=beat))
+                    await asyncio.sleep(0.5)
+            refused = [line for line in caught.records if "worker_records" in str(vars(line))]
+            self.assertEqual(len(refused), 3)
+            for line in refused:
+                fields = vars(line)
+                self.assertEqual(fields["event"], "record_refused")
+                self.assertLess(len(fields["key"] + fields["reason"]), LONGEST_LINE)
+            self.assertGreaterEqual(self.counted(cluster, "worker_records_refused"), 30)
+
+        self.play(body, entries=1)
+
+    def test_a_service_counts_once_a_configuration_names_it(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = cluster.floor.add("r1-1", "hall-1")
+            self.rewrite(cluster, worker, service="nobodys")
+            await asyncio.sleep(HEARD_S)
+            self.assertNotIn(worker.worker_id, self.known(cluster))
+            cluster.version += 1
+            document = msgspec.json.decode(
+                pool_document(cluster.version, attempts=3, guaranteed=0)
+            )
+            document["services"].append({"name": "nobodys"})
+            cluster.store.put("op/config", msgspec.json.encode(document))
+            await asyncio.sleep(2 * HEARD_S)
+            self.assertIn(worker.worker_id, self.known(cluster))
+
+        self.play(body)
+
 
 Change = Callable[[EntryCase, PoolCluster, FloorWorker], None]
 """What another writer does to a worker's record."""
 
+CHANGES: dict[str, Change] = {
+    "no address": lambda case, cluster, worker: case.rewrite(cluster, worker, address=""),
+    "address missing": lambda case, cluster, worker: case.rewrite(cluster, worker, address=None),
+    "senseless address": lambda case, cluster, worker: case.rewrite(
+        cluster, worker, address="127.0.0.1:99999"
+    ),
+    "nobody's address": lambda case, cluster, worker: case.rewrite(
+        cluster, worker, address="127.0.0.1:7"
+    ),
+    "another life's address": lambda case, cluster, worker: case.rewrite(
+        cluster, worker, address=other_address(cluster, worker)
+    ),
+    "unknown state": lambda case, cluster, worker: case.rewrite(cluster, worker, state="dead"),
+    "unknown state and a time": lambda case, cluster, worker: case.rewrite(
+        cluster, worker, state="dead", remaining_ms=0
+    ),
+    "unknown service": lambda case, cluster, worker: case.rewrite(
+        cluster, worker, service="nobodys"
+    ),
+    "no capacity": lambda case, cluster, worker: case.rewrite(cluster, worker, capacity=None),
+    "negative capacity": lambda case, cluster, worker: case.rewrite(
+        cluster, worker, capacity={"cpu": -1, "mem-mb": -1, "gpu": -1}
+    ),
+    "empty": lambda case, cluster, worker: case.write(cluster, worker, b""),
+    "no JSON": lambda case, cluster, worker: case.write(cluster, worker, b"\xff\x00{"),
+    "nested": lambda case, cluster, worker: case.write(cluster, worker, b'{"x":' + b"[" * 100_000),
+}
+
+
+def other_address(cluster: PoolCluster, worker: FloorWorker) -> str:
+    """Where another life answers."""
+    others = cluster.floor.workers.values()
+    return next(other.address for other in others if other is not worker)
+
 
 class RunningTest(EntryCase):
     """A record turns bad on a life that runs something."""
 
-    def assert_runs_on(self, change: Change) -> None:
-        """What ran before a change of its worker's record ends there, once, after three leases."""
+    def assert_runs_on(
+        self,
+        change: Change,
+        *,
+        terms: int = 1,
+        accelerators: int = 8,
+        after: Callable[[PoolCluster, FloorWorker], None] | None = None,
+    ) -> None:
+        """What ran before a change of its worker's record ends there, once, after three leases.
+
+        :param terms: so many leaders deal with it.
+        :param after: what happens a second after the change.
+        """
 
         async def body(cluster: PoolCluster) -> None:
             await asyncio.sleep(INHERITED_S)
-            worker = await self.run_on(cluster, job(1, work_s=3 * HOLD_S))
+            request = job(1, work_s=3 * HOLD_S, accelerators=accelerators)
+            worker = await self.run_on(cluster, request)
             await asyncio.sleep(1.0)
             change(self, cluster, worker)
+            for _ in range(terms - 1):
+                await asyncio.sleep(HEARD_S)
+                await cluster.kill(cluster.leader_name)
+                await cluster.until(lambda: cluster.leader is not None, 5.0)
+            await asyncio.sleep(HEARD_S)
+            if after is not None:
+                after(cluster, worker)
             floor = cluster.floor
             await cluster.until(
                 lambda: floor.starts_of(A) > 1 or floor.ends_of(A, EndKind.DONE) == 1, 4 * HOLD_S
@@ -56,10 +217,135 @@
             self.assertEqual(floor.starts_of(A), 1)
             await cluster.until_state(A, JobState.COMPLETED)
 
-        self.play(body)
+        self.play(body, entries=terms + 1)
 
     def test_without_an_address_what_runs_goes_on(self) -> None:
-        self.assert_runs_on(lambda case, cluster, worker: case.rewrite(cluster, worker, address=""))
+        self.assert_runs_on(CHANGES["no address"])
+
+    def test_what_runs_goes_on_whatever_its_record_becomes(self) -> None:
+        for name, change in CHANGES.items():
+            with self.subTest(name):
+                self.assert_runs_on(change)
+
+    def test_it_goes_on_under_the_next_leader(self) -> None:
+        for name, change in CHANGES.items():
+            with self.subTest(name):
+                self.assert_runs_on(change, terms=2)
+
+    def test_it_goes_on_where_the_record_then_goes(self) -> None:
+        """That the record goes proves nothing, since its worker did not write it last."""
+
+        def remove(cluster: PoolCluster, worker: FloorWorker) -> None:
+            cluster.floor.lapse(worker)
+
+        for name, change in CHANGES.items():
+            with self.subTest(name):
+                self.assert_runs_on(change, after=remove)
+
+    def test_it_goes_on_where_it_is_cut_off_and_the_record_then_goes(self) -> None:
+        """It is out of reach for some seconds, and comes back before its lease has lapsed."""
+
+        def remove(cluster: PoolCluster, worker: FloorWorker) -> None:
+            worker.unreachable = True
+            cluster.floor.lapse(worker)
+            loop = asyncio.get_running_loop()
+            loop.call_later(4.0, lambda: setattr(worker, "unreachable", False))
+
+        for name, change in CHANGES.items():
+            with self.subTest(name):
+                self.assert_runs_on(change, after=remove)
+
+    def test_an_announced_end_is_not_proved_by_what_another_wrote(self) -> None:
+        """A worker announces its end, is cut off, and works on; another writer has its record."""
+        for name, change in CHANGES.items():
+
+            async def body(cluster: PoolCluster, change: Change = change) -> None:
+                await asyncio.sleep(INHERITED_S)
+                worker = await self.run_on(cluster, job(1, work_s=3 * HOLD_S, accelerators=8))
+                await asyncio.sleep(1.0)
+                worker.unreachable = True
+                cluster.floor.record(worker, remaining_ms=100)
+                await asyncio.sleep(HEARD_S)
+                change(self, cluster, worker)
+                await asyncio.sleep(HEARD_S)
+                cluster.floor.lapse(worker)
+                await asyncio.sleep(4.0)
+                self.assertEqual(cluster.floor.starts_of(A), 1)
+
+            with self.subTest(name):
+                self.play(body)
+
+    def test_nothing_new_goes_there_until_a_sound_record_is_back(self) -> None:
+        for name, change in CHANGES.items():
+
+            async def body(cluster: PoolCluster, change: Change = change) -> None:
+                worker = await self.run_on(cluster, job(1, work_s=HOLD_S))
+                sound = cluster.store.item(f"servers/{worker.worker_id}").value
+                change(self, cluster, worker)
+                await asyncio.sleep(HEARD_S)
+                self.assertNotIn(worker.worker_id, self.known(cluster))
+                await cluster.submit(B, job(24, work_s=1.0))
+                await cluster.until_state(B, JobState.COMPLETED)
+                later = cluster.floor.history[1:]
+                self.assertNotIn(worker.worker_id, [run.worker for run in later])
+                self.write(cluster, worker, sound)
+                await asyncio.sleep(HEARD_S)
+                self.assertIn(worker.worker_id, self.known(cluster))
+                await cluster.until_state(A, JobState.COMPLETED)
+                self.assertEqual(cluster.floor.starts_of(A), 1)
+
+            with self.subTest(name):
+                self.play(body)
+
+    def test_what_is_cancelled_stops_there(self) -> None:
+        for name, change in CHANGES.items():
+
+            async def body(cluster: PoolCluster, change: Change = change) -> None:
+                worker = await self.run_on(cluster, job(1, work_s=3 * HOLD_S))
+                change(self, cluster, worker)
+                await asyncio.sleep(HEARD_S)
+                await cluster.cancel(A)
+                await cluster.until(lambda: cluster.floor.ends_of(A, EndKind.STOPPED) == 1, SOON_S)
+
+            with self.subTest(name):
+                self.play(body)
+
+    def test_one_that_is_gone_is_waited_for_until_its_lease_has_lapsed(self) -> None:
+        """A proof still ends what ran there: nothing is held for ever."""
+        for name, change in CHANGES.items():
+
+            async def body(cluster: PoolCluster, change: Change = change) -> None:
+                await asyncio.sleep(INHERITED_S)
+                worker = await self.run_on(cluster, job(1, work_s=3 * HOLD_S, accelerators=8))
+                await asyncio.sleep(1.0)
+                change(self, cluster, worker)
+                await asyncio.sleep(HEARD_S)
+                cluster.floor.crash(worker)
+                waited = await self.begun_again_after(cluster, 2)
+                self.assertGreater(waited, HOLD_S - HEARD_S - 2.0)
+                self.assertLess(waited, INHERITED_S)
+
+            with self.subTest(name):
+                self.play(body)
+
+
+class ClaimedClockTest(EntryCase):
+    """A sound record may still claim a time that its worker's clock does not tell."""
+
+    def test_a_clock_far_ahead_has_nobody_looked_at_without_end(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            for worker in cluster.floor.workers.values():
+                self.rewrite(cluster, worker, clock_ms=10**12)
+            await asyncio.sleep(HEARD_S)
+            await cluster.submit(A, job(1, work_s=45.0))
+            await asyncio.sleep(35.0)
+            before = cluster.floor.looks
+            await asyncio.sleep(5.0)
+            self.assertLess(cluster.floor.looks - before, 20)
+            await cluster.until_state(A, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(A), 1)
+
+        self.play(body)
 
 
 if __name__ == "__main__":
