A record of another writer names no worker to use, and ends nothing that runs

control/listing.py keeps the board's workers in step with their records: one that cannot be read, names a service that no configuration names, or another address while work runs at the one before gives its worker nothing new. What runs there goes on, is asked and renewed at the address known before, and ends by its worker's account, its lease or another life there. Such a record going does not prove that the worker left, nor does one from the future; a successor asks at the address in its own progress. A claimed clock far ahead no longer has a worker looked at without pause (4,996 looks in 5 s before). Each is counted each time and logged once (control/refusals.py).

--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -42,8 +42,10 @@
 
         Answers on different connections pass each other.
         """
+        told_first = math.isinf(self.ahead_ms)
         self.ahead_ms = min(self.ahead_ms, clock_ms - asked_s * 1000)
-        if clock_ms >= self.clock_ms:
+        # A record may claim any time, and a claim ahead of the clock would never be caught up.
+        if told_first or clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.heard_s = now
 
--- /dev/null
+++ b/src/saddlestack/control/listing.py
@@ -0,0 +1,114 @@
+"""Which workers there are, as their records in the platform's store tell.
+
+A record may come from another writer. One that cannot be read, or names a service that is not
+known, names no worker to use; nor does one that names another address while work runs at the one
+before. What runs on a life that was known goes on, and is dealt with at the address known before,
+until its worker tells its end or its lease has lapsed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from saddlestack.control.context import EntryContext
+from saddlestack.control.refusals import Refusals
+from saddlestack.control.sessions import Sessions
+from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces.store import Item
+from saddlestack.interfaces.workers import WorkerRecord
+from saddlestack.policy.board.board import Board
+
+
+class WorkerList:
+    """Keeps a board's workers in step with their records."""
+
+    def __init__(self, context: EntryContext, board: Board, sessions: Sessions) -> None:
+        self._clock = context.clock
+        self._documents = context.documents
+        self._board = board
+        self._sessions = sessions
+        self._refusals = Refusals(context.metrics, "worker")
+        self._services: set[str] = set()
+        self._no_service: dict[str, Item] = {}
+        self._refused: set[str] = set()
+
+    def know_services(self, services: Iterable[str]) -> None:
+        """Workers of these services may be used from now on, also those whose records are known.
+
+        A service stays known for as long as the term: work may be left that asks for its workers.
+        """
+        new = set(services) - self._services
+        if not new:
+            return
+        self._services |= new
+        waiting, self._no_service = self._no_service, {}
+        self.changed(waiting.values())
+
+    def listed(self, items: Iterable[Item]) -> None:
+        """All records that there are."""
+        items = tuple(items)
+        self.changed(items)
+        listed = {self._id(item) for item in items}
+        known = {*self._board.workers, *self._refused}
+        for worker_id in known - listed:
+            self._removed(worker_id)
+
+    def changed(self, items: Iterable[Item]) -> None:
+        """Some records were written or removed."""
+        for item in items:
+            if not item.revision:
+                self._removed(self._id(item))
+                continue
+            try:
+                record = self._documents.worker(item)
+            except SaddlestackError as error:
+                self._refuse(item, str(error))
+                continue
+            if record.service in self._services:
+                self._take(item, record)
+            else:
+                self._refuse_service(item)
+
+    def _take(self, item: Item, record: WorkerRecord) -> None:
+        worker = self._board.workers.get(record.worker_id)
+        if worker is not None and worker.record.address not in {"", record.address}:
+            if worker.runs:
+                self._refuse(item, "another address than the one where its work runs")
+                return
+            self._unlist(record.worker_id)
+        self._no_service.pop(record.worker_id, None)
+        self._refused.discard(record.worker_id)
+        self._board.set_worker(record, self._clock.now())
+
+    def _refuse_service(self, item: Item) -> None:
+        if self._services:
+            self._refuse(item, "no configuration names its service")
+        self._no_service[self._id(item)] = item
+
+    def _refuse(self, item: Item, reason: str) -> None:
+        worker_id = self._id(item)
+        self._refusals.refuse(item.key, reason)
+        self._no_service.pop(worker_id, None)
+        self._refused.add(worker_id)
+        self._unlist(worker_id)
+
+    def _removed(self, worker_id: str) -> None:
+        """A record is gone; should it come back, the worker gets a session of its own.
+
+        That it goes may prove that its worker has left, but not where another one wrote it last.
+        """
+        by_worker = worker_id not in self._refused
+        self._no_service.pop(worker_id, None)
+        self._refused.discard(worker_id)
+        self._unlist(worker_id)
+        if by_worker and worker_id in self._board.workers:
+            self._sessions.unlisted(worker_id)
+
+    def _unlist(self, worker_id: str) -> None:
+        """Give a worker nothing new; what runs there goes on."""
+        self._board.unlist_worker(worker_id)
+        if worker_id not in self._board.workers:
+            self._sessions.close(worker_id)
+
+    def _id(self, item: Item) -> str:
+        return item.key.removeprefix(self._documents.places.workers_prefix)
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -23,12 +23,12 @@
 from saddlestack.control.halls import HallWatch
 from saddlestack.control.journal import Journal
 from saddlestack.control.leadership import Term
+from saddlestack.control.listing import WorkerList
 from saddlestack.control.membership import Membership
 from saddlestack.control.peers import Peers
 from saddlestack.control.renewals import Renewals
 from saddlestack.control.sessions import Sessions
 from saddlestack.control.upkeep import Upkeep
-from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.documents import PoolConfiguration
 from saddlestack.interfaces.machines import AdviserUnavailable
 from saddlestack.interfaces.store import Item, StoreUnavailable
@@ -91,6 +91,7 @@
         self._journal = Journal(context, term.fence)
         self._commits = Commits(context, self._journal, self._displaced)
         self._sessions = Sessions(context, self)
+        self._workers = WorkerList(context, self.board, self._sessions)
         self._suspicion = Suspicion()
         self._evacuations = Evacuations(context, self._evacuated)
         self._renewals = renewals
@@ -241,6 +242,7 @@
         services = {queue.name: queue.service for queue in configuration.queues}
         advised = [queue.name for queue in configuration.queues if queue.advised]
         self.board.configure(guaranteed, services, advised)
+        self._workers.know_services([*services.values(), *(p.name for p in configuration.pools)])
         self.changed()
 
     def _evacuated(self, halls: frozenset[str]) -> None:
@@ -265,41 +267,18 @@
         self.changed()
 
     def _workers_listed(self, items: tuple[Item, ...]) -> None:
-        self._workers_changed(items)
-        listed = {self._worker_id(item) for item in items}
-        for worker_id in [w for w in self.board.workers if w not in listed]:
-            self._unlist(worker_id)
-        self.changed()
+        self._workers.listed(items)
+        self._workers_known()
 
     def _workers_changed(self, items: tuple[Item, ...]) -> None:
-        for item in items:
-            if not item.revision:
-                self._unlist(self._worker_id(item))
-                continue
-            try:
-                record = self._context.documents.worker(item)
-            except SaddlestackError as error:
-                log.error(
-                    "worker record cannot be read",
-                    extra={"event": "worker_bad", "key": item.key, "reason": str(error)},
-                )
-                continue
-            self.board.set_worker(record, self._clock.now())
+        self._workers.changed(items)
+        self._workers_known()
+
+    def _workers_known(self) -> None:
         if self.loaded.is_set():
             self._sessions.open()
         self.changed()
 
-    def _unlist(self, worker_id: str) -> None:
-        """A record is gone; should it come back, the worker gets a session of its own."""
-        self.board.unlist_worker(worker_id)
-        if worker_id not in self.board.workers:
-            self._sessions.close(worker_id)
-        else:
-            self._sessions.unlisted(worker_id)
-
-    def _worker_id(self, item: Item) -> str:
-        return item.key.removeprefix(self._context.documents.places.workers_prefix)
-
     # Deciding
 
     async def _decide(self) -> None:
--- a/src/saddlestack/platform/documents.py
+++ b/src/saddlestack/platform/documents.py
@@ -41,7 +41,7 @@
 """No worker is slow, or about to leave, for longer than a week."""
 
 _WORKER_ID = re.compile(r"[!-.0-~]{1,200}")
-"""Printable and without a slash: it travels in a header. The store's keys have 200 bytes at most."""
+"""Printable and without a slash: it travels in a header. A key has 200 bytes at most."""
 _ADDRESS = re.compile(r"(\d+\.\d+\.\d+\.\d+|\[[0-9a-fA-F:.]+\]):(\d{1,5})", re.ASCII)
 _MAX_PORT = 65_535
 
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import replace
 
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask, WorkerRecord
 from saddlestack.policy.board.caution import Caution
@@ -103,12 +104,27 @@
         run = Run(task, record.run, record.worker, task.step.step.room, 0.0, inherited=True)
         run.saved = record.saved
         task.run = run
-        worker = self.workers.get(record.worker)
-        if worker is None:
-            worker = self._ghost(record.worker, addresses.get(record.worker, ""))
+        worker = self._worker_at(record.worker, addresses.get(record.worker, ""))
         run.address = worker.record.address
         worker.add(run)
 
+    def _worker_at(self, worker_id: str, address: str) -> Worker:
+        """The life that a run was given to at some address; it is asked there and nowhere else.
+
+        Its record may name another address since. What answers there tells nothing of the run, so
+        the life counts as one that is in no list until a record names the address again.
+
+        :param address: where the run was ordered, or empty where that is not known.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return self._ghost(worker_id, address)
+        if address and not worker.runs and worker.record.address != address:
+            worker.record = replace(worker.record, address=address)
+            worker.listed = False
+            worker.reachable = False
+        return worker
+
     def _ghost(self, worker_id: str, address: str) -> Worker:
         """A life that is not in the list, but may still run something.
 
--- a/src/saddlestack/policy/board/departure.py
+++ b/src/saddlestack/policy/board/departure.py
@@ -44,7 +44,8 @@
     :param steady_s: since when the store has answered without a break.
     """
     announced = worker.leaves_s is not None and now >= worker.leaves_s - ANNOUNCED_SLACK_S
-    removed = record_age_s <= REMOVED_HEARTBEATS * heartbeat_s
+    # A worker's own record is never from the future: such a one proves nothing.
+    removed = 0.0 <= record_age_s <= REMOVED_HEARTBEATS * heartbeat_s
     trusted = now - steady_s >= LAPSE_HEARTBEATS * heartbeat_s
     return announced and removed and trusted
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -20,7 +20,7 @@
 from saddlestack.standins.pool.workers import FloorWorker
 from saddlestack.work import JobState
 from tests.malformed import encoded, worker_records
-from tests.test_inherited import A, B, HOLD_S, INHERITED_S, SOON_S, InheritedCase
+from tests.test_inherited import HOLD_S, INHERITED_S, SOON_S, A, B, InheritedCase
 
 HEARD_S = 1.0
 """Within this a leader has heard of a change of a record."""
@@ -110,7 +110,7 @@
             with self.assertLogs("saddlestack", logging.ERROR) as caught:
                 for beat in range(20):
                     cluster.store.put("servers/bad", encoded(state="dead", seq=beat))
-                    cluster.store.put("servers/cut", encoded(seq=10**beat)[:-1])
+                    cluster.store.put("servers/cut", encoded(seq=10 ** (beat % 10))[:-1])
                     cluster.store.put(long_key, encoded(zone="z" * 300, seq=beat))
                     await asyncio.sleep(0.5)
             refused = [line for line in caught.records if "worker_records" in str(vars(line))]
@@ -130,9 +130,7 @@
             await asyncio.sleep(HEARD_S)
             self.assertNotIn(worker.worker_id, self.known(cluster))
             cluster.version += 1
-            document = msgspec.json.decode(
-                pool_document(cluster.version, attempts=3, guaranteed=0)
-            )
+            document = msgspec.json.decode(pool_document(cluster.version, attempts=3, guaranteed=0))
             document["services"].append({"name": "nobodys"})
             cluster.store.put("op/config", msgspec.json.encode(document))
             await asyncio.sleep(2 * HEARD_S)
