Our own records, the operators' documents and odd keys end no term and stop no feed

What cannot be read of a job leaves that job alone for the term (control/stored.py, control/requests.py, which also takes the forgetting out of scheduler.py); a leader whose progress records somebody else changed writes them again in place of giving up its term; a leader key that names nobody begins and ends no term and is replaced after a leader's lease; a VM's record that cannot be read keeps its VM among those that may renew leases, and the VM writes its own again; waves and configurations are refused in one line each; a feed that fails reads all anew.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -7,6 +7,7 @@
 
 from saddlestack.control.context import EntryContext
 from saddlestack.control.feed import Feed
+from saddlestack.control.refusals import Refusals
 from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.documents import PoolConfiguration
 from saddlestack.interfaces.store import Item
@@ -26,6 +27,7 @@
         super().__init__(NAME, context.clock)
         self._context = context
         self._key = context.documents.places.configuration_key
+        self._refusals = Refusals(context.metrics, "configuration")
         self.current: PoolConfiguration | None = None
         self._listeners: list[Listener] = []
         self._feed = Feed(
@@ -55,10 +57,7 @@
         try:
             configuration = self._context.documents.configuration(item.value)
         except SaddlestackError as error:
-            log.error(
-                "configuration cannot be read",
-                extra={"event": "configuration_bad", "reason": str(error)},
-            )
+            self._refusals.refuse(item.key, str(error))
             return
         if self.current is not None and configuration.version <= self.current.version:
             return
--- a/src/saddlestack/control/evacuations.py
+++ b/src/saddlestack/control/evacuations.py
@@ -42,18 +42,19 @@
         await self._feed.run()
 
     def _listed(self, items: tuple[Item, ...]) -> None:
-        self._set(frozenset(self._hall(item) for item in items))
+        self._set(frozenset(self._hall(item) for item in items if self._hall(item)))
 
     def _changed(self, items: tuple[Item, ...]) -> None:
         halls = set(self._halls)
         for item in items:
-            if item.revision:
+            if item.revision and self._hall(item):
                 halls.add(self._hall(item))
             else:
                 halls.discard(self._hall(item))
         self._set(frozenset(halls))
 
     def _hall(self, item: Item) -> str:
+        """The hall that a key names, or nothing. What its value holds says no more."""
         return item.key.removeprefix(self._prefix)
 
     def _set(self, halls: frozenset[str]) -> None:
--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -65,6 +65,11 @@
                 await asyncio.sleep(self._context.rng.uniform(0.0, FIRST_RETRY_S))
             except StoreUnavailable as error:
                 await self._pause(error)
+            except Exception:
+                # One that ends is not noticed: its owner would hear of nothing any more.
+                log.exception("feed failed", extra={"event": "feed_failed", "prefix": self._prefix})
+                self._context.metrics.count("feed_failures")
+                await asyncio.sleep(LONGEST_RETRY_S)
 
     async def _follow(self) -> None:
         store = self._context.store
--- a/src/saddlestack/control/jobs.py
+++ b/src/saddlestack/control/jobs.py
@@ -4,8 +4,8 @@
 
 import logging
 
-from saddlestack.codec import from_msgpack, to_msgpack
-from saddlestack.control import keys
+from saddlestack.codec import to_msgpack
+from saddlestack.control import keys, stored
 from saddlestack.control.access import KeyAnswer, OutOfReach, StoreAccess
 from saddlestack.control.context import EntryContext
 from saddlestack.control.desk import Desk, NoLeader
@@ -130,7 +130,8 @@
         for number in range(accepted.request.occurrences):
             progress = await self._read(call, keys.progress_key(f"{job_id}.{number}"))
             if progress is not None:
-                records[number] = from_msgpack(progress, OccurrenceRecord)
+                records[number] = stored.occurrence(f"{job_id}.{number}", progress)
+        stored.check_progress(accepted, records)
         job = new_job(accepted, records)
         job.cancelled = await self._read(call, keys.cancel_key(job_id)) is not None
         return job.state
@@ -196,9 +197,9 @@
 def _known(value: bytes, call: ClientCall, job_id: str) -> AcceptedJob:
     """The job that is kept under an id.
 
-    :raises SaddlestackError: it is another client account's.
+    :raises SaddlestackError: it is another client account's, or cannot be read.
     """
-    accepted = from_msgpack(value, AcceptedJob)
+    accepted = stored.accepted_job(job_id, value)
     if call.account and accepted.account and accepted.account != call.account:
         raise SaddlestackError(ErrorKind.FORBIDDEN, f"job {job_id} is another account's")
     return accepted
--- a/src/saddlestack/control/journal.py
+++ b/src/saddlestack/control/journal.py
@@ -8,6 +8,7 @@
 
 from saddlestack.control.context import EntryContext
 from saddlestack.control.keys import LEADER
+from saddlestack.control.refusals import Refusals
 from saddlestack.interfaces.store import (
     Committed,
     Conflict,
@@ -47,6 +48,7 @@
         self._context = context
         self._fence = fence
         self._revisions: dict[str, int] = {}
+        self._refusals = Refusals(context.metrics, "progress")
 
     def known(self, item: Item) -> None:
         """Note a record that was read."""
@@ -101,8 +103,9 @@
                 for key in records:
                     self._revisions[key] = outcome.revision
                 return
-            self._settle(outcome, records)
-            return
+            if self._settle(outcome, records):
+                return
+            transaction = self._transaction(records)
 
     def _transaction(self, records: Mapping[str, bytes]) -> Transaction:
         guard = ((LEADER, self._fence),)
@@ -110,14 +113,24 @@
         puts = tuple(Put(key, value) for key, value in records.items())
         return Transaction(expect=guard + own, puts=puts)
 
-    def _settle(self, conflict: Conflict, records: Mapping[str, bytes]) -> None:
-        """An earlier try of the same write was done after all, or somebody else leads."""
+    def _settle(self, conflict: Conflict, records: Mapping[str, bytes]) -> bool:
+        """Whether an earlier try of the same write was done after all.
+
+        Otherwise somebody who does not lead has changed a record of ours. What it holds is known
+        here alone, so it is written again over what is there now; no earlier try can be done any
+        more, since it expects what was there before.
+
+        :raises Displaced: somebody else leads.
+        """
         present = {item.key: item for item in conflict.items}
         leader = present.get(LEADER)
         if leader is None or leader.revision != self._fence:
             raise Displaced
+        done = True
         for key, value in records.items():
-            item = present.get(key)
-            if item is None or item.value != value:
-                raise Displaced
+            item = present.get(key, Item(key, b"", 0))
             self._revisions[key] = item.revision
+            if not item.revision or item.value != value:
+                done = False
+                self._refusals.refuse(key, "somebody else has changed it")
+        return done
--- a/src/saddlestack/control/keys.py
+++ b/src/saddlestack/control/keys.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from saddlestack.work import MAX_TASKS_OF_JOB
+
 LEADER = "saddlestack/leader"
 MEMBERS = "saddlestack/members/"
 REQUESTS = "saddlestack/requests/"
@@ -51,6 +53,12 @@
 
 
 def occurrence_of(key: str) -> tuple[str, int]:
-    """The job and the number of the occurrence that a ``progress`` key is of."""
-    job_id, _, number = key.removeprefix(PROGRESS).rpartition(".")
-    return job_id, int(number)
+    """The job and the number of the occurrence that a ``progress`` key is of.
+
+    :raises ValueError: it is of none.
+    """
+    job_id, _, text = key.removeprefix(PROGRESS).rpartition(".")
+    number = int(text)
+    if not job_id or not 0 <= number < MAX_TASKS_OF_JOB or str(number) != text:
+        raise ValueError(key)
+    return job_id, number
--- a/src/saddlestack/control/leadership.py
+++ b/src/saddlestack/control/leadership.py
@@ -12,6 +12,7 @@
 from saddlestack.codec import from_json, to_json
 from saddlestack.control.context import EntryContext
 from saddlestack.control.keys import LEADER
+from saddlestack.control.refusals import Refusals
 from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.store import (
     Committed,
@@ -93,6 +94,10 @@
         self._may_lead = may_lead
         self._held: LeaderRecord | None = None
         self._leaving = False
+        self._revision = 0
+        self._nameless: int | None = None
+        self._nameless_s = 0.0
+        self._refusals = Refusals(context.metrics, "leader")
         self.leader: LeaderRecord | None = None
         self.term: Term | None = None
         self._lasts_s = LEASE_S
@@ -136,7 +141,8 @@
         while True:
             try:
                 listing = await self._context.store.list(LEADER)
-                await self._observe(listing.items[0] if listing.items else Item(LEADER, b"", 0))
+                present = [item for item in listing.items if item.key == LEADER]
+                await self._observe(present[0] if present else Item(LEADER, b"", 0))
                 await self._follow(listing.revision)
             except (HistoryGone, StoreUnavailable):
                 await self._context.health.pause(self._context.rng.uniform(RETRY_S / 4, RETRY_S))
@@ -144,15 +150,31 @@
     async def _follow(self, revision: int) -> None:
         store = self._context.store
         while True:
-            free = self.leader is None and not self._leaving
+            free = self._free_revision is not None and not self._leaving
             wait = self._campaign_wait_s() if free else WATCH_S
             changes = await store.watch(LEADER, revision, wait)
             revision = max(revision, changes.revision)
             for item in changes.items:
-                await self._observe(item)
+                if item.key == LEADER:
+                    await self._observe(item)
             waited = (free or not self._weakness) and self._may_lead()
-            if self.leader is None and waited and not self._leaving:
-                await self._campaign()
+            present = self._free_revision
+            if present is not None and waited and not self._leaving:
+                await self._campaign(present)
+
+    @property
+    def _free_revision(self) -> int | None:
+        """The revision of a leader key that may be taken, 0 where there is none.
+
+        ``None`` where somebody leads. A key that names nobody is replaced once it has stood for as
+        long as a leader's lease: it may hang on no lease, and nobody could lead ever after. Who led
+        before loses the leadership to a later term, as after every other loss.
+        """
+        if self.term is not None:
+            return None
+        if self._nameless is None:
+            return 0 if self.leader is None else None
+        return self._nameless if self.clock.now() - self._nameless_s >= LEASE_S else None
 
     def _campaign_wait_s(self) -> float:
         """Chance keeps VMs apart; those with a slow processor or link let others go first."""
@@ -164,7 +186,13 @@
         return max(0.0, 1.0 - self._context.settings.strength)
 
     async def _observe(self, item: Item) -> None:
-        record = _read(item)
+        try:
+            record = _read(item)
+        except SaddlestackError as error:
+            self._observe_nameless(item, error)
+            return
+        self._nameless = None
+        self._revision = item.revision
         if record == self.leader:
             return
         self.leader = record
@@ -181,7 +209,21 @@
         if record is not None and record == self._held and self.term is None:
             await self._begin(Term(item.revision, record))
 
-    async def _campaign(self) -> None:
+    def _observe_nameless(self, item: Item, error: SaddlestackError) -> None:
+        """The leader key cannot be read: it tells of no term, neither that one begins nor ends.
+
+        A term whose key was replaced learns it from its next write.
+        """
+        self._refusals.refuse(item.key, str(error))
+        if item.revision not in {self._revision, self._nameless}:
+            self._nameless = item.revision
+            self._nameless_s = self.clock.now()
+
+    async def _campaign(self, present: int) -> None:
+        """Take the leader key.
+
+        :param present: its revision; 0 where there is none.
+        """
         store = self._context.store
         sent = self.clock.now()
         lease, self._lasts_s = await store.grant_lease(LEASE_S)
@@ -191,7 +233,7 @@
         self._held = record
         self._valid_s = sent + self._lasts_s
         transaction = Transaction(
-            expect=((LEADER, 0),), puts=(Put(LEADER, to_json(record), lease),)
+            expect=((LEADER, present),), puts=(Put(LEADER, to_json(record), lease),)
         )
         try:
             outcome = await store.transact(transaction)
@@ -245,9 +287,8 @@
 
 
 def _read(item: Item) -> LeaderRecord | None:
-    if not item.revision:
-        return None
-    try:
-        return from_json(item.value, LeaderRecord, item.key)
-    except SaddlestackError:
-        return None
+    """Who leads, or ``None`` where nobody does.
+
+    :raises SaddlestackError: the key is there and cannot be read.
+    """
+    return from_json(item.value, LeaderRecord, item.key) if item.revision else None
--- a/src/saddlestack/control/membership.py
+++ b/src/saddlestack/control/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import logging
 import math
 import secrets
@@ -11,7 +12,9 @@
 from saddlestack.control.context import EntryContext
 from saddlestack.control.feed import Feed
 from saddlestack.control.keys import MEMBERS, member_key
-from saddlestack.errors import SaddlestackError
+from saddlestack.control.refusals import Refusals
+from saddlestack.control.settings import MAX_PORT
+from saddlestack.errors import SaddlestackError, invalid
 from saddlestack.interfaces.store import (
     Item,
     LeaseOver,
@@ -80,6 +83,10 @@
         self._members: dict[str, Member] = {}
         self._kept_s = -math.inf
         self._gone: dict[str, tuple[Member, float]] = {}
+        self._unreadable: set[str] = set()
+        self._unreadable_gone_s = -math.inf
+        self._refusals = Refusals(context.metrics, "member")
+        self._overwritten = False
         self._feed = Feed(context, MEMBERS, self._replace, self._change)
 
     @property
@@ -92,6 +99,16 @@
         """Whether the others find this VM listed for as long as it may renew workers' leases."""
         return self.clock.now() - self._kept_s <= TOLD_S
 
+    @property
+    def knows_all(self) -> bool:
+        """Whether every VM is known that may renew workers' leases.
+
+        A record that cannot be read is that of a VM which nobody can ask, also for a while after
+        the record has gone.
+        """
+        lately = self._unreadable_gone_s >= self.clock.now() - GONE_S
+        return not self._unreadable and not lately
+
     async def start(self) -> None:
         """Begin to tell and to follow."""
         self.tasks.spawn(self._feed.run())
@@ -136,6 +153,7 @@
                 lease, _ = await self._context.store.grant_lease(LEASE_S)
                 put = Put(member_key(self.me.vm), to_json(self.me), lease)
                 await self._context.store.transact(Transaction(puts=(put,)))
+                self._overwritten = False
                 self._kept_s = sent
                 await self._keep(lease)
             except (StoreUnavailable, WriteInDoubt, LeaseOver):
@@ -145,6 +163,8 @@
         while True:
             # Sooner where the store is back: its leases may have run out meanwhile.
             await self._context.health.pause(KEEP_S)
+            if self._overwritten:
+                return
             await self._renew(lease)
 
     async def _renew(self, lease: int) -> None:
@@ -164,11 +184,14 @@
 
     def _replace(self, items: tuple[Item, ...]) -> None:
         listed = {item.key.removeprefix(MEMBERS) for item in items if item.revision}
-        for vm in [vm for vm in self._members if vm not in listed]:
+        for vm in (self._members.keys() | self._unreadable) - listed:
             self._lose(vm)
         self._change(items)
 
     def _lose(self, vm: str) -> None:
+        if vm in self._unreadable:
+            self._unreadable.discard(vm)
+            self._unreadable_gone_s = self.clock.now()
         member = self._members.pop(vm, None)
         if member is not None:
             self._gone[vm] = (member, self.clock.now())
@@ -184,10 +207,34 @@
                 self._lose(vm)
                 continue
             try:
-                self._members[vm] = from_json(item.value, Member, item.key)
-                self._gone.pop(vm, None)
+                self._members[vm] = _member_of(vm, item)
             except SaddlestackError as error:
-                log.error(
-                    "member record cannot be read",
-                    extra={"event": "member_bad", "key": item.key, "reason": str(error)},
-                )
+                self._refuse(vm, item, error)
+                continue
+            self._unreadable.discard(vm)
+            self._gone.pop(vm, None)
+
+    def _refuse(self, vm: str, item: Item, error: SaddlestackError) -> None:
+        """Go on with what a VM told before, if it did."""
+        self._refusals.refuse(item.key, str(error))
+        if vm == self.me.vm:
+            self._overwritten = True
+        elif vm not in self._members:
+            self._unreadable.add(vm)
+
+
+def _member_of(vm: str, item: Item) -> Member:
+    """The VM that a record describes.
+
+    :raises SaddlestackError: it describes none, or another one.
+    """
+    member = from_json(item.value, Member, item.key)
+    if not vm or member.vm != vm:
+        raise invalid("expected the VM of the key", f"{item.key}: vm")
+    try:
+        ipaddress.ip_address(member.address)
+    except ValueError:
+        raise invalid("expected an IP address", f"{item.key}: address") from None
+    if not 1 <= member.port <= MAX_PORT:
+        raise invalid(f"expected a port up to {MAX_PORT}", f"{item.key}: port")
+    return member
--- a/src/saddlestack/control/renewals.py
+++ b/src/saddlestack/control/renewals.py
@@ -49,7 +49,7 @@
 
     async def are_over(self) -> bool:
         """Whether all other VMs say that they renew nothing; asks until one does not say so."""
-        if not self._membership.loaded.is_set():
+        if not self._membership.loaded.is_set() or not self._membership.knows_all:
             return False
         others = self._membership.may_renew()
         for first in range(0, len(others), ASKED_AT_ONCE):
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -9,10 +9,10 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from functools import partial
 
-from saddlestack.codec import from_msgpack, to_msgpack
+from saddlestack.codec import to_msgpack
 from saddlestack.control import keys
 from saddlestack.control.commits import Commits
 from saddlestack.control.configuration import Configuration
@@ -27,18 +27,18 @@
 from saddlestack.control.membership import Membership
 from saddlestack.control.peers import Peers
 from saddlestack.control.renewals import Renewals
+from saddlestack.control.requests import Requests
 from saddlestack.control.sessions import Sessions
 from saddlestack.control.upkeep import Upkeep
 from saddlestack.interfaces.documents import PoolConfiguration
 from saddlestack.interfaces.machines import AdviserUnavailable
-from saddlestack.interfaces.store import Item, StoreUnavailable
+from saddlestack.interfaces.store import Item
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import Changes, Question
-from saddlestack.policy.board.records import OccurrenceRecord
 from saddlestack.policy.board.workers import Worker
 from saddlestack.policy.suspicion import Suspicion
-from saddlestack.work import AcceptedJob, JobState
+from saddlestack.work import JobState
 
 log = logging.getLogger("saddlestack.scheduler")
 
@@ -50,8 +50,6 @@
 """A watch of workers waits no longer: they write their records many times a second, so one that
 hears nothing has a connection that went silent. With 1 s of slack a notice is then heard 1.5 s
 late, where it was 4 s; work may go to a worker for 2 s from its notice on."""
-FORGOTTEN_A_TICK = 5
-LOAD_RETRY_S = 0.2
 ADVICE_RETRY_S = 0.5
 RENEWALS_GAP_S = 1.0
 RENEWALS_ASKED = 6
@@ -89,6 +87,7 @@
         self.fence = term.fence
         self.hold_s = context.settings.timings.longest_hold_ms / 1000
         self._journal = Journal(context, term.fence)
+        self._requests = Requests(context, self.board, self._journal)
         self._commits = Commits(context, self._journal, self._displaced)
         self._sessions = Sessions(context, self)
         self._workers = WorkerList(context, self.board, self._sessions)
@@ -132,7 +131,7 @@
 
     def told(self, item: Item) -> None:
         """A VM has written a request; the store tells of it as well, but later."""
-        self._requests((item,), {})
+        self._requested((item,))
 
     # What sessions need
 
@@ -188,16 +187,12 @@
         self._tasks.spawn(workers.run())
         self._tasks.spawn(self._evacuations.run())
         # No other term can write progress any more, so it may be read beside the workers.
-        records = await self._load_progress()
+        await self._requests.load()
         await workers.loaded.wait()
-        requests = Feed(
-            self._context,
-            keys.REQUESTS,
-            lambda items: self._requests(items, records),
-            lambda items: self._requests(items, {}),
-        )
+        requests = Feed(self._context, keys.REQUESTS, self._requested, self._requested)
         self._tasks.spawn(requests.run())
         await requests.loaded.wait()
+        self._requests.begin()
         await self._evacuations.loaded.wait()
         self.loaded.set()
         self._context.metrics.count("terms")
@@ -211,7 +206,7 @@
         self._tasks.spawn(self._tick())
         self._tasks.spawn(self._halls.run())
         self._tasks.spawn(self._see_renewals_over())
-        self._tasks.spawn(self._forget_rest(records))
+        self._tasks.spawn(self._requests.forget_rest())
         if self._context.machines is not None:
             upkeep = Upkeep(self._context, self._context.machines, self.board, self.fence)
             self._tasks.spawn(upkeep.run())
@@ -221,20 +216,6 @@
             log.exception("scheduler failed", extra={"event": "scheduler_failed"})
             self._displaced("the scheduler failed")
 
-    async def _load_progress(self) -> dict[str, dict[int, OccurrenceRecord]]:
-        while True:
-            try:
-                listing = await self._context.store.list(keys.PROGRESS)
-                break
-            except StoreUnavailable:
-                await self._context.health.pause(LOAD_RETRY_S)
-        records: dict[str, dict[int, OccurrenceRecord]] = {}
-        for item in listing.items:
-            self._journal.known(item)
-            job_id, number = keys.occurrence_of(item.key)
-            records.setdefault(job_id, {})[number] = from_msgpack(item.value, OccurrenceRecord)
-        return records
-
     # Events
 
     def _configured(self, configuration: PoolConfiguration) -> None:
@@ -249,21 +230,8 @@
         self.board.evacuate(halls)
         self.changed()
 
-    def _requests(
-        self, items: tuple[Item, ...], records: dict[str, dict[int, OccurrenceRecord]]
-    ) -> None:
-        cancelled: list[str] = []
-        for item in items:
-            job_id = keys.job_of(item.key)
-            if job_id is not None and item.revision:
-                accepted = from_msgpack(item.value, AcceptedJob)
-                self.board.add_job(accepted, records.get(job_id, {}))
-                continue
-            job_id = keys.cancelled_job_of(item.key)
-            if job_id is not None and item.revision:
-                cancelled.append(job_id)
-        for job_id in cancelled:
-            self.board.cancel(job_id)
+    def _requested(self, items: tuple[Item, ...]) -> None:
+        self._workers.know_services(self._requests.take(items))
         self.changed()
 
     def _workers_listed(self, items: tuple[Item, ...]) -> None:
@@ -344,7 +312,7 @@
             self._end_ghosts()
             self._sessions.close_gone()
             self.changed()
-            await self._forget_expired()
+            await self._requests.forget_expired()
 
     async def _see_renewals_over(self) -> None:
         """Ask the others until none renews a lease, or it makes no difference any more.
@@ -367,29 +335,6 @@
             for run in worker.runs.values()
         )
 
-    async def _forget_expired(self) -> None:
-        """Remove jobs from the store that nobody has to be told of any more."""
-        retention_s = self._context.settings.timings.retention_s
-        for job in self.board.expired(self._clock.now(), retention_s)[:FORGOTTEN_A_TICK]:
-            # The job goes first: without its progress it would run again under a new leader.
-            job_keys = (keys.job_key(job.job_id), keys.cancel_key(job.job_id))
-            records = [keys.progress_key(each.key) for each in job.occurrences]
-            if await self._journal.remove([*job_keys, *records]):
-                self.board.forget(job.job_id)
-                log.info("forgotten", extra={"event": "forgotten", "job": job.job_id})
-
-    async def _forget_rest(self, records: Mapping[str, Mapping[int, OccurrenceRecord]]) -> None:
-        """Remove progress of jobs that an earlier leader did not forget whole.
-
-        :param records: all progress that was read, by job and number of the occurrence.
-        """
-        for job_id in [job_id for job_id in records if job_id not in self.board.jobs]:
-            if job_id in self.board.jobs:
-                continue  # handed in again meanwhile
-            names = [keys.progress_key(f"{job_id}.{number}") for number in records[job_id]]
-            if await self._journal.remove(names):
-                log.info("forgotten", extra={"event": "forgotten", "job": job_id})
-
     def _end_ghosts(self) -> None:
         """Lives that nobody can ask hold their runs until every lease has lapsed."""
         now = self._clock.now()
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -39,6 +39,13 @@
         clock.hear(4000, 11.0, 13.0)
         self.assertEqual(clock.latest(13.0), 4000)
 
+    def test_the_first_answer_counts_whatever_the_record_claimed(self) -> None:
+        """A record may come from another writer, and claim a time that is never reached."""
+        clock = WorkerClock(10**12, 0.0)
+        clock.hear(1000, 10.0, 10.5)
+        self.assertEqual((clock.clock_ms, clock.heard_s), (1000, 10.5))
+        self.assertEqual(clock.latest(10.0), 1000)
+
     def test_before_an_answer_nothing_is_known_of_the_latest(self) -> None:
         """A record tells what the clock said some heartbeats ago."""
         self.assertEqual(WorkerClock(0, 0.0).latest(1.0), math.inf)
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -45,6 +45,9 @@
         self.assertFalse(self.left(record_age_s=LAPSE_HEARTBEATS * HEARTBEAT_S))
         self.assertFalse(self.left(record_age_s=REMOVED_HEARTBEATS * HEARTBEAT_S + 0.1))
 
+    def test_a_record_from_the_future_is_not_its_own(self) -> None:
+        self.assertFalse(self.left(record_age_s=-0.1))
+
     def test_one_that_never_answered_may_run_on(self) -> None:
         self.assertFalse(self.left(record_age_s=math.inf))
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -327,6 +327,22 @@
                 self.play(body)
 
 
+class MovedTest(EntryCase):
+    def test_an_idle_worker_is_reached_where_its_record_says_now(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(8))
+            await cluster.until_state(A, JobState.COMPLETED)
+            for number, worker in enumerate(cluster.floor.workers.values()):
+                worker.address = f"127.0.0.2:{9000 + number}"
+                cluster.floor.record(worker)
+            await asyncio.sleep(HEARD_S)
+            await cluster.submit(B, job(8))
+            await cluster.until_state(B, JobState.COMPLETED, SOON_S)
+            self.assertEqual(cluster.floor.starts_of(B), 8)
+
+        self.play(body)
+
+
 class ClaimedClockTest(EntryCase):
     """A sound record may still claim a time that its worker's clock does not tell."""
 
--- a/tests/test_own_records.py
+++ b/tests/test_own_records.py
@@ -67,6 +67,8 @@
     keys.REQUESTS + "job/../" + A,
     keys.REQUESTS + "cancel/",
     keys.REQUESTS + "cancel/../" + A,
+    keys.LEADER + "s",
+    keys.LEADER + "/x",
     keys.MEMBERS,
     keys.MEMBERS + "../x",
     "op/",
