--- a/tests/malformed.py
+++ b/tests/malformed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 
 RECORD: dict[str, object] = {
@@ -62,6 +64,18 @@
     return msgspec.json.encode({**RECORD, **fields})
 
 
+def mutated(value: bytes, rng: random.Random) -> bytes:
+    """Some bytes with one to three of them changed, left out, or put in anew."""
+    changed = bytearray(value)
+    for _ in range(rng.randint(1, 3)):
+        at = rng.randrange(len(changed))
+        first = rng.randrange(len(changed))
+        copied = bytes(changed[first : first + rng.randrange(20)])
+        part = rng.choice([b"", b"-", b'"', b"null", b"[", b"}", b"9" * 20, b"\\u0000", copied])
+        changed[at : at + rng.randrange(4)] = part + bytes([rng.randrange(256)])
+    return bytes(changed)
+
+
 def without(field: str) -> bytes:
     """A sound record without a field."""
     return msgspec.json.encode({name: value for name, value in RECORD.items() if name != field})
@@ -76,6 +90,7 @@
         "cut short": encoded()[:-9],
         "more after the end": encoded() + b"{}",
         "not UTF-8": encoded().replace(b'"v1"', b'"\xff\xfe"'),
+        "not UTF-8 in a field that nobody reads": encoded()[:-1] + b',"x":"\xff"}',
         "null bytes": b"\x00" * 40,
         "another code": encoded().decode().encode("utf-16"),
         "list": b"[]",
@@ -119,6 +134,7 @@
     rows["a field twice"] = encoded()[:-1] + b',"address":"127.0.0.1:80"}'
     rows["a field twice, spelled in another way"] = encoded()[:-1] + b',"\\u0073tate":"ready"}'
     rows["a field of the capacity twice"] = encoded().replace(b'"cpu":32000', b'"cpu":1,"cpu":2')
+    rows["too many digits"] = encoded(note="\\")[:-1] + b',"x":' + b"9" * 5000 + b"}"
     rows["very long"] = encoded(note="x" * 100_000)
     return rows
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import base64
+import contextlib
+import random
 import re
 import tomllib
 import unittest
@@ -45,7 +47,7 @@
 from saddlestack.standins.loop import run
 from saddlestack.wire.http import HttpServer, Request, Response
 from saddlestack.work import AcceptedJob, JobRequest, JobState, Resources
-from tests.malformed import WORKER_IDS, encoded, unreadable, without, worker_records
+from tests.malformed import WORKER_IDS, encoded, mutated, unreadable, without, worker_records
 
 ROOT = Path(__file__).resolve().parent.parent
 CONFIGURATION = {
@@ -405,6 +407,16 @@
             with self.subTest(f"id: {name}"), self.assertRaises(SaddlestackError):
                 documents.worker(Item(f"servers/{worker_id}", encoded(), 3))
 
+    def test_whatever_a_record_holds_it_is_read_or_refused(self) -> None:
+        rng = random.Random(7)
+        documents = PlatformDocuments()
+        for _ in range(5000):
+            value = mutated(encoded(remaining_ms=7), rng)
+            with self.subTest(value), contextlib.suppress(SaddlestackError):
+                worker = documents.worker(Item("servers/i-1", value, 3))
+                self.assertTrue(parse_address(worker.address).port)
+                self.assertGreater(min(worker.capacity.cpu, worker.capacity.memory_mb), 0)
+
     def test_records_that_leave_out_what_may_be_left_out_are_read(self) -> None:
         for field in ("version", "slots", "cold-left-ms", "labels", "clock-ms", "machine", "seq"):
             with self.subTest(field):
