--- a/src/saddlestack/codec.py
+++ b/src/saddlestack/codec.py
@@ -42,6 +42,8 @@
     :raises SaddlestackError: malformed JSON, or a field that is wrong, with its key path.
     """
     try:
+        if isinstance(data, bytes):
+            _check_utf8(data)
         return msgspec.json.decode(data, type=kind)
     except msgspec.ValidationError as error:
         raise invalid(_reason(error), _place(error, where)) from None
@@ -49,15 +51,30 @@
         raise SaddlestackError(ErrorKind.MALFORMED, str(error), where=where) from None
 
 
-def has_repeated_keys(data: bytes) -> bool:
-    """Whether an object of a JSON document names a key twice: readers differ on which counts."""
+def _check_utf8(data: bytes) -> None:
+    """Check also the fields that no model has, which the decoder passes over.
+
+    :raises UnicodeDecodeError: not UTF-8.
+    """
+    if not data.isascii():
+        data.decode()
+
+
+def has_repeated_keys(data: bytes, where: str) -> bool:
+    """Whether an object of a JSON document names a key twice: readers differ on which counts.
+
+    :raises SaddlestackError: not a document that can be read whole.
+    """
     repeated = False
 
     def note(pairs: list[tuple[str, object]]) -> None:
         nonlocal repeated
         repeated = repeated or len({key for key, _ in pairs}) < len(pairs)
 
-    json.loads(data, object_pairs_hook=note)
+    try:
+        json.loads(data, object_pairs_hook=note)
+    except (ValueError, RecursionError) as error:
+        raise SaddlestackError(ErrorKind.MALFORMED, str(error), where=where) from None
     return repeated
 
 
--- a/src/saddlestack/control/leadership.py
+++ b/src/saddlestack/control/leadership.py
@@ -95,8 +95,8 @@
         self._held: LeaderRecord | None = None
         self._leaving = False
         self._revision = 0
-        self._nameless: int | None = None
-        self._nameless_s = 0.0
+        self._unreadable: int | None = None
+        self._unreadable_s = 0.0
         self._refusals = Refusals(context.metrics, "leader")
         self.leader: LeaderRecord | None = None
         self.term: Term | None = None
@@ -172,9 +172,9 @@
         """
         if self.term is not None:
             return None
-        if self._nameless is None:
+        if self._unreadable is None:
             return 0 if self.leader is None else None
-        return self._nameless if self.clock.now() - self._nameless_s >= LEASE_S else None
+        return self._unreadable if self.clock.now() - self._unreadable_s >= LEASE_S else None
 
     def _campaign_wait_s(self) -> float:
         """Chance keeps VMs apart; those with a slow processor or link let others go first."""
@@ -189,9 +189,9 @@
         try:
             record = _read(item)
         except SaddlestackError as error:
-            self._observe_nameless(item, error)
+            self._observe_unreadable(item, error)
             return
-        self._nameless = None
+        self._unreadable = None
         self._revision = item.revision
         if record == self.leader:
             return
@@ -209,15 +209,15 @@
         if record is not None and record == self._held and self.term is None:
             await self._begin(Term(item.revision, record))
 
-    def _observe_nameless(self, item: Item, error: SaddlestackError) -> None:
+    def _observe_unreadable(self, item: Item, error: SaddlestackError) -> None:
         """The leader key cannot be read: it tells of no term, neither that one begins nor ends.
 
         A term whose key was replaced learns it from its next write.
         """
         self._refusals.refuse(item.key, str(error))
-        if item.revision not in {self._revision, self._nameless}:
-            self._nameless = item.revision
-            self._nameless_s = self.clock.now()
+        if item.revision not in {self._revision, self._unreadable}:
+            self._unreadable = item.revision
+            self._unreadable_s = self.clock.now()
 
     async def _campaign(self, present: int) -> None:
         """Take the leader key.
--- a/src/saddlestack/platform/documents.py
+++ b/src/saddlestack/platform/documents.py
@@ -185,7 +185,7 @@
         if len(item.value) > MAX_RECORD_BYTES:
             raise invalid(f"expected at most {MAX_RECORD_BYTES} bytes", item.key)
         record = from_json(item.value, _Worker, item.key)
-        if _may_repeat_keys(item.value) and has_repeated_keys(item.value):
+        if _may_repeat_keys(item.value) and has_repeated_keys(item.value, item.key):
             raise invalid("expected each field once", item.key)
         worker_id = item.key.removeprefix(PLACES.workers_prefix)
         if not _WORKER_ID.fullmatch(worker_id):
