--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -4,9 +4,9 @@
 
 import logging
 import math
-from collections.abc import Callable
 from dataclasses import dataclass
 
+from saddlestack.control.leases import CLOCK_DRIFT, Leases
 from saddlestack.control.owner import Owner
 from saddlestack.kernel.clock import Clock
 from saddlestack.policy.board.workers import Worker
@@ -15,9 +15,6 @@
 
 SILENT_AFTER = 2
 """Calls in a row without an answer after which a worker counts as silent."""
-CLOCK_DRIFT = 1 / 0.98
-"""What lasts a second by a worker's clock may last so long by ours: it may run 2 % slow."""
-LAPSE_SLACK_S = 0.5
 CLOCK_FRESH_S = 30.0
 """A clock that was not heard for longer may be 0.6 s behind, and leases by it are so much shorter:
 it is asked for at once. After a rest of 450 s a first lease of 10 s is one of 1.2 s where the
@@ -42,10 +39,8 @@
 
         Answers on different connections pass each other.
         """
-        told_first = math.isinf(self.ahead_ms)
         self.ahead_ms = min(self.ahead_ms, clock_ms - asked_s * 1000)
-        # A record may claim any time, and a claim ahead of the clock would never be caught up.
-        if told_first or clock_ms >= self.clock_ms:
+        if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.heard_s = now
 
@@ -53,6 +48,16 @@
         """The least that it may say now."""
         return self.clock_ms + round((now - self.heard_s) * 1000 / CLOCK_DRIFT)
 
+    def by(self, record_ms: int, now: float) -> int:
+        """The clock to grant a lease by: the worker's record tells more, as far as it is possible.
+
+        A record may be another writer's. A lease by a clock too far ahead is cut by the worker when
+        it arrives: one that is carried out 2 to 12 s late would outlast what is counted by as much.
+
+        :param record_ms: what the clock said when the record was written.
+        """
+        return min(max(self.earliest(now), record_ms), int(self.latest(now)))
+
     def latest(self, now: float) -> float:
         """The most that it may say now; infinite until the worker itself told."""
         return self.ahead_ms + now * 1000
@@ -61,18 +66,15 @@
 class Contact:
     """The contact with one life of a worker.
 
-    :param inherited_until: tells when leases granted by earlier leaders have lapsed for sure.
+    :param leases: what was granted to workers in this term and before.
     """
 
-    def __init__(
-        self, worker: Worker, owner: Owner, clock: Clock, inherited_until: Callable[[], float]
-    ) -> None:
+    def __init__(self, worker: Worker, owner: Owner, clock: Clock, leases: Leases) -> None:
         self._worker = worker
         self._owner = owner
         self._clock = clock
-        self._times = WorkerClock(worker.record.clock_ms, clock.now())
-        self._inherited_until = inherited_until
-        self._lapses_s = 0.0
+        self._times = WorkerClock(0, clock.now())
+        self._leases = leases
         self._heard_s = -math.inf
         self.misses = 0
 
@@ -81,6 +83,11 @@
         """When the worker last answered."""
         return self._heard_s
 
+    @property
+    def clock_is_told(self) -> bool:
+        """Whether the worker itself has told its clock; its record proves none."""
+        return self._times.ahead_ms < math.inf
+
     @property
     def clock_is_old(self) -> bool:
         """Whether the worker's clock was heard so long ago that leases by it are short."""
@@ -94,19 +101,20 @@
     @property
     def lapsed(self) -> bool:
         """Whether every lease that was ever granted there is over."""
-        return self._clock.now() >= max(self._lapses_s, self._inherited_until())
+        return self._clock.now() >= self._leases.lasts_until(self._worker.worker_id)
 
     def deadline(self, now: float) -> int:
         """Until when all that runs there may run from now on, on the worker's clock.
 
+        Before the worker has told its clock this is past, and extends nothing.
         That clock may have been heard long ago. A start that is carried out some seconds late would
         outlast what is counted here by 2 % of that time, 6 s after a rest of 300 s. The worker's
         record tells of its clock as well, so that the lease is not shorter by as much.
         """
-        hold_s = self._owner.hold_s
-        self._lapses_s = max(self._lapses_s, now + hold_s * CLOCK_DRIFT + LAPSE_SLACK_S)
-        clock_ms = max(self._times.earliest(now), self._worker.record.clock_ms)
-        return clock_ms + round(hold_s * 1000)
+        self._leases.granted(self._worker.worker_id, now)
+        if not self.clock_is_told:
+            return 0
+        return self._times.by(self._worker.record.clock_ms, now) + round(self._owner.hold_s * 1000)
 
     def told(self, clock_ms: int, asked_s: float) -> None:
         """A call was answered, and the answer tells the worker's clock.
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -5,10 +5,10 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable
 
-from saddlestack.control.contact import CLOCK_DRIFT, LAPSE_SLACK_S, Contact
+from saddlestack.control.contact import Contact
 from saddlestack.control.endings import Proof, log_over, log_wait
+from saddlestack.control.leases import Leases
 from saddlestack.control.owner import Owner
 from saddlestack.control.reports import Reports
 from saddlestack.interfaces.workers import (
@@ -57,6 +57,10 @@
     """A start is not to be sent any more."""
 
 
+class _ClockUnknown(Exception):
+    """A start did not leave: the worker has not told the clock that its lease goes by."""
+
+
 class _TermTooOld(Exception):
     """A start may not leave: a successor need not count the lease that it brings."""
 
@@ -64,7 +68,7 @@
 class WorkerSession:
     """Orders to one worker, and looks at it, while this VM leads.
 
-    :param inherited_until: tells when leases granted by earlier leaders have lapsed for sure.
+    :param leases: what was granted to workers in this term and before.
     """
 
     def __init__(
@@ -73,15 +77,15 @@
         orders: WorkerOrders,
         owner: Owner,
         clock: Clock,
-        inherited_until: Callable[[], float],
+        leases: Leases,
     ) -> None:
         self.worker = worker
         self._orders = orders
         self._owner = owner
         self._clock = clock
-        self._inherited_until = inherited_until
+        self._leases = leases
         self._began_s = clock.now()
-        self._contact = Contact(worker, owner, clock, inherited_until)
+        self._contact = Contact(worker, owner, clock, leases)
         self._tasks = TaskGroup(f"session {worker.worker_id}")
         self._gate = asyncio.Semaphore(ORDERS_AT_ONCE)
         self._wake = asyncio.Event()
@@ -93,7 +97,7 @@
     def begin(self) -> None:
         """Start to look after the worker."""
         if not self.worker.reachable:
-            self._wait_begins(self._inherited_until() - self._clock.now())
+            self._wait_begins()
         self._tasks.spawn(self._look())
 
     async def close(self) -> None:
@@ -174,6 +178,8 @@
                     self._never_began(run, key)
                     return
                 break
+            except _ClockUnknown:
+                continue
             except WorkerUnreachable:
                 clean = False
                 self._missed(sent)
@@ -184,6 +190,9 @@
             except WorkerReplaced:
                 self._replaced()
                 return
+            except WorkerFenced:
+                self._owner.fenced()
+                return
             if reply.refusal is Refusal.LATE and clean:
                 continue
             self._answered(run, key, reply, clean)
@@ -205,6 +214,8 @@
     async def _send_now(self, start: Start) -> StartReply:
         run = start.run
         async with self._gate:
+            if not self._contact.clock_is_told:
+                await self._ask_clock()
             if not self._is_wanted(run):
                 raise _NotWanted
             if not self._owner.may_grant:
@@ -226,6 +237,21 @@
             self._contact.told(reply.clock_ms, now)
         return reply
 
+    async def _ask_clock(self) -> None:
+        """Have the worker tell its clock, once a session, in 1 to 3 ms.
+
+        :raises _ClockUnknown: it has not.
+        """
+        asked = self._clock.now()
+        try:
+            report = await self._orders.hold(
+                self._owner.fence, None, self._reports.seen, 0.0, LOOK_NOW_TIMEOUT_S
+            )
+        except WorkerUnreachable as error:
+            self._missed(asked)
+            raise _ClockUnknown from error
+        self._contact.told(report.clock_ms, asked)
+
     def _is_wanted(self, run: Run) -> bool:
         """Whether a run is still to start: it may be over, as lapsed, before its order leaves."""
         return run.task.run is run and not run.stopping and not self.worker.evacuated
@@ -435,13 +461,12 @@
     def _missed(self, sent: float) -> None:
         if self._contact.missed(sent):
             self._wake.set()
-            longest_s = self._owner.hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
-            self._wait_begins(max(longest_s, self._inherited_until() - self._clock.now()))
+            self._wait_begins()
 
-    def _wait_begins(self, left_s: float) -> None:
-        """What runs there may go on unseen, for some seconds at most."""
+    def _wait_begins(self) -> None:
+        """What runs there may go on unseen, until its leases have lapsed at most."""
         if self.worker.runs:
-            log_wait(self.worker, max(0.0, left_s))
+            log_wait(self.worker, self._leases.left_s(self.worker.worker_id, self._clock.now()))
 
     def _unanswered(self, asked: float) -> bool:
         """Note a failed look; ``True`` where nothing can be running there any more."""
