--- /dev/null
+++ b/benchmarks/days/__init__.py
@@ -0,0 +1,1 @@
+"""Days of troubles for the users' bench."""
--- a/benchmarks/days/generate.py
+++ b/benchmarks/days/generate.py
@@ -3,7 +3,7 @@
 They fit any deployment: shares rather than counts, and no names but the ones that stand for a
 deployment's first service and data hall.
 
-Usage: python benchmarks/days/generate.py; then run each day by its path.
+Usage: python -m benchmarks.days.generate; then run each day by its path.
 """
 
 from __future__ import annotations
@@ -132,8 +132,9 @@
 PLANNED = ("roll_term", "scale_in", "release", "evacuate", "config_storm")
 
 
-def main() -> None:
-    """Write one file a day."""
+def days() -> dict[str, str]:
+    """The text of each day, by its name."""
+    texts: dict[str, str] = {}
     for number, (name, troubles) in enumerate(DAYS.items()):
         lines: dict[str, list[str]] = {"plan": [], "faults": []}
         for index, trouble in enumerate(troubles * 2):
@@ -148,6 +149,13 @@
         text += f"closing = {CLOSINGS[number % len(CLOSINGS)]}\n"
         for key, entries in lines.items():
             text += f"{key} = [\n" + "\n".join(entries) + "\n]\n"
+        texts[name] = text
+    return texts
+
+
+def main() -> None:
+    """Write one file a day."""
+    for name, text in days().items():
         (DAYS_FOLDER / f"{name}.toml").write_text(text)
 
 
