--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -327,6 +327,40 @@
                 self.play(body)
 
 
+class UpkeepTest(EntryCase):
+    def order(self, cluster: PoolCluster, machine: str) -> None:
+        wave = {"wave": 1, "machines": [machine], "deadline-s": 30, "max-tasks": 1}
+        cluster.store.put("op/wave/1", msgspec.json.encode(wave))
+
+    async def assert_runs_out(self, cluster: PoolCluster, machine: str) -> None:
+        """A machine has its upkeep once what runs there is done."""
+        self.order(cluster, machine)
+        await cluster.until_state(A, JobState.COMPLETED)
+        self.assertEqual(cluster.floor.starts_of(A), 1)
+        await cluster.until(lambda: (machine, 1) in cluster.machines.done)
+
+    def test_upkeep_waits_for_what_runs_whatever_the_record_of_the_worker_is(self) -> None:
+        for name, change in CHANGES.items():
+
+            async def body(cluster: PoolCluster, change: Change = change) -> None:
+                worker = await self.run_on(cluster, job(1, work_s=8.0))
+                change(self, cluster, worker)
+                await asyncio.sleep(HEARD_S)
+                await self.assert_runs_out(cluster, worker.machine)
+
+            with self.subTest(name):
+                self.play(body)
+
+    def test_another_record_that_names_its_machine_changes_nothing(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=8.0))
+            cluster.store.put("servers/zz", encoded(machine=worker.machine))
+            await asyncio.sleep(HEARD_S)
+            await self.assert_runs_out(cluster, worker.machine)
+
+        self.play(body)
+
+
 class MovedTest(EntryCase):
     def test_an_idle_worker_is_reached_where_its_record_says_now(self) -> None:
         async def body(cluster: PoolCluster) -> None:
