--- a/src/saddlestack/control/upkeep.py
+++ b/src/saddlestack/control/upkeep.py
@@ -124,11 +124,15 @@
             await asyncio.gather(*(self._order(state, name) for name in due))
 
     def _by_machine(self) -> dict[str, Worker]:
-        return {
-            worker.record.machine: worker
-            for worker in self._board.workers.values()
-            if worker.listed and worker.record.machine
-        }
+        """The worker of each machine, also one whose record is refused while work runs there.
+
+        Where records of several name a machine, one may be another writer's, or that of a life
+        before: the machine is not idle while work runs on any that is listed.
+        """
+        workers = [worker for worker in self._board.workers.values() if worker.record.machine]
+        present = [worker for worker in workers if worker.listed or worker.runs]
+        present.sort(key=lambda worker: (worker.listed, bool(worker.runs)))
+        return {worker.record.machine: worker for worker in present}
 
     async def _order(self, state: WaveState, machine: str) -> None:
         try:
