--- a/src/saddlestack/control/listing.py
+++ b/src/saddlestack/control/listing.py
@@ -50,7 +50,7 @@
         self.changed(items)
         listed = {self._id(item) for item in items}
         known = {*self._board.workers, *self._refused}
-        for worker_id in known - listed:
+        for worker_id in sorted(known - listed):
             self._removed(worker_id)
 
     def changed(self, items: Iterable[Item]) -> None:
--- a/src/saddlestack/control/membership.py
+++ b/src/saddlestack/control/membership.py
@@ -184,7 +184,7 @@
 
     def _replace(self, items: tuple[Item, ...]) -> None:
         listed = {item.key.removeprefix(MEMBERS) for item in items if item.revision}
-        for vm in (self._members.keys() | self._unreadable) - listed:
+        for vm in sorted((self._members.keys() | self._unreadable) - listed):
             self._lose(vm)
         self._change(items)
 
