--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -86,7 +87,11 @@
 
 @dataclass(slots=True)
 class FloorWorker:
-    """One life of a worker."""
+    """One life of a worker.
+
+    :ivar lapsed_at: when its latest lease was over.
+    :ivar ended_at: when runs ended, by the number of the end.
+    """
 
     worker_id: str
     address: str
@@ -107,6 +112,8 @@
     ended: list[EndedTask] = field(default_factory=list)
     highest: dict[TaskName, int] = field(default_factory=dict)
     count: int = 0
+    lapsed_at: float = -math.inf
+    ended_at: dict[int, float] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
@@ -265,11 +272,12 @@
         if fence < worker.fence:
             raise WorkerFenced
         worker.fence = fence
+        self._see_lapse(worker)
         if deadline_ms is not None:
             self._extend(worker, deadline_ms)
         for end in worker.ended:
             if end.number <= seen and end.how is EndKind.DONE:
-                self._taken_note.add(TaskName.parse(end.task))
+                self._take_note(worker, end)
         worker.ended = [end for end in worker.ended if end.number > seen]
         if wait_s and not worker.ended:
             worker.changed.clear()
@@ -290,7 +298,20 @@
 
     # Work
 
+    def _take_note(self, worker: FloorWorker, end: EndedTask) -> None:
+        """An end counts for good, unless the worker's lease lapsed before it was acknowledged.
+
+        A leader may then have had the task begun again, and cannot take that back.
+        """
+        if worker.lapsed_at <= worker.ended_at[end.number]:
+            self._taken_note.add(TaskName.parse(end.task))
+
+    def _see_lapse(self, worker: FloorWorker) -> None:
+        if _now() > worker.lease_until:
+            worker.lapsed_at = worker.lease_until
+
     def _extend(self, worker: FloorWorker, deadline_ms: int) -> None:
+        self._see_lapse(worker)
         until = min((deadline_ms - CLOCK_START_MS) / 1000, _now() + self.times.hold_s)
         worker.lease_until = max(worker.lease_until, until)
 
@@ -361,6 +382,7 @@
         del worker.runs[(run.task, run.number)]
         worker.highest[run.task] = max(worker.highest.get(run.task, 0), run.number)
         worker.count += 1
+        worker.ended_at[worker.count] = _now()
         worker.ended.append(
             EndedTask(worker.count, str(run.task), run.number, how, f"{run.done_s:.3f}")
         )
