--- /dev/null
+++ b/tests/simulation/day.py
@@ -0,0 +1,409 @@
+"""A seeded day: a steady mix of jobs, random faults, and the verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from dataclasses import dataclass, field
+
+import msgspec
+
+from saddlestack.work import JobRequest, Resources, Step
+from tests.simulation.deployment import Deployment, Heartbeats, Shape, Vm, running_loop_name
+from tests.simulation.loops import Slowness
+from tests.simulation.ways import ANY, STORE, Fault
+from tests.simulation.workers import Plan
+
+FIRST_S = 4.0
+SETTLE_S = 80.0
+SHOWN_EVENTS = {
+    "start", "stop", "ended", "run_over", "run_absent", "lease_wait", "worker_left",
+    "start_refused", "worker_replaced", "worker_silent", "elected", "deposed", "displaced",
+    "scheduling", "renewals_over", "store_lost", "store_back",
+}  # fmt: skip
+
+
+@dataclass(slots=True)
+class Verdict:
+    """How a day went."""
+
+    seed: int
+    broken: list[str]
+    lines: list[str]
+    starts: int
+    jobs: int
+    unfinished: list[str]
+
+
+@dataclass(slots=True)
+class Flavour:
+    """Which faults a day has, and how many a second.
+
+    :param early_removal: workers remove their records up to 2 s before they end.
+    """
+
+    rates: dict[str, float]
+    seconds: float
+    jobs_per_s: float
+    early_removal: bool
+
+
+class _Log(logging.Handler):
+    """Keeps the control logs of a day."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[tuple[float, str, dict[str, object]]] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        event = getattr(record, "event", "")
+        if event in SHOWN_EVENTS or record.levelno >= logging.ERROR:
+            try:
+                now = asyncio.get_running_loop().time()
+            except RuntimeError:
+                now = -1.0
+            fields = {
+                key: value
+                for key, value in record.__dict__.items()
+                if key in _FIELDS and value is not None
+            }
+            if record.exc_info:
+                fields["error"] = repr(record.exc_info[1])
+            self.lines.append((now, running_loop_name(), {"event": event, **fields}))
+
+
+_FIELDS = frozenset(
+    "task run worker how proof age_s inherited reason fence left_s runs confirmed service".split()
+)
+
+
+@dataclass
+class Day:
+    """Plays one day."""
+
+    seed: int
+    flavour: Flavour
+    shape: Shape
+    jobs: dict[str, tuple[str, JobRequest]] = field(default_factory=dict)
+    trouble: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed * 7 + 1)
+        self.site = Deployment(self.shape, self.seed)
+        self.ends_s = FIRST_S + self.flavour.seconds
+
+    def play(self) -> Verdict:
+        """Play it to its end, and judge."""
+        handler = _Log()
+        logger = logging.getLogger("saddlestack")
+        before = (logger.handlers, logger.level, logger.propagate)
+        logger.handlers, logger.propagate = [handler], False
+        logger.setLevel(logging.INFO)
+        try:
+            return self._play(handler)
+        finally:
+            self.site.close()
+            logger.handlers, logger.propagate = before[0], before[2]
+            logger.setLevel(before[1])
+
+    def _play(self, handler: _Log) -> Verdict:
+        site = self.site
+        site.start()
+        site.world.call_later(FIRST_S / 2, self._next_job)
+        for kind, rate in sorted(self.flavour.rates.items()):
+            site.world.call_later(FIRST_S + self.rng.expovariate(rate), self._next, kind, rate)
+        site.timeline.run(self.ends_s)
+        broken = site.workers.broken
+        site.timeline.run(self.ends_s + SETTLE_S, lambda: bool(broken) or self._settled())
+        found = site.workers.judge()
+        return Verdict(
+            self.seed,
+            found,
+            self._lines(handler, found),
+            site.workers.starts,
+            len(site.acknowledged),
+            site.unfinished(),
+        )
+
+    def _settled(self) -> bool:
+        now = self.site.world.time()
+        return now > self.ends_s + 20.0 and not self.site.unfinished()
+
+    def _lines(self, handler: _Log, found: list[str]) -> list[str]:
+        """The log lines that name the tasks of broken promises, their workers, and changes."""
+        if not found:
+            return []
+        tasks = {text.partition("[")[2].split(" ", 1)[0] for text in found}
+        runs = [run for name, each in self.site.workers.history.items() if str(name) in tasks
+                for run in each]  # fmt: skip
+        workers = {run.worker.worker_id for run in runs}
+        lines = [str(run) for run in runs] + self.trouble
+        for at, vm, fields in handler.lines:
+            task, worker = fields.get("task"), fields.get("worker")
+            if task in tasks or (task is None and (worker is None or worker in workers)):
+                lines.append(f"{at:9.3f} {vm} " + " ".join(f"{k}={v}" for k, v in fields.items()))
+        return lines
+
+    # Jobs
+
+    def _next_job(self) -> None:
+        rng = self.rng
+        if self.site.world.time() > self.ends_s:
+            return
+        job_id = f"{rng.getrandbits(64):016x}"
+        queue, request = _job(rng)
+        self.jobs[job_id] = (queue, request)
+        self._hand_in(job_id)
+        for _ in range(rng.choice((0, 0, 0, 1, 2))):
+            self.site.world.call_later(rng.uniform(0.0, 8.0), self._hand_in, job_id)
+        if rng.random() < 0.08:
+            self.site.world.call_later(rng.uniform(0.2, 10.0), self._cancel, job_id)
+        self.site.world.call_later(rng.expovariate(self.flavour.jobs_per_s), self._next_job)
+
+    def _hand_in(self, job_id: str) -> None:
+        queue, request = self.jobs[job_id]
+        if self.site.vms:
+            self.site.submit(self._any_vm(), job_id, queue, request)
+
+    def _cancel(self, job_id: str) -> None:
+        if self.site.vms:
+            self.site.cancel(self._any_vm(), job_id, self.jobs[job_id][0])
+
+    def _any_vm(self) -> Vm:
+        return self.rng.choice(list(self.site.vms.values()))
+
+    # Trouble
+
+    def _next(self, kind: str, rate: float) -> None:
+        if self.site.world.time() > self.ends_s:
+            return
+        getattr(self, f"_{kind}")()
+        self.site.world.call_later(self.rng.expovariate(rate), self._next, kind, rate)
+
+    def _note(self, text: str) -> None:
+        self.trouble.append(f"{self.site.world.time():9.3f} -- {text}")
+
+    def _often_leader(self) -> Vm | None:
+        if not self.site.vms:
+            return None
+        leader = self.site.leader
+        return leader if leader is not None and self.rng.random() < 0.75 else self._any_vm()
+
+    def _beats(self) -> Heartbeats | None:
+        beats = [b for b in self.site.heartbeats.values() if b.worker.up and not b.removed]
+        return self.rng.choice(beats) if beats else None
+
+    def _freeze(self) -> None:
+        vm, seconds = self._often_leader(), self.rng.choice((0.3, 1.0, 2.0, 5.0, 8.0, 14.0))
+        if vm is not None:
+            seconds *= self.rng.uniform(0.2, 1.0)
+            self._note(f"{vm.name} stands still for {seconds:.3f} s")
+            vm.loop.stand_still(seconds)
+
+    def _slow_vm(self) -> None:
+        vm, rng = self._often_leader(), self.rng
+        if vm is None:
+            return
+        until = self.site.world.time() + rng.uniform(1.0, 12.0)
+        vm.loop.slowness = Slowness(
+            until,
+            turn_stall=rng.choice((0.0, 0.01, 0.05)),
+            line_stall=rng.choice((0.0, 0.0005, 0.005)),
+            longest_s=rng.choice((0.05, 0.3, 1.0, 4.0)),
+            step_s=rng.choice((0.0, 0.005, 0.05, 0.3)),
+        )
+        self._note(f"{vm.name} is slow: {vm.loop.slowness}")
+
+    def _worker_way(self) -> None:
+        rng = self.rng
+        beats = self._beats()
+        kind = rng.choice(("cut", "mute", "reset", "busy", "slow", "lossy", "late", "late"))
+        vm = ANY if rng.random() < 0.4 or not self.site.vms else self._some_vm()
+        others = [ANY] if rng.random() < 0.15 else self._some_workers(beats)
+        until = self.site.world.time() + rng.choice((0.3, 1.0, 3.0, 8.0, 20.0))
+        strength = rng.choice((0.1, 0.3, 0.7, 3.0)) if kind == "slow" else rng.uniform(0.1, 0.9)
+        self._note(f"{kind} {vm} to {others} until {until:.3f} ({strength:.2f})")
+        for other in others:
+            self.site.ways.add(Fault(kind, vm, other, until, strength))
+
+    def _some_vm(self) -> str:
+        vm = self._often_leader()
+        return ANY if vm is None else vm.name
+
+    def _some_workers(self, beats: Heartbeats | None) -> list[str]:
+        """One worker, or all of its rack or its hall."""
+        if beats is None:
+            return []
+        one, choice = beats.worker, self.rng.random()
+        lives = [each for each in self.site.workers.lives.values() if each.up]
+        if choice < 0.5:
+            return [one.worker_id]
+        if choice < 0.8:
+            return [each.worker_id for each in lives if each.rack == one.rack]
+        return [each.worker_id for each in lives if each.hall == one.hall]
+
+    def _store_way(self) -> None:
+        rng = self.rng
+        kind = rng.choice(("cut", "mute", "reset", "busy", "slow", "lossy", "late"))
+        vm = ANY if rng.random() < 0.3 or not self.site.vms else self._some_vm()
+        until = self.site.world.time() + rng.choice((0.3, 1.0, 2.5, 6.0, 12.0))
+        strength = rng.choice((0.05, 0.3, 1.0)) if kind == "slow" else rng.uniform(0.1, 0.9)
+        self._note(f"{kind} {vm} to store until {until:.3f} ({strength:.2f})")
+        self.site.ways.add(Fault(kind, vm, STORE, until, strength))
+
+    def _store_down(self) -> None:
+        """The store is away for all; leases wait or run out, records lapse or not."""
+        rng, now = self.rng, self.site.world.time()
+        seconds = rng.uniform(0.5, 15.0)
+        waits, lapse = rng.random() < 0.5, rng.random() < 0.5
+        self._note(f"store is down for {seconds:.3f} s, leases wait {waits}, records lapse {lapse}")
+        self.site.ways.add(Fault("cut", ANY, STORE, now + seconds))
+        if waits:
+            self.site.store.stretch_leases(seconds)
+        for beats in self.site.heartbeats.values():
+            if lapse:
+                beats.cut_until = now + seconds + rng.uniform(0.0, 0.5)
+            else:
+                beats.written_s = max(beats.written_s, now + seconds)
+
+    def _vm_way(self) -> None:
+        rng = self.rng
+        if len(self.site.vms) < 2:
+            return
+        first, second = rng.sample(sorted(self.site.vms), 2)
+        until = self.site.world.time() + rng.choice((1.0, 5.0, 15.0))
+        kind = rng.choice(("cut", "mute", "slow"))
+        for pair in ((first, second), (second, first)):
+            self.site.ways.add(Fault(kind, *pair, until, 0.7))
+
+    def _history(self) -> None:
+        self.site.store.forget_history()
+
+    def _lease_lost(self) -> None:
+        """The leader's key goes; the same VM may take it again."""
+        lease = self.site.store.lease_of("saddlestack/leader")
+        if lease:
+            self._note("the leader's lease ends")
+            self.site.store.end(lease)
+
+    def _restart(self) -> None:
+        vm = self._often_leader()
+        if vm is None or len(self.site.vms) < 2:
+            return
+        self._note(f"{vm.name} dies")
+        self.site.kill(vm.name)
+        later_s = self.rng.choice((0.05, 0.5, 2.0, 6.0))
+        self.site.world.call_later(later_s, self._restarted, vm.name, vm.hall)
+
+    def _restarted(self, name: str, hall: str) -> None:
+        if name not in self.site.vms:
+            self._note(f"{name} starts")
+            self.site.add_vm(name, hall)
+
+    def _drain(self) -> None:
+        rng, beats = self.rng, self._beats()
+        if beats is None or beats.draining_ms is not None:
+            return
+        for worker_id in self._some_workers(beats) if rng.random() < 0.4 else [""]:
+            one = self.site.heartbeats.get(worker_id, beats)
+            if one.draining_ms is not None or one.removed:
+                continue
+            drain_s = rng.choice((0.5, 2.0, 4.0, 6.0))
+            longer_s = rng.choice((0.0, 0.3, 1.0, 4.0, 7.0))
+            early_s = rng.uniform(0.0, 2.0) if self.flavour.early_removal else 0.0
+            self._note(f"{one.worker.worker_id} drains {drain_s}, serves on {longer_s}")
+            self.site.drain(one, drain_s, longer_s, early_s)
+            self._replace(one, drain_s + longer_s)
+
+    def _unannounced(self) -> None:
+        """A worker removes its record and serves on for a while."""
+        beats = self._beats()
+        if beats is not None:
+            longer_s = self.rng.uniform(0.5, 9.0)
+            self._note(f"{beats.worker.worker_id} goes unannounced, serves on {longer_s:.3f}")
+            self.site.remove_record(beats)
+            self.site.world.call_later(longer_s, self.site.end_worker, beats)
+            self._replace(beats, longer_s)
+
+    def _crash(self) -> None:
+        beats = self._beats()
+        if beats is not None:
+            self._note(f"{beats.worker.worker_id} crashes")
+            self.site.end_worker(beats)
+            self._replace(beats, 0.0)
+
+    def _replace(self, beats: Heartbeats, after_s: float) -> None:
+        """Later a new life comes, often at the same address."""
+        old, later_s = beats.worker, after_s + self.rng.choice((0.1, 1.0, 4.0))
+        address = old.address if self.rng.random() < 0.7 else ""
+        self.site.world.call_later(later_s, self.site.add_worker, old.rack, old.hall, address)
+
+    def _store_cut(self) -> None:
+        """Workers do not reach the store, which loses their records, and serve on."""
+        beats = self._beats()
+        until = self.site.world.time() + self.rng.choice((1.5, 3.0, 5.0, 9.0, 15.0))
+        for worker_id in self._some_workers(beats):
+            one = self.site.heartbeats[worker_id]
+            one.cut_until = max(one.cut_until, until)
+            self._note(f"{worker_id} does not reach the store until {until:.3f}")
+
+
+def _job(rng: random.Random) -> tuple[str, JobRequest]:
+    kind = rng.random()
+    if kind < 0.3:
+        queue, count, gang = "urgent", rng.randint(2, 6), rng.random() < 0.7
+    elif kind < 0.7:
+        queue, count, gang = "normal", rng.randint(1, 8), rng.random() < 0.5
+    else:
+        queue, count, gang = "bulk", rng.randint(4, 24), rng.random() < 0.1
+    room = rng.choice((1, 2, 4, 8))
+    work_s = round(rng.choice((0.3, 1.0, 3.0, 8.0)) * rng.uniform(0.5, 1.5), 3)
+    failures = 1 if rng.random() < 0.08 else 0
+    plan = Plan(work_s, room, count if gang else 0, failures)
+    step = Step(
+        count=count,
+        needs=Resources(500, 512, room),
+        estimate_ms=round(work_s * 1000),
+        gang=gang,
+        checkpoint=rng.random() < 0.4,
+        same_rack=gang and count * room <= 16 and rng.random() < 0.3,
+    )
+    return queue, JobRequest(payload=msgspec.json.encode(plan).decode(), steps=(step,))
+
+
+MOST_A_SECOND = {
+    "freeze": 0.3,
+    "slow_vm": 0.2,
+    "worker_way": 0.6,
+    "store_way": 0.15,
+    "store_down": 0.05,
+    "vm_way": 0.2,
+    "history": 0.2,
+    "lease_lost": 0.12,
+    "restart": 0.08,
+    "drain": 0.2,
+    "unannounced": 0.15,
+    "crash": 0.15,
+    "store_cut": 0.2,
+}
+"""Kinds of trouble, and how often each comes at most."""
+
+
+def day_of(seed: int, seconds: float = 45.0) -> Day:
+    """The day that a seed names."""
+    rng = random.Random(seed)
+    kinds = rng.sample(sorted(MOST_A_SECOND), rng.randint(2, len(MOST_A_SECOND)))
+    rates = {kind: MOST_A_SECOND[kind] * rng.choice((0.2, 0.5, 1.0)) for kind in kinds}
+    flavour = Flavour(rates, seconds, rng.choice((0.7, 1.5, 3.0)), rng.random() < 0.3)
+    shape = Shape(
+        entries=rng.randint(2, 4),
+        halls=rng.randint(1, 3),
+        racks=rng.randint(3, 6),
+        workers=rng.randint(8, 24),
+        tells_clock=rng.random() < 0.6,
+        stop_s=rng.choice((0.1, 0.5, 2.0)),
+    )
+    day = Day(seed, flavour, shape)
+    day.site.workers.late_gangs = rng.random() < 0.4
+    return day
--- /dev/null
+++ b/tests/simulation/deployment.py
@@ -0,0 +1,356 @@
+"""Entry VMs, workers and a store on one virtual clock, and what may happen to each of them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import unittest.mock
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from saddlestack.control import entry as entry_module
+from saddlestack.control.entry import EntryVm
+from saddlestack.control.settings import EntrySettings, Timings
+from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces.clients import ClientCall
+from saddlestack.interfaces.documents import Queue
+from saddlestack.interfaces.workers import WorkerRecord
+from saddlestack.standins.pool.documents import ACCOUNT, HOST, QUEUES, SERVICE, pool_document
+from saddlestack.work import JobRequest, JobState
+from tests.simulation.loops import SharedClock, SharedLoop, Timeline
+from tests.simulation.ways import SimOrders, SimPeers, SimStore, WatchedStore, Ways
+from tests.simulation.workers import HOLD_S, SimWorker, Workers
+
+ATTEMPTS = 3
+HEARTBEAT_S = 1.5
+LAPSE_HEARTBEATS = 3.0
+LAPSE_CHECK_S = 0.1
+RETENTION_S = 150.0
+
+
+@dataclass(slots=True)
+class Shape:
+    """What a deployment consists of.
+
+    :param tells_clock: workers write their clock with each heartbeat.
+    :param stop_s: the longest that a stop takes.
+    """
+
+    entries: int = 3
+    halls: int = 2
+    racks: int = 4
+    workers: int = 12
+    guaranteed: int = 32
+    tells_clock: bool = True
+    stop_s: float = 0.5
+
+
+@dataclass(slots=True, eq=False)
+class Vm:
+    """One life of an entry VM."""
+
+    name: str
+    hall: str
+    loop: SharedLoop
+    entry: EntryVm | None = None
+
+    @property
+    def leads(self) -> bool:
+        """Whether it schedules."""
+        scheduler = None if self.entry is None else self.entry.scheduler
+        return scheduler is not None and scheduler.loaded.is_set() and not scheduler.over
+
+
+@dataclass(slots=True, eq=False)
+class Heartbeats:
+    """What a worker's life tells the store.
+
+    :param cut_until: it does not reach the store before.
+    :param written_s: when its record was last written.
+    """
+
+    worker: SimWorker
+    cut_until: float = 0.0
+    written_s: float = 0.0
+    draining_ms: int | None = None
+    told_ms: int = 0
+    removed: bool = False
+
+
+class _NullServer:
+    """A server that nobody reaches: clients' calls are made in-process."""
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        pass
+
+    async def start(self, *args: object) -> None:
+        """Listen nowhere."""
+
+    async def stop(self) -> None:
+        """Nothing is open."""
+
+    async def drain(self) -> None:
+        """Nothing is open."""
+
+    def abort(self) -> None:
+        """Nothing is open."""
+
+
+class _Time:
+    """Numbers for incarnations that repeat with the seed."""
+
+    def __init__(self) -> None:
+        self._numbers = itertools.count(1)
+
+    def time_ns(self) -> int:
+        """A number that rises."""
+        return next(self._numbers) * 1_000_000
+
+
+@dataclass
+class Deployment:
+    """Everything of one simulated day."""
+
+    shape: Shape
+    seed: int
+    timeline: Timeline = field(default_factory=Timeline)
+    vms: dict[str, Vm] = field(default_factory=dict)
+    heartbeats: dict[str, Heartbeats] = field(default_factory=dict)
+    acknowledged: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.world = self.timeline.loop("world", random.Random(0))
+        self.ways = Ways(self.world, random.Random(self.rng.random()))
+        self.store = WatchedStore(self.world)
+        self.workers = Workers(self.world, random.Random(self.rng.random()), self.shape.stop_s)
+        self._lives = itertools.count(1)
+        self._patches = [
+            unittest.mock.patch.object(entry_module, "HttpServer", _NullServer),
+            unittest.mock.patch.object(entry_module, "time", _Time()),
+            unittest.mock.patch.object(entry_module, "Peers", self._peers()),
+        ]
+
+    def _peers(self) -> type[SimPeers]:
+        def reach(name: str) -> SimPeers | None:
+            vm = self.vms.get(name)
+            peers = None if vm is None or vm.entry is None else vm.entry.peers
+            return peers if isinstance(peers, SimPeers) else None
+
+        return type("DeployedPeers", (SimPeers,), {"ways": self.ways, "reach": staticmethod(reach)})
+
+    def start(self) -> None:
+        """Start the workers and the entry VMs."""
+        for patch in self._patches:
+            patch.start()
+        self.world.call_soon(self._start)
+        self.timeline.run(0.001)
+
+    def close(self) -> None:
+        """End everything."""
+        for patch in self._patches:
+            patch.stop()
+        self.timeline.close()
+
+    def _start(self) -> None:
+        document = pool_document(1, attempts=ATTEMPTS, guaranteed=self.shape.guaranteed)
+        self.store.put("op/config", document)
+        for number in range(self.shape.workers):
+            rack = number % self.shape.racks
+            self.add_worker(f"r{rack + 1}-1", f"hall-{rack % self.shape.halls + 1}")
+        for number in range(self.shape.entries):
+            self.add_vm(f"entry-{number + 1}", f"hall-{number % self.shape.halls + 1}")
+        self.world.call_later(LAPSE_CHECK_S, self._lapse)
+
+    # VMs
+
+    def add_vm(self, name: str, hall: str) -> None:
+        """Start a VM, under a name that may have been another life's."""
+        life = next(self._lives)
+        loop = self.timeline.loop(name, random.Random(self.seed * 1000 + life))
+        vm = Vm(name, hall, loop)
+        self.vms[name] = vm
+        loop.create_task(self._begin(vm, life))
+
+    async def _begin(self, vm: Vm, life: int) -> None:
+        vm.entry = EntryVm(
+            _settings(vm),
+            clock=SharedClock(),
+            rng=random.Random(self.seed * 1000 + life + 500),
+            store=SimStore(self.ways, self.store, vm.name),
+            orders=lambda record: self._orders(vm.name, record),
+        )
+        await vm.entry.start()
+
+    def kill(self, name: str) -> None:
+        """A VM's process dies; what it has sent arrives."""
+        self.timeline.drop(self.vms.pop(name).loop)
+
+    @property
+    def leader(self) -> Vm | None:
+        """The VM that schedules."""
+        return next((vm for vm in self.vms.values() if vm.leads), None)
+
+    def _orders(self, vm: str, record: WorkerRecord) -> SimOrders:
+        return SimOrders(self.ways, self.workers, vm, self.workers.lives[record.worker_id])
+
+    # Clients
+
+    def submit(self, vm: Vm, job_id: str, queue: str, request: JobRequest) -> None:
+        """Hand a job in."""
+        if vm.entry is not None:
+            vm.loop.create_task(self._submit(vm, job_id, queue, request))
+
+    async def _submit(self, vm: Vm, job_id: str, queue: str, request: JobRequest) -> None:
+        assert vm.entry is not None
+        try:
+            await vm.entry.jobs.submit(_client(queue), job_id, request)
+        except SaddlestackError:
+            return
+        self.acknowledged.add(job_id)
+
+    def cancel(self, vm: Vm, job_id: str, queue: str) -> None:
+        """Cancel a job."""
+        if vm.entry is not None:
+            vm.loop.create_task(self._cancel(vm, job_id, queue))
+
+    async def _cancel(self, vm: Vm, job_id: str, queue: str) -> None:
+        assert vm.entry is not None
+        try:
+            await vm.entry.jobs.cancel(_client(queue), job_id)
+        except SaddlestackError:
+            return
+
+    def unfinished(self) -> list[str]:
+        """Accepted jobs that the leader does not show as over."""
+        leader = self.leader
+        if leader is None or leader.entry is None or leader.entry.scheduler is None:
+            return sorted(self.acknowledged)
+        state = leader.entry.scheduler.state
+        final = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+        return sorted(job for job in self.acknowledged if state(job) not in final)
+
+    # Workers
+
+    def add_worker(self, rack: str, hall: str, address: str = "") -> SimWorker:
+        """A new life of a worker, which tells the store of itself."""
+        worker = self.workers.add(rack, hall, address)
+        beats = Heartbeats(worker)
+        self.heartbeats[worker.worker_id] = beats
+        self._beat(beats)
+        return worker
+
+    def write(self, beats: Heartbeats) -> bool:
+        """Write a worker's record; ``False`` where the store is not reached."""
+        now, worker = self.world.time(), beats.worker
+        if now < beats.cut_until or not worker.up or beats.removed:
+            return False
+        if self.shape.tells_clock or not beats.told_ms:
+            beats.told_ms = self.workers.clock_ms(worker)
+        record: dict[str, Any] = {
+            "service": SERVICE,
+            "address": worker.address,
+            "zone": worker.hall,
+            "state": "ready" if beats.draining_ms is None else "draining",
+            "capacity": {"cpu": 32_000, "mem-mb": 65_536, "gpu": worker.room},
+            "labels": ["a", worker.rack],
+            "clock-ms": beats.told_ms,
+            "machine": f"m-{worker.address}",
+        }
+        if beats.draining_ms is not None:
+            record["remaining-ms"] = beats.draining_ms
+        value = msgspec.json.encode(record)
+        key = f"servers/{worker.worker_id}"
+        if self.store.item(key).value != value:
+            self.store.put(key, value)
+        beats.written_s = now
+        return True
+
+    def _beat(self, beats: Heartbeats) -> None:
+        if not beats.worker.up or beats.removed:
+            return
+        if beats.draining_ms is None or beats.written_s < 0:
+            self.write(beats)
+        elif self.world.time() >= beats.cut_until:
+            beats.written_s = self.world.time()
+        self.world.call_later(HEARTBEAT_S * self.rng.uniform(0.9, 1.1), self._beat, beats)
+
+    def drain(self, beats: Heartbeats, drain_s: float, longer_s: float, early_s: float) -> None:
+        """A worker announces its end, serves on for longer than that, and ends.
+
+        :param early_s: so long before its end it removes its record.
+        """
+        beats.draining_ms = round(drain_s * 1000)
+        if not self.write(beats):
+            self.world.call_later(0.2, self.drain, beats, drain_s, longer_s, early_s)
+            return
+        left_s = drain_s + longer_s
+        self.world.call_later(max(0.0, left_s - early_s), self.remove_record, beats)
+        self.world.call_later(left_s, self.end_worker, beats)
+
+    def remove_record(self, beats: Heartbeats) -> None:
+        """A worker removes its record, if it reaches the store; else the record lapses."""
+        beats.removed = True
+        if self.world.time() >= beats.cut_until:
+            self.store.remove(f"servers/{beats.worker.worker_id}")
+
+    def end_worker(self, beats: Heartbeats) -> None:
+        """A worker's life ends."""
+        if beats.worker.up:
+            self.workers.end(beats.worker)
+
+    def _lapse(self) -> None:
+        now = self.world.time()
+        for beats in self.heartbeats.values():
+            if now - beats.written_s > LAPSE_HEARTBEATS * HEARTBEAT_S:
+                self.store.remove(f"servers/{beats.worker.worker_id}")
+        self.world.call_later(LAPSE_CHECK_S, self._lapse)
+
+
+def _settings(vm: Vm) -> EntrySettings:
+    return EntrySettings(
+        vm=vm.name,
+        data_hall=vm.hall,
+        clients="127.0.0.1:0",
+        readiness="127.0.0.1:0",
+        peer_ports=(10_000, 10_001),
+        store="127.0.0.1:1",
+        timings=Timings(
+            longest_hold_ms=HOLD_S * 1000,
+            grace_s=6.0,
+            status_s=120.0,
+            retention_s=RETENTION_S,
+            worker_heartbeat_ms=HEARTBEAT_S * 1000,
+        ),
+    )
+
+
+def _client(queue: str) -> ClientCall:
+    return ClientCall(
+        Queue(
+            name=queue,
+            host=HOST,
+            prefix=f"/{queue}/",
+            service=SERVICE,
+            priority=dict(QUEUES)[queue],
+            attempts=ATTEMPTS,
+            stretch=1.5,
+            target_ms=250.0,
+            timeout_ms=3000.0,
+            open=False,
+        ),
+        ACCOUNT,
+        3.0,
+    )
+
+
+def running_loop_name() -> str:
+    """The process that runs now."""
+    try:
+        loop = asyncio.get_running_loop()
+    except RuntimeError:
+        return "-"
+    return loop.name if isinstance(loop, SharedLoop) else "-"
--- /dev/null
+++ b/tests/simulation/ways.py
@@ -0,0 +1,503 @@
+"""The ways between a VM, the workers, the store and the other VMs, with their faults.
+
+Calls leave and arrive at moments of their own: they overtake each other, get lost on either way, or
+are carried out seconds late. Answers reach a VM that stands still when it goes on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from saddlestack.control.context import EntryContext
+from saddlestack.control.membership import Membership
+from saddlestack.control.peers import CALL_TIMEOUT_S as PEER_TIMEOUT_S
+from saddlestack.control.peers import Peers, PeerUnavailable
+from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces.store import (
+    Committed,
+    Conflict,
+    HistoryGone,
+    Item,
+    LeaseOver,
+    Listing,
+    StoreUnavailable,
+    Transaction,
+    WriteInDoubt,
+)
+from saddlestack.interfaces.workers import (
+    StartOrder,
+    StartReply,
+    WorkerBusy,
+    WorkerFenced,
+    WorkerReplaced,
+    WorkerReport,
+    WorkerUnreachable,
+)
+from saddlestack.platform.kv import CALL_TIMEOUT_S, LIST_TIMEOUT_S, WATCH_SLACK_S
+from saddlestack.standins.pool.store import StoreState
+from tests.simulation.loops import SharedLoop
+from tests.simulation.workers import SimWorker, Workers
+
+T = TypeVar("T")
+
+ANY = "*"
+TRIP_S = 0.002
+MOST_HOPS = 3
+"""An answer that is ready wakes its reader after some turns of the loop, or at once: where a VM
+stood still, its time-out comes first or last."""
+
+
+@dataclass(slots=True)
+class Fate:
+    """What becomes of one call.
+
+    :param arrives: its request does.
+    :param answers: its answer does.
+    :param late_s: it is carried out so much later, and not answered.
+    """
+
+    out_s: float
+    back_s: float
+    arrives: bool = True
+    answers: bool = True
+    late_s: float = 0.0
+    reset: bool = False
+    busy: bool = False
+
+
+@dataclass(slots=True)
+class Fault:
+    """Trouble of the ways that match, until some time.
+
+    :param kind: ``cut``, ``mute`` (answers get lost), ``reset``, ``busy``, ``slow``, ``lossy`` or
+        ``late``.
+    """
+
+    kind: str
+    vm: str
+    other: str
+    until: float
+    strength: float = 0.0
+
+
+@dataclass(slots=True)
+class Ways:
+    """Draws the fate of each call."""
+
+    world: SharedLoop
+    rng: random.Random
+    faults: list[Fault] = field(default_factory=list)
+
+    def add(self, fault: Fault) -> None:
+        """Trouble begins."""
+        now = self.world.time()
+        self.faults = [each for each in self.faults if each.until > now]
+        self.faults.append(fault)
+
+    def fate(self, vm: str, other: str) -> Fate:
+        """What becomes of a call that leaves now."""
+        rng, now = self.rng, self.world.time()
+        fate = Fate(rng.uniform(0.0, TRIP_S), rng.uniform(0.0, TRIP_S))
+        for fault in self.faults:
+            if fault.until <= now or fault.vm not in (ANY, vm) or fault.other not in (ANY, other):
+                continue
+            self._harm(fate, fault)
+        return fate
+
+    def _harm(self, fate: Fate, fault: Fault) -> None:
+        rng = self.rng
+        match fault.kind:
+            case "cut":
+                fate.arrives = fate.answers = False
+            case "mute":
+                fate.answers = False
+            case "reset":
+                fate.reset = True
+            case "busy":
+                fate.busy = True
+            case "slow":
+                fate.out_s += rng.uniform(0.0, fault.strength)
+                fate.back_s += rng.uniform(0.0, fault.strength)
+            case "lossy":
+                fate.arrives = fate.arrives and rng.random() > fault.strength
+                fate.answers = fate.answers and rng.random() > fault.strength
+            case "late":
+                if rng.random() < fault.strength:
+                    fate.late_s = rng.uniform(2.0, 12.0)
+
+
+@dataclass(slots=True)
+class Call:
+    """A call of a VM that waits for its answer."""
+
+    loop: SharedLoop
+    world: SharedLoop
+    rng: random.Random
+    future: asyncio.Future[Any]
+
+    def answer(self, value: object, back_s: float) -> None:
+        """Let an answer reach the VM."""
+        self.world.call_later(back_s, self._arrive, value, self.rng.randrange(MOST_HOPS))
+
+    def _arrive(self, value: object, hops: int) -> None:
+        if not self.loop.dead:
+            self.loop.call_soon(self._wake, value, hops)
+
+    def _wake(self, value: object, hops: int) -> None:
+        if hops:
+            self.loop.call_soon(self._wake, value, hops - 1)
+        elif not self.future.done():
+            if isinstance(value, BaseException):
+                self.future.set_exception(value)
+            else:
+                self.future.set_result(value)
+
+
+Carry = Callable[[Callable[[object], None]], None]
+"""Carries a call out, and is given what takes its answer."""
+
+
+async def _call(
+    ways: Ways, vm: str, other: str, timeout_s: float, carry: Carry, refused: Callable[[], object]
+) -> Any:
+    """Make a call.
+
+    :param refused: the error that a reset or a refusal shows as.
+    :raises TimeoutError: no answer.
+    """
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, SharedLoop)
+    fate = ways.fate(vm, other)
+    call = Call(loop, ways.world, ways.rng, loop.create_future())
+
+    def arrive() -> None:
+        if fate.reset or fate.busy:
+            call.answer(refused() if fate.reset else WorkerBusy("503"), fate.back_s)
+            return
+        try:
+            carry(reply)
+        except (WorkerFenced, WorkerReplaced, WorkerUnreachable) as error:
+            reply(error)
+
+    def reply(value: object) -> None:
+        if fate.answers and not fate.late_s:
+            call.answer(value, fate.back_s)
+
+    if fate.arrives or fate.reset:
+        ways.world.call_at(loop.time() + fate.out_s + fate.late_s, arrive)
+    async with asyncio.timeout(timeout_s):
+        return await call.future
+
+
+class SimOrders:
+    """One VM's way to one life of a worker."""
+
+    def __init__(self, ways: Ways, workers: Workers, vm: str, worker: SimWorker) -> None:
+        self._ways = ways
+        self._workers = workers
+        self._vm = vm
+        self._worker = worker
+
+    async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
+        """Start a run."""
+        sent = asyncio.get_running_loop().time()
+
+        def carry(reply: Callable[[object], None]) -> None:
+            self._reach()
+            reply(self._workers.start(self._worker, order, self._vm, sent))
+
+        reply: StartReply = await self._order(timeout_s, carry)
+        return reply
+
+    async def stop(self, task: str, run: int, fence: int, timeout_s: float) -> None:
+        """Stop a run."""
+
+        def carry(reply: Callable[[object], None]) -> None:
+            self._reach()
+            self._workers.stop(self._worker, task, run, fence)
+            reply(None)
+
+        await self._order(timeout_s, carry)
+
+    async def pace(self, task: str, run: int, percent: int, fence: int, timeout_s: float) -> None:
+        """Nothing here serves, so nothing is paced."""
+
+    async def hold(
+        self, fence: int, deadline_ms: int | None, seen: int, wait_s: float, timeout_s: float
+    ) -> WorkerReport:
+        """Renew the lease, acknowledge ends, and look."""
+
+        def carry(reply: Callable[[object], None]) -> None:
+            self._reach()
+            self._workers.hold(self._worker, fence, deadline_ms, seen, wait_s, reply)
+
+        report: WorkerReport = await self._order(timeout_s, carry)
+        return report
+
+    def close(self) -> None:
+        """Nothing is kept open."""
+
+    def _reach(self) -> None:
+        """See that this life of the worker is there.
+
+        :raises WorkerReplaced: another one is, at its address.
+        :raises WorkerUnreachable: none is.
+        """
+        if self._worker.up:
+            return
+        lives = self._workers.lives.values()
+        if any(each.up and each.address == self._worker.address for each in lives):
+            raise WorkerReplaced
+        raise WorkerUnreachable("refused")
+
+    async def _order(self, timeout_s: float, carry: Carry) -> Any:
+        try:
+            return await _call(
+                self._ways,
+                self._vm,
+                self._worker.worker_id,
+                timeout_s,
+                carry,
+                lambda: WorkerUnreachable("reset"),
+            )
+        except TimeoutError:
+            raise WorkerUnreachable("silence") from None
+
+
+STORE = "store"
+
+
+@dataclass(slots=True, eq=False)
+class _Watch:
+    """A watch that waits for a change."""
+
+    prefix: str
+    after: int
+    reply: Callable[[object], None]
+    over: bool = False
+
+
+class WatchedStore(StoreState):
+    """The store itself; watches wait for its changes."""
+
+    def __init__(self, world: SharedLoop) -> None:
+        super().__init__()
+        self._world = world
+        self._watches: list[_Watch] = []
+
+    def grant(self, ttl_s: float) -> int:
+        """A new lease, whose end is told at once."""
+        lease = super().grant(ttl_s)
+        self._world.call_later(ttl_s, self._see_lease, lease)
+        return lease
+
+    def watch(self, watch: _Watch, wait_s: float) -> None:
+        """Answer once something has changed, or after some time."""
+        if self._told(watch, last=False):
+            return
+        self._watches.append(watch)
+        self._world.call_later(wait_s, self._told, watch, True)
+
+    def stretch_leases(self, seconds: float) -> None:
+        """Leases wait while the store is down."""
+        for lease in self._leases.values():
+            lease.until += seconds
+
+    def lease_of(self, key: str) -> int:
+        """The lease that a key hangs on; 0 where there is none."""
+        kept = self._keys.get(key)
+        return 0 if kept is None else kept.lease
+
+    def changes(self, prefix: str, after: int) -> list[Item]:
+        """What changed after a revision.
+
+        :raises HistoryGone: it is no longer known.
+        """
+        if after < self._forgotten:
+            raise HistoryGone(prefix)
+        found: list[Item] = []
+        for event in reversed(self._history):
+            if event.revision <= after:
+                break
+            if event.item.key.startswith(prefix):
+                found.append(event.item)
+        return found[::-1]
+
+    def _see_lease(self, lease: int) -> None:
+        kept = self._leases.get(lease)
+        if kept is None:
+            return
+        left_s = kept.until - self._world.time()
+        if left_s > 0:
+            self._world.call_later(left_s, self._see_lease, lease)
+            return
+        self._expire()
+
+    def _notify(self) -> None:
+        for watch in list(self._watches):
+            self._told(watch, last=False)
+
+    def _told(self, watch: _Watch, last: bool) -> bool:
+        if watch.over:
+            return True
+        try:
+            items: Any = self.changes(watch.prefix, watch.after)
+        except HistoryGone as error:
+            items = error
+        if not items and not last:
+            return False
+        watch.over = True
+        if watch in self._watches:
+            self._watches.remove(watch)
+        gone = isinstance(items, HistoryGone)
+        watch.reply(items if gone else Listing(tuple(items), self.revision))
+        return True
+
+
+class SimStore:
+    """One VM's way to the store: a :class:`saddlestack.interfaces.store.MetadataStore`."""
+
+    def __init__(self, ways: Ways, state: WatchedStore, vm: str) -> None:
+        self._ways = ways
+        self._state = state
+        self._vm = vm
+
+    def reconnect(self) -> None:
+        """Each call has a connection of its own."""
+
+    async def get(self, key: str) -> Item:
+        """A key; revision 0 where it is absent."""
+        found: Item = await self._read(CALL_TIMEOUT_S, lambda: self._state.item(key))
+        return found
+
+    async def list(self, prefix: str) -> Listing:
+        """All keys under a prefix."""
+
+        def read() -> Listing:
+            return Listing(tuple(self._state.keys(prefix)), self._state.revision)
+
+        found: Listing = await self._read(LIST_TIMEOUT_S, read)
+        return found
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
+        """Changes after a revision."""
+
+        def carry(reply: Callable[[object], None]) -> None:
+            self._state.watch(_Watch(prefix, after, reply), wait_s)
+
+        found: Listing = await self._reading(wait_s + WATCH_SLACK_S, carry)
+        return found
+
+    async def transact(self, transaction: Transaction) -> Committed | Conflict:
+        """Make changes all together."""
+
+        def carry(reply: Callable[[object], None]) -> None:
+            reply(_outcome(lambda: self._state.transact(transaction)))
+
+        try:
+            outcome: Committed | Conflict = await self._through(
+                CALL_TIMEOUT_S, carry, WriteInDoubt("reset")
+            )
+            return outcome
+        except TimeoutError:
+            raise WriteInDoubt("silence") from None
+        except WorkerBusy:
+            raise StoreUnavailable("503") from None
+
+    async def grant_lease(self, ttl_s: float) -> tuple[int, float]:
+        """A new lease."""
+        lease: int = await self._read(CALL_TIMEOUT_S, lambda: self._state.grant(ttl_s))
+        return lease, ttl_s
+
+    async def keep_lease(self, lease: int) -> None:
+        """Renew a lease."""
+        await self._read(CALL_TIMEOUT_S, lambda: self._state.keep(lease))
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and its keys."""
+        await self._read(CALL_TIMEOUT_S, lambda: self._state.end(lease))
+
+    async def _read(self, timeout_s: float, read: Callable[[], object]) -> Any:
+        def carry(reply: Callable[[object], None]) -> None:
+            reply(_outcome(read))
+
+        return await self._reading(timeout_s, carry)
+
+    async def _reading(self, timeout_s: float, carry: Carry) -> Any:
+        try:
+            return await self._through(timeout_s, carry, StoreUnavailable("reset"))
+        except (TimeoutError, WorkerBusy) as error:
+            raise StoreUnavailable(str(error) or "silence") from None
+
+    async def _through(self, timeout_s: float, carry: Carry, refused: Exception) -> Any:
+        return await _call(self._ways, self._vm, STORE, timeout_s, carry, lambda: refused)
+
+
+def _outcome(work: Callable[[], object]) -> object:
+    """What work returns, or the store's error."""
+    try:
+        return work()
+    except (LeaseOver, HistoryGone) as error:
+        return error
+
+
+class SimPeers(Peers):
+    """Calls between VMs, without sockets.
+
+    :cvar reach: finds a VM's peers by name; set by the deployment.
+    """
+
+    ways: Ways
+    reach: Callable[[str], SimPeers | None]
+    loop: SharedLoop
+
+    def __init__(self, context: EntryContext, membership: Membership) -> None:
+        super().__init__(context, membership)
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, SharedLoop)
+        self.loop = loop
+
+    async def start(self) -> None:
+        """There are no sockets."""
+
+    async def ask(self, vm: str, question: object, kind: type[T]) -> T:
+        """Ask a VM; this VM answers itself."""
+        method = type(question).__name__
+        if vm == self._membership.me.vm:
+            own: Any = await self._methods[method][1](question)
+            return own  # type: ignore[no-any-return]
+        if self._membership.member(vm) is None:
+            raise PeerUnavailable(f"{vm} is not known")
+
+        def carry(reply: Callable[[object], None]) -> None:
+            other = type(self).reach(vm)
+            if other is not None:
+                other.loop.create_task(other.answer(method, question, reply))
+
+        try:
+            answer: T = await _call(
+                self.ways,
+                self._membership.me.vm,
+                vm,
+                PEER_TIMEOUT_S,
+                carry,
+                lambda: PeerUnavailable("reset"),
+            )
+            return answer
+        except TimeoutError:
+            raise PeerUnavailable("silence", sent=True) from None
+        except WorkerBusy:
+            raise PeerUnavailable("refused") from None
+
+    async def answer(self, method: str, question: Any, reply: Callable[[object], None]) -> None:
+        """Answer another VM."""
+        work: Coroutine[Any, Any, object] = self._methods[method][1](question)  # type: ignore[assignment]
+        try:
+            answer: object = await work
+        except SaddlestackError as error:
+            answer = error
+        self.ways.world.call_at(self.loop.time(), reply, answer)
--- /dev/null
+++ b/tests/simulation/workers.py
@@ -0,0 +1,355 @@
+"""Workers as the platform's pages tell of them, and the account of every run."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from saddlestack.interfaces.workers import (
+    EndedTask,
+    EndKind,
+    Refusal,
+    RunningTask,
+    StartOrder,
+    StartReply,
+    WorkerFenced,
+    WorkerReport,
+)
+from saddlestack.platform.orders import ENDS_AT_ONCE
+from saddlestack.work import TaskName
+from tests.simulation.loops import SharedLoop
+
+CLOCK_START_MS = 400_000
+ALONE_S = 3.0
+HOLD_S = 10.0
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What a task does, as the payload of its job spells it (JSON)."""
+
+    work_s: float
+    room: int
+    gang: int = 0
+    failures: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class SimRun:
+    """One run at one worker.
+
+    :param noted: its end was acknowledged.
+    """
+
+    task: TaskName
+    number: int
+    worker: SimWorker
+    plan: Plan
+    vm: str
+    fence: int
+    ordered_s: float
+    began_s: float
+    work_began_s: float | None = None
+    done_s: float = 0.0
+    stop_s: float | None = None
+    stopping: bool = False
+    ended_s: float | None = None
+    how: EndKind | None = None
+    number_of_end: int = 0
+    noted: bool = False
+
+    def __str__(self) -> str:
+        end = "-" if self.ended_s is None else f"{self.ended_s:.3f} {self.how}"
+        stop = "-" if self.stop_s is None else f"{self.stop_s:.3f}"
+        return (
+            f"{self.task} run {self.number} on {self.worker.worker_id} from {self.vm}"
+            f" fence {self.fence}, order {self.ordered_s:.3f} start {self.began_s:.3f}"
+            f" stop {stop} end {end}{' noted' if self.noted else ''}"
+        )
+
+
+Reply = Callable[[WorkerReport], None]
+
+
+@dataclass(slots=True, eq=False)
+class _Waiting:
+    """A look that waits for an end."""
+
+    reply: Reply
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class SimWorker:
+    """One life of a worker."""
+
+    worker_id: str
+    address: str
+    rack: str
+    hall: str
+    room: int
+    rate: float
+    born_s: float
+    up: bool = True
+    fence: int = 0
+    lease_ms: float = 0.0
+    runs: dict[tuple[TaskName, int], SimRun] = field(default_factory=dict)
+    ended: list[EndedTask] = field(default_factory=list)
+    ends: dict[int, SimRun] = field(default_factory=dict)
+    highest: dict[TaskName, int] = field(default_factory=dict)
+    count: int = 0
+    waiting: list[_Waiting] = field(default_factory=list)
+
+    @property
+    def free(self) -> int:
+        """Accelerators that nothing holds."""
+        return self.room - sum(run.plan.room for run in self.runs.values())
+
+
+class Workers:
+    """All workers, what they do on orders, and what of that breaks a promise."""
+
+    def __init__(self, world: SharedLoop, rng: random.Random, stop_s: float) -> None:
+        self._world = world
+        self._rng = rng
+        self._stop_s = stop_s
+        self.lives: dict[str, SimWorker] = {}
+        self.history: dict[TaskName, list[SimRun]] = {}
+        self.broken: list[str] = []
+        self.slow_lists: dict[str, float] = {}
+        self.late_gangs = False
+        self.starts = 0
+
+    def add(self, rack: str, hall: str, address: str = "") -> SimWorker:
+        """A new life of a worker."""
+        number = len(self.lives) + 1
+        rate = self._rng.choice((1.0, 1.0, 0.98))
+        worker = SimWorker(
+            f"i-{number:04d}",
+            address or f"127.0.0.1:{9000 + number}",
+            rack,
+            hall,
+            8,
+            rate,
+            self._world.time(),
+        )
+        self.lives[worker.worker_id] = worker
+        return worker
+
+    def end(self, worker: SimWorker) -> None:
+        """A life is over, and all that runs there."""
+        worker.up = False
+        for run in list(worker.runs.values()):
+            run.ended_s = self._world.time()
+        for run in [each for each in worker.runs.values() if each.plan.gang]:
+            for member in list(self._members(run)):
+                if member.work_began_s is not None:
+                    self._list_soon(member, EndKind.BROKEN)
+        worker.runs.clear()
+        worker.waiting.clear()
+
+    def clock_ms(self, worker: SimWorker) -> int:
+        """What a worker's steady clock says."""
+        passed_s = self._world.time() - worker.born_s
+        return CLOCK_START_MS + int(passed_s * worker.rate * 1000)
+
+    # Orders
+
+    def start(self, worker: SimWorker, order: StartOrder, vm: str, ordered_s: float) -> StartReply:
+        """Start a run."""
+        clock_ms = self.clock_ms(worker)
+        name = TaskName.parse(order.task)
+        if order.fence < worker.fence:
+            return StartReply(clock_ms, Refusal.FENCED)
+        worker.fence = order.fence
+        if order.deadline_ms <= clock_ms:
+            return StartReply(clock_ms, Refusal.LATE)
+        self._extend(worker, order.deadline_ms)
+        if (name, order.run) in worker.runs:
+            return StartReply(clock_ms, None)
+        if order.run <= worker.highest.get(name, 0):
+            return StartReply(clock_ms, Refusal.OLD)
+        plan = msgspec.json.decode(order.payload, type=Plan)
+        if plan.room > worker.free:
+            return StartReply(clock_ms, Refusal.ROOM)
+        run = SimRun(
+            name, order.run, worker, plan, vm, order.fence, ordered_s, self._world.time()
+        )
+        run.done_s = float(order.saved or 0.0)
+        self._begin(run)
+        return StartReply(clock_ms, None)
+
+    def stop(self, worker: SimWorker, task: str, number: int, fence: int) -> None:
+        """Stop a run."""
+        if fence < worker.fence:
+            raise WorkerFenced
+        worker.fence = fence
+        name = TaskName.parse(task)
+        worker.highest[name] = max(worker.highest.get(name, 0), number)
+        run = worker.runs.get((name, number))
+        if run is None or run.stopping:
+            return
+        run.stopping = True
+        run.stop_s = self._world.time()
+        took_s = self._rng.uniform(0.0, self._stop_s)
+        self._world.call_later(took_s, self._finish, run, EndKind.STOPPED)
+
+    def hold(
+        self,
+        worker: SimWorker,
+        fence: int,
+        deadline_ms: int | None,
+        seen: int,
+        wait_s: float,
+        reply: Reply,
+    ) -> None:
+        """Renew the lease, forget ends, and report, at once or with the next end."""
+        if fence < worker.fence:
+            raise WorkerFenced
+        worker.fence = fence
+        if deadline_ms is not None:
+            self._extend(worker, deadline_ms)
+        for end in worker.ended:
+            if end.number <= seen:
+                worker.ends.pop(end.number).noted = True
+        worker.ended = [end for end in worker.ended if end.number > seen]
+        if not wait_s or worker.ended:
+            reply(self._report(worker))
+            return
+        waiting = _Waiting(reply)
+        worker.waiting.append(waiting)
+        self._world.call_later(wait_s, self._answer, worker, waiting)
+
+    def _answer(self, worker: SimWorker, waiting: _Waiting) -> None:
+        if waiting.over or not worker.up:
+            return
+        waiting.over = True
+        worker.waiting.remove(waiting)
+        waiting.reply(self._report(worker))
+
+    def _report(self, worker: SimWorker) -> WorkerReport:
+        running = tuple(
+            RunningTask(str(run.task), run.number, f"{self._done(run):.3f}", self._percent(run))
+            for run in worker.runs.values()
+        )
+        ended = tuple(worker.ended[:ENDS_AT_ONCE])
+        more = len(ended) >= ENDS_AT_ONCE
+        return WorkerReport(self.clock_ms(worker), running, ended, more)
+
+    def _extend(self, worker: SimWorker, deadline_ms: float) -> None:
+        clock_ms = self.clock_ms(worker)
+        until = min(deadline_ms, clock_ms + HOLD_S * 1000)
+        if until <= worker.lease_ms:
+            return
+        worker.lease_ms = until
+        left_s = (until - clock_ms) / 1000 / worker.rate
+        self._world.call_later(left_s + 0.002, self._see_lease, worker)
+
+    def _see_lease(self, worker: SimWorker) -> None:
+        if self.clock_ms(worker) < worker.lease_ms:
+            return
+        for run in list(worker.runs.values()):
+            self._finish(run, EndKind.LAPSED)
+
+    # Work
+
+    def _begin(self, run: SimRun) -> None:
+        self.starts += 1
+        runs = self.history.setdefault(run.task, [])
+        for other in runs:
+            if other.ended_s is None and other.worker.up:
+                self.broken.append(f"two runs at once: [{run}] while [{other}]")
+        runs.append(run)
+        run.worker.runs[(run.task, run.number)] = run
+        if not run.plan.gang:
+            self._work(run)
+            return
+        members = list(self._members(run))
+        if len(members) == run.plan.gang:
+            for member in members:
+                self._work(member)
+        else:
+            self._world.call_later(ALONE_S, self._see_alone, run)
+
+    def _work(self, run: SimRun) -> None:
+        run.work_began_s = self._world.time()
+        left_s = max(0.01, run.plan.work_s - run.done_s)
+        self._world.call_later(left_s, self._see_done, run)
+
+    def _see_alone(self, run: SimRun) -> None:
+        if run.work_began_s is None and not run.stopping:
+            self._finish(run, EndKind.ALONE)
+
+    def _see_done(self, run: SimRun) -> None:
+        if run.stopping or run.ended_s is not None:
+            return
+        failed = sum(1 for each in self.history[run.task] if each.how is EndKind.FAILED)
+        self._finish(run, EndKind.FAILED if failed < run.plan.failures else EndKind.DONE)
+
+    def _members(self, run: SimRun) -> Iterable[SimRun]:
+        name = run.task
+        for index in range(run.plan.gang):
+            task = TaskName(name.job_id, name.occurrence, name.step, index)
+            for each in self.history.get(task, []):
+                if each.number == run.number and each.ended_s is None and each.worker.up:
+                    yield each
+
+    def _finish(self, run: SimRun, how: EndKind) -> None:
+        """A run is over; its end is listed soon, until which it counts as running."""
+        if run.ended_s is not None or not run.worker.up:
+            return
+        members = list(self._members(run)) if run.plan.gang else []
+        worked = run.work_began_s is not None
+        self._list_end(run, how)
+        if not worked:
+            return
+        others = EndKind.DONE if how is EndKind.DONE else EndKind.BROKEN
+        for member in members:
+            if member is not run and member.ended_s is None:
+                self._list_soon(member, others)
+
+    def _list_soon(self, run: SimRun, how: EndKind) -> None:
+        late_s = self._rng.uniform(0.0, 0.3) if self.late_gangs else 0.0
+        if not late_s or how is EndKind.DONE:
+            self._list_end(run, how)
+        else:
+            run.stopping = True
+            self._world.call_later(late_s, self._list_end, run, how)
+
+    def _list_end(self, run: SimRun, how: EndKind) -> None:
+        worker = run.worker
+        if run.ended_s is not None or not worker.up:
+            return
+        saved = f"{self._done(run):.3f}"
+        run.ended_s = self._world.time()
+        run.how = how
+        del worker.runs[(run.task, run.number)]
+        worker.highest[run.task] = max(worker.highest.get(run.task, 0), run.number)
+        worker.count += 1
+        worker.ended.append(EndedTask(worker.count, str(run.task), run.number, how, saved))
+        worker.ends[worker.count] = run
+        for waiting in list(worker.waiting):
+            self._answer(worker, waiting)
+
+    def _done(self, run: SimRun) -> float:
+        if run.work_began_s is None:
+            return run.done_s
+        return run.done_s + self._world.time() - run.work_began_s
+
+    def _percent(self, run: SimRun) -> int:
+        return min(99, int(100 * self._done(run) / run.plan.work_s))
+
+    def judge(self) -> list[str]:
+        """Every broken promise."""
+        found = list(self.broken)
+        for runs in self.history.values():
+            done = [run for run in runs if run.how is EndKind.DONE and run.noted]
+            for first in done:
+                found += [
+                    f"start after a noted end: [{run}] after [{first}]"
+                    for run in runs
+                    if first.ended_s is not None and run.began_s > first.ended_s
+                ]
+        return found
