--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -11,9 +11,10 @@
 
 
 def _show(verdict: Verdict, took_s: float, whole: bool) -> None:
+    events = " ".join(f"{name}={count}" for name, count in sorted(verdict.events.items()))
     print(
         f"seed {verdict.seed}: {verdict.jobs} jobs, {verdict.starts} starts, "
-        f"{len(verdict.broken)} broken, {len(verdict.unfinished)} unfinished, {took_s:.1f} s",
+        f"{len(verdict.broken)} broken, {len(verdict.unfinished)} unfinished, {took_s:.1f} s {events}",
         flush=True,
     )
     for text in verdict.broken if whole else verdict.broken[:3]:
@@ -28,11 +29,13 @@
     parser.add_argument("first", type=int)
     parser.add_argument("count", type=int, nargs="?", default=1)
     parser.add_argument("--seconds", type=float, default=45.0)
+    parser.add_argument("--only", default="", help="kinds of trouble, with commas")
     parser.add_argument("--found", type=Path, help="a file that broken days are added to")
     options = parser.parse_args()
+    only = [kind for kind in options.only.split(",") if kind]
     for seed in range(options.first, options.first + options.count):
         began = time.process_time()
-        verdict = day_of(seed, options.seconds).play()
+        verdict = day_of(seed, options.seconds, only).play()
         took_s = time.process_time() - began
         _show(verdict, took_s, whole=options.count == 1)
         if verdict.broken and options.found is not None:
--- a/tests/simulation/day.py
+++ b/tests/simulation/day.py
@@ -5,18 +5,30 @@
 import asyncio
 import logging
 import random
+from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import msgspec
 
 from saddlestack.work import JobRequest, Resources, Step
-from tests.simulation.deployment import Deployment, Heartbeats, Shape, Vm, running_loop_name
+from tests.simulation.deployment import (
+    HEARTBEAT_S,
+    LAPSE_HEARTBEATS,
+    Deployment,
+    Heartbeats,
+    Shape,
+    Vm,
+    running_loop_name,
+)
 from tests.simulation.loops import Slowness
 from tests.simulation.ways import ANY, STORE, Fault
 from tests.simulation.workers import Plan
 
 FIRST_S = 4.0
 SETTLE_S = 80.0
+CALM_S = 20.0
+"""So long after its last trouble a day goes on at least: leases that were granted have lapsed."""
 SHOWN_EVENTS = {
     "start", "stop", "ended", "run_over", "run_absent", "lease_wait", "worker_left",
     "start_refused", "worker_replaced", "worker_silent", "elected", "deposed", "displaced",
@@ -34,6 +46,7 @@
     starts: int
     jobs: int
     unfinished: list[str]
+    events: Counter[str]
 
 
 @dataclass(slots=True)
@@ -55,6 +68,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.lines: list[tuple[float, str, dict[str, object]]] = []
+        self.counted: Counter[str] = Counter()
 
     def emit(self, record: logging.LogRecord) -> None:
         event = getattr(record, "event", "")
@@ -70,6 +84,7 @@
             }
             if record.exc_info:
                 fields["error"] = repr(record.exc_info[1])
+            self.counted[str(fields.get("proof") or event)] += 1
             self.lines.append((now, running_loop_name(), {"event": event, **fields}))
 
 
@@ -92,6 +107,7 @@
         self.rng = random.Random(self.seed * 7 + 1)
         self.site = Deployment(self.shape, self.seed)
         self.ends_s = FIRST_S + self.flavour.seconds
+        self.ask_s = self.ends_s + CALM_S
 
     def play(self) -> Verdict:
         """Play it to its end, and judge."""
@@ -116,6 +132,8 @@
         site.timeline.run(self.ends_s)
         broken = site.workers.broken
         site.timeline.run(self.ends_s + SETTLE_S, lambda: bool(broken) or self._settled())
+        if site.world.errors:
+            raise RuntimeError(site.world.errors[0])
         found = site.workers.judge()
         return Verdict(
             self.seed,
@@ -124,11 +142,16 @@
             site.workers.starts,
             len(site.acknowledged),
             site.unfinished(),
+            handler.counted,
         )
 
     def _settled(self) -> bool:
+        """Whether all that was accepted is over; asked once a second."""
         now = self.site.world.time()
-        return now > self.ends_s + 20.0 and not self.site.unfinished()
+        if now < self.ask_s:
+            return False
+        self.ask_s = now + 1.0
+        return not self.site.unfinished()
 
     def _lines(self, handler: _Log, found: list[str]) -> list[str]:
         """The log lines that name the tasks of broken promises, their workers, and changes."""
@@ -220,12 +243,17 @@
         beats = self._beats()
         kind = rng.choice(("cut", "mute", "reset", "busy", "slow", "lossy", "late", "late"))
         vm = ANY if rng.random() < 0.4 or not self.site.vms else self._some_vm()
-        others = [ANY] if rng.random() < 0.15 else self._some_workers(beats)
-        until = self.site.world.time() + rng.choice((0.3, 1.0, 3.0, 8.0, 20.0))
+        others: list[str] = [ANY] if rng.random() < 0.15 else self._some_workers(beats)
+        until = self.site.world.time() + rng.choice((0.3, 1.0, 3.0, 8.0, 14.0, 25.0))
         strength = rng.choice((0.1, 0.3, 0.7, 3.0)) if kind == "slow" else rng.uniform(0.1, 0.9)
         self._note(f"{kind} {vm} to {others} until {until:.3f} ({strength:.2f})")
         for other in others:
-            self.site.ways.add(Fault(kind, vm, other, until, strength))
+            self.site.ways.add(Fault(kind, vm, self._way_to(other), until, strength))
+
+    def _way_to(self, other: str) -> str:
+        """All orders to a worker, or one kind of them."""
+        kind = self.rng.choice(("", "", "/start", "/stop", "/hold"))
+        return other if other == ANY else other + kind
 
     def _some_vm(self) -> str:
         vm = self._often_leader()
@@ -303,11 +331,11 @@
 
     def _drain(self) -> None:
         rng, beats = self.rng, self._beats()
-        if beats is None or beats.draining_ms is not None:
+        if beats is None or beats.leaves_s is not None:
             return
         for worker_id in self._some_workers(beats) if rng.random() < 0.4 else [""]:
             one = self.site.heartbeats.get(worker_id, beats)
-            if one.draining_ms is not None or one.removed:
+            if one.leaves_s is not None or one.removed:
                 continue
             drain_s = rng.choice((0.5, 2.0, 4.0, 6.0))
             longer_s = rng.choice((0.0, 0.3, 1.0, 4.0, 7.0))
@@ -316,6 +344,48 @@
             self.site.drain(one, drain_s, longer_s, early_s)
             self._replace(one, drain_s + longer_s)
 
+    def _leave_badly(self) -> None:
+        """A worker that drains is out of reach of VMs, or of the store, near its announced end."""
+        rng, beats = self.rng, self._beats()
+        if beats is None or beats.leaves_s is not None:
+            return
+        drain_s, longer_s = rng.choice((0.5, 1.5, 3.0)), rng.choice((0.0, 0.5, 2.0, 7.0, 12.0))
+        early_s = rng.uniform(0.0, 2.0) if self.flavour.early_removal else 0.0
+        worker_id = beats.worker.worker_id
+        self._note(f"{worker_id} drains {drain_s}, serves on {longer_s}, badly")
+        self.site.drain(beats, drain_s, longer_s, early_s)
+        self._replace(beats, drain_s + longer_s)
+        begins_s = max(0.0, drain_s + rng.uniform(-1.0, longer_s))
+        if rng.random() < 0.6:
+            store_s = rng.uniform(0.0, drain_s)
+            until = self.site.world.time() + store_s + rng.uniform(2.0, 12.0)
+            self.site.world.call_later(store_s, self._cut_store, beats, until)
+            lapses_s = store_s + LAPSE_HEARTBEATS * HEARTBEAT_S
+            begins_s = max(0.0, lapses_s + rng.uniform(-1.5, 0.5))
+        self.site.world.call_later(begins_s, self._cut_worker, worker_id)
+        if rng.random() < 0.6:
+            until = self.site.world.time() + drain_s + longer_s
+            self.site.ways.add(
+                Fault(rng.choice(("cut", "late")), ANY, f"{worker_id}/stop", until, 1.0)
+            )
+
+    def _cut_worker(self, worker_id: str) -> None:
+        kind = self.rng.choice(("cut", "mute", "reset", "slow", "late"))
+        vm = ANY if self.rng.random() < 0.4 else self._some_vm()
+        until = self.site.world.time() + self.rng.choice((0.7, 1.5, 4.0, 12.0))
+        self._note(f"{kind} {vm} to {worker_id} until {until:.3f}")
+        self.site.ways.add(Fault(kind, vm, self._way_to(worker_id), until, 1.0))
+
+    def _cut_store(self, beats: Heartbeats, until: float) -> None:
+        self._note(f"{beats.worker.worker_id} does not reach the store until {until:.3f}")
+        beats.cut_until = max(beats.cut_until, until)
+
+    def _busy_worker_way(self) -> None:
+        """A worker that runs something has trouble with its leader."""
+        busy = [each for each in self.site.workers.lives.values() if each.up and each.runs]
+        if busy:
+            self._cut_worker(self.rng.choice(busy).worker_id)
+
     def _unannounced(self) -> None:
         """A worker removes its record and serves on for a while."""
         beats = self._beats()
@@ -342,12 +412,36 @@
     def _store_cut(self) -> None:
         """Workers do not reach the store, which loses their records, and serve on."""
         beats = self._beats()
-        until = self.site.world.time() + self.rng.choice((1.5, 3.0, 5.0, 9.0, 15.0))
+        until = self.site.world.time() + self.rng.choice((1.5, 3.0, 5.0, 9.0, 20.0))
         for worker_id in self._some_workers(beats):
             one = self.site.heartbeats[worker_id]
             one.cut_until = max(one.cut_until, until)
             self._note(f"{worker_id} does not reach the store until {until:.3f}")
 
+    def _foreign(self) -> None:
+        """Another writer changes a worker's entry, until the worker writes it again."""
+        rng, beats = self.rng, self._beats()
+        if beats is None:
+            return
+        change = rng.choice(FOREIGN)
+        self._note(f"the entry of {beats.worker.worker_id} is changed: {change}")
+        self.site.overwrite(beats, change)
+        self.site.world.call_later(rng.uniform(0.1, 12.0), self.site.write, beats)
+
+
+FOREIGN: tuple[dict[str, object] | None, ...] = (
+    None,
+    {"state": "resting"},
+    {"state": 7},
+    {"capacity": None},
+    {"labels": "none"},
+    {"service": "another"},
+    {"zone": "nowhere"},
+    {"clock-ms": 0},
+    {"state": "draining", "remaining-ms": 0},
+)
+"""What another writer makes of an entry: bytes that cannot be read, or other fields."""
+
 
 def _job(rng: random.Random) -> tuple[str, JobRequest]:
     kind = rng.random()
@@ -358,7 +452,7 @@
     else:
         queue, count, gang = "bulk", rng.randint(4, 24), rng.random() < 0.1
     room = rng.choice((1, 2, 4, 8))
-    work_s = round(rng.choice((0.3, 1.0, 3.0, 8.0)) * rng.uniform(0.5, 1.5), 3)
+    work_s = round(rng.choice((0.3, 1.0, 3.0, 8.0, 25.0)) * rng.uniform(0.5, 1.5), 3)
     failures = 1 if rng.random() < 0.08 else 0
     plan = Plan(work_s, room, count if gang else 0, failures)
     step = Step(
@@ -386,23 +480,31 @@
     "unannounced": 0.15,
     "crash": 0.15,
     "store_cut": 0.2,
+    "foreign": 0.1,
+    "leave_badly": 0.4,
+    "busy_worker_way": 0.8,
 }
 """Kinds of trouble, and how often each comes at most."""
 
 
-def day_of(seed: int, seconds: float = 45.0) -> Day:
-    """The day that a seed names."""
+def day_of(seed: int, seconds: float = 45.0, only: Sequence[str] = ()) -> Day:
+    """The day that a seed names.
+
+    :param only: kinds of trouble that it has, each as often as may be; chance where there are none.
+    """
     rng = random.Random(seed)
-    kinds = rng.sample(sorted(MOST_A_SECOND), rng.randint(2, len(MOST_A_SECOND)))
+    kinds = rng.sample(sorted(MOST_A_SECOND), rng.choice((2, 3, 4, 6, len(MOST_A_SECOND))))
     rates = {kind: MOST_A_SECOND[kind] * rng.choice((0.2, 0.5, 1.0)) for kind in kinds}
-    flavour = Flavour(rates, seconds, rng.choice((0.7, 1.5, 3.0)), rng.random() < 0.3)
+    if only:
+        rates = {kind: MOST_A_SECOND[kind] for kind in only}
+    flavour = Flavour(rates, seconds, rng.choice((0.7, 1.2, 2.0)), rng.random() < 0.3)
     shape = Shape(
         entries=rng.randint(2, 4),
         halls=rng.randint(1, 3),
         racks=rng.randint(3, 6),
         workers=rng.randint(8, 24),
         tells_clock=rng.random() < 0.6,
-        stop_s=rng.choice((0.1, 0.5, 2.0)),
+        stop_s=rng.choice((0.1, 0.5, 2.0, 5.0)),
     )
     day = Day(seed, flavour, shape)
     day.site.workers.late_gangs = rng.random() < 0.4
--- a/tests/simulation/deployment.py
+++ b/tests/simulation/deployment.py
@@ -75,8 +75,9 @@
     worker: SimWorker
     cut_until: float = 0.0
     written_s: float = 0.0
-    draining_ms: int | None = None
+    leaves_s: float | None = None
     told_ms: int = 0
+    remaining_ms: int = 0
     removed: bool = False
 
 
@@ -250,32 +251,43 @@
             return False
         if self.shape.tells_clock or not beats.told_ms:
             beats.told_ms = self.workers.clock_ms(worker)
+        value = msgspec.json.encode(self._record(beats))
+        key = f"servers/{worker.worker_id}"
+        if self.store.item(key).value != value:
+            self.store.put(key, value)
+        beats.written_s = now
+        return True
+
+    def overwrite(self, beats: Heartbeats, change: dict[str, object] | None) -> None:
+        """Another writer changes a worker's entry; ``None`` makes it unreadable."""
+        key = f"servers/{beats.worker.worker_id}"
+        if self.store.item(key).revision:
+            record = self._record(beats)
+            self.store.put(key, b"\xff" if change is None else msgspec.json.encode(record | change))
+
+    def _record(self, beats: Heartbeats) -> dict[str, Any]:
+        worker = beats.worker
         record: dict[str, Any] = {
             "service": SERVICE,
             "address": worker.address,
             "zone": worker.hall,
-            "state": "ready" if beats.draining_ms is None else "draining",
+            "state": "ready" if beats.leaves_s is None else "draining",
             "capacity": {"cpu": 32_000, "mem-mb": 65_536, "gpu": worker.room},
             "labels": ["a", worker.rack],
             "clock-ms": beats.told_ms,
             "machine": f"m-{worker.address}",
         }
-        if beats.draining_ms is not None:
-            record["remaining-ms"] = beats.draining_ms
-        value = msgspec.json.encode(record)
-        key = f"servers/{worker.worker_id}"
-        if self.store.item(key).value != value:
-            self.store.put(key, value)
-        beats.written_s = now
-        return True
+        if beats.leaves_s is not None:
+            if self.shape.tells_clock or not beats.remaining_ms:
+                left_s = beats.leaves_s - self.world.time()
+                beats.remaining_ms = max(0, round(left_s * 1000))
+            record["remaining-ms"] = beats.remaining_ms
+        return record
 
     def _beat(self, beats: Heartbeats) -> None:
         if not beats.worker.up or beats.removed:
             return
-        if beats.draining_ms is None or beats.written_s < 0:
-            self.write(beats)
-        elif self.world.time() >= beats.cut_until:
-            beats.written_s = self.world.time()
+        self.write(beats)
         self.world.call_later(HEARTBEAT_S * self.rng.uniform(0.9, 1.1), self._beat, beats)
 
     def drain(self, beats: Heartbeats, drain_s: float, longer_s: float, early_s: float) -> None:
@@ -283,7 +295,7 @@
 
         :param early_s: so long before its end it removes its record.
         """
-        beats.draining_ms = round(drain_s * 1000)
+        beats.leaves_s = self.world.time() + drain_s
         if not self.write(beats):
             self.world.call_later(0.2, self.drain, beats, drain_s, longer_s, early_s)
             return
--- a/tests/simulation/loops.py
+++ b/tests/simulation/loops.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import selectors
 from collections.abc import Callable
@@ -49,7 +50,8 @@
 
     def __init__(self, timeline: Timeline, name: str, rng: random.Random) -> None:
         super().__init__(_NoSelector())
-        self.set_exception_handler(lambda loop, context: None)
+        self.errors: list[str] = []
+        self.set_exception_handler(lambda loop, context: self.errors.append(str(context)))
         self.name = name
         self.dead = False
         self.slowness = Slowness()
@@ -71,17 +73,15 @@
         """Do nothing for a while."""
         self.stands_until = max(self.stands_until, self._timeline.now + seconds)
 
-    def next_s(self) -> float | None:
-        """When the next turn is due, or ``None`` where nothing is to be done."""
-        if self.dead:
-            return None
+    def next_s(self) -> float:
+        """When the next turn is due; infinite where nothing is to be done."""
         ready: Any = self._ready  # type: ignore[attr-defined]
         timers: Any = self._scheduled  # type: ignore[attr-defined]
         if ready:
             return max(self._timeline.now, self.stands_until)
         if timers:
             return max(timers[0].when(), self.stands_until)
-        return None
+        return math.inf
 
     def end(self) -> None:
         """End all tasks, so that none is left to be collected."""
@@ -134,8 +134,8 @@
     def run(self, until: float, ended: Callable[[], bool] = lambda: False) -> None:
         """Let time pass."""
         while not ended():
-            due = [(at, loop) for loop in self.loops if (at := loop.next_s()) is not None]
-            first = min((at for at, _ in due), default=until)
+            due = [(loop.next_s(), loop) for loop in self.loops]
+            first = min(at for at, _ in due)
             if first > until:
                 self.now = until
                 return
--- a/tests/simulation/ways.py
+++ b/tests/simulation/ways.py
@@ -73,6 +73,7 @@
 class Fault:
     """Trouble of the ways that match, until some time.
 
+    :param other: a worker, or one kind of its orders as ``worker/start``; the store; a VM.
     :param kind: ``cut``, ``mute`` (answers get lost), ``reset``, ``busy``, ``slow``, ``lossy`` or
         ``late``.
     """
@@ -101,9 +102,10 @@
     def fate(self, vm: str, other: str) -> Fate:
         """What becomes of a call that leaves now."""
         rng, now = self.rng, self.world.time()
+        others = (ANY, other, other.partition("/")[0])
         fate = Fate(rng.uniform(0.0, TRIP_S), rng.uniform(0.0, TRIP_S))
         for fault in self.faults:
-            if fault.until <= now or fault.vm not in (ANY, vm) or fault.other not in (ANY, other):
+            if fault.until <= now or fault.vm not in (ANY, vm) or fault.other not in others:
                 continue
             self._harm(fate, fault)
         return fate
@@ -210,7 +212,7 @@
             self._reach()
             reply(self._workers.start(self._worker, order, self._vm, sent))
 
-        reply: StartReply = await self._order(timeout_s, carry)
+        reply: StartReply = await self._order("start", timeout_s, carry)
         return reply
 
     async def stop(self, task: str, run: int, fence: int, timeout_s: float) -> None:
@@ -221,7 +223,7 @@
             self._workers.stop(self._worker, task, run, fence)
             reply(None)
 
-        await self._order(timeout_s, carry)
+        await self._order("stop", timeout_s, carry)
 
     async def pace(self, task: str, run: int, percent: int, fence: int, timeout_s: float) -> None:
         """Nothing here serves, so nothing is paced."""
@@ -235,7 +237,7 @@
             self._reach()
             self._workers.hold(self._worker, fence, deadline_ms, seen, wait_s, reply)
 
-        report: WorkerReport = await self._order(timeout_s, carry)
+        report: WorkerReport = await self._order("hold", timeout_s, carry)
         return report
 
     def close(self) -> None:
@@ -254,12 +256,12 @@
             raise WorkerReplaced
         raise WorkerUnreachable("refused")
 
-    async def _order(self, timeout_s: float, carry: Carry) -> Any:
+    async def _order(self, what: str, timeout_s: float, carry: Carry) -> Any:
         try:
             return await _call(
                 self._ways,
                 self._vm,
-                self._worker.worker_id,
+                f"{self._worker.worker_id}/{what}",
                 timeout_s,
                 carry,
                 lambda: WorkerUnreachable("reset"),
--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -40,7 +40,8 @@
 class SimRun:
     """One run at one worker.
 
-    :param noted: its end was acknowledged.
+    :param noted: its end was acknowledged, before the worker's lease lapsed.
+    :param lapsed: the worker's lease lapsed before that: such an end counts for nothing.
     """
 
     task: TaskName
@@ -59,6 +60,7 @@
     how: EndKind | None = None
     number_of_end: int = 0
     noted: bool = False
+    lapsed: bool = False
 
     def __str__(self) -> str:
         end = "-" if self.ended_s is None else f"{self.ended_s:.3f} {self.how}"
@@ -174,9 +176,7 @@
         plan = msgspec.json.decode(order.payload, type=Plan)
         if plan.room > worker.free:
             return StartReply(clock_ms, Refusal.ROOM)
-        run = SimRun(
-            name, order.run, worker, plan, vm, order.fence, ordered_s, self._world.time()
-        )
+        run = SimRun(name, order.run, worker, plan, vm, order.fence, ordered_s, self._world.time())
         run.done_s = float(order.saved or 0.0)
         self._begin(run)
         return StartReply(clock_ms, None)
@@ -213,7 +213,8 @@
             self._extend(worker, deadline_ms)
         for end in worker.ended:
             if end.number <= seen:
-                worker.ends.pop(end.number).noted = True
+                run = worker.ends.pop(end.number)
+                run.noted = not run.lapsed
         worker.ended = [end for end in worker.ended if end.number > seen]
         if not wait_s or worker.ended:
             reply(self._report(worker))
@@ -250,6 +251,8 @@
     def _see_lease(self, worker: SimWorker) -> None:
         if self.clock_ms(worker) < worker.lease_ms:
             return
+        for ended in worker.ends.values():
+            ended.lapsed = True
         for run in list(worker.runs.values()):
             self._finish(run, EndKind.LAPSED)
 
