--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -14,7 +14,8 @@
     events = " ".join(f"{name}={count}" for name, count in sorted(verdict.events.items()))
     print(
         f"seed {verdict.seed}: {verdict.jobs} jobs, {verdict.starts} starts, "
-        f"{len(verdict.broken)} broken, {len(verdict.unfinished)} unfinished, {took_s:.1f} s {events}",
+        f"{len(verdict.broken)} broken, {len(verdict.unfinished)} unfinished, "
+        f"{took_s:.1f} s {events}",
         flush=True,
     )
     for text in verdict.broken if whole else verdict.broken[:3]:
--- a/tests/simulation/day.py
+++ b/tests/simulation/day.py
@@ -89,7 +89,21 @@
 
 
 _FIELDS = frozenset(
-    "task run worker how proof age_s inherited reason fence left_s runs confirmed service".split()
+    (
+        "task",
+        "run",
+        "worker",
+        "how",
+        "proof",
+        "age_s",
+        "inherited",
+        "reason",
+        "fence",
+        "left_s",
+        "runs",
+        "confirmed",
+        "service",
+    )
 )
 
 
@@ -423,11 +437,15 @@
         rng, beats = self.rng, self._beats()
         if beats is None:
             return
-        change = rng.choice(FOREIGN)
+        change = rng.choice((*FOREIGN, {"address": self._any_address()}))
         self._note(f"the entry of {beats.worker.worker_id} is changed: {change}")
         self.site.overwrite(beats, change)
         self.site.world.call_later(rng.uniform(0.1, 12.0), self.site.write, beats)
 
+    def _any_address(self) -> str:
+        """The address of some life, past ones included."""
+        return self.rng.choice(list(self.site.workers.lives.values())).address
+
 
 FOREIGN: tuple[dict[str, object] | None, ...] = (
     None,
@@ -480,7 +498,7 @@
     "unannounced": 0.15,
     "crash": 0.15,
     "store_cut": 0.2,
-    "foreign": 0.1,
+    "foreign": 0.4,
     "leave_badly": 0.4,
     "busy_worker_way": 0.8,
 }
--- a/tests/simulation/deployment.py
+++ b/tests/simulation/deployment.py
@@ -196,7 +196,8 @@
         return next((vm for vm in self.vms.values() if vm.leads), None)
 
     def _orders(self, vm: str, record: WorkerRecord) -> SimOrders:
-        return SimOrders(self.ways, self.workers, vm, self.workers.lives[record.worker_id])
+        worker = self.workers.lives[record.worker_id]
+        return SimOrders(self.ways, self.workers, vm, worker, record.address)
 
     # Clients
 
--- a/tests/simulation/loops.py
+++ b/tests/simulation/loops.py
@@ -64,9 +64,9 @@
     def time(self) -> float:
         """The virtual time as this loop's process sees it."""
         slow = self.slowness
-        if self._turning and slow.line_stall and self._timeline.now < slow.until:
-            if self._rng.random() < slow.line_stall:
-                self._late_s += self._rng.uniform(0.0, slow.longest_s)
+        slowed = self._turning and slow.line_stall and self._timeline.now < slow.until
+        if slowed and self._rng.random() < slow.line_stall:
+            self._late_s += self._rng.uniform(0.0, slow.longest_s)
         return self._timeline.now + self._late_s
 
     def stand_still(self, seconds: float) -> None:
--- a/tests/simulation/ways.py
+++ b/tests/simulation/ways.py
@@ -198,11 +198,14 @@
 class SimOrders:
     """One VM's way to one life of a worker."""
 
-    def __init__(self, ways: Ways, workers: Workers, vm: str, worker: SimWorker) -> None:
+    def __init__(
+        self, ways: Ways, workers: Workers, vm: str, worker: SimWorker, address: str
+    ) -> None:
         self._ways = ways
         self._workers = workers
         self._vm = vm
         self._worker = worker
+        self._address = address
 
     async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
         """Start a run."""
@@ -249,12 +252,12 @@
         :raises WorkerReplaced: another one is, at its address.
         :raises WorkerUnreachable: none is.
         """
-        if self._worker.up:
-            return
-        lives = self._workers.lives.values()
-        if any(each.up and each.address == self._worker.address for each in lives):
+        lives = [each for each in self._workers.lives.values() if each.address == self._address]
+        alive = next((each for each in lives if each.up), None)
+        if alive is None:
+            raise WorkerUnreachable("refused")
+        if alive is not self._worker:
             raise WorkerReplaced
-        raise WorkerUnreachable("refused")
 
     async def _order(self, what: str, timeout_s: float, carry: Carry) -> Any:
         try:
