--- /dev/null
+++ b/tests/test_simulation.py
@@ -0,0 +1,36 @@
+"""Short seeded days of the simulation: no task runs twice at once, none after a noted end.
+
+The long search is started by hand, see :mod:`tests.simulation`.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.simulation.day import MOST_A_SECOND, Verdict, day_of
+
+SECONDS = 12.0
+SEEDS = (11, 12, 13)
+KINDS = sorted(MOST_A_SECOND.keys() - {"readdressed"})
+"""All kinds of trouble; ``tests/test_foreign_address.py`` is about the one that is left out."""
+
+
+class SimulationTest(unittest.TestCase):
+    def test_seeded_days_break_nothing(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                verdict = self.play(seed)
+                self.assertEqual(verdict.broken, [])
+                self.assertGreater(verdict.starts, 0)
+
+    def test_a_seed_plays_the_same_day_again(self) -> None:
+        first, second = self.play(SEEDS[0]), self.play(SEEDS[0])
+        self.assertEqual((first.starts, first.events), (second.starts, second.events))
+
+    def play(self, seed: int) -> Verdict:
+        """The verdict on a day with all kinds of trouble."""
+        return day_of(seed, SECONDS, KINDS).play()
+
+
+if __name__ == "__main__":
+    unittest.main()
