--- /dev/null
+++ b/tests/test_foreign_clock.py
@@ -0,0 +1,62 @@
+"""A worker's entry that another writer has changed tells of a clock that is far ahead.
+
+Seen in the code, then here: a task runs twice at once; both runs are ordered by one leader, none of
+them stopped. How: an entry came with every field sound but the worker's clock, which was an hour
+ahead. A start was carried out some seconds late, and its answer lost. Its deadline was an hour
+ahead as well, so the worker cut its lease to the longest one from then on, while the leader counted
+the longest lease from when the order left. Cause: a deadline takes the clock that an entry tells
+for one that the worker has had. Proved by this test, which is clean where the entry is the worker's.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import msgspec
+
+from saddlestack.standins.loop import run
+from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.work import JobState
+
+FIRST = "00000000000000aa"
+SECOND = "00000000000000bb"
+HOUR_MS = 3_600_000
+
+
+class ForeignClockTest(unittest.TestCase):
+    def test_a_clock_that_is_ahead_in_the_entry_lengthens_no_lease(self) -> None:
+        self.assertEqual(self.violations(ahead_ms=HOUR_MS), [])
+
+    def test_nothing_runs_twice_where_the_entry_tells_the_truth(self) -> None:
+        self.assertEqual(self.violations(ahead_ms=0), [])
+
+    def violations(self, *, ahead_ms: int) -> list[str]:
+        """What is broken where a start is late on a worker whose entry was changed."""
+        cluster = PoolCluster(entries=2, racks=1, workers=1)
+
+        async def main() -> None:
+            await cluster.start()
+            await cluster.submit(FIRST, job(1, work_s=0.5))
+            await cluster.until_state(FIRST, JobState.COMPLETED)
+            worker = next(iter(cluster.floor.workers.values()))
+            key = f"servers/{worker.worker_id}"
+            record = msgspec.json.decode(cluster.store.item(key).value)
+            changed = record | {"clock-ms": cluster.floor.clock_ms() + ahead_ms}
+            cluster.store.put(key, msgspec.json.encode(changed))
+            await asyncio.sleep(2.0)
+            worker.late_orders, worker.late_s = 1, 8.0
+            await cluster.submit(SECOND, job(1, work_s=90.0))
+            await cluster.until(lambda: not worker.late_orders)
+            worker.unreachable = True
+            cluster.floor.add(worker.rack, worker.data_hall)
+            await asyncio.sleep(25.0)
+            self.assertEqual(cluster.floor.starts_of(SECOND), 2)
+            await cluster.stop()
+
+        run(main())
+        return cluster.floor.violations
+
+
+if __name__ == "__main__":
+    unittest.main()
