--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -34,6 +34,7 @@
     room: int
     gang: int = 0
     failures: int = 0
+    lasts: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -278,6 +279,8 @@
 
     def _work(self, run: SimRun) -> None:
         run.work_began_s = self._world.time()
+        if run.plan.lasts:
+            return
         left_s = max(0.01, run.plan.work_s - run.done_s)
         self._world.call_later(left_s, self._see_done, run)
 
@@ -342,6 +345,8 @@
         return run.done_s + self._world.time() - run.work_began_s
 
     def _percent(self, run: SimRun) -> int:
+        if run.plan.lasts:
+            return 100
         return min(99, int(100 * self._done(run) / run.plan.work_s))
 
     def judge(self) -> list[str]:
