--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -31,12 +31,14 @@
     parser.add_argument("count", type=int, nargs="?", default=1)
     parser.add_argument("--seconds", type=float, default=45.0)
     parser.add_argument("--only", default="", help="kinds of trouble, with commas")
+    parser.add_argument("--by-the-pages", action="store_true", help="no record goes early")
     parser.add_argument("--found", type=Path, help="a file that broken days are added to")
     options = parser.parse_args()
     only = [kind for kind in options.only.split(",") if kind]
     for seed in range(options.first, options.first + options.count):
         began = time.process_time()
-        verdict = day_of(seed, options.seconds, only).play()
+        early = not options.by_the_pages
+        verdict = day_of(seed, options.seconds, only, removes_early=early).play()
         took_s = time.process_time() - began
         _show(verdict, took_s, whole=options.count == 1)
         if verdict.broken and options.found is not None:
--- a/tests/simulation/day.py
+++ b/tests/simulation/day.py
@@ -532,10 +532,13 @@
 """Kinds of trouble, and how often each comes at most."""
 
 
-def day_of(seed: int, seconds: float = 45.0, only: Sequence[str] = ()) -> Day:
+def day_of(
+    seed: int, seconds: float = 45.0, only: Sequence[str] = (), *, removes_early: bool = True
+) -> Day:
     """The day that a seed names.
 
     :param only: kinds of trouble that it has, each as often as may be; chance where there are none.
+    :param removes_early: workers may remove their records before they end.
     """
     rng = random.Random(seed)
     kinds = rng.sample(sorted(MOST_A_SECOND), rng.choice((2, 3, 4, 6, len(MOST_A_SECOND))))
@@ -543,6 +546,7 @@
     if only:
         rates = {kind: MOST_A_SECOND[kind] for kind in only}
     flavour = Flavour(rates, seconds, rng.choice((0.7, 1.2, 2.0)), rng.random() < 0.3)
+    flavour.early_removal = flavour.early_removal and removes_early
     shape = Shape(
         entries=rng.randint(2, 4),
         halls=rng.randint(1, 3),
