--- a/benchmarks/board.py
+++ b/benchmarks/board.py
@@ -57,7 +57,6 @@
         capacity=CAPACITY,
         labels=(rack,),
         rack=rack,
-        clock_ms=0,
         machine=f"m{number}",
         remaining_ms=None,
     )
--- a/src/saddlestack/control/listing.py
+++ b/src/saddlestack/control/listing.py
@@ -49,7 +49,7 @@
         items = tuple(items)
         self.changed(items)
         listed = {self._id(item) for item in items}
-        known = {*self._board.workers, *self._refused}
+        known = {*self._board.workers, *self._refused, *self._no_service}
         for worker_id in sorted(known - listed):
             self._removed(worker_id)
 
--- a/src/saddlestack/control/membership.py
+++ b/src/saddlestack/control/membership.py
@@ -189,6 +189,8 @@
         self._change(items)
 
     def _lose(self, vm: str) -> None:
+        if vm == self.me.vm:
+            self._overwritten = True
         if vm in self._unreadable:
             self._unreadable.discard(vm)
             self._unreadable_gone_s = self.clock.now()
--- a/src/saddlestack/control/requests.py
+++ b/src/saddlestack/control/requests.py
@@ -23,6 +23,9 @@
 
 LOAD_RETRY_S = 0.2
 FORGOTTEN_A_TICK = 5
+MOST_FORGOTTEN = 5_000
+"""Jobs whose removal is remembered, 0.5 MB: at 5 a tick of 0.5 s those of 500 s, longer than any
+listing is under way."""
 
 
 class Requests:
@@ -35,6 +38,8 @@
         self._refusals = Refusals(context.metrics, "job")
         self._records: dict[str, dict[int, OccurrenceRecord]] = {}
         self._left_alone: set[str] = set()
+        self._revisions: dict[str, int] = {}
+        self._forgotten: dict[str, int] = {}
         self._begun = False
 
     async def load(self) -> None:
@@ -87,7 +92,7 @@
         return services
 
     def _accept(self, job_id: str, item: Item) -> AcceptedJob | None:
-        if job_id in self._left_alone:
+        if job_id in self._left_alone or item.revision <= self._forgotten.get(job_id, 0):
             return None
         records = {} if self._begun else self._records.get(job_id, {})
         try:
@@ -99,6 +104,7 @@
                 self._left_alone.add(job_id)
             return None
         self._board.add_job(accepted, records)
+        self._revisions.setdefault(job_id, item.revision)
         return accepted
 
     async def forget_expired(self) -> None:
@@ -110,9 +116,19 @@
             job_keys = (keys.job_key(job.job_id), keys.cancel_key(job.job_id))
             records = [keys.progress_key(each.key) for each in job.occurrences]
             if await self._journal.remove([*job_keys, *records]):
-                self._board.forget(job.job_id)
+                self._forget(job.job_id)
                 log.info("forgotten", extra={"event": "forgotten", "job": job.job_id})
 
+    def _forget(self, job_id: str) -> None:
+        """A job has been removed; a listing that is under way may still hold it.
+
+        Taken over after that, it would be a new job without progress, and run again whole.
+        """
+        self._board.forget(job_id)
+        self._forgotten[job_id] = self._revisions.pop(job_id, 0)
+        while len(self._forgotten) > MOST_FORGOTTEN:
+            del self._forgotten[next(iter(self._forgotten))]
+
     async def forget_rest(self) -> None:
         """Remove progress of jobs that an earlier leader did not forget whole."""
         known = self._board.jobs.keys() | self._left_alone
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -5,6 +5,8 @@
 import asyncio
 import logging
 import math
+from collections.abc import Awaitable
+from typing import TypeVar
 
 from saddlestack.control.contact import Contact
 from saddlestack.control.endings import Proof, log_over, log_wait
@@ -33,6 +35,8 @@
 
 log = logging.getLogger("saddlestack.session")
 
+T = TypeVar("T")
+
 ORDER_TIMEOUT_S = 0.6
 ORDERS_AT_ONCE = 2
 START_TRIES = 3
@@ -136,8 +140,10 @@
         while run.pace == percent and run.task.run is run and not self.over:
             try:
                 async with self._gate:
-                    await self._orders.pace(
-                        name, run.number, percent, self._owner.fence, ORDER_TIMEOUT_S
+                    await self._answer_of(
+                        self._orders.pace(
+                            name, run.number, percent, self._owner.fence, ORDER_TIMEOUT_S
+                        )
                     )
                 return
             except WorkerFenced:
@@ -180,6 +186,11 @@
                 continue
             self._answered(run, key, reply, clean)
             return
+        if clean:
+            # No order left, or each was refused: there is nothing to wait for.
+            self.worker.refused(self._clock.now())
+            self._never_began(run, key)
+            return
         await self._stop(key)
 
     async def _send(self, start: Start) -> StartReply:
@@ -197,13 +208,14 @@
     async def _send_now(self, start: Start) -> StartReply:
         run = start.run
         async with self._gate:
-            if not self._contact.clock_is_told:
+            if self._contact.clock_is_old:
                 await self._ask_clock()
             if not self._is_wanted(run):
                 raise _NotWanted
+            # Before the question: the process may stand still after it, and the lease counts on.
+            now = self._clock.now()
             if not self._owner.may_grant:
                 raise _TermTooOld
-            now = self._clock.now()
             order = StartOrder(
                 task=str(run.task.name),
                 run=run.number,
@@ -213,27 +225,25 @@
                 fence=self._owner.fence,
                 ticket=start.ticket,
             )
-            reply = await self._orders.start(order, ORDER_TIMEOUT_S)
+            reply = await self._answer_of(self._orders.start(order, ORDER_TIMEOUT_S))
         if reply.clock_ms is None:
             self._contact.heard()
         else:
-            self._contact.told(reply.clock_ms, now)
+            self._contact.told(reply.clock_ms)
         return reply
 
     async def _ask_clock(self) -> None:
-        """Have the worker tell its clock, once a session, in 1 to 3 ms.
+        """Have the worker tell its clock, in 1 to 3 ms, so that its lease is not short.
 
         :raises _ClockUnknown: it has not.
         """
         asked = self._clock.now()
         try:
-            report = await self._orders.hold(
-                self._owner.fence, None, self._reports.seen, 0.0, LOOK_NOW_TIMEOUT_S
-            )
+            report = await self._hold(None, 0.0, LOOK_NOW_TIMEOUT_S)
         except WorkerUnreachable as error:
             self._missed(asked)
             raise _ClockUnknown from error
-        self._contact.told(report.clock_ms, asked)
+        self._contact.told(report.clock_ms)
 
     def _is_wanted(self, run: Run) -> bool:
         """Whether a run is still to start: it may be over, as lapsed, before its order leaves."""
@@ -278,7 +288,9 @@
             sent = self._clock.now()
             try:
                 async with self._gate:
-                    await self._orders.stop(str(name), number, self._owner.fence, ORDER_TIMEOUT_S)
+                    await self._answer_of(
+                        self._orders.stop(str(name), number, self._owner.fence, ORDER_TIMEOUT_S)
+                    )
                 self._contact.heard()
                 self._settle(key)
                 self._tasks.spawn(self._look_now())
@@ -325,7 +337,7 @@
         """Look at the worker; ``True`` where nothing is left to look at."""
         asked = self._clock.now()
         try:
-            report = await self._hold(asked)
+            report = await self._renew(asked)
         except WorkerReplaced:
             self._replaced()
             return True
@@ -345,9 +357,7 @@
         """Look without waiting for an end, beside the look that does."""
         asked = self._clock.now()
         try:
-            report = await self._orders.hold(
-                self._owner.fence, None, self._reports.seen, 0.0, LOOK_NOW_TIMEOUT_S
-            )
+            report = await self._hold(None, 0.0, LOOK_NOW_TIMEOUT_S)
         except WorkerReplaced:
             self._replaced()
         except WorkerFenced:
@@ -391,15 +401,18 @@
             and self._reports.idle
         )
 
-    async def _hold(self, asked: float) -> WorkerReport:
+    async def _renew(self, asked: float) -> WorkerReport:
         answers = self.worker.reachable and not self._contact.misses
         wait_s = self._wait_s() if answers else 0.0
         # A worker that does not answer gets no longer lease, so that it lapses some day; nor does
         # one from a leader that stood still, whose successor counts what it granted before.
         renews = self.worker.runs and answers and self._owner.may_grant
         deadline = self._contact.deadline(asked) if renews else None
-        return await self._orders.hold(
-            self._owner.fence, deadline, self._reports.seen, wait_s, wait_s + HOLD_SLACK_S
+        return await self._hold(deadline, wait_s, wait_s + HOLD_SLACK_S)
+
+    async def _hold(self, deadline_ms: int | None, wait_s: float, timeout_s: float) -> WorkerReport:
+        return await self._answer_of(
+            self._orders.hold(self._owner.fence, deadline_ms, self._reports.seen, wait_s, timeout_s)
         )
 
     def _wait_s(self) -> float:
@@ -424,7 +437,9 @@
     async def _take(self, report: WorkerReport, asked: float) -> None:
         if self._owner.board.workers.get(self.worker.worker_id) is not self.worker:
             return
-        self._contact.told(report.clock_ms, asked)
+        self._contact.told(report.clock_ms)
+        for run in self.worker.runs.values():
+            run.address = run.address or self.worker.record.address
         self._reports.take(report, asked)
         self._watch_progress()
         await self._reports.acknowledge()
@@ -448,6 +463,26 @@
             self._over()
         return not self.worker.listed
 
+    async def _answer_of(self, call: Awaitable[T]) -> T:
+        """The answer to a call to this life of the worker.
+
+        That another life answers proves that this one is over only where this one was: it has
+        answered there, or was given there all that it may run. The address may be another writer's.
+        """
+        try:
+            return await call
+        except WorkerReplaced as error:
+            if self._was_here:
+                raise
+            raise WorkerUnreachable("another life answers") from error
+
+    @property
+    def _was_here(self) -> bool:
+        """Whether this life is known to have been at the address that is asked."""
+        address = self.worker.record.address
+        given = all(run.address == address for run in self.worker.runs.values())
+        return given or self._contact.heard_s > -math.inf
+
     def _replaced(self) -> None:
         log.info(
             "worker was replaced",
--- a/src/saddlestack/interfaces/workers.py
+++ b/src/saddlestack/interfaces/workers.py
@@ -150,7 +150,6 @@
     """One life of a worker as it records itself.
 
     :param labels: its kind, its rack and others that steps may ask for.
-    :param clock_ms: its steady clock when it wrote the record.
     :param remaining_ms: while it drains, the least time until it leaves.
     :param cold_ms: for how long it is still slow.
     """
@@ -163,7 +162,6 @@
     capacity: Resources
     labels: tuple[str, ...]
     rack: str
-    clock_ms: int
     machine: str = ""
     remaining_ms: int | None = None
     cold_ms: int = 0
--- a/src/saddlestack/platform/documents.py
+++ b/src/saddlestack/platform/documents.py
@@ -127,7 +127,7 @@
 
 
 class _Worker(msgspec.Struct, rename="kebab"):
-    """A worker's record; ``version``, ``slots`` and ``seq`` are checked and not used."""
+    """A worker's record; ``version``, ``slots``, ``seq``, ``clock_ms`` are checked and not used."""
 
     service: _Name
     address: _Name
@@ -203,7 +203,6 @@
             capacity=room,
             labels=tuple(record.labels),
             rack=record.labels[RACK_LABEL] if len(record.labels) > RACK_LABEL else "",
-            clock_ms=record.clock_ms,
             machine=record.machine,
             remaining_ms=remaining,
             cold_ms=int(record.cold_left_ms),
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -104,9 +104,8 @@
         run = Run(task, record.run, record.worker, task.step.step.room, 0.0, inherited=True)
         run.saved = record.saved
         task.run = run
-        worker = self._worker_at(record.worker, addresses.get(record.worker, ""))
-        run.address = worker.record.address
-        worker.add(run)
+        run.address = addresses.get(record.worker, "")
+        self._worker_at(record.worker, run.address).add(run)
 
     def _worker_at(self, worker_id: str, address: str) -> Worker:
         """The life that a run was given to at some address; it is asked there and nowhere else.
@@ -465,5 +464,4 @@
         capacity=Resources(),
         labels=(),
         rack="",
-        clock_ms=0,
     )
--- a/src/saddlestack/policy/board/index.py
+++ b/src/saddlestack/policy/board/index.py
@@ -261,7 +261,9 @@
         if ends and self._wakes.get(worker) != min(ends):
             self._wakes[worker] = min(ends)
             heapq.heappush(self._asleep, (min(ends), number, worker))
-        if worker.leaves_s is not None:
+        if worker.leaves_s is None:
+            self.leaving.pop(worker, None)
+        else:
             self.leaving[worker] = None
 
     def _drop(self, worker: Worker) -> None:
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -35,7 +35,8 @@
     :param moved_s: when it first said so, on the board's clock; ``None`` before it said anything.
     :param figure: the worker's figure of the last half second.
     :param pace: the share of full speed that it was last ordered to work at.
-    :param address: where that life of the worker is reached; empty where it is not known.
+    :param address: where that life of the worker was reached when it was given the run, or has
+        answered since; empty where neither is known.
     """
 
     task: Task
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -48,7 +48,6 @@
         capacity=Resources(32_000, 64_000, accelerators),
         labels=("a", rack),
         rack=rack,
-        clock_ms=0,
         machine=f"m-{name}",
         remaining_ms=remaining_ms,
         cold_ms=cold_ms,
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -316,6 +316,7 @@
         async def body(scene: Scene) -> None:
             scene.assign()
             scene.is_there(percent=99)
+            await asyncio.sleep(MOMENT_S)  # the worker has told its clock
             scene.orders.delay_s = 0.45
             await asyncio.sleep(1.9)  # a look asked at 1.8 s is answered at 2.25 s
             scene.orders.running = ()
