--- a/src/saddlestack/control/listing.py
+++ b/src/saddlestack/control/listing.py
@@ -30,7 +30,6 @@
         self._refusals = Refusals(context.metrics, "worker")
         self._services: set[str] = set()
         self._no_service: dict[str, Item] = {}
-        self._refused: set[str] = set()
 
     def know_services(self, services: Iterable[str]) -> None:
         """Workers of these services may be used from now on, also those whose records are known.
@@ -49,7 +48,7 @@
         items = tuple(items)
         self.changed(items)
         listed = {self._id(item) for item in items}
-        known = {*self._board.workers, *self._refused, *self._no_service}
+        known = {*self._board.workers, *self._no_service}
         for worker_id in sorted(known - listed):
             self._removed(worker_id)
 
@@ -77,7 +76,6 @@
                 return
             self._unlist(record.worker_id)
         self._no_service.pop(record.worker_id, None)
-        self._refused.discard(record.worker_id)
         self._board.set_worker(record, self._clock.now())
 
     def _refuse_service(self, item: Item) -> None:
@@ -89,13 +87,11 @@
         worker_id = self._id(item)
         self._refusals.refuse(item.key, reason)
         self._no_service.pop(worker_id, None)
-        self._refused.add(worker_id)
         self._unlist(worker_id)
 
     def _removed(self, worker_id: str) -> None:
         """A record is gone; what runs there may go on, whatever its worker had announced."""
         self._no_service.pop(worker_id, None)
-        self._refused.discard(worker_id)
         self._unlist(worker_id)
 
     def _unlist(self, worker_id: str) -> None:
--- a/src/saddlestack/control/requests.py
+++ b/src/saddlestack/control/requests.py
@@ -104,7 +104,7 @@
                 self._left_alone.add(job_id)
             return None
         self._board.add_job(accepted, records)
-        self._revisions.setdefault(job_id, item.revision)
+        self._revisions[job_id] = max(item.revision, self._revisions.get(job_id, 0))
         return accepted
 
     async def forget_expired(self) -> None:
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -363,7 +363,7 @@
         except WorkerFenced:
             self._owner.fenced()
         except WorkerBusy:
-            if self._is_known:
+            if self._is_here:
                 self._contact.heard()
         except WorkerUnreachable:
             self._missed(asked)
@@ -425,15 +425,6 @@
             return STOPPING_WAIT_S
         return WATCHED_WAIT_S if needs_watching(self.worker) else WAIT_S
 
-    @property
-    def _is_known(self) -> bool:
-        """Whether this life has told of itself, by its record or by an answer.
-
-        An address that answers that it is busy may be that of any life: it does not prove that one
-        is alive which only an assignment names, and its runs wait for the lease.
-        """
-        return self.worker.listed or self._contact.heard_s > -math.inf
-
     async def _take(self, report: WorkerReport, asked: float) -> None:
         if self._owner.board.workers.get(self.worker.worker_id) is not self.worker:
             return
@@ -483,6 +474,16 @@
         given = all(run.address == address for run in self.worker.runs.values())
         return given or self._contact.heard_s > -math.inf
 
+    @property
+    def _is_here(self) -> bool:
+        """Whether an answer that names no life may be taken for one of this life.
+
+        It may be that of any life: it does not prove that one is alive which only an assignment
+        names, and its runs wait for the lease.
+        """
+        told = self.worker.listed or self._contact.heard_s > -math.inf
+        return told and self._was_here
+
     def _replaced(self) -> None:
         log.info(
             "worker was replaced",
--- a/src/saddlestack/platform/orders.py
+++ b/src/saddlestack/platform/orders.py
@@ -23,6 +23,7 @@
     WorkerUnreachable,
 )
 from saddlestack.platform.messages import (
+    EndedRow,
     HoldBody,
     OrderAnswer,
     PaceBody,
@@ -99,9 +100,7 @@
         running = tuple(
             RunningTask(r.task, r.run, r.saved, int(r.percent), r.figure) for r in report.running
         )
-        ended = tuple(
-            EndedTask(e.number, e.task, e.run, EndKind(e.how), e.saved) for e in report.ended
-        )
+        ended = tuple(_end_of(row) for row in report.ended)
         return WorkerReport(report.clock_ms, running, ended, more=len(ended) >= ENDS_AT_ONCE)
 
     def close(self) -> None:
@@ -122,6 +121,17 @@
         return response
 
 
+def _end_of(row: EndedRow) -> EndedTask:
+    """An end that a worker lists.
+
+    :raises WorkerUnreachable: it tells of an end that there is not: the answer cannot be read.
+    """
+    try:
+        return EndedTask(row.number, row.task, row.run, EndKind(row.how), row.saved)
+    except ValueError as error:
+        raise WorkerUnreachable(str(error)) from error
+
+
 def _not_fenced(response: Response) -> None:
     if response.status == 409 and _read(response, OrderAnswer, (409,)).reason == "fence":
         raise WorkerFenced
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -125,7 +125,7 @@
         if record.draining and record.remaining_ms is not None:
             leaves = now + record.remaining_ms / 1000
             self.leaves_s = leaves if self.leaves_s is None else min(self.leaves_s, leaves)
-        elif not record.draining:
+        elif not record.draining and not self.closing:
             self.leaves_s = None
         if record.cold_ms != self._noted_cold_ms:
             self.cold_s = now + record.cold_ms / 1000
--- a/tests/test_stale_beliefs.py
+++ b/tests/test_stale_beliefs.py
@@ -7,18 +7,20 @@
 import unittest.mock
 from dataclasses import replace
 
+import msgspec
+
 from saddlestack.codec import from_msgpack, to_msgpack
 from saddlestack.control.leases import Leases
 from saddlestack.control.listing import WorkerList
 from saddlestack.control.session import WorkerSession
 from saddlestack.interfaces.store import Item
-from saddlestack.interfaces.workers import StartOrder, StartReply, WorkerReport
+from saddlestack.interfaces.workers import EndKind, StartOrder, StartReply, WorkerBusy, WorkerReport
 from saddlestack.kernel.clock import Clock
 from saddlestack.platform.documents import PlatformDocuments
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.records import OccurrenceRecord, TaskStatus
 from saddlestack.standins.pool.cluster import PoolCluster, job
-from saddlestack.standins.pool.workers import CLOCK_START_MS, Floor, FloorWorker
+from saddlestack.standins.pool.workers import CLOCK_START_MS, Floor, FloorOrders, FloorWorker
 from saddlestack.work import JobState
 from tests.malformed import encoded
 from tests.test_entries import EntryCase, other_address
@@ -164,6 +166,28 @@
         self.play(body, racks=1, workers=1)
 
 
+class HeartbeatInAWaveTest(EntryCase):
+    def test_what_runs_on_a_machine_of_a_wave_is_saved_before_it_goes_down(self) -> None:
+        """The worker writes its record every 1.5 s, ready as it is; ``note`` clears ``leaves_s``.
+
+        Upkeep sets that time once, when it chooses the machine. Without it nothing is stopped: what
+        saves its progress is killed with the machine, and begins again from its last report.
+        """
+
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.run_on(cluster, job(1, work_s=60.0, checkpoint=True))
+            wave = {"wave": 1, "machines": [worker.machine], "deadline-s": 20, "max-tasks": 1}
+            cluster.store.put("op/wave/1", msgspec.json.encode(wave))
+            async with asyncio.timeout(40.0):
+                while (worker.machine, 1) not in cluster.machines.done:
+                    await asyncio.sleep(0.5)
+                    if worker.up:
+                        cluster.floor.record(worker)
+            self.assertIs(cluster.floor.history[0].ended, EndKind.STOPPED)
+
+        self.play(body)
+
+
 class UnknownAddressTest(EntryCase):
     def test_a_record_of_another_writer_gives_no_address_to_an_inherited_run(self) -> None:
         """Where an assignment names no address, that of the record is asked, and its 421 believed.
@@ -189,6 +213,54 @@
         self.play(body)
 
 
+class NoWayThereTest(EntryCase):
+    def test_a_life_that_nobody_can_ask_any_more_is_waited_for_until_its_lease_has_lapsed(
+        self,
+    ) -> None:
+        """Holds as it is. It does not rest on what is refused where records are read."""
+
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(2 * INHERITED_S)
+            worker = await self.run_on(cluster, job(1, work_s=90.0, accelerators=8))
+            await asyncio.sleep(1.0)
+            leader = cluster.leader
+            assert leader is not None and leader.scheduler is not None
+            known = leader.scheduler.board.workers[worker.worker_id]
+            known.record = replace(known.record, address="")
+            worker.unreachable = True
+            await asyncio.sleep(HOLD_S / 2)
+            self.assertEqual(cluster.floor.starts_of(A), 1)
+            await asyncio.sleep(HOLD_S)
+            self.assertEqual(cluster.floor.violations, [])
+            self.assertEqual(cluster.floor.starts_of(A), 2)
+
+        self.play(body)
+
+
+class BusyAddressTest(UnknownAddressTest):
+    def test_a_busy_answer_at_that_address_is_not_this_lifes(self) -> None:
+        """The life at the false address is unhealthy for a while: it answers 503, then 421.
+
+        A busy answer counts as one of the life that is meant, since its record is listed; the 421
+        after it is believed.
+        """
+        reach = FloorOrders._reach
+        busy_s = 3.0
+
+        async def busy_at_first(orders: FloorOrders, timeout_s: float) -> None:
+            foreign = orders.address != orders.worker.address
+            if foreign:
+                began = seen.setdefault("began", asyncio.get_running_loop().time())
+                if asyncio.get_running_loop().time() < began + busy_s:
+                    raise WorkerBusy("answered 503")
+            await reach(orders, timeout_s)
+
+        seen: dict[str, float] = {}
+        with unittest.mock.patch.object(FloorOrders, "_reach", busy_at_first):
+            self.test_a_record_of_another_writer_gives_no_address_to_an_inherited_run()
+        self.assertTrue(seen)
+
+
 class RemovedMemberTest(EntryCase):
     def test_a_vm_whose_record_was_removed_is_listed_again(self) -> None:
         """It may go on leading and renewing while a VM that has just started finds no record of it.
