--- a/src/saddlestack/soak/shape.py
+++ b/src/saddlestack/soak/shape.py
@@ -164,7 +164,7 @@
     target_s: float
 
 
-class Account(Model, frozen=True):
+class ClientAccount(Model, frozen=True):
     """A client account.
 
     :param guaranteed: accelerators that it owns for jobs of priority 0.
@@ -203,7 +203,7 @@
     worker_hosts: int
     times: ShapeTimes
     kinds: tuple[JobKind, ...]
-    accounts: tuple[Account, ...]
+    accounts: tuple[ClientAccount, ...]
     faults: FaultMix
     lead_s: float
     settle_s: float
