--- a/src/saddlestack/standins/pool/store.py
+++ b/src/saddlestack/standins/pool/store.py
@@ -7,7 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import itertools
+import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from saddlestack.interfaces.store import (
@@ -49,7 +52,10 @@
 
 
 class StoreState:
-    """The keys, leases and history that all VMs see."""
+    """The keys, leases and history that all VMs see.
+
+    :ivar observers: told of each change: the revision that it makes, and the key.
+    """
 
     def __init__(self) -> None:
         self._keys: dict[str, _Key] = {}
@@ -57,7 +63,9 @@
         self._lease_ids = itertools.count(70_001)
         self._history: list[_Event] = []
         self._forgotten = 0
-        self._changed = asyncio.Event()
+        self._changed: dict[str, asyncio.Event] = {}
+        self._none_ends_before = math.inf
+        self.observers: list[Callable[[int, Item], None]] = []
         self.revision = 1
         self.writes = 0
         self.reads = 0
@@ -74,13 +82,12 @@
     def item(self, key: str) -> Item:
         """A key; revision 0 where it is absent."""
         self._expire()
-        kept = self._keys.get(key)
-        return Item(key, b"", 0) if kept is None else Item(key, kept.value, kept.revision)
+        return self._item(key)
 
     def keys(self, prefix: str) -> list[Item]:
         """All keys under a prefix."""
         self._expire()
-        return [self.item(key) for key in sorted(self._keys) if key.startswith(prefix)]
+        return [self._item(key) for key in sorted(self._keys) if key.startswith(prefix)]
 
     def transact(self, transaction: Transaction) -> Committed | Conflict:
         """Make changes all together.
@@ -92,8 +99,8 @@
             raise ValueError(f"{entries} entries in a transaction")
         self._expire()
         self.writes += 1
-        if any(self.item(key).revision != revision for key, revision in transaction.expect):
-            return Conflict(tuple(self.item(key) for key, _ in transaction.expect))
+        if any(self._item(key).revision != revision for key, revision in transaction.expect):
+            return Conflict(tuple(self._item(key) for key, _ in transaction.expect))
         for put in transaction.puts:
             if put.lease and put.lease not in self._leases:
                 raise LeaseOver
@@ -103,7 +110,9 @@
     def grant(self, ttl_s: float) -> int:
         """A new lease."""
         lease = next(self._lease_ids)
-        self._leases[lease] = _Lease(ttl_s, _now() + ttl_s)
+        until = _now() + ttl_s
+        self._leases[lease] = _Lease(ttl_s, until)
+        self._none_ends_before = min(self._none_ends_before, until)
         return lease
 
     def keep(self, lease: int) -> None:
@@ -123,11 +132,20 @@
         if gone:
             self._apply((), gone)
 
+    def prolong_leases(self, seconds: float) -> None:
+        """Let all leases end later, as where they waited while the store was away."""
+        for lease in self._leases.values():
+            lease.until += seconds
+
     def forget_history(self) -> None:
         """Watches from before now have to read everything again."""
-        self._forgotten = self.revision
-        self._history.clear()
-        self._notify()
+        self.forget_until(self.revision)
+        self._notify(*self._changed)
+
+    def forget_until(self, revision: int) -> None:
+        """Watches from before a revision have to read everything again."""
+        self._forgotten = max(self._forgotten, revision)
+        del self._history[: self._first_after(revision)]
 
     def changes(self, prefix: str, after: int) -> list[Item]:
         """What changed after a revision.
@@ -139,17 +157,18 @@
             raise HistoryGone(prefix)
         return [
             event.item
-            for event in self._history
-            if event.revision > after and event.item.key.startswith(prefix)
+            for event in self._history[self._first_after(after) :]
+            if event.item.key.startswith(prefix)
         ]
 
-    async def until_changed(self, timeout_s: float) -> None:
-        """Wait for a change, or until a lease may have ended."""
-        leases = [lease.until - _now() for lease in self._leases.values()]
-        wait = min([timeout_s, *[max(0.001, left) for left in leases]])
+    async def until_changed(self, prefix: str, timeout_s: float) -> None:
+        """Wait for a change under a prefix, or until a lease may have ended."""
+        self._expire()
+        wait = min(timeout_s, max(0.001, self._none_ends_before - _now()))
+        changed = self._changed.setdefault(prefix, asyncio.Event())
         try:
             async with asyncio.timeout(wait):
-                await self._changed.wait()
+                await changed.wait()
         except TimeoutError:
             return
 
@@ -161,19 +180,33 @@
         for key in deletes:
             if self._keys.pop(key, None) is not None:
                 self._note(Item(key, b"", 0))
-        self._notify()
         return self.revision
 
+    def _item(self, key: str) -> Item:
+        kept = self._keys.get(key)
+        return Item(key, b"", 0) if kept is None else Item(key, kept.value, kept.revision)
+
     def _note(self, item: Item) -> None:
         self._history.append(_Event(self.revision, item))
+        for observer in self.observers:
+            observer(self.revision, item)
+        self._notify(*(prefix for prefix in self._changed if item.key.startswith(prefix)))
+
+    def _notify(self, *prefixes: str) -> None:
+        for prefix in prefixes:
+            self._changed.pop(prefix).set()
 
-    def _notify(self) -> None:
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+    def _first_after(self, revision: int) -> int:
+        """Where in the history the changes after a revision begin."""
+        return bisect.bisect_right(self._history, revision, key=lambda event: event.revision)
 
     def _expire(self) -> None:
+        if _now() < self._none_ends_before:
+            return
         for lease in [lease for lease, kept in self._leases.items() if kept.until <= _now()]:
             self.end(lease)
+        ends = (kept.until for kept in self._leases.values())
+        self._none_ends_before = min(ends, default=math.inf)
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,7 +279,7 @@
             items = self.state.changes(prefix, after)
             if items or _now() >= until:
                 return Listing(tuple(items), self.state.revision)
-            await self.state.until_changed(min(SILENCE_CHECK_S, until - _now()))
+            await self.state.until_changed(prefix, min(SILENCE_CHECK_S, until - _now()))
         await asyncio.sleep(until + WATCH_SLACK_S - _now())
         raise StoreUnavailable("the watch was swallowed")
 
