Soak: the judge, from workers' and clients' records alone

account.judge(records, jobs, times, in_touch, calm=...) returns Broken records; Broken.text(vm_of, start_s) tells both runs, who ordered each, and what became of them.

--- /dev/null
+++ b/src/saddlestack/soak/account.py
@@ -0,0 +1,379 @@
+"""The judge of a soak: which promises did not hold, from what workers and clients saw alone."""
+
+from __future__ import annotations
+
+import enum
+import heapq
+import itertools
+import math
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from dataclasses import dataclass
+
+from saddlestack.interfaces.workers import EndKind
+from saddlestack.soak.messages import Record
+from saddlestack.soak.runs import RunAccount, RunBook, StepKey
+from saddlestack.work import JobRequest, JobState, TaskName
+
+CANCEL_S = 4.0
+"""Nothing of a job starts so long after its cancel was acknowledged. From the platform's bounds."""
+HUB_S = 0.25
+"""The processes that play workers hear so late at most that a gang is whole, or that one of its
+members has ended. A member that ended by less before another began to work was still there."""
+
+InTouch = Callable[[int, float], bool]
+"""Whether the VM that held a fencing token was undisturbed up to some time."""
+VmOf = Callable[[int], str]
+"""The VM that held a fencing token."""
+
+
+class Promise(enum.StrEnum):
+    """A promise that did not hold."""
+
+    ONE_RUN = "two runs at once"
+    ONCE_DONE = "a start after an end that was noted"
+    WHOLE_GANG = "a gang worked without all of its members"
+    GANG_TOGETHER = "a member of a gang waited in vain"
+    DRAIN = "a start on a worker that had announced its end"
+    ROOM = "more than a worker's accelerators"
+    REFUSED = "a refused job ran"
+    CANCELLED = "a start after a cancel"
+    ORDER = "a start before the steps that it needs were done"
+    ATTEMPTS = "a start after all attempts had failed"
+    UNKNOWN = "a start of what no client handed in"
+    KEPT = "an accepted job is not over"
+    COMPLETED = "a job is shown as completed and is not done"
+    FAILED = "a job is shown as failed without cause"
+    NOT_CANCELLED = "a job is shown as cancelled that nobody cancelled"
+
+
+@dataclass(frozen=True, slots=True)
+class ClientJob:
+    """What a client knows of its job.
+
+    :param accepted: one of its tries was answered with success.
+    :param refused: all of its tries were refused.
+    :param cancel_sent: the client asked for its cancelling...
+    :param cancelled_s: ...and this is when that was acknowledged, on the monotonic clock.
+    :param state: what it was told last, after the soak had settled.
+    :param attempts: failed runs after which a task fails the job.
+    """
+
+    job_id: str
+    request: JobRequest
+    accepted: bool
+    refused: bool
+    cancel_sent: bool = False
+    cancelled_s: float | None = None
+    state: JobState | None = None
+    attempts: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseTimes:
+    """Times that promises speak of, in seconds."""
+
+    drain_s: float
+    cancel_s: float = CANCEL_S
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """A promise that did not hold.
+
+    :param runs: the runs that show it.
+    :param detail: what else there is to say.
+    """
+
+    promise: Promise
+    at_s: float
+    job_id: str
+    runs: tuple[RunAccount, ...] = ()
+    detail: str = ""
+
+    def text(self, vm_of: VmOf, start_s: float) -> str:
+        """A line that tells of it: both runs, who ordered each, and what became of them.
+
+        :param start_s: when the soak began; all times are told from then on.
+        """
+        runs = " while ".join(f"[{_told(run, vm_of, start_s)}]" for run in self.runs)
+        parts = [f"{_time(self.at_s, start_s)} {self.promise.value}:", self.job_id, runs]
+        return " ".join(part for part in (*parts, self.detail) if part)
+
+
+def judge(
+    records: Iterable[Record],
+    jobs: Sequence[ClientJob],
+    times: PromiseTimes,
+    in_touch: InTouch = lambda fence, at_s: True,
+    *,
+    calm: Callable[[float], bool] = lambda at_s: False,
+) -> list[Broken]:
+    """All promises that did not hold, in the order of time.
+
+    :param in_touch: promises with a time bound hold for orders of VMs in touch only.
+    :param calm: whether no fault was near some time: a gang's members then meet.
+    """
+    return Judge(RunBook.of(records), jobs, times, in_touch, calm).judge()
+
+
+class Judge:
+    """Looks at the account of all runs, and at what clients were told."""
+
+    def __init__(
+        self,
+        book: RunBook,
+        jobs: Sequence[ClientJob],
+        times: PromiseTimes,
+        in_touch: InTouch,
+        calm: Callable[[float], bool],
+    ) -> None:
+        self._runs = book.runs
+        self._tasks = book.by_task()
+        self._steps = book.by_step()
+        self._jobs = {job.job_id: job for job in jobs}
+        self._times = times
+        self._in_touch = in_touch
+        self._calm = calm
+        self._done = _done_tasks(book.runs)
+
+    def judge(self) -> list[Broken]:
+        """All promises that did not hold."""
+        found = itertools.chain(
+            self._two_runs(),
+            self._starts_after_done(),
+            self._gangs(),
+            self._draining(),
+            self._room(),
+            self._starts(),
+            self._attempts(),
+            self._outcomes(),
+        )
+        return sorted(found, key=lambda broken: broken.at_s)
+
+    # Runs of one task
+
+    def _two_runs(self) -> Iterator[Broken]:
+        """Runs on workers that are up; whether a VM reaches them does not matter."""
+        for task, runs in self._tasks.items():
+            if self._is_speculative(task):
+                continue
+            for first, second in itertools.combinations(runs, 2):
+                if second.began_s < first.over_s:
+                    yield _broken(Promise.ONE_RUN, second, first)
+
+    def _starts_after_done(self) -> Iterator[Broken]:
+        """An end counts that was noted then or later; of a gang, one member's is for all."""
+        for runs in self._steps.values():
+            ends = [run for run in runs if run.is_done and run.stands]
+            for run in runs if ends else ():
+                if self._is_speculative(run.task):
+                    continue
+                done = _first_done(ends, run, shared=bool(run.gang))
+                if done is not None and run.began_s > done.ended_s:
+                    yield _broken(Promise.ONCE_DONE, run, done)
+
+    def _is_speculative(self, task: TaskName) -> bool:
+        job = self._jobs.get(task.job_id)
+        return job is not None and job.request.steps[task.step].speculative
+
+    # Gangs
+
+    def _gangs(self) -> Iterator[Broken]:
+        gangs: dict[tuple[StepKey, int], list[RunAccount]] = defaultdict(list)
+        for run in self._runs:
+            if run.gang:
+                gangs[(run.step, run.number)].append(run)
+        for members in gangs.values():
+            yield from self._gang(members)
+
+    def _gang(self, members: list[RunAccount]) -> Iterator[Broken]:
+        for run in members:
+            if run.works_s is not None:
+                present = _present_at(members, run.works_s)
+                if present < run.gang:
+                    detail = f"{present} of {run.gang} members were present"
+                    yield _broken(Promise.WHOLE_GANG, run, detail=detail)
+            if run.how is EndKind.ALONE and self._should_have_met(run):
+                yield _broken(Promise.GANG_TOGETHER, run)
+
+    def _should_have_met(self, run: RunAccount) -> bool:
+        job = self._jobs.get(run.task.job_id)
+        cancelled = job is not None and job.cancel_sent
+        return not cancelled and not run.late and self._calm(run.ended_s)
+
+    # Workers
+
+    def _draining(self) -> Iterator[Broken]:
+        for run in self._runs:
+            late_s = run.ordered_s - run.life.announced_s - self._times.drain_s
+            if late_s > 0 and not run.late and self._in_touch(run.fence, run.ordered_s):
+                yield _broken(Promise.DRAIN, run, detail=f"{late_s:.3f} s too late")
+
+    def _room(self) -> Iterator[Broken]:
+        """What is being stopped takes room until its end."""
+        workers: dict[str, list[RunAccount]] = defaultdict(list)
+        for run in self._runs:
+            workers[run.life.worker].append(run)
+        for runs in workers.values():
+            yield from _too_many(runs)
+
+    # Single starts
+
+    def _starts(self) -> Iterator[Broken]:
+        for run in self._runs:
+            job = self._jobs.get(run.task.job_id)
+            if job is None:
+                yield _broken(Promise.UNKNOWN, run)
+                continue
+            if job.refused:
+                yield _broken(Promise.REFUSED, run)
+            if self._is_after_cancel(run, job):
+                yield _broken(Promise.CANCELLED, run, detail="after its acknowledgement")
+            if not self._may_begin(run, job):
+                yield _broken(Promise.ORDER, run)
+
+    def _is_after_cancel(self, run: RunAccount, job: ClientJob) -> bool:
+        if job.cancelled_s is None or run.late:
+            return False
+        bound_s = job.cancelled_s + self._times.cancel_s
+        return run.ordered_s > bound_s and self._in_touch(run.fence, run.ordered_s)
+
+    def _may_begin(self, run: RunAccount, job: ClientJob) -> bool:
+        """Whether all tasks of the steps that it needs were done when it began."""
+        job_id, occurrence, step = run.step
+        for needed in job.request.steps[step].after:
+            done = self._done.get((job_id, occurrence, needed), {})
+            before = sum(1 for ended_s in done.values() if ended_s <= run.began_s)
+            if before < _least_done(job, needed):
+                return False
+        return True
+
+    def _attempts(self) -> Iterator[Broken]:
+        for task, runs in self._tasks.items():
+            job = self._jobs.get(task.job_id)
+            if job is None or job.request.steps[task.step].long_running:
+                continue
+            failed = sorted(run.ended_s for run in runs if run.how is EndKind.FAILED and run.stands)
+            if len(failed) < job.attempts:
+                continue
+            for run in runs:
+                if run.began_s > failed[job.attempts - 1]:
+                    yield _broken(Promise.ATTEMPTS, run, detail=f"{len(failed)} failed")
+
+    # What clients were told
+
+    def _outcomes(self) -> Iterator[Broken]:
+        for job in self._jobs.values():
+            if job.accepted:
+                promise, detail = self._outcome(job)
+                if promise is not None:
+                    yield Broken(promise, math.inf, job.job_id, (), detail)
+
+    def _outcome(self, job: ClientJob) -> tuple[Promise | None, str]:
+        """Which promise about an accepted job's state is broken, and how."""
+        if job.state is JobState.COMPLETED:
+            missing = self._undone(job)
+            return (Promise.COMPLETED, f"{missing} tasks are not done") if missing else (None, "")
+        if job.state is JobState.FAILED:
+            return (None, "") if self._has_failed(job) else (Promise.FAILED, "")
+        if job.state is JobState.CANCELLED:
+            return (None, "") if job.cancel_sent else (Promise.NOT_CANCELLED, "")
+        state = "unknown" if job.state is None else job.state.value
+        return Promise.KEPT, f"its state is {state}, {self._undone(job)} tasks are not done"
+
+    def _undone(self, job: ClientJob) -> int:
+        missing = 0
+        for number, step in enumerate(job.request.steps):
+            done = self._done.get((job.job_id, 0, number), {})
+            if len(done) < _least_done(job, number):
+                missing += step.count - len(done)
+        return missing
+
+    def _has_failed(self, job: ClientJob) -> bool:
+        """Whether a task, or a gang, has failed as often as it may."""
+        failed: dict[object, int] = defaultdict(int)
+        for number, step in enumerate(job.request.steps):
+            for run in self._steps.get((job.job_id, 0, number), []):
+                if run.how is EndKind.FAILED:
+                    failed[run.step if step.gang else run.task] += 1
+        return max(failed.values(), default=0) >= job.attempts
+
+
+def _done_tasks(runs: Iterable[RunAccount]) -> dict[StepKey, dict[int, float]]:
+    """When the tasks of each step were done first."""
+    found: dict[StepKey, dict[int, float]] = defaultdict(dict)
+    for run in runs:
+        if run.is_done:
+            step = found[run.step]
+            step[run.task.index] = min(run.ended_s, step.get(run.task.index, math.inf))
+    return found
+
+
+def _least_done(job: ClientJob, step: int) -> int:
+    """Ends as done that make a step done: of a gang, one stands for all."""
+    return 1 if job.request.steps[step].gang else job.request.steps[step].count
+
+
+def _first_done(ends: list[RunAccount], run: RunAccount, *, shared: bool) -> RunAccount | None:
+    """The first end as done that ends a run's task too."""
+    mine = [end for end in ends if shared or end.task == run.task]
+    return min(mine, key=lambda end: end.ended_s, default=None)
+
+
+def _present_at(members: list[RunAccount], at_s: float) -> int:
+    """Tasks of a gang that were present at some time."""
+    return len(
+        {
+            member.task
+            for member in members
+            if member.began_s <= at_s and member.over_s > at_s - HUB_S
+        }
+    )
+
+
+def _too_many(runs: list[RunAccount]) -> Iterator[Broken]:
+    """Starts that take a worker past its room."""
+    taken = 0
+    ends: list[tuple[float, int]] = []
+    for run in sorted(runs, key=lambda run: run.began_s):
+        while ends and ends[0][0] <= run.began_s:
+            taken -= heapq.heappop(ends)[1]
+        taken += run.accelerators
+        heapq.heappush(ends, (run.over_s, run.accelerators))
+        if taken > run.life.accelerators:
+            detail = f"{taken} of {run.life.accelerators} accelerators are taken"
+            yield _broken(Promise.ROOM, run, detail=detail)
+
+
+def _broken(promise: Promise, *runs: RunAccount, detail: str = "") -> Broken:
+    return Broken(promise, runs[0].began_s, runs[0].task.job_id, runs, detail)
+
+
+def _told(run: RunAccount, vm_of: VmOf, start_s: float) -> str:
+    """One run, from its order to the acknowledgement of its end."""
+    life = run.life
+    how = "running" if run.how is None else run.how.value
+    if run.how is None and life.ended_s < math.inf:
+        how = "with its worker, which crashed" if life.crashed else "with its worker, which left"
+    noted = "no" if run.noted_s is None else _time(run.noted_s, start_s)
+    if run.lapsed:
+        noted += " after the lease had lapsed"
+    return (
+        f"{run.task} run {run.number} on {life.worker} ({life.hall}, {life.rack})"
+        f" from {vm_of(run.fence)}, order {_time(run.ordered_s, start_s)}"
+        f" late {str(run.late).lower()}, start {_time(run.began_s, start_s)}"
+        f" stop {_stop(run, vm_of, start_s)}"
+        f" end {_time(run.over_s, start_s)} {how} noted {noted}"
+    )
+
+
+def _stop(run: RunAccount, vm_of: VmOf, start_s: float) -> str:
+    if run.stop is None:
+        return "none"
+    late = " late" if run.stop.late else ""
+    return f"{_time(run.stop.at_s, start_s)}{late} by {vm_of(run.stop.fence)}"
+
+
+def _time(at_s: float, start_s: float) -> str:
+    return "none" if at_s == math.inf else f"{at_s - start_s:+.3f}"
--- /dev/null
+++ b/src/saddlestack/soak/runs.py
@@ -0,0 +1,172 @@
+"""The account of all runs and lives of workers, put together from what the workers told."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from saddlestack.interfaces.workers import EndKind
+from saddlestack.soak.messages import (
+    EndNoted,
+    LifeAnnounced,
+    LifeBegan,
+    LifeEnded,
+    Record,
+    RunBegan,
+    RunEnded,
+    RunStopping,
+    RunWorks,
+)
+from saddlestack.work import TaskName
+
+
+@dataclass(slots=True)
+class Life:
+    """One life of a worker.
+
+    :param announced_s: when the store had taken the announcement of its end.
+    """
+
+    worker: str
+    hall: str
+    rack: str
+    accelerators: int
+    began_s: float
+    announced_s: float = math.inf
+    ended_s: float = math.inf
+    crashed: bool = False
+
+
+@dataclass(slots=True)
+class RunAccount:
+    """One run, from its order to the acknowledgement of its end.
+
+    :param fence: the token of its order: who was the leader that gave it.
+    :param works_s: when a member of a gang began to work; others work from their beginning.
+    :param how: how it ended; ``None`` where it is present, or ended with its worker.
+    :param lapsed: the worker's lease had lapsed between its end and the acknowledgement.
+    """
+
+    task: TaskName
+    number: int
+    life: Life
+    fence: int
+    ordered_s: float
+    began_s: float
+    late: bool
+    accelerators: int
+    gang: int
+    works_s: float | None = None
+    stop: RunStopping | None = None
+    ended_s: float = math.inf
+    how: EndKind | None = None
+    noted_s: float | None = None
+    lapsed: bool = False
+
+    @property
+    def over_s(self) -> float:
+        """When it was over: by itself, or with its worker; infinite while it is present."""
+        return min(self.ended_s, self.life.ended_s)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether it ended as done."""
+        return self.how is EndKind.DONE
+
+    @property
+    def stands(self) -> bool:
+        """Whether its end was acknowledged before the worker's lease lapsed."""
+        return self.noted_s is not None and not self.lapsed
+
+    @property
+    def step(self) -> StepKey:
+        """The step that it is a run of."""
+        return self.task.job_id, self.task.occurrence, self.task.step
+
+
+StepKey = tuple[str, int, int]
+
+
+@dataclass(slots=True)
+class RunBook:
+    """All runs and lives.
+
+    :ivar runs: in the order of their beginnings at each worker.
+    """
+
+    lives: dict[str, Life] = field(default_factory=dict)
+    runs: list[RunAccount] = field(default_factory=list)
+    _present: dict[tuple[str, str, int], RunAccount] = field(default_factory=dict)
+
+    @classmethod
+    def of(cls, records: Iterable[Record]) -> RunBook:
+        """The account that some records make."""
+        book = cls()
+        for record in records:
+            book.add(record)
+        return book
+
+    def add(self, record: Record) -> None:
+        """Add what a worker told."""
+        if isinstance(record, LifeBegan | LifeAnnounced | LifeEnded):
+            self._add_life(record)
+        elif isinstance(record, RunBegan):
+            self._begin(record)
+        else:
+            self._change(self._present[(record.worker, record.task, record.run)], record)
+
+    def by_task(self) -> dict[TaskName, list[RunAccount]]:
+        """All runs of each task, in the order of their beginnings."""
+        found: dict[TaskName, list[RunAccount]] = defaultdict(list)
+        for run in sorted(self.runs, key=lambda run: run.began_s):
+            found[run.task].append(run)
+        return found
+
+    def by_step(self) -> dict[StepKey, list[RunAccount]]:
+        """All runs of each step."""
+        found: dict[StepKey, list[RunAccount]] = defaultdict(list)
+        for run in self.runs:
+            found[run.step].append(run)
+        return found
+
+    def _add_life(self, record: LifeBegan | LifeAnnounced | LifeEnded) -> None:
+        if isinstance(record, LifeBegan):
+            self.lives[record.worker] = Life(
+                record.worker, record.hall, record.rack, record.accelerators, record.at_s
+            )
+        elif isinstance(record, LifeAnnounced):
+            self.lives[record.worker].announced_s = record.at_s
+        else:
+            self.lives[record.worker].ended_s = record.at_s
+            self.lives[record.worker].crashed = record.crashed
+
+    def _begin(self, record: RunBegan) -> None:
+        run = RunAccount(
+            TaskName.parse(record.task),
+            record.run,
+            self.lives[record.worker],
+            record.fence,
+            record.ordered_s,
+            record.at_s,
+            record.late,
+            record.accelerators,
+            record.gang,
+        )
+        self.runs.append(run)
+        self._present[(record.worker, record.task, record.run)] = run
+
+    def _change(
+        self, run: RunAccount, record: RunWorks | RunStopping | RunEnded | EndNoted
+    ) -> None:
+        if isinstance(record, RunWorks):
+            run.works_s = record.at_s
+        elif isinstance(record, RunStopping):
+            run.stop = record
+        elif isinstance(record, RunEnded):
+            run.ended_s = record.at_s
+            run.how = EndKind(record.how)
+        else:
+            run.noted_s = record.at_s
+            run.lapsed = record.lapsed
--- /dev/null
+++ b/tests/soak_support.py
@@ -0,0 +1,161 @@
+"""Workers of a soak on a virtual clock, with the hub of their gangs but without processes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from saddlestack.interfaces.workers import EndKind, StartOrder, StartReply, WorkerReport
+from saddlestack.soak.gangs import GangHub
+from saddlestack.soak.life import Arrival, WorkerLife
+from saddlestack.soak.messages import (
+    GangEnded,
+    GangMessage,
+    GangMoved,
+    MachineSettings,
+    Record,
+    RunEnded,
+)
+from saddlestack.soak.shape import ShapeTimes
+from saddlestack.standins.loop import run
+from saddlestack.standins.pool.workers import TaskPlan, payload
+
+T = TypeVar("T")
+
+TIMES = ShapeTimes(
+    lease_s=6.0,
+    stop_s=0.9,
+    drain_s=3.0,
+    notice_s=2.0,
+    linger_s=7.0,
+    gang_wait_s=4.0,
+    heartbeat_s=1.5,
+    checkpoint_s=0.5,
+    restore_s=0.6,
+    grace_s=6.0,
+    status_s=120.0,
+    history_s=20.0,
+)
+ACCELERATORS = 8
+JOB = "00000000000000aa"
+
+
+def machine(number: int) -> MachineSettings:
+    """A machine with a worker."""
+    return MachineSettings(
+        f"m{number}", "127.0.0.1", "hall-1", "r1-1", ACCELERATORS, 32_000, 131_072
+    )
+
+
+def task(index: int = 0, step: int = 0) -> str:
+    """A task's name."""
+    return f"{JOB}.0.{step}.{index}"
+
+
+@dataclass
+class Workers:
+    """Some workers, each in a host of its own."""
+
+    count: int = 1
+    seed: int = 1
+    records: list[Record] = field(default_factory=list)
+    lives: list[WorkerLife] = field(default_factory=list)
+    hub: GangHub = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.hub = GangHub(self._send)
+        for number in range(self.count):
+            self.add(number)
+
+    def add(self, host: int) -> WorkerLife:
+        """A new life of a worker."""
+        life = WorkerLife(
+            f"i-{len(self.lives)}",
+            machine(host),
+            TIMES,
+            random.Random(self.seed + host),
+            self._teller(host),
+        )
+        self.lives.append(life)
+        life.begin()
+        return life
+
+    def start(
+        self,
+        plan: TaskPlan,
+        *,
+        worker: int = 0,
+        index: int = 0,
+        number: int = 1,
+        fence: int = 1,
+        hold_s: float = 6.0,
+        saved: str = "",
+        late: bool = False,
+    ) -> StartReply:
+        """Start a run."""
+        life = self.lives[worker]
+        deadline_ms = life.clock_ms() + round(hold_s * 1000)
+        order = StartOrder(task(index), number, payload(plan), saved, deadline_ms, fence)
+        return life.start(order, Arrival(now(), late))
+
+    def stop(self, *, worker: int = 0, index: int = 0, number: int = 1, fence: int = 1) -> None:
+        """Stop a run."""
+        self.lives[worker].stop(task(index), number, fence, Arrival(now()))
+
+    async def look(
+        self, *, worker: int = 0, seen: int = 0, wait_s: float = 0.0, fence: int = 1
+    ) -> WorkerReport:
+        """Look, without a renewal."""
+        return await self.lives[worker].hold(fence, None, seen, wait_s)
+
+    async def renew_for(self, seconds: float) -> None:
+        """Renew all leases for some time."""
+        until = now() + seconds
+        while now() < until:
+            for life in self.lives:
+                if not life.over:
+                    await life.hold(1, life.clock_ms() + 6000, 0, 0.0)
+            await asyncio.sleep(min(1.0, max(0.001, until - now())))
+
+    def ends(self) -> list[tuple[str, int, EndKind]]:
+        """All ends so far: worker, run and how."""
+        return [
+            (record.worker, record.run, EndKind(record.how))
+            for record in self.records
+            if isinstance(record, RunEnded)
+        ]
+
+    def hows(self) -> list[EndKind]:
+        """How all runs have ended so far."""
+        return [how for _, _, how in self.ends()]
+
+    def _send(self, host: int, message: GangMoved | GangEnded) -> None:
+        for life in self.lives:
+            if life.machine.name != f"m{host}":
+                continue
+            if isinstance(message, GangMoved):
+                life.gang_moved(message)
+            else:
+                life.gang_ended(message)
+
+    def _teller(self, host: int) -> Callable[[Record | GangMessage], None]:
+        def tell(message: Record | GangMessage) -> None:
+            if isinstance(message, GangMessage):
+                self.hub.take(host, message)
+            else:
+                self.records.append(message)
+
+        return tell
+
+
+def now() -> float:
+    """The loop's time."""
+    return asyncio.get_running_loop().time()
+
+
+def virtually(body: Callable[[], Coroutine[Any, Any, T]]) -> T:
+    """Run a test's body on a virtual clock."""
+    return run(body())
