--- a/src/saddlestack/soak/heartbeats.py
+++ b/src/saddlestack/soak/heartbeats.py
@@ -65,7 +65,7 @@
             return Response(404)
         body = from_json(request.body, TransactionBody)
         for put in body.put:
-            self._put(put.key, base64.b64decode(put.value))
+            self.write(put.key, base64.b64decode(put.value))
         for key in body.delete:
             self._heard_s.pop(key, None)
             self.store.remove(key)
@@ -76,7 +76,8 @@
         for worker in workers:
             self.store.remove(f"{PLACES.workers_prefix}{worker}")
 
-    def _put(self, key: str, value: bytes) -> None:
+    def write(self, key: str, value: bytes) -> None:
+        """Take a heartbeat of a worker: the key changes when what it tells does."""
         self._heard_s[key] = _now()
         kept = self.store.item(key)
         if not kept.revision or self._told(kept.value) != self._told(value):
--- /dev/null
+++ b/tests/test_soak_account.py
@@ -0,0 +1,376 @@
+"""The judge of a soak: each promise, kept and broken, by what workers and clients tell."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from dataclasses import dataclass, field, replace
+
+from saddlestack.soak.account import Broken, ClientJob, Promise, PromiseTimes, judge
+from saddlestack.soak.messages import (
+    EndNoted,
+    LifeAnnounced,
+    LifeBegan,
+    LifeEnded,
+    Record,
+    RunBegan,
+    RunEnded,
+    RunStopping,
+    RunWorks,
+)
+from saddlestack.work import JobRequest, JobState, Resources, Step
+
+JOB = "00000000000000aa"
+TIMES = PromiseTimes(drain_s=3.0, cancel_s=4.0)
+NEEDS = Resources(1000, 1024, 1)
+
+
+def name(index: int = 0, step: int = 0) -> str:
+    return f"{JOB}.0.{step}.{index}"
+
+
+@dataclass
+class Story:
+    """What workers told; each method adds a record."""
+
+    records: list[Record] = field(default_factory=list)
+
+    def worker(self, worker: str, at_s: float = 0.0, accelerators: int = 8) -> None:
+        self.records.append(LifeBegan(worker, "m1", "hall-1", "r1-1", accelerators, at_s))
+
+    def gone(self, worker: str, at_s: float, *, crashed: bool) -> None:
+        self.records.append(LifeEnded(worker, at_s, crashed))
+
+    def announce(self, worker: str, at_s: float) -> None:
+        self.records.append(LifeAnnounced(worker, at_s, 3.0))
+
+    def begin(
+        self,
+        worker: str,
+        at_s: float,
+        *,
+        index: int = 0,
+        run: int = 1,
+        step: int = 0,
+        fence: int = 1,
+        late: bool = False,
+        room: int = 1,
+        gang: int = 0,
+    ) -> None:
+        self.records.append(
+            RunBegan(worker, name(index, step), run, fence, at_s, at_s, late, room, gang)
+        )
+
+    def end(
+        self,
+        worker: str,
+        at_s: float,
+        how: str = "done",
+        *,
+        index: int = 0,
+        run: int = 1,
+        step: int = 0,
+        noted_s: float | None = None,
+        lapsed: bool = False,
+    ) -> None:
+        task = name(index, step)
+        self.records.append(RunEnded(worker, task, run, how, at_s))
+        if noted_s is not None:
+            self.records.append(EndNoted(worker, task, run, 1, noted_s, lapsed))
+
+    def stop(self, worker: str, at_s: float, *, index: int = 0, run: int = 1) -> None:
+        self.records.append(RunStopping(worker, name(index), run, 2, at_s, at_s, False))
+
+    def works(self, worker: str, at_s: float, *, index: int = 0, run: int = 1) -> None:
+        self.records.append(RunWorks(worker, name(index), run, at_s))
+
+
+def request(*steps: Step) -> JobRequest:
+    return JobRequest(payload="{}", steps=steps or (Step(count=1, needs=NEEDS),))
+
+
+def done_job(**changes: object) -> ClientJob:
+    """A job that was accepted and is not looked at further."""
+    job = ClientJob(JOB, request(), accepted=False, refused=False)
+    return replace(job, **changes)  # type: ignore[arg-type]
+
+
+def promises(
+    story: Story, job: ClientJob | None = None, *, in_touch: bool = True, calm: bool = False
+) -> list[Promise]:
+    found = judge(
+        story.records,
+        [job or done_job()],
+        TIMES,
+        lambda fence, at_s: in_touch,
+        calm=lambda at_s: calm,
+    )
+    return [broken.promise for broken in found]
+
+
+class OneRunTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.story = Story()
+        self.story.worker("a")
+        self.story.worker("b")
+
+    def test_two_runs_at_once(self) -> None:
+        self.story.begin("a", 1.0)
+        self.story.begin("b", 2.0, run=2)
+        self.assertEqual(promises(self.story), [Promise.ONE_RUN])
+
+    def test_a_run_that_is_being_stopped_still_runs(self) -> None:
+        self.story.begin("a", 1.0)
+        self.story.stop("a", 1.5)
+        self.story.begin("b", 2.0, run=2)
+        self.story.end("a", 2.1, "stopped")
+        self.assertEqual(promises(self.story), [Promise.ONE_RUN])
+
+    def test_one_after_the_other(self) -> None:
+        self.story.begin("a", 1.0)
+        self.story.end("a", 2.0, "lapsed")
+        self.story.begin("b", 2.0, run=2)
+        self.assertEqual(promises(self.story), [])
+
+    def test_a_run_on_a_worker_that_crashed_is_over(self) -> None:
+        self.story.begin("a", 1.0)
+        self.story.gone("a", 1.5, crashed=True)
+        self.story.begin("b", 2.0, run=2)
+        self.assertEqual(promises(self.story), [])
+
+    def test_a_crash_afterwards_excuses_nothing(self) -> None:
+        self.story.begin("a", 1.0)
+        self.story.begin("b", 2.0, run=2)
+        self.story.gone("a", 2.5, crashed=True)
+        self.assertEqual(promises(self.story), [Promise.ONE_RUN])
+
+    def test_a_late_order_counts(self) -> None:
+        self.story.begin("a", 1.0)
+        self.story.begin("b", 2.0, run=2, late=True)
+        self.assertEqual(promises(self.story), [Promise.ONE_RUN])
+
+    def test_the_order_in_which_hosts_tell_does_not_matter(self) -> None:
+        self.story.begin("b", 2.0, run=2)
+        self.story.begin("a", 1.0)
+        self.story.end("a", 3.0)
+        self.assertEqual(promises(self.story), [Promise.ONE_RUN])
+
+    def test_copies_that_were_asked_for(self) -> None:
+        self.story.begin("a", 1.0)
+        self.story.begin("b", 2.0, run=2)
+        job = done_job(request=request(Step(count=1, needs=NEEDS, speculative=True)))
+        self.assertEqual(promises(self.story, job), [])
+
+
+class OnceDoneTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.story = Story()
+        self.story.worker("a")
+        self.story.worker("b")
+        self.story.begin("a", 1.0)
+
+    def test_a_start_after_an_end_that_was_noted(self) -> None:
+        self.story.end("a", 2.0, noted_s=2.1)
+        self.story.begin("b", 3.0, run=2)
+        self.assertEqual(promises(self.story), [Promise.ONCE_DONE])
+
+    def test_a_start_after_an_end_that_was_noted_later(self) -> None:
+        self.story.end("a", 2.0, noted_s=4.0)
+        self.story.begin("b", 3.0, run=2)
+        self.assertEqual(promises(self.story), [Promise.ONCE_DONE])
+
+    def test_an_end_that_nobody_noted(self) -> None:
+        self.story.end("a", 2.0)
+        self.story.begin("b", 3.0, run=2)
+        self.assertEqual(promises(self.story), [])
+
+    def test_an_end_that_was_noted_after_the_lease_lapsed(self) -> None:
+        self.story.end("a", 2.0, noted_s=9.0, lapsed=True)
+        self.story.begin("b", 3.0, run=2)
+        self.assertEqual(promises(self.story), [])
+
+    def test_other_ends(self) -> None:
+        for how in ("failed", "stopped", "lapsed", "broken", "alone"):
+            with self.subTest(how):
+                story = Story(list(self.story.records))
+                story.end("a", 2.0, how, noted_s=2.1)
+                story.begin("b", 3.0, run=2)
+                self.assertEqual(promises(story, done_job(attempts=2)), [])
+
+    def test_the_end_of_one_member_is_that_of_its_gang(self) -> None:
+        story = Story()
+        story.worker("a")
+        story.worker("b")
+        for worker, index in (("a", 0), ("b", 1)):
+            story.begin(worker, 1.0, index=index, gang=2)
+            story.works(worker, 1.0, index=index)
+        story.end("a", 2.0, index=0, noted_s=2.1)
+        story.end("b", 2.0, index=1)
+        story.begin("b", 3.0, index=1, run=2, gang=2)
+        self.assertEqual(promises(story), [Promise.ONCE_DONE])
+
+
+class GangTest(unittest.TestCase):
+    def test_work_without_all_members(self) -> None:
+        story = Story()
+        story.worker("a")
+        story.begin("a", 1.0, gang=2)
+        story.works("a", 1.1)
+        self.assertEqual(promises(story), [Promise.WHOLE_GANG])
+
+    def test_a_member_that_waited_in_vain(self) -> None:
+        story = Story()
+        story.worker("a")
+        story.begin("a", 1.0, gang=2)
+        story.end("a", 5.0, "alone")
+        self.assertEqual(promises(story, calm=True), [Promise.GANG_TOGETHER])
+        self.assertEqual(promises(story, calm=False), [])
+        self.assertEqual(promises(story, done_job(cancel_sent=True), calm=True), [])
+
+
+class WorkerTest(unittest.TestCase):
+    def test_a_start_after_the_announced_end(self) -> None:
+        for at_s, expected in ((3.9, []), (4.1, [Promise.DRAIN])):
+            with self.subTest(at_s):
+                story = Story()
+                story.worker("a")
+                story.announce("a", 1.0)
+                story.begin("a", at_s)
+                self.assertEqual(promises(story), expected)
+                self.assertEqual(promises(story, in_touch=False), [])
+
+    def test_an_order_that_is_carried_out_late_on_a_draining_worker(self) -> None:
+        story = Story()
+        story.worker("a")
+        story.announce("a", 1.0)
+        story.begin("a", 5.0, late=True)
+        self.assertEqual(promises(story), [])
+
+    def test_more_than_there_is_room_for(self) -> None:
+        story = Story()
+        story.worker("a", accelerators=4)
+        story.begin("a", 1.0, index=0, room=3)
+        story.stop("a", 1.5)
+        story.begin("a", 2.0, index=1, room=2)
+        story.end("a", 2.1, "stopped", index=0)
+        story.begin("a", 3.0, index=2, room=2)
+        self.assertEqual(promises(story), [Promise.ROOM])
+
+
+class StartTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.story = Story()
+        self.story.worker("a")
+        self.story.begin("a", 10.0)
+
+    def test_a_refused_job_that_ran(self) -> None:
+        self.assertEqual(promises(self.story, done_job(refused=True)), [Promise.REFUSED])
+
+    def test_a_start_of_what_nobody_handed_in(self) -> None:
+        self.assertEqual(promises(self.story, done_job(job_id="b" * 16)), [Promise.UNKNOWN])
+
+    def test_a_start_after_a_cancel(self) -> None:
+        for cancelled_s, expected in ((5.9, [Promise.CANCELLED]), (6.1, [])):
+            with self.subTest(cancelled_s):
+                job = done_job(cancel_sent=True, cancelled_s=cancelled_s)
+                self.assertEqual(promises(self.story, job), expected)
+                self.assertEqual(promises(self.story, job, in_touch=False), [])
+
+    def test_a_start_before_what_it_needs(self) -> None:
+        steps = (Step(count=1, needs=NEEDS), Step(count=1, needs=NEEDS, after=(0,)))
+        for done_s, expected in ((10.4, []), (10.6, [Promise.ORDER])):
+            with self.subTest(done_s):
+                story = Story(list(self.story.records))
+                story.end("a", done_s)
+                story.begin("a", 10.5, step=1)
+                self.assertEqual(promises(story, done_job(request=request(*steps))), expected)
+
+    def test_a_start_after_all_attempts_failed(self) -> None:
+        self.story.end("a", 11.0, "failed", noted_s=11.1)
+        self.story.begin("a", 12.0, run=2)
+        self.assertEqual(promises(self.story, done_job(attempts=1)), [Promise.ATTEMPTS])
+        self.assertEqual(promises(self.story, done_job(attempts=2)), [])
+
+
+class OutcomeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.story = Story()
+        self.story.worker("a")
+        self.story.begin("a", 1.0)
+
+    def told(self, state: JobState | None, **changes: object) -> list[Promise]:
+        job = done_job(accepted=True, state=state, **changes)
+        return promises(self.story, job)
+
+    def test_a_job_that_is_not_over(self) -> None:
+        for state in (None, JobState.QUEUED, JobState.RUNNING):
+            self.assertEqual(self.told(state), [Promise.KEPT])
+
+    def test_a_job_that_is_shown_as_completed(self) -> None:
+        self.assertEqual(self.told(JobState.COMPLETED), [Promise.COMPLETED])
+        self.story.end("a", 2.0)
+        self.assertEqual(self.told(JobState.COMPLETED), [])
+
+    def test_a_job_that_is_shown_as_failed(self) -> None:
+        self.assertEqual(self.told(JobState.FAILED), [Promise.FAILED])
+        self.story.end("a", 2.0, "failed")
+        self.assertEqual(self.told(JobState.FAILED), [])
+        self.assertEqual(self.told(JobState.FAILED, attempts=2), [Promise.FAILED])
+
+    def test_a_job_that_is_shown_as_cancelled(self) -> None:
+        self.assertEqual(self.told(JobState.CANCELLED), [Promise.NOT_CANCELLED])
+        self.assertEqual(self.told(JobState.CANCELLED, cancel_sent=True), [])
+
+
+class TextTest(unittest.TestCase):
+    def test_both_runs_are_told_with_who_ordered_them_and_what_became_of_them(self) -> None:
+        story = Story()
+        story.worker("i-1")
+        story.worker("i-2")
+        story.begin("i-1", 101.0, fence=7)
+        story.begin("i-2", 102.5, run=2, fence=8)
+        story.stop("i-2", 103.0, run=2)
+        story.end("i-2", 103.2, "stopped", run=2, noted_s=103.4)
+        (broken,) = judge(story.records, [done_job()], TIMES)
+        self.assertIsInstance(broken, Broken)
+        self.assertEqual(
+            broken.text({7: "vm-7", 8: "vm-8", 2: "vm-2"}.__getitem__, 100.0),
+            "+2.500 two runs at once: 00000000000000aa"
+            " [00000000000000aa.0.0.0 run 2 on i-2 (hall-1, r1-1) from vm-8, order +2.500"
+            " late false, start +2.500 stop +3.000 by vm-2 end +3.200 stopped noted +3.400]"
+            " while [00000000000000aa.0.0.0 run 1 on i-1 (hall-1, r1-1) from vm-7, order +1.000"
+            " late false, start +1.000 stop none end none running noted no]",
+        )
+
+
+class SeededTest(unittest.TestCase):
+    def test_two_runs_are_found_as_by_looking_at_every_moment(self) -> None:
+        """Random runs of one task, against a plain count at each start."""
+        for seed in range(200):
+            rng = random.Random(seed)
+            story = Story()
+            spans = []
+            for number in range(1, 5):
+                worker = f"w{number}"
+                story.worker(worker)
+                began_s = rng.randrange(20) + number / 10
+                ended_s = began_s + rng.randrange(1, 8)
+                crashed = rng.random() < 0.3
+                story.begin(worker, began_s, run=number)
+                if crashed:
+                    story.gone(worker, ended_s, crashed=True)
+                else:
+                    story.end(worker, ended_s, "lapsed", run=number)
+                spans.append((began_s, ended_s))
+            expected = sum(
+                1
+                for first in spans
+                for second in spans
+                if first is not second and first[0] <= second[0] < first[1]
+            )
+            found = promises(story)
+            self.assertEqual(found, [Promise.ONE_RUN] * expected, f"seed {seed}")
+
+
+if __name__ == "__main__":
+    unittest.main()
