--- a/src/saddlestack/cli/entry.py
+++ b/src/saddlestack/cli/entry.py
@@ -47,27 +47,56 @@
 
 
 @click.command()
+@click.option(
+    "--shape",
+    "shape_path",
+    type=click.Path(dir_okay=False, path_type=Path),
+    required=True,
+    help="What is served, JSON with comments; deploy/soak/ has some.",
+)
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--seeds", type=int, default=1, show_default=True, help="How many, from --seed on.")
-@click.option("--seconds", type=float, default=15.0, show_default=True, help="Of faults, a seed.")
-@click.option("--entries", type=int, default=4, show_default=True)
-@click.option("--workers", type=int, default=6, show_default=True)
+@click.option("--seconds", type=float, default=30.0, show_default=True, help="Of faults, a seed.")
+@click.option("--calm", type=float, default=0.0, help="Seconds of load before the first fault.")
+@click.option(
+    "--report",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="JSON, and text beside it; with several seeds, one of each.",
+)
+@click.option(
+    "--program-src",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    help="Sources that the entry VMs run, in place of these.",
+)
 @errors_to_exit_codes
-def soak(seed: int, seeds: int, seconds: float, entries: int, workers: int) -> None:
+def soak(
+    shape_path: Path,
+    seed: int,
+    seeds: int,
+    seconds: float,
+    calm: float,
+    report: Path | None,
+    program_src: Path | None,
+) -> None:
     """Run real processes on stand-ins, with faults drawn by seed; exit 1 where a promise broke."""
+    from saddlestack.soak.processes import Program
     from saddlestack.soak.run import SoakPlan, run
+    from saddlestack.soak.shape import load as load_shape
 
-    broken = False
+    shape = load_shape(shape_path)
+    program = Program() if program_src is None else Program(program_src.resolve())
+    good = True
     for each in range(seed, seed + seeds):
-        verdict = asyncio.run(run(SoakPlan(each, seconds, entries, workers)))
-        click.echo(
-            f"seed {each}: {verdict.jobs} jobs, {verdict.accepted} accepted, "
-            f"{len(verdict.faults)} faults, {len(verdict.broken)} promises broken"
-        )
-        for sentence in verdict.broken:
-            click.echo(f"  {sentence}")
-        if verdict.logs is not None:
-            click.echo(f"  logs: {verdict.logs}; faults: {', '.join(verdict.faults)}")
-            broken = True
-    if broken:
+        found = asyncio.run(run(SoakPlan(shape, each, seconds, calm, program)))
+        if report is not None:
+            found.write(report if seeds == 1 else report.with_stem(f"{report.stem}-{each}"))
+        click.echo(found.summary())
+        for broken in found.broken:
+            click.echo(f"  {broken.text}")
+        for trouble in found.troubled:
+            click.echo(f"  unsound: {trouble}")
+        if found.logs:
+            click.echo(f"  logs: {found.logs}")
+        good = good and found.good
+    if not good:
         raise SystemExit(1)
--- /dev/null
+++ b/src/saddlestack/soak/report.py
@@ -0,0 +1,214 @@
+"""The report of a soak: JSON for machines, lines for readers."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+import msgspec
+
+from saddlestack.soak.faults import Fault
+from saddlestack.soak.platform import Term
+from saddlestack.soak.shape import JobKind
+
+MAX_LINES = 400
+"""Log lines that are kept of one broken promise."""
+
+
+class Waits(msgspec.Struct, frozen=True):
+    """A spread of times, in seconds."""
+
+    count: int = 0
+    median_s: float = 0.0
+    p99_s: float = 0.0
+    longest_s: float = 0.0
+
+    @classmethod
+    def of(cls, times: Sequence[float]) -> Waits:
+        """The spread of some times."""
+        if not times:
+            return cls()
+        return cls(len(times), quantile(times, 0.5), quantile(times, 0.99), max(times))
+
+    def __str__(self) -> str:
+        return f"{self.median_s:.2f} / {self.p99_s:.2f} / {self.longest_s:.2f}"
+
+
+class KindReport(msgspec.Struct):
+    """What became of the jobs of one kind.
+
+    :param tasks: of all jobs that were accepted.
+    :param acceptance: from the first try to the success.
+    :param begins: from the first try to the moment when a first task works.
+    :param in_time: the share of completed jobs that met their objective.
+    """
+
+    name: str
+    jobs: int
+    accepted: int
+    refused: int
+    completed: int
+    failed: int
+    cancelled: int
+    unfinished: int
+    tasks: int
+    runs: int
+    acceptance: Waits
+    begins: Waits
+    in_time: float
+
+
+class VmReport(msgspec.Struct):
+    """What one VM used.
+
+    :param mean: of one processor, over the whole soak.
+    :param highest: of one processor, in the busiest second.
+    """
+
+    name: str
+    mean: float
+    highest: float
+    highest_s: float
+    memory_mb: float
+
+
+class LagReport(msgspec.Struct):
+    """How late a stand-in's event loop was, and what it used of one processor."""
+
+    name: str
+    lag: Waits
+    processor: float
+    calls_per_s: float = 0.0
+
+
+class BrokenReport(msgspec.Struct):
+    """A promise that did not hold.
+
+    :param text: one line: what, when, and both runs.
+    :param lines: log lines of VMs that name the job.
+    """
+
+    promise: str
+    at_s: float
+    job_id: str
+    text: str
+    lines: list[str]
+
+
+class SoakReport(msgspec.Struct):
+    """All that came of one soak. Times are seconds from its start.
+
+    :param started_at: wall time of the start, as the logs spell it.
+    :param troubled: what went wrong with the soak itself: its verdict counts for nothing.
+    :param logs: the folder with all logs, where it was kept.
+    """
+
+    shape: str
+    seed: int
+    seconds: float
+    program: str
+    started_at: str
+    took_s: float
+    vms: int
+    workers: int
+    kinds: list[KindReport]
+    busiest: list[VmReport]
+    memory_mb: float
+    stand_ins: list[LagReport]
+    faults: list[Fault]
+    terms: list[Term]
+    broken: list[BrokenReport]
+    troubled: list[str]
+    logs: str = ""
+
+    @property
+    def good(self) -> bool:
+        """Whether every promise held, and the soak itself was sound."""
+        return not self.broken and not self.troubled
+
+    @property
+    def accepted(self) -> int:
+        """Jobs that were accepted."""
+        return sum(kind.accepted for kind in self.kinds)
+
+    def write(self, path: Path) -> None:
+        """Write the report as JSON, and as text beside it."""
+        path.write_bytes(msgspec.json.format(msgspec.json.encode(self)))
+        path.with_suffix(".txt").write_text("\n".join(self.lines()) + "\n", encoding="utf-8")
+
+    def summary(self) -> str:
+        """One line."""
+        jobs = sum(kind.jobs for kind in self.kinds)
+        return (
+            f"seed {self.seed}: {jobs} jobs, {self.accepted} accepted, {len(self.faults)} faults, "
+            f"{len(self.terms)} terms, {len(self.broken)} promises broken"
+        )
+
+    def lines(self) -> Iterator[str]:
+        """The report for readers."""
+        yield f"{self.shape}, {self.summary()}"
+        yield (
+            f"{self.vms} VMs, {self.workers} workers, {self.seconds:g} s of faults, "
+            f"{self.took_s:.0f} s in all; started {self.started_at}; sources {self.program}"
+        )
+        yield from (f"unsound: {trouble}" for trouble in self.troubled)
+        yield from self._kind_lines()
+        yield from self._load_lines()
+        yield ""
+        yield "Terms:"
+        for term in self.terms:
+            ended = "on" if term.ended_s is None else f"{term.ended_s:.3f}"
+            yield f"  {term.began_s:9.3f} to {ended:>9}  {term.vm}, token {term.fence}"
+        yield ""
+        yield "Faults:"
+        for fault in self.faults:
+            ended = "on" if fault.ended_s is None else f"{fault.ended_s:.3f}"
+            yield f"  {fault.began_s:9.3f} to {ended:>9}  {fault.kind} {fault.on}: {fault.detail}"
+        yield ""
+        yield f"Broken promises: {len(self.broken)}"
+        for broken in self.broken:
+            yield f"  {broken.text}"
+            yield from (f"    {line}" for line in broken.lines)
+
+    def _kind_lines(self) -> Iterator[str]:
+        yield ""
+        yield "Jobs (times: median / 99th percentile / longest, seconds):"
+        for kind in self.kinds:
+            yield (
+                f"  {kind.name}: {kind.jobs} handed in, {kind.accepted} accepted, "
+                f"{kind.refused} refused; {kind.completed} completed, {kind.failed} failed, "
+                f"{kind.cancelled} cancelled, {kind.unfinished} unfinished; "
+                f"{kind.tasks} tasks, {kind.runs} runs"
+            )
+            yield (
+                f"    accepted after {kind.acceptance}, working after {kind.begins}, "
+                f"{kind.in_time:.1%} of the completed in time"
+            )
+
+    def _load_lines(self) -> Iterator[str]:
+        yield ""
+        yield f"VMs (share of one processor; all hold up to {self.memory_mb:.0f} MB):"
+        for vm in self.busiest:
+            yield (
+                f"  {vm.name}: {vm.mean:.0%} on average, {vm.highest:.0%} in the second at "
+                f"{vm.highest_s:.0f} s, {vm.memory_mb:.0f} MB"
+            )
+        yield ""
+        yield "Stand-ins (lag: median / 99th percentile / longest, seconds):"
+        for stand_in in self.stand_ins:
+            yield (
+                f"  {stand_in.name}: lag {stand_in.lag}, {stand_in.processor:.0%} of a processor, "
+                f"{stand_in.calls_per_s:.0f} calls a second"
+            )
+
+
+def objective_s(kind: JobKind, work_s: float) -> float:
+    """A job of a kind is in time where it is done within this."""
+    return kind.stretch * work_s + kind.target_s
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    """The smallest value that a share of all does not exceed."""
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
--- a/src/saddlestack/soak/run.py
+++ b/src/saddlestack/soak/run.py
@@ -1,241 +1,163 @@
-"""One soak: processes, load and faults from one seed, and the verdict."""
+"""One soak: processes, load and faults from one seed, and its report."""
 
 from __future__ import annotations
 
 import asyncio
+import os
 import random
+import shutil
 import signal
 import tempfile
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
-from saddlestack.interfaces.workers import EndKind
-from saddlestack.soak.load import Load, Told
+from saddlestack.soak.assessment import Evidence, assess
+from saddlestack.soak.faults import FaultPlayer
+from saddlestack.soak.hosts import WorkerHosts
+from saddlestack.soak.load import Load
+from saddlestack.soak.meters import Meters
 from saddlestack.soak.platform import SoakPlatform
-from saddlestack.soak.processes import EntryProcess
-from saddlestack.soak.proxy import Proxy, Trouble
-from saddlestack.work import JobState
+from saddlestack.soak.processes import OWN_PROGRAM, EntryProcess, EntrySite, Program
+from saddlestack.soak.report import SoakReport
+from saddlestack.soak.shape import SoakShape
+from saddlestack.soak.store_faults import StoreFaults
+from saddlestack.soak.vm_faults import VmFaults
+from saddlestack.soak.worker_faults import WorkerFaults
 
-READY_S = 15.0
-SETTLE_S = 45.0
-ASK_S = 0.5
-LEAST_GAP_S = 0.3
-LONGEST_GAP_S = 1.5
-LONGEST_FAULT_S = 4.0
-
-Fault = Callable[[], Awaitable[None]]
+READY_S = 60.0
+FIRST_NETWORK = 130
+NETWORKS = 100
 
 
 @dataclass(frozen=True, slots=True)
 class SoakPlan:
     """What is run.
 
-    :param seconds: for how long faults come.
+    :param seconds: for how long faults come; none come where it is 0.
+    :param calm_s: load without faults before that, beside the shape's own.
+    :param program: the sources that entry VMs run.
     """
 
+    shape: SoakShape
     seed: int
     seconds: float
-    entries: int = 4
-    workers: int = 6
-
-
-@dataclass(slots=True)
-class Verdict:
-    """What came of a soak.
-
-    :param broken: promises that did not hold, a sentence each.
-    :param logs: the folder with the logs of all VMs, kept where something broke.
-    """
-
-    plan: SoakPlan
-    jobs: int = 0
-    accepted: int = 0
-    faults: list[str] = field(default_factory=list)
-    broken: list[str] = field(default_factory=list)
-    logs: Path | None = None
+    calm_s: float = 0.0
+    program: Program = OWN_PROGRAM
 
 
 class Soak:
     """Runs a plan. All chance comes from its seed."""
 
     def __init__(self, plan: SoakPlan, folder: Path) -> None:
+        rng = random.Random(plan.seed)
         self._plan = plan
-        self._rng = random.Random(plan.seed)
-        self._platform = SoakPlatform(plan.workers)
         self._folder = folder
+        self._platform = SoakPlatform(plan.shape, rng.getrandbits(64))
+        self._load_rng = random.Random(rng.getrandbits(64))
+        self._fault_rng = random.Random(rng.getrandbits(64))
         self._entries: list[EntryProcess] = []
-        self._under_way: set[asyncio.Task[None]] = set()
-        self.verdict = Verdict(plan)
+        self._hosts: WorkerHosts | None = None
 
-    async def run(self) -> Verdict:
+    async def run(self) -> SoakReport:
         """Start everything, play faults, let it settle, and judge."""
         await self._platform.start()
         try:
-            await self._start_entries()
-            load = Load(self._entries, random.Random(self._plan.seed + 1))
-            clients = asyncio.get_running_loop().create_task(load.run())
-            await self._play_faults()
-            clients.cancel()
-            await asyncio.gather(clients, return_exceptions=True)
-            await self._judge(load)
-            load.close()
+            return await self._played()
         finally:
-            for task in self._under_way:
-                task.cancel()
-            await asyncio.gather(*self._under_way, return_exceptions=True)
-            for entry in self._entries:
-                await entry.end()
+            await asyncio.gather(*(entry.end() for entry in self._entries))
+            if self._hosts is not None:
+                await self._hosts.stop()
             await self._platform.stop()
-        return self.verdict
+
+    async def _played(self) -> SoakReport:
+        hosts = self._hosts = await self._start_hosts()
+        await self._start_entries()
+        evidence = Evidence(
+            self._plan.shape,
+            self._platform,
+            hosts,
+            Load(self._plan.shape, self._entries, self._load_rng),
+            Meters(self._entries),
+        )
+        measuring = asyncio.get_running_loop().create_task(evidence.meters.run())
+        try:
+            await self._load(hosts, evidence)
+        finally:
+            measuring.cancel()
+            await asyncio.gather(measuring, return_exceptions=True)
+            evidence.load.close()
+        plan = self._plan
+        return assess(evidence, plan.seed, plan.seconds, plan.program, self._entries)
+
+    async def _load(self, hosts: WorkerHosts, evidence: Evidence) -> None:
+        """Play load and faults, and let the jobs that were accepted end."""
+        shape = self._plan.shape
+        clients = asyncio.get_running_loop().create_task(evidence.load.run())
+        await asyncio.sleep(shape.lead_s + self._plan.calm_s)
+        if self._plan.seconds:
+            await self._play_faults(hosts, evidence)
+        clients.cancel()
+        await asyncio.gather(clients, return_exceptions=True)
+        await evidence.load.settle(shape.settle_s)
+
+    async def _play_faults(self, hosts: WorkerHosts, evidence: Evidence) -> None:
+        workers: dict[str, list[str]] = {}
+        for machine in hosts.machines:
+            workers.setdefault(machine.hall, []).append(machine.address)
+        shape = self._plan.shape
+        of_vms = VmFaults(self._entries, self._platform, workers)
+        of_store = StoreFaults(self._platform)
+        of_workers = WorkerFaults(hosts, shape.times)
+        plays = of_vms.plays | of_store.plays | of_workers.plays
+        player = FaultPlayer(shape.faults, plays, self._fault_rng)
+        evidence.faults = player.played
+        try:
+            await player.run(self._plan.seconds)
+        finally:
+            await player.stop()
+            of_vms.heal()
+            of_store.heal()
+            await of_workers.heal()
+
+    async def _start_hosts(self) -> WorkerHosts:
+        address = f"127.0.0.1:{self._platform.records.port}"
+        hosts = WorkerHosts(self._plan.shape, address, self._folder, seed=self._plan.seed)
+        await hosts.start()
+        return hosts
 
     async def _start_entries(self) -> None:
-        for number in range(self._plan.entries):
-            name = f"entry-{number + 1}"
-            proxy = await self._platform.way_to_store(name)
-            entry = EntryProcess(name, self._folder, proxy.port)
+        for site in sites_of(self._plan.shape):
+            way = await self._platform.way_of(site.name)
+            times = self._plan.shape.times
+            store = f"127.0.0.1:{way.port}"
+            entry = EntryProcess(site, self._folder, store, times, self._plan.program)
             entry.write_settings()
-            await entry.start()
             self._entries.append(entry)
+        await asyncio.gather(*(entry.start() for entry in self._entries))
         async with asyncio.timeout(READY_S):
-            while not self._platform.store.item("saddlestack/leader").revision:
+            while self._platform.terms.current is None:
                 await asyncio.sleep(0.05)
 
-    # Faults
-
-    async def _play_faults(self) -> None:
-        loop = asyncio.get_running_loop()
-        until = loop.time() + self._plan.seconds
-        while loop.time() < until:
-            name, fault = self._next_fault()
-            self.verdict.faults.append(name)
-            task = loop.create_task(_quietly(fault))
-            self._under_way.add(task)
-            task.add_done_callback(self._under_way.discard)
-            await asyncio.sleep(self._rng.uniform(LEAST_GAP_S, LONGEST_GAP_S))
-        await asyncio.gather(*self._under_way)
-
-    def _next_fault(self) -> tuple[str, Fault]:
-        rng = self._rng
-        entry = rng.choice(self._entries)
-        seconds = rng.uniform(0.5, LONGEST_FAULT_S)
-        faults: dict[str, Fault] = {
-            f"kill {entry.name}": lambda: entry.kill_and_restart(seconds / 4),
-            f"stop {entry.name}": entry.stop_and_restart,
-            f"freeze {entry.name}": lambda: entry.freeze(seconds),
-            f"hup {entry.name}": lambda: _at_once(lambda: entry.send(signal.SIGHUP)),
-            f"store of {entry.name}": lambda: self._trouble(
-                [self._platform.proxies[entry.name]], seconds
-            ),
-            "store of all": lambda: self._trouble(list(self._platform.proxies.values()), seconds),
-            "store slow": lambda: self._store_slow(seconds),
-            "store loses answers": lambda: _at_once(self._lose_answers),
-            "store forgets": lambda: _at_once(self._platform.store.forget_history),
-            "worker cut": lambda: self._cut_worker(seconds),
-            "worker crash": lambda: _at_once(rng.choice(self._platform.machines).begin_life),
-            "all killed": lambda: self._kill_all(seconds / 4),
-        }
-        name = rng.choice(list(faults))
-        return name, faults[name]
-
-    async def _trouble(self, proxies: list[Proxy], seconds: float) -> None:
-        trouble = self._rng.choice([each for each in Trouble if each is not Trouble.NONE])
-        for proxy in proxies:
-            proxy.set(trouble, self._rng.uniform(0.05, 0.5))
-        await asyncio.sleep(seconds)
-        for proxy in proxies:
-            proxy.set(Trouble.NONE)
-
-    async def _cut_worker(self, seconds: float) -> None:
-        proxy = self._rng.choice(self._platform.machines).proxy
-        assert proxy is not None
-        await self._trouble([proxy], seconds)
-
-    async def _store_slow(self, seconds: float) -> None:
-        self._platform.view.faults.slow_s = self._rng.uniform(0.05, 0.4)
-        await asyncio.sleep(seconds)
-        self._platform.view.faults.slow_s = 0.0
-
-    def _lose_answers(self) -> None:
-        self._platform.view.faults.late_s = self._rng.choice((0.0, 1.0, 3.0))
-        self._platform.view.faults.lose_answers = self._rng.randint(1, 5)
-
-    async def _kill_all(self, pause_s: float) -> None:
-        await asyncio.gather(*(entry.kill_and_restart(pause_s) for entry in self._entries))
-
-    # Verdict
-
-    async def _judge(self, load: Load) -> None:
-        self._heal()
-        verdict = self.verdict
-        verdict.jobs = len(load.jobs)
-        accepted = [told for told in load.jobs if told.accepted]
-        verdict.accepted = len(accepted)
-        await self._settle(load, accepted)
-        if not self._platform.alive:
-            verdict.broken.append("the stand-in of the workers has failed")
-        verdict.broken += self._platform.floor.violations
-        for told in load.jobs:
-            verdict.broken += self._faults_of(told)
-
-    def _heal(self) -> None:
-        self._platform.view.faults.lose_answers = 0
-        for proxy in self._platform.proxies.values():
-            proxy.set(Trouble.NONE)
-        for machine in self._platform.machines:
-            assert machine.proxy is not None
-            machine.proxy.set(Trouble.NONE)
-
-    async def _settle(self, load: Load, accepted: list[Told]) -> None:
-        """Ask until every accepted job is over."""
-        loop = asyncio.get_running_loop()
-        until = loop.time() + SETTLE_S
-        final = {JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED}
-        while loop.time() < until:
-            waiting = [told for told in accepted if told.state not in final]
-            if not waiting:
-                return
-            await asyncio.gather(*(load.ask(told) for told in waiting))
-            await asyncio.sleep(ASK_S)
-
-    def _faults_of(self, told: Told) -> list[str]:
-        floor = self._platform.floor
-        job_id = told.job_id
-        if told.refused and floor.starts_of(job_id):
-            return [f"{job_id} was refused and ran"]
-        if not told.accepted:
-            return []
-        if told.state is JobState.COMPLETED:
-            done = {
-                run.task for run in floor.history if _is_done(run.task.job_id, job_id, run.ended)
-            }
-            if len(done) != told.request.steps[0].count:
-                return [f"{job_id} is shown as completed with {len(done)} tasks done"]
-            return []
-        if told.state is JobState.CANCELLED and told.cancelled:
-            return []
-        if told.state is JobState.FAILED and floor.ends_of(job_id, EndKind.FAILED) > 1:
-            return []
-        return [f"{job_id} was accepted and is {told.state}"]
-
-
-def _is_done(found: str, wanted: str, ended: EndKind | None) -> bool:
-    return found == wanted and ended is EndKind.DONE
-
-
-async def _at_once(act: Callable[[], None]) -> None:
-    act()
-
-
-async def _quietly(fault: Fault) -> None:
-    """Play a fault; a process that another fault ends meanwhile is no failure."""
-    try:
-        await fault()
-    except ProcessLookupError:
-        return
-
-
-async def run(plan: SoakPlan) -> Verdict:
+
+def sites_of(shape: SoakShape) -> list[EntrySite]:
+    """Where the entry VMs of a shape stand, each with a loopback address of its own.
+
+    Addresses differ by process, so that soaks beside each other do not meet.
+    """
+    network = FIRST_NETWORK + os.getpid() % NETWORKS
+    return [
+        EntrySite(
+            name=f"{hall.name}-entry-{number}",
+            hall=hall.name,
+            address=f"127.{network}.{place}.{number}",
+            strong=number <= hall.strong_vms,
+        )
+        for place, hall in enumerate(shape.halls, start=1)
+        for number in range(1, hall.vms + 1)
+    ]
+
+
+async def run(plan: SoakPlan) -> SoakReport:
     """Run a plan; the logs are kept where a promise broke.
 
     SIGTERM ends the soak like SIGINT: its processes end first.
@@ -244,11 +166,9 @@
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     folder = Path(tempfile.mkdtemp(prefix="saddlestack-soak-"))
-    verdict = await Soak(plan, folder).run()
-    if verdict.broken:
-        verdict.logs = folder
+    report = await Soak(plan, folder).run()
+    if report.good:
+        shutil.rmtree(folder)
     else:
-        for file in folder.iterdir():
-            file.unlink()
-        folder.rmdir()
-    return verdict
+        report.logs = str(folder)
+    return report
--- a/src/saddlestack/soak/shape.py
+++ b/src/saddlestack/soak/shape.py
@@ -54,6 +54,8 @@
     WORKER_CRASH = "worker_crash"
     WORKER_CRASH_CUT = "worker_crash_cut"
     WORKER_HANG = "worker_hang"
+    WORKER_ERRORS = "worker_errors"
+    WORKER_TASKS = "worker_tasks"
     WORKER_STORE_CUT = "worker_store_cut"
     WORKER_VMS_CUT = "worker_vms_cut"
 
--- /dev/null
+++ b/src/saddlestack/soak/worker_faults.py
@@ -0,0 +1,203 @@
+"""Faults of workers: commands to the processes that play them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from saddlestack.soak.faults import Fault, Play
+from saddlestack.soak.hosts import WorkerHosts
+from saddlestack.soak.messages import (
+    AnswerErrors,
+    CallKind,
+    Command,
+    Crash,
+    CutFromStore,
+    CutFromVms,
+    CutWay,
+    DelayOrders,
+    ErrorAnswer,
+    Hang,
+    Heal,
+    Leave,
+    LoseAnswers,
+    TaskTrouble,
+    TroubleTasks,
+)
+from saddlestack.soak.shape import FaultKind, ShapeTimes
+
+FEW_SHARE = (0.02, 0.08)
+MANY_SHARE = (0.05, 0.2)
+CALL_SHARE = (0.2, 1.0)
+LATE_S = (1.0, 4.0)
+LATEST_S = (4.0, 14.0)
+BACK_S = (0.3, 4.0)
+
+
+class WorkerFaults:
+    """Plays what befalls workers."""
+
+    def __init__(self, hosts: WorkerHosts, times: ShapeTimes) -> None:
+        self._hosts = hosts
+        self._times = times
+
+    @property
+    def plays(self) -> dict[FaultKind, Play]:
+        """What plays each kind."""
+        return {
+            FaultKind.WORKER_LATE_ORDERS: self._late_orders,
+            FaultKind.WORKER_LOST_ANSWERS: self._lost_answers,
+            FaultKind.WORKER_DRAIN: self._drain,
+            FaultKind.WORKER_SHORT_NOTICE: self._short_notice,
+            FaultKind.WORKER_LEAVES: self._leave,
+            FaultKind.WORKER_LAPSE: self._lapse,
+            FaultKind.WORKER_CRASH: self._crash,
+            FaultKind.WORKER_CRASH_CUT: self._crash_cut,
+            FaultKind.WORKER_HANG: self._hang,
+            FaultKind.WORKER_ERRORS: self._errors,
+            FaultKind.WORKER_TASKS: self._tasks,
+            FaultKind.WORKER_STORE_CUT: self._cut_from_store,
+            FaultKind.WORKER_VMS_CUT: self._cut_from_vms,
+        }
+
+    async def heal(self) -> None:
+        """End all troubles, and bring back what has left."""
+        await self._hosts.send(Heal(machines=tuple(each.name for each in self._hosts.machines)))
+
+    async def _late_orders(self, fault: Fault, rng: random.Random) -> None:
+        command = DelayOrders(
+            machines=self._some(MANY_SHARE, rng),
+            seconds=fault.seconds,
+            calls=_calls(rng),
+            share=rng.uniform(*CALL_SHARE),
+            least_s=rng.uniform(*LATE_S),
+            longest_s=rng.uniform(*LATEST_S),
+        )
+        await self._send(fault, command)
+
+    async def _lost_answers(self, fault: Fault, rng: random.Random) -> None:
+        command = LoseAnswers(
+            machines=self._some(MANY_SHARE, rng),
+            seconds=fault.seconds,
+            calls=_calls(rng),
+            share=rng.uniform(*CALL_SHARE),
+        )
+        await self._send(fault, command)
+
+    async def _drain(self, fault: Fault, rng: random.Random) -> None:
+        command = Leave(
+            machines=self._some(MANY_SHARE, rng),
+            notice_s=self._times.drain_s,
+            linger_s=self._linger_s(rng),
+            back_s=rng.uniform(*BACK_S),
+        )
+        await self._send(fault, command)
+
+    async def _short_notice(self, fault: Fault, rng: random.Random) -> None:
+        command = Leave(
+            machines=self._some(MANY_SHARE, rng),
+            notice_s=self._times.notice_s,
+            linger_s=self._linger_s(rng) if rng.random() < 0.5 else 0.0,
+            back_s=rng.uniform(*BACK_S),
+        )
+        await self._send(fault, command)
+
+    async def _leave(self, fault: Fault, rng: random.Random) -> None:
+        """Workers leave without any notice; some serve on after their record has gone."""
+        command = Leave(
+            machines=self._some(FEW_SHARE, rng),
+            announced=False,
+            notice_s=0.0,
+            linger_s=self._linger_s(rng) if rng.random() < 0.5 else 0.0,
+            back_s=rng.uniform(*BACK_S),
+        )
+        await self._send(fault, command)
+
+    async def _lapse(self, fault: Fault, rng: random.Random) -> None:
+        """Workers' records lapse, since the store does not hear them for long; they serve on."""
+        seconds = 3 * self._times.heartbeat_s + fault.seconds
+        command = CutFromStore(machines=self._some(FEW_SHARE, rng), seconds=seconds)
+        await self._send(fault, command)
+
+    async def _cut_from_store(self, fault: Fault, rng: random.Random) -> None:
+        command = CutFromStore(machines=self._some(MANY_SHARE, rng), seconds=fault.seconds)
+        await self._send(fault, command)
+
+    async def _crash(self, fault: Fault, rng: random.Random) -> None:
+        command = Crash(
+            machines=self._some(FEW_SHARE, rng),
+            removed=rng.random() < 0.5,
+            back_s=rng.uniform(*BACK_S),
+        )
+        await self._send(fault, command)
+
+    async def _crash_cut(self, fault: Fault, rng: random.Random) -> None:
+        """Workers that are cut off crash meanwhile: nobody sees when."""
+        machines = self._some(FEW_SHARE, rng)
+        await self._send(fault, CutFromVms(machines=machines, seconds=fault.seconds))
+        await asyncio.sleep(fault.seconds * rng.random())
+        back_s = rng.uniform(*BACK_S)
+        await self._send(fault, Crash(machines=machines, silent=True, back_s=back_s))
+
+    async def _hang(self, fault: Fault, rng: random.Random) -> None:
+        command = Hang(
+            machines=self._some(MANY_SHARE, rng),
+            seconds=fault.seconds,
+            share=rng.uniform(*CALL_SHARE),
+        )
+        await self._send(fault, command)
+
+    async def _errors(self, fault: Fault, rng: random.Random) -> None:
+        command = AnswerErrors(
+            machines=self._some(FEW_SHARE, rng),
+            seconds=fault.seconds,
+            answer=rng.choice(list(ErrorAnswer)),
+            share=rng.uniform(*CALL_SHARE),
+        )
+        await self._send(fault, command)
+
+    async def _tasks(self, fault: Fault, rng: random.Random) -> None:
+        """Tasks stand still or are slow; none fails, so that the account of failures holds."""
+        command = TroubleTasks(
+            machines=self._some(FEW_SHARE, rng),
+            seconds=fault.seconds,
+            how=rng.choice((TaskTrouble.STAND_STILL, TaskTrouble.SLOW)),
+        )
+        await self._send(fault, command)
+
+    async def _cut_from_vms(self, fault: Fault, rng: random.Random) -> None:
+        command = CutFromVms(
+            machines=self._some(MANY_SHARE, rng),
+            seconds=fault.seconds,
+            way=rng.choice(list(CutWay)),
+        )
+        await self._send(fault, command)
+
+    async def _send(self, fault: Fault, command: Command) -> None:
+        fault.on = " ".join(command.machines)
+        fault.detail = f"{fault.detail} {_without_machines(command)}".strip()
+        await self._hosts.send(command)
+
+    def _some(self, share: tuple[float, float], rng: random.Random) -> tuple[str, ...]:
+        names = [machine.name for machine in self._hosts.machines]
+        return tuple(sorted(rng.sample(names, max(1, round(rng.uniform(*share) * len(names))))))
+
+    def _linger_s(self, rng: random.Random) -> float:
+        return rng.uniform(0.0, self._times.linger_s)
+
+
+def _calls(rng: random.Random) -> tuple[CallKind, ...]:
+    """All kinds of calls, or one of them."""
+    if rng.random() < 0.5:
+        return tuple(CallKind)
+    return (rng.choice(list(CallKind)),)
+
+
+def _without_machines(command: Command) -> str:
+    """What a command does, in short."""
+    fields = (
+        f"{name}={getattr(command, name)}"
+        for name in command.__struct_fields__
+        if name != "machines"
+    )
+    return f"{type(command).__name__}({', '.join(fields)})"
