--- /dev/null
+++ b/benchmarks/hosts.py
@@ -0,0 +1,239 @@
+"""At which load a soak's workers no longer keep time: ``python -m benchmarks.hosts --hosts 6``.
+
+Some processes stand for the leader: each renews the leases of its workers, looks at them all the
+time, and keeps them full of gangs. Told are calls a second, the event loops' lateness in the
+workers' processes, and by how much ends came later than the work was done.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import sys
+import tempfile
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from saddlestack.interfaces.workers import StartOrder, WorkerReport
+from saddlestack.platform.documents import PLACES
+from saddlestack.platform.orders import HttpWorkerOrders
+from saddlestack.soak import shape as shapes
+from saddlestack.soak.heartbeats import WorkerRecords
+from saddlestack.soak.hosts import WorkerHosts
+from saddlestack.soak.messages import RunBegan, RunEnded, RunWorks
+from saddlestack.standins.pool.store import StoreState
+from saddlestack.standins.pool.workers import TaskPlan, payload
+
+FENCE = 1
+LEASE_MS = 6000
+TIMEOUT_S = 3.0
+GANG = 6
+WARM_UP_S = 3.0
+SHAPE = Path("deploy/soak/grown.json")
+
+
+@dataclass
+class Driven:
+    """One worker, as the process that drives it knows it."""
+
+    worker_id: str
+    orders: HttpWorkerOrders
+    clock_ms: int
+    running: int = 0
+    seen: int = 0
+
+
+@dataclass
+class Driver:
+    """Keeps some workers full of gangs.
+
+    :param looks_s: a look waits so long for an end.
+    """
+
+    workers: list[Driven]
+    rng: random.Random
+    tasks: int
+    work_s: float
+    looks_s: float
+    names: int = 0
+    pending: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def run(self) -> None:
+        """Drive until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for worker in self.workers:
+                group.create_task(self._look_at(worker))
+            group.create_task(self._fill())
+
+    async def _look_at(self, worker: Driven) -> None:
+        while True:
+            report = await worker.orders.hold(
+                FENCE, worker.clock_ms + LEASE_MS, worker.seen, self.looks_s, TIMEOUT_S
+            )
+            self._take(worker, report)
+            if not self.looks_s:
+                await asyncio.sleep(0.2)
+
+    def _take(self, worker: Driven, report: WorkerReport) -> None:
+        worker.clock_ms = report.clock_ms
+        worker.running = len(report.running)
+        worker.seen = max([worker.seen, *(end.number for end in report.ended)])
+
+    async def _fill(self) -> None:
+        """Start gangs wherever there is room."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                free = [worker for worker in self.workers if worker.running < self.tasks]
+                if len(free) >= GANG:
+                    group.create_task(self._start(self.rng.sample(free, GANG)))
+                await asyncio.sleep(0.005)
+
+    async def _start(self, members: Sequence[Driven]) -> None:
+        self.names += 1
+        job_id = f"{self.rng.getrandbits(64):016x}"
+        work_s = self.rng.uniform(0.5, 1.5) * self.work_s
+        plan = payload(TaskPlan(work_s, room=1, gang=len(members)))
+        for worker in members:
+            worker.running += 1
+        await asyncio.gather(
+            *(
+                worker.orders.start(
+                    StartOrder(
+                        f"{job_id}.0.0.{index}", 1, plan, "", worker.clock_ms + LEASE_MS, FENCE
+                    ),
+                    TIMEOUT_S,
+                )
+                for index, worker in enumerate(members)
+            )
+        )
+
+
+def drive(path: Path, number: int, drivers: int, options: argparse.Namespace) -> None:
+    """One driving process, for its share of the workers."""
+    records = json.loads(path.read_text())
+    mine = [records[key] | {"id": key} for key in sorted(records)][number::drivers]
+    workers = []
+    for record in mine:
+        address, _, port = record["address"].rpartition(":")
+        orders = HttpWorkerOrders(record["id"], address, int(port))
+        workers.append(Driven(record["id"], orders, record["clock-ms"]))
+    driver = Driver(workers, random.Random(number), options.tasks, options.work_s, options.looks_s)
+    asyncio.run(driver.run())
+
+
+async def measure(options: argparse.Namespace) -> None:
+    """Start workers and drivers, and tell what the workers did."""
+    shape = msgspec.structs.replace(shapes.load(SHAPE), worker_hosts=options.hosts)
+    store = StoreState()
+    records = WorkerRecords(store, shape.times.heartbeat_s)
+    await records.start()
+    with tempfile.TemporaryDirectory() as folder:
+        hosts = WorkerHosts(shape, f"127.0.0.1:{records.port}", Path(folder))
+        await hosts.start()
+        await asyncio.sleep(1.0)
+        entries = {
+            item.key.removeprefix(PLACES.workers_prefix): json.loads(item.value)
+            for item in store.keys(PLACES.workers_prefix)
+        }
+        (Path(folder) / "workers.json").write_text(json.dumps(entries))
+        drivers = [await _start_driver(Path(folder), n, options) for n in range(options.drivers)]
+        await asyncio.sleep(WARM_UP_S)
+        since = asyncio.get_running_loop().time()
+        await asyncio.sleep(options.seconds)
+        for driver in drivers:
+            driver.kill()
+            await driver.wait()
+        await hosts.stop()
+    await records.stop()
+    _tell(hosts, since, options)
+
+
+async def _start_driver(
+    folder: Path, number: int, options: argparse.Namespace
+) -> asyncio.subprocess.Process:
+    arguments = [f"--{name.replace('_', '-')}={value}" for name, value in vars(options).items()]
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "benchmarks.hosts",
+        *[each for each in arguments if not each.startswith("--drive")],
+        f"--drivers={options.drivers}",
+        f"--drive={folder / 'workers.json'}:{number}",
+    )
+
+
+def _tell(hosts: WorkerHosts, since: float, options: argparse.Namespace) -> None:
+    until = since + options.seconds
+    loads = [load for load in hosts.loads if since < load.at_s <= until]
+    lags = sorted(load.lag_s for load in loads)
+    by_host: dict[int, list[float]] = defaultdict(list)
+    for load in loads:
+        by_host[load.host].append(load.processor_s)
+    busy = max((max(used) - min(used)) / options.seconds for used in by_host.values())
+    runs = sum(load.runs for load in loads) / options.seconds
+    calls = sum(load.calls for load in loads) / options.seconds
+    late, whole = _lateness(hosts, since, until)
+    print(
+        f"hosts {options.hosts} drivers {options.drivers}: {calls:.0f} calls/s,"
+        f" {runs:.0f} runs present, {len(late) / options.seconds:.0f} ends/s,"
+        f" loop late p50 {_share(lags, 0.5):.0f} ms p99 {_share(lags, 0.99):.0f} ms"
+        f" most {_share(lags, 1.0):.0f} ms; ends late p50 {_share(late, 0.5):.1f} ms"
+        f" p99 {_share(late, 0.99):.1f} ms most {_share(late, 1.0):.1f} ms;"
+        f" gang begins late p99 {_share(whole, 0.99):.1f} ms most {_share(whole, 1.0):.1f} ms;"
+        f" busiest host {busy:.2f} cores"
+    )
+
+
+def _lateness(hosts: WorkerHosts, since: float, until: float) -> tuple[list[float], list[float]]:
+    """By how much the members of a gang ended, and began to work, after the first of them."""
+    present: dict[str, float] = {}
+    works: dict[str, list[float]] = defaultdict(list)
+    ends: dict[str, list[float]] = defaultdict(list)
+    for record in hosts.records:
+        if not isinstance(record, RunBegan | RunWorks | RunEnded):
+            continue
+        gang = record.task.rpartition(".")[0]
+        if isinstance(record, RunBegan):
+            present[gang] = max(record.at_s, present.get(gang, 0.0))
+        elif isinstance(record, RunWorks):
+            works[gang].append(record.at_s)
+        elif record.how == "done" and since < record.at_s <= until:
+            ends[gang].append(record.at_s)
+    late = sorted(at_s - min(times) for times in ends.values() for at_s in times)
+    whole = sorted(max(works[gang]) - present[gang] for gang in ends if gang in works)
+    return late, whole
+
+
+def _share(values: list[float], share: float) -> float:
+    """A quantile in milliseconds."""
+    if not values:
+        return 0.0
+    return 1000 * values[min(len(values) - 1, int(share * len(values)))]
+
+
+def main() -> None:
+    """Measure, or be one of the driving processes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--hosts", type=int, default=6)
+    parser.add_argument("--drivers", type=int, default=4)
+    parser.add_argument("--tasks", type=int, default=8, help="tasks at once on each worker")
+    parser.add_argument("--work-s", type=float, default=5.0)
+    parser.add_argument("--looks-s", type=float, default=1.0)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--drive", default="")
+    options = parser.parse_args()
+    if options.drive:
+        path, _, number = options.drive.rpartition(":")
+        drive(Path(path), int(number), options.drivers, options)
+    else:
+        asyncio.run(measure(options))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/saddlestack/soak/gangs.py
+++ b/src/saddlestack/soak/gangs.py
@@ -31,12 +31,14 @@
 class _Member:
     host: int
     rate: float
+    rack: str
 
 
 @dataclass(slots=True)
 class _Gang:
     """One run of a gang.
 
+    :param far_x: it takes so many times as long on more than one rack.
     :param members: those that are present, by task.
     :param timer: fires when all work is done.
     """
@@ -45,13 +47,16 @@
     progress: Progress
     failures: int
     restore_s: float
+    far_x: float
     members: dict[str, _Member] = field(default_factory=dict)
     whole: bool = False
     timer: asyncio.TimerHandle | None = None
 
     @property
     def rate(self) -> float:
-        return min(member.rate for member in self.members.values())
+        racks = {member.rack for member in self.members.values()}
+        slowest = min(member.rate for member in self.members.values())
+        return slowest / self.far_x if len(racks) > 1 else slowest
 
     @property
     def hosts(self) -> set[int]:
@@ -92,9 +97,9 @@
         gang = self._gangs.get(key)
         if gang is None:
             progress = Progress(message.work_s, message.done_s)
-            gang = _Gang(message.size, progress, message.failures, message.restore_s)
+            gang = _Gang(message.size, progress, message.failures, message.restore_s, message.far_x)
             self._gangs[key] = gang
-        gang.members[message.task] = _Member(host, message.rate)
+        gang.members[message.task] = _Member(host, message.rate, message.rack)
         if not gang.whole and len(gang.members) == gang.size:
             gang.whole = True
             self._move(key, gang, _now() + gang.restore_s)
--- a/src/saddlestack/soak/life.py
+++ b/src/saddlestack/soak/life.py
@@ -46,7 +46,7 @@
 from saddlestack.soak.progress import Progress
 from saddlestack.soak.shape import ShapeTimes
 from saddlestack.standins.pool.workers import TaskPlan
-from saddlestack.work import TaskName
+from saddlestack.work import Resources, TaskName
 
 SLOWEST_CLOCK = 0.98
 """A worker's clock runs true, or up to 2 % slow."""
@@ -202,7 +202,7 @@
     def _run_refusal(self, order: StartOrder) -> Refusal | None:
         if order.run <= self._highest.get(TaskName.parse(order.task), 0):
             return Refusal.OLD
-        if _plan(order).room > self._free:
+        if not _needs(_plan(order)).fits(self._free):
             return Refusal.ROOM
         return None
 
@@ -329,6 +329,8 @@
                 self.times.restore_s if restored else 0.0,
                 run.plan.failures,
                 self._rate(run),
+                self.machine.rack,
+                run.plan.far_x,
             )
         )
 
@@ -373,8 +375,12 @@
     # Work and ends
 
     @property
-    def _free(self) -> int:
-        return self.machine.accelerators - sum(run.plan.room for run in self.runs.values())
+    def _free(self) -> Resources:
+        where = self.machine
+        free = Resources(where.cpu, where.memory_mb, where.accelerators)
+        for run in self.runs.values():
+            free -= _needs(run.plan)
+        return free
 
     def _rate(self, run: Run) -> float:
         return self.speed * run.pace / FULL_PACE
@@ -481,5 +487,9 @@
     return msgspec.json.decode(order.payload, type=TaskPlan)
 
 
+def _needs(plan: TaskPlan) -> Resources:
+    return Resources(plan.cpu, plan.memory_mb, plan.room)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/saddlestack/soak/messages.py
+++ b/src/saddlestack/soak/messages.py
@@ -251,6 +251,7 @@
     :param done_s: ...of which so many are done.
     :param failures: so many runs fail, at their end.
     :param rate: seconds of work a second at this worker.
+    :param far_x: the gang takes so many times as long on more than one rack.
     """
 
     step: str
@@ -262,6 +263,8 @@
     restore_s: float
     failures: int
     rate: float
+    rack: str
+    far_x: float
 
 
 class MemberPaced(msgspec.Struct, frozen=True, tag=True):
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -39,11 +39,14 @@
 
     :param work_s: seconds of work.
     :param failures: so many runs of each task fail, at their end.
-    :param room: accelerators that each task takes.
+    :param room: accelerators that each task takes...
+    :param cpu: ...besides thousandths of a core...
+    :param memory_mb: ...and megabytes; workers of a soak refuse what does not fit.
     :param gang: tasks of a gang; 0 where they work alone.
     :param lasts: it works until it is stopped.
     :param tail_ms: the tail of its answers' times while nothing disturbs it.
     :param harm_ms: what it adds to others' tails at full pace.
+    :param far_x: a gang on more than one rack takes so many times as long, on workers of a soak.
     """
 
     work_s: float = 1.0
@@ -53,6 +56,9 @@
     lasts: bool = False
     tail_ms: float = 0.0
     harm_ms: float = 0.0
+    cpu: int = 0
+    memory_mb: int = 0
+    far_x: float = 1.0
 
 
 @dataclass(slots=True)
--- a/tests/soak_support.py
+++ b/tests/soak_support.py
@@ -44,10 +44,9 @@
 
 
 def machine(number: int) -> MachineSettings:
-    """A machine with a worker."""
-    return MachineSettings(
-        f"m{number}", "127.0.0.1", "hall-1", "r1-1", ACCELERATORS, 32_000, 131_072
-    )
+    """A machine with a worker; the first three are on one rack."""
+    rack = f"r1-{number // 3 + 1}"
+    return MachineSettings(f"m{number}", "127.0.0.1", "hall-1", rack, ACCELERATORS, 32_000, 131_072)
 
 
 def task(index: int = 0, step: int = 0) -> str:
--- a/tests/test_worker_life.py
+++ b/tests/test_worker_life.py
@@ -59,8 +59,12 @@
             self.assertIsNone(workers.start(LONG, fence=5).refusal, "present already")
             self.assertIs(workers.start(LONG, index=1, fence=4).refusal, Refusal.FENCED)
             self.assertIs(workers.start(LONG, index=1, fence=5, hold_s=0).refusal, Refusal.LATE)
-            full = TaskPlan(1.0, room=ACCELERATORS)
-            self.assertIs(workers.start(full, index=1, fence=5).refusal, Refusal.ROOM)
+            for full in (
+                TaskPlan(1.0, room=ACCELERATORS),
+                TaskPlan(1.0, cpu=32_001),
+                TaskPlan(1.0, memory_mb=131_073),
+            ):
+                self.assertIs(workers.start(full, index=1, fence=5).refusal, Refusal.ROOM)
             with self.assertRaises(WorkerFenced):
                 workers.stop(fence=4)
             with self.assertRaises(WorkerFenced):
@@ -304,6 +308,22 @@
 
         virtually(body)
 
+    def test_a_gang_on_two_racks_takes_longer_where_its_plan_says_so(self) -> None:
+        for others, seconds in ((1, 2.0), (3, 6.0)):
+            with self.subTest(others):
+
+                async def body(other: int = others, seconds: float = seconds) -> None:
+                    workers = Workers(4)
+                    plan = TaskPlan(2.0, gang=2, far_x=3.0)
+                    workers.start(plan, worker=0, index=0)
+                    workers.start(plan, worker=other, index=1)
+                    await workers.renew_for(seconds - 0.1)
+                    self.assertEqual(workers.hows(), [])
+                    await asyncio.sleep(0.2)
+                    self.assertEqual(workers.hows(), [EndKind.DONE] * 2)
+
+                virtually(body)
+
     def test_a_gang_that_stands_still_goes_on_afterwards(self) -> None:
         async def body() -> None:
             workers = Workers(2)
