--- a/benchmarks/hosts.py
+++ b/benchmarks/hosts.py
@@ -15,12 +15,12 @@
 import tempfile
 from collections import defaultdict
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
 
-from saddlestack.interfaces.workers import StartOrder, WorkerReport
+from saddlestack.interfaces.workers import StartOrder, WorkerReport, WorkerUnreachable
 from saddlestack.platform.documents import PLACES
 from saddlestack.platform.orders import HttpWorkerOrders
 from saddlestack.soak import shape as shapes
@@ -54,6 +54,7 @@
     """Keeps some workers full of gangs.
 
     :param looks_s: a look waits so long for an end.
+    :param lost: a file that grows by a byte with each call that was not answered in time.
     """
 
     workers: list[Driven]
@@ -61,8 +62,7 @@
     tasks: int
     work_s: float
     looks_s: float
-    names: int = 0
-    pending: set[asyncio.Task[None]] = field(default_factory=set)
+    lost: Path
 
     async def run(self) -> None:
         """Drive until cancelled."""
@@ -73,12 +73,19 @@
 
     async def _look_at(self, worker: Driven) -> None:
         while True:
+            await self._look(worker)
+            if not self.looks_s:
+                await asyncio.sleep(0.2)
+
+    async def _look(self, worker: Driven) -> None:
+        try:
             report = await worker.orders.hold(
                 FENCE, worker.clock_ms + LEASE_MS, worker.seen, self.looks_s, TIMEOUT_S
             )
+        except WorkerUnreachable:
+            self._lose()
+        else:
             self._take(worker, report)
-            if not self.looks_s:
-                await asyncio.sleep(0.2)
 
     def _take(self, worker: Driven, report: WorkerReport) -> None:
         worker.clock_ms = report.clock_ms
@@ -95,23 +102,27 @@
                 await asyncio.sleep(0.005)
 
     async def _start(self, members: Sequence[Driven]) -> None:
-        self.names += 1
         job_id = f"{self.rng.getrandbits(64):016x}"
         work_s = self.rng.uniform(0.5, 1.5) * self.work_s
         plan = payload(TaskPlan(work_s, room=1, gang=len(members)))
         for worker in members:
             worker.running += 1
-        await asyncio.gather(
-            *(
-                worker.orders.start(
-                    StartOrder(
-                        f"{job_id}.0.0.{index}", 1, plan, "", worker.clock_ms + LEASE_MS, FENCE
-                    ),
-                    TIMEOUT_S,
-                )
-                for index, worker in enumerate(members)
-            )
-        )
+        starts = [
+            self._start_one(worker, f"{job_id}.0.0.{index}", plan)
+            for index, worker in enumerate(members)
+        ]
+        await asyncio.gather(*starts)
+
+    async def _start_one(self, worker: Driven, task: str, plan: str) -> None:
+        order = StartOrder(task, 1, plan, "", worker.clock_ms + LEASE_MS, FENCE)
+        try:
+            await worker.orders.start(order, TIMEOUT_S)
+        except WorkerUnreachable:
+            self._lose()
+
+    def _lose(self) -> None:
+        with self.lost.open("ab") as file:
+            file.write(b"x")
 
 
 def drive(path: Path, number: int, drivers: int, options: argparse.Namespace) -> None:
@@ -123,7 +134,9 @@
         address, _, port = record["address"].rpartition(":")
         orders = HttpWorkerOrders(record["id"], address, int(port))
         workers.append(Driven(record["id"], orders, record["clock-ms"]))
-    driver = Driver(workers, random.Random(number), options.tasks, options.work_s, options.looks_s)
+    lost = path.with_name(f"lost-{number}")
+    rng = random.Random(number)
+    driver = Driver(workers, rng, options.tasks, options.work_s, options.looks_s, lost)
     asyncio.run(driver.run())
 
 
@@ -150,8 +163,9 @@
             driver.kill()
             await driver.wait()
         await hosts.stop()
+        lost = sum(file.stat().st_size for file in Path(folder).glob("lost-*"))
     await records.stop()
-    _tell(hosts, since, options)
+    _tell(hosts, since, lost, options)
 
 
 async def _start_driver(
@@ -168,7 +182,7 @@
     )
 
 
-def _tell(hosts: WorkerHosts, since: float, options: argparse.Namespace) -> None:
+def _tell(hosts: WorkerHosts, since: float, lost: int, options: argparse.Namespace) -> None:
     until = since + options.seconds
     loads = [load for load in hosts.loads if since < load.at_s <= until]
     lags = sorted(load.lag_s for load in loads)
@@ -180,7 +194,7 @@
     calls = sum(load.calls for load in loads) / options.seconds
     late, whole = _lateness(hosts, since, until)
     print(
-        f"hosts {options.hosts} drivers {options.drivers}: {calls:.0f} calls/s,"
+        f"hosts {options.hosts} drivers {options.drivers}: {calls:.0f} calls/s, {lost} unanswered,"
         f" {runs:.0f} runs present, {len(late) / options.seconds:.0f} ends/s,"
         f" loop late p50 {_share(lags, 0.5):.0f} ms p99 {_share(lags, 0.99):.0f} ms"
         f" most {_share(lags, 1.0):.0f} ms; ends late p50 {_share(late, 0.5):.1f} ms"
@@ -206,7 +220,9 @@
         elif record.how == "done" and since < record.at_s <= until:
             ends[gang].append(record.at_s)
     late = sorted(at_s - min(times) for times in ends.values() for at_s in times)
-    whole = sorted(max(works[gang]) - present[gang] for gang in ends if gang in works)
+    whole = sorted(
+        max(works[gang]) - at_s for gang, at_s in present.items() if gang in works and at_s > since
+    )
     return late, whole
 
 
--- a/src/saddlestack/soak/stream.py
+++ b/src/saddlestack/soak/stream.py
@@ -33,7 +33,9 @@
         return self._decoder.decode(await self._reader.readexactly(size))
 
     def write(self, message: msgspec.Struct) -> None:
-        """Queue a message."""
+        """Queue a message; none where the stream is over."""
+        if self._writer.is_closing():
+            return
         data = self._encoder.encode(message)
         self._writer.write(_LENGTH.pack(len(data)) + data)
 
