--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -33,6 +34,9 @@
 CLOCK_START_MS = 400_000
 STEP_S = 0.05
 
+_GangKey = tuple[str, int, int, int]
+"""A job, one of its occurrences, a step and a run."""
+
 
 class TaskPlan(msgspec.Struct, frozen=True):
     """What a task does, as the payload of its job spells it (JSON).
@@ -139,6 +143,9 @@
         self.times = times
         self.workers: dict[str, FloorWorker] = {}
         self.history: list[FloorRun] = []
+        self._by_task: defaultdict[TaskName, list[FloorRun]] = defaultdict(list)
+        self._by_gang: defaultdict[_GangKey, list[FloorRun]] = defaultdict(list)
+        self._failed: Counter[TaskName] = Counter()
         self.violations: list[str] = []
         self._lives = 0
         self._taken_note: set[TaskName] = set()
@@ -240,7 +247,7 @@
             run.done_s = float(order.saved)
             self.resumed.append((name, order.run, order.saved))
         worker.runs[(name, order.run)] = run
-        self.history.append(run)
+        self._note(run)
         return StartReply(clock, None)
 
     def stop(self, worker: FloorWorker, task: str, number: int, fence: int) -> None:
@@ -309,9 +316,19 @@
     def _check_start(self, name: TaskName) -> None:
         if name in self._taken_note:
             self.violations.append(f"{name} starts after its end was taken note of")
-        for worker in self.workers.values():
-            if worker.up and any(run.task == name for run in worker.runs.values()):
-                self.violations.append(f"{name} runs twice at once")
+        running = {run.worker for run in self._by_task[name] if self._is_present(run)}
+        self.violations += [f"{name} runs twice at once"] * len(running)
+
+    def _note(self, run: FloorRun) -> None:
+        """A run begins."""
+        self.history.append(run)
+        self._by_task[run.task].append(run)
+        self._by_gang[_gang_of(run)].append(run)
+
+    def _is_present(self, run: FloorRun) -> bool:
+        """Whether a run goes on, at a worker that is up."""
+        worker = self.workers[run.worker]
+        return worker.up and worker.runs.get((run.task, run.number)) is run
 
     def _advance(self, worker: FloorWorker) -> None:
         if worker.runs and _now() > worker.lease_until:
@@ -335,22 +352,14 @@
         run.done_s += STEP_S
         if run.plan.lasts or run.done_s < run.plan.work_s:
             return
-        failed = worker.fails_all or self._failures(run) < run.plan.failures
+        failed = worker.fails_all or self._failed[run.task] < run.plan.failures
         self._end(worker, run, EndKind.FAILED if failed else EndKind.DONE)
 
-    def _failures(self, run: FloorRun) -> int:
-        return sum(
-            1 for other in self.history if other.task == run.task and other.ended is EndKind.FAILED
-        )
-
     def _members(self, run: FloorRun) -> list[tuple[FloorWorker, FloorRun]]:
-        return [
-            (worker, other)
-            for worker in self.workers.values()
-            if worker.up
-            for other in worker.runs.values()
-            if other.number == run.number and _step_of(other.task) == _step_of(run.task)
-        ]
+        """The members of a run's gang that are present, worker after worker."""
+        present = [each for each in self._by_gang[_gang_of(run)] if self._is_present(each)]
+        present.sort(key=lambda each: each.worker)
+        return [(self.workers[each.worker], each) for each in present]
 
     def _end(self, worker: FloorWorker, run: FloorRun, how: EndKind) -> None:
         members = self._members(run) if run.plan.gang else []
@@ -364,6 +373,8 @@
     def _list_end(self, worker: FloorWorker, run: FloorRun, how: EndKind) -> None:
         run.ended = how
         run.ended_at = _now()
+        if how is EndKind.FAILED:
+            self._failed[run.task] += 1
         del worker.runs[(run.task, run.number)]
         worker.highest[run.task] = max(worker.highest.get(run.task, 0), run.number)
         worker.count += 1
@@ -469,8 +480,9 @@
     return run.plan.tail_ms + harm
 
 
-def _step_of(task: TaskName) -> tuple[str, int, int]:
-    return task.job_id, task.occurrence, task.step
+def _gang_of(run: FloorRun) -> _GangKey:
+    task = run.task
+    return task.job_id, task.occurrence, task.step, run.number
 
 
 def _now() -> float:
