Soak: gangs know their members one by one, guarantees are judged, lost answers may reset

Seeded orders of two leaders found: a second run of a task, at another worker of the same host, ended with the gang that it did not belong to; and an end of two members at one worker at once. judge(..., guaranteed={account: accelerators}) judges reclaims where ClientJob tells account, urgent, submitted_s and accepted_s.

--- a/src/saddlestack/soak/account.py
+++ b/src/saddlestack/soak/account.py
@@ -7,19 +7,23 @@
 import itertools
 import math
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.soak.messages import Record
+from saddlestack.soak.reclaims import UrgentJob, missed_reclaims
 from saddlestack.soak.runs import RunAccount, RunBook, StepKey
-from saddlestack.work import JobRequest, JobState, TaskName
+from saddlestack.work import FINAL_STATES, JobRequest, JobState, TaskName
 
 CANCEL_S = 4.0
 """Nothing of a job starts so long after its cancel was acknowledged. From the platform's bounds."""
-HUB_S = 0.25
-"""The processes that play workers hear so late at most that a gang is whole, or that one of its
-members has ended. A member that ended by less before another began to work was still there."""
+RECLAIM_S = 3.4
+"""An urgent job for which its account owns enough has begun so long after its acceptance. From the
+platform's bounds."""
+HUB_S = 2.0
+"""The hub of gangs hears so late at most that a member has ended: on a crowded machine its event
+loop was up to 1.6 s late. A member that ended by less before its gang was whole was present."""
 
 InTouch = Callable[[int, float], bool]
 """Whether the VM that held a fencing token was undisturbed up to some time."""
@@ -38,6 +42,7 @@
     ROOM = "more than a worker's accelerators"
     REFUSED = "a refused job ran"
     CANCELLED = "a start after a cancel"
+    RECLAIM = "an urgent job waited for what its account owns"
     ORDER = "a start before the steps that it needs were done"
     ATTEMPTS = "a start after all attempts had failed"
     UNKNOWN = "a start of what no client handed in"
@@ -57,6 +62,10 @@
     :param cancelled_s: ...and this is when that was acknowledged, on the monotonic clock.
     :param state: what it was told last, after the soak had settled.
     :param attempts: failed runs after which a task fails the job.
+    :param account: of its client...
+    :param urgent: ...which owns accelerators for jobs of this kind.
+    :param submitted_s: when the client sent it first...
+    :param accepted_s: ...and when that was answered with success.
     """
 
     job_id: str
@@ -67,6 +76,10 @@
     cancelled_s: float | None = None
     state: JobState | None = None
     attempts: int = 1
+    account: str = ""
+    urgent: bool = False
+    submitted_s: float = 0.0
+    accepted_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +88,7 @@
 
     drain_s: float
     cancel_s: float = CANCEL_S
+    reclaim_s: float = RECLAIM_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,13 +122,15 @@
     in_touch: InTouch = lambda fence, at_s: True,
     *,
     calm: Callable[[float], bool] = lambda at_s: False,
+    guaranteed: Mapping[str, int] | None = None,
 ) -> list[Broken]:
     """All promises that did not hold, in the order of time.
 
     :param in_touch: promises with a time bound hold for orders of VMs in touch only.
     :param calm: whether no fault was near some time: a gang's members then meet.
+    :param guaranteed: accelerators that each client account owns.
     """
-    return Judge(RunBook.of(records), jobs, times, in_touch, calm).judge()
+    return Judge(RunBook.of(records), jobs, times, in_touch, calm, guaranteed or {}).judge()
 
 
 class Judge:
@@ -127,7 +143,10 @@
         times: PromiseTimes,
         in_touch: InTouch,
         calm: Callable[[float], bool],
+        guaranteed: Mapping[str, int],
     ) -> None:
+        self._book = book
+        self._guaranteed = guaranteed
         self._runs = book.runs
         self._tasks = book.by_task()
         self._steps = book.by_step()
@@ -147,6 +166,7 @@
             self._room(),
             self._starts(),
             self._attempts(),
+            self._reclaims(),
             self._outcomes(),
         )
         return sorted(found, key=lambda broken: broken.at_s)
@@ -261,6 +281,19 @@
                 if run.began_s > failed[job.attempts - 1]:
                     yield _broken(Promise.ATTEMPTS, run, detail=f"{len(failed)} failed")
 
+    # Guarantees
+
+    def _reclaims(self) -> Iterator[Broken]:
+        urgent = [_urgent(job) for job in self._jobs.values() if job.urgent]
+        reclaim_s = self._times.reclaim_s
+        for missed in missed_reclaims(self._book, urgent, self._guaranteed, reclaim_s, self._calm):
+            job = missed.job
+            detail = (
+                f"{missed.begun} of {job.request.steps[0].count} tasks had begun, {job.account}"
+                f" needed {missed.needed} of {self._guaranteed[job.account]} accelerators"
+            )
+            yield Broken(Promise.RECLAIM, missed.bound_s, job.job_id, (), detail)
+
     # What clients were told
 
     def _outcomes(self) -> Iterator[Broken]:
@@ -300,6 +333,18 @@
         return max(failed.values(), default=0) >= job.attempts
 
 
+def _urgent(job: ClientJob) -> UrgentJob:
+    return UrgentJob(
+        job.job_id,
+        job.account,
+        job.request,
+        job.submitted_s,
+        job.accepted_s,
+        job.cancel_sent,
+        job.state in FINAL_STATES,
+    )
+
+
 def _done_tasks(runs: Iterable[RunAccount]) -> dict[StepKey, dict[int, float]]:
     """When the tasks of each step were done first."""
     found: dict[StepKey, dict[int, float]] = defaultdict(dict)
--- a/src/saddlestack/soak/gangs.py
+++ b/src/saddlestack/soak/gangs.py
@@ -1,7 +1,8 @@
 """Gangs whose members run in several host processes.
 
 Hosts tell which members are present, and when one ends. The hub tells the hosts of a gang when it
-is whole, at which rate it works, and how it ended. A gang works as fast as its slowest member.
+is whole, at which rate it works, and how it ended. One run of each task counts: another one, or one
+that comes when the gang is whole, waits in vain. A gang works as fast as its slowest member.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
 @dataclass(slots=True)
 class _Member:
     host: int
+    worker: str
     rate: float
     rack: str
 
@@ -40,6 +42,7 @@
 
     :param far_x: it takes so many times as long on more than one rack.
     :param members: those that are present, by task.
+    :param whole_s: when it became whole; ``None`` before.
     :param timer: fires when all work is done.
     """
 
@@ -49,7 +52,7 @@
     restore_s: float
     far_x: float
     members: dict[str, _Member] = field(default_factory=dict)
-    whole: bool = False
+    whole_s: float | None = None
     timer: asyncio.TimerHandle | None = None
 
     @property
@@ -59,8 +62,17 @@
         return slowest / self.far_x if len(racks) > 1 else slowest
 
     @property
-    def hosts(self) -> set[int]:
-        return {member.host for member in self.members.values()}
+    def by_host(self) -> dict[int, frozenset[tuple[str, str]]]:
+        """The workers and tasks of members, by host."""
+        found: dict[int, set[tuple[str, str]]] = {}
+        for task, member in self.members.items():
+            found.setdefault(member.host, set()).add((member.worker, task))
+        return {host: frozenset(members) for host, members in found.items()}
+
+    def holds(self, worker: str, task: str) -> bool:
+        """Whether a worker's run of a task is the one that counts."""
+        member = self.members.get(task)
+        return member is not None and member.worker == worker
 
     def cancel_timer(self) -> None:
         if self.timer is not None:
@@ -84,12 +96,12 @@
             self._present(host, key, message)
             return
         gang = self._gangs.get(key)
-        if gang is None or message.task not in gang.members:
+        if gang is None or not gang.holds(message.worker, message.task):
             return
         if isinstance(message, MemberPaced):
             gang.members[message.task].rate = message.rate
-            if gang.whole:
-                self._move(key, gang, _now())
+            if gang.whole_s is not None:
+                self._move(key, gang, gang.whole_s, _now())
         else:
             self._gone(key, gang, message)
 
@@ -99,12 +111,14 @@
             progress = Progress(message.work_s, message.done_s)
             gang = _Gang(message.size, progress, message.failures, message.restore_s, message.far_x)
             self._gangs[key] = gang
-        gang.members[message.task] = _Member(host, message.rate, message.rack)
-        if not gang.whole and len(gang.members) == gang.size:
-            gang.whole = True
-            self._move(key, gang, _now() + gang.restore_s)
+        if gang.whole_s is not None or message.task in gang.members:
+            return
+        gang.members[message.task] = _Member(host, message.worker, message.rate, message.rack)
+        if len(gang.members) == gang.size:
+            gang.whole_s = _now()
+            self._move(key, gang, gang.whole_s, gang.whole_s + gang.restore_s)
 
-    def _move(self, key: GangKey, gang: _Gang, at_s: float) -> None:
+    def _move(self, key: GangKey, gang: _Gang, whole_s: float, at_s: float) -> None:
         """Go on at the rate of the members, and tell their hosts."""
         gang.progress.go_on(gang.rate, at_s)
         gang.cancel_timer()
@@ -112,29 +126,32 @@
         if ends_s < math.inf:
             loop = asyncio.get_running_loop()
             gang.timer = loop.call_at(ends_s, self._finish, key, gang)
-        moved = GangMoved(*key, gang.progress.since_s, gang.progress.done_s, gang.progress.rate)
-        for host in gang.hosts:
+        progress = gang.progress
+        for host, members in gang.by_host.items():
+            moved = GangMoved(
+                *key, members, progress.since_s, progress.done_s, progress.rate, whole_s
+            )
             self._send(host, moved)
 
     def _gone(self, key: GangKey, gang: _Gang, message: MemberGone) -> None:
         del gang.members[message.task]
-        if gang.whole:
-            self._end(key, gang, GangEnded(*key, EndKind.BROKEN.value))
+        if gang.whole_s is not None:
+            self._end(key, gang, EndKind.BROKEN)
         elif not gang.members:
             del self._gangs[key]
 
     def _finish(self, key: GangKey, gang: _Gang) -> None:
         if key[1] <= gang.failures:
             failed = min(gang.members)
-            self._end(key, gang, GangEnded(*key, EndKind.BROKEN.value, failed))
+            self._end(key, gang, EndKind.BROKEN, failed)
         else:
-            self._end(key, gang, GangEnded(*key, EndKind.DONE.value))
+            self._end(key, gang, EndKind.DONE)
 
-    def _end(self, key: GangKey, gang: _Gang, ended: GangEnded) -> None:
+    def _end(self, key: GangKey, gang: _Gang, how: EndKind, failed: str = "") -> None:
         gang.cancel_timer()
         del self._gangs[key]
-        for host in gang.hosts:
-            self._send(host, ended)
+        for host, members in gang.by_host.items():
+            self._send(host, GangEnded(*key, members, how.value, failed))
 
 
 def _now() -> float:
--- a/src/saddlestack/soak/life.py
+++ b/src/saddlestack/soak/life.py
@@ -159,12 +159,13 @@
     def end(self, *, crashed: bool) -> None:
         """The life is over, and all that runs there."""
         self.over = True
-        for run in self.runs.values():
-            run.cancel_timer()
-            if run.plan.gang:
-                self.tell(MemberGone(run.step, run.number, str(run.name)))
+        runs = list(self.runs.values())
         self.runs.clear()
         self._gangs.clear()
+        for run in runs:
+            run.cancel_timer()
+            if run.plan.gang:
+                self._leave_hub(run)
         if self._lease_timer is not None:
             self._lease_timer.cancel()
         self._change()
@@ -296,13 +297,13 @@
 
     def gang_moved(self, moved: GangMoved) -> None:
         """A gang is whole, or works at another rate."""
-        for run in self._gangs.get((moved.step, moved.run), {}).values():
+        for run in self._members(moved):
             if run.stopping:
                 continue
             if not run.works:
                 run.works = True
                 run.cancel_timer()
-                self.tell(RunWorks(self.worker_id, str(run.name), run.number, _now()))
+                self.tell(RunWorks(self.worker_id, str(run.name), run.number, moved.whole_s))
                 if run.fails:
                     self._arm(run, _now() + FAIL_S, EndKind.FAILED)
             run.progress = Progress(run.progress.work_s, moved.done_s, moved.rate, moved.at_s)
@@ -310,16 +311,22 @@
     def gang_ended(self, ended: GangEnded) -> None:
         """A gang that was whole is over."""
         self._check_lease()
-        for run in list(self._gangs.get((ended.step, ended.run), {}).values()):
+        for run in self._members(ended):
             failed = ended.failed == str(run.name)
             self._finish(run, EndKind.FAILED if failed else EndKind(ended.how))
 
+    def _members(self, message: GangMoved | GangEnded) -> list[Run]:
+        """The runs here that a message is about."""
+        runs = self._gangs.get((message.step, message.run), {}).values()
+        return [run for run in runs if (self.worker_id, str(run.name)) in message.members]
+
     def _wait_for_gang(self, run: Run, *, restored: bool) -> None:
         run.works = False
         self._gangs.setdefault((run.step, run.number), {})[(run.name, run.number)] = run
         self._arm(run, _now() + self.times.gang_wait_s, EndKind.ALONE)
         self.tell(
             MemberPresent(
+                self.worker_id,
                 run.step,
                 run.number,
                 str(run.name),
@@ -363,8 +370,8 @@
         if self._clock() < self._lease_ms:
             return False
         self._lapsed_s = _now()
-        for run in list(self.runs.values()):
-            self._end_run(run, EndKind.LAPSED)
+        while self.runs:
+            self._end_run(next(iter(self.runs.values())), EndKind.LAPSED)
         return True
 
     def _check_fence(self, fence: int) -> None:
@@ -398,7 +405,9 @@
         if run.stopping:
             return
         if run.plan.gang:
-            self.tell(MemberPaced(run.step, run.number, str(run.name), self._rate(run)))
+            self.tell(
+                MemberPaced(self.worker_id, run.step, run.number, str(run.name), self._rate(run))
+            )
         elif run.works:
             self._work(run, _now())
 
@@ -418,7 +427,10 @@
         """A run ends by itself: its gang has to hear of it."""
         self._finish(run, how)
         if run.plan.gang:
-            self.tell(MemberGone(run.step, run.number, str(run.name)))
+            self._leave_hub(run)
+
+    def _leave_hub(self, run: Run) -> None:
+        self.tell(MemberGone(self.worker_id, run.step, run.number, str(run.name)))
 
     def _finish(self, run: Run, how: EndKind) -> None:
         now = _now()
--- a/src/saddlestack/soak/machine.py
+++ b/src/saddlestack/soak/machine.py
@@ -283,6 +283,8 @@
             self._spawn(self._carry_out_late(request, arrived_s, after_s))
         elif isinstance(trouble, LoseAnswers):
             self._spawn(self._quietly(self._carry_out(request, Arrival(arrived_s))))
+            if self._rng.random() < trouble.reset_share:
+                raise asyncio.CancelledError
         else:
             assert isinstance(trouble, Hang)
         return await _silence()
--- a/src/saddlestack/soak/messages.py
+++ b/src/saddlestack/soak/messages.py
@@ -110,10 +110,14 @@
 
 
 class LoseAnswers(LastingCommand, frozen=True, tag=True, kw_only=True):
-    """Calls are carried out, and their answers lost."""
+    """Calls are carried out, and their answers lost.
+
+    :param reset_share: of them, so many end their connections; the others go silent.
+    """
 
     calls: tuple[CallKind, ...] = tuple(CallKind)
     share: float = 1.0
+    reset_share: float = 0.5
 
 
 class Hang(LastingCommand, frozen=True, tag=True, kw_only=True):
@@ -188,26 +192,32 @@
 class GangMoved(msgspec.Struct, frozen=True, tag=True):
     """A gang is whole and works at this rate from then on.
 
+    :param members: those at the host: workers and tasks.
+    :param whole_s: when it became whole.
     :param done_s: seconds of work that were done then.
     :param rate: seconds of work a second.
     """
 
     step: str
     run: int
+    members: frozenset[tuple[str, str]]
     at_s: float
     done_s: float
     rate: float
+    whole_s: float
 
 
 class GangEnded(msgspec.Struct, frozen=True, tag=True):
     """A gang that was whole is over.
 
+    :param members: those at the host: workers and tasks.
     :param how: how its members ended...
     :param failed: ...but for this task, which has failed.
     """
 
     step: str
     run: int
+    members: frozenset[tuple[str, str]]
     how: str
     failed: str = ""
 
@@ -254,6 +264,7 @@
     :param far_x: the gang takes so many times as long on more than one rack.
     """
 
+    worker: str
     step: str
     run: int
     task: str
@@ -270,6 +281,7 @@
 class MemberPaced(msgspec.Struct, frozen=True, tag=True):
     """A member of a gang works at another rate."""
 
+    worker: str
     step: str
     run: int
     task: str
@@ -279,6 +291,7 @@
 class MemberGone(msgspec.Struct, frozen=True, tag=True):
     """A member of a gang has ended, other than together with the whole."""
 
+    worker: str
     step: str
     run: int
     task: str
@@ -330,7 +343,10 @@
 
 
 class RunWorks(msgspec.Struct, frozen=True, tag=True):
-    """A member of a gang has begun to work."""
+    """A member of a gang has begun to work.
+
+    :param at_s: when the hub saw that the gang is whole.
+    """
 
     worker: str
     task: str
--- a/tests/soak_support.py
+++ b/tests/soak_support.py
@@ -88,6 +88,7 @@
         *,
         worker: int = 0,
         index: int = 0,
+        step: int = 0,
         number: int = 1,
         fence: int = 1,
         hold_s: float = 6.0,
@@ -97,7 +98,7 @@
         """Start a run."""
         life = self.lives[worker]
         deadline_ms = life.clock_ms() + round(hold_s * 1000)
-        order = StartOrder(task(index), number, payload(plan), saved, deadline_ms, fence)
+        order = StartOrder(task(index, step), number, payload(plan), saved, deadline_ms, fence)
         return life.start(order, Arrival(now(), late))
 
     def stop(self, *, worker: int = 0, index: int = 0, number: int = 1, fence: int = 1) -> None:
--- a/tests/test_soak_account.py
+++ b/tests/test_soak_account.py
@@ -322,6 +322,22 @@
         self.assertEqual(self.told(JobState.CANCELLED, cancel_sent=True), [])
 
 
+class GuaranteeTest(unittest.TestCase):
+    def test_an_urgent_job_that_waits_for_what_its_account_owns(self) -> None:
+        job = done_job(
+            accepted=True,
+            state=JobState.RUNNING,
+            account="depots",
+            urgent=True,
+            submitted_s=1.0,
+            accepted_s=1.1,
+        )
+        for guaranteed, expected in (({"depots": 1}, 1), ({"depots": 0}, 0), ({}, 0)):
+            found = judge([], [job], TIMES, calm=lambda at_s: True, guaranteed=guaranteed)
+            missed = [each for each in found if each.promise is Promise.RECLAIM]
+            self.assertEqual(len(missed), expected, guaranteed)
+
+
 class TextTest(unittest.TestCase):
     def test_both_runs_are_told_with_who_ordered_them_and_what_became_of_them(self) -> None:
         story = Story()
--- a/tests/test_soak_workers.py
+++ b/tests/test_soak_workers.py
@@ -180,15 +180,22 @@
         self.at_site(stops)
 
     def test_answers_that_are_lost(self) -> None:
-        async def body(site: Site) -> None:
-            site.machine.take(LoseAnswers(machines=ALL, seconds=1.0))
-            with self.assertRaises(WorkerUnreachable):
-                await site.begin()
-            self.assertEqual([run.late for run in site.begun()], [False])
-            await asyncio.sleep(1.0)
-            self.assertEqual(len((await site.look()).running), 1)
+        for reset_share in (0.0, 1.0):
+            with self.subTest(reset_share):
 
-        self.at_site(body)
+                async def body(site: Site, reset_share: float = reset_share) -> None:
+                    site.machine.take(
+                        LoseAnswers(machines=ALL, seconds=1.0, reset_share=reset_share)
+                    )
+                    began = now()
+                    with self.assertRaises(WorkerUnreachable):
+                        await site.begin()
+                    self.assertEqual(now() - began < TIMEOUT_S / 2, reset_share == 1.0)
+                    self.assertEqual([run.late for run in site.begun()], [False])
+                    await asyncio.sleep(1.0)
+                    self.assertEqual(len((await site.look()).running), 1)
+
+                self.at_site(body)
 
     def test_a_worker_that_hangs_does_nothing(self) -> None:
         async def body(site: Site) -> None:
--- /dev/null
+++ b/tests/test_worker_gangs.py
@@ -0,0 +1,165 @@
+"""Workers of a soak under seeded orders of two leaders: what must hold whatever they order."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from saddlestack.interfaces.workers import EndKind, WorkerFenced, WorkerUnreachable
+from saddlestack.soak.account import ClientJob, Promise, PromiseTimes, judge
+from saddlestack.soak.messages import RunBegan, RunEnded, RunWorks
+from saddlestack.soak.runs import RunBook
+from saddlestack.standins.pool.workers import TaskPlan
+from saddlestack.work import JobRequest, Resources, Step
+from tests.soak_support import ACCELERATORS, JOB, TIMES, Workers, virtually
+
+WORKERS = 4
+GANG = 3
+SEEDS = 30
+STEPS = 150
+
+
+@dataclass
+class Chance:
+    """Random orders and troubles."""
+
+    seed: int
+    workers: Workers = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+
+    async def play(self) -> None:
+        """Play them to the end."""
+        self.workers = Workers(WORKERS, self.seed)
+        for _ in range(STEPS):
+            await self._step()
+            await asyncio.sleep(self.rng.expovariate(5.0))
+        await asyncio.sleep(TIMES.lease_s * 2)
+
+    async def _step(self) -> None:
+        rng = self.rng
+        act = rng.choice((self._start, self._start, self._start, self._stop, self._look))
+        try:
+            await act()
+        except (WorkerFenced, WorkerUnreachable):
+            pass
+        if rng.random() < 0.03:
+            self._crash()
+        if rng.random() < 0.05:
+            rng.choice(self.workers.lives).set_speed(rng.choice((0.0, 0.5, 1.0)))
+
+    async def _start(self) -> None:
+        """Some members of a gang, or a task that works alone."""
+        rng = self.rng
+        gang = rng.random() < 0.7
+        number = rng.randrange(1, 6)
+        plan = TaskPlan(2.0, room=number, gang=GANG if gang else 0, failures=1)
+        for index in rng.sample(range(GANG), rng.choice((1, GANG))) if gang else (GANG,):
+            self.workers.start(
+                plan,
+                worker=self._worker(),
+                index=index,
+                step=0 if gang else 1,
+                number=number,
+                fence=self._fence(),
+                hold_s=rng.uniform(0.5, 8.0),
+            )
+
+    async def _stop(self) -> None:
+        self.workers.stop(
+            worker=self._worker(),
+            index=self.rng.randrange(GANG + 1),
+            number=self.rng.randrange(1, 6),
+            fence=self._fence(),
+        )
+
+    async def _look(self) -> None:
+        worker = self._worker()
+        life = self.workers.lives[worker]
+        await life.hold(self._fence(), life.clock_ms() + 6000, self.rng.randrange(20), 0.0)
+
+    def _crash(self) -> None:
+        """One worker crashes, and another one comes in its place."""
+        worker = self._worker()
+        life = self.workers.lives[worker]
+        life.end(crashed=True)
+        self.workers.add(int(life.machine.name.removeprefix("m")))
+
+    def _worker(self) -> int:
+        up = [n for n, life in enumerate(self.workers.lives) if not life.over]
+        return self.rng.choice(up)
+
+    def _fence(self) -> int:
+        return self.rng.choice((1, 2, 2, 2))
+
+
+class SeededTest(unittest.TestCase):
+    def play(self, seed: int) -> Workers:
+        chance = Chance(seed)
+        virtually(chance.play)
+        return chance.workers
+
+    def test_what_holds_whatever_is_ordered(self) -> None:
+        works = 0
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                workers = self.play(seed)
+                self.check_ends_are_those_of_runs_that_began(workers)
+                self.check_gangs_work_whole_and_end_done_together(workers)
+                self.check_room(workers)
+                works += sum(isinstance(each, RunWorks) for each in workers.records)
+        self.assertGreater(works, SEEDS * GANG, "gangs did meet")
+
+    def test_a_seed_plays_the_same_again(self) -> None:
+        self.assertEqual(self.play(3).records, self.play(3).records)
+
+    def check_ends_are_those_of_runs_that_began(self, workers: Workers) -> None:
+        began = [
+            (each.worker, each.task, each.run)
+            for each in workers.records
+            if isinstance(each, RunBegan)
+        ]
+        ended = [
+            (each.worker, each.task, each.run)
+            for each in workers.records
+            if isinstance(each, RunEnded)
+        ]
+        self.assertEqual(len(set(began)), len(began), "a run begins once at a life of a worker")
+        self.assertEqual(len(set(ended)), len(ended), "and ends once")
+        self.assertLessEqual(set(ended), set(began))
+        for life in workers.lives:
+            self.assertEqual(life.runs, {}, "leases are over")
+
+    def check_gangs_work_whole_and_end_done_together(self, workers: Workers) -> None:
+        ends = defaultdict(list)
+        for run in RunBook.of(workers.records).runs:
+            if run.gang and run.how is EndKind.DONE:
+                self.assertIsNotNone(run.works_s)
+                ends[(run.number, run.works_s)].append(run)
+        for gang, runs in ends.items():
+            times = {run.ended_s for run in runs}
+            self.assertLessEqual(max(times) - min(times), 1e-3, gang)
+            self.assertEqual({run.task.index for run in runs}, set(range(GANG)), gang)
+
+    def check_room(self, workers: Workers) -> None:
+        step = Step(count=GANG + 1, needs=Resources(1000, 1024, 1), speculative=True)
+        job = ClientJob(
+            JOB,
+            JobRequest(payload="{}", steps=(step, step)),
+            accepted=False,
+            refused=False,
+            attempts=99,
+        )
+        found = judge(workers.records, [job], PromiseTimes(TIMES.drain_s))
+        self.assertNotIn(Promise.ROOM, {each.promise for each in found})
+        self.assertNotIn(Promise.WHOLE_GANG, {each.promise for each in found})
+        for life in workers.lives:
+            self.assertEqual(life.machine.accelerators, ACCELERATORS)
+
+
+if __name__ == "__main__":
+    unittest.main()
