--- a/src/saddlestack/soak/assessment.py
+++ b/src/saddlestack/soak/assessment.py
@@ -96,10 +96,20 @@
         faults=[_since_start(fault, evidence.began_s) for fault in evidence.faults],
         terms=[_since_start(term, evidence.began_s) for term in evidence.platform.terms.terms],
         broken=_explained(broken, evidence, entries),
-        troubled=[] if evidence.hosts.alive else ["a process that plays workers has ended"],
+        troubled=_troubles(evidence),
     )
 
 
+def _troubles(evidence: Evidence) -> list[str]:
+    """What was wrong with the stand-ins themselves."""
+    found = []
+    if not evidence.hosts.alive:
+        found.append("a process that plays workers has ended")
+    if not evidence.platform.alive:
+        found.append("the process that plays the store has ended")
+    return found
+
+
 def _judge(evidence: Evidence, entries: Sequence[EntryProcess]) -> list[Broken]:
     terms = evidence.platform.terms
     halls = {entry.name: entry.site.hall for entry in entries}
@@ -206,11 +216,18 @@
 
 
 def _stand_ins(evidence: Evidence) -> list[LagReport]:
-    """The load of this process, with the store and the clients, and of the workers' processes."""
+    """The load of this process, with the clients, and of those of the store and the workers."""
     took_s = evidence.took_s
     meters = evidence.meters
+    of_store = evidence.platform.loads
     found = [
-        LagReport("store and clients", Waits.of(meters.lags_s), meters.own_processor_s / took_s)
+        LagReport("clients", Waits.of(meters.lags_s), meters.own_processor_s / took_s),
+        LagReport(
+            "store",
+            Waits.of([load.lag_s for load in of_store]),
+            max((load.processor_s for load in of_store), default=0.0) / took_s,
+            sum(load.calls for load in of_store) / took_s,
+        ),
     ]
     loads = evidence.hosts.loads
     for host in sorted({load.host for load in loads}):
@@ -219,7 +236,7 @@
             LagReport(
                 f"workers {host}",
                 Waits.of([load.lag_s for load in mine]),
-                sum(load.processor_s for load in mine) / took_s,
+                max(load.processor_s for load in mine) / took_s,
                 sum(load.calls for load in mine) / took_s,
             )
         )
--- a/src/saddlestack/soak/platform.py
+++ b/src/saddlestack/soak/platform.py
@@ -1,34 +1,39 @@
-"""The platform of a soak: its store, each VM's way to it, and who led when."""
+"""The platform of a soak, as the soak sees it: its store in a process, and who led when."""
 
 from __future__ import annotations
 
 import asyncio
-import enum
+import contextlib
 import itertools
-import random
-from collections import deque
-from collections.abc import Callable
+import sys
+from collections.abc import Sequence
+from pathlib import Path
 
 import msgspec
 
-from saddlestack.codec import from_json, to_json
-from saddlestack.control.keys import LEADER
-from saddlestack.control.leadership import LeaderRecord
-from saddlestack.interfaces.store import Item, StoreUnavailable
-from saddlestack.platform.documents import PLACES
-from saddlestack.platform.serving import StoreServing
-from saddlestack.soak.heartbeats import WorkerRecords
-from saddlestack.soak.proxy import Proxy, Trouble
+from saddlestack.codec import to_json
 from saddlestack.soak.shape import SoakShape
+from saddlestack.soak.store_messages import (
+    BeginTrouble,
+    EndTrouble,
+    FromStore,
+    HoldAtRenewal,
+    StoreLoad,
+    StoreReady,
+    StoreSettings,
+    TermBegan,
+    TermEnded,
+    ToStore,
+    VmHeld,
+    WayTrouble,
+)
+from saddlestack.soak.stream import MessageStream
 from saddlestack.standins.pool.documents import HOST, SERVICE
-from saddlestack.standins.pool.store import StoreState, StoreView
 from saddlestack.standins.ports import LOOPBACK
-from saddlestack.wire.http import HttpServer, Request, Response
 
-KEEP_PATH = "/api/kv-keep/"
-REFUSALS = (503, 429)
-TICK_S = 0.02
-"""Leases that have lapsed are ended this often."""
+READY_S = 20.0
+END_S = 3.0
+"""A store that has not ended so long after its stream was closed is killed."""
 
 
 class Term(msgspec.Struct):
@@ -40,7 +45,6 @@
 
     fence: int
     vm: str
-    lease: int
     began_s: float
     ended_s: float | None = None
 
@@ -53,7 +57,7 @@
 
     @property
     def current(self) -> Term | None:
-        """The term of now, as far as the store knows."""
+        """The term of now, as far as the store has told."""
         if not self.terms or self.terms[-1].ended_s is not None:
             return None
         return self.terms[-1]
@@ -62,175 +66,135 @@
         """The VM whose term has a token; empty where none has."""
         return next((term.vm for term in self.terms if term.fence == fence), "")
 
-    def note(self, revision: int, item: Item) -> None:
-        """Take in a change of the store."""
-        if item.key != LEADER:
-            return
-        now = asyncio.get_running_loop().time()
+    def note(self, change: TermBegan | TermEnded) -> None:
+        """Take in a change of the leader key."""
         if self.current is not None:
-            self.current.ended_s = now
-        if item.revision:
-            record = from_json(item.value, LeaderRecord)
-            self.terms.append(Term(revision, record.vm, record.lease, now))
+            self.current.ended_s = change.at_s
+        if isinstance(change, TermBegan):
+            self.terms.append(Term(change.fence, change.vm, change.at_s))
 
 
-class WayTrouble(enum.StrEnum):
-    """What befalls a VM's way to the store."""
-
-    SILENT = "silent"
-    ONE_WAY = "one_way"
-    RESET = "reset"
-    STALE = "stale"
-    DELAY = "delay"
-    REFUSED = "refused"
-
-
-_PROXY_TROUBLES = {
-    WayTrouble.SILENT: Trouble.SILENT,
-    WayTrouble.ONE_WAY: Trouble.ONE_WAY,
-    WayTrouble.RESET: Trouble.RESET,
-    WayTrouble.STALE: Trouble.STALE,
-    WayTrouble.DELAY: Trouble.DELAY,
-}
-
-
-class StoreWay:
-    """One VM's own way to the store: a proxy, and a server that may turn its calls away.
+class SoakPlatform:
+    """The store's process: started, told what befalls it, and heard.
 
-    :ivar after_renewal: called right before a renewal of the leader's lease is answered.
+    :ivar ports: of each VM's way to the store.
+    :ivar records_port: where workers write their records.
+    :ivar loads: what the process told of its load.
     """
 
-    def __init__(self, store: StoreState, terms: TermHistory, rng: random.Random) -> None:
-        self.view = StoreView(store)
-        self.after_renewal: Callable[[], None] | None = None
-        self.proxy: Proxy | None = None
-        self._serving = StoreServing(self.view)
-        self._server = HttpServer(self._handle)
-        self._terms = terms
-        self._rng = rng
-        self._refusing = False
+    def __init__(self, shape: SoakShape, vms: Sequence[str], folder: Path, seed: int) -> None:
+        self._shape = shape
+        self._folder = folder
+        self._seed = seed
+        self.vms = tuple(vms)
+        self.terms = TermHistory()
+        self.ports: dict[str, int] = {}
+        self.records_port = 0
+        self.loads: list[StoreLoad] = []
+        self._ready = asyncio.Event()
+        self._held: dict[str, asyncio.Event] = {}
         self._numbers = itertools.count(1)
-        self._latest = 0
+        self._server: asyncio.Server | None = None
+        self._stream: MessageStream | None = None
+        self._process: asyncio.subprocess.Process | None = None
+        self._reading: set[asyncio.Task[None]] = set()
 
     @property
-    def port(self) -> int:
-        """Where the VM finds the store."""
-        assert self.proxy is not None
-        return self.proxy.port
+    def alive(self) -> bool:
+        """Whether the store's process runs."""
+        return self._process is not None and self._process.returncode is None
 
     async def start(self) -> None:
-        """Serve."""
-        await self._server.start(LOOPBACK, 0)
-        self.proxy = Proxy(LOOPBACK, LOOPBACK, self._server.port)
-        await self.proxy.start()
+        """Start the process, and wait until it serves.
 
-    async def stop(self) -> None:
-        """Serve no more."""
-        if self.proxy is not None:
-            await self.proxy.stop()
-        await self._server.stop()
+        :raises TimeoutError: it does not, in time.
+        """
+        self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
+        settings = StoreSettings(
+            parent_port=int(self._server.sockets[0].getsockname()[1]),
+            seed=self._seed,
+            vms=self.vms,
+            heartbeat_s=self._shape.times.heartbeat_s,
+            history_s=self._shape.times.history_s,
+            configuration=configuration(self._shape),
+        )
+        path = self._folder / "store.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        with (self._folder / "store.log").open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "saddlestack.soak.store_process",
+                str(path),
+                stdout=log,
+                stderr=log,
+            )
+        async with asyncio.timeout(READY_S):
+            await self._ready.wait()
 
-    def begin(self, trouble: WayTrouble, delay_s: float = 0.0) -> int:
-        """Begin a trouble, in place of the present one.
+    async def stop(self) -> None:
+        """End the process."""
+        if self._stream is not None:
+            self._stream.close()
+        if self._server is not None:
+            self._server.close()
+        if self._process is not None:
+            await _end(self._process)
+        for task in self._reading:
+            task.cancel()
+        await asyncio.gather(*self._reading, return_exceptions=True)
+
+    def send(self, message: ToStore) -> None:
+        """Tell the store something."""
+        assert self._stream is not None
+        self._stream.write(message)
+
+    def begin(self, vms: Sequence[str], trouble: WayTrouble, delay_s: float = 0.0) -> int:
+        """Begin a trouble of some VMs' ways, in place of what they have.
 
         :return: its number, which ends it.
         """
-        self.heal()
-        self._latest = next(self._numbers)
-        if trouble is WayTrouble.REFUSED:
-            self._refusing = True
-        else:
-            assert self.proxy is not None
-            self.proxy.set(_PROXY_TROUBLES[trouble], delay_s)
-        return self._latest
+        number = next(self._numbers)
+        self.send(BeginTrouble(number, tuple(vms), trouble, delay_s))
+        return number
 
     def end(self, number: int) -> None:
-        """End a trouble, if no other has taken its place."""
-        if number == self._latest:
-            self.heal()
-
-    def heal(self) -> None:
-        """End any trouble."""
-        assert self.proxy is not None
-        self._refusing = False
-        self._latest = 0
-        self.proxy.set(Trouble.NONE)
-
-    async def _handle(self, request: Request) -> Response:
-        if self._refusing:
-            return Response(self._rng.choice(REFUSALS))
-        try:
-            response = await self._serving.handle(request)
-        except StoreUnavailable:
-            return Response(503)
-        if self.after_renewal is not None and self._renews_leader(request, response):
-            self.after_renewal()
-        return response
-
-    def _renews_leader(self, request: Request, response: Response) -> bool:
-        term = self._terms.current
-        return (
-            term is not None
-            and response.status == 200
-            and request.path == f"{KEEP_PATH}{term.lease}"
-        )
+        """End a trouble where no other has taken its place."""
+        self.send(EndTrouble(number))
 
-
-class SoakPlatform:
-    """The store, the VMs' ways to it, and the operators' configuration.
-
-    :ivar records: the workers' way to the store.
-    """
-
-    def __init__(self, shape: SoakShape, seed: int) -> None:
-        self._shape = shape
-        self._rng = random.Random(seed)
-        self.store = StoreState()
-        self.terms = TermHistory()
-        self.store.observers.append(self.terms.note)
-        self.ways: dict[str, StoreWay] = {}
-        self.records = WorkerRecords(self.store, shape.times.heartbeat_s)
-        self._keeping: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Serve."""
-        await self.records.start()
-        self.store.put(PLACES.configuration_key, configuration(self._shape))
-        self._keeping = asyncio.get_running_loop().create_task(self._keep())
-
-    async def stop(self) -> None:
-        """Serve no more."""
-        if self._keeping is not None:
-            self._keeping.cancel()
-        for way in self.ways.values():
-            await way.stop()
-        await self.records.stop()
-
-    async def way_of(self, vm: str) -> StoreWay:
-        """A new VM's own way to the store."""
-        way = StoreWay(self.store, self.terms, random.Random(self._rng.getrandbits(64)))
-        await way.start()
-        self.ways[vm] = way
-        return way
-
-    def heal(self) -> None:
-        """End all troubles of the store."""
-        for way in self.ways.values():
-            way.heal()
-            way.after_renewal = None
-            way.view.faults.slow_s = 0.0
-            way.view.faults.lose_answers = 0
-
-    async def _keep(self) -> None:
-        """End leases that have lapsed, and forget old changes, until cancelled."""
-        loop = asyncio.get_running_loop()
-        seen: deque[tuple[float, int]] = deque()
-        while True:
-            await asyncio.sleep(TICK_S)
-            self.store.item(LEADER)
-            seen.append((loop.time(), self.store.revision))
-            while seen[0][0] < loop.time() - self._shape.times.history_s:
-                self.store.forget_until(seen.popleft()[1])
+    async def until_held(self, vm: str, pid: int, timeout_s: float) -> bool:
+        """Have a VM's process stopped at the next renewal of its leadership; whether it was."""
+        held = self._held[vm] = asyncio.Event()
+        self.send(HoldAtRenewal(vm, pid))
+        try:
+            async with asyncio.timeout(timeout_s):
+                await held.wait()
+        except TimeoutError:
+            self.send(HoldAtRenewal(vm, 0))
+        return held.is_set()
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._stream = MessageStream(reader, writer, FromStore)
+        task = asyncio.get_running_loop().create_task(self._read(self._stream))
+        self._reading.add(task)
+        task.add_done_callback(self._reading.discard)
+
+    async def _read(self, stream: MessageStream) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                self._take(await stream.read())
+
+    def _take(self, message: FromStore) -> None:
+        if isinstance(message, TermBegan | TermEnded):
+            self.terms.note(message)
+        elif isinstance(message, StoreLoad):
+            self.loads.append(message)
+        elif isinstance(message, VmHeld):
+            self._held[message.vm].set()
+        elif isinstance(message, StoreReady):
+            self.ports = message.ports
+            self.records_port = message.records_port
+            self._ready.set()
 
 
 def key_of(account: str) -> str:
@@ -263,3 +227,12 @@
     ]
     services = [{"name": SERVICE, "admission-check": True}]
     return to_json({"version": 1, "routes": routes, "services": services, "tenants": tenants})
+
+
+async def _end(process: asyncio.subprocess.Process) -> None:
+    try:
+        async with asyncio.timeout(END_S):
+            await process.wait()
+    except TimeoutError:
+        process.kill()
+        await process.wait()
--- a/src/saddlestack/soak/readiness.py
+++ b/src/saddlestack/soak/readiness.py
@@ -10,6 +10,7 @@
 from saddlestack.wire.http import AnswerLost, HttpClient, NotSent
 
 ASK_S = 1.0
+START_LOOK_S = 0.1
 MISSES = 2
 """A VM that has missed so often receives no new connections until it is ready again."""
 READY_PATH = "/api/ready"
@@ -28,6 +29,10 @@
             for entry in self._entries:
                 group.create_task(self._follow(entry))
 
+    async def until_all_ready(self) -> None:
+        """Wait until every VM is ready."""
+        await asyncio.gather(*(self._until_ready(entry) for entry in self._entries))
+
     @property
     def ready(self) -> list[EntryProcess]:
         """The VMs that receive new connections."""
@@ -38,6 +43,12 @@
         ready = self.ready
         return rng.choice(ready if 2 * len(ready) >= len(self._entries) else self._entries)
 
+    async def _until_ready(self, entry: EntryProcess) -> None:
+        client = HttpClient(entry.site.address, READINESS_PORT, kept=1)
+        while not await _is_ready(client):
+            await asyncio.sleep(START_LOOK_S)
+        client.close()
+
     async def _follow(self, entry: EntryProcess) -> None:
         client = HttpClient(entry.site.address, READINESS_PORT, kept=1)
         loop = asyncio.get_running_loop()
--- a/src/saddlestack/soak/run.py
+++ b/src/saddlestack/soak/run.py
@@ -18,11 +18,13 @@
 from saddlestack.soak.meters import Meters
 from saddlestack.soak.platform import SoakPlatform
 from saddlestack.soak.processes import OWN_PROGRAM, EntryProcess, EntrySite, Program
+from saddlestack.soak.readiness import Readiness
 from saddlestack.soak.report import SoakReport
 from saddlestack.soak.shape import SoakShape
 from saddlestack.soak.store_faults import StoreFaults
 from saddlestack.soak.vm_faults import VmFaults
 from saddlestack.soak.worker_faults import WorkerFaults
+from saddlestack.standins.ports import LOOPBACK
 
 READY_S = 60.0
 FIRST_NETWORK = 130
@@ -52,7 +54,9 @@
         rng = random.Random(plan.seed)
         self._plan = plan
         self._folder = folder
-        self._platform = SoakPlatform(plan.shape, rng.getrandbits(64))
+        self._sites = sites_of(plan.shape)
+        vms = [site.name for site in self._sites]
+        self._platform = SoakPlatform(plan.shape, vms, folder, rng.getrandbits(64))
         self._load_rng = random.Random(rng.getrandbits(64))
         self._fault_rng = random.Random(rng.getrandbits(64))
         self._entries: list[EntryProcess] = []
@@ -120,21 +124,21 @@
             await of_workers.heal()
 
     async def _start_hosts(self) -> WorkerHosts:
-        address = f"127.0.0.1:{self._platform.records.port}"
+        address = f"{LOOPBACK}:{self._platform.records_port}"
         hosts = WorkerHosts(self._plan.shape, address, self._folder, seed=self._plan.seed)
         await hosts.start()
         return hosts
 
     async def _start_entries(self) -> None:
-        for site in sites_of(self._plan.shape):
-            way = await self._platform.way_of(site.name)
-            times = self._plan.shape.times
-            store = f"127.0.0.1:{way.port}"
+        times = self._plan.shape.times
+        for site in self._sites:
+            store = f"{LOOPBACK}:{self._platform.ports[site.name]}"
             entry = EntryProcess(site, self._folder, store, times, self._plan.program)
             entry.write_settings()
             self._entries.append(entry)
         await asyncio.gather(*(entry.start() for entry in self._entries))
         async with asyncio.timeout(READY_S):
+            await Readiness(self._entries).until_all_ready()
             while self._platform.terms.current is None:
                 await asyncio.sleep(0.05)
 
--- a/src/saddlestack/soak/store_faults.py
+++ b/src/saddlestack/soak/store_faults.py
@@ -6,10 +6,19 @@
 import random
 from collections.abc import Sequence
 
-from saddlestack.platform.documents import PLACES
 from saddlestack.soak.faults import Fault, Play
-from saddlestack.soak.platform import SoakPlatform, StoreWay, WayTrouble
+from saddlestack.soak.platform import SoakPlatform
 from saddlestack.soak.shape import FaultKind
+from saddlestack.soak.store_messages import (
+    ForgetHistory,
+    HealAll,
+    LapseRecords,
+    LoseAnswers,
+    ProlongLeases,
+    SlowDown,
+    TurnWorkersAway,
+    WayTrouble,
+)
 
 AWAY_SHARE = (0.2, 0.6)
 """Of the VMs, where the store turns some away."""
@@ -20,7 +29,7 @@
 LATE_S = (0.0, 1.0, 3.0, 6.0)
 """So long after its call a write takes effect whose answer is lost."""
 FORGETS = 4
-LAPSED_SHARE = 0.15
+LAPSED_SHARE = (0.05, 0.3)
 AWAY_TROUBLES = (
     WayTrouble.SILENT,
     WayTrouble.ONE_WAY,
@@ -34,7 +43,6 @@
 
     def __init__(self, platform: SoakPlatform) -> None:
         self._platform = platform
-        self._records = platform.records
         self._away = 0
 
     @property
@@ -54,16 +62,16 @@
 
     def heal(self) -> None:
         """End all troubles."""
-        self._platform.heal()
-        self._records.away = False
+        self._platform.send(HealAll())
 
     async def _cut_vm(self, fault: Fault, rng: random.Random) -> None:
-        name = rng.choice(list(self._platform.ways))
+        name = rng.choice(self._platform.vms)
         await self._trouble(fault, [name], rng.choice(list(WayTrouble)), rng)
 
     async def _cut_leader(self, fault: Fault, rng: random.Random) -> None:
         term = self._platform.terms.current
-        name = term.vm if term is not None else rng.choice(list(self._platform.ways))
+        any_vm = rng.choice(self._platform.vms)
+        name = any_vm if term is None else term.vm
         await self._trouble(fault, [name], rng.choice(list(WayTrouble)), rng)
 
     async def _share_away(self, fault: Fault, rng: random.Random) -> None:
@@ -83,34 +91,30 @@
         waits = rng.random() < 0.5
         fault.detail = "leases wait;" if waits else "leases run out;"
         self._away += 1
-        self._records.away = True
-        self._records.lapse_while_away = not waits
+        self._platform.send(TurnWorkersAway(away=True, lapse=not waits))
         if waits:
-            self._platform.store.prolong_leases(fault.seconds)
+            self._platform.send(ProlongLeases(fault.seconds))
         elif rng.random() < 0.5:
-            self._records.lapse(self._some_workers(rng))
-        trouble = rng.choice(AWAY_TROUBLES)
-        await self._trouble(fault, list(self._platform.ways), trouble, rng)
+            self._platform.send(LapseRecords(rng.uniform(*LAPSED_SHARE)))
+        await self._trouble(fault, self._platform.vms, rng.choice(AWAY_TROUBLES), rng)
         self._away -= 1
-        self._records.away = self._away > 0
+        self._platform.send(TurnWorkersAway(away=self._away > 0))
 
     async def _slow(self, fault: Fault, rng: random.Random) -> None:
         slow_s = rng.uniform(*SLOW_S)
         fault.on = "all"
         fault.detail = f"answers {slow_s:.2f} s later"
-        self._set_slow(slow_s)
+        self._platform.send(SlowDown(slow_s))
         await asyncio.sleep(fault.seconds)
-        self._set_slow(0.0)
+        self._platform.send(SlowDown(0.0))
 
     async def _lose_answers(self, fault: Fault, rng: random.Random) -> None:
         names = self._some(LOST_SHARE, rng)
         late_s = rng.choice(LATE_S)
+        count = rng.randint(1, LOST_ANSWERS)
         fault.on = " ".join(names)
-        fault.detail = f"writes take effect after {late_s:g} s"
-        for name in names:
-            faults = self._platform.ways[name].view.faults
-            faults.late_s = late_s
-            faults.lose_answers = rng.randint(1, LOST_ANSWERS)
+        fault.detail = f"{count} writes each take effect after {late_s:g} s"
+        self._platform.send(LoseAnswers(tuple(names), count, late_s))
 
     async def _stale(self, fault: Fault, rng: random.Random) -> None:
         """Connections that are open swallow everything; new ones work."""
@@ -121,37 +125,23 @@
         times = rng.randint(1, FORGETS)
         fault.detail = f"{times} times"
         for _ in range(times):
-            self._platform.store.forget_history()
+            self._platform.send(ForgetHistory())
             await asyncio.sleep(fault.seconds / times)
 
     async def _lapse(self, fault: Fault, rng: random.Random) -> None:
-        workers = self._some_workers(rng)
-        fault.on = " ".join(workers)
-        self._records.lapse(workers)
+        share = rng.uniform(*LAPSED_SHARE)
+        fault.detail = f"{share:.0%} of the records"
+        self._platform.send(LapseRecords(share))
 
     async def _trouble(
         self, fault: Fault, names: Sequence[str], trouble: WayTrouble, rng: random.Random
     ) -> None:
         fault.on = " ".join([fault.on, *names]).strip()
         fault.detail = f"{fault.detail} {trouble} for {len(names)}".strip()
-        delay_s = rng.uniform(*DELAY_S)
-        begun = [(way, way.begin(trouble, delay_s)) for way in self._ways(names)]
+        number = self._platform.begin(names, trouble, rng.uniform(*DELAY_S))
         await asyncio.sleep(fault.seconds)
-        for way, number in begun:
-            way.end(number)
-
-    def _ways(self, names: Sequence[str]) -> list[StoreWay]:
-        return [self._platform.ways[name] for name in names]
+        self._platform.end(number)
 
     def _some(self, share: float, rng: random.Random) -> list[str]:
-        names = list(self._platform.ways)
+        names = self._platform.vms
         return rng.sample(names, max(1, round(share * len(names))))
-
-    def _some_workers(self, rng: random.Random) -> list[str]:
-        prefix = PLACES.workers_prefix
-        keys = [item.key.removeprefix(prefix) for item in self._platform.store.keys(prefix)]
-        return rng.sample(keys, max(1, round(LAPSED_SHARE * len(keys)))) if keys else []
-
-    def _set_slow(self, slow_s: float) -> None:
-        for way in self._platform.ways.values():
-            way.view.faults.slow_s = slow_s
--- /dev/null
+++ b/src/saddlestack/soak/store_process.py
@@ -0,0 +1,234 @@
+"""The process that plays a soak's store: ``python -m saddlestack.soak.store_process SETTINGS``.
+
+It serves until its stream to the soak ends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import sys
+import time
+from collections import deque
+from pathlib import Path
+
+import msgspec
+
+from saddlestack.codec import from_json
+from saddlestack.control.keys import LEADER
+from saddlestack.control.leadership import LeaderRecord
+from saddlestack.interfaces.store import Item, StoreUnavailable
+from saddlestack.platform.documents import PLACES
+from saddlestack.platform.serving import StoreServing
+from saddlestack.soak.heartbeats import WorkerRecords
+from saddlestack.soak.store_messages import (
+    BeginTrouble,
+    EndTrouble,
+    ForgetHistory,
+    HealAll,
+    HoldAtRenewal,
+    LapseRecords,
+    LoseAnswers,
+    ProlongLeases,
+    SlowDown,
+    StoreLoad,
+    StoreReady,
+    StoreSettings,
+    TermBegan,
+    TermEnded,
+    ToStore,
+    TurnWorkersAway,
+    VmHeld,
+)
+from saddlestack.soak.store_way import StoreWay
+from saddlestack.soak.stream import MessageStream
+from saddlestack.standins.pool.store import StoreState, StoreView
+from saddlestack.standins.ports import LOOPBACK
+from saddlestack.wire.http import Request, Response
+
+KEEP_PATH = "/api/kv-keep/"
+WATCH_CHECK_S = 30.0
+"""Watches are silenced on their connections, so they need not look after that themselves."""
+TICK_S = 0.02
+"""Leases that have lapsed are ended this often; the lateness of these ticks is the loop's."""
+LOAD_EVERY_S = 1.0
+
+
+class VmStore:
+    """The store as one VM has it.
+
+    :ivar trouble: number of the trouble that its way has.
+    """
+
+    def __init__(self, process: StoreProcess, vm: str, rng: random.Random) -> None:
+        self._process = process
+        self._vm = vm
+        self.view = StoreView(process.state, check_s=WATCH_CHECK_S)
+        self._serving = StoreServing(self.view)
+        self.way = StoreWay(self._handle, rng)
+        self.trouble = 0
+
+    def heal(self) -> None:
+        """End all troubles."""
+        self.trouble = 0
+        self.way.set(None)
+        self.view.faults.slow_s = 0.0
+        self.view.faults.lose_answers = 0
+
+    async def _handle(self, request: Request) -> Response:
+        try:
+            response = await self._serving.handle(request)
+        except StoreUnavailable:
+            return Response(503)
+        if response.status == 200 and request.path.startswith(KEEP_PATH):
+            self._process.renewed(self._vm, int(request.path.removeprefix(KEEP_PATH)))
+        return response
+
+
+class StoreProcess:
+    """The store, each VM's way to it, and the workers' records.
+
+    :param stream: to and from the soak.
+    """
+
+    def __init__(self, settings: StoreSettings, stream: MessageStream) -> None:
+        rng = random.Random(settings.seed)
+        self._settings = settings
+        self._stream = stream
+        self._rng = rng
+        self.state = StoreState()
+        self.state.observers.append(self._note)
+        self._records = WorkerRecords(self.state, settings.heartbeat_s)
+        self._vms = {
+            vm: VmStore(self, vm, random.Random(rng.getrandbits(64))) for vm in settings.vms
+        }
+        self._leader_lease = 0
+        self._hold_at_renewal: dict[str, int] = {}
+        self._calls = 0
+
+    async def run(self) -> None:
+        """Serve until the stream ends."""
+        await self._records.start()
+        for each in self._vms.values():
+            await each.way.start(LOOPBACK)
+        self.state.put(PLACES.configuration_key, self._settings.configuration)
+        ports = {vm: each.way.port for vm, each in self._vms.items()}
+        self._stream.write(StoreReady(ports, self._records.port))
+        keeping = asyncio.get_running_loop().create_task(self._keep())
+        try:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    self._take(await self._stream.read())
+        finally:
+            keeping.cancel()
+            for each in self._vms.values():
+                each.way.stop()
+            await self._records.stop()
+
+    def renewed(self, vm: str, lease: int) -> None:
+        """A lease was renewed, and this is not answered yet."""
+        pid = self._hold_at_renewal.get(vm, 0)
+        if pid and lease == self._leader_lease:
+            del self._hold_at_renewal[vm]
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(pid, signal.SIGSTOP)
+            self._stream.write(VmHeld(vm, pid))
+
+    def _take(self, message: msgspec.Struct) -> None:
+        match message:
+            case BeginTrouble():
+                for vm in message.vms:
+                    self._vms[vm].trouble = message.number
+                    self._vms[vm].way.set(message.trouble, message.delay_s)
+            case EndTrouble():
+                for each in self._vms.values():
+                    if each.trouble == message.number:
+                        each.way.set(None)
+            case SlowDown():
+                for each in self._vms.values():
+                    each.view.faults.slow_s = message.slow_s
+            case LoseAnswers():
+                for vm in message.vms:
+                    self._vms[vm].view.faults.late_s = message.late_s
+                    self._vms[vm].view.faults.lose_answers = message.count
+            case ForgetHistory():
+                self.state.forget_history()
+            case ProlongLeases():
+                self.state.prolong_leases(message.seconds)
+            case TurnWorkersAway():
+                self._records.away = message.away
+                self._records.lapse_while_away = message.lapse
+            case LapseRecords():
+                self._lapse(message.share)
+            case HoldAtRenewal():
+                self._hold_at_renewal[message.vm] = message.pid
+            case HealAll():
+                self._heal()
+
+    def _heal(self) -> None:
+        for each in self._vms.values():
+            each.heal()
+        self._records.away = False
+        self._hold_at_renewal.clear()
+
+    def _lapse(self, share: float) -> None:
+        prefix = PLACES.workers_prefix
+        workers = [item.key.removeprefix(prefix) for item in self.state.keys(prefix)]
+        if workers:
+            self._records.lapse(self._rng.sample(workers, max(1, round(share * len(workers)))))
+
+    def _note(self, revision: int, item: Item) -> None:
+        """Tell of changes of the leader key."""
+        if item.key != LEADER:
+            return
+        if not item.revision:
+            self._stream.write(TermEnded(_now()))
+            return
+        record = from_json(item.value, LeaderRecord)
+        self._leader_lease = record.lease
+        self._stream.write(TermBegan(revision, record.vm, record.lease, _now()))
+
+    async def _keep(self) -> None:
+        """End leases that have lapsed, forget old changes, and tell the load, until cancelled."""
+        seen: deque[tuple[float, int]] = deque()
+        lag_s = 0.0
+        told_s = _now()
+        while True:
+            due = _now() + TICK_S
+            await asyncio.sleep(TICK_S)
+            lag_s = max(lag_s, _now() - due)
+            self.state.item(LEADER)
+            seen.append((_now(), self.state.revision))
+            while seen[0][0] < _now() - self._settings.history_s:
+                self.state.forget_until(seen.popleft()[1])
+            if _now() >= told_s + LOAD_EVERY_S:
+                self._tell_load(lag_s)
+                lag_s = 0.0
+                told_s = _now()
+
+    def _tell_load(self, lag_s: float) -> None:
+        calls = sum(each.way.calls for each in self._vms.values())
+        self._stream.write(StoreLoad(_now(), lag_s, calls - self._calls, time.process_time()))
+        self._calls = calls
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def main(settings: StoreSettings) -> None:
+    """Play the store of some settings."""
+    reader, writer = await asyncio.open_connection(LOOPBACK, settings.parent_port)
+    stream = MessageStream(reader, writer, ToStore)
+    try:
+        await StoreProcess(settings, stream).run()
+    finally:
+        stream.close()
+
+
+if __name__ == "__main__":
+    data = Path(sys.argv[1]).read_bytes()
+    asyncio.run(main(msgspec.json.decode(data, type=StoreSettings)))
--- a/src/saddlestack/soak/vm_faults.py
+++ b/src/saddlestack/soak/vm_faults.py
@@ -21,6 +21,7 @@
 RENEWALS = 3
 """Leaders are frozen so many times in turn, right as their renewal is answered."""
 RENEWAL_WAIT_S = 4.0
+CROSSING_S = 0.1
 FROZEN_AT_RENEWAL_S = (0.9, 6.0)
 """From less than the leader's lease to several of them."""
 
@@ -134,29 +135,15 @@
             seconds = rng.uniform(*FROZEN_AT_RENEWAL_S)
             fault.on += f" {entry.name}"
             fault.detail += f" {seconds:.2f} s"
-            if await self._until_renewal_holds(entry):
-                await asyncio.sleep(seconds)
-                entry.release(entry.process)
-
-    async def _until_renewal_holds(self, entry: EntryProcess) -> bool:
-        """Wait until a VM is held at its next renewal; whether it was."""
-        way = self._platform.ways[entry.name]
-        held = asyncio.Event()
-
-        def hold() -> None:
-            way.after_renewal = None
-            entry.hold()
-            held.set()
-
-        way.after_renewal = hold
-        try:
-            async with asyncio.timeout(RENEWAL_WAIT_S):
-                await held.wait()
-        except TimeoutError:
-            pass
-        if way.after_renewal is hold:
-            way.after_renewal = None
-        return held.is_set()
+            await self._freeze_one_at_renewal(entry, seconds)
+
+    async def _freeze_one_at_renewal(self, entry: EntryProcess, seconds: float) -> None:
+        pid = entry.pid
+        if pid is None:
+            return
+        held = await self._platform.until_held(entry.name, pid, RENEWAL_WAIT_S)
+        # A stop that crosses with the end of the wait is undone as well.
+        await entry.freeze(seconds if held else CROSSING_S)
 
     async def _kill_all(self, fault: Fault, rng: random.Random) -> None:
         fault.on = "all"
--- a/src/saddlestack/standins/pool/store.py
+++ b/src/saddlestack/standins/pool/store.py
@@ -155,11 +155,8 @@
         self._expire()
         if after < self._forgotten:
             raise HistoryGone(prefix)
-        return [
-            event.item
-            for event in self._history[self._first_after(after) :]
-            if event.item.key.startswith(prefix)
-        ]
+        events = self._history[self._first_after(after) :]
+        return [event.item for event in events if event.item.key.startswith(prefix)]
 
     async def until_changed(self, prefix: str, timeout_s: float) -> None:
         """Wait for a change under a prefix, or until a lease may have ended."""
@@ -247,10 +244,14 @@
 
 @dataclass(slots=True)
 class StoreView:
-    """One VM's way to the store: a :class:`saddlestack.interfaces.store.MetadataStore`."""
+    """One VM's way to the store: a :class:`saddlestack.interfaces.store.MetadataStore`.
+
+    :param check_s: a watch that waits sees after so long at most that its calls are swallowed.
+    """
 
     state: StoreState
     faults: StoreFaults = field(default_factory=StoreFaults)
+    check_s: float = SILENCE_CHECK_S
     late: set[asyncio.Task[None]] = field(default_factory=set)
 
     def reconnect(self) -> None:
@@ -279,7 +280,7 @@
             items = self.state.changes(prefix, after)
             if items or _now() >= until:
                 return Listing(tuple(items), self.state.revision)
-            await self.state.until_changed(prefix, min(SILENCE_CHECK_S, until - _now()))
+            await self.state.until_changed(prefix, min(self.check_s, until - _now()))
         await asyncio.sleep(until + WATCH_SLACK_S - _now())
         raise StoreUnavailable("the watch was swallowed")
 
