--- a/src/saddlestack/soak/hosts.py
+++ b/src/saddlestack/soak/hosts.py
@@ -95,8 +95,7 @@
 
     async def stop(self) -> None:
         """End all processes."""
-        for stream in self._streams.values():
-            stream.close()
+        self.close_streams()
         if self._server is not None:
             self._server.close()
         for process in self._processes:
@@ -105,6 +104,11 @@
             task.cancel()
         await asyncio.gather(*self._reading, return_exceptions=True)
 
+    def close_streams(self) -> None:
+        """Have all processes end by themselves."""
+        for stream in self._streams.values():
+            stream.close()
+
     async def send(self, command: Command) -> None:
         """Have something befall the machines that a command names."""
         for number, stream in self._streams.items():
--- a/src/saddlestack/soak/messages.py
+++ b/src/saddlestack/soak/messages.py
@@ -238,22 +238,23 @@
 )
 
 
-# What a host tells the soak
+# What a host tells the soak. Hundreds of thousands are kept: plain fields, so that the garbage
+# collector need not visit them.
 
 
-class HostHello(msgspec.Struct, frozen=True, tag=True):
+class HostHello(msgspec.Struct, frozen=True, tag=True, gc=False):
     """The first message of a host: its number."""
 
     host: int
 
 
-class HostReady(msgspec.Struct, frozen=True, tag=True):
+class HostReady(msgspec.Struct, frozen=True, tag=True, gc=False):
     """All machines of a host serve."""
 
     host: int
 
 
-class MemberPresent(msgspec.Struct, frozen=True, tag=True):
+class MemberPresent(msgspec.Struct, frozen=True, tag=True, gc=False):
     """A member of a gang has begun to wait for the others.
 
     :param size: members of the whole gang.
@@ -278,7 +279,7 @@
     far_x: float
 
 
-class MemberPaced(msgspec.Struct, frozen=True, tag=True):
+class MemberPaced(msgspec.Struct, frozen=True, tag=True, gc=False):
     """A member of a gang works at another rate."""
 
     worker: str
@@ -288,7 +289,7 @@
     rate: float
 
 
-class MemberGone(msgspec.Struct, frozen=True, tag=True):
+class MemberGone(msgspec.Struct, frozen=True, tag=True, gc=False):
     """A member of a gang has ended, other than together with the whole."""
 
     worker: str
@@ -297,7 +298,7 @@
     task: str
 
 
-class LifeBegan(msgspec.Struct, frozen=True, tag=True):
+class LifeBegan(msgspec.Struct, frozen=True, tag=True, gc=False):
     """A worker's life has begun."""
 
     worker: str
@@ -308,7 +309,7 @@
     at_s: float
 
 
-class LifeAnnounced(msgspec.Struct, frozen=True, tag=True):
+class LifeAnnounced(msgspec.Struct, frozen=True, tag=True, gc=False):
     """The store has taken a worker's announcement of its end."""
 
     worker: str
@@ -316,7 +317,7 @@
     notice_s: float
 
 
-class LifeEnded(msgspec.Struct, frozen=True, tag=True):
+class LifeEnded(msgspec.Struct, frozen=True, tag=True, gc=False):
     """A worker's life is over, and all that ran there."""
 
     worker: str
@@ -324,7 +325,7 @@
     crashed: bool
 
 
-class RunBegan(msgspec.Struct, frozen=True, tag=True):
+class RunBegan(msgspec.Struct, frozen=True, tag=True, gc=False):
     """A run has begun to be present at a worker.
 
     :param ordered_s: when its order arrived.
@@ -342,7 +343,7 @@
     gang: int
 
 
-class RunWorks(msgspec.Struct, frozen=True, tag=True):
+class RunWorks(msgspec.Struct, frozen=True, tag=True, gc=False):
     """A member of a gang has begun to work.
 
     :param at_s: when the hub saw that the gang is whole.
@@ -354,7 +355,7 @@
     at_s: float
 
 
-class RunStopping(msgspec.Struct, frozen=True, tag=True):
+class RunStopping(msgspec.Struct, frozen=True, tag=True, gc=False):
     """A run has been ordered to stop."""
 
     worker: str
@@ -366,7 +367,7 @@
     late: bool
 
 
-class RunEnded(msgspec.Struct, frozen=True, tag=True):
+class RunEnded(msgspec.Struct, frozen=True, tag=True, gc=False):
     """A run has ended and its end is listed."""
 
     worker: str
@@ -376,7 +377,7 @@
     at_s: float
 
 
-class EndNoted(msgspec.Struct, frozen=True, tag=True):
+class EndNoted(msgspec.Struct, frozen=True, tag=True, gc=False):
     """A VM has acknowledged the end of a run.
 
     :param lapsed: the worker's lease had lapsed between the end and this.
@@ -390,7 +391,7 @@
     lapsed: bool
 
 
-class HostLoad(msgspec.Struct, frozen=True, tag=True):
+class HostLoad(msgspec.Struct, frozen=True, tag=True, gc=False):
     """What a host did since its last message of this kind.
 
     :param lag_s: the most by which its event loop was late.
