--- a/src/saddlestack/soak/life.py
+++ b/src/saddlestack/soak/life.py
@@ -1,4 +1,4 @@
-"""One life of a stand-in's worker: leases, fences, runs and their ends.
+"""One life of a stand-in's worker: its orders, and the runs that they begin and end.
 
 Nothing is polled: each run, and the lease, has a timer of its own. What happens is told to an
 observer, and what concerns gangs to their hub.
@@ -10,12 +10,11 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
 from saddlestack.interfaces.workers import (
-    EndedTask,
     EndKind,
     Refusal,
     RunningTask,
@@ -25,7 +24,8 @@
     WorkerReport,
     WorkerUnreachable,
 )
-from saddlestack.platform.orders import ENDS_AT_ONCE
+from saddlestack.soak.ends import EndList
+from saddlestack.soak.lease import Lease, SteadyClock
 from saddlestack.soak.messages import (
     EndNoted,
     GangEnded,
@@ -48,10 +48,6 @@
 from saddlestack.standins.pool.workers import TaskPlan
 from saddlestack.work import Resources, TaskName
 
-SLOWEST_CLOCK = 0.98
-"""A worker's clock runs true, or up to 2 % slow."""
-CLOCK_STARTS_MS = (100_000, 900_000)
-"""A worker's clock starts at any value; these are told apart from each other and from ours."""
 FAIL_S = 0.05
 """A task that fails at once does so after this time."""
 LEAST_STOP_SHARE = 0.2
@@ -105,54 +101,41 @@
             self.timer = None
 
 
-@dataclass(slots=True)
-class _Listed:
-    """An end that was not acknowledged yet."""
-
-    row: EndedTask
-    at_s: float
-
-
-@dataclass(slots=True)
 class WorkerLife:
-    """One life of a worker.
+    """One life of a worker, from the moment that it is made.
 
     :param tell: told of all that happens.
     :ivar speed: seconds of work a second.
     :ivar fails_all: tasks that start now fail at once.
+    :ivar over: whether the life has ended.
     """
 
-    worker_id: str
-    machine: MachineSettings
-    times: ShapeTimes
-    rng: random.Random
-    tell: Tell
-    speed: float = 1.0
-    fails_all: bool = False
-    over: bool = False
-    fence: int = 0
-    runs: dict[RunKey, Run] = field(default_factory=dict)
-    _gangs: dict[tuple[str, int], dict[RunKey, Run]] = field(default_factory=dict)
-    _listed: list[_Listed] = field(default_factory=list)
-    _highest: dict[TaskName, int] = field(default_factory=dict)
-    _count: int = 0
-    _changed: asyncio.Event = field(default_factory=asyncio.Event)
-    _lease_ms: float = 0.0
-    _lapsed_s: float = -math.inf
-    _lease_timer: asyncio.TimerHandle | None = None
-    _born_s: float = 0.0
-    _clock_start_ms: int = 0
-    _clock_rate: float = 1.0
-
-    def begin(self) -> None:
-        """The life begins."""
-        self._born_s = _now()
-        self._clock_start_ms = self.rng.randrange(*CLOCK_STARTS_MS)
-        self._clock_rate = self.rng.uniform(SLOWEST_CLOCK, 1.0)
-        where = self.machine
-        self.tell(
+    def __init__(
+        self,
+        worker_id: str,
+        machine: MachineSettings,
+        times: ShapeTimes,
+        rng: random.Random,
+        tell: Tell,
+    ) -> None:
+        self._rng = rng
+        self._tell = tell
+        self._clock = SteadyClock(rng)
+        self._lease = Lease(self._clock, times.lease_s, self._kill_all)
+        self._ends = EndList()
+        self._gangs: dict[tuple[str, int], dict[RunKey, Run]] = {}
+        self._highest: dict[TaskName, int] = {}
+        self._fence = 0
+        self.worker_id = worker_id
+        self.machine = machine
+        self.times = times
+        self.runs: dict[RunKey, Run] = {}
+        self.speed = 1.0
+        self.fails_all = False
+        self.over = False
+        tell(
             LifeBegan(
-                self.worker_id, where.name, where.hall, where.rack, where.accelerators, _now()
+                worker_id, machine.name, machine.hall, machine.rack, machine.accelerators, _now()
             )
         )
 
@@ -166,14 +149,13 @@
             run.cancel_timer()
             if run.plan.gang:
                 self._leave_hub(run)
-        if self._lease_timer is not None:
-            self._lease_timer.cancel()
-        self._change()
-        self.tell(LifeEnded(self.worker_id, _now(), crashed))
+        self._lease.cancel()
+        self._ends.wake()
+        self._tell(LifeEnded(self.worker_id, _now(), crashed))
 
     def clock_ms(self) -> int:
         """Its steady clock."""
-        return int(self._clock())
+        return int(self._clock.ms())
 
     # Orders
 
@@ -188,13 +170,13 @@
 
     def _lease_refusal(self, order: StartOrder) -> Refusal | None:
         """Why an order is not acted on; otherwise it extends the lease."""
-        self._check_lease()
-        if order.fence < self.fence:
+        self._lease.check()
+        if order.fence < self._fence:
             return Refusal.FENCED
-        self.fence = order.fence
-        if order.deadline_ms <= self._clock():
+        self._fence = order.fence
+        if order.deadline_ms <= self._clock.ms():
             return Refusal.LATE
-        self._extend(order.deadline_ms)
+        self._lease.extend(order.deadline_ms)
         return None
 
     def _is_present(self, order: StartOrder) -> bool:
@@ -214,7 +196,7 @@
         progress = Progress(work_s, float(order.saved or 0.0))
         run = Run(name, order.run, plan, progress, fails=self.fails_all)
         self.runs[(name, order.run)] = run
-        self.tell(
+        self._tell(
             RunBegan(
                 self.worker_id,
                 order.task,
@@ -237,7 +219,7 @@
 
         :raises WorkerFenced: a higher token was seen.
         """
-        self._check_lease()
+        self._lease.check()
         self._check_fence(fence)
         name = TaskName.parse(task)
         self._highest[name] = max(self._highest.get(name, 0), number)
@@ -245,8 +227,8 @@
         if run is None or run.stopping:
             return
         run.stopping = True
-        stop_s = self.times.stop_s * self.rng.uniform(LEAST_STOP_SHARE, 1.0)
-        self.tell(
+        stop_s = self.times.stop_s * self._rng.uniform(LEAST_STOP_SHARE, 1.0)
+        self._tell(
             RunStopping(self.worker_id, task, number, fence, arrival.at_s, _now(), arrival.late)
         )
         self._arm(run, _now() + stop_s, EndKind.STOPPED)
@@ -256,7 +238,7 @@
 
         :raises WorkerFenced: a higher token was seen.
         """
-        self._check_lease()
+        self._lease.check()
         self._check_fence(fence)
         run = self.runs.get((TaskName.parse(task), number))
         if run is not None:
@@ -271,19 +253,17 @@
         :raises WorkerFenced: a higher token was seen.
         :raises WorkerUnreachable: the life ended meanwhile.
         """
-        self._check_lease()
+        self._lease.check()
         self._check_fence(fence)
         self._forget_ends(seen)
         if deadline_ms is not None:
-            self._extend(deadline_ms)
-        if wait_s and not self._listed:
-            await self._until_changed(wait_s)
+            self._lease.extend(deadline_ms)
+        await self._ends.wait(wait_s)
         if self.over:
             raise WorkerUnreachable("the worker is gone")
         now = _now()
         running = tuple(self._row(run, now) for run in self.runs.values())
-        ended = tuple(listed.row for listed in self._listed[:ENDS_AT_ONCE])
-        return WorkerReport(self.clock_ms(), running, ended)
+        return WorkerReport(self.clock_ms(), running, self._ends.rows())
 
     # Troubles
 
@@ -303,14 +283,14 @@
             if not run.works:
                 run.works = True
                 run.cancel_timer()
-                self.tell(RunWorks(self.worker_id, str(run.name), run.number, moved.whole_s))
+                self._tell(RunWorks(self.worker_id, str(run.name), run.number, moved.whole_s))
                 if run.fails:
                     self._arm(run, _now() + FAIL_S, EndKind.FAILED)
             run.progress = Progress(run.progress.work_s, moved.done_s, moved.rate, moved.at_s)
 
     def gang_ended(self, ended: GangEnded) -> None:
         """A gang that was whole is over."""
-        self._check_lease()
+        self._lease.check()
         for run in self._members(ended):
             failed = ended.failed == str(run.name)
             self._finish(run, EndKind.FAILED if failed else EndKind(ended.how))
@@ -324,7 +304,7 @@
         run.works = False
         self._gangs.setdefault((run.step, run.number), {})[(run.name, run.number)] = run
         self._arm(run, _now() + self.times.gang_wait_s, EndKind.ALONE)
-        self.tell(
+        self._tell(
             MemberPresent(
                 self.worker_id,
                 run.step,
@@ -341,43 +321,10 @@
             )
         )
 
-    # Leases
-
-    def _clock(self) -> float:
-        return self._clock_start_ms + (_now() - self._born_s) * 1000 * self._clock_rate
-
-    def _extend(self, deadline_ms: int) -> None:
-        until_ms = min(float(deadline_ms), self._clock() + self.times.lease_s * 1000)
-        if until_ms <= self._lease_ms:
-            return
-        self._lease_ms = until_ms
-        if self._lease_timer is None:
-            self._watch_lease()
-
-    def _watch_lease(self) -> None:
-        """Look again when the lease, as it is now, is over."""
-        left_s = (self._lease_ms - self._clock()) / 1000 / self._clock_rate
-        loop = asyncio.get_running_loop()
-        self._lease_timer = loop.call_later(left_s, self._lease_due)
-
-    def _lease_due(self) -> None:
-        self._lease_timer = None
-        if not self._check_lease():
-            self._watch_lease()
-
-    def _check_lease(self) -> bool:
-        """Whether the lease is over; all that runs is killed then."""
-        if self._clock() < self._lease_ms:
-            return False
-        self._lapsed_s = _now()
-        while self.runs:
-            self._end_run(next(iter(self.runs.values())), EndKind.LAPSED)
-        return True
-
     def _check_fence(self, fence: int) -> None:
-        if fence < self.fence:
+        if fence < self._fence:
             raise WorkerFenced
-        self.fence = fence
+        self._fence = fence
 
     # Work and ends
 
@@ -405,7 +352,7 @@
         if run.stopping:
             return
         if run.plan.gang:
-            self.tell(
+            self._tell(
                 MemberPaced(self.worker_id, run.step, run.number, str(run.name), self._rate(run))
             )
         elif run.works:
@@ -420,7 +367,7 @@
 
     def _due(self, run: Run, how: EndKind) -> None:
         """A run's time has come; a lease that is over meanwhile goes first."""
-        if not self._check_lease():
+        if not self._lease.check():
             self._end_run(run, how)
 
     def _end_run(self, run: Run, how: EndKind) -> None:
@@ -430,7 +377,12 @@
             self._leave_hub(run)
 
     def _leave_hub(self, run: Run) -> None:
-        self.tell(MemberGone(self.worker_id, run.step, run.number, str(run.name)))
+        self._tell(MemberGone(self.worker_id, run.step, run.number, str(run.name)))
+
+    def _kill_all(self) -> None:
+        """The lease is over."""
+        while self.runs:
+            self._end_run(next(iter(self.runs.values())), EndKind.LAPSED)
 
     def _finish(self, run: Run, how: EndKind) -> None:
         now = _now()
@@ -439,12 +391,9 @@
         if run.plan.gang:
             self._leave_gang(run)
         self._highest[run.name] = max(self._highest.get(run.name, 0), run.number)
-        self._count += 1
         saved = self._saved(run, now, exact=how is EndKind.STOPPED)
-        row = EndedTask(self._count, str(run.name), run.number, how, saved)
-        self._listed.append(_Listed(row, now))
-        self.tell(RunEnded(self.worker_id, row.task, run.number, how.value, now))
-        self._change()
+        self._tell(RunEnded(self.worker_id, str(run.name), run.number, how.value, now))
+        self._ends.add(str(run.name), run.number, how, saved, now)
 
     def _leave_gang(self, run: Run) -> None:
         members = self._gangs.get((run.step, run.number), {})
@@ -455,23 +404,10 @@
     def _forget_ends(self, seen: int) -> None:
         """Ends up to a number were acknowledged."""
         now = _now()
-        for listed in self._listed:
-            if listed.row.number <= seen:
-                lapsed = self._lapsed_s >= listed.at_s
-                row = listed.row
-                self.tell(EndNoted(self.worker_id, row.task, row.run, self.fence, now, lapsed))
-        self._listed = [listed for listed in self._listed if listed.row.number > seen]
-
-    async def _until_changed(self, wait_s: float) -> None:
-        try:
-            async with asyncio.timeout(wait_s):
-                await self._changed.wait()
-        except TimeoutError:
-            return
-
-    def _change(self) -> None:
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+        for end in self._ends.forget(seen):
+            lapsed = self._lease.lapsed_s >= end.at_s
+            row = end.row
+            self._tell(EndNoted(self.worker_id, row.task, row.run, self._fence, now, lapsed))
 
     # Reports
 
--- a/src/saddlestack/soak/machine.py
+++ b/src/saddlestack/soak/machine.py
@@ -164,7 +164,6 @@
         worker_id = f"i-{self._settings.name}-{next(self._lives)}"
         where = self._surroundings
         life = WorkerLife(worker_id, self._settings, where.times, self._rng, where.tell)
-        life.begin()
         self.life = life
         self._leaving = False
         self._record = RecordWriter(where.store, life, self.address, where.service, self._rng)
--- a/tests/soak_support.py
+++ b/tests/soak_support.py
@@ -79,7 +79,6 @@
             self._teller(host),
         )
         self.lives.append(life)
-        life.begin()
         return life
 
     def start(
