--- a/src/saddlestack/soak/machine.py
+++ b/src/saddlestack/soak/machine.py
@@ -19,6 +19,8 @@
     Command,
     Crash,
     CutFromStore,
+    CutFromVms,
+    CutOff,
     DelayOrders,
     ErrorAnswer,
     GangEnded,
@@ -111,6 +113,7 @@
         self._record: RecordWriter | None = None
         self._writing: asyncio.Task[None] | None = None
         self._tasks_heal_s = 0.0
+        self._store_cut_until_s = 0.0
         self._leaving = False
         self._silent = False
         self._returning = asyncio.Lock()
@@ -143,8 +146,10 @@
         elif isinstance(command, TroubleTasks):
             self._spawn(self._trouble_tasks(command))
         elif isinstance(command, CutFromStore):
-            if self._record is not None:
-                self._record.cut_until_s = _now() + command.seconds
+            self._cut_from_store(command.seconds)
+        elif isinstance(command, CutOff):
+            self._cut_from_store(command.seconds)
+            self._troubles.add(CutFromVms(machines=command.machines, seconds=command.seconds))
         elif isinstance(command, LastingCommand):
             self._troubles.add(command)
 
@@ -166,7 +171,9 @@
         life = WorkerLife(worker_id, self._settings, where.times, self._rng, where.tell)
         self.life = life
         self._leaving = False
-        self._record = RecordWriter(where.store, life, self.address, where.service, self._rng)
+        self._record = RecordWriter(
+            where.store, life, self.address, where.service, self._rng, self._store_cut_until_s
+        )
         self._writing = self._tasks.spawn(self._record.run())
 
     def _end_life(self, *, crashed: bool) -> None:
@@ -190,7 +197,10 @@
             self._surroundings.tell(LifeAnnounced(life.worker_id, accepted_s, command.notice_s))
         else:
             await record.remove()
-        await asyncio.sleep(command.notice_s + command.linger_s)
+        await asyncio.sleep(command.notice_s)
+        if command.record_first:
+            self._spawn(self._remove(record))
+        await asyncio.sleep(command.linger_s)
         if self.life is not life:
             return
         self._end_life(crashed=False)
@@ -227,8 +237,14 @@
             self._silent = False
             self._begin_life()
 
+    def _cut_from_store(self, seconds: float) -> None:
+        self._store_cut_until_s = _now() + seconds
+        if self._record is not None:
+            self._record.cut_until_s = self._store_cut_until_s
+
     def _heal(self) -> None:
         self._troubles.clear()
+        self._store_cut_until_s = 0.0
         if self._record is not None:
             self._record.cut_until_s = 0.0
         self._tasks_heal_s = 0.0
--- a/src/saddlestack/soak/messages.py
+++ b/src/saddlestack/soak/messages.py
@@ -147,6 +147,13 @@
     """The worker's record is not written, and lapses; the worker serves on."""
 
 
+class CutOff(LastingCommand, frozen=True, tag=True, kw_only=True):
+    """Nothing passes between the machines and anybody else; what they hold runs on.
+
+    As long as their leases last: their records lapse, and nobody sees how their runs end.
+    """
+
+
 class TroubleTasks(LastingCommand, frozen=True, tag=True, kw_only=True):
     """Tasks fail at once, stand still, or are slow.
 
@@ -163,12 +170,14 @@
     :param announced: whether its record says so before; else the record goes at once.
     :param notice_s: from the announcement, or the removal, to the announced end...
     :param linger_s: ...and for so long it serves on after that.
+    :param record_first: its record goes at the announced end; else when it has ended.
     :param back_s: after that, a new life begins at the same address; ``None`` for never.
     """
 
     announced: bool = True
     notice_s: float
     linger_s: float = 0.0
+    record_first: bool = False
     back_s: float | None = 0.5
 
 
@@ -229,6 +238,7 @@
     | AnswerErrors
     | CutFromVms
     | CutFromStore
+    | CutOff
     | TroubleTasks
     | Leave
     | Crash
--- a/tests/test_soak_workers.py
+++ b/tests/test_soak_workers.py
@@ -28,6 +28,7 @@
     Crash,
     CutFromStore,
     CutFromVms,
+    CutOff,
     CutWay,
     DelayOrders,
     ErrorAnswer,
@@ -280,6 +281,21 @@
 
         self.at_site(body)
 
+    def test_a_worker_that_is_cut_off_runs_on_while_its_record_lapses(self) -> None:
+        async def body(site: Site) -> None:
+            await site.begin(work_s=4.0)
+            site.machine.take(CutOff(machines=ALL, seconds=8.0))
+            with self.assertRaises(WorkerUnreachable):
+                await site.look()
+            await asyncio.sleep(3 * TIMES.heartbeat_s + 1.0)
+            self.assertEqual(site.recorded(), [])
+            self.assertEqual(len(site.begun()), 1)
+            await asyncio.sleep(5.0)
+            self.assertEqual([end.how for end in (await site.look()).ended], [EndKind.DONE])
+            self.assertEqual(site.recorded(), ["i-m0-1"])
+
+        self.at_site(body)
+
     def test_a_crash_behind_a_cut_and_a_new_life_at_the_same_address(self) -> None:
         async def body(site: Site) -> None:
             await site.begin()
@@ -346,6 +362,19 @@
 
         self.at_site(body)
 
+    def test_an_announced_end_whose_record_goes_first(self) -> None:
+        async def body(site: Site) -> None:
+            leave = Leave(machines=ALL, notice_s=2.0, linger_s=2.0, record_first=True, back_s=None)
+            site.machine.take(leave)
+            await asyncio.sleep(2.5)
+            self.assertEqual(site.recorded(), [])
+            await site.look()
+            await asyncio.sleep(2.0)
+            with self.assertRaises(WorkerUnreachable):
+                await site.look()
+
+        self.at_site(body)
+
     def test_an_end_that_is_not_announced(self) -> None:
         async def body(site: Site) -> None:
             leave = Leave(machines=ALL, announced=False, notice_s=3.0, linger_s=1.0, back_s=0.5)
@@ -442,6 +471,17 @@
 
         self.at_site(body)
 
+    def test_a_new_life_behind_a_cut_from_the_store_is_not_recorded_before_it_ends(self) -> None:
+        async def body(site: Site) -> None:
+            site.machine.take(CutFromStore(machines=ALL, seconds=6.0))
+            site.machine.take(Crash(machines=ALL, back_s=1.0))
+            await asyncio.sleep(5.5)
+            self.assertEqual(site.recorded(), [])
+            await asyncio.sleep(2.0)
+            self.assertEqual(site.recorded(), ["i-m0-2"])
+
+        self.at_site(body)
+
     def test_records_are_back_within_two_seconds_of_the_stores_return(self) -> None:
         async def body(site: Site) -> None:
             site.records.away = True
