Tests: the shapes, faults, ways to the store and cuts of a soak; its short run is of the small shape

The short run plays shape small (4 VMs, 8 workers) for 6 s of faults, before 3 VMs and 4 workers; it looks at soundness and faults besides the promises.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,23 +1,376 @@
-"""A short soak of real processes from fixed seeds, and the proxy it plays faults with."""
+"""A short soak of real processes from a fixed seed, and the parts that it is made of."""
 
 from __future__ import annotations
 
 import asyncio
+import random
+import tempfile
 import unittest
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from unittest.mock import patch
 
-from saddlestack.soak.processes import EntryProcess
+import msgspec
+
+from saddlestack.errors import SaddlestackError
+from saddlestack.platform.documents import PlatformDocuments
+from saddlestack.soak.disturbances import RECOVERY_S, Disturbances
+from saddlestack.soak.faults import Fault, FaultPlayer, Play
+from saddlestack.soak.launcher import CuttableDialer
+from saddlestack.soak.load import draw, request
+from saddlestack.soak.logsearch import lines_of
+from saddlestack.soak.meters import Usage, VmUse
+from saddlestack.soak.platform import TermHistory, configuration
+from saddlestack.soak.processes import EntryProcess, EntrySite
 from saddlestack.soak.proxy import Proxy, Trouble
-from saddlestack.soak.run import SoakPlan, run
+from saddlestack.soak.report import Waits
+from saddlestack.soak.run import SoakPlan, run, sites_of
+from saddlestack.soak.shape import FaultKind, FaultMix, Spread, check, load
+from saddlestack.soak.store_messages import TermBegan, TermEnded, WayTrouble
+from saddlestack.soak.store_way import StoreWay
+from saddlestack.soak.vm_faults import VmFaults
 from saddlestack.standins.loop import run as run_virtually
+from saddlestack.wire.http import AnswerLost, HttpClient, Request, Response
+
+SHAPES = Path(__file__).parent.parent / "deploy" / "soak"
+SMALL = SHAPES / "small.json"
+GROWN = SHAPES / "grown.json"
 
 
 class SoakTest(unittest.TestCase):
     def test_a_short_soak_keeps_the_promises(self) -> None:
-        verdict = asyncio.run(run(SoakPlan(seed=7, seconds=6.0, entries=3, workers=4)))
-        self.assertEqual(verdict.broken, [], f"logs: {verdict.logs}")
-        self.assertGreater(verdict.accepted, 5)
+        report = asyncio.run(run(SoakPlan(load(SMALL), seed=7, seconds=6.0)))
+        self.assertEqual([broken.text for broken in report.broken], [], f"logs: {report.logs}")
+        self.assertEqual(report.troubled, [], f"logs: {report.logs}")
+        self.assertGreater(report.accepted, 5)
+        self.assertGreater(len(report.faults), 3)
+        self.assertTrue(all(fault.ended_s is not None for fault in report.faults))
+
+
+class ShapeTest(unittest.TestCase):
+    def test_the_shapes_are_what_they_say(self) -> None:
+        small, grown = load(SMALL), load(GROWN)
+        self.assertEqual((small.vms, small.workers), (4, 8))
+        self.assertEqual((grown.vms, grown.workers, len(grown.halls)), (41, 176, 3))
+        self.assertAlmostEqual(grown.rate_per_s, 6.46)
+
+    def test_every_kind_of_fault_is_played_by_both_shapes(self) -> None:
+        for path in (SMALL, GROWN):
+            self.assertEqual(set(load(path).faults.weights), set(FaultKind), path)
+
+    def test_each_fault_is_named_with_its_place(self) -> None:
+        shape = load(SMALL)
+        times = msgspec.structs.replace(shape.times, lease_s=0.0, stop_s=-1.0)
+        hall = msgspec.structs.replace(shape.halls[0], strong_vms=9)
+        kind = msgspec.structs.replace(
+            shape.kinds[0],
+            gang_share=1.5,
+            accelerators=(9,),
+            width=Spread(mean=3, spread=0, most=2),
+        )
+        account = msgspec.structs.replace(shape.accounts[0], guaranteed=65)
+        wrong = msgspec.structs.replace(
+            shape,
+            times=times,
+            halls=(hall, hall),
+            kinds=(kind,),
+            accounts=(account,),
+            worker_hosts=0,
+            faults=msgspec.structs.replace(shape.faults, pause_s=(2.0, 1.0)),
+        )
+        faults = "\n".join(check(wrong))
+        for place in (
+            "times.lease_s: expected more than 0",
+            "times.stop_s: expected 0 to 3600",
+            "halls: expected names that differ",
+            "halls[0].strong_vms: expected 0 to 2",
+            "kinds[0].gang_share: expected 0 to 1",
+            "kinds[0].accelerators: expected 1 to 8",
+            "kinds[0].width.most: expected 3 to",
+            "accounts: guaranteed in all: expected 0 to 64",
+            "worker_hosts: expected 1 to",
+            "faults.pause_s: expected two times",
+        ):
+            self.assertIn(place, faults)
+
+    def test_unknown_fields_are_refused(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "shape.json"
+            path.write_text(SMALL.read_text().replace('"lead_s"', '"led_s"'))
+            with self.assertRaisesRegex(SaddlestackError, "led_s"):
+                load(path)
+
+    def test_each_vm_has_an_address_of_its_own(self) -> None:
+        sites = sites_of(load(GROWN))
+        self.assertEqual(len({site.address for site in sites}), 41)
+        self.assertEqual(sum(site.strong for site in sites), 6)
+
+    def test_the_configuration_can_be_read(self) -> None:
+        shape = load(GROWN)
+        document = PlatformDocuments().configuration(configuration(shape))
+        self.assertEqual([queue.priority for queue in document.queues], [0, 1, 2])
+        self.assertEqual(sum(account.guaranteed for account in document.accounts), 872)
+
+
+class LoadTest(unittest.TestCase):
+    def test_numbers_keep_to_their_mean(self) -> None:
+        rng = random.Random(1)
+        spread = Spread(mean=13, spread=0.8, most=78)
+        drawn = [draw(spread, rng) for _ in range(5000)]
+        self.assertAlmostEqual(sum(drawn) / len(drawn), 13, delta=0.6)
+        self.assertLessEqual(max(drawn), 78)
+
+    def test_the_same_seed_draws_the_same_jobs(self) -> None:
+        for kind in load(GROWN).kinds:
+            jobs = [request(kind, random.Random(5)) for _ in range(2)]
+            self.assertEqual(*jobs)
+
+
+class FaultTest(unittest.TestCase):
+    def test_a_seed_plays_the_same_faults_however_long_each_takes(self) -> None:
+        def played(slowness: float) -> list[tuple[FaultKind, float, float]]:
+            drawn: list[tuple[FaultKind, float, float]] = []
+
+            async def play(fault: Fault, rng: random.Random) -> None:
+                drawn.append((fault.kind, fault.seconds, rng.random()))
+                await asyncio.sleep(slowness)
+
+            run_virtually(_player(play, seed=3).run(20.0))
+            return drawn
+
+        self.assertEqual(played(0.1), played(5.0))
+
+    def test_faults_are_noted_with_their_times(self) -> None:
+        async def play(fault: Fault, rng: random.Random) -> None:
+            await asyncio.sleep(fault.seconds)
+            raise ProcessLookupError
+
+        player = _player(play, seed=3)
+        run_virtually(player.run(20.0))
+        self.assertGreater(len(player.played), 5)
+        for fault in player.played:
+            assert fault.ended_s is not None
+            self.assertAlmostEqual(fault.ended_s - fault.began_s, fault.seconds, places=3)
+
+    def test_halls_are_cut_from_each_other_and_not_within(self) -> None:
+        shape = load(SMALL)
+        entries = [RecordedEntry(site) for site in sites_of(shape)]
+        workers = {"hall-1": ["127.64.0.1"], "hall-2": ["127.64.0.2"]}
+        faults = VmFaults(entries, None, workers)  # type: ignore[arg-type]
+        fault = Fault(FaultKind.HALL_CUT, 3.0)
+        run_virtually(faults.plays[FaultKind.HALL_CUT](fault, random.Random(1)))
+        for entry in entries:
+            other = "hall-2" if entry.site.hall == "hall-1" else "hall-1"
+            apart = {each.site.address for each in entries if each.site.hall == other}
+            self.assertEqual(entry.cuts, [apart | set(workers[other]), set()])
+
+    def test_promises_with_a_time_bound_hold_where_no_fault_was_near(self) -> None:
+        faults = [
+            Fault(FaultKind.VM_KILL, 1.0, 10.0, 11.0, on="a"),
+            Fault(FaultKind.STORE_SLOW, 1.0, 100.0, 101.0, on="all"),
+            Fault(FaultKind.HALL_KILL, 1.0, 200.0, 201.0, on="hall-1"),
+        ]
+        near = Disturbances(faults, {"a": "hall-1", "b": "hall-2"})
+        self.assertTrue(near.in_touch("a", 9.9))
+        self.assertFalse(near.in_touch("a", 10.0 + RECOVERY_S))
+        self.assertTrue(near.in_touch("b", 10.5))
+        self.assertFalse(near.in_touch("b", 100.5))
+        self.assertFalse(near.in_touch("a", 200.5))
+        self.assertTrue(near.in_touch("b", 200.5))
+        self.assertFalse(near.calm(11.0 + RECOVERY_S))
+        self.assertTrue(near.calm(12.0 + RECOVERY_S))
+
+
+def _player(play: Play, seed: int) -> FaultPlayer:
+    weights = {FaultKind.VM_KILL: 1.0, FaultKind.STORE_SLOW: 2.0, FaultKind.WORKER_HANG: 0.0}
+    mix = FaultMix(weights=weights, pause_s=(0.5, 1.5), lasting_s=(0.5, 3.0))
+    return FaultPlayer(mix, dict.fromkeys(weights, play), random.Random(seed))
+
+
+@dataclass(slots=True)
+class RecordedEntry(EntryProcess):
+    """Notes its cuts."""
+
+    cuts: list[set[str]] = field(default_factory=list)
+
+    def __init__(self, site: EntrySite) -> None:
+        EntryProcess.__init__(self, site, Path("/nowhere"), "", load(SMALL).times)
+        self.cuts = []
+
+    def cut_from(self, addresses: object) -> None:
+        self.cuts.append(set(addresses))  # type: ignore[call-overload]
+
+
+class TermTest(unittest.TestCase):
+    def test_terms_are_told_by_their_tokens(self) -> None:
+        history = TermHistory()
+        history.note(TermBegan(7, "a", 70_001, 1.0))
+        history.note(TermEnded(2.0))
+        self.assertIsNone(history.current)
+        history.note(TermBegan(9, "b", 70_002, 3.0))
+        self.assertEqual([history.vm_of(fence) for fence in (7, 8, 9)], ["a", "", "b"])
+        self.assertEqual([term.ended_s for term in history.terms], [2.0, None])
+
+
+class ReportTest(unittest.TestCase):
+    def test_waits(self) -> None:
+        waits = Waits.of([float(number) for number in range(1, 101)])
+        self.assertEqual(
+            (waits.count, waits.median_s, waits.p99_s, waits.longest_s), (100, 50, 99, 100)
+        )
+        self.assertEqual(Waits.of([]), Waits())
+
+    def test_use_is_counted_over_all_lives(self) -> None:
+        use = VmUse()
+        for pid, processor_s in ((1, 0.5), (1, 0.8), (2, 0.2)):
+            use.add(pid, Usage(processor_s, 30.0), 0.0)
+        self.assertAlmostEqual(use.processor_s, 1.0)
+        self.assertAlmostEqual(use.highest, 0.5)
+
+    def test_log_lines_are_found_by_job(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            logs = [Path(folder) / name for name in ("a.log", "b.log")]
+            logs[0].write_text('{"time": "2", "job": "x1"}\n{"time": "3", "job": "x2"}\n')
+            logs[1].write_text('{"time": "1", "task": "x1.0.0.3"}\n')
+            found = lines_of(logs, {"x1"}, most=5)
+        self.assertEqual([line[10:11] for line in found["x1"]], ["1", "2"])
+        self.assertEqual(set(found), {"x1"})
+
+
+class StoreWayTest(unittest.TestCase):
+    """Every trouble of a VM's way to the store, as the program's own client meets it."""
+
+    def play(self, body: Callable[[StoreWay, HttpClient, list[str]], Awaitable[None]]) -> None:
+        async def whole() -> None:
+            handled: list[str] = []
+
+            async def handle(asked: Request) -> Response:
+                handled.append(asked.query["n"])
+                return Response(200, asked.body)
+
+            way = StoreWay(handle, random.Random(1))
+            await way.start("127.0.0.1")
+            client = HttpClient("127.0.0.1", way.port)
+            try:
+                await body(way, client, handled)
+            finally:
+                client.close()
+                way.stop()
+
+        asyncio.run(whole())
+
+    def test_calls_pass(self) -> None:
+        async def body(way: StoreWay, client: HttpClient, handled: list[str]) -> None:
+            for number in range(3):
+                response = await client.request("POST", f"/x?n={number}", {"a": 1}, timeout=1.0)
+                self.assertEqual(response.body, b'{"a":1}')
+            self.assertEqual(handled, ["0", "1", "2"])
+
+        self.play(body)
+
+    def test_silence_holds_calls(self) -> None:
+        async def body(way: StoreWay, client: HttpClient, handled: list[str]) -> None:
+            way.set(WayTrouble.SILENT)
+            with self.assertRaises(AnswerLost):
+                await client.request("POST", "/x?n=1", timeout=0.1)
+            waiting = asyncio.create_task(client.request("POST", "/x?n=2", timeout=5.0))
+            await asyncio.sleep(0.05)
+            self.assertEqual(handled, [])
+            way.set(None)
+            self.assertEqual((await waiting).status, 200)
+            self.assertEqual(handled, ["2"])
+
+        self.play(body)
+
+    def test_one_way_holds_answers(self) -> None:
+        async def body(way: StoreWay, client: HttpClient, handled: list[str]) -> None:
+            way.set(WayTrouble.ONE_WAY)
+            waiting = asyncio.create_task(client.request("POST", "/x?n=1", timeout=5.0))
+            while not handled:
+                await asyncio.sleep(0.01)
+            self.assertFalse(waiting.done())
+            way.set(None)
+            self.assertEqual((await waiting).status, 200)
+
+        self.play(body)
+
+    def test_reset_and_refused(self) -> None:
+        async def body(way: StoreWay, client: HttpClient, handled: list[str]) -> None:
+            way.set(WayTrouble.RESET)
+            with self.assertRaises(AnswerLost):
+                await client.request("POST", "/x?n=1", timeout=1.0)
+            way.set(WayTrouble.REFUSED)
+            response = await client.request("POST", "/x?n=2", timeout=1.0)
+            self.assertIn(response.status, {429, 503})
+            self.assertEqual(handled, [])
+
+        self.play(body)
+
+    def test_stale_connections_swallow_and_new_ones_work(self) -> None:
+        async def body(way: StoreWay, client: HttpClient, handled: list[str]) -> None:
+            await client.request("POST", "/x?n=1", timeout=1.0)
+            way.set(WayTrouble.STALE)
+            with self.assertRaises(AnswerLost):
+                await client.request("POST", "/x?n=2", timeout=0.1)
+            client.reconnect()
+            await client.request("POST", "/x?n=3", timeout=1.0)
+            self.assertEqual(handled, ["1", "3"])
+
+        self.play(body)
+
+    def test_delay(self) -> None:
+        async def body(way: StoreWay, client: HttpClient, handled: list[str]) -> None:
+            way.set(WayTrouble.DELAY, 0.05)
+            began = asyncio.get_running_loop().time()
+            await client.request("POST", "/x?n=1", timeout=1.0)
+            self.assertGreaterEqual(asyncio.get_running_loop().time() - began, 0.1)
+
+        self.play(body)
+
+
+class CutTest(unittest.TestCase):
+    def test_nothing_passes_while_an_address_is_cut(self) -> None:
+        async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(100):
+                writer.write(data)
+            writer.close()
+            over.set()
+
+        async def body() -> None:
+            server = await asyncio.start_server(echo, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            dialer = CuttableDialer(cuts)
+            reader, writer = await dialer.open("127.0.0.1", port)
+            writer.write(b"a")
+            self.assertEqual(await reader.read(1), b"a")
+            cuts.write_text("127.0.0.1\n")
+            await _until(lambda: dialer.is_cut("127.0.0.1"))
+            writer.write(b"b")
+            with self.assertRaises(TimeoutError):
+                await dialer.open("127.0.0.1", port, 0.1)
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await reader.read(1)
+            cuts.write_text("")
+            writer.write(b"c")
+            self.assertEqual(await reader.readexactly(2), b"bc")
+            writer.close()
+            await over.wait()
+            server.close()
+
+        over = asyncio.Event()
+        with tempfile.TemporaryDirectory() as folder:
+            cuts = Path(folder) / "cuts"
+            cuts.write_text("")
+            with patch("saddlestack.soak.launcher.LOOK_S", 0.01):
+                asyncio.run(body())
+
+
+async def _until(holds: Callable[[], bool]) -> None:
+    async with asyncio.timeout(5.0):
+        while not holds():
+            await asyncio.sleep(0.01)
 
 
 class EntryProcessTest(unittest.TestCase):
@@ -25,7 +378,7 @@
         """Found after a soak: processes of VMs restarted twice at once were left behind."""
 
         async def body() -> None:
-            entry = CountedProcess("entry-1", Path("/nowhere"), 1)
+            entry = counted_process()
             await entry.start()
             await asyncio.gather(
                 entry.kill_and_restart(0.1), entry.stop_and_restart(), entry.kill_and_restart(0.0)
@@ -36,6 +389,32 @@
 
         asyncio.run(body())
 
+    def test_a_process_goes_on_once_nobody_holds_it(self) -> None:
+        async def body() -> None:
+            entry = counted_process()
+            await entry.start()
+            held = [entry.hold(), entry.hold()]
+            entry.release(held[0])
+            self.assertEqual(await entry.until_state("T"), "T")
+            entry.release(held[1])
+            self.assertEqual(await entry.until_state("S"), "S")
+            await entry.end()
+
+        asyncio.run(body())
+
+    def test_a_later_life_does_not_stand_still(self) -> None:
+        async def body() -> None:
+            entry = counted_process()
+            await entry.start()
+            held = entry.hold()
+            await entry.kill_and_restart(0.0)
+            entry.hold()
+            entry.release(held)
+            self.assertEqual(await entry.until_state("T"), "T")
+            await entry.end()
+
+        asyncio.run(body())
+
 
 @dataclass(slots=True)
 class CountedProcess(EntryProcess):
@@ -44,9 +423,28 @@
     all: list[asyncio.subprocess.Process] = field(default_factory=list)
 
     async def start(self) -> None:
+        self._holds = 0
         self.process = await asyncio.create_subprocess_exec("sleep", "60")
         self.all.append(self.process)
 
+    async def until_state(self, wanted: str) -> str:
+        """The state of the process, once it is the wanted one or some time has passed."""
+        state = ""
+        for _ in range(500):
+            assert self.process is not None
+            text = Path(f"/proc/{self.process.pid}/stat").read_text()
+            state = text.rpartition(")")[2].split()[0]
+            if state == wanted:
+                break
+            await asyncio.sleep(0.01)
+        return state
+
+
+def counted_process() -> CountedProcess:
+    """One that is not started yet."""
+    site = EntrySite("entry-1", "hall-1", "127.0.0.1")
+    return CountedProcess(site, Path("/nowhere"), "", load(SMALL).times)
+
 
 class ProxyTest(unittest.TestCase):
     def test_troubles(self) -> None:
