--- a/src/saddlestack/soak/report.py
+++ b/src/saddlestack/soak/report.py
@@ -12,6 +12,8 @@
 from saddlestack.soak.platform import Term
 from saddlestack.soak.shape import JobKind
 
+MOST_LAG_S = 0.25
+"""Stand-ins that are later than this do not keep time: a VM then counts the store as lost."""
 MAX_LINES = 400
 """Log lines that are kept of one broken promise."""
 
@@ -127,11 +129,21 @@
         """Whether every promise held, and the soak itself was sound."""
         return not self.broken and not self.troubled
 
+    @property
+    def late(self) -> list[str]:
+        """Stand-ins that did not keep time: the machine bore more than it can, or they do."""
+        return [each.name for each in self.stand_ins if each.lag.longest_s > MOST_LAG_S]
+
     @property
     def accepted(self) -> int:
         """Jobs that were accepted."""
         return sum(kind.accepted for kind in self.kinds)
 
+    @property
+    def unfinished(self) -> int:
+        """Accepted jobs that were not over in the end."""
+        return sum(kind.unfinished for kind in self.kinds)
+
     def write(self, path: Path) -> None:
         """Write the report as JSON, and as text beside it."""
         path.write_bytes(msgspec.json.format(msgspec.json.encode(self)))
@@ -142,7 +154,9 @@
         jobs = sum(kind.jobs for kind in self.kinds)
         return (
             f"seed {self.seed}: {jobs} jobs, {self.accepted} accepted, {len(self.faults)} faults, "
-            f"{len(self.terms)} terms, {len(self.broken)} promises broken"
+            f"{len(self.terms)} terms, {self.unfinished} unfinished, "
+            f"{len(self.broken)} promises broken"
+            + (f"; late stand-ins: {', '.join(self.late)}" if self.late else "")
         )
 
     def lines(self) -> Iterator[str]:
