--- a/src/saddlestack/cli/entry.py
+++ b/src/saddlestack/cli/entry.py
@@ -12,6 +12,9 @@
 from saddlestack.control.entry import serve
 from saddlestack.control.settings import load
 
+TOLD = 20
+"""Broken promises of a soak that are printed."""
+
 
 def main(path: Path) -> None:
     """Run an entry VM until it is told to stop.
@@ -91,8 +94,10 @@
         if report is not None:
             found.write(report if seeds == 1 else report.with_stem(f"{report.stem}-{each}"))
         click.echo(found.summary())
-        for broken in found.broken:
+        for broken in found.broken[:TOLD]:
             click.echo(f"  {broken.text}")
+        if len(found.broken) > TOLD:
+            click.echo(f"  and {len(found.broken) - TOLD} more, in the report")
         for trouble in found.troubled:
             click.echo(f"  unsound: {trouble}")
         if found.logs:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,7 +24,7 @@
 from saddlestack.soak.platform import TermHistory, configuration
 from saddlestack.soak.processes import EntryProcess, EntrySite
 from saddlestack.soak.proxy import Proxy, Trouble
-from saddlestack.soak.report import Waits
+from saddlestack.soak.report import BrokenReport, LagReport, SoakReport, Waits
 from saddlestack.soak.run import SoakPlan, run, sites_of
 from saddlestack.soak.shape import FaultKind, FaultMix, Spread, check, load
 from saddlestack.soak.store_messages import TermBegan, TermEnded, WayTrouble
@@ -221,6 +221,27 @@
         )
         self.assertEqual(Waits.of([]), Waits())
 
+    def test_stand_ins_that_are_late_are_named(self) -> None:
+        report = _report([0.01, 0.24], [0.01, 0.3])
+        self.assertEqual(report.late, ["stand-in 1"])
+        self.assertIn("late stand-ins: stand-in 1", report.summary())
+
+    def test_a_report_is_written_as_json_and_as_text(self) -> None:
+        report = _report([0.01])
+        report.faults.append(Fault(FaultKind.VM_KILL, 1.0, 2.0, 3.0, on="a"))
+        report.broken.append(
+            BrokenReport("two runs at once", 2.5, "x1", "x1 ran twice", ["a line"])
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "report.json"
+            report.write(path)
+            again = msgspec.json.decode(path.read_bytes(), type=SoakReport)
+            text = path.with_suffix(".txt").read_text()
+        self.assertEqual(again, report)
+        self.assertFalse(again.good)
+        for line in ("vm_kill a", "  x1 ran twice\n    a line"):
+            self.assertIn(line, text)
+
     def test_use_is_counted_over_all_lives(self) -> None:
         use = VmUse()
         for pid, processor_s in ((1, 0.5), (1, 0.8), (2, 0.2)):
@@ -238,6 +259,31 @@
         self.assertEqual(set(found), {"x1"})
 
 
+def _report(*lags_s: list[float]) -> SoakReport:
+    """A report whose stand-ins were so late."""
+    return SoakReport(
+        shape="small",
+        seed=1,
+        seconds=5.0,
+        program="src",
+        started_at="",
+        took_s=10.0,
+        vms=4,
+        workers=8,
+        kinds=[],
+        busiest=[],
+        memory_mb=0.0,
+        stand_ins=[
+            LagReport(f"stand-in {number}", Waits.of(lags), 0.1)
+            for number, lags in enumerate(lags_s)
+        ],
+        faults=[],
+        terms=[],
+        broken=[],
+        troubled=[],
+    )
+
+
 class StoreWayTest(unittest.TestCase):
     """Every trouble of a VM's way to the store, as the program's own client meets it."""
 
