--- a/src/saddlestack/platform/documents.py
+++ b/src/saddlestack/platform/documents.py
@@ -132,16 +132,16 @@
     service: _Name
     address: _Name
     zone: _Name
+    version: _Text
+    slots: _Count
     state: Literal["ready", "draining"]
+    cold_left_ms: _Time
+    seq: _Count
     capacity: _Capacity
     labels: Annotated[list[_Text], msgspec.Meta(max_length=MAX_LABELS)] = []
     clock_ms: _Count = 0
     remaining_ms: _Time | None = None
     machine: _Text = ""
-    cold_left_ms: _Time = 0
-    version: _Text = ""
-    slots: _Count = 0
-    seq: _Count = 0
 
 
 _FIELDS = tuple(
--- a/src/saddlestack/soak/platform.py
+++ b/src/saddlestack/soak/platform.py
@@ -1,141 +1,238 @@
-"""The stand-in platform of a soak: one store and some workers, each behind proxies."""
+"""The platform of a soak, as the soak sees it: its store in a process, and who led when."""
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
-
-from saddlestack.interfaces.workers import StartOrder, StartReply, WorkerReport, WorkerUnreachable
-from saddlestack.platform.serving import StoreServing, WorkerServing
-from saddlestack.soak.proxy import Proxy
-from saddlestack.standins.pool.documents import SERVICE, pool_document
-from saddlestack.standins.pool.store import StoreState, StoreView
-from saddlestack.standins.pool.workers import Floor, FloorTimes, FloorWorker
+import contextlib
+import itertools
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+
+from saddlestack.codec import to_json
+from saddlestack.soak.shape import SoakShape
+from saddlestack.soak.store_messages import (
+    BeginTrouble,
+    EndTrouble,
+    FromStore,
+    HoldAtRenewal,
+    StoreLoad,
+    StoreReady,
+    StoreSettings,
+    TermBegan,
+    TermEnded,
+    ToStore,
+    VmHeld,
+    WayTrouble,
+)
+from saddlestack.soak.stream import MessageStream
+from saddlestack.standins.pool.documents import HOST, SERVICE
 from saddlestack.standins.ports import LOOPBACK
-from saddlestack.wire.http import HttpServer, Request, Response
 
-ATTEMPTS = 4
-GUARANTEED = 16
-HALL = "hall-1"
+READY_S = 20.0
+END_S = 3.0
+"""A store that has not ended so long after its stream was closed is killed."""
 
 
-@dataclass(slots=True)
-class _Desk:
-    """One life of a worker, as its calls see it."""
+class Term(msgspec.Struct):
+    """One leadership, as the store saw it.
 
-    floor: Floor
-    worker: FloorWorker
-
-    @property
-    def worker_id(self) -> str:
-        return self.worker.worker_id
-
-    def clock_ms(self) -> int:
-        return self.floor.clock_ms()
+    :param fence: the revision that created the leader key.
+    :param ended_s: when the key went; ``None`` while it is there.
+    """
 
-    def start(self, order: StartOrder) -> StartReply:
-        return self.floor.start(self.worker, order)
+    fence: int
+    vm: str
+    began_s: float
+    ended_s: float | None = None
 
-    def stop(self, task: str, run: int, fence: int) -> None:
-        self.floor.stop(self.worker, task, run, fence)
 
-    def pace(self, task: str, run: int, percent: int, fence: int) -> None:
-        self.floor.pace(self.worker, task, run, percent, fence)
+class TermHistory:
+    """All terms, from the changes of the leader key."""
 
-    async def hold(
-        self, fence: int, deadline_ms: int | None, seen: int, wait_s: float
-    ) -> WorkerReport:
-        return await self.floor.hold(self.worker, fence, deadline_ms, seen, wait_s)
+    def __init__(self) -> None:
+        self.terms: list[Term] = []
 
+    @property
+    def current(self) -> Term | None:
+        """The term of now, as far as the store has told."""
+        if not self.terms or self.terms[-1].ended_s is not None:
+            return None
+        return self.terms[-1]
 
-class WorkerMachine:
-    """A worker's machine: one address behind a proxy, one life after the other."""
+    def vm_of(self, fence: int) -> str:
+        """The VM whose term has a token; empty where none has."""
+        return next((term.vm for term in self.terms if term.fence == fence), "")
 
-    def __init__(self, floor: Floor, rack: str) -> None:
-        self._floor = floor
-        self._rack = rack
-        self._server = HttpServer(self._handle)
-        self._serving: WorkerServing | None = None
-        self.worker: FloorWorker | None = None
-        self.proxy: Proxy | None = None
-
-    async def start(self) -> None:
-        """Serve, and begin a first life."""
-        await self._server.start(LOOPBACK, 0)
-        self.proxy = Proxy(LOOPBACK, LOOPBACK, self._server.port)
-        await self.proxy.start()
-        self.begin_life()
-
-    async def stop(self) -> None:
-        """Serve no more."""
-        if self.proxy is not None:
-            await self.proxy.stop()
-        await self._server.stop()
-
-    def begin_life(self) -> None:
-        """A new life at the same address; the one before is over."""
-        assert self.proxy is not None
-        if self.worker is not None:
-            self._floor.crash(self.worker, recorded=False)
-        worker = self._floor.add(self._rack, HALL)
-        worker.address = f"{LOOPBACK}:{self.proxy.port}"
-        self._floor.record(worker)
-        self.worker = worker
-        self._serving = WorkerServing(_Desk(self._floor, worker))
-
-    async def _handle(self, request: Request) -> Response:
-        assert self._serving is not None
-        try:
-            return await self._serving.handle(request)
-        except WorkerUnreachable:
-            return Response(500)
+    def note(self, change: TermBegan | TermEnded) -> None:
+        """Take in a change of the leader key."""
+        if self.current is not None:
+            self.current.ended_s = change.at_s
+        if isinstance(change, TermBegan):
+            self.terms.append(Term(change.fence, change.vm, change.at_s))
 
 
 class SoakPlatform:
-    """The store, its proxies by VM, and the workers.
+    """The store's process: started, told what befalls it, and heard.
 
-    :param workers: machines with workers.
+    :ivar ports: of each VM's way to the store.
+    :ivar records_port: where workers write their records.
+    :ivar loads: what the process told of its load.
     """
 
-    def __init__(self, workers: int) -> None:
-        self.store = StoreState()
-        self.view = StoreView(self.store)
-        self._server = HttpServer(StoreServing(self.view).handle)
-        self.floor = Floor(self.store, SERVICE, FloorTimes(hold_s=4.0, stop_s=0.3))
-        self.machines = [WorkerMachine(self.floor, f"r{n % 2 + 1}-1") for n in range(workers)]
-        self.proxies: dict[str, Proxy] = {}
-        self._advancing: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Serve."""
-        await self._server.start(LOOPBACK, 0)
-        self._configure()
-        for machine in self.machines:
-            await machine.start()
-        self._advancing = asyncio.get_running_loop().create_task(self.floor.run())
+    def __init__(self, shape: SoakShape, vms: Sequence[str], folder: Path, seed: int) -> None:
+        self._shape = shape
+        self._folder = folder
+        self._seed = seed
+        self.vms = tuple(vms)
+        self.terms = TermHistory()
+        self.ports: dict[str, int] = {}
+        self.records_port = 0
+        self.loads: list[StoreLoad] = []
+        self._ready = asyncio.Event()
+        self._held: dict[str, asyncio.Event] = {}
+        self._numbers = itertools.count(1)
+        self._server: asyncio.Server | None = None
+        self._stream: MessageStream | None = None
+        self._process: asyncio.subprocess.Process | None = None
+        self._reading: set[asyncio.Task[None]] = set()
 
     @property
     def alive(self) -> bool:
-        """Whether work goes on at the workers."""
-        return self._advancing is not None and not self._advancing.done()
+        """Whether the store's process runs."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process, and wait until it serves.
+
+        :raises TimeoutError: it does not, in time.
+        """
+        self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
+        settings = StoreSettings(
+            parent_port=int(self._server.sockets[0].getsockname()[1]),
+            seed=self._seed,
+            vms=self.vms,
+            heartbeat_s=self._shape.times.heartbeat_s,
+            history_s=self._shape.times.history_s,
+            configuration=configuration(self._shape),
+        )
+        path = self._folder / "store.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        with (self._folder / "store.log").open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "saddlestack.soak.store_process",
+                str(path),
+                stdout=log,
+                stderr=log,
+            )
+        async with asyncio.timeout(READY_S):
+            await self._ready.wait()
 
     async def stop(self) -> None:
-        """Serve no more."""
-        if self._advancing is not None:
-            self._advancing.cancel()
-        for machine in self.machines:
-            await machine.stop()
-        for proxy in self.proxies.values():
-            await proxy.stop()
-        await self._server.stop()
-
-    async def way_to_store(self, vm: str) -> Proxy:
-        """A VM's own way to the store."""
-        proxy = Proxy(LOOPBACK, LOOPBACK, self._server.port)
-        await proxy.start()
-        self.proxies[vm] = proxy
-        return proxy
-
-    def _configure(self) -> None:
-        document = pool_document(1, attempts=ATTEMPTS, guaranteed=GUARANTEED)
-        self.store.put("op/config", document)
+        """End the process."""
+        if self._stream is not None:
+            self._stream.close()
+        if self._server is not None:
+            self._server.close()
+        if self._process is not None:
+            await _end(self._process)
+        for task in self._reading:
+            task.cancel()
+        await asyncio.gather(*self._reading, return_exceptions=True)
+
+    def send(self, message: ToStore) -> None:
+        """Tell the store something."""
+        assert self._stream is not None
+        self._stream.write(message)
+
+    def begin(self, vms: Sequence[str], trouble: WayTrouble, delay_s: float = 0.0) -> int:
+        """Begin a trouble of some VMs' ways, in place of what they have.
+
+        :return: its number, which ends it.
+        """
+        number = next(self._numbers)
+        self.send(BeginTrouble(number, tuple(vms), trouble, delay_s))
+        return number
+
+    def end(self, number: int) -> None:
+        """End a trouble where no other has taken its place."""
+        self.send(EndTrouble(number))
+
+    async def until_held(self, vm: str, pid: int, timeout_s: float) -> bool:
+        """Have a VM's process stopped at the next renewal of its leadership; whether it was."""
+        held = self._held[vm] = asyncio.Event()
+        self.send(HoldAtRenewal(vm, pid))
+        try:
+            async with asyncio.timeout(timeout_s):
+                await held.wait()
+        except TimeoutError:
+            self.send(HoldAtRenewal(vm, 0))
+        return held.is_set()
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._stream = MessageStream(reader, writer, FromStore)
+        task = asyncio.get_running_loop().create_task(self._read(self._stream))
+        self._reading.add(task)
+        task.add_done_callback(self._reading.discard)
+
+    async def _read(self, stream: MessageStream) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                self._take(await stream.read())
+
+    def _take(self, message: FromStore) -> None:
+        if isinstance(message, TermBegan | TermEnded):
+            self.terms.note(message)
+        elif isinstance(message, StoreLoad):
+            self.loads.append(message)
+        elif isinstance(message, VmHeld):
+            self._held[message.vm].set()
+        elif isinstance(message, StoreReady):
+            self.ports = message.ports
+            self.records_port = message.records_port
+            self._ready.set()
+
+
+def key_of(account: str) -> str:
+    """The key that a client account's calls carry."""
+    return f"key-of-{account}"
+
+
+def configuration(shape: SoakShape) -> bytes:
+    """The operators' document of a shape, as the platform's store keeps it."""
+    routes = [
+        {
+            "name": kind.name,
+            "host": HOST,
+            "path-prefix": f"/{kind.name}/",
+            "service": SERVICE,
+            "priority": kind.priority,
+            "max-attempts": kind.attempts,
+            "stretch": kind.stretch,
+            "target-latency-ms": kind.target_s * 1000,
+        }
+        for kind in shape.kinds
+    ]
+    tenants = [
+        {
+            "name": account.name,
+            "api-keys": [key_of(account.name)],
+            "guaranteed": {"gpu": account.guaranteed},
+        }
+        for account in shape.accounts
+    ]
+    services = [{"name": SERVICE, "admission-check": True}]
+    return to_json({"version": 1, "routes": routes, "services": services, "tenants": tenants})
+
+
+async def _end(process: asyncio.subprocess.Process) -> None:
+    try:
+        async with asyncio.timeout(END_S):
+            await process.wait()
+    except TimeoutError:
+        process.kill()
+        await process.wait()
--- a/tests/malformed.py
+++ b/tests/malformed.py
@@ -22,6 +22,17 @@
 }
 """A sound record of a worker."""
 
+PLAIN_FIELDS = (
+    "service",
+    "address",
+    "zone",
+    "version",
+    "slots",
+    "state",
+    "cold-left-ms",
+    "seq",
+)
+"""What each worker writes of itself, whatever it runs."""
 NOT_TEXT: dict[str, object] = {"null": None, "number": 7, "list": [], "object": {}, "flag": True}
 NOT_A_NUMBER: dict[str, object] = {
     "null": None,
@@ -107,7 +118,7 @@
 def worker_records() -> dict[str, bytes]:
     """Every malformed record of a worker, by what is wrong with it."""
     rows = unreadable()
-    for field in ("service", "address", "zone", "state", "capacity"):
+    for field in (*PLAIN_FIELDS, "capacity"):
         rows[f"no {field}"] = without(field)
     for field in ("service", "address", "zone", "state", "version", "machine"):
         for name, value in NOT_TEXT.items():
