--- a/src/saddlestack/control/requests.py
+++ b/src/saddlestack/control/requests.py
@@ -23,6 +23,9 @@
 
 LOAD_RETRY_S = 0.2
 FORGOTTEN_A_TICK = 5
+LISTING_S = 60.0
+"""A listing that was read before a job was forgotten is taken over within this: pages of 3 s at
+most each."""
 
 
 class Requests:
@@ -35,6 +38,8 @@
         self._refusals = Refusals(context.metrics, "job")
         self._records: dict[str, dict[int, OccurrenceRecord]] = {}
         self._left_alone: set[str] = set()
+        self._revisions: dict[str, int] = {}
+        self._forgotten: dict[str, tuple[int, float]] = {}
         self._begun = False
 
     async def load(self) -> None:
@@ -87,7 +92,7 @@
         return services
 
     def _accept(self, job_id: str, item: Item) -> AcceptedJob | None:
-        if job_id in self._left_alone:
+        if job_id in self._left_alone or self._is_forgotten(job_id, item):
             return None
         records = {} if self._begun else self._records.get(job_id, {})
         try:
@@ -99,8 +104,14 @@
                 self._left_alone.add(job_id)
             return None
         self._board.add_job(accepted, records)
+        self._revisions.setdefault(job_id, item.revision)
         return accepted
 
+    def _is_forgotten(self, job_id: str, item: Item) -> bool:
+        """Whether an item is of a job that was forgotten since it was read, not of a new one."""
+        revision, _ = self._forgotten.get(job_id, (0, 0.0))
+        return item.revision <= revision
+
     async def forget_expired(self) -> None:
         """Remove jobs from the store that nobody has to be told of any more."""
         retention_s = self._context.settings.timings.retention_s
@@ -111,8 +122,16 @@
             records = [keys.progress_key(each.key) for each in job.occurrences]
             if await self._journal.remove([*job_keys, *records]):
                 self._board.forget(job.job_id)
+                self._note_forgotten(job.job_id)
                 log.info("forgotten", extra={"event": "forgotten", "job": job.job_id})
 
+    def _note_forgotten(self, job_id: str) -> None:
+        now = self._context.clock.now()
+        self._forgotten[job_id] = (self._revisions.pop(job_id, 0), now)
+        old = [name for name, (_, when) in self._forgotten.items() if when < now - LISTING_S]
+        for name in old:
+            del self._forgotten[name]
+
     async def forget_rest(self) -> None:
         """Remove progress of jobs that an earlier leader did not forget whole."""
         known = self._board.jobs.keys() | self._left_alone
