--- a/tests/simulation/deployment.py
+++ b/tests/simulation/deployment.py
@@ -337,7 +337,6 @@
             grace_s=6.0,
             status_s=30.0,
             retention_s=retention_s,
-            worker_heartbeat_ms=HEARTBEAT_S * 1000,
         ),
     )
 
