--- a/src/saddlestack/control/requests.py
+++ b/src/saddlestack/control/requests.py
@@ -23,9 +23,9 @@
 
 LOAD_RETRY_S = 0.2
 FORGOTTEN_A_TICK = 5
-LISTING_S = 60.0
-"""A listing that was read before a job was forgotten is taken over within this: pages of 3 s at
-most each."""
+MOST_FORGOTTEN = 5_000
+"""Jobs whose removal is remembered, 0.5 MB: at 5 a tick of 0.5 s those of 500 s, longer than any
+listing is under way."""
 
 
 class Requests:
@@ -39,7 +39,7 @@
         self._records: dict[str, dict[int, OccurrenceRecord]] = {}
         self._left_alone: set[str] = set()
         self._revisions: dict[str, int] = {}
-        self._forgotten: dict[str, tuple[int, float]] = {}
+        self._forgotten: dict[str, int] = {}
         self._begun = False
 
     async def load(self) -> None:
@@ -92,7 +92,7 @@
         return services
 
     def _accept(self, job_id: str, item: Item) -> AcceptedJob | None:
-        if job_id in self._left_alone or self._is_forgotten(job_id, item):
+        if job_id in self._left_alone or item.revision <= self._forgotten.get(job_id, 0):
             return None
         records = {} if self._begun else self._records.get(job_id, {})
         try:
@@ -107,11 +107,6 @@
         self._revisions.setdefault(job_id, item.revision)
         return accepted
 
-    def _is_forgotten(self, job_id: str, item: Item) -> bool:
-        """Whether an item is of a job that was forgotten since it was read, not of a new one."""
-        revision, _ = self._forgotten.get(job_id, (0, 0.0))
-        return item.revision <= revision
-
     async def forget_expired(self) -> None:
         """Remove jobs from the store that nobody has to be told of any more."""
         retention_s = self._context.settings.timings.retention_s
@@ -121,16 +116,18 @@
             job_keys = (keys.job_key(job.job_id), keys.cancel_key(job.job_id))
             records = [keys.progress_key(each.key) for each in job.occurrences]
             if await self._journal.remove([*job_keys, *records]):
-                self._board.forget(job.job_id)
-                self._note_forgotten(job.job_id)
+                self._forget(job.job_id)
                 log.info("forgotten", extra={"event": "forgotten", "job": job.job_id})
 
-    def _note_forgotten(self, job_id: str) -> None:
-        now = self._context.clock.now()
-        self._forgotten[job_id] = (self._revisions.pop(job_id, 0), now)
-        old = [name for name, (_, when) in self._forgotten.items() if when < now - LISTING_S]
-        for name in old:
-            del self._forgotten[name]
+    def _forget(self, job_id: str) -> None:
+        """A job has been removed; a listing that is under way may still hold it.
+
+        Taken over after that, it would be a new job without progress, and run again whole.
+        """
+        self._board.forget(job_id)
+        self._forgotten[job_id] = self._revisions.pop(job_id, 0)
+        while len(self._forgotten) > MOST_FORGOTTEN:
+            del self._forgotten[next(iter(self._forgotten))]
 
     async def forget_rest(self) -> None:
         """Remove progress of jobs that an earlier leader did not forget whole."""
