--- a/src/saddlestack/codec.py
+++ b/src/saddlestack/codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 from pathlib import Path
 from typing import Any, TypeVar
@@ -41,13 +42,42 @@
     :raises SaddlestackError: malformed JSON, or a field that is wrong, with its key path.
     """
     try:
+        if isinstance(data, bytes):
+            _check_utf8(data)
         return msgspec.json.decode(data, type=kind)
     except msgspec.ValidationError as error:
         raise invalid(_reason(error), _place(error, where)) from None
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SaddlestackError(ErrorKind.MALFORMED, str(error), where=where) from None
 
 
+def _check_utf8(data: bytes) -> None:
+    """Check also the fields that no model has, which the decoder passes over.
+
+    :raises UnicodeDecodeError: not UTF-8.
+    """
+    if not data.isascii():
+        data.decode()
+
+
+def has_repeated_keys(data: bytes, where: str) -> bool:
+    """Whether an object of a JSON document names a key twice: readers differ on which counts.
+
+    :raises SaddlestackError: not a document that can be read whole.
+    """
+    repeated = False
+
+    def note(pairs: list[tuple[str, object]]) -> None:
+        nonlocal repeated
+        repeated = repeated or len({key for key, _ in pairs}) < len(pairs)
+
+    try:
+        json.loads(data, object_pairs_hook=note)
+    except (ValueError, RecursionError) as error:
+        raise SaddlestackError(ErrorKind.MALFORMED, str(error), where=where) from None
+    return repeated
+
+
 def from_msgpack(data: bytes, kind: type[T]) -> T:
     """Decode msgpack into a model.
 
@@ -55,7 +85,7 @@
     """
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise SaddlestackError(ErrorKind.MALFORMED, str(error), where="frame") from None
 
 
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -5,10 +5,12 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable
+from typing import TypeVar
 
-from saddlestack.control.contact import CLOCK_DRIFT, LAPSE_SLACK_S, Contact
+from saddlestack.control.contact import Contact
 from saddlestack.control.endings import Proof, log_over, log_wait
+from saddlestack.control.leases import Leases
 from saddlestack.control.owner import Owner
 from saddlestack.control.reports import Reports
 from saddlestack.interfaces.workers import (
@@ -25,7 +27,6 @@
 from saddlestack.kernel.clock import Clock
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.policy.board.changes import Start
-from saddlestack.policy.board.departure import has_left
 from saddlestack.policy.board.jobs import Run
 from saddlestack.policy.board.pacing import needs_watching
 from saddlestack.policy.board.progress import LOOK_S, needs_looks
@@ -34,6 +35,8 @@
 
 log = logging.getLogger("saddlestack.session")
 
+T = TypeVar("T")
+
 ORDER_TIMEOUT_S = 0.6
 ORDERS_AT_ONCE = 2
 START_TRIES = 3
@@ -45,11 +48,7 @@
 WATCHED_WAIT_S = 0.5
 """How often a worker is looked at on which serving and filling work meet."""
 STOPPING_WAIT_S = 0.4
-"""How often one is looked at on which runs are to stop, since room is waited for there, or that is
-about to leave, since its latest answer tells whether it has."""
-LEFT_LOOKS = 3
-"""So many looks in a row, of up to 0.3 s, are to be without answer before a worker that has removed
-its record counts as gone. The record is the proof; the looks spare one that still answers."""
+"""How often one is looked at on which runs are to stop, since room is waited for there."""
 HOLD_SLACK_S = 0.4
 
 
@@ -57,6 +56,10 @@
     """A start is not to be sent any more."""
 
 
+class _ClockUnknown(Exception):
+    """A start did not leave: the worker has not told the clock that its lease goes by."""
+
+
 class _TermTooOld(Exception):
     """A start may not leave: a successor need not count the lease that it brings."""
 
@@ -64,7 +67,7 @@
 class WorkerSession:
     """Orders to one worker, and looks at it, while this VM leads.
 
-    :param inherited_until: tells when leases granted by earlier leaders have lapsed for sure.
+    :param leases: what was granted to workers in this term and before.
     """
 
     def __init__(
@@ -73,15 +76,15 @@
         orders: WorkerOrders,
         owner: Owner,
         clock: Clock,
-        inherited_until: Callable[[], float],
+        leases: Leases,
     ) -> None:
         self.worker = worker
         self._orders = orders
         self._owner = owner
         self._clock = clock
-        self._inherited_until = inherited_until
+        self._leases = leases
         self._began_s = clock.now()
-        self._contact = Contact(worker, owner, clock, inherited_until)
+        self._contact = Contact(worker, owner, clock, leases)
         self._tasks = TaskGroup(f"session {worker.worker_id}")
         self._gate = asyncio.Semaphore(ORDERS_AT_ONCE)
         self._wake = asyncio.Event()
@@ -93,7 +96,7 @@
     def begin(self) -> None:
         """Start to look after the worker."""
         if not self.worker.reachable:
-            self._wait_begins(self._inherited_until() - self._clock.now())
+            self._wait_begins()
         self._tasks.spawn(self._look())
 
     async def close(self) -> None:
@@ -129,18 +132,6 @@
             self._tasks.spawn(self._look_now())
             self._wake.set()
 
-    def unlisted(self) -> None:
-        """The worker's record has gone: see whether it has left, as it had announced."""
-        left = has_left(
-            self.worker,
-            self._clock.now(),
-            record_age_s=self._contact.record_age_s,
-            heartbeat_s=self._owner.heartbeat_s,
-            steady_s=self._owner.steady_s,
-        )
-        if left and not self.over:
-            self._tasks.spawn(self._confirm_left())
-
     # Orders
 
     async def _pace(self, run: Run, percent: int) -> None:
@@ -149,8 +140,10 @@
         while run.pace == percent and run.task.run is run and not self.over:
             try:
                 async with self._gate:
-                    await self._orders.pace(
-                        name, run.number, percent, self._owner.fence, ORDER_TIMEOUT_S
+                    await self._answer_of(
+                        self._orders.pace(
+                            name, run.number, percent, self._owner.fence, ORDER_TIMEOUT_S
+                        )
                     )
                 return
             except WorkerFenced:
@@ -174,6 +167,8 @@
                     self._never_began(run, key)
                     return
                 break
+            except _ClockUnknown:
+                continue
             except WorkerUnreachable:
                 clean = False
                 self._missed(sent)
@@ -184,10 +179,18 @@
             except WorkerReplaced:
                 self._replaced()
                 return
+            except WorkerFenced:
+                self._owner.fenced()
+                return
             if reply.refusal is Refusal.LATE and clean:
                 continue
             self._answered(run, key, reply, clean)
             return
+        if clean:
+            # No order left, or each was refused: there is nothing to wait for.
+            self.worker.refused(self._clock.now())
+            self._never_began(run, key)
+            return
         await self._stop(key)
 
     async def _send(self, start: Start) -> StartReply:
@@ -205,11 +208,14 @@
     async def _send_now(self, start: Start) -> StartReply:
         run = start.run
         async with self._gate:
+            if self._contact.clock_is_old:
+                await self._ask_clock()
             if not self._is_wanted(run):
                 raise _NotWanted
+            # Before the question: the process may stand still after it, and the lease counts on.
+            now = self._clock.now()
             if not self._owner.may_grant:
                 raise _TermTooOld
-            now = self._clock.now()
             order = StartOrder(
                 task=str(run.task.name),
                 run=run.number,
@@ -219,13 +225,26 @@
                 fence=self._owner.fence,
                 ticket=start.ticket,
             )
-            reply = await self._orders.start(order, ORDER_TIMEOUT_S)
+            reply = await self._answer_of(self._orders.start(order, ORDER_TIMEOUT_S))
         if reply.clock_ms is None:
             self._contact.heard()
         else:
-            self._contact.told(reply.clock_ms, now)
+            self._contact.told(reply.clock_ms)
         return reply
 
+    async def _ask_clock(self) -> None:
+        """Have the worker tell its clock, in 1 to 3 ms, so that its lease is not short.
+
+        :raises _ClockUnknown: it has not.
+        """
+        asked = self._clock.now()
+        try:
+            report = await self._hold(None, 0.0, LOOK_NOW_TIMEOUT_S)
+        except WorkerUnreachable as error:
+            self._missed(asked)
+            raise _ClockUnknown from error
+        self._contact.told(report.clock_ms)
+
     def _is_wanted(self, run: Run) -> bool:
         """Whether a run is still to start: it may be over, as lapsed, before its order leaves."""
         return run.task.run is run and not run.stopping and not self.worker.evacuated
@@ -269,7 +288,9 @@
             sent = self._clock.now()
             try:
                 async with self._gate:
-                    await self._orders.stop(str(name), number, self._owner.fence, ORDER_TIMEOUT_S)
+                    await self._answer_of(
+                        self._orders.stop(str(name), number, self._owner.fence, ORDER_TIMEOUT_S)
+                    )
                 self._contact.heard()
                 self._settle(key)
                 self._tasks.spawn(self._look_now())
@@ -316,7 +337,7 @@
         """Look at the worker; ``True`` where nothing is left to look at."""
         asked = self._clock.now()
         try:
-            report = await self._hold(asked)
+            report = await self._renew(asked)
         except WorkerReplaced:
             self._replaced()
             return True
@@ -336,9 +357,7 @@
         """Look without waiting for an end, beside the look that does."""
         asked = self._clock.now()
         try:
-            report = await self._orders.hold(
-                self._owner.fence, None, self._reports.seen, 0.0, LOOK_NOW_TIMEOUT_S
-            )
+            report = await self._hold(None, 0.0, LOOK_NOW_TIMEOUT_S)
         except WorkerReplaced:
             self._replaced()
         except WorkerFenced:
@@ -351,20 +370,10 @@
         else:
             await self._take(report, asked)
 
-    async def _confirm_left(self) -> None:
-        """Take the worker's runs for over, unless it answers after all."""
-        since = self._clock.now()
-        for _ in range(LEFT_LOOKS):
-            await self._look_now()
-            if self._contact.heard_s >= since or self.over:
-                return
-        log.info("worker has left", extra={"event": "worker_left", "worker": self.worker.worker_id})
-        self._over()
-
-    def _over(self, proof: Proof = Proof.LEFT) -> None:
-        """Nothing runs there any more."""
+    def _over(self) -> None:
+        """Nothing runs there any more: every lease has lapsed."""
         heard_s = max(self._contact.heard_s, self._began_s)
-        log_over(self.worker.runs.values(), proof, self._clock.now() - heard_s)
+        log_over(self.worker.runs.values(), Proof.LAPSED, self._clock.now() - heard_s)
         self._owner.board.worker_over(self.worker.worker_id)
         self._reports.clear()
         self._owner.changed()
@@ -392,15 +401,18 @@
             and self._reports.idle
         )
 
-    async def _hold(self, asked: float) -> WorkerReport:
+    async def _renew(self, asked: float) -> WorkerReport:
         answers = self.worker.reachable and not self._contact.misses
         wait_s = self._wait_s() if answers else 0.0
         # A worker that does not answer gets no longer lease, so that it lapses some day; nor does
         # one from a leader that stood still, whose successor counts what it granted before.
         renews = self.worker.runs and answers and self._owner.may_grant
         deadline = self._contact.deadline(asked) if renews else None
-        return await self._orders.hold(
-            self._owner.fence, deadline, self._reports.seen, wait_s, wait_s + HOLD_SLACK_S
+        return await self._hold(deadline, wait_s, wait_s + HOLD_SLACK_S)
+
+    async def _hold(self, deadline_ms: int | None, wait_s: float, timeout_s: float) -> WorkerReport:
+        return await self._answer_of(
+            self._orders.hold(self._owner.fence, deadline_ms, self._reports.seen, wait_s, timeout_s)
         )
 
     def _wait_s(self) -> float:
@@ -409,8 +421,6 @@
             return 0.0
         if self._contact.clock_is_old:
             return 0.0
-        if self.worker.leaves_s is not None:
-            return STOPPING_WAIT_S
         if any(run.stopping for run in self.worker.runs.values()):
             return STOPPING_WAIT_S
         return WATCHED_WAIT_S if needs_watching(self.worker) else WAIT_S
@@ -427,7 +437,9 @@
     async def _take(self, report: WorkerReport, asked: float) -> None:
         if self._owner.board.workers.get(self.worker.worker_id) is not self.worker:
             return
-        self._contact.told(report.clock_ms, asked)
+        self._contact.told(report.clock_ms)
+        for run in self.worker.runs.values():
+            run.address = run.address or self.worker.record.address
         self._reports.take(report, asked)
         self._watch_progress()
         await self._reports.acknowledge()
@@ -435,13 +447,12 @@
     def _missed(self, sent: float) -> None:
         if self._contact.missed(sent):
             self._wake.set()
-            longest_s = self._owner.hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
-            self._wait_begins(max(longest_s, self._inherited_until() - self._clock.now()))
+            self._wait_begins()
 
-    def _wait_begins(self, left_s: float) -> None:
-        """What runs there may go on unseen, for some seconds at most."""
+    def _wait_begins(self) -> None:
+        """What runs there may go on unseen, until its leases have lapsed at most."""
         if self.worker.runs:
-            log_wait(self.worker, max(0.0, left_s))
+            log_wait(self.worker, self._leases.left_s(self.worker.worker_id, self._clock.now()))
 
     def _unanswered(self, asked: float) -> bool:
         """Note a failed look; ``True`` where nothing can be running there any more."""
@@ -449,9 +460,29 @@
         if not self._contact.lapsed:
             return False
         if self.worker.runs:
-            self._over(Proof.LAPSED)
+            self._over()
         return not self.worker.listed
 
+    async def _answer_of(self, call: Awaitable[T]) -> T:
+        """The answer to a call to this life of the worker.
+
+        That another life answers proves that this one is over only where this one was: it has
+        answered there, or was given there all that it may run. The address may be another writer's.
+        """
+        try:
+            return await call
+        except WorkerReplaced as error:
+            if self._was_here:
+                raise
+            raise WorkerUnreachable("another life answers") from error
+
+    @property
+    def _was_here(self) -> bool:
+        """Whether this life is known to have been at the address that is asked."""
+        address = self.worker.record.address
+        given = all(run.address == address for run in self.worker.runs.values())
+        return given or self._contact.heard_s > -math.inf
+
     def _replaced(self) -> None:
         log.info(
             "worker was replaced",
--- a/src/saddlestack/control/upkeep.py
+++ b/src/saddlestack/control/upkeep.py
@@ -14,6 +14,7 @@
 from saddlestack.control.context import EntryContext
 from saddlestack.control.feed import Feed
 from saddlestack.control.keys import LEADER, wave_key
+from saddlestack.control.refusals import Refusals
 from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.machines import Machines, MachinesUnavailable, UpkeepOutcome
 from saddlestack.interfaces.store import (
@@ -60,6 +61,7 @@
             context, context.documents.places.waves_prefix, self._ordered, self._ordered
         )
         self._fresh: list[Item] = []
+        self._refusals = Refusals(context.metrics, "wave")
 
     async def run(self) -> None:
         """Drive waves until cancelled."""
@@ -87,14 +89,16 @@
         try:
             wave = self._context.documents.wave(item)
         except SaddlestackError as error:
-            log.error(
-                "wave cannot be read",
-                extra={"event": "wave_bad", "key": item.key, "reason": str(error)},
-            )
+            self._refusals.refuse(item.key, str(error))
             return
         if wave.wave in self._waves or wave.wave in self._completed:
             return
-        kept = await self._read(wave.wave)
+        try:
+            kept = await self._read(wave.wave)
+        except SaddlestackError as error:
+            # Some of its machines may have had their upkeep, and none is to have it twice.
+            self._refusals.refuse(wave_key(wave.wave), str(error))
+            return
         if kept.completed:
             self._completed.add(wave.wave)
             return
@@ -120,11 +124,15 @@
             await asyncio.gather(*(self._order(state, name) for name in due))
 
     def _by_machine(self) -> dict[str, Worker]:
-        return {
-            worker.record.machine: worker
-            for worker in self._board.workers.values()
-            if worker.listed and worker.record.machine
-        }
+        """The worker of each machine, also one whose record is refused while work runs there.
+
+        Where records of several name a machine, one may be another writer's, or that of a life
+        before: the machine is not idle while work runs on any that is listed.
+        """
+        workers = [worker for worker in self._board.workers.values() if worker.record.machine]
+        present = [worker for worker in workers if worker.listed or worker.runs]
+        present.sort(key=lambda worker: (worker.listed, bool(worker.runs)))
+        return {worker.record.machine: worker for worker in present}
 
     async def _order(self, state: WaveState, machine: str) -> None:
         try:
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -23,7 +23,6 @@
 ATTEMPTS = 3
 GUARANTEED = 16
 RETENTION_S = 150.0
-WORKER_HEARTBEAT_MS = 1500.0
 STARTED_S = 30.0
 STEP_S = 0.05
 
@@ -42,6 +41,7 @@
     :param entries: entry VMs.
     :param racks: racks, one a data hall.
     :param workers: workers a rack.
+    :ivar opened: workers that some VM has opened a way to.
     """
 
     entries: int = 3
@@ -56,6 +56,7 @@
     advised: frozenset[str] = frozenset()
     members: dict[str, _Member] = field(default_factory=dict)
     version: int = 0
+    opened: set[str] = field(default_factory=set)
     _lives: int = 0
     _floor_task: asyncio.Task[None] | None = None
 
@@ -210,8 +211,9 @@
                 await asyncio.sleep(STEP_S)
 
     def _orders(self, name: str, record: WorkerRecord) -> WorkerOrders:
+        self.opened.add(record.worker_id)
         worker = self.floor.workers[record.worker_id]
-        return FloorOrders(self.floor, worker, lambda: self._passes(name))
+        return FloorOrders(self.floor, worker, lambda: self._passes(name), record.address)
 
     def _passes(self, name: str) -> bool:
         member = self.members.get(name)
@@ -256,6 +258,5 @@
             grace_s=6.0,
             status_s=120.0,
             retention_s=RETENTION_S,
-            worker_heartbeat_ms=WORKER_HEARTBEAT_MS,
         ),
     )
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from saddlestack.control.contact import CLOCK_DRIFT, LAPSE_SLACK_S
+from saddlestack.control.leases import CLOCK_DRIFT, LAPSE_SLACK_S, Leases
 from saddlestack.control.session import (
     HOLD_SLACK_S,
     ORDER_TIMEOUT_S,
@@ -32,7 +32,6 @@
 from saddlestack.platform.orders import ENDS_AT_ONCE
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import Changes, StopReason
-from saddlestack.policy.board.departure import LAPSE_HEARTBEATS
 from saddlestack.policy.board.progress import LEAST_STILL_S, LOOK_S
 from saddlestack.policy.board.records import TaskStatus
 from saddlestack.policy.board.workers import Worker
@@ -46,6 +45,8 @@
 FENCE = 7
 HEARTBEAT_S = 1.5
 MOMENT_S = 0.01
+LONG_AGO_S = 60.0
+"""Since the term began: what earlier leaders granted has lapsed."""
 
 Fault = type[Exception] | None
 
@@ -128,9 +129,7 @@
     rounds: int = 0
     displaced: bool = False
     on_missed: Callable[[], None] | None = None
-    heartbeat_s: float = HEARTBEAT_S
     may_grant: bool = True
-    steady_s: float = -HEARTBEAT_S * LAPSE_HEARTBEATS
     stored: asyncio.Event = field(default_factory=asyncio.Event)
 
     def changed(self) -> None:
@@ -155,6 +154,13 @@
     owner: LoneOwner
     orders: ScriptedOrders
     session: WorkerSession
+    leases: Leases
+
+    def session_anew(self) -> WorkerSession:
+        """Another session with the same life, of the same term."""
+        session = WorkerSession(self.session.worker, self.orders, self.owner, Clock(), self.leases)
+        session.begin()
+        return session
 
     def plan(self) -> Changes:
         self.board.plan(asyncio.get_running_loop().time(), 0.0)
@@ -204,10 +210,11 @@
             owner = LoneOwner(board)
             owner.stored.set()
             orders = ScriptedOrders()
-            session = WorkerSession(worker, orders, owner, Clock(), lambda: 0.0)
+            leases = Leases(HOLD_S, -LONG_AGO_S)
+            session = WorkerSession(worker, orders, owner, Clock(), leases)
             session.begin()
             try:
-                await body(Scene(board, owner, orders, session))
+                await body(Scene(board, owner, orders, session, leases))
             finally:
                 await session.close()
 
@@ -309,6 +316,7 @@
         async def body(scene: Scene) -> None:
             scene.assign()
             scene.is_there(percent=99)
+            await asyncio.sleep(MOMENT_S)  # the worker has told its clock
             scene.orders.delay_s = 0.45
             await asyncio.sleep(1.9)  # a look asked at 1.8 s is answered at 2.25 s
             scene.orders.running = ()
