--- a/tests/simulation/day.py
+++ b/tests/simulation/day.py
@@ -455,6 +455,13 @@
             life = self.rng.choice(list(self.site.workers.lives.values()))
             self._overwrite(beats, {"address": life.address})
 
+    def _erased(self) -> None:
+        """Another writer removes a worker's entry, until the worker writes it again."""
+        beats = self._beats()
+        if beats is not None:
+            self._note(f"the entry of {beats.worker.worker_id} is removed")
+            self.site.store.remove(f"servers/{beats.worker.worker_id}")
+
     def _overwrite(self, beats: Heartbeats, change: dict[str, object] | None) -> None:
         self._note(f"the entry of {beats.worker.worker_id} is changed: {change}")
         self.site.overwrite(beats, change)
@@ -470,6 +477,7 @@
     {"service": "another"},
     {"zone": "nowhere"},
     {"clock-ms": 0},
+    {"clock-ms": 1_000_000_000},
     {"state": "draining", "remaining-ms": 0},
 )
 """What another writer makes of an entry: bytes that cannot be read, or other fields."""
@@ -526,6 +534,7 @@
     "store_cut": 0.2,
     "foreign": 0.2,
     "readdressed": 0.1,
+    "erased": 0.2,
     "leave_badly": 0.4,
     "busy_worker_way": 0.8,
 }
