--- a/tests/simulation/day.py
+++ b/tests/simulation/day.py
@@ -455,6 +455,13 @@
             life = self.rng.choice(list(self.site.workers.lives.values()))
             self._overwrite(beats, {"address": life.address})
 
+    def _erased(self) -> None:
+        """Another writer removes a worker's entry, until the worker writes it again."""
+        beats = self._beats()
+        if beats is not None:
+            self._note(f"the entry of {beats.worker.worker_id} is removed")
+            self.site.store.remove(f"servers/{beats.worker.worker_id}")
+
     def _overwrite(self, beats: Heartbeats, change: dict[str, object] | None) -> None:
         self._note(f"the entry of {beats.worker.worker_id} is changed: {change}")
         self.site.overwrite(beats, change)
@@ -470,6 +477,7 @@
     {"service": "another"},
     {"zone": "nowhere"},
     {"clock-ms": 0},
+    {"clock-ms": 1_000_000_000},
     {"state": "draining", "remaining-ms": 0},
 )
 """What another writer makes of an entry: bytes that cannot be read, or other fields."""
@@ -529,7 +537,9 @@
     "leave_badly": 0.4,
     "busy_worker_way": 0.8,
 }
-"""Kinds of trouble, and how often each comes at most."""
+"""Kinds of trouble that days draw, and how often each comes at most."""
+BY_NAME_A_SECOND = {"erased": 0.2}
+"""Kinds that come by name alone, so that seeds go on naming the days that they named."""
 
 
 def day_of(
@@ -544,7 +554,8 @@
     kinds = rng.sample(sorted(MOST_A_SECOND), rng.choice((2, 3, 4, 6, len(MOST_A_SECOND))))
     rates = {kind: MOST_A_SECOND[kind] * rng.choice((0.2, 0.5, 1.0)) for kind in kinds}
     if only:
-        rates = {kind: MOST_A_SECOND[kind] for kind in only}
+        known = MOST_A_SECOND | BY_NAME_A_SECOND
+        rates = {kind: known[kind] for kind in only}
     flavour = Flavour(rates, seconds, rng.choice((0.7, 1.2, 2.0)), rng.random() < 0.3)
     flavour.early_removal = flavour.early_removal and removes_early
     shape = Shape(
