--- a/src/saddlestack/soak/recording.py
+++ b/src/saddlestack/soak/recording.py
@@ -30,7 +30,7 @@
     gpu: int
 
 
-class WorkerEntry(msgspec.Struct, rename="kebab", omit_defaults=True):
+class WorkerEntry(msgspec.Struct, rename="kebab"):
     """A worker's record as the store keeps it."""
 
     service: str
