--- a/src/saddlestack/control/endings.py
+++ b/src/saddlestack/control/endings.py
@@ -16,7 +16,7 @@
     """Why a run counts as over though its worker has told no end of it."""
 
     REPLACED = "replaced"
-    """Another life answers at the worker's address."""
+    """Another life answers where this one was."""
     ABSENT = "absent"
     """The worker's report does not list the run."""
     LAPSED = "lapsed"
