The soak takes the platform's paths and the worker's record from the adapter

Cause: the soak's workers and store spelled the platform's paths and the fields of a worker's record themselves, outside the package that alone is to know them. Change: platform/paths.py holds the paths for both sides; the record as it travels stands beside the other messages. The client of the store, the orders to workers and the serving side use the same names in place of literals.

--- a/src/saddlestack/platform/kv.py
+++ b/src/saddlestack/platform/kv.py
@@ -24,6 +24,7 @@
     Transaction,
     WriteInDoubt,
 )
+from saddlestack.platform import paths
 from saddlestack.platform.messages import (
     CommittedBody,
     ConflictBody,
@@ -104,7 +105,7 @@
             ],
             delete=list(transaction.deletes),
         )
-        response = await self._write("POST", "/api/kv-txn", body)
+        response = await self._write("POST", paths.TRANSACTION, body)
         if response.status == 412:
             conflict = _written(response, ConflictBody)
             return Conflict(tuple(_item(item) for item in conflict.items))
@@ -125,7 +126,7 @@
 
     async def keep_lease(self, lease: int) -> None:
         """Renew a lease."""
-        await self._on_lease("POST", f"/api/kv-keep/{lease}")
+        await self._on_lease("POST", f"{paths.KEEP}{lease}")
 
     async def end_lease(self, lease: int) -> None:
         """End a lease and its keys."""
--- a/src/saddlestack/platform/messages.py
+++ b/src/saddlestack/platform/messages.py
@@ -151,3 +151,29 @@
     clock_ms: int
     running: list[RunningRow] = []
     ended: list[EndedRow] = []
+
+
+class CapacityBody(msgspec.Struct, rename="kebab"):
+    """The room of a worker."""
+
+    cpu: int
+    mem_mb: int
+    gpu: int
+
+
+class WorkerBody(msgspec.Struct, rename="kebab"):
+    """A worker's record as the store keeps it."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: CapacityBody
+    labels: list[str]
+    machine: str
+    clock_ms: int
+    seq: int
+    slots: int
+    version: str
+    cold_left_ms: int = 0
+    remaining_ms: int | None = None
--- a/src/saddlestack/platform/orders.py
+++ b/src/saddlestack/platform/orders.py
@@ -22,6 +22,7 @@
     WorkerReport,
     WorkerUnreachable,
 )
+from saddlestack.platform import paths
 from saddlestack.platform.messages import (
     EndedRow,
     HoldBody,
@@ -69,7 +70,7 @@
             order.saved,
             order.ticket,
         )
-        response = await self._call("/api/run-start", body, timeout_s)
+        response = await self._call(paths.START, body, timeout_s)
         if response.status == 400:
             return StartReply(None, Refusal.INVALID)
         answer = _read(response, OrderAnswer, (200, 409))
@@ -79,7 +80,7 @@
 
     async def stop(self, task: str, run: int, fence: int, timeout_s: float) -> None:
         """Stop a run; one that is not there yet will be refused when it comes."""
-        response = await self._call("/api/run-stop", StopBody(task, run, fence), timeout_s)
+        response = await self._call(paths.STOP, StopBody(task, run, fence), timeout_s)
         _not_fenced(response)
         _read(response, OrderAnswer, (200, 409))
 
@@ -94,7 +95,7 @@
     ) -> WorkerReport:
         """Renew the lease of what runs, acknowledge ends up to ``seen``, and look."""
         body = HoldBody(fence, seen, deadline_ms, round(wait_s * 1000))
-        response = await self._call("/api/hold", body, timeout_s)
+        response = await self._call(paths.LOOK, body, timeout_s)
         _not_fenced(response)
         report = _read(response, ReportBody, (200,))
         running = tuple(
--- /dev/null
+++ b/src/saddlestack/platform/paths.py
@@ -0,0 +1,11 @@
+"""Paths of the platform's calls, for both sides of them. See the platform's protocol page."""
+
+from __future__ import annotations
+
+START = "/api/run-start"
+STOP = "/api/run-stop"
+LOOK = "/api/hold"
+TRANSACTION = "/api/kv-txn"
+KEEP = "/api/kv-keep/"
+"""A lease's number follows."""
+READY = "/api/ready"
--- a/src/saddlestack/platform/serving.py
+++ b/src/saddlestack/platform/serving.py
@@ -27,6 +27,7 @@
     WorkerFenced,
     WorkerReport,
 )
+from saddlestack.platform import paths
 from saddlestack.platform.messages import (
     CommittedBody,
     ConflictBody,
@@ -169,9 +170,9 @@
             return self._answer(409, "fence")
 
     async def _route(self, request: Request) -> Response:
-        if request.path == "/api/run-start":
+        if request.path == paths.START:
             return self._start(from_json(request.body, StartBody))
-        if request.path == "/api/run-stop":
+        if request.path == paths.STOP:
             stop = from_json(request.body, StopBody)
             self._desk.stop(stop.task, stop.run, stop.fence)
             return self._answer(200)
@@ -179,7 +180,7 @@
             pace = from_json(request.body, PaceBody)
             self._desk.pace(pace.task, pace.run, pace.percent, pace.fence)
             return self._answer(200)
-        if request.path == "/api/hold":
+        if request.path == paths.LOOK:
             return await self._hold(from_json(request.body, HoldBody))
         return Response(404)
 
--- a/src/saddlestack/soak/heartbeats.py
+++ b/src/saddlestack/soak/heartbeats.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from saddlestack.codec import from_json, to_json
+from saddlestack.platform import paths
 from saddlestack.platform.documents import PLACES
 from saddlestack.platform.messages import CommittedBody, TransactionBody
 from saddlestack.standins.pool.store import StoreState
@@ -61,7 +62,7 @@
         """Take a worker's write."""
         if self.away:
             return Response(503)
-        if request.path != "/api/kv-txn":
+        if request.path != paths.TRANSACTION:
             return Response(404)
         body = from_json(request.body, TransactionBody)
         for put in body.put:
--- a/src/saddlestack/soak/readiness.py
+++ b/src/saddlestack/soak/readiness.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Sequence
 
+from saddlestack.platform import paths
 from saddlestack.soak.processes import READINESS_PORT, EntryProcess
 from saddlestack.wire.http import AnswerLost, HttpClient, NotSent
 
@@ -13,7 +14,6 @@
 START_LOOK_S = 0.1
 MISSES = 2
 """A VM that has missed so often receives no new connections until it is ready again."""
-READY_PATH = "/api/ready"
 
 
 class Readiness:
@@ -64,7 +64,7 @@
 
 async def _is_ready(client: HttpClient) -> bool:
     try:
-        response = await client.request("GET", READY_PATH, timeout=ASK_S)
+        response = await client.request("GET", paths.READY, timeout=ASK_S)
     except (NotSent, AnswerLost):
         return False
     return response.status == 200
--- a/src/saddlestack/soak/recording.py
+++ b/src/saddlestack/soak/recording.py
@@ -9,8 +9,9 @@
 
 import msgspec
 
+from saddlestack.platform import paths
 from saddlestack.platform.documents import PLACES
-from saddlestack.platform.messages import PutRow, TransactionBody
+from saddlestack.platform.messages import CapacityBody, PutRow, TransactionBody, WorkerBody
 from saddlestack.soak.life import WorkerLife
 from saddlestack.wire.http import AnswerLost, HttpClient, NotSent
 
@@ -24,30 +25,6 @@
 VERSION = "1"
 
 
-class _Capacity(msgspec.Struct, rename="kebab"):
-    cpu: int
-    mem_mb: int
-    gpu: int
-
-
-class WorkerEntry(msgspec.Struct, rename="kebab"):
-    """A worker's record as the store keeps it."""
-
-    service: str
-    address: str
-    zone: str
-    state: str
-    capacity: _Capacity
-    labels: list[str]
-    machine: str
-    clock_ms: int
-    seq: int
-    slots: int = SLOTS
-    version: str = VERSION
-    cold_left_ms: int = 0
-    remaining_ms: int | None = None
-
-
 @dataclass(slots=True)
 class RecordWriter:
     """Writes one life's record, a heartbeat after the other.
@@ -109,18 +86,20 @@
             value = base64.b64encode(msgspec.json.encode(self._entry())).decode()
             return await self._call(TransactionBody([], [PutRow(self._key, value)], []))
 
-    def _entry(self) -> WorkerEntry:
+    def _entry(self) -> WorkerBody:
         where = self.life.machine
-        return WorkerEntry(
+        return WorkerBody(
             service=self.service,
             address=self.address,
             zone=where.hall,
             state="ready" if self._announced is None else "draining",
-            capacity=_Capacity(where.cpu, where.memory_mb, where.accelerators),
+            capacity=CapacityBody(where.cpu, where.memory_mb, where.accelerators),
             labels=["a", where.rack],
             machine=where.name,
             clock_ms=self.life.clock_ms(),
             seq=self._seq,
+            slots=SLOTS,
+            version=VERSION,
             remaining_ms=self._remaining_ms(),
         )
 
@@ -133,7 +112,9 @@
         if _now() < self.cut_until_s:
             return False
         try:
-            response = await self.store.request("POST", "/api/kv-txn", body, timeout=CALL_TIMEOUT_S)
+            response = await self.store.request(
+                "POST", paths.TRANSACTION, body, timeout=CALL_TIMEOUT_S
+            )
         except (NotSent, AnswerLost):
             return False
         return response.status == 200
--- a/src/saddlestack/soak/store_process.py
+++ b/src/saddlestack/soak/store_process.py
@@ -21,6 +21,7 @@
 from saddlestack.control.keys import LEADER
 from saddlestack.control.leadership import LeaderRecord
 from saddlestack.interfaces.store import Item, StoreUnavailable
+from saddlestack.platform import paths
 from saddlestack.platform.documents import PLACES
 from saddlestack.platform.serving import StoreServing
 from saddlestack.soak.heartbeats import WorkerRecords
@@ -49,7 +50,6 @@
 from saddlestack.standins.ports import LOOPBACK
 from saddlestack.wire.http import Request, Response
 
-KEEP_PATH = "/api/kv-keep/"
 WATCH_CHECK_S = 30.0
 """Watches are silenced on their connections, so they need not look after that themselves."""
 TICK_S = 0.02
@@ -83,8 +83,8 @@
             response = await self._serving.handle(request)
         except StoreUnavailable:
             return Response(503)
-        if response.status == 200 and request.path.startswith(KEEP_PATH):
-            self._process.renewed(self._vm, int(request.path.removeprefix(KEEP_PATH)))
+        if response.status == 200 and request.path.startswith(paths.KEEP):
+            self._process.renewed(self._vm, int(request.path.removeprefix(paths.KEEP)))
         return response
 
 
--- a/src/saddlestack/soak/troubles.py
+++ b/src/saddlestack/soak/troubles.py
@@ -6,6 +6,7 @@
 import random
 from dataclasses import dataclass, field
 
+from saddlestack.platform import paths
 from saddlestack.soak.messages import (
     AnswerErrors,
     CallKind,
@@ -21,9 +22,9 @@
 """Troubles that befall single calls."""
 
 KINDS = {
-    "/api/run-start": CallKind.START,
-    "/api/run-stop": CallKind.STOP,
-    "/api/hold": CallKind.LOOK,
+    paths.START: CallKind.START,
+    paths.STOP: CallKind.STOP,
+    paths.LOOK: CallKind.LOOK,
 }
 
 
