Workers that start again under their id: stand-ins, tests that fail

Cause: the ends of a worker are counted by life, and the leader keeps the cursor by id. Change: stand-ins tell when a life was born and start again under their id; the reports carry it; names of lives. No logic of the product has changed. Ruled out: the same gang on a worker that does not start again runs once.

--- a/src/saddlestack/interfaces/workers.py
+++ b/src/saddlestack/interfaces/workers.py
@@ -82,12 +82,14 @@
     """What a worker answered: its clock, and what runs and ended there.
 
     :param more: there are more ends, which it tells of once these were acknowledged.
+    :param born: when its life was born, in milliseconds since 1970; 0 where it does not tell.
     """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     more: bool = False
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from saddlestack.interfaces.lives import id_of, life_name
 from saddlestack.interfaces.workers import (
     EndedTask,
     EndKind,
@@ -28,6 +29,7 @@
     WorkerReport,
     WorkerUnreachable,
 )
+from saddlestack.standins.loop import WALL_EPOCH_S
 from saddlestack.standins.pool.store import StoreState
 from saddlestack.work import Resources, TaskName
 
@@ -99,6 +101,8 @@
 class FloorWorker:
     """One life of a worker.
 
+    :param born: in milliseconds since 1970; 0 where it does not tell.
+    :param began_s: when its clock stood at ``CLOCK_START_MS``.
     :ivar lapsed_at: when its latest lease was over.
     :ivar ended_at: when runs ended, by the number of the end.
     """
@@ -109,6 +113,8 @@
     rack: str
     data_hall: str
     machine: str = ""
+    born: int = 0
+    began_s: float = 0.0
     up: bool = True
     unreachable: bool = False
     late_orders: int = 0
@@ -126,6 +132,11 @@
     ended_at: dict[int, float] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @property
+    def life(self) -> str:
+        """The name of this life."""
+        return life_name(self.worker_id, self.born)
+
     @property
     def free(self) -> int:
         """Accelerators that nothing holds."""
@@ -142,7 +153,11 @@
 
 
 class Floor:
-    """All workers of a pool, and the account of everything that ran."""
+    """All workers of a pool, and the account of everything that ran.
+
+    :ivar workers: by the name of the life.
+    :ivar births: whether workers tell when they were born.
+    """
 
     def __init__(self, store: StoreState, service: str, times: FloorTimes) -> None:
         self._store = store
@@ -155,6 +170,7 @@
         self._failed: Counter[TaskName] = Counter()
         self.violations: list[str] = []
         self._lives = 0
+        self.births = False
         self._taken_note: set[TaskName] = set()
         self.orders = 0
         self.looks = 0
@@ -172,10 +188,44 @@
             f"i-{self._lives:04d}", f"127.0.0.1:{9000 + self._lives}", accelerators, rack, data_hall
         )
         worker.machine = machine or f"m-{self._lives:04d}"
-        self.workers[worker.worker_id] = worker
+        worker.born = self._birth()
+        self.workers[worker.life] = worker
         self.record(worker)
         return worker
 
+    def restart(self, worker: FloorWorker, *, recorded: bool = True) -> FloorWorker:
+        """A worker starts again under its id, at its address; it knows nothing of before.
+
+        :param recorded: it has written its record.
+        """
+        self.crash(worker)
+        life = FloorWorker(
+            worker.worker_id,
+            worker.address,
+            worker.accelerators,
+            worker.rack,
+            worker.data_hall,
+            worker.machine,
+            self._birth(),
+            _now(),
+        )
+        self.workers[life.life] = life
+        if recorded:
+            self.record(life)
+        return life
+
+    def present(self, worker_id: str) -> FloorWorker:
+        """The latest life of a worker, by its id or the name of any of its lives."""
+        lives = [each for each in self.workers.values() if each.worker_id == id_of(worker_id)]
+        return max(lives, key=lambda each: each.born)
+
+    def _birth(self) -> int:
+        """When a life is born; no two of them at once."""
+        if not self.births:
+            return 0
+        latest = max((each.born for each in self.workers.values()), default=0)
+        return max(latest + 1, round((WALL_EPOCH_S + _now()) * 1000))
+
     def record(self, worker: FloorWorker, *, remaining_ms: int | None = None) -> None:
         """Write a worker's record; with ``remaining_ms`` it drains."""
         record = {
@@ -189,9 +239,11 @@
             "state": "ready" if remaining_ms is None else "draining",
             "capacity": {"cpu": 32_000, "mem-mb": 65_536, "gpu": worker.accelerators},
             "labels": ["a", worker.rack],
-            "clock-ms": self.clock_ms(),
+            "clock-ms": self.clock_ms(worker),
             "machine": worker.machine,
         }
+        if worker.born:
+            record["born"] = worker.born
         if remaining_ms is not None:
             record["remaining-ms"] = remaining_ms
         self._store.put(f"servers/{worker.worker_id}", msgspec.json.encode(record))
@@ -208,9 +260,9 @@
         """A worker's record lapses, as while the store is away; the worker runs on."""
         self._store.remove(f"servers/{worker.worker_id}")
 
-    def clock_ms(self) -> int:
-        """The steady clock of all workers."""
-        return CLOCK_START_MS + round(_now() * 1000)
+    def clock_ms(self, worker: FloorWorker) -> int:
+        """A worker's steady clock; each life has one of its own."""
+        return CLOCK_START_MS + round((_now() - worker.began_s) * 1000)
 
     async def run(self) -> None:
         """Let work go on, gangs end, and leases lapse, until cancelled."""
@@ -236,7 +288,7 @@
         """Start a run."""
         self.orders += 1
         name = TaskName.parse(order.task)
-        clock = self.clock_ms()
+        clock = self.clock_ms(worker)
         if order.fence < worker.fence:
             return StartReply(clock, Refusal.FENCED)
         worker.fence = order.fence
@@ -253,7 +305,7 @@
         if plan.room > worker.free:
             return StartReply(clock, Refusal.ROOM)
         self._check_start(name)
-        run = FloorRun(name, order.run, worker.worker_id, plan, _now())
+        run = FloorRun(name, order.run, worker.life, plan, _now())
         if order.saved:
             run.done_s = float(order.saved)
             self.resumed.append((name, order.run, order.saved))
@@ -311,7 +363,7 @@
             )
             for run in worker.runs.values()
         )
-        return WorkerReport(self.clock_ms(), running, tuple(worker.ended))
+        return WorkerReport(self.clock_ms(worker), running, tuple(worker.ended), born=worker.born)
 
     # Work
 
@@ -329,7 +381,8 @@
 
     def _extend(self, worker: FloorWorker, deadline_ms: int) -> None:
         self._see_lapse(worker)
-        until = min((deadline_ms - CLOCK_START_MS) / 1000, _now() + self.times.hold_s)
+        deadline_s = worker.began_s + (deadline_ms - CLOCK_START_MS) / 1000
+        until = min(deadline_s, _now() + self.times.hold_s)
         worker.lease_until = max(worker.lease_until, until)
 
     def _ticket_holds(self, worker: FloorWorker, name: TaskName, ticket: str) -> bool:
@@ -416,12 +469,15 @@
 
     :param passes: whether anything passes between the VM and the worker.
     :param address: where the VM calls it; a life answers at its own address alone.
+    :param named: the VM knows the life by name, and no other is given its orders; otherwise any
+        life of the worker's id takes them.
     """
 
     floor: Floor
     worker: FloorWorker
     passes: Callable[[], bool]
     address: str
+    named: bool = False
     late: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
@@ -465,13 +521,21 @@
         if self.worker.unreachable or not self.passes():
             await self._silence(timeout_s)
         if not self.worker.up or self.worker.address != self.address:
-            others = self.floor.workers.values()
-            if any(other.up and other.address == self.address for other in others):
-                raise WorkerReplaced
-            raise WorkerUnreachable("refused")
+            self.worker = self._other_life()
         if self.worker.busy:
             raise WorkerBusy("answered 503")
 
+    def _other_life(self) -> FloorWorker:
+        """The life that takes the orders in place of the one that was there."""
+        there = [
+            each for each in self.floor.workers.values() if each.up and each.address == self.address
+        ]
+        if not there:
+            raise WorkerUnreachable("refused")
+        if self.named or there[0].worker_id != self.worker.worker_id:
+            raise WorkerReplaced
+        return there[0]
+
     async def _silence(self, timeout_s: float) -> None:
         await asyncio.sleep(timeout_s)
         raise WorkerUnreachable("silence")
--- a/tests/test_false_clock.py
+++ b/tests/test_false_clock.py
@@ -28,7 +28,7 @@
             floor = cluster.floor
             workers = list(floor.workers.values())
             for worker in workers:
-                self.rewrite(cluster, worker, clock_ms=floor.clock_ms() + AHEAD_MS)
+                self.rewrite(cluster, worker, clock_ms=floor.clock_ms(worker) + AHEAD_MS)
                 worker.late_orders = 1
                 worker.late_s = LATE_S
             await asyncio.sleep(HEARD_S)
--- a/tests/test_foreign_clock.py
+++ b/tests/test_foreign_clock.py
@@ -42,7 +42,7 @@
             worker = next(iter(cluster.floor.workers.values()))
             key = f"servers/{worker.worker_id}"
             record = msgspec.json.decode(cluster.store.item(key).value)
-            changed = record | {"clock-ms": cluster.floor.clock_ms() + ahead_ms}
+            changed = record | {"clock-ms": cluster.floor.clock_ms(worker) + ahead_ms}
             cluster.store.put(key, msgspec.json.encode(changed))
             await asyncio.sleep(2.0)
             worker.late_orders, worker.late_s = 1, 8.0
--- /dev/null
+++ b/tests/test_restarted.py
@@ -0,0 +1,169 @@
+"""Workers that start again under the id that they had, knowing nothing of before.
+
+Seen: a gang that had ended as done was started again, on the same worker, three times; and the
+worker had been told that it may forget those ends. How: the worker had told its leader of nine ends
+and started again under its id. Its ends were counted from 1 again. The leader, for which it was the
+same worker, passed over all ends up to number 9 as heard long ago, told the worker to forget them,
+and took runs that a report lists neither as running nor as ended for such as never began. Cause:
+what is kept of a worker outlived the life that it was kept of. Proved by the leader's log
+(``run_absent`` right after ends that only the platform saw, on workers that had started again and
+on no others) and by the first test here, which is clean where the worker does not start again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from saddlestack.interfaces.workers import EndKind
+from saddlestack.standins.loop import run
+from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.standins.pool.workers import FloorWorker
+from saddlestack.work import JobState
+
+FIRST = "00000000000000aa"
+SECOND = "00000000000000bb"
+ENDS_BEFORE = 8
+"""More than the life after it has."""
+HEARD_S = 2.0
+"""Within this a leader has heard of a worker's record."""
+
+
+class RestartCase(unittest.TestCase):
+    """Runs a coroutine against a small deployment whose workers tell when they were born."""
+
+    def play(
+        self,
+        body: Callable[[PoolCluster], Awaitable[None]],
+        *,
+        workers: int = 1,
+        entries: int = 2,
+    ) -> None:
+        async def main() -> None:
+            cluster = PoolCluster(entries=entries, racks=1, workers=workers)
+            cluster.floor.births = True
+            await cluster.start()
+            try:
+                await body(cluster)
+            finally:
+                await cluster.stop()
+            self.assertEqual(cluster.floor.violations, [])
+
+        run(main())
+
+    async def rested(self, cluster: PoolCluster) -> FloorWorker:
+        """A worker that has told of some ends, and has nothing to do."""
+        await cluster.submit(FIRST, job(ENDS_BEFORE, work_s=0.5))
+        await cluster.until_state(FIRST, JobState.COMPLETED)
+        await asyncio.sleep(HEARD_S)
+        return cluster.floor.present(cluster.floor.history[0].worker)
+
+    async def at_work(self, cluster: PoolCluster, *, work_s: float = 3.0) -> FloorWorker:
+        """The worker of a task that has begun."""
+        await cluster.submit(SECOND, job(1, work_s=work_s))
+        await cluster.until(lambda: cluster.floor.starts_of(SECOND) == 1)
+        await asyncio.sleep(0.2)
+        return cluster.floor.present(cluster.floor.history[-1].worker)
+
+
+class EndsTest(RestartCase):
+    def test_the_ends_of_another_life_are_heard(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.rested(cluster)
+            cluster.floor.restart(worker)
+            await asyncio.sleep(HEARD_S)
+            await cluster.submit(SECOND, job(4, work_s=2.5, gang=True))
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(SECOND), 4)
+
+        self.play(body)
+
+    def test_a_task_is_done_once_where_no_worker_starts_again(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await self.rested(cluster)
+            await cluster.submit(SECOND, job(4, work_s=2.5, gang=True))
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(SECOND), 4)
+
+        self.play(body)
+
+    def test_a_start_right_after_the_restart_is_counted_once(self) -> None:
+        """Nobody has heard of the new life yet when it is given work."""
+
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.rested(cluster)
+            cluster.floor.restart(worker, recorded=False)
+            await cluster.submit(SECOND, job(4, work_s=0.5))
+            await asyncio.sleep(1.0)
+            cluster.floor.record(cluster.floor.present(worker.worker_id))
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.ends_of(SECOND, EndKind.DONE), 4)
+
+        self.play(body)
+
+    def test_a_life_that_lives_on_is_heard_whatever_its_record_tells(self) -> None:
+        """Another writer names a birth that never was, and the worker writes its own again."""
+
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.at_work(cluster)
+            born, worker.born = worker.born, worker.born + 1
+            cluster.floor.record(worker)
+            worker.born = born
+            await asyncio.sleep(HEARD_S)
+            cluster.floor.record(worker)
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(SECOND), 1)
+
+        self.play(body)
+
+
+class WorkTest(RestartCase):
+    def test_what_a_life_ran_begins_again_once(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.at_work(cluster)
+            cluster.floor.restart(worker)
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(SECOND), 2)
+
+        self.play(body)
+
+    def test_it_begins_again_once_where_the_worker_restarts_again_and_again(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await self.rested(cluster)
+            worker = await self.at_work(cluster)
+            for _ in range(3):
+                worker = cluster.floor.restart(worker)
+                await asyncio.sleep(1.3)
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.ends_of(SECOND, EndKind.DONE), 1)
+
+        self.play(body)
+
+    def test_a_new_leader_knows_which_life_was_given_the_work(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await self.rested(cluster)
+            worker = await self.at_work(cluster)
+            await cluster.kill(cluster.leader_name)
+            cluster.floor.restart(worker)
+            await cluster.until(lambda: cluster.leader is not None)
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(SECOND), 2)
+
+        self.play(body, entries=3)
+
+    def test_a_life_that_nobody_hears_of_again_holds_its_work_until_the_lease(self) -> None:
+        """The worker is cut off; a record names another life, and only its own word would count."""
+
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.at_work(cluster, work_s=60.0)
+            worker.unreachable = True
+            born, worker.born = worker.born, worker.born + 1
+            cluster.floor.record(worker)
+            worker.born = born
+            cluster.floor.add(worker.rack, worker.data_hall)
+            await asyncio.sleep(cluster.times.hold_s)
+            self.assertEqual(cluster.floor.starts_of(SECOND), 1)
+            await cluster.until(lambda: cluster.floor.starts_of(SECOND) == 2)
+
+        self.play(body)
--- a/tests/test_second_run.py
+++ b/tests/test_second_run.py
@@ -420,7 +420,7 @@
         out of reach; the leader counts 10.7 s from its last try, and starts the task elsewhere.
         """
 
-        def clock_ms(floor: Floor) -> int:
+        def clock_ms(floor: Floor, worker: FloorWorker) -> int:
             now = asyncio.get_running_loop().time()
             return CLOCK_START_MS + round(now * SLOW * 1000)
 
--- a/tests/test_stale_beliefs.py
+++ b/tests/test_stale_beliefs.py
@@ -116,7 +116,7 @@
     def test_a_late_start_by_a_false_record_after_a_long_rest(self) -> None:
         """The clock was told 300 s ago and runs 2 % slow; a record claims all that it might say."""
 
-        def clock_ms(floor: Floor) -> int:
+        def clock_ms(floor: Floor, worker: FloorWorker) -> int:
             now = asyncio.get_running_loop().time()
             return CLOCK_START_MS + round(now * SLOW * 1000)
 
@@ -131,7 +131,9 @@
             await cluster.until_state(B, JobState.COMPLETED)
             worker = cluster.worker_of(B)
             await asyncio.sleep(300.0)
-            EntryCase().rewrite(cluster, worker, clock_ms=cluster.floor.clock_ms() + 3_600_000)
+            EntryCase().rewrite(
+                cluster, worker, clock_ms=cluster.floor.clock_ms(worker) + 3_600_000
+            )
             await asyncio.sleep(HEARD_S)
             worker.late_orders, worker.late_s = 1, 5.0
             await cluster.submit(A, job(1, work_s=90.0, accelerators=8))
