--- a/tests/test_restarted.py
+++ b/tests/test_restarted.py
@@ -8,6 +8,11 @@
 what is kept of a worker outlived the life that it was kept of. Proved by the leader's log
 (``run_absent`` right after ends that only the platform saw, on workers that had started again and
 on no others) and by the first test here, which is clean where the worker does not start again.
+
+Seen on another deployment, on the same day of workers that start again: accepted jobs whose second
+step did not begin at the end of a day though most of the workers stood idle. The platform had seen
+all of their first step end; the leader had passed over some of those ends and ran the tasks again.
+The second test here fails as that record tells.
 """
 
 from __future__ import annotations
@@ -16,7 +21,12 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
+from saddlestack.codec import from_msgpack, to_msgpack
+from saddlestack.control.keys import progress_key
 from saddlestack.interfaces.workers import EndKind
+from saddlestack.policy.board.records import OccurrenceRecord
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.standins.pool.workers import FloorWorker
@@ -26,6 +36,9 @@
 SECOND = "00000000000000bb"
 ENDS_BEFORE = 8
 """More than the life after it has."""
+STEP_WORK_S = 2.5
+SOON_S = 0.5
+"""What may follow from an end has begun by then."""
 HEARD_S = 2.0
 """Within this a leader has heard of a worker's record."""
 
@@ -79,6 +92,24 @@
 
         self.play(body)
 
+    def test_a_step_begins_once_the_one_before_has_ended_on_another_life(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.rested(cluster)
+            cluster.floor.restart(worker)
+            await asyncio.sleep(HEARD_S)
+            first = job(4, work_s=STEP_WORK_S)
+            second = msgspec.structs.replace(first.steps[0], after=(0,))
+            steps = (first.steps[0], second)
+            await cluster.submit(SECOND, msgspec.structs.replace(first, steps=steps))
+            began = asyncio.get_running_loop().time()
+            await cluster.until(lambda: cluster.floor.starts_of(SECOND) > 4)
+            waited_s = asyncio.get_running_loop().time() - began
+            self.assertLess(waited_s, STEP_WORK_S + SOON_S)
+            again = [run for run in cluster.floor.history if run.number > 1]
+            self.assertEqual([str(run.task) for run in again], [])
+
+        self.play(body)
+
     def test_a_task_is_done_once_where_no_worker_starts_again(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             await self.rested(cluster)
@@ -119,6 +150,25 @@
 
 
 class WorkTest(RestartCase):
+    def test_work_that_was_given_to_a_worker_without_a_birth_goes_on_where_it_tells_one(
+        self,
+    ) -> None:
+        """An earlier leader kept ids alone; its work is not stopped, nor begun again."""
+
+        async def body(cluster: PoolCluster) -> None:
+            worker = await self.at_work(cluster, work_s=6.0)
+            key = progress_key(f"{SECOND}.0")
+            record = from_msgpack(cluster.store.item(key).value, OccurrenceRecord)
+            record.steps[0].tasks[0].worker = worker.worker_id
+            record.addresses = {worker.worker_id: worker.address}
+            await cluster.kill(cluster.leader_name)
+            cluster.store.put(key, to_msgpack(record))
+            await cluster.until(lambda: cluster.leader is not None)
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(SECOND), 1)
+
+        self.play(body, entries=3)
+
     def test_what_a_life_ran_begins_again_once(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             worker = await self.at_work(cluster)
