A life is a worker's id and its birth: ends, orders and work go by it

Cause: a worker may start again under its id, and its ends are then counted from 1 again. What was kept by the id outlived the life: the cursor of heard ends passed over the new life's ends, the next look told the worker to forget them, and what a report listed neither as running nor as ended counted as never begun. Done work was run again (12 starts of 4 tasks), and steps that follow on it waited.

Change: the adapter names a life by id and birth, so records, sessions, cursors, clocks, leases, tickets and inherited runs are a life's. Only lists of runs tell which life answers, so a connection to a life that tells its birth begins with a look that acknowledges nothing; a connection ends with its process, so no other life is given an order or an acknowledgement meant for it. A record of another life lets that one be used, and has the one before asked; only the worker's own word ends what it ran. Workers that tell no birth are met as before, call for call.

Cost: one call of 1 to 3 ms a connection, on workers that tell their birth only.

--- a/src/saddlestack/control/listing.py
+++ b/src/saddlestack/control/listing.py
@@ -4,16 +4,22 @@
 known, names no worker to use; nor does one that names another address while work runs at the one
 before. What runs on a life that was known goes on, and is dealt with at the address known before,
 until its worker tells its end or its lease has lapsed.
+
+A worker may start again under its id: its record then tells of another life. That one may be used
+at once, since orders reach no life but their own. Of the one before, only the worker's own word
+tells that it is over, and it is asked for that.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 from saddlestack.control.context import EntryContext
 from saddlestack.control.refusals import Refusals
 from saddlestack.control.sessions import Sessions
 from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces.lives import born_of, id_of
 from saddlestack.interfaces.store import Item
 from saddlestack.interfaces.workers import WorkerRecord
 from saddlestack.policy.board.board import Board
@@ -30,6 +36,7 @@
         self._refusals = Refusals(context.metrics, "worker")
         self._services: set[str] = set()
         self._no_service: dict[str, Item] = {}
+        self._lives: dict[str, str] = {}
 
     def know_services(self, services: Iterable[str]) -> None:
         """Workers of these services may be used from now on, also those whose records are known.
@@ -48,7 +55,7 @@
         items = tuple(items)
         self.changed(items)
         listed = {self._id(item) for item in items}
-        known = {*self._board.workers, *self._no_service}
+        known = {id_of(life) for life in self._board.workers} | set(self._no_service)
         for worker_id in sorted(known - listed):
             self._removed(worker_id)
 
@@ -69,15 +76,29 @@
                 self._refuse_service(item)
 
     def _take(self, item: Item, record: WorkerRecord) -> None:
+        worker_id = self._id(item)
+        before = self._lives.get(worker_id, worker_id)
+        if not born_of(record.worker_id):
+            record = replace(record, worker_id=before)
+        if record.worker_id != before:
+            self._supersede(before)
         worker = self._board.workers.get(record.worker_id)
         if worker is not None and worker.record.address not in {"", record.address}:
             if worker.runs:
                 self._refuse(item, "another address than the one where its work runs")
                 return
             self._unlist(record.worker_id)
-        self._no_service.pop(record.worker_id, None)
+        self._no_service.pop(worker_id, None)
+        self._lives[worker_id] = record.worker_id
         self._board.set_worker(record, self._clock.now())
 
+    def _supersede(self, life: str) -> None:
+        """A record tells of another life of a worker: this one is asked whether it is over."""
+        self._unlist(life)
+        worker = self._board.workers.get(life)
+        if worker is not None:
+            self._sessions.suspect_worker(worker)
+
     def _refuse_service(self, item: Item) -> None:
         if self._services:
             self._refuse(item, "no configuration names its service")
@@ -87,18 +108,18 @@
         worker_id = self._id(item)
         self._refusals.refuse(item.key, reason)
         self._no_service.pop(worker_id, None)
-        self._unlist(worker_id)
+        self._unlist(self._lives.get(worker_id, worker_id))
 
     def _removed(self, worker_id: str) -> None:
         """A record is gone; what runs there may go on, whatever its worker had announced."""
         self._no_service.pop(worker_id, None)
-        self._unlist(worker_id)
+        self._unlist(self._lives.pop(worker_id, worker_id))
 
-    def _unlist(self, worker_id: str) -> None:
-        """Give a worker nothing new; what runs there goes on."""
-        self._board.unlist_worker(worker_id)
-        if worker_id not in self._board.workers:
-            self._sessions.close(worker_id)
+    def _unlist(self, life: str) -> None:
+        """Give a life nothing new; what runs there goes on."""
+        self._board.unlist_worker(life)
+        if life not in self._board.workers:
+            self._sessions.close(life)
 
     def _id(self, item: Item) -> str:
         return item.key.removeprefix(self._documents.places.workers_prefix)
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -177,6 +177,8 @@
                 self.worker.refused(self._clock.now())
                 reply = StartReply(None, Refusal.ROOM)
             except WorkerReplaced:
+                if clean:
+                    self._never_began(run, key)
                 self._replaced()
                 return
             except WorkerFenced:
--- a/src/saddlestack/interfaces/workers.py
+++ b/src/saddlestack/interfaces/workers.py
@@ -118,7 +118,7 @@
 
 
 class WorkerOrders(Protocol):
-    """Orders to one life of a worker.
+    """Orders to one life of a worker; no other life is given them, also not under the same id.
 
     Every call raises :class:`WorkerUnreachable`, :class:`WorkerReplaced`,
     :class:`WorkerFenced` or :class:`WorkerBusy` where it was not carried out for sure.
@@ -151,6 +151,7 @@
 class WorkerRecord:
     """One life of a worker as it records itself.
 
+    :param worker_id: the life's name, see :mod:`saddlestack.interfaces.lives`.
     :param labels: its kind, its rack and others that steps may ask for.
     :param remaining_ms: while it drains, the least time until it leaves.
     :param cold_ms: for how long it is still slow.
--- a/src/saddlestack/platform/documents.py
+++ b/src/saddlestack/platform/documents.py
@@ -22,6 +22,7 @@
     PoolConfiguration,
     Queue,
 )
+from saddlestack.interfaces.lives import life_name
 from saddlestack.interfaces.machines import Wave
 from saddlestack.interfaces.store import Item
 from saddlestack.interfaces.workers import WorkerRecord
@@ -142,6 +143,7 @@
     clock_ms: _Count = 0
     remaining_ms: _Time | None = None
     machine: _Text = ""
+    born: _Positive | msgspec.UnsetType = msgspec.UNSET
 
 
 _FIELDS = tuple(
@@ -195,7 +197,7 @@
         room = Resources(record.capacity.cpu, record.capacity.mem_mb, record.capacity.gpu)
         remaining = None if record.remaining_ms is None else int(record.remaining_ms)
         return WorkerRecord(
-            worker_id=worker_id,
+            worker_id=life_name(worker_id, _born(record)),
             service=record.service,
             address=record.address,
             data_hall=record.zone,
@@ -209,6 +211,10 @@
         )
 
 
+def _born(record: _Worker) -> int:
+    return 0 if isinstance(record.born, msgspec.UnsetType) else record.born
+
+
 def _may_repeat_keys(value: bytes) -> bool:
     """Whether a closer look is due: it costs as much as reading the record."""
     return b"\\" in value or any(value.count(field) > 1 for field in _FIELDS)
--- a/src/saddlestack/platform/machines.py
+++ b/src/saddlestack/platform/machines.py
@@ -9,6 +9,7 @@
 
 from saddlestack.codec import from_json
 from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces.lives import id_of
 from saddlestack.interfaces.machines import (
     AdviserUnavailable,
     Leave,
@@ -91,14 +92,17 @@
         self._http = HttpClient(address, port, dialer=dialer, kept=1)
 
     async def advise(self, step: str, workers: tuple[str, ...]) -> tuple[Leave, ...]:
-        """The workers among these that may run a step."""
+        """The workers among these that may run a step; the adviser knows them by id."""
+        lives = {id_of(life): life for life in workers}
         try:
             response = await self._http.request(
-                "POST", "/api/advise", _Question(step, workers), timeout=ADVICE_TIMEOUT_S
+                "POST", "/api/advise", _Question(step, tuple(lives)), timeout=ADVICE_TIMEOUT_S
             )
             if response.status != 200:
                 raise AdviserUnavailable(f"answered {response.status}")
             advice = from_json(response.body, _Advice)
         except (NotSent, AnswerLost, SaddlestackError) as error:
             raise AdviserUnavailable(str(error)) from error
-        return tuple(Leave(row.worker, row.ticket, advice.valid_ms / 1000) for row in advice.good)
+        valid_s = advice.valid_ms / 1000
+        good = [row for row in advice.good if row.worker in lives]
+        return tuple(Leave(lives[row.worker], row.ticket, valid_s) for row in good)
--- a/src/saddlestack/platform/messages.py
+++ b/src/saddlestack/platform/messages.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 
@@ -146,11 +148,12 @@
 
 
 class ReportBody(msgspec.Struct, rename="kebab"):
-    """Answers a look."""
+    """Answers a look; ``born`` is left out by workers that do not tell their birth."""
 
     clock_ms: int
     running: list[RunningRow] = []
     ended: list[EndedRow] = []
+    born: Annotated[int, msgspec.Meta(ge=1)] | msgspec.UnsetType = msgspec.UNSET
 
 
 class CapacityBody(msgspec.Struct, rename="kebab"):
@@ -177,3 +180,4 @@
     version: str
     cold_left_ms: int = 0
     remaining_ms: int | None = None
+    born: int | msgspec.UnsetType = msgspec.UNSET
--- a/src/saddlestack/platform/orders.py
+++ b/src/saddlestack/platform/orders.py
@@ -7,8 +7,11 @@
 
 from typing import TypeVar
 
+import msgspec
+
 from saddlestack.codec import from_json
 from saddlestack.errors import SaddlestackError
+from saddlestack.interfaces.lives import born_of, id_of
 from saddlestack.interfaces.workers import (
     EndedTask,
     EndKind,
@@ -33,7 +36,7 @@
     StopBody,
 )
 from saddlestack.wire.dialer import Dialer
-from saddlestack.wire.http import AnswerLost, HttpClient, NotSent, Response
+from saddlestack.wire.http import AnswerLost, HttpClient, NotSent, Opening, Response
 
 T = TypeVar("T")
 
@@ -51,13 +54,18 @@
 
 
 class HttpWorkerOrders:
-    """Orders to one life of a worker, over kept connections."""
+    """Orders to one life of a worker, over kept connections.
+
+    Calls name the worker's id, which a later life may have as well, and only lists of runs tell
+    which life answers. So a connection to a life that tells its birth begins with a look that
+    acknowledges nothing: no order for one life, and no acknowledgement of its ends, is carried out
+    by another. That costs one call of 1 to 3 ms a connection.
+    """
 
-    def __init__(
-        self, worker_id: str, address: str, port: int, *, dialer: Dialer | None = None
-    ) -> None:
+    def __init__(self, life: str, address: str, port: int, *, dialer: Dialer | None = None) -> None:
         self._http = HttpClient(address, port, dialer=dialer, kept=KEPT_CONNECTIONS)
-        self._headers = ((LIFE_HEADER, worker_id),)
+        self._headers = ((LIFE_HEADER, id_of(life)),)
+        self._born = born_of(life)
 
     async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
         """Start a run."""
@@ -70,7 +78,7 @@
             order.saved,
             order.ticket,
         )
-        response = await self._call(paths.START, body, timeout_s)
+        response = await self._call(paths.START, body, order.fence, timeout_s)
         if response.status == 400:
             return StartReply(None, Refusal.INVALID)
         answer = _read(response, OrderAnswer, (200, 409))
@@ -80,13 +88,14 @@
 
     async def stop(self, task: str, run: int, fence: int, timeout_s: float) -> None:
         """Stop a run; one that is not there yet will be refused when it comes."""
-        response = await self._call(paths.STOP, StopBody(task, run, fence), timeout_s)
+        response = await self._call(paths.STOP, StopBody(task, run, fence), fence, timeout_s)
         _not_fenced(response)
         _read(response, OrderAnswer, (200, 409))
 
     async def pace(self, task: str, run: int, percent: int, fence: int, timeout_s: float) -> None:
         """Let a run work at a share of its full speed, 0 to 100."""
-        response = await self._call("/api/pace", PaceBody(task, run, percent, fence), timeout_s)
+        body = PaceBody(task, run, percent, fence)
+        response = await self._call("/api/pace", body, fence, timeout_s)
         _not_fenced(response)
         _read(response, OrderAnswer, (200, 409))
 
@@ -95,32 +104,77 @@
     ) -> WorkerReport:
         """Renew the lease of what runs, acknowledge ends up to ``seen``, and look."""
         body = HoldBody(fence, seen, deadline_ms, round(wait_s * 1000))
-        response = await self._call(paths.LOOK, body, timeout_s)
-        _not_fenced(response)
-        report = _read(response, ReportBody, (200,))
+        response = await self._call(paths.LOOK, body, fence, timeout_s)
+        report = self._report(response)
         running = tuple(
             RunningTask(r.task, r.run, r.saved, int(r.percent), r.figure) for r in report.running
         )
         ended = tuple(_end_of(row) for row in report.ended)
-        return WorkerReport(report.clock_ms, running, ended, more=len(ended) >= ENDS_AT_ONCE)
+        return WorkerReport(
+            report.clock_ms,
+            running,
+            ended,
+            more=len(ended) >= ENDS_AT_ONCE,
+            born=_born(report),
+        )
 
     def close(self) -> None:
         """Close all connections."""
         self._http.close()
 
-    async def _call(self, path: str, body: object, timeout_s: float) -> Response:
+    async def _call(self, path: str, body: object, fence: int, timeout_s: float) -> Response:
         try:
             response = await self._http.request(
-                "POST", path, body, timeout=timeout_s, headers=self._headers
+                "POST",
+                path,
+                body,
+                timeout=timeout_s,
+                headers=self._headers,
+                opening=self._opening(fence),
             )
         except (NotSent, AnswerLost) as error:
             raise WorkerUnreachable(str(error)) from error
-        if response.status == 421:
-            raise WorkerReplaced
-        if response.status in {429, 503}:
-            raise WorkerBusy(f"answered {response.status}")
+        _taken(response)
         return response
 
+    def _opening(self, fence: int) -> Opening | None:
+        """Learns which life a connection leads to, where lives tell their birth."""
+        if not self._born:
+            return None
+        return Opening("POST", paths.LOOK, HoldBody(fence, last_seen=0), self._check)
+
+    def _check(self, response: Response) -> None:
+        _taken(response)
+        self._report(response)
+
+    def _report(self, response: Response) -> ReportBody:
+        """What a life lists.
+
+        :raises WorkerReplaced: it is another life, born at another time; one whose record tells no
+            birth is none that does.
+        """
+        _not_fenced(response)
+        report = _read(response, ReportBody, (200,))
+        if _born(report) not in {0, self._born}:
+            raise WorkerReplaced
+        return report
+
+
+def _taken(response: Response) -> None:
+    """Check that a call was taken by a worker that goes by the id.
+
+    :raises WorkerReplaced: another worker answers.
+    :raises WorkerBusy: it is unhealthy.
+    """
+    if response.status == 421:
+        raise WorkerReplaced
+    if response.status in {429, 503}:
+        raise WorkerBusy(f"answered {response.status}")
+
+
+def _born(report: ReportBody) -> int:
+    return 0 if isinstance(report.born, msgspec.UnsetType) else report.born
+
 
 def _end_of(row: EndedRow) -> EndedTask:
     """An end that a worker lists.
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 
+from saddlestack.interfaces.lives import born_of, id_of
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask, WorkerRecord
 from saddlestack.policy.board.caution import Caution
 from saddlestack.policy.board.changes import Changes, Question, Start, Stop, StopReason
@@ -101,11 +102,13 @@
         record = task.record
         if record.status is not TaskStatus.ASSIGNED:
             return
-        run = Run(task, record.run, record.worker, task.step.step.room, 0.0, inherited=True)
+        address = addresses.get(record.worker, "")
+        worker = self._worker_at(record.worker, address)
+        run = Run(task, record.run, worker.worker_id, task.step.step.room, 0.0, inherited=True)
         run.saved = record.saved
+        run.address = address
         task.run = run
-        run.address = addresses.get(record.worker, "")
-        self._worker_at(record.worker, run.address).add(run)
+        worker.add(run)
 
     def _worker_at(self, worker_id: str, address: str) -> Worker:
         """The life that a run was given to at some address; it is asked there and nowhere else.
@@ -115,7 +118,7 @@
 
         :param address: where the run was ordered, or empty where that is not known.
         """
-        worker = self.workers.get(worker_id)
+        worker = self.workers.get(worker_id) or self._listed_at(worker_id, address)
         if worker is None:
             return self._ghost(worker_id, address)
         if address and not worker.runs and worker.record.address != address:
@@ -124,6 +127,20 @@
             worker.reachable = False
         return worker
 
+    def _listed_at(self, worker_id: str, address: str) -> Worker | None:
+        """The listed life of a worker of which a record kept the id alone, at the same address.
+
+        Its own list of runs tells whether the run is there; two counts of one life would each stop
+        what the other had it start.
+        """
+        if born_of(worker_id):
+            return None
+        for worker in self.workers.values():
+            same = id_of(worker.worker_id) == worker_id and worker.record.address == address
+            if same and worker.listed:
+                return worker
+        return None
+
     def _ghost(self, worker_id: str, address: str) -> Worker:
         """A life that is not in the list, but may still run something.
 
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -11,7 +11,6 @@
 from saddlestack.control.settings import EntrySettings, Timings
 from saddlestack.interfaces.clients import ClientCall
 from saddlestack.interfaces.documents import Queue
-from saddlestack.interfaces.lives import born_of
 from saddlestack.interfaces.workers import WorkerOrders, WorkerRecord
 from saddlestack.standins.loop import VirtualClock
 from saddlestack.standins.pool.documents import ACCOUNT, HOST, QUEUES, SERVICE, pool_document
@@ -213,11 +212,9 @@
 
     def _orders(self, name: str, record: WorkerRecord) -> WorkerOrders:
         self.opened.add(record.worker_id)
-        named = born_of(record.worker_id) > 0
-        worker = (
-            self.floor.workers[record.worker_id] if named else self.floor.present(record.worker_id)
-        )
-        return FloorOrders(self.floor, worker, lambda: self._passes(name), record.address, named)
+        life = record.worker_id
+        worker = self.floor.workers.get(life) or self.floor.present(life)
+        return FloorOrders(self.floor, worker, lambda: self._passes(name), record.address, life)
 
     def _passes(self, name: str) -> bool:
         member = self.members.get(name)
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from saddlestack.interfaces.lives import id_of, life_name
+from saddlestack.interfaces.lives import born_of, id_of, life_name
 from saddlestack.interfaces.workers import (
     EndedTask,
     EndKind,
@@ -469,15 +469,15 @@
 
     :param passes: whether anything passes between the VM and the worker.
     :param address: where the VM calls it; a life answers at its own address alone.
-    :param named: the VM knows the life by name, and no other is given its orders; otherwise any
-        life of the worker's id takes them.
+    :param life: the name of the life that the VM means. Where it tells a birth no other life is
+        given its orders; otherwise any life of the worker's id takes them.
     """
 
     floor: Floor
     worker: FloorWorker
     passes: Callable[[], bool]
     address: str
-    named: bool = False
+    life: str = ""
     late: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
@@ -522,6 +522,8 @@
             await self._silence(timeout_s)
         if not self.worker.up or self.worker.address != self.address:
             self.worker = self._other_life()
+        if born_of(self.life) and self.life != self.worker.life:
+            raise WorkerReplaced
         if self.worker.busy:
             raise WorkerBusy("answered 503")
 
@@ -532,7 +534,7 @@
         ]
         if not there:
             raise WorkerUnreachable("refused")
-        if self.named or there[0].worker_id != self.worker.worker_id:
+        if there[0].worker_id != self.worker.worker_id:
             raise WorkerReplaced
         return there[0]
 
--- a/src/saddlestack/wire/http.py
+++ b/src/saddlestack/wire/http.py
@@ -282,6 +282,21 @@
     return Request(head.method.decode(), unquote(target.path), query, headers, body)
 
 
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """What is asked first on each connection, to learn who answers there.
+
+    A connection ends with the process that it leads to, so the answer holds for all of it.
+
+    :param check: takes the answer; what it raises ends the call, which is then not sent.
+    """
+
+    method: str
+    path: str
+    body: object
+    check: Callable[[Response], None]
+
+
 class NotSent(Exception):
     """No byte of the request left: it was truly not run."""
 
@@ -328,13 +343,15 @@
         timeout: float,
         headers: Sequence[tuple[str, str]] = (),
         host: str | None = None,
+        opening: Opening | None = None,
     ) -> Response:
         """Send a request and read the whole answer.
 
         :param body: a model, sent as JSON, or ``None``.
-        :param timeout: seconds for the whole exchange.
+        :param timeout: seconds for the whole exchange, the opening included.
         :param headers: sent besides the usual ones.
         :param host: the host that is asked for, where it is not the address.
+        :param opening: asked before the request on a connection that was not opened so yet.
         :raises NotSent: nothing left.
         :raises AnswerLost: the answer did not come, or not whole.
         """
@@ -343,6 +360,8 @@
         answered = False
         try:
             async with asyncio.timeout(timeout):
+                if opening is not None and not connection.opened:
+                    await self._open_with(connection, opening, headers, host)
                 response = await connection.exchange(
                     self._encode(method, path, body, headers, host)
                 )
@@ -381,6 +400,19 @@
         self._open.add(connection)
         return connection
 
+    async def _open_with(
+        self,
+        connection: _Connection,
+        opening: Opening,
+        headers: Sequence[tuple[str, str]],
+        host: str | None,
+    ) -> None:
+        message = self._encode(opening.method, opening.path, opening.body, headers, host)
+        opening.check(await connection.exchange(message))
+        if not connection.ready:
+            raise ConnectionResetError("closed after its opening")
+        connection.opened = True
+
     def _drop_unheard(self, since: float) -> None:
         """Close the kept connections that were not heard after some moment."""
         for connection in [each for each in self._idle if each.heard_s <= since]:
@@ -423,6 +455,7 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._bytes = 0
         self.ready = False
+        self.opened = False
         self.heard_s = _now()
 
     @property
--- a/tests/malformed.py
+++ b/tests/malformed.py
@@ -132,8 +132,10 @@
             rows[f"{field}: {value.decode()}"] = encoded()[:-1].replace(
                 b'"' + field.encode() + b'":', b'"x":'
             ) + (b',"' + field.encode() + b'":' + value + b"}")
-    for field in ("clock_ms", "slots"):
+    for field in ("clock_ms", "slots", "born"):
         rows[f"{field}: fractional"] = encoded(**{field: 7.5})
+    for name, value in {**NOT_A_NUMBER, "zero": 0}.items():
+        rows[f"born: {name}"] = encoded(born=value)
     rows |= _capacities() | _labels()
     for name, address in ADDRESSES.items():
         rows[f"address: {name}"] = encoded(address=address)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,6 +18,7 @@
 from saddlestack.control.entry import METRICS_PATH
 from saddlestack.control.settings import EntrySettings, check, parse_address
 from saddlestack.errors import ErrorKind, SaddlestackError
+from saddlestack.interfaces.lives import life_name
 from saddlestack.interfaces.machines import UpkeepOutcome
 from saddlestack.interfaces.store import (
     Committed,
@@ -299,6 +300,94 @@
 
         with_server(body)
 
+    def test_a_life_that_tells_its_birth_is_met_first_on_each_connection(self) -> None:
+        async def body(served: Served) -> None:
+            orders = HttpWorkerOrders(life_name("i-1", 1700), "127.0.0.1", served.server.port)
+            served.answer(200, {"clock-ms": 5, "born": 1700, "running": [], "ended": []})
+            served.answer(200, {"clock-ms": 6})
+            self.assertEqual((await orders.start(self.ORDER, 1.0)).clock_ms, 6)
+            first, second = served.asked
+            self.assertEqual(first.path, "/api/hold")
+            self.assertEqual(msgspec.json.decode(first.body), {"fence": 5, "last-seen": 0})
+            self.assertEqual(second.path, "/api/run-start")
+            self.assertEqual(second.headers["saddlestack-target-instance"], "i-1")
+            served.answer(200, {"clock-ms": 7, "born": 1700})
+            report = await orders.hold(5, 9000, 57, 0.0, 1.0)
+            self.assertEqual((report.born, len(served.asked)), (1700, 3))
+
+        with_server(body)
+
+    def test_another_life_under_the_id_is_given_no_order_and_no_acknowledgement(self) -> None:
+        async def body(served: Served) -> None:
+            orders = HttpWorkerOrders(life_name("i-1", 1700), "127.0.0.1", served.server.port)
+            calls: list[Callable[[], Awaitable[object]]] = [
+                lambda: orders.start(self.ORDER, 1.0),
+                lambda: orders.stop("00000000000000aa.0.1.2", 3, 5, 1.0),
+                lambda: orders.pace("00000000000000aa.0.1.2", 3, 50, 5, 1.0),
+                lambda: orders.hold(5, 9000, 57, 0.0, 1.0),
+            ]
+            for call in calls:
+                served.answer(200, {"clock-ms": 5, "born": 1800, "ended": []})
+                with self.assertRaises(WorkerReplaced):
+                    await call()
+            bodies = [msgspec.json.decode(asked.body) for asked in served.asked]
+            self.assertEqual(bodies, [{"fence": 5, "last-seen": 0}] * len(calls))
+
+        with_server(body)
+
+    def test_who_answers_the_first_look_on_a_connection(self) -> None:
+        async def body(served: Served) -> None:
+            for status, answer, error in (
+                (421, None, WorkerReplaced),
+                (503, None, WorkerBusy),
+                (409, {"clock-ms": 1, "reason": "fence"}, WorkerFenced),
+                (500, None, WorkerUnreachable),
+                (200, {"clock-ms": 1, "born": "1700"}, WorkerUnreachable),
+                (200, {"clock-ms": 1, "born": None}, WorkerUnreachable),
+                (200, {"clock-ms": 1, "born": 0}, WorkerUnreachable),
+                (200, {"clock-ms": 1, "born": 17.5}, WorkerUnreachable),
+            ):
+                orders = HttpWorkerOrders(life_name("i-1", 1700), "127.0.0.1", served.server.port)
+                served.answer(status, answer)
+                with self.assertRaises(error):
+                    await orders.start(self.ORDER, 1.0)
+                orders.close()
+            self.assertTrue(all(asked.path == "/api/hold" for asked in served.asked))
+
+        with_server(body)
+
+    def test_a_list_of_runs_that_tells_no_birth_is_borne(self) -> None:
+        async def body(served: Served) -> None:
+            orders = HttpWorkerOrders(life_name("i-1", 1700), "127.0.0.1", served.server.port)
+            served.answer(200, {"clock-ms": 5})
+            served.answer(200, {"clock-ms": 6})
+            self.assertEqual((await orders.start(self.ORDER, 1.0)).clock_ms, 6)
+
+        with_server(body)
+
+    def test_a_life_without_a_birth_is_none_that_tells_one(self) -> None:
+        async def body(served: Served) -> None:
+            orders = HttpWorkerOrders("i-1", "127.0.0.1", served.server.port)
+            served.answer(200, {"clock-ms": 5, "born": 1800})
+            with self.assertRaises(WorkerReplaced):
+                await orders.hold(5, None, 0, 0.0, 1.0)
+
+        with_server(body)
+
+    def test_the_adviser_knows_lives_by_their_id(self) -> None:
+        async def body(served: Served) -> None:
+            adviser = HttpAdviser("127.0.0.1", served.server.port)
+            life = life_name("i-1", 1700)
+            good = [["i-1", "t1"], ["i-3", "t3"]]
+            served.answer(200, {"good": good, "valid-ms": 1000})
+            leaves = await adviser.advise("00000000000000aa.0.1", (life, "i-2"))
+            self.assertEqual(
+                served.body(), {"step": "00000000000000aa.0.1", "workers": ["i-1", "i-2"]}
+            )
+            self.assertEqual([(leave.worker_id, leave.ticket) for leave in leaves], [(life, "t1")])
+
+        with_server(body)
+
     def test_reports(self) -> None:
         async def body(served: Served) -> None:
             orders = HttpWorkerOrders("i-1", "127.0.0.1", served.server.port)
