The next life of a worker refuses what the one before left undone

Cause: an order without an answer may be carried out seconds later. The next life under the id has seen no fencing token and no stop, so it would carry it out, though the task may run elsewhere or be done. Ruled out: that a connection's orders reach another life (they end with it); this is about orders that a worker holds back and that its next life still finds. Cost: one look and one connection for each worker that starts again under its id; none elsewhere.

--- a/src/saddlestack/control/listing.py
+++ b/src/saddlestack/control/listing.py
@@ -75,12 +75,22 @@
             else:
                 self._refuse_service(item)
 
+    def life_after(self, life: str) -> str | None:
+        """The life that is listed under the id of one that is over; ``None`` while there is none.
+
+        The next record under the id counts as that of another life then.
+        """
+        listed = self._lives.setdefault(id_of(life), life)
+        return None if listed == life else listed
+
     def _take(self, item: Item, record: WorkerRecord) -> None:
         worker_id = self._id(item)
-        before = self._lives.get(worker_id, worker_id)
+        before = self._lives.get(worker_id, record.worker_id)
         if not born_of(record.worker_id):
+            # A record that tells no birth is of the life that is known.
             record = replace(record, worker_id=before)
-        if record.worker_id != before:
+        another = record.worker_id != before
+        if another:
             self._supersede(before)
         worker = self._board.workers.get(record.worker_id)
         if worker is not None and worker.record.address not in {"", record.address}:
@@ -91,6 +101,8 @@
         self._no_service.pop(worker_id, None)
         self._lives[worker_id] = record.worker_id
         self._board.set_worker(record, self._clock.now())
+        if another:
+            self._sessions.recall(record.worker_id)
 
     def _supersede(self, life: str) -> None:
         """A record tells of another life of a worker: this one is asked whether it is over."""
@@ -113,7 +125,11 @@
     def _removed(self, worker_id: str) -> None:
         """A record is gone; what runs there may go on, whatever its worker had announced."""
         self._no_service.pop(worker_id, None)
-        self._unlist(self._lives.pop(worker_id, worker_id))
+        life = self._lives.get(worker_id, worker_id)
+        if not born_of(life):
+            # Another life has another id; otherwise the next record may be the next life's.
+            self._lives.pop(worker_id, None)
+        self._unlist(life)
 
     def _unlist(self, life: str) -> None:
         """Give a life nothing new; what runs there goes on."""
--- a/src/saddlestack/control/owner.py
+++ b/src/saddlestack/control/owner.py
@@ -43,6 +43,10 @@
         """A call to a worker was not answered; its neighbours may be out of reach as well."""
         ...
 
+    def replaced(self, worker: Worker) -> None:
+        """Another life answered where a worker's was: this one is over."""
+        ...
+
     def fenced(self) -> None:
         """A worker obeys a later term."""
         ...
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -160,6 +160,12 @@
         else:
             self._sessions.suspect_worker(worker)
 
+    def replaced(self, worker: Worker) -> None:
+        """Another life answered where a worker's was; orders to the one before may reach it."""
+        life = self._workers.life_after(worker.worker_id)
+        if life is not None:
+            self._sessions.recall(life)
+
     def fenced(self) -> None:
         """A worker obeys a later term."""
         self._displaced("a worker obeys a later term")
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -9,6 +9,7 @@
 from typing import TypeVar
 
 from saddlestack.control.contact import Contact
+from saddlestack.control.doubts import Doubts
 from saddlestack.control.endings import Proof, log_over, log_wait
 from saddlestack.control.leases import Leases
 from saddlestack.control.owner import Owner
@@ -68,6 +69,7 @@
     """Orders to one worker, and looks at it, while this VM leads.
 
     :param leases: what was granted to workers in this term and before.
+    :param doubts: told which starts were answered.
     """
 
     def __init__(
@@ -77,12 +79,14 @@
         owner: Owner,
         clock: Clock,
         leases: Leases,
+        doubts: Doubts | None = None,
     ) -> None:
         self.worker = worker
         self._orders = orders
         self._owner = owner
         self._clock = clock
         self._leases = leases
+        self._doubts = doubts or Doubts()
         self._began_s = clock.now()
         self._contact = Contact(worker, owner, clock, leases)
         self._tasks = TaskGroup(f"session {worker.worker_id}")
@@ -178,12 +182,15 @@
                 reply = StartReply(None, Refusal.ROOM)
             except WorkerReplaced:
                 if clean:
+                    self._doubts.answered(self.worker.worker_id, key)
                     self._never_began(run, key)
                 self._replaced()
                 return
             except WorkerFenced:
                 self._owner.fenced()
                 return
+            if clean:
+                self._doubts.answered(self.worker.worker_id, key)
             if reply.refusal is Refusal.LATE and clean:
                 continue
             self._answered(run, key, reply, clean)
@@ -227,6 +234,7 @@
                 fence=self._owner.fence,
                 ticket=start.ticket,
             )
+            self._doubts.sent(self.worker.worker_id, (run.task.name, run.number), now)
             reply = await self._answer_of(self._orders.start(order, ORDER_TIMEOUT_S))
         if reply.clock_ms is None:
             self._contact.heard()
@@ -495,4 +503,5 @@
         self.worker.listed = False
         log_over(self.worker.runs.values(), Proof.REPLACED, 0.0)
         self._owner.board.worker_over(self.worker.worker_id)
+        self._owner.replaced(self.worker)
         self._owner.changed()
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from saddlestack.control.context import EntryContext
+from saddlestack.control.doubts import Doubts
 from saddlestack.control.leases import Leases
 from saddlestack.control.owner import Owner
 from saddlestack.control.session import WorkerSession
@@ -30,6 +31,7 @@
         self._sessions: dict[str, WorkerSession] = {}
         self._tasks = TaskGroup("sessions")
         self._leases = leases
+        self._doubts = Doubts()
 
     def __len__(self) -> int:
         return len(self._sessions)
@@ -73,6 +75,19 @@
         if session is not None:
             session.suspect()
 
+    def recall(self, life: str) -> None:
+        """Have the life after another refuse the starts that the other may not have carried out.
+
+        A look tells it the present fencing token, which it does not know of before, so that it
+        refuses those of earlier leaders; those of this one are stopped.
+        """
+        session = self._session(life)
+        if session is None:
+            return
+        session.suspect()
+        for task, number in self._doubts.of(life, self._context.clock.now()):
+            session.stop(task, number)
+
     def order_start(self, start: Start) -> bool:
         """Order a run to start; ``False`` where its worker is gone."""
         run = start.run
@@ -141,6 +156,7 @@
             self._owner,
             self._context.clock,
             self._leases,
+            self._doubts,
         )
         self._sessions[worker_id] = session
         session.begin()
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -485,7 +485,7 @@
         await self._reach(timeout_s)
         if self.worker.late_orders:
             self.worker.late_orders -= 1
-            self._later(lambda: self.floor.start(self.worker, order))
+            self._later(lambda worker: self.floor.start(worker, order))
             await self._silence(timeout_s)
         reply = self.floor.start(self.worker, order)
         await asyncio.sleep(TRIP_S)
@@ -496,7 +496,7 @@
         await self._reach(timeout_s)
         if self.worker.lost_stops:
             self.worker.lost_stops -= 1
-            self._later(lambda: self.floor.stop(self.worker, task, run, fence))
+            self._later(lambda worker: self.floor.stop(worker, task, run, fence))
             await self._silence(timeout_s)
         self.floor.stop(self.worker, task, run, fence)
         await asyncio.sleep(TRIP_S)
@@ -542,11 +542,14 @@
         await asyncio.sleep(timeout_s)
         raise WorkerUnreachable("silence")
 
-    def _later(self, work: Callable[[], object]) -> None:
+    def _later(self, work: Callable[[FloorWorker], object]) -> None:
+        """Carry an order out late, by whichever life then goes by the worker's id."""
+
         async def do() -> None:
             await asyncio.sleep(self.worker.late_s)
-            if self.worker.up:
-                work()
+            present = self.floor.present(self.worker.worker_id)
+            if present.up:
+                work(present)
 
         task = asyncio.get_running_loop().create_task(do())
         self.late.add(task)
--- a/tests/test_restarted.py
+++ b/tests/test_restarted.py
@@ -39,6 +39,8 @@
 STEP_WORK_S = 2.5
 SOON_S = 0.5
 """What may follow from an end has begun by then."""
+LATE_S = 5.0
+"""So late a worker carries an order out."""
 HEARD_S = 2.0
 """Within this a leader has heard of a worker's record."""
 
@@ -190,6 +192,61 @@
 
         self.play(body)
 
+    def test_an_order_that_one_life_left_unanswered_is_refused_by_the_next(self) -> None:
+        """The task is at work elsewhere by the time that the worker would carry the order out."""
+
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(HEARD_S)
+            for worker in list(cluster.floor.workers.values()):
+                worker.late_orders, worker.late_s = 1, LATE_S
+            await cluster.submit(SECOND, job(1, work_s=2 * LATE_S, accelerators=8))
+            await asyncio.sleep(0.2)
+            late = next(each for each in cluster.floor.workers.values() if not each.late_orders)
+            cluster.floor.restart(late)
+            await cluster.until(lambda: cluster.floor.starts_of(SECOND) == 1)
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(SECOND), 1)
+
+        self.play(body, workers=2)
+
+    def test_an_order_of_an_earlier_leader_is_refused_by_the_next_life(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(HEARD_S)
+            for worker in list(cluster.floor.workers.values()):
+                worker.late_orders, worker.late_s = 1, LATE_S
+            await cluster.submit(SECOND, job(1, work_s=2 * LATE_S, accelerators=8))
+            await asyncio.sleep(0.2)
+            await cluster.kill(cluster.leader_name)
+            late = next(each for each in cluster.floor.workers.values() if not each.late_orders)
+            cluster.floor.lapse(late)
+            life = cluster.floor.restart(late, recorded=False)
+            for worker in list(cluster.floor.workers.values()):
+                worker.late_orders = 0
+            await cluster.until(lambda: cluster.floor.starts_of(SECOND) == 1)
+            cluster.floor.record(life)
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(SECOND), 1)
+
+        self.play(body, workers=2, entries=3)
+
+    def test_a_record_that_was_gone_meanwhile_is_another_lifes(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(HEARD_S)
+            for worker in list(cluster.floor.workers.values()):
+                worker.late_orders, worker.late_s = 1, LATE_S
+            await cluster.submit(SECOND, job(1, work_s=2 * LATE_S, accelerators=8))
+            await asyncio.sleep(0.2)
+            late = next(each for each in cluster.floor.workers.values() if not each.late_orders)
+            cluster.floor.lapse(late)
+            life = cluster.floor.restart(late, recorded=False)
+            await asyncio.sleep(HEARD_S)
+            cluster.floor.record(life)
+            await cluster.until(lambda: cluster.floor.starts_of(SECOND) == 1)
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+            self.assertEqual(cluster.floor.starts_of(SECOND), 1)
+
+        self.play(body, workers=2)
+
     def test_a_new_leader_knows_which_life_was_given_the_work(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             await self.rested(cluster)
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -138,6 +138,9 @@
     async def written(self) -> None:
         await self.stored.wait()
 
+    def replaced(self, worker: Worker) -> None:
+        pass
+
     def missed(self, worker: Worker) -> None:
         if self.on_missed is not None:
             self.on_missed()
