Upkeep: a worker that starts again is told anew, and has not come back from its upkeep

A machine that was to run empty got new work once its worker had started again, and counted as back from its upkeep as soon as it was down, so that more machines than allowed could be down at once. Change: the life is noted again while a machine is prepared, and with each order. Measured: the test fails before; tests/test_board.py passes.

--- a/src/saddlestack/policy/upkeep.py
+++ b/src/saddlestack/policy/upkeep.py
@@ -70,7 +70,7 @@
         :param workers: the listed worker of each machine.
         """
         self._come_back(workers)
-        chosen: list[tuple[Worker, float]] = []
+        chosen = self._restarted(workers)
         waiting = [n for n, m in self.machines.items() if m.status is MachineStatus.WAITING]
         waiting.sort(key=lambda name: _load(workers.get(name)))
         for name in waiting:
@@ -79,7 +79,7 @@
             worker = workers.get(name)
             machine = self.machines[name]
             machine.status = MachineStatus.PREPARING
-            machine.worker_id = "" if worker is None else worker.worker_id
+            machine.worker_id = _life_of(worker)
             machine.order_by_s = now + self._preparation(now)
             if worker is not None:
                 chosen.append((worker, machine.order_by_s))
@@ -89,13 +89,12 @@
         """Machines to be ordered down now: they run nothing, or their time has come."""
         names = []
         for name, machine in self.machines.items():
-            if machine.status is MachineStatus.ORDERED:
-                names.append(name)
-            if machine.status is not MachineStatus.PREPARING:
-                continue
             worker = workers.get(name)
-            if worker is None or not worker.runs or now >= machine.order_by_s:
-                machine.status = MachineStatus.ORDERED
+            if machine.status is MachineStatus.PREPARING:
+                if worker is None or not worker.runs or now >= machine.order_by_s:
+                    machine.status = MachineStatus.ORDERED
+            if machine.status is MachineStatus.ORDERED:
+                machine.worker_id = _life_of(worker) or machine.worker_id
                 names.append(name)
         return names
 
@@ -107,6 +106,18 @@
         """There is no such machine any more, or it is not of this wave."""
         self.machines[machine].status = MachineStatus.DONE
 
+    def _restarted(self, workers: Mapping[str, Worker]) -> list[tuple[Worker, float]]:
+        """Workers that started again on machines that are to run empty: they know nothing of it."""
+        found = []
+        for name, machine in self.machines.items():
+            worker = workers.get(name)
+            if machine.status is not MachineStatus.PREPARING or worker is None:
+                continue
+            if worker.worker_id != machine.worker_id:
+                machine.worker_id = worker.worker_id
+                found.append((worker, machine.order_by_s))
+        return found
+
     def _come_back(self, workers: Mapping[str, Worker]) -> None:
         for name, machine in self.machines.items():
             worker = workers.get(name)
@@ -131,3 +142,7 @@
 
 def _load(worker: Worker | None) -> int:
     return 0 if worker is None else len(worker.runs)
+
+
+def _life_of(worker: Worker | None) -> str:
+    return "" if worker is None else worker.worker_id
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -732,6 +732,28 @@
         self.assertEqual(len(state.due(workers, order_by)), 1)
         self.assertIs(next(iter(state.machines.values())).status, MachineStatus.ORDERED)
 
+    def test_a_worker_that_starts_again_before_its_machine_goes_down(self) -> None:
+        """It is told anew that it gets no work, and it has not come back from the upkeep."""
+        self.workers(each=1)
+        self.add(step(1, 8))
+        self.plan()
+        workers = {w.record.machine: w for w in self.board.workers.values()}
+        state = WaveState(Wave(1, tuple(workers), 20.0, 1), 0.0, 2.0)
+        (before, order_by) = state.prepare(workers, 0.0)[0]
+        machine = before.record.machine
+        again = self.board.set_worker(record("again"), 1.0)
+        self.assertEqual(state.prepare({machine: again}, 1.0), [(again, order_by)])
+        self.assertEqual(state.prepare({machine: again}, 1.1), [])
+        self.assertEqual(state.due({machine: again}, 1.1), [machine])
+        once_more = self.board.set_worker(record("once more"), 1.2)
+        self.assertEqual(state.due({machine: once_more}, 1.2), [machine])
+        state.went_down(machine)
+        state.prepare({machine: once_more}, 1.3)
+        self.assertIs(state.machines[machine].status, MachineStatus.DOWN)
+        returned = self.board.set_worker(record("returned"), 4.0)
+        state.prepare({machine: returned}, 4.0)
+        self.assertIs(state.machines[machine].status, MachineStatus.DONE)
+
 
 class PauseTest(unittest.TestCase):
     def test_it_doubles_up_to_the_longest_and_is_never_near_none(self) -> None:
