--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -46,9 +46,11 @@
         racks: int = 2,
         workers: int = 2,
         seed: int = 1,
+        births: bool = False,
     ) -> None:
         async def main() -> None:
             cluster = PoolCluster(entries=entries, racks=racks, workers=workers, seed=seed)
+            cluster.floor.births = births
             await cluster.start()
             try:
                 await body(cluster)
--- a/tests/test_restarted.py
+++ b/tests/test_restarted.py
@@ -18,7 +18,6 @@
 from __future__ import annotations
 
 import asyncio
-import unittest
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -27,10 +26,10 @@
 from saddlestack.control.keys import progress_key
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.board.records import OccurrenceRecord
-from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.standins.pool.workers import FloorWorker
 from saddlestack.work import JobState
+from tests.test_pool import PoolTest
 
 FIRST = "00000000000000aa"
 SECOND = "00000000000000bb"
@@ -45,10 +44,10 @@
 """Within this a leader has heard of a worker's record."""
 
 
-class RestartCase(unittest.TestCase):
-    """Runs a coroutine against a small deployment whose workers may tell when they were born."""
+class RestartCase(PoolTest):
+    """Workers that may tell when they were born, and start again under their id."""
 
-    def play(
+    def played(
         self,
         body: Callable[[PoolCluster], Awaitable[None]],
         *,
@@ -56,17 +55,17 @@
         entries: int = 2,
         births: bool = True,
     ) -> None:
-        async def main() -> None:
-            cluster = PoolCluster(entries=entries, racks=1, workers=workers)
-            cluster.floor.births = births
-            await cluster.start()
-            try:
-                await body(cluster)
-            finally:
-                await cluster.stop()
-            self.assertEqual(cluster.floor.violations, [])
-
-        run(main())
+        """Run a coroutine against a small deployment of one rack."""
+        self.play(body, entries=entries, racks=1, workers=workers, births=births)
+
+    async def late_start(self, cluster: PoolCluster) -> FloorWorker:
+        """A worker that has left the start of a task unanswered, and will carry it out late."""
+        await asyncio.sleep(HEARD_S)
+        for worker in list(cluster.floor.workers.values()):
+            worker.late_orders, worker.late_s = 1, LATE_S
+        await cluster.submit(SECOND, job(1, work_s=2 * LATE_S, accelerators=8))
+        await asyncio.sleep(0.2)
+        return next(each for each in cluster.floor.workers.values() if not each.late_orders)
 
     async def rested(self, cluster: PoolCluster) -> FloorWorker:
         """A worker that has told of some ends, and has nothing to do."""
@@ -93,7 +92,7 @@
             await cluster.until_state(SECOND, JobState.COMPLETED)
             self.assertEqual(cluster.floor.starts_of(SECOND), 4)
 
-        self.play(body)
+        self.played(body)
 
     def test_a_step_begins_once_the_one_before_has_ended_on_another_life(self) -> None:
         async def body(cluster: PoolCluster) -> None:
@@ -111,7 +110,7 @@
             again = [run for run in cluster.floor.history if run.number > 1]
             self.assertEqual([str(run.task) for run in again], [])
 
-        self.play(body)
+        self.played(body)
 
     def test_a_task_is_done_once_where_no_worker_starts_again(self) -> None:
         async def body(cluster: PoolCluster) -> None:
@@ -120,7 +119,7 @@
             await cluster.until_state(SECOND, JobState.COMPLETED)
             self.assertEqual(cluster.floor.starts_of(SECOND), 4)
 
-        self.play(body)
+        self.played(body)
 
     def test_a_start_right_after_the_restart_is_counted_once(self) -> None:
         """Nobody has heard of the new life yet when it is given work."""
@@ -134,7 +133,7 @@
             await cluster.until_state(SECOND, JobState.COMPLETED)
             self.assertEqual(cluster.floor.ends_of(SECOND, EndKind.DONE), 4)
 
-        self.play(body)
+        self.played(body)
 
     def test_a_life_that_lives_on_is_heard_whatever_its_record_tells(self) -> None:
         """Another writer names a birth that never was, and the worker writes its own again."""
@@ -149,7 +148,7 @@
             await cluster.until_state(SECOND, JobState.COMPLETED)
             self.assertEqual(cluster.floor.starts_of(SECOND), 1)
 
-        self.play(body)
+        self.played(body)
 
 
 class ForeignRecordTest(RestartCase):
@@ -171,7 +170,7 @@
             self.assertEqual(cluster.floor.starts_of(SECOND), 1)
             self.assertEqual(cluster.floor.starts_of(FIRST), 3)
 
-        self.play(body, births=births)
+        self.played(body, births=births)
 
     def test_a_birth_where_the_worker_tells_none(self) -> None:
         self.at_work_through(births=False, born=1_700)
@@ -201,7 +200,7 @@
             await cluster.until_state(SECOND, JobState.COMPLETED)
             self.assertEqual(cluster.floor.starts_of(SECOND), 1)
 
-        self.play(body, entries=3)
+        self.played(body, entries=3)
 
     def test_what_a_life_ran_begins_again_once(self) -> None:
         async def body(cluster: PoolCluster) -> None:
@@ -210,7 +209,7 @@
             await cluster.until_state(SECOND, JobState.COMPLETED)
             self.assertEqual(cluster.floor.starts_of(SECOND), 2)
 
-        self.play(body)
+        self.played(body)
 
     def test_it_begins_again_once_where_the_worker_restarts_again_and_again(self) -> None:
         async def body(cluster: PoolCluster) -> None:
@@ -222,34 +221,24 @@
             await cluster.until_state(SECOND, JobState.COMPLETED)
             self.assertEqual(cluster.floor.ends_of(SECOND, EndKind.DONE), 1)
 
-        self.play(body)
+        self.played(body)
 
     def test_an_order_that_one_life_left_unanswered_is_refused_by_the_next(self) -> None:
         """The task is at work elsewhere by the time that the worker would carry the order out."""
 
         async def body(cluster: PoolCluster) -> None:
-            await asyncio.sleep(HEARD_S)
-            for worker in list(cluster.floor.workers.values()):
-                worker.late_orders, worker.late_s = 1, LATE_S
-            await cluster.submit(SECOND, job(1, work_s=2 * LATE_S, accelerators=8))
-            await asyncio.sleep(0.2)
-            late = next(each for each in cluster.floor.workers.values() if not each.late_orders)
+            late = await self.late_start(cluster)
             cluster.floor.restart(late)
             await cluster.until(lambda: cluster.floor.starts_of(SECOND) == 1)
             await cluster.until_state(SECOND, JobState.COMPLETED)
             self.assertEqual(cluster.floor.starts_of(SECOND), 1)
 
-        self.play(body, workers=2)
+        self.played(body, workers=2)
 
     def test_an_order_of_an_earlier_leader_is_refused_by_the_next_life(self) -> None:
         async def body(cluster: PoolCluster) -> None:
-            await asyncio.sleep(HEARD_S)
-            for worker in list(cluster.floor.workers.values()):
-                worker.late_orders, worker.late_s = 1, LATE_S
-            await cluster.submit(SECOND, job(1, work_s=2 * LATE_S, accelerators=8))
-            await asyncio.sleep(0.2)
+            late = await self.late_start(cluster)
             await cluster.kill(cluster.leader_name)
-            late = next(each for each in cluster.floor.workers.values() if not each.late_orders)
             cluster.floor.lapse(late)
             life = cluster.floor.restart(late, recorded=False)
             for worker in list(cluster.floor.workers.values()):
@@ -259,16 +248,11 @@
             await cluster.until_state(SECOND, JobState.COMPLETED)
             self.assertEqual(cluster.floor.starts_of(SECOND), 1)
 
-        self.play(body, workers=2, entries=3)
+        self.played(body, workers=2, entries=3)
 
     def test_a_record_that_was_gone_meanwhile_is_another_lifes(self) -> None:
         async def body(cluster: PoolCluster) -> None:
-            await asyncio.sleep(HEARD_S)
-            for worker in list(cluster.floor.workers.values()):
-                worker.late_orders, worker.late_s = 1, LATE_S
-            await cluster.submit(SECOND, job(1, work_s=2 * LATE_S, accelerators=8))
-            await asyncio.sleep(0.2)
-            late = next(each for each in cluster.floor.workers.values() if not each.late_orders)
+            late = await self.late_start(cluster)
             cluster.floor.lapse(late)
             life = cluster.floor.restart(late, recorded=False)
             await asyncio.sleep(HEARD_S)
@@ -277,7 +261,7 @@
             await cluster.until_state(SECOND, JobState.COMPLETED)
             self.assertEqual(cluster.floor.starts_of(SECOND), 1)
 
-        self.play(body, workers=2)
+        self.played(body, workers=2)
 
     def test_a_new_leader_knows_which_life_was_given_the_work(self) -> None:
         async def body(cluster: PoolCluster) -> None:
@@ -289,7 +273,7 @@
             await cluster.until_state(SECOND, JobState.COMPLETED)
             self.assertEqual(cluster.floor.starts_of(SECOND), 2)
 
-        self.play(body, entries=3)
+        self.played(body, entries=3)
 
     def test_a_life_that_nobody_hears_of_again_holds_its_work_until_the_lease(self) -> None:
         """The worker is cut off; a record names another life, and only its own word would count."""
@@ -305,4 +289,4 @@
             self.assertEqual(cluster.floor.starts_of(SECOND), 1)
             await cluster.until(lambda: cluster.floor.starts_of(SECOND) == 2)
 
-        self.play(body)
+        self.played(body)
