--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -15,8 +15,9 @@
 from saddlestack.standins.loop import VirtualClock
 from saddlestack.standins.pool.documents import ACCOUNT, HOST, QUEUES, SERVICE, pool_document
 from saddlestack.standins.pool.machines import FloorAdviser, FloorMachines
+from saddlestack.standins.pool.orders import FloorOrders
 from saddlestack.standins.pool.store import StoreState, StoreView
-from saddlestack.standins.pool.workers import Floor, FloorOrders, FloorTimes, TaskPlan, payload
+from saddlestack.standins.pool.workers import Floor, FloorTimes, TaskPlan, payload
 from saddlestack.standins.ports import free_ports
 from saddlestack.work import JobRequest, JobState, Resources, Step
 
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -1,7 +1,7 @@
 """Stand-ins for the platform's workers: leases, fences, gangs, checkpoints, and their faults.
 
-A :class:`Floor` holds the workers and what tasks do; :class:`FloorOrders` is one VM's way to
-one life of a worker. The floor records every run and reports broken promises.
+A :class:`Floor` holds the workers and what tasks do. It records every run and reports broken
+promises. The way to a worker is in :mod:`saddlestack.standins.pool.orders`.
 """
 
 from __future__ import annotations
@@ -9,13 +9,12 @@
 import asyncio
 import math
 from collections import Counter, defaultdict
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 import msgspec
 
-from saddlestack.interfaces.lives import born_of, id_of, life_name
+from saddlestack.interfaces.lives import id_of, life_name
 from saddlestack.interfaces.workers import (
     EndedTask,
     EndKind,
@@ -23,18 +22,14 @@
     RunningTask,
     StartOrder,
     StartReply,
-    WorkerBusy,
     WorkerFenced,
-    WorkerReplaced,
     WorkerReport,
     WorkerUnreachable,
 )
-from saddlestack.platform.orders import check_birth
 from saddlestack.standins.loop import WALL_EPOCH_S
 from saddlestack.standins.pool.store import StoreState
 from saddlestack.work import Resources, TaskName
 
-TRIP_S = 0.001
 CLOCK_START_MS = 400_000
 STEP_S = 0.05
 
@@ -464,101 +459,6 @@
         worker.changed.set()
 
 
-@dataclass(slots=True)
-class FloorOrders:
-    """One VM's way to one life of a worker.
-
-    :param passes: whether anything passes between the VM and the worker.
-    :param address: where the VM calls it; a life answers at its own address alone.
-    :param life: the name of the life that the VM means. Where it tells a birth no other life is
-        given its orders; otherwise any life of the worker's id takes them.
-    """
-
-    floor: Floor
-    worker: FloorWorker
-    passes: Callable[[], bool]
-    address: str
-    life: str = ""
-    late: set[asyncio.Task[None]] = field(default_factory=set)
-
-    async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
-        """Start a run."""
-        await self._reach(timeout_s)
-        if self.worker.late_orders:
-            self.worker.late_orders -= 1
-            self._later(lambda worker: self.floor.start(worker, order))
-            await self._silence(timeout_s)
-        reply = self.floor.start(self.worker, order)
-        await asyncio.sleep(TRIP_S)
-        return reply
-
-    async def stop(self, task: str, run: int, fence: int, timeout_s: float) -> None:
-        """Stop a run."""
-        await self._reach(timeout_s)
-        if self.worker.lost_stops:
-            self.worker.lost_stops -= 1
-            self._later(lambda worker: self.floor.stop(worker, task, run, fence))
-            await self._silence(timeout_s)
-        self.floor.stop(self.worker, task, run, fence)
-        await asyncio.sleep(TRIP_S)
-
-    async def pace(self, task: str, run: int, percent: int, fence: int, timeout_s: float) -> None:
-        """Let a run work at a share of its speed."""
-        await self._reach(timeout_s)
-        self.floor.pace(self.worker, task, run, percent, fence)
-
-    async def hold(
-        self, fence: int, deadline_ms: int | None, seen: int, wait_s: float, timeout_s: float
-    ) -> WorkerReport:
-        """Renew the lease, acknowledge ends, and look."""
-        await self._reach(timeout_s)
-        report = await self.floor.hold(self.worker, fence, deadline_ms, seen, wait_s)
-        check_birth(born_of(self.life), report.born)
-        return report
-
-    def close(self) -> None:
-        """Nothing is kept open."""
-
-    async def _reach(self, timeout_s: float) -> None:
-        await asyncio.sleep(TRIP_S)
-        if self.worker.unreachable or not self.passes():
-            await self._silence(timeout_s)
-        if not self.worker.up or self.worker.address != self.address:
-            self.worker = self._other_life()
-        if born_of(self.life) and self.life != self.worker.life:
-            raise WorkerReplaced
-        if self.worker.busy:
-            raise WorkerBusy("answered 503")
-
-    def _other_life(self) -> FloorWorker:
-        """The life that takes the orders in place of the one that was there."""
-        there = [
-            each for each in self.floor.workers.values() if each.up and each.address == self.address
-        ]
-        if not there:
-            raise WorkerUnreachable("refused")
-        if there[0].worker_id != self.worker.worker_id:
-            raise WorkerReplaced
-        return there[0]
-
-    async def _silence(self, timeout_s: float) -> None:
-        await asyncio.sleep(timeout_s)
-        raise WorkerUnreachable("silence")
-
-    def _later(self, work: Callable[[FloorWorker], object]) -> None:
-        """Carry an order out late, by whichever life then goes by the worker's id."""
-
-        async def do() -> None:
-            await asyncio.sleep(self.worker.late_s)
-            present = self.floor.present(self.worker.worker_id)
-            if present.up:
-                work(present)
-
-        task = asyncio.get_running_loop().create_task(do())
-        self.late.add(task)
-        task.add_done_callback(self.late.discard)
-
-
 def payload(plan: TaskPlan) -> str:
     """The payload that makes tasks do so."""
     return msgspec.json.encode(plan).decode()
--- a/tests/test_foreign_address.py
+++ b/tests/test_foreign_address.py
@@ -19,7 +19,8 @@
 from saddlestack.interfaces.workers import WorkerOrders, WorkerRecord, WorkerReplaced
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import PoolCluster, job
-from saddlestack.standins.pool.workers import FloorOrders, FloorWorker
+from saddlestack.standins.pool.orders import FloorOrders
+from saddlestack.standins.pool.workers import FloorWorker
 
 JOB = "00000000000000aa"
 
--- a/tests/test_second_run.py
+++ b/tests/test_second_run.py
@@ -35,8 +35,9 @@
 from saddlestack.standins.loop import WALL_EPOCH_S, run
 from saddlestack.standins.pool import cluster as cluster_module
 from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
+from saddlestack.standins.pool.orders import FloorOrders
 from saddlestack.standins.pool.store import StoreView
-from saddlestack.standins.pool.workers import CLOCK_START_MS, Floor, FloorOrders, FloorWorker
+from saddlestack.standins.pool.workers import CLOCK_START_MS, Floor, FloorWorker
 from saddlestack.work import JobRequest, JobState
 from tests.test_session import HEARTBEAT_S, TASK, Scene, SessionCase
 
--- a/tests/test_stale_beliefs.py
+++ b/tests/test_stale_beliefs.py
@@ -20,7 +20,8 @@
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.records import OccurrenceRecord, TaskStatus
 from saddlestack.standins.pool.cluster import PoolCluster, job
-from saddlestack.standins.pool.workers import CLOCK_START_MS, Floor, FloorOrders, FloorWorker
+from saddlestack.standins.pool.orders import FloorOrders
+from saddlestack.standins.pool.workers import CLOCK_START_MS, Floor, FloorWorker
 from saddlestack.work import JobState
 from tests.malformed import encoded
 from tests.test_entries import EntryCase, other_address
