--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -55,7 +55,7 @@
             await session.close()
 
     def open(self) -> None:
-        """Have a session with every worker that runs something; many are opened one after other."""
+        """Have a session with every worker that runs something; many are opened in batches."""
         if self._opening:
             return
         due = self._without_session()
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -62,7 +62,7 @@
             self._waiting.finished(step)
 
     def plan(self, now: float, wall_ms: float) -> bool:
-        """Decide what starts and what has to give room, what goes first first.
+        """Decide what starts and what has to give room, the most urgent first.
 
         :return: whether the round was full, so that more may be decided at once.
         """
