--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -10,7 +10,6 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 
-from saddlestack.interfaces.lives import born_of, id_of
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask, WorkerRecord
 from saddlestack.policy.board.caution import Caution
 from saddlestack.policy.board.changes import Changes, Question, Start, Stop, StopReason
@@ -118,7 +117,7 @@
 
         :param address: where the run was ordered, or empty where that is not known.
         """
-        worker = self.workers.get(worker_id) or self._listed_at(worker_id, address)
+        worker = self.workers.get(worker_id)
         if worker is None:
             return self._ghost(worker_id, address)
         if address and not worker.runs and worker.record.address != address:
@@ -127,20 +126,6 @@
             worker.reachable = False
         return worker
 
-    def _listed_at(self, worker_id: str, address: str) -> Worker | None:
-        """The listed life of a worker of which a record kept the id alone, at the same address.
-
-        Its own list of runs tells whether the run is there; two counts of one life would each stop
-        what the other had it start.
-        """
-        if born_of(worker_id):
-            return None
-        for worker in self.workers.values():
-            same = id_of(worker.worker_id) == worker_id and worker.record.address == address
-            if same and worker.listed:
-                return worker
-        return None
-
     def _ghost(self, worker_id: str, address: str) -> Worker:
         """A life that is not in the list, but may still run something.
 
