--- /dev/null
+++ b/tests/test_still_steps.py
@@ -0,0 +1,78 @@
+"""Work that waits for a better place while any other is free.
+
+Seen: accepted jobs had nothing running for seconds beside a pool of which under half was in use,
+others started beside them, and they went on later. How it came about: a step waits for a place near
+its data for 8 s, whatever the rest of the pool holds, a gang even where that rack could never hold
+it. Cause: the wait was bounded by time alone, not by what else is free. Proof: the tests below, on
+a board with nothing else wrong.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from saddlestack.policy.standstill import STILL_S
+from tests.test_board import BULK, NORMAL, URGENT, BoardCase, record, step
+
+TICK_S = 0.5
+"""A leader decides at least so often."""
+
+
+class StillStepsTest(BoardCase):
+    def started_within(self, job_id: str, until_s: float) -> bool:
+        """Whether something of a job starts up to some time, with a round each tick."""
+        now = 0.0
+        while now <= until_s:
+            if any(start.run.task.name.job_id == job_id for start in self.plan(now).starts):
+                return True
+            now += TICK_S
+        return False
+
+    def test_tasks_whose_near_rack_is_full_go_elsewhere_in_a_free_pool(self) -> None:
+        for priority in (URGENT, NORMAL, BULK):
+            with self.subTest(priority=priority):
+                self.setUp()
+                self.workers(racks=4, each=2)
+                self.add(step(2, 8, label="r1"))
+                self.plan()
+                job = self.add(step(4, 1, data_rack="r1"), priority=priority)
+                self.assertTrue(self.started_within(job, STILL_S - TICK_S))
+
+    def test_a_gang_that_its_near_rack_never_holds_goes_elsewhere_at_once(self) -> None:
+        for priority in (URGENT, NORMAL, BULK):
+            with self.subTest(priority=priority):
+                self.setUp()
+                self.workers(racks=4, each=2)
+                job = self.add(step(3, 8, gang=True, data_rack="r1"), priority=priority)
+                self.assertTrue(self.started_within(job, 0.0))
+
+    def test_a_gang_whose_near_rack_is_full_goes_elsewhere_in_a_free_pool(self) -> None:
+        self.workers(racks=4, each=2)
+        self.add(step(2, 8, label="r1"))
+        self.plan()
+        job = self.add(step(2, 4, gang=True, data_rack="r1"), priority=NORMAL)
+        self.assertTrue(self.started_within(job, STILL_S - TICK_S))
+
+    def test_a_gang_of_one_rack_is_spread_where_no_rack_is_free_and_the_pool_is(self) -> None:
+        self.workers(racks=4, each=2)
+        for rack in range(1, 5):
+            self.add(step(1, 1, label=f"r{rack}"))
+        self.plan()
+        job = self.add(step(2, 8, gang=True, same_rack=True), priority=NORMAL)
+        self.assertTrue(self.started_within(job, STILL_S - TICK_S))
+
+    def test_bulk_work_opens_workers_kept_for_a_gang_while_a_hall_is_evacuated(self) -> None:
+        """Halls that are being evacuated count as free room of the pool."""
+        self.workers(racks=2, each=2)
+        for name in ("w31", "w32", "w33", "w34", "w35", "w36"):
+            self.board.set_worker(record(name, rack="r3", hall="other"), 0.0)
+        self.add(step(4, 4), priority=BULK)
+        self.plan()
+        self.board.evacuate(frozenset({"other"}))
+        self.add(step(3, 8, gang=True), priority=NORMAL)
+        job = self.add(step(4, 1), priority=BULK)
+        self.assertTrue(self.started_within(job, STILL_S - TICK_S))
+
+
+if __name__ == "__main__":
+    unittest.main()
