No preference for a place holds a job up beside a pool that is mostly free

Cause: waits for a place near its data (8 s), for one rack, and for workers that no gang waits for were bounded by time alone or not at all, whatever the pool held; a gang waited 8 s even for a rack that could never hold it. Change: a job of which nothing runs gives all preferences up after 2 s where under half of the accelerators are in use and it fits twice over; of tasks that run alone one is placed so. A gang never waits for a near rack that cannot hold it. Patience has a module of its own. The headroom's idle bound goes by accelerators alone, as the users' rule does.

--- a/src/saddlestack/policy/board/headroom.py
+++ b/src/saddlestack/policy/board/headroom.py
@@ -5,18 +5,14 @@
 from collections.abc import Sequence
 
 from saddlestack.policy.board.index import ServiceRooms
+from saddlestack.policy.board.patience import HEADROOM_PATIENCE_S, IDLE_PATIENCE_S, is_idle
 from saddlestack.policy.board.workers import Worker
 
 HEADROOM = 0.25
 """Share of a pool's accelerators, on empty workers, that only urgent work may open; data halls that
 are being evacuated do not count..."""
 HEADROOM_A_RACK = 32
-"""...of which so many, half a rack at most, lie in one rack, so that urgent gangs fit there..."""
-HEADROOM_PATIENCE_S = 15.0
-"""...until other work has waited for so long..."""
-IDLE_PATIENCE_S = 2.0
-"""...or for so long while under half of all workers is in use, those of evacuated data halls among
-them, and as much again would stay empty: then no work may wait for 3 s."""
+"""...of which so many, half a rack at most, lie in one rack, so that urgent gangs fit there."""
 
 
 def may_open(rooms: ServiceRooms, places: Sequence[Worker], waited_s: float) -> bool:
@@ -37,6 +33,6 @@
     in_one = min(HEADROOM_A_RACK, rooms.widest // 2, rooms.widest_empty({}))
     if left >= rooms.open.accelerators * HEADROOM and rooms.widest_empty(opened) >= in_one:
         return True
-    if not rooms.open.half_used:
+    if not rooms.open.half_used or waited_s > HEADROOM_PATIENCE_S:
         return True
-    return waited_s > IDLE_PATIENCE_S and left >= taken and not rooms.all.half_used
+    return waited_s > IDLE_PATIENCE_S and left >= taken and is_idle(rooms)
--- a/src/saddlestack/policy/board/index.py
+++ b/src/saddlestack/policy/board/index.py
@@ -75,6 +75,13 @@
             return True
         return self._used_cpu * 2 >= self._cpu
 
+    @property
+    def mostly_free(self) -> bool:
+        """Whether under half of what counts is held: accelerators, or processors without any."""
+        if self.accelerators:
+            return self._used_accelerators * 2 < self.accelerators
+        return self._used_cpu * 2 < self._cpu
+
     def add(self, standing: _Standing, sign: int) -> None:
         """Count a worker, or count it no longer."""
         self.accelerators += sign * standing.accelerators
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -84,6 +84,7 @@
     :param shapes: the numbers of its shapes, once they were asked for.
     :param moves: how often it was begun again elsewhere since it stood still.
     :param waits_since_s: when one of its tasks was first to be started, on the board's clock.
+    :param listed_s: since when it has had tasks to start without a break, on the board's clock.
     """
 
     step: Step
@@ -96,6 +97,7 @@
     shapes: StepShapes | None = None
     moves: int = 0
     waits_since_s: float | None = None
+    listed_s: float | None = None
     advice: StepAdvice = field(default_factory=StepAdvice)
 
     @property
@@ -220,8 +222,13 @@
         """Whether it is shown as over and nothing of it is present anywhere."""
         if self.shown not in FINAL_STATES:
             return False
+        return not self.runs_something
+
+    @property
+    def runs_something(self) -> bool:
+        """Whether a run of it is present somewhere, or may be."""
         steps = (step for occurrence in self.occurrences for step in occurrence.steps)
-        return all(task.run is None for step in steps for task in step.tasks)
+        return any(task.run is not None for step in steps for task in step.tasks)
 
     @property
     def accelerators(self) -> int:
--- /dev/null
+++ b/src/saddlestack/policy/board/patience.py
@@ -0,0 +1,37 @@
+"""How long work waits for a better place while any other is free.
+
+A place near the data, on one rack, that leaves the headroom, or that no gang waits for, is worth
+some waiting: work far from its data, or spread over racks, takes up to three times as long. Beside
+a pool that is mostly free all of these are given up in time, so that no accepted work stands still.
+"""
+
+from __future__ import annotations
+
+from saddlestack.policy.board.fits import FitRooms
+from saddlestack.policy.board.index import ServiceRooms
+from saddlestack.policy.standstill import ROOM_FACTOR
+
+NEAR_PATIENCE_S = 8.0
+"""Work waits this long for a place near its data while much of the pool is in use."""
+HEADROOM_PATIENCE_S = 15.0
+"""Work of lower priority keeps off the headroom for this long..."""
+IDLE_PATIENCE_S = 2.0
+"""...and this long, like all other preferences, while under half of all workers is in use: work may
+stand for 3 s there, and it takes up to 0.5 s to the next decision and 0.1 s until it runs."""
+
+
+def is_idle(rooms: ServiceRooms) -> bool:
+    """Whether under half of a service's workers is in use, those of evacuated halls among them."""
+    return rooms.all.mostly_free
+
+
+def may_go_anywhere(fits: FitRooms, wanted: int, waited_s: float) -> bool:
+    """Whether work has waited for a better place for long enough, as there is room elsewhere.
+
+    :param fits: what the whole pool holds of its tasks.
+    :param wanted: tasks that have to start at once.
+    :param waited_s: for how long it has waited.
+    """
+    if waited_s <= IDLE_PATIENCE_S or not is_idle(fits.rooms):
+        return False
+    return fits.total >= ROOM_FACTOR * wanted
--- a/src/saddlestack/policy/board/places.py
+++ b/src/saddlestack/policy/board/places.py
@@ -88,14 +88,18 @@
     kept for others count there, since they are not kept for ever.
 
     :param kept: tells workers that the step has to leave to others; ``None`` where there are none.
+    :param spread: a gang of one rack goes to several as well.
     """
 
-    def __init__(self, step: StepState, fits: FitRooms, kept: Kept | None) -> None:
+    def __init__(
+        self, step: StepState, fits: FitRooms, kept: Kept | None, *, spread: bool = False
+    ) -> None:
         self._step = step
         self._fits = fits
         self._kept = kept
         self._rooms = fits.rooms
-        self._in_rack = step.step.same_rack and fits.most >= step.step.count
+        wants_rack = step.step.same_rack and not spread
+        self._in_rack = wants_rack and fits.most >= step.step.count
 
     def gang(self) -> list[Worker] | None:
         """See :meth:`Places.gang`."""
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -7,9 +7,14 @@
 from saddlestack.policy.board.backfill import Backfill
 from saddlestack.policy.board.caution import Caution
 from saddlestack.policy.board.fits import Fit, Fits
-from saddlestack.policy.board.headroom import HEADROOM_PATIENCE_S, may_open
+from saddlestack.policy.board.headroom import may_open
 from saddlestack.policy.board.index import RoomIndex, ServiceRooms
 from saddlestack.policy.board.jobs import Job, Run, StepState, Task
+from saddlestack.policy.board.patience import (
+    HEADROOM_PATIENCE_S,
+    NEAR_PATIENCE_S,
+    may_go_anywhere,
+)
 from saddlestack.policy.board.placement import whole_racks
 from saddlestack.policy.board.places import IndexedPlaces, Kept, ListedPlaces, Places
 from saddlestack.policy.board.pool import Pool
@@ -23,8 +28,6 @@
 """A round decides no more, by whole steps. Deciding and ordering a start takes 0.1 to 0.15 ms of a
 core: a new leader of 3,000 workers with a backlog of 11,000 tasks held its process for over a
 second, longer than its lease. So bounded it holds it for 0.06 s, 0.2 s on a third of a core."""
-NEAR_PATIENCE_S = 8.0
-"""Work of lower priority waits this long for a place near its data."""
 
 
 class Planner:
@@ -95,6 +98,8 @@
         places = self._places(step, now)
         if not full and self._place_on(step, shape, places, now):
             return
+        if self._place_anywhere(step, now):
+            return
         if not top and step.step.gang:
             if not self._backfill.is_full:
                 self._backfill.keep(places.soonest(), step.occurrence.job.priority)
@@ -112,6 +117,36 @@
                 return True
         return False
 
+    def _place_anywhere(self, step: StepState, now: float) -> bool:
+        """Place something of a job that stands still beside a pool that is mostly free.
+
+        Neither its data, one rack, the headroom nor waiting gangs hold it up any more. Of tasks
+        that run alone one is placed, so that the others still get the better places.
+        """
+        if not self._stands(step, now):
+            return False
+        places = self._all_places(step, now)
+        if not step.step.gang:
+            task = next(task for task in step.tasks if waits(task))
+            worker = places.task(task.avoid)
+            if worker is None:
+                return False
+            self._assign(task, worker, task.record.run + 1, now)
+            return True
+        chosen = places.gang()
+        if chosen is None:
+            return False
+        self._release(step)
+        self._assign_gang(step, chosen, now)
+        return True
+
+    def _stands(self, step: StepState, now: float) -> bool:
+        """Whether a job has had nothing running for too long, though the pool has room for it."""
+        if step.listed_s is None or step.occurrence.job.runs_something:
+            return False
+        wanted = step.step.count if step.step.gang else 1
+        return may_go_anywhere(self._fits.of(self._fit(step)), wanted, now - step.listed_s)
+
     def _place_on(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         if step.step.gang:
             return self._place_gang(step, shape, places, now)
@@ -160,6 +195,15 @@
             return ListedPlaces(step, near)
         return IndexedPlaces(step, self._fits.of(fit), kept)
 
+    def _all_places(self, step: StepState, now: float) -> Places:
+        """The workers that a step may go to once it prefers none of them."""
+        fit = self._fit(step)
+        if self._board.is_advised(step.occurrence.job):
+            return ListedPlaces(step, self._with_leave(step, self._able(fit, now), now))
+        if step.step.per_worker:
+            return ListedPlaces(step, self._able(fit, now))
+        return IndexedPlaces(step, self._fits.of(fit), None, spread=True)
+
     def _fit(self, step: StepState) -> Fit:
         return Fit(
             service=self._board.service_of(step.occurrence.job),
@@ -186,6 +230,8 @@
         if rack is None:
             return []
         able = [worker for worker in rack.able if fit.open_to(worker, now)]
+        if step.step.gang and sum(worker.most(step.step) for worker in able) < step.step.count:
+            return []
         return [worker for worker in able if kept is None or not kept(worker)]
 
     def _able(self, fit: Fit, now: float) -> list[Worker]:
--- a/src/saddlestack/policy/board/waiting.py
+++ b/src/saddlestack/policy/board/waiting.py
@@ -76,6 +76,7 @@
         while self._due and self._due[0][0] <= wall_ms:
             self._open(heapq.heappop(self._due)[2])
         for step in self._fresh:
+            step.listed_s = now
             if step.waits_since_s is None:
                 step.waits_since_s = now
         self._fresh.clear()
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from saddlestack.interfaces.workers import RunningTask, WorkerUnreachable
-from saddlestack.policy.board.headroom import IDLE_PATIENCE_S
+from saddlestack.policy.board.patience import IDLE_PATIENCE_S
 from saddlestack.policy.board.progress import LEAST_STILL_S
 from saddlestack.policy.board.records import TaskStatus
 from saddlestack.standins.loop import run
