Test that fails: a tick waits for the store while it forgets jobs that are over

Ruled out: the feed, which hears of the job at once. Measured: a job due after 6.0 s has not begun at 7.0 s.

--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -13,9 +13,12 @@
 import unittest.mock
 from collections.abc import Iterator
 
-from saddlestack.control.keys import PROGRESS
+from msgspec.structs import replace
+
+from saddlestack.control.keys import PROGRESS, REQUESTS
+from saddlestack.control.scheduler import TICK_S
 from saddlestack.interfaces.store import Committed, Conflict, Transaction, WriteInDoubt
-from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
 from saddlestack.standins.pool.store import CALL_TIMEOUT_S, StoreView
 from saddlestack.work import JobState
 from tests.test_pool import A, B, C, PoolTest
@@ -39,6 +42,21 @@
         yield
 
 
+@contextlib.contextmanager
+def removals_are_lost() -> Iterator[None]:
+    """The store answers no transaction that removes keys, and does none."""
+    transact = StoreView.transact
+
+    async def deaf(self: StoreView, transaction: Transaction) -> Committed | Conflict:
+        if transaction.deletes:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise WriteInDoubt("silence")
+        return await transact(self, transaction)
+
+    with unittest.mock.patch.object(StoreView, "transact", deaf):
+        yield
+
+
 class RecordTest(PoolTest):
     """One job's record waits for the store.
 
@@ -103,5 +121,32 @@
         self.play(body)
 
 
+class TickTest(PoolTest):
+    """What only time ends is seen by the tick of 0.5 s, which forgot old jobs in between.
+
+    Each of five removals a tick waited for the store, 1 s where it does not answer.
+    """
+
+    def test_a_job_starts_when_it_is_due_though_removals_are_not_answered(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            old = [f"{number:016x}" for number in range(1, 11)]
+            for job_id in old:
+                await cluster.submit(job_id, job(1, work_s=0.2))
+            for job_id in old:
+                await cluster.until_state(job_id, JobState.COMPLETED)
+            await asyncio.sleep(RETENTION_S - 2.0)
+            clock = cluster.members["entry-1"].vm.context.clock
+            due_ms = round(clock.wall() * 1000) + 6000
+            once = job(1, work_s=0.2)
+            request = replace(once, times=1, first_at_ms=due_ms, interval_ms=1000)
+            await cluster.submit(A, request)
+            with removals_are_lost():
+                await asyncio.sleep(6.0 + 2 * TICK_S)
+                self.assertEqual(cluster.floor.starts_of(A), 1)
+            await cluster.until(lambda: len(cluster.store.keys(REQUESTS)) == 1)
+
+        self.play(body)
+
+
 if __name__ == "__main__":
     unittest.main()
