Old jobs are forgotten beside the tick, not in it

Cause: the tick of 0.5 s awaited removals from the store. Ruled out: fewer removals a tick, which only shortens the wait.

--- a/src/saddlestack/control/requests.py
+++ b/src/saddlestack/control/requests.py
@@ -115,9 +115,10 @@
             # The job goes first: without its progress it would run again under a new leader.
             job_keys = (keys.job_key(job.job_id), keys.cancel_key(job.job_id))
             records = [keys.progress_key(each.key) for each in job.occurrences]
-            if await self._journal.remove([*job_keys, *records]):
-                self._forget(job.job_id)
-                log.info("forgotten", extra={"event": "forgotten", "job": job.job_id})
+            if not await self._journal.remove([*job_keys, *records]):
+                return
+            self._forget(job.job_id)
+            log.info("forgotten", extra={"event": "forgotten", "job": job.job_id})
 
     def _forget(self, job_id: str) -> None:
         """A job has been removed; a listing that is under way may still hold it.
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -208,7 +208,7 @@
         self._tasks.spawn(self._tick())
         self._tasks.spawn(self._halls.run())
         self._tasks.spawn(self._see_renewals_over())
-        self._tasks.spawn(self._requests.forget_rest())
+        self._tasks.spawn(self._forget_old())
         if self._context.machines is not None:
             upkeep = Upkeep(self._context, self._context.machines, self.board, self.fence)
             self._tasks.spawn(upkeep.run())
@@ -327,6 +327,12 @@
             self._end_ghosts()
             self._sessions.close_gone()
             self.changed()
+
+    async def _forget_old(self) -> None:
+        """Forget jobs that are over; apart from the tick, since the store may answer late."""
+        await self._requests.forget_rest()
+        while True:
+            await asyncio.sleep(TICK_S)
             await self._requests.forget_expired()
 
     async def _see_renewals_over(self) -> None:
