--- a/src/saddlestack/control/leases.py
+++ b/src/saddlestack/control/leases.py
@@ -20,21 +20,22 @@
 
     :param hold_s: the longest lease that workers take, by their clocks.
     :param began_s: when the term began.
+    :ivar longest_s: after so long a lease that leaves now has lapsed for sure.
     :ivar inherited_until: when leases that earlier leaders granted have lapsed for sure.
     """
 
     def __init__(self, hold_s: float, began_s: float) -> None:
-        self._longest_s = hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
+        self.longest_s = hold_s * CLOCK_DRIFT + LAPSE_SLACK_S
         self._granted_until: dict[str, float] = {}
-        self.inherited_until = began_s + LEASE_S + RENEWING_S + self._longest_s
+        self.inherited_until = began_s + LEASE_S + RENEWING_S + self.longest_s
 
     def renewed_until(self, moment: float) -> None:
         """No earlier leader has renewed a lease after some moment."""
-        self.inherited_until = min(self.inherited_until, moment + self._longest_s)
+        self.inherited_until = min(self.inherited_until, moment + self.longest_s)
 
     def granted(self, worker_id: str, now: float) -> None:
         """A lease leaves for a worker; it may be carried out late, but lasts no longer for that."""
-        until = now + self._longest_s
+        until = now + self.longest_s
         self._granted_until[worker_id] = max(until, self._granted_until.get(worker_id, until))
 
     def lasts_until(self, worker_id: str) -> float:
--- a/src/saddlestack/interfaces/workers.py
+++ b/src/saddlestack/interfaces/workers.py
@@ -13,6 +13,10 @@
     """The worker did not answer; an order may have been done, or may be done later."""
 
 
+class WorkerNotReached(WorkerUnreachable):
+    """No connection to the worker could be opened: the order never left."""
+
+
 class WorkerReplaced(Exception):
     """Another life answers at the worker's address: this one is over."""
 
