A start that has not left goes to no worker that fell silent meanwhile

Cause: a start that waits for its turn at a worker was sent, three times, though two calls before it had shown that the worker does not answer; from then on it was in doubt, for a lease of its own. Ruled out: more orders at once, which would only be in doubt sooner. Change: whether a start is still wanted asks whether its worker is reachable; one that left before is not sent again, and its stop follows at once.

--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -256,8 +256,15 @@
         self._contact.told(report.clock_ms)
 
     def _is_wanted(self, run: Run) -> bool:
-        """Whether a run is still to start: it may be over, as lapsed, before its order leaves."""
-        return run.task.run is run and not run.stopping and not self.worker.evacuated
+        """Whether a run is still to start there.
+
+        It may be over, as lapsed, before its order leaves. On a worker that fell silent meanwhile
+        it would only be in doubt, and wait for a lease that begins as it leaves.
+        """
+        worker = self.worker
+        return (
+            run.task.run is run and not run.stopping and worker.reachable and not worker.evacuated
+        )
 
     def _answered(self, run: Run, key: RunKey, reply: StartReply, clean: bool) -> None:
         now = self._clock.now()
