A start whose connection could not be opened is not in doubt

Cause: orders took NotSent, no byte of the request left, for a lost answer, so a start to a process that had gone while its record stood waited for the worker's lease. Ruled out: the store, whose client tells the two apart already. A start that is given back is no longer remembered as one that may come late.

--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -20,6 +20,7 @@
     StartReply,
     WorkerBusy,
     WorkerFenced,
+    WorkerNotReached,
     WorkerOrders,
     WorkerReplaced,
     WorkerReport,
@@ -173,8 +174,9 @@
                 break
             except _ClockUnknown:
                 continue
-            except WorkerUnreachable:
-                clean = False
+            except WorkerUnreachable as error:
+                # What no connection was opened for never left.
+                clean = clean and isinstance(error, WorkerNotReached)
                 self._missed(sent)
                 continue
             except WorkerBusy:
@@ -182,7 +184,6 @@
                 reply = StartReply(None, Refusal.ROOM)
             except WorkerReplaced:
                 if clean:
-                    self._doubts.answered(self.worker.worker_id, key)
                     self._never_began(run, key)
                 self._replaced()
                 return
@@ -329,6 +330,8 @@
         self._wake.set()
 
     def _never_began(self, run: Run, key: RunKey) -> None:
+        """No order for a run is under way, and none was carried out."""
+        self._doubts.answered(self.worker.worker_id, key)
         self._reports.withdrawn(key)
         self._owner.board.not_started(run)
         self._owner.changed()
--- a/src/saddlestack/platform/orders.py
+++ b/src/saddlestack/platform/orders.py
@@ -21,6 +21,7 @@
     StartReply,
     WorkerBusy,
     WorkerFenced,
+    WorkerNotReached,
     WorkerReplaced,
     WorkerReport,
     WorkerUnreachable,
@@ -132,7 +133,9 @@
                 headers=self._headers,
                 opening=self._opening(fence),
             )
-        except (NotSent, AnswerLost) as error:
+        except NotSent as error:
+            raise WorkerNotReached(str(error)) from error
+        except AnswerLost as error:
             raise WorkerUnreachable(str(error)) from error
         _taken(response)
         return response
--- a/src/saddlestack/standins/pool/orders.py
+++ b/src/saddlestack/standins/pool/orders.py
@@ -11,6 +11,7 @@
     StartOrder,
     StartReply,
     WorkerBusy,
+    WorkerNotReached,
     WorkerReplaced,
     WorkerReport,
     WorkerUnreachable,
@@ -93,7 +94,7 @@
             each for each in self.floor.workers.values() if each.up and each.address == self.address
         ]
         if not there:
-            raise WorkerUnreachable("refused")
+            raise WorkerNotReached("refused")
         if there[0].worker_id != self.worker.worker_id:
             raise WorkerReplaced
         return there[0]
