Test that fails: an order behind a first look that was not answered counts as one that left

Cause: each new connection to a life that tells its birth begins with a look; where that is not answered the order behind it never left, but HttpClient raises AnswerLost all the same. Ruled out: a lost answer to the order itself, which has a test that passes. Measured: WorkerUnreachable where WorkerNotReached is expected, one of two fails.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,6 +37,7 @@
     StartOrder,
     WorkerBusy,
     WorkerFenced,
+    WorkerNotReached,
     WorkerReplaced,
     WorkerUnreachable,
 )
@@ -356,6 +357,30 @@
 
         with_server(body)
 
+    def test_an_order_behind_a_first_look_that_tells_nothing_never_left(self) -> None:
+        async def body(served: Served) -> None:
+            no_answers: list[Response | float] = [2.0, Response(500), Response(200, b"no answer")]
+            for answer in no_answers:
+                orders = HttpWorkerOrders(life_name("i-1", 1700), "127.0.0.1", served.server.port)
+                served.answers.append(answer)
+                with self.assertRaises(WorkerNotReached):
+                    await orders.start(self.ORDER, 1.0)
+                orders.close()
+            self.assertTrue(all(asked.path == "/api/hold" for asked in served.asked))
+
+        with_server(body)
+
+    def test_an_order_without_answer_may_have_left(self) -> None:
+        async def body(served: Served) -> None:
+            orders = HttpWorkerOrders(life_name("i-1", 1700), "127.0.0.1", served.server.port)
+            served.answer(200, {"clock-ms": 5, "born": 1700, "running": [], "ended": []})
+            served.answers.append(2.0)
+            with self.assertRaises(WorkerUnreachable) as caught:
+                await orders.start(self.ORDER, 1.0)
+            self.assertNotIsInstance(caught.exception, WorkerNotReached)
+
+        with_server(body)
+
     def test_a_birth_that_is_told_on_one_side_alone_proves_nothing(self) -> None:
         async def body(served: Served) -> None:
             known = HttpWorkerOrders(life_name("i-1", 1700), "127.0.0.1", served.server.port)
