An order behind a first look that tells nothing is known not to have left

Cause: HttpClient told apart only whether a connection was opened, not whether more than its opening had left. Ruled out: orders on connections that were opened before, which stay in doubt. Change: NotSent where the opening is not answered, WorkerNotReached where its answer tells no life. A process that hangs while its machine takes connections costs three tries in place of a lease.

--- a/src/saddlestack/platform/orders.py
+++ b/src/saddlestack/platform/orders.py
@@ -147,8 +147,15 @@
         return Opening("POST", paths.LOOK, HoldBody(fence, last_seen=0), self._check)
 
     def _check(self, response: Response) -> None:
+        """Check the first look on a connection.
+
+        :raises WorkerNotReached: it tells nothing, and what was to follow it never left.
+        """
         _taken(response)
-        self._report(response)
+        try:
+            self._report(response)
+        except WorkerUnreachable as error:
+            raise WorkerNotReached(str(error)) from error
 
     def _report(self, response: Response) -> ReportBody:
         """What the life lists.
--- a/src/saddlestack/wire/http.py
+++ b/src/saddlestack/wire/http.py
@@ -298,7 +298,7 @@
 
 
 class NotSent(Exception):
-    """No byte of the request left: it was truly not run."""
+    """No byte of the request left, though its opening may have: it was truly not run."""
 
 
 class AnswerLost(Exception):
@@ -352,23 +352,25 @@
         :param headers: sent besides the usual ones.
         :param host: the host that is asked for, where it is not the address.
         :param opening: asked before the request on a connection that was not opened so yet.
-        :raises NotSent: nothing left.
+        :raises NotSent: nothing left, or nothing but the opening.
         :raises AnswerLost: the answer did not come, or not whole.
         """
         connection = await self._connect(timeout)
         sent = _now()
-        answered = False
+        asked = answered = False
         try:
             async with asyncio.timeout(timeout):
                 if opening is not None and not connection.opened:
                     await self._open_with(connection, opening, headers, host)
+                asked = True
                 response = await connection.exchange(
                     self._encode(method, path, body, headers, host)
                 )
             self.bytes += connection.count()
             answered = True
         except (OSError, TimeoutError, h11.ProtocolError) as error:
-            raise AnswerLost(f"{method} {path}: {type(error).__name__}") from error
+            reason = f"{method} {path}: {type(error).__name__}"
+            raise (AnswerLost(reason) if asked else NotSent(reason)) from error
         finally:
             self._keep(connection)
             if not answered:
