A start in doubt is decided by reports once its own lease is over, stop answered or not

Cause: while the stop of a start in doubt is not answered, no report about the run is believed; where looks are answered all the same they renew the worker's lease, so that it never lapses, and the task waits without end. Ruled out: to end the renewal, which would end what else runs there. Change: a worker refuses a start whose deadline is over by its clock, so from the last try and the longest lease on (10.7 s at 10 s) reports tell of the run; a run that is there goes on, for one that is not the stops end.

--- a/src/saddlestack/control/reports.py
+++ b/src/saddlestack/control/reports.py
@@ -54,6 +54,11 @@
         self._in_hand.discard(key)
         self._settled[key] = self._clock.now()
 
+    def settle_once(self, key: RunKey) -> None:
+        """As :meth:`settle`, unless the run was settled before."""
+        if key in self._in_hand:
+            self.settle(key)
+
     def withdrawn(self, key: RunKey) -> None:
         """The order about a run is not given after all."""
         self._in_hand.discard(key)
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -201,7 +201,7 @@
             self.worker.refused(self._clock.now())
             self._never_began(run, key)
             return
-        await self._stop(key)
+        await self._stop(key, self._clock.now() + self._leases.longest_s)
 
     async def _send(self, start: Start) -> StartReply:
         """Send a start, once the term may grant the lease that it brings.
@@ -296,13 +296,23 @@
                 self.worker.refused(now)
             self._never_began(run, key)
         else:
-            self._tasks.spawn(self._stop(key))
+            self._tasks.spawn(self._stop(key, now + self._leases.longest_s))
 
-    async def _stop(self, key: RunKey) -> None:
-        """Order a stop until it is answered; then the worker's next report tells."""
+    async def _stop(self, key: RunKey, begins_until_s: float = math.inf) -> None:
+        """Order a stop until it is answered; then the worker's next report tells.
+
+        A worker may answer looks, and no stop. What its start was in doubt for is told by reports
+        as well once the lease that the start brought is over: a worker refuses it from then on.
+
+        :param begins_until_s: until when the run may still begin, where its start is in doubt.
+        """
         name, number = key
         self._stops.add(key)
         while not self.over:
+            if self._clock.now() >= begins_until_s:
+                if key not in self.worker.runs:
+                    return
+                self._reports.settle_once(key)
             sent = self._clock.now()
             try:
                 async with self._gate:
