A new leader stops what the one before it was about to stop

Cause: the stops of a broken gang's other members, and of a failed job's other times, follow from a record but are in none. Ruled out: to keep stops in the store, which would be one more write for each. Change: as a job is read, members of a gang some of which wait are stopped, as is what runs of a failed job.

--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -20,6 +20,7 @@
 from saddlestack.policy.board.progress import is_stuck, needs_looks
 from saddlestack.policy.board.queue import Planner
 from saddlestack.policy.board.records import OccurrenceRecord, OccurrenceStatus, TaskStatus
+from saddlestack.policy.board.waiting import waits
 from saddlestack.policy.board.workers import EARLY_FAILURE_S, Worker
 from saddlestack.work import AcceptedJob, JobState, Resources, TaskName
 
@@ -94,9 +95,20 @@
             for step in occurrence.steps:
                 for task in step.tasks:
                     self._restore(task, addresses)
+        self._stop_leftovers(job)
         self._planner.add(job)
         return job
 
+    def _stop_leftovers(self, job: Job) -> None:
+        """Stop what an earlier leader was about to stop when it was lost: stops are not kept."""
+        for occurrence in job.occurrences:
+            if job.failed:
+                self._stop_all(occurrence, StopReason.JOB_FAILED)
+                continue
+            for step in occurrence.steps:
+                if step.step.gang and any(waits(task) for task in step.tasks):
+                    self._stop_step(step, StopReason.GANG_BROKEN)
+
     def _restore(self, task: Task, addresses: Mapping[str, str]) -> None:
         record = task.record
         if record.status is not TaskStatus.ASSIGNED:
