The trial without batches beside each other names the constant as it is called now

Cause: tests.test_trials failed since BATCHES_AT_ONCE became WRITES_AT_ONCE in commits.py; the check was right, the edit list was not. Ruled out: a change of what the trial switches off, which is the same: one write at a time.

--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -203,7 +203,7 @@
     Variant(
         "batches",
         "batches of records beside each other",
-        (Edit("control/commits.py", "BATCHES_AT_ONCE = 8", "BATCHES_AT_ONCE = 1"),),
+        (Edit("control/commits.py", "WRITES_AT_ONCE = 8", "WRITES_AT_ONCE = 1"),),
     ),
     Variant(
         "notices",
