--- a/tests/test_waits_board.py
+++ b/tests/test_waits_board.py
@@ -8,7 +8,10 @@
 
 import unittest
 
+from saddlestack.interfaces.machines import Leave
+from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.board.changes import StopReason
+from saddlestack.policy.board.headroom import IDLE_PATIENCE_S
 from saddlestack.policy.board.records import (
     OccurrenceRecord,
     OccurrenceStatus,
@@ -17,7 +20,7 @@
     TaskStatus,
 )
 from saddlestack.work import AcceptedJob, JobRequest, Step
-from tests.test_board import NORMAL, SERVICE, BoardCase, step
+from tests.test_board import BULK, NORMAL, PATIENT, SERVICE, BoardCase, record, step
 
 JOB = f"{0xAB:016x}"
 
@@ -85,5 +88,102 @@
         self.assertEqual(self.stopped(), [("w11", StopReason.JOB_FAILED)])
 
 
+class AvoidedWorkerTest(BoardCase):
+    """A task has failed on the one worker that can hold it.
+
+    It goes elsewhere where there is another, and any other of its service counted as such, also one
+    that could never hold it: the task never started again, with the worker free beside it.
+    """
+
+    def start_again(self, needs: Step) -> list[str]:
+        self.workers(each=1)
+        self.board.set_worker(record("small", accelerators=2), 0.0)
+        job = self.add(needs, attempts=5)
+        self.assertEqual([start.run.worker_id for start in self.plan().starts], ["w11"])
+        self.end(job, EndKind.FAILED)
+        return [start.run.worker_id for start in self.plan(PATIENT).starts]
+
+    def test_a_worker_that_is_too_small_is_no_other(self) -> None:
+        self.assertEqual(self.start_again(step(1, 8)), ["w11"])
+
+    def test_nor_is_it_where_each_worker_is_looked_at(self) -> None:
+        self.assertEqual(self.start_again(step(1, 8, per_worker=1)), ["w11"])
+
+    def test_one_that_is_large_enough_is_waited_for(self) -> None:
+        self.workers(each=2)
+        first = self.add(step(1, 8), attempts=5)
+        self.plan()
+        second = self.add(step(1, 8))
+        self.plan()
+        self.end(first, EndKind.FAILED)
+        self.assertEqual(self.plan(PATIENT).starts, [])
+        self.end(second, EndKind.DONE)
+        self.assertEqual(len(self.plan(PATIENT).starts), 1)
+
+
+class ShutTest(BoardCase):
+    """The headroom is closed to a step, and with it to others of its shape in that round.
+
+    It opens with the time that a step has waited, which differs between steps of one shape: one
+    that has just come, and goes first, kept it closed to another that had waited long enough.
+    """
+
+    def test_a_step_that_has_waited_is_not_held_up_by_one_that_has_not(self) -> None:
+        self.workers(racks=1, each=2)
+        self.board.evacuate(frozenset())
+        for number in range(1, 5):
+            self.board.set_worker(record(f"gone{number}", rack="r2", hall="evacuated"), 0.0)
+        self.add(step(1, 8, label="r1"))
+        self.plan()
+        self.board.evacuate(frozenset({"evacuated"}))
+        old = self.add(step(1, 8), priority=BULK)
+        self.assertEqual(self.plan(1.0).starts, [])
+        self.add(step(1, 8), priority=NORMAL)
+        now = 1.0 + IDLE_PATIENCE_S + 0.1
+        starts = [start.run.task.name.job_id for start in self.plan(now).starts]
+        self.assertEqual(starts, [old])
+
+
+class FullTest(BoardCase):
+    """A shape finds no room since workers are kept for a gang; lasting work may take those.
+
+    It has the same shape as work that may not, and was held up by it in each round.
+    """
+
+    def test_lasting_work_starts_behind_work_of_its_shape_that_waits_for_a_gang(self) -> None:
+        self.workers(racks=1, each=2)
+        self.add(step(8, 1), priority=BULK)
+        self.plan()
+        self.add(step(2, 8, gang=True, same_rack=True), priority=NORMAL)
+        self.add(step(2, 1), priority=BULK)
+        lasting = self.add(step(2, 1, long_running=True), priority=BULK)
+        starts = self.plan(PATIENT).starts
+        self.assertEqual({start.run.task.name.job_id for start in starts}, {lasting})
+
+
+class AdvisedGangTest(BoardCase):
+    """Workers with the adviser's leave have room enough for a gang, in no one rack.
+
+    No more were asked about, since their sum was enough. The gang was spread over racks, as if no
+    rack could ever hold it.
+    """
+
+    def test_more_workers_are_asked_about_until_the_gang_fits(self) -> None:
+        self.workers(racks=20, each=2)
+        self.board.configure({}, {"q": SERVICE}, ["q"])
+        self.add(step(2, 8, gang=True, same_rack=True), priority=NORMAL)
+        for round_s in range(5):
+            changes = self.plan(float(round_s))
+            if changes.starts:
+                break
+            for question in changes.questions:
+                # The first of each rack is good, and the second of the last alone.
+                good = [w for w in question.workers if w.endswith("1") or w == "w202"]
+                leaves = [Leave(worker, "ticket", 60.0) for worker in good]
+                question.step.advice.told(question.workers, leaves, float(round_s))
+                question.step.advice.asking = False
+        self.assertEqual({start.run.worker_id for start in changes.starts}, {"w201", "w202"})
+
+
 if __name__ == "__main__":
     unittest.main()
