A worker too small for a task is no other one that it could go to

Cause: a task that has failed on a worker leaves it to others while there are any, whatever their size, so on a service with one worker large enough it never started again. Ruled out: all others full for now, which is waited for as before. Change: only a worker that could hold a task of the step, were it empty, counts, by the index and where each worker is looked at.

--- a/src/saddlestack/policy/board/places.py
+++ b/src/saddlestack/policy/board/places.py
@@ -40,7 +40,7 @@
     def task(self, avoid: set[str]) -> Worker | None:
         """The worker for one task.
 
-        :param avoid: workers on which it failed; they get it only where there is no other.
+        :param avoid: workers on which it failed; they get it only where no other could hold it.
         """
         ...
 
@@ -70,7 +70,8 @@
     def task(self, avoid: set[str]) -> Worker | None:
         """See :meth:`Places.task`."""
         fresh = [worker for worker in self._workers if worker.worker_id not in avoid]
-        return place_task(self._step, fresh or self._workers, _free_copies(self._step))
+        others = any(worker.most(self._step.step) > 0 for worker in fresh)
+        return place_task(self._step, fresh if others else self._workers, _free_copies(self._step))
 
     def soonest(self) -> Sequence[Worker]:
         """See :meth:`Places.soonest`."""
@@ -225,8 +226,9 @@
         return fill_one_hall(able, wanted)
 
     def _has_other(self, avoid: set[str]) -> bool:
+        """Whether another worker could hold a task, if it were empty."""
         return any(
-            worker.worker_id not in avoid
+            worker.worker_id not in avoid and worker.most(self._step.step) > 0
             for rack in self._rooms.racks
             for worker in self._open(rack)
         )
