A shape is noted as full or shut only for work that is so for the same reason

Cause: work that has waited its 2 s found the headroom noted as closed by a step of its shape that had just come and goes first; lasting work, which may take workers kept for gangs, found its shape noted as full by work that may not. Ruled out: the order of the steps. Change: with a shut shape the longest wait is kept that it was shut for; whether work lasts is part of its shape. The test of the headroom is put right: its pool had no room twice over, so nothing was to start there; as it stands now it fails without the change.

--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -83,7 +83,7 @@
         top = step.occurrence.job.priority == TOP_PRIORITY
         shape = self._shape(step, now)
         full = shape in self._misses.full
-        if not top and (full or self._is_shut(step, shape, now)):
+        if not top and (full or self._misses.is_shut(shape, _waited_s(step, now))):
             return
         if not may_start(step):
             self._waiting.remove(step)
@@ -139,6 +139,7 @@
             near="",
             per_worker=needs.per_worker,
             proven=_needs_proof(step),
+            lasting=needs.long_running,
         )
         near = replace(anywhere, near=needs.data_rack)
         return StepShapes(service, self._shapes.number(near), self._shapes.number(anywhere))
@@ -210,7 +211,7 @@
             self._misses.note_full(shape)
             return False
         if not self._may_open(step, chosen, now):
-            self._misses.note_shut(shape)
+            self._misses.note_shut(shape, _waited_s(step, now))
             return False
         self._release(step)
         self._assign_gang(step, chosen, now)
@@ -221,13 +222,6 @@
         for task, worker in zip(step.tasks, places, strict=True):
             self._assign(task, worker, number, now)
 
-    def _is_shut(self, step: StepState, shape: int | None, now: float) -> bool:
-        return shape in self._misses.shut and not self._is_impatient(step, now)
-
-    def _is_impatient(self, step: StepState, now: float) -> bool:
-        """Whether a step has waited so long that the headroom is open to it."""
-        return _waited_s(step, now) > HEADROOM_PATIENCE_S
-
     def _place_tasks(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         for task in step.tasks:
             if not waits(task):
@@ -237,7 +231,7 @@
                 self._misses.note_full(shape)
                 return False
             if not self._may_open(step, [worker], now):
-                self._misses.note_shut(shape)
+                self._misses.note_shut(shape, _waited_s(step, now))
                 return False
             self._assign(task, worker, task.record.run + 1, now)
         self._release(step)
--- a/src/saddlestack/policy/board/shapes.py
+++ b/src/saddlestack/policy/board/shapes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from saddlestack.work import Resources
@@ -13,6 +14,7 @@
 
     :param count: tasks that have to fit at once.
     :param proven: whether it goes to no worker on probation.
+    :param lasting: whether it may take workers that are kept for gangs.
     :param near: the rack outside of which the step does not go yet; empty for none.
     """
 
@@ -24,6 +26,7 @@
     near: str
     per_worker: int
     proven: bool
+    lasting: bool
 
 
 SHAPES_KEPT = 10_000
@@ -66,11 +69,12 @@
     """Shapes, by number, that were tried in this round. Room only shrinks within one.
 
     :param full: there is no room for them.
-    :param shut: there is room, but the headroom is closed to them.
+    :param shut: there is room, but the headroom is closed to them; it opens with the time that work
+        has waited, so with the longest, in seconds, that any of them had.
     """
 
     full: set[int] = field(default_factory=set)
-    shut: set[int] = field(default_factory=set)
+    shut: dict[int, float] = field(default_factory=dict)
 
     def clear(self) -> None:
         """Begin a round, or room has been given back."""
@@ -82,7 +86,11 @@
         if shape is not None:
             self.full.add(shape)
 
-    def note_shut(self, shape: int | None) -> None:
-        """The headroom is closed to this shape."""
+    def is_shut(self, shape: int | None, waited_s: float) -> bool:
+        """Whether the headroom is known to be closed to work of a shape that has waited so long."""
+        return shape is not None and waited_s <= self.shut.get(shape, -math.inf)
+
+    def note_shut(self, shape: int | None, waited_s: float) -> None:
+        """The headroom is closed to work of this shape that has waited so long."""
         if shape is not None:
-            self.shut.add(shape)
+            self.shut[shape] = max(waited_s, self.shut.get(shape, waited_s))
--- a/tests/test_waits_board.py
+++ b/tests/test_waits_board.py
@@ -129,13 +129,12 @@
     """
 
     def test_a_step_that_has_waited_is_not_held_up_by_one_that_has_not(self) -> None:
-        self.workers(racks=1, each=2)
-        self.board.evacuate(frozenset())
+        self.workers(racks=1, each=4)
         for number in range(1, 5):
             self.board.set_worker(record(f"gone{number}", rack="r2", hall="evacuated"), 0.0)
-        self.add(step(1, 8, label="r1"))
-        self.plan()
         self.board.evacuate(frozenset({"evacuated"}))
+        self.add(step(2, 8))
+        self.plan()
         old = self.add(step(1, 8), priority=BULK)
         self.assertEqual(self.plan(1.0).starts, [])
         self.add(step(1, 8), priority=NORMAL)
