The adviser is asked about more workers until an advised gang fits, and in one rack

Cause: no more workers were asked about once those with leave had room enough in all, though no rack of theirs held the gang; and since racks were judged by those workers alone, none seemed able to hold it ever, so that it was spread over racks. Ruled out: the order in which workers are asked about. Change: whether the step fits decides; racks are judged by all workers that it may go to; workers kept for others count neither as allowed nor are they asked about.

--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -171,10 +171,9 @@
 
     def _listed(self, step: StepState, fit: Fit, kept: Kept | None, now: float) -> list[Worker]:
         """The workers of a step of which more counts than its size."""
-        able = self._able(fit, now)
+        able = [worker for worker in self._able(fit, now) if kept is None or not kept(worker)]
         if self._board.is_advised(step.occurrence.job):
             able = self._with_leave(step, able, now)
-        able = [worker for worker in able if kept is None or not kept(worker)]
         if not step.step.data_rack or not self._waits_near(step, now):
             return able
         return [worker for worker in able if worker.record.rack == step.step.data_rack] or able
@@ -194,17 +193,27 @@
         return [w for rack in racks for w in rack.able if fit.open_to(w, now)]
 
     def _with_leave(self, step: StepState, able: list[Worker], now: float) -> list[Worker]:
-        """The workers that may run a step; the adviser is asked about more where they are few."""
+        """The workers that may run a step; the adviser is asked about more where it does not fit.
+
+        Which racks could ever hold a gang of one rack is told by all of them, allowed or not.
+        """
         advice = step.advice
         allowed = [w for w in able if advice.ticket(w.worker_id, now) is not None]
-        room = sum(worker.copies(step, worker.free) for worker in allowed)
-        wanted = sum(1 for task in step.tasks if waits(task))
-        if room < wanted and not advice.asking:
+        if step.step.gang and step.step.same_rack and whole_racks(step, able):
+            allowed = whole_racks(step, allowed)
+        if not advice.asking and not self._fits_on(step, allowed):
             unknown = advice.unknown(able, now)
             if unknown:
                 self._board.ask(step, unknown)
         return allowed
 
+    def _fits_on(self, step: StepState, workers: list[Worker]) -> bool:
+        """Whether all tasks of a step that wait fit on some workers."""
+        if step.step.gang:
+            return ListedPlaces(step, workers).gang() is not None
+        room = sum(worker.copies(step, worker.free) for worker in workers)
+        return room >= sum(1 for task in step.tasks if waits(task))
+
     def _place_gang(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         chosen = places.gang()
         if chosen is None:
