Test that fails: a question to the adviser that fails unforeseen is never asked again

Cause: Scheduler._ask clears the mark that a step is being asked about only after answers and AdviserUnavailable (row 27). Measured: the job has not run after 3 s.

--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -17,8 +17,11 @@
 
 from saddlestack.control.keys import PROGRESS, REQUESTS
 from saddlestack.control.scheduler import TICK_S
+from saddlestack.interfaces.machines import Leave
 from saddlestack.interfaces.store import Committed, Conflict, Transaction, WriteInDoubt
+from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
+from saddlestack.standins.pool.machines import FloorAdviser
 from saddlestack.standins.pool.store import CALL_TIMEOUT_S, StoreView
 from saddlestack.work import JobState
 from tests.test_pool import A, B, C, PoolTest
@@ -148,5 +151,33 @@
         self.play(body)
 
 
+class AdviserTest(PoolTest):
+    """A step that the adviser is being asked about is not asked about again meanwhile.
+
+    An answer that failed in a way that nobody had thought of ended the question, not its mark.
+    """
+
+    def test_a_question_that_fails_is_asked_again(self) -> None:
+        async def main() -> None:
+            cluster = PoolCluster(advised=frozenset({"normal"}))
+            await cluster.start()
+            advise = FloorAdviser.advise
+            failures = [KeyError()]
+
+            async def fails_once(
+                self: FloorAdviser, step: str, workers: tuple[str, ...]
+            ) -> tuple[Leave, ...]:
+                if failures:
+                    raise failures.pop()
+                return await advise(self, step, workers)
+
+            with unittest.mock.patch.object(FloorAdviser, "advise", fails_once):
+                await cluster.submit(A, job(1, work_s=0.2))
+                await cluster.until_state(A, JobState.COMPLETED, 3.0)
+            await cluster.stop()
+
+        run(main())
+
+
 if __name__ == "__main__":
     unittest.main()
