A question to the adviser that fails unforeseen is asked again

Ruled out: a finally without a pause, which would ask anew as fast as it fails. Measured: tests.test_waits and AdviceTest pass.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -316,6 +316,10 @@
                 extra={"event": "adviser_lost", "step": step.key, "reason": str(error)},
             )
             await asyncio.sleep(ADVICE_RETRY_S)
+        except Exception:
+            # A question that ends unforeseen would otherwise be under way for ever.
+            log.exception("advice failed", extra={"event": "advice_failed", "step": step.key})
+            await asyncio.sleep(ADVICE_RETRY_S)
         else:
             step.advice.told(question.workers, leaves, self._clock.now())
         step.advice.asking = False
