--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -12,20 +12,26 @@
 import unittest
 import unittest.mock
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from msgspec.structs import replace
 
-from saddlestack.control.keys import PROGRESS, REQUESTS
+from saddlestack.control.health import SHORTEST_PATIENCE_S, StoreHealth
+from saddlestack.control.journal import Journal
+from saddlestack.control.keys import LEADER, PROGRESS, REQUESTS
 from saddlestack.control.scheduler import TICK_S
 from saddlestack.interfaces.machines import Leave
 from saddlestack.interfaces.store import Committed, Conflict, Transaction, WriteInDoubt
-from saddlestack.standins.loop import run
+from saddlestack.kernel.clock import Clock
+from saddlestack.standins.loop import VirtualClock, run
 from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
 from saddlestack.standins.pool.machines import FloorAdviser
-from saddlestack.standins.pool.store import CALL_TIMEOUT_S, StoreView
+from saddlestack.standins.pool.store import CALL_TIMEOUT_S, StoreState, StoreView
 from saddlestack.work import JobState
+from tests.support import bare_context
 from tests.test_pool import A, B, C, PoolTest
 
+NARROW_BYTES_S = 1_000_000
 SOON_S = 1.0
 """Beside a store that answers for other jobs, what is decided for them leaves within this time."""
 
@@ -179,5 +185,35 @@
         run(main())
 
 
+@dataclass(slots=True)
+class NarrowView(StoreView):
+    """A way to the store on which values take their time to be sent."""
+
+    async def transact(self, transaction: Transaction) -> Committed | Conflict:
+        size = sum(len(put.value) for put in transaction.puts)
+        await asyncio.sleep(size / NARROW_BYTES_S)
+        return await StoreView.transact(self, transaction)
+
+
+class LargeRecordTest(unittest.TestCase):
+    """A record takes longer to send than heartbeats let expect.
+
+    It was given up after three times what a heartbeat took, 0.25 s at least, and sent again with
+    the same patience: never written, and its job stood for good.
+    """
+
+    def test_it_is_written_all_the_same(self) -> None:
+        async def main() -> None:
+            view = NarrowView(StoreState())
+            fence = view.state.put(LEADER, b"leader")
+            context = bare_context(VirtualClock(), store=view, health=StoreHealth(view, Clock()))
+            journal = Journal(context, fence)
+            took_s = 3 * SHORTEST_PATIENCE_S
+            async with asyncio.timeout(10.0):
+                await journal.commit({f"{PROGRESS}{A}.0": bytes(round(NARROW_BYTES_S * took_s))})
+
+        run(main())
+
+
 if __name__ == "__main__":
     unittest.main()
