--- a/tests/test_waits_orders.py
+++ b/tests/test_waits_orders.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import unittest
+import unittest.mock
+from typing import Any
 
 from saddlestack.control.leases import Leases
 from saddlestack.control.session import (
@@ -18,7 +20,12 @@
     START_TRIES,
     WAIT_S,
 )
-from saddlestack.interfaces.workers import WorkerBusy, WorkerNotReached, WorkerUnreachable
+from saddlestack.interfaces.workers import (
+    StartReply,
+    WorkerBusy,
+    WorkerNotReached,
+    WorkerUnreachable,
+)
 from saddlestack.policy.board.records import TaskStatus
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.work import AcceptedJob, JobRequest, JobState, Resources, Step
@@ -112,6 +119,47 @@
         self.play(body)
 
 
+class RestedWorkerTest(SessionCase):
+    """A worker that runs nothing is not looked at: that it has gone shows with the next order.
+
+    That order was a start, in doubt from then on: its task waited for the lease that it brought.
+    A question before it, where the worker was not heard of lately, costs 1 to 3 ms.
+    """
+
+    def test_a_start_for_a_worker_that_fell_silent_while_it_rested_never_leaves(self) -> None:
+        async def body(scene: Scene) -> None:
+            scene.session.suspect()
+            await asyncio.sleep(10.0)  # it has told its clock, and rests
+            scene.orders.dark = True
+            scene.assign()
+            await asyncio.sleep(2 * ORDER_TIMEOUT_S + ANSWER_S)
+            self.assertEqual(scene.orders.starts, 0)
+            self.assertIs(scene.status, TaskStatus.WAITING)
+            self.assertFalse(scene.session.worker.reachable)
+
+        self.play(body)
+
+    def test_one_that_was_heard_lately_is_not_asked(self) -> None:
+        async def body(scene: Scene) -> None:
+            scene.session.suspect()
+            await asyncio.sleep(ANSWER_S)
+            looks = len(scene.orders.seen)
+            start = scene.plan().starts[0]
+            asked: list[int] = []
+            order = scene.orders.start
+
+            async def noted(*arguments: Any) -> StartReply:
+                asked.append(len(scene.orders.seen) - looks)
+                return await order(*arguments)
+
+            with unittest.mock.patch.object(scene.orders, "start", noted):
+                scene.session.start(start)
+                await asyncio.sleep(ANSWER_S)
+            self.assertLessEqual(asked[0], 1)  # the look that its session makes anyway
+
+        self.play(body)
+
+
 class HangingOrdersTest(SessionCase):
     """A worker answers looks, and neither starts nor stops.
 
