A worker that was not heard lately is asked for a sign before it is given a start

Cause: a start was the first call to meet the silence of a worker that rested, and waited for the lease that it brought. Ruled out: looks at all workers all the time, 1 ms of a core each; a shorter first lease, which would also end what runs when a leader is lost. Change: where a worker was not heard for 2.5 s, as long as the looks of one that runs something are apart, it is asked first, as it was for its clock after 30 s; a start whose worker shows no sign never left.

--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -19,6 +19,9 @@
 """A clock that was not heard for longer may be 0.6 s behind, and leases by it are so much shorter:
 it is asked for before the next start. After a rest of 450 s a first lease of 10 s would be one of
 1.2 s."""
+HEARD_LATELY_S = 2.5
+"""What runs something is looked at so often. One that was not heard for longer is asked for a sign
+before the next start, in 1 to 3 ms: a start that meets its silence is in doubt for a lease."""
 
 
 @dataclass(slots=True)
@@ -78,6 +81,11 @@
         """Whether the worker's clock was not heard, or so long ago that leases by it are short."""
         return self._clock.now() - self._times.heard_s > CLOCK_FRESH_S
 
+    @property
+    def is_stale(self) -> bool:
+        """Whether the worker, or its clock, was not heard lately enough for a start."""
+        return self.clock_is_old or self._clock.now() - self._heard_s > HEARD_LATELY_S
+
     @property
     def lapsed(self) -> bool:
         """Whether every lease that was ever granted there is over."""
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -58,8 +58,8 @@
     """A start is not to be sent any more."""
 
 
-class _ClockUnknown(Exception):
-    """A start did not leave: the worker has not told the clock that its lease goes by."""
+class _NotHeard(Exception):
+    """A start did not leave: the worker gave no sign, or not the clock that its lease goes by."""
 
 
 class _TermTooOld(Exception):
@@ -172,7 +172,7 @@
                     self._never_began(run, key)
                     return
                 break
-            except _ClockUnknown:
+            except _NotHeard:
                 continue
             except WorkerUnreachable as error:
                 # What no connection was opened for never left.
@@ -218,8 +218,8 @@
     async def _send_now(self, start: Start) -> StartReply:
         run = start.run
         async with self._gate:
-            if self._contact.clock_is_old:
-                await self._ask_clock()
+            if self._is_wanted(run) and self._contact.is_stale:
+                await self._ask_for_sign()
             if not self._is_wanted(run):
                 raise _NotWanted
             # Before the question: the process may stand still after it, and the lease counts on.
@@ -243,17 +243,17 @@
             self._contact.told(reply.clock_ms)
         return reply
 
-    async def _ask_clock(self) -> None:
-        """Have the worker tell its clock, in 1 to 3 ms, so that its lease is not short.
+    async def _ask_for_sign(self) -> None:
+        """Have the worker show that it is there, and tell its clock so that its lease is not short.
 
-        :raises _ClockUnknown: it has not.
+        :raises _NotHeard: it has not.
         """
         asked = self._clock.now()
         try:
-            report = await self._hold(None, 0.0, LOOK_NOW_TIMEOUT_S)
+            report = await self._hold(None, 0.0, ORDER_TIMEOUT_S)
         except WorkerUnreachable as error:
             self._missed(asked)
-            raise _ClockUnknown from error
+            raise _NotHeard from error
         self._contact.told(report.clock_ms)
 
     def _is_wanted(self, run: Run) -> bool:
