--- a/tests/test_waits_orders.py
+++ b/tests/test_waits_orders.py
@@ -206,5 +206,33 @@
         self.play(body)
 
 
+class UnforeseenTest(SessionCase):
+    """An order fails in a way that nobody had thought of: its task ended, and was noted as lost.
+
+    Its run stayed in hand, so that no report about it was believed any more.
+    """
+
+    def test_a_start_is_in_doubt_and_its_task_free_once_its_stop_is_answered(self) -> None:
+        async def body(scene: Scene) -> None:
+            scene.orders.start_faults = [KeyError]
+            scene.assign()
+            await asyncio.sleep(1.0)
+            self.assertEqual(len(scene.orders.stops), 1)
+            self.assertIs(scene.status, TaskStatus.WAITING)
+
+        self.play(body)
+
+    def test_a_stop_is_given_again(self) -> None:
+        async def body(scene: Scene) -> None:
+            scene.orders.start_faults = [WorkerUnreachable] * START_TRIES
+            scene.orders.stop_faults = [KeyError, KeyError]
+            scene.assign()
+            await asyncio.sleep(START_TRIES * ORDER_TIMEOUT_S + 3 * RETRY_S)
+            self.assertEqual(len(scene.orders.stops), 3)
+            self.assertIs(scene.status, TaskStatus.WAITING)
+
+        self.play(body)
+
+
 if __name__ == "__main__":
     unittest.main()
