--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -190,6 +190,10 @@
             except WorkerFenced:
                 self._owner.fenced()
                 return
+            except Exception:
+                log.exception("start failed", extra={"event": "start_failed"})
+                clean = False
+                break
             if clean:
                 self._doubts.answered(self.worker.worker_id, key)
             if reply.refusal is Refusal.LATE and clean:
@@ -333,6 +337,8 @@
                 self._missed(sent)
             except WorkerBusy:
                 self.worker.refused(self._clock.now())
+            except Exception:
+                log.exception("stop failed", extra={"event": "stop_failed"})
             await asyncio.sleep(RETRY_S)
 
     def _settle(self, key: RunKey) -> None:
