Test that fails: urgent work reserves the room of a run that does not end again and again

Cause: a stopping run is free to stop (Preemptor.loss), so the search chooses it anew each time that a reservation of 2.5 s has run out (row 30). Ruled out: silent workers, which are in no search. Measured: no other run is stopped 2.6 s after the first.

--- a/tests/test_waits_board.py
+++ b/tests/test_waits_board.py
@@ -19,6 +19,7 @@
     TaskRecord,
     TaskStatus,
 )
+from saddlestack.policy.board.reservations import RESERVATION_S
 from saddlestack.work import AcceptedJob, JobRequest, Step
 from tests.test_board import BULK, NORMAL, PATIENT, SERVICE, BoardCase, record, step
 
@@ -184,5 +185,40 @@
         self.assertEqual({start.run.worker_id for start in changes.starts}, {"w201", "w202"})
 
 
+class ReservationTest(BoardCase):
+    """Urgent work waits for the room of a run that is to stop, and does not end.
+
+    A run that is stopping costs nothing more to stop, so it was chosen again each time that the
+    reservation of its room had run out, and no other ever.
+    """
+
+    def test_room_that_does_not_come_free_is_looked_for_elsewhere(self) -> None:
+        self.workers(each=2)
+        for _ in range(2):
+            self.add(step(1, 8), priority=BULK)
+            self.plan(PATIENT)
+        self.plan(2 * PATIENT)
+        self.add(step(1, 8))
+        stops = self.plan(2 * PATIENT).stops
+        self.assertEqual(len(stops), 1)
+        self.assertEqual(self.plan(2 * PATIENT + RESERVATION_S - 0.1).stops, [])
+        others = self.plan(2 * PATIENT + RESERVATION_S + 0.1).stops
+        self.assertEqual(len(others), 1)
+        self.assertNotEqual(others[0].worker_id, stops[0].worker_id)
+
+    def test_room_that_comes_free_later_is_taken_all_the_same(self) -> None:
+        self.workers(each=1)
+        bulk = self.add(step(1, 8), priority=BULK)
+        self.plan(PATIENT)
+        self.plan(2 * PATIENT)
+        urgent = self.add(step(1, 8))
+        self.assertEqual(len(self.plan(2 * PATIENT).stops), 1)
+        late_s = 2 * PATIENT + 3 * RESERVATION_S
+        self.assertEqual(self.plan(late_s).stops, [])
+        self.end(bulk, EndKind.STOPPED, late_s)
+        starts = self.plan(late_s).starts
+        self.assertEqual([start.run.task.name.job_id for start in starts], [urgent])
+
+
 if __name__ == "__main__":
     unittest.main()
