Room that was waited for in vain is looked for elsewhere

Ruled out: a longer reservation, which waits longer for the same run; to price a stopping run, which says nothing of how long it takes. Change: when a reservation has run out and its room is held still, what was to stop there counts as overdue, and no search for room counts on it; its room is used when it comes.

--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -276,7 +276,7 @@
 
         def may_stop(run: Run) -> bool:
             other = run.task.step.occurrence.job
-            if other is job or _lost_if_stopped(run):
+            if other is job or run.overdue or _lost_if_stopped(run):
                 return False
             if run.stopping or other.priority > job.priority:
                 return True
--- a/src/saddlestack/policy/board/reservations.py
+++ b/src/saddlestack/policy/board/reservations.py
@@ -29,6 +29,12 @@
         """Whether one of the workers may be out of reach."""
         return any(worker.suspected for worker in self.places)
 
+    def note_overdue(self) -> None:
+        """Note what was to stop there and has not in time, so that other room is looked for."""
+        for worker in self.places:
+            for run in worker.runs.values():
+                run.overdue = run.overdue or run.stopping
+
     def _has_room(self, worker: Worker) -> bool:
         free = worker.record.capacity - worker.used
         return self.step.step.room.copies_in(free) >= self.places.count(worker)
@@ -63,5 +69,7 @@
         """Give up what cannot be used, or has not been for too long."""
         for held in list(self._held.values()):
             usable = all(worker.takes_work(now) for worker in held.places)
+            if now > held.until_s and not held.is_free:
+                held.note_overdue()
             if not usable or now > held.until_s or not held.step.occurrence.open:
                 self.release(held.step)
