Tests that fail: a machine whose upkeep is refused keeps its worker out of use for the whole term

Cause: Upkeep sets Worker.closing and leaves_s as a machine is prepared, and nothing clears them but the worker's next life (row 39). Ruled out: answers that may change (busy, fence), after which the order is given again. Measured: a job of four whole workers has not run 3 s after a wave of all four machines was refused, for either outcome.

--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -14,18 +14,19 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+import msgspec
 from msgspec.structs import replace
 
 from saddlestack.control.health import SHORTEST_PATIENCE_S, StoreHealth
 from saddlestack.control.journal import Journal
 from saddlestack.control.keys import LEADER, PROGRESS, REQUESTS
 from saddlestack.control.scheduler import TICK_S
-from saddlestack.interfaces.machines import Leave
+from saddlestack.interfaces.machines import Leave, UpkeepOutcome
 from saddlestack.interfaces.store import Committed, Conflict, Transaction, WriteInDoubt
 from saddlestack.kernel.clock import Clock
 from saddlestack.standins.loop import VirtualClock, run
 from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
-from saddlestack.standins.pool.machines import FloorAdviser
+from saddlestack.standins.pool.machines import FloorAdviser, FloorMachines
 from saddlestack.standins.pool.store import CALL_TIMEOUT_S, StoreState, StoreView
 from saddlestack.work import JobState
 from tests.support import bare_context
@@ -215,5 +216,33 @@
         run(main())
 
 
+class RefusedUpkeepTest(PoolTest):
+    """A machine of a wave runs empty, and then its upkeep is refused for good: it goes on.
+
+    Its worker took no work for the rest of the term, and what ran there was to stop.
+    """
+
+    def play_refusal(self, outcome: UpkeepOutcome) -> None:
+        async def refuse(*_: object) -> UpkeepOutcome:
+            return outcome
+
+        async def body(cluster: PoolCluster) -> None:
+            machines = [worker.machine for worker in cluster.floor.workers.values()]
+            wave = {"wave": 1, "machines": machines, "deadline-s": 30, "max-tasks": 4}
+            with unittest.mock.patch.object(FloorMachines, "upkeep", refuse):
+                cluster.store.put("op/wave/1", msgspec.json.encode(wave))
+                await asyncio.sleep(10.0)
+                await cluster.submit(A, job(4, accelerators=8, work_s=0.5))
+                await cluster.until_state(A, JobState.COMPLETED, 3.0)
+
+        self.play(body)
+
+    def test_a_machine_that_is_not_of_the_wave_is_used_again(self) -> None:
+        self.play_refusal(UpkeepOutcome.NOT_IN_WAVE)
+
+    def test_one_that_is_not_known_is_used_again(self) -> None:
+        self.play_refusal(UpkeepOutcome.UNKNOWN_MACHINE)
+
+
 if __name__ == "__main__":
     unittest.main()
