A worker whose machine's upkeep is refused for good takes work again

Ruled out: to clear the marks with the worker's own record, which says nothing of waves. Change: on such a refusal the worker goes on, unless another wave prepares the machine; what it announced itself stays.

--- a/src/saddlestack/control/upkeep.py
+++ b/src/saddlestack/control/upkeep.py
@@ -154,6 +154,15 @@
             await self._keep(state, completed=False)
         elif outcome in {UpkeepOutcome.UNKNOWN_MACHINE, UpkeepOutcome.NOT_IN_WAVE}:
             state.is_gone(machine)
+            self._give_back(machine)
+
+    def _give_back(self, machine: str) -> None:
+        """A machine goes on: its worker takes work again, unless another wave prepares it."""
+        if any(state.prepares(machine) for state in self._waves.values()):
+            return
+        for worker in self._board.workers.values():
+            if worker.record.machine == machine:
+                worker.goes_on()
 
     async def _read(self, wave: int) -> WaveRecord:
         while True:
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -132,6 +132,12 @@
             self._noted_cold_ms = record.cold_ms
         self.record = record
 
+    def goes_on(self) -> None:
+        """Its machine has no upkeep after all."""
+        self.closing = False
+        if not self.record.draining:
+            self.leaves_s = None
+
     def matches(self, step: Step) -> bool:
         """Whether it has the label that a step asks for."""
         return not step.label or step.label in self.record.labels
--- a/src/saddlestack/policy/upkeep.py
+++ b/src/saddlestack/policy/upkeep.py
@@ -106,6 +106,14 @@
         """There is no such machine any more, or it is not of this wave."""
         self.machines[machine].status = MachineStatus.DONE
 
+    def prepares(self, machine: str) -> bool:
+        """Whether a machine is to go down and has not yet."""
+        known = self.machines.get(machine)
+        return known is not None and known.status in {
+            MachineStatus.PREPARING,
+            MachineStatus.ORDERED,
+        }
+
     def _restarted(self, workers: Mapping[str, Worker]) -> list[tuple[Worker, float]]:
         """Workers that started again on machines that are to run empty: they know nothing of it."""
         found = []
