Test that fails: a job whose notice is lost stands for 4 s where the watch of requests went silent alone

Ruled out: the heartbeats, which pass on other connections. Measured: a job that is accepted as such a watch begins has not begun 2.5 s later.

--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -17,22 +17,31 @@
 import msgspec
 from msgspec.structs import replace
 
+from saddlestack.control.desk import Desk
 from saddlestack.control.health import SHORTEST_PATIENCE_S, StoreHealth
 from saddlestack.control.journal import Journal
 from saddlestack.control.keys import LEADER, PROGRESS, REQUESTS
 from saddlestack.control.scheduler import TICK_S
 from saddlestack.interfaces.machines import Leave, UpkeepOutcome
-from saddlestack.interfaces.store import Committed, Conflict, Transaction, WriteInDoubt
+from saddlestack.interfaces.store import (
+    Committed,
+    Conflict,
+    Listing,
+    StoreUnavailable,
+    Transaction,
+    WriteInDoubt,
+)
 from saddlestack.kernel.clock import Clock
 from saddlestack.standins.loop import VirtualClock, run
 from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
 from saddlestack.standins.pool.machines import FloorAdviser, FloorMachines
-from saddlestack.standins.pool.store import CALL_TIMEOUT_S, StoreState, StoreView
+from saddlestack.standins.pool.store import CALL_TIMEOUT_S, WATCH_SLACK_S, StoreState, StoreView
 from saddlestack.work import JobState
 from tests.support import bare_context
 from tests.test_pool import A, B, C, PoolTest
 
 NARROW_BYTES_S = 1_000_000
+UNHEARD_S = 2.5
 SOON_S = 1.0
 """Beside a store that answers for other jobs, what is decided for them leaves within this time."""
 
@@ -244,5 +253,39 @@
         self.play_refusal(UpkeepOutcome.UNKNOWN_MACHINE)
 
 
+class UnheardJobTest(PoolTest):
+    """A job whose notice is lost is told of by the store; that watch goes silent alone.
+
+    It waited for 3 s and 1 s of slack before it was asked anew, while the store answered all else.
+    """
+
+    def test_it_is_heard_of_before_it_has_stood_for_3_s(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            view = cluster.member(cluster.leader_name).view
+            watch = StoreView.watch
+            swallowed = True
+            begun = asyncio.Event()
+
+            async def deaf(self: StoreView, prefix: str, after: int, wait_s: float) -> Listing:
+                if swallowed and self is view and prefix == REQUESTS:
+                    begun.set()
+                    await asyncio.sleep(wait_s + WATCH_SLACK_S)
+                    raise StoreUnavailable("the watch was swallowed")
+                return await watch(self, prefix, after, wait_s)
+
+            with (
+                unittest.mock.patch.object(StoreView, "watch", deaf),
+                unittest.mock.patch.object(Desk, "tell"),
+            ):
+                await asyncio.sleep(WATCH_SLACK_S)
+                begun.clear()
+                await begun.wait()
+                swallowed = False
+                await cluster.submit(A, job(1, work_s=0.2))
+                await cluster.until(lambda: cluster.floor.starts_of(A) == 1, UNHEARD_S)
+
+        self.play(body)
+
+
 if __name__ == "__main__":
     unittest.main()
