The leader's watch of requests waits 1 s

Ruled out: to repeat notices, which are lost with a link that is found out 1 s later as well. Change: wait_s of 1 s for the leader's feed of requests, so a watch that went silent alone is found out within 2 s. Measured: the test passes; 72 tests of waits, pool and feed pass.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -54,6 +54,9 @@
 FULL_ROUND_PAUSE_S = 0.02
 """After a round that decided as much as one may; such a round holds the process for 0.06 s, and the
 leader's renewals, some of them 0.25 s apart, come to their turn in between."""
+REQUESTS_WAIT_S = 1.0
+"""A job whose notice was lost is told of by a watch; one that went silent alone is found out 1 s
+after this. The leader asks once a second so, where a quiet store was asked each 3 s."""
 ADVICE_RETRY_S = 0.5
 RENEWALS_GAP_S = 1.0
 RENEWALS_ASKED = 6
@@ -191,7 +194,13 @@
         # No other term can write progress any more, so it may be read beside the workers.
         await self._requests.load()
         await workers.loaded.wait()
-        requests = Feed(self._context, keys.REQUESTS, self._requested, self._requested)
+        requests = Feed(
+            self._context,
+            keys.REQUESTS,
+            self._requested,
+            self._requested,
+            wait_s=REQUESTS_WAIT_S,
+        )
         self._tasks.spawn(requests.run())
         await requests.loaded.wait()
         self._requests.begin()
