Property of the board: what may start is tried, and all of it ends once there is room

Ruled out now by 100 drawn courses of 60 events each (workers, jobs, gangs, later steps, ends of all kinds, cancels, lost workers): after each event every step that may start is in the list; with 16 fresh workers after them every job that is left ends within 40 rounds.

--- a/tests/test_waits_board.py
+++ b/tests/test_waits_board.py
@@ -6,10 +6,15 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from saddlestack.interfaces.machines import Leave
-from saddlestack.interfaces.workers import EndKind
+from saddlestack.interfaces.workers import EndedTask, EndKind
+from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import StopReason
 from saddlestack.policy.board.headroom import IDLE_PATIENCE_S
 from saddlestack.policy.board.records import (
@@ -20,8 +25,18 @@
     TaskStatus,
 )
 from saddlestack.policy.board.reservations import RESERVATION_S
+from saddlestack.policy.board.waiting import may_start
 from saddlestack.work import AcceptedJob, JobRequest, Step
-from tests.test_board import BULK, NORMAL, PATIENT, SERVICE, BoardCase, record, step
+from tests import test_board
+from tests.test_board import (
+    BULK,
+    NORMAL,
+    PATIENT,
+    SERVICE,
+    BoardCase,
+    record,
+    step,
+)
 
 JOB = f"{0xAB:016x}"
 
@@ -220,5 +235,59 @@
         self.assertEqual([start.run.task.name.job_id for start in starts], [urgent])
 
 
+class AnyEventsTest(unittest.TestCase):
+    """After any events what may start is tried, and where there is room for all of it it ends."""
+
+    EVENTS = test_board.RandomEventsTest("test_invariants")
+
+    def happen(self, board: Board, seed: int) -> float:
+        """Let 60 things happen; when the last of them did."""
+        rng = random.Random(seed)
+        board.configure({"depots": 8}, {"q": SERVICE})
+        now = 0.0
+        for number in range(60):
+            now += rng.uniform(0.1, 5.0)
+            self.EVENTS.happen(board, rng, number, now, set())
+            board.plan(now, now * 1000)
+            board.take()
+            self.assertEqual(self.forgotten(board), [])
+        return now
+
+    def forgotten(self, board: Board) -> list[str]:
+        """Steps that may start, and that no round would try."""
+        tried = board._planner._waiting._known
+        steps = [
+            step
+            for job in board.jobs.values()
+            for occurrence in job.occurrences
+            for step in occurrence.steps
+        ]
+        return [step.key for step in steps if may_start(step) and step not in tried]
+
+    @settings(max_examples=100, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_what_may_start_is_in_the_list(self, seed: int) -> None:
+        self.happen(Board(), seed)
+
+    @settings(max_examples=100, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_all_ends_once_there_is_room(self, seed: int) -> None:
+        board = Board()
+        now = self.happen(board, seed) + PATIENT
+        for number in range(16):
+            made = record(f"fresh{number}", rack=f"fresh{number // 8}")
+            board.set_worker(made, now)
+        for number in range(40):
+            now += 1.0
+            board.plan(now, now * 1000)
+            board.take()
+            for worker in list(board.workers.values()):
+                for name, run in list(worker.runs):
+                    end = EndedTask(1000 + number, str(name), run, EndKind.DONE, "")
+                    board.ended(worker.worker_id, end, now)
+        left = [job.job_id for job in board.jobs.values() if not job.over]
+        self.assertEqual(left, [])
+
+
 if __name__ == "__main__":
     unittest.main()
