--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -86,7 +86,7 @@
         top = step.occurrence.job.priority == TOP_PRIORITY
         shape = self._shape(step, now)
         full = shape in self._misses.full
-        if not top and (full or self._is_shut(step, shape, now)):
+        if not top and (full or self._misses.is_shut(shape, _waited_s(step, now))):
             return
         if not may_start(step):
             self._waiting.remove(step)
@@ -174,6 +174,7 @@
             near="",
             per_worker=needs.per_worker,
             proven=_needs_proof(step),
+            lasting=needs.long_running,
         )
         near = replace(anywhere, near=needs.data_rack)
         return StepShapes(service, self._shapes.number(near), self._shapes.number(anywhere))
@@ -214,10 +215,9 @@
 
     def _listed(self, step: StepState, fit: Fit, kept: Kept | None, now: float) -> list[Worker]:
         """The workers of a step of which more counts than its size."""
-        able = self._able(fit, now)
+        able = [worker for worker in self._able(fit, now) if kept is None or not kept(worker)]
         if self._board.is_advised(step.occurrence.job):
             able = self._with_leave(step, able, now)
-        able = [worker for worker in able if kept is None or not kept(worker)]
         if not step.step.data_rack or not self._waits_near(step, now):
             return able
         return [worker for worker in able if worker.record.rack == step.step.data_rack] or able
@@ -239,24 +239,34 @@
         return [w for rack in racks for w in rack.able if fit.open_to(w, now)]
 
     def _with_leave(self, step: StepState, able: list[Worker], now: float) -> list[Worker]:
-        """The workers that may run a step; the adviser is asked about more where they are few."""
+        """The workers that may run a step; the adviser is asked about more where it does not fit.
+
+        Which racks could ever hold a gang of one rack is told by all of them, allowed or not.
+        """
         advice = step.advice
         allowed = [w for w in able if advice.ticket(w.worker_id, now) is not None]
-        room = sum(worker.copies(step, worker.free) for worker in allowed)
-        wanted = sum(1 for task in step.tasks if waits(task))
-        if room < wanted and not advice.asking:
+        if step.step.gang and step.step.same_rack and whole_racks(step, able):
+            allowed = whole_racks(step, allowed)
+        if not advice.asking and not self._fits_on(step, allowed):
             unknown = advice.unknown(able, now)
             if unknown:
                 self._board.ask(step, unknown)
         return allowed
 
+    def _fits_on(self, step: StepState, workers: list[Worker]) -> bool:
+        """Whether all tasks of a step that wait fit on some workers."""
+        if step.step.gang:
+            return ListedPlaces(step, workers).gang() is not None
+        room = sum(worker.copies(step, worker.free) for worker in workers)
+        return room >= sum(1 for task in step.tasks if waits(task))
+
     def _place_gang(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         chosen = places.gang()
         if chosen is None:
             self._misses.note_full(shape)
             return False
         if not self._may_open(step, chosen, now):
-            self._misses.note_shut(shape)
+            self._misses.note_shut(shape, _waited_s(step, now))
             return False
         self._release(step)
         self._assign_gang(step, chosen, now)
@@ -267,13 +277,6 @@
         for task, worker in zip(step.tasks, places, strict=True):
             self._assign(task, worker, number, now)
 
-    def _is_shut(self, step: StepState, shape: int | None, now: float) -> bool:
-        return shape in self._misses.shut and not self._is_impatient(step, now)
-
-    def _is_impatient(self, step: StepState, now: float) -> bool:
-        """Whether a step has waited so long that the headroom is open to it."""
-        return _waited_s(step, now) > HEADROOM_PATIENCE_S
-
     def _place_tasks(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         for task in step.tasks:
             if not waits(task):
@@ -283,7 +286,7 @@
                 self._misses.note_full(shape)
                 return False
             if not self._may_open(step, [worker], now):
-                self._misses.note_shut(shape)
+                self._misses.note_shut(shape, _waited_s(step, now))
                 return False
             self._assign(task, worker, task.record.run + 1, now)
         self._release(step)
@@ -319,7 +322,7 @@
 
         def may_stop(run: Run) -> bool:
             other = run.task.step.occurrence.job
-            if other is job or _lost_if_stopped(run):
+            if other is job or run.overdue or _lost_if_stopped(run):
                 return False
             if run.stopping or other.priority > job.priority:
                 return True
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,12 +37,13 @@
     StartOrder,
     WorkerBusy,
     WorkerFenced,
+    WorkerNotReached,
     WorkerReplaced,
     WorkerUnreachable,
 )
 from saddlestack.platform.documents import PlatformDocuments
 from saddlestack.platform.gateway import Gateway
-from saddlestack.platform.kv import KvStore
+from saddlestack.platform.kv import CALL_TIMEOUT_S, KvStore
 from saddlestack.platform.machines import HttpAdviser, HttpMachines
 from saddlestack.platform.orders import ENDS_AT_ONCE, HttpWorkerOrders
 from saddlestack.standins.loop import run
@@ -224,6 +225,17 @@
 
         with_server(body)
 
+    def test_a_large_write_has_the_time_that_it_takes_to_send(self) -> None:
+        async def body(served: Served) -> None:
+            store = KvStore("127.0.0.1", served.server.port)
+            for size, error in ((10, WriteInDoubt), (600_000, StoreUnavailable)):
+                served.answers.append(CALL_TIMEOUT_S + 0.5)  # then answers 500
+                with self.assertRaises(error):
+                    await store.transact(Transaction(puts=(Put("k", bytes(size)),)))
+            store.close()
+
+        with_server(body)
+
     def test_leases(self) -> None:
         async def body(served: Served) -> None:
             store = KvStore("127.0.0.1", served.server.port)
@@ -356,6 +368,30 @@
 
         with_server(body)
 
+    def test_an_order_behind_a_first_look_that_tells_nothing_never_left(self) -> None:
+        async def body(served: Served) -> None:
+            no_answers: list[Response | float] = [2.0, Response(500), Response(200, b"no answer")]
+            for answer in no_answers:
+                orders = HttpWorkerOrders(life_name("i-1", 1700), "127.0.0.1", served.server.port)
+                served.answers.append(answer)
+                with self.assertRaises(WorkerNotReached):
+                    await orders.start(self.ORDER, 1.0)
+                orders.close()
+            self.assertTrue(all(asked.path == "/api/hold" for asked in served.asked))
+
+        with_server(body)
+
+    def test_an_order_without_answer_may_have_left(self) -> None:
+        async def body(served: Served) -> None:
+            orders = HttpWorkerOrders(life_name("i-1", 1700), "127.0.0.1", served.server.port)
+            served.answer(200, {"clock-ms": 5, "born": 1700, "running": [], "ended": []})
+            served.answers.append(2.0)
+            with self.assertRaises(WorkerUnreachable) as caught:
+                await orders.start(self.ORDER, 1.0)
+            self.assertNotIsInstance(caught.exception, WorkerNotReached)
+
+        with_server(body)
+
     def test_a_birth_that_is_told_on_one_side_alone_proves_nothing(self) -> None:
         async def body(served: Served) -> None:
             known = HttpWorkerOrders(life_name("i-1", 1700), "127.0.0.1", served.server.port)
--- /dev/null
+++ b/tests/test_waits.py
@@ -0,0 +1,291 @@
+"""Accepted work waits for nothing that has no end of its own.
+
+Seen by users: a job stands still for 3 s and more though it could run, room is there twice over and
+others start beside it. Each test here plays one place where work waits, and has the event that
+usually ends the wait be lost or late.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+import unittest.mock
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+from msgspec.structs import replace
+
+from saddlestack.control.desk import Desk
+from saddlestack.control.health import SHORTEST_PATIENCE_S, StoreHealth
+from saddlestack.control.journal import Journal
+from saddlestack.control.keys import LEADER, PROGRESS, REQUESTS
+from saddlestack.control.scheduler import TICK_S
+from saddlestack.interfaces.machines import Leave, UpkeepOutcome
+from saddlestack.interfaces.store import (
+    Committed,
+    Conflict,
+    Listing,
+    StoreUnavailable,
+    Transaction,
+    WriteInDoubt,
+)
+from saddlestack.kernel.clock import Clock
+from saddlestack.standins.loop import VirtualClock, run
+from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
+from saddlestack.standins.pool.machines import FloorAdviser, FloorMachines
+from saddlestack.standins.pool.store import CALL_TIMEOUT_S, WATCH_SLACK_S, StoreState, StoreView
+from saddlestack.work import JobState
+from tests.support import bare_context
+from tests.test_pool import A, B, C, PoolTest
+
+NARROW_BYTES_S = 1_000_000
+UNHEARD_S = 2.5
+SOON_S = 1.0
+"""Beside a store that answers for other jobs, what is decided for them leaves within this time."""
+
+
+@contextlib.contextmanager
+def record_waits(job_id: str) -> Iterator[None]:
+    """The store answers no write of a job's progress, and does none."""
+    transact = StoreView.transact
+
+    async def deaf(self: StoreView, transaction: Transaction) -> Committed | Conflict:
+        if any(put.key.startswith(f"{PROGRESS}{job_id}") for put in transaction.puts):
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise WriteInDoubt("silence")
+        return await transact(self, transaction)
+
+    with unittest.mock.patch.object(StoreView, "transact", deaf):
+        yield
+
+
+@contextlib.contextmanager
+def removals_are_lost() -> Iterator[None]:
+    """The store answers no transaction that removes keys, and does none."""
+    transact = StoreView.transact
+
+    async def deaf(self: StoreView, transaction: Transaction) -> Committed | Conflict:
+        if transaction.deletes:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise WriteInDoubt("silence")
+        return await transact(self, transaction)
+
+    with unittest.mock.patch.object(StoreView, "transact", deaf):
+        yield
+
+
+class RecordTest(PoolTest):
+    """One job's record waits for the store.
+
+    Commits.write waited for it in the one loop that decides, as soon as the next decision touched
+    the same job: nothing of any job was started or stopped until it was answered.
+    """
+
+    async def run_two(self, cluster: PoolCluster) -> None:
+        """Jobs A, on two workers, and C run."""
+        await cluster.submit(A, job(2, work_s=20.0, accelerators=8))
+        await cluster.submit(C, job(1, work_s=20.0))
+        await cluster.until(lambda: cluster.floor.starts_of(A) + cluster.floor.starts_of(C) == 3)
+        await asyncio.sleep(SOON_S)
+
+    async def end_one_after_the_other(self, cluster: PoolCluster) -> None:
+        """Two ends of A are heard, so that one record of it waits behind another."""
+        last = next(run for run in cluster.floor.history if run.task.job_id == A)
+        worker = cluster.floor.workers[last.worker]
+        worker.lost_stops, worker.late_s = 1, SOON_S
+        await cluster.cancel(A)
+        await cluster.until(lambda: last.ended is not None)
+        await asyncio.sleep(SOON_S)
+
+    def test_other_jobs_start(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await self.run_two(cluster)
+            with record_waits(A):
+                await self.end_one_after_the_other(cluster)
+                await cluster.submit(B, job(2))
+                await cluster.until(lambda: cluster.floor.starts_of(B) == 2, SOON_S)
+            await cluster.until_state(A, JobState.CANCELLED)
+            await cluster.until_state(B, JobState.COMPLETED)
+
+        self.play(body)
+
+    def test_other_jobs_are_stopped(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await self.run_two(cluster)
+            with record_waits(A):
+                await self.end_one_after_the_other(cluster)
+                await cluster.cancel(C)
+                runs = [run for run in cluster.floor.history if run.task.job_id == C]
+                await cluster.until(lambda: runs[0].stopping_at is not None, SOON_S)
+
+        self.play(body)
+
+    def test_ends_of_other_jobs_are_acknowledged(self) -> None:
+        """They waited for all records, and each look at a worker with ends took a second more."""
+
+        async def body(cluster: PoolCluster) -> None:
+            await self.run_two(cluster)
+            with record_waits(A):
+                await self.end_one_after_the_other(cluster)
+                await cluster.submit(B, job(1, work_s=0.5))
+                await cluster.until_state(B, JobState.COMPLETED, 3 * SOON_S)
+                worker = next(run.worker for run in cluster.floor.history if run.task.job_id == B)
+                ended = cluster.floor.workers[worker].ended
+                await cluster.submit("d" * 16, job(1, work_s=0.5))
+                await asyncio.sleep(2 * SOON_S)
+                self.assertEqual([end for end in ended if end.task.startswith(B)], [])
+
+        self.play(body)
+
+
+class TickTest(PoolTest):
+    """What only time ends is seen by the tick of 0.5 s, which forgot old jobs in between.
+
+    Each of five removals a tick waited for the store, 1 s where it does not answer.
+    """
+
+    def test_a_job_starts_when_it_is_due_though_removals_are_not_answered(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            old = [f"{number:016x}" for number in range(1, 11)]
+            for job_id in old:
+                await cluster.submit(job_id, job(1, work_s=0.2))
+            for job_id in old:
+                await cluster.until_state(job_id, JobState.COMPLETED)
+            await asyncio.sleep(RETENTION_S - 2.0)
+            clock = cluster.members["entry-1"].vm.context.clock
+            due_ms = round(clock.wall() * 1000) + 6000
+            once = job(1, work_s=0.2)
+            request = replace(once, times=1, first_at_ms=due_ms, interval_ms=1000)
+            await cluster.submit(A, request)
+            with removals_are_lost():
+                await asyncio.sleep(6.0 + 2 * TICK_S)
+                self.assertEqual(cluster.floor.starts_of(A), 1)
+            await cluster.until(lambda: len(cluster.store.keys(REQUESTS)) == 1)
+
+        self.play(body)
+
+
+class AdviserTest(PoolTest):
+    """A step that the adviser is being asked about is not asked about again meanwhile.
+
+    An answer that failed in a way that nobody had thought of ended the question, not its mark.
+    """
+
+    def test_a_question_that_fails_is_asked_again(self) -> None:
+        async def main() -> None:
+            cluster = PoolCluster(advised=frozenset({"normal"}))
+            await cluster.start()
+            advise = FloorAdviser.advise
+            failures = [KeyError()]
+
+            async def fails_once(
+                self: FloorAdviser, step: str, workers: tuple[str, ...]
+            ) -> tuple[Leave, ...]:
+                if failures:
+                    raise failures.pop()
+                return await advise(self, step, workers)
+
+            with unittest.mock.patch.object(FloorAdviser, "advise", fails_once):
+                await cluster.submit(A, job(1, work_s=0.2))
+                await cluster.until_state(A, JobState.COMPLETED, 3.0)
+            await cluster.stop()
+
+        run(main())
+
+
+@dataclass(slots=True)
+class NarrowView(StoreView):
+    """A way to the store on which values take their time to be sent."""
+
+    async def transact(self, transaction: Transaction) -> Committed | Conflict:
+        size = sum(len(put.value) for put in transaction.puts)
+        await asyncio.sleep(size / NARROW_BYTES_S)
+        return await StoreView.transact(self, transaction)
+
+
+class LargeRecordTest(unittest.TestCase):
+    """A record takes longer to send than heartbeats let expect.
+
+    It was given up after three times what a heartbeat took, 0.25 s at least, and sent again with
+    the same patience: never written, and its job stood for good.
+    """
+
+    def test_it_is_written_all_the_same(self) -> None:
+        async def main() -> None:
+            view = NarrowView(StoreState())
+            fence = view.state.put(LEADER, b"leader")
+            context = bare_context(VirtualClock(), store=view, health=StoreHealth(view, Clock()))
+            journal = Journal(context, fence)
+            took_s = 3 * SHORTEST_PATIENCE_S
+            async with asyncio.timeout(10.0):
+                await journal.commit({f"{PROGRESS}{A}.0": bytes(round(NARROW_BYTES_S * took_s))})
+
+        run(main())
+
+
+class RefusedUpkeepTest(PoolTest):
+    """A machine of a wave runs empty, and then its upkeep is refused for good: it goes on.
+
+    Its worker took no work for the rest of the term, and what ran there was to stop.
+    """
+
+    def play_refusal(self, outcome: UpkeepOutcome) -> None:
+        async def refuse(*_: object) -> UpkeepOutcome:
+            return outcome
+
+        async def body(cluster: PoolCluster) -> None:
+            machines = [worker.machine for worker in cluster.floor.workers.values()]
+            wave = {"wave": 1, "machines": machines, "deadline-s": 30, "max-tasks": 4}
+            with unittest.mock.patch.object(FloorMachines, "upkeep", refuse):
+                cluster.store.put("op/wave/1", msgspec.json.encode(wave))
+                await asyncio.sleep(10.0)
+                await cluster.submit(A, job(4, accelerators=8, work_s=0.5))
+                await cluster.until_state(A, JobState.COMPLETED, 3.0)
+
+        self.play(body)
+
+    def test_a_machine_that_is_not_of_the_wave_is_used_again(self) -> None:
+        self.play_refusal(UpkeepOutcome.NOT_IN_WAVE)
+
+    def test_one_that_is_not_known_is_used_again(self) -> None:
+        self.play_refusal(UpkeepOutcome.UNKNOWN_MACHINE)
+
+
+class UnheardJobTest(PoolTest):
+    """A job whose notice is lost is told of by the store; that watch goes silent alone.
+
+    It waited for 3 s and 1 s of slack before it was asked anew, while the store answered all else.
+    """
+
+    def test_it_is_heard_of_before_it_has_stood_for_3_s(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            view = cluster.member(cluster.leader_name).view
+            watch = StoreView.watch
+            swallowed = True
+            begun = asyncio.Event()
+
+            async def deaf(self: StoreView, prefix: str, after: int, wait_s: float) -> Listing:
+                if swallowed and self is view and prefix == REQUESTS:
+                    begun.set()
+                    await asyncio.sleep(wait_s + WATCH_SLACK_S)
+                    raise StoreUnavailable("the watch was swallowed")
+                return await watch(self, prefix, after, wait_s)
+
+            with (
+                unittest.mock.patch.object(StoreView, "watch", deaf),
+                unittest.mock.patch.object(Desk, "tell"),
+            ):
+                await asyncio.sleep(WATCH_SLACK_S)
+                begun.clear()
+                await begun.wait()
+                swallowed = False
+                await cluster.submit(A, job(1, work_s=0.2))
+                await cluster.until(lambda: cluster.floor.starts_of(A) == 1, UNHEARD_S)
+
+        self.play(body)
+
+
+if __name__ == "__main__":
+    unittest.main()
