A job that stands is tried although one of its kind finds no room; a task that failed on what is free holds up no others

Cause: a round notes a shape of work as full and passes over all that share it, also what has stood for long enough to give its preferences up; of tasks that run alone the first that finds no place ended the search for all, though it alone keeps off workers where it failed. Ruled out: to drop the notes, which keep rounds cheap where thousands of steps wait; what is asked first is free of cost in a pool that is in use. Change: standing work passes the notes; tasks that avoid workers are passed over one by one.

--- a/src/saddlestack/policy/board/headroom.py
+++ b/src/saddlestack/policy/board/headroom.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from saddlestack.policy.board.index import ServiceRooms
-from saddlestack.policy.board.patience import HEADROOM_PATIENCE_S, IDLE_PATIENCE_S, is_idle
+from saddlestack.policy.board.patience import HEADROOM_PATIENCE_S, is_impatient
 from saddlestack.policy.board.workers import Worker
 
 HEADROOM = 0.25
@@ -35,4 +35,4 @@
         return True
     if not rooms.open.half_used or waited_s > HEADROOM_PATIENCE_S:
         return True
-    return waited_s > IDLE_PATIENCE_S and left >= taken and is_idle(rooms)
+    return left >= taken and is_impatient(rooms, waited_s)
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -107,6 +107,15 @@
         """Names the step of one occurrence."""
         return f"{self.occurrence.key}.{self.number}"
 
+    @property
+    def at_once(self) -> int:
+        """Tasks that have to start together."""
+        return self.step.count if self.step.gang else 1
+
+    def stood_s(self, now: float) -> float:
+        """For how long it has had tasks to start without a break."""
+        return 0.0 if self.listed_s is None else now - self.listed_s
+
     @property
     def may_stop(self) -> int | None:
         """Tasks that may be taken away now; ``None`` where nothing limits them."""
--- a/src/saddlestack/policy/board/patience.py
+++ b/src/saddlestack/policy/board/patience.py
@@ -25,13 +25,15 @@
     return rooms.all.mostly_free
 
 
-def may_go_anywhere(fits: FitRooms, wanted: int, waited_s: float) -> bool:
-    """Whether work has waited for a better place for long enough, as there is room elsewhere.
+def is_impatient(rooms: ServiceRooms, stood_s: float) -> bool:
+    """Whether work beside an idle pool has waited for a better place for long enough."""
+    return stood_s > IDLE_PATIENCE_S and is_idle(rooms)
 
-    :param fits: what the whole pool holds of its tasks.
+
+def has_room_anywhere(fits: FitRooms, wanted: int) -> bool:
+    """Whether the whole pool has room for work, so that it has no reason to wait.
+
+    :param fits: what the pool holds of its tasks.
     :param wanted: tasks that have to start at once.
-    :param waited_s: for how long it has waited.
     """
-    if waited_s <= IDLE_PATIENCE_S or not is_idle(fits.rooms):
-        return False
     return fits.total >= ROOM_FACTOR * wanted
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -13,7 +13,8 @@
 from saddlestack.policy.board.patience import (
     HEADROOM_PATIENCE_S,
     NEAR_PATIENCE_S,
-    may_go_anywhere,
+    has_room_anywhere,
+    is_impatient,
 )
 from saddlestack.policy.board.placement import whole_racks
 from saddlestack.policy.board.places import IndexedPlaces, Kept, ListedPlaces, Places
@@ -86,7 +87,8 @@
         top = step.occurrence.job.priority == TOP_PRIORITY
         shape = self._shape(step, now)
         full = shape in self._misses.full
-        if not top and (full or self._misses.is_shut(shape, _waited_s(step, now))):
+        hopeless = full or self._misses.is_shut(shape, _waited_s(step, now))
+        if hopeless and not top and not self._stands(step, now):
             return
         if not may_start(step):
             self._waiting.remove(step)
@@ -142,10 +144,11 @@
 
     def _stands(self, step: StepState, now: float) -> bool:
         """Whether a job has had nothing running for too long, though the pool has room for it."""
-        if step.listed_s is None or step.occurrence.job.runs_something:
+        if not is_impatient(self._rooms(step), step.stood_s(now)):
             return False
-        wanted = step.step.count if step.step.gang else 1
-        return may_go_anywhere(self._fits.of(self._fit(step)), wanted, now - step.listed_s)
+        if step.occurrence.job.runs_something:
+            return False
+        return has_room_anywhere(self._fits.of(self._fit(step)), step.at_once)
 
     def _place_on(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         if step.step.gang:
@@ -278,10 +281,15 @@
             self._assign(task, worker, number, now)
 
     def _place_tasks(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
+        """Place tasks that run alone; one that has failed on what is free holds up no others."""
+        left = False
         for task in step.tasks:
             if not waits(task):
                 continue
             worker = places.task(task.avoid)
+            if worker is None and task.avoid:
+                left = True
+                continue
             if worker is None:
                 self._misses.note_full(shape)
                 return False
@@ -289,6 +297,8 @@
                 self._misses.note_shut(shape, _waited_s(step, now))
                 return False
             self._assign(task, worker, task.record.run + 1, now)
+        if left:
+            return False
         self._release(step)
         return True
 
--- a/tests/test_still_steps.py
+++ b/tests/test_still_steps.py
@@ -73,6 +73,29 @@
         job = self.add(step(4, 1), priority=BULK)
         self.assertTrue(self.started_within(job, STILL_S - TICK_S))
 
+    def test_a_gang_behind_one_of_its_kind_that_has_waited_less_is_spread_as_well(self) -> None:
+        """The first comes again after it was stopped, so it has stood for less time."""
+        self.workers(racks=6, each=2)
+        for rack in range(1, 7):
+            self.add(step(1, 1, label=f"r{rack}"))
+        self.plan()
+        first = self.add(step(2, 8, gang=True, same_rack=True), priority=NORMAL)
+        second = self.add(step(2, 8, gang=True, same_rack=True), priority=NORMAL)
+        self.plan(0.0)
+        self.board.jobs[first].occurrences[0].steps[0].listed_s = 2.0
+        self.assertTrue(self.started_within(second, STILL_S - TICK_S))
+
+    def test_tasks_that_never_ran_go_past_one_that_avoids_what_is_free(self) -> None:
+        self.workers(racks=1, each=4)
+        self.add(step(1, 8))
+        self.plan()
+        job = self.add(step(2, 8), priority=BULK)
+        tasks = self.board.jobs[job].occurrences[0].steps[0].tasks
+        tasks[0].avoid |= {"w12", "w13", "w14"}
+        tasks[0].step.avoids = True
+        started = [start.run.task.name.index for start in self.plan(1.0).starts]
+        self.assertEqual(started, [1])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_waits_board.py
+++ b/tests/test_waits_board.py
@@ -16,7 +16,7 @@
 from saddlestack.interfaces.workers import EndedTask, EndKind
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import StopReason
-from saddlestack.policy.board.headroom import IDLE_PATIENCE_S
+from saddlestack.policy.board.patience import IDLE_PATIENCE_S
 from saddlestack.policy.board.records import (
     OccurrenceRecord,
     OccurrenceStatus,
