Failures are charged to workers on evidence: what the job did elsewhere, what other jobs did there

Cause: every failed run was a strike for its worker, so one wide job that failed took a good part of a pool out of service for everybody, 2 to 16 s, and after that let it take one task at a time without end. Change: policy/board/blame.py. A worker is charged where the accusations of all jobs that failed there since a run last ended well there weigh enough; a charge is taken back once the job fails elsewhere. Two verdicts, chosen by VERDICT: distinct jobs, and a likelihood ratio. A trial (one task at a time) lasts 64 s at most; a pause for a worker that turned an order away is kept apart from what it is charged with. A new leader knows nothing of workers and, from the records, which jobs have failed. Tests of the board, its progress, index and pool pass unchanged.

--- /dev/null
+++ b/benchmarks/faulty.py
@@ -0,0 +1,261 @@
+"""Simulated days with workers that fail all that they start, and with jobs that fail everywhere.
+
+For comparing how failures are charged to workers and to jobs::
+
+    PYTHONHASHSEED=0 PYTHONPATH=src:. python -m benchmarks.faulty 91000 40 --failing 0.3
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import statistics
+import unittest.mock
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import msgspec
+from tests.simulation import day as days
+from tests.simulation import deployment
+from tests.simulation.workers import SimRun, SimWorker, Workers
+
+from saddlestack.interfaces.workers import EndKind
+from saddlestack.policy.board import blame
+from saddlestack.policy.standstill import StillWatch
+from saddlestack.work import JobRequest, JobState
+
+LOOK_S = 0.5
+EARLY_S = 0.02
+"""A worker that fails all that it starts does so after this."""
+FAULTS_S = (4.0, 10.0, 25.0)
+"""For how long a worker is faulty."""
+VERDICTS: dict[str, blame.Verdict] = {
+    "jobs": blame.DistinctJobs(),
+    "ratio": blame.LikelihoodRatio(),
+}
+
+
+class FaultyWorkers(Workers):
+    """Workers some of which fail all that they start, for some seconds.
+
+    :ivar early: faulty lives that fail it at once, by when they are well again.
+    :ivar late: those that fail it at the end of its work.
+    """
+
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)  # type: ignore[arg-type]
+        self.early: dict[str, float] = {}
+        self.late: dict[str, float] = {}
+
+    def _work(self, run: SimRun) -> None:
+        super()._work(run)
+        if self._world.time() < self.early.get(run.worker.life, 0.0):
+            self._world.call_later(EARLY_S, self._fail, run)
+
+    def _see_done(self, run: SimRun) -> None:
+        if self._world.time() < self.late.get(run.worker.life, 0.0):
+            self._fail(run)
+        else:
+            super()._see_done(run)
+
+    def _fail(self, run: SimRun) -> None:
+        if not run.stopping and run.ended_s is None:
+            self._finish(run, EndKind.FAILED)
+
+
+@dataclass
+class Figures:
+    """What days came to.
+
+    :param failed_s: seconds that failed runs of jobs had worked.
+    :param took_s: of completed jobs, from their acceptance to their end.
+    """
+
+    days: int = 0
+    still_days: int = 0
+    still: int = 0
+    longest_s: float = 0.0
+    broken: int = 0
+    unfinished: int = 0
+    completed: int = 0
+    failed_jobs: int = 0
+    failed_runs: int = 0
+    failed_s: float = 0.0
+    took_s: list[float] = field(default_factory=list)
+
+    def __str__(self) -> str:
+        mean = statistics.fmean(self.took_s) if self.took_s else 0.0
+        return (
+            f"{self.days} days: {self.still_days} with a standstill ({self.still} jobs, longest"
+            f" {self.longest_s:.1f} s), {self.completed} jobs done, {self.failed_jobs} failed,"
+            f" {self.unfinished} unfinished, {self.failed_runs} runs failed"
+            f" ({self.failed_s:.0f} s of work), mean {mean:.2f} s to done, {self.broken} broken"
+        )
+
+
+class Watch:
+    """Looks at a day from second to second."""
+
+    def __init__(self, day: days.Day, figures: Figures) -> None:
+        self._day = day
+        self._figures = figures
+        self._still = StillWatch()
+        self._accepted_s: dict[str, float] = {}
+        self._over: set[str] = set()
+        self._found = 0
+
+    def look(self) -> None:
+        """Look, and again after :data:`LOOK_S`."""
+        site = self._day.site
+        site.world.call_later(LOOK_S, self.look)
+        vm = site.leader
+        if vm is None or vm.entry is None or vm.entry.scheduler is None:
+            return
+        now = site.world.time()
+        standing = []
+        for job_id in sorted(site.acknowledged & self._day.jobs.keys() - self._over):
+            began_s = self._accepted_s.setdefault(job_id, now)
+            state = vm.entry.scheduler.state(job_id)
+            if state in (None, JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED):
+                self._note_over(job_id, state, now - began_s)
+            elif self._stands(job_id):
+                standing.append(job_id)
+        self._found += len(self._still.look(standing, now))
+        for job_id in standing:
+            since_s = self._still.since(job_id)
+            lasted_s = 0.0 if since_s is None else now - since_s
+            self._figures.longest_s = max(self._figures.longest_s, lasted_s)
+
+    def end(self, verdict: days.Verdict) -> None:
+        """The day is over."""
+        figures = self._figures
+        figures.days += 1
+        figures.still += self._found
+        figures.still_days += bool(self._found)
+        figures.broken += len(verdict.broken)
+        figures.unfinished += len(verdict.unfinished)
+        for runs in self._day.site.workers.history.values():
+            failed = [run for run in runs if run.how is EndKind.FAILED]
+            figures.failed_runs += len(failed)
+            figures.failed_s += sum(
+                (run.ended_s or 0.0) - (run.work_began_s or 0.0) for run in failed
+            )
+
+    def _note_over(self, job_id: str, state: JobState | None, took_s: float) -> None:
+        self._over.add(job_id)
+        request = self._day.jobs[job_id][1]
+        if state is JobState.COMPLETED:
+            self._figures.completed += 1
+            if not request.times:
+                self._figures.took_s.append(took_s)
+        elif state is JobState.FAILED:
+            self._figures.failed_jobs += 1
+
+    def _stands(self, job_id: str) -> bool:
+        workers = [each for each in self._day.site.workers.lives.values() if each.up]
+        total = sum(each.room for each in workers)
+        if sum(each.free for each in workers) * 2 <= total:
+            return False
+        request = self._day.jobs[job_id][1]
+        step = request.steps[0]
+        if request.times or step.same_rack or _runs(workers, job_id):
+            return False
+        needs = step.needs.accelerators
+        return sum(each.free // needs for each in workers) >= 2 * (step.count if step.gang else 1)
+
+
+def _runs(workers: list[SimWorker], job_id: str) -> bool:
+    return any(run.task.job_id == job_id for each in workers for run in each.runs.values())
+
+
+@contextmanager
+def failing_jobs(once: float, always: float, early: float) -> Iterator[None]:
+    """More jobs that fail by their own fault.
+
+    :param once: share of jobs each of whose tasks fails once, at its end.
+    :param always: share of those whose tasks always fail, at their end.
+    :param early: share of those whose tasks always fail, after :data:`EARLY_S`.
+    """
+    plain = days._job
+
+    def job(rng: random.Random, now_ms: int) -> tuple[str, JobRequest]:
+        queue, request = plain(rng, now_ms)
+        plan = msgspec.json.decode(request.payload, type=days.Plan)
+        kind = rng.random()
+        if not plan.lasts and not plan.failures:
+            if kind < once:
+                plan = msgspec.structs.replace(plan, failures=1)
+            elif kind < once + always:
+                plan = msgspec.structs.replace(plan, failures=99)
+            elif kind < once + always + early:
+                plan = msgspec.structs.replace(plan, failures=99, work_s=EARLY_S)
+        return queue, msgspec.structs.replace(request, payload=msgspec.json.encode(plan).decode())
+
+    with unittest.mock.patch.object(days, "_job", job):
+        yield
+
+
+class Faults:
+    """Makes workers of a day faulty, each for a while."""
+
+    def __init__(self, day: days.Day, share: float, kinds: tuple[str, ...]) -> None:
+        self._site = day.site
+        self._rng = random.Random(day.seed * 7 + 2)
+        self._share = share
+        self._kinds = kinds
+        self._until_s = day.ends_s
+
+    def begin(self) -> None:
+        """Some workers become faulty together, and others some seconds later."""
+        now = self._site.world.time()
+        if now > self._until_s:
+            return
+        workers = self._site.workers
+        assert isinstance(workers, FaultyWorkers)
+        lives = [each.life for each in workers.lives.values() if each.up]
+        ill = getattr(workers, self._rng.choice(self._kinds))
+        for life in self._rng.sample(lives, max(1, round(self._share * len(lives)))):
+            ill[life] = now + self._rng.choice(FAULTS_S)
+        self._site.world.call_later(self._rng.uniform(5.0, 12.0), self.begin)
+
+
+def main() -> None:
+    """Play days and print what they came to."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("first", type=int)
+    parser.add_argument("count", type=int)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--failing", type=float, default=0.0, help="jobs that fail once a task")
+    parser.add_argument("--hopeless", type=float, default=0.0, help="jobs that always fail late")
+    parser.add_argument("--broken", type=float, default=0.0, help="jobs that always fail early")
+    parser.add_argument("--faulty", type=float, default=0.0, help="workers faulty at a time")
+    parser.add_argument("--kinds", nargs="+", default=["early", "late"], help="of faulty workers")
+    parser.add_argument("--verdict", choices=VERDICTS, default="", help="instead of the one in use")
+    options = parser.parse_args()
+    if options.verdict:
+        blame.VERDICT = VERDICTS[options.verdict]
+    figures = Figures()
+    for seed in range(options.first, options.first + options.count):
+        with (
+            unittest.mock.patch.object(deployment, "Workers", FaultyWorkers),
+            failing_jobs(options.failing, options.hopeless, options.broken),
+        ):
+            play(seed, figures, options)
+    print(figures)
+
+
+def play(seed: int, figures: Figures, options: argparse.Namespace) -> None:
+    """Play one calm day."""
+    day = days.day_of(seed, options.seconds)
+    day.flavour.rates.clear()
+    watch = Watch(day, figures)
+    day.site.world.call_later(1.0, watch.look)
+    if options.faulty:
+        faults = Faults(day, options.faulty, tuple(options.kinds))
+        day.site.world.call_later(days.FIRST_S, faults.begin)
+    watch.end(day.play())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/saddlestack/policy/board/blame.py
@@ -0,0 +1,264 @@
+"""Who is charged with a failed run: the worker where it failed, or the job whose run it was.
+
+Workers that fail all that they start have to be found at the first or second failure, since they
+are always free. Jobs fail as well, everywhere, and a wide one must not put a pool out of service.
+What tells them apart is what the job did on other workers, and what other jobs did on this one.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from itertools import islice
+from typing import Protocol
+
+from saddlestack.policy.board.jobs import Job, Run, Task
+from saddlestack.policy.board.workers import EARLY_FAILURE_S, Worker
+
+JOBS_KEPT = 8
+"""Jobs that are remembered as failed on a worker since a run last ended well there, the latest."""
+WORKERS_KEPT = 32
+"""Workers that are remembered as those where a job failed. More make no difference: by then it
+accuses none."""
+RUNS_SEEN = 64
+"""Tasks of a job that are asked whether they run well. Twice what any weight below needs; a job of
+3,000 tasks that fail at once costs 0.2 million looks rather than 9 million."""
+
+
+class FailureKind(enum.Enum):
+    """How a run failed.
+
+    ``EARLY`` is before it can have done any work, ``STUCK`` that it no longer made progress.
+    """
+
+    EARLY = "early"
+    LATE = "late"
+    STUCK = "stuck"
+
+
+@dataclass(frozen=True, slots=True)
+class Accusation:
+    """What one job that failed on a worker tells of that worker.
+
+    :param kind: how it failed there.
+    :param failed_elsewhere: other workers on which it failed as well.
+    :param well_elsewhere: runs of it that got further elsewhere than the one that failed.
+    """
+
+    kind: FailureKind
+    failed_elsewhere: int
+    well_elsewhere: int
+
+
+class Verdict(Protocol):
+    """Decides whether a worker is at fault."""
+
+    def is_at_fault(self, accusations: Sequence[Accusation]) -> bool:
+        """Whether a worker is at fault, rather than the jobs that failed there.
+
+        :param accusations: of each job that failed there since a run last ended well there.
+        """
+        ...
+
+
+class DistinctJobs:
+    """Counts distinct jobs that failed on a worker in a row; those that fail anywhere do not count.
+
+    One is enough that failed nowhere else, or whose run failed early or stood still.
+    """
+
+    MOST_ELSEWHERE = 2
+    """A job that failed on more other workers than this tells nothing of one of them."""
+    JOBS = 2
+
+    def is_at_fault(self, accusations: Sequence[Accusation]) -> bool:
+        """See :meth:`Verdict.is_at_fault`."""
+        credible = [each for each in accusations if each.failed_elsewhere <= self.MOST_ELSEWHERE]
+        return len(credible) >= self.JOBS or any(self._is_enough(each) for each in credible)
+
+    def _is_enough(self, accusation: Accusation) -> bool:
+        return accusation.kind is not FailureKind.LATE or accusation.failed_elsewhere == 0
+
+
+class LikelihoodRatio:
+    """Weighs how much likelier the failures are on a worker that fails all than on a sound one.
+
+    On a sound worker a run of a job fails as often as that job's other runs do elsewhere; where few
+    are known, as often as runs of any job.
+    """
+
+    FAILS_ALL = 0.95
+    """How often a run fails on a worker that fails all: some are looked at before they failed."""
+    EARLY_SHARE = 0.002
+    """Runs that fail early on sound workers."""
+    EARLY_RUNS = 50
+    """Runs of a job elsewhere that weigh as much as what is known of jobs at large. At 50 a job
+    of which nothing else is known may accuse three workers of an early failure, and not four."""
+    LATE_SHARE = 0.05
+    """Runs that fail late on sound workers: 3 % of jobs do so for good, up to 5 % of tasks once."""
+    LATE_RUNS = 1
+    """At 1 a job that failed late on two workers accuses neither."""
+    NEEDED = 18.0
+    """So much likelier has it to be. A late failure of a job of which nothing else is known makes
+    it 19 times; once it failed elsewhere too, 1.8 times."""
+
+    def is_at_fault(self, accusations: Sequence[Accusation]) -> bool:
+        """See :meth:`Verdict.is_at_fault`."""
+        weight = sum(math.log(self._ratio(each)) for each in accusations)
+        return weight >= math.log(self.NEEDED)
+
+    def _ratio(self, accusation: Accusation) -> float:
+        if accusation.kind is FailureKind.LATE:
+            share, runs = self.LATE_SHARE, self.LATE_RUNS
+        else:
+            share, runs = self.EARLY_SHARE, self.EARLY_RUNS
+        failed = accusation.failed_elsewhere
+        known = failed + accusation.well_elsewhere
+        expected = (share * runs + failed) / (runs + known)
+        return max(1.0, self.FAILS_ALL / expected)
+
+
+VERDICT: Verdict = LikelihoodRatio()
+"""The one in use."""
+
+
+class JobFailures:
+    """Where a job failed, as far as this leader saw it.
+
+    :param inherited: its failures in the records, which do not tell where.
+    """
+
+    def __init__(self, inherited: int = 0) -> None:
+        self.inherited = inherited
+        self.workers: dict[str, FailureKind] = {}
+
+    def note(self, worker_id: str, kind: FailureKind) -> bool:
+        """It failed on a worker.
+
+        :return: whether that is remembered.
+        """
+        if worker_id not in self.workers and len(self.workers) >= WORKERS_KEPT:
+            return False
+        self.workers[worker_id] = kind
+        return True
+
+    def elsewhere(self, worker_id: str, kind: FailureKind) -> int:
+        """Other workers on which it failed in the same way.
+
+        Each failure of an earlier term counts as one.
+        """
+        same = sum(1 for each, how in self.workers.items() if how is kind and each != worker_id)
+        return same + self.inherited
+
+
+@dataclass(frozen=True, slots=True)
+class _Failure:
+    """The latest failure of a job on a worker."""
+
+    job: Job
+    kind: FailureKind
+
+
+class Blame:
+    """Charges workers with failures, and takes a charge back that turns out to be the job's.
+
+    A new leader knows nothing of workers: they may be well by now, and those that are not are found
+    again at their first or second failure. It knows from the records which jobs have failed.
+
+    :param verdict: decides for each worker.
+    """
+
+    def __init__(self, workers: dict[str, Worker], verdict: Verdict | None = None) -> None:
+        self._workers = workers
+        self._verdict = verdict or VERDICT
+        self._on_worker: dict[str, dict[str, _Failure]] = {}
+        self._of_job: dict[str, JobFailures] = {}
+
+    def inherit(self, job: Job) -> None:
+        """A job with the failures that its records have of earlier terms."""
+        failures = sum(task.record.failures for task in _tasks(job))
+        if failures:
+            self._of_job[job.job_id] = JobFailures(failures)
+
+    def failed(self, worker: Worker, run: Run, kind: FailureKind, now: float) -> bool:
+        """A run failed on a worker, which is charged with it if it is at fault.
+
+        :return: whether it is.
+        """
+        job = run.task.step.occurrence.job
+        self._note(worker.worker_id, job, kind)
+        self._clear_others(worker, job, now)
+        at_fault = self._is_at_fault(worker.worker_id, now)
+        if at_fault:
+            worker.failed(now, early=kind is not FailureKind.LATE)
+        return at_fault
+
+    def ended_well(self, worker_id: str) -> None:
+        """A run ended well on a worker: what failed there before tells nothing of it now."""
+        self._on_worker.pop(worker_id, None)
+
+    def forget_worker(self, worker_id: str) -> None:
+        """A life of a worker that is known no longer."""
+        self._on_worker.pop(worker_id, None)
+
+    def forget_job(self, job_id: str) -> None:
+        """A job that is known no longer."""
+        failures = self._of_job.pop(job_id, None)
+        if failures is not None:
+            for worker_id in failures.workers:
+                self._on_worker.get(worker_id, {}).pop(job_id, None)
+
+    def _note(self, worker_id: str, job: Job, kind: FailureKind) -> None:
+        if not self._of_job.setdefault(job.job_id, JobFailures()).note(worker_id, kind):
+            return
+        failed = self._on_worker.setdefault(worker_id, {})
+        failed.pop(job.job_id, None)
+        failed[job.job_id] = _Failure(job, kind)
+        if len(failed) > JOBS_KEPT:
+            del failed[next(iter(failed))]
+
+    def _clear_others(self, worker: Worker, job: Job, now: float) -> None:
+        """Take back what workers were charged with if it is now known to be a job's fault."""
+        for worker_id in self._of_job[job.job_id].workers:
+            other = self._workers.get(worker_id)
+            if other is None or other is worker or not other.strikes:
+                continue
+            if not self._is_at_fault(worker_id, now):
+                other.cleared()
+
+    def _is_at_fault(self, worker_id: str, now: float) -> bool:
+        failed = self._on_worker.get(worker_id, {})
+        accusations = [self._accusation(worker_id, each, now) for each in failed.values()]
+        return self._verdict.is_at_fault(accusations)
+
+    def _accusation(self, worker_id: str, failure: _Failure, now: float) -> Accusation:
+        job = failure.job
+        elsewhere = self._of_job[job.job_id].elsewhere(worker_id, failure.kind)
+        well = _done(job)
+        if failure.kind is not FailureKind.LATE:
+            well += _outlived(job, worker_id, now)
+        return Accusation(failure.kind, elsewhere, well)
+
+
+def _done(job: Job) -> int:
+    """Tasks of a job that have ended well."""
+    return sum(step.done for occurrence in job.occurrences for step in occurrence.steps)
+
+
+def _outlived(job: Job, worker_id: str, now: float) -> int:
+    """Runs of a job on other workers that no longer can fail early."""
+    tasks = islice(_tasks(job), RUNS_SEEN)
+    runs = (task.run for task in tasks if task.run is not None)
+    return sum(1 for run in runs if run.worker_id != worker_id and _is_past_early(run, now))
+
+
+def _tasks(job: Job) -> Iterator[Task]:
+    for occurrence in job.occurrences:
+        for step in occurrence.steps:
+            yield from step.tasks
+
+
+def _is_past_early(run: Run, now: float) -> bool:
+    return run.started_s is not None and now - run.started_s > EARLY_FAILURE_S
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask, WorkerRecord
+from saddlestack.policy.board.blame import Blame, FailureKind
 from saddlestack.policy.board.caution import Caution
 from saddlestack.policy.board.changes import Changes, Question, Start, Stop, StopReason
 from saddlestack.policy.board.departure import leaving
@@ -42,6 +43,7 @@
         self._touched: dict[str, Job] = {}
         self._index = RoomIndex()
         self._caution = Caution()
+        self._blame = Blame(self.workers)
         self._planner = Planner(self, self._index, self._caution)
 
     # Configuration
@@ -94,6 +96,7 @@
             for step in occurrence.steps:
                 for task in step.tasks:
                     self._restore(task, addresses)
+        self._blame.inherit(job)
         self._planner.add(job)
         return job
 
@@ -161,6 +164,7 @@
     def forget(self, job_id: str) -> None:
         """A job that the store no longer has."""
         self.jobs.pop(job_id, None)
+        self._blame.forget_job(job_id)
 
     # Workers
 
@@ -217,6 +221,7 @@
 
     def _lose(self, worker: Worker) -> None:
         del self.workers[worker.worker_id]
+        self._blame.forget_worker(worker.worker_id)
         self._index.remove(worker)
 
     # Runs
@@ -263,8 +268,7 @@
             return
         for run in list(worker.runs.values()):
             if is_stuck(run, self.members(run), now):
-                worker.failed(now, early=True)
-                self._caution.note_faulty(worker, now)
+                self._charge(worker, run, FailureKind.STUCK, now)
                 run.task.step.moves += 1
                 self.stop_group(run, StopReason.STUCK)
 
@@ -276,21 +280,22 @@
             return
         if end.how is EndKind.DONE:
             worker.succeeded(now)
+            self._blame.ended_well(worker_id)
         elif end.how is EndKind.FAILED:
-            self._judge(worker, run, now)
+            self._note_failure(worker, run, now)
         self._run_over(run, end.how, end.saved or run.saved)
 
-    def _judge(self, worker: Worker, run: Run, now: float) -> None:
-        """A task that fails everywhere says nothing about its worker."""
-        elsewhere = run.task.avoid - {worker.worker_id}
+    def _note_failure(self, worker: Worker, run: Run, now: float) -> None:
         run.task.avoid.add(worker.worker_id)
         run.task.step.avoids = True
-        if not elsewhere:
-            since = run.started_s if run.started_s is not None else run.assigned_s
-            early = now - since < EARLY_FAILURE_S
-            worker.failed(now, early=early)
-            if early:
-                self._caution.note_faulty(worker, now)
+        since = run.started_s if run.started_s is not None else run.assigned_s
+        early = now - since < EARLY_FAILURE_S
+        self._charge(worker, run, FailureKind.EARLY if early else FailureKind.LATE, now)
+
+    def _charge(self, worker: Worker, run: Run, kind: FailureKind, now: float) -> None:
+        at_fault = self._blame.failed(worker, run, kind, now)
+        if at_fault and kind is not FailureKind.LATE:
+            self._caution.note_faulty(worker, now)
 
     def _run_over(self, run: Run, how: EndKind, saved: str) -> None:
         task = run.task
--- a/src/saddlestack/policy/board/index.py
+++ b/src/saddlestack/policy/board/index.py
@@ -233,6 +233,7 @@
             worker = heapq.heappop(self._asleep)[2]
             self._wakes.pop(worker, None)
             if worker in self._numbers:
+                worker.see_trial(now)
                 self._changed[worker] = None
         self._refresh()
 
@@ -257,10 +258,10 @@
         if rooms is None:
             rooms = self._services[standing.service] = ServiceRooms()
         rooms.put(worker, number, standing)
-        ends = [until for until in (worker.quarantine_s, worker.probation_s) if until > self.now]
-        if ends and self._wakes.get(worker) != min(ends):
-            self._wakes[worker] = min(ends)
-            heapq.heappush(self._asleep, (min(ends), number, worker))
+        wake_s = worker.next_change_s(self.now)
+        if wake_s is not None and self._wakes.get(worker) != wake_s:
+            self._wakes[worker] = wake_s
+            heapq.heappush(self._asleep, (wake_s, number, worker))
         if worker.leaves_s is None:
             self.leaving.pop(worker, None)
         else:
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -17,6 +17,10 @@
 PROBATION_S = 16.0
 """For so long after an early failure, or until a run ends well there, a worker gets neither urgent
 work nor gangs: it is always free, so they would all go there. As long as the longest quarantine."""
+TRIAL_S = 64.0
+"""For so long after a quarantine, or until a run ends well there, a worker gets one task at a time.
+Four of the longest quarantines; without a bound a worker where nothing ends well, or nothing fits,
+stayed so for good."""
 
 RunKey = tuple[TaskName, int]
 """A task and the number of its run."""
@@ -29,6 +33,7 @@
         "suspected",
         "closing",
         "strikes",
+        "busy_s",
         "quarantine_s",
         "probation_s",
         "used",
@@ -54,9 +59,11 @@
     :param evacuated: its data hall is being evacuated; what runs there goes on.
     :param cold_s: it is slow until then.
     :param calm_s: since when all that serves there is well below its target.
-    :param strikes: runs that failed there since one last ended well.
-    :param quarantine_s: no new work until then.
+    :param busy_s: no new work until then: it turned an order away.
+    :param strikes: failures that it was charged with since a run last ended well there.
+    :param quarantine_s: no new work until then, for its strikes.
     :param probation_s: neither urgent work nor gangs until then.
+    :param trial_s: one task at a time until then.
     :param healthy_s: when a run last made progress, or ended well, there.
     :param reserved: room set aside for work that waits for others to stop.
     :param held: room that runs hold, by the priority of their jobs.
@@ -73,9 +80,11 @@
     evacuated: bool = False
     cold_s: float = 0.0
     calm_s: float | None = None
+    busy_s: float = 0.0
     strikes: int = 0
     quarantine_s: float = 0.0
     probation_s: float = 0.0
+    trial_s: float = 0.0
     healthy_s: float | None = None
     used: Resources = field(default_factory=Resources)
     reserved: Resources = field(default_factory=Resources)
@@ -108,7 +117,7 @@
 
     def takes_work(self, now: float) -> bool:
         """Whether new work may go there."""
-        return self.stays and self.reachable and now >= self.quarantine_s
+        return self.stays and self.reachable and now >= max(self.busy_s, self.quarantine_s)
 
     @property
     def stays(self) -> bool:
@@ -116,6 +125,16 @@
         leaves = not self.listed or self.record.draining or self.closing
         return not leaves and not self.evacuated
 
+    def next_change_s(self, now: float) -> float | None:
+        """When it takes more work than now, as far as that comes with time."""
+        ends = (self.busy_s, self.quarantine_s, self.probation_s, self.trial_s)
+        return min((until for until in ends if until > now), default=None)
+
+    def see_trial(self, now: float) -> None:
+        """End its trial once that has lasted for long enough."""
+        if self.strikes and now >= self.trial_s:
+            self.strikes = 0
+
     def is_cold(self, now: float) -> bool:
         """Whether it is slow since it has just begun, or was given back."""
         return now < self.cold_s
@@ -184,12 +203,18 @@
     def succeeded(self, now: float) -> None:
         """A run ended well there."""
         self.healthy_s = now
+        self.busy_s = 0.0
+        self.cleared()
+
+    def cleared(self) -> None:
+        """What it was charged with is taken back."""
         self.strikes = 0
         self.quarantine_s = 0.0
         self.probation_s = 0.0
+        self.trial_s = 0.0
 
     def failed(self, now: float, *, early: bool) -> None:
-        """A run failed there.
+        """It is charged with a run that failed there.
 
         :param early: before it can have done any work.
         """
@@ -198,7 +223,8 @@
             self.probation_s = now + PROBATION_S
         pause = min(LONGEST_QUARANTINE_S, FIRST_QUARANTINE_S * float(2 ** (self.strikes - 1)))
         self.quarantine_s = max(self.quarantine_s, now + pause)
+        self.trial_s = self.quarantine_s + TRIAL_S
 
     def refused(self, now: float) -> None:
         """It turned an order away as unhealthy."""
-        self.quarantine_s = max(self.quarantine_s, now + BUSY_QUARANTINE_S)
+        self.busy_s = max(self.busy_s, now + BUSY_QUARANTINE_S)
