--- a/benchmarks/faulty.py
+++ b/benchmarks/faulty.py
@@ -18,7 +18,7 @@
 import msgspec
 from tests.simulation import day as days
 from tests.simulation import deployment
-from tests.simulation.workers import SimRun, SimWorker, Workers
+from tests.simulation.workers import Plan, SimRun, SimWorker, Workers
 
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.board import blame
@@ -181,7 +181,7 @@
 
     def job(rng: random.Random, now_ms: int) -> tuple[str, JobRequest]:
         queue, request = plain(rng, now_ms)
-        plan = msgspec.json.decode(request.payload, type=days.Plan)
+        plan = msgspec.json.decode(request.payload, type=Plan)
         kind = rng.random()
         if not plan.lasts and not plan.failures:
             if kind < once:
