A run that makes progress ends the trial of a worker that failed work early

Cause: a worker charged with an early failure took one task at a time until that task ended, up to 40 s after its quarantine, though a run that lives past 0.3 s shows that it no longer fails at once. Change: Worker.progressed lifts the charge where only early failures led to it; a late one needs a good end.

--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -251,7 +251,7 @@
                 self._stops.append(Stop(worker_id, name, row.run, StopReason.NOT_OURS))
                 continue
             if row.percent > run.percent:
-                worker.healthy_s = now
+                worker.progressed(run, now)
             if row.percent != run.percent or run.moved_s is None:
                 run.moved_s = now
             run.percent = row.percent
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -64,6 +64,8 @@
     :param quarantine_s: no new work until then, for its strikes.
     :param probation_s: neither urgent work nor gangs until then.
     :param trial_s: one task at a time until then.
+    :param charged_s: when it was last charged with a failure.
+    :param fails_late: it was charged with one that came after its run had done work.
     :param healthy_s: when a run last made progress, or ended well, there.
     :param reserved: room set aside for work that waits for others to stop.
     :param held: room that runs hold, by the priority of their jobs.
@@ -85,6 +87,8 @@
     quarantine_s: float = 0.0
     probation_s: float = 0.0
     trial_s: float = 0.0
+    charged_s: float = 0.0
+    fails_late: bool = False
     healthy_s: float | None = None
     used: Resources = field(default_factory=Resources)
     reserved: Resources = field(default_factory=Resources)
@@ -212,6 +216,19 @@
         self.quarantine_s = 0.0
         self.probation_s = 0.0
         self.trial_s = 0.0
+        self.fails_late = False
+
+    def progressed(self, run: Run, now: float) -> None:
+        """A run made progress there: work that began since its last charge does not fail at once.
+
+        Workers that fail late show well only by an end; the others are free again some 2 s after
+        their quarantine rather than at the end of the task that they are tried with.
+        """
+        self.healthy_s = now
+        if not self.strikes or self.fails_late or run.started_s is None:
+            return
+        if run.started_s > self.charged_s and now - run.started_s > EARLY_FAILURE_S:
+            self.cleared()
 
     def failed(self, now: float, *, early: bool) -> None:
         """It is charged with a run that failed there.
@@ -219,8 +236,11 @@
         :param early: before it can have done any work.
         """
         self.strikes += 1
+        self.charged_s = now
         if early:
             self.probation_s = now + PROBATION_S
+        else:
+            self.fails_late = True
         pause = min(LONGEST_QUARANTINE_S, FIRST_QUARANTINE_S * float(2 ** (self.strikes - 1)))
         self.quarantine_s = max(self.quarantine_s, now + pause)
         self.trial_s = self.quarantine_s + TRIAL_S
