Workers that do not answer make no pool look used

Cause: runs on silent, leaving or unlisted workers count as used in the leader's sums, and hold them there until their leases are over; work gave its preferences up only where these sums were under half. Ruled out: to count silent workers as gone, which may serve on. Change: the pool counts as idle where it is so with them or without. Measured: the new test fails without it and passes with it; 117 tests of boards and planning pass.

--- a/src/saddlestack/policy/board/index.py
+++ b/src/saddlestack/policy/board/index.py
@@ -24,6 +24,7 @@
     :param able: whether it takes work and is not suspected.
     :param empty: its accelerators where it takes work and runs nothing, else 0.
     :param evacuated: whether its data hall is; such a worker counts in the sums of all alone.
+    :param present: whether it is in the platform's list and answers.
     """
 
     service: str
@@ -31,6 +32,7 @@
     able: bool
     empty: int
     evacuated: bool
+    present: bool
     accelerators: int
     cpu: int
     used_accelerators: int
@@ -95,6 +97,7 @@
 
     :ivar all: what all of its workers have.
     :ivar open: what those have whose data hall is not being evacuated.
+    :ivar present: what those have that are in the platform's list and answer.
     """
 
     def __init__(self) -> None:
@@ -103,6 +106,7 @@
         self.empty = 0
         self.all = Usage()
         self.open = Usage()
+        self.present = Usage()
         self._by_name: dict[str, Rack] = {}
         self._by_free: dict[int, SortedList[tuple[int, int]]] = {}
         self._by_number: dict[int, Worker] = {}
@@ -184,6 +188,8 @@
         self.all.add(standing, sign)
         if not standing.evacuated:
             self.open.add(standing, sign)
+        if standing.present:
+            self.present.add(standing, sign)
         if standing.empty:
             self._by_empty.remove((rack.empty, rack.number))
             rack.empty += sign * standing.empty
@@ -290,6 +296,7 @@
         able=takes_work and not worker.suspected,
         empty=record.capacity.accelerators if takes_work and not worker.runs else 0,
         evacuated=worker.evacuated,
+        present=worker.listed and worker.reachable,
         accelerators=record.capacity.accelerators,
         cpu=record.capacity.cpu,
         used_accelerators=worker.used.accelerators,
--- a/src/saddlestack/policy/board/patience.py
+++ b/src/saddlestack/policy/board/patience.py
@@ -21,8 +21,12 @@
 
 
 def is_idle(rooms: ServiceRooms) -> bool:
-    """Whether under half of a service's workers is in use, those of evacuated halls among them."""
-    return rooms.all.mostly_free
+    """Whether under half of a service's workers is in use, those of evacuated halls among them.
+
+    Workers that do not answer, or are in no list, may be gone with all that counts as running
+    there, or serve on: the pool counts as idle where it is so with them or without.
+    """
+    return rooms.all.mostly_free or rooms.present.mostly_free
 
 
 def is_impatient(rooms: ServiceRooms, stood_s: float) -> bool:
--- a/tests/test_still_steps.py
+++ b/tests/test_still_steps.py
@@ -73,6 +73,18 @@
         job = self.add(step(4, 1), priority=BULK)
         self.assertTrue(self.started_within(job, STILL_S - TICK_S))
 
+    def test_workers_that_do_not_answer_make_no_pool_look_used(self) -> None:
+        self.workers(racks=4, each=2)
+        self.add(step(4, 8))
+        self.plan()
+        for worker in self.board.workers.values():
+            worker.reachable = not worker.runs
+        self.board.set_worker(record("w19", rack="r1", accelerators=1), 0.0)
+        self.add(step(1, 1, label="r1"))
+        self.plan()
+        job = self.add(step(1, 1, data_rack="r1"), priority=NORMAL)
+        self.assertTrue(self.started_within(job, STILL_S - TICK_S))
+
     def test_a_gang_behind_one_of_its_kind_that_has_waited_less_is_spread_as_well(self) -> None:
         """The first comes again after it was stopped, so it has stood for less time."""
         self.workers(racks=6, each=2)
