--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -5,16 +5,53 @@
 import argparse
 import gc
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 from tests.simulation.day import Verdict, day_of
+from tests.simulation.jobs import KINDS, JobKinds
+
+
+@dataclass(slots=True)
+class Summary:
+    """What all days together had.
+
+    :param still: days with a standstill that nothing explains.
+    """
+
+    days: int = 0
+    broken: int = 0
+    still: int = 0
+    standstills: int = 0
+    explained: int = 0
+    longest_s: float = 0.0
+
+    def add(self, verdict: Verdict) -> None:
+        """Count a day."""
+        found = verdict.standstills
+        self.days += 1
+        self.broken += bool(verdict.broken)
+        self.still += bool(found.unexplained)
+        self.standstills += len(found.unexplained)
+        self.explained += sum(found.explained.values())
+        self.longest_s = max(self.longest_s, found.longest_s)
+
+    def __str__(self) -> str:
+        return (
+            f"{self.days} days, {self.broken} broken, {self.still} with a standstill"
+            f" ({self.standstills} standstills, the longest {self.longest_s:.1f} s),"
+            f" {self.explained} explained"
+        )
 
 
 def _show(verdict: Verdict, took_s: float, whole: bool) -> None:
     events = " ".join(f"{name}={count}" for name, count in sorted(verdict.events.items()))
+    found = verdict.standstills
+    explained = ", ".join(f"{rule} {count}" for rule, count in sorted(found.explained.items()))
     print(
         f"seed {verdict.seed}: {verdict.jobs} jobs, {verdict.starts} starts, "
         f"{len(verdict.broken)} broken, {len(verdict.unfinished)} unfinished, "
+        f"{len(found.unexplained)} stood still (explained: {explained or 'none'}), "
         f"{took_s:.1f} s {events}",
         flush=True,
     )
@@ -24,28 +61,51 @@
         print("\n".join(verdict.lines), flush=True)
 
 
-def main() -> None:
-    """Play days."""
+def _options() -> argparse.Namespace:
     parser = argparse.ArgumentParser()
     parser.add_argument("first", type=int)
     parser.add_argument("count", type=int, nargs="?", default=1)
     parser.add_argument("--seconds", type=float, default=45.0)
     parser.add_argument("--only", default="", help="kinds of trouble, with commas")
+    parser.add_argument("--calm", action="store_true", help="no trouble but that of --only")
+    parser.add_argument(
+        "--jobs", default="", help=f"kinds of jobs, with commas: {', '.join(KINDS)}"
+    )
+    parser.add_argument("--failing", type=float, default=0.0, help="share of jobs that fail once")
     parser.add_argument("--by-the-pages", action="store_true", help="no record goes early")
     parser.add_argument("--found", type=Path, help="a file that broken days are added to")
-    options = parser.parse_args()
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Play days."""
+    options = _options()
     only = [kind for kind in options.only.split(",") if kind]
+    named = frozenset(kind for kind in options.jobs.split(",") if kind)
+    if not named <= set(KINDS):
+        raise SystemExit(f"no such kinds of jobs: {', '.join(sorted(named - set(KINDS)))}")
+    kinds = JobKinds(named, options.failing)
+    summary = Summary()
     for seed in range(options.first, options.first + options.count):
         began = time.process_time()
-        early = not options.by_the_pages
-        verdict = day_of(seed, options.seconds, only, removes_early=early).play()
+        day = day_of(
+            seed,
+            options.seconds,
+            only,
+            removes_early=not options.by_the_pages,
+            calm=options.calm,
+            kinds=kinds,
+        )
+        verdict = day.play()
         took_s = time.process_time() - began
+        summary.add(verdict)
         _show(verdict, took_s, whole=options.count == 1)
         if verdict.broken and options.found is not None:
             with options.found.open("a") as file:
                 file.write("\n".join([f"seed {seed}", *verdict.broken, *verdict.lines, "", ""]))
         if seed % 10 == 0:
             gc.collect()
+    print(summary, flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/simulation/day.py
+++ b/tests/simulation/day.py
@@ -22,12 +22,16 @@
     Vm,
     running_loop_name,
 )
+from tests.simulation.jobs import OTHER_ACCOUNT, HandedIn, JobKinds, JobsByName
 from tests.simulation.loops import Slowness
+from tests.simulation.standstills import StandstillJudge, Standstills
 from tests.simulation.ways import ANY, STORE, Fault
 from tests.simulation.workers import Plan
 
 FIRST_S = 4.0
 SETTLE_S = 80.0
+GREY_EARLY_S = 0.02
+"""So soon fails what a faulty worker starts without doing any of it."""
 CALM_S = 20.0
 """So long after its last trouble a day goes on at least: leases that were granted have lapsed."""
 SHOWN_EVENTS = {
@@ -39,7 +43,10 @@
 
 @dataclass(slots=True)
 class Verdict:
-    """How a day went."""
+    """How a day went.
+
+    :param broken: every broken promise, standstills without an explanation among them.
+    """
 
     seed: int
     broken: list[str]
@@ -48,6 +55,7 @@
     jobs: int
     unfinished: list[str]
     events: Counter[str]
+    standstills: Standstills
 
 
 @dataclass(slots=True)
@@ -55,12 +63,14 @@
     """Which faults a day has, and how many a second.
 
     :param early_removal: workers remove their records up to 2 s before they end.
+    :param kinds: of jobs that it has besides.
     """
 
     rates: dict[str, float]
     seconds: float
     jobs_per_s: float
     early_removal: bool
+    kinds: JobKinds = field(default_factory=JobKinds)
 
 
 class _Log(logging.Handler):
@@ -116,11 +126,14 @@
     flavour: Flavour
     shape: Shape
     jobs: dict[str, tuple[str, JobRequest]] = field(default_factory=dict)
+    accounts: dict[str, str] = field(default_factory=dict)
     trouble: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed * 7 + 1)
         self.site = Deployment(self.shape, self.seed)
+        self.judge = StandstillJudge(self.site, self.jobs)
+        self.kinds = JobsByName(self.flavour.kinds, self.shape, self.seed)
         self.ends_s = FIRST_S + self.flavour.seconds
         self.ask_s = self.ends_s + CALM_S
 
@@ -141,6 +154,7 @@
     def _play(self, handler: _Log) -> Verdict:
         site = self.site
         site.start()
+        self.judge.begin()
         site.world.call_later(FIRST_S / 2, self._next_job)
         for kind, rate in sorted(self.flavour.rates.items()):
             site.world.call_later(FIRST_S + self.rng.expovariate(rate), self._next, kind, rate)
@@ -149,7 +163,7 @@
         site.timeline.run(self.ends_s + SETTLE_S, lambda: bool(broken) or self._settled())
         if site.world.errors:
             raise RuntimeError(site.world.errors[0])
-        found = site.workers.judge()
+        found = site.workers.judge() + [str(each) for each in self.judge.found.unexplained]
         return Verdict(
             self.seed,
             found,
@@ -158,6 +172,7 @@
             len(site.acknowledged),
             site.unfinished(),
             handler.counted,
+            self.judge.found,
         )
 
     def _settled(self) -> bool:
@@ -172,9 +187,10 @@
         """The log lines that name the tasks of broken promises, their workers, and changes."""
         if not found:
             return []
-        tasks = {text.partition("[")[2].split(" ", 1)[0] for text in found}
-        runs = [run for name, each in self.site.workers.history.items() if str(name) in tasks
-                for run in each]  # fmt: skip
+        names = {text.partition("[")[2].split(" ", 1)[0] for text in found}
+        history = self.site.workers.history
+        tasks = {str(name) for name in history if {str(name), name.job_id} & names}
+        runs = [run for name, each in history.items() if str(name) in tasks for run in each]
         workers = {run.worker.life for run in runs}
         lines = [str(run) for run in runs] + self.trouble
         for at, vm, fields in handler.lines:
@@ -190,8 +206,11 @@
         if self.site.world.time() > self.ends_s:
             return
         job_id = f"{rng.getrandbits(64):016x}"
-        queue, request = _job(rng, round((WALL_EPOCH_S + self.site.world.time()) * 1000))
-        self.jobs[job_id] = (queue, request)
+        now = self.site.world.time()
+        queue, request = _job(rng, round((WALL_EPOCH_S + now) * 1000))
+        job = self.kinds.changed(HandedIn(queue, request), now)
+        self.jobs[job_id] = (job.queue, job.request)
+        self.accounts[job_id] = job.account
         self._hand_in(job_id)
         for _ in range(rng.choice((0, 0, 0, 1, 2))):
             self.site.world.call_later(rng.uniform(0.0, 8.0), self._hand_in, job_id)
@@ -204,11 +223,13 @@
     def _hand_in(self, job_id: str) -> None:
         queue, request = self.jobs[job_id]
         if self.site.vms:
-            self.site.submit(self._any_vm(), job_id, queue, request)
+            account = self.accounts[job_id]
+            self.site.submit(self._any_vm(), job_id, queue, request, account)
 
     def _cancel(self, job_id: str) -> None:
         if self.site.vms:
-            self.site.cancel(self._any_vm(), job_id, self.jobs[job_id][0])
+            queue, account = self.jobs[job_id][0], self.accounts[job_id]
+            self.site.cancel(self._any_vm(), job_id, queue, account)
 
     def _cancel_surely(self, job_id: str) -> None:
         """Cancel a job again and again, until well after the last trouble."""
@@ -435,6 +456,30 @@
             later_s = self.rng.choice((0.0, 0.05, 0.3, 1.0, 4.0))
             self.site.world.call_later(later_s, self.site.restart_worker, beats)
 
+    def _grey(self) -> None:
+        """A worker fails all that it starts for a while, early or late, and looks healthy."""
+        beats, rng = self._beats(), self.rng
+        if beats is not None:
+            worker = beats.worker
+            worker.grey_s = rng.choice((GREY_EARLY_S, rng.uniform(0.5, 4.0)))
+            worker.grey_until = self.site.world.time() + rng.uniform(3.0, 15.0)
+            self._note(f"{worker.life} fails all after {worker.grey_s:.3f} s"
+                       f" until {worker.grey_until:.3f}")  # fmt: skip
+
+    def _hang(self) -> None:
+        """What a worker starts makes no progress for a while."""
+        beats = self._beats()
+        if beats is not None:
+            worker = beats.worker
+            worker.hangs_until = self.site.world.time() + self.rng.uniform(3.0, 15.0)
+            self._note(f"work on {worker.life} hangs until {worker.hangs_until:.3f}")
+
+    def _failing(self) -> None:
+        """All jobs that one client account hands in for a while fail by their own fault."""
+        until = self.site.world.time() + self.rng.uniform(2.0, 8.0)
+        self._note(f"jobs of {OTHER_ACCOUNT} fail until {until:.3f}")
+        self.kinds.fail_until(until)
+
     def _replace(self, beats: Heartbeats, after_s: float) -> None:
         """Later a new life comes, often at the same address."""
         old, later_s = beats.worker, after_s + self.rng.choice((0.1, 1.0, 4.0))
@@ -547,25 +592,36 @@
     "busy_worker_way": 0.8,
 }
 """Kinds of trouble that days draw, and how often each comes at most."""
-BY_NAME_A_SECOND = {"erased": 0.2, "reborn": 0.5}
+BY_NAME_A_SECOND = {"erased": 0.2, "reborn": 0.5, "grey": 0.3, "hang": 0.3, "failing": 0.15}
 """Kinds that come by name alone, so that seeds go on naming the days that they named."""
 
 
 def day_of(
-    seed: int, seconds: float = 45.0, only: Sequence[str] = (), *, removes_early: bool = True
+    seed: int,
+    seconds: float = 45.0,
+    only: Sequence[str] = (),
+    *,
+    removes_early: bool = True,
+    calm: bool = False,
+    kinds: JobKinds | None = None,
 ) -> Day:
     """The day that a seed names.
 
     :param only: kinds of trouble that it has, each as often as may be; chance where there are none.
     :param removes_early: workers may remove their records before they end.
+    :param calm: it has no troubles but those named in ``only``.
+    :param kinds: kinds of jobs that it has besides.
     """
     rng = random.Random(seed)
-    kinds = rng.sample(sorted(MOST_A_SECOND), rng.choice((2, 3, 4, 6, len(MOST_A_SECOND))))
-    rates = {kind: MOST_A_SECOND[kind] * rng.choice((0.2, 0.5, 1.0)) for kind in kinds}
+    drawn = rng.sample(sorted(MOST_A_SECOND), rng.choice((2, 3, 4, 6, len(MOST_A_SECOND))))
+    rates = {kind: MOST_A_SECOND[kind] * rng.choice((0.2, 0.5, 1.0)) for kind in drawn}
     if only:
         known = MOST_A_SECOND | BY_NAME_A_SECOND
         rates = {kind: known[kind] for kind in only}
+    elif calm:
+        rates = {}
     flavour = Flavour(rates, seconds, rng.choice((0.7, 1.2, 2.0)), rng.random() < 0.3)
+    flavour.kinds = kinds or JobKinds()
     flavour.early_removal = flavour.early_removal and removes_early
     shape = Shape(
         entries=rng.randint(2, 4),
--- a/tests/simulation/deployment.py
+++ b/tests/simulation/deployment.py
@@ -70,12 +70,14 @@
     """What a worker's life tells the store.
 
     :param cut_until: it does not reach the store before.
-    :param written_s: when its record was last written.
+    :param written_s: when its record was last written...
+    :param written: ...and as what.
     """
 
     worker: SimWorker
     cut_until: float = 0.0
     written_s: float = 0.0
+    written: bytes = b""
     leaves_s: float | None = None
     told_ms: int = 0
     remaining_ms: int = 0
@@ -196,33 +198,40 @@
         """The VM that schedules."""
         return next((vm for vm in self.vms.values() if vm.leads), None)
 
+    @property
+    def latest_leader(self) -> Vm | None:
+        """The VM of the latest term; one whose term is over may not know it yet."""
+        return max((vm for vm in self.vms.values() if vm.leads), key=_fence, default=None)
+
     def _orders(self, vm: str, record: WorkerRecord) -> SimOrders:
         return SimOrders(self.ways, self.workers, vm, record.worker_id, record.address)
 
     # Clients
 
-    def submit(self, vm: Vm, job_id: str, queue: str, request: JobRequest) -> None:
+    def submit(
+        self, vm: Vm, job_id: str, queue: str, request: JobRequest, account: str = ACCOUNT
+    ) -> None:
         """Hand a job in."""
         if vm.entry is not None:
-            vm.loop.create_task(self._submit(vm, job_id, queue, request))
+            vm.loop.create_task(self._submit(vm, job_id, _client(queue, account), request))
 
-    async def _submit(self, vm: Vm, job_id: str, queue: str, request: JobRequest) -> None:
+    async def _submit(self, vm: Vm, job_id: str, client: ClientCall, request: JobRequest) -> None:
         assert vm.entry is not None
         try:
-            await vm.entry.jobs.submit(_client(queue), job_id, request)
+            await vm.entry.jobs.submit(client, job_id, request)
         except SaddlestackError:
             return
         self.acknowledged.add(job_id)
 
-    def cancel(self, vm: Vm, job_id: str, queue: str) -> None:
+    def cancel(self, vm: Vm, job_id: str, queue: str, account: str = ACCOUNT) -> None:
         """Cancel a job."""
         if vm.entry is not None:
-            vm.loop.create_task(self._cancel(vm, job_id, queue))
+            vm.loop.create_task(self._cancel(vm, job_id, _client(queue, account)))
 
-    async def _cancel(self, vm: Vm, job_id: str, queue: str) -> None:
+    async def _cancel(self, vm: Vm, job_id: str, client: ClientCall) -> None:
         assert vm.entry is not None
         try:
-            await vm.entry.jobs.cancel(_client(queue), job_id)
+            await vm.entry.jobs.cancel(client, job_id)
         except SaddlestackError:
             return
 
@@ -265,6 +274,7 @@
         if self.store.item(key).value != value:
             self.store.put(key, value)
         beats.written_s = now
+        beats.written = value
         return True
 
     def overwrite(self, beats: Heartbeats, change: dict[str, object] | None) -> None:
@@ -274,6 +284,10 @@
             record = self._record(beats)
             self.store.put(key, b"\xff" if change is None else msgspec.json.encode(record | change))
 
+    def is_listed(self, beats: Heartbeats) -> bool:
+        """Whether a worker's entry is in the store as the worker wrote it."""
+        return self.store.peek(f"servers/{beats.worker.worker_id}") == beats.written
+
     def _record(self, beats: Heartbeats) -> dict[str, Any]:
         worker = beats.worker
         record: dict[str, Any] = {
@@ -356,7 +370,7 @@
     )
 
 
-def _client(queue: str) -> ClientCall:
+def _client(queue: str, account: str) -> ClientCall:
     return ClientCall(
         Queue(
             name=queue,
@@ -370,11 +384,17 @@
             timeout_ms=3000.0,
             open=False,
         ),
-        ACCOUNT,
+        account,
         3.0,
     )
 
 
+def _fence(vm: Vm) -> int:
+    assert vm.entry is not None
+    assert vm.entry.scheduler is not None
+    return vm.entry.scheduler.fence
+
+
 def running_loop_name() -> str:
     """The process that runs now."""
     try:
--- /dev/null
+++ b/tests/simulation/jobs.py
@@ -0,0 +1,113 @@
+"""Kinds of jobs that days have by name alone, so that seeds go on naming the days they named."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+import msgspec
+
+from saddlestack.standins.pool.documents import ACCOUNT
+from saddlestack.work import JobRequest, Step
+from tests.simulation.deployment import Shape
+from tests.simulation.workers import Plan
+
+OTHER_ACCOUNT = "others"
+"""The client account whose jobs fail, among those of another one."""
+KINDS = ("near", "rack_gangs", "per_worker")
+KIND_SHARE = 0.6
+"""Share of the jobs of a day that are of a kind where it is named and possible."""
+LARGEST_GANG = 16
+"""Accelerators of a gang of one rack: each rack of two workers holds it."""
+EARLY_S = (0.02, 0.2, 0.8)
+"""A job that fails early does so this long after its start."""
+
+
+@dataclass(frozen=True, slots=True)
+class HandedIn:
+    """A job as its client hands it in."""
+
+    queue: str
+    request: JobRequest
+    account: str = ACCOUNT
+
+
+@dataclass(frozen=True, slots=True)
+class JobKinds:
+    """Which jobs a day has besides.
+
+    :param named: some of ``near`` (data on one rack; work elsewhere takes longer), ``rack_gangs``
+        (gangs of one rack) and ``per_worker`` (few tasks on one worker).
+    :param failing: share of the jobs that one client account hands in and whose every task fails
+        once by its own fault.
+    """
+
+    named: frozenset[str] = frozenset()
+    failing: float = 0.0
+
+
+@dataclass(slots=True)
+class JobsByName:
+    """Makes jobs of the kinds that a day names; where it names none, jobs stay as they are."""
+
+    kinds: JobKinds
+    shape: Shape
+    seed: int
+    _fails_until: float = 0.0
+    _rng: random.Random = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._rng = random.Random(self.seed * 11 + 3)
+
+    def fail_until(self, until: float) -> None:
+        """What the other client account hands in before fails."""
+        self._fails_until = until
+
+    def changed(self, job: HandedIn, now: float) -> HandedIn:
+        """A job as this day has it."""
+        request = job.request
+        for kind in KINDS:
+            if kind in self.kinds.named and self._rng.random() < KIND_SHARE:
+                request = getattr(self, f"_{kind}")(request)
+        job = HandedIn(job.queue, request)
+        bursts = now < self._fails_until
+        if (bursts or self.kinds.failing) and not request.steps[0].long_running:
+            share = max(self.kinds.failing, 0.5 if bursts else 0.0)
+            if self._rng.random() < share:
+                return self._failing(job)
+        return job
+
+    def _failing(self, job: HandedIn) -> HandedIn:
+        fails_s = self._rng.choice((0.0, self._rng.choice(EARLY_S)))
+        plan = msgspec.structs.replace(_plan(job.request), failures=1, fails_s=fails_s)
+        return HandedIn(job.queue, _with(job.request, plan, {}), OTHER_ACCOUNT)
+
+    def _near(self, request: JobRequest) -> JobRequest:
+        rack = f"r{self._rng.randint(1, self.shape.racks)}-1"
+        plan = msgspec.structs.replace(_plan(request), near=rack)
+        return _with(request, plan, {"data_rack": rack})
+
+    def _rack_gangs(self, request: JobRequest) -> JobRequest:
+        step = request.steps[0]
+        if step.long_running:
+            return request
+        count = max(1, min(step.count, LARGEST_GANG // step.needs.accelerators))
+        plan = msgspec.structs.replace(_plan(request), gang=count)
+        return _with(request, plan, {"gang": True, "same_rack": True, "count": count})
+
+    def _per_worker(self, request: JobRequest) -> JobRequest:
+        if request.steps[0].gang:
+            return request
+        return _with(request, _plan(request), {"per_worker": self._rng.randint(1, 2)})
+
+
+def _plan(request: JobRequest) -> Plan:
+    return msgspec.json.decode(request.payload, type=Plan)
+
+
+def _with(request: JobRequest, plan: Plan, changes: dict[str, object]) -> JobRequest:
+    steps: tuple[Step, ...] = tuple(
+        msgspec.structs.replace(step, **changes) for step in request.steps
+    )
+    payload = msgspec.json.encode(plan).decode()
+    return msgspec.structs.replace(request, payload=payload, steps=steps)
--- /dev/null
+++ b/tests/simulation/standstills.py
@@ -0,0 +1,195 @@
+"""The judge of work that stands still beside a free pool.
+
+A job stands while nothing of it runs at any worker, though it is accepted and acknowledged, is not
+over, and a step of it may start: it is due, the steps before it are done, and its tasks have room
+twice over while under half of the pool is used. A gang of one rack needs its room in one rack, and
+twice over in the pool; a step with data on a rack may run on any. What runs, and what is free, is
+read from the workers; the leader is asked only whether a job is over.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from saddlestack.policy.standstill import PoolUse, StillWatch, has_room
+from saddlestack.standins.loop import WALL_EPOCH_S
+from saddlestack.work import FINAL_STATES, JobRequest, Step
+from tests.simulation.demand import startable
+from tests.simulation.deployment import Deployment, Vm
+from tests.simulation.troubles import Rule, Troubles
+from tests.simulation.workers import SimWorker
+
+LOOK_S = 0.25
+"""The shortest trouble of a way lasts 0.3 s, so a look falls into each."""
+
+
+@dataclass(slots=True)
+class FoundStandstill:
+    """A standstill that no rule explains.
+
+    :param until_s: the last look at which the job stood.
+    """
+
+    job_id: str
+    since_s: float
+    until_s: float
+    text: str
+
+    def __str__(self) -> str:
+        return (
+            f"stands still: [{self.job_id} {self.text}, from {self.since_s:.2f}"
+            f" to {self.until_s:.2f} s]"
+        )
+
+
+@dataclass(slots=True)
+class Standstills:
+    """What the judge has found.
+
+    :param explained: by the rules that held, how many standstills had them.
+    """
+
+    unexplained: list[FoundStandstill] = field(default_factory=list)
+    explained: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def longest_s(self) -> float:
+        """The longest one that no rule explains."""
+        return max((each.until_s - each.since_s for each in self.unexplained), default=0.0)
+
+
+class PoolView:
+    """What the workers that serve have free."""
+
+    def __init__(self, workers: list[SimWorker]) -> None:
+        total = sum(worker.room for worker in workers)
+        free = sum(worker.free for worker in workers)
+        self.use = PoolUse(total - free, total)
+        self._racks: dict[str, list[SimWorker]] = {}
+        for worker in workers:
+            self._racks.setdefault(worker.rack, []).append(worker)
+
+    def has_room(self, step: Step) -> bool:
+        """Whether a step of which nothing runs has room enough to start."""
+        wanted = step.count if step.gang else 1
+        racks = [_copies(step, workers) for workers in self._racks.values()]
+        if not has_room(self.use, sum(racks), wanted):
+            return False
+        if not (step.gang and step.same_rack):
+            return True
+        return max(racks) >= wanted
+
+
+def _copies(step: Step, workers: list[SimWorker]) -> int:
+    most = step.per_worker or step.count
+    return sum(min(most, worker.free // step.needs.accelerators) for worker in workers)
+
+
+class StandstillJudge:
+    """Looks at a day again and again.
+
+    :param jobs: all jobs that clients have handed in.
+    """
+
+    def __init__(self, site: Deployment, jobs: Mapping[str, tuple[str, JobRequest]]) -> None:
+        self._site = site
+        self._jobs = jobs
+        # A loop of its own: timers that are due at one moment go on in the order that they had.
+        self._loop = site.timeline.loop("judge", random.Random(0))
+        self._over: set[str] = set()
+        self._all = StillWatch()
+        self._plain = StillWatch()
+        self._rules: dict[str, set[Rule]] = {}
+        self._open: dict[str, FoundStandstill] = {}
+        self._leader: Vm | None = None
+        self._term_began_s = 0.0
+        self.found = Standstills()
+
+    def begin(self) -> None:
+        """Look from now on."""
+        self._loop.call_later(LOOK_S, self._look_again)
+
+    def _look_again(self) -> None:
+        self._loop.call_later(LOOK_S, self._look_again)
+        self.look()
+
+    def look(self) -> None:
+        """Look once."""
+        now = self._loop.time()
+        self._see_leader(now)
+        troubles = Troubles(self._site, now, self._leader, self._term_began_s)
+        standing = self._standing(troubles)
+        for_all = set(troubles.of_all())
+        rules = {job_id: for_all | set(troubles.of_job(job_id)) for job_id in standing}
+        self._note_rules(rules)
+        plain = {job_id: step for job_id, step in standing.items() if not rules[job_id]}
+        self._tell_plain(plain, now)
+        self._tell_explained(standing, now)
+
+    def _see_leader(self, now: float) -> None:
+        leader = self._site.latest_leader
+        if leader is not self._leader:
+            self._leader = leader
+            self._term_began_s = now
+
+    def _standing(self, troubles: Troubles) -> dict[str, Step]:
+        """Jobs that stand, with a step of theirs that might start."""
+        site = self._site
+        alive = [worker for worker in site.workers.lives.values() if worker.up]
+        running = {run.task.job_id for worker in alive for run in worker.runs.values()}
+        pool = PoolView([worker for worker in alive if troubles.serves(worker)])
+        if not pool.use.is_mostly_free:
+            return {}
+        found: dict[str, Step] = {}
+        for job_id in sorted(site.acknowledged - self._over - running):
+            step = None if self._is_over(job_id) else self._startable(job_id, pool, troubles.now)
+            if step is not None:
+                found[job_id] = step
+        return found
+
+    def _is_over(self, job_id: str) -> bool:
+        """Whether a leader has ever shown a job as over."""
+        leader = self._leader
+        if leader is None or leader.entry is None or leader.entry.scheduler is None:
+            return False
+        if leader.entry.scheduler.state(job_id) in FINAL_STATES:
+            self._over.add(job_id)
+        return job_id in self._over
+
+    def _startable(self, job_id: str, pool: PoolView, now: float) -> Step | None:
+        wall_ms = (WALL_EPOCH_S + now) * 1000
+        request = self._jobs[job_id][1]
+        steps = startable(job_id, request, wall_ms, self._site.workers.history)
+        return next((step for step in steps if pool.has_room(step)), None)
+
+    def _note_rules(self, rules: Mapping[str, set[Rule]]) -> None:
+        self._rules = {
+            job_id: self._rules.get(job_id, set()) | held for job_id, held in rules.items()
+        }
+
+    def _tell_plain(self, plain: Mapping[str, Step], now: float) -> None:
+        for each in self._plain.look(plain, now):
+            text = self._text(each.job_id, plain[each.job_id])
+            self._open[each.job_id] = FoundStandstill(each.job_id, each.since_s, now, text)
+            self.found.unexplained.append(self._open[each.job_id])
+        self._open = {job_id: each for job_id, each in self._open.items() if job_id in plain}
+        for standstill in self._open.values():
+            standstill.until_s = now
+
+    def _tell_explained(self, standing: Mapping[str, Step], now: float) -> None:
+        if self._leader is None:
+            # Nobody tells which jobs are over; those that are count as moved once somebody does.
+            return
+        for each in self._all.look(standing, now):
+            self.found.explained.update(rule.value for rule in self._rules[each.job_id])
+
+    def _text(self, job_id: str, step: Step) -> str:
+        queue = self._jobs[job_id][0]
+        what = " in a gang" if step.gang else ""
+        what += " of one rack" if step.gang and step.same_rack else ""
+        what += f" near {step.data_rack}" if step.data_rack else ""
+        what += f", {step.per_worker} a worker" if step.per_worker else ""
+        return f"{queue}, {step.count} tasks{what} of {step.needs.accelerators}"
--- /dev/null
+++ b/tests/simulation/troubles.py
@@ -0,0 +1,123 @@
+"""What is wrong with the leader, the store and the workers at a moment, and what that excuses.
+
+A standstill is explained where one of these rules held at a moment of it; the rules are asked anew
+at each look, and a job that stands for as long again after the last of them is not explained by
+it. So none of them needs time for what follows a trouble: 3 s of standing have it already.
+
+``NO_LEADER``
+    No VM schedules: nobody can start anything.
+``LEADER``
+    The VM that schedules stands still or is slow, by the day's trouble.
+``STORE``
+    The way from a scheduling VM to the store has trouble: what starts has to be written first.
+``DOUBT``
+    A run of the job, or the order for one, is at a worker that the leader cannot ask now: it has
+    ended its life, or the leader's way there has trouble, or its entry in the store is not as it
+    wrote it. The leader has no proof that the run is over, and a second run would be a doubled
+    one. It holds no longer than the leases do: ``DOUBT_S`` after the order, or after the run's end
+    where the worker ran it, and ``INHERITED_S`` after the term began, since leaders before may have
+    granted more.
+
+Besides, a worker that takes nothing now counts as neither free nor used (see :func:`serves`).
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from saddlestack.control.leadership import LEASE_S, RENEWING_S
+from saddlestack.control.leases import CLOCK_DRIFT, LAPSE_SLACK_S
+from saddlestack.control.session import HOLD_SLACK_S, WAIT_S
+from saddlestack.policy.board.workers import LONGEST_QUARANTINE_S
+from tests.simulation.deployment import Deployment, Vm
+from tests.simulation.ways import ANY, STORE
+from tests.simulation.workers import HOLD_S, SimWorker
+
+LONGEST_LEASE_S = HOLD_S * CLOCK_DRIFT + LAPSE_SLACK_S
+"""For so long a leader counts a lease that it has granted."""
+DOUBT_S = LONGEST_LEASE_S + WAIT_S + HOLD_SLACK_S
+"""The last lease may leave for a worker with a look that began just before it fell silent."""
+INHERITED_S = LEASE_S + RENEWING_S + LONGEST_LEASE_S
+"""For so long from its beginning a leader counts the leases of leaders before."""
+
+
+class Rule(enum.StrEnum):
+    """Why a job may stand, see the module."""
+
+    NO_LEADER = "no leader"
+    LEADER = "leader in trouble"
+    STORE = "store in trouble"
+    DOUBT = "run in doubt"
+
+
+@dataclass(slots=True)
+class Troubles:
+    """What is wrong at one moment.
+
+    :param leader: the VM of the latest term, if one schedules.
+    :param term_began_s: since when it was seen to do so.
+    """
+
+    site: Deployment
+    now: float
+    leader: Vm | None
+    term_began_s: float
+
+    def of_all(self) -> Iterator[Rule]:
+        """The rules that hold for every job."""
+        if self.leader is None:
+            yield Rule.NO_LEADER
+            return
+        loop = self.leader.loop
+        if loop.stands_until > self.now or loop.slowness.until > self.now:
+            yield Rule.LEADER
+        if self._has_fault({STORE}):
+            yield Rule.STORE
+
+    def of_job(self, job_id: str) -> Iterator[Rule]:
+        """The rules that hold for one job."""
+        if any(self._in_doubt(job_id)):
+            yield Rule.DOUBT
+
+    def serves(self, worker: SimWorker) -> bool:
+        """Whether a worker counts as part of the pool now.
+
+        Not one that leaves, that the leader cannot ask, or that fails what it starts by its own
+        fault: the last for as long as the longest quarantine after its last such failure.
+        """
+        beats = self.site.heartbeats[worker.worker_id]
+        if beats.worker is not worker or beats.leaves_s is not None:
+            return False
+        if self.now < max(worker.grey_until, worker.failed_s + LONGEST_QUARANTINE_S):
+            return False
+        return not self.keeps_from(worker)
+
+    def keeps_from(self, worker: SimWorker) -> bool:
+        """Whether the leader cannot ask a worker now."""
+        if not worker.up:
+            return True
+        beats = self.site.heartbeats[worker.worker_id]
+        if beats.worker is not worker or not self.site.is_listed(beats):
+            return True
+        name = worker.worker_id
+        return self._has_fault({name, f"{name}/start", f"{name}/stop", f"{name}/hold"})
+
+    def _in_doubt(self, job_id: str) -> Iterator[bool]:
+        last_s = self.term_began_s + INHERITED_S
+        workers = self.site.workers
+        for order in workers.orders.get(job_id, ()):
+            run = workers.run_of(order)
+            ended_s = order.sent_s if run is None or run.ended_s is None else run.ended_s
+            settled = order.answered if run is None else run.noted
+            if not settled and self.now < max(last_s, ended_s + DOUBT_S):
+                yield self.keeps_from(order.worker)
+
+    def _has_fault(self, others: set[str]) -> bool:
+        """Whether the way of a VM that schedules to something has trouble."""
+        leaders = {vm.name for vm in self.site.vms.values() if vm.leads} | {ANY}
+        return any(
+            fault.until > self.now and fault.vm in leaders and fault.other in (others | {ANY})
+            for fault in self.site.ways.faults
+        )
--- a/tests/simulation/ways.py
+++ b/tests/simulation/ways.py
@@ -215,12 +215,14 @@
     async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
         """Start a run."""
         sent = asyncio.get_running_loop().time()
+        noted = self._workers.note_order(self._worker, order, sent)
 
         def carry(reply: Callable[[object], None]) -> None:
             self._reach()
             reply(self._workers.start(self._worker, order, self._vm, sent))
 
         reply: StartReply = await self._order("start", timeout_s, carry)
+        noted.answered = True
         return reply
 
     async def stop(self, task: str, run: int, fence: int, timeout_s: float) -> None:
@@ -327,6 +329,11 @@
         kept = self._keys.get(key)
         return 0 if kept is None else kept.lease
 
+    def peek(self, key: str) -> bytes:
+        """The value of a key as it stands, for who only looks on; empty where it is absent."""
+        kept = self._keys.get(key)
+        return b"" if kept is None else kept.value
+
     def changes(self, prefix: str, after: int) -> list[Item]:
         """What changed after a revision.
 
--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -27,16 +28,25 @@
 CLOCK_START_MS = 400_000
 ALONE_S = 3.0
 HOLD_S = 10.0
+FAR_SLOWED = 3.0
+"""So many times as long takes work with data on another rack."""
 
 
-class Plan(msgspec.Struct, frozen=True):
-    """What a task does, as the payload of its job spells it (JSON)."""
+class Plan(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a task does, as the payload of its job spells it (JSON).
+
+    :param failures: so many of its runs fail by its own fault...
+    :param fails_s: ...so long after they began; 0 for at their end.
+    :param near: the rack of its data; on others its work takes longer.
+    """
 
     work_s: float
     room: int
     gang: int = 0
     failures: int = 0
     lasts: bool = False
+    fails_s: float = 0.0
+    near: str = ""
 
 
 @dataclass(slots=True, eq=False)
@@ -45,6 +55,8 @@
 
     :param noted: its end was acknowledged, before the worker's lease lapsed.
     :param lapsed: the worker's lease lapsed before that: such an end counts for nothing.
+    :param slowed: its work takes so many times as long there.
+    :param hung_until: it makes no progress before.
     """
 
     task: TaskName
@@ -64,6 +76,8 @@
     number_of_end: int = 0
     noted: bool = False
     lapsed: bool = False
+    slowed: float = 1.0
+    hung_until: float = 0.0
 
     def __str__(self) -> str:
         end = "-" if self.ended_s is None else f"{self.ended_s:.3f} {self.how}"
@@ -75,6 +89,20 @@
         )
 
 
+@dataclass(slots=True, eq=False)
+class SimOrder:
+    """An order to start that left for a worker.
+
+    :param answered: its answer has arrived.
+    """
+
+    task: TaskName
+    number: int
+    worker: SimWorker
+    sent_s: float
+    answered: bool = False
+
+
 Reply = Callable[[WorkerReport], None]
 
 
@@ -91,6 +119,10 @@
     """One life of a worker.
 
     :param born: what it tells of its birth, in milliseconds since 1970; 0 for nothing.
+    :param grey_until: it fails all that it starts before, by its own fault...
+    :param grey_s: ...so long after the start.
+    :param failed_s: when a run last failed by its own fault.
+    :param hangs_until: what starts before makes no progress until then.
     """
 
     worker_id: str
@@ -110,6 +142,10 @@
     highest: dict[TaskName, int] = field(default_factory=dict)
     count: int = 0
     waiting: list[_Waiting] = field(default_factory=list)
+    grey_until: float = 0.0
+    grey_s: float = 0.0
+    failed_s: float = -math.inf
+    hangs_until: float = 0.0
 
     @property
     def life(self) -> str:
@@ -135,6 +171,7 @@
         self._stop_s = stop_s
         self.lives: dict[str, SimWorker] = {}
         self.history: dict[TaskName, list[SimRun]] = {}
+        self.orders: dict[str, list[SimOrder]] = {}
         self.broken: list[str] = []
         self.slow_lists: dict[str, float] = {}
         self.late_gangs = False
@@ -186,6 +223,19 @@
 
     # Orders
 
+    def note_order(self, worker: SimWorker, order: StartOrder, sent_s: float) -> SimOrder:
+        """An order to start leaves for a worker."""
+        task = TaskName.parse(order.task)
+        noted = SimOrder(task, order.run, worker, sent_s)
+        self.orders.setdefault(task.job_id, []).append(noted)
+        return noted
+
+    def run_of(self, order: SimOrder) -> SimRun | None:
+        """What an order has begun; ``None`` where it was not carried out."""
+        runs = self.history.get(order.task, ())
+        wanted = (order.number, order.worker)
+        return next((run for run in runs if (run.number, run.worker) == wanted), None)
+
     def start(self, worker: SimWorker, order: StartOrder, vm: str, ordered_s: float) -> StartReply:
         """Start a run."""
         clock_ms = self.clock_ms(worker)
@@ -304,11 +354,26 @@
             self._world.call_later(ALONE_S, self._see_alone, run)
 
     def _work(self, run: SimRun) -> None:
-        run.work_began_s = self._world.time()
+        now, worker = self._world.time(), run.worker
+        run.work_began_s = now
+        if now < worker.grey_until:
+            self._world.call_later(worker.grey_s, self._fail_here, run)
+            return
+        run.hung_until = max(now, worker.hangs_until)
+        if run.plan.near not in ("", worker.rack):
+            run.slowed = FAR_SLOWED
         if run.plan.lasts:
             return
-        left_s = max(0.01, run.plan.work_s - run.done_s)
-        self._world.call_later(left_s, self._see_done, run)
+        left_s = max(0.01, run.plan.work_s - run.done_s) * run.slowed
+        if run.plan.fails_s and self._will_fail(run):
+            left_s = min(left_s, run.plan.fails_s)
+        self._world.call_later(run.hung_until - now + left_s, self._see_done, run)
+
+    def _fail_here(self, run: SimRun) -> None:
+        """A run fails by its worker's fault."""
+        if not run.stopping and run.ended_s is None:
+            run.worker.failed_s = self._world.time()
+            self._finish(run, EndKind.FAILED)
 
     def _see_alone(self, run: SimRun) -> None:
         if run.work_began_s is None and not run.stopping:
@@ -317,8 +382,12 @@
     def _see_done(self, run: SimRun) -> None:
         if run.stopping or run.ended_s is not None:
             return
+        self._finish(run, EndKind.FAILED if self._will_fail(run) else EndKind.DONE)
+
+    def _will_fail(self, run: SimRun) -> bool:
+        """Whether a run fails by its own fault."""
         failed = sum(1 for each in self.history[run.task] if each.how is EndKind.FAILED)
-        self._finish(run, EndKind.FAILED if failed < run.plan.failures else EndKind.DONE)
+        return failed < run.plan.failures
 
     def _members(self, run: SimRun) -> Iterable[SimRun]:
         name = run.task
@@ -368,7 +437,8 @@
     def _done(self, run: SimRun) -> float:
         if run.work_began_s is None:
             return run.done_s
-        return run.done_s + self._world.time() - run.work_began_s
+        worked_s = max(0.0, self._world.time() - max(run.work_began_s, run.hung_until))
+        return run.done_s + worked_s / run.slowed
 
     def _percent(self, run: SimRun) -> int:
         if run.plan.lasts:
