--- a/tests/simulation/standstills.py
+++ b/tests/simulation/standstills.py
@@ -120,6 +120,7 @@
         """Look once."""
         now = self._loop.time()
         self._see_leader(now)
+        self._note_over()
         troubles = Troubles(self._site, now, self._leader, self._term_began_s)
         standing = self._standing(troubles)
         for_all = set(troubles.of_all())
@@ -145,19 +146,20 @@
             return {}
         found: dict[str, Step] = {}
         for job_id in sorted(site.acknowledged - self._over - running):
-            step = None if self._is_over(job_id) else self._startable(job_id, pool, troubles.now)
+            step = self._startable(job_id, pool, troubles.now)
             if step is not None:
                 found[job_id] = step
         return found
 
-    def _is_over(self, job_id: str) -> bool:
-        """Whether a leader has ever shown a job as over."""
+    def _note_over(self) -> None:
+        """Note which jobs the leader shows as over: it forgets them some time later."""
         leader = self._leader
         if leader is None or leader.entry is None or leader.entry.scheduler is None:
-            return False
-        if leader.entry.scheduler.state(job_id) in FINAL_STATES:
-            self._over.add(job_id)
-        return job_id in self._over
+            return
+        state = leader.entry.scheduler.state
+        for job_id in self._site.acknowledged - self._over:
+            if state(job_id) in FINAL_STATES:
+                self._over.add(job_id)
 
     def _startable(self, job_id: str, pool: PoolView, now: float) -> Step | None:
         wall_ms = (WALL_EPOCH_S + now) * 1000
