Tests of the simulation's judge of standstills: both sides, and the jobs and troubles by name

Change: a planner that passes over one job for 5 s is found, from when it was due and for how long; a pool half used, room less than twice over, less than 3 s, and a job that was forgotten are none; a troubled way to the store and a crashed worker explain, no longer than they may.

--- /dev/null
+++ b/tests/test_standstills.py
@@ -0,0 +1,319 @@
+"""The simulation's judge of work that stands still: what it finds, and what it explains.
+
+The judge looks at a deployment whose planner passes over one job for a while.
+"""
+
+from __future__ import annotations
+
+import unittest
+import unittest.mock
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import msgspec
+
+from saddlestack.interfaces.workers import EndKind
+from saddlestack.policy.board.jobs import StepState
+from saddlestack.policy.board.queue import Planner
+from saddlestack.policy.standstill import STILL_S
+from saddlestack.standins.loop import WALL_EPOCH_S
+from saddlestack.work import JobRequest, Resources, Step, TaskName
+from tests.simulation.day import Day, day_of
+from tests.simulation.deployment import Deployment, Shape
+from tests.simulation.jobs import OTHER_ACCOUNT, JobKinds
+from tests.simulation.standstills import LOOK_S, PoolView, StandstillJudge, Standstills
+from tests.simulation.troubles import DOUBT_S, Rule
+from tests.simulation.ways import STORE, Fault
+from tests.simulation.workers import Plan, SimRun, SimWorker
+
+BEGINS_S = 2.0
+"""Workers and a leader are there by then."""
+SKIPPED_S = 5.0
+JOB = "a" * 16
+OTHER = "b" * 16
+SEED = 3
+ROOM = 8
+"""Accelerators of a worker."""
+
+
+def job(step: Step, work_s: float = 0.5, **more: int) -> JobRequest:
+    """A job of one step, or of two that follow each other."""
+    plan = Plan(work_s, step.needs.accelerators, step.count if step.gang else 0)
+    payload = msgspec.json.encode(plan).decode()
+    return JobRequest(payload=payload, steps=(step,), **more)
+
+
+def tasks(count: int, accelerators: int = 1, **more: bool) -> Step:
+    """A step."""
+    return Step(count=count, needs=Resources(500, 512, accelerators), **more)
+
+
+@contextmanager
+def passed_over(job_id: str, until: float) -> Iterator[None]:
+    """The planner does not look at a job before some time."""
+    plain = Planner._place
+
+    def place(self: Planner, step: StepState, entitled: set[str], now: float) -> None:
+        if step.occurrence.job.job_id != job_id or now >= until:
+            plain(self, step, entitled, now)
+
+    with unittest.mock.patch.object(Planner, "_place", place):
+        yield
+
+
+@contextmanager
+def passed_over_step(number: int, until: float) -> Iterator[None]:
+    """The planner does not look at steps of a number before some time."""
+    plain = Planner._place
+
+    def place(self: Planner, step: StepState, entitled: set[str], now: float) -> None:
+        if step.number != number or now >= until:
+            plain(self, step, entitled, now)
+
+    with unittest.mock.patch.object(Planner, "_place", place):
+        yield
+
+
+class JudgeTest(unittest.TestCase):
+    """Twelve workers of eight accelerators in four racks, three VMs, and the judge."""
+
+    def setUp(self) -> None:
+        self.site = Deployment(Shape(), seed=1)
+        self.addCleanup(self.site.close)
+        self.jobs: dict[str, tuple[str, JobRequest]] = {}
+        self.judge = StandstillJudge(self.site, self.jobs)
+        self.site.start()
+        self.judge.begin()
+        self.site.timeline.run(BEGINS_S)
+
+    @property
+    def now(self) -> float:
+        return self.site.world.time()
+
+    def hand_in(self, request: JobRequest, job_id: str = JOB, queue: str = "normal") -> None:
+        self.jobs[job_id] = (queue, request)
+        self.site.submit(self.site.vms["entry-1"], job_id, queue, request)
+
+    def after(self, seconds: float) -> Standstills:
+        self.site.timeline.run(self.now + seconds)
+        return self.judge.found
+
+    def held_up(self, request: JobRequest, seconds: float = SKIPPED_S) -> Standstills:
+        """What is found where a job is passed over for so long."""
+        with passed_over(JOB, self.now + seconds):
+            self.hand_in(request)
+            return self.after(seconds + 1.0)
+
+    def test_a_job_that_is_passed_over_is_found(self) -> None:
+        found = self.held_up(job(tasks(4)))
+        self.assertEqual([each.job_id for each in found.unexplained], [JOB])
+        standstill = found.unexplained[0]
+        self.assertAlmostEqual(standstill.since_s, BEGINS_S, delta=2 * LOOK_S)
+        self.assertAlmostEqual(found.longest_s, SKIPPED_S, delta=2 * LOOK_S)
+        self.assertEqual(found.explained.total(), 0)
+
+    def test_a_job_that_starts_is_none(self) -> None:
+        self.hand_in(job(tasks(4)))
+        found = self.after(SKIPPED_S)
+        self.assertEqual(len(self.site.workers.history), 4)
+        self.assertEqual((found.unexplained, found.explained.total()), ([], 0))
+
+    def test_a_job_that_is_passed_over_for_less_is_none(self) -> None:
+        found = self.held_up(job(tasks(4)), STILL_S - 2 * LOOK_S)
+        self.assertEqual(found.unexplained, [])
+
+    def test_beside_a_pool_that_is_half_used_none_is_found(self) -> None:
+        self.hand_in(job(tasks(6, ROOM, long_running=True), work_s=60.0), OTHER, "urgent")
+        self.after(1.0)
+        self.assertEqual(self.held_up(job(tasks(4))).unexplained, [])
+
+    def test_beside_a_pool_that_is_used_by_less_than_half_one_is_found(self) -> None:
+        self.hand_in(job(tasks(5, ROOM, long_running=True), work_s=60.0), OTHER, "urgent")
+        self.after(1.0)
+        self.assertEqual(len(self.held_up(job(tasks(4))).unexplained), 1)
+
+    def test_without_room_twice_over_none_is_found(self) -> None:
+        self.assertEqual(self.held_up(job(tasks(7, ROOM, gang=True))).unexplained, [])
+
+    def test_a_gang_with_room_twice_over_is_found(self) -> None:
+        self.assertEqual(len(self.held_up(job(tasks(6, ROOM, gang=True))).unexplained), 1)
+
+    def test_a_job_counts_from_when_it_is_due(self) -> None:
+        due_s = self.now + 4.0
+        due_ms = round((WALL_EPOCH_S + due_s) * 1000)
+        request = job(tasks(2), times=1, first_at_ms=due_ms, interval_ms=1000)
+        found = self.held_up(request, 4.0 + SKIPPED_S)
+        self.assertEqual(len(found.unexplained), 1)
+        self.assertAlmostEqual(found.unexplained[0].since_s, due_s, delta=2 * LOOK_S)
+
+    def test_a_step_counts_from_when_those_before_it_are_done(self) -> None:
+        first = tasks(2)
+        second = msgspec.structs.replace(first, after=(0,))
+        request = msgspec.structs.replace(job(first, work_s=3.0), steps=(first, second))
+        with passed_over_step(1, self.now + 3.0 + SKIPPED_S):
+            self.hand_in(request)
+            found = self.after(3.0 + SKIPPED_S + 1.0)
+        self.assertEqual(len(found.unexplained), 1)
+        self.assertAlmostEqual(found.unexplained[0].since_s, BEGINS_S + 3.0, delta=2 * LOOK_S)
+
+    def test_a_job_that_is_over_is_none_after_it_was_forgotten(self) -> None:
+        self.hand_in(job(tasks(2)))
+        self.after(3.0)
+        leader = self.site.latest_leader
+        assert leader is not None and leader.entry is not None
+        assert leader.entry.scheduler is not None
+        leader.entry.scheduler.board.forget(JOB)
+        self.assertEqual(self.after(SKIPPED_S).unexplained, [])
+
+    # Explained
+
+    def test_one_while_the_store_is_out_of_reach_is_told_as_explained(self) -> None:
+        leader = self.site.latest_leader
+        assert leader is not None
+        fault = Fault("slow", leader.name, STORE, self.now + SKIPPED_S, 0.05)
+        self.site.ways.add(fault)
+        found = self.held_up(job(tasks(4)))
+        self.assertEqual(found.unexplained, [])
+        self.assertEqual(found.explained, {Rule.STORE.value: 1})
+
+    def test_one_that_outlasts_the_trouble_of_the_store_is_found(self) -> None:
+        leader = self.site.latest_leader
+        assert leader is not None
+        over_s = self.now + 2.0
+        self.site.ways.add(Fault("slow", leader.name, STORE, over_s, 0.05))
+        found = self.held_up(job(tasks(4)), 2.0 + SKIPPED_S)
+        self.assertEqual(len(found.unexplained), 1)
+        self.assertAlmostEqual(found.unexplained[0].since_s, over_s, delta=2 * LOOK_S)
+
+    def test_one_beside_trouble_of_a_vm_that_does_not_lead_is_found(self) -> None:
+        leader = self.site.latest_leader
+        other = next(vm for vm in self.site.vms.values() if vm is not leader)
+        self.site.ways.add(Fault("cut", other.name, STORE, self.now + SKIPPED_S))
+        with passed_over(JOB, self.now + SKIPPED_S):
+            assert leader is not None
+            self.jobs[JOB] = ("normal", job(tasks(4)))
+            self.site.submit(leader, JOB, *self.jobs[JOB])
+            found = self.after(SKIPPED_S + 1.0)
+        self.assertEqual(len(found.unexplained), 1)
+
+    def test_a_run_on_a_worker_that_has_crashed_explains_until_its_lease_is_over(self) -> None:
+        self.hand_in(job(tasks(1), work_s=60.0))
+        self.after(2.0)
+        self.crash_worker_of(JOB)
+        found = self.after(DOUBT_S + STILL_S)
+        self.assertEqual(found.unexplained, [])
+        self.assertEqual(found.explained, {Rule.DOUBT.value: 1})
+
+    def test_a_crashed_worker_explains_no_longer_than_leases_hold(self) -> None:
+        self.hand_in(job(tasks(1), work_s=60.0))
+        self.after(20.0)
+        crashed_s = self.now
+        self.crash_worker_of(JOB)
+        with passed_over(JOB, crashed_s + DOUBT_S + 6.0):
+            found = self.after(DOUBT_S + 6.0)
+        self.assertEqual(len(found.unexplained), 1)
+        self.assertGreaterEqual(found.unexplained[0].since_s, crashed_s + DOUBT_S)
+
+    def test_a_crashed_worker_explains_nothing_of_a_job_without_runs_there(self) -> None:
+        self.hand_in(job(tasks(1), work_s=60.0), OTHER)
+        self.after(2.0)
+        self.crash_worker_of(OTHER)
+        self.assertEqual([e.job_id for e in self.held_up(job(tasks(4))).unexplained], [JOB])
+
+    def crash_worker_of(self, job_id: str) -> None:
+        runs = [run for runs in self.site.workers.history.values() for run in runs]
+        worker = next(run.worker for run in runs if run.task.job_id == job_id)
+        self.site.end_worker(self.site.heartbeats[worker.worker_id])
+
+
+class RoomTest(unittest.TestCase):
+    """Room for gangs of one rack, and for steps with a limit a worker."""
+
+    def test_a_gang_of_one_rack_needs_its_room_in_one(self) -> None:
+        split = [worker(f"r{number}-1", used=3) for number in range(4)]
+        self.assertFalse(PoolView(split).has_room(tasks(2, 4, gang=True, same_rack=True)))
+        self.assertTrue(PoolView(split).has_room(tasks(2, 4, gang=True)))
+
+    def test_a_gang_of_one_rack_needs_its_room_twice_over_in_the_pool(self) -> None:
+        racks = [worker("r1-1"), worker("r1-1"), worker("r2-1")]
+        gang = tasks(2, ROOM, gang=True, same_rack=True)
+        self.assertFalse(PoolView(racks).has_room(gang))
+        self.assertTrue(PoolView([*racks, worker("r3-1")]).has_room(gang))
+
+    def test_no_more_tasks_fit_on_a_worker_than_its_step_allows(self) -> None:
+        step = msgspec.structs.replace(tasks(4), per_worker=1)
+        self.assertFalse(PoolView([worker("r1-1")]).has_room(step))
+        self.assertTrue(PoolView([worker("r1-1"), worker("r1-1")]).has_room(step))
+
+    def test_a_pool_without_workers_has_none(self) -> None:
+        self.assertFalse(PoolView([]).has_room(tasks(1)))
+
+
+def worker(rack: str, used: int = 0) -> SimWorker:
+    """A worker of eight accelerators, some of them held."""
+    made = SimWorker("i-1", "127.0.0.1:1", rack, "hall-1", ROOM, 1.0, 0.0)
+    if used:
+        name = TaskName(OTHER, 0, 0, 0)
+        run = SimRun(name, 1, made, Plan(1.0, used), "entry-1", 1, 0.0, 0.0)
+        made.runs[(name, 1)] = run
+    return made
+
+
+class DayTest(unittest.TestCase):
+    """The judge as part of a day, and the kinds of jobs and troubles that come by name."""
+
+    def test_a_standstill_breaks_its_day_and_names_the_runs(self) -> None:
+        with unittest.mock.patch.object(Planner, "_place", lambda *args: None):
+            verdict = day_of(SEED, 6.0, calm=True).play()
+        self.assertTrue(verdict.standstills.unexplained)
+        self.assertEqual(verdict.broken, [str(e) for e in verdict.standstills.unexplained])
+
+    def test_a_calm_day_has_none(self) -> None:
+        verdict = day_of(SEED, 6.0, calm=True).play()
+        self.assertEqual(verdict.broken, [])
+        self.assertGreater(verdict.starts, 0)
+
+    def test_jobs_near_data_name_a_rack_of_the_day(self) -> None:
+        day = self.played(JobKinds(frozenset({"near"})))
+        racks = {each.rack for each in day.site.workers.lives.values()}
+        steps = [request.steps[0] for _, request in day.jobs.values()]
+        near = {step.data_rack for step in steps if step.data_rack}
+        self.assertTrue(near)
+        self.assertLessEqual(near, racks)
+
+    def test_gangs_of_one_rack_fit_into_one(self) -> None:
+        day = self.played(JobKinds(frozenset({"rack_gangs"})))
+        gangs = [r.steps[0] for _, r in day.jobs.values() if r.steps[0].same_rack]
+        self.assertTrue(gangs)
+        for step in gangs:
+            self.assertLessEqual(step.count * step.needs.accelerators, 2 * ROOM)
+
+    def test_limits_a_worker_are_kept(self) -> None:
+        day = self.played(JobKinds(frozenset({"per_worker"})))
+        self.assertTrue(any(r.steps[0].per_worker for _, r in day.jobs.values()))
+
+    def test_failing_jobs_are_those_of_one_client_account(self) -> None:
+        day = self.played(JobKinds(failing=0.5))
+        others = {job_id for job_id, account in day.accounts.items() if account == OTHER_ACCOUNT}
+        self.assertTrue(others)
+        self.assertLess(others, day.jobs.keys())
+        for job_id in others:
+            plan = msgspec.json.decode(day.jobs[job_id][1].payload, type=Plan)
+            self.assertEqual(plan.failures, 1)
+
+    def test_workers_that_fail_all_and_those_on_which_work_hangs_break_no_promise(self) -> None:
+        day = day_of(SEED, 8.0, ["grey", "hang", "failing"])
+        verdict = day.play()
+        told = [text for text in verdict.broken if not text.startswith("stands still")]
+        self.assertEqual(told, [])
+        runs = [run for each in day.site.workers.history.values() for run in each]
+        self.assertTrue(any(run.how is EndKind.FAILED for run in runs))
+
+    def played(self, kinds: JobKinds) -> Day:
+        day = day_of(SEED, 8.0, calm=True, kinds=kinds)
+        day.play()
+        return day
+
+
+if __name__ == "__main__":
+    unittest.main()
