--- a/tests/simulation/standstills.py
+++ b/tests/simulation/standstills.py
@@ -106,6 +106,7 @@
         self._open: dict[str, FoundStandstill] = {}
         self._leader: Vm | None = None
         self._term_began_s = 0.0
+        self._begun = 0
         self.found = Standstills()
 
     def begin(self) -> None:
@@ -140,7 +141,8 @@
         """Jobs that stand, with a step of theirs that might start."""
         site = self._site
         alive = [worker for worker in site.workers.lives.values() if worker.up]
-        running = {run.task.job_id for worker in alive for run in worker.runs.values()}
+        running = self._begun_lately()
+        running |= {run.task.job_id for worker in alive for run in worker.runs.values()}
         pool = PoolView([worker for worker in alive if troubles.serves(worker)])
         if not pool.use.is_mostly_free:
             return {}
@@ -161,6 +163,12 @@
             if state(job_id) in FINAL_STATES:
                 self._over.add(job_id)
 
+    def _begun_lately(self) -> set[str]:
+        """Jobs of which a run began since the last look: it may be over again."""
+        begun = self._site.workers.begun
+        fresh, self._begun = begun[self._begun :], len(begun)
+        return {run.task.job_id for run in fresh}
+
     def _startable(self, job_id: str, pool: PoolView, now: float) -> Step | None:
         wall_ms = (WALL_EPOCH_S + now) * 1000
         request = self._jobs[job_id][1]
--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -163,6 +163,7 @@
 
     :ivar lives: by name.
     :ivar births: whether lives tell when they were born.
+    :ivar begun: all runs, in the order in which they began.
     """
 
     def __init__(self, world: SharedLoop, rng: random.Random, stop_s: float) -> None:
@@ -172,6 +173,7 @@
         self.lives: dict[str, SimWorker] = {}
         self.history: dict[TaskName, list[SimRun]] = {}
         self.orders: dict[str, list[SimOrder]] = {}
+        self.begun: list[SimRun] = []
         self.broken: list[str] = []
         self.slow_lists: dict[str, float] = {}
         self.late_gangs = False
@@ -342,6 +344,7 @@
             if other.ended_s is None and other.worker.up:
                 self.broken.append(f"two runs at once: [{run}] while [{other}]")
         runs.append(run)
+        self.begun.append(run)
         run.worker.runs[(run.task, run.number)] = run
         if not run.plan.gang:
             self._work(run)
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -48,6 +48,11 @@
     return Step(count=count, needs=Resources(500, 512, accelerators), **more)
 
 
+def after(step: Step, earlier: int) -> Step:
+    """A step that waits for an earlier one."""
+    return msgspec.structs.replace(step, after=(earlier,))
+
+
 @contextmanager
 def passed_over(job_id: str, until: float) -> Iterator[None]:
     """The planner does not look at a job before some time."""
@@ -148,14 +153,24 @@
 
     def test_a_step_counts_from_when_those_before_it_are_done(self) -> None:
         first = tasks(2)
-        second = msgspec.structs.replace(first, after=(0,))
-        request = msgspec.structs.replace(job(first, work_s=3.0), steps=(first, second))
+        request = msgspec.structs.replace(job(first, work_s=3.0), steps=(first, after(first, 0)))
         with passed_over_step(1, self.now + 3.0 + SKIPPED_S):
             self.hand_in(request)
             found = self.after(3.0 + SKIPPED_S + 1.0)
         self.assertEqual(len(found.unexplained), 1)
         self.assertAlmostEqual(found.unexplained[0].since_s, BEGINS_S + 3.0, delta=2 * LOOK_S)
 
+    def test_a_run_that_is_shorter_than_the_gap_between_looks_counts(self) -> None:
+        steps = tuple(tasks(1) if not n else after(tasks(1), n - 1) for n in range(3))
+        request = msgspec.structs.replace(job(steps[0], work_s=0.02), steps=steps)
+        with passed_over(JOB, self.now + STILL_S - 2 * LOOK_S):
+            self.hand_in(request)
+            self.after(STILL_S - 2 * LOOK_S)
+        with passed_over_step(1, self.now + STILL_S - 2 * LOOK_S):
+            found = self.after(SKIPPED_S)
+        self.assertEqual(len(self.site.workers.begun), 3)
+        self.assertEqual(found.unexplained, [])
+
     def test_a_job_that_is_over_is_none_after_it_was_forgotten(self) -> None:
         self.hand_in(job(tasks(2)))
         self.after(3.0)
