--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -1,4 +1,5 @@
-"""Short seeded days of the simulation: no task runs twice at once, none after a noted end.
+"""Short seeded days of the simulation: no task runs twice at once, none after a noted end, and no
+accepted work stands still beside a mostly free pool.
 
 The long search is started by hand, see :mod:`tests.simulation`.
 """
@@ -8,6 +9,8 @@
 import unittest
 
 from tests.simulation.day import MOST_A_SECOND, Verdict, day_of
+from tests.simulation.jobs import KINDS as KINDS_OF_JOBS
+from tests.simulation.jobs import JobKinds
 
 SECONDS = 8.0
 SEEDS = (11, 12)
@@ -30,6 +33,13 @@
                 self.assertEqual(verdict.broken, [])
                 self.assertGreater(verdict.starts, 0)
 
+    def test_calm_days_have_no_standstill(self) -> None:
+        for kinds in (JobKinds(frozenset(KINDS_OF_JOBS)), JobKinds(failing=0.3)):
+            with self.subTest(kinds=kinds):
+                verdict = day_of(SEEDS[0], SECONDS, calm=True, kinds=kinds).play()
+                self.assertEqual(verdict.broken, [])
+                self.assertGreater(verdict.starts, 0)
+
     def test_a_seed_plays_the_same_day_again(self) -> None:
         first, second = self.play(SEEDS[0]), self.play(SEEDS[0])
         self.assertEqual((first.starts, first.events), (second.starts, second.events))
