--- a/src/saddlestack/policy/board/places.py
+++ b/src/saddlestack/policy/board/places.py
@@ -218,15 +218,14 @@
         for worker in self._rooms.tightest(room.accelerators, room.cpu):
             if self._kept is not None and self._kept(worker):
                 continue
-            if self._fits.open_to(worker) and worker.fitting(room, worker.free) > 0:
+            if self._fits.open_to(worker) and self._fits.fit.copies(worker) > 0:
                 yield worker
 
     def _spread(self) -> list[Worker] | None:
         wanted = self._step.step.count
         if self._fits.total < wanted:
             return None
-        room = self._step.step.room
-        able = ((worker, worker.fitting(room, worker.free)) for worker in self._tightest())
+        able = ((worker, self._fits.fit.copies(worker)) for worker in self._tightest())
         return fill_one_hall(able, wanted)
 
     def _has_other(self, avoid: set[str]) -> bool:
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -122,25 +122,33 @@
     def _place_anywhere(self, step: StepState, now: float) -> bool:
         """Place something of a job that stands still beside a pool that is mostly free.
 
-        Neither its data, one rack, the headroom nor waiting gangs hold it up any more. Of tasks
-        that run alone one is placed, so that the others still get the better places.
+        Neither its data, one rack, the headroom nor waiting gangs hold it up any more, nor do
+        workers on trial or on probation where the others are not enough. Of tasks that run alone
+        one is placed, so that the others still get the better places.
         """
         if not self._stands(step, now):
             return False
-        places = self._all_places(step, now)
-        if not step.step.gang:
-            task = next(task for task in step.tasks if waits(task))
-            worker = places.task(task.avoid)
-            if worker is None:
+        trust = (False,) if step.on_last_try else (False, True)
+        return any(
+            self._place_first(step, self._all_places(step, trusting, now), now)
+            for trusting in trust
+        )
+
+    def _place_first(self, step: StepState, places: Places, now: float) -> bool:
+        """Place a gang, or one task that runs alone."""
+        if step.step.gang:
+            chosen = places.gang()
+            if chosen is None:
                 return False
-            self._assign(task, worker, task.record.run + 1, now)
+            self._release(step)
+            self._assign_gang(step, chosen, now)
             return True
-        chosen = places.gang()
-        if chosen is None:
-            return False
-        self._release(step)
-        self._assign_gang(step, chosen, now)
-        return True
+        for task in step.tasks:
+            worker = places.task(task.avoid) if waits(task) else None
+            if worker is not None:
+                self._assign(task, worker, task.record.run + 1, now)
+                return True
+        return False
 
     def _stands(self, step: StepState, now: float) -> bool:
         """Whether a job has had nothing running for too long, though the pool has room for it."""
@@ -148,7 +156,7 @@
             return False
         if step.occurrence.job.runs_something:
             return False
-        return has_room_anywhere(self._fits.of(self._fit(step)), step.at_once)
+        return has_room_anywhere(self._fits.of(self._fit(step, trusting=True)), step.at_once)
 
     def _place_on(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         if step.step.gang:
@@ -199,21 +207,22 @@
             return ListedPlaces(step, near)
         return IndexedPlaces(step, self._fits.of(fit), kept)
 
-    def _all_places(self, step: StepState, now: float) -> Places:
+    def _all_places(self, step: StepState, trusting: bool, now: float) -> Places:
         """The workers that a step may go to once it prefers none of them."""
-        fit = self._fit(step)
+        fit = self._fit(step, trusting=trusting)
         if self._board.is_advised(step.occurrence.job):
             return ListedPlaces(step, self._with_leave(step, self._able(fit, now), now))
         if step.step.per_worker:
             return ListedPlaces(step, self._able(fit, now))
         return IndexedPlaces(step, self._fits.of(fit), None, spread=True)
 
-    def _fit(self, step: StepState) -> Fit:
+    def _fit(self, step: StepState, *, trusting: bool = False) -> Fit:
         return Fit(
             service=self._board.service_of(step.occurrence.job),
             room=step.step.room,
             label=step.step.label,
             proven=_needs_proof(step),
+            trusting=trusting,
         )
 
     def _listed(self, step: StepState, fit: Fit, kept: Kept | None, now: float) -> list[Worker]:
--- a/src/saddlestack/policy/board/waiting.py
+++ b/src/saddlestack/policy/board/waiting.py
@@ -55,6 +55,8 @@
     def returned(self, step: StepState) -> None:
         """A task of a step waits again."""
         self._add(step)
+        if step in self._known:
+            self._fresh.append(step)
 
     def remove(self, step: StepState) -> None:
         """No task of a step waits any more, or none may start."""
--- a/tests/test_still_steps.py
+++ b/tests/test_still_steps.py
@@ -73,6 +73,19 @@
         job = self.add(step(4, 1), priority=BULK)
         self.assertTrue(self.started_within(job, STILL_S - TICK_S))
 
+    def test_workers_on_trial_hold_no_gang_up_in_a_free_pool(self) -> None:
+        for same_rack in (True, False):
+            with self.subTest(same_rack=same_rack):
+                self.setUp()
+                self.workers(racks=4, each=2)
+                for worker in self.board.workers.values():
+                    worker.strikes = 1
+                    worker.trial_s = 60.0
+                    worker.probation_s = 60.0
+                gang = step(9, 2, gang=True, same_rack=same_rack)
+                job = self.add(gang, priority=NORMAL)
+                self.assertTrue(self.started_within(job, STILL_S - TICK_S))
+
     def test_workers_that_do_not_answer_make_no_pool_look_used(self) -> None:
         self.workers(racks=4, each=2)
         self.add(step(4, 8))
