Last tries go to no worker on probation; jobs that fail early everywhere accuse three workers at most

Change: StepState.on_last_try asks for proof; a job is excused two faulty workers and a fifth of those it met.

--- a/src/saddlestack/policy/board/blame.py
+++ b/src/saddlestack/policy/board/blame.py
@@ -91,15 +91,18 @@
 
     FAILS_ALL = 0.95
     """How often a run fails on a worker that fails all: some are looked at before they failed."""
-    EARLY_SHARE = 0.002
+    EARLY_SHARE = 0.01
     """Runs that fail early on sound workers."""
-    EARLY_RUNS = 50
-    """Runs of a job elsewhere that weigh as much as what is known of jobs at large. At 50 a job
-    of which nothing else is known may accuse three workers of an early failure, and not four."""
+    FAULTY_MET = 2.0
+    """A job may have met so many workers that fail all at once..."""
+    FAULTY_SHARE = 0.2
+    """...and this share of those that it ran on besides. What it failed beyond is its own: where
+    none of its runs lived on, it may accuse three workers of an early failure, and not four."""
     LATE_SHARE = 0.05
     """Runs that fail late on sound workers: 3 % of jobs do so for good, up to 5 % of tasks once."""
-    LATE_RUNS = 1
-    """At 1 a job that failed late on two workers accuses neither."""
+    JOB_RUNS = 1
+    """What is known of jobs at large weighs as much as so many runs of the job elsewhere. At 1 a
+    job that failed late on two workers accuses neither, unless 18 runs of it ended well."""
     NEEDED = 18.0
     """So much likelier has it to be. A late failure of a job of which nothing else is known makes
     it 19 times; once it failed elsewhere too, 1.8 times."""
@@ -110,13 +113,14 @@
         return weight >= math.log(self.NEEDED)
 
     def _ratio(self, accusation: Accusation) -> float:
-        if accusation.kind is FailureKind.LATE:
-            share, runs = self.LATE_SHARE, self.LATE_RUNS
-        else:
-            share, runs = self.EARLY_SHARE, self.EARLY_RUNS
-        failed = accusation.failed_elsewhere
+        failed: float = accusation.failed_elsewhere
+        share = self.LATE_SHARE
+        if accusation.kind is not FailureKind.LATE:
+            met = failed + accusation.well_elsewhere
+            failed = max(0.0, failed - self.FAULTY_MET - self.FAULTY_SHARE * met)
+            share = self.EARLY_SHARE
         known = failed + accusation.well_elsewhere
-        expected = (share * runs + failed) / (runs + known)
+        expected = (share * self.JOB_RUNS + failed) / (self.JOB_RUNS + known)
         return max(1.0, self.FAILS_ALL / expected)
 
 
--- a/src/saddlestack/policy/board/caution.py
+++ b/src/saddlestack/policy/board/caution.py
@@ -58,7 +58,7 @@
         """
         if step.step.long_running:
             return False
-        if step.failures and step.failures + 1 >= step.occurrence.job.accepted.attempts:
+        if step.on_last_try:
             return True
         return step.occurrence.job.priority == TOP_PRIORITY and self._several_faulty(now)
 
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -118,6 +118,13 @@
             return self.record.gang_failures
         return max(task.record.failures for task in self.tasks)
 
+    @property
+    def on_last_try(self) -> bool:
+        """Whether its job fails with its next failure."""
+        if self.step.long_running or not self.failures:
+            return False
+        return self.failures + 1 >= self.occurrence.job.accepted.attempts
+
     @property
     def finished(self) -> bool:
         """Whether every task has ended done."""
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -313,7 +313,9 @@
 
 def _needs_proof(step: StepState) -> bool:
     """Whether a step goes to no worker that is on probation."""
-    return step.step.gang or step.occurrence.job.priority == TOP_PRIORITY
+    if step.step.gang or step.occurrence.job.priority == TOP_PRIORITY:
+        return True
+    return step.on_last_try
 
 
 def _lost_if_stopped(run: Run) -> bool:
