A look at what the planner holds leaves the index as the last round left it

Cause: reading the headroom and the kept workers counted changes of workers at once, between two rounds.

Ruled out: a difference of the boards themselves: two plays without looks are alike.

Change: the index can be read as it was; the planner's readers do so.

--- a/src/saddlestack/policy/board/index.py
+++ b/src/saddlestack/policy/board/index.py
@@ -9,6 +9,7 @@
 
 import heapq
 from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from sortedcontainers import SortedList
@@ -209,6 +210,19 @@
         self._changed: dict[Worker, None] = {}
         self._asleep: list[tuple[float, int, Worker]] = []
         self._wakes: dict[Worker, float] = {}
+        self._is_read = False
+
+    @contextmanager
+    def as_it_was(self) -> Iterator[None]:
+        """Read it as the last round has left it.
+
+        To count a change earlier would have the next round choose otherwise among equal workers.
+        """
+        self._is_read = True
+        try:
+            yield
+        finally:
+            self._is_read = False
 
     def add(self, worker: Worker) -> None:
         """Count a worker from now on."""
@@ -245,6 +259,8 @@
         return rooms
 
     def _refresh(self) -> None:
+        if self._is_read:
+            return
         for worker in self._changed:
             self._drop(worker)
             self._put(worker)
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -81,11 +81,13 @@
 
     def kept_from(self, step: StepState) -> Kept | None:
         """Tells workers that were kept from a step in the last round; ``None`` for none."""
-        return self._kept(step)
+        with self._index.as_it_was():
+            return self._kept(step)
 
     def waits_near(self, step: StepState, now: float) -> bool:
         """Whether a step waits for a place near its data."""
-        return bool(step.step.data_rack) and self._waits_near(step, now)
+        with self._index.as_it_was():
+            return bool(step.step.data_rack) and self._waits_near(step, now)
 
     def reserved_until(self, step: StepState) -> float | None:
         """How long room is being made for a step at most; ``None`` where none is."""
@@ -93,8 +95,9 @@
         return None if reservation is None else reservation.until_s
 
     def may_open(self, step: StepState, places: list[Worker], now: float) -> bool:
-        """Whether the headroom lets a step go to some workers, as of now."""
-        return self._may_open(step, places, now)
+        """Whether the headroom that the last round has left lets a step go to some workers."""
+        with self._index.as_it_was():
+            return self._may_open(step, places, now)
 
     # Placing
 
