explain tells for what a job waited, by which mechanism, and what ends it

Cause: between accepted and start explain could only say that a job waited in the queue.

Ruled out: sentences of its own in the command: they come from the table of reasons, so that what the leader and the command say cannot part; a reason of another release is told as it is.

Change: the fields of the lines waits and stands_still are read, and told in a sentence each.

--- a/src/saddlestack/cli/explaining.py
+++ b/src/saddlestack/cli/explaining.py
@@ -9,6 +9,7 @@
 
 from saddlestack.cli.loglines import LogLine, read
 from saddlestack.cli.output import errors_to_exit_codes
+from saddlestack.policy.board.reasons import Reason
 
 EVACUATION = "evacuation"
 BEGUN = "begun"
@@ -18,6 +19,8 @@
 
 
 LEASE_WAIT = "lease_wait"
+STANDS_STILL = "stands_still"
+WAITS = "waits"
 RUN_ENDS = frozenset({"ended", "run_over", "run_absent"})
 
 
@@ -81,6 +84,8 @@
             found.append(f"{line.task} run {line.run} was stopped: {line.reason}")
         elif line.event == "ended" and line.how not in {"done", "stopped", "broken"}:
             found.append(f"{line.task} run {line.run} ended {line.how} on {line.worker}")
+        elif line.event in {WAITS, STANDS_STILL}:
+            found.append(_waited(line))
         elif line.event == "start_refused":
             found.append(f"{line.worker} refused {line.task} run {line.run}: {line.reason}")
         elif line.event == "run_absent":
@@ -91,6 +96,25 @@
     return found
 
 
+def _waited(line: LogLine) -> str:
+    """For what a job waited, by which mechanism, since when, and what ends that."""
+    beside = " beside a free pool" if line.event == STANDS_STILL else ""
+    stood = f"at {line.time} nothing of it had run for {line.stood_s:.1f} s{beside}"
+    why = f"{_awaited(line.reason)} ({line.reason}; {line.tasks} tasks)"
+    ends = f"ends with {line.ends}"
+    if line.ends_s is not None:
+        ends = f"{ends}, {line.ends_s:.1f} s later at most"
+    return f"{stood}: {why}; {ends}"
+
+
+def _awaited(reason: str) -> str:
+    """What a reason stands for; other releases may know other ones."""
+    try:
+        return Reason(reason).awaited
+    except ValueError:
+        return "a reason that this release does not know"
+
+
 def _evacuated(line: LogLine) -> str:
     if line.state == BEGUN:
         return (
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -12,6 +12,7 @@
 from saddlestack.cli.explaining import about, causes
 from saddlestack.cli.loglines import LogLine, read
 from saddlestack.cli.main import main
+from saddlestack.policy.board.reasons import Reason
 
 JOB = "00000000000000aa"
 LINES = {
@@ -105,6 +106,50 @@
         self.assertIn("10.7 s at most", waits)
         self.assertIn("run 1 counted as over on w1: replaced", over)
 
+    def test_what_a_job_waited_for_is_told_with_its_end(self) -> None:
+        reason = Reason.QUARANTINE
+        waits = {
+            "job": JOB,
+            "reason": reason.value,
+            "tasks": 4,
+            "ends": reason.ends,
+        }
+        lines = [
+            LogLine(time="1", event="accepted", job=JOB),
+            LogLine(time="2", event="waits", stood_s=1.0, ends_s=3.5, **waits),
+            LogLine(time="4", event="stands_still", stood_s=3.0, **waits),
+            LogLine(time="5", event="waits", job="00000000000000ab", reason="no_room"),
+        ]
+        waited, stood = causes(JOB, about(JOB, lines))
+        self.assertIn("at 2 nothing of it had run for 1.0 s: ", waited)
+        self.assertIn(reason.awaited, waited)
+        self.assertIn("(quarantine; 4 tasks)", waited)
+        self.assertIn(f"ends with {reason.ends}, 3.5 s later at most", waited)
+        self.assertIn("for 3.0 s beside a free pool", stood)
+        self.assertTrue(stood.endswith(reason.ends))
+
+    def test_a_reason_of_another_release_is_told_as_it_is(self) -> None:
+        lines = [LogLine(time="2", event="waits", job=JOB, reason="tides", ends="the ebb")]
+        [waited] = causes(JOB, about(JOB, lines))
+        self.assertIn("does not know (tides; 0 tasks); ends with the ebb", waited)
+
+    def test_a_line_as_the_leader_writes_it_is_read(self) -> None:
+        row = {
+            "event": "stands_still",
+            "job": JOB,
+            "reason": "near_data",
+            "stood_s": 3.0,
+            "tasks": 1,
+            "ends": "room",
+            "ends_s": None,
+        }
+        file = Path(tempfile.mkdtemp()) / "log"
+        self.addCleanup(file.parent.rmdir)
+        file.write_text(json.dumps(row))
+        self.addCleanup(file.unlink)
+        [line] = read([file])
+        self.assertEqual((line.reason, line.stood_s, line.ends_s), ("near_data", 3.0, None))
+
     def test_command(self) -> None:
         files = [str(file) for file in self.files()]
         result = CliRunner().invoke(main, ["explain", JOB, *files])
