The product's own interface tells what a job waits for, also that it is wider than the pool

Cause: a gang of 13 x 8 on 9 workers of 8 is shown as queued, as any other, and its caller learns nothing; it may not be rejected, since pools grow again.

Ruled out: a field of the platform's wire, which is fixed; the answer to a submit, since nothing has been looked at by then, and a second question would make it later.

Change: GET /v1/jobs/REQUEST of a job that is not over asks the leader for the reason and puts it in message; other accounts learn nothing; where nobody leads it is left empty.

--- a/src/saddlestack/control/callers.py
+++ b/src/saddlestack/control/callers.py
@@ -1,7 +1,8 @@
 """The product's own HTTP interface for callers, on the same jobs as the platform's.
 
 `POST /v1/jobs`, `GET` and `DELETE /v1/jobs/REQUEST`, spoken by :class:`saddlestack.Client`. A
-job of this interface is one step of one gang; the bearer token is a key of the account.
+job of this interface is one step of one gang; the bearer token is a key of the account. The
+`message` of a job that waits tells for what; none is rejected for being wider than the pool.
 """
 
 from __future__ import annotations
@@ -10,6 +11,8 @@
 import re
 from collections.abc import Callable
 
+import msgspec
+
 from saddlestack.api import SubmitBody
 from saddlestack.codec import from_json
 from saddlestack.errors import ErrorKind, SaddlestackError, invalid
@@ -29,6 +32,7 @@
 CALL_DEADLINE_S = 3.0
 JOB_ID_DIGITS = 16
 _PRIORITIES = {JobClass.URGENT: 0, JobClass.NORMAL: 1, JobClass.BULK: 2}
+_OPEN = frozenset({CallerState.QUEUED, CallerState.RUNNING})
 _REQUEST_NAME = re.compile(rf"[A-Za-z0-9._:-]{{1,{MAX_NAME}}}")
 _STATES = {
     JobState.QUEUED: CallerState.QUEUED,
@@ -95,7 +99,10 @@
         call = ClientCall(configuration.queues[0], account.name, CALL_DEADLINE_S)
         if method == "DELETE" and not await self._jobs.cancel(call, job_id):
             raise _unknown(name)
-        return json_response(await self._view(call, name, job_id))
+        view = await self._view(call, name, job_id)
+        if method == "GET" and view.state in _OPEN:
+            view = msgspec.structs.replace(view, message=await self._jobs.waits(call, job_id))
+        return json_response(view)
 
     async def _view(self, call: ClientCall, name: str, job_id: str) -> JobView:
         state = await self._jobs.state(call, job_id)
--- a/src/saddlestack/control/desk.py
+++ b/src/saddlestack/control/desk.py
@@ -33,6 +33,19 @@
     state: JobState | None
 
 
+class WaitQuestion(msgspec.Struct, frozen=True):
+    """Asks what a job of an account waits for; an empty account sees all jobs."""
+
+    job_id: str
+    account: str
+
+
+class WaitAnswer(msgspec.Struct, frozen=True):
+    """What a job waits for; ``None`` where it does not, or the leader does not know it."""
+
+    waits: str | None
+
+
 class PendingQuestion(msgspec.Struct, frozen=True):
     """Asks how many jobs of a queue have not begun."""
 
@@ -74,6 +87,7 @@
         self._leadership = leadership
         self._scheduler = scheduler
         peers.serve(StateQuestion, self._state)
+        peers.serve(WaitQuestion, self._waits)
         peers.serve(PendingQuestion, self._pending)
         peers.serve(WrittenNotice, self._written)
 
@@ -84,6 +98,13 @@
         """
         return (await self._ask(StateQuestion(job_id, account), StateAnswer)).state
 
+    async def waits(self, job_id: str, account: str) -> str | None:
+        """What a job waits for, as far as the leader knows.
+
+        :raises NoLeader: nobody answered.
+        """
+        return (await self._ask(WaitQuestion(job_id, account), WaitAnswer)).waits
+
     async def pending(self, queue: str) -> int:
         """How many jobs of a queue have not begun.
 
@@ -118,14 +139,25 @@
 
     async def _state(self, question: StateQuestion) -> StateAnswer:
         scheduler = self._leading()
-        account = scheduler.account(question.job_id)
-        if account and question.account and account != question.account:
+        if not _is_shown(scheduler, question.job_id, question.account):
             return StateAnswer(None)
         return StateAnswer(scheduler.state(question.job_id))
 
+    async def _waits(self, question: WaitQuestion) -> WaitAnswer:
+        scheduler = self._leading()
+        if not _is_shown(scheduler, question.job_id, question.account):
+            return WaitAnswer(None)
+        return WaitAnswer(scheduler.waits.of(question.job_id))
+
     async def _written(self, notice: WrittenNotice) -> NoticeTaken:
         self._leading().told(Item(notice.key, notice.value, notice.revision))
         return NoticeTaken()
 
     async def _pending(self, question: PendingQuestion) -> PendingAnswer:
         return PendingAnswer(self._leading().pending(question.queue))
+
+
+def _is_shown(scheduler: Scheduler, job_id: str, account: str) -> bool:
+    """Whether a job is shown to an account: not where another one is known to have sent it."""
+    owner = scheduler.account(job_id)
+    return not owner or not account or owner == account
--- a/src/saddlestack/control/jobs.py
+++ b/src/saddlestack/control/jobs.py
@@ -86,6 +86,17 @@
             )
         return await self._state_in_store(call, job_id)
 
+    async def waits(self, call: ClientCall, job_id: str) -> str | None:
+        """What a job waits for; ``None`` where something of it runs, or that is not known."""
+        try:
+            return await self._desk.waits(job_id, call.account)
+        except NoLeader as error:
+            log.info(
+                "nobody tells what a job waits for",
+                extra={"event": "wait_not_known", "job": job_id, "reason": str(error)},
+            )
+            return None
+
     async def cancel(self, call: ClientCall, job_id: str) -> bool:
         """Cancel a job; ``False`` where no such job exists."""
         value = await self._read(call, keys.job_key(job_id))
--- a/src/saddlestack/interfaces/clients.py
+++ b/src/saddlestack/interfaces/clients.py
@@ -36,6 +36,10 @@
         """A job's state; ``None`` where no such job exists."""
         ...
 
+    async def waits(self, call: ClientCall, job_id: str) -> str | None:
+        """What a job waits for; ``None`` where something of it runs, or that is not known."""
+        ...
+
     async def cancel(self, call: ClientCall, job_id: str) -> bool:
         """Cancel a job; ``False`` where no such job exists."""
         ...
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -18,6 +18,7 @@
 from saddlestack.interfaces.store import Listing, StoreUnavailable
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.models import JobState as CallerState
+from saddlestack.policy.board.reasons import Reason
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import RETENTION_S, PoolCluster, job
 from saddlestack.standins.pool.documents import ACCOUNT, KEY
@@ -362,6 +363,37 @@
 
         self.play(body)
 
+    def test_a_job_wider_than_the_pool_is_accepted_and_says_so(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            client = self.client(cluster)
+            plan = payload(TaskPlan(work_s=0.2, room=8, gang=5))
+            await client.submit("wide", 40, payload=plan)
+            await asyncio.sleep(1.0)
+            wide = await client.job("wide")
+            self.assertIs(wide.state, CallerState.QUEUED)
+            self.assertIn("(too_wide)", wide.message or "")
+            self.assertIn(Reason.TOO_WIDE.awaited, wide.message or "")
+            cluster.floor.add("r1-1", "hall-1")
+            await cluster.until_state(job_id_of(ACCOUNT, "wide"), JobState.COMPLETED)
+            self.assertIsNone((await client.job("wide")).message)
+            client.close()
+
+        self.play(body)
+
+    def test_a_job_of_another_account_tells_nothing_of_its_wait(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(5, accelerators=8, gang=True))
+            await asyncio.sleep(1.0)
+            jobs = next(iter(cluster.members.values())).vm.jobs
+            told = {
+                account: await jobs.waits(cluster.call("normal", account=account), A)
+                for account in (ACCOUNT, "others")
+            }
+            self.assertIn("(too_wide)", told[ACCOUNT] or "")
+            self.assertIsNone(told["others"])
+
+        self.play(body)
+
     def test_bad_calls_are_refused_and_nothing_is_kept(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             client = self.client(cluster)
