--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 from collections.abc import Callable
+from pathlib import Path
 
 from saddlestack.interfaces.machines import Leave
 from saddlestack.interfaces.workers import EndedTask, EndKind
@@ -19,6 +20,7 @@
 from saddlestack.work import AcceptedJob, JobRequest, Step
 from tests.test_board import BULK, NORMAL, PATIENT, SERVICE, URGENT, BoardCase, record, step
 
+OPERATIONS = Path(__file__).resolve().parent.parent / "docs" / "OPERATIONS.md"
 SEEDS = (4, 5, 13)
 LEASE_S = 10.0
 DUE_S = 60.0
@@ -540,6 +542,11 @@
             self.assertTrue(reason.awaited)
             self.assertTrue(reason.ends)
 
+    def test_the_operators_page_tells_of_each_as_the_table_does(self) -> None:
+        page = OPERATIONS.read_text()
+        for reason in Reason:
+            self.assertIn(f"| `{reason}` | {reason.awaited} | {reason.ends} |", page)
+
 
 if __name__ == "__main__":
     unittest.main()
