Looks at waits go apart from the tick, and tell a round that cannot begin from one that will

Cause: the tick waits for the store where it removes old jobs, and sight would be lost just then; a round held up by a write for less than a second was told as next_round, the sign of a defect.

Change: a loop of its own, as often as the tick; the scheduler tells whether a round is due. All of a look is guarded, so that a defect in telling does not end the looks.

--- a/benchmarks/waits.py
+++ b/benchmarks/waits.py
@@ -67,6 +67,7 @@
         wall_ms=now * 1000,
         planned_s=now,
         round_full=False,
+        round_due=False,
         is_writing=lambda job_id: False,
         lease_until_s=lambda worker_id: now,
     )
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -207,6 +207,7 @@
         for worker in self._ghosts():
             log_wait(worker, self._leases.left_s(worker.worker_id, self._clock.now()))
         self._tasks.spawn(self._tick())
+        self._tasks.spawn(self._look())
         self._tasks.spawn(self._halls.run())
         self._tasks.spawn(self._see_renewals_over())
         self._tasks.spawn(self._requests.forget_rest())
@@ -319,10 +320,15 @@
             await asyncio.sleep(TICK_S)
             self._end_ghosts()
             self._sessions.close_gone()
-            self.waits.look()
             self.changed()
             await self._requests.forget_expired()
 
+    async def _look(self) -> None:
+        """Look at what waits; apart from the tick, which may itself wait for the store."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.waits.look(round_due=self._wake.is_set())
+
     async def _see_renewals_over(self) -> None:
         """Ask the others until none renews a lease, or it makes no difference any more.
 
--- a/src/saddlestack/control/waits.py
+++ b/src/saddlestack/control/waits.py
@@ -1,6 +1,6 @@
 """What jobs wait for, as the leader tells it: log lines, figures, and answers to callers.
 
-Looked at on the leader's tick, beside its decisions; none of them goes by it.
+Looked at as often as the leader ticks, beside its decisions; none of them goes by it.
 """
 
 from __future__ import annotations
@@ -135,21 +135,26 @@
 
     # Looking
 
-    def look(self) -> None:
-        """Look at all jobs, and tell of those that wait."""
+    def look(self, *, round_due: bool = False) -> None:
+        """Look at all jobs, and tell of those that wait.
+
+        :param round_due: whether a round of decisions would begin now.
+        """
         began = self._clock.now()
         try:
-            looked = self._diagnosis.look(self._circumstances())
+            self._look(round_due)
         except Exception:
-            # The tick also ends leases: a defect here may not hold that up.
+            # The next look may do; what fails here has no part in any decision.
             log.exception("waits were not looked at", extra={"event": "waits_failed"})
             self._metrics.count("waits_failures")
-            return
+        self._metrics.time("waits_look", self._clock.now() - began)
+
+    def _look(self, round_due: bool) -> None:
+        looked = self._diagnosis.look(self._circumstances(round_due))
         self._now = {wait.job_id: wait for wait in looked.waits}
         self._figures = WaitFigures.of(looked)
         self._tell_standstills()
         self._tell_waits()
-        self._metrics.time("waits_look", self._clock.now() - began)
 
     def of(self, job_id: str) -> str | None:
         """What a job waits for, in a sentence; ``None`` where something of it runs."""
@@ -160,12 +165,13 @@
         reason = wait.reason
         return f"waits since {stood_s:.0f} s ({reason}): {reason.awaited}; ends with {reason.ends}"
 
-    def _circumstances(self) -> Circumstances:
+    def _circumstances(self, round_due: bool) -> Circumstances:
         return Circumstances(
             now=self._clock.now(),
             wall_ms=self._clock.wall() * 1000,
             planned_s=self._planned_s,
             round_full=self._round_full,
+            round_due=round_due,
             is_writing=self._writing.__contains__,
             lease_until_s=self._lease_until_s,
         )
--- a/src/saddlestack/policy/board/diagnosis.py
+++ b/src/saddlestack/policy/board/diagnosis.py
@@ -28,8 +28,8 @@
 bounded a look takes 45 ms of a core in the median with 3,000 workers and 10,000 waiting jobs, 16 ms
 with 176 and 800 (`benchmarks.waits`, 40 looks each, on a busy machine); with 20,000 workers and
 1,000 jobs it was 118 ms. Without waiting jobs only the runs are gone through."""
-HELD_S = 1.0
-"""A round of decisions follows each tick of 0.5 s; one that is later by that is held up."""
+HELD_S = 0.1
+"""A round of decisions that is due begins within milliseconds, or it is held up."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +39,7 @@
     :param wall_ms: milliseconds since 1970.
     :param planned_s: when the last round of decisions began...
     :param round_full: ...and whether it was full.
+    :param round_due: whether the next one would begin now.
     :param is_writing: whether records of a job are being written.
     :param lease_until_s: when every lease of a worker has lapsed.
     """
@@ -47,6 +48,7 @@
     wall_ms: float
     planned_s: float
     round_full: bool
+    round_due: bool
     is_writing: Callable[[str], bool]
     lease_until_s: Callable[[str], float]
 
@@ -270,9 +272,10 @@
         return len(step.tasks) - step.done - given
 
     def _for_round(self) -> Reason:
-        if self._now - self._circumstances.planned_s > HELD_S:
+        circumstances = self._circumstances
+        if circumstances.round_due and self._now - circumstances.planned_s > HELD_S:
             return Reason.ROUND_HELD
-        return Reason.ROUND_FULL if self._circumstances.round_full else Reason.NEXT_ROUND
+        return Reason.ROUND_FULL if circumstances.round_full else Reason.NEXT_ROUND
 
     def _has_room(self, step: StepState, survey: Survey) -> bool:
         wanted = step.step.count if step.step.gang else 1
--- a/src/saddlestack/policy/board/reasons.py
+++ b/src/saddlestack/policy/board/reasons.py
@@ -79,7 +79,7 @@
         "one of the next rounds, which follow at once",
     ),
     Reason.ROUND_HELD: (
-        "no round of decisions has begun lately: records of an earlier one are being written",
+        "the next round of decisions cannot begin: records of an earlier one are being written",
         "the store's answer to that write",
     ),
     Reason.NEXT_ROUND: (
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import logging
+from collections.abc import Mapping
 from unittest import mock
 
 from saddlestack.control import waits as waits_module
+from saddlestack.control.journal import Journal
+from saddlestack.control.requests import Requests
 from saddlestack.control.waits import TOLD_AFTER_S, Waits, show_none
 from saddlestack.kernel.clock import Clock
 from saddlestack.policy.board.diagnosis import Diagnosis
@@ -21,6 +24,7 @@
 A = "00000000000000aa"
 LOOK_S = 0.5
 QUARANTINED_S = 100.0
+SLOW_S = 4.0
 
 
 class SteppedClock(Clock):
@@ -224,3 +228,37 @@
             await cluster.until_state(A, JobState.COMPLETED)
 
         self.play(body)
+
+    def test_a_tick_that_waits_for_the_store_holds_up_no_look(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(5, accelerators=8, gang=True))
+            await asyncio.sleep(2 * TOLD_AFTER_S)
+            self.assertIn("(too_wide)", self.wait_of(cluster) or "")
+
+        with mock.patch.object(Requests, "forget_expired", _held):
+            self.play(body)
+
+    def test_a_start_that_waits_for_a_slow_store(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(A, job(1), queue="urgent")
+            await asyncio.sleep(2 * TOLD_AFTER_S)
+            self.assertIn("(write)", self.wait_of(cluster) or "")
+            await cluster.until_state(A, JobState.COMPLETED)
+
+        commit = Journal.commit
+
+        async def slow(journal: Journal, records: Mapping[str, bytes]) -> None:
+            await asyncio.sleep(SLOW_S)
+            await commit(journal, records)
+
+        with mock.patch.object(Journal, "commit", slow):
+            self.play(body)
+
+    def wait_of(self, cluster: PoolCluster) -> str | None:
+        leader = cluster.leader
+        assert leader is not None and leader.scheduler is not None
+        return leader.scheduler.waits.of(A)
+
+
+async def _held(requests: Requests) -> None:
+    await asyncio.sleep(QUARANTINED_S)
