Lines about waits tell how late the look was, since a leader may have stood still itself

Ruled out: a restart of the watch after such a gap; the jobs did stand for all of it.

Change: late_s in the lines stands_still and waits, and a clause of explain where it is 1 s or more.

--- a/src/saddlestack/cli/explaining.py
+++ b/src/saddlestack/cli/explaining.py
@@ -20,6 +20,8 @@
 
 LEASE_WAIT = "lease_wait"
 STANDS_STILL = "stands_still"
+LATE_S = 1.0
+"""A look that came so much later than it was due: the leader itself had come to nothing."""
 WAITS = "waits"
 RUN_ENDS = frozenset({"ended", "run_over", "run_absent"})
 
@@ -104,6 +106,8 @@
     ends = f"ends with {line.ends}"
     if line.ends_s is not None:
         ends = f"{ends}, {line.ends_s:.1f} s later at most"
+    if line.late_s >= LATE_S:
+        ends = f"{ends}; the leader itself had come to nothing for {line.late_s:.1f} s before"
     return f"{stood}: {why}; {ends}"
 
 
--- a/src/saddlestack/cli/loglines.py
+++ b/src/saddlestack/cli/loglines.py
@@ -25,6 +25,7 @@
     :param tasks: how many of its tasks waited.
     :param ends: what ends the wait.
     :param ends_s: when that is at the latest, in seconds from then, where it was known.
+    :param late_s: by how much the leader's own look came late.
     :param at_s: when it was written: the number of seconds that a collector has put in front
         of the line, else the VM's time of day.
     """
@@ -59,6 +60,7 @@
     tasks: int = 0
     ends: str = ""
     ends_s: float | None = None
+    late_s: float = 0.0
 
 
 def read(files: Iterable[Path]) -> list[LogLine]:
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -31,7 +31,7 @@
 from saddlestack.control.requests import Requests
 from saddlestack.control.sessions import Sessions
 from saddlestack.control.upkeep import Upkeep
-from saddlestack.control.waits import Waits
+from saddlestack.control.waits import LOOK_S, Waits
 from saddlestack.interfaces.documents import PoolConfiguration
 from saddlestack.interfaces.machines import AdviserUnavailable
 from saddlestack.interfaces.store import Item
@@ -326,7 +326,7 @@
     async def _look(self) -> None:
         """Look at what waits; apart from the tick, which may itself wait for the store."""
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(LOOK_S)
             self.waits.look(round_due=self._wake.is_set())
 
     async def _see_renewals_over(self) -> None:
--- a/src/saddlestack/control/waits.py
+++ b/src/saddlestack/control/waits.py
@@ -21,6 +21,9 @@
 
 log = logging.getLogger("saddlestack.scheduler")
 
+LOOK_S = 0.5
+"""From one look to the next; as often as the leader ticks, so that a wait told of after 1 s and a
+standstill after 3 s are told of half a second later at most."""
 TOLD_AFTER_S = 1.0
 """A wait is told of once it has lasted so long: most last for less than a round of decisions."""
 STANDSTILLS_A_TICK = 10
@@ -93,13 +96,16 @@
         self._watch = StillWatch()
         self._writing: Counter[str] = Counter()
         self._planned_s = clock.now()
+        self._looked_s = clock.now()
+        self._late_s = 0.0
         self._round_full = False
         self._now: dict[str, Wait] = {}
         self._told: dict[str, Reason] = {}
         self._figures = WaitFigures()
 
     def show(self) -> None:
-        """Show figures from now on."""
+        """Show figures from now on; the first look follows."""
+        self._looked_s = self._clock.now()
         _show(
             self._metrics,
             lambda reason: self._figures.jobs[reason],
@@ -150,6 +156,9 @@
         self._metrics.time("waits_look", self._clock.now() - began)
 
     def _look(self, round_due: bool) -> None:
+        now = self._clock.now()
+        self._late_s = max(0.0, now - self._looked_s - LOOK_S)
+        self._looked_s = now
         looked = self._diagnosis.look(self._circumstances(round_due))
         self._now = {wait.job_id: wait for wait in looked.waits}
         self._figures = WaitFigures.of(looked)
@@ -224,6 +233,7 @@
             "tasks": wait.tasks,
             "ends": wait.reason.ends,
             "ends_s": left_s,
+            "late_s": round(self._late_s, 2),
         }
 
     # Figures
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -128,6 +128,12 @@
         self.assertIn("for 3.0 s beside a free pool", stood)
         self.assertTrue(stood.endswith(reason.ends))
 
+    def test_a_leader_that_stood_still_itself_is_told_of(self) -> None:
+        for late_s in (0.4, 6.3):
+            line = LogLine(event="stands_still", job=JOB, reason="reserved", late_s=late_s)
+            [stood] = causes(JOB, about(JOB, [line]))
+            self.assertEqual("the leader itself had come to nothing" in stood, late_s > 1.0)
+
     def test_a_reason_of_another_release_is_told_as_it_is(self) -> None:
         lines = [LogLine(time="2", event="waits", job=JOB, reason="tides", ends="the ebb")]
         [waited] = causes(JOB, about(JOB, lines))
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -10,7 +10,7 @@
 from saddlestack.control import waits as waits_module
 from saddlestack.control.journal import Journal
 from saddlestack.control.requests import Requests
-from saddlestack.control.waits import TOLD_AFTER_S, Waits, show_none
+from saddlestack.control.waits import LOOK_S, TOLD_AFTER_S, Waits, show_none
 from saddlestack.kernel.clock import Clock
 from saddlestack.policy.board.diagnosis import Diagnosis
 from saddlestack.policy.board.reasons import Reason
@@ -22,7 +22,6 @@
 from tests.test_pool import PoolTest
 
 A = "00000000000000aa"
-LOOK_S = 0.5
 QUARANTINED_S = 100.0
 SLOW_S = 4.0
 
@@ -90,6 +89,16 @@
         self.assertEqual(line.ends, Reason.QUARANTINE.ends)
         self.assertEqual(self.figure("standstills"), 1)
 
+    def test_a_look_that_came_late_says_so(self) -> None:
+        self.workers(each=4)
+        self.quarantine()
+        self.add(step(1, 1), priority=BULK)
+        self.play(LOOK_S)
+        self.clock.now_s += 6.0
+        self.play(self.clock.now_s + LOOK_S)
+        [line] = self.told("stands_still")
+        self.assertEqual((line.stood_s, line.late_s), (6.5, 6.0))
+
     def test_a_full_pool_logs_no_standstill(self) -> None:
         self.workers(each=2)
         self.add(step(2, 8))
