--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -31,6 +31,7 @@
 from saddlestack.control.requests import Requests
 from saddlestack.control.sessions import Sessions
 from saddlestack.control.upkeep import Upkeep
+from saddlestack.control.waits import LOOK_S, Waits
 from saddlestack.interfaces.documents import PoolConfiguration
 from saddlestack.interfaces.machines import AdviserUnavailable
 from saddlestack.interfaces.store import Item
@@ -99,6 +100,7 @@
         self._began_s = context.clock.now()
         self._leases = Leases(self.hold_s, self._began_s)
         self._sessions = Sessions(context, self, self._leases)
+        self.waits = Waits(self.board, context.clock, context.metrics, self._leases.lasts_until)
         self._workers = WorkerList(context, self.board, self._sessions)
         self._suspicion = Suspicion()
         self._evacuations = Evacuations(context, self._evacuated)
@@ -123,6 +125,7 @@
         await self._tasks.cancel()
         await self._commits.stop()
         await self._sessions.stop()
+        self.waits.close()
 
     def state(self, job_id: str) -> JobState | None:
         """What clients are told of a job; ``None`` where it is not known here."""
@@ -211,10 +214,12 @@
             "scheduling",
             extra={"event": "scheduling", "fence": self.fence, "jobs": len(self.board.jobs)},
         )
+        self.waits.show()
         self._sessions.open()
         for worker in self._ghosts():
             log_wait(worker, self._leases.left_s(worker.worker_id, self._clock.now()))
         self._tasks.spawn(self._tick())
+        self._tasks.spawn(self._look())
         self._tasks.spawn(self._halls.run())
         self._tasks.spawn(self._see_renewals_over())
         self._tasks.spawn(self._forget_old())
@@ -275,6 +280,7 @@
         """
         mark = self._known
         more = self.board.plan(self._clock.now(), self._clock.wall() * 1000)
+        self.waits.planned(more)
         changes = self.board.take()
         for stop in changes.stops:
             self._context.metrics.count(f"stops_{stop.reason.value}")
@@ -284,6 +290,7 @@
         for question in changes.questions:
             self._tasks.spawn(self._ask(question))
         by_job = changes.by_job()
+        self.waits.writing(by_job)
         self._commits.put(mark, [self._records(job_id, by_job[job_id]) for job_id in by_job])
         return more
 
@@ -291,10 +298,11 @@
         encoded = {
             keys.progress_key(key): to_msgpack(record) for key, record in changes.records.items()
         }
-        return JobRecords(job_id, encoded, partial(self._follow, changes))
+        return JobRecords(job_id, encoded, partial(self._follow, job_id, changes))
 
-    def _follow(self, changes: JobChanges) -> None:
-        """What may follow from changes that are in the store."""
+    def _follow(self, job_id: str, changes: JobChanges) -> None:
+        """What may follow from changes of a job that are in the store."""
+        self.waits.written((job_id,))
         for job, state in changes.shown:
             self._show(job.job_id, state)
         self._context.metrics.count("starts", len(changes.starts))
@@ -348,6 +356,12 @@
             await asyncio.sleep(TICK_S)
             await self._requests.forget_expired()
 
+    async def _look(self) -> None:
+        """Look at what waits; apart from the tick, which may itself wait for the store."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            self.waits.look(round_due=self._wake.is_set())
+
     async def _see_renewals_over(self) -> None:
         """Ask the others until none renews a lease, or it makes no difference any more.
 
