What follows for one job names its job

Cause: the diagnosis of waits (h-sight) notes for which jobs records are on their way, and had it from Changes.jobs, which is gone with the batches. Ruled out: to keep that property, which nothing else asks for. Change: JobChanges carries its job_id, and by_job returns them as a list. Measured: waits, pool and commits pass.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -283,15 +283,14 @@
             self._sessions.order_pace(pace)
         for question in changes.questions:
             self._tasks.spawn(self._ask(question))
-        by_job = changes.by_job()
-        self._commits.put(mark, [self._records(job_id, by_job[job_id]) for job_id in by_job])
+        self._commits.put(mark, [self._records(each) for each in changes.by_job()])
         return more
 
-    def _records(self, job_id: str, changes: JobChanges) -> JobRecords:
+    def _records(self, changes: JobChanges) -> JobRecords:
         encoded = {
             keys.progress_key(key): to_msgpack(record) for key, record in changes.records.items()
         }
-        return JobRecords(job_id, encoded, partial(self._follow, changes))
+        return JobRecords(changes.job_id, encoded, partial(self._follow, changes))
 
     def _follow(self, changes: JobChanges) -> None:
         """What may follow from changes that are in the store."""
--- a/src/saddlestack/policy/board/changes.py
+++ b/src/saddlestack/policy/board/changes.py
@@ -64,6 +64,7 @@
     :param shown: its state, which may be shown after the records are written.
     """
 
+    job_id: str
     records: dict[str, OccurrenceRecord] = field(default_factory=dict)
     starts: list[Start] = field(default_factory=list)
     shown: list[tuple[Job, JobState]] = field(default_factory=list)
@@ -88,14 +89,19 @@
     questions: list[Question] = field(default_factory=list)
     shown: list[tuple[Job, JobState]] = field(default_factory=list)
 
-    def by_job(self) -> dict[str, JobChanges]:
+    def by_job(self) -> list[JobChanges]:
         """What waits for records, for each job by itself."""
         found: dict[str, JobChanges] = {}
+
+        def of(job_id: str) -> JobChanges:
+            if job_id not in found:
+                found[job_id] = JobChanges(job_id)
+            return found[job_id]
+
         for key, record in self.records.items():
-            job_id = key.rpartition(".")[0]
-            found.setdefault(job_id, JobChanges()).records[key] = record
+            of(key.rpartition(".")[0]).records[key] = record
         for start in self.starts:
-            found.setdefault(start.run.task.name.job_id, JobChanges()).starts.append(start)
+            of(start.run.task.name.job_id).starts.append(start)
         for job, state in self.shown:
-            found.setdefault(job.job_id, JobChanges()).shown.append((job, state))
-        return found
+            of(job.job_id).shown.append((job, state))
+        return list(found.values())
