Test: an order whose connection is refused is known not to have left, over a real socket

Cause: the mend of starts that never left was tested on stand-ins and on a first look without answer. Ruled out: nothing new. Change: a test of the platform's orders at a port that nobody listens on.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -381,6 +381,15 @@
 
         with_server(body)
 
+    def test_an_order_whose_connection_is_refused_never_left(self) -> None:
+        async def body(served: Served) -> None:
+            orders = HttpWorkerOrders("i-1", "127.0.0.1", served.server.port)
+            await served.server.stop()
+            with self.assertRaises(WorkerNotReached):
+                await orders.start(self.ORDER, 1.0)
+
+        with_server(body)
+
     def test_an_order_without_answer_may_have_left(self) -> None:
         async def body(served: Served) -> None:
             orders = HttpWorkerOrders(life_name("i-1", 1700), "127.0.0.1", served.server.port)
