--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -290,19 +290,19 @@
         for question in changes.questions:
             self._tasks.spawn(self._ask(question))
         by_job = changes.by_job()
-        self.waits.writing(by_job)
-        self._commits.put(mark, [self._records(job_id, by_job[job_id]) for job_id in by_job])
+        self.waits.writing(each.job_id for each in by_job)
+        self._commits.put(mark, [self._records(each) for each in by_job])
         return more
 
-    def _records(self, job_id: str, changes: JobChanges) -> JobRecords:
+    def _records(self, changes: JobChanges) -> JobRecords:
         encoded = {
             keys.progress_key(key): to_msgpack(record) for key, record in changes.records.items()
         }
-        return JobRecords(job_id, encoded, partial(self._follow, job_id, changes))
+        return JobRecords(changes.job_id, encoded, partial(self._follow, changes))
 
-    def _follow(self, job_id: str, changes: JobChanges) -> None:
+    def _follow(self, changes: JobChanges) -> None:
         """What may follow from changes of a job that are in the store."""
-        self.waits.written((job_id,))
+        self.waits.written((changes.job_id,))
         for job, state in changes.shown:
             self._show(job.job_id, state)
         self._context.metrics.count("starts", len(changes.starts))
