Tests of waits: by job, and what ends a probation in a free and in a used pool

Cause: changes are told by job now, and a wait for probation ends with patience where the pool is mostly free. Ruled out: a test that checks less: it checks both pools where it checked one. Change: two tests follow.

--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -12,7 +12,11 @@
 from saddlestack.policy.board import diagnosis
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.diagnosis import Circumstances, Diagnosis, Wait
-from saddlestack.policy.board.patience import HEADROOM_PATIENCE_S, NEAR_PATIENCE_S
+from saddlestack.policy.board.patience import (
+    HEADROOM_PATIENCE_S,
+    IDLE_PATIENCE_S,
+    NEAR_PATIENCE_S,
+)
 from saddlestack.policy.board.queue import STARTS_A_ROUND
 from saddlestack.policy.board.reasons import Reason
 from saddlestack.policy.board.reservations import RESERVATION_S
@@ -269,15 +273,19 @@
         self.assertEqual((wait.reason, wait.until_s), (Reason.QUARANTINE, 2.5))
 
     def test_probation_keeps_gangs_and_urgent_work_out_for_longer(self) -> None:
-        self.workers(each=2)
-        self.fail("w11", 0.0)
-        self.fail("w12", 0.0)
-        urgent = self.add(step(1, 1))
-        bulk = self.add(step(1, 1), priority=BULK)
-        starts = self.plan(5.0).starts
-        self.assertEqual([start.run.task.name.job_id for start in starts], [bulk])
-        wait = self.look(5.0)[urgent]
-        self.assertEqual((wait.reason, wait.until_s), (Reason.PROBATION, 16.0))
+        """In a pool that is mostly free until patience ends, in one that is in use to its end."""
+        for accelerators, until_s in ((1, 5.0 + IDLE_PATIENCE_S), (8, 16.0)):
+            with self.subTest(accelerators=accelerators):
+                self.setUp()
+                self.workers(each=2)
+                self.fail("w11", 0.0)
+                self.fail("w12", 0.0)
+                urgent = self.add(step(1, 1))
+                bulk = self.add(step(1, accelerators), priority=BULK)
+                starts = self.plan(5.0).starts
+                self.assertEqual([start.run.task.name.job_id for start in starts], [bulk])
+                wait = self.look(5.0)[urgent]
+                self.assertEqual((wait.reason, wait.until_s), (Reason.PROBATION, until_s))
 
     def test_one_task_at_a_time_after_a_failure(self) -> None:
         self.workers(each=1)
--- a/tests/test_told_waits.py
+++ b/tests/test_told_waits.py
@@ -174,10 +174,10 @@
         job_id = self.add(step(1))
         self.board.plan(0.0, 0.0)
         changes = self.board.take()
-        self.waits.writing(changes.jobs)
+        self.waits.writing(each.job_id for each in changes.by_job())
         self.waits.look()
         self.assertIn(f"({Reason.WRITE})", self.waits.of(job_id) or "")
-        self.waits.written(changes.jobs)
+        self.waits.written(each.job_id for each in changes.by_job())
         self.waits.look()
         self.assertIn(f"({Reason.STARTING})", self.waits.of(job_id) or "")
 
