What failed lately on workers holds no job up for long beside a free pool

Cause: a worker with a strike takes one task at a time until a run ends well there, 66 s at most; gangs keep off probation for 16 s; quarantine doubles to 16 s. Ruled out: to end strikes sooner for all, which lets workers that fail all have work again at once. Change: a job that stands goes, after 2 s, to any worker that answers, those in quarantine last, one task at a time where tasks run alone; not where its next failure is its last.

--- a/src/saddlestack/policy/board/fits.py
+++ b/src/saddlestack/policy/board/fits.py
@@ -28,27 +28,19 @@
 
     :param label: that the worker must have, or empty.
     :param proven: whether they go to no worker on probation.
-    :param trusting: whether workers on trial or on probation count like any other.
     """
 
     service: str
     room: Resources
     label: str
     proven: bool
-    trusting: bool = False
 
     def open_to(self, worker: Worker, now: float) -> bool:
         """Whether such tasks may go to a worker that takes work."""
-        if self.proven and not self.trusting and now < worker.probation_s:
+        if self.proven and now < worker.probation_s:
             return False
         return not self.label or self.label in worker.record.labels
 
-    def copies(self, worker: Worker) -> int:
-        """How many such tasks fit into what a worker has free."""
-        if self.trusting:
-            return self.room.copies_in(worker.free)
-        return worker.fitting(self.room, worker.free)
-
 
 @dataclass(slots=True)
 class RackFit:
@@ -128,7 +120,7 @@
         new = RackFit()
         for worker in self.workers(rack):
             free = worker.free
-            new.copies += self.fit.copies(worker)
+            new.copies += worker.fitting(self.fit.room, free)
             new.most += self.fit.room.copies_in(worker.record.capacity)
             new.free += free.accelerators
         self.racks[rack.number] = new
--- a/src/saddlestack/policy/board/patience.py
+++ b/src/saddlestack/policy/board/patience.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from saddlestack.policy.board.fits import FitRooms
 from saddlestack.policy.board.index import ServiceRooms
 from saddlestack.policy.standstill import ROOM_FACTOR
 
@@ -34,10 +33,10 @@
     return stood_s > IDLE_PATIENCE_S and is_idle(rooms)
 
 
-def has_room_anywhere(fits: FitRooms, wanted: int) -> bool:
-    """Whether the whole pool has room for work, so that it has no reason to wait.
+def has_room_for(copies: int, wanted: int) -> bool:
+    """Whether a pool has room enough for work, so that it has no reason to wait.
 
-    :param fits: what the pool holds of its tasks.
+    :param copies: tasks of it that fit.
     :param wanted: tasks that have to start at once.
     """
-    return fits.total >= ROOM_FACTOR * wanted
+    return copies >= ROOM_FACTOR * wanted
--- a/src/saddlestack/policy/board/places.py
+++ b/src/saddlestack/policy/board/places.py
@@ -30,8 +30,8 @@
 """Whether a worker is kept for others."""
 
 
-class Places(Protocol):
-    """The workers that a step's tasks may go to."""
+class Room(Protocol):
+    """Workers that a step's tasks may go to now."""
 
     def gang(self) -> list[Worker] | None:
         """A worker for each task of a gang, or ``None`` where it does not fit whole."""
@@ -44,6 +44,10 @@
         """
         ...
 
+
+class Places(Room, Protocol):
+    """The workers that a step's tasks may go to."""
+
     def soonest(self) -> Sequence[Worker]:
         """Workers where a gang fits once all work of lower priority there has ended.
 
@@ -218,14 +222,15 @@
         for worker in self._rooms.tightest(room.accelerators, room.cpu):
             if self._kept is not None and self._kept(worker):
                 continue
-            if self._fits.open_to(worker) and self._fits.fit.copies(worker) > 0:
+            if self._fits.open_to(worker) and worker.fitting(room, worker.free) > 0:
                 yield worker
 
     def _spread(self) -> list[Worker] | None:
         wanted = self._step.step.count
         if self._fits.total < wanted:
             return None
-        able = ((worker, self._fits.fit.copies(worker)) for worker in self._tightest())
+        room = self._step.step.room
+        able = ((worker, worker.fitting(room, worker.free)) for worker in self._tightest())
         return fill_one_hall(able, wanted)
 
     def _has_other(self, avoid: set[str]) -> bool:
@@ -255,5 +260,33 @@
         return ()
 
 
+class AnyPlaces:
+    """Workers that answer, whatever failed there lately: for work that stands still.
+
+    Those that other work may go to as well come first, those in quarantine last.
+    """
+
+    def __init__(self, step: StepState, workers: Iterable[Worker], now: float) -> None:
+        self._step = step
+        ordered = sorted(workers, key=lambda worker: (worker.quarantine_s > now, worker.strikes))
+        found = [(worker, worker.room_for(step)) for worker in ordered]
+        self._able = [(worker, copies) for worker, copies in found if copies > 0]
+
+    @property
+    def copies(self) -> int:
+        """Tasks of the step that fit there."""
+        return sum(copies for _, copies in self._able)
+
+    def gang(self) -> list[Worker] | None:
+        """See :meth:`Places.gang`; it goes to several racks as well."""
+        return fill_one_hall(self._able, self._step.step.count)
+
+    def task(self, avoid: set[str]) -> Worker | None:
+        """See :meth:`Places.task`."""
+        workers = [worker for worker, _ in self._able]
+        fresh = [worker for worker in workers if worker.worker_id not in avoid]
+        return next(iter(fresh or workers), None)
+
+
 def _free_copies(step: StepState) -> Copies:
     return lambda worker: worker.copies(step, worker.free)
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import replace
 
 from saddlestack.policy.board.backfill import Backfill
@@ -13,11 +14,18 @@
 from saddlestack.policy.board.patience import (
     HEADROOM_PATIENCE_S,
     NEAR_PATIENCE_S,
-    has_room_anywhere,
+    has_room_for,
     is_impatient,
 )
 from saddlestack.policy.board.placement import whole_racks
-from saddlestack.policy.board.places import IndexedPlaces, Kept, ListedPlaces, Places
+from saddlestack.policy.board.places import (
+    AnyPlaces,
+    IndexedPlaces,
+    Kept,
+    ListedPlaces,
+    Places,
+    Room,
+)
 from saddlestack.policy.board.pool import Pool
 from saddlestack.policy.board.preemption import Preemptor
 from saddlestack.policy.board.reservations import Reservations, is_overdue
@@ -144,41 +152,50 @@
     def _place_anywhere(self, step: StepState, now: float) -> bool:
         """Place something of a job that stands still beside a pool that is mostly free.
 
-        Neither its data, one rack, the headroom nor waiting gangs hold it up any more, nor do
-        workers on trial or on probation where the others are not enough. Of tasks that run alone
+        Neither its data, one rack, the headroom nor waiting gangs hold it up any more, nor does
+        what failed lately on workers, unless its next failure is its last. Of tasks that run alone
         one is placed, so that the others still get the better places.
         """
         if not self._stands(step, now):
             return False
-        trust = (False,) if step.on_last_try else (False, True)
-        return any(
-            self._place_first(step, self._all_places(step, trusting, now), now)
-            for trusting in trust
-        )
+        fitting = self._fits.of(self._fit(step)).total
+        if has_room_for(fitting, step.at_once):
+            if self._place_first(step, self._all_places(step, now), now):
+                return True
+        if step.on_last_try or self._board.is_advised(step.occurrence.job):
+            return False
+        trusted = AnyPlaces(step, self._answering(step), now)
+        return has_room_for(trusted.copies, step.at_once) and self._place_first(step, trusted, now)
 
-    def _place_first(self, step: StepState, places: Places, now: float) -> bool:
+    def _place_first(self, step: StepState, room: Room, now: float) -> bool:
         """Place a gang, or one task that runs alone."""
         if step.step.gang:
-            chosen = places.gang()
+            chosen = room.gang()
             if chosen is None:
                 return False
             self._release(step)
             self._assign_gang(step, chosen, now)
             return True
         for task in step.tasks:
-            worker = places.task(task.avoid) if waits(task) else None
+            worker = room.task(task.avoid) if waits(task) else None
             if worker is not None:
                 self._assign(task, worker, task.record.run + 1, now)
                 return True
         return False
 
     def _stands(self, step: StepState, now: float) -> bool:
-        """Whether a job has had nothing running for too long, though the pool has room for it."""
+        """Whether a job has had nothing running for too long beside a pool that is mostly free."""
         if not is_impatient(self._rooms(step), step.stood_s(now)):
             return False
-        if step.occurrence.job.runs_something:
-            return False
-        return has_room_anywhere(self._fits.of(self._fit(step, trusting=True)), step.at_once)
+        return not step.occurrence.job.runs_something
+
+    def _answering(self, step: StepState) -> Iterator[Worker]:
+        """Workers that take part and answer, whatever failed there lately."""
+        for rack in self._rooms(step).racks:
+            for worker in rack.workers:
+                answers = worker.stays and worker.reachable and not worker.suspected
+                if answers and worker.matches(step.step):
+                    yield worker
 
     def _place_on(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         if step.step.gang:
@@ -229,22 +246,21 @@
             return ListedPlaces(step, near)
         return IndexedPlaces(step, self._fits.of(fit), kept)
 
-    def _all_places(self, step: StepState, trusting: bool, now: float) -> Places:
+    def _all_places(self, step: StepState, now: float) -> Places:
         """The workers that a step may go to once it prefers none of them."""
-        fit = self._fit(step, trusting=trusting)
+        fit = self._fit(step)
         if self._board.is_advised(step.occurrence.job):
             return ListedPlaces(step, self._with_leave(step, self._able(fit, now), now))
         if step.step.per_worker:
             return ListedPlaces(step, self._able(fit, now))
         return IndexedPlaces(step, self._fits.of(fit), None, spread=True)
 
-    def _fit(self, step: StepState, *, trusting: bool = False) -> Fit:
+    def _fit(self, step: StepState) -> Fit:
         return Fit(
             service=self._board.service_of(step.occurrence.job),
             room=step.step.room,
             label=step.step.label,
             proven=_needs_proof(step),
-            trusting=trusting,
         )
 
     def _listed(self, step: StepState, fit: Fit, kept: Kept | None, now: float) -> list[Worker]:
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -185,9 +185,16 @@
                 lower = lower + room
         return lower
 
+    def room_for(self, step: StepState) -> int:
+        """Tasks of a step that fit into what is free, whatever failed there lately."""
+        return self._limited(step, step.step.room.copies_in(self.free))
+
     def copies(self, step: StepState, room: Resources) -> int:
         """Tasks of a step that fit into some room of it."""
-        copies = self.fitting(step.step.room, room)
+        return self._limited(step, self.fitting(step.step.room, room))
+
+    def _limited(self, step: StepState, copies: int) -> int:
+        """So many tasks of a step, or fewer where it limits those of one worker."""
         limit = step.step.per_worker
         if not limit:
             return copies
--- a/tests/test_still_steps.py
+++ b/tests/test_still_steps.py
@@ -86,6 +86,33 @@
                 job = self.add(gang, priority=NORMAL)
                 self.assertTrue(self.started_within(job, STILL_S - TICK_S))
 
+    def test_workers_in_quarantine_hold_no_work_up_for_long_in_a_free_pool(self) -> None:
+        self.workers(racks=2, each=2)
+        for worker in self.board.workers.values():
+            worker.strikes = 3
+            worker.quarantine_s = 60.0
+        job = self.add(step(4, 2), priority=BULK)
+        self.assertTrue(self.started_within(job, STILL_S - TICK_S))
+
+    def test_a_job_whose_next_failure_is_its_last_goes_to_none_of_them(self) -> None:
+        self.workers(racks=2, each=2)
+        for worker in self.board.workers.values():
+            worker.strikes = 3
+            worker.quarantine_s = 60.0
+        job = self.add(step(1, 2), priority=BULK, attempts=2)
+        self.board.jobs[job].occurrences[0].steps[0].tasks[0].record.failures = 1
+        self.assertFalse(self.started_within(job, 59.0))
+
+    def test_sound_workers_go_before_those_in_quarantine(self) -> None:
+        self.workers(racks=2, each=4)
+        for name in ("w11", "w12", "w13", "w14", "w21", "w22"):
+            self.board.workers[name].strikes = 1
+            self.board.workers[name].quarantine_s = 60.0
+        job = self.add(step(3, 8, gang=True), priority=NORMAL)
+        self.assertTrue(self.started_within(job, STILL_S - TICK_S))
+        tasks = self.board.jobs[job].occurrences[0].steps[0].tasks
+        self.assertLessEqual({"w23", "w24"}, {task.record.worker for task in tasks})
+
     def test_workers_that_do_not_answer_make_no_pool_look_used(self) -> None:
         self.workers(racks=4, each=2)
         self.add(step(4, 8))
