Tests of who is charged, of what ends each charge, of a new leader's knowledge, and of its bounds

Cause: the mend so far had the tests of the wide job alone. Writing them found that a failure of a job that the board has forgotten would have stayed in memory for good; such a failure is now no evidence. Measured: tests of blame, index, board and progress, 96 passed.

--- a/src/saddlestack/policy/board/blame.py
+++ b/src/saddlestack/policy/board/blame.py
@@ -138,15 +138,18 @@
         self.inherited = inherited
         self.workers: dict[str, FailureKind] = {}
 
+    def fails_anywhere(self, worker_id: str) -> bool:
+        """Whether it failed on so many other workers that one more tells nothing."""
+        return worker_id not in self.workers and len(self.workers) >= WORKERS_KEPT
+
     def note(self, worker_id: str, kind: FailureKind) -> bool:
         """It failed on a worker.
 
-        :return: whether that is remembered.
+        :return: whether it has not failed there in that way before.
         """
-        if worker_id not in self.workers and len(self.workers) >= WORKERS_KEPT:
-            return False
+        is_new = self.workers.get(worker_id) is not kind
         self.workers[worker_id] = kind
-        return True
+        return is_new
 
     def elsewhere(self, worker_id: str, kind: FailureKind) -> int:
         """Other workers on which it failed in the same way.
@@ -192,8 +195,13 @@
         :return: whether it is.
         """
         job = run.task.step.occurrence.job
-        self._note(worker.worker_id, job, kind)
-        self._clear_others(worker, job, now)
+        failures = self._of_job.setdefault(job.job_id, JobFailures())
+        if failures.fails_anywhere(worker.worker_id):
+            return False
+        is_new = failures.note(worker.worker_id, kind)
+        self._accuse(worker.worker_id, _Failure(job, kind))
+        if is_new:
+            self._clear_others(worker, failures, now)
         at_fault = self._is_at_fault(worker.worker_id, now)
         if at_fault:
             worker.failed(now, early=kind is not FailureKind.LATE)
@@ -214,18 +222,16 @@
             for worker_id in failures.workers:
                 self._on_worker.get(worker_id, {}).pop(job_id, None)
 
-    def _note(self, worker_id: str, job: Job, kind: FailureKind) -> None:
-        if not self._of_job.setdefault(job.job_id, JobFailures()).note(worker_id, kind):
-            return
+    def _accuse(self, worker_id: str, failure: _Failure) -> None:
         failed = self._on_worker.setdefault(worker_id, {})
-        failed.pop(job.job_id, None)
-        failed[job.job_id] = _Failure(job, kind)
+        failed.pop(failure.job.job_id, None)
+        failed[failure.job.job_id] = failure
         if len(failed) > JOBS_KEPT:
             del failed[next(iter(failed))]
 
-    def _clear_others(self, worker: Worker, job: Job, now: float) -> None:
+    def _clear_others(self, worker: Worker, failures: JobFailures, now: float) -> None:
         """Take back what workers were charged with if it is now known to be a job's fault."""
-        for worker_id in self._of_job[job.job_id].workers:
+        for worker_id in failures.workers:
             other = self._workers.get(worker_id)
             if other is None or other is worker or not other.strikes:
                 continue
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -293,6 +293,8 @@
         self._charge(worker, run, FailureKind.EARLY if early else FailureKind.LATE, now)
 
     def _charge(self, worker: Worker, run: Run, kind: FailureKind, now: float) -> None:
+        if run.task.name.job_id not in self.jobs:
+            return
         at_fault = self._blame.failed(worker, run, kind, now)
         if at_fault and kind is not FailureKind.LATE:
             self._caution.note_faulty(worker, now)
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -2,11 +2,65 @@
 
 from __future__ import annotations
 
-from saddlestack.interfaces.workers import EndKind
-from tests.test_board import BoardCase, step
+import unittest
 
+from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask
+from saddlestack.policy.board.blame import (
+    JOBS_KEPT,
+    VERDICT,
+    WORKERS_KEPT,
+    Accusation,
+    FailureKind,
+)
+from saddlestack.policy.board.board import Board
+from saddlestack.policy.board.workers import (
+    BUSY_QUARANTINE_S,
+    FIRST_QUARANTINE_S,
+    PROBATION_S,
+    TRIAL_S,
+    Worker,
+)
+from saddlestack.work import JobState
+from tests.test_board import BULK, SERVICE, BoardCase, step
 
-class WideJobTest(BoardCase):
+EARLY, LATE, STUCK = FailureKind.EARLY, FailureKind.LATE, FailureKind.STUCK
+
+
+class BlameCase(BoardCase):
+    """Failures one by one."""
+
+    def worker(self, worker_id: str) -> Worker:
+        return self.board.workers[worker_id]
+
+    def placed(self, job_id: str) -> list[str]:
+        """The workers on which a job runs."""
+        tasks = self.board.jobs[job_id].occurrences[0].steps[0].tasks
+        return [task.run.worker_id for task in tasks if task.run is not None]
+
+    def end_on(self, worker_id: str, job_id: str, how: EndKind, now: float) -> None:
+        """All that a job runs on one worker ends."""
+        for name, number in list(self.worker(worker_id).runs):
+            if name.job_id == job_id:
+                self.board.ended(worker_id, EndedTask(1, str(name), number, how, ""), now)
+
+    def fail_one(self, now: float, *, after_s: float) -> str:
+        """A job of one task fails; the worker where it did."""
+        job_id = self.add(step(1, 8))
+        self.plan(now)
+        (worker_id,) = self.placed(job_id)
+        self.end_on(worker_id, job_id, EndKind.FAILED, now + after_s)
+        self.board.cancel(job_id)
+        return worker_id
+
+    def show(self, worker_id: str, percent: int, now: float) -> None:
+        """A worker tells that all it runs has got so far."""
+        rows = [
+            RunningTask(str(n), number, "", percent) for n, number in self.worker(worker_id).runs
+        ]
+        self.board.reported(worker_id, rows, now)
+
+
+class WideJobTest(BlameCase):
     """A job whose tasks all fail at their end, by their own fault, on every worker of a pool."""
 
     def fail_everywhere(self) -> str:
@@ -32,3 +86,257 @@
         wide = self.fail_everywhere()
         starts = self.plan(10.1).starts
         self.assertEqual(sum(s.run.task.name.job_id == wide for s in starts), 12)
+
+    def test_so_it_is_where_its_tasks_fail_at_once(self) -> None:
+        self.workers(racks=3, each=4)
+        wide = self.add(step(12, 8))
+        self.plan(0.0)
+        self.end(wide, EndKind.FAILED, now=0.02)
+        self.board.cancel(wide)
+        self.add(step(12, 8, gang=True))
+        self.assertEqual(len(self.plan(0.1).starts), 12)
+
+
+class VerdictTest(unittest.TestCase):
+    def at_fault(self, *accusations: Accusation) -> bool:
+        return VERDICT.is_at_fault(accusations)
+
+    def test_the_first_failure_of_a_job_that_failed_nowhere_else_is_enough(self) -> None:
+        for kind in FailureKind:
+            self.assertTrue(self.at_fault(Accusation(kind, 0, 0)))
+
+    def test_nothing_is_no_evidence(self) -> None:
+        self.assertFalse(self.at_fault())
+
+    def test_a_job_that_failed_late_elsewhere_too_tells_nothing(self) -> None:
+        self.assertFalse(self.at_fault(Accusation(LATE, 1, 0)))
+        self.assertFalse(self.at_fault(*[Accusation(LATE, 9, 0)] * JOBS_KEPT))
+
+    def test_where_nearly_all_runs_of_a_job_end_well_two_workers_may_be_at_fault(self) -> None:
+        self.assertFalse(self.at_fault(Accusation(LATE, 1, 16)))
+        self.assertTrue(self.at_fault(Accusation(LATE, 1, 18)))
+
+    def test_a_job_none_of_whose_runs_lives_on_accuses_three_workers(self) -> None:
+        self.assertTrue(self.at_fault(Accusation(EARLY, 2, 0)))
+        self.assertFalse(self.at_fault(Accusation(EARLY, 3, 0)))
+
+    def test_several_jobs_that_fail_early_everywhere_tell_nothing_together(self) -> None:
+        self.assertFalse(self.at_fault(*[Accusation(EARLY, 20, 0)] * JOBS_KEPT))
+
+    def test_a_job_whose_other_runs_live_on_may_accuse_a_fifth_of_its_workers(self) -> None:
+        self.assertTrue(self.at_fault(Accusation(EARLY, 5, 20)))
+        self.assertFalse(self.at_fault(Accusation(EARLY, 20, 5)))
+
+
+class ChargeTest(BlameCase):
+    """What workers are charged with on a board, and what ends it."""
+
+    def test_a_charge_is_taken_back_once_the_job_fails_elsewhere(self) -> None:
+        self.workers(each=2)
+        job = self.add(step(1, 8))
+        self.plan(0.0)
+        (first,) = self.placed(job)
+        self.end_on(first, job, EndKind.FAILED, 5.0)
+        self.assertFalse(self.worker(first).takes_work(5.1))
+        self.plan(5.1)
+        (second,) = self.placed(job)
+        self.end_on(second, job, EndKind.FAILED, 6.0)
+        for worker_id in (first, second):
+            self.assertTrue(self.worker(worker_id).takes_work(6.0))
+            self.assertEqual(self.worker(worker_id).strikes, 0)
+
+    def test_a_worker_that_fails_all_is_charged_by_the_next_job_at_the_latest(self) -> None:
+        self.workers(each=1)
+        for kind_s in (0.02, 5.0):
+            self.fail_one(100.0, after_s=kind_s)
+            self.assertEqual(self.worker("w11").strikes, 1)
+            self.worker("w11").cleared()
+            self.board._blame.ended_well("w11")
+
+    def test_workers_that_fail_at_once_are_found_beside_runs_that_live_on(self) -> None:
+        self.workers(racks=2, each=4)
+        job = self.add(step(12, 8))
+        self.plan(0.0)
+        good = self.placed(job)
+        self.workers(racks=3, each=4)
+        self.plan(10.0)
+        bad = [worker_id for worker_id in self.placed(job) if worker_id not in good]
+        for worker_id in bad:
+            self.end_on(worker_id, job, EndKind.FAILED, 10.02)
+        self.assertEqual([self.worker(each).strikes for each in bad], [1, 1, 1, 1])
+
+    def test_urgent_work_that_stands_still_charges_its_worker(self) -> None:
+        self.workers(each=1)
+        self.add(step(1, 8))
+        self.plan(0.0)
+        for now in (0.3, 5.0):
+            self.show("w11", 0, now)
+        self.assertEqual(self.worker("w11").strikes, 1)
+        self.assertGreater(self.worker("w11").probation_s, 5.0)
+
+    def test_a_pause_of_a_busy_worker_is_not_taken_back_with_a_charge(self) -> None:
+        self.workers(each=1)
+        worker = self.worker("w11")
+        worker.refused(1.0)
+        worker.failed(1.0, early=False)
+        worker.cleared()
+        self.assertFalse(worker.takes_work(1.0 + BUSY_QUARANTINE_S - 0.1))
+        self.assertTrue(worker.takes_work(1.0 + BUSY_QUARANTINE_S))
+
+    def test_a_good_end_ends_all(self) -> None:
+        self.workers(each=1)
+        self.fail_one(0.0, after_s=5.0)
+        job = self.add(step(1, 8))
+        self.plan(5.0 + FIRST_QUARANTINE_S)
+        self.end_on("w11", job, EndKind.DONE, 8.0)
+        self.assertEqual(self.worker("w11").strikes, 0)
+        self.add(step(8, 1))
+        self.assertEqual(len(self.plan(8.1).starts), 8)
+
+
+class TrialTest(BlameCase):
+    """After a quarantine a worker gets one task at a time, until one of three things ends that."""
+
+    def try_with_lasting_work(self, *, after_s: float) -> float:
+        """The only worker fails a run, and is tried with work that lasts; when it began."""
+        self.workers(each=1)
+        self.fail_one(0.0, after_s=after_s)
+        self.add(step(1, 1, long_running=True), priority=BULK)
+        began_s = after_s + PROBATION_S
+        self.assertEqual(len(self.plan(began_s).starts), 1)
+        return began_s
+
+    def others(self, now: float) -> int:
+        """How many tasks of another job start beside it."""
+        job = self.add(step(4, 1))
+        count = sum(start.run.task.name.job_id == job for start in self.plan(now).starts)
+        self.board.cancel(job)
+        return count
+
+    def test_a_run_that_makes_progress_ends_the_trial_after_an_early_failure(self) -> None:
+        began_s = self.try_with_lasting_work(after_s=0.02)
+        self.assertEqual(self.others(began_s + 0.1), 0)
+        self.show("w11", 100, began_s + 1.0)
+        self.assertEqual(self.others(began_s + 1.1), 4)
+
+    def test_it_does_not_after_a_late_one(self) -> None:
+        began_s = self.try_with_lasting_work(after_s=5.0)
+        self.show("w11", 100, began_s + 1.0)
+        self.assertEqual(self.others(began_s + 1.1), 0)
+
+    def test_a_run_that_was_there_before_tells_nothing(self) -> None:
+        self.workers(each=1)
+        self.add(step(1, 1, long_running=True))
+        self.plan(0.0)
+        job = self.add(step(1, 1))
+        self.plan(1.0)
+        self.end_on("w11", job, EndKind.FAILED, 1.02)
+        self.show("w11", 100, 2.0)
+        self.assertEqual(self.worker("w11").strikes, 1)
+
+    def test_time_ends_the_trial_where_nothing_ends_well(self) -> None:
+        self.try_with_lasting_work(after_s=5.0)
+        ends_s = 5.0 + FIRST_QUARANTINE_S + TRIAL_S
+        self.assertEqual(self.others(ends_s - 0.1), 0)
+        self.assertEqual(self.others(ends_s + 0.1), 4)
+
+    def test_time_ends_the_trial_where_nothing_fits(self) -> None:
+        self.workers(each=1)
+        self.fail_one(0.0, after_s=5.0)
+        self.add(step(4, 2, gang=True))
+        ends_s = 5.0 + FIRST_QUARANTINE_S + TRIAL_S
+        self.assertEqual(self.plan(ends_s - 0.1).starts, [])
+        self.assertEqual(len(self.plan(ends_s + 0.1).starts), 4)
+
+
+class LastTryTest(BlameCase):
+    def test_it_goes_to_no_worker_on_probation(self) -> None:
+        self.workers(each=2)
+        job = self.add(step(1, 8), priority=BULK, attempts=2)
+        self.plan(100.0)
+        (bad,) = self.placed(job)
+        self.end_on(bad, job, EndKind.FAILED, 100.02)
+        other = next(each for each in ("w11", "w12") if each != bad)
+        self.worker(other).closing = True
+        self.assertEqual(self.plan(100.02 + FIRST_QUARANTINE_S + 0.1).starts, [])
+        self.assertEqual(len(self.plan(100.02 + PROBATION_S + 0.1).starts), 1)
+        self.end_on(bad, job, EndKind.DONE, 120.0)
+        self.assertIs(self.state(job), JobState.COMPLETED)
+
+    def test_an_earlier_one_is_what_such_a_worker_is_tried_with(self) -> None:
+        self.workers(each=1)
+        job = self.add(step(1, 8), priority=BULK, attempts=3)
+        self.plan(100.0)
+        self.end_on("w11", job, EndKind.FAILED, 100.02)
+        self.assertEqual(len(self.plan(100.02 + FIRST_QUARANTINE_S + 0.1).starts), 1)
+
+
+class NewLeaderTest(BlameCase):
+    """A new leader knows nothing of workers, and from the records which jobs have failed."""
+
+    def take_over(self) -> None:
+        """Another board takes over what the records tell."""
+        old, self.board = self.board, Board()
+        self.board.configure({}, {"q": SERVICE})
+        self.workers(each=2)
+        for job in old.jobs.values():
+            records = {each.number: each.to_record() for each in job.occurrences}
+            self.board.add_job(job.accepted, records)
+
+    def test_it_knows_nothing_of_workers(self) -> None:
+        self.workers(each=2)
+        bad = self.fail_one(0.0, after_s=0.02)
+        self.take_over()
+        self.assertTrue(self.worker(bad).takes_work(0.1))
+        self.assertEqual(self.worker(bad).strikes, 0)
+
+    def test_a_job_that_failed_before_accuses_no_worker_of_a_late_failure(self) -> None:
+        self.workers(each=2)
+        job = self.add(step(2, 8), attempts=9)
+        self.plan(0.0)
+        self.end(job, EndKind.FAILED, 5.0)
+        self.take_over()
+        self.plan(6.0)
+        (first, _) = self.placed(job)
+        self.end_on(first, job, EndKind.FAILED, 11.0)
+        self.assertEqual(self.worker(first).strikes, 0)
+
+    def test_a_job_that_has_not_failed_does(self) -> None:
+        self.workers(each=2)
+        job = self.add(step(2, 8), attempts=9)
+        self.take_over()
+        self.plan(6.0)
+        (first, _) = self.placed(job)
+        self.end_on(first, job, EndKind.FAILED, 11.0)
+        self.assertEqual(self.worker(first).strikes, 1)
+
+
+class MemoryTest(BlameCase):
+    def test_what_is_remembered_has_bounds(self) -> None:
+        self.workers(racks=1, each=WORKERS_KEPT + 8)
+        wide = self.add(step(WORKERS_KEPT + 8, 8))
+        self.plan(0.0)
+        self.end(wide, EndKind.FAILED, 5.0)
+        self.board.cancel(wide)
+        blame = self.board._blame
+        self.assertEqual(len(blame._of_job[wide].workers), WORKERS_KEPT)
+        for number in range(JOBS_KEPT + 4):
+            job = self.add(step(1, 8, label="a"))
+            self.plan(100.0 * (number + 1))
+            (worker_id,) = self.placed(job)
+            self.end_on(worker_id, job, EndKind.FAILED, 100.0 * (number + 1) + 5.0)
+            self.board.cancel(job)
+        self.assertLessEqual(max(map(len, blame._on_worker.values())), JOBS_KEPT)
+
+    def test_forgotten_jobs_and_workers_leave_nothing(self) -> None:
+        self.workers(each=2)
+        job = self.add(step(2, 8))
+        self.plan(0.0)
+        first, second = self.placed(job)
+        self.end(job, EndKind.FAILED, 5.0)
+        self.board.unlist_worker(first)
+        blame = self.board._blame
+        self.assertNotIn(first, blame._on_worker)
+        self.board.forget(job)
+        self.assertEqual(blame._of_job, {})
+        self.assertEqual(blame._on_worker, {second: {}})
