--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -183,6 +183,25 @@
         self.assertFalse(worker.takes_work(1.0 + BUSY_QUARANTINE_S - 0.1))
         self.assertTrue(worker.takes_work(1.0 + BUSY_QUARANTINE_S))
 
+    def test_what_failed_before_a_good_end_is_no_evidence(self) -> None:
+        self.workers(each=2)
+        doubtful = self.add(step(1, 8, label="r1"), attempts=9)
+        self.plan(0.0)
+        (first,) = self.placed(doubtful)
+        self.end_on(first, doubtful, EndKind.FAILED, 5.0)
+        self.plan(5.1)
+        (second,) = self.placed(doubtful)
+        self.fail_one(20.0, after_s=5.0)
+        job = self.add(step(1, 8))
+        self.plan(40.0)
+        self.end_on(first, job, EndKind.DONE, 45.0)
+        self.end_on(second, doubtful, EndKind.FAILED, 46.0)
+        self.worker(second).closing = True
+        self.plan(46.1)
+        self.assertEqual(self.placed(doubtful), [first])
+        self.end_on(first, doubtful, EndKind.FAILED, 50.0)
+        self.assertEqual(self.worker(first).strikes, 0)
+
     def test_a_good_end_ends_all(self) -> None:
         self.workers(each=1)
         self.fail_one(0.0, after_s=5.0)
@@ -328,6 +347,15 @@
             self.board.cancel(job)
         self.assertLessEqual(max(map(len, blame._on_worker.values())), JOBS_KEPT)
 
+    def test_a_failure_of_a_forgotten_job_is_not_remembered(self) -> None:
+        self.workers(each=1)
+        job = self.add(step(1, 8))
+        self.plan(0.0)
+        self.board.forget(job)
+        self.end_on("w11", job, EndKind.FAILED, 5.0)
+        self.assertEqual(self.board._blame._of_job, {})
+        self.assertEqual(self.worker("w11").strikes, 0)
+
     def test_forgotten_jobs_and_workers_leave_nothing(self) -> None:
         self.workers(each=2)
         job = self.add(step(2, 8))
