--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -159,9 +159,9 @@
         if not self._stands(step, now):
             return False
         fitting = self._fits.of(self._fit(step)).total
-        if has_room_for(fitting, step.at_once):
-            if self._place_first(step, self._all_places(step, now), now):
-                return True
+        enough = has_room_for(fitting, step.at_once)
+        if enough and self._place_first(step, self._all_places(step, now), now):
+            return True
         if step.on_last_try or self._board.is_advised(step.occurrence.job):
             return False
         trusted = AnyPlaces(step, self._answering(step), now)
