--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -123,6 +123,7 @@
     :param grey_s: ...so long after the start.
     :param failed_s: when a run last failed by its own fault.
     :param hangs_until: what starts before makes no progress until then.
+    :param shares_address: another life was up at its address while it was.
     """
 
     worker_id: str
@@ -146,6 +147,7 @@
     grey_s: float = 0.0
     failed_s: float = -math.inf
     hangs_until: float = 0.0
+    shares_address: bool = False
 
     @property
     def life(self) -> str:
@@ -199,6 +201,9 @@
         if self.births:
             # The number sets lives apart that are born within one millisecond.
             worker.born = round((WALL_EPOCH_S + self._world.time()) * 1000) + number
+        for other in self.lives.values():
+            if other.up and other.address == worker.address:
+                other.shares_address = worker.shares_address = True
         self.lives[worker.life] = worker
         return worker
 
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -242,6 +242,23 @@
         self.crash_worker_of(OTHER)
         self.assertEqual([e.job_id for e in self.held_up(job(tasks(4))).unexplained], [JOB])
 
+    def test_what_workers_out_of_reach_hold_explains_where_it_is_half_of_all(self) -> None:
+        self.hand_in(job(tasks(6, ROOM, long_running=True), work_s=60.0), OTHER, "urgent")
+        self.after(1.0)
+        leader = self.site.latest_leader
+        assert leader is not None
+        for run in self.site.workers.begun:
+            way = run.worker.worker_id
+            self.site.ways.add(Fault("lossy", leader.name, way, self.now + SKIPPED_S, LOSS))
+        found = self.held_up(job(tasks(4)))
+        self.assertEqual(found.unexplained, [])
+        self.assertEqual(found.explained, {Rule.OUT_OF_REACH.value: 1})
+
+    def test_workers_at_one_address_at_once_are_no_room(self) -> None:
+        for life in list(self.site.workers.lives.values()):
+            self.site.world.call_soon(self.site.add_worker, life.rack, life.hall, life.address)
+        self.assertEqual(self.held_up(job(tasks(4))).unexplained, [])
+
     def crash_worker_of(self, job_id: str) -> None:
         runs = [run for runs in self.site.workers.history.values() for run in runs]
         worker = next(run.worker for run in runs if run.task.job_id == job_id)
