Tests: the scene of the standstill judge in a module of its own

Cause: tests of single mechanisms need the same deployment and judge as the judge's own tests. Ruled out: importing the test class: its tests would be played twice. Change: tests/simulation/scene.py; nothing is judged otherwise. Measured: tests.test_standstills, 31 passed.

--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -17,37 +17,19 @@
 from saddlestack.policy.board.queue import Planner
 from saddlestack.policy.standstill import STILL_S
 from saddlestack.standins.loop import WALL_EPOCH_S
-from saddlestack.work import JobRequest, Resources, Step, TaskName
+from saddlestack.work import JobRequest, Step, TaskName
 from tests.simulation.day import Day, day_of
-from tests.simulation.deployment import Deployment, Shape
 from tests.simulation.jobs import OTHER_ACCOUNT, JobKinds
-from tests.simulation.standstills import LOOK_S, PoolView, StandstillJudge, Standstills
+from tests.simulation.scene import BEGINS_S, JOB, OTHER, ROOM, SceneTest, job, tasks
+from tests.simulation.standstills import LOOK_S, PoolView, Standstills
 from tests.simulation.troubles import DOUBT_S, Rule
 from tests.simulation.ways import STORE, Fault
 from tests.simulation.workers import Plan, SimRun, SimWorker
 
-BEGINS_S = 2.0
-"""Workers and a leader are there by then."""
 SKIPPED_S = 5.0
-JOB = "a" * 16
-OTHER = "b" * 16
 SEED = 3
 LOSS = 0.02
 """So few calls get lost that jobs are accepted and the leader stays the same."""
-ROOM = 8
-"""Accelerators of a worker."""
-
-
-def job(step: Step, work_s: float = 0.5, **more: int) -> JobRequest:
-    """A job of one step, or of two that follow each other."""
-    plan = Plan(work_s, step.needs.accelerators, step.count if step.gang else 0)
-    payload = msgspec.json.encode(plan).decode()
-    return JobRequest(payload=payload, steps=(step,), **more)
-
-
-def tasks(count: int, accelerators: int = 1, **more: bool) -> Step:
-    """A step."""
-    return Step(count=count, needs=Resources(500, 512, accelerators), **more)
 
 
 def after(step: Step, earlier: int) -> Step:
@@ -81,30 +63,9 @@
         yield
 
 
-class JudgeTest(unittest.TestCase):
+class JudgeTest(SceneTest):
     """Twelve workers of eight accelerators in four racks, three VMs, and the judge."""
 
-    def setUp(self) -> None:
-        self.site = Deployment(Shape(), seed=1)
-        self.addCleanup(self.site.close)
-        self.jobs: dict[str, tuple[str, JobRequest]] = {}
-        self.judge = StandstillJudge(self.site, self.jobs)
-        self.site.start()
-        self.judge.begin()
-        self.site.timeline.run(BEGINS_S)
-
-    @property
-    def now(self) -> float:
-        return self.site.world.time()
-
-    def hand_in(self, request: JobRequest, job_id: str = JOB, queue: str = "normal") -> None:
-        self.jobs[job_id] = (queue, request)
-        self.site.submit(self.site.vms["entry-1"], job_id, queue, request)
-
-    def after(self, seconds: float) -> Standstills:
-        self.site.timeline.run(self.now + seconds)
-        return self.judge.found
-
     def held_up(self, request: JobRequest, seconds: float = SKIPPED_S) -> Standstills:
         """What is found where a job is passed over for so long."""
         with passed_over(JOB, self.now + seconds):
@@ -176,8 +137,8 @@
     def test_a_job_that_is_over_is_none_after_it_was_forgotten(self) -> None:
         self.hand_in(job(tasks(2)))
         self.after(3.0)
-        leader = self.site.latest_leader
-        assert leader is not None and leader.entry is not None
+        leader = self.leader
+        assert leader.entry is not None
         assert leader.entry.scheduler is not None
         leader.entry.scheduler.board.forget(JOB)
         self.assertEqual(self.after(SKIPPED_S).unexplained, [])
@@ -185,16 +146,14 @@
     # Explained
 
     def test_one_while_the_store_is_out_of_reach_is_told_as_explained(self) -> None:
-        leader = self.site.latest_leader
-        assert leader is not None
+        leader = self.leader
         self.site.ways.add(Fault("lossy", leader.name, STORE, self.now + SKIPPED_S, LOSS))
         found = self.held_up(job(tasks(4)))
         self.assertEqual(found.unexplained, [])
         self.assertEqual(found.explained, {Rule.STORE.value: 1})
 
     def test_one_that_outlasts_the_trouble_of_the_store_is_found(self) -> None:
-        leader = self.site.latest_leader
-        assert leader is not None
+        leader = self.leader
         over_s = self.now + 2.0
         self.site.ways.add(Fault("lossy", leader.name, STORE, over_s, LOSS))
         found = self.held_up(job(tasks(4)), 2.0 + SKIPPED_S)
@@ -202,17 +161,15 @@
         self.assertAlmostEqual(found.unexplained[0].since_s, over_s, delta=2 * LOOK_S)
 
     def test_a_way_to_the_store_that_is_slow_but_answers_in_time_explains_nothing(self) -> None:
-        leader = self.site.latest_leader
-        assert leader is not None
+        leader = self.leader
         self.site.ways.add(Fault("slow", leader.name, STORE, self.now + SKIPPED_S, 0.05))
         self.assertEqual(len(self.held_up(job(tasks(4))).unexplained), 1)
 
     def test_one_beside_trouble_of_a_vm_that_does_not_lead_is_found(self) -> None:
-        leader = self.site.latest_leader
+        leader = self.leader
         other = next(vm for vm in self.site.vms.values() if vm is not leader)
         self.site.ways.add(Fault("cut", other.name, STORE, self.now + SKIPPED_S))
         with passed_over(JOB, self.now + SKIPPED_S):
-            assert leader is not None
             self.jobs[JOB] = ("normal", job(tasks(4)))
             self.site.submit(leader, JOB, *self.jobs[JOB])
             found = self.after(SKIPPED_S + 1.0)
@@ -245,8 +202,7 @@
     def test_what_workers_out_of_reach_hold_explains_where_it_is_half_of_all(self) -> None:
         self.hand_in(job(tasks(6, ROOM, long_running=True), work_s=60.0), OTHER, "urgent")
         self.after(1.0)
-        leader = self.site.latest_leader
-        assert leader is not None
+        leader = self.leader
         for run in self.site.workers.begun:
             way = run.worker.worker_id
             self.site.ways.add(Fault("lossy", leader.name, way, self.now + SKIPPED_S, LOSS))
@@ -259,11 +215,6 @@
             self.site.world.call_soon(self.site.add_worker, life.rack, life.hall, life.address)
         self.assertEqual(self.held_up(job(tasks(4))).unexplained, [])
 
-    def crash_worker_of(self, job_id: str) -> None:
-        runs = [run for runs in self.site.workers.history.values() for run in runs]
-        worker = next(run.worker for run in runs if run.task.job_id == job_id)
-        self.site.end_worker(self.site.heartbeats[worker.worker_id])
-
 
 class RoomTest(unittest.TestCase):
     """Room for gangs of one rack, and for steps with a limit a worker."""
