--- /dev/null
+++ b/tests/test_standing_work.py
@@ -0,0 +1,80 @@
+"""Accepted work that stood still beside a mostly free pool, each cause by itself."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from saddlestack.interfaces.workers import EndKind
+from saddlestack.work import JobRequest, Step
+from tests.simulation.scene import JOB, OTHER, ROOM, SceneTest, job, tasks
+from tests.simulation.troubles import DOUBT_S
+from tests.simulation.ways import ANY, Fault
+from tests.simulation.workers import Plan
+
+LASTS_S = 60.0
+"""Work that goes on until its test is over."""
+LOOKED_S = 12.0
+"""For so long tests look on: the longest known patience, of work near its data, lasts 8 s."""
+RACK = "r1-1"
+"""Has three of the twelve workers."""
+
+
+def near(step: Step) -> Step:
+    """A step with data on a rack."""
+    return msgspec.structs.replace(step, data_rack=RACK)
+
+
+def failing(step: Step) -> JobRequest:
+    """A job whose every task fails once, early, by its own fault."""
+    plan = Plan(0.5, step.needs.accelerators, failures=1, fails_s=0.2)
+    return JobRequest(payload=msgspec.json.encode(plan).decode(), steps=(step,))
+
+
+class NearDataTest(SceneTest):
+    def test_a_task_whose_rack_is_full_starts_elsewhere(self) -> None:
+        self.hand_in(job(near(tasks(3, ROOM)), LASTS_S), OTHER)
+        self.after(1.0)
+        self.assertEqual({run.worker.rack for run in self.site.workers.begun}, {RACK})
+        self.hand_in(job(near(tasks(2, ROOM))))
+        self.assertEqual(self.after(LOOKED_S).unexplained, [])
+
+    def test_a_gang_wider_than_its_rack_starts(self) -> None:
+        self.hand_in(job(near(tasks(4, ROOM, gang=True))))
+        self.assertEqual(self.after(LOOKED_S).unexplained, [])
+
+
+class FailingJobTest(SceneTest):
+    def test_jobs_of_others_go_on_while_one_job_fails_everywhere(self) -> None:
+        self.hand_in(failing(tasks(24, ROOM)), OTHER)
+        self.after(3.0)
+        self.assertTrue(any(run.how is EndKind.FAILED for run in self.site.workers.begun))
+        self.hand_in(job(tasks(4, ROOM, gang=True)), JOB)
+        self.hand_in(job(tasks(4, 4)), "c" * 16)
+        self.assertEqual(self.after(LOOKED_S).unexplained, [])
+
+
+class WorkersLostTest(SceneTest):
+    def test_what_lost_workers_held_keeps_no_headroom_from_others(self) -> None:
+        self.hand_in(job(tasks(7, ROOM), LASTS_S), OTHER, "urgent")
+        self.after(3.0)
+        for run in list(self.site.workers.begun):
+            self.site.end_worker(self.site.heartbeats[run.worker.worker_id])
+        self.site.cancel(self.leader, OTHER, "urgent")
+        self.hand_in(job(tasks(2, ROOM, gang=True), LASTS_S), "c" * 16)
+        self.after(1.0)
+        self.hand_in(job(tasks(1, ROOM)))
+        self.assertEqual(self.after(LOOKED_S).unexplained, [])
+
+    def test_a_run_is_over_once_its_leases_are_though_its_worker_answers_503(self) -> None:
+        self.hand_in(job(tasks(1), work_s=4.0))
+        self.after(2.0)
+        worker = self.site.workers.begun[0].worker.worker_id
+        lasts_s = 2 * DOUBT_S
+        self.site.ways.add(Fault("busy", ANY, worker, self.now + lasts_s))
+        self.assertEqual(self.after(lasts_s).unexplained, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
