Tests: writes about one job that get lost hold up others; red until the mend

Ruled out: the store as a whole: here only writes about one job get lost. Change: a sixth test in tests/test_standing_work.py.

--- a/tests/test_standing_work.py
+++ b/tests/test_standing_work.py
@@ -2,21 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+import unittest.mock
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import msgspec
 
+from saddlestack.control.keys import PROGRESS
+from saddlestack.interfaces.store import Committed, Conflict, Transaction, WriteInDoubt
 from saddlestack.interfaces.workers import EndKind
+from saddlestack.platform.kv import CALL_TIMEOUT_S
+from saddlestack.standins.loop import WALL_EPOCH_S
 from saddlestack.work import JobRequest, Step
 from tests.simulation.scene import JOB, OTHER, ROOM, SceneTest, job, tasks
 from tests.simulation.troubles import DOUBT_S
-from tests.simulation.ways import ANY, Fault
+from tests.simulation.ways import ANY, Fault, SimStore
 from tests.simulation.workers import Plan
 
 LASTS_S = 60.0
 """Work that goes on until its test is over."""
 LOOKED_S = 12.0
 """For so long tests look on: the longest known patience, of work near its data, lasts 8 s."""
+LOST_S = 6.0
+"""For so long writes about one job get lost."""
 RACK = "r1-1"
 """Has three of the twelve workers."""
 
@@ -76,5 +86,33 @@
         self.assertEqual(self.after(lasts_s).unexplained, [])
 
 
+class WritesTest(SceneTest):
+    def test_writes_about_one_job_that_get_lost_hold_up_no_other(self) -> None:
+        due_ms = round((WALL_EPOCH_S + self.now) * 1000)
+        with lost_writes(OTHER, self.now + LOST_S):
+            self.hand_in(job(tasks(1), times=4, first_at_ms=due_ms, interval_ms=1000), OTHER)
+            self.after(1.5)
+            self.hand_in(job(tasks(4)))
+            self.after(LOST_S)
+        told = [each.job_id for each in self.judge.found.unexplained]
+        self.assertNotIn(JOB, told)
+
+
+@contextmanager
+def lost_writes(job_id: str, until: float) -> Iterator[None]:
+    """Writes about the progress of a job are not answered, nor made, before some time."""
+    plain = SimStore.transact
+
+    async def transact(self: SimStore, transaction: Transaction) -> Committed | Conflict:
+        about = any(put.key.startswith(f"{PROGRESS}{job_id}") for put in transaction.puts)
+        if about and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise WriteInDoubt("silence")
+        return await plain(self, transaction)
+
+    with unittest.mock.patch.object(SimStore, "transact", transact):
+        yield
+
+
 if __name__ == "__main__":
     unittest.main()
