--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -60,6 +60,8 @@
     """The contact with one life of a worker.
 
     :param leases: what was granted to workers in this term and before.
+    :ivar turned_away: whether the worker answered the latest look that it does nothing now. It is
+        granted no lease then: what runs there would count as running for as long as it says so.
     """
 
     def __init__(self, worker: Worker, owner: Owner, clock: Clock, leases: Leases) -> None:
@@ -70,6 +72,7 @@
         self._leases = leases
         self._heard_s = -math.inf
         self.misses = 0
+        self.turned_away = False
 
     @property
     def heard_s(self) -> float:
@@ -107,6 +110,7 @@
     def told(self, clock_ms: int) -> None:
         """A call was answered, and the answer tells the worker's clock."""
         self._times.hear(clock_ms, self._clock.now())
+        self.turned_away = False
         self.heard()
 
     def heard(self) -> None:
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -388,7 +388,8 @@
         except WorkerFenced:
             self._owner.fenced()
             return True
-        except (WorkerUnreachable, WorkerBusy):
+        except (WorkerUnreachable, WorkerBusy) as error:
+            self._contact.turned_away = isinstance(error, WorkerBusy)
             if self._unanswered(asked):
                 return True
             if self._contact.misses != 1:
@@ -407,6 +408,7 @@
         except WorkerFenced:
             self._owner.fenced()
         except WorkerBusy:
+            self._contact.turned_away = True
             if self._is_here:
                 self._contact.heard()
         except WorkerUnreachable:
@@ -450,7 +452,8 @@
         wait_s = self._wait_s() if answers else 0.0
         # A worker that does not answer gets no longer lease, so that it lapses some day; nor does
         # one from a leader that stood still, whose successor counts what it granted before.
-        renews = self.worker.runs and answers and self._owner.may_grant
+        willing = answers and not self._contact.turned_away
+        renews = self.worker.runs and willing and self._owner.may_grant
         deadline = self._contact.deadline(asked) if renews else None
         return await self._hold(deadline, wait_s, wait_s + HOLD_SLACK_S)
 
