Soak: a judge for jobs that stand still beside a free pool

Cause: the soak had no promise that an accepted job goes on while the pool is mostly free, so the standstills that users saw with real processes could not show in it.

Ruled out: looking every half second at everything (slow on the grown shape, and coarse); leaving workers in trouble out of the pool at once (standstills would vanish instead of being told as explained).

The story that tests write moved into a module of its own, since two judges are tested with it.

--- a/src/saddlestack/soak/account.py
+++ b/src/saddlestack/soak/account.py
@@ -47,6 +47,7 @@
     ATTEMPTS = "a start after all attempts had failed"
     UNKNOWN = "a start of what no client handed in"
     KEPT = "an accepted job is not over"
+    STANDS_STILL = "a job stood still beside a free pool"
     COMPLETED = "a job is shown as completed and is not done"
     FAILED = "a job is shown as failed without cause"
     NOT_CANCELLED = "a job is shown as cancelled that nobody cancelled"
--- a/src/saddlestack/soak/assessment.py
+++ b/src/saddlestack/soak/assessment.py
@@ -13,12 +13,13 @@
 import msgspec
 
 from saddlestack.interfaces.workers import EndKind
-from saddlestack.soak.account import Broken, ClientJob, PromiseTimes, judge
+from saddlestack.soak.account import Broken, ClientJob, Promise, PromiseTimes, judge
 from saddlestack.soak.disturbances import Disturbances
+from saddlestack.soak.excuses import Excuses, JudgedStandstill
 from saddlestack.soak.faults import Fault
 from saddlestack.soak.hosts import WorkerHosts
 from saddlestack.soak.load import Load, Told
-from saddlestack.soak.logsearch import lines_of
+from saddlestack.soak.logsearch import lines_of, orders_of
 from saddlestack.soak.meters import Meters
 from saddlestack.soak.platform import SoakPlatform, Term
 from saddlestack.soak.processes import EntryProcess, Program
@@ -28,14 +29,17 @@
     KindReport,
     LagReport,
     SoakReport,
+    StandstillReport,
     VmReport,
     Waits,
     objective_s,
 )
 from saddlestack.soak.runs import RunAccount, RunBook
 from saddlestack.soak.shape import JobKind, SoakShape
+from saddlestack.soak.standstills import Scene, standstills
+from saddlestack.soak.turns import AcceptedWork
 from saddlestack.standins.pool.workers import TaskPlan
-from saddlestack.work import JobState
+from saddlestack.work import JobState, Resources
 
 T = TypeVar("T", Fault, Term)
 
@@ -43,6 +47,8 @@
 """VMs whose load is told."""
 EXPLAINED = 20
 """Broken promises whose log lines are looked up."""
+MOST_ORDERS = 10_000
+"""Log lines of a job that stood still in which its starts are looked for."""
 
 
 @dataclass(slots=True)
@@ -77,7 +83,9 @@
 ) -> SoakReport:
     """Judge, and tell what was measured."""
     book = RunBook.of(evidence.hosts.records)
-    broken = _judge(evidence, entries)
+    stood = _standstills(evidence, book, entries)
+    broken = _judge(evidence, entries) + _broken_standstills(stood)
+    broken.sort(key=lambda each: each.at_s)
     shape = evidence.shape
     return SoakReport(
         shape=shape.name,
@@ -97,6 +105,7 @@
         terms=[_since_start(term, evidence.began_s) for term in evidence.platform.terms.terms],
         broken=_explained(broken, evidence, entries),
         troubled=_troubles(evidence),
+        standstills=[_standstill(each, evidence.began_s) for each in stood],
     )
 
 
@@ -124,6 +133,60 @@
     )
 
 
+def _standstills(
+    evidence: Evidence, book: RunBook, entries: Sequence[EntryProcess]
+) -> list[JudgedStandstill]:
+    """All jobs that stood still, with what explains each."""
+    shape = evidence.shape
+    worker = shape.worker
+    epoch_s = evidence.began_s - evidence.began_at
+    works = [_accepted_work(told) for told in evidence.load.jobs if told.accepted_s is not None]
+    room = Resources(worker.cpu, worker.memory_mb, worker.accelerators)
+    requests = {told.job_id: told.request for told in evidence.load.jobs}
+    scene = Scene(book, works, requests, room, epoch_s, evidence.began_s + evidence.took_s)
+    found = standstills(scene)
+    orders = orders_of(
+        [entry.log for entry in entries], {each.job_id for each in found}, epoch_s, MOST_ORDERS
+    )
+    halls = {entry.name: entry.site.hall for entry in entries}
+    excuses = Excuses(scene, evidence.faults, evidence.platform.terms.terms, halls, shape.times)
+    return [excuses.judge(each, orders.get(each.job_id, [])) for each in found]
+
+
+def _accepted_work(told: Told) -> AcceptedWork:
+    assert told.accepted_s is not None
+    return AcceptedWork(
+        told.job_id, told.request, told.accepted_s, told.kind.attempts, told.closed_s
+    )
+
+
+def _broken_standstills(stood: Sequence[JudgedStandstill]) -> list[Broken]:
+    found = []
+    for each in stood:
+        if each.excuses:
+            continue
+        what = each.stood
+        detail = (
+            f"for {what.until_s - what.since_s:.1f} s, {what.pool.used} of {what.pool.total} "
+            f"accelerators in use, {what.beside} runs of others began"
+        )
+        found.append(Broken(Promise.STANDS_STILL, what.since_s, what.job_id, (), detail))
+    return found
+
+
+def _standstill(judged: JudgedStandstill, start_s: float) -> StandstillReport:
+    stood = judged.stood
+    return StandstillReport(
+        job_id=stood.job_id,
+        since_s=stood.since_s - start_s,
+        until_s=stood.until_s - start_s,
+        used=stood.pool.used,
+        total=stood.pool.total,
+        beside=stood.beside,
+        excuses=[excuse.value for excuse in judged.excuses],
+    )
+
+
 def _client_job(told: Told) -> ClientJob:
     return ClientJob(
         job_id=told.job_id,
--- /dev/null
+++ b/src/saddlestack/soak/excuses.py
@@ -0,0 +1,213 @@
+"""Which standstills a fault near them explains, by a rule.
+
+A fault reaches from its beginning to one lease and :data:`SLACK_S` after its end. A standstill is
+broken where it has a stretch of :data:`~saddlestack.policy.standstill.STILL_S` or more in which
+
+- no fault reached the VM that led, and nobody else had begun to lead (:attr:`Excuse.LEADER`);
+- no fault of all VMs, or of the store for all, reached it (:attr:`Excuse.ALL`);
+- no fault of a worker reached it on which the job had a run, or which a VM had ordered to start
+  one, while the fault was there (:attr:`Excuse.WORKERS`);
+- room for it twice over was free on workers that no fault reached (:attr:`Excuse.ROOM`).
+
+Otherwise it is explained, by all of these that reach into it. What the job does itself, failing
+among it, explains nothing, and neither does what befell other VMs or workers of other jobs.
+"""
+
+from __future__ import annotations
+
+import enum
+import itertools
+import math
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+
+from saddlestack.policy.standstill import STILL_S
+from saddlestack.soak.disturbances import ALL_VMS
+from saddlestack.soak.faults import Fault
+from saddlestack.soak.platform import Term
+from saddlestack.soak.shape import FaultKind, ShapeTimes
+from saddlestack.soak.standstills import Scene, Stood, Trouble, standstills
+from saddlestack.soak.worker_faults import BACK_S, LATEST_S
+
+SLACK_S = 4.7
+"""So long after a lease is over, work on workers that do not answer has been begun elsewhere. With
+the platform's longest lease of 6 s, 10.7 s."""
+LAPSE_HEARTBEATS = 3
+"""A worker's record lapses after so many heartbeats of silence."""
+
+
+class Excuse(enum.StrEnum):
+    """What explains a standstill."""
+
+    LEADER = "a fault of the leader, or a change of leader"
+    ALL = "a fault of all VMs, or of the store for all"
+    WORKERS = "a fault of a worker that the job was on or was ordered to"
+    ROOM = "the room was on workers that a fault had struck"
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """A stretch of time."""
+
+    began_s: float
+    ended_s: float
+
+    def meets(self, other: Span) -> bool:
+        """Whether the two have some time in common."""
+        return self.began_s <= other.ended_s and other.began_s <= self.ended_s
+
+
+@dataclass(frozen=True, slots=True)
+class StartOrder:
+    """A VM ordered a run of a job to start.
+
+    :param worker: the id of the worker, or the name of its life.
+    """
+
+    at_s: float
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class JudgedStandstill:
+    """A standstill and what explains it.
+
+    :param excuses: empty where nothing does: a promise is broken.
+    """
+
+    stood: Stood
+    excuses: tuple[Excuse, ...]
+
+
+class Excuses:
+    """Tells what explains standstills.
+
+    :param halls: the data hall of each VM.
+    """
+
+    def __init__(
+        self,
+        scene: Scene,
+        faults: Sequence[Fault],
+        terms: Sequence[Term],
+        halls: Mapping[str, str],
+        times: ShapeTimes,
+    ) -> None:
+        self._scene = scene
+        self._times = times
+        self._reach_s = times.lease_s + SLACK_S
+        self._machines = {name: life.machine for name, life in scene.book.lives.items()}
+        self._of_workers = [fault for fault in faults if _is_of_workers(fault)]
+        self._of_all = [self._reach(fault) for fault in faults if fault.kind in ALL_VMS]
+        self._of_leaders = [
+            self._reach(fault)
+            for fault in faults
+            if any(_strikes(fault, term, halls.get(term.vm, "")) for term in terms)
+        ]
+        self._of_leaders += self._changes(terms)
+        self._sure = self._sure_standstills()
+
+    def judge(self, stood: Stood, orders: Iterable[StartOrder]) -> JudgedStandstill:
+        """Look at one standstill.
+
+        :param orders: of its job.
+        """
+        whole = Span(stood.since_s, stood.until_s)
+        sure = [span for span in self._sure.get(stood.job_id, []) if span.meets(whole)]
+        reaches = {
+            Excuse.LEADER: [span for span in self._of_leaders if span.meets(whole)],
+            Excuse.ALL: [span for span in self._of_all if span.meets(whole)],
+            Excuse.WORKERS: [
+                span for span in self._of_job(stood.job_id, orders) if span.meets(whole)
+            ],
+        }
+        reached = [span for spans in reaches.values() for span in spans]
+        if any(longest_gap_s(span, reached) >= STILL_S for span in sure):
+            return JudgedStandstill(stood, ())
+        excuses = [excuse for excuse, spans in reaches.items() if spans]
+        if longest_gap_s(whole, reached) >= STILL_S:
+            excuses.append(Excuse.ROOM)
+        return JudgedStandstill(stood, tuple(excuses))
+
+    def _sure_standstills(self) -> dict[str, list[Span]]:
+        """Standstills where only room on workers counts that no fault reached."""
+        troubles = [
+            Trouble(frozenset(fault.on.split()), fault.began_s, self._reach(fault).ended_s)
+            for fault in self._of_workers
+        ]
+        found: dict[str, list[Span]] = {}
+        for stood in standstills(self._scene, troubles):
+            found.setdefault(stood.job_id, []).append(Span(stood.since_s, stood.until_s))
+        return found
+
+    def _of_job(self, job_id: str, orders: Iterable[StartOrder]) -> Iterator[Span]:
+        """Reaches of faults of workers while the job was there."""
+        stays = [
+            (run.life.machine, Span(run.ordered_s, run.over_s))
+            for run in self._scene.book.runs
+            if run.task.job_id == job_id
+        ]
+        stays += [
+            (self._machines.get(order.worker, ""), Span(order.at_s, order.at_s)) for order in orders
+        ]
+        for fault in self._of_workers:
+            there = Span(fault.began_s, self._over_s(fault))
+            struck = fault.on.split()
+            if any(machine in struck and span.meets(there) for machine, span in stays):
+                yield self._reach(fault)
+
+    def _changes(self, terms: Sequence[Term]) -> Iterator[Span]:
+        """Times without a leader, and until the next one has taken everything over."""
+        for before, after in itertools.pairwise(terms):
+            ended_s = after.began_s if before.ended_s is None else before.ended_s
+            yield Span(ended_s, after.began_s + self._reach_s)
+
+    def _reach(self, fault: Fault) -> Span:
+        return Span(fault.began_s, self._over_s(fault) + self._reach_s)
+
+    def _over_s(self, fault: Fault) -> float:
+        """When a fault was over at the latest; a worker's goes on by itself once it was sent."""
+        ended_s = math.inf if fault.ended_s is None else fault.ended_s
+        if not _is_of_workers(fault):
+            return ended_s
+        return max(ended_s, fault.began_s + self._lasts_s(fault))
+
+    def _lasts_s(self, fault: Fault) -> float:
+        times = self._times
+        if fault.kind is FaultKind.WORKER_LATE_ORDERS:
+            return fault.seconds + LATEST_S[1]
+        if fault.kind is FaultKind.WORKER_LAPSE:
+            return fault.seconds + LAPSE_HEARTBEATS * times.heartbeat_s
+        if fault.kind in _LEAVING:
+            notice_s = max(times.drain_s, times.notice_s)
+            return notice_s + times.linger_s + BACK_S[1]
+        return fault.seconds + BACK_S[1]
+
+
+_LEAVING = frozenset(
+    {FaultKind.WORKER_DRAIN, FaultKind.WORKER_SHORT_NOTICE, FaultKind.WORKER_LEAVES}
+)
+_OF_WORKERS = frozenset(kind for kind in FaultKind if kind.value.startswith("worker_"))
+
+
+def longest_gap_s(span: Span, others: Iterable[Span]) -> float:
+    """The longest stretch of a time that others leave."""
+    longest_s = 0.0
+    at_s = span.began_s
+    for other in sorted(others, key=lambda each: each.began_s):
+        longest_s = max(longest_s, min(other.began_s, span.ended_s) - at_s)
+        at_s = max(at_s, other.ended_s)
+    return max(longest_s, span.ended_s - at_s)
+
+
+def _is_of_workers(fault: Fault) -> bool:
+    return fault.kind in _OF_WORKERS
+
+
+def _strikes(fault: Fault, term: Term, hall: str) -> bool:
+    """Whether a fault befell a VM, or its data hall, while it led."""
+    if _is_of_workers(fault) or (term.vm not in fault.on.split() and fault.on != hall):
+        return False
+    ended_s = math.inf if fault.ended_s is None else fault.ended_s
+    led_until_s = math.inf if term.ended_s is None else term.ended_s
+    return fault.began_s <= led_until_s and term.began_s <= ended_s
--- a/src/saddlestack/soak/load.py
+++ b/src/saddlestack/soak/load.py
@@ -39,7 +39,7 @@
 
     :param accepted_s: when one of its tries was answered with success.
     :param refused: all of its tries were refused.
-    :param cancel_sent: a cancel was sent; whether it arrived is not known...
+    :param cancel_sent: a cancel was sent, at ``cancel_sent_s``; whether it arrived is not known...
     :param cancelled_s: ...but for where it was answered with success, and this is when.
     :param changes: each state that was told, and when it was first told.
     """
@@ -53,6 +53,7 @@
     accepted_s: float | None = None
     refused: bool = False
     cancel_sent: bool = False
+    cancel_sent_s: float = math.inf
     cancelled_s: float | None = None
     repeated: bool = False
     changes: list[tuple[float, JobState]] = field(default_factory=list)
@@ -67,6 +68,12 @@
         """Whether its last state is final."""
         return self.state in FINAL_STATES
 
+    @property
+    def closed_s(self) -> float:
+        """When it was first told as over, or a cancel was sent; infinite where neither came."""
+        over_s = [at_s for at_s, state in self.changes if state in FINAL_STATES]
+        return min([self.cancel_sent_s, *over_s])
+
 
 class Client:
     """One client: it keeps to a VM for as long as its connection serves."""
@@ -195,6 +202,7 @@
         if told.over:
             return
         told.cancel_sent = True
+        told.cancel_sent_s = asyncio.get_running_loop().time()
         calls = self._client(told.account).calls(told.kind.name)
         if await calls.cancel(told.job_id, DEADLINE_S) is Outcome.DONE:
             told.cancelled_s = asyncio.get_running_loop().time()
--- a/src/saddlestack/soak/report.py
+++ b/src/saddlestack/soak/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Iterator, Sequence
 from pathlib import Path
 
@@ -98,11 +99,37 @@
     lines: list[str]
 
 
+class StandstillReport(msgspec.Struct):
+    """A job that stood still beside a free pool for too long.
+
+    :param used: accelerators that were held when it had stood for too long...
+    :param total: ...of so many.
+    :param beside: runs of other jobs that began meanwhile.
+    :param excuses: what explains it; empty where nothing does.
+    """
+
+    job_id: str
+    since_s: float
+    until_s: float
+    used: int
+    total: int
+    beside: int
+    excuses: list[str]
+
+    def __str__(self) -> str:
+        why = "; ".join(self.excuses) or "nothing explains it"
+        return (
+            f"{self.since_s:9.3f} to {self.until_s:9.3f}  {self.job_id}: {self.used} of "
+            f"{self.total} accelerators in use, {self.beside} runs of others began: {why}"
+        )
+
+
 class SoakReport(msgspec.Struct):
     """All that came of one soak. Times are seconds from its start.
 
     :param started_at: wall time of the start, as the logs spell it.
     :param troubled: what went wrong with the soak itself: its verdict counts for nothing.
+    :param standstills: all jobs that stood still, broken promises and explained ones.
     :param logs: the folder with all logs, where it was kept.
     """
 
@@ -123,6 +150,7 @@
     broken: list[BrokenReport]
     troubled: list[str]
     logs: str = ""
+    standstills: list[StandstillReport] = []
 
     @property
     def good(self) -> bool:
@@ -139,6 +167,11 @@
         """Jobs that were accepted."""
         return sum(kind.accepted for kind in self.kinds)
 
+    @property
+    def explained(self) -> int:
+        """Jobs that stood still by a fault near them."""
+        return sum(bool(stood.excuses) for stood in self.standstills)
+
     @property
     def unfinished(self) -> int:
         """Accepted jobs that were not over in the end."""
@@ -155,7 +188,8 @@
         return (
             f"seed {self.seed}: {jobs} jobs, {self.accepted} accepted, {len(self.faults)} faults, "
             f"{len(self.terms)} terms, {self.unfinished} unfinished, "
-            f"{len(self.broken)} promises broken"
+            f"{len(self.broken)} promises broken, "
+            f"{self.explained} standstills explained"
             + (f"; late stand-ins: {', '.join(self.late)}" if self.late else "")
         )
 
@@ -179,6 +213,7 @@
         for fault in self.faults:
             ended = "on" if fault.ended_s is None else f"{fault.ended_s:.3f}"
             yield f"  {fault.began_s:9.3f} to {ended:>9}  {fault.kind} {fault.on}: {fault.detail}"
+        yield from self._standstill_lines()
         yield ""
         yield f"Broken promises: {len(self.broken)}"
         for broken in self.broken:
@@ -200,6 +235,16 @@
                 f"{kind.in_time:.1%} of the completed in time"
             )
 
+    def _standstill_lines(self) -> Iterator[str]:
+        by_excuse = Counter(excuse for stood in self.standstills for excuse in stood.excuses)
+        yield ""
+        yield (
+            f"Jobs that stood still: {len(self.standstills)}, of which a fault near explains "
+            f"{self.explained} (more than one may)"
+        )
+        yield from (f"  {count:4}  {excuse}" for excuse, count in by_excuse.most_common())
+        yield from (f"  {stood}" for stood in self.standstills)
+
     def _load_lines(self) -> Iterator[str]:
         yield ""
         yield f"VMs (share of one processor; all hold up to {self.memory_mb:.0f} MB):"
--- a/src/saddlestack/soak/runs.py
+++ b/src/saddlestack/soak/runs.py
@@ -30,6 +30,7 @@
     """
 
     worker: str
+    machine: str
     hall: str
     rack: str
     accelerators: int
@@ -134,7 +135,12 @@
     def _add_life(self, record: LifeBegan | LifeAnnounced | LifeEnded) -> None:
         if isinstance(record, LifeBegan):
             self.lives[record.worker] = Life(
-                record.worker, record.hall, record.rack, record.accelerators, record.at_s
+                record.worker,
+                record.machine,
+                record.hall,
+                record.rack,
+                record.accelerators,
+                record.at_s,
             )
         elif isinstance(record, LifeAnnounced):
             self.lives[record.worker].announced_s = record.at_s
--- /dev/null
+++ b/tests/soak_story.py
@@ -0,0 +1,84 @@
+"""What workers of a soak tell, written down for tests of its judges."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from saddlestack.soak.messages import (
+    EndNoted,
+    LifeAnnounced,
+    LifeBegan,
+    LifeEnded,
+    Record,
+    RunBegan,
+    RunEnded,
+    RunStopping,
+    RunWorks,
+)
+
+JOB = "00000000000000aa"
+
+
+def name(index: int = 0, step: int = 0, job: str = JOB) -> str:
+    """A task's name."""
+    return f"{job}.0.{step}.{index}"
+
+
+@dataclass
+class Story:
+    """What workers told; each method adds a record."""
+
+    records: list[Record] = field(default_factory=list)
+
+    def worker(
+        self, worker: str, at_s: float = 0.0, accelerators: int = 8, machine: str = "m1"
+    ) -> None:
+        self.records.append(LifeBegan(worker, machine, "hall-1", "r1-1", accelerators, at_s))
+
+    def gone(self, worker: str, at_s: float, *, crashed: bool) -> None:
+        self.records.append(LifeEnded(worker, at_s, crashed))
+
+    def announce(self, worker: str, at_s: float) -> None:
+        self.records.append(LifeAnnounced(worker, at_s, 3.0))
+
+    def begin(
+        self,
+        worker: str,
+        at_s: float,
+        *,
+        index: int = 0,
+        run: int = 1,
+        step: int = 0,
+        fence: int = 1,
+        late: bool = False,
+        room: int = 1,
+        gang: int = 0,
+        job: str = JOB,
+    ) -> None:
+        self.records.append(
+            RunBegan(worker, name(index, step, job), run, fence, at_s, at_s, late, room, gang)
+        )
+
+    def end(
+        self,
+        worker: str,
+        at_s: float,
+        how: str = "done",
+        *,
+        index: int = 0,
+        run: int = 1,
+        step: int = 0,
+        noted_s: float | None = None,
+        lapsed: bool = False,
+        job: str = JOB,
+    ) -> None:
+        task = name(index, step, job)
+        self.records.append(RunEnded(worker, task, run, how, at_s))
+        if noted_s is not None:
+            self.records.append(EndNoted(worker, task, run, 1, noted_s, lapsed))
+
+    def stop(self, worker: str, at_s: float, *, index: int = 0, run: int = 1) -> None:
+        self.records.append(RunStopping(worker, name(index), run, 2, at_s, at_s, False))
+
+    def works(self, worker: str, at_s: float, *, index: int = 0, run: int = 1) -> None:
+        self.records.append(RunWorks(worker, name(index), run, at_s))
--- a/tests/test_soak_account.py
+++ b/tests/test_soak_account.py
@@ -4,87 +4,16 @@
 
 import random
 import unittest
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from saddlestack.soak.account import Broken, ClientJob, Promise, PromiseTimes, judge
-from saddlestack.soak.messages import (
-    EndNoted,
-    LifeAnnounced,
-    LifeBegan,
-    LifeEnded,
-    Record,
-    RunBegan,
-    RunEnded,
-    RunStopping,
-    RunWorks,
-)
 from saddlestack.work import JobRequest, JobState, Resources, Step
+from tests.soak_story import JOB, Story
 
-JOB = "00000000000000aa"
 TIMES = PromiseTimes(drain_s=3.0, cancel_s=4.0)
 NEEDS = Resources(1000, 1024, 1)
 
 
-def name(index: int = 0, step: int = 0) -> str:
-    return f"{JOB}.0.{step}.{index}"
-
-
-@dataclass
-class Story:
-    """What workers told; each method adds a record."""
-
-    records: list[Record] = field(default_factory=list)
-
-    def worker(self, worker: str, at_s: float = 0.0, accelerators: int = 8) -> None:
-        self.records.append(LifeBegan(worker, "m1", "hall-1", "r1-1", accelerators, at_s))
-
-    def gone(self, worker: str, at_s: float, *, crashed: bool) -> None:
-        self.records.append(LifeEnded(worker, at_s, crashed))
-
-    def announce(self, worker: str, at_s: float) -> None:
-        self.records.append(LifeAnnounced(worker, at_s, 3.0))
-
-    def begin(
-        self,
-        worker: str,
-        at_s: float,
-        *,
-        index: int = 0,
-        run: int = 1,
-        step: int = 0,
-        fence: int = 1,
-        late: bool = False,
-        room: int = 1,
-        gang: int = 0,
-    ) -> None:
-        self.records.append(
-            RunBegan(worker, name(index, step), run, fence, at_s, at_s, late, room, gang)
-        )
-
-    def end(
-        self,
-        worker: str,
-        at_s: float,
-        how: str = "done",
-        *,
-        index: int = 0,
-        run: int = 1,
-        step: int = 0,
-        noted_s: float | None = None,
-        lapsed: bool = False,
-    ) -> None:
-        task = name(index, step)
-        self.records.append(RunEnded(worker, task, run, how, at_s))
-        if noted_s is not None:
-            self.records.append(EndNoted(worker, task, run, 1, noted_s, lapsed))
-
-    def stop(self, worker: str, at_s: float, *, index: int = 0, run: int = 1) -> None:
-        self.records.append(RunStopping(worker, name(index), run, 2, at_s, at_s, False))
-
-    def works(self, worker: str, at_s: float, *, index: int = 0, run: int = 1) -> None:
-        self.records.append(RunWorks(worker, name(index), run, at_s))
-
-
 def request(*steps: Step) -> JobRequest:
     return JobRequest(payload="{}", steps=steps or (Step(count=1, needs=NEEDS),))
 
