Soak: jobs that fail by their own fault in bursts, and workers that fail all

Cause: users have jobs that fail now and then, of one client account among others', and workers that fail all they start; the soak had single broken jobs only. worker_errors refuses calls and worker_tasks lets tasks stand or be slow: no fault let tasks fail, though the message for it existed.

Ruled out: a higher broken_share, since it changes what existing seeds draw; drawing bursts from the load's generator, for the same reason.

Change: FailingJobs of a shape, drawn from a generator of its own; the fault worker_fails; both only in the new shape deploy/soak/failing.json, which is the small one otherwise (a test says so). Several members of a gang that fail in one run count as one attempt where the judge asks when a job was over.

--- a/src/saddlestack/soak/load.py
+++ b/src/saddlestack/soak/load.py
@@ -8,11 +8,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+import msgspec
+
 from saddlestack.platform.client import JobsClient, Outcome
 from saddlestack.soak.platform import key_of
 from saddlestack.soak.processes import CLIENTS_PORT, EntryProcess
 from saddlestack.soak.readiness import Readiness
-from saddlestack.soak.shape import JobKind, SoakShape, Spread
+from saddlestack.soak.shape import FailingJobs, JobKind, SoakShape, Spread
 from saddlestack.standins.pool.documents import HOST
 from saddlestack.standins.pool.workers import TaskPlan, payload
 from saddlestack.work import FINAL_STATES, JobRequest, JobState, Resources, Step
@@ -108,13 +110,21 @@
 
 
 class Load:
-    """All clients of one soak."""
+    """All clients of one soak.
+
+    :param failing_rng: draws the jobs that fail by their own fault, where the shape has some.
+    """
 
     def __init__(
-        self, shape: SoakShape, entries: Sequence[EntryProcess], rng: random.Random
+        self,
+        shape: SoakShape,
+        entries: Sequence[EntryProcess],
+        rng: random.Random,
+        failing_rng: random.Random,
     ) -> None:
         self._shape = shape
         self._rng = rng
+        self._failing_rng = failing_rng
         self.readiness = Readiness(entries)
         self.jobs: list[Told] = []
         self._clients = [self._new_client() for _ in range(CLIENTS_A_VM * len(entries))]
@@ -125,6 +135,8 @@
             group.create_task(self.readiness.run())
             for kind in self._shape.kinds:
                 group.create_task(self._arrivals(kind, group))
+            if self._shape.failing is not None:
+                group.create_task(self._bursts(self._shape.failing, group))
 
     async def settle(self, seconds: float) -> None:
         """Ask until every accepted job is over, or the time is."""
@@ -155,6 +167,18 @@
             self.jobs.append(told)
             group.create_task(self._drive(told, random.Random(rng.getrandbits(64))))
 
+    async def _bursts(self, failing: FailingJobs, group: asyncio.TaskGroup) -> None:
+        """Hand in jobs that fail by their own fault, many at once, now and then."""
+        rng = self._failing_rng
+        while True:
+            await asyncio.sleep(rng.uniform(*failing.pause_s))
+            name = rng.choice(failing.kinds)
+            kind = next(kind for kind in self._shape.kinds if kind.name == name)
+            for _ in range(rng.randint(*failing.jobs)):
+                told = _failing_job(failing, kind, rng)
+                self.jobs.append(told)
+                group.create_task(self._drive(told, random.Random(rng.getrandbits(64))))
+
     def _new_job(self, kind: JobKind, rng: random.Random) -> Told:
         accounts = self._shape.accounts
         account = rng.choices(accounts, [each.share for each in accounts])[0]
@@ -231,6 +255,14 @@
         return self._rng.choice(clients)
 
 
+def _failing_job(failing: FailingJobs, kind: JobKind, rng: random.Random) -> Told:
+    """A job of a kind whose tasks fail however often they start."""
+    job_id = f"{rng.getrandbits(64):016x}"
+    broken = msgspec.structs.replace(kind, broken_share=1.0, work_s=failing.work_s)
+    now = asyncio.get_running_loop().time()
+    return Told(job_id, kind, failing.account, request(broken, rng), now)
+
+
 def request(kind: JobKind, rng: random.Random) -> JobRequest:
     """A job of a kind, drawn by chance."""
     tasks = max(1, round(draw(kind.width, rng)))
--- a/src/saddlestack/soak/run.py
+++ b/src/saddlestack/soak/run.py
@@ -80,7 +80,7 @@
             self._plan.shape,
             self._platform,
             hosts,
-            Load(self._plan.shape, self._entries, self._load_rng),
+            self._new_load(),
             Meters(self._entries),
         )
         measuring = asyncio.get_running_loop().create_task(evidence.meters.run())
@@ -93,6 +93,10 @@
         plan = self._plan
         return assess(evidence, plan.seed, plan.seconds, plan.program, self._entries)
 
+    def _new_load(self) -> Load:
+        failing_rng = random.Random(f"{self._plan.seed} failing jobs")
+        return Load(self._plan.shape, self._entries, self._load_rng, failing_rng)
+
     async def _load(self, hosts: WorkerHosts, evidence: Evidence) -> None:
         """Play load and faults, and let the jobs that were accepted end."""
         shape = self._plan.shape
--- a/src/saddlestack/soak/shape.py
+++ b/src/saddlestack/soak/shape.py
@@ -58,6 +58,7 @@
     WORKER_HANG = "worker_hang"
     WORKER_ERRORS = "worker_errors"
     WORKER_TASKS = "worker_tasks"
+    WORKER_FAILS = "worker_fails"
     WORKER_STORE_CUT = "worker_store_cut"
     WORKER_VMS_CUT = "worker_vms_cut"
 
@@ -183,6 +184,26 @@
     share: float
 
 
+class FailingJobs(Model, frozen=True):
+    """Jobs that fail by their own fault, in bursts, all of one client account.
+
+    They are drawn as any job of their kind but for what they work, and fail however often they
+    start.
+
+    :param account: the client account that hands them in.
+    :param kinds: names of kinds; each burst is of one of them.
+    :param pause_s: shortest and longest time from one burst to the next.
+    :param jobs: fewest and most jobs of a burst.
+    :param work_s: seconds of work of a task until it fails.
+    """
+
+    account: str
+    kinds: tuple[str, ...]
+    pause_s: tuple[float, float]
+    jobs: tuple[int, int]
+    work_s: Spread
+
+
 class FaultMix(Model, frozen=True):
     """Which faults come, and how often.
 
@@ -204,6 +225,8 @@
     :param settle_s: after the last fault, accepted jobs have so long to end.
     :param more_faults: mixes that are played beside the faults, each drawn for itself, so that a
         seed goes on drawing the same faults when one is added.
+    :param failing: bursts of jobs that fail by their own fault, beside all others, drawn for
+        themselves as well; ``None`` for none.
     """
 
     name: str
@@ -217,6 +240,7 @@
     lead_s: float
     settle_s: float
     more_faults: tuple[FaultMix, ...] = ()
+    failing: FailingJobs | None = None
 
     @property
     def vms(self) -> int:
@@ -255,6 +279,8 @@
     yield from _account_faults(shape)
     for mix in (shape.faults, *shape.more_faults):
         yield from _mix_faults(mix)
+    if shape.failing is not None:
+        yield from _failing_faults(shape.failing, shape)
     for key in ("lead_s", "settle_s"):
         yield from _between(key, getattr(shape, key), 0, 3600)
 
@@ -328,6 +354,18 @@
             yield f"faults.{key}: expected two times above 0, the shorter one first"
 
 
+def _failing_faults(failing: FailingJobs, shape: SoakShape) -> Iterator[str]:
+    if failing.account not in {account.name for account in shape.accounts}:
+        yield "failing.account: expected the name of an account"
+    if not failing.kinds or not set(failing.kinds) <= {kind.name for kind in shape.kinds}:
+        yield "failing.kinds: expected names of kinds, one at least"
+    for key in ("pause_s", "jobs"):
+        least, most = getattr(failing, key)
+        if not 0 < least <= most:
+            yield f"failing.{key}: expected two numbers above 0, the smaller one first"
+    yield from _spread_faults("failing.work_s", failing.work_s, 0.01)
+
+
 def _distinct(place: str, names: list[str]) -> Iterator[str]:
     if not names:
         yield f"{place}: expected one at least"
--- a/src/saddlestack/soak/turns.py
+++ b/src/saddlestack/soak/turns.py
@@ -82,12 +82,14 @@
 
 def _failed_s(work: AcceptedWork, runs: Iterable[RunAccount]) -> float:
     """When a task, or a gang, had failed as often as it may."""
-    failed: dict[object, list[float]] = defaultdict(list)
+    failed: dict[object, dict[int, float]] = defaultdict(dict)
     for run in runs:
         if run.how is EndKind.FAILED and run.stands:
             is_gang = work.request.steps[run.task.step].gang
-            failed[run.step if is_gang else run.task].append(run.ended_s)
+            ends = failed[run.step if is_gang else run.task]
+            ends[run.number] = min(run.ended_s, ends.get(run.number, math.inf))
+    attempts = work.attempts
     return min(
-        (sorted(ends)[work.attempts - 1] for ends in failed.values() if len(ends) >= work.attempts),
+        (sorted(ends.values())[attempts - 1] for ends in failed.values() if len(ends) >= attempts),
         default=math.inf,
     )
--- a/src/saddlestack/soak/worker_faults.py
+++ b/src/saddlestack/soak/worker_faults.py
@@ -64,6 +64,7 @@
             FaultKind.WORKER_HANG: self._hang,
             FaultKind.WORKER_ERRORS: self._errors,
             FaultKind.WORKER_TASKS: self._tasks,
+            FaultKind.WORKER_FAILS: self._fail_tasks,
             FaultKind.WORKER_STORE_CUT: self._cut_from_store,
             FaultKind.WORKER_VMS_CUT: self._cut_from_vms,
         }
@@ -184,7 +185,7 @@
         await self._send(fault, command)
 
     async def _tasks(self, fault: Fault, rng: random.Random) -> None:
-        """Tasks stand still or are slow; none fails, so that the account of failures holds."""
+        """Tasks stand still or are slow."""
         command = TroubleTasks(
             machines=self._some(FEW_SHARE, rng),
             seconds=fault.seconds,
@@ -192,6 +193,13 @@
         )
         await self._send(fault, command)
 
+    async def _fail_tasks(self, fault: Fault, rng: random.Random) -> None:
+        """Workers fail all that they start."""
+        command = TroubleTasks(
+            machines=self._some(FEW_SHARE, rng), seconds=fault.seconds, how=TaskTrouble.FAIL
+        )
+        await self._send(fault, command)
+
     async def _cut_from_vms(self, fault: Fault, rng: random.Random) -> None:
         """Workers run on that the VMs do not reach; about half of them reach nobody at all."""
         machines = self._some(MANY_SHARE, rng)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,24 +18,27 @@
 from saddlestack.soak.disturbances import RECOVERY_S, Disturbances
 from saddlestack.soak.faults import Fault, FaultPlayer, Play
 from saddlestack.soak.launcher import CuttableDialer
-from saddlestack.soak.load import draw, request
+from saddlestack.soak.load import ALWAYS, Load, Told, draw, request
 from saddlestack.soak.logsearch import lines_of
 from saddlestack.soak.meters import Usage, VmUse
 from saddlestack.soak.platform import TermHistory, configuration
 from saddlestack.soak.processes import EntryProcess, EntrySite
 from saddlestack.soak.proxy import Proxy, Trouble
-from saddlestack.soak.report import BrokenReport, LagReport, SoakReport, Waits
+from saddlestack.soak.readiness import Readiness
+from saddlestack.soak.report import BrokenReport, LagReport, SoakReport, StandstillReport, Waits
 from saddlestack.soak.run import SoakPlan, run, sites_of
-from saddlestack.soak.shape import FaultKind, FaultMix, Spread, check, load
+from saddlestack.soak.shape import FaultKind, FaultMix, SoakShape, Spread, check, load
 from saddlestack.soak.store_messages import TermBegan, TermEnded, WayTrouble
 from saddlestack.soak.store_way import StoreWay
 from saddlestack.soak.vm_faults import VmFaults
 from saddlestack.standins.loop import run as run_virtually
+from saddlestack.standins.pool.workers import TaskPlan
 from saddlestack.wire.http import AnswerLost, HttpClient, Request, Response
 
 SHAPES = Path(__file__).parent.parent / "deploy" / "soak"
 SMALL = SHAPES / "small.json"
 GROWN = SHAPES / "grown.json"
+FAILING = SHAPES / "failing.json"
 
 
 class SoakTest(unittest.TestCase):
@@ -55,11 +58,34 @@
         self.assertEqual((grown.vms, grown.workers, len(grown.halls)), (41, 176, 3))
         self.assertAlmostEqual(grown.rate_per_s, 6.46)
 
-    def test_every_kind_of_fault_is_played_by_both_shapes(self) -> None:
-        for path in (SMALL, GROWN):
+    def test_every_kind_of_fault_is_played_and_workers_that_fail_only_where_jobs_do(self) -> None:
+        without = set(FaultKind) - {FaultKind.WORKER_FAILS}
+        for path, kinds in ((SMALL, without), (GROWN, without), (FAILING, set(FaultKind))):
             shape = load(path)
             played = [kind for mix in (shape.faults, *shape.more_faults) for kind in mix.weights]
-            self.assertEqual(sorted(played), sorted(FaultKind), path)
+            self.assertEqual(sorted(played), sorted(kinds), path)
+
+    def test_the_failing_shape_is_the_small_one_but_for_what_fails(self) -> None:
+        small, failing = load(SMALL), load(FAILING)
+        self.assertIsNone(small.failing)
+        self.assertIsNone(load(GROWN).failing)
+        assert failing.failing is not None
+        same = msgspec.structs.replace(
+            failing, name=small.name, failing=None, more_faults=failing.more_faults[:-1]
+        )
+        self.assertEqual(same, small)
+
+    def test_wrong_bursts_of_failing_jobs_are_named(self) -> None:
+        shape = load(FAILING)
+        assert shape.failing is not None
+        wrong = msgspec.structs.replace(
+            shape.failing, account="nobody", kinds=("idle",), pause_s=(0.0, 1.0), jobs=(5, 2)
+        )
+        faults = list(check(msgspec.structs.replace(shape, failing=wrong)))
+        self.assertEqual(
+            [fault.partition(":")[0] for fault in faults],
+            ["failing.account", "failing.kinds", "failing.pause_s", "failing.jobs"],
+        )
 
     def test_each_fault_is_named_with_its_place(self) -> None:
         shape = load(SMALL)
@@ -129,6 +155,49 @@
             self.assertEqual(*jobs)
 
 
+class BurstTest(unittest.TestCase):
+    """Jobs that fail by their own fault, as clients hand them in."""
+
+    def handed_in(self, shape: SoakShape) -> list[Told]:
+        async def body() -> list[Told]:
+            load = Load(shape, [], random.Random(1), random.Random(2))
+            task = asyncio.get_running_loop().create_task(load.run())
+            await asyncio.sleep(30.0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return load.jobs
+
+        async def drop(load: Load, told: Told, rng: random.Random) -> None:
+            return
+
+        with patch.object(Load, "_drive", drop), patch.object(Readiness, "run", _nothing):
+            return run_virtually(body())
+
+    def test_they_come_in_bursts_from_one_account_and_fail_for_good(self) -> None:
+        shape = load(FAILING)
+        others = msgspec.structs.replace(shape, failing=None)
+        before = {told.job_id for told in self.handed_in(others)}
+        jobs = self.handed_in(shape)
+        bursts: dict[float, list[Told]] = {}
+        for told in jobs:
+            if told.job_id not in before:
+                bursts.setdefault(told.submitted_s, []).append(told)
+        self.assertEqual(len(jobs) - len(before), sum(map(len, bursts.values())))
+        self.assertGreater(len(bursts), 4)
+        for burst in bursts.values():
+            self.assertTrue(2 <= len(burst) <= 5)
+            self.assertEqual({told.account for told in burst}, {"others"})
+            self.assertEqual(len({told.kind.name for told in burst}), 1)
+            for told in burst:
+                plan = msgspec.json.decode(told.request.payload, type=TaskPlan)
+                self.assertEqual(plan.failures, ALWAYS)
+                self.assertLessEqual(plan.work_s, 1.0)
+
+
+async def _nothing(readiness: Readiness) -> None:
+    return
+
+
 class FaultTest(unittest.TestCase):
     def test_a_seed_plays_the_same_faults_however_long_each_takes(self) -> None:
         def played(slowness: float) -> list[tuple[FaultKind, float, float]]:
@@ -244,6 +313,25 @@
         for line in ("vm_kill a", "  x1 ran twice\n    a line"):
             self.assertIn(line, text)
 
+    def test_standstills_are_told_and_counted_by_what_explains_them(self) -> None:
+        report = _report([0.01])
+        report.standstills += [
+            StandstillReport("x1", 1.0, 5.0, 3, 64, 7, ["the leader"]),
+            StandstillReport("x2", 2.0, 6.0, 3, 64, 0, ["the leader", "the room"]),
+            StandstillReport("x3", 2.0, 6.0, 3, 64, 0, []),
+        ]
+        self.assertEqual(report.explained, 2)
+        self.assertIn("2 standstills explained", report.summary())
+        text = "\n".join(report.lines())
+        for line in (
+            "Jobs that stood still: 3, of which a fault near explains 2",
+            "     2  the leader",
+            "     1  the room",
+            "x1: 3 of 64 accelerators in use, 7 runs of others began: the leader",
+            "x3: 3 of 64 accelerators in use, 0 runs of others began: nothing explains it",
+        ):
+            self.assertIn(line, text)
+
     def test_use_is_counted_over_all_lives(self) -> None:
         use = VmUse()
         for pid, processor_s in ((1, 0.5), (1, 0.8), (2, 0.2)):
