Command `saddlestack standstills`: jobs that stood still, from log lines

Ruled out: taking the processors and memory of a worker from an option too (three figures to get wrong for one); counting a worker from its first line for ever, since lives that are replaced would make any pool look free; ending a run at its stop.

A step read back from a log line tells what a task needs and whether it is a gang.

--- a/src/saddlestack/cli/entry.py
+++ b/src/saddlestack/cli/entry.py
@@ -71,6 +71,7 @@
     type=click.Path(exists=True, file_okay=False, path_type=Path),
     help="Sources that the entry VMs run, in place of these.",
 )
+@click.option("--keep-logs", is_flag=True, help="Keep the logs also where no promise broke.")
 @errors_to_exit_codes
 def soak(
     shape_path: Path,
@@ -80,6 +81,7 @@
     calm: float,
     report: Path | None,
     program_src: Path | None,
+    keep_logs: bool,
 ) -> None:
     """Run real processes on stand-ins, with faults drawn by seed; exit 1 where a promise broke."""
     from saddlestack.soak.processes import Program
@@ -90,7 +92,7 @@
     program = Program() if program_src is None else Program(program_src.resolve())
     good = True
     for each in range(seed, seed + seeds):
-        found = asyncio.run(run(SoakPlan(shape, each, seconds, calm, program)))
+        found = asyncio.run(run(SoakPlan(shape, each, seconds, calm, program, keep_logs)))
         if report is not None:
             found.write(report if seeds == 1 else report.with_stem(f"{report.stem}-{each}"))
         click.echo(found.summary())
--- a/src/saddlestack/cli/loglines.py
+++ b/src/saddlestack/cli/loglines.py
@@ -18,6 +18,8 @@
     :param leader: of an event ``leader``: who leads now, or ``None``.
     :param revision: of the leader key as it was seen, 0 where there was none.
     :param fence: the fencing token of the term, which is the revision of its key.
+    :param stood_s: of an event ``stands_still``: for how long the job had stood...
+    :param since_s: ...or since when, on the leader's clock.
     :param proof: of an event ``run_over``: why the run counts as over.
     :param age_s: how old that is.
     :param left_s: of an event ``lease_wait``: how long it lasts at most.
@@ -35,6 +37,8 @@
     reason: str = ""
     cause: str | None = None
     how: str = ""
+    stood_s: float = 0.0
+    since_s: float = 0.0
     state: str = ""
     queue: str = ""
     doubt: bool = False
--- a/src/saddlestack/cli/main.py
+++ b/src/saddlestack/cli/main.py
@@ -5,7 +5,16 @@
 import click
 
 from saddlestack import __version__
-from saddlestack.cli import entry, explaining, jobs, operators, running, trying, why
+from saddlestack.cli import (
+    entry,
+    explaining,
+    jobs,
+    operators,
+    running,
+    standstills,
+    trying,
+    why,
+)
 from saddlestack.cli.connection import Connection
 
 
@@ -56,6 +65,7 @@
 main.add_command(entry.soak)
 main.add_command(explaining.explain)
 main.add_command(why.why)
+main.add_command(standstills.standstills)
 main.add_command(running.settings)
 main.add_command(running.standin)
 main.add_command(trying.demo)
--- /dev/null
+++ b/src/saddlestack/cli/standstills.py
@@ -0,0 +1,87 @@
+"""The command `saddlestack standstills`: which jobs stood still beside a free pool."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+
+import click
+
+from saddlestack.cli.loglines import LogLine, read
+from saddlestack.cli.output import errors_to_exit_codes
+from saddlestack.cli.stillness import ACCELERATORS, LoggedStandstill, Stillness, stillness
+from saddlestack.policy.standstill import ROOM_FACTOR, STILL_S
+
+
+@click.command()
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    metavar="FILE...",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+@click.option(
+    "--accelerators",
+    type=click.IntRange(min=1),
+    default=ACCELERATORS,
+    show_default=True,
+    help="Of each worker: the logs do not tell.",
+)
+@errors_to_exit_codes
+def standstills(files: tuple[Path, ...], accelerators: int) -> None:
+    """Tell which jobs stood still, from the log FILEs of all VMs of one day.
+
+    A job stands still where nothing of it runs for 3 s or more, though a task could run, there is
+    room for it twice over, and under half of the accelerators is held. Only workers that ran
+    something are known, each from the first line that names it to the last, with the most
+    processors and memory that were ever held of one.
+    """
+    for text in described(stillness(read(files), accelerators)):
+        click.echo(text)
+
+
+def described(found: Stillness) -> Iterator[str]:
+    """What was found in words, a line each."""
+    for stood in found.found:
+        yield _row(stood)
+    for line in found.told:
+        yield _told(line)
+    yield (
+        f"{len(found.found)} times a job of {found.accepted} stood still for {STILL_S:g} s or more "
+        f"with room for {ROOM_FACTOR} of it and under half of the pool held"
+    )
+    for after, count in Counter(stood.after for stood in found.found).most_common():
+        yield f"{count:8}  after {after}"
+    jobs = {line.job for line in found.told}
+    yield f"{len(found.told)} times leaders told that a job stands still, {len(jobs)} jobs"
+    for reason, count in Counter(line.reason for line in found.told).most_common():
+        yield f"{count:8}  {reason or 'no reason'}"
+    room = found.room
+    yield (
+        f"seen: {found.workers} lives of workers, taken to have {room.accelerators} accelerators, "
+        f"{room.cpu} thousandths of a core and {room.memory_mb} MB each"
+    )
+    if found.lost_starts:
+        yield (
+            f"{found.lost_starts} runs ended whose start is not in the logs: what is told of their "
+            "jobs may be wrong"
+        )
+
+
+def _row(stood: LoggedStandstill) -> str:
+    reasons = "; ".join(stood.reasons)
+    return (
+        f"{stood.since_s:.3f} {stood.job_id} stood still for {stood.stood_s:.2f} s after "
+        f"{stood.after}, {stood.use.used} of {stood.use.total} accelerators held, "
+        f"{stood.beside} runs of others started" + (f": {reasons}" if reasons else "")
+    )
+
+
+def _told(line: LogLine) -> str:
+    since = f" since {line.since_s:.3f}" if line.since_s else ""
+    stood = f" for {line.stood_s:.2f} s" if line.stood_s else ""
+    return (
+        f"{line.at_s:.3f} {line.vm} tells that {line.job} stands still{stood}{since}: {line.reason}"
+    )
--- a/src/saddlestack/cli/steps.py
+++ b/src/saddlestack/cli/steps.py
@@ -8,8 +8,9 @@
 from saddlestack.policy.board.jobs import weight
 from saddlestack.work import Resources
 
-_SHAPE = re.compile(r"(\d+)x(\d+)acc/(\d+)cpu/\d+mb (\d+)ms")
+_SHAPE = re.compile(r"(\d+)x(\d+)acc/(\d+)cpu/(\d+)mb (\d+)ms")
 _SAVES = "saves"
+_GANG = "gang"
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,12 +20,16 @@
     :param cores: that one task holds, accelerators included.
     :param estimate_s: how long a task was guessed to take.
     :param saves: whether its tasks save their progress.
+    :param needs: what one task takes of a worker.
+    :param gang: whether its tasks run all together or not at all.
     """
 
     count: int
     cores: float
     estimate_s: float
     saves: bool
+    needs: Resources
+    gang: bool
 
 
 def logged_step(text: str) -> LoggedStep | None:
@@ -32,6 +37,14 @@
     found = _SHAPE.match(text)
     if found is None:
         return None
-    count, accelerators, cpu, estimate_ms = (int(each) for each in found.groups())
-    cores = weight(Resources(cpu, 0, accelerators))
-    return LoggedStep(count, cores, estimate_ms / 1000, _SAVES in text.split())
+    count, accelerators, cpu, memory_mb, estimate_ms = (int(each) for each in found.groups())
+    needs = Resources(cpu, memory_mb, accelerators)
+    marks = text.split()
+    return LoggedStep(
+        count,
+        weight(Resources(cpu, 0, accelerators)),
+        estimate_ms / 1000,
+        _SAVES in marks,
+        needs,
+        _GANG in marks,
+    )
--- a/src/saddlestack/soak/report.py
+++ b/src/saddlestack/soak/report.py
@@ -104,7 +104,7 @@
 
     :param used: accelerators that were held when it had stood for too long...
     :param total: ...of so many.
-    :param beside: runs of other jobs that began meanwhile.
+    :param beside: runs of other jobs that began meanwhile, before the moment in which it went on.
     :param excuses: what explains it; empty where nothing does.
     """
 
@@ -236,11 +236,12 @@
             )
 
     def _standstill_lines(self) -> Iterator[str]:
+        beside = sum(bool(stood.beside) for stood in self.standstills)
         by_excuse = Counter(excuse for stood in self.standstills for excuse in stood.excuses)
         yield ""
         yield (
             f"Jobs that stood still: {len(self.standstills)}, of which a fault near explains "
-            f"{self.explained} (more than one may)"
+            f"{self.explained} (more than one may); beside {beside} of them others began to run"
         )
         yield from (f"  {count:4}  {excuse}" for excuse, count in by_excuse.most_common())
         yield from (f"  {stood}" for stood in self.standstills)
--- a/src/saddlestack/soak/run.py
+++ b/src/saddlestack/soak/run.py
@@ -38,6 +38,7 @@
     :param seconds: for how long faults come; none come where it is 0.
     :param calm_s: load without faults before that, beside the shape's own.
     :param program: the sources that entry VMs run.
+    :param keeps_logs: the logs are kept also where no promise broke.
     """
 
     shape: SoakShape
@@ -45,6 +46,7 @@
     seconds: float
     calm_s: float = 0.0
     program: Program = OWN_PROGRAM
+    keeps_logs: bool = False
 
 
 class Soak:
@@ -182,7 +184,7 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     folder = Path(tempfile.mkdtemp(prefix="saddlestack-soak-"))
     report = await Soak(plan, folder).run()
-    if report.good:
+    if report.good and not plan.keeps_logs:
         shutil.rmtree(folder)
     else:
         report.logs = str(folder)
--- a/src/saddlestack/soak/standstills.py
+++ b/src/saddlestack/soak/standstills.py
@@ -17,6 +17,9 @@
 from saddlestack.soak.turns import AcceptedWork, Turn, turns_of
 from saddlestack.work import JobRequest, Resources
 
+BESIDE_MARGIN_S = 0.5
+"""Runs that begin less than this before a job goes on begin with it, not beside it."""
+
 
 @dataclass(frozen=True, slots=True)
 class Trouble:
@@ -33,7 +36,7 @@
 
     :param until_s: when it went on, or the room was gone.
     :param pool: what was held of the pool when it had stood for too long.
-    :param beside: runs of other jobs that began meanwhile.
+    :param beside: runs of other jobs that began meanwhile, before the moment in which it went on.
     """
 
     job_id: str
@@ -242,10 +245,11 @@
             self._found.append(replace(self._open.pop(job_id), until_s=at_s))
 
     def _with_beside(self, stood: Stood) -> Stood:
+        before_s = stood.until_s - BESIDE_MARGIN_S
         beside = sum(
             1
             for run in self._scene.book.runs
-            if stood.since_s < run.began_s < stood.until_s and run.task.job_id != stood.job_id
+            if stood.since_s < run.began_s < before_s and run.task.job_id != stood.job_id
         )
         return replace(stood, beside=beside)
 
--- a/tests/test_soak_standstills.py
+++ b/tests/test_soak_standstills.py
@@ -79,6 +79,7 @@
 
     def test_a_job_that_stands_beside_a_free_pool(self) -> None:
         self.fill("bbb", 2.0, 6.0, room=2)
+        self.story.begin("c", 5.4, job=OTHER, index=5)
         self.done(5.5, 9.0)
         self.assertEqual(self.found(), [Stood(JOB, 1.0, 5.5, PoolUse(6, 32), 3)])
 
--- /dev/null
+++ b/tests/test_standstills.py
@@ -0,0 +1,216 @@
+"""Jobs that stood still, from log lines."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from click.testing import CliRunner
+
+from saddlestack.cli.loglines import LogLine
+from saddlestack.cli.main import main
+from saddlestack.cli.standstills import described
+from saddlestack.cli.stillness import Stillness, stillness
+from saddlestack.policy.standstill import STILL_S
+from saddlestack.work import Resources
+
+JOB = "00000000000000aa"
+OTHER = "00000000000000bb"
+WIDE = "00000000000000cc"
+SMALL = "1x1acc/1000cpu/1000mb 60ms"
+
+
+def line(at_s: float, event: str, **fields: Any) -> LogLine:
+    return LogLine(event=event, at_s=at_s, **fields)
+
+
+def accepted(at_s: float, *steps: str, job: str = JOB) -> LogLine:
+    return line(at_s, "accepted", job=job, steps=steps or (SMALL,))
+
+
+def name(job: str = JOB, step: int = 0, index: int = 0) -> str:
+    return f"{job}.0.{step}.{index}"
+
+
+def start(at_s: float, worker: str = "a", run: int = 1, task: str = name()) -> LogLine:
+    return line(at_s, "start", task=task, run=run, worker=worker)
+
+
+def end(at_s: float, how: str = "done", run: int = 1, task: str = name()) -> LogLine:
+    return line(at_s, "ended", task=task, run=run, how=how, worker="a")
+
+
+def pool(until_s: float = 100.0, workers: str = "abcd") -> list[LogLine]:
+    """Lines that name workers from the beginning to some time; a short run on each."""
+    found = [accepted(0.0, f"{len(workers)}x8acc/8000cpu/8000mb 60ms", job=OTHER)]
+    for index, worker in enumerate(workers):
+        task = name(OTHER, index=index)
+        found.append(start(0.0, worker, task=task))
+        found.append(line(0.1, "ended", task=task, run=1, how="done", worker=worker))
+        found.append(line(until_s, "lease_wait", worker=worker))
+    return found
+
+
+def read(*lines: LogLine, pool_until_s: float = 100.0) -> Stillness:
+    whole = [*pool(pool_until_s), *lines]
+    return stillness(sorted(whole, key=lambda each: each.at_s))
+
+
+def spans(*lines: LogLine, pool_until_s: float = 100.0) -> list[tuple[str, float, float]]:
+    found = read(*lines, pool_until_s=pool_until_s).found
+    return [(each.job_id, each.since_s, each.until_s) for each in found]
+
+
+class StillnessTest(unittest.TestCase):
+    def test_a_job_that_starts_soon_is_none(self) -> None:
+        self.assertEqual(spans(accepted(1.0), start(1.0 + STILL_S - 0.1), end(9.0)), [])
+
+    def test_a_job_that_stood_before_its_first_start(self) -> None:
+        other = [accepted(2.0, job=WIDE), start(2.1, "b", task=name(WIDE))]
+        found = read(accepted(1.0), *other, start(6.0), end(9.0)).found
+        self.assertEqual([(each.job_id, each.beside) for each in found], [(JOB, 1)])
+        self.assertEqual((found[0].since_s, found[0].until_s), (1.0, 6.0))
+        self.assertEqual((found[0].use.used, found[0].use.total), (1, 32))
+        self.assertEqual(found[0].after, "accepted")
+
+    def test_a_job_that_stood_after_a_run_that_failed(self) -> None:
+        again = [start(9.0, run=2), end(9.5, run=2)]
+        found = read(accepted(1.0), start(1.0), end(2.0, "failed"), *again).found
+        self.assertEqual([(each.since_s, each.after) for each in found], [(2.0, "ended failed")])
+
+    def test_what_broke_a_gang_is_told_and_not_that_it_broke(self) -> None:
+        gang = accepted(1.0, "2x1acc/1000cpu/1000mb 60ms gang")
+        starts = [start(1.0), start(1.0, task=name(index=1))]
+        for ends in (
+            [end(2.0, "failed"), end(2.1, "broken", task=name(index=1))],
+            [end(2.0, "broken"), end(2.1, "failed", task=name(index=1))],
+        ):
+            self.assertEqual(
+                [each.after for each in read(gang, *starts, *ends).found], ["ended failed"]
+            )
+
+    def test_runs_that_count_as_over_end_too(self) -> None:
+        for event in ("run_over", "run_absent", "start_refused"):
+            over = line(2.0, event, task=name(), run=1, worker="a")
+            got = spans(accepted(1.0), start(1.0), over, start(9.0, run=2), end(9.5, run=2))
+            self.assertEqual(got, [(JOB, 2.0, 9.0)], event)
+
+    def test_a_job_that_is_over_stands_no_more(self) -> None:
+        for closing in (
+            line(2.0, "cancelled", job=JOB),
+            line(2.0, "job", job=JOB, state="completed"),
+            line(2.0, "job", job=JOB, state="failed"),
+            line(2.0, "forgotten", job=JOB),
+        ):
+            self.assertEqual(spans(accepted(1.0), closing), [], closing.event)
+
+    def test_a_job_all_of_whose_tasks_are_done_waits_for_nothing(self) -> None:
+        self.assertEqual(spans(accepted(1.0), start(1.0), end(2.0)), [])
+        two = accepted(1.0, "2x1acc/1000cpu/1000mb 60ms gang")
+        second = start(1.0, task=name(index=1))
+        broken = end(2.0, "broken", task=name(index=1))
+        self.assertEqual(spans(two, start(1.0), second, end(2.0), broken), [])
+        alone = accepted(1.0, "2x1acc/1000cpu/1000mb 60ms")
+        got = spans(alone, start(1.0), second, end(2.0), broken)
+        self.assertEqual(got, [(JOB, 2.0, 100.0)])
+
+    def test_the_earliest_step_that_is_not_done_counts(self) -> None:
+        big = "9x8acc/8000cpu/8000mb 60ms gang"
+        self.assertEqual(spans(accepted(1.0, big, SMALL)), [])
+        got = spans(accepted(1.0, SMALL, big), start(1.0), end(2.0))
+        self.assertEqual(got, [])
+        got = spans(accepted(1.0, SMALL, SMALL), start(1.0), end(2.0))
+        self.assertEqual(got, [(JOB, 2.0, 100.0)])
+
+    def test_a_pool_that_is_half_held_is_none(self) -> None:
+        wide = accepted(0.5, "2x8acc/8000cpu/8000mb 60ms", job=WIDE)
+        tasks = [name(WIDE, index=index) for index in range(2)]
+        held = [start(0.6, worker, task=task) for worker, task in zip("ab", tasks, strict=True)]
+        over = [end(20.0, task=task) for task in tasks]
+        got = spans(wide, *held, accepted(1.0), *over)
+        self.assertEqual(got, [(JOB, 20.0, 100.0)])
+
+    def test_room_for_less_than_twice_is_none(self) -> None:
+        for step, stands in (
+            ("16x1acc/1000cpu/1000mb 60ms gang", True),
+            ("17x1acc/1000cpu/1000mb 60ms gang", False),
+            ("17x1acc/1000cpu/1000mb 60ms", True),
+            ("1x1acc/8000cpu/1000mb 60ms", True),
+            ("1x1acc/8001cpu/1000mb 60ms", False),
+            ("1x1acc/1000cpu/8001mb 60ms", False),
+        ):
+            self.assertEqual(bool(spans(accepted(1.0, step))), stands, step)
+
+    def test_workers_that_no_line_names_any_more_are_no_room(self) -> None:
+        self.assertEqual(spans(accepted(1.0), line(90.0, "job", job="x"), pool_until_s=0.5), [])
+        self.assertEqual(len(spans(accepted(1.0), pool_until_s=0.5 + 1.0 + STILL_S)), 1)
+
+    def test_a_second_acceptance_changes_nothing(self) -> None:
+        self.assertEqual(spans(accepted(1.0), start(1.0), accepted(3.0), end(5.0)), [])
+
+    def test_ends_without_a_start_are_counted(self) -> None:
+        self.assertEqual(read(accepted(1.0), end(2.0, "failed")).lost_starts, 1)
+        self.assertEqual(read(accepted(1.0), start(1.0), end(2.0)).lost_starts, 0)
+
+    def test_what_is_taken_of_a_worker(self) -> None:
+        self.assertEqual(read().room, Resources(8000, 8000, 8))
+        self.assertEqual(stillness(pool(), accelerators=4).room, Resources(8000, 8000, 8))
+        self.assertEqual(stillness(pool(), accelerators=16).room, Resources(8000, 8000, 16))
+
+    def test_what_leaders_told_stands_beside(self) -> None:
+        told = [
+            line(4.0, "stands_still", vm="v1", job=JOB, reason="quarantine", stood_s=3.0),
+            line(5.0, "stands_still", vm="v1", job=JOB, reason="quarantine", stood_s=4.0),
+            line(50.0, "stands_still", vm="v2", job=OTHER, reason="gang", since_s=47.0),
+        ]
+        found = read(accepted(1.0), *told, start(6.0), end(9.0))
+        self.assertEqual([each.reasons for each in found.found], [("quarantine",)])
+        text = "\n".join(described(found))
+        for part in (
+            "1.000 00000000000000aa stood still for 5.00 s after accepted, 0 of 32 accelerators",
+            "4.000 v1 tells that 00000000000000aa stands still for 3.00 s: quarantine",
+            "50.000 v2 tells that 00000000000000bb stands still since 47.000: gang",
+            "3 times leaders told that a job stands still, 2 jobs",
+            "       2  quarantine",
+            "seen: 4 lives of workers, taken to have 8 accelerators, 8000 thousandths",
+        ):
+            self.assertIn(part, text)
+
+    def test_no_lines_tell_nothing(self) -> None:
+        self.assertEqual(stillness([]).found, ())
+
+
+class CommandTest(unittest.TestCase):
+    def test_logs_of_all_vms_as_collectors_write_them(self) -> None:
+        tasks = [name(index=index) for index in range(2)]
+        rows: list[dict[str, object]] = [
+            {"event": "accepted", "job": JOB, "steps": ["2x1acc/1000cpu/1000mb 60ms"]},
+            *({"event": "start", "task": task, "run": 1, "worker": "a"} for task in tasks),
+            {"event": "ended", "task": tasks[0], "run": 1, "worker": "a", "how": "broken"},
+            {"event": "ended", "task": tasks[1], "run": 1, "worker": "a", "how": "failed"},
+            {"event": "lease_wait", "worker": "a"},
+            {"event": "job", "job": JOB, "state": "failed"},
+        ]
+        times = (1.0, 1.1, 1.1, 2.0, 2.1, 9.0, 9.5)
+        texts = [f"{at_s} vm-1 {json.dumps(row)}" for at_s, row in zip(times, rows, strict=True)]
+        with tempfile.TemporaryDirectory() as folder:
+            files = [Path(folder) / "one.log", Path(folder) / "two.log"]
+            files[0].write_text("not a log line\n" + "\n".join(texts[::2]))
+            files[1].write_text("\n".join(texts[1::2]))
+            result = CliRunner().invoke(main, ["standstills", *map(str, files)])
+            more = CliRunner().invoke(
+                main, ["standstills", "--accelerators", "16", *map(str, files)]
+            )
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertIn(f"2.100 {JOB} stood still for 7.40 s after ended failed", result.output)
+        self.assertIn("1 times a job of 1 stood still", result.output)
+        self.assertIn("       1  after ended failed", result.output)
+        self.assertIn("0 of 8 accelerators held", result.output)
+        self.assertIn("0 of 16 accelerators held", more.output)
+
+    def test_a_day_without_standstills(self) -> None:
+        found = Stillness((), 0, 0, Resources(), 2, ())
+        self.assertIn("2 runs ended whose start is not in the logs", "\n".join(described(found)))
