Soak: what stops a leader as a whole explains a standstill only until others start

Others that start rule out whatever stops a leader as a whole.

Ruled out: a shorter slack for all, since work on workers that do not answer is waited for one lease; so cuts of halls and lapses of records, which keep VMs from workers, go on reaching that far.

Change: faults of the leader, of all VMs and of the store, and changes of leader, reach one second beyond the first start ordered after their end, one lease and the slack at most; a fault of a former leader no further than its term.

--- a/src/saddlestack/soak/excuses.py
+++ b/src/saddlestack/soak/excuses.py
@@ -1,10 +1,15 @@
 """Which standstills a fault near them explains, by a rule.
 
-A fault reaches from its beginning to one lease and :data:`SLACK_S` after its end. A standstill is
-broken where it has a stretch of :data:`~saddlestack.policy.standstill.STILL_S` or more in which
+A fault reaches from its beginning to one lease and :data:`SLACK_S` after its end. What stops the
+leader or all VMs as a whole stops all jobs, so such a fault reaches only :data:`SETTLED_S` beyond
+the first start, of whatever job, that was ordered after its end.
+
+A standstill is broken where it has a stretch of
+:data:`~saddlestack.policy.standstill.STILL_S` or more in which
 
 - no fault reached the VM that led, and nobody else had begun to lead (:attr:`Excuse.LEADER`);
-- no fault of all VMs, or of the store for all, reached it (:attr:`Excuse.ALL`);
+- no fault of all VMs, of the store for all, or of a share of all workers' ways or records reached
+  it (:attr:`Excuse.ALL`);
 - no fault of a worker reached it on which the job had a run, or which a VM had ordered to start
   one, while the fault was there (:attr:`Excuse.WORKERS`);
 - room for it twice over was free on workers that no fault reached (:attr:`Excuse.ROOM`).
@@ -15,6 +20,7 @@
 
 from __future__ import annotations
 
+import bisect
 import enum
 import itertools
 import math
@@ -32,6 +38,8 @@
 SLACK_S = 4.7
 """So long after a lease is over, work on workers that do not answer has been begun elsewhere. With
 the platform's longest lease of 6 s, 10.7 s."""
+SETTLED_S = 1.0
+"""A leader that has ordered a first start has looked at all that waits so long after that."""
 LAPSE_HEARTBEATS = 3
 """A worker's record lapses after so many heartbeats of silence."""
 
@@ -97,14 +105,22 @@
         self._times = times
         self._reach_s = times.lease_s + SLACK_S
         self._machines = {name: life.machine for name, life in scene.book.lives.items()}
+        self._ordered_s = sorted(run.ordered_s for run in scene.book.runs if not run.late)
         self._of_workers = [fault for fault in faults if _is_of_workers(fault)]
-        self._of_all = [self._reach(fault) for fault in faults if fault.kind in ALL_VMS]
-        self._of_leaders = [
+        self._of_all = [
             self._reach(fault)
+            if fault.kind in _OF_MANY_WORKERS
+            else self._until_starts(_span(fault))
             for fault in faults
-            if any(_strikes(fault, term, halls.get(term.vm, "")) for term in terms)
+            if fault.kind in ALL_VMS
         ]
-        self._of_leaders += self._changes(terms)
+        self._of_leaders = [
+            self._until_starts(span)
+            for fault in faults
+            for term in terms
+            if (span := _struck(fault, term, halls.get(term.vm, ""))) is not None
+        ]
+        self._of_leaders += [self._until_starts(span) for span in _leaderless(terms)]
         self._sure = self._sure_standstills()
 
     def judge(self, stood: Stood, orders: Iterable[StartOrder]) -> JudgedStandstill:
@@ -156,11 +172,11 @@
             if any(machine in struck and span.meets(there) for machine, span in stays):
                 yield self._reach(fault)
 
-    def _changes(self, terms: Sequence[Term]) -> Iterator[Span]:
-        """Times without a leader, and until the next one has taken everything over."""
-        for before, after in itertools.pairwise(terms):
-            ended_s = after.began_s if before.ended_s is None else before.ended_s
-            yield Span(ended_s, after.began_s + self._reach_s)
+    def _until_starts(self, span: Span) -> Span:
+        """The reach of what stops all jobs: until some job starts again, and a little more."""
+        place = bisect.bisect_left(self._ordered_s, span.ended_s)
+        first_s = self._ordered_s[place] if place < len(self._ordered_s) else math.inf
+        return Span(span.began_s, min(span.ended_s + self._reach_s, first_s + SETTLED_S))
 
     def _reach(self, fault: Fault) -> Span:
         return Span(fault.began_s, self._over_s(fault) + self._reach_s)
@@ -187,6 +203,8 @@
 _LEAVING = frozenset(
     {FaultKind.WORKER_DRAIN, FaultKind.WORKER_SHORT_NOTICE, FaultKind.WORKER_LEAVES}
 )
+_OF_MANY_WORKERS = frozenset({FaultKind.HALL_CUT, FaultKind.RECORDS_LAPSE})
+"""Faults of all VMs that keep them from workers: what ran there may be waited for one lease."""
 _OF_WORKERS = frozenset(kind for kind in FaultKind if kind.value.startswith("worker_"))
 
 
@@ -204,10 +222,22 @@
     return fault.kind in _OF_WORKERS
 
 
-def _strikes(fault: Fault, term: Term, hall: str) -> bool:
-    """Whether a fault befell a VM, or its data hall, while it led."""
+def _span(event: Fault | Term) -> Span:
+    return Span(event.began_s, math.inf if event.ended_s is None else event.ended_s)
+
+
+def _struck(fault: Fault, term: Term, hall: str) -> Span | None:
+    """When a fault befell a VM, or its data hall, while it led; ``None`` where it did not."""
     if _is_of_workers(fault) or (term.vm not in fault.on.split() and fault.on != hall):
-        return False
-    ended_s = math.inf if fault.ended_s is None else fault.ended_s
-    led_until_s = math.inf if term.ended_s is None else term.ended_s
-    return fault.began_s <= led_until_s and term.began_s <= ended_s
+        return None
+    there, led = _span(fault), _span(term)
+    if not there.meets(led):
+        return None
+    return Span(max(there.began_s, led.began_s), min(there.ended_s, led.ended_s))
+
+
+def _leaderless(terms: Sequence[Term]) -> Iterator[Span]:
+    """Times between two leaders."""
+    for before, after in itertools.pairwise(terms):
+        ended_s = after.began_s if before.ended_s is None else before.ended_s
+        yield Span(ended_s, after.began_s)
--- a/tests/test_soak_standstills.py
+++ b/tests/test_soak_standstills.py
@@ -231,6 +231,30 @@
         later = (Term(1, "vm-1", 0.0, 98.0 - REACH_S), Term(2, "vm-2", 99.0 - REACH_S))
         self.assertEqual(self.judged(terms=later).excuses, ())
 
+    def test_what_stops_a_leader_explains_nothing_once_others_start(self) -> None:
+        stopped = (
+            Fault(FaultKind.LEADER_FREEZE, 1.0, 99.0, 99.5, on="vm-1"),
+            Fault(FaultKind.STORE_AWAY, 1.0, 99.0, 99.5),
+            Fault(FaultKind.ALL_KILL, 1.0, 99.0, 99.5, on="all"),
+        )
+        terms = (Term(1, "vm-1", 0.0, 98.0), Term(2, "vm-2", 99.0))
+        self.fill("a", 102.5, 103.0, room=1)
+        for fault in stopped:
+            self.assertEqual(len(self.judged(fault).excuses), 1, fault)
+        self.assertEqual(self.judged(terms=terms).excuses, (Excuse.LEADER,))
+        self.fill("b", 100.2, 100.4, room=1)
+        for fault in stopped:
+            self.assertEqual(self.judged(fault).excuses, (), fault)
+        self.assertEqual(self.judged(terms=terms).excuses, ())
+        cut = Fault(FaultKind.HALL_CUT, 1.0, 99.0, 99.5, on="hall-1")
+        self.assertIn(Excuse.ALL, self.judged(cut).excuses)
+
+    def test_a_fault_of_a_former_leader_reaches_no_further_than_its_term(self) -> None:
+        terms = (Term(1, "vm-1", 0.0, 95.0), Term(2, "vm-2", 95.1))
+        self.fill("a", 95.2, 95.4, room=1)
+        frozen = Fault(FaultKind.LEADER_FREEZE, 1.0, 94.0, 104.0, on="vm-1")
+        self.assertEqual(self.judged(frozen, terms=terms).excuses, ())
+
     def test_a_fault_of_all_explains(self) -> None:
         for kind in (FaultKind.STORE_AWAY, FaultKind.ALL_KILL, FaultKind.HALL_CUT):
             self.assertEqual(self.judged(Fault(kind, 1.0, 99.0, 101.0)).excuses, (Excuse.ALL,))
