--- a/src/saddlestack/cli/loggedpool.py
+++ b/src/saddlestack/cli/loggedpool.py
@@ -111,17 +111,22 @@
     return found
 
 
-def most_held(lines: Iterable[LogLine], needs: Mapping[tuple[str, int], Resources]) -> Resources:
-    """The most of each kind of room that was held of one worker at one time."""
+def most_held(
+    lines: Iterable[LogLine], needs: Mapping[tuple[str, int], Resources], accelerators: int
+) -> Resources:
+    """The most processors and memory that were held of one worker at one time, and accelerators.
+
+    What seems to hold more accelerators than there are has ended unheard, and does not count.
+
+    :param accelerators: of each worker.
+    """
     pool = LoggedPool(needs)
-    most = _NOTHING
+    most = Resources(0, 0, accelerators)
     for line in lines:
         pool.take(line)
         if line.event == START:
             held = pool.held[line.worker]
-            most = Resources(
-                max(most.cpu, held.cpu),
-                max(most.memory_mb, held.memory_mb),
-                max(most.accelerators, held.accelerators),
-            )
+            if held.accelerators <= accelerators:
+                cpu, memory_mb = max(most.cpu, held.cpu), max(most.memory_mb, held.memory_mb)
+                most = Resources(cpu, memory_mb, accelerators)
     return most
--- a/src/saddlestack/cli/stillness.py
+++ b/src/saddlestack/cli/stillness.py
@@ -21,6 +21,7 @@
     RUN_ENDS,
     START,
     LoggedPool,
+    RunKey,
     SeenWorker,
     most_held,
     needs_of,
@@ -115,11 +116,10 @@
     """Find jobs that stood still.
 
     :param lines: of all VMs, in order of time.
-    :param accelerators: of each worker; more, where more was held.
+    :param accelerators: of each worker.
     """
     needs = needs_of(lines)
-    most = most_held(lines, needs)
-    room = Resources(most.cpu, most.memory_mb, max(accelerators, most.accelerators))
+    room = most_held(lines, needs, accelerators)
     workers = seen_workers(lines)
     reader = _Reader(LoggedPool(needs), room, workers)
     reader.read(lines)
@@ -166,6 +166,7 @@
         self._goings = [(seen.last_s, name) for name, seen in workers.items()]
         heapq.heapify(self._comings)
         heapq.heapify(self._goings)
+        self._started: set[RunKey] = set()
         self._watch = StillWatch()
         self._standing: set[str] = set()
         self._idle: set[str] = set()
@@ -215,6 +216,7 @@
         job_id = _job_of(line)
         known = (line.task, line.run) in self._pool.runs
         self._pool.take(line)
+        self._started.add((line.task, line.run))
         if job_id in self.jobs and not known:
             self.jobs[job_id].running += 1
             self.jobs[job_id].last = "a start"
@@ -225,7 +227,8 @@
         job = self.jobs.get(job_id)
         known = (line.task, line.run) in self._pool.runs
         self._pool.take(line)
-        if line.event == "ended" and not known:
+        if line.event == "ended" and (line.task, line.run) not in self._started:
+            self._started.add((line.task, line.run))
             self.lost_starts += 1
         if job is None:
             return
