--- a/src/saddlestack/cli/loggedpool.py
+++ b/src/saddlestack/cli/loggedpool.py
@@ -1,14 +1,15 @@
 """The pool as log lines show it: which workers there were, and what runs hold of them.
 
 The logs tell neither the workers that there are nor their room. A life of a worker counts from the
-first line that names it to the last one. How many accelerators each has is told from outside. Of
+first line that names it to the last one, or to the end of the day where no line tells of any worker
+that went or was silent. How many accelerators each has is told from outside. Of
 processors and memory it is taken to have the most that was held of one worker at one time, which
 is known to be there: standstills for which only more would be room enough are not found.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from saddlestack.cli.loglines import LogLine
@@ -17,7 +18,11 @@
 from saddlestack.work import Resources, TaskName
 
 START = "start"
+GOINGS = frozenset({"lease_wait", "run_over", "worker_replaced", "worker_silent"})
+"""Events that tell of workers that went, or were silent."""
 RUN_ENDS = frozenset({"ended", "run_over", "run_absent", "start_refused"})
+LEAVES = "worker_leaves"
+"""The reason of a stop on a worker that has announced its end."""
 _NOTHING = Resources()
 RunKey = tuple[str, int]
 """A task and the number of its run."""
@@ -97,8 +102,8 @@
     return found
 
 
-def seen_workers(lines: Iterable[LogLine]) -> dict[str, SeenWorker]:
-    """The lives of workers that ran something."""
+def seen_workers(lines: Sequence[LogLine]) -> dict[str, SeenWorker]:
+    """The lives of workers that ran something, lines in order of time."""
     found: dict[str, SeenWorker] = {}
     for line in lines:
         if not line.worker:
@@ -108,7 +113,9 @@
             found[line.worker] = SeenWorker(known.first_s, line.at_s)
         elif line.event == START:
             found[line.worker] = SeenWorker(line.at_s, line.at_s)
-    return found
+    if any(line.event in GOINGS or line.reason == LEAVES for line in lines):
+        return found
+    return {name: SeenWorker(seen.first_s, lines[-1].at_s) for name, seen in found.items()}
 
 
 def most_held(
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -148,6 +148,14 @@
         self.assertEqual(spans(accepted(1.0), line(90.0, "job", job="x"), pool_until_s=0.5), [])
         self.assertEqual(len(spans(accepted(1.0), pool_until_s=0.5 + 1.0 + STILL_S)), 1)
 
+    def test_workers_stay_where_no_line_tells_of_one_that_went(self) -> None:
+        lines = [each for each in pool() if each.event != "lease_wait"]
+        lines += [accepted(1.0), line(90.0, "job", job="x")]
+        self.assertEqual(len(stillness(lines).found), 1)
+        left = line(0.5, "stop", task=name(OTHER), run=1, worker="d", reason="worker_leaves")
+        for gone in (line(0.5, "worker_silent", worker="d"), left):
+            self.assertEqual(stillness([*lines[:-2], gone, *lines[-2:]]).found, ())
+
     def test_a_second_acceptance_changes_nothing(self) -> None:
         self.assertEqual(spans(accepted(1.0), start(1.0), accepted(3.0), end(5.0)), [])
 
