Reader of standstills: a run that its worker never had tells of no worker that went

Ruled out: the processors and memory that the reader takes (with the true ones it missed the same).

Change: only the proofs "replaced" and "lapsed" tell of a worker that went.

--- a/src/saddlestack/cli/loggedpool.py
+++ b/src/saddlestack/cli/loggedpool.py
@@ -18,8 +18,10 @@
 from saddlestack.work import Resources, TaskName
 
 START = "start"
-GOINGS = frozenset({"lease_wait", "run_over", "worker_replaced", "worker_silent"})
+GOINGS = frozenset({"lease_wait", "worker_replaced", "worker_silent"})
 """Events that tell of workers that went, or were silent."""
+GONE_PROOFS = frozenset({"replaced", "lapsed"})
+"""Proofs of a run that counts as over that tell so too."""
 RUN_ENDS = frozenset({"ended", "run_over", "run_absent", "start_refused"})
 LEAVES = "worker_leaves"
 """The reason of a stop on a worker that has announced its end."""
@@ -113,11 +115,15 @@
             found[line.worker] = SeenWorker(known.first_s, line.at_s)
         elif line.event == START:
             found[line.worker] = SeenWorker(line.at_s, line.at_s)
-    if any(line.event in GOINGS or line.reason == LEAVES for line in lines):
+    if any(_tells_of_going(line) for line in lines):
         return found
     return {name: SeenWorker(seen.first_s, lines[-1].at_s) for name, seen in found.items()}
 
 
+def _tells_of_going(line: LogLine) -> bool:
+    return line.event in GOINGS or line.proof in GONE_PROOFS or line.reason == LEAVES
+
+
 def most_held(
     lines: Iterable[LogLine], needs: Mapping[tuple[str, int], Resources], accelerators: int
 ) -> Resources:
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -153,7 +153,10 @@
         lines += [accepted(1.0), line(90.0, "job", job="x")]
         self.assertEqual(len(stillness(lines).found), 1)
         left = line(0.5, "stop", task=name(OTHER), run=1, worker="d", reason="worker_leaves")
-        for gone in (line(0.5, "worker_silent", worker="d"), left):
+        absent = line(0.5, "run_over", task=name(OTHER), run=1, worker="d", proof="absent")
+        self.assertEqual(len(stillness([*lines[:-2], absent, *lines[-2:]]).found), 1)
+        lapsed = line(0.5, "run_over", task=name(OTHER), run=1, worker="d", proof="lapsed")
+        for gone in (line(0.5, "worker_silent", worker="d"), left, lapsed):
             self.assertEqual(stillness([*lines[:-2], gone, *lines[-2:]]).found, ())
 
     def test_a_second_acceptance_changes_nothing(self) -> None:
