--- a/src/saddlestack/soak/faults.py
+++ b/src/saddlestack/soak/faults.py
@@ -42,6 +42,7 @@
         self._rng = rng
         self._pause_s = mix.pause_s
         self._lasting_s = mix.lasting_s
+        self._first_s = mix.first_s
         self._kinds = [kind for kind, weight in mix.weights.items() if weight]
         self._weights = [mix.weights[kind] for kind in self._kinds]
         self._under_way: set[asyncio.Task[None]] = set()
@@ -54,6 +55,7 @@
             return
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
+        await asyncio.sleep(min(self._first_s, seconds))
         while loop.time() < until:
             self._begin()
             await asyncio.sleep(self._rng.uniform(*self._pause_s))
--- a/src/saddlestack/soak/shape.py
+++ b/src/saddlestack/soak/shape.py
@@ -210,11 +210,13 @@
     :param weights: how often a kind comes, in proportion to the others.
     :param pause_s: shortest and longest time from one fault to the next.
     :param lasting_s: shortest and longest duration of a fault that lasts.
+    :param first_s: when the first one comes.
     """
 
     weights: dict[FaultKind, float]
     pause_s: tuple[float, float]
     lasting_s: tuple[float, float]
+    first_s: float = 0.0
 
 
 class SoakShape(Model, frozen=True):
@@ -352,6 +354,7 @@
         least, longest = getattr(mix, key)
         if not 0 < least <= longest:
             yield f"faults.{key}: expected two times above 0, the shorter one first"
+    yield from _between("faults.first_s", mix.first_s, 0, 3600)
 
 
 def _failing_faults(failing: FailingJobs, shape: SoakShape) -> Iterator[str]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -39,6 +39,7 @@
 SMALL = SHAPES / "small.json"
 GROWN = SHAPES / "grown.json"
 FAILING = SHAPES / "failing.json"
+GROWN_FAILING = SHAPES / "grown-failing.json"
 
 
 class SoakTest(unittest.TestCase):
@@ -75,6 +76,14 @@
         )
         self.assertEqual(same, small)
 
+    def test_the_grown_day_with_failing_jobs_is_the_grown_shape_but_for_faults(self) -> None:
+        grown, day = load(GROWN), load(GROWN_FAILING)
+        self.assertIsNotNone(day.failing)
+        same = msgspec.structs.replace(
+            day, name=grown.name, failing=None, faults=grown.faults, more_faults=grown.more_faults
+        )
+        self.assertEqual(same, grown)
+
     def test_wrong_bursts_of_failing_jobs_are_named(self) -> None:
         shape = load(FAILING)
         assert shape.failing is not None
@@ -212,6 +221,30 @@
 
         self.assertEqual(played(0.1), played(5.0))
 
+    def test_the_first_fault_may_come_later(self) -> None:
+        began: list[float] = []
+
+        async def play(fault: Fault, rng: random.Random) -> None:
+            began.append(asyncio.get_running_loop().time())
+
+        async def body(first_s: float, seconds: float) -> float:
+            mix = FaultMix(
+                weights={FaultKind.ALL_KILL: 1.0},
+                pause_s=(30.0, 30.0),
+                lasting_s=(1.0, 1.0),
+                first_s=first_s,
+            )
+            start_s = asyncio.get_running_loop().time()
+            player = FaultPlayer(mix, {FaultKind.ALL_KILL: play}, random.Random(1))
+            await player.run(seconds)
+            return start_s
+
+        start_s = run_virtually(body(3.0, 40.0))
+        self.assertEqual([round(at_s - start_s, 3) for at_s in began], [3.0, 33.0])
+        began.clear()
+        run_virtually(body(50.0, 40.0))
+        self.assertEqual(began, [])
+
     def test_faults_are_noted_with_their_times(self) -> None:
         async def play(fault: Fault, rng: random.Random) -> None:
             await asyncio.sleep(fault.seconds)
