--- a/src/saddlestack/cli/loglines.py
+++ b/src/saddlestack/cli/loglines.py
@@ -18,11 +18,13 @@
     :param leader: of an event ``leader``: who leads now, or ``None``.
     :param revision: of the leader key as it was seen, 0 where there was none.
     :param fence: the fencing token of the term, which is the revision of its key.
-    :param stood_s: of an event ``stands_still``: for how long the job had stood...
-    :param since_s: ...or since when, on the leader's clock.
     :param proof: of an event ``run_over``: why the run counts as over.
     :param age_s: how old that is.
     :param left_s: of an event ``lease_wait``: how long it lasts at most.
+    :param stood_s: of events ``waits`` and ``stands_still``: for how long nothing of the job ran.
+    :param tasks: how many of its tasks waited.
+    :param ends: what ends the wait.
+    :param ends_s: when that is at the latest, in seconds from then, where it was known.
     :param at_s: when it was written: the number of seconds that a collector has put in front
         of the line, else the VM's time of day.
     """
@@ -37,8 +39,6 @@
     reason: str = ""
     cause: str | None = None
     how: str = ""
-    stood_s: float = 0.0
-    since_s: float = 0.0
     state: str = ""
     queue: str = ""
     doubt: bool = False
@@ -55,6 +55,10 @@
     proof: str = ""
     age_s: float = 0.0
     left_s: float = 0.0
+    stood_s: float = 0.0
+    tasks: int = 0
+    ends: str = ""
+    ends_s: float | None = None
 
 
 def read(files: Iterable[Path]) -> list[LogLine]:
--- a/src/saddlestack/cli/standstills.py
+++ b/src/saddlestack/cli/standstills.py
@@ -80,8 +80,6 @@
 
 
 def _told(line: LogLine) -> str:
-    since = f" since {line.since_s:.3f}" if line.since_s else ""
-    stood = f" for {line.stood_s:.2f} s" if line.stood_s else ""
-    return (
-        f"{line.at_s:.3f} {line.vm} tells that {line.job} stands still{stood}{since}: {line.reason}"
-    )
+    what = f"{line.vm} tells that {line.job} has stood still for {line.stood_s:.2f} s"
+    ends = f", ends with {line.ends}" if line.ends else ""
+    return f"{line.at_s:.3f} {what}: {line.reason}{ends}"
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -178,17 +178,25 @@
 
     def test_what_leaders_told_stands_beside(self) -> None:
         told = [
-            line(4.0, "stands_still", vm="v1", job=JOB, reason="quarantine", stood_s=3.0),
+            line(
+                4.0,
+                "stands_still",
+                vm="v1",
+                job=JOB,
+                reason="quarantine",
+                stood_s=3.0,
+                ends="a time",
+            ),
             line(5.0, "stands_still", vm="v1", job=JOB, reason="quarantine", stood_s=4.0),
-            line(50.0, "stands_still", vm="v2", job=OTHER, reason="gang", since_s=47.0),
+            line(50.0, "stands_still", vm="v2", job=OTHER, reason="gang", stood_s=3.0),
         ]
         found = read(accepted(1.0), *told, start(6.0), end(9.0))
         self.assertEqual([each.reasons for each in found.found], [("quarantine",)])
         text = "\n".join(described(found))
         for part in (
             "1.000 00000000000000aa stood still for 5.00 s after accepted, 0 of 32 accelerators",
-            "4.000 v1 tells that 00000000000000aa stands still for 3.00 s: quarantine",
-            "50.000 v2 tells that 00000000000000bb stands still since 47.000: gang",
+            f"4.000 v1 tells that {JOB} has stood still for 3.00 s: quarantine, ends with time",
+            "50.000 v2 tells that 00000000000000bb has stood still for 3.00 s: gang",
             "3 times leaders told that a job stands still, 2 jobs",
             "       2  quarantine",
             "seen: 4 lives of workers, taken to have 8 accelerators, 8000 thousandths",
