--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -185,7 +185,7 @@
                 job=JOB,
                 reason="quarantine",
                 stood_s=3.0,
-                ends="a time",
+                ends="time",
             ),
             line(5.0, "stands_still", vm="v1", job=JOB, reason="quarantine", stood_s=4.0),
             line(50.0, "stands_still", vm="v2", job=OTHER, reason="gang", stood_s=3.0),
