--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import tempfile
 import unittest
@@ -26,7 +27,7 @@
 from saddlestack.soak.proxy import Proxy, Trouble
 from saddlestack.soak.readiness import Readiness
 from saddlestack.soak.report import BrokenReport, LagReport, SoakReport, StandstillReport, Waits
-from saddlestack.soak.run import SoakPlan, run, sites_of
+from saddlestack.soak.run import Soak, SoakPlan, run, sites_of
 from saddlestack.soak.shape import FaultKind, FaultMix, SoakShape, Spread, check, load
 from saddlestack.soak.store_messages import TermBegan, TermEnded, WayTrouble
 from saddlestack.soak.store_way import StoreWay
@@ -34,6 +35,7 @@
 from saddlestack.standins.loop import run as run_virtually
 from saddlestack.standins.pool.workers import TaskPlan
 from saddlestack.wire.http import AnswerLost, HttpClient, Request, Response
+from saddlestack.work import JobState
 
 SHAPES = Path(__file__).parent.parent / "deploy" / "soak"
 SMALL = SHAPES / "small.json"
@@ -203,6 +205,45 @@
                 self.assertLessEqual(plan.work_s, 1.0)
 
 
+class ToldTest(unittest.TestCase):
+    """When a client holds its job for over."""
+
+    def test_the_first_final_state_or_the_cancel_closes_a_job(self) -> None:
+        kind = load(SMALL).kinds[0]
+        told = Told("x1", kind, "others", request(kind, random.Random(1)), 0.0)
+        self.assertEqual(told.closed_s, math.inf)
+        told.changes += [(1.0, JobState.RUNNING), (2.0, JobState.FAILED), (3.0, JobState.FAILED)]
+        self.assertEqual(told.closed_s, 2.0)
+        told.cancel_sent_s = 1.5
+        self.assertEqual(told.closed_s, 1.5)
+
+
+class LogsTest(unittest.TestCase):
+    """The logs of a soak, once it is over."""
+
+    def kept(self, report: SoakReport, *, keeps_logs: bool) -> bool:
+        folders: list[Path] = []
+
+        async def played(soak: Soak) -> SoakReport:
+            folders.append(soak._folder)
+            return report
+
+        with patch.object(Soak, "run", played):
+            asyncio.run(run(SoakPlan(load(SMALL), 1, 0.0, keeps_logs=keeps_logs)))
+        there = folders[0].exists()
+        if there:
+            folders[0].rmdir()
+        self.assertEqual(bool(report.logs), there)
+        return there
+
+    def test_they_go_where_all_was_good_unless_they_are_to_be_kept(self) -> None:
+        self.assertFalse(self.kept(_report([0.01]), keeps_logs=False))
+        self.assertTrue(self.kept(_report([0.01]), keeps_logs=True))
+        broken = _report([0.01])
+        broken.broken.append(BrokenReport("two runs at once", 2.5, "x1", "x1 ran twice", []))
+        self.assertTrue(self.kept(broken, keeps_logs=False))
+
+
 async def _nothing(readiness: Readiness) -> None:
     return
 
