--- a/src/saddlestack/soak/run.py
+++ b/src/saddlestack/soak/run.py
@@ -38,6 +38,7 @@
     :param seconds: for how long faults come; none come where it is 0.
     :param calm_s: load without faults before that, beside the shape's own.
     :param program: the sources that entry VMs run.
+    :param keeps_logs: the logs are kept also where no promise broke.
     """
 
     shape: SoakShape
@@ -45,6 +46,7 @@
     seconds: float
     calm_s: float = 0.0
     program: Program = OWN_PROGRAM
+    keeps_logs: bool = False
 
 
 class Soak:
@@ -80,7 +82,7 @@
             self._plan.shape,
             self._platform,
             hosts,
-            Load(self._plan.shape, self._entries, self._load_rng),
+            self._new_load(),
             Meters(self._entries),
         )
         measuring = asyncio.get_running_loop().create_task(evidence.meters.run())
@@ -93,6 +95,10 @@
         plan = self._plan
         return assess(evidence, plan.seed, plan.seconds, plan.program, self._entries)
 
+    def _new_load(self) -> Load:
+        failing_rng = random.Random(f"{self._plan.seed} failing jobs")
+        return Load(self._plan.shape, self._entries, self._load_rng, failing_rng)
+
     async def _load(self, hosts: WorkerHosts, evidence: Evidence) -> None:
         """Play load and faults, and let the jobs that were accepted end."""
         shape = self._plan.shape
@@ -178,7 +184,7 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     folder = Path(tempfile.mkdtemp(prefix="saddlestack-soak-"))
     report = await Soak(plan, folder).run()
-    if report.good:
+    if report.good and not plan.keeps_logs:
         shutil.rmtree(folder)
     else:
         report.logs = str(folder)
