--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -153,8 +153,8 @@
         """Place something of a job that stands still beside a pool that is mostly free.
 
         Neither its data, one rack, the headroom nor waiting gangs hold it up any more, nor does
-        what failed lately on workers, unless its next failure is its last. Of tasks that run alone
-        one is placed, so that the others still get the better places.
+        what failed lately on workers. Of tasks that run alone one is placed, so that the others
+        still get the better places.
         """
         if not self._stands(step, now):
             return False
@@ -162,9 +162,9 @@
         enough = has_room_for(fitting, step.at_once)
         if enough and self._place_first(step, self._all_places(step, now), now):
             return True
-        if step.on_last_try or self._board.is_advised(step.occurrence.job):
+        if self._board.is_advised(step.occurrence.job):
             return False
-        trusted = AnyPlaces(step, self._answering(step), now)
+        trusted = AnyPlaces(step, self._answering(step, now), now)
         return has_room_for(trusted.copies, step.at_once) and self._place_first(step, trusted, now)
 
     def _place_first(self, step: StepState, room: Room, now: float) -> bool:
@@ -189,12 +189,16 @@
             return False
         return not step.occurrence.job.runs_something
 
-    def _answering(self, step: StepState) -> Iterator[Worker]:
-        """Workers that take part and answer, whatever failed there lately."""
+    def _answering(self, step: StepState, now: float) -> Iterator[Worker]:
+        """Workers that take part and answer, whatever failed there lately.
+
+        A job whose next failure is its last still keeps off those in quarantine.
+        """
         for rack in self._rooms(step).racks:
             for worker in rack.workers:
-                answers = worker.stays and worker.reachable and not worker.suspected
-                if answers and worker.matches(step.step):
+                if not worker.answers or not worker.matches(step.step):
+                    continue
+                if not step.on_last_try or now >= worker.quarantine_s:
                     yield worker
 
     def _place_on(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -123,6 +123,11 @@
         """Whether new work may go there."""
         return self.stays and self.reachable and now >= max(self.busy_s, self.quarantine_s)
 
+    @property
+    def answers(self) -> bool:
+        """Whether it takes part, and answers as far as is known."""
+        return self.stays and self.reachable and not self.suspected
+
     @property
     def stays(self) -> bool:
         """Whether new work may go there once it is reachable and well."""
