Work of 0.15 s that fails at its end is no early failure

Cause: a run that failed within 0.3 s counted as one that had done no work, also where its whole work takes 0.15 to 0.3 s. Ruled out: the verdict, which was right for what it was told. Change: early is before 0.3 s and before half of the estimate; test added.

--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -21,7 +21,7 @@
 from saddlestack.policy.board.progress import is_stuck, needs_looks
 from saddlestack.policy.board.queue import Planner
 from saddlestack.policy.board.records import OccurrenceRecord, OccurrenceStatus, TaskStatus
-from saddlestack.policy.board.workers import EARLY_FAILURE_S, Worker
+from saddlestack.policy.board.workers import EARLY_FAILURE_S, EARLY_SHARE, Worker
 from saddlestack.work import AcceptedJob, JobState, Resources, TaskName
 
 
@@ -288,9 +288,8 @@
     def _note_failure(self, worker: Worker, run: Run, now: float) -> None:
         run.task.avoid.add(worker.worker_id)
         run.task.step.avoids = True
-        since = run.started_s if run.started_s is not None else run.assigned_s
-        early = now - since < EARLY_FAILURE_S
-        self._charge(worker, run, FailureKind.EARLY if early else FailureKind.LATE, now)
+        kind = FailureKind.EARLY if _is_early(run, now) else FailureKind.LATE
+        self._charge(worker, run, kind, now)
 
     def _charge(self, worker: Worker, run: Run, kind: FailureKind, now: float) -> None:
         if run.task.name.job_id not in self.jobs:
@@ -461,6 +460,13 @@
         )
 
 
+def _is_early(run: Run, now: float) -> bool:
+    """Whether a run that fails can have done no work; short work may be at its end by then."""
+    since_s = run.started_s if run.started_s is not None else run.assigned_s
+    worth_s = EARLY_SHARE * run.task.step.step.estimate_ms / 1000
+    return now - since_s < min(EARLY_FAILURE_S, worth_s)
+
+
 def _has_begun(run: Run, how: EndKind) -> bool:
     """Whether a run may have done some of its work."""
     return not run.never_began and how is not EndKind.ALONE
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -20,7 +20,7 @@
     TRIAL_S,
     Worker,
 )
-from saddlestack.work import JobState
+from saddlestack.work import JobState, Resources, Step
 from tests.test_board import BULK, SERVICE, BoardCase, step
 
 EARLY, LATE, STUCK = FailureKind.EARLY, FailureKind.LATE, FailureKind.STUCK
@@ -165,6 +165,17 @@
             self.end_on(worker_id, job, EndKind.FAILED, 10.02)
         self.assertEqual([self.worker(each).strikes for each in bad], [1, 1, 1, 1])
 
+    def test_short_work_that_fails_at_its_end_is_no_early_failure(self) -> None:
+        self.workers(each=1)
+        needs = Resources(1000, 1000, 8)
+        for took_s, early in ((0.02, True), (0.14, False)):
+            job = self.add(Step(count=1, needs=needs, estimate_ms=150))
+            self.plan(100.0)
+            self.end_on("w11", job, EndKind.FAILED, 100.0 + took_s)
+            self.board.cancel(job)
+            self.assertEqual(self.worker("w11").probation_s > 0.0, early)
+            self.worker("w11").cleared()
+
     def test_urgent_work_that_stands_still_charges_its_worker(self) -> None:
         self.workers(each=1)
         self.add(step(1, 8))
