--- a/benchmarks/faulty.py
+++ b/benchmarks/faulty.py
@@ -30,7 +30,7 @@
 """A worker that fails all that it starts does so after this."""
 FAULTS_S = (4.0, 10.0, 25.0)
 """For how long a worker is faulty."""
-VERDICTS: dict[str, blame.Verdict] = {
+RULES: dict[str, blame.FaultRule] = {
     "jobs": blame.DistinctJobs(),
     "ratio": blame.LikelihoodRatio(),
 }
@@ -231,10 +231,10 @@
     parser.add_argument("--broken", type=float, default=0.0, help="jobs that always fail early")
     parser.add_argument("--faulty", type=float, default=0.0, help="workers faulty at a time")
     parser.add_argument("--kinds", nargs="+", default=["early", "late"], help="of faulty workers")
-    parser.add_argument("--verdict", choices=VERDICTS, default="", help="instead of the one in use")
+    parser.add_argument("--rule", choices=RULES, default="", help="instead of the one in use")
     options = parser.parse_args()
-    if options.verdict:
-        blame.VERDICT = VERDICTS[options.verdict]
+    if options.rule:
+        blame.FAULT_RULE = RULES[options.rule]
     figures = Figures()
     for seed in range(options.first, options.first + options.count):
         with (
--- a/src/saddlestack/policy/board/blame.py
+++ b/src/saddlestack/policy/board/blame.py
@@ -20,11 +20,11 @@
 JOBS_KEPT = 8
 """Jobs that are remembered as failed on a worker since a run last ended well there, the latest."""
 WORKERS_KEPT = 32
-"""Workers that are remembered as those where a job failed. More make no difference: by then it
-accuses none."""
+"""Workers that are remembered as those where a job failed. More make no difference: by then
+its failures tell of none."""
 RUNS_SEEN = 64
-"""Tasks of a job that are asked whether they run well. Twice what any weight below needs; a job of
-3,000 tasks that fail at once costs 0.2 million looks rather than 9 million."""
+"""Tasks of a job that are looked at for runs that live on. So many excuse early failures on 18
+workers; a job of 3,000 tasks that fail at once costs 0.2 million looks rather than 9 million."""
 
 
 class FailureKind(enum.Enum):
@@ -39,7 +39,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Accusation:
+class JobEvidence:
     """What one job that failed on a worker tells of that worker.
 
     :param kind: how it failed there.
@@ -52,13 +52,13 @@
     well_elsewhere: int
 
 
-class Verdict(Protocol):
+class FaultRule(Protocol):
     """Decides whether a worker is at fault."""
 
-    def is_at_fault(self, accusations: Sequence[Accusation]) -> bool:
+    def is_at_fault(self, evidence: Sequence[JobEvidence]) -> bool:
         """Whether a worker is at fault, rather than the jobs that failed there.
 
-        :param accusations: of each job that failed there since a run last ended well there.
+        :param evidence: of each job that failed there since a run last ended well there.
         """
         ...
 
@@ -73,13 +73,13 @@
     """A job that failed on more other workers than this tells nothing of one of them."""
     JOBS = 2
 
-    def is_at_fault(self, accusations: Sequence[Accusation]) -> bool:
-        """See :meth:`Verdict.is_at_fault`."""
-        credible = [each for each in accusations if each.failed_elsewhere <= self.MOST_ELSEWHERE]
+    def is_at_fault(self, evidence: Sequence[JobEvidence]) -> bool:
+        """See :meth:`FaultRule.is_at_fault`."""
+        credible = [each for each in evidence if each.failed_elsewhere <= self.MOST_ELSEWHERE]
         return len(credible) >= self.JOBS or any(self._is_enough(each) for each in credible)
 
-    def _is_enough(self, accusation: Accusation) -> bool:
-        return accusation.kind is not FailureKind.LATE or accusation.failed_elsewhere == 0
+    def _is_enough(self, evidence: JobEvidence) -> bool:
+        return evidence.kind is not FailureKind.LATE or evidence.failed_elsewhere == 0
 
 
 class LikelihoodRatio:
@@ -90,41 +90,41 @@
     """
 
     FAILS_ALL = 0.95
-    """How often a run fails on a worker that fails all: some are looked at before they failed."""
+    """How often a run fails on a worker that fails all: it may be well again meanwhile."""
     EARLY_SHARE = 0.01
     """Runs that fail early on sound workers."""
     FAULTY_MET = 2.0
     """A job may have met so many workers that fail all at once..."""
     FAULTY_SHARE = 0.2
     """...and this share of those that it ran on besides. What it failed beyond is its own: where
-    none of its runs lived on, it may accuse three workers of an early failure, and not four."""
+    none of its runs lives on, three workers may be at fault for its early failures, not four."""
     LATE_SHARE = 0.05
     """Runs that fail late on sound workers: 3 % of jobs do so for good, up to 5 % of tasks once."""
     JOB_RUNS = 1
-    """What is known of jobs at large weighs as much as so many runs of the job elsewhere. At 1 a
-    job that failed late on two workers accuses neither, unless 18 runs of it ended well."""
+    """What is known of jobs at large weighs as much as so many runs of the job elsewhere. At 1
+    neither of two workers is at fault where a job failed late, unless 18 of its runs ended well."""
     NEEDED = 18.0
     """So much likelier has it to be. A late failure of a job of which nothing else is known makes
     it 19 times; once it failed elsewhere too, 1.8 times."""
 
-    def is_at_fault(self, accusations: Sequence[Accusation]) -> bool:
-        """See :meth:`Verdict.is_at_fault`."""
-        weight = sum(math.log(self._ratio(each)) for each in accusations)
+    def is_at_fault(self, evidence: Sequence[JobEvidence]) -> bool:
+        """See :meth:`FaultRule.is_at_fault`."""
+        weight = sum(math.log(self._ratio(each)) for each in evidence)
         return weight >= math.log(self.NEEDED)
 
-    def _ratio(self, accusation: Accusation) -> float:
-        failed: float = accusation.failed_elsewhere
+    def _ratio(self, evidence: JobEvidence) -> float:
+        failed: float = evidence.failed_elsewhere
         share = self.LATE_SHARE
-        if accusation.kind is not FailureKind.LATE:
-            met = failed + accusation.well_elsewhere
+        if evidence.kind is not FailureKind.LATE:
+            met = failed + evidence.well_elsewhere
             failed = max(0.0, failed - self.FAULTY_MET - self.FAULTY_SHARE * met)
             share = self.EARLY_SHARE
-        known = failed + accusation.well_elsewhere
+        known = failed + evidence.well_elsewhere
         expected = (share * self.JOB_RUNS + failed) / (self.JOB_RUNS + known)
         return max(1.0, self.FAILS_ALL / expected)
 
 
-VERDICT: Verdict = LikelihoodRatio()
+FAULT_RULE: FaultRule = LikelihoodRatio()
 """The one in use."""
 
 
@@ -174,12 +174,12 @@
     A new leader knows nothing of workers: they may be well by now, and those that are not are found
     again at their first or second failure. It knows from the records which jobs have failed.
 
-    :param verdict: decides for each worker.
+    :param rule: decides for each worker.
     """
 
-    def __init__(self, workers: dict[str, Worker], verdict: Verdict | None = None) -> None:
+    def __init__(self, workers: dict[str, Worker], rule: FaultRule | None = None) -> None:
         self._workers = workers
-        self._verdict = verdict or VERDICT
+        self._rule = rule or FAULT_RULE
         self._on_worker: dict[str, dict[str, _Failure]] = {}
         self._of_job: dict[str, JobFailures] = {}
 
@@ -199,7 +199,7 @@
         if failures.fails_anywhere(worker.worker_id):
             return False
         is_new = failures.note(worker.worker_id, kind)
-        self._accuse(worker.worker_id, _Failure(job, kind))
+        self._note(worker.worker_id, _Failure(job, kind))
         if is_new:
             self._clear_others(worker, failures, now)
         at_fault = self._is_at_fault(worker.worker_id, now)
@@ -222,7 +222,7 @@
             for worker_id in failures.workers:
                 self._on_worker.get(worker_id, {}).pop(job_id, None)
 
-    def _accuse(self, worker_id: str, failure: _Failure) -> None:
+    def _note(self, worker_id: str, failure: _Failure) -> None:
         failed = self._on_worker.setdefault(worker_id, {})
         failed.pop(failure.job.job_id, None)
         failed[failure.job.job_id] = failure
@@ -240,16 +240,16 @@
 
     def _is_at_fault(self, worker_id: str, now: float) -> bool:
         failed = self._on_worker.get(worker_id, {})
-        accusations = [self._accusation(worker_id, each, now) for each in failed.values()]
-        return self._verdict.is_at_fault(accusations)
+        evidence = [self._evidence(worker_id, each, now) for each in failed.values()]
+        return self._rule.is_at_fault(evidence)
 
-    def _accusation(self, worker_id: str, failure: _Failure, now: float) -> Accusation:
+    def _evidence(self, worker_id: str, failure: _Failure, now: float) -> JobEvidence:
         job = failure.job
         elsewhere = self._of_job[job.job_id].elsewhere(worker_id, failure.kind)
         well = _done(job)
         if failure.kind is not FailureKind.LATE:
             well += _outlived(job, worker_id, now)
-        return Accusation(failure.kind, elsewhere, well)
+        return JobEvidence(failure.kind, elsewhere, well)
 
 
 def _done(job: Job) -> int:
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -6,11 +6,11 @@
 
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask
 from saddlestack.policy.board.blame import (
+    FAULT_RULE,
     JOBS_KEPT,
-    VERDICT,
     WORKERS_KEPT,
-    Accusation,
     FailureKind,
+    JobEvidence,
 )
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.workers import (
@@ -97,35 +97,35 @@
         self.assertEqual(len(self.plan(0.1).starts), 12)
 
 
-class VerdictTest(unittest.TestCase):
-    def at_fault(self, *accusations: Accusation) -> bool:
-        return VERDICT.is_at_fault(accusations)
+class FaultRuleTest(unittest.TestCase):
+    def at_fault(self, *evidence: JobEvidence) -> bool:
+        return FAULT_RULE.is_at_fault(evidence)
 
     def test_the_first_failure_of_a_job_that_failed_nowhere_else_is_enough(self) -> None:
         for kind in FailureKind:
-            self.assertTrue(self.at_fault(Accusation(kind, 0, 0)))
+            self.assertTrue(self.at_fault(JobEvidence(kind, 0, 0)))
 
     def test_nothing_is_no_evidence(self) -> None:
         self.assertFalse(self.at_fault())
 
     def test_a_job_that_failed_late_elsewhere_too_tells_nothing(self) -> None:
-        self.assertFalse(self.at_fault(Accusation(LATE, 1, 0)))
-        self.assertFalse(self.at_fault(*[Accusation(LATE, 9, 0)] * JOBS_KEPT))
+        self.assertFalse(self.at_fault(JobEvidence(LATE, 1, 0)))
+        self.assertFalse(self.at_fault(*[JobEvidence(LATE, 9, 0)] * JOBS_KEPT))
 
     def test_where_nearly_all_runs_of_a_job_end_well_two_workers_may_be_at_fault(self) -> None:
-        self.assertFalse(self.at_fault(Accusation(LATE, 1, 16)))
-        self.assertTrue(self.at_fault(Accusation(LATE, 1, 18)))
+        self.assertFalse(self.at_fault(JobEvidence(LATE, 1, 16)))
+        self.assertTrue(self.at_fault(JobEvidence(LATE, 1, 18)))
 
-    def test_a_job_none_of_whose_runs_lives_on_accuses_three_workers(self) -> None:
-        self.assertTrue(self.at_fault(Accusation(EARLY, 2, 0)))
-        self.assertFalse(self.at_fault(Accusation(EARLY, 3, 0)))
+    def test_a_job_none_of_whose_runs_lives_on_tells_of_three_workers(self) -> None:
+        self.assertTrue(self.at_fault(JobEvidence(EARLY, 2, 0)))
+        self.assertFalse(self.at_fault(JobEvidence(EARLY, 3, 0)))
 
     def test_several_jobs_that_fail_early_everywhere_tell_nothing_together(self) -> None:
-        self.assertFalse(self.at_fault(*[Accusation(EARLY, 20, 0)] * JOBS_KEPT))
+        self.assertFalse(self.at_fault(*[JobEvidence(EARLY, 20, 0)] * JOBS_KEPT))
 
-    def test_a_job_whose_other_runs_live_on_may_accuse_a_fifth_of_its_workers(self) -> None:
-        self.assertTrue(self.at_fault(Accusation(EARLY, 5, 20)))
-        self.assertFalse(self.at_fault(Accusation(EARLY, 20, 5)))
+    def test_a_job_whose_other_runs_live_on_may_tell_of_a_fifth_of_its_workers(self) -> None:
+        self.assertTrue(self.at_fault(JobEvidence(EARLY, 5, 20)))
+        self.assertFalse(self.at_fault(JobEvidence(EARLY, 20, 5)))
 
 
 class ChargeTest(BlameCase):
@@ -320,7 +320,7 @@
         self.assertTrue(self.worker(bad).takes_work(0.1))
         self.assertEqual(self.worker(bad).strikes, 0)
 
-    def test_a_job_that_failed_before_accuses_no_worker_of_a_late_failure(self) -> None:
+    def test_a_job_that_failed_before_tells_of_no_worker_of_a_late_failure(self) -> None:
         self.workers(each=2)
         job = self.add(step(2, 8), attempts=9)
         self.plan(0.0)
