Simulation: a run that a lost leader had assigned, and not ordered, is in doubt as well

Ruled out: a standstill: a leader cannot know that no order left, and a second run may be a doubled one; the leases of leaders before bound it.

--- a/tests/simulation/ways.py
+++ b/tests/simulation/ways.py
@@ -334,6 +334,10 @@
         kept = self._keys.get(key)
         return b"" if kept is None else kept.value
 
+    def peek_under(self, prefix: str) -> list[bytes]:
+        """The values of all keys under a prefix as they stand, for who only looks on."""
+        return [kept.value for key, kept in self._keys.items() if key.startswith(prefix)]
+
     def changes(self, prefix: str, after: int) -> list[Item]:
         """What changed after a revision.
 
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 import unittest.mock
 from collections.abc import Iterator
@@ -23,7 +24,7 @@
 from tests.simulation.scene import BEGINS_S, JOB, OTHER, ROOM, SceneTest, job, tasks
 from tests.simulation.standstills import LOOK_S, PoolView, Standstills
 from tests.simulation.troubles import DOUBT_S, Rule
-from tests.simulation.ways import STORE, Fault
+from tests.simulation.ways import ANY, STORE, Fault, SimOrders
 from tests.simulation.workers import Plan, SimRun, SimWorker
 
 SKIPPED_S = 5.0
@@ -37,6 +38,11 @@
     return msgspec.structs.replace(step, after=(earlier,))
 
 
+async def hanging(*args: object) -> None:
+    """An order that does not leave."""
+    await asyncio.get_running_loop().create_future()
+
+
 @contextmanager
 def passed_over(job_id: str, until: float) -> Iterator[None]:
     """The planner does not look at a job before some time."""
@@ -193,6 +199,18 @@
         self.assertEqual(len(found.unexplained), 1)
         self.assertGreaterEqual(found.unexplained[0].since_s, crashed_s + DOUBT_S)
 
+    def test_a_run_that_a_lost_leader_had_assigned_and_not_ordered_explains(self) -> None:
+        with unittest.mock.patch.object(SimOrders, "start", hanging):
+            self.hand_in(job(tasks(1), work_s=60.0))
+            self.after(0.2)
+        self.assertEqual(self.site.workers.begun, [])
+        given = next(iter(self.site.workers.lives.values()))
+        self.site.ways.add(Fault("cut", ANY, given.worker_id, self.now + 30.0))
+        self.site.kill(self.leader.name)
+        found = self.after(10.0)
+        self.assertEqual(found.unexplained, [])
+        self.assertEqual(found.explained[Rule.DOUBT.value], 1)
+
     def test_a_crashed_worker_explains_nothing_of_a_job_without_runs_there(self) -> None:
         self.hand_in(job(tasks(1), work_s=60.0), OTHER)
         self.after(2.0)
