--- a/tests/simulation/standstills.py
+++ b/tests/simulation/standstills.py
@@ -62,10 +62,14 @@
 
 
 class PoolView:
-    """What the workers that serve have free."""
+    """What workers have free.
 
-    def __init__(self, workers: list[SimWorker]) -> None:
-        total = sum(worker.room for worker in workers)
+    :param counted: the workers that count as part of the pool.
+    :param workers: those of them whose room may be used.
+    """
+
+    def __init__(self, counted: list[SimWorker], workers: list[SimWorker]) -> None:
+        total = sum(worker.room for worker in counted)
         free = sum(worker.free for worker in workers)
         self.use = PoolUse(total - free, total)
         self._racks: dict[str, list[SimWorker]] = {}
@@ -143,7 +147,8 @@
         alive = [worker for worker in site.workers.lives.values() if worker.up]
         running = self._begun_lately()
         running |= {run.task.job_id for worker in alive for run in worker.runs.values()}
-        pool = PoolView([worker for worker in alive if troubles.serves(worker)])
+        counted = [worker for worker in alive if troubles.counts(worker)]
+        pool = PoolView(counted, [worker for worker in counted if troubles.serves(worker)])
         if not pool.use.is_mostly_free:
             return {}
         found: dict[str, Step] = {}
--- a/tests/simulation/troubles.py
+++ b/tests/simulation/troubles.py
@@ -23,7 +23,8 @@
     less is of those that serve.
 
 A way that is slow, but answers within the shortest time-out there, is no trouble. Besides, a worker
-that takes nothing now counts as neither free nor used (see :meth:`Troubles.serves`).
+that takes nothing now counts as neither free nor used (see :meth:`Troubles.counts`); of one that is
+looked at, while orders of other kinds do not reach it, what is free counts as held.
 """
 
 from __future__ import annotations
@@ -94,10 +95,10 @@
         if any(self._in_doubt(job_id)) or any(self._inherited(job_id)):
             yield Rule.DOUBT
 
-    def serves(self, worker: SimWorker) -> bool:
+    def counts(self, worker: SimWorker) -> bool:
         """Whether a worker counts as part of the pool now.
 
-        Not one that leaves, that the leader cannot ask, or that fails what it starts by its own
+        Not one that leaves, that the leader cannot look at, or that fails what it starts by its own
         fault: the last for as long as the longest quarantine after its last such failure. Nor one
         whose address another life has had at the same time: days bring that about where a worker
         leaves later than it was to, and no deployment does.
@@ -109,7 +110,11 @@
             return False
         if self.now < max(worker.grey_until, worker.failed_s + LONGEST_QUARANTINE_S):
             return False
-        return not self.keeps_from(worker)
+        return worker.up and self.site.is_listed(beats) and not self._is_cut_off(worker, ("/hold",))
+
+    def serves(self, worker: SimWorker) -> bool:
+        """Whether a worker counts, and what it has free may be used."""
+        return self.counts(worker) and not self.keeps_from(worker)
 
     def keeps_from(self, worker: SimWorker) -> bool:
         """Whether the leader cannot ask a worker now."""
@@ -118,9 +123,12 @@
         beats = self.site.heartbeats[worker.worker_id]
         if beats.worker is not worker or not self.site.is_listed(beats):
             return True
+        return self._is_cut_off(worker, ("/start", "/stop", "/hold"))
+
+    def _is_cut_off(self, worker: SimWorker, kinds: tuple[str, ...]) -> bool:
+        """Whether the way to a worker has trouble, for all orders or for one of some kinds."""
         name = worker.worker_id
-        ways = {name, f"{name}/start", f"{name}/stop", f"{name}/hold"}
-        return self._has_fault(ways, LOOK_NOW_TIMEOUT_S)
+        return self._has_fault({name, *(name + kind for kind in kinds)}, LOOK_NOW_TIMEOUT_S)
 
     def _whole_pool(self) -> PoolUse:
         alive = [worker for worker in self.site.workers.lives.values() if worker.up]
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -239,22 +239,33 @@
 
     def test_a_gang_of_one_rack_needs_its_room_in_one(self) -> None:
         split = [worker(f"r{number}-1", used=3) for number in range(4)]
-        self.assertFalse(PoolView(split).has_room(tasks(2, 4, gang=True, same_rack=True)))
-        self.assertTrue(PoolView(split).has_room(tasks(2, 4, gang=True)))
+        self.assertFalse(pool(*split).has_room(tasks(2, 4, gang=True, same_rack=True)))
+        self.assertTrue(pool(*split).has_room(tasks(2, 4, gang=True)))
 
     def test_a_gang_of_one_rack_needs_its_room_twice_over_in_the_pool(self) -> None:
         racks = [worker("r1-1"), worker("r1-1"), worker("r2-1")]
         gang = tasks(2, ROOM, gang=True, same_rack=True)
-        self.assertFalse(PoolView(racks).has_room(gang))
-        self.assertTrue(PoolView([*racks, worker("r3-1")]).has_room(gang))
+        self.assertFalse(pool(*racks).has_room(gang))
+        self.assertTrue(pool(*racks, worker("r3-1")).has_room(gang))
 
     def test_no_more_tasks_fit_on_a_worker_than_its_step_allows(self) -> None:
         step = msgspec.structs.replace(tasks(4), per_worker=1)
-        self.assertFalse(PoolView([worker("r1-1")]).has_room(step))
-        self.assertTrue(PoolView([worker("r1-1"), worker("r1-1")]).has_room(step))
+        self.assertFalse(pool(worker("r1-1")).has_room(step))
+        self.assertTrue(pool(worker("r1-1"), worker("r1-1")).has_room(step))
+
+    def test_what_is_free_on_a_worker_that_no_start_reaches_counts_as_held(self) -> None:
+        reached = [worker("r1-1"), worker("r1-1")]
+        self.assertTrue(PoolView([*reached, worker("r2-1")], reached).has_room(tasks(1)))
+        cut_off = [worker("r2-1"), worker("r2-1")]
+        self.assertFalse(PoolView([*reached, *cut_off], reached).has_room(tasks(1)))
 
     def test_a_pool_without_workers_has_none(self) -> None:
-        self.assertFalse(PoolView([]).has_room(tasks(1)))
+        self.assertFalse(pool().has_room(tasks(1)))
+
+
+def pool(*workers: SimWorker) -> PoolView:
+    """A pool of workers that all serve."""
+    return PoolView(list(workers), list(workers))
 
 
 def worker(rack: str, used: int = 0) -> SimWorker:
