--- /dev/null
+++ b/tests/test_waits_reviewed.py
@@ -0,0 +1,292 @@
+"""What a cold review of the change against standstills found; each test names its finding."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+import unittest.mock
+from collections.abc import Sequence
+from typing import cast
+
+import msgspec
+
+from saddlestack.control.commits import Commits, JobRecords
+from saddlestack.control.health import StoreHealth
+from saddlestack.control.journal import Journal
+from saddlestack.interfaces.store import Committed, MetadataStore, Transaction, WriteInDoubt
+from saddlestack.interfaces.workers import EndKind
+from saddlestack.platform.kv import SENT_BYTES_S
+from saddlestack.policy.board.places import IndexedPlaces
+from saddlestack.policy.board.workers import Worker
+from saddlestack.policy.standstill import STILL_S
+from saddlestack.standins.loop import VirtualClock, run
+from saddlestack.work import Step
+from tests.simulation.scene import SceneTest, job, tasks
+from tests.simulation.troubles import DOUBT_S
+from tests.simulation.ways import ANY, Fault
+from tests.support import bare_context
+from tests.test_board import BULK, NORMAL, BoardCase, record, step
+from tests.test_session import Scene, SessionCase
+
+QUARANTINE_AT_S = 1.0
+
+
+class FailingWorkersTest(BoardCase):
+    """All workers fail what they start, and are in quarantine; the pool is free."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.workers(racks=1, each=4)
+
+    def quarantine(self, now: float) -> None:
+        for worker in self.board.workers.values():
+            for _ in range(3):
+                worker.failed(now, early=True)
+
+    def starts_in_quarantine(self, job: str) -> list[float]:
+        found = []
+        for tick in range(2, 15):
+            now = tick * 0.5
+            for start in self.plan(now).starts:
+                worker = self.board.workers[start.run.worker_id]
+                if start.run.task.name.job_id == job and now < worker.quarantine_s:
+                    found.append(now)
+        return found
+
+    def test_what_may_run_once_only_goes_to_no_worker_in_quarantine(self) -> None:
+        """A run that fails there is the last: its job fails for good."""
+        self.quarantine(QUARANTINE_AT_S)
+        job = self.add(step(1, 1, once=True), priority=NORMAL)
+        self.assertEqual(self.starts_in_quarantine(job), [])
+
+    def test_a_job_of_one_attempt_goes_to_no_worker_in_quarantine(self) -> None:
+        """Its first failure is its last."""
+        self.quarantine(QUARANTINE_AT_S)
+        job = self.add(step(1, 1), priority=NORMAL, attempts=1)
+        self.assertEqual(self.starts_in_quarantine(job), [])
+
+    def test_a_gang_of_one_attempt_goes_to_no_worker_in_quarantine(self) -> None:
+        self.quarantine(QUARANTINE_AT_S)
+        job = self.add(step(2, 1, gang=True), priority=BULK, attempts=1)
+        self.assertEqual(self.starts_in_quarantine(job), [])
+
+
+class CostTest(BoardCase):
+    def test_standing_work_of_one_kind_looks_at_all_workers_once_a_round(self) -> None:
+        """With 3,000 workers each look takes 0.8 ms, and a round of 3,000 such steps 1.5 s."""
+        self.workers(racks=10, each=5)
+        self.add(step(5, 8, label="r1"))
+        self.plan(0.0)
+        for _ in range(100):
+            self.add(step(1, 8, label="r1"), priority=NORMAL)
+        self.plan(0.1)
+        looks = 0
+        plain = Worker.matches
+
+        def matches(worker: Worker, wanted: Step) -> bool:
+            nonlocal looks
+            looks += 1
+            return plain(worker, wanted)
+
+        with unittest.mock.patch.object(Worker, "matches", matches):
+            self.plan(STILL_S)
+        self.assertLessEqual(looks, 4 * len(self.board.workers))
+
+    def test_gangs_wider_than_the_pool_cost_no_more_once_they_stand(self) -> None:
+        """With 3,000 workers each takes 7 ms a round, and they wait for good."""
+        self.workers(racks=10, each=5)
+        for _ in range(100):
+            self.add(step(500, 8, gang=True), priority=NORMAL)
+        self.plan(0.1)
+        calls = 0
+        plain = IndexedPlaces.soonest
+
+        def soonest(places: IndexedPlaces) -> Sequence[Worker]:
+            nonlocal calls
+            calls += 1
+            return plain(places)
+
+        with unittest.mock.patch.object(IndexedPlaces, "soonest", soonest):
+            self.plan(STILL_S)
+        self.assertLessEqual(calls, 1)
+
+
+class BusyWorkerTest(BoardCase):
+    def test_standing_work_goes_last_to_a_worker_that_turns_all_away(self) -> None:
+        """It has no strikes, so it comes before those that had failures, again and again."""
+        self.workers(racks=1, each=6)
+        workers = list(self.board.workers.values())
+        for worker in workers[1:]:
+            worker.failed(1.0, early=True)
+            worker.failed(1.0, early=True)
+        workers[0].refused(2.0)
+        self.add(step(1, 1), priority=NORMAL)
+        self.plan(0.1)
+        workers[0].refused(2.9)
+        [start] = self.plan(3.0).starts
+        self.assertNotEqual(start.run.worker_id, workers[0].worker_id)
+
+
+class EarlyFailureTest(BoardCase):
+    def test_work_without_an_estimate_that_fails_at_once_fails_early(self) -> None:
+        """Counted as late it puts nobody on probation, so gangs and urgent work go there."""
+        self.workers(racks=1, each=2)
+        job = self.add(msgspec.structs.replace(step(1, 1), estimate_ms=0), priority=NORMAL)
+        [start] = self.plan(0.0).starts
+        self.end(job, EndKind.FAILED, 0.03)
+        self.assertGreater(self.board.workers[start.run.worker_id].probation_s, 0.0)
+
+
+class StandingOnTest(BoardCase):
+    """A job that still stands is not told from one that has just begun to wait."""
+
+    def test_a_start_that_never_began_does_not_make_a_job_wait_anew(self) -> None:
+        """Placed after 2 s, refused, and placed no sooner than 2 s after that: 4 s in all."""
+        self.workers(racks=1, each=6)
+        for worker in self.board.workers.values():
+            for _ in range(5):
+                worker.failed(0.0, early=True)
+        job = self.add(step(1, 1), priority=NORMAL)
+        run = None
+        now = 0.0
+        while run is None and now < STILL_S:
+            now += 0.1
+            self.board.plan(now, 0.0)
+            run = next(iter(start.run for start in self.board.take().starts), None)
+        assert run is not None
+        self.board.workers[run.worker_id].refused(now)
+        self.board.not_started(run)
+        self.board.plan(now + 0.1, 0.0)
+        starts = self.board.take().starts
+        self.assertEqual([start.run.task.name.job_id for start in starts], [job])
+
+    def test_a_run_on_a_worker_that_is_silent_keeps_no_other_task_waiting(self) -> None:
+        """Nothing of the job runs as far as anybody knows."""
+        self.workers(racks=1, each=6)
+        job = self.add(step(2, 8), priority=NORMAL)
+        workers = list(self.board.workers.values())
+        for worker in workers[1:]:
+            for _ in range(5):
+                worker.failed(0.0, early=True)
+        self.assertEqual(len(self.plan(0.0).starts), 1)
+        workers[0].reachable = False
+        started = False
+        for tick in range(1, 12):
+            started = started or bool(self.plan(tick * 0.5).starts)
+        self.assertTrue(started, job)
+
+
+class NarrowStore:
+    """A store behind a line of 10 Mbit/s; what is given up half sent has to be sent anew."""
+
+    def __init__(self) -> None:
+        self._line = asyncio.Lock()
+        self.revision = 1
+
+    async def transact(self, transaction: Transaction) -> Committed:
+        async with self._line:
+            size = sum(len(put.value) for put in transaction.puts) * 4 / 3
+            await asyncio.sleep(size / SENT_BYTES_S)
+        self.revision += 1
+        return Committed(self.revision)
+
+
+class TurnedAwayTest(SceneTest):
+    def test_starts_that_a_worker_turns_away_prolong_no_lease_there(self) -> None:
+        """Each start that is sent counts as a lease of all that runs on its worker."""
+        self.hand_in(job(tasks(1), work_s=4.0))
+        self.after(2.0)
+        worker = self.site.workers.begun[0].worker.worker_id
+        lasts_s = 3 * DOUBT_S
+        self.site.ways.add(Fault("busy", ANY, worker, self.now + lasts_s))
+        for number in range(int(lasts_s)):
+            self.hand_in(job(tasks(1), work_s=0.5), f"{number + 100:016x}")
+            self.after(1.0)
+        self.assertEqual(self.after(1.0).unexplained, [])
+
+
+class DrainingTest(SessionCase):
+    def test_no_start_leaves_for_a_worker_that_has_been_draining_for_3_s(self) -> None:
+        """The record of the assignment waited for the store meanwhile."""
+
+        async def body(scene: Scene) -> None:
+            start = scene.plan().starts[0]
+            now = asyncio.get_running_loop().time()
+            scene.board.set_worker(record("w11", draining=True), now)
+            await asyncio.sleep(3.5)
+            scene.session.start(start)
+            await asyncio.sleep(1.0)
+            self.assertEqual(scene.orders.timeouts, [])
+
+        self.play(body)
+
+
+class LosingStore:
+    """Loses all writes of one key: such as one that is too large for the way there."""
+
+    async def transact(self, transaction: Transaction) -> Committed:
+        if any(put.key == "a1" for put in transaction.puts):
+            await asyncio.sleep(1.0)
+            raise WriteInDoubt("silence")
+        await asyncio.sleep(0.01)
+        return Committed(2)
+
+
+class SharedTransactionTest(unittest.TestCase):
+    def test_a_record_that_is_never_written_holds_up_no_job_of_its_round_for_long(self) -> None:
+        followed: list[str] = []
+
+        async def main() -> None:
+            clock = VirtualClock()
+            store = cast(MetadataStore, LosingStore())
+            context = bare_context(clock, store=store, health=StoreHealth(store, clock))
+            commits = Commits(context, Journal(context, 1), lambda reason: None)
+            commits.put(
+                1,
+                [
+                    JobRecords("a", {"a1": b"1"}, lambda: followed.append("a")),
+                    JobRecords("b", {"b1": b"1"}, lambda: followed.append("b")),
+                ],
+            )
+            await asyncio.sleep(30.0)
+            await commits.stop()
+
+        run(main())
+        self.assertEqual(followed, ["b"])
+
+
+class LargeRecordsTest(unittest.TestCase):
+    """A record of 10,000 tasks has 0.4 MB; several jobs of that size change at once."""
+
+    def written_within(self, jobs: int, seconds: float) -> int:
+        followed: list[int] = []
+
+        async def main() -> None:
+            clock = VirtualClock()
+            store = cast(MetadataStore, NarrowStore())
+            context = bare_context(clock, store=store, health=StoreHealth(store, clock))
+            commits = Commits(context, Journal(context, 1), lambda reason: None)
+            records = {f"j{number}": {f"k{number}": bytes(400_000)} for number in range(jobs)}
+            commits.put(
+                1,
+                [
+                    JobRecords(job, written, lambda: followed.append(1))
+                    for job, written in records.items()
+                ],
+            )
+            await asyncio.sleep(seconds)
+            await commits.stop()
+
+        run(main())
+        return len(followed)
+
+    def test_few_large_records_are_written(self) -> None:
+        self.assertEqual(self.written_within(4, 10.0), 4)
+
+    def test_a_round_of_large_records_is_written_in_the_end(self) -> None:
+        """12 take 6.4 s to send, a try is given up after 4 s: none of them is ever written."""
+        self.assertEqual(self.written_within(12, 60.0), 12)
+
+
+if __name__ == "__main__":
+    unittest.main()
