--- a/src/saddlestack/control/commits.py
+++ b/src/saddlestack/control/commits.py
@@ -8,11 +8,13 @@
 
 import asyncio
 import logging
+import math
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from saddlestack.control.context import EntryContext
-from saddlestack.control.journal import RECORDS_A_WRITE, Displaced, Journal
+from saddlestack.control.journal import RECORDS_A_WRITE, Displaced, Journal, Unanswered
 from saddlestack.kernel.service import TaskGroup
 
 log = logging.getLogger("saddlestack.commits")
@@ -21,6 +23,12 @@
 """A store that answers in 0.3 s takes some 25 transactions a second this way; more wait together.
 """
 
+BYTES_A_WRITE = 300_000
+"""Records of several jobs share a transaction up to this size, 0.3 s at 10 Mbit/s."""
+TRIES_TOGETHER = 2
+"""A transaction of several jobs that was not answered so often is given up, and each job written on
+its own: one of their records may be such that it is never answered."""
+
 Then = Callable[[], None]
 """What follows once records are in the store."""
 
@@ -47,6 +55,11 @@
     follows: list[Then] = field(default_factory=list)
     done: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @property
+    def size(self) -> int:
+        """Bytes of its records."""
+        return sum(len(value) for value in self.records.values())
+
     def add(self, decided: JobRecords) -> None:
         """Have more written with it."""
         self.records.update(decided.records)
@@ -72,6 +85,7 @@
         self._tasks = TaskGroup("commits")
         self._waiting: dict[str, _Entry] = {}
         self._writing: dict[str, _Entry] = {}
+        self._alone: deque[_Entry] = deque()
         self._writes = 0
         self._taken = 0
         self._advanced = asyncio.Event()
@@ -120,34 +134,41 @@
             batch = self._next_batch()
             if not batch:
                 return
-            for entry in batch:
-                self._writing[entry.job_id] = self._waiting.pop(entry.job_id)
             self._writes += 1
             self._tasks.spawn(self._write(batch))
 
     def _next_batch(self) -> list[_Entry]:
         """The jobs that have waited longest, as many as fit into one transaction.
 
-        One that has more records than that is written alone.
+        One that has more records than that, or larger ones, is written alone.
         """
+        if self._alone:
+            return [self._alone.popleft()]
         batch: list[_Entry] = []
-        size = 0
+        count = size = 0
         for entry in self._waiting.values():
             if entry.job_id in self._writing:
                 continue
-            size += len(entry.records)
-            if batch and size > RECORDS_A_WRITE:
+            count += len(entry.records)
+            size += entry.size
+            if batch and (count > RECORDS_A_WRITE or size > BYTES_A_WRITE):
                 break
             batch.append(entry)
+        for entry in batch:
+            self._writing[entry.job_id] = self._waiting.pop(entry.job_id)
         return batch
 
     async def _write(self, batch: Sequence[_Entry]) -> None:
         records = {key: value for entry in batch for key, value in entry.records.items()}
         began = self._context.clock.now()
         try:
-            await self._journal.commit(records)
+            await self._journal.commit(records, TRIES_TOGETHER if len(batch) > 1 else math.inf)
             self._context.metrics.time("commit", self._context.clock.now() - began)
             self._finish(batch)
+        except Unanswered:
+            self._alone += batch
+            self._writes -= 1
+            self._write_more()
         except Displaced:
             self._on_failed("the store has another leader")
         except Exception:
--- a/src/saddlestack/control/journal.py
+++ b/src/saddlestack/control/journal.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Mapping, Sequence
 
 from saddlestack.control.context import EntryContext
@@ -31,13 +32,20 @@
 MOST_DOUBLINGS = 4
 LONGEST_TRY_S = 4.0
 """A try waits twice as long for its answer as the one before, up to this. The first waits as long
-as a heartbeat may take; a record of 10,000 tasks is 0.53 MB in base64, 0.42 s at 10 Mbit/s."""
+as a heartbeat may take..."""
+LINK_BYTES_S = 1_000_000
+"""...and each longer by what its records take at 10 Mbit/s, the narrowest link of a VM, less the
+base64 around them: a record of 10,000 tasks has 0.4 MB."""
 
 
 class Displaced(Exception):
     """Another leader has taken over: nothing more can be written."""
 
 
+class Unanswered(Exception):
+    """A write was not answered as often as it might be tried; it may still be done."""
+
+
 class Journal:
     """The records of one term.
 
@@ -58,15 +66,20 @@
         """Note a record that was read."""
         self._revisions[item.key] = item.revision
 
-    async def commit(self, records: Mapping[str, bytes]) -> None:
+    async def commit(self, records: Mapping[str, bytes], tries: float = math.inf) -> None:
         """Write records, by key; returns when all are in the store.
 
+        What is given up after some tries may be committed again, whole or in parts: the store does
+        no more than one of two writes that expect the same revisions.
+
+        :param tries: of each transaction.
         :raises Displaced: another leader has taken over.
+        :raises Unanswered: not one of the tries was answered.
         """
         keys = list(records)
         for start in range(0, len(keys), RECORDS_A_WRITE):
             part = {key: records[key] for key in keys[start : start + RECORDS_A_WRITE]}
-            await self._write(part)
+            await self._write(part, tries)
 
     async def remove(self, names: Sequence[str]) -> bool:
         """Remove keys; ``False`` where that is to be tried again later."""
@@ -83,12 +96,13 @@
                 self._revisions.pop(key, None)
         return True
 
-    async def _write(self, records: Mapping[str, bytes]) -> None:
+    async def _write(self, records: Mapping[str, bytes], tries: float) -> None:
         transaction = self._transaction(records)
+        sending_s = sum(len(value) for value in records.values()) / LINK_BYTES_S
         failures = 0
         while True:
             try:
-                async with asyncio.timeout(self._patience_s(failures)):
+                async with asyncio.timeout(self._patience_s(failures) + sending_s):
                     outcome = await self._context.store.transact(transaction)
             except LeaseOver as error:
                 raise Displaced from error
@@ -99,6 +113,8 @@
                         "records wait for the store",
                         extra={"event": "journal_waits", "reason": type(error).__name__},
                     )
+                if failures >= tries:
+                    raise Unanswered from error
                 await self._context.health.pause(
                     pause(failures, FIRST_RETRY_S, LONGEST_RETRY_S, self._context.rng)
                 )
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -264,12 +264,11 @@
         """Whether a run is still to start there.
 
         It may be over, as lapsed, before its order leaves. On a worker that fell silent meanwhile
-        it would only be in doubt, and wait for a lease that begins as it leaves.
+        it would only be in doubt, and wait for a lease that begins as it leaves; one that leaves
+        takes no new work.
         """
         worker = self.worker
-        return (
-            run.task.run is run and not run.stopping and worker.reachable and not worker.evacuated
-        )
+        return run.task.run is run and not run.stopping and worker.reachable and worker.stays
 
     def _answered(self, run: Run, key: RunKey, reply: StartReply, clean: bool) -> None:
         now = self._clock.now()
@@ -389,7 +388,8 @@
             self._owner.fenced()
             return True
         except (WorkerUnreachable, WorkerBusy) as error:
-            self._contact.turned_away = isinstance(error, WorkerBusy)
+            if isinstance(error, WorkerBusy):
+                self._turned_away()
             if self._unanswered(asked):
                 return True
             if self._contact.misses != 1:
@@ -408,7 +408,7 @@
         except WorkerFenced:
             self._owner.fenced()
         except WorkerBusy:
-            self._contact.turned_away = True
+            self._turned_away()
             if self._is_here:
                 self._contact.heard()
         except WorkerUnreachable:
@@ -416,6 +416,11 @@
         else:
             await self._take(report, asked)
 
+    def _turned_away(self) -> None:
+        """The worker does nothing now: a start would grant a lease that it does not take."""
+        self._contact.turned_away = True
+        self.worker.refused(self._clock.now())
+
     def _over(self) -> None:
         """Nothing runs there any more: every lease has lapsed."""
         heard_s = max(self._contact.heard_s, self._began_s)
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -338,7 +338,7 @@
         elif step.step.gang:
             self._stop_step(step, StopReason.GANG_BROKEN)
         if occurrence.open:
-            self._planner.returned(step)
+            self._planner.returned(step, ran=not run.never_began)
 
     def _save(self, task: Task, saved: str) -> None:
         tasks = task.step.tasks if task.step.step.gang else [task]
@@ -406,6 +406,11 @@
             return [run]
         return [task.run for task in step.tasks if task.run is not None]
 
+    def is_heard(self, run: Run) -> bool:
+        """Whether a run is on a worker that answers."""
+        worker = self.workers.get(run.worker_id)
+        return worker is not None and worker.reachable
+
     def _stop_step(self, step: StepState, reason: StopReason) -> None:
         for task in step.tasks:
             if task.run is not None:
@@ -480,8 +485,10 @@
 def _is_early(run: Run, now: float) -> bool:
     """Whether a run that fails can have done no work; short work may be at its end by then."""
     since_s = run.started_s if run.started_s is not None else run.assigned_s
-    worth_s = EARLY_SHARE * run.task.step.step.estimate_ms / 1000
-    return now - since_s < min(EARLY_FAILURE_S, worth_s)
+    estimate_ms = run.task.step.step.estimate_ms
+    if not estimate_ms:
+        return now - since_s < EARLY_FAILURE_S
+    return now - since_s < min(EARLY_FAILURE_S, EARLY_SHARE * estimate_ms / 1000)
 
 
 def _has_begun(run: Run, how: EndKind) -> bool:
--- a/src/saddlestack/policy/board/diagnosis.py
+++ b/src/saddlestack/policy/board/diagnosis.py
@@ -38,10 +38,12 @@
         Reason.NEAR_DATA,
         Reason.ONE_RACK,
         Reason.PROBATION,
+        Reason.QUARANTINE,
         Reason.TRIAL,
     }
 )
-"""What a job that stands beside a pool that is mostly free gives up in time."""
+"""What a job that stands beside a pool that is mostly free gives up in time; quarantine only where
+its next failure is not its last."""
 HELD_S = 0.1
 """A round of decisions that is due begins within milliseconds, or it is held up."""
 
@@ -285,6 +287,8 @@
         """When a wait ends at the latest: beside a free pool preferences are given up sooner."""
         if reason not in PREFERENCES or step.listed_s is None:
             return until_s
+        if reason is Reason.QUARANTINE and step.fails_for_good:
+            return until_s
         impatient_s = step.listed_s + IDLE_PATIENCE_S
         return impatient_s if until_s is None else min(until_s, impatient_s)
 
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from saddlestack.policy.board.advice import StepAdvice
@@ -138,6 +139,13 @@
             return False
         return self.failures + 1 >= self.occurrence.job.accepted.attempts
 
+    @property
+    def fails_for_good(self) -> bool:
+        """Whether its job fails with its next failure, the first one included."""
+        if self.step.long_running:
+            return False
+        return self.step.once or self.failures + 1 >= self.occurrence.job.accepted.attempts
+
     @property
     def finished(self) -> bool:
         """Whether every task has ended done."""
@@ -240,13 +248,15 @@
         """Whether it is shown as over and nothing of it is present anywhere."""
         if self.shown not in FINAL_STATES:
             return False
-        return not self.runs_something
-
-    @property
-    def runs_something(self) -> bool:
-        """Whether a run of it is present somewhere, or may be."""
-        steps = (step for occurrence in self.occurrences for step in occurrence.steps)
-        return any(task.run is not None for step in steps for task in step.tasks)
+        return next(self.runs(), None) is None
+
+    def runs(self) -> Iterator[Run]:
+        """Its runs that are present somewhere, or may be."""
+        for occurrence in self.occurrences:
+            for step in occurrence.steps:
+                for task in step.tasks:
+                    if task.run is not None:
+                        yield task.run
 
     @property
     def accelerators(self) -> int:
--- a/src/saddlestack/policy/board/pool.py
+++ b/src/saddlestack/policy/board/pool.py
@@ -36,6 +36,10 @@
         """Stop a run, and its gang, for a job that may take the room back."""
         ...
 
+    def is_heard(self, run: Run) -> bool:
+        """Whether a run is on a worker that answers."""
+        ...
+
     def members(self, run: Run) -> Sequence[Run]:
         """The runs that stop together with a run."""
         ...
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -29,7 +29,7 @@
 from saddlestack.policy.board.pool import Pool
 from saddlestack.policy.board.preemption import Preemptor
 from saddlestack.policy.board.reservations import Reservations, is_overdue
-from saddlestack.policy.board.shapes import Misses, Shape, Shapes, StepShapes
+from saddlestack.policy.board.shapes import Kind, Misses, Shape, Shapes, StepShapes
 from saddlestack.policy.board.waiting import TOP_PRIORITY, Waiting, may_start, waits
 from saddlestack.policy.board.workers import Worker
 
@@ -37,6 +37,8 @@
 """A round decides no more, by whole steps. Deciding and ordering a start takes 0.1 to 0.15 ms of a
 core: a new leader of 3,000 workers with a backlog of 11,000 tasks held its process for over a
 second, longer than its lease. So bounded it holds it for 0.06 s, 0.2 s on a third of a core."""
+TRUSTED_A_ROUND = 20
+"""So many steps that stand may look at all workers in a round: 16 ms for 3,000 workers."""
 
 
 class Planner:
@@ -53,6 +55,7 @@
         self._misses = Misses()
         self._shapes = Shapes()
         self._started = 0
+        self._trusted = 0
 
     @property
     def next_due_ms(self) -> int | None:
@@ -63,9 +66,12 @@
         """A job with work left."""
         self._waiting.add(job)
 
-    def returned(self, step: StepState) -> None:
-        """Tasks of a step wait again."""
-        self._waiting.returned(step)
+    def returned(self, step: StepState, *, ran: bool) -> None:
+        """A task of a step waits again.
+
+        :param ran: whether its run may have begun.
+        """
+        self._waiting.returned(step, ran=ran)
 
     def finished(self, step: StepState) -> None:
         """Tasks of a step are done; what it reserved is given up."""
@@ -79,6 +85,7 @@
         :return: whether the round was full, so that more may be decided at once.
         """
         self._started = 0
+        self._trusted = 0
         self._backfill.clear()
         self._misses.clear()
         self._reservations.release_stale(now)
@@ -117,12 +124,13 @@
         top = step.occurrence.job.priority == TOP_PRIORITY
         shape = self._shape(step, now)
         full = shape in self._misses.full
-        hopeless = full or self._misses.is_shut(shape, _waited_s(step, now))
-        if hopeless and not top and not self._stands(step, now):
-            return
         if not may_start(step):
             self._waiting.remove(step)
             return
+        hopeless = full or self._misses.is_shut(shape, _waited_s(step, now))
+        if hopeless and not top:
+            self._place_anywhere(step, now)
+            return
         if self._use_reservation(step, now):
             return
         if not full and self._place_with_caution(step, now):
@@ -162,10 +170,22 @@
         enough = has_room_for(fitting, step.at_once)
         if enough and self._place_first(step, self._all_places(step, now), now):
             return True
-        if self._board.is_advised(step.occurrence.job):
+        return self._place_on_trust(step, now)
+
+    def _place_on_trust(self, step: StepState, now: float) -> bool:
+        """Place a step that stands on any workers that answer, whatever failed there lately.
+
+        That looks at each worker, 0.8 ms for 3,000, so it is done for few steps in a round, and
+        once for those that share a shape.
+        """
+        if self._trusted >= TRUSTED_A_ROUND or self._board.is_advised(step.occurrence.job):
             return False
-        trusted = AnyPlaces(step, self._answering(step, now), now)
-        return has_room_for(trusted.copies, step.at_once) and self._place_first(step, trusted, now)
+        self._trusted += 1
+        room = AnyPlaces(step, self._answering(step, now), now)
+        if has_room_for(room.copies, step.at_once) and self._place_first(step, room, now):
+            return True
+        self._misses.note_nowhere(self._kind(step))
+        return False
 
     def _place_first(self, step: StepState, room: Room, now: float) -> bool:
         """Place a gang, or one task that runs alone."""
@@ -187,18 +207,34 @@
         """Whether a job has had nothing running for too long beside a pool that is mostly free."""
         if not is_impatient(self._rooms(step), step.stood_s(now)):
             return False
-        return not step.occurrence.job.runs_something
+        if self._misses.is_nowhere(self._kind(step)):
+            return False
+        runs = step.occurrence.job.runs()
+        return not any(self._board.is_heard(run) for run in runs)
+
+    def _kind(self, step: StepState) -> Kind | None:
+        """What decides whether a step that stands fits anywhere; ``None`` where more does."""
+        if step.step.per_worker or self._board.is_advised(step.occurrence.job):
+            return None
+        return Kind(
+            self._board.service_of(step.occurrence.job),
+            step.step.room,
+            step.at_once,
+            step.step.label,
+            step.fails_for_good,
+        )
 
     def _answering(self, step: StepState, now: float) -> Iterator[Worker]:
         """Workers that take part and answer, whatever failed there lately.
 
-        A job whose next failure is its last still keeps off those in quarantine.
+        A job whose next failure is its last still keeps off those in quarantine; those that have
+        just turned an order away would do so again.
         """
         for rack in self._rooms(step).racks:
             for worker in rack.workers:
-                if not worker.answers or not worker.matches(step.step):
+                if not worker.answers or not worker.matches(step.step) or now < worker.busy_s:
                     continue
-                if not step.on_last_try or now >= worker.quarantine_s:
+                if not step.fails_for_good or now >= worker.quarantine_s:
                     yield worker
 
     def _place_on(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
--- a/src/saddlestack/policy/board/waiting.py
+++ b/src/saddlestack/policy/board/waiting.py
@@ -52,8 +52,13 @@
             else:
                 self._open(occurrence)
 
-    def returned(self, step: StepState) -> None:
-        """A task of a step waits again."""
+    def returned(self, step: StepState, *, ran: bool) -> None:
+        """A task of a step waits again.
+
+        :param ran: whether its run may have begun; else the step has waited all the while.
+        """
+        if ran:
+            step.listed_s = None
         self._add(step)
         if step in self._known:
             self._fresh.append(step)
@@ -78,7 +83,8 @@
         while self._due and self._due[0][0] <= wall_ms:
             self._open(heapq.heappop(self._due)[2])
         for step in self._fresh:
-            step.listed_s = now
+            if step.listed_s is None:
+                step.listed_s = now
             if step.waits_since_s is None:
                 step.waits_since_s = now
         self._fresh.clear()
