--- a/benchmarks/faulty.py
+++ b/benchmarks/faulty.py
@@ -11,7 +11,7 @@
 import random
 import statistics
 import unittest.mock
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -30,8 +30,29 @@
 """A worker that fails all that it starts does so after this."""
 FAULTS_S = (4.0, 10.0, 25.0)
 """For how long a worker is faulty."""
+
+
+class DistinctJobs:
+    """Counts distinct jobs that failed on a worker in a row; those that fail anywhere do not count.
+
+    One is enough that failed nowhere else, or whose run failed early or stood still.
+    """
+
+    MOST_ELSEWHERE = 2
+    """A job that failed on more other workers than this tells nothing of one of them."""
+    JOBS = 2
+
+    def is_at_fault(self, evidence: Sequence[blame.JobEvidence]) -> bool:
+        """See :meth:`saddlestack.policy.board.blame.FaultRule.is_at_fault`."""
+        credible = [each for each in evidence if each.failed_elsewhere <= self.MOST_ELSEWHERE]
+        return len(credible) >= self.JOBS or any(self._is_enough(each) for each in credible)
+
+    def _is_enough(self, evidence: blame.JobEvidence) -> bool:
+        return evidence.kind is not blame.FailureKind.LATE or evidence.failed_elsewhere == 0
+
+
 RULES: dict[str, blame.FaultRule] = {
-    "jobs": blame.DistinctJobs(),
+    "jobs": DistinctJobs(),
     "ratio": blame.LikelihoodRatio(),
 }
 
@@ -230,6 +251,7 @@
     parser.add_argument("--hopeless", type=float, default=0.0, help="jobs that always fail late")
     parser.add_argument("--broken", type=float, default=0.0, help="jobs that always fail early")
     parser.add_argument("--faulty", type=float, default=0.0, help="workers faulty at a time")
+    parser.add_argument("--workers", type=int, default=0, help="instead of the day's own 8 to 24")
     parser.add_argument("--kinds", nargs="+", default=["early", "late"], help="of faulty workers")
     parser.add_argument("--rule", choices=RULES, default="", help="instead of the one in use")
     options = parser.parse_args()
@@ -249,6 +271,9 @@
     """Play one calm day."""
     day = days.day_of(seed, options.seconds)
     day.flavour.rates.clear()
+    if options.workers:
+        day.flavour.jobs_per_s *= options.workers / day.shape.workers
+        day.shape.workers = options.workers
     watch = Watch(day, figures)
     day.site.world.call_later(1.0, watch.look)
     if options.faulty:
--- a/src/saddlestack/policy/board/blame.py
+++ b/src/saddlestack/policy/board/blame.py
@@ -63,25 +63,6 @@
         ...
 
 
-class DistinctJobs:
-    """Counts distinct jobs that failed on a worker in a row; those that fail anywhere do not count.
-
-    One is enough that failed nowhere else, or whose run failed early or stood still.
-    """
-
-    MOST_ELSEWHERE = 2
-    """A job that failed on more other workers than this tells nothing of one of them."""
-    JOBS = 2
-
-    def is_at_fault(self, evidence: Sequence[JobEvidence]) -> bool:
-        """See :meth:`FaultRule.is_at_fault`."""
-        credible = [each for each in evidence if each.failed_elsewhere <= self.MOST_ELSEWHERE]
-        return len(credible) >= self.JOBS or any(self._is_enough(each) for each in credible)
-
-    def _is_enough(self, evidence: JobEvidence) -> bool:
-        return evidence.kind is not FailureKind.LATE or evidence.failed_elsewhere == 0
-
-
 class LikelihoodRatio:
     """Weighs how much likelier the failures are on a worker that fails all than on a sound one.
 
