Reader of standstills: runs whose ends nobody tells, and the room of a worker by half of them

Change: a run is over too with a later run of its task, and with its job completed or forgotten; the room of a worker is the most that half of the workers held at one time; no worker counts as holding more accelerators than it has.

--- a/src/saddlestack/cli/loggedpool.py
+++ b/src/saddlestack/cli/loggedpool.py
@@ -3,12 +3,13 @@
 The logs tell neither the workers that there are nor their room. A life of a worker counts from the
 first line that names it to the last one, or to the end of the day where no line tells of any worker
 that went or was silent. How many accelerators each has is told from outside. Of
-processors and memory it is taken to have the most that was held of one worker at one time, which
-is known to be there: standstills for which only more would be room enough are not found.
+processors and memory it is taken to have the most that half of the workers held at one time: where
+no worker was ever full, standstills for which only more would be room enough are not found.
 """
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -26,8 +27,16 @@
 LEAVES = "worker_leaves"
 """The reason of a stop on a worker that has announced its end."""
 _NOTHING = Resources()
-RunKey = tuple[str, int]
-"""A task and the number of its run."""
+_COMPLETED = "completed"
+_FORGOTTEN = "forgotten"
+
+
+@dataclass(frozen=True, slots=True)
+class LoggedRun:
+    """A run that a task has."""
+
+    number: int
+    worker: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,36 +51,48 @@
 class LoggedPool:
     """What is held of each worker.
 
+    A leader that is killed takes ends with it that nobody tells again: a run is also over where its
+    task has a later one, and where its job is completed or forgotten.
+
     :param needs: of a task, by job and step.
+    :ivar runs: the present run of each task, by job.
     """
 
     needs: Mapping[tuple[str, int], Resources]
     held: dict[str, Resources] = field(default_factory=dict)
-    runs: dict[RunKey, str] = field(default_factory=dict)
+    runs: dict[str, dict[str, LoggedRun]] = field(default_factory=dict)
     present: set[str] = field(default_factory=set)
 
     def take(self, line: LogLine) -> None:
         """A run begins, or is over."""
-        key = (line.task, line.run)
         if line.event == START:
-            self.end(key)
-            self.runs[key] = line.worker
+            self._end(line.task)
+            self.runs.setdefault(job_of(line), {})[line.task] = LoggedRun(line.run, line.worker)
             self.held[line.worker] = self.held.get(line.worker, _NOTHING) + self._needs(line.task)
         elif line.event in RUN_ENDS:
-            self.end(key)
-
-    def end(self, key: RunKey) -> None:
-        """A run is over, where it is known."""
-        worker = self.runs.pop(key, None)
-        if worker is not None:
-            self.held[worker] -= self._needs(key[0])
+            run = self.runs.get(job_of(line), {}).get(line.task)
+            if run is not None and run.number == line.run:
+                self._end(line.task)
+        elif line.state == _COMPLETED or line.event == _FORGOTTEN:
+            for task in list(self.runs.get(line.job, {})):
+                self._end(task)
+
+    def runs_any_of(self, job_id: str) -> bool:
+        """Whether something of a job runs."""
+        return bool(self.runs.get(job_id))
+
+    def _end(self, task: str) -> None:
+        """The run of a task is over, where it has one."""
+        run = self.runs.get(task.partition(".")[0], {}).pop(task, None)
+        if run is not None:
+            self.held[run.worker] -= self._needs(task)
 
     def use(self, accelerators: int) -> PoolUse:
         """What is held of the workers that are there.
 
         :param accelerators: of each worker.
         """
-        used = sum(held.accelerators for held in self.held.values())
+        used = sum(min(held.accelerators, accelerators) for held in self.held.values())
         return PoolUse(used, len(self.present) * accelerators)
 
     def has_room_for(self, step: LoggedStep, room: Resources) -> bool:
@@ -92,6 +113,11 @@
         return self.needs.get((name.job_id, name.step), _NOTHING)
 
 
+def job_of(line: LogLine) -> str:
+    """The job of the task that a line names."""
+    return line.task.partition(".")[0]
+
+
 def needs_of(lines: Iterable[LogLine]) -> dict[tuple[str, int], Resources]:
     """What a task takes, by job and step."""
     found: dict[tuple[str, int], Resources] = {}
@@ -124,22 +150,29 @@
     return line.event in GOINGS or line.proof in GONE_PROOFS or line.reason == LEAVES
 
 
-def most_held(
+def usual_room(
     lines: Iterable[LogLine], needs: Mapping[tuple[str, int], Resources], accelerators: int
 ) -> Resources:
-    """The most processors and memory that were held of one worker at one time, and accelerators.
+    """The room of a worker, as far as it was used: the most that half of the workers held at once.
 
-    What seems to hold more accelerators than there are has ended unheard, and does not count.
+    Not the most of all: some seem to hold more than they have, where no line told of an end.
 
-    :param accelerators: of each worker.
+    :param accelerators: of each worker; moments with more than these do not count.
     """
     pool = LoggedPool(needs)
-    most = Resources(0, 0, accelerators)
+    most: dict[str, Resources] = {}
     for line in lines:
         pool.take(line)
         if line.event == START:
             held = pool.held[line.worker]
             if held.accelerators <= accelerators:
-                cpu, memory_mb = max(most.cpu, held.cpu), max(most.memory_mb, held.memory_mb)
-                most = Resources(cpu, memory_mb, accelerators)
-    return most
+                before = most.get(line.worker, _NOTHING)
+                cpu, memory_mb = max(before.cpu, held.cpu), max(before.memory_mb, held.memory_mb)
+                most[line.worker] = Resources(cpu, memory_mb, accelerators)
+    if not most:
+        return Resources(0, 0, accelerators)
+    return Resources(
+        statistics.median_high(each.cpu for each in most.values()),
+        statistics.median_high(each.memory_mb for each in most.values()),
+        accelerators,
+    )
--- a/src/saddlestack/cli/standstills.py
+++ b/src/saddlestack/cli/standstills.py
@@ -36,7 +36,7 @@
     A job stands still where nothing of it runs for 3 s or more, though a task could run, there is
     room for it twice over, and under half of the accelerators is held. Only workers that ran
     something are known, each from the first line that names it to the last, with the most
-    processors and memory that were ever held of one.
+    processors and memory that half of them held at one time.
     """
     for text in described(stillness(read(files), accelerators)):
         click.echo(text)
--- a/src/saddlestack/cli/stillness.py
+++ b/src/saddlestack/cli/stillness.py
@@ -21,11 +21,11 @@
     RUN_ENDS,
     START,
     LoggedPool,
-    RunKey,
     SeenWorker,
-    most_held,
+    job_of,
     needs_of,
     seen_workers,
+    usual_room,
 )
 from saddlestack.cli.loglines import LogLine
 from saddlestack.cli.steps import LoggedStep, logged_step
@@ -97,7 +97,6 @@
 
     steps: list[LoggedStep | None]
     last: str = "accepted"
-    running: int = 0
     over: bool = False
     done: dict[int, set[int]] = field(default_factory=lambda: defaultdict(set))
 
@@ -119,7 +118,7 @@
     :param accelerators: of each worker.
     """
     needs = needs_of(lines)
-    room = most_held(lines, needs, accelerators)
+    room = usual_room(lines, needs, accelerators)
     workers = seen_workers(lines)
     reader = _Reader(LoggedPool(needs), room, workers)
     reader.read(lines)
@@ -166,7 +165,7 @@
         self._goings = [(seen.last_s, name) for name, seen in workers.items()]
         heapq.heapify(self._comings)
         heapq.heapify(self._goings)
-        self._started: set[RunKey] = set()
+        self._started: set[tuple[str, int]] = set()
         self._watch = StillWatch()
         self._standing: set[str] = set()
         self._idle: set[str] = set()
@@ -213,27 +212,22 @@
         return True
 
     def _start(self, line: LogLine) -> None:
-        job_id = _job_of(line)
-        known = (line.task, line.run) in self._pool.runs
+        job_id = job_of(line)
         self._pool.take(line)
         self._started.add((line.task, line.run))
-        if job_id in self.jobs and not known:
-            self.jobs[job_id].running += 1
+        if job_id in self.jobs:
             self.jobs[job_id].last = "a start"
             self._sort(job_id)
 
     def _end(self, line: LogLine) -> None:
-        job_id = _job_of(line)
+        job_id = job_of(line)
         job = self.jobs.get(job_id)
-        known = (line.task, line.run) in self._pool.runs
         self._pool.take(line)
         if line.event == "ended" and (line.task, line.run) not in self._started:
             self._started.add((line.task, line.run))
             self.lost_starts += 1
         if job is None:
             return
-        if known:
-            job.running -= 1
         if line.how == _DONE:
             name = TaskName.parse(line.task)
             job.done[name.step].add(name.index)
@@ -246,19 +240,13 @@
         if job is None:
             return
         job.over = True
-        if line.event == "forgotten":
-            self._drop_runs(line.job)
+        self._pool.take(line)
         self._sort(line.job)
 
-    def _drop_runs(self, job_id: str) -> None:
-        """What a forgotten job still seems to run has ended unheard."""
-        for key in [key for key in self._pool.runs if key[0].startswith(f"{job_id}.")]:
-            self._pool.end(key)
-
     def _sort(self, job_id: str) -> None:
         """Keep which jobs wait with nothing running."""
         job = self.jobs[job_id]
-        if job.over or job.running or job.next_step is None:
+        if job.over or self._pool.runs_any_of(job_id) or job.next_step is None:
             self._idle.discard(job_id)
         else:
             self._idle.add(job_id)
@@ -286,7 +274,3 @@
     def _close(self, jobs: Sequence[str], at_s: float) -> None:
         for job_id in jobs:
             self.found.append(replace(self._open.pop(job_id), until_s=at_s))
-
-
-def _job_of(line: LogLine) -> str:
-    return line.task.partition(".")[0]
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -176,6 +176,23 @@
         self.assertEqual(stillness(pool(), accelerators=4).room, Resources(0, 0, 4))
         self.assertEqual(stillness(pool(), accelerators=16).room, Resources(8000, 8000, 16))
 
+    def test_ends_that_nobody_tells_free_their_room_with_the_next_run_or_the_job(self) -> None:
+        wide = accepted(0.5, "3x8acc/8000cpu/8000mb 60ms", job=WIDE)
+        tasks = [name(WIDE, index=index) for index in range(3)]
+        lost = [start(0.6, worker, task=task) for worker, task in zip("abc", tasks, strict=True)]
+        waits = [accepted(1.0), wide, *lost]
+        self.assertEqual(spans(*waits), [])
+        done = line(20.0, "job", job=WIDE, state="completed")
+        self.assertEqual(spans(*waits, done), [(JOB, 20.0, 100.0)])
+        again = [start(20.0, "d", run=2, task=task) for task in tasks[:2]]
+        over = [end(30.0, run=2, task=task) for task in tasks[:2]]
+        self.assertEqual(spans(*waits, *again, *over), [(JOB, 30.0, 100.0)])
+
+    def test_a_worker_that_seems_to_hold_more_than_it_has_does_not_count_for_all(self) -> None:
+        wide = accepted(0.5, "3x2acc/9000cpu/1000mb 60ms", job=WIDE)
+        starts = [start(0.6, "a", task=name(WIDE, index=index)) for index in range(3)]
+        self.assertEqual(read(wide, *starts).room, Resources(8000, 8000, 8))
+
     def test_what_leaders_told_stands_beside(self) -> None:
         told = [
             line(
