--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -268,7 +268,8 @@
         takes no new work.
         """
         worker = self.worker
-        return run.task.run is run and not run.stopping and worker.reachable and worker.stays
+        wanted = run.task.run is run and not run.stopping
+        return wanted and worker.reachable and not worker.is_closed
 
     def _answered(self, run: Run, key: RunKey, reply: StartReply, clean: bool) -> None:
         now = self._clock.now()
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -134,8 +134,12 @@
     @property
     def stays(self) -> bool:
         """Whether new work may go there once it is reachable and well."""
-        leaves = not self.listed or self.record.draining or self.closing
-        return not leaves and not self.evacuated
+        return self.listed and not self.is_closed
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether it leaves, is about to have its upkeep, or lies in an evacuated data hall."""
+        return self.record.draining or self.closing or self.evacuated
 
     def next_change_s(self, now: float) -> float | None:
         """When it takes more work than now, as far as that comes with time."""
