A start leaves for no worker whose notice was heard 0.3 s before or more

Ruled out: to let none leave once the notice is heard, which takes work back that its worker still does in time (three tests of departure). Change: a worker keeps since when it drains.

--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -264,12 +264,10 @@
         """Whether a run is still to start there.
 
         It may be over, as lapsed, before its order leaves. On a worker that fell silent meanwhile
-        it would only be in doubt, and wait for a lease that begins as it leaves; one that leaves
-        takes no new work.
+        it would only be in doubt, and wait for a lease that begins as it leaves.
         """
-        worker = self.worker
         wanted = run.task.run is run and not run.stopping
-        return wanted and worker.reachable and not worker.is_closed
+        return wanted and self.worker.takes_decided(self._clock.now())
 
     def _answered(self, run: Run, key: RunKey, reply: StartReply, clean: bool) -> None:
         now = self._clock.now()
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -25,6 +25,10 @@
 Four of the longest quarantines; without a bound a worker where nothing ends well, or nothing fits,
 stayed so for good."""
 
+LEAVES_LATE_S = 0.3
+"""A start may leave so long after its worker's notice was heard. A notice is heard up to 1.5 s
+late, and the shortest time for which work may go to a leaving worker is 2 s."""
+
 RunKey = tuple[TaskName, int]
 """A task and the number of its run."""
 
@@ -58,6 +62,7 @@
     :param suspected: something near it has not answered, and it has not been heard since; no new
         work goes there, what waits for its room goes on waiting.
     :param leaves_s: when it may leave at the earliest, on the board's clock.
+    :param drains_since_s: since when it is known to be leaving, on the board's clock.
     :param closing: its machine is about to have its upkeep.
     :param evacuated: its data hall is being evacuated; what runs there goes on.
     :param cold_s: it is slow until then.
@@ -81,6 +86,7 @@
     reachable: bool = True
     suspected: bool = False
     leaves_s: float | None = None
+    drains_since_s: float | None = None
     closing: bool = False
     evacuated: bool = False
     cold_s: float = 0.0
@@ -134,12 +140,14 @@
     @property
     def stays(self) -> bool:
         """Whether new work may go there once it is reachable and well."""
-        return self.listed and not self.is_closed
+        leaves = not self.listed or self.record.draining or self.closing
+        return not leaves and not self.evacuated
 
-    @property
-    def is_closed(self) -> bool:
-        """Whether it leaves, is about to have its upkeep, or lies in an evacuated data hall."""
-        return self.record.draining or self.closing or self.evacuated
+    def takes_decided(self, now: float) -> bool:
+        """Whether a start that was decided for it may still leave."""
+        if self.evacuated or not self.reachable:
+            return False
+        return self.drains_since_s is None or now - self.drains_since_s <= LEAVES_LATE_S
 
     def next_change_s(self, now: float) -> float | None:
         """When it takes more work than now, as far as that comes with time."""
@@ -165,6 +173,10 @@
         if record.cold_ms != self._noted_cold_ms:
             self.cold_s = now + record.cold_ms / 1000
             self._noted_cold_ms = record.cold_ms
+        if not record.draining:
+            self.drains_since_s = None
+        elif self.drains_since_s is None:
+            self.drains_since_s = now
         self.record = record
 
     def goes_on(self) -> None:
