Standing work: once a kind and a job in a round; gangs are kept for once a shape, whichever priority asks first

Change: both are decided alike with and without the notes of a round; a job's runs are looked up once a round; the adviser is asked about workers on probation where work stands.

--- a/src/saddlestack/control/reports.py
+++ b/src/saddlestack/control/reports.py
@@ -54,7 +54,7 @@
         self._in_hand.discard(key)
         self._settled[key] = self._clock.now()
 
-    def settle_once(self, key: RunKey) -> None:
+    def settle_open(self, key: RunKey) -> None:
         """As :meth:`settle`, unless the run was settled before."""
         if key in self._in_hand:
             self.settle(key)
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -314,7 +314,7 @@
             if self._clock.now() >= begins_until_s:
                 if key not in self.worker.runs:
                     return
-                self._reports.settle_once(key)
+                self._reports.settle_open(key)
             sent = self._clock.now()
             try:
                 async with self._gate:
--- a/src/saddlestack/policy/board/caution.py
+++ b/src/saddlestack/policy/board/caution.py
@@ -9,8 +9,7 @@
 
 from collections.abc import Callable, Iterator
 
-from saddlestack.policy.board.jobs import StepState
-from saddlestack.policy.board.waiting import TOP_PRIORITY
+from saddlestack.policy.board.jobs import TOP_PRIORITY, StepState
 from saddlestack.policy.board.workers import Worker
 
 FAULTY_WORKERS = 2
--- a/src/saddlestack/policy/board/diagnosis.py
+++ b/src/saddlestack/policy/board/diagnosis.py
@@ -115,6 +115,7 @@
     near: str
     priority: int
     long_running: bool
+    needs_proof: bool
 
 
 @dataclass(slots=True)
@@ -285,11 +286,11 @@
 
     def _until_s(self, step: StepState, reason: Reason, until_s: float | None) -> float | None:
         """When a wait ends at the latest: beside a free pool preferences are given up sooner."""
-        if reason not in PREFERENCES or step.listed_s is None:
+        if reason not in PREFERENCES or step.standing_since_s is None:
             return until_s
         if reason is Reason.QUARANTINE and step.fails_for_good:
             return until_s
-        impatient_s = step.listed_s + IDLE_PATIENCE_S
+        impatient_s = step.standing_since_s + IDLE_PATIENCE_S
         return impatient_s if until_s is None else min(until_s, impatient_s)
 
     def _waiting(self, step: StepState) -> int:
@@ -353,6 +354,7 @@
             near=near,
             priority=job.priority,
             long_running=needs.long_running,
+            needs_proof=step.needs_proof,
         )
 
 
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -16,6 +16,8 @@
 from saddlestack.policy.board.shapes import StepShapes
 from saddlestack.work import FINAL_STATES, AcceptedJob, JobState, Resources, Step, TaskName
 
+TOP_PRIORITY = 0
+"""Jobs of this priority go first, and may take room back."""
 WORKING_PERCENT = 100
 ACCELERATOR_CORES = 8
 """An accelerator counts as this many cores where work is compared."""
@@ -87,7 +89,7 @@
     :param shapes: the numbers of its shapes, once they were asked for.
     :param moves: how often it was begun again elsewhere since it stood still.
     :param waits_since_s: when one of its tasks was first to be started, on the board's clock.
-    :param listed_s: since when it has had tasks to start without a break, on the board's clock.
+    :param standing_since_s: since when it has had tasks to start and none that began, on the same.
     """
 
     step: Step
@@ -100,7 +102,7 @@
     shapes: StepShapes | None = None
     moves: int = 0
     waits_since_s: float | None = None
-    listed_s: float | None = None
+    standing_since_s: float | None = None
     advice: StepAdvice = field(default_factory=StepAdvice)
 
     @property
@@ -115,7 +117,7 @@
 
     def stood_s(self, now: float) -> float:
         """For how long it has had tasks to start without a break."""
-        return 0.0 if self.listed_s is None else now - self.listed_s
+        return 0.0 if self.standing_since_s is None else now - self.standing_since_s
 
     @property
     def may_stop(self) -> int | None:
@@ -139,6 +141,12 @@
             return False
         return self.failures + 1 >= self.occurrence.job.accepted.attempts
 
+    @property
+    def needs_proof(self) -> bool:
+        """Whether it goes to no worker that is on probation."""
+        top = self.occurrence.job.priority == TOP_PRIORITY
+        return self.step.gang or top or self.on_last_try
+
     @property
     def fails_for_good(self) -> bool:
         """Whether its job fails with its next failure, the first one included."""
--- a/src/saddlestack/policy/board/progress.py
+++ b/src/saddlestack/policy/board/progress.py
@@ -9,8 +9,7 @@
 
 from collections.abc import Sequence
 
-from saddlestack.policy.board.jobs import Run
-from saddlestack.policy.board.waiting import TOP_PRIORITY
+from saddlestack.policy.board.jobs import TOP_PRIORITY, Run
 from saddlestack.policy.board.workers import Worker
 
 LEAST_PERCENT = 3
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -10,7 +10,7 @@
 from saddlestack.policy.board.fits import Fit, Fits
 from saddlestack.policy.board.headroom import may_open
 from saddlestack.policy.board.index import RoomIndex, ServiceRooms
-from saddlestack.policy.board.jobs import Job, Run, StepState, Task
+from saddlestack.policy.board.jobs import TOP_PRIORITY, Job, Run, StepState, Task
 from saddlestack.policy.board.patience import (
     HEADROOM_PATIENCE_S,
     NEAR_PATIENCE_S,
@@ -30,7 +30,7 @@
 from saddlestack.policy.board.preemption import Preemptor
 from saddlestack.policy.board.reservations import Reservations, is_overdue
 from saddlestack.policy.board.shapes import Kind, Misses, Shape, Shapes, StepShapes
-from saddlestack.policy.board.waiting import TOP_PRIORITY, Waiting, may_start, waits
+from saddlestack.policy.board.waiting import Waiting, may_start, waits
 from saddlestack.policy.board.workers import Worker
 
 STARTS_A_ROUND = 400
@@ -56,6 +56,7 @@
         self._shapes = Shapes()
         self._started = 0
         self._trusted = 0
+        self._at_work: dict[str, bool] = {}
 
     @property
     def next_due_ms(self) -> int | None:
@@ -86,6 +87,7 @@
         """
         self._started = 0
         self._trusted = 0
+        self._at_work.clear()
         self._backfill.clear()
         self._misses.clear()
         self._reservations.release_stale(now)
@@ -129,7 +131,8 @@
             return
         hopeless = full or self._misses.is_shut(shape, _waited_s(step, now))
         if hopeless and not top:
-            self._place_anywhere(step, now)
+            if not self._place_anywhere(step, now):
+                self._keep_for(step, shape, now)
             return
         if self._use_reservation(step, now):
             return
@@ -140,12 +143,18 @@
             return
         if self._place_anywhere(step, now):
             return
-        if not top and step.step.gang:
-            if not self._backfill.is_full:
-                self._backfill.keep(places.soonest(), step.occurrence.job.priority)
-        elif top and self._reservations.of(step) is None:
+        if not top:
+            self._keep_for(step, shape, now)
+        elif self._reservations.of(step) is None:
             self._preempt(step, places, entitled, now)
 
+    def _keep_for(self, step: StepState, shape: int | None, now: float) -> None:
+        """Keep the workers where a gang fits soonest; once for those of a shape."""
+        if not step.step.gang or self._backfill.is_full or self._misses.is_kept(shape):
+            return
+        self._misses.note_kept(shape)
+        self._backfill.keep(self._places(step, now).soonest(), step.occurrence.job.priority)
+
     def _place_with_caution(self, step: StepState, now: float) -> bool:
         """Place a step on workers that it had better go to, if there are such and it fits."""
         for preferred in self._caution.preferences(step, now):
@@ -178,10 +187,10 @@
         That looks at each worker, 0.8 ms for 3,000, so it is done for few steps in a round, and
         once for those that share a shape.
         """
-        if self._trusted >= TRUSTED_A_ROUND or self._board.is_advised(step.occurrence.job):
+        if self._trusted >= TRUSTED_A_ROUND:
             return False
         self._trusted += 1
-        room = AnyPlaces(step, self._answering(step, now), now)
+        room = self._any_places(step, now)
         if has_room_for(room.copies, step.at_once) and self._place_first(step, room, now):
             return True
         self._misses.note_nowhere(self._kind(step))
@@ -209,8 +218,15 @@
             return False
         if self._misses.is_nowhere(self._kind(step)):
             return False
-        runs = step.occurrence.job.runs()
-        return not any(self._board.is_heard(run) for run in runs)
+        return not self._is_at_work(step.occurrence.job)
+
+    def _is_at_work(self, job: Job) -> bool:
+        """Whether a run of a job is on a worker that answers; looked up once a round."""
+        known = self._at_work.get(job.job_id)
+        if known is None:
+            known = any(self._board.is_heard(run) for run in job.runs())
+            self._at_work[job.job_id] = known
+        return known
 
     def _kind(self, step: StepState) -> Kind | None:
         """What decides whether a step that stands fits anywhere; ``None`` where more does."""
@@ -224,6 +240,19 @@
             step.fails_for_good,
         )
 
+    def _any_places(self, step: StepState, now: float) -> AnyPlaces:
+        """All workers that answer; where leave is needed, those that have it."""
+        answering = list(self._answering(step, now))
+        if not self._board.is_advised(step.occurrence.job):
+            return AnyPlaces(step, answering, now)
+        advice = step.advice
+        allowed = [w for w in answering if advice.ticket(w.worker_id, now) is not None]
+        room = AnyPlaces(step, allowed, now)
+        unknown = advice.unknown(answering, now)
+        if unknown and not advice.asking and not has_room_for(room.copies, step.at_once):
+            self._board.ask(step, unknown)
+        return room
+
     def _answering(self, step: StepState, now: float) -> Iterator[Worker]:
         """Workers that take part and answer, whatever failed there lately.
 
@@ -263,7 +292,7 @@
             label=needs.label,
             near="",
             per_worker=needs.per_worker,
-            proven=_needs_proof(step),
+            proven=step.needs_proof,
             lasting=needs.long_running,
         )
         near = replace(anywhere, near=needs.data_rack)
@@ -282,7 +311,7 @@
         if step.step.per_worker or self._board.is_advised(step.occurrence.job):
             return ListedPlaces(step, self._listed(step, fit, kept, now))
         near = self._near_data(step, fit, kept, now)
-        if near:
+        if near is not None:
             return ListedPlaces(step, near)
         return IndexedPlaces(step, self._fits.of(fit), kept)
 
@@ -300,7 +329,7 @@
             service=self._board.service_of(step.occurrence.job),
             room=step.step.room,
             label=step.step.label,
-            proven=_needs_proof(step),
+            proven=step.needs_proof,
         )
 
     def _listed(self, step: StepState, fit: Fit, kept: Kept | None, now: float) -> list[Worker]:
@@ -312,16 +341,18 @@
             return able
         return [worker for worker in able if worker.record.rack == step.step.data_rack] or able
 
-    def _near_data(self, step: StepState, fit: Fit, kept: Kept | None, now: float) -> list[Worker]:
-        """The workers near a step's data, as long as it waits for them."""
+    def _near_data(
+        self, step: StepState, fit: Fit, kept: Kept | None, now: float
+    ) -> list[Worker] | None:
+        """The workers near a step's data; ``None`` where it does not wait for them."""
         if not step.step.data_rack or not self._waits_near(step, now):
-            return []
+            return None
         rack = self._rooms(step).rack(step.step.data_rack)
         if rack is None:
-            return []
+            return None
         able = [worker for worker in rack.able if fit.open_to(worker, now)]
-        if step.step.gang and sum(worker.most(step.step) for worker in able) < step.step.count:
-            return []
+        if sum(worker.most(step.step) for worker in able) < step.at_once:
+            return None
         return [worker for worker in able if kept is None or not kept(worker)]
 
     def _able(self, fit: Fit, now: float) -> list[Worker]:
@@ -391,6 +422,7 @@
 
     def _assign(self, task: Task, worker: Worker, number: int, now: float) -> None:
         self._started += 1
+        self._at_work[task.name.job_id] = True
         self._board.assign(task, worker, number, now)
 
     # What is kept for others
@@ -457,13 +489,6 @@
         return len(waiting) <= len(places)
 
 
-def _needs_proof(step: StepState) -> bool:
-    """Whether a step goes to no worker that is on probation."""
-    if step.step.gang or step.occurrence.job.priority == TOP_PRIORITY:
-        return True
-    return step.on_last_try
-
-
 def _lost_if_stopped(run: Run) -> bool:
     """Work that may run only once and saves nothing cannot be taken back."""
     step = run.task.step.step
--- a/src/saddlestack/policy/board/shapes.py
+++ b/src/saddlestack/policy/board/shapes.py
@@ -86,24 +86,36 @@
     :param full: there is no room for them.
     :param shut: there is room, but the headroom is closed to them; it opens with the time that work
         has waited, so with the longest, in seconds, that any of them had.
+    :param kept: workers are kept for a gang of them; room comes free for one at a time.
     :param nowhere: kinds of steps that stand and fit on no workers at all.
     """
 
     full: set[int] = field(default_factory=set)
     shut: dict[int, float] = field(default_factory=dict)
     nowhere: set[Kind] = field(default_factory=set)
+    kept: set[int] = field(default_factory=set)
 
     def clear(self) -> None:
         """Begin a round, or room has been given back."""
         self.full.clear()
         self.shut.clear()
         self.nowhere.clear()
+        self.kept.clear()
 
     def note_full(self, shape: int | None) -> None:
         """Nothing of this shape fits any more."""
         if shape is not None:
             self.full.add(shape)
 
+    def is_kept(self, shape: int | None) -> bool:
+        """Whether workers are kept for a gang of this shape."""
+        return shape in self.kept
+
+    def note_kept(self, shape: int | None) -> None:
+        """Workers are kept for a gang of this shape."""
+        if shape is not None:
+            self.kept.add(shape)
+
     def is_nowhere(self, kind: Kind | None) -> bool:
         """Whether steps of a kind that stand are known to fit on no workers."""
         return kind in self.nowhere
--- a/src/saddlestack/policy/board/survey.py
+++ b/src/saddlestack/policy/board/survey.py
@@ -14,7 +14,7 @@
 from saddlestack.policy.board.jobs import StepState
 from saddlestack.policy.board.places import Kept, ListedPlaces
 from saddlestack.policy.board.reasons import Reason
-from saddlestack.policy.board.waiting import TOP_PRIORITY, waits
+from saddlestack.policy.board.waiting import waits
 from saddlestack.policy.board.workers import Worker
 from saddlestack.policy.standstill import PoolUse
 from saddlestack.work import Resources
@@ -211,7 +211,7 @@
         """
         label = self._step.step.label
         is_listed = self._advised or self._step.step.per_worker
-        common = self._pool.proven_levels if self._needs_proof() else self._pool.levels
+        common = self._pool.proven_levels if self._step.needs_proof else self._pool.levels
         for worker, level, trial in zip(self._pool.workers, common, self._pool.trials, strict=True):
             if label and label not in worker.record.labels:
                 continue
@@ -222,9 +222,6 @@
             self._counted.append(level if is_listed else counted)
             self._trials.append(trial)
 
-    def _needs_proof(self) -> bool:
-        return self._step.step.gang or self._step.occurrence.job.priority == TOP_PRIORITY
-
     def _with_leave(self, worker: Worker, level: int) -> int:
         if not self._advised or self._step.advice.ticket(worker.worker_id, self._now) is not None:
             return level
--- a/src/saddlestack/policy/board/waiting.py
+++ b/src/saddlestack/policy/board/waiting.py
@@ -7,11 +7,9 @@
 
 from sortedcontainers import SortedKeyList
 
-from saddlestack.policy.board.jobs import Job, Occurrence, StepState, Task
+from saddlestack.policy.board.jobs import TOP_PRIORITY, Job, Occurrence, StepState, Task
 from saddlestack.policy.board.records import TaskStatus
 
-TOP_PRIORITY = 0
-
 _Order = tuple[int, int]
 """Priority, and when the job was accepted; of equals the one that came first goes first."""
 
@@ -58,7 +56,7 @@
         :param ran: whether its run may have begun; else the step has waited all the while.
         """
         if ran:
-            step.listed_s = None
+            step.standing_since_s = None
         self._add(step)
         if step in self._known:
             self._fresh.append(step)
@@ -83,8 +81,8 @@
         while self._due and self._due[0][0] <= wall_ms:
             self._open(heapq.heappop(self._due)[2])
         for step in self._fresh:
-            if step.listed_s is None:
-                step.listed_s = now
+            if step.standing_since_s is None:
+                step.standing_since_s = now
             if step.waits_since_s is None:
                 step.waits_since_s = now
         self._fresh.clear()
--- a/tests/test_still_steps.py
+++ b/tests/test_still_steps.py
@@ -143,7 +143,7 @@
         first = self.add(step(2, 8, gang=True, same_rack=True), priority=NORMAL)
         second = self.add(step(2, 8, gang=True, same_rack=True), priority=NORMAL)
         self.plan(0.0)
-        self.board.jobs[first].occurrences[0].steps[0].listed_s = 2.0
+        self.board.jobs[first].occurrences[0].steps[0].standing_since_s = 2.0
         self.assertTrue(self.started_within(second, STILL_S - TICK_S))
 
     def test_tasks_that_never_ran_go_past_one_that_avoids_what_is_free(self) -> None:
--- a/tests/test_waits_reviewed.py
+++ b/tests/test_waits_reviewed.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 import unittest
 import unittest.mock
 from collections.abc import Sequence
+from types import FrameType
 from typing import cast
 
 import msgspec
@@ -13,10 +15,13 @@
 from saddlestack.control.commits import Commits, JobRecords
 from saddlestack.control.health import StoreHealth
 from saddlestack.control.journal import Journal
+from saddlestack.interfaces.machines import Leave
 from saddlestack.interfaces.store import Committed, MetadataStore, Transaction, WriteInDoubt
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.platform.kv import SENT_BYTES_S
+from saddlestack.policy.board.patience import IDLE_PATIENCE_S
 from saddlestack.policy.board.places import IndexedPlaces
+from saddlestack.policy.board.reasons import Reason
 from saddlestack.policy.board.workers import Worker
 from saddlestack.policy.standstill import STILL_S
 from saddlestack.standins.loop import VirtualClock, run
@@ -26,6 +31,7 @@
 from tests.simulation.ways import ANY, Fault
 from tests.support import bare_context
 from tests.test_board import BULK, NORMAL, BoardCase, record, step
+from tests.test_diagnosis import DiagnosisCase
 from tests.test_session import Scene, SessionCase
 
 QUARANTINE_AT_S = 1.0
@@ -71,7 +77,89 @@
         self.assertEqual(self.starts_in_quarantine(job), [])
 
 
+class AdvisedTest(BoardCase):
+    """Work of an advised queue, with leave for every worker."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.board.configure({}, {}, advised=("q",))
+
+    def started_within(self, job: str, until_s: float) -> bool:
+        for tick in range(int(until_s / 0.5) + 1):
+            now = tick * 0.5
+            changes = self.plan(now)
+            if any(start.run.task.name.job_id == job for start in changes.starts):
+                return True
+            for question in changes.questions:
+                leaves = [Leave(worker, "ticket", 600.0) for worker in question.workers]
+                question.step.advice.told(question.workers, leaves, now)
+                question.step.advice.asking = False
+        return False
+
+    def test_a_gang_of_one_rack_is_spread_where_no_rack_is_free_and_the_pool_is(self) -> None:
+        """As one of a queue without adviser is (tests.test_still_steps); here it waits for good."""
+        self.workers(racks=4, each=2)
+        for rack in range(1, 5):
+            self.assertTrue(self.started_within(self.add(step(1, 1, label=f"r{rack}")), 5.0))
+        job = self.add(step(2, 8, gang=True, same_rack=True), priority=NORMAL)
+        self.assertTrue(self.started_within(job, 30.0))
+
+    def test_probation_holds_no_advised_gang_up_in_a_free_pool(self) -> None:
+        self.workers(racks=4, each=2)
+        for worker in self.board.workers.values():
+            worker.failed(0.0, early=True)
+        job = self.add(step(2, 8, gang=True), priority=NORMAL)
+        self.assertTrue(self.started_within(job, STILL_S + 1.0))
+
+
+class ToldTest(DiagnosisCase):
+    def test_a_last_try_that_probation_keeps_waiting_is_told_so(self) -> None:
+        """The survey's own rule of who needs proof does not know of last tries."""
+        self.workers(each=2)
+        self.add(step(1, 8, label="r1"))
+        self.plan(0.0)
+        for worker in self.board.workers.values():
+            worker.failed(0.0, early=True)
+        job = self.add(step(1, 1), priority=NORMAL)
+        self.board.jobs[job].occurrences[0].steps[0].tasks[0].record.failures = 2
+        self.assertEqual(self.plan(5.0).starts, [])
+        self.assertEqual(self.why(job, 5.0), Reason.PROBATION)
+
+    def test_a_wait_for_quarantine_beside_a_free_pool_ends_with_patience(self) -> None:
+        """As the waits for probation and trial do; told as lasting to the quarantine's end."""
+        self.workers(each=2)
+        for worker in self.board.workers.values():
+            for _ in range(4):
+                worker.failed(0.0, early=False)
+        job = self.add(step(1, 1), priority=NORMAL)
+        self.plan(5.0)
+        self.assertEqual(self.look(5.0)[job].until_s, 5.0 + IDLE_PATIENCE_S)
+        self.assertEqual(len(self.plan(5.0 + IDLE_PATIENCE_S + 0.1).starts), 1)
+
+
 class CostTest(BoardCase):
+    def test_one_job_of_many_steps_costs_no_look_at_all_its_tasks_a_step(self) -> None:
+        """256 steps of 39 tasks for a label that none has: 0.1 s a round in a pool of 100."""
+        self.workers(racks=10, each=5)
+        self.add(*[step(39, 1, label="none") for _ in range(256)], priority=NORMAL)
+        self.plan(0.1)
+        self.assertLessEqual(self.calls_of_a_round(STILL_S), 5 * self.calls_of_a_round(1.0))
+
+    def calls_of_a_round(self, now: float) -> int:
+        """Calls of functions, and resumptions of generators, in a round."""
+        calls = 0
+
+        def note(frame: FrameType, event: str, arg: object) -> None:
+            nonlocal calls
+            calls += event == "call"
+
+        sys.setprofile(note)
+        try:
+            self.board.plan(now, 0.0)
+        finally:
+            sys.setprofile(None)
+        return calls
+
     def test_standing_work_of_one_kind_looks_at_all_workers_once_a_round(self) -> None:
         """With 3,000 workers each look takes 0.8 ms, and a round of 3,000 such steps 1.5 s."""
         self.workers(racks=10, each=5)
