The trial without kept workers fits the sources again

Cause: the edit named a line that has moved into a method. Ruled out: a change of what the trial switches off. Change: workers are kept in a list that nobody reads. Measured: tests.test_trials passes; of the whole suite before it 998 passed and this failed.

--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -67,8 +67,8 @@
         (
             Edit(
                 "policy/board/queue.py",
-                "            if not self._backfill.is_full:",
-                "            if False:",
+                "        self._misses.note_kept(shape)\n        self._backfill.keep(",
+                "        self._misses.note_kept(shape)\n        Backfill().keep(",
             ),
         ),
     ),
