--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -231,9 +231,10 @@
     failures: int = 0,
     checkpoint: bool = False,
     same_rack: bool = False,
+    crashes_s: float = 0.0,
 ) -> JobRequest:
-    """A job of one step whose tasks do so much work."""
-    plan = TaskPlan(work_s, failures, accelerators, tasks if gang else 0)
+    """A job of one step whose tasks do so much work, or crash their workers."""
+    plan = TaskPlan(work_s, failures, accelerators, tasks if gang else 0, crashes_s=crashes_s)
     step = Step(
         count=tasks,
         needs=Resources(1000, 1024, accelerators),
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -50,6 +50,7 @@
     :param tail_ms: the tail of its answers' times while nothing disturbs it.
     :param harm_ms: what it adds to others' tails at full pace.
     :param far_x: a gang on more than one rack takes so many times as long, on workers of a soak.
+    :param crashes_s: it crashes its worker after so many seconds of each run; 0 for never.
     """
 
     work_s: float = 1.0
@@ -62,6 +63,7 @@
     cpu: int = 0
     memory_mb: int = 0
     far_x: float = 1.0
+    crashes_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -91,6 +93,8 @@
     hold_s: float = 10.0
     gang_s: float = 3.0
     stop_s: float = 0.5
+    back_s: float = 3.0
+    """After a crash that a task caused a new life comes, at the same address."""
 
 
 @dataclass(slots=True)
@@ -153,6 +157,8 @@
 
     :ivar workers: by the name of the life.
     :ivar births: whether workers tell when they were born.
+    :ivar crashed: runs that crashed their workers.
+    :ivar died_beside: runs that were lost to such a crash without having caused it.
     """
 
     def __init__(self, store: StoreState, service: str, times: FloorTimes) -> None:
@@ -172,6 +178,8 @@
         self.looks = 0
         self.adviser: TicketOffice | None = None
         self.resumed: list[tuple[TaskName, int, str]] = []
+        self.crashed: list[FloorRun] = []
+        self.died_beside: list[FloorRun] = []
 
     # The platform's side
 
@@ -264,12 +272,16 @@
         """Let work go on, gangs end, and leases lapse, until cancelled."""
         while True:
             await asyncio.sleep(STEP_S)
-            for worker in self.workers.values():
+            for worker in list(self.workers.values()):
                 if worker.up:
                     self._advance(worker)
 
     # Accounts
 
+    def crashes_under(self, job_id: str) -> list[FloorRun]:
+        """Runs of a job that crashed their workers."""
+        return [run for run in self.crashed if run.task.job_id == job_id]
+
     def starts_of(self, job_id: str) -> int:
         """Runs of a job's tasks that began."""
         return sum(1 for run in self.history if run.task.job_id == job_id)
@@ -424,11 +436,28 @@
                 self._end(worker, run, EndKind.ALONE)
             return
         run.done_s += STEP_S
+        if run.plan.crashes_s and _now() - run.began >= run.plan.crashes_s:
+            self._crash_under(worker, run)
+            return
         if run.plan.lasts or run.done_s < run.plan.work_s:
             return
         failed = worker.fails_all or self._failed[run.task] < run.plan.failures
         self._end(worker, run, EndKind.FAILED if failed else EndKind.DONE)
 
+    def _crash_under(self, worker: FloorWorker, run: FloorRun) -> None:
+        """A run crashes its worker, with all that runs there; another life comes later."""
+        self.crashed.append(run)
+        self.died_beside += [other for other in worker.runs.values() if other is not run]
+        self.crash(worker, recorded=False)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.times.back_s, self._come_back, worker)
+
+    def _come_back(self, old: FloorWorker) -> None:
+        """A new life of a worker that crashed, under a new id."""
+        life = self.add(old.rack, old.data_hall, old.accelerators, old.machine)
+        life.address = old.address
+        self.record(life)
+
     def _members(self, run: FloorRun) -> list[tuple[FloorWorker, FloorRun]]:
         """The members of a run's gang that are present, worker after worker."""
         present = [each for each in self._by_gang[_gang_of(run)] if self._is_present(each)]
