A task that crashes its workers is found on evidence, started alone, and given up in time

Cause: a run that is lost with its worker is a lapsed end, and only failed ends count as attempts. Nothing counted crashes, and the task went first again. Change: a likelihood ratio for each task, beside that of failed runs: how soon after its start its worker was lost, whether it was alone, how often workers crash anyhow, on that machine before, or all of a rack together. Kept in the task's record, written before its next start. A suspect is started alone on a worker that is closed until the run has outlived the crash; a bounded share of the pool serves so. It is given up at 1,000 to 1, or in place of the third start after three crashes, whatever is held of it. Why it holds: the count does not depend on what is held of the task, survives leaders, and begins anew only with a run that outlives every crashed one; members of a gang are judged each, since another member's end says that its own worker lives.

--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -9,6 +9,7 @@
 from saddlestack.control.leases import CLOCK_DRIFT, Leases
 from saddlestack.control.owner import Owner
 from saddlestack.kernel.clock import Clock
+from saddlestack.policy.board.crashes import LifeEnd
 from saddlestack.policy.board.workers import Worker
 
 log = logging.getLogger("saddlestack.contact")
@@ -94,6 +95,15 @@
         """Whether every lease that was ever granted there is over."""
         return self._clock.now() >= self._leases.lasts_until(self._worker.worker_id)
 
+    def end(self, *, unheard: bool) -> LifeEnd:
+        """What is known of when the worker's life has ended.
+
+        :param unheard: only its silence tells that it has.
+        """
+        silent_s = self._worker.silent_s
+        gone_s = self._clock.now() if silent_s is None else silent_s
+        return LifeEnd(self._heard_s, gone_s, unheard)
+
     def deadline(self, now: float) -> int:
         """Until when all that runs there may run from now on, on the worker's clock.
 
@@ -117,6 +127,7 @@
         """A call was answered."""
         now = self._clock.now()
         self._heard_s = now
+        self._owner.board.heard(self._worker, now)
         self.misses = 0
         if not self._worker.reachable or self._worker.suspected:
             self._worker.reachable = True
@@ -132,6 +143,8 @@
         if self._heard_s > sent:
             return False
         self.misses += 1
+        if self._worker.silent_s is None:
+            self._worker.silent_s = self._clock.now()
         self._owner.missed(self._worker)
         if self.misses < SILENT_AFTER or not self._worker.reachable:
             return False
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Iterable
 from functools import partial
 
@@ -17,6 +18,7 @@
 from saddlestack.control.commits import Commits, JobRecords
 from saddlestack.control.configuration import Configuration
 from saddlestack.control.context import EntryContext
+from saddlestack.control.crashlog import CrashLog
 from saddlestack.control.endings import Proof, log_over, log_wait
 from saddlestack.control.evacuations import Evacuations
 from saddlestack.control.feed import Feed
@@ -38,6 +40,7 @@
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import JobChanges, Question
+from saddlestack.policy.board.crashes import LifeEnd
 from saddlestack.policy.board.workers import Worker
 from saddlestack.policy.suspicion import Suspicion
 from saddlestack.work import JobState
@@ -98,6 +101,7 @@
         self._requests = Requests(context, self.board, self._journal)
         self._commits = Commits(context, self._journal, self._displaced)
         self._began_s = context.clock.now()
+        self._crashing = CrashLog(context.metrics)
         self._leases = Leases(self.hold_s, self._began_s)
         self._sessions = Sessions(context, self, self._leases)
         self.waits = Waits(self.board, context.clock, context.metrics, self._leases.lasts_until)
@@ -287,6 +291,7 @@
             self._sessions.order_stop(stop)
         for pace in changes.paces:
             self._sessions.order_pace(pace)
+        self._crashing.tell(changes.verdicts)
         for question in changes.questions:
             self._tasks.spawn(self._ask(question))
         by_job = changes.by_job()
@@ -390,7 +395,7 @@
             if now < self._leases.lasts_until(worker.worker_id):
                 continue
             log_over(worker.runs.values(), Proof.LAPSED, now - self._began_s)
-            self.board.worker_over(worker.worker_id)
+            self.board.worker_over(worker.worker_id, LifeEnd(-math.inf, now, unheard=True))
 
     def _ghosts(self) -> list[Worker]:
         """Lives that may run something and are reached nowhere, as far as is known."""
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -177,6 +177,8 @@
             except WorkerUnreachable as error:
                 # What no connection was opened for never left.
                 clean = clean and isinstance(error, WorkerNotReached)
+                if clean:
+                    run.ordered_s = None
                 self._missed(sent)
                 continue
             except WorkerBusy:
@@ -240,6 +242,7 @@
                 ticket=start.ticket,
             )
             self._doubts.sent(self.worker.worker_id, (run.task.name, run.number), now)
+            run.ordered_s = now if run.ordered_s is None else run.ordered_s
             reply = await self._answer_of(self._orders.start(order, ORDER_TIMEOUT_S))
         if reply.clock_ms is None:
             self._contact.heard()
@@ -424,7 +427,7 @@
         """Nothing runs there any more: every lease has lapsed."""
         heard_s = max(self._contact.heard_s, self._began_s)
         log_over(self.worker.runs.values(), Proof.LAPSED, self._clock.now() - heard_s)
-        self._owner.board.worker_over(self.worker.worker_id)
+        self._owner.board.worker_over(self.worker.worker_id, self._contact.end(unheard=True))
         self._reports.clear()
         self._owner.changed()
 
@@ -543,6 +546,6 @@
         self.over = True
         self.worker.listed = False
         log_over(self.worker.runs.values(), Proof.REPLACED, 0.0)
-        self._owner.board.worker_over(self.worker.worker_id)
+        self._owner.board.worker_over(self.worker.worker_id, self._contact.end(unheard=False))
         self._owner.replaced(self.worker)
         self._owner.changed()
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -14,6 +14,7 @@
 from saddlestack.policy.board.blame import Blame, FailureKind
 from saddlestack.policy.board.caution import Caution
 from saddlestack.policy.board.changes import Changes, Question, Start, Stop, StopReason
+from saddlestack.policy.board.crashes import Crashes, Judgement, LifeEnd
 from saddlestack.policy.board.departure import leaving
 from saddlestack.policy.board.index import RoomIndex
 from saddlestack.policy.board.jobs import Job, Occurrence, Run, StepState, Task, new_job
@@ -21,6 +22,7 @@
 from saddlestack.policy.board.progress import is_stuck, needs_looks
 from saddlestack.policy.board.queue import Planner
 from saddlestack.policy.board.records import OccurrenceRecord, OccurrenceStatus, TaskStatus
+from saddlestack.policy.board.verdicts import Verdict
 from saddlestack.policy.board.waiting import waits
 from saddlestack.policy.board.workers import EARLY_FAILURE_S, EARLY_SHARE, Worker
 from saddlestack.work import AcceptedJob, JobState, Resources, TaskName
@@ -45,7 +47,9 @@
         self._index = RoomIndex()
         self._caution = Caution()
         self._blame = Blame(self.workers)
-        self._planner = Planner(self, self._index, self._caution)
+        self._crashes = Crashes(self.workers)
+        self._verdicts: list[Verdict] = []
+        self._planner = Planner(self, self._index, self._caution, self._crashes)
 
     # Configuration
 
@@ -102,6 +106,8 @@
             for step in occurrence.steps:
                 for task in step.tasks:
                     self._restore(task, addresses)
+                for index in step.record.crashes:
+                    self._crashes.inherit(step.tasks[index])
         self._stop_leftovers(job)
         self._blame.inherit(job)
         self._planner.add(job)
@@ -162,6 +168,7 @@
         if job is None or job.over:
             return
         job.cancelled = True
+        self._crashes.forget_job(job_id)
         self._touched[job_id] = job
         for occurrence in job.occurrences:
             self._stop_all(occurrence, StopReason.CANCELLED)
@@ -182,6 +189,7 @@
         """A job that the store no longer has."""
         self.jobs.pop(job_id, None)
         self._blame.forget_job(job_id)
+        self._crashes.forget_job(job_id)
 
     # Workers
 
@@ -198,6 +206,7 @@
         if not worker.listed:
             worker.listed = True
             worker.reachable = True
+            worker.outlived_record = False
         return worker
 
     def unlist_worker(self, worker_id: str) -> None:
@@ -205,21 +214,46 @@
         worker = self.workers.get(worker_id)
         if worker is None:
             return
+        if worker.listed:
+            self._follow(self._crashes.unlisted(worker))
         worker.listed = False
         if not worker.runs:
             self._lose(worker)
 
-    def worker_over(self, worker_id: str) -> None:
-        """A life has ended, or its lease has lapsed for sure: nothing runs there."""
+    def worker_over(self, worker_id: str, end: LifeEnd | None = None) -> None:
+        """A life has ended, or its lease has lapsed for sure: nothing runs there.
+
+        :param end: when it may have ended, where it may have crashed.
+        """
         worker = self.workers.get(worker_id)
         if worker is None:
             return
-        for run in list(worker.runs.values()):
+        judgement = Judgement() if end is None else self._crashes.life_over(worker, end)
+        lost = list(worker.runs.values())
+        for run in lost:
             worker.remove(run.task.name, run.number)
+        self._follow(judgement)
+        for run in lost:
             self._run_over(run, EndKind.LAPSED, run.saved)
         if not worker.listed:
             self._lose(worker)
 
+    def heard(self, worker: Worker, now: float) -> None:
+        """A life has answered."""
+        worker.heard_s = now
+        worker.silent_s = None
+        worker.outlived_record = not worker.listed
+        self._follow(self._crashes.heard(worker.worker_id))
+
+    def _follow(self, judgement: Judgement) -> None:
+        """Keep what a crash tells, and give up the jobs of those that caused it."""
+        self._verdicts += judgement.verdicts
+        for unit in judgement.touched:
+            if unit.step.occurrence.open:
+                self._mark(unit.step.occurrence)
+        for unit in judgement.culprits:
+            self._give_up(unit.step.occurrence)
+
     def evacuate(self, halls: frozenset[str]) -> None:
         """Start nothing in some data halls from now on, and in all others again.
 
@@ -256,6 +290,8 @@
         if worker is not None:
             worker.remove(run.task.name, run.number)
         run.never_began = True
+        if run.ordered_s is None and not run.inherited:
+            self._crashes.started(run.task, -1)
         self._run_over(run, EndKind.STOPPED, "")
 
     def reported(self, worker_id: str, running: Iterable[RunningTask], now: float) -> None:
@@ -300,6 +336,7 @@
             self._blame.ended_well(worker_id)
         elif end.how is EndKind.FAILED:
             self._note_failure(worker, run, now)
+        self._follow(self._crashes.survived(run, end.how, now))
         self._run_over(run, end.how, end.saved or run.saved)
 
     def _note_failure(self, worker: Worker, run: Run, now: float) -> None:
@@ -331,7 +368,9 @@
         task.record.status = TaskStatus.WAITING
         if step.step.checkpoint and saved:
             self._save(task, saved)
-        if step.step.once and _has_begun(run, how) and not task.record.saved:
+        if self._crashes.is_spent(task):
+            self._spent(task)
+        elif step.step.once and _has_begun(run, how) and not task.record.saved:
             self._give_up(occurrence)
         elif how is EndKind.FAILED:
             self._failed(task, run)
@@ -340,6 +379,12 @@
         if occurrence.open:
             self._planner.returned(step, ran=not run.never_began)
 
+    def _spent(self, task: Task) -> None:
+        """A task that may crash its workers has been started as often as it may be."""
+        if task.step.occurrence.open:
+            self._verdicts.append(self._crashes.verdict(task))
+            self._give_up(task.step.occurrence)
+
     def _save(self, task: Task, saved: str) -> None:
         tasks = task.step.tasks if task.step.step.gang else [task]
         for each in tasks:
@@ -378,6 +423,8 @@
         if occurrence.status is not OccurrenceStatus.OPEN:
             return
         occurrence.status = OccurrenceStatus.FAILED
+        self._crashes.forget_job(occurrence.job.job_id)
+        self._mark(occurrence)
         self._touched[occurrence.job.job_id] = occurrence.job
         for other in occurrence.job.occurrences:
             self._stop_all(other, StopReason.JOB_FAILED)
@@ -386,6 +433,9 @@
 
     def stop_run(self, run: Run, reason: StopReason, cause: str = "") -> None:
         """Order a run to stop; its room is free when its end is reported."""
+        worker = self.workers.get(run.worker_id)
+        if worker is None or (run.task.name, run.number) not in worker.runs:
+            return
         if not run.stopping:
             run.stopping = True
             self._stops.append(Stop(run.worker_id, run.task.name, run.number, reason, cause))
@@ -428,6 +478,7 @@
         :return: whether more may be decided at once: a round decides so much.
         """
         self._index.begin(now)
+        self._crashes.tick(now)
         for run in leaving(self._index.leaving, self.members, now):
             self.stop_group(run, StopReason.WORKER_LEAVES)
         return self._planner.plan(now, wall_ms)
@@ -441,6 +492,7 @@
         task.record.run = number
         task.record.worker = worker.worker_id
         worker.add(run)
+        self._crashes.started(task, 1)
         occurrence = task.step.occurrence
         self._mark(occurrence)
         saved = task.record.saved if task.step.step.checkpoint else ""
@@ -458,19 +510,23 @@
     @property
     def has_news(self) -> bool:
         """Whether something is to be taken that follows from events since the last plan."""
-        orders = self._starts or self._stops or self._paces or self._questions
+        orders = self._verdicts or self._starts or self._stops or self._paces or self._questions
         return bool(orders or self._dirty or self._touched)
 
     def take(self) -> Changes:
         """What has followed since the last call."""
         changes = Changes(
-            starts=self._starts, stops=self._stops, paces=self._paces, questions=self._questions
+            starts=self._starts,
+            stops=self._stops,
+            paces=self._paces,
+            questions=self._questions,
+            verdicts=self._verdicts,
         )
         for key, occurrence in self._dirty.items():
             changes.records[key] = occurrence.to_record()
         changes.shown = [(job, job.state) for job in self._touched.values()]
         self._starts, self._stops, self._paces, self._questions = [], [], [], []
-        self._dirty, self._touched = {}, {}
+        self._dirty, self._touched, self._verdicts = {}, {}, []
         return changes
 
     def pending(self, queue: str) -> int:
--- a/src/saddlestack/policy/board/changes.py
+++ b/src/saddlestack/policy/board/changes.py
@@ -8,6 +8,7 @@
 from saddlestack.policy.board.jobs import Job, Run, StepState
 from saddlestack.policy.board.pacing import Pace
 from saddlestack.policy.board.records import OccurrenceRecord
+from saddlestack.policy.board.verdicts import Verdict
 from saddlestack.work import JobState, TaskName
 
 
@@ -80,6 +81,7 @@
     :param paces: to be ordered at once.
     :param questions: to be asked of the adviser.
     :param shown: jobs whose state may be shown after the records are written.
+    :param verdicts: on tasks under which workers crashed, to be told.
     """
 
     records: dict[str, OccurrenceRecord] = field(default_factory=dict)
@@ -88,6 +90,7 @@
     paces: list[Pace] = field(default_factory=list)
     questions: list[Question] = field(default_factory=list)
     shown: list[tuple[Job, JobState]] = field(default_factory=list)
+    verdicts: list[Verdict] = field(default_factory=list)
 
     def by_job(self) -> list[JobChanges]:
         """What waits for records, for each job by itself."""
--- a/src/saddlestack/policy/board/index.py
+++ b/src/saddlestack/policy/board/index.py
@@ -120,6 +120,11 @@
         """Accelerators of the widest rack."""
         return self._by_width[-1] if self._by_width else 0
 
+    @property
+    def count(self) -> int:
+        """Its workers."""
+        return sum(len(rack.workers) for rack in self.racks)
+
     def rack(self, name: str) -> Rack | None:
         """A rack by its name."""
         return self._by_name.get(name)
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -29,7 +29,9 @@
 
     :param inherited: an earlier leader assigned it; what became of it is not known yet.
     :param assigned_s: when it was decided, seconds on the board's clock.
+    :param ordered_s: when its order first left for the worker, or ``None``.
     :param started_s: when the worker confirmed it, or ``None``.
+    :param isolated: nothing else may join it at its worker while it may crash that.
     :param stopping: a stop was ordered.
     :param awaited_s: since when other work has waited for it to stop, on the board's clock.
     :param never_began: it is known that the worker never began it.
@@ -49,7 +51,9 @@
     room: Resources
     assigned_s: float
     inherited: bool = False
+    ordered_s: float | None = None
     started_s: float | None = None
+    isolated: bool = False
     stopping: bool = False
     awaited_s: float | None = None
     never_began: bool = False
@@ -67,6 +71,7 @@
     """One task of one occurrence.
 
     :param avoid: workers on which it failed.
+    :param crashed_on: machines whose workers crashed under it, as far as this leader saw.
     """
 
     name: TaskName
@@ -74,6 +79,7 @@
     record: TaskRecord
     run: Run | None = None
     avoid: set[str] = field(default_factory=set)
+    crashed_on: set[str] = field(default_factory=set)
 
     @property
     def status(self) -> TaskStatus:
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -2,19 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import replace
 
 from saddlestack.policy.board.backfill import Backfill
 from saddlestack.policy.board.caution import Caution
+from saddlestack.policy.board.crashes import Crashes
 from saddlestack.policy.board.fits import Fit, Fits
 from saddlestack.policy.board.headroom import may_open
 from saddlestack.policy.board.index import RoomIndex, ServiceRooms
+from saddlestack.policy.board.isolation import Isolated, Isolation
 from saddlestack.policy.board.jobs import TOP_PRIORITY, Job, Run, StepState, Task
 from saddlestack.policy.board.patience import (
     HEADROOM_PATIENCE_S,
     NEAR_PATIENCE_S,
     has_room_for,
+    is_idle,
     is_impatient,
 )
 from saddlestack.policy.board.placement import whole_racks
@@ -44,10 +47,12 @@
 class Planner:
     """Goes through the waiting work of all jobs in order and gives it workers."""
 
-    def __init__(self, board: Pool, index: RoomIndex, caution: Caution) -> None:
+    def __init__(self, board: Pool, index: RoomIndex, caution: Caution, crashes: Crashes) -> None:
         self._board = board
         self._index = index
         self._caution = caution
+        self._isolation = Isolation(crashes)
+        self._isolated: set[Task] = set()
         self._fits = Fits(index)
         self._waiting = Waiting()
         self._reservations = Reservations()
@@ -91,6 +96,7 @@
         self._backfill.clear()
         self._misses.clear()
         self._reservations.release_stale(now)
+        self._isolation.refresh(now)
         entitled = self._waiting.entitled(self._board.guaranteed)
         for step in self._waiting.in_order(now, wall_ms, entitled):
             if self._started >= STARTS_A_ROUND:
@@ -129,6 +135,8 @@
         if not may_start(step):
             self._waiting.remove(step)
             return
+        if not self._isolate(step, now):
+            return
         hopeless = full or self._misses.is_shut(shape, _waited_s(step, now))
         if hopeless and not top:
             if not self._place_anywhere(step, now):
@@ -148,6 +156,52 @@
         elif self._reservations.of(step) is None:
             self._preempt(step, places, entitled, now)
 
+    # Isolation
+
+    def _isolate(self, step: StepState, now: float) -> bool:
+        """Start those tasks of a step alone that may crash their workers.
+
+        :return: whether the step has others to start.
+        """
+        self._isolated.clear()
+        suspects = self._isolation.suspects(step)
+        if not suspects:
+            return True
+        self._release(step)
+        able = self._able_alone(step, now)
+        groups = [suspects] if step.step.gang else [[task] for task in suspects]
+        for tasks in groups:
+            pool = self._rooms(step).count
+            found = self._isolation.find(tasks, able, pool, now, idle=is_idle(self._rooms(step)))
+            if found.places:
+                self._assign_apart(tasks, found, now)
+                able = [worker for worker in able if not worker.isolating]
+            elif found.keeps:
+                self._isolated.update(tasks)
+        return any(self._is_open(task) for task in step.tasks)
+
+    def _able_alone(self, step: StepState, now: float) -> list[Worker]:
+        """Workers that a step's tasks may go to whatever they prefer."""
+        able = self._able(self._fit(step), now)
+        if self._board.is_advised(step.occurrence.job):
+            able = self._with_leave(step, able, now)
+        return able
+
+    def _assign_apart(self, tasks: Sequence[Task], found: Isolated, now: float) -> None:
+        number = max(task.record.run for task in tasks) + 1
+        for task, worker in zip(tasks, found.places, strict=True):
+            self._assign(task, worker, number, now)
+            if task.run is not None:
+                task.run.isolated = found.alone
+
+    def _is_open(self, task: Task) -> bool:
+        """Whether a task is to be started where others may be."""
+        return waits(task) and task not in self._isolated
+
+    def isolates(self, step: StepState) -> bool:
+        """Whether tasks of a step wait to be started alone."""
+        return self._isolation.is_waited_for(step)
+
     def _keep_for(self, step: StepState, shape: int | None, now: float) -> None:
         """Keep the workers where a gang fits soonest; once for those of a shape."""
         if not step.step.gang or self._backfill.is_full or self._misses.is_kept(shape):
@@ -206,7 +260,7 @@
             self._assign_gang(step, chosen, now)
             return True
         for task in step.tasks:
-            worker = room.task(task.avoid) if waits(task) else None
+            worker = room.task(task.avoid) if self._is_open(task) else None
             if worker is not None:
                 self._assign(task, worker, task.record.run + 1, now)
                 return True
@@ -263,6 +317,8 @@
             for worker in rack.workers:
                 if not worker.answers or not worker.matches(step.step) or now < worker.busy_s:
                     continue
+                if worker.isolating:
+                    continue
                 if not step.fails_for_good or now >= worker.quarantine_s:
                     yield worker
 
@@ -379,7 +435,7 @@
         if step.step.gang:
             return ListedPlaces(step, workers).gang() is not None
         room = sum(worker.copies(step, worker.free) for worker in workers)
-        return room >= sum(1 for task in step.tasks if waits(task))
+        return room >= sum(1 for task in step.tasks if self._is_open(task))
 
     def _place_gang(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         chosen = places.gang()
@@ -402,7 +458,7 @@
         """Place tasks that run alone; one that has failed on what is free holds up no others."""
         left = False
         for task in step.tasks:
-            if not waits(task):
+            if not self._is_open(task):
                 continue
             worker = places.task(task.avoid)
             if worker is None and task.avoid:
@@ -453,12 +509,14 @@
             other = run.task.step.occurrence.job
             if other is job or is_overdue(run, now) or _lost_if_stopped(run):
                 return False
+            if run.isolated or self._isolation.is_counted(run):
+                return False
             if run.stopping or other.priority > job.priority:
                 return True
             return within and other.job_id not in entitled
 
         preemptor = Preemptor(self._board.members, may_stop, now)
-        wanted = sum(1 for task in step.tasks if waits(task))
+        wanted = sum(1 for task in step.tasks if self._is_open(task))
         domains = list(places.domains(wanted))
         found = preemptor.cheapest(step, wanted, domains)
         if found is None and not step.step.gang:
@@ -483,7 +541,7 @@
         if step.step.gang:
             self._assign_gang(step, places, now)
             return True
-        waiting = [task for task in step.tasks if waits(task)]
+        waiting = [task for task in step.tasks if self._is_open(task)]
         for task, worker in zip(waiting, places, strict=False):
             self._assign(task, worker, task.record.run + 1, now)
         return len(waiting) <= len(places)
--- a/src/saddlestack/policy/board/records.py
+++ b/src/saddlestack/policy/board/records.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 import msgspec
 
@@ -43,16 +44,42 @@
     saved: str = ""
 
 
+class CrashRecord(msgspec.Struct, array_like=True):
+    """What crashes of workers tell of a task.
+
+    :param crashes: workers that crashed under it and count.
+    :param log_odds: natural logarithm of how much likelier it crashes its workers than not.
+    :param span_s: the longest time from a start of it to such a crash, in seconds.
+    :param later_starts: starts since the crash from which on they are counted.
+    """
+
+    crashes: int = 0
+    log_odds: float = 0.0
+    span_s: float = 0.0
+    later_starts: int = 0
+
+    @property
+    def odds(self) -> float:
+        """How much likelier it crashes its workers than not."""
+        return math.exp(min(self.log_odds, MOST_LOG_ODDS))
+
+
+MOST_LOG_ODDS = 50.0
+"""Beyond this the odds say no more, and would be too large for a float."""
+
+
 class StepRecord(msgspec.Struct, array_like=True):
     """Progress of one step.
 
     :param gang_failures: runs of the gang in which a member failed.
     :param failed_run: the latest such run.
+    :param crashes: of tasks under which workers crashed, by index.
     """
 
     tasks: list[TaskRecord]
     gang_failures: int = 0
     failed_run: int = 0
+    crashes: dict[int, CrashRecord] = {}
 
 
 class OccurrenceRecord(msgspec.Struct, array_like=True):
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from saddlestack.interfaces.workers import WorkerRecord
@@ -47,6 +48,7 @@
         "reserved",
         "leaves_s",
         "evacuated",
+        "isolating",
     }
 )
 """What decides where work fits: a change of any of these is noted."""
@@ -65,6 +67,10 @@
     :param drains_since_s: since when it is known to be leaving, on the board's clock.
     :param closing: its machine is about to have its upkeep.
     :param evacuated: its data hall is being evacuated; what runs there goes on.
+    :param isolating: a task that may crash it is there, or is to come: nothing else is started.
+    :param heard_s: when it last answered in this term, on the board's clock.
+    :param silent_s: since when it does not answer, on the same.
+    :param outlived_record: it answered after its record was gone.
     :param cold_s: it is slow until then.
     :param calm_s: since when all that serves there is well below its target.
     :param busy_s: no new work until then: it turned an order away.
@@ -89,6 +95,10 @@
     drains_since_s: float | None = None
     closing: bool = False
     evacuated: bool = False
+    isolating: bool = False
+    heard_s: float = -math.inf
+    silent_s: float | None = None
+    outlived_record: bool = False
     cold_s: float = 0.0
     calm_s: float | None = None
     busy_s: float = 0.0
@@ -121,6 +131,11 @@
         """Its life's name."""
         return self.record.worker_id
 
+    @property
+    def machine(self) -> str:
+        """The machine that it is a life on; where it names none, its address."""
+        return self.record.machine or self.record.address
+
     @property
     def free(self) -> Resources:
         """Room that nothing holds or waits for."""
@@ -130,6 +145,10 @@
 
     def takes_work(self, now: float) -> bool:
         """Whether new work may go there."""
+        return not self.isolating and self.takes_isolated(now)
+
+    def takes_isolated(self, now: float) -> bool:
+        """Whether a task may go there that is to be alone."""
         return self.stays and self.reachable and now >= max(self.busy_s, self.quarantine_s)
 
     @property
--- a/tests/simulation/day.py
+++ b/tests/simulation/day.py
@@ -456,6 +456,18 @@
             self.site.end_worker(beats)
             self._replace(beats, 0.0)
 
+    def _rack_crash(self) -> None:
+        """All workers of a rack crash by themselves at the same moment."""
+        beats = self._beats()
+        if beats is None:
+            return
+        rack = beats.worker.rack
+        self._note(f"all workers of {rack} crash")
+        for one in list(self.site.heartbeats.values()):
+            if one.worker.up and one.worker.rack == rack:
+                self.site.end_worker(one)
+                self._replace(one, 1.0)
+
     def _reborn(self) -> None:
         """A worker starts again under its id, often before anybody has missed it."""
         beats = self._beats()
@@ -608,6 +620,7 @@
     "hang": 0.3,
     "failing": 0.15,
     "all_restart": 0.06,
+    "rack_crash": 0.1,
 }
 """Kinds that come by name alone, so that seeds go on naming the days that they named."""
 
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,440 @@
+"""What a crash of a worker tells of the tasks that ran there, and what follows for them."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+
+from saddlestack.codec import from_msgpack, to_msgpack
+from saddlestack.interfaces.workers import EndedTask, EndKind
+from saddlestack.policy.board.board import Board
+from saddlestack.policy.board.changes import StopReason
+from saddlestack.policy.board.crashes import LifeEnd
+from saddlestack.policy.board.crashrule import COUNTED_FROM, LATER_STARTS, CrashOdds
+from saddlestack.policy.board.isolation import SHARE
+from saddlestack.policy.board.jobs import Run, Task
+from saddlestack.policy.board.records import CrashRecord, OccurrenceRecord, TaskStatus
+from saddlestack.policy.board.verdicts import VerdictKind
+from saddlestack.work import JobState, TaskName
+from tests.test_board import BULK, BoardCase, record, step
+
+SOON_S = 0.2
+"""So soon after its start a task crashes its worker..."""
+NOTICED_S = 0.5
+"""...and its worker's silence is noticed."""
+PAUSE_S = 4.0
+"""From one crash to the next."""
+
+
+class CrashCase(BoardCase):
+    """Crashes one by one."""
+
+    def task(self, job_id: str, index: int = 0) -> Task:
+        return self.board.jobs[job_id].occurrences[0].steps[0].tasks[index]
+
+    def run_of(self, job_id: str, index: int = 0) -> Run:
+        run = self.task(job_id, index).run
+        assert run is not None
+        return run
+
+    def known(self, job_id: str, index: int = 0) -> CrashRecord | None:
+        return self.task(job_id, index).step.record.crashes.get(index)
+
+    def crash(self, worker_id: str, at_s: float, *, unheard: bool = False) -> None:
+        """A worker crashes; it was heard right before, and another life takes its place."""
+        worker = self.board.workers[worker_id]
+        address, rack = worker.record.address, worker.record.rack
+        self.board.heard(worker, at_s - 0.001)
+        self.board.worker_over(worker_id, LifeEnd(at_s - 0.001, at_s + NOTICED_S, unheard))
+        self.board.unlist_worker(worker_id)
+        life = record(f"{worker_id}-{at_s:.0f}", rack=rack)
+        self.assertEqual(life.address, address)
+        self.board.set_worker(life, at_s + 1.0)
+
+    def crash_under(self, job_id: str, now: float, index: int = 0) -> str:
+        """The worker of a task crashes soon after the task has started."""
+        worker_id = self.run_of(job_id, index).worker_id
+        self.crash(worker_id, now + SOON_S)
+        return worker_id
+
+    def suspects(self, count: int) -> list[str]:
+        """Jobs of one task each, all of which were on a worker that crashed."""
+        jobs = [self.add(step(1, 1)) for _ in range(count)]
+        self.plan(0.0)
+        self.crash_under(jobs[0], 0.0)
+        return jobs
+
+
+class CulpritTest(CrashCase):
+    def test_two_crashes_soon_after_its_start_give_a_task_up(self) -> None:
+        self.workers(racks=2, each=4)
+        job = self.add(step(1, 8))
+        for number in range(2):
+            now = number * PAUSE_S
+            self.assertEqual(len(self.plan(now).starts), 1)
+            self.assertIs(self.state(job), JobState.RUNNING)
+            self.crash_under(job, now)
+        self.assertIs(self.state(job), JobState.FAILED)
+        changes = self.board.take()
+        verdicts = [verdict.kind for verdict in changes.verdicts]
+        self.assertEqual(verdicts, [VerdictKind.GIVEN_UP])
+        self.assertEqual(changes.verdicts[0].crashes, 2)
+        self.assertEqual(self.plan(2 * PAUSE_S).starts, [])
+
+    def test_lasting_work_is_given_up_as_well(self) -> None:
+        self.workers(racks=2, each=4)
+        job = self.add(step(1, 8, long_running=True))
+        for number in range(2):
+            self.plan(number * PAUSE_S)
+            self.crash_under(job, number * PAUSE_S)
+        self.assertIs(self.state(job), JobState.FAILED)
+
+    def test_those_beside_it_are_cleared_once_it_is_found(self) -> None:
+        self.workers(racks=2, each=SHARE)
+        culprit = self.add(step(1, 4))
+        other = self.add(step(1, 4))
+        self.plan(0.0)
+        self.assertEqual(self.crash_under(culprit, 0.0), self.run_of_past(other))
+        self.assertIsNotNone(self.known(other))
+        self.plan(PAUSE_S)
+        self.assertNotEqual(self.run_of(culprit).worker_id, self.run_of(other).worker_id)
+        self.crash_under(culprit, PAUSE_S)
+        self.plan(2 * PAUSE_S)
+        if self.state(culprit) is not JobState.FAILED:
+            self.crash_under(culprit, 2 * PAUSE_S)
+        self.assertIs(self.state(culprit), JobState.FAILED)
+        self.assertFalse(self.board._crashes.is_suspect(self.task(other)))
+        self.assertIs(self.state(other), JobState.RUNNING)
+
+    def run_of_past(self, job_id: str) -> str:
+        """The worker that a task was last given to."""
+        return self.task(job_id).record.worker
+
+    def test_what_is_known_outlives_a_leader(self) -> None:
+        self.workers(racks=1, each=4)
+        job = self.add(step(1, 8))
+        self.plan(0.0)
+        self.crash_under(job, 0.0)
+        kept = self.board.take().records[f"{job}.0"]
+        kept = from_msgpack(to_msgpack(kept), OccurrenceRecord)
+        before = self.board.jobs[job].accepted
+        self.board = Board()
+        self.workers(racks=1, each=4)
+        self.board.add_job(before, {0: kept})
+        self.plan(PAUSE_S)
+        self.crash_under(job, PAUSE_S)
+        self.assertIs(self.state(job), JobState.FAILED)
+
+    def test_a_run_of_an_earlier_leader_counts(self) -> None:
+        """Nobody knows for how long it had been there: that counts, and the next start waits."""
+        self.workers(racks=1, each=4)
+        job = self.add(step(1, 4))
+        self.plan(0.0)
+        kept = self.board.jobs[job].occurrences[0].to_record()
+        before = self.board.jobs[job].accepted
+        self.board = Board()
+        self.board.add_job(before, {0: kept})
+        (ghost,) = self.board.workers
+        self.board.worker_over(ghost, LifeEnd(-math.inf, 5.0, unheard=True))
+        known = self.known(job)
+        assert known is not None
+        self.assertEqual(known.crashes, 1)
+
+    def test_after_three_crashes_it_is_started_twice_more_however_its_runs_end(self) -> None:
+        self.workers(racks=1, each=4)
+        job = self.add(step(1, 8))
+        step_record = self.task(job).step.record
+        prior = CrashOdds().prior_log_odds
+        step_record.crashes[0] = CrashRecord(COUNTED_FROM, prior, 100.0)
+        for time in range(LATER_STARTS):
+            self.assertIs(self.state(job), JobState.QUEUED if not time else JobState.RUNNING)
+            self.assertEqual(len(self.plan(float(time)).starts), 1)
+            self.board.stop_run(self.run_of(job), StopReason.WORKER_LEAVES)
+            self.end(job, EndKind.STOPPED, time + 0.1)
+        self.assertIs(self.state(job), JobState.FAILED)
+        self.assertEqual(self.plan(9.0).starts, [])
+
+    def test_a_run_that_outlives_all_that_crashed_begins_the_count_anew(self) -> None:
+        self.workers(racks=1, each=4)
+        job = self.add(step(1, 8))
+        self.task(job).step.record.crashes[0] = CrashRecord(COUNTED_FROM, 0.0, 2.0)
+        for time in range(LATER_STARTS + 1):
+            self.plan(10.0 * time)
+            self.board.stop_run(self.run_of(job), StopReason.WORKER_LEAVES)
+            self.end(job, EndKind.STOPPED, 10.0 * time + 2.5)
+        self.assertIs(self.state(job), JobState.RUNNING)
+
+    def test_an_order_that_never_left_is_no_such_start(self) -> None:
+        self.workers(racks=1, each=4)
+        job = self.add(step(1, 8))
+        prior = CrashOdds().prior_log_odds
+        self.task(job).step.record.crashes[0] = CrashRecord(COUNTED_FROM, prior, 100.0)
+        for time in range(LATER_STARTS + 2):
+            self.board.plan(float(time), 0.0)
+            self.board.not_started(self.run_of(job))
+        self.assertEqual(self.known(job), CrashRecord(COUNTED_FROM, prior, 100.0))
+
+    def test_one_crash_convicts_nobody(self) -> None:
+        self.assertFalse(CrashOdds().is_culprit(CrashRecord(1, math.log(1e9), 0.3)))
+
+
+class SoundTest(CrashCase):
+    """What is no crash under a task, or none that it caused."""
+
+    def test_an_announced_end_is_none(self) -> None:
+        self.workers(racks=1, each=2)
+        job = self.add(step(1, 8))
+        self.plan(0.0)
+        worker_id = self.run_of(job).worker_id
+        self.board.set_worker(record(worker_id, draining=True, remaining_ms=500), 0.1)
+        self.crash(worker_id, 0.7)
+        self.assertIsNone(self.known(job))
+
+    def test_a_crash_long_before_an_announced_end_is_one(self) -> None:
+        self.workers(racks=1, each=2)
+        job = self.add(step(1, 8))
+        self.plan(0.0)
+        worker_id = self.run_of(job).worker_id
+        self.board.set_worker(record(worker_id, draining=True, remaining_ms=30_000), 0.1)
+        self.crash(worker_id, 0.2)
+        self.assertIsNotNone(self.known(job))
+
+    def test_an_order_that_never_left_is_none(self) -> None:
+        self.workers(racks=1, each=2)
+        job = self.add(step(1, 8))
+        self.board.plan(0.0, 0.0)
+        self.crash_under(job, 0.0)
+        self.assertIsNone(self.known(job))
+
+    def test_an_order_that_was_not_answered_is_one(self) -> None:
+        self.workers(racks=1, each=2)
+        job = self.add(step(1, 8))
+        self.board.plan(0.0, 0.0)
+        self.run_of(job).ordered_s = 0.0
+        self.crash_under(job, 0.0)
+        self.assertIsNotNone(self.known(job))
+
+    def test_a_run_that_is_being_stopped_counts(self) -> None:
+        self.workers(racks=1, each=2)
+        job = self.add(step(1, 8))
+        self.plan(0.0)
+        self.run_of(job).stopping = True
+        self.crash_under(job, 0.0)
+        self.assertIsNotNone(self.known(job))
+
+    def test_a_listed_worker_that_is_unheard_of_is_judged_once_its_record_goes(self) -> None:
+        self.workers(racks=1, each=2)
+        job = self.add(step(1, 8))
+        self.plan(0.0)
+        worker_id = self.run_of(job).worker_id
+        self.board.worker_over(worker_id, LifeEnd(0.2, 0.5, unheard=True))
+        self.assertIsNone(self.known(job))
+        self.board.unlist_worker(worker_id)
+        self.assertIsNotNone(self.known(job))
+
+    def test_a_listed_worker_that_answers_again_was_none(self) -> None:
+        self.workers(racks=1, each=2)
+        job = self.add(step(1, 8))
+        self.plan(0.0)
+        worker = self.board.workers[self.run_of(job).worker_id]
+        self.board.worker_over(worker.worker_id, LifeEnd(0.2, 0.5, unheard=True))
+        self.board.heard(worker, 12.0)
+        self.board.unlist_worker(worker.worker_id)
+        self.assertIsNone(self.known(job))
+
+    def test_a_life_that_is_heard_after_all_takes_the_charge_back(self) -> None:
+        self.workers(racks=1, each=2)
+        job = self.add(step(1, 8))
+        self.plan(0.0)
+        worker_id = self.run_of(job).worker_id
+        self.crash(worker_id, SOON_S, unheard=True)
+        self.assertIsNotNone(self.known(job))
+        back = self.board.set_worker(record(worker_id), 12.0)
+        self.board.heard(back, 12.0)
+        self.assertIsNone(self.known(job))
+
+    def test_a_rack_that_crashes_at_once_makes_no_suspects(self) -> None:
+        self.workers(racks=3, each=4)
+        jobs = [self.add(step(1, 8)) for _ in range(12)]
+        for time in range(3):
+            self.plan(time * PAUSE_S)
+            runs = {self.run_of(job).worker_id: job for job in jobs}
+            rack = self.board.workers[self.run_of(jobs[0]).worker_id].record.rack
+            lost = [w for w in runs if self.board.workers[w].record.rack == rack]
+            at_s = time * PAUSE_S + SOON_S
+            for worker_id in lost:
+                self.board.heard(self.board.workers[worker_id], at_s - 0.001)
+                self.board.workers[worker_id].silent_s = at_s + NOTICED_S
+            for worker_id in lost:
+                self.crash(worker_id, at_s)
+            self.assertEqual({self.state(job) for job in jobs}, {JobState.RUNNING})
+        self.assertFalse(any(each.isolating for each in self.board.workers.values()))
+
+    def test_long_runs_on_workers_that_often_crash_are_not_given_up(self) -> None:
+        self.workers(racks=2, each=4)
+        jobs = [self.add(step(1, 8)) for _ in range(8)]
+        lived_s = 12.0
+        for time in range(12):
+            now = time * (lived_s + PAUSE_S)
+            self.plan(now)
+            for job in jobs[:4]:
+                run = self.task(job).run
+                if run is not None:
+                    self.crash(run.worker_id, now + lived_s)
+            self.plan(now + lived_s + NOTICED_S)
+        self.assertNotIn(JobState.FAILED, {self.state(job) for job in jobs})
+
+    def test_a_gang_with_crashes_under_one_member_and_another_is_sound(self) -> None:
+        self.workers(racks=2, each=4)
+        job = self.add(step(4, 8, gang=True))
+        for index in range(4):
+            now = index * 20.0
+            self.plan(now)
+            lost = self.run_of(job, index).worker_id
+            self.crash_under(job, now, index)
+            self.break_gang(job, lost, now + 1.0)
+        self.assertIs(self.state(job), JobState.RUNNING)
+
+    def break_gang(self, job: str, lost: str, now: float) -> None:
+        """The workers of the other members tell that the gang is broken."""
+        for worker in list(self.board.workers.values()):
+            for name, number in list(worker.runs):
+                if name.job_id == job and worker.worker_id != lost:
+                    end = EndedTask(1, str(name), number, EndKind.BROKEN, "")
+                    self.board.ended(worker.worker_id, end, now)
+
+    def test_a_gang_with_crashes_under_the_same_member_is_given_up(self) -> None:
+        self.workers(racks=2, each=4)
+        job = self.add(step(4, 8, gang=True))
+        for time in range(2):
+            now = time * PAUSE_S
+            self.plan(now)
+            lost = self.run_of(job, 2).worker_id
+            self.crash_under(job, now, 2)
+            self.break_gang(job, lost, now + 1.0)
+        self.assertIs(self.state(job), JobState.FAILED)
+
+    def test_a_machine_that_crashes_again_and_again_tells_little_of_the_task_there(self) -> None:
+        self.workers(racks=1, each=1)
+        job = self.add(step(1, 1))
+        for time in range(3):
+            self.plan(time * PAUSE_S)
+            worker_id = self.run_of(job).worker_id
+            machine = self.board.workers[worker_id].record
+            self.crash(worker_id, time * PAUSE_S + SOON_S)
+            (life,) = self.board.workers.values()
+            life.record = replace(life.record, machine=machine.machine)
+        self.assertIs(self.state(job), JobState.RUNNING)
+
+    def test_a_suspect_goes_to_another_machine(self) -> None:
+        self.workers(racks=1, each=2)
+        (job,) = self.suspects(1)
+        crashed = self.task(job).crashed_on
+        for life in self.board.workers.values():
+            if life.worker_id.endswith("-0"):
+                life.record = replace(life.record, machine=next(iter(crashed)))
+        self.plan(PAUSE_S)
+        self.assertNotIn(self.board.workers[self.run_of(job).worker_id].machine, crashed)
+
+
+class IsolationTest(CrashCase):
+    def neighbours(self, job: str) -> set[str]:
+        runs = self.board.workers[self.run_of(job).worker_id].runs
+        return {name.job_id for name, _ in runs if name.job_id != job}
+
+    def test_a_suspect_gets_an_empty_worker_that_nothing_joins(self) -> None:
+        self.workers(racks=1, each=2)
+        (job,) = self.suspects(1)
+        self.plan(PAUSE_S)
+        others = self.add(step(20, 1))
+        self.plan(PAUSE_S + 0.1)
+        self.assertEqual(self.neighbours(job), set())
+        self.assertEqual(self.board.jobs[others].state, JobState.RUNNING)
+
+    def test_its_worker_is_open_again_once_it_has_outlived_the_crash(self) -> None:
+        self.workers(racks=1, each=1)
+        (job,) = self.suspects(1)
+        self.plan(PAUSE_S)
+        other = self.add(step(1, 1))
+        self.plan(PAUSE_S + 0.1)
+        self.assertIsNone(self.task(other).run)
+        self.plan(PAUSE_S + 20.0)
+        self.assertEqual(self.neighbours(job), {other})
+
+    def test_an_end_of_it_opens_its_worker(self) -> None:
+        self.workers(racks=1, each=1)
+        (job,) = self.suspects(1)
+        self.plan(PAUSE_S)
+        other = self.add(step(1, 1))
+        self.end(job, EndKind.DONE, PAUSE_S + 0.2)
+        self.plan(PAUSE_S + 0.3)
+        self.assertIsNotNone(self.task(other).run)
+
+    def alone(self, jobs: list[str]) -> int:
+        """So many of some jobs run alone, each on a worker of its own."""
+        started = [job for job in jobs if self.task(job).run is not None]
+        self.assertEqual(len({self.run_of(job).worker_id for job in started}), len(started))
+        self.assertEqual({name for job in started for name in self.neighbours(job)}, set())
+        return len(started)
+
+    def test_a_share_of_the_pool_serves_suspects_at_a_time(self) -> None:
+        self.workers(racks=2, each=SHARE)
+        jobs = self.suspects(8)
+        for job in jobs:
+            self.task(job).step.record.crashes[0].log_odds = 0.0
+        for worker in list(self.board.workers.values())[:9]:
+            worker.reserved = worker.record.capacity
+            worker.used = worker.record.capacity
+        self.plan(SOON_S)
+        self.assertEqual(self.alone(jobs), 2)
+
+    def test_a_larger_one_does_while_most_of_the_pool_is_free(self) -> None:
+        self.workers(racks=2, each=SHARE)
+        jobs = self.suspects(8)
+        self.plan(SOON_S)
+        self.assertEqual(self.alone(jobs), 6)
+
+    def test_none_of_many_suspects_stands_beside_a_free_pool(self) -> None:
+        self.workers(racks=2, each=SHARE)
+        jobs = self.suspects(8)
+        for tenth in range(30):
+            self.plan(PAUSE_S + tenth / 10)
+        self.assertTrue(all(self.task(job).run is not None for job in jobs))
+
+    def test_where_no_worker_is_empty_the_one_is_kept_that_soonest_will_be(self) -> None:
+        self.workers(racks=1, each=3)
+        (job,) = self.suspects(1)
+        filling = [self.add(step(1, 4), priority=BULK) for _ in range(6)]
+        self.end(job, EndKind.DONE)
+        self.plan(1.0)
+        started = [each for each in filling if self.task(each).run is not None]
+        self.assertTrue(started)
+        self.plan(PAUSE_S)
+        self.assertTrue(any(each.isolating for each in self.board.workers.values()))
+
+    def test_once_two_tasks_of_a_step_are_likely_all_of_it_is_started_alone(self) -> None:
+        self.workers(racks=2, each=8)
+        job = self.add(step(12, 8))
+        self.plan(0.0)
+        for index in (0, 1):
+            self.crash_under(job, 0.0, index)
+        crashes = self.board._crashes
+        self.assertTrue(all(crashes.is_suspect(self.task(job, index)) for index in range(12)))
+
+    def test_a_task_that_is_done_is_no_suspect(self) -> None:
+        self.workers(racks=1, each=2)
+        (job,) = self.suspects(1)
+        self.plan(PAUSE_S)
+        self.end(job, EndKind.DONE, PAUSE_S + 1.0)
+        self.assertIs(self.task(job).status, TaskStatus.DONE)
+        self.assertIsNone(self.known(job))
+        self.assertIs(self.state(job), JobState.COMPLETED)
+
+    def test_a_run_is_told_with_what_died_beside_it(self) -> None:
+        self.workers(racks=1, each=2)
+        jobs = [self.add(step(1, 2)) for _ in range(3)]
+        self.plan(0.0)
+        self.crash_under(jobs[0], 0.0)
+        verdicts = self.board.take().verdicts
+        self.assertEqual({each.task for each in verdicts}, {TaskName(j, 0, 0, 0) for j in jobs})
+        self.assertEqual({each.beside for each in verdicts}, {2})
