Callers and operators are told of tasks that crash their workers

Callers saw no reason: a job that was given up showed as failed and nothing told why; operators could not list suspects. Ruled out: to keep it in the leader's memory, since a new leader has to tell it too.

--- /dev/null
+++ b/src/saddlestack/cli/crashes.py
@@ -0,0 +1,115 @@
+"""What the logs tell of tasks under which workers crashed, and of what died beside them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import click
+
+from saddlestack.cli.loglines import LogLine, read
+from saddlestack.cli.output import errors_to_exit_codes, table
+
+SUSPECT = "crash_suspect"
+CLEARED = "crash_cleared"
+GIVEN_UP = "crash_given_up"
+RUN_OVER = "run_over"
+BESIDE_SHOWN = 8
+"""Runs that died beside a task are named up to so many a crash."""
+
+
+@dataclass(slots=True)
+class Suspect:
+    """A task under which workers crashed.
+
+    :param state: what it is taken for at the end of the logs.
+    :param lines: one for each crash, the verdict on it.
+    """
+
+    task: str
+    state: str = ""
+    lines: list[LogLine] = field(default_factory=list)
+
+
+def suspects(lines: Sequence[LogLine]) -> dict[str, Suspect]:
+    """All tasks under which workers crashed, by name, in the order of their first crash."""
+    found: dict[str, Suspect] = {}
+    for line in lines:
+        if line.event not in {SUSPECT, CLEARED, GIVEN_UP}:
+            continue
+        suspect = found.setdefault(line.task, Suspect(line.task))
+        suspect.state = line.event.removeprefix("crash_")
+        if line.event != CLEARED:
+            suspect.lines.append(line)
+    return found
+
+
+def culprits(lines: Sequence[LogLine]) -> set[str]:
+    """The tasks that were given up."""
+    return {line.task for line in lines if line.event == GIVEN_UP}
+
+
+def crashed_by(lines: Sequence[LogLine], tasks: set[str]) -> set[str]:
+    """The lives of workers that crashed under some tasks."""
+    return {
+        line.worker for line in lines if line.task in tasks and line.event in {SUSPECT, GIVEN_UP}
+    }
+
+
+def died_beside(lines: Sequence[LogLine], crash: LogLine) -> list[str]:
+    """Tasks of other runs that were lost with the worker of a crash."""
+    return [
+        line.task
+        for line in lines
+        if line.event == RUN_OVER and line.worker == crash.worker and line.task != crash.task
+    ]
+
+
+def described(crash: LogLine, lines: Sequence[LogLine]) -> str:
+    """What a line about a task under which a worker crashed tells, in a sentence."""
+    if crash.event == CLEARED:
+        return f"{crash.task} is held to be sound from {crash.time} on"
+    what = f"{crash.task} was given up" if crash.event == GIVEN_UP else f"{crash.task} is a suspect"
+    count = f"{crash.crashes} workers crashed under it, odds {crash.odds:.3g} to 1"
+    if not crash.worker:
+        return f"{what} at {crash.time}: {count}; it was started as often as it may be"
+    others = died_beside(lines, crash)
+    named = ", ".join(others[:BESIDE_SHOWN])
+    more = f" and {len(others) - BESIDE_SHOWN} more" if len(others) > BESIDE_SHOWN else ""
+    beside = f"beside it died {named}{more}" if others else "nothing died beside it"
+    return f"{what} at {crash.time}: {crash.worker} crashed ({count}); {beside}"
+
+
+@click.command("suspects")
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    metavar="FILE...",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+@errors_to_exit_codes
+def suspects_command(files: tuple[Path, ...]) -> None:
+    """List the tasks under which workers crashed, from the log FILEs of all VMs.
+
+    `saddlestack job clear` holds a job of them to be sound, `saddlestack job cancel` gives it up.
+    """
+    lines = read(files)
+    found = suspects(lines)
+    if not found:
+        click.echo("no worker crashed under a task, as far as is logged")
+        return
+    rows = [
+        [each.task, each.state, str(len(each.lines)), _odds(each), str(_beside(each, lines))]
+        for each in found.values()
+    ]
+    table(["TASK", "STATE", "CRASHES", "ODDS", "DIED BESIDE"], rows)
+
+
+def _odds(suspect: Suspect) -> str:
+    return f"{suspect.lines[-1].odds:.3g}" if suspect.lines else ""
+
+
+def _beside(suspect: Suspect, lines: Sequence[LogLine]) -> int:
+    return sum(len(died_beside(lines, crash)) for crash in suspect.lines)
--- a/src/saddlestack/cli/explaining.py
+++ b/src/saddlestack/cli/explaining.py
@@ -7,6 +7,7 @@
 
 import click
 
+from saddlestack.cli.crashes import CLEARED, GIVEN_UP, SUSPECT, described
 from saddlestack.cli.loglines import LogLine, read
 from saddlestack.cli.output import errors_to_exit_codes
 from saddlestack.policy.board.reasons import Reason
@@ -66,8 +67,14 @@
     return list(begun.values())
 
 
-def causes(job_id: str, lines: Sequence[LogLine]) -> list[str]:
-    """What the lines say went wrong with a job, a sentence each."""
+def causes(
+    job_id: str, lines: Sequence[LogLine], others: Sequence[LogLine] | None = None
+) -> list[str]:
+    """What the lines say went wrong with a job, a sentence each.
+
+    :param others: the lines of all jobs; they name what died beside it.
+    """
+    everything = lines if others is None else others
     found: list[str] = []
     for line in lines:
         if line.event == EVACUATION:
@@ -86,6 +93,8 @@
             found.append(f"{line.task} run {line.run} was stopped: {line.reason}")
         elif line.event == "ended" and line.how not in {"done", "stopped", "broken"}:
             found.append(f"{line.task} run {line.run} ended {line.how} on {line.worker}")
+        elif line.event in {SUSPECT, CLEARED, GIVEN_UP}:
+            found.append(described(line, everything))
         elif line.event in {WAITS, STANDS_STILL}:
             found.append(_waited(line))
         elif line.event == "start_refused":
@@ -143,13 +152,15 @@
 @errors_to_exit_codes
 def explain(job_id: str, files: tuple[Path, ...]) -> None:
     """Tell what became of job ID, and why, from the log FILEs of all VMs."""
-    lines = about(job_id, read(files))
+    everything = read(files)
+    lines = about(job_id, everything)
     if not lines:
         click.echo(f"no line tells of job {job_id}", err=True)
         raise SystemExit(1)
     for line in lines:
         click.echo(f"{line.time} {line.vm:24} {_shown(line)}")
-    for sentence in causes(job_id, lines) or ["nothing went wrong with it, as far as is logged"]:
+    nothing = ["nothing went wrong with it, as far as is logged"]
+    for sentence in causes(job_id, lines, everything) or nothing:
         click.echo(f"- {sentence}")
 
 
--- a/src/saddlestack/cli/jobs.py
+++ b/src/saddlestack/cli/jobs.py
@@ -94,7 +94,7 @@
 
 @click.group()
 def job() -> None:
-    """Show, list and cancel jobs."""
+    """Show, list, cancel and clear jobs."""
 
 
 @job.command()
@@ -150,6 +150,25 @@
         show_job(view)
 
 
+@job.command()
+@click.argument("request")
+@account_option
+@json_option
+@pass_connection
+@errors_to_exit_codes
+def clear(connection: Connection, request: str, account: str | None, as_json_: bool) -> None:
+    """Hold a job to be sound though workers crashed under it: its tasks start as any others.
+
+    Each start still counts. To give such a job up, cancel it.
+    """
+    with connection.client() as client:
+        view = client.clear(request, account=account)
+    if as_json_:
+        as_json(view)
+    else:
+        show_job(view)
+
+
 def _finish(view: JobView, as_json_: bool) -> None:
     if as_json_:
         as_json(view)
--- a/src/saddlestack/cli/loglines.py
+++ b/src/saddlestack/cli/loglines.py
@@ -26,6 +26,9 @@
     :param ends: what ends the wait.
     :param ends_s: when that is at the latest, in seconds from then, where it was known.
     :param late_s: by how much the leader's own look came late.
+    :param crashes: of events ``crash_...``: workers that crashed under the task and count.
+    :param odds: how much likelier it crashes its workers than not.
+    :param beside: other runs that were lost with the worker.
     :param at_s: when it was written: the number of seconds that a collector has put in front
         of the line, else the VM's time of day.
     """
@@ -61,6 +64,9 @@
     ends: str = ""
     ends_s: float | None = None
     late_s: float = 0.0
+    crashes: int = 0
+    odds: float = 0.0
+    beside: int = 0
 
 
 def read(files: Iterable[Path]) -> list[LogLine]:
--- a/src/saddlestack/cli/losses.py
+++ b/src/saddlestack/cli/losses.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+from saddlestack.cli.crashes import RUN_OVER, crashed_by, culprits
 from saddlestack.cli.loglines import LogLine
 from saddlestack.cli.steps import LoggedStep, logged_step
 
@@ -34,6 +35,8 @@
     SILENT = "ran on a worker that went silent"
     PREEMPTED = "its room was taken back"
     LEFT = "its worker left"
+    BESIDE = "its worker crashed under another task"
+    CRASHES = "given up: workers crash under it"
     RESTARTED = "started again for another reason"
     END = "its end was heard of late"
     ATTEMPTS = "failed as often as it may"
@@ -60,14 +63,20 @@
 
 @dataclass(slots=True)
 class _Story:
-    """What the logs tell of one job, times in seconds."""
+    """What the logs tell of one job, times in seconds.
+
+    :param crashes: runs that were lost with their worker under a task that was given up.
+    :param given_up: a task of it was, since workers crash under it.
+    """
 
     accepted: LogLine
     first_try_s: float
     starts: list[LogLine] = field(default_factory=list)
     ends: list[LogLine] = field(default_factory=list)
     stops: list[LogLine] = field(default_factory=list)
+    crashes: list[LogLine] = field(default_factory=list)
     made_room: bool = False
+    given_up: bool = False
     final: LogLine | None = None
 
     @property
@@ -81,6 +90,7 @@
     Cancelled ones are left out.
     """
     stories, refused = _stories(lines)
+    _note_crashes(stories, lines)
     known = sizes(lines)
     leaderless = _leaderless(lines)
     found = [loss for story in stories.values() if (loss := _loss(story, leaderless)) is not None]
@@ -156,6 +166,22 @@
         story.final = line
 
 
+def _note_crashes(stories: dict[str, _Story], lines: Sequence[LogLine]) -> None:
+    """Note which jobs were given up for crashes, and which lost runs beside those."""
+    guilty = culprits(lines)
+    for task in guilty:
+        story = stories.get(task.partition(".")[0])
+        if story is not None:
+            story.given_up = True
+    workers = crashed_by(lines, guilty)
+    for line in lines:
+        if line.event != RUN_OVER or line.worker not in workers:
+            continue
+        story = stories.get(line.task.partition(".")[0])
+        if story is not None and not story.given_up:
+            story.crashes.append(line)
+
+
 def _leaderless(lines: Iterable[LogLine]) -> list[tuple[float, float]]:
     """Spans from the loss of a leader to the next one that schedules.
 
@@ -184,6 +210,8 @@
     accepted = story.accepted
     if final is None or final.state == "failed":
         cause = Cause.UNFINISHED if final is None else Cause.ATTEMPTS
+        if story.given_up:
+            cause = Cause.CRASHES
         return Loss(accepted.job, accepted.queue, accepted.priority, story.first_try_s, None, cause)
     objective_s = accepted.stretch * _chain_s(story) + accepted.target_ms / 1000
     late_s = final.at_s - story.first_try_s - objective_s
@@ -252,7 +280,10 @@
 
 def _restart(story: _Story) -> Cause:
     """Why runs of a job did not end well; the first thing that went wrong counts."""
-    for line in sorted([*story.stops, *story.ends], key=lambda each: each.at_s):
+    known = [*story.stops, *story.ends, *story.crashes]
+    for line in sorted(known, key=lambda each: each.at_s):
+        if line.event == RUN_OVER:
+            return Cause.BESIDE
         if line.event == "stop" and line.reason == "preempted":
             return Cause.PREEMPTED
         if line.event == "stop" and line.reason == "worker_leaves":
--- a/src/saddlestack/cli/main.py
+++ b/src/saddlestack/cli/main.py
@@ -6,6 +6,7 @@
 
 from saddlestack import __version__
 from saddlestack.cli import (
+    crashes,
     entry,
     explaining,
     jobs,
@@ -66,6 +67,7 @@
 main.add_command(explaining.explain)
 main.add_command(why.why)
 main.add_command(standstills.standstills)
+main.add_command(crashes.suspects_command)
 main.add_command(running.settings)
 main.add_command(running.standin)
 main.add_command(trying.demo)
--- a/src/saddlestack/cli/stops.py
+++ b/src/saddlestack/cli/stops.py
@@ -1,4 +1,4 @@
-"""What stops of runs cost, and who asked for the room: from the logs of all VMs."""
+"""What stops of runs cost, and crashes beside them, and who asked for the room: from all logs."""
 
 from __future__ import annotations
 
@@ -6,12 +6,14 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+from saddlestack.cli.crashes import RUN_OVER, crashed_by, culprits
 from saddlestack.cli.loglines import LogLine
 from saddlestack.cli.steps import LoggedStep, logged_step
 
 SAVED_LOSS_S = 2.0
 """Seconds that a stopped run loses at most where its step saves: it saves this often."""
 _PREEMPTED = "preempted"
+BESIDE_CRASH = "died beside a task that crashes its workers"
 
 
 @dataclass(slots=True)
@@ -80,6 +82,12 @@
         self._first_asked_s: dict[str, float] = {}
         self._last_asked_s: dict[str, float] = {}
 
+    def lost_beside(self, line: LogLine) -> None:
+        """A run was lost with its worker, which crashed under another task."""
+        cost = self.found.reasons[BESIDE_CRASH]
+        cost.runs += 1
+        cost.lost += self._lost(line)
+
     def read(self, line: LogLine) -> None:
         if line.event == "accepted":
             self._shapes.setdefault(line.job, [logged_step(text) for text in line.steps])
@@ -137,14 +145,19 @@
     between two savings.
     """
     reader = _Reader()
+    guilty = culprits(lines)
+    workers = crashed_by(lines, guilty)
     for line in lines:
-        reader.read(line)
+        if line.event != RUN_OVER:
+            reader.read(line)
+        elif line.worker in workers and line.task not in guilty:
+            reader.lost_beside(line)
     return reader.found
 
 
 def described(found: Stops) -> Iterable[str]:
     """The stops in words, a line each."""
-    runs = sum(cost.runs for cost in found.reasons.values())
+    runs = sum(cost.runs for reason, cost in found.reasons.items() if reason != BESIDE_CRASH)
     yield f"{runs} stops of {found.starts} starts"
     for reason, cost in sorted(found.reasons.items(), key=lambda each: -each[1].lost):
         yield f"{cost.runs:8} runs {cost.lost:9.0f} core-seconds  {reason}"
--- a/src/saddlestack/client.py
+++ b/src/saddlestack/client.py
@@ -121,6 +121,14 @@
         path = f"/v1/jobs/{quote(request)}{_account(account, '?')}"
         return _job(await self._send("DELETE", path))
 
+    async def clear(self, request: str, *, account: str | None = None) -> JobView:
+        """Start the tasks of a job as any others, though workers crashed under them.
+
+        Each start still counts, so that none crashes workers without end.
+        """
+        path = f"/v1/jobs/{quote(request)}/clear{_account(account, '?')}"
+        return _job(await self._ok("POST", path))
+
     async def plan(self, intent: Intent) -> Plan:
         """Ask what an intent would change. Nothing changes.
 
@@ -246,6 +254,10 @@
         """Cancel a job."""
         return self._run(self._client.cancel(request, account=account))
 
+    def clear(self, request: str, *, account: str | None = None) -> JobView:
+        """See :meth:`AsyncClient.clear`."""
+        return self._run(self._client.clear(request, account=account))
+
     def plan(self, intent: Intent) -> Plan:
         """Ask what an intent would change."""
         return self._run(self._client.plan(intent))
--- a/src/saddlestack/control/callers.py
+++ b/src/saddlestack/control/callers.py
@@ -1,8 +1,9 @@
 """The product's own HTTP interface for callers, on the same jobs as the platform's.
 
-`POST /v1/jobs`, `GET` and `DELETE /v1/jobs/REQUEST`, spoken by :class:`saddlestack.Client`. A
-job of this interface is one step of one gang; the bearer token is a key of the account. The
-`message` of a job that waits tells for what; none is rejected for being wider than the pool.
+`POST /v1/jobs`, `GET` and `DELETE /v1/jobs/REQUEST` and `POST /v1/jobs/REQUEST/clear`, spoken by
+:class:`saddlestack.Client`. A job of this interface is one step of one gang; the bearer token is a
+key of the account. The `message` of a job tells for what it waits, or why it failed; none is
+rejected for being wider than the pool.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 from saddlestack.work import JobRequest, JobState, Resources, Step
 
 PREFIX = "/v1/jobs"
+CLEAR = "/clear"
 ACCELERATORS_A_TASK = 8
 """A gang is split into alike tasks of at most so many accelerators."""
 CPU_PER_ACCELERATOR = 1000
@@ -32,7 +34,8 @@
 CALL_DEADLINE_S = 3.0
 JOB_ID_DIGITS = 16
 _PRIORITIES = {JobClass.URGENT: 0, JobClass.NORMAL: 1, JobClass.BULK: 2}
-_OPEN = frozenset({CallerState.QUEUED, CallerState.RUNNING})
+_EXPLAINED = frozenset({CallerState.QUEUED, CallerState.RUNNING, CallerState.UNKNOWN})
+"""States of which a message tells more: what the job waits for, or why it failed."""
 _REQUEST_NAME = re.compile(rf"[A-Za-z0-9._:-]{{1,{MAX_NAME}}}")
 _STATES = {
     JobState.QUEUED: CallerState.QUEUED,
@@ -69,6 +72,8 @@
         if request.method == "POST" and request.path == PREFIX:
             return await self._submit(request, account, configuration)
         name = request.path.removeprefix(f"{PREFIX}/")
+        if request.method == "POST" and name.endswith(CLEAR):
+            return await self._clear(name.removesuffix(CLEAR), account, configuration)
         if request.path.startswith(f"{PREFIX}/") and request.method in {"GET", "DELETE"}:
             return await self._about(request.method, name, account, configuration)
         raise SaddlestackError(ErrorKind.NOT_FOUND, f"no {request.method} {request.path}")
@@ -100,10 +105,19 @@
         if method == "DELETE" and not await self._jobs.cancel(call, job_id):
             raise _unknown(name)
         view = await self._view(call, name, job_id)
-        if method == "GET" and view.state in _OPEN:
+        if method == "GET" and view.state in _EXPLAINED:
             view = msgspec.structs.replace(view, message=await self._jobs.waits(call, job_id))
         return json_response(view)
 
+    async def _clear(
+        self, name: str, account: ClientAccount, configuration: PoolConfiguration
+    ) -> Response:
+        """Start the tasks of a job as any others, though workers crashed under them."""
+        job_id = job_id_of(account.name, name)
+        call = ClientCall(configuration.queues[0], account.name, CALL_DEADLINE_S)
+        await self._jobs.clear(call, job_id)
+        return json_response(await self._view(call, name, job_id))
+
     async def _view(self, call: ClientCall, name: str, job_id: str) -> JobView:
         state = await self._jobs.state(call, job_id)
         accepted = await self._jobs.accepted(call, job_id)
--- a/src/saddlestack/control/desk.py
+++ b/src/saddlestack/control/desk.py
@@ -46,6 +46,19 @@
     waits: str | None
 
 
+class ClearOrder(msgspec.Struct, frozen=True):
+    """Holds the tasks of a job of an account to be sound; an empty account names all jobs."""
+
+    job_id: str
+    account: str
+
+
+class ClearAnswer(msgspec.Struct, frozen=True):
+    """So many tasks were suspects."""
+
+    suspects: int
+
+
 class PendingQuestion(msgspec.Struct, frozen=True):
     """Asks how many jobs of a queue have not begun."""
 
@@ -88,6 +101,7 @@
         self._scheduler = scheduler
         peers.serve(StateQuestion, self._state)
         peers.serve(WaitQuestion, self._waits)
+        peers.serve(ClearOrder, self._clear)
         peers.serve(PendingQuestion, self._pending)
         peers.serve(WrittenNotice, self._written)
 
@@ -105,6 +119,13 @@
         """
         return (await self._ask(WaitQuestion(job_id, account), WaitAnswer)).waits
 
+    async def clear(self, job_id: str, account: str) -> int:
+        """Hold the tasks of a job to be sound, though workers crashed under them.
+
+        :raises NoLeader: nobody answered.
+        """
+        return (await self._ask(ClearOrder(job_id, account), ClearAnswer)).suspects
+
     async def pending(self, queue: str) -> int:
         """How many jobs of a queue have not begun.
 
@@ -149,6 +170,12 @@
             return WaitAnswer(None)
         return WaitAnswer(scheduler.waits.of(question.job_id))
 
+    async def _clear(self, order: ClearOrder) -> ClearAnswer:
+        scheduler = self._leading()
+        if not _is_shown(scheduler, order.job_id, order.account):
+            return ClearAnswer(0)
+        return ClearAnswer(scheduler.clear_suspects(order.job_id))
+
     async def _written(self, notice: WrittenNotice) -> NoticeTaken:
         self._leading().told(Item(notice.key, notice.value, notice.revision))
         return NoticeTaken()
--- a/src/saddlestack/control/jobs.py
+++ b/src/saddlestack/control/jobs.py
@@ -108,6 +108,18 @@
         log.info("cancelled", extra={"event": "cancelled", "job": job_id})
         return True
 
+    async def clear(self, call: ClientCall, job_id: str) -> int:
+        """Hold the tasks of a job to be sound, though workers crashed under them.
+
+        :raises SaddlestackError: nobody leads.
+        """
+        try:
+            return await self._desk.clear(job_id, call.account)
+        except NoLeader as error:
+            raise SaddlestackError(
+                ErrorKind.CELL_UNAVAILABLE, f"nobody leads: {error}", retry_after=1
+            ) from error
+
     async def pending(self, call: ClientCall) -> int:
         """Accepted jobs of a queue none of whose tasks has begun."""
         try:
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -145,6 +145,12 @@
         """Accepted jobs of a queue none of whose tasks has begun."""
         return self.board.pending(queue)
 
+    def clear_suspects(self, job_id: str) -> int:
+        """Start the tasks of a job as any others, though workers crashed under them."""
+        found = self.board.clear_suspects(job_id)
+        self.changed()
+        return found
+
     def told(self, item: Item) -> None:
         """A VM has written a request; the store tells of it as well, but later."""
         self._requested((item,))
--- a/src/saddlestack/control/waits.py
+++ b/src/saddlestack/control/waits.py
@@ -14,10 +14,13 @@
 from saddlestack.kernel.clock import Clock
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.diagnosis import Circumstances, Diagnosis, Looked, Wait
+from saddlestack.policy.board.jobs import Job
 from saddlestack.policy.board.reasons import Reason
+from saddlestack.policy.board.records import FailureCause
 from saddlestack.policy.board.survey import ServicePool, pools
 from saddlestack.policy.standstill import Standstill, StillWatch
 from saddlestack.services.metrics import Metrics
+from saddlestack.work import JobState
 
 log = logging.getLogger("saddlestack.scheduler")
 
@@ -166,7 +169,10 @@
         self._tell_waits()
 
     def of(self, job_id: str) -> str | None:
-        """What a job waits for, in a sentence; ``None`` where something of it runs."""
+        """What a job waits for, or why it failed, in a sentence; ``None`` where it runs."""
+        job = self._board.jobs.get(job_id)
+        if job is not None and job.shown is JobState.FAILED:
+            return _failed(job)
         wait = self._now.get(job_id)
         if wait is None:
             return None
@@ -243,3 +249,12 @@
         found = pools(self._board.workers.values(), self._clock.now()).values()
         total = sum(pool.total for pool in found)
         return round(PERCENT * sum(kept_out(pool) for pool in found) / total) if total else 0
+
+
+def _failed(job: Job) -> str | None:
+    """Why a job failed; ``None`` where no cause was kept that this release knows."""
+    try:
+        cause = FailureCause(job.cause)
+    except ValueError:
+        return None
+    return f"failed ({cause}): {cause.sentence}"
--- a/src/saddlestack/interfaces/clients.py
+++ b/src/saddlestack/interfaces/clients.py
@@ -37,13 +37,20 @@
         ...
 
     async def waits(self, call: ClientCall, job_id: str) -> str | None:
-        """What a job waits for; ``None`` where something of it runs, or that is not known."""
+        """What a job waits for, or why it failed; ``None`` where it runs, or that is not known."""
         ...
 
     async def cancel(self, call: ClientCall, job_id: str) -> bool:
         """Cancel a job; ``False`` where no such job exists."""
         ...
 
+    async def clear(self, call: ClientCall, job_id: str) -> int:
+        """Hold the tasks of a job to be sound, though workers crashed under them.
+
+        :return: so many of them were suspects.
+        """
+        ...
+
     async def pending(self, call: ClientCall) -> int:
         """Accepted jobs of a queue none of whose tasks has begun."""
         ...
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -21,7 +21,12 @@
 from saddlestack.policy.board.pacing import Pace, paces
 from saddlestack.policy.board.progress import is_stuck, needs_looks
 from saddlestack.policy.board.queue import Planner
-from saddlestack.policy.board.records import OccurrenceRecord, OccurrenceStatus, TaskStatus
+from saddlestack.policy.board.records import (
+    FailureCause,
+    OccurrenceRecord,
+    OccurrenceStatus,
+    TaskStatus,
+)
 from saddlestack.policy.board.verdicts import Verdict
 from saddlestack.policy.board.waiting import waits
 from saddlestack.policy.board.workers import EARLY_FAILURE_S, EARLY_SHARE, Worker
@@ -245,14 +250,28 @@
         worker.outlived_record = not worker.listed
         self._follow(self._crashes.heard(worker.worker_id))
 
+    def clear_suspects(self, job_id: str) -> int:
+        """Start the tasks of a job as any others, though workers crashed under them.
+
+        Crashes still count: what bounds a task's starts does not depend on what is held of it.
+
+        :return: so many tasks were suspects.
+        """
+        job = self.jobs.get(job_id)
+        if job is None or job.over:
+            return 0
+        judgement = self._crashes.clear(job)
+        self._follow(judgement)
+        return len(judgement.touched)
+
     def _follow(self, judgement: Judgement) -> None:
         """Keep what a crash tells, and give up the jobs of those that caused it."""
         self._verdicts += judgement.verdicts
-        for unit in judgement.touched:
-            if unit.step.occurrence.open:
-                self._mark(unit.step.occurrence)
-        for unit in judgement.culprits:
-            self._give_up(unit.step.occurrence)
+        for task in judgement.touched:
+            if task.step.occurrence.open:
+                self._mark(task.step.occurrence)
+        for task in judgement.culprits:
+            self._give_up(task.step.occurrence, FailureCause.CRASHES)
 
     def evacuate(self, halls: frozenset[str]) -> None:
         """Start nothing in some data halls from now on, and in all others again.
@@ -371,7 +390,7 @@
         if self._crashes.is_spent(task):
             self._spent(task)
         elif step.step.once and _has_begun(run, how) and not task.record.saved:
-            self._give_up(occurrence)
+            self._give_up(occurrence, FailureCause.ONCE)
         elif how is EndKind.FAILED:
             self._failed(task, run)
         elif step.step.gang:
@@ -383,7 +402,7 @@
         """A task that may crash its workers has been started as often as it may be."""
         if task.step.occurrence.open:
             self._verdicts.append(self._crashes.verdict(task))
-            self._give_up(task.step.occurrence)
+            self._give_up(task.step.occurrence, FailureCause.CRASHES)
 
     def _save(self, task: Task, saved: str) -> None:
         tasks = task.step.tasks if task.step.step.gang else [task]
@@ -416,13 +435,14 @@
             self._stop_step(step, StopReason.GANG_BROKEN)
         if step.step.long_running or failures < step.occurrence.job.accepted.attempts:
             return
-        self._give_up(step.occurrence)
+        self._give_up(step.occurrence, FailureCause.ATTEMPTS)
 
-    def _give_up(self, occurrence: Occurrence) -> None:
+    def _give_up(self, occurrence: Occurrence, cause: FailureCause) -> None:
         """A job can no longer be done: nothing of it starts again, what runs is stopped."""
         if occurrence.status is not OccurrenceStatus.OPEN:
             return
         occurrence.status = OccurrenceStatus.FAILED
+        occurrence.cause = cause.value
         self._crashes.forget_job(occurrence.job.job_id)
         self._mark(occurrence)
         self._touched[occurrence.job.job_id] = occurrence.job
--- a/src/saddlestack/policy/board/crashes.py
+++ b/src/saddlestack/policy/board/crashes.py
@@ -21,7 +21,7 @@
     Exposure,
     Lived,
 )
-from saddlestack.policy.board.jobs import Run, StepState, Task
+from saddlestack.policy.board.jobs import Job, Run, StepState, Task
 from saddlestack.policy.board.records import CrashRecord, TaskStatus
 from saddlestack.policy.board.verdicts import Verdict, VerdictKind
 from saddlestack.policy.board.workers import Worker
@@ -229,6 +229,17 @@
         for key in [key for key in self._likely if key[0] == job_id]:
             del self._likely[key]
 
+    def clear(self, job: Job) -> Judgement:
+        """An operator holds the tasks of a job to be sound."""
+        judgement = Judgement()
+        for occurrence in job.occurrences:
+            for step in occurrence.steps:
+                for index, record in list(step.record.crashes.items()):
+                    prior = self._rule.prior_log_odds
+                    cleared = msgspec.structs.replace(record, log_odds=prior)
+                    self._keep(step.tasks[index], cleared, judgement)
+        return judgement
+
     def inherit(self, task: Task) -> None:
         """A task with what earlier leaders have kept of it."""
         record = _record(task)
--- a/src/saddlestack/policy/board/diagnosis.py
+++ b/src/saddlestack/policy/board/diagnosis.py
@@ -264,6 +264,9 @@
         survey = self._survey(step)
         if survey is None:
             return Wait(job.job_id, Reason.LEFT_OUT, since_s, tasks, later)
+        if self._board.planner.isolates(step):
+            beside = self._has_room(step, survey)
+            return Wait(job.job_id, Reason.ISOLATION, since_s, tasks, later, beside_room=beside)
         reason, until_s = self._why(step, survey)
         room = self._has_room(step, survey)
         if room:
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -176,6 +176,7 @@
     """One time that the steps of a job run.
 
     :param due_ms: wall time before which nothing may start; 0 means at once.
+    :param cause: why it failed, a :class:`FailureCause`; empty where that is not known.
     """
 
     job: Job
@@ -183,6 +184,7 @@
     due_ms: int
     status: OccurrenceStatus
     steps: list[StepState]
+    cause: str = ""
 
     @property
     def key(self) -> str:
@@ -197,7 +199,7 @@
     def to_record(self) -> OccurrenceRecord:
         """What the store is to keep."""
         if self.status is not OccurrenceStatus.OPEN:
-            return OccurrenceRecord(self.status)
+            return OccurrenceRecord(self.status, cause=self.cause)
         steps = [step.record for step in self.steps]
         return OccurrenceRecord(self.status, steps, self._addresses())
 
@@ -241,6 +243,11 @@
         """Whether one of its occurrences has failed."""
         return any(each.status is OccurrenceStatus.FAILED for each in self.occurrences)
 
+    @property
+    def cause(self) -> str:
+        """Why it failed, a :class:`FailureCause`; empty where it has not, or that is not known."""
+        return next((each.cause for each in self.occurrences if each.cause), "")
+
     @property
     def state(self) -> JobState:
         """Its state, with what is not yet in the store."""
@@ -301,7 +308,8 @@
 def _occurrence(job: Job, number: int, record: OccurrenceRecord | None) -> Occurrence:
     status = OccurrenceStatus.OPEN if record is None else record.status
     due_ms = job.accepted.request.due_ms(number)
-    occurrence = Occurrence(job, number, due_ms, status, [])
+    cause = "" if record is None else record.cause
+    occurrence = Occurrence(job, number, due_ms, status, [], cause)
     for index, step in enumerate(job.accepted.request.steps):
         kept = record.steps[index] if record is not None and record.steps else None
         occurrence.steps.append(_step(occurrence, index, step, kept))
--- a/src/saddlestack/policy/board/reasons.py
+++ b/src/saddlestack/policy/board/reasons.py
@@ -24,6 +24,7 @@
     HEADROOM = "headroom"
     NEAR_DATA = "near_data"
     FAILED_THERE = "failed_there"
+    ISOLATION = "isolation"
     ADVISER = "adviser"
     BACKFILL = "backfill"
     RESERVED = "reserved"
@@ -102,6 +103,10 @@
         "room is free only on workers where it failed, and there are others",
         "room on another worker",
     ),
+    Reason.ISOLATION: (
+        "a worker crashed under it, and it is to be started alone",
+        "an empty worker, or the end of its patience, after which it goes beside others",
+    ),
     Reason.ADVISER: (
         "the adviser has given leave for no worker with room enough",
         "the adviser's answer",
--- a/src/saddlestack/policy/board/records.py
+++ b/src/saddlestack/policy/board/records.py
@@ -28,6 +28,29 @@
     FAILED = 2
 
 
+class FailureCause(enum.StrEnum):
+    """Why a job failed."""
+
+    ATTEMPTS = "attempts"
+    """A task, or a gang, has failed as often as it may."""
+    ONCE = "once"
+    """A task that runs only once may have begun, and was lost."""
+    CRASHES = "crashes"
+    """A task crashes its workers."""
+
+    @property
+    def sentence(self) -> str:
+        """What its caller is told."""
+        return _SENTENCES[self]
+
+
+_SENTENCES = {
+    FailureCause.ATTEMPTS: "a task of it has failed as often as it may",
+    FailureCause.ONCE: "a task that runs only once was lost after it may have begun",
+    FailureCause.CRASHES: "workers crashed under a task of it, again and again",
+}
+
+
 class TaskRecord(msgspec.Struct, array_like=True):
     """Progress of one task.
 
@@ -88,8 +111,10 @@
     :param addresses: where the lives of workers are reached that were given its runs, by id. Their
         own records may lapse, and a new leader is to ask there what became of the runs. Once a
         life rather than once a task: many tasks of a wide step run on one worker.
+    :param cause: a :class:`FailureCause`; empty where it has not failed, or none was kept.
     """
 
     status: OccurrenceStatus
     steps: list[StepRecord] = []
     addresses: dict[str, str] = {}
+    cause: str = ""
--- /dev/null
+++ b/tests/test_told_crashes.py
@@ -0,0 +1,195 @@
+"""What callers and operators are told of tasks under which workers crash."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from click.testing import CliRunner
+
+from saddlestack.cli.crashes import BESIDE_SHOWN, described, suspects
+from saddlestack.cli.explaining import causes
+from saddlestack.cli.loglines import LogLine, read
+from saddlestack.cli.losses import Cause, losses
+from saddlestack.cli.main import main
+from saddlestack.cli.stops import BESIDE_CRASH, stops
+from saddlestack.client import AsyncClient
+from saddlestack.control.crashlog import SUSPECTS_AT_ONCE, CrashLog
+from saddlestack.models import JobState as CallerState
+from saddlestack.policy.board.diagnosis import Circumstances, Diagnosis
+from saddlestack.policy.board.reasons import Reason
+from saddlestack.policy.board.records import FailureCause
+from saddlestack.policy.board.verdicts import Verdict, VerdictKind
+from saddlestack.services.metrics import Metrics
+from saddlestack.standins.loop import VirtualClock
+from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.standins.pool.documents import KEY
+from saddlestack.work import JobState, TaskName
+from tests.test_board import step
+from tests.test_crashes import SOON_S, CrashCase
+from tests.test_pool import PoolTest
+
+CULPRIT = "00000000000000aa"
+OTHER = "00000000000000bb"
+TASK = f"{CULPRIT}.0.0.0"
+BESIDE = f"{OTHER}.0.0.0"
+
+
+def line(at_s: float, event: str, **fields: Any) -> LogLine:
+    return LogLine(event=event, at_s=at_s, time=f"{at_s:.1f}", **fields)
+
+
+def accepted(job_id: str) -> LogLine:
+    steps = ("1x1acc/1000cpu/1mb 1000ms",)
+    return line(0.0, "accepted", job=job_id, stretch=1.5, target_ms=250.0, steps=steps)
+
+
+LINES = [
+    accepted(CULPRIT),
+    accepted(OTHER),
+    line(0.1, "start", task=TASK, run=1, worker="w1"),
+    line(0.1, "start", task=BESIDE, run=1, worker="w1"),
+    line(4.0, "run_over", task=TASK, run=1, worker="w1", proof="replaced"),
+    line(4.0, "run_over", task=BESIDE, run=1, worker="w1", proof="replaced"),
+    line(4.0, "crash_suspect", task=TASK, worker="w1", crashes=1, odds=0.5, beside=1),
+    line(4.1, "start", task=TASK, run=2, worker="w2"),
+    line(4.1, "start", task=BESIDE, run=2, worker="w3"),
+    line(5.1, "ended", task=BESIDE, run=2, worker="w3", how="done"),
+    line(5.1, "job", job=OTHER, state="completed"),
+    line(8.0, "run_over", task=TASK, run=2, worker="w2", proof="replaced"),
+    line(8.0, "crash_given_up", task=TASK, worker="w2", crashes=2, odds=5000.0, beside=0),
+    line(8.0, "job", job=CULPRIT, state="failed"),
+]
+
+
+class LogsTest(unittest.TestCase):
+    def test_explain_lists_each_crash_with_worker_time_and_what_died_there(self) -> None:
+        own = [each for each in LINES if CULPRIT in (each.job, each.task.partition(".")[0])]
+        told = causes(CULPRIT, own, LINES)
+        (first,) = [each for each in told if "suspect" in each]
+        self.assertIn("at 4.0: w1 crashed", first)
+        self.assertIn(f"beside it died {BESIDE}", first)
+        (last,) = [each for each in told if "given up" in each]
+        self.assertIn("2 workers crashed under it", last)
+        self.assertIn("nothing died beside it", last)
+
+    def test_few_of_many_that_died_are_named(self) -> None:
+        lost = [
+            line(4.0, "run_over", task=f"{OTHER}.0.0.{index}", worker="w1")
+            for index in range(BESIDE_SHOWN + 3)
+        ]
+        told = described(LINES[6], lost)
+        self.assertEqual(told.count(OTHER), BESIDE_SHOWN)
+        self.assertIn("and 3 more", told)
+
+    def test_why_blames_the_task_that_was_given_up_and_not_what_ran_beside_it(self) -> None:
+        found = {loss.job_id: loss.cause for loss in losses(LINES)}
+        self.assertEqual(found, {CULPRIT: Cause.CRASHES, OTHER: Cause.BESIDE})
+
+    def test_stops_count_what_died_beside_as_a_cause_of_its_own(self) -> None:
+        cost = stops(LINES).reasons[BESIDE_CRASH]
+        self.assertEqual(cost.runs, 1)
+        self.assertAlmostEqual(cost.lost, 3.9 * 9)
+
+    def test_a_crash_under_a_task_that_was_cleared_is_no_such_cause(self) -> None:
+        cleared = [each for each in LINES if each.event != "crash_given_up"]
+        self.assertNotIn(BESIDE_CRASH, stops(cleared).reasons)
+
+    def test_suspects_are_listed(self) -> None:
+        (found,) = suspects(LINES).values()
+        self.assertEqual((found.task, found.state, len(found.lines)), (TASK, "given_up", 2))
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "all.log"
+            rows = [
+                {"time": "1", "vm": "one", "event": "crash_suspect", "task": TASK, "worker": "w"}
+            ]
+            file.write_text("\n".join(json.dumps(row) for row in rows))
+            self.assertEqual(len(read([file])), 1)
+            shown = CliRunner().invoke(main, ["suspects", str(file)])
+        self.assertEqual(shown.exit_code, 0, shown.output)
+        self.assertIn(TASK, shown.output)
+
+
+class CrashLogTest(unittest.TestCase):
+    def test_lines_about_suspects_are_bounded_and_those_given_up_all_told(self) -> None:
+        many = SUSPECTS_AT_ONCE + 5
+        verdicts = [
+            Verdict(VerdictKind.SUSPECT, TaskName(OTHER, 0, 0, index)) for index in range(many)
+        ]
+        verdicts += [Verdict(VerdictKind.GIVEN_UP, TaskName(CULPRIT, 0, 0, 0))]
+        metrics = Metrics("vm", VirtualClock())
+        with self.assertLogs("saddlestack.crashes", "INFO") as logged:
+            CrashLog(metrics).tell(verdicts)
+        events = [getattr(each, "event", "") for each in logged.records]
+        self.assertEqual(events.count("crash_suspect"), SUSPECTS_AT_ONCE)
+        self.assertEqual(events.count("crash_given_up"), 1)
+        self.assertEqual(events.count("crash_left_out"), 1)
+        self.assertEqual(metrics.view().counters["crash_suspect"], many)
+
+
+class ClearTest(CrashCase):
+    def test_a_job_that_is_cleared_starts_beside_others_and_its_starts_still_count(self) -> None:
+        self.workers(racks=1, each=2)
+        job_id = self.add(step(1, 1))
+        self.plan(0.0)
+        self.crash_under(job_id, 0.0)
+        crashes = self.board._crashes
+        self.assertTrue(crashes.is_suspect(self.task(job_id)))
+        self.assertEqual(self.board.clear_suspects(job_id), 1)
+        self.assertFalse(crashes.is_suspect(self.task(job_id)))
+        known = self.known(job_id)
+        assert known is not None
+        self.assertEqual(known.crashes, 1)
+        self.assertEqual(self.board.clear_suspects("no such job"), 0)
+        self.assertGreater(SOON_S, 0.0)
+
+
+class ToldTest(PoolTest):
+    def test_callers_are_told_why_a_job_failed(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await cluster.submit(CULPRIT, job(1, accelerators=8, crashes_s=0.01))
+            await cluster.until_state(CULPRIT, JobState.FAILED)
+            leader = cluster.leader
+            assert leader is not None
+            assert leader.scheduler is not None
+            told = leader.scheduler.waits.of(CULPRIT) or ""
+            self.assertIn(FailureCause.CRASHES.sentence, told)
+            name = cluster.leader_name
+            await cluster.kill(name)
+            await cluster.until(lambda: cluster.leader is not None)
+            leader = cluster.leader
+            assert leader is not None
+            assert leader.scheduler is not None
+            self.assertEqual(leader.scheduler.waits.of(CULPRIT), told)
+
+        self.play(body, racks=2, workers=4)
+
+    def test_operators_clear_a_job_through_the_interface(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            vm = next(iter(cluster.members.values())).vm
+            client = AsyncClient([("127.0.0.1", vm.callers.port)], token=KEY)
+            try:
+                await client.submit("sound", 1, estimate=1.0)
+                self.assertIs((await client.clear("sound")).state, CallerState.QUEUED)
+            finally:
+                client.close()
+
+        self.play(body)
+
+
+class IsolationReasonTest(CrashCase):
+    def test_a_suspect_that_waits_for_an_empty_worker_is_told_of(self) -> None:
+        self.workers(racks=1, each=1)
+        first = self.add(step(1, 4))
+        second = self.add(step(1, 4))
+        self.plan(0.0)
+        self.crash_under(first, 0.0)
+        self.plan(SOON_S)
+        waiting = next(each for each in (first, second) if self.task(each).run is None)
+        around = Circumstances(SOON_S, 0.0, SOON_S, False, False, lambda _: False, lambda _: 0.0)
+        waits = Diagnosis(self.board).look(around).waits
+        found = {wait.job_id: wait.reason for wait in waits}
+        self.assertIs(found[waiting], Reason.ISOLATION)
