No start leaves for a worker whose room has shrunk below what it holds

Callers would see a worker that guards nothing taken over its room: a start that was decided before the news of a smaller capacity left after it. Cause: room was looked at when a start was decided and not when it left. Change: a worker that holds more than it has takes nothing, decided starts included; what runs there goes on; reservations do not use it. How old the news of workers may be that a start rests on is in its log line and a histogram. A stand-in floor tells of a start that takes a worker over its room.

--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 
 from saddlestack.control.context import EntryContext
@@ -55,8 +56,13 @@
         self._wait_s = wait_s
         self._gap_s = gap_s
         self._failures = 0
+        self._current_s = -math.inf
         self.loaded = asyncio.Event()
 
+    def age_s(self, now: float) -> float:
+        """For how long the store has not answered: what is known may be so old."""
+        return now - self._current_s
+
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         while True:
@@ -80,6 +86,7 @@
         store = self._context.store
         listing = await store.list(self._prefix)
         self._failures = 0
+        self._current_s = self._context.clock.now()
         self._on_snapshot(listing.items)
         self.loaded.set()
         revision = listing.revision
@@ -90,6 +97,7 @@
                 await self._pause(error)
                 continue
             self._failures = 0
+            self._current_s = self._context.clock.now()
             revision = max(revision, changes.revision)
             if changes.items:
                 self._on_change(changes.items)
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -106,6 +106,14 @@
         self._sessions = Sessions(context, self, self._leases)
         self.waits = Waits(self.board, context.clock, context.metrics, self._leases.lasts_until)
         self._workers = WorkerList(context, self.board, self._sessions)
+        self._workers_feed = Feed(
+            context,
+            context.documents.places.workers_prefix,
+            self._workers_listed,
+            self._workers_changed,
+            wait_s=WORKERS_WAIT_S,
+            gap_s=WORKERS_GAP_S,
+        )
         self._suspicion = Suspicion()
         self._evacuations = Evacuations(context, self._evacuated)
         self._renewals = renewals
@@ -192,16 +200,8 @@
     # Beginning
 
     async def _work(self) -> None:
-        places = self._context.documents.places
         self._configuration.listen(self._configured)
-        workers = Feed(
-            self._context,
-            places.workers_prefix,
-            self._workers_listed,
-            self._workers_changed,
-            wait_s=WORKERS_WAIT_S,
-            gap_s=WORKERS_GAP_S,
-        )
+        workers = self._workers_feed
         self._tasks.spawn(workers.run())
         self._tasks.spawn(self._evacuations.run())
         # No other term can write progress any more, so it may be read beside the workers.
@@ -317,8 +317,10 @@
         for job, state in changes.shown:
             self._show(job.job_id, state)
         self._context.metrics.count("starts", len(changes.starts))
+        news_s = self._workers_feed.age_s(self._clock.now())
         for start in changes.starts:
-            if not self._sessions.order_start(start):
+            self._context.metrics.time("start_news", news_s)
+            if not self._sessions.order_start(start, news_s):
                 self.board.not_started(start.run)
                 self.changed()
 
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -122,8 +122,11 @@
         for task, number in self._doubts.of(life, self._context.clock.now()):
             session.stop(task, number)
 
-    def order_start(self, start: Start) -> bool:
-        """Order a run to start; ``False`` where its worker is gone."""
+    def order_start(self, start: Start, news_s: float) -> bool:
+        """Order a run to start; ``False`` where its worker is gone.
+
+        :param news_s: how old the news of workers may be that the start rests on.
+        """
         run = start.run
         log.info(
             "start",
@@ -132,6 +135,7 @@
                 "task": str(run.task.name),
                 "run": run.number,
                 "worker": run.worker_id,
+                "news_s": round(news_s, 2),
             },
         )
         session = self._session(run.worker_id)
--- a/src/saddlestack/policy/board/reservations.py
+++ b/src/saddlestack/policy/board/reservations.py
@@ -36,6 +36,8 @@
         return any(worker.suspected for worker in self.places)
 
     def _has_room(self, worker: Worker) -> bool:
+        if worker.is_over:
+            return False
         free = worker.record.capacity - worker.used
         return self.step.step.room.copies_in(free) >= self.places.count(worker)
 
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -151,6 +151,11 @@
         """Whether a task may go there that is to be alone."""
         return self.stays and self.reachable and now >= max(self.busy_s, self.quarantine_s)
 
+    @property
+    def is_over(self) -> bool:
+        """Whether its runs hold more than it has, since its room has shrunk."""
+        return not self.used.fits(self.record.capacity)
+
     @property
     def answers(self) -> bool:
         """Whether it takes part, and answers as far as is known."""
@@ -163,8 +168,11 @@
         return not leaves and not self.evacuated
 
     def takes_decided(self, now: float) -> bool:
-        """Whether a start that was decided for it may still leave."""
-        if self.evacuated or not self.reachable:
+        """Whether a start that was decided for it may still leave.
+
+        Its room may have shrunk meanwhile: what runs there goes on, and nothing more begins.
+        """
+        if self.evacuated or not self.reachable or self.is_over:
             return False
         return self.drains_since_s is None or now - self.drains_since_s <= LEAVES_LATE_S
 
@@ -215,7 +223,7 @@
 
     def fitting(self, needs: Resources, room: Resources) -> int:
         """Tasks of some size that fit into some room of it; one where it has failed lately."""
-        copies = needs.copies_in(room)
+        copies = 0 if self.is_over else needs.copies_in(room)
         if self.strikes:
             copies = min(copies, 0 if self.runs else 1)
         return copies
@@ -230,7 +238,7 @@
 
     def room_for(self, step: StepState) -> int:
         """Tasks of a step that fit into what is free, whatever failed there lately."""
-        return self._limited(step, step.step.room.copies_in(self.free))
+        return 0 if self.is_over else self._limited(step, step.step.room.copies_in(self.free))
 
     def copies(self, step: StepState, room: Resources) -> int:
         """Tasks of a step that fit into some room of it."""
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -31,6 +31,8 @@
 from saddlestack.work import Resources, TaskName
 
 CLOCK_START_MS = 400_000
+NEWS_S = 2.5
+"""A leader has heard of a record by then: it counts from ``contact-ms`` and a heartbeat later."""
 STEP_S = 0.05
 
 _GangKey = tuple[str, int, int, int]
@@ -105,6 +107,7 @@
     :param began_s: when its clock stood at ``CLOCK_START_MS``.
     :ivar lapsed_at: when its latest lease was over.
     :ivar ended_at: when runs ended, by the number of the end.
+    :ivar guards_from: a start that takes it over its room breaks a promise from then on.
     """
 
     worker_id: str
@@ -131,6 +134,7 @@
     lapsed_at: float = -math.inf
     ended_at: dict[int, float] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    guards_from: float = 0.0
 
     @property
     def life(self) -> str:
@@ -260,6 +264,16 @@
         if not recorded:
             self._store.remove(f"servers/{worker.worker_id}")
 
+    def resize(self, worker: FloorWorker, accelerators: int) -> None:
+        """A worker's room shrinks or grows while it runs, and its record tells; it guards none.
+
+        What was ordered up to :data:`NEWS_S` after its record changed may still take it over.
+        """
+        if accelerators < worker.accelerators:
+            worker.guards_from = _now() + NEWS_S
+        worker.accelerators = accelerators
+        self.record(worker)
+
     def lapse(self, worker: FloorWorker) -> None:
         """A worker's record lapses, as while the store is away; the worker runs on."""
         self._store.remove(f"servers/{worker.worker_id}")
@@ -311,6 +325,8 @@
             return StartReply(clock, Refusal.TICKET)
         plan = msgspec.json.decode(order.payload, type=TaskPlan)
         if plan.room > worker.free:
+            if _now() >= worker.guards_from:
+                self.violations.append(f"{name} takes {worker.life} over its room")
             return StartReply(clock, Refusal.ROOM)
         self._check_start(name)
         run = FloorRun(name, order.run, worker.life, plan, _now())
--- /dev/null
+++ b/tests/test_capacity_news.py
@@ -0,0 +1,115 @@
+"""A worker's capacity may shrink and grow while it runs: no start takes it over what it has."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import msgspec
+
+from saddlestack.interfaces.workers import EndKind
+from saddlestack.policy.board.changes import StopReason
+from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.work import JobState, Resources
+from tests.test_board import BULK, BoardCase, record, step
+from tests.test_pool import PoolTest
+from tests.test_session import Scene, SessionCase
+
+SMALL = Resources(32_000, 64_000, 2)
+FEW_CPU = Resources(500, 64_000, 8)
+JOB = "00000000000000aa"
+HEARD_S = 2.0
+"""Within this a leader has heard of a worker's record."""
+
+
+class ShrinkTest(BoardCase):
+    def shrink(self, worker_id: str, capacity: Resources) -> None:
+        made = replace(record(worker_id), capacity=capacity)
+        self.board.set_worker(made, 1.0)
+
+    def test_what_runs_goes_on_and_nothing_joins_it(self) -> None:
+        self.workers(each=1)
+        running = self.add(step(2, 2))
+        self.plan()
+        self.shrink("w11", SMALL)
+        other = self.add(step(1, 1))
+        changes = self.plan(1.0)
+        self.assertEqual((changes.starts, changes.stops), ([], []))
+        self.end(running, EndKind.DONE)
+        self.assertEqual([s.run.task.name.job_id for s in self.plan(2.0).starts], [other])
+
+    def test_a_worker_over_its_processors_takes_no_task_without_any(self) -> None:
+        self.workers(each=1)
+        self.add(step(2, 1))
+        self.plan()
+        self.shrink("w11", FEW_CPU)
+        none = msgspec.structs.replace(step(1, 1), needs=Resources(0, 100, 1))
+        self.add(none)
+        self.assertEqual(self.plan(1.0).starts, [])
+
+    def test_room_that_grows_is_used_at_once(self) -> None:
+        self.workers(each=1)
+        self.shrink("w11", SMALL)
+        self.add(step(8, 1))
+        self.assertEqual(len(self.plan(1.0).starts), 2)
+        self.board.set_worker(record("w11"), 1.5)
+        self.assertEqual(len(self.plan(1.5).starts), 6)
+
+    def test_what_is_being_stopped_still_counts(self) -> None:
+        self.workers(each=1)
+        running = self.add(step(1, 2), priority=BULK)
+        self.plan()
+        self.shrink("w11", SMALL)
+        run = self.board.jobs[running].occurrences[0].steps[0].tasks[0].run
+        assert run is not None
+        self.board.stop_run(run, StopReason.PREEMPTED)
+        self.add(step(1, 1))
+        self.assertEqual(self.plan(1.0).starts, [])
+
+    def test_a_reservation_is_not_used_beyond_what_is_left(self) -> None:
+        self.workers(each=1)
+        bulk = self.add(step(2, 4), priority=BULK)
+        self.plan()
+        urgent = self.add(step(1, 8))
+        self.assertEqual(len(self.plan(1.0).stops), 2)
+        self.shrink("w11", SMALL)
+        self.end(bulk, EndKind.STOPPED)
+        self.assertNotIn(urgent, [s.run.task.name.job_id for s in self.plan(1.5).starts])
+
+    def test_a_gang_does_not_begin_where_a_member_would_no_longer_fit(self) -> None:
+        self.workers(each=2)
+        self.shrink("w12", SMALL)
+        self.add(step(2, 8, gang=True))
+        self.assertEqual(self.plan(1.0).starts, [])
+        self.board.set_worker(record("w12"), 2.0)
+        self.assertEqual(len(self.plan(2.0).starts), 2)
+
+
+class DecidedTest(SessionCase):
+    def test_a_start_that_was_decided_does_not_leave_for_a_room_that_has_shrunk(self) -> None:
+        async def body(scene: Scene) -> None:
+            start = scene.plan().starts[0]
+            shrunk = replace(record("w11"), capacity=Resources(32_000, 64_000, 0))
+            scene.board.set_worker(shrunk, 0.1)
+            scene.session.start(start)
+            await asyncio.sleep(1.0)
+            self.assertEqual(scene.orders.starts, 0)
+            self.assertIsNone(start.run.task.run)
+
+        self.play(body)
+
+
+class PoolCapacityTest(PoolTest):
+    def test_no_start_goes_over_a_room_that_shrinks_and_grows(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            for worker in cluster.floor.workers.values():
+                cluster.floor.resize(worker, 2)
+            await asyncio.sleep(HEARD_S)
+            await cluster.submit(JOB, job(24, work_s=1.5))
+            for accelerators in (8, 1, 6, 8):
+                await asyncio.sleep(1.0)
+                for worker in list(cluster.floor.workers.values())[::2]:
+                    cluster.floor.resize(worker, accelerators)
+            await cluster.until_state(JOB, JobState.COMPLETED)
+
+        self.play(body)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -18,7 +18,7 @@
 from saddlestack.control.feed import Feed
 from saddlestack.control.scheduler import WORKERS_GAP_S, WORKERS_WAIT_S
 from saddlestack.interfaces.store import Item, Listing
-from saddlestack.standins.loop import run
+from saddlestack.standins.loop import VirtualClock, run
 
 CHANGES_A_SECOND = 2_000
 """3,000 workers write their records every 1.5 s."""
@@ -69,7 +69,7 @@
                 nonlocal heard
                 heard = items[-1].revision
 
-            context = SimpleNamespace(store=store, rng=random.Random(1))
+            context = SimpleNamespace(store=store, rng=random.Random(1), clock=VirtualClock())
             feed = Feed(
                 cast(EntryContext, cast(Any, context)),
                 "servers/",
