--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -32,7 +32,7 @@
 from saddlestack.interfaces.machines import Adviser, Machines
 from saddlestack.interfaces.store import MetadataStore
 from saddlestack.interfaces.workers import WorkerOrders, WorkerRecord
-from saddlestack.kernel.clock import Clock
+from saddlestack.kernel.clock import Clock, SystemClock
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.platform.documents import PlatformDocuments
 from saddlestack.platform.gateway import Gateway
@@ -70,7 +70,7 @@
     ) -> None:
         self.settings = settings
         dialer = dialer or Dialer()
-        clock = clock or Clock()
+        clock = clock or SystemClock()
         self.metrics = Metrics(settings.vm, clock)
         show_none(self.metrics)
         store = store or _store_at(settings.store, dialer)
@@ -177,6 +177,7 @@
             self.membership,
             self.renewals,
             lambda: self.leadership.grants_until(term),
+            lambda: self.leadership.is_sure(term),
             lambda: self._give_up(term),
         )
         await self.scheduler.run()
--- a/src/saddlestack/control/leadership.py
+++ b/src/saddlestack/control/leadership.py
@@ -44,6 +44,9 @@
 """For so long after its lease a leader without the store still renews what runs: with leases of
 10 s, work outlasts an outage of 15 s. A successor that does not reach a worker counts this time."""
 
+SUSPENSION_S = 0.1
+"""Shorter suspensions end before anybody else can lead; the two clocks drift by less than that."""
+
 
 class LeaderRecord(Model, frozen=True):
     """Who leads.
@@ -102,6 +105,7 @@
         self.term: Term | None = None
         self._lasts_s = LEASE_S
         self._valid_s = 0.0
+        self._suspended_s = 0.0
 
     def grants_until(self, term: Term) -> float:
         """Until when a term may grant workers' leases: its successor counts no longer.
@@ -113,6 +117,15 @@
         """
         return self._valid_s + RENEWING_S if self.term is term else -math.inf
 
+    def is_sure(self, term: Term) -> bool:
+        """Whether a term may answer for what has happened.
+
+        A VM that was suspended goes on as if nothing had been, with its timers late by that time:
+        it may have been followed by another, and finds out with its next renewal.
+        """
+        slept_s = self.clock.suspended_s() - self._suspended_s
+        return slept_s < SUSPENSION_S and self.clock.now() <= self.grants_until(term)
+
     async def start(self) -> None:
         """Begin to follow the leader key."""
         self.tasks.spawn(self._run())
@@ -226,6 +239,7 @@
         """
         store = self._context.store
         sent = self.clock.now()
+        self._suspended_s = self.clock.suspended_s()
         lease, self._lasts_s = await store.grant_lease(LEASE_S)
         record = LeaderRecord(
             vm=self._context.settings.vm, incarnation=self._context.incarnation, lease=lease
@@ -258,6 +272,7 @@
         """Renew the lease until the term is over."""
         while self.term is term:
             sent = self.clock.now()
+            suspended_s = self.clock.suspended_s()
             try:
                 await self._context.store.keep_lease(term.record.lease)
             except LeaseOver:
@@ -270,6 +285,7 @@
                 await self._context.health.pause(KEEP_RETRY_S)
                 continue
             self._valid_s = sent + self._lasts_s
+            self._suspended_s = suspended_s
             await asyncio.sleep(KEEP_S)
 
     async def _depose(self, reason: str) -> None:
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -76,6 +76,7 @@
     :param peers: the way to the VMs of other halls.
     :param renewals: tells whether an earlier leader may still renew leases.
     :param grants_until: tells until when this term may grant leases, on the VM's clock.
+    :param is_sure: tells whether this term may answer for what has happened.
     :param on_displaced: called once when another leader has taken over.
     """
 
@@ -88,6 +89,7 @@
         membership: Membership,
         renewals: Renewals,
         grants_until: Callable[[], float],
+        is_sure: Callable[[], bool],
         on_displaced: Callable[[], None],
     ) -> None:
         self._context = context
@@ -118,6 +120,7 @@
         self._evacuations = Evacuations(context, self._evacuated)
         self._renewals = renewals
         self._grants_until = grants_until
+        self._is_sure = is_sure
         self._halls = HallWatch(context, peers, membership, self._sessions.suspect)
         self._tasks = TaskGroup("scheduler")
         self._wake = asyncio.Event()
@@ -175,6 +178,11 @@
         """Whether this term may still grant leases."""
         return self._clock.now() <= self._grants_until()
 
+    @property
+    def is_sure(self) -> bool:
+        """Whether this term may answer for what has happened."""
+        return not self.over and self._is_sure()
+
     async def written(self, jobs: Iterable[str]) -> None:
         """Wait until the store has all that is known of some jobs by now."""
         await self._commits.written(self._known, jobs)
--- a/src/saddlestack/control/stored.py
+++ b/src/saddlestack/control/stored.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from saddlestack.codec import from_msgpack
 from saddlestack.control.settings import parse_address
 from saddlestack.errors import ErrorKind, SaddlestackError
 from saddlestack.policy.board.records import (
+    CrashRecord,
     OccurrenceRecord,
     OccurrenceStatus,
     StepRecord,
@@ -75,7 +77,17 @@
 
 
 def _is_of(step: Step, record: StepRecord) -> bool:
-    return len(record.tasks) == step.count and all(_is_sound(task) for task in record.tasks)
+    if len(record.tasks) != step.count or not all(_is_sound(task) for task in record.tasks):
+        return False
+    return all(
+        0 <= index < step.count and _is_sound_crash(crash)
+        for index, crash in record.crashes.items()
+    )
+
+
+def _is_sound_crash(crash: CrashRecord) -> bool:
+    finite = math.isfinite(crash.log_odds) and math.isfinite(crash.span_s)
+    return finite and crash.crashes > 0 and crash.span_s > 0 and crash.later_starts >= 0
 
 
 def _is_sound(task: TaskRecord) -> bool:
--- a/src/saddlestack/daemon.py
+++ b/src/saddlestack/daemon.py
@@ -10,7 +10,7 @@
 import time
 from typing import TypeVar
 
-from saddlestack.kernel.clock import Clock
+from saddlestack.kernel.clock import Clock, SystemClock
 from saddlestack.kernel.registry import Registry
 from saddlestack.kernel.service import Service, TaskGroup
 from saddlestack.models import Document
@@ -56,7 +56,7 @@
         self.registry = Registry()
         self.context = Context(
             settings=settings,
-            clock=clock or Clock(),
+            clock=clock or SystemClock(),
             dialer=dialer or Dialer(),
             rng=rng or random.Random(),
             registry=self.registry,
--- a/src/saddlestack/policy/board/crashrate.py
+++ b/src/saddlestack/policy/board/crashrate.py
@@ -16,6 +16,8 @@
 that a task is suspected too little..."""
 KNOWN_S = 200.0
 """...and what is seen of so many workers for a second weighs as much."""
+LEAST_RATE = 1e-6
+"""One in twelve days: no pool is held to be better, however large and quiet."""
 
 
 @dataclass(slots=True)
@@ -44,7 +46,8 @@
     def usual(self, service: str) -> float:
         """Crashes a second of a worker of a service."""
         rate = self._rates.get(service, _Rate())
-        return (rate.crashes + USUAL_RATE * KNOWN_S) / (rate.worker_s + KNOWN_S)
+        seen = (rate.crashes + USUAL_RATE * KNOWN_S) / (rate.worker_s + KNOWN_S)
+        return max(LEAST_RATE, seen)
 
     def crashed(self, service: str, unexplained: float) -> None:
         """A worker crashed.
--- a/src/saddlestack/policy/board/isolation.py
+++ b/src/saddlestack/policy/board/isolation.py
@@ -17,6 +17,7 @@
 from saddlestack.policy.board.progress import remaining_s
 from saddlestack.policy.board.waiting import waits
 from saddlestack.policy.board.workers import Worker
+from saddlestack.work import Resources
 
 SHARE = 8
 """One of so many workers of a service may serve for isolated runs at a time, and at least one;
@@ -60,8 +61,7 @@
         """Open the workers whose runs have shown to be sound, or that were kept in vain."""
         for worker, since_s in list(self._serving.items()):
             if not self._is_needed(worker, since_s, now):
-                worker.isolating = False
-                del self._serving[worker]
+                self._open(worker)
         for task in [each for each in self._waits_since if not _is_waiting(each)]:
             del self._waits_since[task]
 
@@ -71,6 +71,12 @@
             return any(self._crashes.may_crash(run, now) for run in isolated)
         return bool(self._waits_since) and worker.answers and now - since_s < KEPT_S
 
+    def _open(self, worker: Worker) -> None:
+        worker.isolating = False
+        for run in worker.runs.values():
+            run.isolated = False
+        del self._serving[worker]
+
     def suspects(self, step: StepState) -> list[Task]:
         """The tasks of a step that are to be started alone; of a gang all."""
         if not self._crashes.concerns(step):
@@ -98,7 +104,8 @@
     ) -> Isolated:
         """Where a task, or a whole gang, may be started alone.
 
-        :param able: workers that take the step's work; those that are kept are added.
+        :param able: workers that take the step's work; those that are kept are added, and those
+            with room that is reserved for others are left out.
         :param pool: workers of the service.
         :param idle: whether the pool is mostly free.
         """
@@ -109,8 +116,8 @@
         kept = _on_other_machines(tasks, kept)
         most = math.ceil(pool / (IDLE_SHARE if idle else SHARE))
         left = most - sum(1 for worker in self._serving if not _is_filled(worker))
-        able = _on_other_machines(tasks, able)
-        empty = [worker for worker in able if not worker.runs and not worker.reserved.accelerators]
+        able = _on_other_machines(tasks, [each for each in able if each.reserved == Resources()])
+        empty = [worker for worker in able if not worker.runs]
         likely = any(map(self._crashes.is_likely, tasks))
         if likely and self._is_running(step):
             return Isolated()
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -40,6 +40,8 @@
 """A round decides no more, by whole steps. Deciding and ordering a start takes 0.1 to 0.15 ms of a
 core: a new leader of 3,000 workers with a backlog of 11,000 tasks held its process for over a
 second, longer than its lease. So bounded it holds it for 0.06 s, 0.2 s on a third of a core."""
+ISOLATED_A_ROUND = 20
+"""For so many tasks or gangs that are to be alone a round looks at all workers."""
 TRUSTED_A_ROUND = 20
 """So many steps that stand may look at all workers in a round: 16 ms for 3,000 workers."""
 
@@ -61,6 +63,7 @@
         self._shapes = Shapes()
         self._started = 0
         self._trusted = 0
+        self._sought_alone = 0
         self._at_work: dict[str, bool] = {}
 
     @property
@@ -92,6 +95,7 @@
         """
         self._started = 0
         self._trusted = 0
+        self._sought_alone = 0
         self._at_work.clear()
         self._backfill.clear()
         self._misses.clear()
@@ -168,16 +172,19 @@
         if not suspects:
             return True
         self._release(step)
-        able = self._able_alone(step, now)
-        groups = [suspects] if step.step.gang else [[task] for task in suspects]
-        for tasks in groups:
-            pool = self._rooms(step).count
-            found = self._isolation.find(tasks, able, pool, now, idle=is_idle(self._rooms(step)))
+        self._isolated.update(suspects)
+        rooms = self._rooms(step)
+        able = self._able_alone(step, now) if self._sought_alone < ISOLATED_A_ROUND else []
+        for tasks in [suspects] if step.step.gang else [[task] for task in suspects]:
+            self._sought_alone += 1
+            if self._sought_alone > ISOLATED_A_ROUND:
+                break
+            found = self._isolation.find(tasks, able, rooms.count, now, idle=is_idle(rooms))
             if found.places:
                 self._assign_apart(tasks, found, now)
                 able = [worker for worker in able if not worker.isolating]
-            elif found.keeps:
-                self._isolated.update(tasks)
+            elif not found.keeps:
+                self._isolated.difference_update(tasks)
         return any(self._is_open(task) for task in step.tasks)
 
     def _able_alone(self, step: StepState, now: float) -> list[Worker]:
--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -72,6 +72,9 @@
         "--jobs", default="", help=f"kinds of jobs, with commas: {', '.join(KINDS)}"
     )
     parser.add_argument("--failing", type=float, default=0.0, help="share of jobs that fail once")
+    parser.add_argument(
+        "--crashing", type=float, default=0.0, help="share of jobs with a task that crashes workers"
+    )
     parser.add_argument("--by-the-pages", action="store_true", help="no record goes early")
     parser.add_argument("--found", type=Path, help="a file that broken days are added to")
     return parser.parse_args()
@@ -84,7 +87,7 @@
     named = frozenset(kind for kind in options.jobs.split(",") if kind)
     if not named <= set(KINDS):
         raise SystemExit(f"no such kinds of jobs: {', '.join(sorted(named - set(KINDS)))}")
-    kinds = JobKinds(named, options.failing)
+    kinds = JobKinds(named, options.failing, options.crashing)
     summary = Summary()
     for seed in range(options.first, options.first + options.count):
         began = time.process_time()
--- a/tests/simulation/day.py
+++ b/tests/simulation/day.py
@@ -25,11 +25,16 @@
 from tests.simulation.jobs import OTHER_ACCOUNT, HandedIn, JobKinds, JobsByName
 from tests.simulation.loops import Slowness
 from tests.simulation.standstills import StandstillJudge, Standstills
+from tests.simulation.told import ToldJudge
 from tests.simulation.ways import ANY, STORE, Fault
-from tests.simulation.workers import Plan
+from tests.simulation.workers import Plan, SimWorker
 
 FIRST_S = 4.0
 SETTLE_S = 80.0
+BACK_S = (1.0, 5.0)
+"""After a crash under a task a new life comes."""
+FULL_ROOM = 8
+SUSPENDED_S = (1.0, 3.0, 6.0, 12.0, 20.0)
 GREY_EARLY_S = 0.02
 """So soon fails what a faulty worker starts without doing any of it."""
 CALM_S = 20.0
@@ -132,6 +137,8 @@
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed * 7 + 1)
         self.site = Deployment(self.shape, self.seed)
+        self.told = ToldJudge(self.site, self.accounts)
+        self.site.workers.on_crash = self._crashed_under
         self.judge = StandstillJudge(self.site, self.jobs)
         self.kinds = JobsByName(self.flavour.kinds, self.shape, self.seed)
         self.ends_s = FIRST_S + self.flavour.seconds
@@ -163,7 +170,8 @@
         site.timeline.run(self.ends_s + SETTLE_S, lambda: bool(broken) or self._settled())
         if site.world.errors:
             raise RuntimeError(site.world.errors[0])
-        found = site.workers.judge() + [str(each) for each in self.judge.found.unexplained]
+        found = site.workers.judge() + self.told.broken
+        found += [str(each) for each in self.judge.found.unexplained]
         return Verdict(
             self.seed,
             found,
@@ -468,6 +476,39 @@
                 self.site.end_worker(one)
                 self._replace(one, 1.0)
 
+    def _crashed_under(self, worker: SimWorker) -> None:
+        """A task crashes its worker; a new life comes at the same address."""
+        beats = self.site.heartbeats[worker.worker_id]
+        self.site.end_worker(beats)
+        back_s = self.rng.uniform(*BACK_S)
+        place = (worker.rack, worker.hall, worker.address)
+        self.site.world.call_later(back_s, self.site.add_worker, *place)
+
+    def _shrink(self) -> None:
+        """A worker that guards nothing has less room for a while, and tells so."""
+        beats = self._beats()
+        if beats is None:
+            return
+        room = self.rng.randint(1, FULL_ROOM - 1)
+        self._note(f"{beats.worker.worker_id} has room for {room}")
+        self._resize(beats, room)
+        self.site.world.call_later(self.rng.uniform(1.0, 15.0), self._resize, beats, FULL_ROOM)
+
+    def _resize(self, beats: Heartbeats, room: int) -> None:
+        self.site.workers.resize(beats.worker, room)
+        self.site.write(beats)
+
+    def _suspend(self) -> None:
+        """A VM is suspended: its steady clock and its timers do not count the time."""
+        vm = self._often_leader()
+        seconds = self.rng.choice(SUSPENDED_S) * self.rng.uniform(0.5, 1.0)
+        if vm is None or vm.loop.stands_until > self.site.world.time():
+            return
+        self._note(f"{vm.name} is suspended for {seconds:.3f} s")
+        over = self.told.over()
+        vm.loop.suspend(seconds)
+        self.site.world.call_later(seconds, self.told.ask, vm, over)
+
     def _reborn(self) -> None:
         """A worker starts again under its id, often before anybody has missed it."""
         beats = self._beats()
@@ -621,6 +662,8 @@
     "failing": 0.15,
     "all_restart": 0.06,
     "rack_crash": 0.1,
+    "shrink": 0.4,
+    "suspend": 0.25,
 }
 """Kinds that come by name alone, so that seeds go on naming the days that they named."""
 
@@ -664,4 +707,5 @@
     day = Day(seed, flavour, shape)
     day.site.workers.late_gangs = rng.random() < 0.4
     day.site.workers.births = "reborn" in rates
+    day.site.workers.guards = "shrink" not in rates
     return day
--- a/tests/simulation/deployment.py
+++ b/tests/simulation/deployment.py
@@ -213,7 +213,7 @@
     ) -> None:
         """Hand a job in."""
         if vm.entry is not None:
-            vm.loop.create_task(self._submit(vm, job_id, _client(queue, account), request))
+            vm.loop.create_task(self._submit(vm, job_id, client_call(queue, account), request))
 
     async def _submit(self, vm: Vm, job_id: str, client: ClientCall, request: JobRequest) -> None:
         assert vm.entry is not None
@@ -226,7 +226,7 @@
     def cancel(self, vm: Vm, job_id: str, queue: str, account: str = ACCOUNT) -> None:
         """Cancel a job."""
         if vm.entry is not None:
-            vm.loop.create_task(self._cancel(vm, job_id, _client(queue, account)))
+            vm.loop.create_task(self._cancel(vm, job_id, client_call(queue, account)))
 
     async def _cancel(self, vm: Vm, job_id: str, client: ClientCall) -> None:
         assert vm.entry is not None
@@ -370,7 +370,8 @@
     )
 
 
-def _client(queue: str, account: str) -> ClientCall:
+def client_call(queue: str, account: str) -> ClientCall:
+    """A client's call about a queue."""
     return ClientCall(
         Queue(
             name=queue,
--- a/tests/simulation/jobs.py
+++ b/tests/simulation/jobs.py
@@ -19,6 +19,8 @@
 """Share of the jobs of a day that are of a kind where it is named and possible."""
 LARGEST_GANG = 16
 """Accelerators of a gang of one rack: each rack of two workers holds it."""
+CRASHES_S = (0.3, 2.0)
+"""A task that crashes its workers does so within this time."""
 EARLY_S = (0.02, 0.2, 0.8)
 """A job that fails early does so this long after its start."""
 
@@ -40,10 +42,12 @@
         (gangs of one rack) and ``per_worker`` (few tasks on one worker).
     :param failing: share of the jobs that one client account hands in and whose every task fails
         once by its own fault.
+    :param crashing: share of the jobs one of whose tasks crashes each worker that starts it.
     """
 
     named: frozenset[str] = frozenset()
     failing: float = 0.0
+    crashing: float = 0.0
 
 
 @dataclass(slots=True)
@@ -69,6 +73,9 @@
         for kind in KINDS:
             if kind in self.kinds.named and self._rng.random() < KIND_SHARE:
                 request = getattr(self, f"_{kind}")(request)
+        lasts = request.steps[0].long_running
+        if self.kinds.crashing and not lasts and self._rng.random() < self.kinds.crashing:
+            request = self._crashing(request)
         job = HandedIn(job.queue, request)
         bursts = now < self._fails_until
         if (bursts or self.kinds.failing) and not request.steps[0].long_running:
@@ -82,6 +89,14 @@
         plan = msgspec.structs.replace(_plan(job.request), failures=1, fails_s=fails_s)
         return HandedIn(job.queue, _with(job.request, plan, {}), OTHER_ACCOUNT)
 
+    def _crashing(self, request: JobRequest) -> JobRequest:
+        plan = msgspec.structs.replace(
+            _plan(request),
+            crashing=self._rng.randrange(request.steps[0].count),
+            crashes_s=self._rng.choice(CRASHES_S),
+        )
+        return _with(request, plan, {})
+
     def _near(self, request: JobRequest) -> JobRequest:
         rack = f"r{self._rng.randint(1, self.shape.racks)}-1"
         plan = msgspec.structs.replace(_plan(request), near=rack)
--- a/tests/simulation/loops.py
+++ b/tests/simulation/loops.py
@@ -60,14 +60,24 @@
         self._late_s = 0.0
         self._turning = False
         self.stands_until = 0.0
+        self.suspended_s = 0.0
+
+    def suspend(self, seconds: float) -> None:
+        """Do nothing for a while that this loop's clock and its timers do not count."""
+        self.stand_still(seconds)
+        self.suspended_s += seconds
 
     def time(self) -> float:
-        """The virtual time as this loop's process sees it."""
+        """The virtual time as this loop's process sees it: without its suspensions."""
         slow = self.slowness
         slowed = self._turning and slow.line_stall and self._timeline.now < slow.until
         if slowed and self._rng.random() < slow.line_stall:
             self._late_s += self._rng.uniform(0.0, slow.longest_s)
-        return self._timeline.now + self._late_s
+        return self._timeline.now + self._late_s - self.suspended_s
+
+    def world_s(self) -> float:
+        """The virtual time of all, as this loop's process lives it."""
+        return self.time() + self.suspended_s
 
     def stand_still(self, seconds: float) -> None:
         """Do nothing for a while."""
@@ -80,7 +90,7 @@
         if ready:
             return max(self._timeline.now, self.stands_until)
         if timers:
-            return max(timers[0].when(), self.stands_until)
+            return max(timers[0].when() + self.suspended_s, self.stands_until)
         return math.inf
 
     def end(self) -> None:
@@ -154,6 +164,15 @@
 class SharedClock(Clock):
     """A VM's clock on a :class:`Timeline`."""
 
+    def now(self) -> float:
+        """Seconds that count suspensions."""
+        return asyncio.get_running_loop().time() + self.suspended_s()
+
+    def suspended_s(self) -> float:
+        """Seconds for which this VM has been suspended."""
+        loop = asyncio.get_running_loop()
+        return loop.suspended_s if isinstance(loop, SharedLoop) else 0.0
+
     def wall(self) -> float:
-        """A wall time that moves with the loop."""
-        return WALL_EPOCH_S + asyncio.get_running_loop().time()
+        """A wall time, which is right also after a suspension."""
+        return WALL_EPOCH_S + self.now()
--- /dev/null
+++ b/tests/simulation/told.py
@@ -0,0 +1,57 @@
+"""What a VM tells of jobs right after a suspension: no job that is over may be told of as open."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from saddlestack.errors import SaddlestackError
+from saddlestack.work import FINAL_STATES, JobState
+from tests.simulation.deployment import Deployment, Vm, client_call
+
+ASKED = 3
+"""Jobs that are asked for at a time."""
+OPEN = frozenset({JobState.QUEUED, JobState.RUNNING})
+
+
+class ToldJudge:
+    """Asks VMs that wake for jobs that others have shown as over meanwhile.
+
+    :param accounts: the client account of each job.
+    """
+
+    def __init__(self, site: Deployment, accounts: Mapping[str, str]) -> None:
+        self._site = site
+        self._accounts = accounts
+        self.asked = 0
+        self.broken: list[str] = []
+
+    def over(self) -> set[str]:
+        """The jobs that the present leader shows as over."""
+        leader = self._site.latest_leader
+        scheduler = None if leader is None or leader.entry is None else leader.entry.scheduler
+        if scheduler is None:
+            return set()
+        known = self._site.acknowledged
+        return {job_id for job_id in known if scheduler.state(job_id) in FINAL_STATES}
+
+    def ask(self, vm: Vm, before: set[str]) -> None:
+        """A VM goes on: it is asked for jobs that have come to an end while it was suspended.
+
+        :param before: jobs that were over already.
+        """
+        if self._site.vms.get(vm.name) is not vm:
+            return
+        for job_id in sorted(self.over() - before)[:ASKED]:
+            self.asked += 1
+            vm.loop.create_task(self._ask(vm, job_id))
+
+    async def _ask(self, vm: Vm, job_id: str) -> None:
+        if vm.entry is None:
+            return
+        call = client_call("normal", self._accounts[job_id])
+        try:
+            state = await vm.entry.jobs.state(call, job_id)
+        except SaddlestackError:
+            return
+        if state in OPEN:
+            self.broken.append(f"told as {state}: [{job_id} ] by {vm.name} after a suspension")
--- a/tests/simulation/ways.py
+++ b/tests/simulation/ways.py
@@ -192,7 +192,7 @@
             call.answer(value, fate.back_s)
 
     if fate.arrives or fate.reset:
-        ways.world.call_at(loop.time() + fate.out_s + fate.late_s, arrive)
+        ways.world.call_at(loop.world_s() + fate.out_s + fate.late_s, arrive)
     async with asyncio.timeout(timeout_s):
         return await call.future
 
@@ -214,7 +214,9 @@
 
     async def start(self, order: StartOrder, timeout_s: float) -> StartReply:
         """Start a run."""
-        sent = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, SharedLoop)
+        sent = loop.world_s()
         noted = self._workers.note_order(self._worker, order, sent)
 
         def carry(reply: Callable[[object], None]) -> None:
@@ -526,4 +528,4 @@
             answer: object = await work
         except SaddlestackError as error:
             answer = error
-        self.ways.world.call_at(self.loop.time(), reply, answer)
+        self.ways.world.call_at(self.loop.world_s(), reply, answer)
--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -28,6 +28,13 @@
 CLOCK_START_MS = 400_000
 ALONE_S = 3.0
 HOLD_S = 10.0
+ROOM_NEWS_S = 4.0
+"""A room that has shrunk counts from then on: a heartbeat, and what VMs may take to hear."""
+CRASHES = 3
+"""Once so many workers have crashed under a task..."""
+STARTS_MORE = 3
+"""...so many more starts of it break a promise."""
+CRASHES_FROM_S = 0.05
 FAR_SLOWED = 3.0
 """So many times as long takes work with data on another rack."""
 
@@ -38,6 +45,8 @@
     :param failures: so many of its runs fail by its own fault...
     :param fails_s: ...so long after they began; 0 for at their end.
     :param near: the rack of its data; on others its work takes longer.
+    :param crashing: index of a task of its first step and time that crashes each worker that starts
+        it, so long at most after its work began there; -1 for none.
     """
 
     work_s: float
@@ -47,6 +56,8 @@
     lasts: bool = False
     fails_s: float = 0.0
     near: str = ""
+    crashing: int = -1
+    crashes_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -124,6 +135,7 @@
     :param failed_s: when a run last failed by its own fault.
     :param hangs_until: what starts before makes no progress until then.
     :param shares_address: another life was up at its address while it was.
+    :param shrunk_s: when its room shrank the last time.
     """
 
     worker_id: str
@@ -148,6 +160,7 @@
     failed_s: float = -math.inf
     hangs_until: float = 0.0
     shares_address: bool = False
+    shrunk_s: float = -math.inf
 
     @property
     def life(self) -> str:
@@ -165,6 +178,10 @@
 
     :ivar lives: by name.
     :ivar births: whether lives tell when they were born.
+    :ivar guards: whether workers refuse what does not fit.
+    :ivar crashed: when workers crashed under a task that crashes them.
+    :ivar died_beside: runs of other jobs that were lost so.
+    :ivar on_crash: ends a worker that a task crashes.
     :ivar begun: all runs, in the order in which they began.
     """
 
@@ -181,6 +198,10 @@
         self.late_gangs = False
         self.births = False
         self.starts = 0
+        self.guards = True
+        self.crashed: dict[TaskName, list[float]] = {}
+        self.died_beside = 0
+        self.on_crash: Callable[[SimWorker], None] = self.end
 
     def add(self, rack: str, hall: str, address: str = "", worker_id: str = "") -> SimWorker:
         """A new life of a worker.
@@ -259,7 +280,9 @@
             return StartReply(clock_ms, Refusal.OLD)
         plan = msgspec.json.decode(order.payload, type=Plan)
         if plan.room > worker.free:
-            return StartReply(clock_ms, Refusal.ROOM)
+            if self.guards:
+                return StartReply(clock_ms, Refusal.ROOM)
+            self._judge_room(worker, name)
         run = SimRun(name, order.run, worker, plan, vm, order.fence, ordered_s, self._world.time())
         run.done_s = float(order.saved or 0.0)
         self._begin(run)
@@ -340,6 +363,17 @@
         for run in list(worker.runs.values()):
             self._finish(run, EndKind.LAPSED)
 
+    def _judge_room(self, worker: SimWorker, name: TaskName) -> None:
+        """A worker that guards nothing is taken over its room."""
+        if self._world.time() - worker.shrunk_s > ROOM_NEWS_S:
+            self.broken.append(f"over the room: [{name}] on {worker.life}")
+
+    def resize(self, worker: SimWorker, room: int) -> None:
+        """A worker's room shrinks or grows while it runs."""
+        if room < worker.room:
+            worker.shrunk_s = self._world.time()
+        worker.room = room
+
     # Work
 
     def _begin(self, run: SimRun) -> None:
@@ -364,6 +398,9 @@
     def _work(self, run: SimRun) -> None:
         now, worker = self._world.time(), run.worker
         run.work_began_s = now
+        if self._is_crashing(run):
+            after_s = self._rng.uniform(CRASHES_FROM_S, run.plan.crashes_s)
+            self._world.call_later(after_s, self._crash, run)
         if now < worker.grey_until:
             self._world.call_later(worker.grey_s, self._fail_here, run)
             return
@@ -377,6 +414,20 @@
             left_s = min(left_s, run.plan.fails_s)
         self._world.call_later(run.hung_until - now + left_s, self._see_done, run)
 
+    def _is_crashing(self, run: SimRun) -> bool:
+        first = run.task.step == 0 and run.task.occurrence == 0
+        return first and run.task.index == run.plan.crashing
+
+    def _crash(self, run: SimRun) -> None:
+        """A run crashes its worker."""
+        worker = run.worker
+        if run.ended_s is not None or run.stopping or not worker.up:
+            return
+        self.crashed.setdefault(run.task, []).append(self._world.time())
+        job_id = run.task.job_id
+        self.died_beside += sum(1 for task, _ in worker.runs if task.job_id != job_id)
+        self.on_crash(worker)
+
     def _fail_here(self, run: SimRun) -> None:
         """A run fails by its worker's fault."""
         if not run.stopping and run.ended_s is None:
@@ -456,6 +507,12 @@
     def judge(self) -> list[str]:
         """Every broken promise."""
         found = list(self.broken)
+        for task, times in self.crashed.items():
+            if len(times) < CRASHES:
+                continue
+            later = [run for run in self.history[task] if run.began_s > times[CRASHES - 1]]
+            if len(later) >= STARTS_MORE:
+                found.append(f"started {len(later)} times after {CRASHES} crashes: [{task} ]")
         for runs in self.history.values():
             done = [run for run in runs if run.how is EndKind.DONE and run.noted]
             for first in done:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import math
+import unittest
 from dataclasses import replace
 
 from saddlestack.codec import from_msgpack, to_msgpack
+from saddlestack.control.stored import check_progress
+from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.workers import EndedTask, EndKind
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import StopReason
@@ -13,9 +16,16 @@
 from saddlestack.policy.board.crashrule import COUNTED_FROM, LATER_STARTS, CrashOdds
 from saddlestack.policy.board.isolation import SHARE
 from saddlestack.policy.board.jobs import Run, Task
-from saddlestack.policy.board.records import CrashRecord, OccurrenceRecord, TaskStatus
+from saddlestack.policy.board.records import (
+    CrashRecord,
+    OccurrenceRecord,
+    OccurrenceStatus,
+    StepRecord,
+    TaskRecord,
+    TaskStatus,
+)
 from saddlestack.policy.board.verdicts import VerdictKind
-from saddlestack.work import JobState, TaskName
+from saddlestack.work import AcceptedJob, JobRequest, JobState, TaskName
 from tests.test_board import BULK, BoardCase, record, step
 
 SOON_S = 0.2
@@ -360,6 +370,7 @@
         self.assertIsNone(self.task(other).run)
         self.plan(PAUSE_S + 20.0)
         self.assertEqual(self.neighbours(job), {other})
+        self.assertFalse(self.run_of(job).isolated)
 
     def test_an_end_of_it_opens_its_worker(self) -> None:
         self.workers(racks=1, each=1)
@@ -438,3 +449,40 @@
         verdicts = self.board.take().verdicts
         self.assertEqual({each.task for each in verdicts}, {TaskName(j, 0, 0, 0) for j in jobs})
         self.assertEqual({each.beside for each in verdicts}, {2})
+
+
+class RecordTest(unittest.TestCase):
+    """Another writer may have got at what is kept of crashes."""
+
+    def accepted(self) -> AcceptedJob:
+        return AcceptedJob(
+            job_id="a" * 16,
+            account="",
+            queue="q",
+            service="pool",
+            priority=0,
+            attempts=1,
+            accepted_ms=1,
+            request=JobRequest(payload="", steps=(step(2, 1),)),
+        )
+
+    def check(self, crashes: dict[int, CrashRecord]) -> None:
+        tasks = StepRecord([TaskRecord(), TaskRecord()], crashes=crashes)
+        check_progress(self.accepted(), {0: OccurrenceRecord(OccurrenceStatus.OPEN, [tasks])})
+
+    def test_what_holds_together_is_read(self) -> None:
+        self.check({1: CrashRecord(2, 1.0, 0.5, 1)})
+
+    def test_what_does_not_is_refused(self) -> None:
+        sound = CrashRecord(2, 1.0, 0.5)
+        for bad in (
+            {2: sound},
+            {-1: sound},
+            {0: CrashRecord(2, math.nan, 0.5)},
+            {0: CrashRecord(2, math.inf, 0.5)},
+            {0: CrashRecord(2, 1.0, 0.0)},
+            {0: CrashRecord(0, 1.0, 0.5)},
+            {0: CrashRecord(2, 1.0, 0.5, -1)},
+        ):
+            with self.assertRaises(SaddlestackError):
+                self.check(bad)
