Soak and benchmark of tasks that crash their workers

Callers: nothing changes for them. Cause: the instruments knew no such task, so neither soak nor comparison could show one.

--- a/src/saddlestack/soak/account.py
+++ b/src/saddlestack/soak/account.py
@@ -31,6 +31,14 @@
 """The VM that held a fencing token."""
 
 
+CRASHES = 3
+"""Once so many workers have crashed under a task that crashes them..."""
+STARTS_MORE = 3
+"""...it is not started so often more."""
+MAY_GIVE_UP = 2
+"""A task may be given up once so many workers have crashed under it."""
+
+
 class Promise(enum.StrEnum):
     """A promise that did not hold."""
 
@@ -45,6 +53,7 @@
     RECLAIM = "an urgent job waited for what its account owns"
     ORDER = "a start before the steps that it needs were done"
     ATTEMPTS = "a start after all attempts had failed"
+    CRASHES = "a task that crashes its workers was started three times more after three crashes"
     UNKNOWN = "a start of what no client handed in"
     KEPT = "an accepted job is not over"
     STANDS_STILL = "a job stood still beside a free pool"
@@ -167,6 +176,7 @@
             self._room(),
             self._starts(),
             self._attempts(),
+            self._crashes(),
             self._reclaims(),
             self._outcomes(),
         )
@@ -282,6 +292,30 @@
                 if run.began_s > failed[job.attempts - 1]:
                     yield _broken(Promise.ATTEMPTS, run, detail=f"{len(failed)} failed")
 
+    def _crashes(self) -> Iterator[Broken]:
+        """A task that crashes its workers is started few times more."""
+        crashed: dict[str, list[float]] = defaultdict(list)
+        for life in self._book.lives.values():
+            if life.crashed_by:
+                crashed[life.crashed_by].append(life.ended_s)
+        for task, times in crashed.items():
+            if len(times) < CRASHES:
+                continue
+            third_s = sorted(times)[CRASHES - 1]
+            runs = self._tasks.get(TaskName.parse(task), [])
+            later = [run for run in runs if run.began_s > third_s and not run.late]
+            for run in later[STARTS_MORE - 1 :]:
+                yield _broken(Promise.CRASHES, run, detail=f"{len(times)} crashes")
+
+    def _may_be_given_up(self, job: ClientJob) -> bool:
+        """Whether two workers, or more, have crashed under a task of a job."""
+        for task, runs in self._tasks.items():
+            if task.job_id != job.job_id:
+                continue
+            if sum(1 for run in runs if _is_lost(run)) >= MAY_GIVE_UP:
+                return True
+        return False
+
     # Guarantees
 
     def _reclaims(self) -> Iterator[Broken]:
@@ -310,7 +344,8 @@
             missing = self._undone(job)
             return (Promise.COMPLETED, f"{missing} tasks are not done") if missing else (None, "")
         if job.state is JobState.FAILED:
-            return (None, "") if self._has_failed(job) else (Promise.FAILED, "")
+            allowed = self._has_failed(job) or self._may_be_given_up(job)
+            return (None, "") if allowed else (Promise.FAILED, "")
         if job.state is JobState.CANCELLED:
             return (None, "") if job.cancel_sent else (Promise.NOT_CANCELLED, "")
         state = "unknown" if job.state is None else job.state.value
@@ -334,6 +369,11 @@
         return max(failed.values(), default=0) >= job.attempts
 
 
+def _is_lost(run: RunAccount) -> bool:
+    """Whether a run was lost with a worker that crashed."""
+    return run.life.crashed and run.life.ended_s < run.ended_s
+
+
 def _urgent(job: ClientJob) -> UrgentJob:
     return UrgentJob(
         job.job_id,
--- a/src/saddlestack/soak/assessment.py
+++ b/src/saddlestack/soak/assessment.py
@@ -35,7 +35,7 @@
     objective_s,
 )
 from saddlestack.soak.runs import RunAccount, RunBook
-from saddlestack.soak.shape import JobKind, SoakShape
+from saddlestack.soak.shape import FaultKind, JobKind, SoakShape
 from saddlestack.soak.standstills import Scene, standstills
 from saddlestack.soak.turns import AcceptedWork
 from saddlestack.standins.pool.workers import TaskPlan
@@ -83,8 +83,9 @@
 ) -> SoakReport:
     """Judge, and tell what was measured."""
     book = RunBook.of(evidence.hosts.records)
-    stood = _standstills(evidence, book, entries)
-    broken = _judge(evidence, entries) + _broken_standstills(stood)
+    faults = [*evidence.faults, *crashes_by_tasks(book)]
+    stood = _standstills(evidence, book, entries, faults)
+    broken = _judge(evidence, entries, faults) + _broken_standstills(stood)
     broken.sort(key=lambda each: each.at_s)
     shape = evidence.shape
     return SoakReport(
@@ -119,10 +120,34 @@
     return found
 
 
-def _judge(evidence: Evidence, entries: Sequence[EntryProcess]) -> list[Broken]:
+def crashes_by_tasks(book: RunBook) -> list[Fault]:
+    """The crashes of workers that tasks caused: to all that ran there they are faults as any."""
+    lives = sorted(book.lives.values(), key=lambda life: life.began_s)
+    found = []
+    for life in lives:
+        if not life.crashed_by:
+            continue
+        later = (each.began_s for each in lives if each.machine == life.machine)
+        back_s = next((began_s for began_s in later if began_s > life.ended_s), life.ended_s)
+        found.append(
+            Fault(
+                FaultKind.WORKER_CRASH,
+                back_s - life.ended_s,
+                life.ended_s,
+                back_s,
+                life.machine,
+                f"by {life.crashed_by}",
+            )
+        )
+    return found
+
+
+def _judge(
+    evidence: Evidence, entries: Sequence[EntryProcess], faults: Sequence[Fault]
+) -> list[Broken]:
     terms = evidence.platform.terms
     halls = {entry.name: entry.site.hall for entry in entries}
-    disturbances = Disturbances(evidence.faults, halls)
+    disturbances = Disturbances(faults, halls)
     return judge(
         evidence.hosts.records,
         [_client_job(told) for told in evidence.load.jobs],
@@ -134,7 +159,7 @@
 
 
 def _standstills(
-    evidence: Evidence, book: RunBook, entries: Sequence[EntryProcess]
+    evidence: Evidence, book: RunBook, entries: Sequence[EntryProcess], faults: Sequence[Fault]
 ) -> list[JudgedStandstill]:
     """All jobs that stood still, with what explains each."""
     shape = evidence.shape
@@ -149,7 +174,7 @@
         [entry.log for entry in entries], {each.job_id for each in found}, epoch_s, MOST_ORDERS
     )
     halls = {entry.name: entry.site.hall for entry in entries}
-    excuses = Excuses(scene, evidence.faults, evidence.platform.terms.terms, halls, shape.times)
+    excuses = Excuses(scene, faults, evidence.platform.terms.terms, halls, shape.times)
     return [excuses.judge(each, orders.get(each.job_id, [])) for each in found]
 
 
--- a/src/saddlestack/soak/life.py
+++ b/src/saddlestack/soak/life.py
@@ -106,6 +106,7 @@
 
     :param worker_id: the name of the life.
     :param tell: told of all that happens.
+    :ivar on_crash: called with a task that crashes the worker.
     :ivar speed: seconds of work a second.
     :ivar fails_all: tasks that start now fail at once.
     :ivar over: whether the life has ended.
@@ -131,6 +132,7 @@
         self.machine = machine
         self.times = times
         self.runs: dict[RunKey, Run] = {}
+        self.on_crash: Callable[[TaskName], None] = _ignored
         self.speed = 1.0
         self.fails_all = False
         self.over = False
@@ -140,8 +142,11 @@
             )
         )
 
-    def end(self, *, crashed: bool) -> None:
-        """The life is over, and all that runs there."""
+    def end(self, *, crashed: bool, by: str = "") -> None:
+        """The life is over, and all that runs there.
+
+        :param by: the task that crashed it, or empty.
+        """
         self.over = True
         runs = list(self.runs.values())
         self.runs.clear()
@@ -152,7 +157,7 @@
                 self._leave_hub(run)
         self._lease.cancel()
         self._ends.wake()
-        self._tell(LifeEnded(self.worker_id, _now(), crashed))
+        self._tell(LifeEnded(self.worker_id, _now(), crashed, by))
 
     def clock_ms(self) -> int:
         """Its steady clock."""
@@ -210,11 +215,18 @@
                 plan.gang,
             )
         )
+        if plan.crashes(name):
+            asyncio.get_running_loop().call_later(plan.crashes_s, self._crash_under, run)
         if plan.gang:
             self._wait_for_gang(run, restored=bool(order.saved))
         else:
             self._work(run, _now() + (self.times.restore_s if order.saved else 0.0))
 
+    def _crash_under(self, run: Run) -> None:
+        """A run crashes the worker, unless it is over or being stopped."""
+        if self.runs.get((run.name, run.number)) is run and not run.stopping:
+            self.on_crash(run.name)
+
     def stop(self, task: str, number: int, fence: int, arrival: Arrival) -> None:
         """Stop a run; one that is not there yet will be refused when it comes.
 
@@ -427,6 +439,10 @@
         return f"{done_s:.3f}" if done_s > 0 else ""
 
 
+def _ignored(task: TaskName) -> None:
+    """Nobody looks after the worker's machine."""
+
+
 def step_of(task: TaskName) -> str:
     """The step that a task is of, as gangs are named by it."""
     return f"{task.job_id}.{task.occurrence}.{task.step}"
--- a/src/saddlestack/soak/load.py
+++ b/src/saddlestack/soak/load.py
@@ -270,6 +270,10 @@
     accelerators = rng.choice(kind.accelerators)
     gang = rng.random() < kind.gang_share
     plan = TaskPlan(work_s, _failures(kind, rng), accelerators, tasks if gang else 0)
+    if kind.crashing_share and rng.random() < kind.crashing_share:
+        plan = msgspec.structs.replace(
+            plan, crashes_s=kind.crashes_s, crashing=rng.randrange(tasks)
+        )
     step = Step(
         count=tasks,
         needs=Resources(kind.cpu, kind.memory_mb, accelerators),
--- a/src/saddlestack/soak/machine.py
+++ b/src/saddlestack/soak/machine.py
@@ -42,7 +42,10 @@
 from saddlestack.soak.shape import ShapeTimes
 from saddlestack.soak.troubles import KINDS, Troubles, WayTrouble
 from saddlestack.wire.http import HttpClient, HttpServer, Request, Response
+from saddlestack.work import TaskName
 
+CRASHED_BACK_S = (1.0, 5.0)
+"""After a crash under a task another life comes."""
 SILENCE_S = 30.0
 """A call that is never answered keeps its connection for so long."""
 
@@ -180,6 +183,7 @@
         where = self._surroundings
         life = WorkerLife(self._next_life(), self._settings, where.times, self._rng, where.tell)
         self.life = life
+        life.on_crash = self._crash_under
         self._leaving = False
         self._record = RecordWriter(
             where.store, life, self.address, where.service, self._rng, self._store_cut_until_s
@@ -193,9 +197,15 @@
         self._born_ms = max(self._born_ms + 1, time.time_ns() // 1_000_000)
         return life_name(f"i-{self._settings.name}", self._born_ms)
 
-    def _end_life(self, *, crashed: bool) -> None:
+    def _crash_under(self, task: TaskName) -> None:
+        """A task crashes the worker; another life comes after some seconds."""
+        back_s = self._rng.uniform(*CRASHED_BACK_S)
+        crash = Crash(machines=(self._settings.name,), back_s=back_s)
+        self._spawn(self._crash(crash, str(task)))
+
+    def _end_life(self, *, crashed: bool, by: str = "") -> None:
         if self.life is not None:
-            self.life.end(crashed=crashed)
+            self.life.end(crashed=crashed, by=by)
             self.life = None
         if self._record is not None:
             self._record.close()
@@ -225,12 +235,12 @@
         await record.remove()
         await self._return(command.back_s)
 
-    async def _crash(self, command: Crash) -> None:
+    async def _crash(self, command: Crash, by: str = "") -> None:
         life, record = self.life, self._record
         if life is None or record is None:
             return
         self._silent = command.silent
-        self._end_life(crashed=True)
+        self._end_life(crashed=True, by=by)
         if not command.silent:
             self._server.abort()
         if command.removed:
--- a/src/saddlestack/soak/messages.py
+++ b/src/saddlestack/soak/messages.py
@@ -350,11 +350,15 @@
 
 
 class LifeEnded(msgspec.Struct, frozen=True, tag=True, gc=False):
-    """A worker's life is over, and all that ran there."""
+    """A worker's life is over, and all that ran there.
+
+    :param by: the task that crashed it, or empty.
+    """
 
     worker: str
     at_s: float
     crashed: bool
+    by: str = ""
 
 
 class RunBegan(msgspec.Struct, frozen=True, tag=True, gc=False):
--- a/src/saddlestack/soak/runs.py
+++ b/src/saddlestack/soak/runs.py
@@ -38,6 +38,7 @@
     announced_s: float = math.inf
     ended_s: float = math.inf
     crashed: bool = False
+    crashed_by: str = ""
 
 
 @dataclass(slots=True)
@@ -147,6 +148,7 @@
         else:
             self.lives[record.worker].ended_s = record.at_s
             self.lives[record.worker].crashed = record.crashed
+            self.lives[record.worker].crashed_by = record.by
 
     def _begin(self, record: RunBegan) -> None:
         run = RunAccount(
--- a/src/saddlestack/soak/shape.py
+++ b/src/saddlestack/soak/shape.py
@@ -147,6 +147,8 @@
     :param checkpoint_share: share of jobs whose tasks save their progress.
     :param failure_share: share of jobs of whose tasks each fails once.
     :param broken_share: share of jobs whose tasks fail however often they start.
+    :param crashing_share: share of jobs one of whose tasks crashes each worker that starts it...
+    :param crashes_s: ...so many seconds after its start.
     :param cancel_share: share of jobs that are cancelled.
     :param attempts: failed runs after which a task fails its job.
     :param stretch: the objective is this many times the work...
@@ -170,6 +172,8 @@
     attempts: int
     stretch: float
     target_s: float
+    crashing_share: float = 0.0
+    crashes_s: float = 0.0
 
 
 class ClientAccount(Model, frozen=True):
@@ -326,6 +330,9 @@
     yield from _between(f"{place}.attempts", kind.attempts, 1, 100)
     yield from _between(f"{place}.stretch", kind.stretch, 1, 100)
     yield from _between(f"{place}.target_s", kind.target_s, 0, 3600)
+    yield from _between(f"{place}.crashes_s", kind.crashes_s, 0, 3600)
+    if kind.crashing_share and not kind.crashes_s:
+        yield f"{place}.crashes_s: expected more than 0 where jobs crash workers"
 
 
 def _spread_faults(place: str, spread: Spread, least: float) -> Iterator[str]:
--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -52,7 +52,8 @@
     :param tail_ms: the tail of its answers' times while nothing disturbs it.
     :param harm_ms: what it adds to others' tails at full pace.
     :param far_x: a gang on more than one rack takes so many times as long, on workers of a soak.
-    :param crashes_s: it crashes its worker after so many seconds of each run; 0 for never.
+    :param crashes_s: one task crashes its worker so many seconds after each start; 0 for none...
+    :param crashing: ...and this is its index.
     """
 
     work_s: float = 1.0
@@ -66,6 +67,11 @@
     memory_mb: int = 0
     far_x: float = 1.0
     crashes_s: float = 0.0
+    crashing: int = 0
+
+    def crashes(self, task: TaskName) -> bool:
+        """Whether a task is the one that crashes its workers."""
+        return self.crashes_s > 0 and task.index == self.crashing
 
 
 @dataclass(slots=True)
@@ -452,7 +458,7 @@
                 self._end(worker, run, EndKind.ALONE)
             return
         run.done_s += STEP_S
-        if run.plan.crashes_s and _now() - run.began >= run.plan.crashes_s:
+        if run.plan.crashes(run.task) and _now() - run.began >= run.plan.crashes_s:
             self._crash_under(worker, run)
             return
         if run.plan.lasts or run.done_s < run.plan.work_s:
--- a/tests/soak_story.py
+++ b/tests/soak_story.py
@@ -38,6 +38,9 @@
     def gone(self, worker: str, at_s: float, *, crashed: bool) -> None:
         self.records.append(LifeEnded(worker, at_s, crashed))
 
+    def crash(self, worker: str, at_s: float, *, by: str = "") -> None:
+        self.records.append(LifeEnded(worker, at_s, True, by))
+
     def announce(self, worker: str, at_s: float) -> None:
         self.records.append(LifeAnnounced(worker, at_s, 3.0))
 
--- a/tests/test_soak_account.py
+++ b/tests/test_soak_account.py
@@ -8,7 +8,7 @@
 
 from saddlestack.soak.account import Broken, ClientJob, Promise, PromiseTimes, judge
 from saddlestack.work import JobRequest, JobState, Resources, Step
-from tests.soak_story import JOB, Story
+from tests.soak_story import JOB, Story, name
 
 TIMES = PromiseTimes(drain_s=3.0, cancel_s=4.0)
 NEEDS = Resources(1000, 1024, 1)
@@ -319,3 +319,35 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class CrashesTest(unittest.TestCase):
+    """A task that crashes its workers, and what it may cost."""
+
+    def story(self, crashes: int, *, later: int = 0, by_task: bool = True) -> Story:
+        story = Story()
+        for number in range(crashes + later):
+            worker = f"w{number}"
+            story.worker(worker)
+            story.begin(worker, 1.0 + number, run=number + 1)
+            if number < crashes:
+                story.crash(worker, 1.1 + number, by=name() if by_task else "")
+            else:
+                story.end(worker, 1.2 + number, "stopped", run=number + 1)
+        return story
+
+    def test_three_starts_after_three_crashes_are_too_many(self) -> None:
+        self.assertEqual(promises(self.story(3, later=3)), [Promise.CRASHES])
+        self.assertEqual(promises(self.story(6)), [Promise.CRASHES])
+
+    def test_two_more_are_not(self) -> None:
+        self.assertEqual(promises(self.story(3, later=2)), [])
+        self.assertEqual(promises(self.story(5)), [])
+
+    def test_workers_that_crash_by_themselves_do_not_count(self) -> None:
+        self.assertEqual(promises(self.story(8, by_task=False)), [])
+
+    def test_a_job_may_be_given_up_once_two_workers_have_crashed_under_a_task(self) -> None:
+        failed = done_job(accepted=True, state=JobState.FAILED)
+        self.assertEqual(promises(self.story(2), failed), [])
+        self.assertEqual(promises(self.story(1), failed), [Promise.FAILED])
