--- a/benchmarks/crashing.py
+++ b/benchmarks/crashing.py
@@ -114,8 +114,8 @@
         median_s = statistics.median(self.found_s) if self.found_s else 0.0
         return (
             f"{self.broken} of {self.days} days broken, {self.jobs} jobs, {self.crashing} crash"
-            f" workers ({self.crashes} crashes), {self.beside} runs of others died, {self.sound} sound jobs"
-            f" given up, {len(self.found_s)} found after {median_s:.1f} s in the median"
+            f" workers ({self.crashes} crashes), {self.beside} runs of others died, {self.sound}"
+            f" sound jobs given up, {len(self.found_s)} found after {median_s:.1f} s in the median"
         )
 
 
--- a/benchmarks/days/generate.py
+++ b/benchmarks/days/generate.py
@@ -128,6 +128,13 @@
         'kind = "platform_down", for_s = 3.0, how = "reset lapse"',
         'kind = "reset_conns", share = 0.6, x = 0.8',
     ),
+    "crashed-racks": (
+        'kind = "srv_crash", share = 0.2, for_s = 3.0, how = "rack"',
+        'kind = "srv_crash", share = 0.3, for_s = 3.0',
+        'kind = "node_freeze", count = 1, for_s = 4.0, how = "leader"',
+        'kind = "srv_crash", share = 0.2, for_s = 4.0, how = "joined"',
+        'kind = "poison", share = 0.3, for_s = 5.0, class = "@c0"',
+    ),
 }
 PLANNED = ("roll_term", "scale_in", "release", "evacuate", "config_storm")
 
