--- a/src/saddlestack/cli/crashes.py
+++ b/src/saddlestack/cli/crashes.py
@@ -9,7 +9,7 @@
 import click
 
 from saddlestack.cli.loglines import LogLine, read
-from saddlestack.cli.output import errors_to_exit_codes, table
+from saddlestack.cli.output import errors_to_exit_codes, log_files, table
 
 SUSPECT = "crash_suspect"
 CLEARED = "crash_cleared"
@@ -82,13 +82,7 @@
 
 
 @click.command("suspects")
-@click.argument(
-    "files",
-    nargs=-1,
-    required=True,
-    metavar="FILE...",
-    type=click.Path(exists=True, dir_okay=False, path_type=Path),
-)
+@log_files
 @errors_to_exit_codes
 def suspects_command(files: tuple[Path, ...]) -> None:
     """List the tasks under which workers crashed, from the log FILEs of all VMs.
--- a/src/saddlestack/cli/explaining.py
+++ b/src/saddlestack/cli/explaining.py
@@ -9,7 +9,7 @@
 
 from saddlestack.cli.crashes import CLEARED, GIVEN_UP, SUSPECT, described
 from saddlestack.cli.loglines import LogLine, read
-from saddlestack.cli.output import errors_to_exit_codes
+from saddlestack.cli.output import errors_to_exit_codes, log_files
 from saddlestack.policy.board.reasons import Reason
 
 EVACUATION = "evacuation"
@@ -142,13 +142,7 @@
 
 @click.command()
 @click.argument("job_id", metavar="ID")
-@click.argument(
-    "files",
-    nargs=-1,
-    required=True,
-    metavar="FILE...",
-    type=click.Path(exists=True, dir_okay=False, path_type=Path),
-)
+@log_files
 @errors_to_exit_codes
 def explain(job_id: str, files: tuple[Path, ...]) -> None:
     """Tell what became of job ID, and why, from the log FILEs of all VMs."""
--- a/src/saddlestack/cli/jobs.py
+++ b/src/saddlestack/cli/jobs.py
@@ -144,10 +144,7 @@
     """Cancel a job. What has started may have run in part."""
     with connection.client() as client:
         view = client.cancel(request, account=account)
-    if as_json_:
-        as_json(view)
-    else:
-        show_job(view)
+    _show(view, as_json_)
 
 
 @job.command()
@@ -163,6 +160,10 @@
     """
     with connection.client() as client:
         view = client.clear(request, account=account)
+    _show(view, as_json_)
+
+
+def _show(view: JobView, as_json_: bool) -> None:
     if as_json_:
         as_json(view)
     else:
@@ -170,8 +171,5 @@
 
 
 def _finish(view: JobView, as_json_: bool) -> None:
-    if as_json_:
-        as_json(view)
-    else:
-        show_job(view)
+    _show(view, as_json_)
     raise SystemExit(job_exit_code(view))
--- a/src/saddlestack/cli/output.py
+++ b/src/saddlestack/cli/output.py
@@ -5,6 +5,7 @@
 import functools
 import time
 from collections.abc import Callable, Iterable, Sequence
+from pathlib import Path
 from typing import ParamSpec, TypeVar
 
 import click
@@ -17,6 +18,16 @@
 R = TypeVar("R")
 
 
+log_files = click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    metavar="FILE...",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+"""The log files that a command reads."""
+
+
 def table(headings: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
     """Print rows under headings, columns aligned."""
     texts = [[str(cell) for cell in row] for row in rows]
--- a/src/saddlestack/cli/standstills.py
+++ b/src/saddlestack/cli/standstills.py
@@ -9,19 +9,13 @@
 import click
 
 from saddlestack.cli.loglines import LogLine, read
-from saddlestack.cli.output import errors_to_exit_codes
+from saddlestack.cli.output import errors_to_exit_codes, log_files
 from saddlestack.cli.stillness import ACCELERATORS, LoggedStandstill, Stillness, stillness
 from saddlestack.policy.standstill import ROOM_FACTOR, STILL_S
 
 
 @click.command()
-@click.argument(
-    "files",
-    nargs=-1,
-    required=True,
-    metavar="FILE...",
-    type=click.Path(exists=True, dir_okay=False, path_type=Path),
-)
+@log_files
 @click.option(
     "--accelerators",
     type=click.IntRange(min=1),
--- a/src/saddlestack/cli/why.py
+++ b/src/saddlestack/cli/why.py
@@ -11,7 +11,7 @@
 
 from saddlestack.cli.loglines import read
 from saddlestack.cli.losses import Cause, Loss, losses
-from saddlestack.cli.output import errors_to_exit_codes
+from saddlestack.cli.output import errors_to_exit_codes, log_files
 from saddlestack.cli.stops import Stops, described, stops
 
 
@@ -50,13 +50,7 @@
 
 
 @click.command()
-@click.argument(
-    "files",
-    nargs=-1,
-    required=True,
-    metavar="FILE...",
-    type=click.Path(exists=True, dir_okay=False, path_type=Path),
-)
+@log_files
 @click.option("--each", is_flag=True, help="Tell of each job besides the sums.")
 @click.option(
     "--worth",
--- a/src/saddlestack/control/contact.py
+++ b/src/saddlestack/control/contact.py
@@ -9,7 +9,7 @@
 from saddlestack.control.leases import CLOCK_DRIFT, Leases
 from saddlestack.control.owner import Owner
 from saddlestack.kernel.clock import Clock
-from saddlestack.policy.board.crashes import LifeEnd
+from saddlestack.policy.board.lifeend import LifeEnd
 from saddlestack.policy.board.workers import Worker
 
 log = logging.getLogger("saddlestack.contact")
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -40,7 +40,7 @@
 from saddlestack.kernel.service import TaskGroup
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import JobChanges, Question
-from saddlestack.policy.board.crashes import LifeEnd
+from saddlestack.policy.board.lifeend import LifeEnd
 from saddlestack.policy.board.workers import Worker
 from saddlestack.policy.suspicion import Suspicion
 from saddlestack.work import JobState
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -14,10 +14,11 @@
 from saddlestack.policy.board.blame import Blame, FailureKind
 from saddlestack.policy.board.caution import Caution
 from saddlestack.policy.board.changes import Changes, Question, Start, Stop, StopReason
-from saddlestack.policy.board.crashes import Crashes, Judgement, LifeEnd
+from saddlestack.policy.board.crashes import Crashes, Judgement
 from saddlestack.policy.board.departure import leaving
 from saddlestack.policy.board.index import RoomIndex
 from saddlestack.policy.board.jobs import Job, Occurrence, Run, StepState, Task, new_job
+from saddlestack.policy.board.lifeend import LifeEnd
 from saddlestack.policy.board.pacing import Pace, paces
 from saddlestack.policy.board.progress import is_stuck, needs_looks
 from saddlestack.policy.board.queue import Planner
--- a/src/saddlestack/policy/board/crashes.py
+++ b/src/saddlestack/policy/board/crashes.py
@@ -19,17 +19,21 @@
     CRASH_RULE,
     CrashRule,
     Exposure,
-    Lived,
 )
 from saddlestack.policy.board.jobs import Job, Run, StepState, Task
+from saddlestack.policy.board.lifeend import (
+    LifeEnd,
+    is_announced,
+    lived,
+    may_have_begun,
+    overlap,
+)
 from saddlestack.policy.board.records import CrashRecord, TaskStatus
 from saddlestack.policy.board.verdicts import Verdict, VerdictKind
 from saddlestack.policy.board.workers import Worker
 
 CRASHES_KEPT = 64
 """Crashes whose charges are remembered, so that they can be taken back, the latest."""
-UNKNOWN_AGE_S = 10.0
-"""A run that an earlier leader started may be older than this leader knows by so much."""
 LEAVING_RATE = 0.2
 """Ends a second of workers whose record is gone while they answer: they serve on for seconds."""
 UNHEARD_RATE = 0.1
@@ -43,27 +47,11 @@
 AGAIN_RATE = 0.1
 """Ends a second of a worker on a machine that crashed under the same task before: the machine may
 crash by itself again and again. A suspect goes to other machines, where there are."""
-EARLY_S = 1.0
-"""An announced end comes no earlier than so long before the time that was announced."""
 KIN_CRASHED = 2
 """Once so many tasks of a step are likelier culprits than not, all of its tasks count as suspects:
 tasks of one step run the same program."""
 
 
-@dataclass(frozen=True, slots=True)
-class LifeEnd:
-    """What is known of the end of a worker's life that its worker had not announced.
-
-    :param heard_s: when it last answered, on the board's clock; ``-inf`` for never in this term.
-    :param gone_s: when it was first noticed that it does not answer.
-    :param unheard: only its silence tells of the end, for longer than any lease of it lasts.
-    """
-
-    heard_s: float
-    gone_s: float
-    unheard: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class _Charge:
     """What a crash added for one task."""
@@ -159,8 +147,8 @@
         An announced end tells of no task. A worker that is still in the platform's
         list and only unheard of is probably alive: it is judged once its record goes.
         """
-        runs = [run for run in worker.runs.values() if _may_have_begun(run)]
-        if not runs or _is_announced(worker, end):
+        runs = [run for run in worker.runs.values() if may_have_begun(run)]
+        if not runs or is_announced(worker, end):
             return Judgement()
         if end.unheard and worker.listed:
             self._unsure[worker.worker_id] = (runs, end)
@@ -256,7 +244,7 @@
         exposed = [
             Exposure(
                 _record(run.task) or CrashRecord(),
-                _lived(run, end),
+                lived(run, end),
                 own_rate
                 + TOGETHER_RATE * _without(together, run.task)
                 + AGAIN_RATE * (worker.machine in run.task.crashed_on),
@@ -325,7 +313,7 @@
         fell = {
             crash.worker_id: crash.jobs
             for crash in self._latest
-            if crash.rack == rack and _overlap(crash.end, end)
+            if crash.rack == rack and overlap(crash.end, end)
         }
         others = [
             other
@@ -335,7 +323,7 @@
         for other in others:
             if other.silent_s is None:
                 continue
-            if _overlap(LifeEnd(other.heard_s, other.silent_s), end):
+            if overlap(LifeEnd(other.heard_s, other.silent_s), end):
                 fell[other.worker_id] = _jobs(other.runs.values())
         busy = len(fell) + sum(1 for other in others if other.worker_id not in fell)
         least = max(LEAST_TOGETHER, TOGETHER_SHARE * (busy + 1))
@@ -407,18 +395,6 @@
                 del self._likely[key]
 
 
-def _is_announced(worker: Worker, end: LifeEnd) -> bool:
-    """Whether a life ended as it had been told that it would."""
-    if worker.closing:
-        return True
-    return worker.leaves_s is not None and end.gone_s >= worker.leaves_s - EARLY_S
-
-
-def _overlap(first: LifeEnd, second: LifeEnd) -> bool:
-    """Whether two lives may have ended at the same moment."""
-    return max(first.heard_s, second.heard_s) <= min(first.gone_s, second.gone_s)
-
-
 def _without(jobs: Iterable[frozenset[str]], task: Task) -> int:
     """How many of some workers ran nothing of a task's job."""
     return sum(1 for each in jobs if task.name.job_id not in each)
@@ -437,24 +413,6 @@
     return frozenset(run.task.name.job_id for run in runs)
 
 
-def _may_have_begun(run: Run) -> bool:
-    """Whether the worker may have carried out a run's start; one that is being stopped counts."""
-    return run.inherited or run.ordered_s is not None or run.started_s is not None
-
-
-def _lived(run: Run, end: LifeEnd) -> Lived:
-    """How long a run was at its worker when that crashed, as far as is known."""
-    ordered_s = run.ordered_s if run.ordered_s is not None else run.started_s
-    if ordered_s is None:
-        return Lived(0.0, UNKNOWN_AGE_S)
-    known_s = ordered_s if run.started_s is None else run.started_s
-    least_s = max(0.0, end.heard_s - known_s)
-    most_s = max(least_s, end.gone_s - ordered_s)
-    if run.inherited:
-        return Lived(least_s, most_s + UNKNOWN_AGE_S)
-    return Lived(least_s, most_s, end.gone_s - max(end.heard_s, ordered_s - UNKNOWN_AGE_S))
-
-
 def _age_s(run: Run, now: float) -> float:
     """For how long a run is known to have been at its worker."""
     return 0.0 if run.started_s is None else max(0.0, now - run.started_s)
--- /dev/null
+++ b/src/saddlestack/policy/board/lifeend.py
@@ -0,0 +1,58 @@
+"""The end of a worker's life: when it may have been, and for how long its runs had been there."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from saddlestack.policy.board.crashrule import Lived
+from saddlestack.policy.board.jobs import Run
+from saddlestack.policy.board.workers import Worker
+
+UNKNOWN_AGE_S = 10.0
+"""A run that an earlier leader started may be older than this leader knows by so much."""
+EARLY_S = 1.0
+"""An announced end comes no earlier than so long before the time that was announced."""
+
+
+@dataclass(frozen=True, slots=True)
+class LifeEnd:
+    """What is known of the end of a worker's life that its worker had not announced.
+
+    :param heard_s: when it last answered, on the board's clock; ``-inf`` for never in this term.
+    :param gone_s: when it was first noticed that it does not answer.
+    :param unheard: only its silence tells of the end, for longer than any lease of it lasts.
+    """
+
+    heard_s: float
+    gone_s: float
+    unheard: bool = False
+
+
+def is_announced(worker: Worker, end: LifeEnd) -> bool:
+    """Whether a life ended as it had been told that it would."""
+    if worker.closing:
+        return True
+    return worker.leaves_s is not None and end.gone_s >= worker.leaves_s - EARLY_S
+
+
+def overlap(first: LifeEnd, second: LifeEnd) -> bool:
+    """Whether two lives may have ended at the same moment."""
+    return max(first.heard_s, second.heard_s) <= min(first.gone_s, second.gone_s)
+
+
+def may_have_begun(run: Run) -> bool:
+    """Whether the worker may have carried out a run's start; one that is being stopped counts."""
+    return run.inherited or run.ordered_s is not None or run.started_s is not None
+
+
+def lived(run: Run, end: LifeEnd) -> Lived:
+    """How long a run was at its worker when that crashed, as far as is known."""
+    ordered_s = run.ordered_s if run.ordered_s is not None else run.started_s
+    if ordered_s is None:
+        return Lived(0.0, UNKNOWN_AGE_S)
+    known_s = ordered_s if run.started_s is None else run.started_s
+    least_s = max(0.0, end.heard_s - known_s)
+    most_s = max(least_s, end.gone_s - ordered_s)
+    if run.inherited:
+        return Lived(least_s, most_s + UNKNOWN_AGE_S)
+    return Lived(least_s, most_s, end.gone_s - max(end.heard_s, ordered_s - UNKNOWN_AGE_S))
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -12,10 +12,10 @@
 from saddlestack.interfaces.workers import EndedTask, EndKind
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import StopReason
-from saddlestack.policy.board.crashes import LifeEnd
 from saddlestack.policy.board.crashrule import COUNTED_FROM, LATER_STARTS, CrashOdds
 from saddlestack.policy.board.isolation import SHARE
 from saddlestack.policy.board.jobs import Run, Task
+from saddlestack.policy.board.lifeend import LifeEnd
 from saddlestack.policy.board.records import (
     CrashRecord,
     OccurrenceRecord,
