Soak: VMs that are suspended

Cause: SIGSTOP freezes a process and its steady clock counts the time; a suspended machine's does not, and no run had that. Ruled out: a clock of the product's own for tests, since the difference lies in the event loop.

--- a/src/saddlestack/soak/launcher.py
+++ b/src/saddlestack/soak/launcher.py
@@ -1,13 +1,16 @@
-"""Starts an entry VM whose connections a soak can cut, address by address.
+"""Starts an entry VM whose connections a soak can cut, address by address, and which it suspends.
 
-Run as a script beside any version of the package: ``launcher.py SETTINGS CUTS``. ``CUTS`` is a
-file of addresses, one a line, that nothing passes to or from while they stand there. The program
-is unchanged but for the class that opens its connections.
+Run as a script beside any version of the package: ``launcher.py SETTINGS CUTS SLEPT``. ``CUTS`` is
+a file of addresses, one a line, that nothing passes to or from while they stand there. ``SLEPT`` is
+one of the seconds for which the process has been suspended: its event loop's clock leaves them out,
+as ``CLOCK_MONOTONIC`` does on a machine that was. The program is unchanged but for the class that
+opens its connections, and its event loop.
 """
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 from unittest.mock import patch
@@ -113,7 +116,34 @@
             self._writer.write(data)
 
 
+class SuspendedLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock leaves out the time for which its process was suspended."""
+
+    slept_s = 0.0
+
+    def time(self) -> float:
+        """Seconds on the steady clock, less the time of suspensions."""
+        return super().time() - self.slept_s
+
+
+class SuspendedPolicy(asyncio.DefaultEventLoopPolicy):
+    """Makes such loops, and tells them when the process goes on."""
+
+    def __init__(self, file: Path) -> None:
+        super().__init__()
+        self._file = file
+        signal.signal(signal.SIGCONT, self._go_on)
+
+    def new_event_loop(self) -> asyncio.AbstractEventLoop:
+        """A loop that leaves suspensions out."""
+        return SuspendedLoop()
+
+    def _go_on(self, number: int, frame: object) -> None:
+        SuspendedLoop.slept_s = float(self._file.read_text(encoding="utf-8"))
+
+
 if __name__ == "__main__":
     cuts = Path(sys.argv[2])
+    asyncio.set_event_loop_policy(SuspendedPolicy(Path(sys.argv[3])))
     with patch.object(entry, "Dialer", lambda: CuttableDialer(cuts)):
         main(Path(sys.argv[1]))
--- a/src/saddlestack/soak/processes.py
+++ b/src/saddlestack/soak/processes.py
@@ -78,6 +78,7 @@
     process: asyncio.subprocess.Process | None = None
     changing: asyncio.Lock = field(default_factory=asyncio.Lock)
     _holds: int = 0
+    _slept_s: float = 0.0
 
     @property
     def name(self) -> str:
@@ -122,19 +123,26 @@
 
     def cut_from(self, addresses: Iterable[str]) -> None:
         """Let nothing pass to or from these addresses, from now on."""
-        new = self._cuts.with_suffix(".new")
-        new.write_text("\n".join(sorted(addresses)))
-        new.replace(self._cuts)
+        self._write(self._cuts, "\n".join(sorted(addresses)))
+
+    def _write(self, file: Path, text: str) -> None:
+        """Write a file that the process reads, whole or not at all."""
+        new = file.with_suffix(f"{file.suffix}.new")
+        new.write_text(text)
+        new.replace(file)
 
     async def start(self) -> None:
         """Start the process; its log goes to a file beside its settings."""
         self._holds = 0
+        self._slept_s = 0.0
+        self._write(self._slept, "0")
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(LAUNCHER),
                 str(self._settings),
                 str(self._cuts),
+                str(self._slept),
                 stdout=log,
                 stderr=log,
                 env=self.program.environment,
@@ -174,6 +182,16 @@
         await asyncio.sleep(seconds)
         self.release(held)
 
+    async def suspend(self, seconds: float) -> None:
+        """As :meth:`freeze`, and the event loop of the process does not count the time."""
+        loop = asyncio.get_running_loop()
+        began_s, held = loop.time(), self.hold()
+        await asyncio.sleep(seconds)
+        if held is self.process:
+            self._slept_s += loop.time() - began_s
+            self._write(self._slept, f"{self._slept_s:.6f}")
+        self.release(held)
+
     async def slow(self, seconds: float, share: float) -> None:
         """SIGSTOP and SIGCONT in turn, many times a second.
 
@@ -218,6 +236,10 @@
     def _settings(self) -> Path:
         return self.folder / f"{self.name}.json"
 
+    @property
+    def _slept(self) -> Path:
+        return self.folder / f"{self.name}.slept"
+
     @property
     def _cuts(self) -> Path:
         return self.folder / f"{self.name}.cuts"
--- a/src/saddlestack/soak/vm_faults.py
+++ b/src/saddlestack/soak/vm_faults.py
@@ -50,12 +50,14 @@
             FaultKind.VM_KILL: self._kill,
             FaultKind.VM_STOP: self._stop,
             FaultKind.VM_FREEZE: self._freeze,
+            FaultKind.VM_SUSPEND: self._suspend,
             FaultKind.VM_SLOW: self._slow_some,
             FaultKind.VM_RELOAD: self._reload,
             FaultKind.LEADER_KILL: self._kill_leader,
             FaultKind.LEADER_STOP: self._stop_leader,
             FaultKind.LEADER_FREEZE: self._freeze_leader,
             FaultKind.LEADER_FREEZE_AT_RENEWAL: self._freeze_at_renewal,
+            FaultKind.LEADER_SUSPEND: self._suspend_leader,
             FaultKind.LEADER_SLOW: self._slow_leader,
             FaultKind.ALL_KILL: self._kill_all,
             FaultKind.HALL_KILL: self._kill_hall,
@@ -108,6 +110,16 @@
         fault.on = entry.name
         await entry.freeze(fault.seconds)
 
+    async def _suspend(self, fault: Fault, rng: random.Random) -> None:
+        entry = self._any(rng)
+        fault.on = entry.name
+        await entry.suspend(fault.seconds)
+
+    async def _suspend_leader(self, fault: Fault, rng: random.Random) -> None:
+        entry = self.leader(rng)
+        fault.on = entry.name
+        await entry.suspend(fault.seconds)
+
     async def _reload(self, fault: Fault, rng: random.Random) -> None:
         entry = self._any(rng)
         fault.on = entry.name
