Soak: rooms that shrink; a start that was not answered, and a worker never heard in a term, say little of a task

How: a new leader's orders went to lives that others had replaced already, so two starts were not answered; the third run's worker left as announced, which only the leader before knew. Cause: a start without an answer weighed as much as a confirmed one, and what an earlier leader may have known of an end weighed nothing. Ruled out: the count that bounds starts (one of three counted late). Change: a tenth of the weight for starts that no worker confirmed, 0.1 ends a second more where the worker was not heard in this term. Beside it the soak's workers may shrink and grow, guarding nothing, with its judge of room.

--- a/src/saddlestack/policy/board/crashes.py
+++ b/src/saddlestack/policy/board/crashes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict, deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
@@ -38,6 +39,9 @@
 """Ends a second of workers whose record is gone while they answer: they serve on for seconds."""
 UNHEARD_RATE = 0.1
 """Ends a second that only a lapsed lease tells of: more often the way to the worker is cut."""
+NEVER_HEARD_RATE = 0.1
+"""Ends a second of workers that were not heard in this term: an earlier leader may have known of an
+announced end, or have seen them go."""
 TOGETHER_RATE = 0.5
 """Ends a second for each other worker of a rack that fell silent at the same time..."""
 TOGETHER_SHARE = 0.75
@@ -305,6 +309,8 @@
             rate += LEAVING_RATE
         if end.unheard:
             rate += UNHEARD_RATE
+        if end.heard_s == -math.inf:
+            rate += NEVER_HEARD_RATE
         return rate
 
     def _fell_together(self, worker: Worker, end: LifeEnd) -> list[frozenset[str]]:
--- a/src/saddlestack/policy/board/crashrule.py
+++ b/src/saddlestack/policy/board/crashrule.py
@@ -36,11 +36,13 @@
     :param least_s: so long at least...
     :param most_s: ...and so long at most.
     :param window_s: for so long the worker was not heard; it may have crashed before the run came.
+    :param confirmed: the worker has answered the run's start, or has told of it.
     """
 
     least_s: float
     most_s: float
     window_s: float = 0.0
+    confirmed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +121,9 @@
     after minutes..."""
     LATER_POWER = 3.0
     """...and fast once a crash has shown at which age it comes."""
+    UNCONFIRMED_SHARE = 0.1
+    """So many of such tasks crash their worker before it answers the start; mostly a start that is
+    not answered meets a worker that is gone already."""
     LEAST_WIDTH_S = 0.05
     """No time of a crash is known more precisely."""
 
@@ -194,7 +199,8 @@
         before = self._survival(exposure.record, lived.least_s)
         after = self._survival(exposure.record, lived.most_s)
         width_s = max(lived.most_s - lived.least_s, lived.window_s, self.LEAST_WIDTH_S)
-        return (before - after) / width_s
+        share = 1.0 if lived.confirmed else self.UNCONFIRMED_SHARE
+        return share * (before - after) / width_s
 
 
 CRASH_RULE: CrashRule = CrashOdds()
--- a/src/saddlestack/policy/board/lifeend.py
+++ b/src/saddlestack/policy/board/lifeend.py
@@ -55,4 +55,5 @@
     most_s = max(least_s, end.gone_s - ordered_s)
     if run.inherited:
         return Lived(least_s, most_s + UNKNOWN_AGE_S)
-    return Lived(least_s, most_s, end.gone_s - max(end.heard_s, ordered_s - UNKNOWN_AGE_S))
+    window_s = end.gone_s - max(end.heard_s, ordered_s - UNKNOWN_AGE_S)
+    return Lived(least_s, most_s, window_s, confirmed=run.started_s is not None)
--- a/src/saddlestack/soak/account.py
+++ b/src/saddlestack/soak/account.py
@@ -31,6 +31,8 @@
 """The VM that held a fencing token."""
 
 
+ROOM_NEWS_S = 4.0
+"""A room that has shrunk counts from then on: a heartbeat, and what VMs may take to hear of it."""
 CRASHES = 3
 """Once so many workers have crashed under a task that crashes them..."""
 STARTS_MORE = 3
@@ -247,7 +249,7 @@
         for run in self._runs:
             workers[run.life.worker].append(run)
         for runs in workers.values():
-            yield from _too_many(runs)
+            yield from _too_many(runs, self._in_touch)
 
     # Single starts
 
@@ -418,8 +420,11 @@
     )
 
 
-def _too_many(runs: list[RunAccount]) -> Iterator[Broken]:
-    """Starts that take a worker past its room."""
+def _too_many(runs: list[RunAccount], in_touch: InTouch) -> Iterator[Broken]:
+    """Starts that take a worker past its room.
+
+    Where that has shrunk, orders count of VMs in touch that were not carried out late.
+    """
     taken = 0
     ends: list[tuple[float, int]] = []
     for run in sorted(runs, key=lambda run: run.began_s):
@@ -427,8 +432,10 @@
             taken -= heapq.heappop(ends)[1]
         taken += run.accelerators
         heapq.heappush(ends, (run.over_s, run.accelerators))
-        if taken > run.life.accelerators:
-            detail = f"{taken} of {run.life.accelerators} accelerators are taken"
+        room = run.life.room_at(run.ordered_s, ROOM_NEWS_S)
+        judged = not run.life.resized or (not run.late and in_touch(run.fence, run.ordered_s))
+        if taken > room and judged:
+            detail = f"{taken} of {room} accelerators are taken"
             yield _broken(Promise.ROOM, run, detail=detail)
 
 
--- a/src/saddlestack/soak/life.py
+++ b/src/saddlestack/soak/life.py
@@ -33,6 +33,7 @@
     GangMoved,
     LifeBegan,
     LifeEnded,
+    LifeResized,
     MachineSettings,
     MemberGone,
     MemberPaced,
@@ -109,6 +110,8 @@
     :ivar on_crash: called with a task that crashes the worker.
     :ivar speed: seconds of work a second.
     :ivar fails_all: tasks that start now fail at once.
+    :ivar accelerators: those that it has at present.
+    :ivar guards: whether it refuses what does not fit.
     :ivar over: whether the life has ended.
     """
 
@@ -135,6 +138,9 @@
         self.on_crash: Callable[[TaskName], None] = _ignored
         self.speed = 1.0
         self.fails_all = False
+        self.accelerators = machine.accelerators
+        self._told_accelerators = machine.accelerators
+        self.guards = True
         self.over = False
         tell(
             LifeBegan(
@@ -191,7 +197,7 @@
     def _run_refusal(self, order: StartOrder) -> Refusal | None:
         if order.run <= self._highest.get(TaskName.parse(order.task), 0):
             return Refusal.OLD
-        if not _needs(_plan(order)).fits(self._free):
+        if self.guards and not _needs(_plan(order)).fits(self._free):
             return Refusal.ROOM
         return None
 
@@ -286,6 +292,23 @@
         for run in self.runs.values():
             self._set_rate(run)
 
+    def resize(self, accelerators: int) -> None:
+        """Have other room from now on, and guard it no longer."""
+        grows = accelerators > self.accelerators
+        self.accelerators = accelerators
+        self.guards = False
+        if grows:
+            self._tell_room()
+
+    def recorded(self, accelerators: int) -> None:
+        """The store has taken a record that tells of so much room."""
+        if accelerators == self.accelerators != self._told_accelerators:
+            self._tell_room()
+
+    def _tell_room(self) -> None:
+        self._told_accelerators = self.accelerators
+        self._tell(LifeResized(self.worker_id, _now(), self.accelerators))
+
     # Gangs
 
     def gang_moved(self, moved: GangMoved) -> None:
@@ -344,7 +367,7 @@
     @property
     def _free(self) -> Resources:
         where = self.machine
-        free = Resources(where.cpu, where.memory_mb, where.accelerators)
+        free = Resources(where.cpu, where.memory_mb, self.accelerators)
         for run in self.runs.values():
             free -= _needs(run.plan)
         return free
--- a/src/saddlestack/soak/machine.py
+++ b/src/saddlestack/soak/machine.py
@@ -34,6 +34,7 @@
     LifeAnnounced,
     LoseAnswers,
     MachineSettings,
+    Resize,
     RewriteRecord,
     TaskTrouble,
     TroubleTasks,
@@ -154,6 +155,8 @@
             self._spawn(self._leave(command))
         elif isinstance(command, Crash):
             self._spawn(self._crash(command))
+        elif isinstance(command, Resize):
+            self._resize(command)
         elif isinstance(command, RewriteRecord):
             if self._record is not None:
                 self._spawn(self._record.rewrite(command.how))
@@ -247,6 +250,10 @@
             self._spawn(self._remove(record))
         await self._return(command.back_s)
 
+    def _resize(self, command: Resize) -> None:
+        if self.life is not None:
+            self.life.resize(command.accelerators)
+
     async def _remove(self, record: RecordWriter) -> None:
         await record.remove()
 
--- a/src/saddlestack/soak/messages.py
+++ b/src/saddlestack/soak/messages.py
@@ -209,6 +209,15 @@
     back_s: float | None = 0.5
 
 
+class Resize(Command, frozen=True, tag=True, kw_only=True):
+    """The worker has other room from now on, says so, and guards it no longer.
+
+    :param accelerators: that it has; the life after it has all of them again.
+    """
+
+    accelerators: int
+
+
 class RewriteRecord(Command, frozen=True, tag=True, kw_only=True):
     """Another writer changes the worker's record, until the worker writes it again."""
 
@@ -264,6 +273,7 @@
     | Leave
     | Crash
     | RewriteRecord
+    | Resize
     | Heal
     | GangMoved
     | GangEnded
@@ -361,6 +371,17 @@
     by: str = ""
 
 
+class LifeResized(msgspec.Struct, frozen=True, tag=True, gc=False):
+    """A worker's room has grown, or has shrunk and its record tells.
+
+    :param at_s: when it grew, or when the store had taken the record that tells of less.
+    """
+
+    worker: str
+    at_s: float
+    accelerators: int
+
+
 class RunBegan(msgspec.Struct, frozen=True, tag=True, gc=False):
     """A run has begun to be present at a worker.
 
@@ -444,7 +465,15 @@
 
 
 Record = (
-    LifeBegan | LifeAnnounced | LifeEnded | RunBegan | RunWorks | RunStopping | RunEnded | EndNoted
+    LifeBegan
+    | LifeAnnounced
+    | LifeEnded
+    | LifeResized
+    | RunBegan
+    | RunWorks
+    | RunStopping
+    | RunEnded
+    | EndNoted
 )
 GangMessage = MemberPresent | MemberPaced | MemberGone
 FromHost = (
@@ -457,6 +486,7 @@
     | LifeBegan
     | LifeAnnounced
     | LifeEnded
+    | LifeResized
     | RunBegan
     | RunWorks
     | RunStopping
--- a/src/saddlestack/soak/recording.py
+++ b/src/saddlestack/soak/recording.py
@@ -93,8 +93,12 @@
             if self._removed:
                 return True
             self._seq += 1
+            accelerators = self.life.accelerators
             value = base64.b64encode(msgspec.json.encode(self._entry())).decode()
-            return await self._call(TransactionBody([], [PutRow(self._key, value)], []))
+            written = await self._call(TransactionBody([], [PutRow(self._key, value)], []))
+            if written:
+                self.life.recorded(accelerators)
+            return written
 
     def _entry(self) -> WorkerBody:
         where = self.life.machine
@@ -103,7 +107,7 @@
             address=self.address,
             zone=where.hall,
             state="ready" if self._announced is None else "draining",
-            capacity=CapacityBody(where.cpu, where.memory_mb, where.accelerators),
+            capacity=CapacityBody(where.cpu, where.memory_mb, self.life.accelerators),
             labels=["a", where.rack],
             machine=where.name,
             clock_ms=self.life.clock_ms(),
--- a/src/saddlestack/soak/runs.py
+++ b/src/saddlestack/soak/runs.py
@@ -13,6 +13,7 @@
     LifeAnnounced,
     LifeBegan,
     LifeEnded,
+    LifeResized,
     Record,
     RunBegan,
     RunEnded,
@@ -39,6 +40,22 @@
     ended_s: float = math.inf
     crashed: bool = False
     crashed_by: str = ""
+    resized: list[LifeResized] = field(default_factory=list)
+
+    def room_at(self, at_s: float, news_s: float) -> int:
+        """The most accelerators that a leader may believe it to have.
+
+        :param news_s: how old its news may be.
+        """
+        present = self.accelerators
+        believed = present
+        for each in self.resized:
+            if each.at_s > at_s:
+                break
+            present = each.accelerators
+            known = each.at_s <= at_s - news_s
+            believed = present if known else max(believed, present)
+        return believed
 
 
 @dataclass(slots=True)
@@ -112,7 +129,9 @@
 
     def add(self, record: Record) -> None:
         """Add what a worker told."""
-        if isinstance(record, LifeBegan | LifeAnnounced | LifeEnded):
+        if isinstance(record, LifeResized):
+            self.lives[record.worker].resized.append(record)
+        elif isinstance(record, LifeBegan | LifeAnnounced | LifeEnded):
             self._add_life(record)
         elif isinstance(record, RunBegan):
             self._begin(record)
--- a/src/saddlestack/soak/shape.py
+++ b/src/saddlestack/soak/shape.py
@@ -56,6 +56,7 @@
     WORKER_CRASH = "worker_crash"
     WORKER_CRASH_CUT = "worker_crash_cut"
     WORKER_RESTART = "worker_restart"
+    WORKER_SHRINKS = "worker_shrinks"
     WORKER_REWRITTEN = "worker_rewritten"
     WORKER_HANG = "worker_hang"
     WORKER_ERRORS = "worker_errors"
--- a/src/saddlestack/soak/worker_faults.py
+++ b/src/saddlestack/soak/worker_faults.py
@@ -22,6 +22,7 @@
     Heal,
     Leave,
     LoseAnswers,
+    Resize,
     RewriteRecord,
     Rewriting,
     TaskTrouble,
@@ -60,6 +61,7 @@
             FaultKind.WORKER_CRASH: self._crash,
             FaultKind.WORKER_CRASH_CUT: self._crash_cut,
             FaultKind.WORKER_RESTART: self._restart,
+            FaultKind.WORKER_SHRINKS: self._shrink,
             FaultKind.WORKER_REWRITTEN: self._rewrite,
             FaultKind.WORKER_HANG: self._hang,
             FaultKind.WORKER_ERRORS: self._errors,
@@ -151,6 +153,15 @@
             await self._send(fault, crash)
             await asyncio.sleep(rng.uniform(0.5, 2.0))
 
+    async def _shrink(self, fault: Fault, rng: random.Random) -> None:
+        """Workers have less room for a while, and guard none."""
+        machines = self._some(MANY_SHARE, rng)
+        full = self._hosts.machines[0].accelerators
+        shrunk = Resize(machines=machines, accelerators=rng.randint(1, max(1, full - 1)))
+        await self._send(fault, shrunk)
+        await asyncio.sleep(fault.seconds)
+        await self._send(fault, Resize(machines=machines, accelerators=full))
+
     async def _rewrite(self, fault: Fault, rng: random.Random) -> None:
         """Another writer changes some workers' records, again and again."""
         machines = self._some(MANY_SHARE, rng)
--- a/tests/soak_story.py
+++ b/tests/soak_story.py
@@ -9,6 +9,7 @@
     LifeAnnounced,
     LifeBegan,
     LifeEnded,
+    LifeResized,
     Record,
     RunBegan,
     RunEnded,
@@ -41,6 +42,9 @@
     def crash(self, worker: str, at_s: float, *, by: str = "") -> None:
         self.records.append(LifeEnded(worker, at_s, True, by))
 
+    def resize(self, worker: str, at_s: float, accelerators: int) -> None:
+        self.records.append(LifeResized(worker, at_s, accelerators))
+
     def announce(self, worker: str, at_s: float) -> None:
         self.records.append(LifeAnnounced(worker, at_s, 3.0))
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -224,6 +224,19 @@
         self.crash_under(job, 0.0)
         self.assertIsNotNone(self.known(job))
 
+    def test_orders_to_workers_that_were_gone_before_give_no_task_up(self) -> None:
+        """Seen in a soak: a new leader's orders went to lives that others had already replaced."""
+        self.workers(racks=2, each=4)
+        job = self.add(step(1, 4))
+        for time in range(2):
+            now = 100.0 + time * PAUSE_S
+            self.board.plan(now, 0.0)
+            run = self.run_of(job)
+            run.ordered_s = now
+            self.board.worker_over(run.worker_id, LifeEnd(-math.inf, now + NOTICED_S))
+        self.assertIs(self.state(job), JobState.QUEUED)
+        self.assertFalse(self.board._crashes.is_likely(self.task(job)))
+
     def test_a_run_that_is_being_stopped_counts(self) -> None:
         self.workers(racks=1, each=2)
         job = self.add(step(1, 8))
--- a/tests/test_soak_account.py
+++ b/tests/test_soak_account.py
@@ -6,7 +6,14 @@
 import unittest
 from dataclasses import replace
 
-from saddlestack.soak.account import Broken, ClientJob, Promise, PromiseTimes, judge
+from saddlestack.soak.account import (
+    ROOM_NEWS_S,
+    Broken,
+    ClientJob,
+    Promise,
+    PromiseTimes,
+    judge,
+)
 from saddlestack.work import JobRequest, JobState, Resources, Step
 from tests.soak_story import JOB, Story, name
 
@@ -351,3 +358,32 @@
         failed = done_job(accepted=True, state=JobState.FAILED)
         self.assertEqual(promises(self.story(2), failed), [])
         self.assertEqual(promises(self.story(1), failed), [Promise.FAILED])
+
+
+class RoomThatShrinksTest(unittest.TestCase):
+    def story(self, ordered_s: float) -> Story:
+        story = Story()
+        story.worker("a")
+        story.resize("a", 10.0, 2)
+        story.begin("a", ordered_s, room=4)
+        return story
+
+    def test_a_start_over_it_breaks_a_promise_once_the_news_is_old(self) -> None:
+        self.assertEqual(promises(self.story(10.0 + ROOM_NEWS_S - 0.1)), [])
+        self.assertEqual(promises(self.story(10.0 + ROOM_NEWS_S + 0.1)), [Promise.ROOM])
+        self.assertEqual(promises(self.story(30.0), in_touch=False), [])
+
+    def test_room_that_has_grown_again_may_be_used(self) -> None:
+        story = Story()
+        story.worker("a")
+        story.resize("a", 10.0, 2)
+        story.resize("a", 20.0, 8)
+        story.begin("a", 20.1, room=8)
+        self.assertEqual(promises(story), [])
+
+    def test_what_was_there_before_breaks_none(self) -> None:
+        story = Story()
+        story.worker("a")
+        story.begin("a", 1.0, room=6)
+        story.resize("a", 10.0, 2)
+        self.assertEqual(promises(story), [])
