What a pool is worth before much is known of it: a task's own crashes count against it as chance would; all near crashes count

Change: against a task stands the rate that its own crashes would show, had it not caused them; a crash within the ages of those before counts in any case. Tests of quick convictions now let the pool be quiet for a while first, as real ones are, since on two crashes in its first seconds the rule rightly waits for a third; that is a test of its own.

--- a/src/saddlestack/policy/board/crashes.py
+++ b/src/saddlestack/policy/board/crashes.py
@@ -243,20 +243,16 @@
     def _judge(self, worker: Worker, runs: Sequence[Run], end: LifeEnd) -> Judgement:
         service = worker.record.service or runs[0].task.step.occurrence.job.accepted.service
         usual_rate = self._rates.usual(service)
-        own_rate = self._own_rate(worker, end, usual_rate)
+        more_rate = self._more_rate(worker, end)
         together = self._fell_together(worker, end)
-        exposed = [
-            Exposure(
-                _record(run.task) or CrashRecord(),
-                lived(run, end),
-                own_rate
-                + TOGETHER_RATE * _without(together, run.task)
-                + AGAIN_RATE * (worker.machine in run.task.crashed_on),
-                usual_rate,
-                run.task.step if run.task.step.step.gang else None,
-            )
-            for run in runs
-        ]
+        exposed = []
+        for run in runs:
+            record = _record(run.task) or CrashRecord()
+            rate = self._rates.usual(service, record.crashes) + more_rate
+            rate += TOGETHER_RATE * _without(together, run.task)
+            rate += AGAIN_RATE * (worker.machine in run.task.crashed_on)
+            gang = run.task.step if run.task.step.step.gang else None
+            exposed.append(Exposure(record, lived(run, end), rate, usual_rate, gang))
         charged = self._rule.charge(exposed)
         judgement = Judgement()
         crash = _Crash(
@@ -302,9 +298,9 @@
     def _log_odds(self, record: CrashRecord) -> float:
         return record.log_odds if record.crashes else self._rule.prior_log_odds
 
-    def _own_rate(self, worker: Worker, end: LifeEnd, usual_rate: float) -> float:
-        """Crashes a second of a worker, were it not for its tasks nor for its rack."""
-        rate = usual_rate
+    def _more_rate(self, worker: Worker, end: LifeEnd) -> float:
+        """Ends a second of a worker, beyond the usual, by what is known of it and of its end."""
+        rate = 0.0
         if not worker.listed and worker.outlived_record:
             rate += LEAVING_RATE
         if end.unheard:
--- a/src/saddlestack/policy/board/crashrate.py
+++ b/src/saddlestack/policy/board/crashrate.py
@@ -43,10 +43,15 @@
         self._rates: dict[str, _Rate] = {}
         self._counted_s: float | None = None
 
-    def usual(self, service: str) -> float:
-        """Crashes a second of a worker of a service."""
+    def usual(self, service: str, by_chance: int = 0) -> float:
+        """Crashes a second of a worker of a service.
+
+        :param by_chance: crashes that would have to be counted besides, had a task not caused them:
+            little is known of a pool at first, and one where it met two crashes may see many.
+        """
         rate = self._rates.get(service, _Rate())
-        seen = (rate.crashes + USUAL_RATE * KNOWN_S) / (rate.worker_s + KNOWN_S)
+        crashes = rate.crashes + by_chance + USUAL_RATE * KNOWN_S
+        seen = crashes / (rate.worker_s + KNOWN_S)
         return max(LEAST_RATE, seen)
 
     def crashed(self, service: str, unexplained: float) -> None:
--- a/src/saddlestack/policy/board/crashrule.py
+++ b/src/saddlestack/policy/board/crashrule.py
@@ -174,7 +174,8 @@
 
     def _charged(self, exposure: Exposure, share: float, others: float) -> CrashRecord:
         record, lived = exposure.record, exposure.lived
-        counts = self._density(exposure) >= exposure.usual_rate
+        again = bool(record.crashes) and lived.least_s <= record.span_s
+        counts = again or self._density(exposure) >= exposure.usual_rate
         span_s = record.span_s
         if counts:
             noticed_s = lived.least_s + min(lived.most_s - lived.least_s, DOUBT_S)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -32,12 +32,18 @@
 """So soon after its start a task crashes its worker..."""
 NOTICED_S = 0.5
 """...and its worker's silence is noticed."""
+QUIET_S = 600.0
 PAUSE_S = 4.0
 """From one crash to the next."""
 
 
 class CrashCase(BoardCase):
-    """Crashes one by one."""
+    """Crashes one by one, in a pool that has been quiet for a while."""
+
+    def workers(self, racks: int = 1, each: int = 2, **more: int) -> None:
+        super().workers(racks, each, **more)
+        self.board.plan(-QUIET_S, 0.0)
+        self.board.plan(0.0, 0.0)
 
     def task(self, job_id: str, index: int = 0) -> Task:
         return self.board.jobs[job_id].occurrences[0].steps[0].tasks[index]
@@ -91,6 +97,16 @@
         self.assertEqual(changes.verdicts[0].crashes, 2)
         self.assertEqual(self.plan(2 * PAUSE_S).starts, [])
 
+    def test_in_a_pool_of_which_little_is_known_it_takes_a_third(self) -> None:
+        """One that met two crashes within seconds may see many."""
+        BoardCase.workers(self, racks=2, each=4)
+        job = self.add(step(1, 8))
+        for number in range(3):
+            self.assertIs(self.state(job), JobState.RUNNING if number else JobState.QUEUED)
+            self.plan(number * PAUSE_S)
+            self.crash_under(job, number * PAUSE_S)
+        self.assertIs(self.state(job), JobState.FAILED)
+
     def test_lasting_work_is_given_up_as_well(self) -> None:
         self.workers(racks=2, each=4)
         job = self.add(step(1, 8, long_running=True))
@@ -294,7 +310,7 @@
         self.assertFalse(any(each.isolating for each in self.board.workers.values()))
 
     def test_long_runs_on_workers_that_often_crash_are_not_given_up(self) -> None:
-        self.workers(racks=2, each=4)
+        BoardCase.workers(self, racks=2, each=4)
         jobs = [self.add(step(1, 8)) for _ in range(8)]
         lived_s = 12.0
         for time in range(12):
