A judgement of a crash never fails: what crashes tell of a task stays within bounds

Cause: the end of the life was judged first, and the judgement failed with an overflow, each time that the worker was looked at; a crash that had spoken strongly for a task was taken back from a record that had begun anew meanwhile. Ruled out: room and isolation, the run alone was in hand. Measured: the test fails before; a property of random evidence besides.

--- a/src/saddlestack/policy/board/crashes.py
+++ b/src/saddlestack/policy/board/crashes.py
@@ -29,7 +29,7 @@
     may_have_begun,
     overlap,
 )
-from saddlestack.policy.board.records import CrashRecord, TaskStatus
+from saddlestack.policy.board.records import CrashRecord, TaskStatus, within
 from saddlestack.policy.board.verdicts import Verdict, VerdictKind
 from saddlestack.policy.board.workers import Worker
 
@@ -360,7 +360,8 @@
         if record is None:
             return
         crashes = max(0, record.crashes - charge.crashes) if counted else record.crashes
-        log_odds = record.log_odds - charge.log_odds
+        # What spoke for a task is not taken back: its record may have begun anew since.
+        log_odds = within(record.log_odds - max(0.0, charge.log_odds))
         rest = msgspec.structs.replace(record, crashes=crashes, log_odds=log_odds)
         self._keep(charge.task, rest, judgement, lost=not counted)
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -6,13 +6,22 @@
 import unittest
 from dataclasses import replace
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from saddlestack.codec import from_msgpack, to_msgpack
 from saddlestack.control.stored import check_progress
 from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.workers import EndedTask, EndKind
 from saddlestack.policy.board.board import Board
 from saddlestack.policy.board.changes import StopReason
-from saddlestack.policy.board.crashrule import COUNTED_FROM, LATER_STARTS, CrashOdds
+from saddlestack.policy.board.crashrule import (
+    COUNTED_FROM,
+    LATER_STARTS,
+    CrashOdds,
+    Exposure,
+    Lived,
+)
 from saddlestack.policy.board.isolation import SHARE
 from saddlestack.policy.board.jobs import Run, Task
 from saddlestack.policy.board.lifeend import LifeEnd
@@ -515,3 +524,55 @@
         ):
             with self.assertRaises(SaddlestackError):
                 self.check(bad)
+
+
+class RandomCrashesTest(CrashCase):
+    """Seen on a simulated day: a judgement failed with an overflow, and a run was waited for on a
+    worker that was gone for as long as the day lasted. What a crash said for a task had been taken
+    back from a record that had begun anew meanwhile.
+    """
+
+    def test_what_spoke_for_a_task_is_not_taken_back(self) -> None:
+        self.workers(racks=2, each=SHARE)
+        old, culprit = self.add(step(1, 4)), self.add(step(1, 4))
+        self.plan(0.0)
+        self.run_of(old).started_s = -1e9
+        self.crash_under(culprit, 0.0)
+        for time in range(1, 5):
+            now = time * PAUSE_S
+            self.plan(now)
+            if self.state(culprit) is JobState.FAILED:
+                break
+            self.task(old).step.record.crashes[0] = CrashRecord(1, 1.0, 0.5)
+            self.crash_under(culprit, now)
+        self.assertIs(self.state(culprit), JobState.FAILED)
+        known = self.known(old)
+        assert known is not None
+        self.assertLessEqual(known.log_odds, 1.0)
+        self.assertTrue(math.isfinite(known.odds))
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(("charge", "survive", "back")),
+                st.floats(0.0, 1e12),
+                st.floats(0.0, 1e12),
+                st.floats(1e-9, 1e3),
+            ),
+            max_size=30,
+        )
+    )
+    def test_no_evidence_is_too_strong_for_the_rule(
+        self, events: list[tuple[str, float, float, float]]
+    ) -> None:
+        rule = CrashOdds()
+        record = CrashRecord()
+        for what, first_s, more_s, rate in events:
+            if what == "charge":
+                lived = Lived(first_s, first_s + more_s, more_s)
+                (record,) = rule.charge([Exposure(record, lived, rate, rate)])
+            elif record.crashes:
+                record = rule.survived(record, first_s)
+            self.assertTrue(math.isfinite(record.odds))
+            self.assertTrue(record.span_s > 0 or not record.crashes)
+            rule.is_culprit(record)
