A worker that is kept for a suspect serves its own service alone, and none whose starts need leave

Callers would have seen a task started on a worker of another service, or one refused for want of leave again and again. Cause: workers that are kept were looked for among those of all services, past the planner's own filter. Ruled out: those that are empty, which come through that filter. Change: the pool of the service is told to the search, with whether one may be kept; probation counts as elsewhere. Found by reading the diff cold.

--- a/src/saddlestack/policy/board/isolation.py
+++ b/src/saddlestack/policy/board/isolation.py
@@ -46,6 +46,22 @@
     keeps: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class ServicePool:
+    """The workers of a service, as far as they matter here.
+
+    :param workers: so many.
+    :param idle: they are mostly free.
+    :param keeps: one may be kept for a suspect until it is empty; not where a start needs leave,
+        which is given for single workers.
+    """
+
+    service: str
+    workers: int
+    idle: bool
+    keeps: bool
+
+
 class Isolation:
     """Workers that serve, or are kept, for isolated runs.
 
@@ -94,28 +110,21 @@
         return any(task.step is step for task in self._waits_since)
 
     def find(
-        self,
-        tasks: Sequence[Task],
-        able: Sequence[Worker],
-        pool: int,
-        now: float,
-        *,
-        idle: bool,
+        self, tasks: Sequence[Task], able: Sequence[Worker], pool: ServicePool, now: float
     ) -> Isolated:
         """Where a task, or a whole gang, may be started alone.
 
         :param able: workers that take the step's work; those that are kept are added, and those
             with room that is reserved for others are left out.
-        :param pool: workers of the service.
-        :param idle: whether the pool is mostly free.
         """
         first = tasks[0]
         step = first.step
         since_s = self._waits_since.setdefault(first, now)
-        kept = [worker for worker in self._serving if self._may_use(worker, step, now)]
+        serving = [worker for worker in self._serving if worker.record.service == pool.service]
+        kept = [worker for worker in serving if pool.keeps and self._may_use(worker, step, now)]
         kept = _on_other_machines(tasks, kept)
-        most = math.ceil(pool / (IDLE_SHARE if idle else SHARE))
-        left = most - sum(1 for worker in self._serving if not _is_filled(worker))
+        most = math.ceil(pool.workers / (IDLE_SHARE if pool.idle else SHARE))
+        left = most - sum(1 for worker in serving if not _is_filled(worker))
         able = _on_other_machines(tasks, [each for each in able if each.reserved == Resources()])
         empty = [worker for worker in able if not worker.runs]
         likely = any(map(self._crashes.is_likely, tasks))
@@ -124,7 +133,7 @@
         found = self._places(tasks, [*kept, *empty], len(kept) + max(0, left))
         if found:
             return self._take(first, found, now)
-        if now - since_s > (IDLE_PATIENCE_S if idle else PATIENCE_S):
+        if now - since_s > (IDLE_PATIENCE_S if pool.idle else PATIENCE_S):
             found = self._least_at_stake(tasks, able, now)
             if found and left > 0:
                 return self._take(first, found, now)
@@ -132,13 +141,14 @@
                 self._waits_since.pop(first, None)
                 return Isolated(found, alone=False)
             return Isolated(keeps=likely)
-        if left > 0 and not kept:
+        if left > 0 and not kept and pool.keeps:
             self._keep(step, able, now)
         return Isolated()
 
     def _may_use(self, worker: Worker, step: StepState, now: float) -> bool:
         empty = not worker.runs and worker.takes_isolated(now) and not worker.suspected
-        return empty and worker.matches(step.step)
+        proven = not step.needs_proof or now >= worker.probation_s
+        return empty and proven and worker.matches(step.step)
 
     def _is_running(self, step: StepState) -> bool:
         """Whether a run of the step's job is isolated: of likely culprits one is at a time."""
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -11,7 +11,7 @@
 from saddlestack.policy.board.fits import Fit, Fits
 from saddlestack.policy.board.headroom import may_open
 from saddlestack.policy.board.index import RoomIndex, ServiceRooms
-from saddlestack.policy.board.isolation import Isolated, Isolation
+from saddlestack.policy.board.isolation import Isolated, Isolation, ServicePool
 from saddlestack.policy.board.jobs import TOP_PRIORITY, Job, Run, StepState, Task
 from saddlestack.policy.board.patience import (
     HEADROOM_PATIENCE_S,
@@ -173,13 +173,13 @@
             return True
         self._release(step)
         self._isolated.update(suspects)
-        rooms = self._rooms(step)
+        pool = self._service_pool(step)
         able = self._able_alone(step, now) if self._sought_alone < ISOLATED_A_ROUND else []
         for tasks in [suspects] if step.step.gang else [[task] for task in suspects]:
             self._sought_alone += 1
             if self._sought_alone > ISOLATED_A_ROUND:
                 break
-            found = self._isolation.find(tasks, able, rooms.count, now, idle=is_idle(rooms))
+            found = self._isolation.find(tasks, able, pool, now)
             if found.places:
                 self._assign_apart(tasks, found, now)
                 able = [worker for worker in able if not worker.isolating]
@@ -187,6 +187,16 @@
                 self._isolated.difference_update(tasks)
         return any(self._is_open(task) for task in step.tasks)
 
+    def _service_pool(self, step: StepState) -> ServicePool:
+        rooms = self._rooms(step)
+        job = step.occurrence.job
+        return ServicePool(
+            self._board.service_of(job),
+            rooms.count,
+            is_idle(rooms),
+            not self._board.is_advised(job),
+        )
+
     def _able_alone(self, step: StepState, now: float) -> list[Worker]:
         """Workers that a step's tasks may go to whatever they prefer."""
         able = self._able(self._fit(step), now)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -461,6 +461,38 @@
         self.plan(PAUSE_S)
         self.assertTrue(any(each.isolating for each in self.board.workers.values()))
 
+    def kept(self, worker_id: str) -> None:
+        """Suspects wait while all others are busy, and a worker is kept for them."""
+        for worker in self.board.workers.values():
+            if worker.worker_id != worker_id:
+                worker.busy_s = 100.0
+        kept = self.board.workers[worker_id]
+        kept.isolating = True
+        self.plan(PAUSE_S)
+        kept.isolating = True
+        self.board.planner._isolation._serving[kept] = PAUSE_S
+        self.plan(PAUSE_S + 0.1)
+
+    def test_a_worker_that_is_kept_is_used(self) -> None:
+        self.workers(racks=1, each=3)
+        (job,) = self.suspects(1)
+        self.kept("w13")
+        self.assertEqual(self.run_of(job).worker_id, "w13")
+
+    def test_it_serves_no_other_service(self) -> None:
+        self.workers(racks=1, each=3)
+        (job,) = self.suspects(1)
+        self.board.set_worker(replace(record("other", rack="r9"), service="another"), 0.0)
+        self.kept("other")
+        self.assertIsNone(self.task(job).run)
+
+    def test_where_a_start_needs_leave_none_is_kept(self) -> None:
+        self.workers(racks=1, each=3)
+        (job,) = self.suspects(1)
+        self.board.configure({}, {}, ["q"])
+        self.kept("w13")
+        self.assertIsNone(self.task(job).run)
+
     def test_once_two_tasks_of_a_step_are_likely_all_of_it_is_started_alone(self) -> None:
         self.workers(racks=2, each=8)
         job = self.add(step(12, 8))
