Lend reserved room to work that would stall beside it

Now room that is reserved is lent, after 2.5 s beside an idle pool, to work that is expected to end before the stops do (learned from stops and from the runs of its queue, or its estimate). A run that was lent room and outlasts the stops may delay the reservation as long again as the stops did, then it is stopped.

Work of which nothing is known counts as short until it is known better.

The decision loop wakes when work may be lent room; by its tick of 0.5 s some of it would have stalled. The unused next_due_ms is gone.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -124,6 +124,7 @@
         self._halls = HallWatch(context, peers, membership, self._sessions.suspect)
         self._tasks = TaskGroup("scheduler")
         self._wake = asyncio.Event()
+        self._lending_timer: asyncio.TimerHandle | None = None
         self._known = 0
         self._advice_gate = asyncio.Semaphore(ADVICE_AT_ONCE)
         self.loaded = asyncio.Event()
@@ -290,6 +291,18 @@
             if self._decide_once():
                 self._wake.set()
                 await asyncio.sleep(FULL_ROUND_PAUSE_S)
+            self._wake_for_lending()
+
+    def _wake_for_lending(self) -> None:
+        """Decide as soon as work may be lent reserved room; by the next tick it would stall."""
+        if self._lending_timer is not None:
+            self._lending_timer.cancel()
+        borrows_s = self.board.planner.borrows_s
+        if borrows_s is None:
+            self._lending_timer = None
+            return
+        wait_s = max(0.0, borrows_s - self._clock.now())
+        self._lending_timer = asyncio.get_running_loop().call_later(wait_s, self.changed)
 
     def _decide_once(self) -> bool:
         """Decide, and have all of it leave that waits for no record.
--- a/src/saddlestack/policy/board/board.py
+++ b/src/saddlestack/policy/board/board.py
@@ -356,6 +356,7 @@
             self._blame.ended_well(worker_id)
         elif end.how is EndKind.FAILED:
             self._note_failure(worker, run, now)
+        self._planner.ended(run, end.how, now)
         self._follow(self._crashes.survived(run, end.how, now))
         self._run_over(run, end.how, end.saved or run.saved)
 
@@ -524,10 +525,6 @@
         self._dirty[occurrence.key] = occurrence
         self._touched[occurrence.job.job_id] = occurrence.job
 
-    def next_due_ms(self) -> int | None:
-        """Wall time at which the next occurrence falls due, or ``None``."""
-        return self._planner.next_due_ms
-
     @property
     def has_news(self) -> bool:
         """Whether something is to be taken that follows from events since the last plan."""
--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -33,7 +33,8 @@
     :param started_s: when the worker confirmed it, or ``None``.
     :param isolated: nothing else may join it at its worker while it may crash that.
     :param stopping: a stop was ordered.
-    :param awaited_s: since when other work has waited for it to stop, on the board's clock.
+    :param lent: it fills room that is reserved for other work, and is stopped if it keeps that.
+    :param awaited_s: since when other work has waited for it to end, on the board's clock.
     :param never_began: it is known that the worker never began it.
     :param saved: the latest checkpoint that the worker reported.
     :param percent: of the work done, as the worker reported; a lasting task works at 100.
@@ -55,6 +56,7 @@
     started_s: float | None = None
     isolated: bool = False
     stopping: bool = False
+    lent: bool = False
     awaited_s: float | None = None
     never_began: bool = False
     saved: str = ""
@@ -96,6 +98,8 @@
     :param moves: how often it was begun again elsewhere since it stood still.
     :param waits_since_s: when one of its tasks was first to be started, on the board's clock.
     :param standing_since_s: since when it has had tasks to start and none that began, on the same.
+    :param preempts_since_s: since when room has been reserved for it, on the same; kept while one
+        reservation follows another, until a task of it is assigned.
     """
 
     step: Step
@@ -109,6 +113,7 @@
     moves: int = 0
     waits_since_s: float | None = None
     standing_since_s: float | None = None
+    preempts_since_s: float | None = None
     advice: StepAdvice = field(default_factory=StepAdvice)
 
     @property
--- /dev/null
+++ b/src/saddlestack/policy/board/lending.py
@@ -0,0 +1,90 @@
+"""Lending: which work may fill reserved room while the runs that hold the rest of it stop.
+
+Lending keeps short work from stalling beside idle room. It must not hold up the step that has the
+room reserved, so only work is lent room that is expected to end before the stops do. Expectations
+come from estimates, else from the runs of the same queue. A queue of which no run has ended yet
+counts as short until a run that was lent room shows otherwise.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from saddlestack.policy.board.jobs import Run, StepState
+from saddlestack.policy.board.reservations import Reservation
+from saddlestack.policy.board.workers import Worker
+
+Lends = Callable[[Worker], bool]
+"""Whether a worker may lend a step room that is reserved there."""
+
+LONGEST_STOP_S = 5.0
+"""Runs are expected to take this long to stop until one has."""
+LATE_S = 0.4
+"""A run that was lent room may be expected to end so much later than the stops."""
+REMEMBERED = 16
+"""So many of the last stops, and of the last runs of a queue, are remembered."""
+
+
+class Lending:
+    """What is known of how long runs take, and what may be lent room by it."""
+
+    def __init__(self) -> None:
+        self._stops_s: deque[float] = deque(maxlen=REMEMBERED)
+        self._runs_s: dict[str, deque[float]] = {}
+
+    def note_stopped(self, run: Run, now: float) -> None:
+        """A run has ended by an order to stop."""
+        if run.awaited_s is not None:
+            self._stops_s.append(now - run.awaited_s)
+
+    def note_done(self, run: Run, now: float) -> None:
+        """A run has ended well."""
+        if run.started_s is not None:
+            known = self._runs_s.setdefault(_queue(run.task.step), deque(maxlen=REMEMBERED))
+            known.append(now - run.started_s)
+
+    def lender(self, step: StepState, reservations: Iterable[Reservation], now: float) -> Lends:
+        """Tells which workers may lend a step what is reserved there."""
+        held = list(reservations)
+        takes_s = self._takes_s(step, held, now)
+        lend: set[Worker] = set()
+        closed: set[Worker] = set()
+        for each in held:
+            left_s = self._until_stopped_s(each, now)
+            fits = left_s is not None and takes_s < left_s + LATE_S
+            (lend if fits else closed).update(each.places)
+        return lambda worker: worker in lend and worker not in closed
+
+    def _takes_s(self, step: StepState, held: Iterable[Reservation], now: float) -> float:
+        """How long a run of a step takes, as far as estimates and other runs tell."""
+        if step.step.long_running:
+            return math.inf
+        if step.step.estimate_ms:
+            return step.step.estimate_ms / 1000
+        known = self._runs_s.get(_queue(step))
+        if known:
+            return max(known)
+        lent = (run for each in held for run in each.lent)
+        alike = (run for run in lent if _queue(run.task.step) == _queue(step))
+        return max((now - run.assigned_s for run in alike), default=0.0)
+
+    def _until_stopped_s(self, held: Reservation, now: float) -> float | None:
+        """For how long a reservation waits for stops yet; ``None`` where it waits for none."""
+        return max((self._stop_left_s(run, now) for run in held.stopping), default=None)
+
+    def _stop_left_s(self, run: Run, now: float) -> float:
+        """How long a run takes to stop yet.
+
+        One that takes twice as long as any before is expected to take as long again.
+        """
+        elapsed_s = 0.0 if run.awaited_s is None else now - run.awaited_s
+        longest_s = max(self._stops_s, default=LONGEST_STOP_S)
+        if elapsed_s > 2 * longest_s:
+            return elapsed_s
+        return max(0.0, longest_s - elapsed_s)
+
+
+def _queue(step: StepState) -> str:
+    return step.occurrence.job.accepted.queue
--- a/src/saddlestack/policy/board/patience.py
+++ b/src/saddlestack/policy/board/patience.py
@@ -7,7 +7,10 @@
 
 from __future__ import annotations
 
+import math
+
 from saddlestack.policy.board.index import ServiceRooms
+from saddlestack.policy.board.jobs import StepState
 from saddlestack.policy.standstill import ROOM_FACTOR
 
 NEAR_PATIENCE_S = 8.0
@@ -18,6 +21,10 @@
 """...and this long, like all other preferences, while under half of all workers is in use: work may
 stand for 3 s there, and it takes up to 0.5 s to the next decision and 0.1 s until it runs."""
 
+LENDING_PATIENCE_S = 2.5
+"""Work waits this long beside an idle pool before it is lent reserved room: a run that outlasts the
+stops holds the reservation's step up, so most reservations are over before they lend anything."""
+
 
 def is_idle(rooms: ServiceRooms) -> bool:
     """Whether under half of a service's workers is in use, those of evacuated halls among them.
@@ -33,6 +40,12 @@
     return stood_s > IDLE_PATIENCE_S and is_idle(rooms)
 
 
+def borrows_from_s(step: StepState) -> float:
+    """When a step beside an idle pool may be lent reserved room, on the board's clock."""
+    since_s = step.standing_since_s
+    return math.inf if since_s is None else since_s + LENDING_PATIENCE_S
+
+
 def has_room_for(copies: int, wanted: int) -> bool:
     """Whether a pool has room enough for work, so that it has no reason to wait.
 
--- a/src/saddlestack/policy/board/places.py
+++ b/src/saddlestack/policy/board/places.py
@@ -10,6 +10,7 @@
 from saddlestack.policy.board.fits import FitRooms
 from saddlestack.policy.board.index import Rack
 from saddlestack.policy.board.jobs import StepState
+from saddlestack.policy.board.lending import Lends
 from saddlestack.policy.board.placement import (
     Copies,
     domains,
@@ -19,6 +20,7 @@
     soonest,
 )
 from saddlestack.policy.board.workers import Worker
+from saddlestack.work import Resources
 
 RACKS_SEARCHED = 32
 """Racks that are searched for what to stop: all of a pool of 640 workers, 20 a rack, and a bound
@@ -261,16 +263,21 @@
 
 
 class AnyPlaces:
-    """Workers that answer, whatever failed there lately: for work that stands still.
+    """Workers that answer, whatever failed there lately: for work that stalls.
 
-    Those that other work may go to as well come first, those in quarantine last.
+    Those that other work may go to as well come first, those in quarantine last; among equals those
+    whose room is reserved, the ones first that have lent some of it already.
+
+    :param lends: tells workers that may lend what is reserved there.
     """
 
-    def __init__(self, step: StepState, workers: Iterable[Worker], now: float) -> None:
+    def __init__(
+        self, step: StepState, workers: Iterable[Worker], now: float, lends: Lends
+    ) -> None:
         self._step = step
-        ordered = sorted(workers, key=lambda worker: (worker.quarantine_s > now, worker.strikes))
-        found = [(worker, worker.room_for(step)) for worker in ordered]
-        self._able = [(worker, copies) for worker, copies in found if copies > 0]
+        found = [(worker, worker.room_for(step, reserved=lends(worker))) for worker in workers]
+        able = [(worker, copies) for worker, copies in found if copies > 0]
+        self._able = sorted(able, key=lambda pair: _last_resort(pair[0], now))
 
     @property
     def copies(self) -> int:
@@ -288,5 +295,11 @@
         return next(iter(fresh or workers), None)
 
 
+def _last_resort(worker: Worker, now: float) -> tuple[bool, int, bool, bool]:
+    """Sorts workers for work that stalls, the best first."""
+    reserved = worker.reserved != Resources()
+    return worker.quarantine_s > now, worker.strikes, reserved, not worker.is_overbooked
+
+
 def _free_copies(step: StepState) -> Copies:
     return lambda worker: worker.copies(step, worker.free)
--- a/src/saddlestack/policy/board/preemption.py
+++ b/src/saddlestack/policy/board/preemption.py
@@ -138,7 +138,7 @@
 
     def loss(self, run: Run) -> float:
         """Core-seconds thrown away if the run stops now."""
-        if run.stopping:
+        if run.stopping or run.lent:
             return 0.0
         since = run.started_s if run.started_s is not None else run.assigned_s
         lost = max(0.0, self._now - since)
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import replace
 
+from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.board.backfill import Backfill
 from saddlestack.policy.board.caution import Caution
 from saddlestack.policy.board.crashes import Crashes
@@ -13,9 +14,11 @@
 from saddlestack.policy.board.index import RoomIndex, ServiceRooms
 from saddlestack.policy.board.isolation import Isolated, Isolation, ServicePool
 from saddlestack.policy.board.jobs import TOP_PRIORITY, Job, Run, StepState, Task
+from saddlestack.policy.board.lending import Lending, Lends
 from saddlestack.policy.board.patience import (
     HEADROOM_PATIENCE_S,
     NEAR_PATIENCE_S,
+    borrows_from_s,
     has_room_for,
     is_idle,
     is_impatient,
@@ -31,7 +34,12 @@
 )
 from saddlestack.policy.board.pool import Pool
 from saddlestack.policy.board.preemption import Preemptor
-from saddlestack.policy.board.reservations import Reservations, is_overdue
+from saddlestack.policy.board.reservations import (
+    Reservation,
+    Reservations,
+    is_due_back,
+    is_overdue,
+)
 from saddlestack.policy.board.shapes import Kind, Misses, Shape, Shapes, StepShapes
 from saddlestack.policy.board.waiting import Waiting, may_start, waits
 from saddlestack.policy.board.workers import Worker
@@ -58,18 +66,20 @@
         self._fits = Fits(index)
         self._waiting = Waiting()
         self._reservations = Reservations()
+        self._lending = Lending()
         self._backfill = Backfill()
         self._misses = Misses()
         self._shapes = Shapes()
         self._started = 0
         self._trusted = 0
         self._sought_alone = 0
+        self._borrows_s: float | None = None
         self._at_work: dict[str, bool] = {}
 
     @property
-    def next_due_ms(self) -> int | None:
-        """Wall time at which the next occurrence falls due, or ``None``."""
-        return self._waiting.next_due_ms
+    def borrows_s(self) -> float | None:
+        """When work that waits may next be lent reserved room, on the board's clock."""
+        return self._borrows_s
 
     def add(self, job: Job) -> None:
         """A job with work left."""
@@ -88,6 +98,13 @@
             self._release(step)
             self._waiting.finished(step)
 
+    def ended(self, run: Run, how: EndKind, now: float) -> None:
+        """A run is over, as its worker tells."""
+        if how is EndKind.STOPPED:
+            self._lending.note_stopped(run, now)
+        elif how is EndKind.DONE:
+            self._lending.note_done(run, now)
+
     def plan(self, now: float, wall_ms: float) -> bool:
         """Decide what starts and what has to give room, the most urgent first.
 
@@ -96,6 +113,7 @@
         self._started = 0
         self._trusted = 0
         self._sought_alone = 0
+        self._borrows_s = None
         self._at_work.clear()
         self._backfill.clear()
         self._misses.clear()
@@ -264,7 +282,7 @@
         room = self._any_places(step, now)
         if has_room_for(room.copies, step.at_once) and self._place_first(step, room, now):
             return True
-        self._misses.note_nowhere(self._kind(step))
+        self._misses.note_nowhere(self._kind(step, now))
         return False
 
     def _place_first(self, step: StepState, room: Room, now: float) -> bool:
@@ -287,10 +305,19 @@
         """Whether a job has had nothing running for too long beside a pool that is mostly free."""
         if not is_impatient(self._rooms(step), step.stood_s(now)):
             return False
-        if self._misses.is_nowhere(self._kind(step)):
+        self._note_borrowing(step, now)
+        if self._misses.is_nowhere(self._kind(step, now)):
             return False
         return not self._is_at_work(step.occurrence.job)
 
+    def _note_borrowing(self, step: StepState, now: float) -> None:
+        """Note when a step that stalls soon may be lent reserved room."""
+        due_s = borrows_from_s(step)
+        if not self._reservations or due_s <= now:
+            return
+        if self._borrows_s is None or due_s < self._borrows_s:
+            self._borrows_s = due_s
+
     def _is_at_work(self, job: Job) -> bool:
         """Whether a run of a job is on a worker that answers; looked up once a round."""
         known = self._at_work.get(job.job_id)
@@ -299,7 +326,7 @@
             self._at_work[job.job_id] = known
         return known
 
-    def _kind(self, step: StepState) -> Kind | None:
+    def _kind(self, step: StepState, now: float) -> Kind | None:
         """What decides whether a step that stands fits anywhere; ``None`` where more does."""
         if step.step.per_worker or self._board.is_advised(step.occurrence.job):
             return None
@@ -309,21 +336,28 @@
             step.at_once,
             step.step.label,
             step.fails_for_good,
+            now >= borrows_from_s(step),
         )
 
     def _any_places(self, step: StepState, now: float) -> AnyPlaces:
         """All workers that answer; where leave is needed, those that have it."""
         answering = list(self._answering(step, now))
+        lends = self._lends(step, now)
         if not self._board.is_advised(step.occurrence.job):
-            return AnyPlaces(step, answering, now)
+            return AnyPlaces(step, answering, now, lends)
         advice = step.advice
         allowed = [w for w in answering if advice.ticket(w.worker_id, now) is not None]
-        room = AnyPlaces(step, allowed, now)
+        room = AnyPlaces(step, allowed, now, lends)
         unknown = advice.unknown(answering, now)
         if unknown and not advice.asking and not has_room_for(room.copies, step.at_once):
             self._board.ask(step, unknown)
         return room
 
+    def _lends(self, step: StepState, now: float) -> Lends:
+        if now < borrows_from_s(step):
+            return lambda worker: False
+        return self._lending.lender(step, self._reservations, now)
+
     def _answering(self, step: StepState, now: float) -> Iterator[Worker]:
         """Workers that take part and answer, whatever failed there lately.
 
@@ -470,6 +504,10 @@
         number = step.next_run
         for task, worker in zip(step.tasks, places, strict=True):
             self._assign(task, worker, number, now)
+        runs = [task.run for task in step.tasks if task.run is not None]
+        if any(run.lent for run in runs):
+            for run in runs:
+                run.lent = True
 
     def _place_tasks(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         """Place tasks that run alone; one that has failed on what is free holds up no others."""
@@ -497,6 +535,9 @@
         self._started += 1
         self._at_work[task.name.job_id] = True
         self._board.assign(task, worker, number, now)
+        task.step.preempts_since_s = None
+        if task.run is not None:
+            task.run.lent = worker.is_overbooked and _may_be_taken_back(task.run)
 
     # What is kept for others
 
@@ -528,7 +569,7 @@
                 return False
             if run.isolated or self._isolation.is_counted(run):
                 return False
-            if run.stopping or other.priority > job.priority:
+            if run.stopping or run.lent or other.priority > job.priority:
                 return True
             return within and other.job_id not in entitled
 
@@ -541,17 +582,29 @@
         if found is None:
             return
         for run in found.victims:
-            self._board.preempt(run, job)
+            if not run.lent:
+                self._board.preempt(run, job)
         self._reservations.reserve(step, found.places, now)
 
     def _release(self, step: StepState) -> None:
         if self._reservations.release(step):
             self._misses.clear()
 
+    def _take_back(self, held: Reservation, now: float) -> None:
+        """Stop what was lent of a reservation, once it alone has kept the step for long enough."""
+        if held.awaits_stops:
+            return
+        for run in list(held.lent):
+            if is_due_back(run, held.step, now):
+                self._board.preempt(run, held.step.occurrence.job)
+
     def _use_reservation(self, step: StepState, now: float) -> bool:
         """Start what has its room by now; ``True`` where all of it could."""
         held = self._reservations.of(step)
-        if held is None or not held.is_free or held.is_suspected:
+        if held is None or held.is_suspected:
+            return False
+        if not held.is_free:
+            self._take_back(held, now)
             return False
         places = held.places
         self._release(step)
@@ -564,6 +617,11 @@
         return len(waiting) <= len(places)
 
 
+def _may_be_taken_back(run: Run) -> bool:
+    """Whether a run can give room back that it was lent, whatever else runs of its step."""
+    return not _lost_if_stopped(run) and not run.task.step.step.may_miss
+
+
 def _lost_if_stopped(run: Run) -> bool:
     """Work that may run only once and saves nothing cannot be taken back."""
     step = run.task.step.step
--- a/src/saddlestack/policy/board/reservations.py
+++ b/src/saddlestack/policy/board/reservations.py
@@ -1,11 +1,18 @@
-"""Reservations: room kept for work until the runs that hold it have stopped."""
+"""Reservations: room kept for work until the runs that hold it have stopped.
+
+While those runs stop, the free part of a reservation may be lent to other work. A run that was lent
+room and outlasts the stops may delay the reservation's step by as much again as the stops did; then
+it is stopped as well.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from saddlestack.policy.board.jobs import Run, StepState
 from saddlestack.policy.board.workers import Worker
+from saddlestack.work import Resources
 
 RESERVATION_S = 2.5
 """A reservation that could not be used by then is given up and searched anew."""
@@ -28,17 +35,37 @@
     @property
     def is_free(self) -> bool:
         """Whether all that held the room has stopped."""
-        return all(self._has_room(worker) for worker in set(self.places))
+        return all(self._has_room(worker, worker.used) for worker in set(self.places))
+
+    @property
+    def awaits_stops(self) -> bool:
+        """Whether runs hold the room that were not lent it."""
+        return not all(self._has_room(worker, _own_use(worker)) for worker in set(self.places))
+
+    @property
+    def stopping(self) -> Iterator[Run]:
+        """Runs that hold the room, were not lent it and are being stopped."""
+        for worker in set(self.places):
+            if not self._has_room(worker, _own_use(worker)):
+                yield from (run for run in worker.runs.values() if run.stopping and not run.lent)
+
+    @property
+    def lent(self) -> Iterator[Run]:
+        """Runs that were lent room on the workers, and are not being stopped."""
+        for worker in set(self.places):
+            for run in worker.runs.values():
+                if run.lent and not run.stopping:
+                    yield run
 
     @property
     def is_suspected(self) -> bool:
         """Whether one of the workers may be out of reach."""
         return any(worker.suspected for worker in self.places)
 
-    def _has_room(self, worker: Worker) -> bool:
+    def _has_room(self, worker: Worker, used: Resources) -> bool:
         if worker.is_over:
             return False
-        free = worker.record.capacity - worker.used
+        free = worker.record.capacity - used
         return self.step.step.room.copies_in(free) >= self.places.count(worker)
 
 
@@ -54,6 +81,8 @@
 
     def reserve(self, step: StepState, places: list[Worker], now: float) -> None:
         """Keep room on some workers from anything else."""
+        if step.preempts_since_s is None:
+            step.preempts_since_s = now
         for worker in places:
             worker.reserved = worker.reserved + step.step.room
             _note_awaited(worker, now)
@@ -68,6 +97,12 @@
             worker.reserved = worker.reserved - step.step.room
         return True
 
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def __iter__(self) -> Iterator[Reservation]:
+        return iter(self._held.values())
+
     def release_stale(self, now: float) -> None:
         """Give up what cannot be used, or has not been for too long."""
         for held in list(self._held.values()):
@@ -81,6 +116,28 @@
     return run.awaited_s is not None and now - run.awaited_s > OVERDUE_S
 
 
+def is_due_back(run: Run, step: StepState, now: float) -> bool:
+    """Whether a run has delayed the step that its room was lent from for long enough.
+
+    Called once nothing else holds the step's room. It is let go on for as long as the step had to
+    wait for the stops: work that is about to end then loses nothing, and the wait at most doubles
+    before the run is stopped too.
+    """
+    if run.awaited_s is None:
+        run.awaited_s = now
+    since_s = run.awaited_s if step.preempts_since_s is None else step.preempts_since_s
+    return now - run.awaited_s >= run.awaited_s - since_s
+
+
+def _own_use(worker: Worker) -> Resources:
+    """Room that runs of a worker hold which were not lent it."""
+    held = Resources()
+    for run in worker.runs.values():
+        if not run.lent:
+            held = held + run.room
+    return held
+
+
 def _note_awaited(worker: Worker, now: float) -> None:
     """Note since when what is to stop on a worker has been waited for."""
     for run in worker.runs.values():
--- a/src/saddlestack/policy/board/waiting.py
+++ b/src/saddlestack/policy/board/waiting.py
@@ -28,13 +28,6 @@
         self._top: dict[str, Job] = {}
         self._count = 0
 
-    @property
-    def next_due_ms(self) -> int | None:
-        """Wall time at which the next occurrence falls due, or ``None``."""
-        while self._due and not self._due[0][2].open:
-            heapq.heappop(self._due)
-        return self._due[0][0] if self._due else None
-
     def add(self, job: Job) -> None:
         """A job with work left."""
         if job.over:
--- a/src/saddlestack/policy/board/workers.py
+++ b/src/saddlestack/policy/board/workers.py
@@ -53,6 +53,7 @@
 )
 """What decides where work fits: a change of any of these is noted."""
 _ROOM = frozenset({"record", "used", "reserved"})
+_NOTHING = Resources()
 
 
 @dataclass(slots=True, eq=False)
@@ -143,6 +144,16 @@
             self._free = self.record.capacity - self.used - self.reserved
         return self._free
 
+    @property
+    def unused(self) -> Resources:
+        """Room that nothing holds, what is reserved among it."""
+        return self.record.capacity - self.used
+
+    @property
+    def is_overbooked(self) -> bool:
+        """Whether its runs fill some of the room that is reserved there."""
+        return not _NOTHING.fits(self.free)
+
     def takes_work(self, now: float) -> bool:
         """Whether new work may go there."""
         return not self.isolating and self.takes_isolated(now)
@@ -236,9 +247,13 @@
                 lower = lower + room
         return lower
 
-    def room_for(self, step: StepState) -> int:
-        """Tasks of a step that fit into what is free, whatever failed there lately."""
-        return 0 if self.is_over else self._limited(step, step.step.room.copies_in(self.free))
+    def room_for(self, step: StepState, *, reserved: bool = False) -> int:
+        """Tasks of a step that fit into what is free, whatever failed there lately.
+
+        :param reserved: whether what is reserved for other work counts as free.
+        """
+        room = self.unused if reserved else self.free
+        return 0 if self.is_over else self._limited(step, step.step.room.copies_in(room))
 
     def copies(self, step: StepState, room: Resources) -> int:
         """Tasks of a step that fit into some room of it."""
