Lend to whom reserved it, and while lent runs stop

Two causes, read from their reservations at each half second:

- A run that one step had lent room counted for any other step as room that comes free by itself.
The other step reserved it, ordered no stop, and had to wait for the run and then for its stop.
A run now gives back only to the steps whose room it was lent; for all others it is a run like any other.
- Nothing was lent while a lent run was being stopped, though such a stop takes as long as any.

--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -33,7 +33,7 @@
     :param started_s: when the worker confirmed it, or ``None``.
     :param isolated: nothing else may join it at its worker while it may crash that.
     :param stopping: a stop was ordered.
-    :param lent: it fills room that is reserved for other work, and is stopped if it keeps that.
+    :param lent_by: steps for which the room that it fills is reserved; it is stopped for them.
     :param awaited_s: since when other work has waited for it to end, on the board's clock.
     :param never_began: it is known that the worker never began it.
     :param saved: the latest checkpoint that the worker reported.
@@ -56,7 +56,7 @@
     started_s: float | None = None
     isolated: bool = False
     stopping: bool = False
-    lent: bool = False
+    lent_by: frozenset[StepState] = frozenset()
     awaited_s: float | None = None
     never_began: bool = False
     saved: str = ""
--- a/src/saddlestack/policy/board/lending.py
+++ b/src/saddlestack/policy/board/lending.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable
 
 from saddlestack.policy.board.jobs import Run, StepState
-from saddlestack.policy.board.reservations import Reservation
+from saddlestack.policy.board.reservations import OVERDUE_S, Reservation
 from saddlestack.policy.board.workers import Worker
 
 Lends = Callable[[Worker], bool]
@@ -48,31 +48,36 @@
     def lender(self, step: StepState, reservations: Iterable[Reservation], now: float) -> Lends:
         """Tells which workers may lend a step what is reserved there."""
         held = list(reservations)
-        takes_s = self._takes_s(step, held, now)
+        known_s = self._known_s(step)
+        takes_s = self._seen_s(step, held, now) if known_s is None else known_s
         lend: set[Worker] = set()
         closed: set[Worker] = set()
         for each in held:
-            left_s = self._until_stopped_s(each, now)
-            fits = left_s is not None and takes_s < left_s + LATE_S
+            is_open = each.awaits_stops or known_s is not None
+            fits = is_open and takes_s < self._left_s(each, now) + LATE_S
             (lend if fits else closed).update(each.places)
         return lambda worker: worker in lend and worker not in closed
 
-    def _takes_s(self, step: StepState, held: Iterable[Reservation], now: float) -> float:
-        """How long a run of a step takes, as far as estimates and other runs tell."""
+    def _known_s(self, step: StepState) -> float | None:
+        """How long a run of a step takes; ``None`` where nothing tells."""
         if step.step.long_running:
             return math.inf
         if step.step.estimate_ms:
             return step.step.estimate_ms / 1000
-        known = self._runs_s.get(_queue(step))
-        if known:
-            return max(known)
+        return max(self._runs_s.get(_queue(step), ()), default=None)
+
+    def _seen_s(self, step: StepState, held: Iterable[Reservation], now: float) -> float:
+        """How long runs of a step's queue have taken so far that were lent room."""
         lent = (run for each in held for run in each.lent)
         alike = (run for run in lent if _queue(run.task.step) == _queue(step))
         return max((now - run.assigned_s for run in alike), default=0.0)
 
-    def _until_stopped_s(self, held: Reservation, now: float) -> float | None:
-        """For how long a reservation waits for stops yet; ``None`` where it waits for none."""
-        return max((self._stop_left_s(run, now) for run in held.stopping), default=None)
+    def _left_s(self, held: Reservation, now: float) -> float:
+        """For how long a reservation may lend yet: until its stops are through, within bounds."""
+        since_s = held.step.preempts_since_s
+        if since_s is not None and now - since_s > OVERDUE_S:
+            return -math.inf
+        return max((self._stop_left_s(run, now) for run in held.stopping), default=-math.inf)
 
     def _stop_left_s(self, run: Run, now: float) -> float:
         """How long a run takes to stop yet.
--- a/src/saddlestack/policy/board/preemption.py
+++ b/src/saddlestack/policy/board/preemption.py
@@ -78,16 +78,19 @@
 
     :param members: all runs that stop together with a run.
     :param may_stop: whether a run may be stopped for the work in question.
+    :param gives_back: whether a run ends soon anyway, since that work has lent it its room.
     """
 
     def __init__(
         self,
         members: Callable[[Run], Sequence[Run]],
         may_stop: Callable[[Run], bool],
+        gives_back: Callable[[Run], bool],
         now: float,
     ) -> None:
         self._members = members
         self._may_stop = may_stop
+        self._gives_back = gives_back
         self._now = now
         self._groups: dict[StepState | Run, _Group | None] = {}
 
@@ -138,7 +141,7 @@
 
     def loss(self, run: Run) -> float:
         """Core-seconds thrown away if the run stops now."""
-        if run.stopping or run.lent:
+        if run.stopping or self._gives_back(run):
             return 0.0
         since = run.started_s if run.started_s is not None else run.assigned_s
         lost = max(0.0, self._now - since)
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -505,9 +505,9 @@
         for task, worker in zip(step.tasks, places, strict=True):
             self._assign(task, worker, number, now)
         runs = [task.run for task in step.tasks if task.run is not None]
-        if any(run.lent for run in runs):
-            for run in runs:
-                run.lent = True
+        lenders = frozenset[StepState]().union(*(run.lent_by for run in runs))
+        for run in runs:
+            run.lent_by = lenders
 
     def _place_tasks(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         """Place tasks that run alone; one that has failed on what is free holds up no others."""
@@ -536,8 +536,8 @@
         self._at_work[task.name.job_id] = True
         self._board.assign(task, worker, number, now)
         task.step.preempts_since_s = None
-        if task.run is not None:
-            task.run.lent = worker.is_overbooked and _may_be_taken_back(task.run)
+        if task.run is not None and worker.is_overbooked and _may_be_taken_back(task.run):
+            task.run.lent_by = self._reservations.lenders(worker)
 
     # What is kept for others
 
@@ -569,11 +569,14 @@
                 return False
             if run.isolated or self._isolation.is_counted(run):
                 return False
-            if run.stopping or run.lent or other.priority > job.priority:
+            if run.stopping or gives_back(run) or other.priority > job.priority:
                 return True
             return within and other.job_id not in entitled
 
-        preemptor = Preemptor(self._board.members, may_stop, now)
+        def gives_back(run: Run) -> bool:
+            return step in run.lent_by
+
+        preemptor = Preemptor(self._board.members, may_stop, gives_back, now)
         wanted = sum(1 for task in step.tasks if self._is_open(task))
         domains = list(places.domains(wanted))
         found = preemptor.cheapest(step, wanted, domains)
@@ -582,7 +585,7 @@
         if found is None:
             return
         for run in found.victims:
-            if not run.lent:
+            if not gives_back(run):
                 self._board.preempt(run, job)
         self._reservations.reserve(step, found.places, now)
 
--- a/src/saddlestack/policy/board/reservations.py
+++ b/src/saddlestack/policy/board/reservations.py
@@ -40,23 +40,31 @@
     @property
     def awaits_stops(self) -> bool:
         """Whether runs hold the room that were not lent it."""
-        return not all(self._has_room(worker, _own_use(worker)) for worker in set(self.places))
+        return not all(self._has_room(worker, self._own(worker)) for worker in set(self.places))
 
     @property
     def stopping(self) -> Iterator[Run]:
-        """Runs that hold the room, were not lent it and are being stopped."""
+        """Runs that hold the room and are being stopped."""
         for worker in set(self.places):
-            if not self._has_room(worker, _own_use(worker)):
-                yield from (run for run in worker.runs.values() if run.stopping and not run.lent)
+            if not self._has_room(worker, worker.used):
+                yield from (run for run in worker.runs.values() if run.stopping)
 
     @property
     def lent(self) -> Iterator[Run]:
         """Runs that were lent room on the workers, and are not being stopped."""
         for worker in set(self.places):
             for run in worker.runs.values():
-                if run.lent and not run.stopping:
+                if self.step in run.lent_by and not run.stopping:
                     yield run
 
+    def _own(self, worker: Worker) -> Resources:
+        """Room that runs of a worker hold which were not lent it by the step."""
+        held = Resources()
+        for run in worker.runs.values():
+            if self.step not in run.lent_by:
+                held = held + run.room
+        return held
+
     @property
     def is_suspected(self) -> bool:
         """Whether one of the workers may be out of reach."""
@@ -79,6 +87,10 @@
         """A step's reservation, if it has one."""
         return self._held.get(id(step))
 
+    def lenders(self, worker: Worker) -> frozenset[StepState]:
+        """Steps for which room on a worker is reserved."""
+        return frozenset(held.step for held in self._held.values() if worker in held.places)
+
     def reserve(self, step: StepState, places: list[Worker], now: float) -> None:
         """Keep room on some workers from anything else."""
         if step.preempts_since_s is None:
@@ -129,15 +141,6 @@
     return now - run.awaited_s >= run.awaited_s - since_s
 
 
-def _own_use(worker: Worker) -> Resources:
-    """Room that runs of a worker hold which were not lent it."""
-    held = Resources()
-    for run in worker.runs.values():
-        if not run.lent:
-            held = held + run.room
-    return held
-
-
 def _note_awaited(worker: Worker, now: float) -> None:
     """Note since when what is to stop on a worker has been waited for."""
     for run in worker.runs.values():
