Tell work that is lent room from work of its size that is not

Short work went on stalling beside a reservation where longer work of the same size waited before it. A round remembers which kinds of steps fit nowhere, by service, size, count and label; whether reserved room is lent also depends on how long the work takes, which the kind left out. So the first, long step closed the reserved room for all of them. The kind now names the workers that lend to it.

A lent run is also looked at in the round in which its step's reservation is renewed; it was stopped a tick late there.

--- a/src/saddlestack/policy/board/lending.py
+++ b/src/saddlestack/policy/board/lending.py
@@ -10,14 +10,10 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from saddlestack.policy.board.jobs import Run, StepState
 from saddlestack.policy.board.reservations import OVERDUE_S, Reservation
-from saddlestack.policy.board.workers import Worker
-
-Lends = Callable[[Worker], bool]
-"""Whether a worker may lend a step room that is reserved there."""
 
 LONGEST_STOP_S = 5.0
 """Runs are expected to take this long to stop until one has."""
@@ -45,18 +41,20 @@
             known = self._runs_s.setdefault(_queue(run.task.step), deque(maxlen=REMEMBERED))
             known.append(now - run.started_s)
 
-    def lender(self, step: StepState, reservations: Iterable[Reservation], now: float) -> Lends:
-        """Tells which workers may lend a step what is reserved there."""
+    def lenders(
+        self, step: StepState, reservations: Iterable[Reservation], now: float
+    ) -> frozenset[str]:
+        """The ids of workers that may lend a step what is reserved there."""
         held = list(reservations)
         known_s = self._known_s(step)
         takes_s = self._seen_s(step, held, now) if known_s is None else known_s
-        lend: set[Worker] = set()
-        closed: set[Worker] = set()
+        lending: set[str] = set()
+        closed: set[str] = set()
         for each in held:
             is_open = each.awaits_stops or known_s is not None
             fits = is_open and takes_s < self._left_s(each, now) + LATE_S
-            (lend if fits else closed).update(each.places)
-        return lambda worker: worker in lend and worker not in closed
+            (lending if fits else closed).update(worker.worker_id for worker in each.places)
+        return frozenset(lending - closed)
 
     def _known_s(self, step: StepState) -> float | None:
         """How long a run of a step takes; ``None`` where nothing tells."""
--- a/src/saddlestack/policy/board/places.py
+++ b/src/saddlestack/policy/board/places.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Container, Iterable, Iterator, Sequence
 from typing import Protocol
 
 from saddlestack.policy.board.awaited import AwaitedRack
 from saddlestack.policy.board.fits import FitRooms
 from saddlestack.policy.board.index import Rack
 from saddlestack.policy.board.jobs import StepState
-from saddlestack.policy.board.lending import Lends
 from saddlestack.policy.board.placement import (
     Copies,
     domains,
@@ -268,14 +267,17 @@
     Those that other work may go to as well come first, those in quarantine last; among equals those
     whose room is reserved, the ones first that have lent some of it already.
 
-    :param lends: tells workers that may lend what is reserved there.
+    :param lenders: ids of the workers that may lend what is reserved there.
     """
 
     def __init__(
-        self, step: StepState, workers: Iterable[Worker], now: float, lends: Lends
+        self, step: StepState, workers: Iterable[Worker], now: float, lenders: Container[str]
     ) -> None:
         self._step = step
-        found = [(worker, worker.room_for(step, reserved=lends(worker))) for worker in workers]
+        found = [
+            (worker, worker.room_for(step, reserved=worker.worker_id in lenders))
+            for worker in workers
+        ]
         able = [(worker, copies) for worker, copies in found if copies > 0]
         self._able = sorted(able, key=lambda pair: _last_resort(pair[0], now))
 
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -14,7 +14,7 @@
 from saddlestack.policy.board.index import RoomIndex, ServiceRooms
 from saddlestack.policy.board.isolation import Isolated, Isolation, ServicePool
 from saddlestack.policy.board.jobs import TOP_PRIORITY, Job, Run, StepState, Task
-from saddlestack.policy.board.lending import Lending, Lends
+from saddlestack.policy.board.lending import Lending
 from saddlestack.policy.board.patience import (
     HEADROOM_PATIENCE_S,
     NEAR_PATIENCE_S,
@@ -336,27 +336,28 @@
             step.at_once,
             step.step.label,
             step.fails_for_good,
-            now >= borrows_from_s(step),
+            self._lenders(step, now),
         )
 
     def _any_places(self, step: StepState, now: float) -> AnyPlaces:
         """All workers that answer; where leave is needed, those that have it."""
         answering = list(self._answering(step, now))
-        lends = self._lends(step, now)
+        lenders = self._lenders(step, now)
         if not self._board.is_advised(step.occurrence.job):
-            return AnyPlaces(step, answering, now, lends)
+            return AnyPlaces(step, answering, now, lenders)
         advice = step.advice
         allowed = [w for w in answering if advice.ticket(w.worker_id, now) is not None]
-        room = AnyPlaces(step, allowed, now, lends)
+        room = AnyPlaces(step, allowed, now, lenders)
         unknown = advice.unknown(answering, now)
         if unknown and not advice.asking and not has_room_for(room.copies, step.at_once):
             self._board.ask(step, unknown)
         return room
 
-    def _lends(self, step: StepState, now: float) -> Lends:
+    def _lenders(self, step: StepState, now: float) -> frozenset[str]:
+        """The ids of workers that may lend a step what is reserved there."""
         if now < borrows_from_s(step):
-            return lambda worker: False
-        return self._lending.lender(step, self._reservations, now)
+            return frozenset()
+        return self._lending.lenders(step, self._reservations, now)
 
     def _answering(self, step: StepState, now: float) -> Iterator[Worker]:
         """Workers that take part and answer, whatever failed there lately.
@@ -587,7 +588,7 @@
         for run in found.victims:
             if not gives_back(run):
                 self._board.preempt(run, job)
-        self._reservations.reserve(step, found.places, now)
+        self._take_back(self._reservations.reserve(step, found.places, now), now)
 
     def _release(self, step: StepState) -> None:
         if self._reservations.release(step):
--- a/src/saddlestack/policy/board/reservations.py
+++ b/src/saddlestack/policy/board/reservations.py
@@ -91,14 +91,15 @@
         """Steps for which room on a worker is reserved."""
         return frozenset(held.step for held in self._held.values() if worker in held.places)
 
-    def reserve(self, step: StepState, places: list[Worker], now: float) -> None:
+    def reserve(self, step: StepState, places: list[Worker], now: float) -> Reservation:
         """Keep room on some workers from anything else."""
         if step.preempts_since_s is None:
             step.preempts_since_s = now
         for worker in places:
             worker.reserved = worker.reserved + step.step.room
             _note_awaited(worker, now)
-        self._held[id(step)] = Reservation(step, places, now + RESERVATION_S)
+        held = self._held[id(step)] = Reservation(step, places, now + RESERVATION_S)
+        return held
 
     def release(self, step: StepState) -> bool:
         """Give a step's reservation up; whether there was one."""
--- a/src/saddlestack/policy/board/shapes.py
+++ b/src/saddlestack/policy/board/shapes.py
@@ -35,7 +35,7 @@
 
     :param count: tasks that have to start at once.
     :param fails_for_good: whether their next failure is their jobs' last.
-    :param borrows: whether they may be lent reserved room.
+    :param lenders: ids of the workers that may lend them reserved room.
     """
 
     service: str
@@ -43,7 +43,7 @@
     count: int
     label: str
     fails_for_good: bool
-    borrows: bool
+    lenders: frozenset[str]
 
 
 SHAPES_KEPT = 10_000
