--- a/benchmarks/days/generate.py
+++ b/benchmarks/days/generate.py
@@ -135,6 +135,20 @@
         'kind = "srv_crash", share = 0.2, for_s = 4.0, how = "joined"',
         'kind = "poison", share = 0.3, for_s = 5.0, class = "@c0"',
     ),
+    "deadly-tasks": (
+        'kind = "poison", how = "deadly", share = 0.25, for_s = 5.0, class = "@c0"',
+        'kind = "node_kill", on = "core", count = 1, for_s = 2.0, how = "giver"',
+        'kind = "srv_crash", share = 0.2, for_s = 3.0, how = "rack"',
+        'kind = "platform_down", for_s = 3.0, how = "silent"',
+        'kind = "applied_late", x = 0.2, for_s = 5.0, how = "orders"',
+    ),
+    "shrinking-workers": (
+        'kind = "srv_slow", how = "shrunk", share = 0.4, x = 0.4, for_s = 9.0',
+        'kind = "node_freeze", count = 1, for_s = 3.0, how = "leader"',
+        'kind = "scale_in", share = 0.15, how = "spot", x = 2.0, for_s = 5.0',
+        'kind = "srv_slow", how = "shrunk", share = 0.2, x = 0.7, for_s = 6.0',
+        'kind = "applied_late", x = 0.2, for_s = 5.0, how = "orders"',
+    ),
 }
 PLANNED = ("roll_term", "scale_in", "release", "evacuate", "config_storm")
 
