Pause a worker whose starts meet no answer

Three tries in vain are in doubt, a stop is answered, the next look shows that nothing runs, and the task goes to the same worker again, every 5 ms. Only a worker that was certainly not reached got a pause of 1.5 s.

The pause now follows any start that met no answer in all of its tries. It holds since the board gives a worker nothing during a pause, whoever asks.

tests/test_reset_starts.py: 676 starts in 3 s before, at most 72 now.

--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -202,9 +202,10 @@
                 continue
             self._answered(run, key, reply, clean)
             return
+        # The next start would most likely fare the same.
+        self.worker.refused(self._clock.now())
         if clean:
             # No order left, or each was refused: there is nothing to wait for.
-            self.worker.refused(self._clock.now())
             self._never_began(run, key)
             return
         await self._stop(key, self._begins_until_s())
