Tell of idle reserved room; known red: long work beside it

pool_reserved_idle_percent tells which share of the accelerators is reserved while no run holds it, starts_lent counts the starts in such room. The reason 'reserved' names the loan.

Listed as known red: work whose estimate is longer than the stops waits for them, 5 s in the test's scene. To lend it room would have it stopped again as soon as the stops are through, its work lost and the gang later by a stop.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -340,6 +340,8 @@
         for job, state in changes.shown:
             self._show(job.job_id, state)
         self._context.metrics.count("starts", len(changes.starts))
+        lent = sum(bool(start.run.lent_by) for start in changes.starts)
+        self._context.metrics.count("starts_lent", lent)
         news_s = self._workers_feed.age_s(self._clock.now())
         for start in changes.starts:
             self._context.metrics.time("start_news", news_s)
--- a/src/saddlestack/control/waits.py
+++ b/src/saddlestack/control/waits.py
@@ -61,7 +61,7 @@
 
 def show_none(metrics: Metrics) -> None:
     """Show that nothing waits: a VM that does not lead knows of no wait."""
-    _show(metrics, lambda reason: 0, lambda reason: 0, lambda: 0, lambda: 0)
+    _show(metrics, lambda reason: 0, lambda reason: 0, lambda: 0, lambda: 0, lambda: 0)
 
 
 def _show(
@@ -70,12 +70,14 @@
     tasks: Callable[[Reason], int],
     quarantined: Callable[[], int],
     on_probation: Callable[[], int],
+    reserved_idle: Callable[[], int],
 ) -> None:
     for reason in Reason:
         metrics.gauge(f"waiting_jobs_{reason.value}", partial(jobs, reason))
         metrics.gauge(f"waiting_tasks_{reason.value}", partial(tasks, reason))
     metrics.gauge("pool_quarantine_percent", quarantined)
     metrics.gauge("pool_probation_percent", on_probation)
+    metrics.gauge("pool_reserved_idle_percent", reserved_idle)
 
 
 class Waits:
@@ -115,6 +117,7 @@
             lambda reason: self._figures.tasks[reason],
             lambda: self._percent(lambda pool: pool.quarantined),
             lambda: self._percent(lambda pool: pool.on_probation),
+            lambda: self._percent(lambda pool: pool.reserved_idle),
         )
 
     def close(self) -> None:
--- a/src/saddlestack/policy/board/reasons.py
+++ b/src/saddlestack/policy/board/reasons.py
@@ -117,7 +117,7 @@
     ),
     Reason.RESERVED: (
         "the free room is reserved for urgent work that waits for runs to stop",
-        "the start of that work, or the end of its reservation",
+        "the start of that work, the end of its reservation, or for short work a loan of the room",
     ),
     Reason.TRIAL: (
         "workers with room have failed lately and take one task at a time",
--- a/src/saddlestack/policy/board/survey.py
+++ b/src/saddlestack/policy/board/survey.py
@@ -58,6 +58,7 @@
     :param total: accelerators of all of them.
     :param quarantined: accelerators that quarantine keeps out.
     :param on_probation: accelerators that probation alone keeps from urgent work and gangs.
+    :param reserved_idle: accelerators that are reserved and that no run holds.
     """
 
     workers: list[Worker] = field(default_factory=list)
@@ -68,6 +69,7 @@
     total: int = 0
     quarantined: int = 0
     on_probation: int = 0
+    reserved_idle: int = 0
 
     @property
     def use(self) -> PoolUse:
@@ -80,6 +82,8 @@
         accelerators = worker.record.capacity.accelerators
         self.total += accelerators
         self.used += worker.used.accelerators
+        unused = max(0, worker.unused.accelerators)
+        self.reserved_idle += min(worker.reserved.accelerators, unused)
         if exclusion.quarantine_s is not None:
             self.quarantined += accelerators
         elif exclusion.probation_s is not None:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -15,8 +15,9 @@
 from saddlestack.policy.board.lending import LATE_S, LONGEST_STOP_S
 from saddlestack.policy.board.patience import LENDING_PATIENCE_S
 from saddlestack.policy.board.reservations import OVERDUE_S
+from saddlestack.policy.board.survey import pools
 from saddlestack.work import Step
-from tests.test_board import BULK, NORMAL, PATIENT, BoardCase, step
+from tests.test_board import BULK, NORMAL, PATIENT, SERVICE, BoardCase, step
 
 ASKED_S = 2 * PATIENT
 """The urgent gang is handed in then."""
@@ -71,6 +72,14 @@
         self.assertEqual(self.board.planner.borrows_s, LENT_S)
         self.assertEqual(jobs_of(self.plan(LENT_S)), [job])
 
+    def test_idle_reserved_room_is_told(self) -> None:
+        pool = pools(self.board.workers.values(), ASKED_S)[SERVICE]
+        self.assertEqual(pool.reserved_idle, 8 * WHOLE)
+        self.beside(lasting(step(1, 3), 1.0))
+        self.plan(LENT_S)
+        pool = pools(self.board.workers.values(), LENT_S)[SERVICE]
+        self.assertEqual(pool.reserved_idle, 8 * WHOLE - 3)
+
     def test_a_gang_is_lent_room_whole(self) -> None:
         job = self.beside(lasting(step(4, 4, gang=True), 1.0))
         self.assertEqual(jobs_of(self.plan(LENT_S)), [job] * 4)
--- a/tests/test_reserved_days.py
+++ b/tests/test_reserved_days.py
@@ -16,12 +16,17 @@
 from tests.simulation import day as days
 from tests.simulation.jobs import JobKinds
 from tests.simulation.loops import SharedLoop
+from tests.simulation.scene import OTHER, ROOM, SceneTest, job, tasks
 from tests.simulation.workers import Plan
+from tests.test_standing_work import LASTS_S, LOOKED_S, Longest
 
 FAILING = 0.3
 SECONDS = 30.0
 FIRST_TIMER_S = 1.0
 TIMER_S = 0.5
+STOP_S = 5.0
+LONG_S = 8.0
+"""Work that cannot end before runs have stopped."""
 
 
 class ReservedDaysTest(unittest.TestCase):
@@ -43,6 +48,20 @@
             self.assertEqual(day.play().broken, [])
 
 
+class LongWorkTest(SceneTest):
+    def test_long_work_beside_room_that_is_reserved_does_not_stall(self) -> None:
+        """An urgent gang takes eight empty workers and one whose run takes 5 s to stop."""
+        self.site.workers._stop_s = STOP_S
+        self.site.workers._rng = Longest(1)
+        self.hand_in(job(tasks(4, ROOM), LASTS_S), OTHER, "bulk")
+        self.after(2.0)
+        self.hand_in(job(tasks(9, ROOM, gang=True), 3.0), "c" * 16, "urgent")
+        self.after(0.2)
+        known = msgspec.structs.replace(tasks(1), estimate_ms=round(LONG_S * 1000))
+        self.hand_in(job(known, LONG_S))
+        self.assertEqual(self.after(LOOKED_S).unexplained, [])
+
+
 _plain_job = days._job
 
 
