Move the lookup of candidate workers into a module of its own

What a step may go to, by label, leave, data and what is kept for gangs, is now candidates.py; the planner keeps the order of the ways to place it.

--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -126,6 +126,10 @@
         """Tasks that have to start together."""
         return self.step.count if self.step.gang else 1
 
+    def waited_s(self, now: float) -> float:
+        """For how long a task of it has waited since the first one did."""
+        return 0.0 if self.waits_since_s is None else now - self.waits_since_s
+
     def stood_s(self, now: float) -> float:
         """For how long it has had tasks to start without a break."""
         return 0.0 if self.standing_since_s is None else now - self.standing_since_s
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -7,17 +7,16 @@
 
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.board.backfill import Backfill
+from saddlestack.policy.board.candidates import Candidates, prefers_near
 from saddlestack.policy.board.caution import Caution
 from saddlestack.policy.board.crashes import Crashes
-from saddlestack.policy.board.fits import Fit, Fits
 from saddlestack.policy.board.headroom import may_open
-from saddlestack.policy.board.index import RoomIndex, ServiceRooms
+from saddlestack.policy.board.index import RoomIndex
 from saddlestack.policy.board.isolation import Isolated, Isolation, ServicePool
 from saddlestack.policy.board.jobs import TOP_PRIORITY, Job, Run, StepState, Task
 from saddlestack.policy.board.lending import Lending
 from saddlestack.policy.board.patience import (
     HEADROOM_PATIENCE_S,
-    NEAR_PATIENCE_S,
     borrows_from_s,
     has_room_for,
     is_idle,
@@ -26,7 +25,6 @@
 from saddlestack.policy.board.placement import whole_racks
 from saddlestack.policy.board.places import (
     AnyPlaces,
-    IndexedPlaces,
     Kept,
     ListedPlaces,
     Places,
@@ -63,11 +61,11 @@
         self._caution = caution
         self._isolation = Isolation(crashes)
         self._isolated: set[Task] = set()
-        self._fits = Fits(index)
         self._waiting = Waiting()
         self._reservations = Reservations()
         self._lending = Lending()
         self._backfill = Backfill()
+        self._candidates = Candidates(board, index, self._backfill, self._is_open)
         self._misses = Misses()
         self._shapes = Shapes()
         self._started = 0
@@ -131,12 +129,12 @@
     def kept_from(self, step: StepState) -> Kept | None:
         """Tells workers that were kept from a step in the last round; ``None`` for none."""
         with self._index.as_it_was():
-            return self._kept(step)
+            return self._candidates.kept(step)
 
     def waits_near(self, step: StepState, now: float) -> bool:
         """Whether a step waits for a place near its data."""
         with self._index.as_it_was():
-            return bool(step.step.data_rack) and self._waits_near(step, now)
+            return bool(step.step.data_rack) and prefers_near(step, now)
 
     def reserved_until(self, step: StepState) -> float | None:
         """How long room is being made for a step at most; ``None`` where none is."""
@@ -159,7 +157,7 @@
             return
         if not self._isolate(step, now):
             return
-        hopeless = full or self._misses.is_shut(shape, _waited_s(step, now))
+        hopeless = full or self._misses.is_shut(shape, step.waited_s(now))
         if hopeless and not top:
             if not self._place_anywhere(step, now):
                 self._keep_for(step, shape, now)
@@ -168,7 +166,7 @@
             return
         if not full and self._place_with_caution(step, now):
             return
-        places = self._places(step, now)
+        places = self._candidates.places(step, now)
         if not full and self._place_on(step, shape, places, now):
             return
         if self._place_anywhere(step, now):
@@ -206,7 +204,7 @@
         return any(self._is_open(task) for task in step.tasks)
 
     def _service_pool(self, step: StepState) -> ServicePool:
-        rooms = self._rooms(step)
+        rooms = self._candidates.rooms(step)
         job = step.occurrence.job
         return ServicePool(
             self._board.service_of(job),
@@ -217,9 +215,9 @@
 
     def _able_alone(self, step: StepState, now: float) -> list[Worker]:
         """Workers that a step's tasks may go to whatever they prefer."""
-        able = self._able(self._fit(step), now)
+        able = self._candidates.able(self._candidates.fit(step), now)
         if self._board.is_advised(step.occurrence.job):
-            able = self._with_leave(step, able, now)
+            able = self._candidates.with_leave(step, able, now)
         return able
 
     def _assign_apart(self, tasks: Sequence[Task], found: Isolated, now: float) -> None:
@@ -242,12 +240,13 @@
         if not step.step.gang or self._backfill.is_full or self._misses.is_kept(shape):
             return
         self._misses.note_kept(shape)
-        self._backfill.keep(self._places(step, now).soonest(), step.occurrence.job.priority)
+        soonest = self._candidates.places(step, now).soonest()
+        self._backfill.keep(soonest, step.occurrence.job.priority)
 
     def _place_with_caution(self, step: StepState, now: float) -> bool:
         """Place a step on workers that it had better go to, if there are such and it fits."""
         for preferred in self._caution.preferences(step, now):
-            able = self._listed(step, self._fit(step), self._kept(step), now)
+            able = self._candidates.listed(step, now)
             chosen = [worker for worker in able if preferred(worker)]
             if step.step.gang and step.step.same_rack:
                 chosen = whole_racks(step, chosen)
@@ -264,9 +263,8 @@
         """
         if not self._stands(step, now):
             return False
-        fitting = self._fits.of(self._fit(step)).total
-        enough = has_room_for(fitting, step.at_once)
-        if enough and self._place_first(step, self._all_places(step, now), now):
+        enough = has_room_for(self._candidates.copies(step), step.at_once)
+        if enough and self._place_first(step, self._candidates.all_places(step, now), now):
             return True
         return self._place_on_trust(step, now)
 
@@ -303,7 +301,7 @@
 
     def _stands(self, step: StepState, now: float) -> bool:
         """Whether a job has had nothing running for too long beside a pool that is mostly free."""
-        if not is_impatient(self._rooms(step), step.stood_s(now)):
+        if not is_impatient(self._candidates.rooms(step), step.stood_s(now)):
             return False
         self._note_borrowing(step, now)
         if self._misses.is_nowhere(self._kind(step, now)):
@@ -365,7 +363,7 @@
         A job whose next failure is its last still keeps off those in quarantine; those that have
         just turned an order away would do so again.
         """
-        for rack in self._rooms(step).racks:
+        for rack in self._candidates.rooms(step).racks:
             for worker in rack.workers:
                 if not worker.answers or not worker.matches(step.step) or now < worker.busy_s:
                     continue
@@ -388,7 +386,7 @@
         service = self._board.service_of(step.occurrence.job)
         if step.shapes is None or step.shapes.service != service:
             step.shapes = self._step_shapes(step, service)
-        return step.shapes.near if self._waits_near(step, now) else step.shapes.anywhere
+        return step.shapes.near if prefers_near(step, now) else step.shapes.anywhere
 
     def _step_shapes(self, step: StepState, service: str) -> StepShapes:
         needs = step.step
@@ -406,96 +404,13 @@
         near = replace(anywhere, near=needs.data_rack)
         return StepShapes(service, self._shapes.number(near), self._shapes.number(anywhere))
 
-    def _waits_near(self, step: StepState, now: float) -> bool:
-        return _waited_s(step, now) < NEAR_PATIENCE_S
-
-    def _rooms(self, step: StepState) -> ServiceRooms:
-        return self._index.service(self._board.service_of(step.occurrence.job))
-
-    def _places(self, step: StepState, now: float) -> Places:
-        """The workers that a step may go to."""
-        fit = self._fit(step)
-        kept = self._kept(step)
-        if step.step.per_worker or self._board.is_advised(step.occurrence.job):
-            return ListedPlaces(step, self._listed(step, fit, kept, now))
-        near = self._near_data(step, fit, kept, now)
-        if near is not None:
-            return ListedPlaces(step, near)
-        return IndexedPlaces(step, self._fits.of(fit), kept)
-
-    def _all_places(self, step: StepState, now: float) -> Places:
-        """The workers that a step may go to once it prefers none of them."""
-        fit = self._fit(step)
-        if self._board.is_advised(step.occurrence.job):
-            return ListedPlaces(step, self._with_leave(step, self._able(fit, now), now))
-        if step.step.per_worker:
-            return ListedPlaces(step, self._able(fit, now))
-        return IndexedPlaces(step, self._fits.of(fit), None, spread=True)
-
-    def _fit(self, step: StepState) -> Fit:
-        return Fit(
-            service=self._board.service_of(step.occurrence.job),
-            room=step.step.room,
-            label=step.step.label,
-            proven=step.needs_proof,
-        )
-
-    def _listed(self, step: StepState, fit: Fit, kept: Kept | None, now: float) -> list[Worker]:
-        """The workers of a step of which more counts than its size."""
-        able = [worker for worker in self._able(fit, now) if kept is None or not kept(worker)]
-        if self._board.is_advised(step.occurrence.job):
-            able = self._with_leave(step, able, now)
-        if not step.step.data_rack or not self._waits_near(step, now):
-            return able
-        return [worker for worker in able if worker.record.rack == step.step.data_rack] or able
-
-    def _near_data(
-        self, step: StepState, fit: Fit, kept: Kept | None, now: float
-    ) -> list[Worker] | None:
-        """The workers near a step's data; ``None`` where it does not wait for them."""
-        if not step.step.data_rack or not self._waits_near(step, now):
-            return None
-        rack = self._rooms(step).rack(step.step.data_rack)
-        if rack is None:
-            return None
-        able = [worker for worker in rack.able if fit.open_to(worker, now)]
-        if sum(worker.most(step.step) for worker in able) < step.at_once:
-            return None
-        return [worker for worker in able if kept is None or not kept(worker)]
-
-    def _able(self, fit: Fit, now: float) -> list[Worker]:
-        racks = self._index.service(fit.service).racks
-        return [w for rack in racks for w in rack.able if fit.open_to(w, now)]
-
-    def _with_leave(self, step: StepState, able: list[Worker], now: float) -> list[Worker]:
-        """The workers that may run a step; the adviser is asked about more where it does not fit.
-
-        Which racks could ever hold a gang of one rack is told by all of them, allowed or not.
-        """
-        advice = step.advice
-        allowed = [w for w in able if advice.ticket(w.worker_id, now) is not None]
-        if step.step.gang and step.step.same_rack and whole_racks(step, able):
-            allowed = whole_racks(step, allowed)
-        if not advice.asking and not self._fits_on(step, allowed):
-            unknown = advice.unknown(able, now)
-            if unknown:
-                self._board.ask(step, unknown)
-        return allowed
-
-    def _fits_on(self, step: StepState, workers: list[Worker]) -> bool:
-        """Whether all tasks of a step that wait fit on some workers."""
-        if step.step.gang:
-            return ListedPlaces(step, workers).gang() is not None
-        room = sum(worker.copies(step, worker.free) for worker in workers)
-        return room >= sum(1 for task in step.tasks if self._is_open(task))
-
     def _place_gang(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         chosen = places.gang()
         if chosen is None:
             self._misses.note_full(shape)
             return False
         if not self._may_open(step, chosen, now):
-            self._misses.note_shut(shape, _waited_s(step, now))
+            self._misses.note_shut(shape, step.waited_s(now))
             return False
         self._release(step)
         self._assign_gang(step, chosen, now)
@@ -524,7 +439,7 @@
                 self._misses.note_full(shape)
                 return False
             if not self._may_open(step, [worker], now):
-                self._misses.note_shut(shape, _waited_s(step, now))
+                self._misses.note_shut(shape, step.waited_s(now))
                 return False
             self._assign(task, worker, task.record.run + 1, now)
         if left:
@@ -540,23 +455,16 @@
         if task.run is not None and worker.is_overbooked and _may_be_taken_back(task.run):
             task.run.lent_by = self._reservations.lenders(worker)
 
-    # What is kept for others
-
-    def _kept(self, step: StepState) -> Kept | None:
-        """Tells workers that a gang of higher priority waits for; an idle pool keeps none."""
-        priority = step.occurrence.job.priority
-        if step.step.long_running or not self._backfill.keeps_from(priority):
-            return None
-        if not self._rooms(step).open.half_used:
-            return None
-        return lambda worker: self._backfill.is_kept(worker, priority)
+    # The headroom
 
     def _may_open(self, step: StepState, places: list[Worker], now: float) -> bool:
         """Whether a step may take these workers, some of them empty."""
         if step.occurrence.job.priority == TOP_PRIORITY or step.step.long_running:
             return True
-        waited_s = _waited_s(step, now)
-        return waited_s > HEADROOM_PATIENCE_S or may_open(self._rooms(step), places, waited_s)
+        waited_s = step.waited_s(now)
+        if waited_s > HEADROOM_PATIENCE_S:
+            return True
+        return may_open(self._candidates.rooms(step), places, waited_s)
 
     # Preemption
 
@@ -631,7 +539,3 @@
     """Work that may run only once and saves nothing cannot be taken back."""
     step = run.task.step.step
     return step.once and not (step.checkpoint and run.saved)
-
-
-def _waited_s(step: StepState, now: float) -> float:
-    return 0.0 if step.waits_since_s is None else now - step.waits_since_s
