Close a reservation to lending by delays, not by age

What the bound is for is a gang that lent runs delay again and again. It now counts just that: a step that had to have lent runs stopped twice lends none any more.

--- a/src/saddlestack/policy/board/jobs.py
+++ b/src/saddlestack/policy/board/jobs.py
@@ -100,6 +100,7 @@
     :param standing_since_s: since when it has had tasks to start and none that began, on the same.
     :param preempts_since_s: since when room has been reserved for it, on the same; kept while one
         reservation follows another, until a task of it is assigned.
+    :param times_delayed: how often since then runs that it had lent room had to be stopped.
     """
 
     step: Step
@@ -114,6 +115,7 @@
     waits_since_s: float | None = None
     standing_since_s: float | None = None
     preempts_since_s: float | None = None
+    times_delayed: int = 0
     advice: StepAdvice = field(default_factory=StepAdvice)
 
     @property
--- a/src/saddlestack/policy/board/lending.py
+++ b/src/saddlestack/policy/board/lending.py
@@ -14,12 +14,14 @@
 from statistics import median
 
 from saddlestack.policy.board.jobs import Run, StepState
-from saddlestack.policy.board.reservations import OVERDUE_S, Reservation
+from saddlestack.policy.board.reservations import Reservation
 
 LONGEST_STOP_S = 5.0
 """Runs are expected to take this long to stop until one has."""
 LATE_S = 0.4
 """A run that was lent room may be expected to end so much later than the stops."""
+MOST_DELAYS = 2
+"""A step that was delayed so often by runs that it had lent room lends none any more."""
 REMEMBERED = 16
 """So many of the last stops, and of the last runs of a queue, are remembered."""
 
@@ -73,8 +75,7 @@
 
     def _left_s(self, held: Reservation, now: float) -> float:
         """For how long a reservation may lend yet: until its stops are through, within bounds."""
-        since_s = held.step.preempts_since_s
-        if since_s is not None and now - since_s > OVERDUE_S:
+        if held.step.times_delayed >= MOST_DELAYS:
             return -math.inf
         return max((self._stop_left_s(run, now) for run in held.stopping), default=-math.inf)
 
--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -452,6 +452,7 @@
         self._at_work[task.name.job_id] = True
         self._board.assign(task, worker, number, now)
         task.step.preempts_since_s = None
+        task.step.times_delayed = 0
         if task.run is not None and worker.is_overbooked and _may_be_taken_back(task.run):
             task.run.lent_by = self._reservations.lenders(worker)
 
@@ -506,10 +507,11 @@
         """Stop what was lent of a reservation, once it alone has kept the step for long enough."""
         if held.awaits_stops:
             return
-        for run in list(held.lent):
-            if is_due_back(run, held.step, now):
-                self._board.preempt(run, held.step.occurrence.job)
-                run.awaited_s = now
+        due = [run for run in held.lent if is_due_back(run, held.step, now)]
+        for run in due:
+            self._board.preempt(run, held.step.occurrence.job)
+            run.awaited_s = now
+        held.step.times_delayed += bool(due)
 
     def _use_reservation(self, step: StepState, now: float) -> bool:
         """Start what has its room by now; ``True`` where all of it could."""
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -186,10 +186,23 @@
         self.plan(back_s)
         self.assertEqual(jobs_of(self.plan(back_s + LENDING_PATIENCE_S)), [short])
 
-    def test_nothing_is_lent_by_a_step_that_has_waited_for_too_long(self) -> None:
-        self.beside(lasting(step(1), 1.0))
-        late_s = ASKED_S + OVERDUE_S + 0.1
-        self.assertEqual(jobs_of(self.plan(late_s)), [])
+    def test_nothing_is_lent_by_a_step_that_was_delayed_twice(self) -> None:
+        job = self.beside(lasting(step(1), 1.0))
+        self.plan(LENT_S)
+        self.stops_are_through(LENT_S)
+        now = ASKED_S + 2 * LENDING_PATIENCE_S
+        self.assert_stopped(self.plan(now), [job])
+        short = self.add(lasting(step(1), 0.1), priority=NORMAL)
+        self.plan(now)
+        now += LENDING_PATIENCE_S
+        self.assertEqual(jobs_of(self.plan(now)), [short])
+        self.end(job, EndKind.STOPPED, now)
+        self.plan(now)
+        now += now - ASKED_S
+        self.assertIn(short, [stop.task.job_id for stop in self.plan(now).stops])
+        self.add(lasting(step(1), 0.1), priority=NORMAL)
+        self.plan(now)
+        self.assertEqual(jobs_of(self.plan(now + LENDING_PATIENCE_S)), [])
 
 
 if __name__ == "__main__":
