Lend a step nothing of its own reservation

Read in the diff: an urgent step that stalls could have started a task in room that is reserved for itself, as a run that gives the room back to the step it is of, and have stopped it later.

--- a/src/saddlestack/policy/board/lending.py
+++ b/src/saddlestack/policy/board/lending.py
@@ -47,14 +47,14 @@
     def lenders(
         self, step: StepState, reservations: Iterable[Reservation], now: float
     ) -> frozenset[str]:
-        """The ids of workers that may lend a step what is reserved there."""
+        """The ids of workers that may lend a step what is reserved there for others."""
         held = list(reservations)
         known_s = self._known_s(step)
         takes_s = self._seen_s(step, held, now) if known_s is None else known_s
         lending: set[str] = set()
         closed: set[str] = set()
         for each in held:
-            is_open = each.awaits_stops or known_s is not None
+            is_open = each.step is not step and (each.awaits_stops or known_s is not None)
             fits = is_open and takes_s < self._left_s(each, now) + LATE_S
             (lending if fits else closed).update(worker.worker_id for worker in each.places)
         return frozenset(lending - closed)
