Tell of workers that are kept for a task that may crash them

On the board at each half second: the only free room was on workers that run a suspect alone, where the planner starts nothing else, and which the diagnosis counted as open. It now tells 'isolated'. The planner is unchanged.

--- a/src/saddlestack/policy/board/reasons.py
+++ b/src/saddlestack/policy/board/reasons.py
@@ -28,6 +28,7 @@
     ADVISER = "adviser"
     BACKFILL = "backfill"
     RESERVED = "reserved"
+    ISOLATED = "isolated"
     TRIAL = "trial"
     PROBATION = "probation"
     QUARANTINE = "quarantine"
@@ -119,6 +120,10 @@
         "the free room is reserved for urgent work that waits for runs to stop",
         "the start of that work, the end of its reservation, or for short work a loan of the room",
     ),
+    Reason.ISOLATED: (
+        "workers with room are kept for a task that may crash them",
+        "the end of that task there, or room elsewhere",
+    ),
     Reason.TRIAL: (
         "workers with room have failed lately and take one task at a time",
         "a run that ends well there",
--- a/src/saddlestack/policy/board/survey.py
+++ b/src/saddlestack/policy/board/survey.py
@@ -25,6 +25,7 @@
     Reason.ADVISER,
     Reason.BACKFILL,
     Reason.RESERVED,
+    Reason.ISOLATED,
     Reason.TRIAL,
     Reason.PROBATION,
     Reason.QUARANTINE,
@@ -117,7 +118,9 @@
         and exclusion.proven_s() == exclusion.probation_s
     ):
         return _LEVEL[Reason.PROBATION]
-    return _OPEN if exclusion.quarantine_s is None else _LEVEL[Reason.QUARANTINE]
+    if exclusion.quarantine_s is not None:
+        return _LEVEL[Reason.QUARANTINE]
+    return _LEVEL[Reason.ISOLATED] if worker.isolating else _OPEN
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -296,6 +296,14 @@
         self.assertEqual(self.plan(PATIENT).starts, [])
         self.assertEqual(self.why(job, PATIENT), Reason.TRIAL)
 
+    def test_workers_that_are_kept_for_a_task_that_may_crash_them(self) -> None:
+        """It was told that the next round would place it, for as long as that task ran."""
+        self.workers(each=1)
+        self.board.workers["w11"].isolating = True
+        job = self.add(step(1, 1))
+        self.assertEqual(self.plan().starts, [])
+        self.assertEqual(self.why(job), Reason.ISOLATED)
+
     def test_workers_that_do_not_answer(self) -> None:
         self.workers(each=2)
         self.board.workers["w11"].reachable = False
