--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -67,8 +67,8 @@
         (
             Edit(
                 "policy/board/queue.py",
-                "        self._misses.note_kept(shape)\n        self._backfill.keep(",
-                "        self._misses.note_kept(shape)\n        Backfill().keep(",
+                "        self._backfill.keep(",
+                "        Backfill().keep(",
             ),
         ),
     ),
