Weigh a precisely known crash time over the width it is held to have

Cause, from the records after each crash: the third crash, 1.81 s after its start and known to 27 ms, was not counted. No time of a crash is held to be known to less than 50 ms, but the chance of a crash was taken over the 27 ms and divided by 50, so it fell below the usual rate of crashes (0.017 against 0.019 a second). Ruled out: a lost record, a survived run and a charge taken back; none came between the crashes.

The chance is now taken over the same width that it is divided by. It cannot fall with a more precise time any more.

--- a/src/saddlestack/policy/board/crashrule.py
+++ b/src/saddlestack/policy/board/crashrule.py
@@ -197,9 +197,10 @@
     def _density(self, exposure: Exposure) -> float:
         """Crashes a second of such a task over the time in which the worker may have crashed."""
         lived = exposure.lived
+        most_s = max(lived.most_s, lived.least_s + self.LEAST_WIDTH_S)
         before = self._survival(exposure.record, lived.least_s)
-        after = self._survival(exposure.record, lived.most_s)
-        width_s = max(lived.most_s - lived.least_s, lived.window_s, self.LEAST_WIDTH_S)
+        after = self._survival(exposure.record, most_s)
+        width_s = max(most_s - lived.least_s, lived.window_s)
         share = 1.0 if lived.confirmed else self.UNCONFIRMED_SHARE
         return share * (before - after) / width_s
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -558,6 +558,19 @@
                 self.check(bad)
 
 
+class WidthTest(unittest.TestCase):
+    """A crash whose time was known to 27 ms spoke half as strongly as one known to 50 ms."""
+
+    def test_a_crash_that_is_known_more_precisely_speaks_no_less(self) -> None:
+        before = CrashRecord(2, 0.3, 0.78)
+        charged = [
+            CrashOdds().charge([Exposure(before, Lived(1.81, 1.81 + width_s), 0.019, 0.019)])[0]
+            for width_s in (0.001, 0.027, 0.05)
+        ]
+        self.assertEqual([record.crashes for record in charged], [3, 3, 3])
+        self.assertEqual(len({round(record.log_odds, 6) for record in charged}), 1)
+
+
 class RandomCrashesTest(CrashCase):
     """Seen on a simulated day: a judgement failed with an overflow, and a run was waited for on a
     worker that was gone for as long as the day lasted. What a crash said for a task had been taken
