Give work that would stall a module of its own

What may be lent to a step is looked up once for it, not three times. Whether a lent run is due back no longer notes, as a question, since when it is waited for.

--- a/src/saddlestack/policy/board/queue.py
+++ b/src/saddlestack/policy/board/queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import replace
 
 from saddlestack.interfaces.workers import EndKind
@@ -17,14 +17,10 @@
 from saddlestack.policy.board.lending import Lending
 from saddlestack.policy.board.patience import (
     HEADROOM_PATIENCE_S,
-    borrows_from_s,
-    has_room_for,
     is_idle,
-    is_impatient,
 )
 from saddlestack.policy.board.placement import whole_racks
 from saddlestack.policy.board.places import (
-    AnyPlaces,
     Kept,
     ListedPlaces,
     Places,
@@ -38,7 +34,8 @@
     is_due_back,
     is_overdue,
 )
-from saddlestack.policy.board.shapes import Kind, Misses, Shape, Shapes, StepShapes
+from saddlestack.policy.board.shapes import Misses, Shape, Shapes, StepShapes
+from saddlestack.policy.board.stalled import Stalled
 from saddlestack.policy.board.waiting import Waiting, may_start, waits
 from saddlestack.policy.board.workers import Worker
 
@@ -48,8 +45,6 @@
 second, longer than its lease. So bounded it holds it for 0.06 s, 0.2 s on a third of a core."""
 ISOLATED_A_ROUND = 20
 """For so many tasks or gangs that are to be alone a round looks at all workers."""
-TRUSTED_A_ROUND = 20
-"""So many steps that stand may look at all workers in a round: 16 ms for 3,000 workers."""
 
 
 class Planner:
@@ -67,17 +62,15 @@
         self._backfill = Backfill()
         self._candidates = Candidates(board, index, self._backfill, self._is_open)
         self._misses = Misses()
+        self._stalled = Stalled(board, self._candidates, self._reservations, self._lending)
         self._shapes = Shapes()
         self._started = 0
-        self._trusted = 0
         self._sought_alone = 0
-        self._borrows_s: float | None = None
-        self._at_work: dict[str, bool] = {}
 
     @property
     def borrows_s(self) -> float | None:
         """When work that waits may next be lent reserved room, on the board's clock."""
-        return self._borrows_s
+        return self._stalled.borrows_s
 
     def add(self, job: Job) -> None:
         """A job with work left."""
@@ -109,10 +102,8 @@
         :return: whether the round was full, so that more may be decided at once.
         """
         self._started = 0
-        self._trusted = 0
         self._sought_alone = 0
-        self._borrows_s = None
-        self._at_work.clear()
+        self._stalled.begin()
         self._backfill.clear()
         self._misses.clear()
         self._reservations.release_stale(now)
@@ -255,33 +246,14 @@
         return False
 
     def _place_anywhere(self, step: StepState, now: float) -> bool:
-        """Place something of a job that stands still beside a pool that is mostly free.
+        """Place something of a job that would stall beside a pool that is mostly free.
 
         Neither its data, one rack, the headroom nor waiting gangs hold it up any more, nor does
         what failed lately on workers. Of tasks that run alone one is placed, so that the others
         still get the better places.
         """
-        if not self._stands(step, now):
-            return False
-        enough = has_room_for(self._candidates.copies(step), step.at_once)
-        if enough and self._place_first(step, self._candidates.all_places(step, now), now):
-            return True
-        return self._place_on_trust(step, now)
-
-    def _place_on_trust(self, step: StepState, now: float) -> bool:
-        """Place a step that stands on any workers that answer, whatever failed there lately.
-
-        That looks at each worker, 0.8 ms for 3,000, so it is done for few steps in a round, and
-        once for those that share a shape.
-        """
-        if self._trusted >= TRUSTED_A_ROUND:
-            return False
-        self._trusted += 1
-        room = self._any_places(step, now)
-        if has_room_for(room.copies, step.at_once) and self._place_first(step, room, now):
-            return True
-        self._misses.note_nowhere(self._kind(step, now))
-        return False
+        rooms = self._stalled.rooms(step, now)
+        return any(self._place_first(step, room, now) for room in rooms)
 
     def _place_first(self, step: StepState, room: Room, now: float) -> bool:
         """Place a gang, or one task that runs alone."""
@@ -299,79 +271,6 @@
                 return True
         return False
 
-    def _stands(self, step: StepState, now: float) -> bool:
-        """Whether a job has had nothing running for too long beside a pool that is mostly free."""
-        if not is_impatient(self._candidates.rooms(step), step.stood_s(now)):
-            return False
-        self._note_borrowing(step, now)
-        if self._misses.is_nowhere(self._kind(step, now)):
-            return False
-        return not self._is_at_work(step.occurrence.job)
-
-    def _note_borrowing(self, step: StepState, now: float) -> None:
-        """Note when a step that stalls soon may be lent reserved room."""
-        due_s = borrows_from_s(step)
-        if not self._reservations or due_s <= now:
-            return
-        if self._borrows_s is None or due_s < self._borrows_s:
-            self._borrows_s = due_s
-
-    def _is_at_work(self, job: Job) -> bool:
-        """Whether a run of a job is on a worker that answers; looked up once a round."""
-        known = self._at_work.get(job.job_id)
-        if known is None:
-            known = any(self._board.is_heard(run) for run in job.runs())
-            self._at_work[job.job_id] = known
-        return known
-
-    def _kind(self, step: StepState, now: float) -> Kind | None:
-        """What decides whether a step that stands fits anywhere; ``None`` where more does."""
-        if step.step.per_worker or self._board.is_advised(step.occurrence.job):
-            return None
-        return Kind(
-            self._board.service_of(step.occurrence.job),
-            step.step.room,
-            step.at_once,
-            step.step.label,
-            step.fails_for_good,
-            self._lenders(step, now),
-        )
-
-    def _any_places(self, step: StepState, now: float) -> AnyPlaces:
-        """All workers that answer; where leave is needed, those that have it."""
-        answering = list(self._answering(step, now))
-        lenders = self._lenders(step, now)
-        if not self._board.is_advised(step.occurrence.job):
-            return AnyPlaces(step, answering, now, lenders)
-        advice = step.advice
-        allowed = [w for w in answering if advice.ticket(w.worker_id, now) is not None]
-        room = AnyPlaces(step, allowed, now, lenders)
-        unknown = advice.unknown(answering, now)
-        if unknown and not advice.asking and not has_room_for(room.copies, step.at_once):
-            self._board.ask(step, unknown)
-        return room
-
-    def _lenders(self, step: StepState, now: float) -> frozenset[str]:
-        """The ids of workers that may lend a step what is reserved there."""
-        if now < borrows_from_s(step):
-            return frozenset()
-        return self._lending.lenders(step, self._reservations, now)
-
-    def _answering(self, step: StepState, now: float) -> Iterator[Worker]:
-        """Workers that take part and answer, whatever failed there lately.
-
-        A job whose next failure is its last still keeps off those in quarantine; those that have
-        just turned an order away would do so again.
-        """
-        for rack in self._candidates.rooms(step).racks:
-            for worker in rack.workers:
-                if not worker.answers or not worker.matches(step.step) or now < worker.busy_s:
-                    continue
-                if worker.isolating:
-                    continue
-                if not step.fails_for_good or now >= worker.quarantine_s:
-                    yield worker
-
     def _place_on(self, step: StepState, shape: int | None, places: Places, now: float) -> bool:
         if step.step.gang:
             return self._place_gang(step, shape, places, now)
@@ -449,7 +348,7 @@
 
     def _assign(self, task: Task, worker: Worker, number: int, now: float) -> None:
         self._started += 1
-        self._at_work[task.name.job_id] = True
+        self._stalled.note_started(task.name.job_id)
         self._board.assign(task, worker, number, now)
         task.step.preempts_since_s = None
         task.step.times_delayed = 0
@@ -502,11 +401,15 @@
     def _release(self, step: StepState) -> None:
         if self._reservations.release(step):
             self._misses.clear()
+            self._stalled.note_released()
 
     def _take_back(self, held: Reservation, now: float) -> None:
         """Stop what was lent of a reservation, once it alone has kept the step for long enough."""
         if held.awaits_stops:
             return
+        for run in held.lent:
+            if run.awaited_s is None:
+                run.awaited_s = now
         due = [run for run in held.lent if is_due_back(run, held.step, now)]
         for run in due:
             self._board.preempt(run, held.step.occurrence.job)
--- a/src/saddlestack/policy/board/reservations.py
+++ b/src/saddlestack/policy/board/reservations.py
@@ -135,12 +135,11 @@
 def is_due_back(run: Run, step: StepState, now: float) -> bool:
     """Whether a run has delayed the step that its room was lent from for long enough.
 
-    Called once nothing else holds the step's room. It is let go on for as long as the step had to
-    wait for the stops: work that is about to end then loses nothing, and the wait at most doubles
-    before the run is stopped too.
+    It goes on for as long as the step had to wait for the stops: work that is about to end then
+    loses nothing, and the wait at most doubles before the run is stopped too.
     """
     if run.awaited_s is None:
-        run.awaited_s = now
+        return False
     since_s = run.awaited_s if step.preempts_since_s is None else step.preempts_since_s
     return now - run.awaited_s >= run.awaited_s - since_s
 
--- a/src/saddlestack/policy/board/shapes.py
+++ b/src/saddlestack/policy/board/shapes.py
@@ -29,23 +29,6 @@
     lasting: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Kind:
-    """What steps that stand still have to share so that where one fits nowhere, the other does not.
-
-    :param count: tasks that have to start at once.
-    :param fails_for_good: whether their next failure is their jobs' last.
-    :param lenders: ids of the workers that may lend them reserved room.
-    """
-
-    service: str
-    room: Resources
-    count: int
-    label: str
-    fails_for_good: bool
-    lenders: frozenset[str]
-
-
 SHAPES_KEPT = 10_000
 """Shapes whose numbers are remembered: 2.4 MB of them (traced allocations)."""
 
@@ -89,19 +72,16 @@
     :param shut: there is room, but the headroom is closed to them; it opens with the time that work
         has waited, so with the longest, in seconds, that any of them had.
     :param kept: workers are kept for a gang of them; room comes free for one at a time.
-    :param nowhere: kinds of steps that stand and fit on no workers at all.
     """
 
     full: set[int] = field(default_factory=set)
     shut: dict[int, float] = field(default_factory=dict)
-    nowhere: set[Kind] = field(default_factory=set)
     kept: set[int] = field(default_factory=set)
 
     def clear(self) -> None:
         """Begin a round, or room has been given back."""
         self.full.clear()
         self.shut.clear()
-        self.nowhere.clear()
         self.kept.clear()
 
     def note_full(self, shape: int | None) -> None:
@@ -118,15 +98,6 @@
         if shape is not None:
             self.kept.add(shape)
 
-    def is_nowhere(self, kind: Kind | None) -> bool:
-        """Whether steps of a kind that stand are known to fit on no workers."""
-        return kind in self.nowhere
-
-    def note_nowhere(self, kind: Kind | None) -> None:
-        """Steps of this kind that stand fit on no workers."""
-        if kind is not None:
-            self.nowhere.add(kind)
-
     def is_shut(self, shape: int | None, waited_s: float) -> bool:
         """Whether the headroom is known to be closed to work of a shape that has waited so long."""
         return shape is not None and waited_s <= self.shut.get(shape, -math.inf)
