Count a crash that rounding leaves unexplained

A task's share in a crash could leave nothing for other causes when the rate of other crashes is far smaller than the total: the logarithm of 0 ended the leader's term.

Settings for optional scheduling decisions come with it, all off by default; nothing reads them yet.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -99,7 +99,7 @@
         self._clock = context.clock
         self._configuration = configuration
         self._on_displaced = on_displaced
-        self.cluster_state = ClusterState()
+        self.cluster_state = ClusterState(context.settings.scheduling.options)
         self.fence = term.fence
         self.max_lease_s = context.settings.timings.longest_hold_ms / 1000
         self._journal = Journal(context, term.fence)
--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -8,10 +8,17 @@
 from saddlestack.codec import read_json_with_comments
 from saddlestack.errors import invalid
 from saddlestack.models import Model
+from saddlestack.policy.cluster.options import SchedulingOptions
 from saddlestack.settings import LOG_LEVELS, Address
 
 MAX_PORT = 65_535
 MACHINE_KEYS = ("cores", "cpu_share", "link_mbps")
+SCHEDULING_RANGES = {
+    "speed_memory_s": (5.0, 3600.0),
+    "speed_write_interval_s": (1.0, 60.0),
+}
+"""Lowest and highest value of the numbers under ``scheduling``. Evidence of less than 5 s is a
+single run; more than one write a second would cost more store calls than all other upkeep."""
 LEADER_CORES = 1.0
 """Processor cores that a leader needs.
 
@@ -45,6 +52,27 @@
     upkeep_s: float = 2.0
 
 
+class Scheduling(Model, frozen=True):
+    """Optional scheduling decisions; see :class:`SchedulingOptions` for each of them."""
+
+    worker_speeds: bool = False
+    speed_memory_s: float = 60.0
+    speed_write_interval_s: float = 2.0
+    gang_priority: bool = False
+    demand_forecast: bool = False
+
+    @property
+    def options(self) -> SchedulingOptions:
+        """The options in the form that the scheduling policy takes."""
+        return SchedulingOptions(
+            worker_speeds=self.worker_speeds,
+            speed_memory_s=self.speed_memory_s,
+            speed_write_interval_s=self.speed_write_interval_s,
+            gang_priority=self.gang_priority,
+            demand_forecast=self.demand_forecast,
+        )
+
+
 class EntrySettings(Model, frozen=True):
     """Settings that an entry VM needs to start.
 
@@ -57,6 +85,7 @@
     :param machines: address of the platform's interface for whole machines, if there is one.
     :param adviser: address of the adviser, which approves workers for a step, if there is one.
     :param callers: address of the product's own API, if it is served.
+    :param scheduling: optional scheduling decisions; all are off by default.
     :param cores: processor cores of this VM.
     :param cpu_share: share of these cores that the VM gets.
     :param link_mbps: bandwidth of the VM's network link, in Mbit/s.
@@ -72,6 +101,7 @@
     machines: str | None = None
     adviser: str | None = None
     callers: str | None = None
+    scheduling: Scheduling = Scheduling()
     cores: float = 1.0
     cpu_share: float = 1.0
     link_mbps: float = 1000.0
@@ -138,6 +168,10 @@
         value = getattr(settings.timings, key)
         if value <= 0:
             faults.append(f"timings.{key}: expected a number above 0, got {value}")
+    for key, (lowest, highest) in SCHEDULING_RANGES.items():
+        value = getattr(settings.scheduling, key)
+        if not lowest <= value <= highest:
+            faults.append(f"scheduling.{key}: expected {lowest:g} to {highest:g}, got {value:g}")
     if settings.timings.retention_s < settings.timings.status_s:
         faults.append("timings.retention_s: expected status_s or more")
     return faults
--- a/src/saddlestack/policy/cluster/crash_rule.py
+++ b/src/saddlestack/policy/cluster/crash_rule.py
@@ -150,12 +150,13 @@
         gangs: dict[object, float] = {}
         for each, share in zip(exposures, shares, strict=True):
             gangs[each.gang] = gangs.get(each.gang, 0.0) + share
-        return [
-            self._updated_record(
-                each, share, each.rate + total - (share if each.gang is None else gangs[each.gang])
-            )
-            for each, share in zip(exposures, shares, strict=True)
-        ]
+        updated = []
+        for each, share in zip(exposures, shares, strict=True):
+            own = share if each.gang is None else gangs[each.gang]
+            # Rounding can lose a small rate next to a large total.
+            others = max(each.rate, each.rate + total - own)
+            updated.append(self._updated_record(each, share, others))
+        return updated
 
     def survived(self, record: CrashRecord, lived_s: float) -> CrashRecord:
         """The record of a task, updated with a run that survived for some time without a crash.
@@ -200,7 +201,7 @@
         if counts:
             noticed_s = lifetime.min_s + min(lifetime.max_s - lifetime.min_s, MAX_NOTICE_DELAY_S)
             span_s = max(span_s, noticed_s, self.MIN_SPAN_S)
-        log_odds = clamp_log_odds(math.log(max(share, math.ulp(0.0))) - math.log(others))
+        log_odds = clamp_log_odds(_log(share) - _log(others))
         return CrashRecord(record.crashes + counts, log_odds, span_s, record.later_starts)
 
     def _odds(self, record: CrashRecord) -> float:
@@ -227,3 +228,8 @@
 
 CRASH_RULE: CrashRule = CrashOdds()
 """The rule that a cluster state uses unless it is given another one."""
+
+
+def _log(probability: float) -> float:
+    """Natural logarithm. A probability that was rounded to 0 counts as the smallest number."""
+    return math.log(max(probability, math.ulp(0.0)))
--- /dev/null
+++ b/src/saddlestack/policy/cluster/options.py
@@ -0,0 +1,24 @@
+"""Options of the scheduling decisions that a deployment switches on by its settings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulingOptions:
+    """Which optional decisions are made. With the defaults none is.
+
+    :param worker_speeds: learn how fast each worker is, and place work accordingly.
+    :param speed_memory_s: seconds after which evidence about a worker's speed counts half.
+    :param speed_write_interval_s: minimum seconds between two writes of speeds to the store.
+    :param gang_priority: collect resources for waiting gangs before work of lower priority, and
+        share them fairly among client accounts.
+    :param demand_forecast: size the headroom by the recent demand of urgent work.
+    """
+
+    worker_speeds: bool = False
+    speed_memory_s: float = 60.0
+    speed_write_interval_s: float = 2.0
+    gang_priority: bool = False
+    demand_forecast: bool = False
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -19,6 +19,7 @@
 from saddlestack.policy.cluster.incarnation_end import IncarnationEnd
 from saddlestack.policy.cluster.index import CapacityIndex
 from saddlestack.policy.cluster.jobs import Job, Occurrence, Run, StepState, Task, new_job
+from saddlestack.policy.cluster.options import SchedulingOptions
 from saddlestack.policy.cluster.pacing import Pace, adjust_pace
 from saddlestack.policy.cluster.planner import Planner
 from saddlestack.policy.cluster.progress import is_stuck, needs_progress_polls
@@ -35,9 +36,13 @@
 
 
 class ClusterState:
-    """Jobs and workers of a cluster, and the scheduling decisions of its leader."""
+    """Jobs and workers of a cluster, and the scheduling decisions of its leader.
 
-    def __init__(self) -> None:
+    :param options: the optional decisions; none by default.
+    """
+
+    def __init__(self, options: SchedulingOptions | None = None) -> None:
+        self.options = options or SchedulingOptions()
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self._guaranteed: dict[str, int] = {}
--- a/src/saddlestack/policy/cluster/workers.py
+++ b/src/saddlestack/policy/cluster/workers.py
@@ -51,6 +51,8 @@
         "leaves_s",
         "evacuated",
         "isolating",
+        "time_factor",
+        "speed_known",
     }
 )
 """Fields that decide where work fits. Setting one of them marks the worker as changed."""
@@ -85,6 +87,9 @@
     :param last_charged_s: when a failure was last attributed to it.
     :param fails_late: a failure that came after its run had done work was attributed to it.
     :param last_healthy_s: when a run last made progress or succeeded there.
+    :param time_factor: how long work takes there relative to a usual worker of its service, rounded
+        to a level; above 1 is slower.
+    :param speed_known: whether there is evidence of its speed.
     :param reserved: resources set aside for work that waits for other runs to stop.
     :param held: resources that runs hold, by the priority of their jobs.
     :param changed: the set of changed workers that it adds itself to, if any. Setting a field is
@@ -113,6 +118,8 @@
     last_charged_s: float = 0.0
     fails_late: bool = False
     last_healthy_s: float | None = None
+    time_factor: float = 1.0
+    speed_known: bool = False
     used: Resources = field(default_factory=Resources)
     reserved: Resources = field(default_factory=Resources)
     runs: dict[RunKey, Run] = field(default_factory=dict)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,9 +6,10 @@
 
 from saddlestack.cli.main import main
 from saddlestack.codec import parse_json_with_comments
-from saddlestack.control.settings import MACHINE_KEYS, EntrySettings, Timings
+from saddlestack.control.settings import MACHINE_KEYS, EntrySettings, Scheduling, Timings
 from saddlestack.control.settings import check as check_entry
 from saddlestack.errors import SaddlestackError
+from saddlestack.policy.cluster.options import SchedulingOptions
 from saddlestack.settings import EXAMPLE, Settings, check, load
 from saddlestack.shapes import parse_guarantee
 
@@ -74,6 +75,28 @@
         faults = check_entry(settings)
         self.assertEqual([fault.partition(":")[0] for fault in faults], list(MACHINE_KEYS))
 
+    def test_scheduling_numbers_out_of_range_are_named_with_their_range(self) -> None:
+        settings = EntrySettings(
+            vm="a",
+            data_hall="b",
+            clients="127.0.0.1:1",
+            readiness="127.0.0.1:2",
+            peer_ports=(7000, 7010),
+            store="127.0.0.1:3",
+            timings=Timings(longest_hold_ms=6000, grace_s=6, status_s=120),
+            scheduling=Scheduling(speed_memory_s=4.0, speed_write_interval_s=61.0),
+        )
+        self.assertEqual(
+            check_entry(settings),
+            [
+                "scheduling.speed_memory_s: expected 5 to 3600, got 4",
+                "scheduling.speed_write_interval_s: expected 1 to 60, got 61",
+            ],
+        )
+
+    def test_optional_scheduling_decisions_are_off_by_default(self) -> None:
+        self.assertEqual(Scheduling().options, SchedulingOptions())
+
 
 class CommandLineTest(unittest.TestCase):
     def test_help_lists_every_command(self) -> None:
