Find work that ran on slow workers in the logs

A job on a slow worker took as long as its own runs, so `why` did not see that it was late. Objectives now count the work of a usual worker: the time of a run divided by the factor of its worker, for a gang by the largest factor of its members. `explain` names slow workers, `workers` lists all of them. Logs without speeds give the same output: every factor is then 1.

--- a/src/saddlestack/cli/explain.py
+++ b/src/saddlestack/cli/explain.py
@@ -10,6 +10,8 @@
 from saddlestack.cli.crashes import CLEARED, GIVEN_UP, SUSPECT, describe
 from saddlestack.cli.loglines import LogLine, read
 from saddlestack.cli.output import errors_to_exit_codes, log_files
+from saddlestack.cli.slow_runs import describe_slow_runs
+from saddlestack.cli.workerspeeds import WORKER_SPEED
 from saddlestack.policy.cluster.reasons import WaitReason
 
 EVACUATION = "evacuation"
@@ -21,6 +23,8 @@
 
 LEASE_WAIT = "lease_wait"
 STALLED = "stands_still"
+WORKER_EVENTS = frozenset({LEASE_WAIT, WORKER_SPEED})
+"""Events about a worker that concern the jobs that run there."""
 LATE_CHECK_S = 1.0
 """Seconds; a check that is this late or later shows that the leader itself had been paused."""
 WAITS = "waits"
@@ -36,18 +40,18 @@
     related = []
     workers: dict[str, str] = {}
     for line in lines:
-        waits = line.event == LEASE_WAIT and line.worker in workers.values()
+        of_worker = line.event in WORKER_EVENTS and line.worker in workers.values()
         context = line.event in CONTEXT_EVENTS and first <= line.time <= last
         if _is_about(line, job_id):
             _track_worker(line, workers)
             related.append(line)
-        elif waits or context:
+        elif of_worker or context:
             related.append(line)
     return _evacuations_in_effect(lines, first) + related
 
 
 def _track_worker(line: LogLine, workers: dict[str, str]) -> None:
-    """Track which worker runs each task, since the line of a lease wait names only the worker."""
+    """Track which worker runs each task, since some lines name only the worker."""
     if line.event == "start":
         workers[line.task] = line.worker
     elif line.event in RUN_ENDS:
@@ -72,7 +76,8 @@
 ) -> list[str]:
     """Describe what went wrong with a job, in one sentence for each event.
 
-    :param others: the lines of all jobs, which name the runs lost with a crashed worker.
+    :param others: the lines of all jobs, which name the runs lost with a crashed worker and tell
+        how fast each worker was.
     """
     all_lines = lines if others is None else others
     found: list[str] = []
@@ -104,7 +109,7 @@
         elif line.event == "run_over":
             proof = f"{line.proof}, {line.age_s:.1f} s before"
             found.append(f"{line.task} run {line.run} counted as over on {line.worker}: {proof}")
-    return found
+    return found + describe_slow_runs(job_id, all_lines)
 
 
 def _describe_wait(line: LogLine) -> str:
@@ -160,6 +165,7 @@
 
 def _format_line(line: LogLine) -> str:
     task = f"{line.task} run {line.run}" if line.task else line.job
-    what = (line.event, task, line.worker, line.state, line.how)
+    factor = f"factor {line.factor:.2f}" if line.event == WORKER_SPEED else ""
+    what = (line.event, task, line.worker, factor, line.state, line.how)
     why = (line.data_hall, line.reason, line.cause or "", line.proof)
     return " ".join(part for part in what + why if part)
--- a/src/saddlestack/cli/loglines.py
+++ b/src/saddlestack/cli/loglines.py
@@ -29,6 +29,12 @@
     :param crashes: of events ``crash_...``: number of counted crashes of workers under the task.
     :param odds: odds that the task crashes its workers.
     :param beside: number of other runs that were lost with the worker.
+    :param machine: of an event ``worker_speed``: the machine of the worker.
+    :param factor: how long work takes on the worker, relative to a usual worker.
+    :param confidence: confidence in that factor, from 0 to 1.
+    :param evidence: amount of evidence behind that factor.
+    :param workers: of an event ``speeds_inherited``: number of workers whose speed is known.
+    :param lines: of an event ``worker_speeds_left_out``: number of lines that were left out.
     :param at_s: time at which the line was written: the number of seconds that a collector put
         before the line, else the VM's local time.
     """
@@ -67,6 +73,12 @@
     crashes: int = 0
     odds: float = 0.0
     beside: int = 0
+    machine: str = ""
+    factor: float = 1.0
+    confidence: float = 0.0
+    evidence: float = 0.0
+    workers: int = 0
+    lines: int = 0
 
 
 def read(files: Iterable[Path]) -> list[LogLine]:
--- a/src/saddlestack/cli/main.py
+++ b/src/saddlestack/cli/main.py
@@ -15,6 +15,7 @@
     simulations,
     standstills,
     why,
+    workers,
 )
 from saddlestack.cli.connection import Connection
 
@@ -68,6 +69,7 @@
 main.add_command(why.why)
 main.add_command(standstills.standstills)
 main.add_command(crashes.suspects_command)
+main.add_command(workers.workers)
 main.add_command(running.settings)
 main.add_command(running.standin)
 main.add_command(simulations.demo)
--- a/src/saddlestack/cli/missed_objectives.py
+++ b/src/saddlestack/cli/missed_objectives.py
@@ -1,8 +1,8 @@
 """Jobs that were late or not done, and the cause for each, from the logs of all VMs.
 
-A job is late if it took longer than ``stretch`` times the longest chain of its own runs, plus its
-queue's target. The logs do not show how fast its workers could have been, so jobs whose work merely
-ran slowly are not found.
+A job is late if it took longer than ``stretch`` times the longest chain of its own work, plus its
+queue's target. The work is that of its runs, less what workers added that the logs show as slower
+than usual. Where they show no speeds, jobs whose work merely ran slowly are not found.
 """
 
 from __future__ import annotations
@@ -12,9 +12,12 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+from saddlestack.cli.chain_work import ChainWork, chain_work
 from saddlestack.cli.crashes import RUN_OVER, crashed_workers, culprits
+from saddlestack.cli.logged_waits import WAIT_EVENTS, Span, overlap_s, waiting_spans
 from saddlestack.cli.loglines import LogLine
 from saddlestack.cli.steps import LoggedStep, parse_logged_step
+from saddlestack.cli.workerspeeds import SLOW_WORKER_STOP, WorkerSpeeds
 
 _FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 BASE_SIZE, MAX_SIZE = 0.3, 4.0
@@ -25,6 +28,9 @@
 MIN_DELAY_S = 0.1
 """Shorter delays count as no cause, since a start takes 0.03 s in the median."""
 
+FASTER_WORKER = "faster_worker"
+"""The reason of a wait for a worker that is fast enough for the objective."""
+
 
 class Cause(enum.StrEnum):
     """The main cause of a job's delay."""
@@ -34,6 +40,8 @@
     LEADER = "nobody led"
     STOPS = "waited for others to stop"
     CAPACITY = "waited for room"
+    FASTER_WORKER = "waited for a faster worker"
+    SLOW_WORKER = "ran on a slow worker"
     FAILED = "ran on a worker that failed it"
     UNREACHABLE_WORKER = "ran on a worker that went silent"
     PREEMPTED = "its room was taken back"
@@ -70,6 +78,7 @@
     """The log lines about one job; times are in seconds.
 
     :param crashes: runs lost with their worker, which crashed under a task that was given up.
+    :param waits: what leaders told about its waits.
     :param caused_stops: whether runs of others were stopped for it.
     :param given_up: whether one of its tasks was given up because workers crash under it.
     """
@@ -80,6 +89,7 @@
     ends: list[LogLine] = field(default_factory=list)
     stops: list[LogLine] = field(default_factory=list)
     crashes: list[LogLine] = field(default_factory=list)
+    waits: list[LogLine] = field(default_factory=list)
     caused_stops: bool = False
     given_up: bool = False
     final: LogLine | None = None
@@ -98,10 +108,11 @@
     _record_crashes(histories, lines)
     sizes = job_sizes(lines)
     leaderless = _leaderless_spans(lines)
+    speeds = WorkerSpeeds(lines)
     found = [
         missed
         for history in histories.values()
-        if (missed := _missed_objective(history, leaderless)) is not None
+        if (missed := _missed_objective(history, leaderless, speeds)) is not None
     ]
     for line in refused.values():
         cause = Cause.DOUBT if line.doubt else Cause.STORE
@@ -175,6 +186,8 @@
         history.ends.append(line)
     elif line.event == "stop":
         history.stops.append(line)
+    elif line.event in WAIT_EVENTS:
+        history.waits.append(line)
     elif line.event == "cancelled" or line.state in _FINAL_STATES:
         history.final = line
 
@@ -195,13 +208,13 @@
             history.crashes.append(line)
 
 
-def _leaderless_spans(lines: Iterable[LogLine]) -> list[tuple[float, float]]:
+def _leaderless_spans(lines: Iterable[LogLine]) -> list[Span]:
     """Return the spans from the loss of a leader until the next one schedules.
 
     Partitioned VMs learn late of a change, and an old leader learns late that it was replaced.
     Neither line says anything about the current leader, so both are ignored.
     """
-    spans: list[tuple[float, float]] = []
+    spans: list[Span] = []
     lost_s: float | None = None
     fence = 0
     for line in lines:
@@ -217,7 +230,7 @@
 
 
 def _missed_objective(
-    history: _JobHistory, leaderless: Sequence[tuple[float, float]]
+    history: _JobHistory, leaderless: Sequence[Span], speeds: WorkerSpeeds
 ) -> MissedObjective | None:
     final = history.final
     if final is not None and (final.event == "cancelled" or final.state == "cancelled"):
@@ -230,73 +243,56 @@
         return MissedObjective(
             accepted.job, accepted.queue, accepted.priority, history.first_try_s, None, cause
         )
-    objective_s = accepted.stretch * _chain_work_s(history) + accepted.target_ms / 1000
+    work = chain_work(accepted, history.starts, history.ends, speeds)
+    objective_s = accepted.stretch * work.usual_s + accepted.target_ms / 1000
     late_s = final.at_s - history.first_try_s - objective_s
     if late_s <= 0.0:
         return None
-    cause = _delay_cause(history, final, leaderless)
+    cause = _delay_cause(history, final, leaderless, work)
     return MissedObjective(
         accepted.job, accepted.queue, accepted.priority, history.first_try_s, late_s, cause
     )
 
 
-def _chain_work_s(history: _JobHistory) -> float:
-    """Return the seconds of work in sequence: the sum over steps of their longest task.
-
-    The work of a task is that of the run that ended as done. If the step saves its progress, the
-    work of earlier runs counts as well.
-    """
-    start_times_s = {(line.task, line.run): line.at_s for line in history.starts}
-    work_s: dict[str, float] = defaultdict(float)
-    for end in history.ends:
-        start_s = start_times_s.get((end.task, end.run))
-        if start_s is not None and (end.how == "done" or _saves(history, end.task)):
-            work_s[end.task] += end.at_s - start_s
-    longest: dict[str, float] = defaultdict(float)
-    for task, seconds in work_s.items():
-        step = task.rpartition(".")[0]
-        longest[step] = max(longest[step], seconds)
-    return sum(longest.values())
-
-
-def _saves(history: _JobHistory, task: str) -> bool:
-    """Whether the step of a task (``JOB.OCCURRENCE.STEP.INDEX``) saves its progress."""
-    step = int(task.split(".")[2])
-    if step >= len(history.accepted.steps):
-        return False
-    logged_step = parse_logged_step(history.accepted.steps[step])
-    return logged_step is not None and logged_step.saves
-
-
 def _delay_cause(
-    history: _JobHistory, final: LogLine, leaderless: Sequence[tuple[float, float]]
+    history: _JobHistory, final: LogLine, leaderless: Sequence[Span], work: ChainWork
 ) -> Cause:
     """Return the cause of the longest of a job's delays."""
     accepted_s = history.accepted.at_s
     first_s = history.starts[0].at_s if history.starts else final.at_s
     again_s = max((line.at_s for line in history.starts), default=first_s)
     ended_s = max((line.at_s for line in history.ends), default=final.at_s)
-    delays = {
-        Cause.STORE: accepted_s - history.first_try_s,
-        _wait_cause(history, accepted_s, first_s, leaderless): first_s - accepted_s,
-        _restart_cause(history): again_s - first_s if _was_repeated(history) else 0.0,
-        Cause.LATE_END: final.at_s - ended_s,
-    }
+    start_times_s = [line.at_s for line in history.starts]
+    faster = waiting_spans(FASTER_WORKER, history.waits, start_times_s, final.at_s)
+    delays: dict[Cause, float] = defaultdict(float)
+    for cause, delay_s in (
+        (Cause.STORE, accepted_s - history.first_try_s),
+        (
+            _wait_cause(history, (accepted_s, first_s), leaderless, faster),
+            first_s - accepted_s,
+        ),
+        (_restart_cause(history), again_s - first_s if _was_repeated(history) else 0.0),
+        (Cause.LATE_END, final.at_s - ended_s),
+        (Cause.FASTER_WORKER, overlap_s(faster, (first_s, final.at_s))),
+        (Cause.SLOW_WORKER, work.slow_s),
+    ):
+        delays[cause] += delay_s
     cause = max(delays, key=lambda each: delays[each])
     return cause if delays[cause] >= MIN_DELAY_S else Cause.UNEXPLAINED
 
 
 def _wait_cause(
-    history: _JobHistory,
-    accepted_s: float,
-    first_s: float,
-    leaderless: Sequence[tuple[float, float]],
+    history: _JobHistory, wait: Span, leaderless: Sequence[Span], faster: Sequence[Span]
 ) -> Cause:
-    leaderless_s = sum(
-        max(0.0, min(end, first_s) - max(begin, accepted_s)) for begin, end in leaderless
-    )
-    if leaderless_s * 2 > first_s - accepted_s:
-        return Cause.LEADER
+    """Return why a job waited for its first start.
+
+    :param leaderless: when nobody led.
+    :param faster: when the job waited for a faster worker.
+    """
+    begin_s, end_s = wait
+    for cause, spans in ((Cause.LEADER, leaderless), (Cause.FASTER_WORKER, faster)):
+        if overlap_s(spans, wait) * 2 > end_s - begin_s:
+            return cause
     return Cause.STOPS if history.caused_stops else Cause.CAPACITY
 
 
@@ -314,6 +310,8 @@
             return Cause.PREEMPTED
         if line.event == "stop" and line.reason == "worker_leaves":
             return Cause.DRAINED_WORKER
+        if line.event == "stop" and line.reason == SLOW_WORKER_STOP:
+            return Cause.SLOW_WORKER
         if line.how == "failed":
             return Cause.FAILED
         if line.how == "lapsed":
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -139,6 +139,80 @@
         [waited] = causes(JOB, related_lines(JOB, lines))
         self.assertIn("does not know (tides; 0 tasks); ends with the ebb", waited)
 
+    def slow_run(self, *speeds: LogLine) -> list[str]:
+        """Explain a job with one run from 10 s to 15 s on a worker."""
+        fields = {"task": f"{JOB}.0.0.1", "run": 1, "worker": "w1"}
+        lines = [
+            LogLine(at_s=10.0, time="10", event="start", **fields),
+            *speeds,
+            LogLine(at_s=15.0, time="15", event="ended", how="done", **fields),
+        ]
+        lines.sort(key=lambda line: line.at_s)
+        return causes(JOB, related_lines(JOB, lines), lines)
+
+    def speed(self, at_s: float, factor: float) -> LogLine:
+        return LogLine(
+            at_s=at_s,
+            time=f"{at_s:g}",
+            event="worker_speed",
+            worker="w1",
+            factor=factor,
+            confidence=0.75,
+        )
+
+    def test_a_slow_worker_is_described_with_its_factor_and_confidence(self) -> None:
+        [slow] = self.slow_run(self.speed(4.0, 2.44))
+        self.assertIn("w1 was slow: work takes 2.44 times as long there", slow)
+        self.assertIn("(confidence 0.75, logged at 4, known to the leader at the start)", slow)
+        self.assertIn(f"{JOB}.0.0.1 run 1 ran there", slow)
+
+    def test_a_worker_is_slow_above_the_limit_only(self) -> None:
+        for factor, count in ((1.0, 0), (1.5, 0), (1.5625, 1)):
+            self.assertEqual(len(self.slow_run(self.speed(4.0, factor))), count, factor)
+        self.assertEqual(self.slow_run(), [])
+
+    def test_whether_the_leader_knew_of_a_slow_worker_at_the_start(self) -> None:
+        """Guards against blame of a placement for what was learned only from the run itself."""
+        elected = LogLine(at_s=8.0, event="elected")
+        inherited = LogLine(at_s=8.5, event="speeds_inherited", workers=3)
+        nothing = LogLine(at_s=8.5, event="speeds_inherited")
+        late = LogLine(at_s=10.5, event="speeds_inherited", workers=3)
+        early, during, after = (self.speed(at_s, 2.44) for at_s in (4.0, 12.0, 16.0))
+        for lines, known in (
+            ([early], True),
+            ([during], False),
+            ([after], False),
+            ([early, elected], False),
+            ([early, elected, nothing], False),
+            ([early, elected, late], False),
+            ([early, elected, inherited], True),
+            ([elected, self.speed(9.0, 2.44)], True),
+            ([self.speed(4.0, 1.0), during], False),
+        ):
+            with self.subTest(lines=lines):
+                [slow] = self.slow_run(*lines)
+                self.assertEqual("not known to the leader" not in slow, known)
+
+    def test_a_start_that_a_slow_worker_refused_is_no_run_there(self) -> None:
+        fields = {"task": f"{JOB}.0.0.2", "run": 1, "worker": "w1"}
+        lines = [
+            self.speed(0.0, 2.44),
+            LogLine(at_s=1.0, event="start", **fields),
+            LogLine(at_s=1.1, event="start_refused", reason="room", **fields),
+        ]
+        [refused] = causes(JOB, related_lines(JOB, lines), lines)
+        self.assertIn("refused", refused)
+
+    def test_speeds_of_workers_that_run_the_job_are_listed_with_its_lines(self) -> None:
+        lines = [
+            LogLine(time="1", event="start", task=f"{JOB}.0.0.1", run=1, worker="w1"),
+            LogLine(time="2", event="worker_speed", worker="w1", factor=2.44),
+            LogLine(time="2", event="worker_speed", worker="w2", factor=2.44),
+            LogLine(time="3", event="ended", task=f"{JOB}.0.0.1", run=1, worker="w1", how="done"),
+            LogLine(time="4", event="worker_speed", worker="w1", factor=1.0),
+        ]
+        self.assertEqual([line.time for line in related_lines(JOB, lines)], ["1", "2", "3"])
+
     def test_a_line_in_the_format_of_the_leader_is_parsed(self) -> None:
         row = {
             "event": "stands_still",
