List workers whose record names no machine

A null in a field that has to be a text makes the reader skip the line, and the worker had no row. Tests cover it, and gangs with a member whose end no log tells.

--- a/src/saddlestack/cli/workers.py
+++ b/src/saddlestack/cli/workers.py
@@ -41,7 +41,7 @@
 def _row(line: LogLine) -> list[str]:
     return [
         line.worker,
-        line.machine,
+        line.machine or "-",
         f"{line.factor:.2f}",
         f"{line.confidence:.2f}",
         f"{line.evidence:g}",
--- a/tests/test_why.py
+++ b/tests/test_why.py
@@ -230,6 +230,20 @@
         self.assertIs(missed.cause, Cause.SLOW_WORKER)
         self.assertAlmostEqual(missed.late_s or 0.0, 5.0 - (1.5 * 2.0 + 0.25))
 
+    def test_a_slow_member_whose_end_was_never_logged_holds_up_the_gang(self) -> None:
+        """A leader that is killed may have heard of an end that no log tells."""
+        runs = (*run_of(name(0), "fast", 0.0, 5.0), *run_of(name(1), "slow", 0.0, 5.0)[:1])
+        missed = self.only(self.gang("fast", "slow"), *runs, completed(5.0), speed(-9.0, 2.5))
+        self.assertIs(missed.cause, Cause.SLOW_WORKER)
+
+    def test_a_gang_run_that_ended_as_it_began_has_no_work(self) -> None:
+        runs = [
+            *run_of(name(0), "slow", 3.0, 3.0),
+            *run_of(name(1), "slow", 3.0, 3.0),
+        ]
+        missed = self.only(self.gang("slow", "slow"), *runs, completed(3.0), speed(-9.0, 2.5))
+        self.assertIs(missed.cause, Cause.CAPACITY)
+
     def test_tasks_outside_gangs_are_judged_one_by_one(self) -> None:
         runs = (*run_of(name(0), "fast", 0.0, 4.0), *run_of(name(1), "slow", 0.0, 8.0))
         missed = self.only(
--- a/tests/test_workers_command.py
+++ b/tests/test_workers_command.py
@@ -72,6 +72,11 @@
             self.assertEqual(result.exit_code, 1)
             self.assertEqual(result.output, "the logs have no line worker_speed\n")
 
+    def test_a_worker_whose_record_names_no_machine_has_a_row(self) -> None:
+        """Guards against a line that is skipped since a field of it is null."""
+        [row] = self.rows(self.run_command(speed("a", 2.44, machine=None)))
+        self.assertEqual(row[:3], ["a", "-", "2.44"])
+
     def test_lines_that_were_left_out_are_told(self) -> None:
         left_out = {"event": "worker_speeds_left_out", "lines": 7}
         result = self.run_command(speed("a", 2.44), left_out, left_out)
