Simulate unequal workers and uneven demand

The simulation had only workers of one speed and a steady mix of jobs, so nothing showed what unequal workers and contention cost. Workers now have a time factor that may drift, members of a gang progress at the speed of their worker and end with the slowest, and demand comes in waves and crowds.

--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -8,11 +8,18 @@
 import argparse
 import gc
 import time
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import dataclass, field
 from pathlib import Path
 
+from saddlestack.control.settings import Scheduling
 from tests.simulation.day import Verdict, day_of
+from tests.simulation.hard_load import HardLoad
 from tests.simulation.jobs import KINDS, JobKinds
+from tests.simulation.speeds import Speeds
+
+OPTIONS = ("worker_speeds", "gang_priority", "demand_forecast")
+"""The optional scheduling decisions."""
 
 
 @dataclass(slots=True)
@@ -20,6 +27,7 @@
     """Totals over all days.
 
     :param still: days with a stall that no rule explains.
+    :param gangs: judged starts of urgent gangs, those on slow workers, and the avoidable ones.
     """
 
     days: int = 0
@@ -28,6 +36,9 @@
     standstills: int = 0
     explained: int = 0
     longest_s: float = 0.0
+    gangs: Counter[str] = field(default_factory=Counter)
+    in_time: Counter[str] = field(default_factory=Counter)
+    done: Counter[str] = field(default_factory=Counter)
 
     def add(self, verdict: Verdict) -> None:
         """Add the verdict on one day."""
@@ -38,13 +49,28 @@
         self.standstills += len(found.unexplained)
         self.explained += sum(found.explained.values())
         self.longest_s = max(self.longest_s, found.longest_s)
+        slow = verdict.slow_gangs
+        self.gangs.update(judged=slow.starts, slow=slow.on_slow, avoidable=len(slow.avoidable))
+        for queue, (in_time, done) in verdict.in_time.items():
+            self.in_time[queue] += in_time
+            self.done[queue] += done
 
     def __str__(self) -> str:
         return (
             f"{self.days} days, {self.broken} broken, {self.still} with a standstill"
             f" ({self.standstills} standstills, the longest {self.longest_s:.1f} s),"
-            f" {self.explained} explained"
+            f" {self.explained} explained{self._hard_load()}"
+        )
+
+    def _hard_load(self) -> str:
+        """What is reported of days of hard load only."""
+        if not self.done:
+            return ""
+        shares = ", ".join(
+            f"{queue} {self.in_time[queue]} of {done}" for queue, done in sorted(self.done.items())
         )
+        gangs = ", ".join(f"{count} {name}" for name, count in self.gangs.items())
+        return f"; in time: {shares}; urgent gangs on slow workers: {gangs}"
 
 
 def _show(verdict: Verdict, took_s: float, whole: bool) -> None:
@@ -78,11 +104,35 @@
     parser.add_argument(
         "--crashing", type=float, default=0.0, help="share of jobs with a task that crashes workers"
     )
+    parser.add_argument("--unequal", type=float, default=0.0, help="share of slow workers")
+    parser.add_argument("--factor", type=float, default=2.4, help="time factor of slow workers")
+    parser.add_argument("--drift", type=float, default=0.05, help="changes of speed per second")
+    parser.add_argument("--crowd", action="store_true", help="crowds of jobs of all priorities")
+    parser.add_argument(
+        "--options", default="", help=f"scheduling parts, with commas: {', '.join(OPTIONS)}"
+    )
     parser.add_argument("--by-the-pages", action="store_true", help="no record goes early")
     parser.add_argument("--found", type=Path, help="a file that broken days are added to")
     return parser.parse_args()
 
 
+def _hard_load(options: argparse.Namespace) -> HardLoad | None:
+    """The hard load that the options ask for; ``None`` for the usual jobs."""
+    if not options.unequal and not options.crowd:
+        return None
+    if not 0 <= options.unequal <= 1 or options.factor < 1 or options.drift < 0:
+        raise SystemExit("expected a share from 0 to 1, a factor from 1 and a drift from 0")
+    return HardLoad(Speeds(options.unequal, options.factor, options.drift), options.crowd)
+
+
+def _scheduling(options: argparse.Namespace) -> Scheduling:
+    """The settings with the parts that the options switch on."""
+    named = [part for part in options.options.split(",") if part]
+    if not set(named) <= set(OPTIONS):
+        raise SystemExit(f"no such options: {', '.join(sorted(set(named) - set(OPTIONS)))}")
+    return Scheduling(**dict.fromkeys(named, True))
+
+
 def main() -> None:
     """Run the days that the options select."""
     options = _options()
@@ -101,6 +151,8 @@
             removes_early=not options.by_the_pages,
             calm=options.calm,
             kinds=kinds,
+            hard=_hard_load(options),
+            scheduling=_scheduling(options),
         )
         verdict = day.play()
         took_s = time.process_time() - began
--- a/tests/simulation/day.py
+++ b/tests/simulation/day.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from saddlestack.control.settings import Scheduling
 from saddlestack.standins.loop import WALL_EPOCH_S
 from saddlestack.work import JobRequest, Resources, Step
 from tests.simulation.deployment import (
@@ -22,8 +23,12 @@
     Vm,
     running_loop_name,
 )
+from tests.simulation.hard_history import HardLoadHistory
+from tests.simulation.hard_load import OBJECTIVES, Demand, HardLoad
 from tests.simulation.jobs import OTHER_ACCOUNT, HandedIn, JobKinds, JobsByName
 from tests.simulation.loops import Slowness
+from tests.simulation.slow_gangs import SlowGangs
+from tests.simulation.speeds import Machines
 from tests.simulation.standstills import StandstillJudge, Standstills
 from tests.simulation.told import ToldJudge
 from tests.simulation.ways import ANY, STORE, Fault
@@ -37,6 +42,10 @@
 SUSPENDED_S = (1.0, 3.0, 6.0, 12.0, 20.0)
 GREY_EARLY_S = 0.02
 """Time after which a faulty worker fails a run without having done any of its work."""
+HARD_WORKERS = 12
+"""Workers that a day of hard load has in addition, so that its demand is many jobs."""
+HARD_STOP_S = 0.4
+"""Longest time of a stop on days of hard load, as on the deployments that have it."""
 CALM_S = 20.0
 """A day goes on at least this long after its last fault, so that all granted leases expire."""
 SHOWN_EVENTS = {
@@ -53,6 +62,9 @@
     :param broken: every violated invariant, including each stall that no rule explains.
     :param lines: runs, faults and log lines that concern the violations.
     :param unfinished: accepted jobs that are not over at the end.
+    :param slow_gangs: the urgent gangs on slow workers, on a day of hard load without faults.
+    :param in_time: for each queue on a day of hard load, the jobs that met their objective, and
+        all that were not cancelled.
     """
 
     seed: int
@@ -63,6 +75,8 @@
     unfinished: list[str]
     events: Counter[str]
     standstills: Standstills
+    slow_gangs: SlowGangs = field(default_factory=SlowGangs)
+    in_time: dict[str, tuple[int, int]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -71,6 +85,7 @@
 
     :param early_removal: workers remove their records up to 2 s before they end.
     :param kinds: additional kinds of jobs.
+    :param hard: unequal workers and uneven demand, in place of the usual jobs.
     """
 
     rates: dict[str, float]
@@ -78,6 +93,7 @@
     jobs_per_s: float
     early_removal: bool
     kinds: JobKinds = field(default_factory=JobKinds)
+    hard: HardLoad | None = None
 
 
 class _Log(logging.Handler):
@@ -134,6 +150,8 @@
     shape: Shape
     jobs: dict[str, tuple[str, JobRequest]] = field(default_factory=dict)
     accounts: dict[str, str] = field(default_factory=dict)
+    handed_in_s: dict[str, float] = field(default_factory=dict)
+    cancelled_s: dict[str, float] = field(default_factory=dict)
     trouble: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -143,6 +161,7 @@
         self.site.workers.on_crash = self._replace_crashed_worker
         self.judge = StandstillJudge(self.site, self.jobs)
         self.kinds = JobsByName(self.flavour.kinds, self.shape, self.seed)
+        self.demand = Demand(self.shape, self.seed)
         self.ends_s = FIRST_S + self.flavour.seconds
         self.ask_s = self.ends_s + CALM_S
 
@@ -162,6 +181,8 @@
 
     def _play(self, handler: _Log) -> Verdict:
         site = self.site
+        if self.flavour.hard is not None:
+            self._begin_hard_load(self.flavour.hard)
         site.start()
         self.judge.begin()
         site.world.call_later(FIRST_S / 2, self._submit_next_job)
@@ -176,6 +197,14 @@
             raise RuntimeError(site.world.errors[0])
         found = site.workers.judge() + self.told.broken
         found += [str(each) for each in self.judge.found.unexplained]
+        history = HardLoadHistory(self.jobs, self.handed_in_s, self.cancelled_s, site.workers.begun)
+        slow_gangs, in_time = SlowGangs(), {}
+        if self.flavour.hard is not None:
+            in_time = history.in_time()
+            if not self.flavour.rates:
+                slow_gangs = history.slow_gangs(FIRST_S / 2, site.workers.lives.values())
+            if self.shape.scheduling.worker_speeds:
+                found += slow_gangs.avoidable
         return Verdict(
             self.seed,
             found,
@@ -185,8 +214,18 @@
             site.unfinished(),
             handler.counted,
             self.judge.found,
+            slow_gangs,
+            in_time,
         )
 
+    def _begin_hard_load(self, hard: HardLoad) -> None:
+        site = self.site
+        site.workers.gangs_wait = True
+        rng = random.Random(self.seed * 17 + 9)
+        Machines(hard.speeds, site.workers, site.world, rng, self.trouble).begin()
+        if hard.crowds:
+            site.world.call_later(FIRST_S + self.demand.next_crowd_s(), self._submit_crowd)
+
     def _settled(self) -> bool:
         """Whether all accepted jobs are over; evaluated once a second."""
         now = self.site.world.time()
@@ -217,18 +256,40 @@
             return
         job_id = f"{rng.getrandbits(64):016x}"
         now = self.site.world.time()
-        queue, request = _job(rng, round((WALL_EPOCH_S + now) * 1000))
-        job = self.kinds.changed(HandedIn(queue, request), now)
+        if self.flavour.hard is None:
+            queue, request = _job(rng, round((WALL_EPOCH_S + now) * 1000))
+            job = self.kinds.changed(HandedIn(queue, request), now)
+        else:
+            job = self.demand.job()
+        self._hand_in(job_id, job)
+        if self.flavour.hard is None:
+            next_s = rng.expovariate(self.flavour.jobs_per_s)
+        else:
+            next_s = self.demand.next_s(now)
+        self.site.world.call_later(next_s, self._submit_next_job)
+
+    def _submit_crowd(self) -> None:
+        """Submit jobs of all priorities that want more than the pool has."""
+        if self.site.world.time() > self.ends_s:
+            return
+        for after_s, job in self.demand.crowd():
+            job_id = f"{self.rng.getrandbits(64):016x}"
+            self.site.world.call_later(after_s, self._hand_in, job_id, job)
+        self.site.world.call_later(self.demand.next_crowd_s(), self._submit_crowd)
+
+    def _hand_in(self, job_id: str, job: HandedIn) -> None:
+        """Submit a job, some more than once, and cancel some later."""
+        rng = self.rng
         self.jobs[job_id] = (job.queue, job.request)
         self.accounts[job_id] = job.account
+        self.handed_in_s[job_id] = self.site.world.time()
         self._submit(job_id)
         for _ in range(rng.choice((0, 0, 0, 1, 2))):
             self.site.world.call_later(rng.uniform(0.0, 8.0), self._submit, job_id)
-        if request.steps[0].long_running:
+        if job.request.steps[0].long_running:
             self.site.world.call_later(rng.uniform(5.0, 30.0), self._cancel_repeatedly, job_id)
         elif rng.random() < 0.08:
             self.site.world.call_later(rng.uniform(0.2, 10.0), self._cancel, job_id)
-        self.site.world.call_later(rng.expovariate(self.flavour.jobs_per_s), self._submit_next_job)
 
     def _submit(self, job_id: str) -> None:
         queue, request = self.jobs[job_id]
@@ -237,6 +298,7 @@
             self.site.submit(self._random_vm(), job_id, queue, request, account)
 
     def _cancel(self, job_id: str) -> None:
+        self.cancelled_s.setdefault(job_id, self.site.world.time())
         if self.site.vms:
             queue, account = self.jobs[job_id][0], self.accounts[job_id]
             self.site.cancel(self._random_vm(), job_id, queue, account)
@@ -682,6 +744,8 @@
     removes_early: bool = True,
     calm: bool = False,
     kinds: JobKinds | None = None,
+    hard: HardLoad | None = None,
+    scheduling: Scheduling = Scheduling(),
 ) -> Day:
     """Return the day that a seed defines.
 
@@ -689,6 +753,8 @@
     :param removes_early: whether workers may remove their records before they end.
     :param calm: no faults but those in ``only``.
     :param kinds: additional kinds of jobs.
+    :param hard: unequal workers and uneven demand, in place of the usual jobs.
+    :param scheduling: the optional scheduling decisions of the VMs.
     """
     rng = random.Random(seed)
     drawn = rng.sample(sorted(MOST_A_SECOND), rng.choice((2, 3, 4, 6, len(MOST_A_SECOND))))
@@ -709,7 +775,13 @@
         tells_clock=rng.random() < 0.6,
         retention_s=rng.choice((30.0, 150.0)),
         stop_s=rng.choice((0.1, 0.5, 2.0, 5.0)),
+        scheduling=scheduling,
     )
+    if hard is not None:
+        flavour.hard = hard
+        shape.objectives = OBJECTIVES
+        shape.stop_s = min(shape.stop_s, HARD_STOP_S)
+        shape.workers += HARD_WORKERS
     day = Day(seed, flavour, shape)
     day.site.workers.late_gangs = rng.random() < 0.4
     day.site.workers.births = "reborn" in rates
--- a/tests/simulation/deployment.py
+++ b/tests/simulation/deployment.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 import unittest.mock
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -13,7 +14,7 @@
 
 from saddlestack.control import entry as entry_module
 from saddlestack.control.entry import EntryVm
-from saddlestack.control.settings import EntrySettings, Timings
+from saddlestack.control.settings import EntrySettings, Scheduling, Timings
 from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.clients import ClientCall
 from saddlestack.interfaces.documents import Queue
@@ -25,6 +26,8 @@
 from tests.simulation.workers import HOLD_S, SimWorker, Workers
 
 ATTEMPTS = 3
+OBJECTIVE = (1.5, 250.0)
+"""Stretch and milliseconds of the objective of a queue."""
 HEARTBEAT_S = 1.5
 LAPSE_HEARTBEATS = 3.0
 LAPSE_CHECK_S = 0.1
@@ -37,6 +40,9 @@
     :param tells_clock: whether workers write their clock with each heartbeat.
     :param retention_s: how long a job that is over is kept.
     :param stop_s: the longest time that a stop takes.
+    :param scheduling: the optional scheduling decisions of the VMs.
+    :param objectives: stretch and milliseconds of the objective of queues that differ from
+        :data:`OBJECTIVE`.
     """
 
     entries: int = 3
@@ -47,6 +53,8 @@
     tells_clock: bool = True
     retention_s: float = 150.0
     stop_s: float = 0.5
+    scheduling: Scheduling = field(default_factory=Scheduling)
+    objectives: Mapping[str, tuple[float, float]] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
@@ -183,7 +191,7 @@
 
     async def _begin(self, vm: Vm, life: int) -> None:
         vm.entry = EntryVm(
-            _settings(vm, self.shape.retention_s),
+            _settings(vm, self.shape),
             clock=SharedClock(),
             rng=random.Random(self.seed * 1000 + life + 500),
             store=SimStore(self.ways, self.store, vm.name),
@@ -213,7 +221,9 @@
     ) -> None:
         """Submit a job."""
         if vm.entry is not None:
-            vm.loop.create_task(self._submit(vm, job_id, client_call(queue, account), request))
+            objective = self.shape.objectives.get(queue, OBJECTIVE)
+            client = client_call(queue, account, objective)
+            vm.loop.create_task(self._submit(vm, job_id, client, request))
 
     async def _submit(self, vm: Vm, job_id: str, client: ClientCall, request: JobRequest) -> None:
         assert vm.entry is not None
@@ -356,7 +366,7 @@
         self.world.call_later(LAPSE_CHECK_S, self._expire_records)
 
 
-def _settings(vm: Vm, retention_s: float) -> EntrySettings:
+def _settings(vm: Vm, shape: Shape) -> EntrySettings:
     return EntrySettings(
         vm=vm.name,
         data_hall=vm.hall,
@@ -368,13 +378,15 @@
             longest_hold_ms=HOLD_S * 1000,
             grace_s=6.0,
             status_s=30.0,
-            retention_s=retention_s,
+            retention_s=shape.retention_s,
         ),
+        scheduling=shape.scheduling,
     )
 
 
-def client_call(queue: str, account: str) -> ClientCall:
+def client_call(queue: str, account: str, objective: tuple[float, float] = OBJECTIVE) -> ClientCall:
     """Return a client call for a queue."""
+    stretch, target_ms = objective
     return ClientCall(
         Queue(
             name=queue,
@@ -383,8 +395,8 @@
             service=SERVICE,
             priority=dict(QUEUES)[queue],
             attempts=ATTEMPTS,
-            stretch=1.5,
-            target_ms=250.0,
+            stretch=stretch,
+            target_ms=target_ms,
             timeout_ms=3000.0,
             open=False,
         ),
--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import random
 from collections.abc import Callable, Iterable
@@ -37,6 +38,11 @@
 CRASHES_FROM_S = 0.05
 FAR_SLOWED = 3.0
 """Factor by which work takes longer if its data is on another rack."""
+LENGTH_SPREAD = 0.2
+"""Standard deviation of the logarithm of a task's length: they differ by 15 to 30 percent."""
+STRAGGLER_SHARE = 0.01
+STRAGGLER_LENGTH = 3.5
+"""One task of 100 takes more than 3.3 to 3.7 times the median of its step."""
 
 
 class Plan(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -51,6 +57,7 @@
     :param crashing: index of a task of the first step of the first occurrence that crashes each
         worker that starts it; -1 for none.
     :param crashes_s: the longest time from the start of that task's work to the crash.
+    :param varies: whether the tasks differ in length, see :func:`length_of`.
     """
 
     work_s: float
@@ -62,17 +69,31 @@
     near: str = ""
     crashing: int = -1
     crashes_s: float = 0.0
+    varies: bool = False
+
+
+def length_of(task: TaskName) -> float:
+    """How long a task takes relative to the others of its step, where these differ."""
+    rng = random.Random(str(task))
+    if rng.random() < STRAGGLER_SHARE:
+        return STRAGGLER_LENGTH
+    return rng.lognormvariate(0.0, LENGTH_SPREAD)
 
 
 @dataclass(slots=True, eq=False)
 class SimRun:
     """One run at one worker.
 
-    :param done_s: seconds of work that earlier runs saved.
+    :param done_s: seconds of work done before ``counts_from_s``, also by earlier runs.
     :param noted: its end was acknowledged before the worker's lease expired.
     :param lapsed: the worker's lease expired before that: such an end is void.
     :param slowed: factor by which its work takes longer there.
-    :param hung_until: time before which it makes no progress.
+    :param counts_from_s: time from which its progress counts: its work began, no longer hangs, or
+        changed its speed then.
+    :param work_s: seconds of work of its task.
+    :param timer: fires when its work is done.
+    :param waits_s: when a member of a gang had done its work and began to wait for the others.
+    :param resumed: it began with the work that an earlier run had saved.
     """
 
     task: TaskName
@@ -93,7 +114,11 @@
     noted: bool = False
     lapsed: bool = False
     slowed: float = 1.0
-    hung_until: float = 0.0
+    counts_from_s: float = 0.0
+    work_s: float = 0.0
+    timer: asyncio.TimerHandle | None = None
+    waits_s: float | None = None
+    resumed: bool = False
 
     def __str__(self) -> str:
         end = "-" if self.ended_s is None else f"{self.ended_s:.3f} {self.how}"
@@ -143,6 +168,7 @@
     :param hangs_until: runs that start before make no progress until then.
     :param shares_address: whether another incarnation was up at its address at the same time.
     :param shrunk_s: when its capacity last shrank.
+    :param factors: how much longer work takes there than on a usual worker, and since when.
     """
 
     worker_id: str
@@ -168,6 +194,20 @@
     hangs_until: float = 0.0
     shares_address: bool = False
     shrunk_s: float = -math.inf
+    factors: list[tuple[float, float]] = field(default_factory=lambda: [(-math.inf, 1.0)])
+
+    @property
+    def time_factor(self) -> float:
+        """The present time factor."""
+        return self.factors[-1][1]
+
+    def factor_at(self, at_s: float) -> float:
+        """The time factor at a time."""
+        return next(factor for since_s, factor in reversed(self.factors) if since_s <= at_s)
+
+    def factor_since_s(self, at_s: float) -> float:
+        """Since when the worker had its time factor of a time."""
+        return next(since_s for since_s, _ in reversed(self.factors) if since_s <= at_s)
 
     @property
     def life(self) -> str:
@@ -192,6 +232,8 @@
     :ivar begun: all runs, in the order in which they began.
     :ivar broken: the violations found so far.
     :ivar late_gangs: whether the remaining members of a broken gang end with a delay.
+    :ivar gangs_wait: whether a gang ends with its slowest member rather than its fastest.
+    :ivar factor_of: the time factor of a worker that is added, by its address.
     """
 
     def __init__(self, world: SharedLoop, rng: random.Random, stop_s: float) -> None:
@@ -211,6 +253,8 @@
         self.crashed: dict[TaskName, list[float]] = {}
         self.died_beside = 0
         self.on_crash: Callable[[SimWorker], None] = self.end
+        self.gangs_wait = False
+        self.factor_of: Callable[[str], float] = _usual
 
     def add(self, rack: str, hall: str, address: str = "", worker_id: str = "") -> SimWorker:
         """Add an incarnation of a worker.
@@ -234,6 +278,7 @@
         for other in self.lives.values():
             if other.up and other.address == worker.address:
                 other.shares_address = worker.shares_address = True
+        worker.factors = [(worker.born_s, self.factor_of(worker.address))]
         self.lives[worker.life] = worker
         return worker
 
@@ -292,6 +337,8 @@
             self._check_capacity(worker, name)
         run = SimRun(name, order.run, worker, plan, vm, order.fence, ordered_s, self._world.time())
         run.done_s = float(order.saved or 0.0)
+        run.resumed = bool(order.saved)
+        run.work_s = plan.work_s * length_of(name) if plan.varies else plan.work_s
         self._begin(run)
         return StartReply(clock_ms, None)
 
@@ -404,22 +451,40 @@
 
     def _work(self, run: SimRun) -> None:
         now, worker = self._world.time(), run.worker
-        run.work_began_s = now
+        run.work_began_s = run.counts_from_s = now
         if self._is_crashing(run):
             after_s = self._rng.uniform(CRASHES_FROM_S, run.plan.crashes_s)
             self._world.call_later(after_s, self._crash, run)
         if now < worker.grey_until:
             self._world.call_later(worker.grey_s, self._fail_here, run)
             return
-        run.hung_until = max(now, worker.hangs_until)
+        run.counts_from_s = max(now, worker.hangs_until)
+        run.slowed = worker.time_factor
         if run.plan.near not in ("", worker.rack):
-            run.slowed = FAR_SLOWED
+            run.slowed *= FAR_SLOWED
+        self._await_done(run)
+
+    def _await_done(self, run: SimRun) -> None:
         if run.plan.lasts:
             return
-        left_s = max(0.01, run.plan.work_s - run.done_s) * run.slowed
+        left_s = max(0.01, run.work_s - run.done_s) * run.slowed
         if run.plan.fails_s and self._will_fail(run):
             left_s = min(left_s, run.plan.fails_s)
-        self._world.call_later(run.hung_until - now + left_s, self._see_done, run)
+        after_s = run.counts_from_s - self._world.time() + left_s
+        run.timer = self._world.call_later(after_s, self._see_done, run)
+
+    def set_time_factor(self, worker: SimWorker, factor: float) -> None:
+        """Change how long work takes at a worker, also that of its present runs."""
+        now, change = self._world.time(), factor / worker.time_factor
+        worker.factors.append((now, factor))
+        for run in worker.runs.values():
+            if run.timer is None or run.waits_s is not None or run.stopping:
+                continue
+            run.timer.cancel()
+            run.done_s = self._work_done_s(run)
+            run.counts_from_s = max(run.counts_from_s, now)
+            run.slowed *= change
+            self._await_done(run)
 
     def _is_crashing(self, run: SimRun) -> bool:
         first = run.task.step == 0 and run.task.occurrence == 0
@@ -448,7 +513,14 @@
     def _see_done(self, run: SimRun) -> None:
         if run.stopping or run.ended_s is not None:
             return
-        self._finish(run, EndKind.FAILED if self._will_fail(run) else EndKind.DONE)
+        if self._will_fail(run):
+            self._finish(run, EndKind.FAILED)
+            return
+        if self.gangs_wait and run.plan.gang:
+            run.waits_s = self._world.time()
+            if any(member.waits_s is None for member in self._members(run)):
+                return
+        self._finish(run, EndKind.DONE)
 
     def _will_fail(self, run: SimRun) -> bool:
         """Whether a run fails by its own fault."""
@@ -506,13 +578,13 @@
     def _work_done_s(self, run: SimRun) -> float:
         if run.work_began_s is None:
             return run.done_s
-        worked_s = max(0.0, self._world.time() - max(run.work_began_s, run.hung_until))
+        worked_s = max(0.0, self._world.time() - run.counts_from_s)
         return run.done_s + worked_s / run.slowed
 
     def _percent(self, run: SimRun) -> int:
         if run.plan.lasts:
             return 100
-        return min(99, int(100 * self._work_done_s(run) / run.plan.work_s))
+        return min(99, int(100 * self._work_done_s(run) / run.work_s))
 
     def judge(self) -> list[str]:
         """Return all violated invariants."""
@@ -532,3 +604,8 @@
                     if first.ended_s is not None and run.began_s > first.ended_s
                 ]
         return found
+
+
+def _usual(address: str) -> float:
+    """The time factor of a usual worker."""
+    return 1.0
