Soak with workers of unequal speed and with scheduling parts on

Workers of the soak were alike, and all members of a gang reported the progress of its slowest one. Workers may have a time factor that lasts beyond faults and incarnations and drifts; each member of a gang progresses at the rate of its own worker, waits at 99 percent, and the gang still ends with the slowest. VMs get the section scheduling only where a part is on, so older programs still start. Tested in virtual time, and by a short soak of real processes with all parts on.

--- a/src/saddlestack/cli/entry.py
+++ b/src/saddlestack/cli/entry.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import click
+import msgspec
 
 from saddlestack import logs
 from saddlestack.cli.output import errors_to_exit_codes
@@ -71,6 +72,22 @@
     type=click.Path(exists=True, file_okay=False, path_type=Path),
     help="Sources that the entry VMs run instead of these.",
 )
+@click.option(
+    "--unequal",
+    type=click.FloatRange(0, 1),
+    help="Share of slow workers, in place of that of the shape.",
+)
+@click.option(
+    "--factor",
+    type=click.FloatRange(1),
+    help="How much longer work takes on slow workers, in place of that of the shape.",
+)
+@click.option(
+    "--options",
+    default="",
+    help="Scheduling parts to switch on, with commas: worker_speeds, gang_priority, "
+    "demand_forecast.",
+)
 @click.option("--keep-logs", is_flag=True, help="Keep the logs even if no promise broke.")
 @errors_to_exit_codes
 def soak(
@@ -81,14 +98,20 @@
     calm: float,
     report: Path | None,
     program_src: Path | None,
+    unequal: float | None,
+    factor: float | None,
+    options: str,
     keep_logs: bool,
 ) -> None:
     """Run real processes on stand-ins with seeded random faults; exit 1 if a promise broke."""
     from saddlestack.soak.processes import Program
     from saddlestack.soak.run import SoakPlan, run
     from saddlestack.soak.shape import load as load_shape
+    from saddlestack.soak.shape import scheduling_with
 
-    shape = load_shape(shape_path)
+    shape = load_shape(shape_path).with_unequal_workers(unequal, factor)
+    if options:
+        shape = msgspec.structs.replace(shape, scheduling=scheduling_with(options))
     program = Program() if program_src is None else Program(program_src.resolve())
     good = True
     for each in range(seed, seed + seeds):
--- a/src/saddlestack/soak/gangs.py
+++ b/src/saddlestack/soak/gangs.py
@@ -1,9 +1,9 @@
 """Gangs whose members run in several host processes.
 
 Hosts report which members are present and when one ends. The hub notifies the hosts of a gang when
-it is complete, at which rate it works and how it ended. Only the first run of each task counts: any
-other one, or one that arrives once the gang is complete, waits until it times out. A gang works as
-fast as its slowest member.
+it is complete, at which rate each member works and how it ended. Only the first run of each task
+counts: any other one, or one that arrives once the gang is complete, waits until it times out. Each
+member works as fast as its worker, and the gang ends with its slowest member.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
     MemberGone,
     MemberPaced,
     MemberPresent,
+    MemberProgress,
 )
 from saddlestack.soak.progress import Progress
 
@@ -35,6 +36,7 @@
     worker: str
     rate: float
     rack: str
+    progress: Progress
 
 
 @dataclass(slots=True)
@@ -50,7 +52,6 @@
     """
 
     size: int
-    progress: Progress
     failures: int
     restore_s: float
     far_x: float
@@ -58,19 +59,30 @@
     whole_s: float | None = None
     timer: asyncio.TimerHandle | None = None
 
-    @property
-    def rate(self) -> float:
+    def update_rates(self, at_s: float) -> None:
+        """Let each member work at its own rate, which is lower for a gang on several racks."""
         racks = {member.rack for member in self.members.values()}
-        slowest = min(member.rate for member in self.members.values())
-        return slowest / self.far_x if len(racks) > 1 else slowest
+        divisor = self.far_x if len(racks) > 1 else 1.0
+        for member in self.members.values():
+            member.progress.set_rate(member.rate / divisor, at_s)
+
+    @property
+    def ends_s(self) -> float:
+        """When its slowest member will have done its work."""
+        return max(member.progress.ends_s for member in self.members.values())
 
     @property
-    def by_host(self) -> dict[int, frozenset[tuple[str, str]]]:
-        """The workers and tasks of members, by host."""
-        found: dict[int, set[tuple[str, str]]] = {}
-        for task, member in self.members.items():
-            found.setdefault(member.host, set()).add((member.worker, task))
-        return {host: frozenset(members) for host, members in found.items()}
+    def by_host(self) -> dict[int, tuple[MemberProgress, ...]]:
+        """The progress of the members, by host."""
+        found: dict[int, list[MemberProgress]] = {}
+        for task, member in sorted(self.members.items()):
+            progress = member.progress
+            found.setdefault(member.host, []).append(
+                MemberProgress(
+                    member.worker, task, progress.since_s, progress.done_s, progress.rate
+                )
+            )
+        return {host: tuple(members) for host, members in found.items()}
 
     def has_member(self, worker: str, task: str) -> bool:
         """Whether a worker's run of a task is a member."""
@@ -104,37 +116,34 @@
         if isinstance(message, MemberPaced):
             gang.members[message.task].rate = message.rate
             if gang.whole_s is not None:
-                self._set_progress(key, gang, gang.whole_s, _now())
+                self._update_rates(key, gang, gang.whole_s, _now())
         else:
             self._remove_member(key, gang, message)
 
     def _add_member(self, host: int, key: GangKey, message: MemberPresent) -> None:
         gang = self._gangs.get(key)
         if gang is None:
-            progress = Progress(message.work_s, message.done_s)
-            gang = _Gang(message.size, progress, message.failures, message.restore_s, message.far_x)
+            gang = _Gang(message.size, message.failures, message.restore_s, message.far_x)
             self._gangs[key] = gang
         if gang.whole_s is not None or message.task in gang.members:
             return
-        gang.members[message.task] = _Member(host, message.worker, message.rate, message.rack)
+        progress = Progress(message.work_s, message.done_s)
+        gang.members[message.task] = _Member(
+            host, message.worker, message.rate, message.rack, progress
+        )
         if len(gang.members) == gang.size:
             gang.whole_s = _now()
-            self._set_progress(key, gang, gang.whole_s, gang.whole_s + gang.restore_s)
+            self._update_rates(key, gang, gang.whole_s, gang.whole_s + gang.restore_s)
 
-    def _set_progress(self, key: GangKey, gang: _Gang, whole_s: float, at_s: float) -> None:
-        """Update the rate from the members and notify their hosts."""
-        gang.progress.set_rate(gang.rate, at_s)
+    def _update_rates(self, key: GangKey, gang: _Gang, whole_s: float, at_s: float) -> None:
+        """Update the rates of the members and notify their hosts."""
+        gang.update_rates(at_s)
         gang.cancel_timer()
-        ends_s = gang.progress.ends_s
-        if ends_s < math.inf:
+        if gang.ends_s < math.inf:
             loop = asyncio.get_running_loop()
-            gang.timer = loop.call_at(ends_s, self._finish, key, gang)
-        progress = gang.progress
+            gang.timer = loop.call_at(gang.ends_s, self._finish, key, gang)
         for host, members in gang.by_host.items():
-            moved = GangMoved(
-                *key, members, progress.since_s, progress.done_s, progress.rate, whole_s
-            )
-            self._send(host, moved)
+            self._send(host, GangMoved(*key, members, whole_s))
 
     def _remove_member(self, key: GangKey, gang: _Gang, message: MemberGone) -> None:
         del gang.members[message.task]
@@ -153,7 +162,8 @@
     def _end(self, key: GangKey, gang: _Gang, how: EndKind, failed: str = "") -> None:
         gang.cancel_timer()
         del self._gangs[key]
-        for host, members in gang.by_host.items():
+        for host, progress in gang.by_host.items():
+            members = frozenset((member.worker, member.task) for member in progress)
             self._send(host, GangEnded(*key, members, how.value, failed))
 
 
--- a/src/saddlestack/soak/hosts.py
+++ b/src/saddlestack/soak/hosts.py
@@ -28,7 +28,7 @@
     MachineSettings,
     Record,
 )
-from saddlestack.soak.shape import SoakShape
+from saddlestack.soak.shape import SoakShape, WorkerKind
 from saddlestack.soak.stream import MessageStream
 from saddlestack.standins.pool.documents import SERVICE
 from saddlestack.standins.ports import LOOPBACK
@@ -203,11 +203,16 @@
                     cpu=shape.worker.cpu,
                     memory_mb=shape.worker.memory_mb,
                     births=_is_in_share(number, shape.worker.births_share),
+                    time_factor=_time_factor(number, shape.worker),
                 )
             )
     return machines
 
 
+def _time_factor(number: int, worker: WorkerKind) -> float:
+    return worker.slow_factor if _is_in_share(number, worker.slow_share) else 1.0
+
+
 def _is_in_share(number: int, share: float) -> bool:
     """Whether the machine with a number, from 1, is in an evenly spread share of all."""
     return int(number * share) > int((number - 1) * share)
--- a/src/saddlestack/soak/machine.py
+++ b/src/saddlestack/soak/machine.py
@@ -36,6 +36,7 @@
     MachineSettings,
     Resize,
     RewriteRecord,
+    SetTimeFactor,
     TaskFault,
     TroubleTasks,
 )
@@ -126,6 +127,8 @@
         self._store_cut_until_s = 0.0
         self._is_draining = False
         self._is_silent = False
+        self._fault_speed = 1.0
+        self._time_factor = settings.time_factor
         self._restart_lock = asyncio.Lock()
         self.incarnation: WorkerIncarnation | None = None
 
@@ -155,6 +158,9 @@
             self._spawn(self._crash(command))
         elif isinstance(command, Resize):
             self._resize(command)
+        elif isinstance(command, SetTimeFactor):
+            self._time_factor = command.factor
+            self._set_fault_speed(self._fault_speed)
         elif isinstance(command, RewriteRecord):
             if self._record is not None:
                 self._spawn(self._record.rewrite(command.how))
@@ -185,6 +191,7 @@
         )
         self.incarnation = incarnation
         incarnation.on_crash = self._crash_by_task
+        self._set_fault_speed(1.0)
         self._is_draining = False
         self._record = RecordWriter(
             context.store,
@@ -298,7 +305,7 @@
             incarnation.fails_new_runs = True
         else:
             is_stuck = command.how is TaskFault.STUCK
-            incarnation.set_speed(0.0 if is_stuck else 1.0 / command.factor)
+            self._set_fault_speed(0.0 if is_stuck else 1.0 / command.factor)
         await asyncio.sleep(command.seconds)
         if _now() >= self._tasks_faulty_until_s:
             self._heal_tasks()
@@ -306,7 +313,13 @@
     def _heal_tasks(self) -> None:
         if self.incarnation is not None:
             self.incarnation.fails_new_runs = False
-            self.incarnation.set_speed(1.0)
+        self._set_fault_speed(1.0)
+
+    def _set_fault_speed(self, speed: float) -> None:
+        """Set how much a fault slows the machine's work down, beside its time factor."""
+        self._fault_speed = speed
+        if self.incarnation is not None:
+            self.incarnation.set_speed(speed / self._time_factor)
 
     async def _handle(self, request: Request) -> Response:
         self._context.count_call()
--- a/src/saddlestack/soak/messages.py
+++ b/src/saddlestack/soak/messages.py
@@ -18,6 +18,7 @@
 
     :param address: the machine's own loopback address.
     :param births: the worker publishes its start time and keeps its id when it starts again.
+    :param time_factor: how much longer work takes there than on a usual machine.
     """
 
     name: str
@@ -28,6 +29,7 @@
     cpu: int
     memory_mb: int
     births: bool = False
+    time_factor: float = 1.0
 
 
 class HostSettings(msgspec.Struct, frozen=True):
@@ -228,26 +230,44 @@
     how: RecordCorruption
 
 
+class SetTimeFactor(Command, frozen=True, tag=True, kw_only=True):
+    """The machines become slower or faster; this is no fault and does not heal.
+
+    :param factor: how much longer work takes there than on a usual machine.
+    """
+
+    factor: float
+
+
 class Heal(Command, frozen=True, tag=True, kw_only=True):
     """All lasting faults end; machines without a worker start a new one."""
 
 
-class GangMoved(msgspec.Struct, frozen=True, tag=True):
-    """A complete gang works at this rate from a given time on.
+class MemberProgress(msgspec.Struct, frozen=True):
+    """A member of a complete gang works at this rate from a given time on.
 
-    :param members: the members at the host, as pairs of worker and task.
     :param at_s: when the rate takes effect.
     :param done_s: seconds of work done by ``at_s``.
     :param rate: seconds of work per second.
-    :param whole_s: when the gang became complete.
     """
 
-    step: str
-    run: int
-    members: frozenset[tuple[str, str]]
+    worker: str
+    task: str
     at_s: float
     done_s: float
     rate: float
+
+
+class GangMoved(msgspec.Struct, frozen=True, tag=True):
+    """A gang became complete, or a member changed its rate.
+
+    :param members: the progress of the members at the host.
+    :param whole_s: when the gang became complete.
+    """
+
+    step: str
+    run: int
+    members: tuple[MemberProgress, ...]
     whole_s: float
 
 
@@ -279,6 +299,7 @@
     | Crash
     | RewriteRecord
     | Resize
+    | SetTimeFactor
     | Heal
     | GangMoved
     | GangEnded
--- a/src/saddlestack/soak/processes.py
+++ b/src/saddlestack/soak/processes.py
@@ -11,7 +11,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import msgspec
+
 import saddlestack
+from saddlestack.control.settings import Scheduling
 from saddlestack.soak.shape import ShapeTimes
 
 CLIENTS_PORT = 7100
@@ -78,6 +81,7 @@
     store: str
     times: ShapeTimes
     program: Program = OWN_PROGRAM
+    scheduling: Scheduling = field(default_factory=Scheduling)
     process: asyncio.subprocess.Process | None = None
     restart_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _pause_count: int = 0
@@ -121,6 +125,8 @@
             "link_mbps": STRONG_LINK_MBPS if site.strong else WEAK_LINK_MBPS,
             "timings": timings,
         }
+        if self.scheduling != Scheduling():
+            settings["scheduling"] = msgspec.to_builtins(self.scheduling)
         self._settings_file.write_text(json.dumps(settings))
         self.block_addresses(())
 
--- a/src/saddlestack/soak/run.py
+++ b/src/saddlestack/soak/run.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from saddlestack.soak.assessment import Observations, assess
+from saddlestack.soak.drift import drift_speeds
 from saddlestack.soak.faults import FaultInjector
 from saddlestack.soak.hosts import WorkerHosts
 from saddlestack.soak.load import Load
@@ -61,6 +62,7 @@
         self._platform = SoakPlatform(plan.shape, vms, folder, rng.getrandbits(64))
         self._load_rng = random.Random(rng.getrandbits(64))
         self._fault_rng = random.Random(rng.getrandbits(64))
+        self._drift_rng = random.Random(f"{plan.seed} drift")
         self._entries: list[EntryProcess] = []
         self._hosts: WorkerHosts | None = None
 
@@ -102,12 +104,15 @@
     async def _run_clients(self, hosts: WorkerHosts, observations: Observations) -> None:
         """Run clients and faults, then wait for the accepted jobs to end."""
         shape = self._plan.shape
-        clients = asyncio.get_running_loop().create_task(observations.load.run())
+        loop = asyncio.get_running_loop()
+        clients = loop.create_task(observations.load.run())
+        drift = loop.create_task(drift_speeds(hosts, shape.worker, self._drift_rng))
         await asyncio.sleep(shape.lead_s + self._plan.calm_s)
         if self._plan.seconds:
             await self._inject_faults(hosts, observations)
-        clients.cancel()
-        await asyncio.gather(clients, return_exceptions=True)
+        for task in (clients, drift):
+            task.cancel()
+        await asyncio.gather(clients, drift, return_exceptions=True)
         await observations.load.settle(shape.settle_s)
 
     async def _inject_faults(self, hosts: WorkerHosts, observations: Observations) -> None:
@@ -146,7 +151,8 @@
         times = self._plan.shape.times
         for site in self._sites:
             store = f"{LOOPBACK}:{self._platform.ports[site.name]}"
-            entry = EntryProcess(site, self._folder, store, times, self._plan.program)
+            scheduling = self._plan.shape.scheduling
+            entry = EntryProcess(site, self._folder, store, times, self._plan.program, scheduling)
             entry.write_settings()
             self._entries.append(entry)
         await asyncio.gather(*(entry.start() for entry in self._entries))
--- a/src/saddlestack/soak/shape.py
+++ b/src/saddlestack/soak/shape.py
@@ -9,7 +9,10 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import msgspec
+
 from saddlestack.codec import read_json_with_comments
+from saddlestack.control.settings import Scheduling
 from saddlestack.errors import invalid
 from saddlestack.models import Model
 
@@ -17,6 +20,8 @@
 MAX_WORKERS = 400
 MAX_WORKER_HOSTS = 16
 MAX_PRIORITY = 2
+SCHEDULING_PARTS = ("worker_speeds", "gang_priority", "demand_forecast")
+"""The settings under ``scheduling`` that switch a part on."""
 
 
 class FaultKind(enum.StrEnum):
@@ -87,6 +92,10 @@
     :param cpu: thousandths of a core.
     :param births_share: the share of workers that report their start time and keep their id when
         they restart; each incarnation of the others has an id of its own.
+    :param slow_share: the share of workers that are slow.
+    :param slow_factor: how much longer work takes on these than on the others.
+    :param drift_per_s: how often a random worker is drawn anew, so that it may turn slow or
+        recover.
     """
 
     rack: int
@@ -94,6 +103,9 @@
     cpu: int
     memory_mb: int
     births_share: float = 0.0
+    slow_share: float = 0.0
+    slow_factor: float = 2.4
+    drift_per_s: float = 0.05
 
 
 class ShapeTimes(Model, frozen=True):
@@ -237,6 +249,7 @@
         independently, so that adding one does not change the other faults of a seed.
     :param failing: bursts of jobs that always fail, in addition to all others and drawn
         independently as well; ``None`` for none.
+    :param scheduling: the optional scheduling decisions of the entry VMs.
     """
 
     name: str
@@ -251,6 +264,7 @@
     settle_s: float
     more_faults: tuple[FaultMix, ...] = ()
     failing: FailingJobs | None = None
+    scheduling: Scheduling = Scheduling()
 
     @property
     def vms(self) -> int:
@@ -267,6 +281,26 @@
         """Jobs per second of all kinds."""
         return sum(kind.rate_per_s for kind in self.kinds)
 
+    def with_unequal_workers(self, share: float | None, factor: float | None) -> SoakShape:
+        """The shape with another share of slow workers, or another factor; ``None`` keeps each."""
+        given = {"slow_share": share, "slow_factor": factor}
+        changes = {key: value for key, value in given.items() if value is not None}
+        return msgspec.structs.replace(self, worker=msgspec.structs.replace(self.worker, **changes))
+
+
+def scheduling_with(parts: str) -> Scheduling:
+    """Return the settings with some optional scheduling decisions switched on.
+
+    :param parts: names of :data:`SCHEDULING_PARTS`, with commas.
+    :raises SaddlestackError: a name is unknown.
+    """
+    names = [name for name in parts.split(",") if name]
+    unknown = sorted(set(names) - set(SCHEDULING_PARTS))
+    if unknown:
+        expected = ", ".join(SCHEDULING_PARTS)
+        raise invalid(f"expected some of {expected}, got {', '.join(unknown)}", "options")
+    return Scheduling(**dict.fromkeys(names, True))
+
 
 def load(path: Path) -> SoakShape:
     """Read and check a shape.
@@ -306,7 +340,10 @@
     yield from _check_range("worker_hosts", shape.worker_hosts, 1, MAX_WORKER_HOSTS)
     for key in ("rack", "accelerators", "cpu", "memory_mb"):
         yield from _check_range(f"worker.{key}", getattr(shape.worker, key), 1, 10_000_000)
-    yield from _check_range("worker.births_share", shape.worker.births_share, 0, 1)
+    for key in ("births_share", "slow_share"):
+        yield from _check_range(f"worker.{key}", getattr(shape.worker, key), 0, 1)
+    yield from _check_range("worker.slow_factor", shape.worker.slow_factor, 1, 100)
+    yield from _check_range("worker.drift_per_s", shape.worker.drift_per_s, 0, 100)
 
 
 def _time_errors(times: ShapeTimes) -> Iterator[str]:
--- a/src/saddlestack/soak/worker_incarnation.py
+++ b/src/saddlestack/soak/worker_incarnation.py
@@ -54,6 +54,8 @@
 MIN_STOP_SHARE = 0.2
 """A stop takes between this share and all of the longest stop time."""
 FULL_PACE_PERCENT = 100
+WAITING_PERCENT = 99
+"""Progress of a member of a gang that has done its work and waits for the others."""
 
 Notify = Callable[[Record | GangMessage], None]
 RunKey = tuple[TaskName, int]
@@ -308,9 +310,11 @@
         self._notify(LifeResized(self.worker_id, _now(), self.accelerators))
 
     def gang_moved(self, moved: GangMoved) -> None:
-        """Handle that a gang became complete or changed its rate."""
-        for run in self._members(moved):
-            if run.stopping:
+        """Handle that a gang became complete or that a member changed its rate."""
+        runs = self._gangs.get((moved.step, moved.run), {})
+        for member in moved.members:
+            run = runs.get((TaskName.parse(member.task), moved.run))
+            if member.worker != self.worker_id or run is None or run.stopping:
                 continue
             if not run.is_working:
                 run.is_working = True
@@ -318,20 +322,17 @@
                 self._notify(RunWorks(self.worker_id, str(run.name), run.number, moved.whole_s))
                 if run.fails_at_once:
                     self._schedule_end(run, _now() + FAIL_AFTER_S, EndKind.FAILED)
-            run.progress = Progress(run.progress.work_s, moved.done_s, moved.rate, moved.at_s)
+            run.progress = Progress(run.progress.work_s, member.done_s, member.rate, member.at_s)
 
     def gang_ended(self, ended: GangEnded) -> None:
         """Handle the end of a gang that was complete."""
         self._lease.check()
-        for run in self._members(ended):
+        runs = self._gangs.get((ended.step, ended.run), {}).values()
+        members = [run for run in runs if (self.worker_id, str(run.name)) in ended.members]
+        for run in members:
             failed = ended.failed == str(run.name)
             self._finish(run, EndKind.FAILED if failed else EndKind(ended.how))
 
-    def _members(self, message: GangMoved | GangEnded) -> list[Run]:
-        """Return the runs of this worker that a message concerns."""
-        runs = self._gangs.get((message.step, message.run), {}).values()
-        return [run for run in runs if (self.worker_id, str(run.name)) in message.members]
-
     def _wait_for_gang(self, run: Run, *, restored: bool) -> None:
         run.is_working = False
         self._gangs.setdefault((run.step, run.number), {})[(run.name, run.number)] = run
@@ -444,7 +445,8 @@
         return RunningTask(str(run.name), run.number, self._checkpoint_of(run, now), percent)
 
     def _percent_done(self, run: Run, now: float) -> int:
-        return int(100 * run.progress.at(now) / run.plan.work_s)
+        percent = int(100 * run.progress.at(now) / run.plan.work_s)
+        return min(percent, WAITING_PERCENT) if run.plan.gang else percent
 
     def _checkpoint_of(self, run: Run, now: float, *, exact: bool = False) -> str:
         """The saved work: whole checkpoints, or all of it (``exact``); empty for none."""
--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -12,15 +12,13 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from saddlestack.control.settings import Scheduling
+from saddlestack.errors import SaddlestackError
+from saddlestack.soak.shape import SCHEDULING_PARTS, scheduling_with
 from tests.simulation.day import Verdict, day_of
 from tests.simulation.hard_load import HardLoad
 from tests.simulation.jobs import KINDS, JobKinds
 from tests.simulation.speeds import Speeds
 
-OPTIONS = ("worker_speeds", "gang_priority", "demand_forecast")
-"""The optional scheduling decisions."""
-
 
 @dataclass(slots=True)
 class Summary:
@@ -108,9 +106,7 @@
     parser.add_argument("--factor", type=float, default=2.4, help="time factor of slow workers")
     parser.add_argument("--drift", type=float, default=0.05, help="changes of speed per second")
     parser.add_argument("--crowd", action="store_true", help="crowds of jobs of all priorities")
-    parser.add_argument(
-        "--options", default="", help=f"scheduling parts, with commas: {', '.join(OPTIONS)}"
-    )
+    parser.add_argument("--options", default="", help=f"with commas: {', '.join(SCHEDULING_PARTS)}")
     parser.add_argument("--by-the-pages", action="store_true", help="no record goes early")
     parser.add_argument("--found", type=Path, help="a file that broken days are added to")
     return parser.parse_args()
@@ -125,14 +121,6 @@
     return HardLoad(Speeds(options.unequal, options.factor, options.drift), options.crowd)
 
 
-def _scheduling(options: argparse.Namespace) -> Scheduling:
-    """The settings with the parts that the options switch on."""
-    named = [part for part in options.options.split(",") if part]
-    if not set(named) <= set(OPTIONS):
-        raise SystemExit(f"no such options: {', '.join(sorted(set(named) - set(OPTIONS)))}")
-    return Scheduling(**dict.fromkeys(named, True))
-
-
 def main() -> None:
     """Run the days that the options select."""
     options = _options()
@@ -140,6 +128,10 @@
     named = frozenset(kind for kind in options.jobs.split(",") if kind)
     if not named <= set(KINDS):
         raise SystemExit(f"no such kinds of jobs: {', '.join(sorted(named - set(KINDS)))}")
+    try:
+        scheduling = scheduling_with(options.options)
+    except SaddlestackError as error:
+        raise SystemExit(str(error)) from None
     kinds = JobKinds(named, options.failing, options.crashing)
     summary = Summary()
     for seed in range(options.first, options.first + options.count):
@@ -152,7 +144,7 @@
             calm=options.calm,
             kinds=kinds,
             hard=_hard_load(options),
-            scheduling=_scheduling(options),
+            scheduling=scheduling,
         )
         verdict = day.play()
         took_s = time.process_time() - began
