Open the headroom to normal gangs by slack

Normal gangs waited 15 s beside empty workers kept for urgent work, longer than their objective allows. With gang_priority on, the headroom opens to a gang once its slack is below its work or 2 s. Gangs that may not be stopped again are left out, so urgent work can get the workers back. The wait of 15 s stays the upper limit. With the option off nothing is computed.

--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -9,11 +9,13 @@
 from saddlestack.policy.cluster.backfill import Backfill
 from saddlestack.policy.cluster.candidates import Candidates, prefers_near
 from saddlestack.policy.cluster.crashes import CrashTracker
+from saddlestack.policy.cluster.gang_priority import GangPriority
 from saddlestack.policy.cluster.headroom import headroom_allows
 from saddlestack.policy.cluster.index import CapacityIndex
 from saddlestack.policy.cluster.isolation import IsolatedPlacement, Isolation, IsolationPool
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, Job, Run, StepState, Task
 from saddlestack.policy.cluster.lending import Lending
+from saddlestack.policy.cluster.options import SchedulingOptions
 from saddlestack.policy.cluster.placement import whole_racks
 from saddlestack.policy.cluster.places import (
     IsKept,
@@ -30,6 +32,7 @@
     is_overdue,
 )
 from saddlestack.policy.cluster.shapes import FailedShapes, Shape, ShapeNumbers, StepShapes
+from saddlestack.policy.cluster.slack import Slack, WorkEstimates
 from saddlestack.policy.cluster.stalled import StalledPlacement
 from saddlestack.policy.cluster.wait_limits import (
     HEADROOM_WAIT_S,
@@ -49,7 +52,11 @@
 
 
 class Planner:
-    """Assigns the waiting steps of all jobs to workers, in priority order."""
+    """Assigns the waiting steps of all jobs to workers, in priority order.
+
+    :param options: the optional decisions; none by default.
+    :param work: how long steps work; by default what clients declare.
+    """
 
     def __init__(
         self,
@@ -57,6 +64,8 @@
         index: CapacityIndex,
         worker_preferences: WorkerPreferences,
         crashes: CrashTracker,
+        options: SchedulingOptions | None = None,
+        work: WorkEstimates | None = None,
     ) -> None:
         self._cluster_state = cluster_state
         self._index = index
@@ -67,6 +76,9 @@
         self._reservations = Reservations()
         self._lending = Lending()
         self._backfill = Backfill()
+        self._slack = Slack(work)
+        enabled = options is not None and options.gang_priority
+        self._gang_priority = GangPriority(self._slack, enabled=enabled)
         self._candidates = Candidates(cluster_state, index, self._backfill, self._is_open)
         self._failed_shapes = FailedShapes()
         self._stalled = StalledPlacement(
@@ -113,6 +125,7 @@
         self._starts = 0
         self._isolation_searches = 0
         self._stalled.begin()
+        self._slack.begin_round(now, wall_ms)
         self._backfill.clear()
         self._failed_shapes.clear()
         self._reservations.release_expired(now)
@@ -150,7 +163,7 @@
 
     def _place(self, step: StepState, entitled: set[str], now: float) -> None:
         is_top = step.occurrence.job.priority == TOP_PRIORITY
-        shape = self._shape(step, now)
+        shape = self._gang_priority.shape(step, self._shape(step, now))
         full = shape in self._failed_shapes.full
         if not may_start(step):
             self._waiting.remove(step)
@@ -375,7 +388,7 @@
         if step.occurrence.job.priority == TOP_PRIORITY or step.step.long_running:
             return True
         waited_s = step.waited_s(now)
-        if waited_s > HEADROOM_WAIT_S:
+        if waited_s > HEADROOM_WAIT_S or self._gang_priority.opens_headroom(step):
             return True
         return headroom_allows(self._candidates.service_capacity(step), places, waited_s)
 
--- /dev/null
+++ b/src/saddlestack/policy/cluster/slack.py
@@ -0,0 +1,118 @@
+"""Slack: how long a step may still wait before its job can no longer meet its objective.
+
+The objective is the job's ``stretch`` times its longest chain of work, plus its ``target_ms``. It
+counts from the job's acceptance or, for a later occurrence, from when that was due. Slack is
+unknown where the work of any step is. It only orders preferences: estimates may be wrong, so no
+invariant depends on it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from saddlestack.policy.cluster.jobs import Occurrence, StepState
+
+WORTHLESS_FACTOR = 3.0
+"""A job that takes longer than this many times its objective earns nothing."""
+
+
+class WorkEstimates(Protocol):
+    """Knows how long steps work."""
+
+    def typical_work_s(self, step: StepState) -> float | None:
+        """Seconds of work of a task on a usual worker, or ``None`` if unknown."""
+        ...
+
+
+class DeclaredWork:
+    """Takes the estimates that clients declare. They may be missing or off by a factor of ten."""
+
+    def typical_work_s(self, step: StepState) -> float | None:
+        """The step's own estimate in seconds, or ``None`` if it has none."""
+        return step.step.estimate_ms / 1000 or None
+
+
+@dataclass(frozen=True, slots=True)
+class _Work:
+    """Work of an occurrence.
+
+    :param chain_s: seconds of its longest chain of work.
+    :param left_s: by step, seconds of the longest chain that begins with the step.
+    """
+
+    chain_s: float
+    left_s: Sequence[float]
+
+
+class Slack:
+    """Slack of the steps of a cluster, at the time of the current round."""
+
+    def __init__(self, work: WorkEstimates | None = None) -> None:
+        self._estimates: WorkEstimates = work or DeclaredWork()
+        self._now = 0.0
+        self._wall_ms = 0.0
+        self._work: dict[Occurrence, _Work | None] = {}
+
+    def begin_round(self, now: float, wall_ms: float) -> None:
+        """Set the time, and drop what the last round has computed."""
+        self._now = now
+        self._wall_ms = wall_ms
+        self._work.clear()
+
+    def work_s(self, step: StepState) -> float | None:
+        """Seconds of work of a step, or ``None`` if unknown."""
+        return None if step.step.long_running else self._estimates.typical_work_s(step)
+
+    def slack_s(self, step: StepState) -> float | None:
+        """Seconds for which a step may still wait; negative if it is too late, ``None`` if unknown.
+
+        The work of the step counts in full, also if it has begun.
+        """
+        work = self._work_of(step.occurrence)
+        if work is None:
+            return None
+        left_s = work.left_s[step.number]
+        return self._objective_s(step, work) - self._elapsed_s(step) - left_s
+
+    def worthless_for_s(self, step: StepState) -> float | None:
+        """Seconds for which a job has been past :data:`WORTHLESS_FACTOR` times its objective.
+
+        ``None`` if it is not, or if its objective is unknown.
+        """
+        work = self._work_of(step.occurrence)
+        if work is None:
+            return None
+        past_s = self._elapsed_s(step) - WORTHLESS_FACTOR * self._objective_s(step, work)
+        return past_s if past_s > 0 else None
+
+    def _objective_s(self, step: StepState, work: _Work) -> float:
+        accepted = step.occurrence.job.accepted
+        return accepted.stretch * work.chain_s + accepted.target_ms / 1000
+
+    def _elapsed_s(self, step: StepState) -> float:
+        """Seconds since the objective began to count.
+
+        At least as long as the step has waited under this leader: the wall clock that stamped the
+        acceptance may have been ahead.
+        """
+        occurrence = step.occurrence
+        since_ms = max(occurrence.job.accepted.accepted_ms, occurrence.due_ms)
+        return max((self._wall_ms - since_ms) / 1000, step.waited_s(self._now), 0.0)
+
+    def _work_of(self, occurrence: Occurrence) -> _Work | None:
+        if occurrence not in self._work:
+            self._work[occurrence] = self._compute_work(occurrence)
+        return self._work[occurrence]
+
+    def _compute_work(self, occurrence: Occurrence) -> _Work | None:
+        left_s = [0.0] * len(occurrence.steps)
+        for step in reversed(occurrence.steps):
+            work_s = self.work_s(step)
+            if work_s is None:
+                return None
+            left_s[step.number] += work_s
+            for earlier in step.step.after:
+                left_s[earlier] = max(left_s[earlier], left_s[step.number])
+        return _Work(max(left_s), left_s)
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -60,7 +60,9 @@
         self._fault_attribution = FaultAttribution(self.workers)
         self._crashes = CrashTracker(self.workers)
         self._findings: list[CrashFinding] = []
-        self._planner = Planner(self, self._index, self._worker_preferences, self._crashes)
+        self._planner = Planner(
+            self, self._index, self._worker_preferences, self._crashes, self.options
+        )
 
     def configure(
         self,
