Keep the same workers for a normal gang from round to round

Chosen anew in each round, the workers that fit a gang soonest changed with each end of a run, and narrow work filled those kept before. They now stay until the gang starts, they become unusable or others are available within half the time; the gang whose slack ends first comes first. They are kept from normal work as well: an older step for 8 s at most, bulk work for 30 s, so that nobody waits for ever. Urgent work and an idle pool are not affected.

--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -8,6 +8,7 @@
 from saddlestack.policy.cluster.fits import FitCache, FitKey
 from saddlestack.policy.cluster.index import CapacityIndex, ServiceCapacity
 from saddlestack.policy.cluster.jobs import StepState, Task
+from saddlestack.policy.cluster.kept_workers import KeptWorkers
 from saddlestack.policy.cluster.placement import whole_racks
 from saddlestack.policy.cluster.places import IndexedPlaces, IsKept, ListedPlaces, Places
 from saddlestack.policy.cluster.planner_context import PlannerContext
@@ -26,12 +27,14 @@
         cluster_state: PlannerContext,
         index: CapacityIndex,
         backfill: Backfill,
+        kept_workers: KeptWorkers,
         is_open: Callable[[Task], bool],
     ) -> None:
         self._cluster_state = cluster_state
         self._index = index
         self._fits = FitCache(index)
         self._backfill = backfill
+        self._kept_workers = kept_workers
         self._is_open = is_open
 
     def service_capacity(self, step: StepState) -> ServiceCapacity:
@@ -127,11 +130,27 @@
         return fitting >= sum(1 for task in step.tasks if self._is_open(task))
 
     def kept(self, step: StepState) -> IsKept | None:
-        """Test for workers that are kept for gangs of higher priority.
+        """Test for workers that are kept for gangs that go before a step.
 
         ``None`` if none are kept from the step. An idle pool keeps none, and long-running steps
         may use all.
         """
+        by_priority = self._kept_by_priority(step)
+        held_back = self.held_back(step)
+        if by_priority is None or held_back is None:
+            return by_priority or held_back
+        first, second = by_priority, held_back
+        return lambda worker: first(worker) or second(worker)
+
+    def held_back(self, step: StepState) -> IsKept | None:
+        """Test for workers that are kept from a step for normal gangs by their slack, as above."""
+        if step.step.long_running or not self._kept_workers.keeps_from(step):
+            return None
+        if not self.service_capacity(step).open.is_half_used:
+            return None
+        return lambda worker: self._kept_workers.is_kept(worker, step)
+
+    def _kept_by_priority(self, step: StepState) -> IsKept | None:
         priority = step.occurrence.job.priority
         if step.step.long_running or not self._backfill.keeps_from(priority):
             return None
--- a/src/saddlestack/policy/cluster/diagnosis.py
+++ b/src/saddlestack/policy/cluster/diagnosis.py
@@ -39,6 +39,7 @@
 PREFERENCES = frozenset(
     {
         WaitReason.BACKFILL,
+        WaitReason.GANG_FIRST,
         WaitReason.HEADROOM,
         WaitReason.NEAR_DATA,
         WaitReason.ONE_RACK,
@@ -122,6 +123,7 @@
     priority: int
     long_running: bool
     needs_proven_worker: bool
+    kept_rank: int
 
 
 @dataclass(slots=True)
@@ -348,6 +350,7 @@
             near=self._cluster_state.planner.waits_near_data(step, self._now),
             advised=self._cluster_state.is_advised(step.occurrence.job),
             now=self._now,
+            held_back=self._cluster_state.planner.held_back_from(step),
         ).check()
         if kind is not None:
             self._cache[kind] = found
@@ -364,6 +367,9 @@
         job = step.occurrence.job
         if self._cluster_state.is_advised(job) or step.has_avoided_workers or step.step.per_worker:
             return None
+        kept_rank = self._cluster_state.planner.kept_rank(step)
+        if kept_rank is None:
+            return None
         needs = step.step
         near = (
             needs.data_rack if self._cluster_state.planner.waits_near_data(step, self._now) else ""
@@ -379,6 +385,7 @@
             priority=job.priority,
             long_running=needs.long_running,
             needs_proven_worker=step.needs_proven_worker,
+            kept_rank=kept_rank,
         )
 
 
--- a/src/saddlestack/policy/cluster/feasibility.py
+++ b/src/saddlestack/policy/cluster/feasibility.py
@@ -24,6 +24,7 @@
     WaitReason.FAILED_THERE,
     WaitReason.ADVISER,
     WaitReason.BACKFILL,
+    WaitReason.GANG_FIRST,
     WaitReason.RESERVED,
     WaitReason.ISOLATED,
     WaitReason.TRIAL,
@@ -163,6 +164,7 @@
     """Checks one step against all workers of a service.
 
     :param kept: whether a worker is kept for waiting gangs; ``None`` if no worker is.
+    :param held_back: whether it is kept for a gang by that gang's slack; ``None`` if no worker is.
     :param near: whether the step waits for a place near its data.
     :param advised: whether its starts need the adviser's approval.
     """
@@ -176,8 +178,10 @@
         near: bool,
         advised: bool,
         now: float,
+        held_back: IsKept | None = None,
     ) -> None:
         self._step = step
+        self._held_back = held_back
         self._pool = pool
         self._kept = kept
         self._near = near
@@ -239,7 +243,9 @@
     def _level_with_backfill(self, worker: Worker, level: int) -> int:
         if self._kept is None or not self._kept(worker):
             return level
-        return max(level, _LEVEL_OF[WaitReason.BACKFILL])
+        by_slack = self._held_back is not None and self._held_back(worker)
+        reason = WaitReason.GANG_FIRST if by_slack else WaitReason.BACKFILL
+        return max(level, _LEVEL_OF[reason])
 
     def _exclude_far_from_data(self) -> None:
         """Exclude the other racks while a worker near the data takes work."""
--- a/src/saddlestack/policy/cluster/gang_priority.py
+++ b/src/saddlestack/policy/cluster/gang_priority.py
@@ -7,8 +7,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from saddlestack.policy.cluster.jobs import StepState
+from saddlestack.policy.cluster.kept_workers import KeptWorkers
 from saddlestack.policy.cluster.slack import Slack
+from saddlestack.policy.cluster.workers import Worker
 
 NORMAL_PRIORITY = 1
 """The priority between urgent and bulk."""
@@ -19,13 +23,35 @@
 class GangPriority:
     """Decides what is done for waiting gangs.
 
+    :param kept: the workers that are kept for them.
     :param enabled: whether the option is on.
     """
 
-    def __init__(self, slack: Slack, *, enabled: bool) -> None:
+    def __init__(self, slack: Slack, kept: KeptWorkers, *, enabled: bool) -> None:
         self._slack = slack
+        self._kept = kept
         self._enabled = enabled
 
+    def begin_round(self, now: float, wall_ms: float) -> None:
+        """Set the time, and drop what is kept for gangs that wait no more."""
+        if self._enabled:
+            self._slack.begin_round(now, wall_ms)
+            self._kept.begin_round(now)
+
+    def keep(self, step: StepState, soonest: Sequence[Worker]) -> bool:
+        """Keep workers for a waiting gang, if it is one that this module favors.
+
+        :param soonest: the workers where it fits soonest.
+        """
+        if not self._is_favored(step) or self._slack.slack_s(step) is None:
+            return False
+        self._kept.keep(step, soonest)
+        return True
+
+    def release(self, step: StepState) -> bool:
+        """Keep no workers for a step any more; returns whether any were kept."""
+        return self._kept.release(step)
+
     def opens_headroom(self, step: StepState) -> bool:
         """Whether the headroom is open to a step because little of its slack is left.
 
@@ -41,11 +67,16 @@
     def shape(self, step: StepState, shape: int | None) -> int | None:
         """The number by which steps are equal if slack counts as well as their shape.
 
+        ``None`` if no other step is equal.
+
         :param shape: the number of the step's shape.
         """
         if not self._enabled or shape is None:
             return shape
-        return 2 * shape + self.opens_headroom(step)
+        rank = self._kept.rank(step)
+        if rank is None:
+            return None
+        return (shape * self._kept.rank_count + rank) * 2 + self.opens_headroom(step)
 
     def _is_favored(self, step: StepState) -> bool:
         """Whether a step is a gang of normal priority."""
--- /dev/null
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -0,0 +1,211 @@
+"""Workers that are kept for normal gangs, the same ones from round to round.
+
+A gang needs many workers free together. Chosen anew in each round, the workers that fit soonest
+change with each end of a run, and narrow work fills the ones that were kept before.
+"""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_right
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from saddlestack.policy.cluster.backfill import MAX_KEPT_GANGS
+from saddlestack.policy.cluster.jobs import Job, Run, StepState
+from saddlestack.policy.cluster.progress import remaining_s
+from saddlestack.policy.cluster.slack import Slack
+from saddlestack.policy.cluster.waiting import may_start
+from saddlestack.policy.cluster.workers import Worker
+
+EQUAL_HELD_S = 8.0
+"""A step that has waited for longer than this is not held back for gangs of its priority that were
+accepted later, so that of any two steps the older one goes first in the end."""
+LOWER_HELD_S = 30.0
+"""A step of lower priority that has waited for longer than this is not held back for gangs. Bulk
+work meets its objective of some 20 s rarely after that, and must not wait for ever."""
+SOONER_SHARE = 0.5
+"""Other workers replace the kept ones if they are available within this share of the time."""
+MIN_SOONER_S = 0.5
+"""They do not if that gains less than this, the longest time between two rounds."""
+_CLASSES = MAX_KEPT_GANGS + 2
+"""Number of different results of each part of :meth:`KeptWorkers.rank`."""
+
+
+@dataclass(slots=True, eq=False)
+class KeptSet:
+    """The workers that are kept for a gang."""
+
+    step: StepState
+    workers: tuple[Worker, ...]
+
+
+class KeptWorkers:
+    """The sets of workers that are kept for gangs, at most :data:`MAX_KEPT_GANGS`.
+
+    :param service_of: returns the service that runs a job.
+    """
+
+    def __init__(self, slack: Slack, service_of: Callable[[Job], str]) -> None:
+        self._slack = slack
+        self._service_of = service_of
+        self._now = 0.0
+        self._sets: dict[StepState, KeptSet] = {}
+        self._owners: dict[Worker, StepState] = {}
+        self._slacks: list[float] = []
+        self._accepted: list[int] = []
+
+    def begin_round(self, now: float) -> None:
+        """Drop the sets that are of no more use; the gang whose slack ends first goes first."""
+        self._now = now
+        if not self._sets:
+            return
+        waiting = [each for each in self._sets.values() if may_start(each.step)]
+        waiting.sort(key=lambda each: self._slack_s(each.step))
+        self._sets.clear()
+        self._owners.clear()
+        for each in waiting:
+            if self._is_usable(each):
+                self._put(each)
+        self._slacks = sorted(self._slack_s(step) for step in self._sets)
+        self._accepted = sorted(_accepted_ms(step) for step in self._sets)
+
+    def of(self, step: StepState) -> tuple[Worker, ...]:
+        """The workers that are kept for a gang, if any."""
+        held = self._sets.get(step)
+        return () if held is None else held.workers
+
+    def keep(self, step: StepState, soonest: Sequence[Worker]) -> None:
+        """Keep the workers where a gang fits soonest, unless its present ones are good enough."""
+        held = self._sets.get(step)
+        if held is None:
+            if soonest and len(self._sets) < MAX_KEPT_GANGS:
+                self._put(KeptSet(step, tuple(soonest)))
+            return
+        if not soonest or set(soonest) == set(held.workers):
+            return
+        present_s = self._available_s(step, held.workers)
+        other_s = self._available_s(step, soonest)
+        if other_s < present_s * SOONER_SHARE and present_s - other_s > MIN_SOONER_S:
+            self.release(step)
+            self._put(KeptSet(step, tuple(soonest)))
+
+    def release(self, step: StepState) -> bool:
+        """Keep no workers for a step any more.
+
+        :return: whether any were kept.
+        """
+        held = self._sets.pop(step, None)
+        if held is None:
+            return False
+        for worker in held.workers:
+            if self._owners.get(worker) is step:
+                del self._owners[worker]
+        return True
+
+    def keeps_from(self, step: StepState) -> bool:
+        """Whether any worker may be kept from a step."""
+        return any(self._is_held_back(step, owner) for owner in self._sets)
+
+    def is_kept(self, worker: Worker, step: StepState) -> bool:
+        """Whether a worker is kept from a step."""
+        owner = self._owners.get(worker)
+        return owner is not None and self._is_held_back(step, owner)
+
+    def rank(self, step: StepState) -> int | None:
+        """Number that is equal for steps from which the same workers are kept.
+
+        ``None`` for a step for which workers are kept.
+        """
+        if step in self._sets:
+            return None
+        priority = step.occurrence.job.priority
+        if not self._sets or any(owner.occurrence.job.priority > priority for owner in self._sets):
+            return 0
+        waited_s = step.waited_s(self._now)
+        if all(owner.occurrence.job.priority < priority for owner in self._sets):
+            return (_CLASSES - 1) * (waited_s > LOWER_HELD_S)
+        older = 0
+        if waited_s > EQUAL_HELD_S:
+            older = len(self._accepted) - bisect_right(self._accepted, _accepted_ms(step))
+        tighter = 0
+        if step.step.gang:
+            tighter = len(self._slacks) - bisect_right(self._slacks, self._slack_s(step))
+        return older * _CLASSES + tighter
+
+    @property
+    def rank_count(self) -> int:
+        """Number that every :meth:`rank` is below."""
+        return _CLASSES * _CLASSES
+
+    def _put(self, held: KeptSet) -> None:
+        self._sets[held.step] = held
+        for worker in held.workers:
+            self._owners.setdefault(worker, held.step)
+
+    def _is_held_back(self, step: StepState, owner: StepState) -> bool:
+        """Whether a step is held back for a gang."""
+        if owner is step:
+            return False
+        priority, favored = step.occurrence.job.priority, owner.occurrence.job.priority
+        waited_s = step.waited_s(self._now)
+        if priority != favored:
+            return priority > favored and waited_s <= LOWER_HELD_S
+        if waited_s > EQUAL_HELD_S and _accepted_ms(step) < _accepted_ms(owner):
+            return False
+        return not step.step.gang or self._slack_s(step) >= self._slack_s(owner)
+
+    def _is_usable(self, held: KeptSet) -> bool:
+        """Whether a gang still fits on its workers once the work of lower priority has ended."""
+        step = held.step
+        priority = step.occurrence.job.priority
+        service = self._service_of(step.occurrence.job)
+        copies = 0
+        for worker in held.workers:
+            if worker.record.service != service or not self._accepts(worker, step):
+                return False
+            lower = worker.lower_priority_usage(priority)
+            copies += worker.copies(step, worker.free + lower)
+        return copies >= step.step.count
+
+    def _accepts(self, worker: Worker, step: StepState) -> bool:
+        if not worker.accepts_work(self._now) or worker.suspected or not worker.matches(step.step):
+            return False
+        owner = self._owners.get(worker)
+        return self._now >= worker.probation_s and owner is None
+
+    def _available_s(self, step: StepState, workers: Sequence[Worker]) -> float:
+        """Seconds until a gang fits on some workers, as runs of lower priority there end."""
+        priority = step.occurrence.job.priority
+        ends: list[tuple[float, int, Worker, Run]] = []
+        free = {worker: worker.free for worker in workers}
+        copies = sum(worker.copies(step, worker.free) for worker in free)
+        for worker in free:
+            for run in worker.runs.values():
+                if run.task.step.occurrence.job.priority > priority:
+                    ends.append((_end_s(run, self._now), len(ends), worker, run))
+        ends.sort()
+        for end_s, _, worker, run in ends:
+            if copies >= step.step.count:
+                break
+            copies -= worker.copies(step, free[worker])
+            free[worker] = free[worker] + run.allocation
+            copies += worker.copies(step, free[worker])
+            if copies >= step.step.count:
+                return end_s
+        return 0.0 if copies >= step.step.count else math.inf
+
+    def _slack_s(self, step: StepState) -> float:
+        slack_s = self._slack.slack_s(step)
+        return math.inf if slack_s is None else slack_s
+
+
+def _accepted_ms(step: StepState) -> int:
+    return step.occurrence.job.accepted.accepted_ms
+
+
+def _end_s(run: Run, now: float) -> float:
+    """Seconds until a run ends; infinite for one that ends only when it is stopped."""
+    if run.task.step.step.long_running and not run.stopping:
+        return math.inf
+    return 0.0 if run.stopping else remaining_s(run, now)
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -14,6 +14,7 @@
 from saddlestack.policy.cluster.index import CapacityIndex
 from saddlestack.policy.cluster.isolation import IsolatedPlacement, Isolation, IsolationPool
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, Job, Run, StepState, Task
+from saddlestack.policy.cluster.kept_workers import KeptWorkers
 from saddlestack.policy.cluster.lending import Lending
 from saddlestack.policy.cluster.options import SchedulingOptions
 from saddlestack.policy.cluster.placement import whole_racks
@@ -77,9 +78,12 @@
         self._lending = Lending()
         self._backfill = Backfill()
         self._slack = Slack(work)
+        self._kept_workers = KeptWorkers(self._slack, cluster_state.service_of)
         enabled = options is not None and options.gang_priority
-        self._gang_priority = GangPriority(self._slack, enabled=enabled)
-        self._candidates = Candidates(cluster_state, index, self._backfill, self._is_open)
+        self._gang_priority = GangPriority(self._slack, self._kept_workers, enabled=enabled)
+        self._candidates = Candidates(
+            cluster_state, index, self._backfill, self._kept_workers, self._is_open
+        )
         self._failed_shapes = FailedShapes()
         self._stalled = StalledPlacement(
             cluster_state, self._candidates, self._reservations, self._lending
@@ -125,10 +129,10 @@
         self._starts = 0
         self._isolation_searches = 0
         self._stalled.begin()
-        self._slack.begin_round(now, wall_ms)
         self._backfill.clear()
         self._failed_shapes.clear()
         self._reservations.release_expired(now)
+        self._gang_priority.begin_round(now, wall_ms)
         self._isolation.refresh(now)
         entitled = self._waiting.entitled(self._cluster_state.guaranteed)
         for step in self._waiting.in_order(now, wall_ms, entitled):
@@ -144,6 +148,15 @@
         with self._index.without_refresh():
             return self._candidates.kept(step)
 
+    def held_back_from(self, step: StepState) -> IsKept | None:
+        """Test for workers that are kept from a step for normal gangs; ``None`` if none are."""
+        with self._index.without_refresh():
+            return self._candidates.held_back(step)
+
+    def kept_rank(self, step: StepState) -> int | None:
+        """Number that is equal for steps from which the same workers are kept, if there are any."""
+        return self._kept_workers.rank(step)
+
     def waits_near_data(self, step: StepState, now: float) -> bool:
         """Whether a step waits for a place near its data."""
         with self._index.without_refresh():
@@ -258,7 +271,8 @@
             return
         self._failed_shapes.note_kept(shape)
         soonest = self._candidates.places(step, now).soonest()
-        self._backfill.keep(soonest, step.occurrence.job.priority)
+        if not self._gang_priority.keep(step, soonest):
+            self._backfill.keep(soonest, step.occurrence.job.priority)
 
     def _place_on_preferred(self, step: StepState, now: float) -> bool:
         """Place a step on preferred workers only, if there are such and it fits there."""
@@ -425,7 +439,8 @@
         self._reclaim_loans(self._reservations.reserve(step, found.places, now), now)
 
     def _release(self, step: StepState) -> None:
-        if self._reservations.release(step):
+        released = self._gang_priority.release(step)
+        if self._reservations.release(step) or released:
             self._failed_shapes.clear()
             self._stalled.note_released()
 
--- a/src/saddlestack/policy/cluster/reasons.py
+++ b/src/saddlestack/policy/cluster/reasons.py
@@ -27,6 +27,7 @@
     ISOLATION = "isolation"
     ADVISER = "adviser"
     BACKFILL = "backfill"
+    GANG_FIRST = "gang_first"
     RESERVED = "reserved"
     ISOLATED = "isolated"
     TRIAL = "trial"
@@ -116,6 +117,10 @@
         "the workers that it would fill are kept for gangs of higher priority",
         "the start of those gangs, or other room",
     ),
+    WaitReason.GANG_FIRST: (
+        "the workers that it would fill are kept for a gang that has less time left",
+        "the start of that gang, other room, or the end of its patience, after which it goes there",
+    ),
     WaitReason.RESERVED: (
         "the free room is reserved for urgent work that waits for runs to stop",
         "the start of that work, the end of its reservation, or for short work a loan of the room",
