Stop bulk work for normal gangs whose slack runs out

Under contention half of the normal gangs were late behind bulk work that could wait. Below a slack of 1.5 s, bulk runs on the workers kept for a gang are now stopped, those that lose least first: 64 tasks for a gang, one gang of each priority at a time, no task a third time, none that ends sooner than a stop takes. Nothing is reserved, so urgent work finds the same room as before. Workers stay kept beside an idle pool for gangs short of slack, since idle kept workers made the pool look idle and bulk work filled them again; stalled work still drops the preference after 2 s.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -330,6 +330,8 @@
         """
         version = self._version
         has_more = self.cluster_state.plan(self._clock.now(), self._clock.wall() * 1000)
+        for name, amount in self.cluster_state.planner.take_counts().items():
+            self._context.metrics.count(name, amount)
         self.waits.round_finished(has_more)
         changes = self.cluster_state.take_changes()
         for stop in changes.stops:
--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -144,11 +144,10 @@
 
     def held_back(self, step: StepState) -> IsKept | None:
         """Test for workers that are kept from a step for normal gangs by their slack, as above."""
-        if step.step.long_running or not self._kept_workers.keeps_from(step):
+        if step.step.long_running or not self._kept_workers.is_any_kept:
             return None
-        if not self.service_capacity(step).open.is_half_used:
-            return None
-        return lambda worker: self._kept_workers.is_kept(worker, step)
+        is_idle = not self.service_capacity(step).open.is_half_used
+        return self._kept_workers.test(step, is_idle=is_idle)
 
     def _kept_by_priority(self, step: StepState) -> IsKept | None:
         priority = step.occurrence.job.priority
--- /dev/null
+++ b/src/saddlestack/policy/cluster/gang_preemption.py
@@ -0,0 +1,139 @@
+"""Preemption of bulk work for a normal gang whose slack runs out.
+
+Only work on the workers that are kept for the gang is stopped. Nothing is reserved: the workers
+stay kept from all but urgent work, which must not wait for a gang's room.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from saddlestack.policy.cluster.jobs import Run, StepState
+from saddlestack.policy.cluster.preemption import Preemptor
+from saddlestack.policy.cluster.reservations import RESERVATION_TIMEOUT_S
+from saddlestack.policy.cluster.slack import Slack
+from saddlestack.policy.cluster.victims import ends_within
+from saddlestack.policy.cluster.waiting import may_start
+from saddlestack.policy.cluster.workers import Worker
+
+PREEMPTION_SLACK_S = 1.5
+"""Below this slack bulk work is stopped for a normal gang. A round, a stop and the start take up to
+0.5, 0.4 and 0.1 s; the rest is for a second attempt."""
+MAX_STOPPED_TASKS = 64
+"""Tasks that are stopped for one gang at most, over all attempts."""
+MAX_TASK_PREEMPTIONS = 2
+"""A task that was stopped this often for others is not stopped for a gang."""
+MISSED_LOSS_FACTOR = 2.0
+"""The loss of work whose own objective would be missed because of the stop counts this often."""
+
+MayStop = Callable[[Run], bool]
+"""Returns whether a run may be stopped for the sake of a step."""
+Members = Callable[[Run], Sequence[Run]]
+"""Returns the runs that stop together with a run."""
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """Stops that were ordered for a gang.
+
+    :param victims: the runs that were ordered to stop.
+    :param until_s: when the attempt is given up.
+    """
+
+    step: StepState
+    victims: list[Run]
+    until_s: float
+
+    def is_over(self, now: float) -> bool:
+        """Whether the gang waits no more, all victims have ended, or it has taken too long."""
+        if now > self.until_s or not may_start(self.step):
+            return True
+        return all(run.task.run is not run for run in self.victims)
+
+
+class GangPreemption:
+    """Chooses which bulk runs are stopped for which gang.
+
+    :param stop_s: returns the seconds that a stop usually takes.
+    """
+
+    def __init__(self, slack: Slack, members: Members, stop_s: Callable[[], float]) -> None:
+        self._slack = slack
+        self._members = members
+        self._stop_s = stop_s
+        self._attempts: dict[int, _Attempt] = {}
+        self._stopped: dict[StepState, int] = {}
+
+    def begin_round(self, now: float) -> None:
+        """Drop the attempts that are over."""
+        self._attempts = {
+            priority: each for priority, each in self._attempts.items() if not each.is_over(now)
+        }
+        self._stopped = {step: count for step, count in self._stopped.items() if may_start(step)}
+
+    def victims(
+        self, step: StepState, kept: Sequence[Worker], may_stop: MayStop, now: float
+    ) -> list[Run]:
+        """Choose the runs to stop for a gang now; none if its slack or a limit forbids it.
+
+        :param kept: the workers that are kept for it.
+        """
+        priority = step.occurrence.job.priority
+        if not kept or priority in self._attempts or not self._is_due(step):
+            return []
+        stop_s = self._stop_s()
+
+        def may_stop_for_gang(run: Run) -> bool:
+            if run.stopping or self._ends_soon(run, stop_s, now):
+                return True
+            if run.task.step.occurrence.job.priority <= priority:
+                return False
+            return run.task.preemptions < MAX_TASK_PREEMPTIONS and may_stop(run)
+
+        preemptor = _GangPreemptor(self._members, may_stop_for_gang, self._slack, stop_s, now)
+        found = preemptor.cheapest(step, step.step.count, [kept])
+        if found is None:
+            return []
+        chosen = [
+            run
+            for run in found.victims
+            if not run.stopping and not self._ends_soon(run, stop_s, now)
+        ]
+        stopped = self._stopped.get(step, 0) + len(chosen)
+        if not chosen or stopped > MAX_STOPPED_TASKS:
+            return []
+        self._stopped[step] = stopped
+        self._attempts[priority] = _Attempt(step, chosen, now + RESERVATION_TIMEOUT_S)
+        return chosen
+
+    def _is_due(self, step: StepState) -> bool:
+        slack_s = self._slack.slack_s(step)
+        if slack_s is None or slack_s >= PREEMPTION_SLACK_S:
+            return False
+        return self._slack.worthless_for_s(step) is None
+
+    def _ends_soon(self, run: Run, stop_s: float, now: float) -> bool:
+        return ends_within(self._members(run), stop_s, now)
+
+
+class _GangPreemptor(Preemptor):
+    """Searches for the runs to stop for a gang, with the value of the victims' objectives."""
+
+    def __init__(
+        self, members: Members, may_stop: MayStop, slack: Slack, stop_s: float, now: float
+    ) -> None:
+        super().__init__(members, may_stop, self._ends_soon, now)
+        self._slack = slack
+        self._stop_s = stop_s
+        self._since_s = now
+
+    def loss(self, run: Run) -> float:
+        """Core-seconds that are lost if a run stops now, doubled if its job becomes late by it."""
+        lost = super().loss(run)
+        if self._slack.is_missed_by_stop(run, self._stop_s):
+            lost *= MISSED_LOSS_FACTOR
+        return lost
+
+    def _ends_soon(self, run: Run) -> bool:
+        return ends_within(self._members(run), self._stop_s, self._since_s)
--- a/src/saddlestack/policy/cluster/gang_priority.py
+++ b/src/saddlestack/policy/cluster/gang_priority.py
@@ -9,33 +9,37 @@
 
 from collections.abc import Sequence
 
-from saddlestack.policy.cluster.jobs import StepState
+from saddlestack.policy.cluster.gang_preemption import GangPreemption, MayStop
+from saddlestack.policy.cluster.jobs import Run, StepState
 from saddlestack.policy.cluster.kept_workers import KeptWorkers
 from saddlestack.policy.cluster.slack import Slack
 from saddlestack.policy.cluster.workers import Worker
 
 NORMAL_PRIORITY = 1
 """The priority between urgent and bulk."""
-MIN_HEADROOM_SLACK_S = 2.0
-"""Below this slack the headroom opens to a normal gang, even if its work takes less time."""
 
 
 class GangPriority:
     """Decides what is done for waiting gangs.
 
     :param kept: the workers that are kept for them.
+    :param preemption: chooses what is stopped for them.
     :param enabled: whether the option is on.
     """
 
-    def __init__(self, slack: Slack, kept: KeptWorkers, *, enabled: bool) -> None:
+    def __init__(
+        self, slack: Slack, kept: KeptWorkers, preemption: GangPreemption, *, enabled: bool
+    ) -> None:
         self._slack = slack
         self._kept = kept
+        self._preemption = preemption
         self._enabled = enabled
 
     def begin_round(self, now: float, wall_ms: float) -> None:
         """Set the time, and drop what is kept for gangs that wait no more."""
         if self._enabled:
             self._slack.begin_round(now, wall_ms)
+            self._preemption.begin_round(now)
             self._kept.begin_round(now)
 
     def keep(self, step: StepState, soonest: Sequence[Worker]) -> bool:
@@ -48,6 +52,10 @@
         self._kept.keep(step, soonest)
         return True
 
+    def victims(self, step: StepState, may_stop: MayStop, now: float) -> list[Run]:
+        """Choose the runs to stop now for a gang that workers are kept for."""
+        return self._preemption.victims(step, self._kept.of(step), may_stop, now)
+
     def release(self, step: StepState) -> bool:
         """Keep no workers for a step any more; returns whether any were kept."""
         return self._kept.release(step)
@@ -57,12 +65,7 @@
 
         Only for gangs that may be stopped again, so that urgent work gets the workers back.
         """
-        if not self._is_favored(step) or step.step.once:
-            return False
-        slack_s, work_s = self._slack.slack_s(step), self._slack.work_s(step)
-        if slack_s is None or work_s is None or self._slack.worthless_for_s(step) is not None:
-            return False
-        return slack_s < max(work_s, MIN_HEADROOM_SLACK_S)
+        return self._is_favored(step) and not step.step.once and self._slack.is_short(step)
 
     def shape(self, step: StepState, shape: int | None) -> int | None:
         """The number by which steps are equal if slack counts as well as their shape.
--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -84,6 +84,7 @@
 
     :param avoid: ids of workers on which it failed.
     :param crashed_on: machines whose workers crashed under it in this leader's term.
+    :param preemptions: how often it was stopped for the sake of others in this leader's term.
     """
 
     name: TaskName
@@ -92,6 +93,7 @@
     run: Run | None = None
     avoid: set[str] = field(default_factory=set)
     crashed_on: set[str] = field(default_factory=set)
+    preemptions: int = 0
 
     @property
     def status(self) -> TaskStatus:
@@ -114,6 +116,8 @@
         when one reservation follows another, only when a task of it is assigned.
     :param times_delayed: how often since then runs that had borrowed its reserved resources had to
         be preempted.
+    :param preemptions: how often runs of it were stopped for the sake of others in this leader's
+        term; the stop of a gang counts once.
     :param advice: the adviser's answers for it.
     """
 
@@ -130,6 +134,7 @@
     stalled_since_s: float | None = None
     preempts_since_s: float | None = None
     times_delayed: int = 0
+    preemptions: int = 0
     advice: StepAdvice = field(default_factory=StepAdvice)
 
     @property
--- a/src/saddlestack/policy/cluster/kept_workers.py
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -13,6 +13,7 @@
 
 from saddlestack.policy.cluster.backfill import MAX_KEPT_GANGS
 from saddlestack.policy.cluster.jobs import Job, Run, StepState
+from saddlestack.policy.cluster.places import IsKept
 from saddlestack.policy.cluster.progress import remaining_s
 from saddlestack.policy.cluster.slack import Slack
 from saddlestack.policy.cluster.waiting import may_start
@@ -52,6 +53,7 @@
         self._now = 0.0
         self._sets: dict[StepState, KeptSet] = {}
         self._owners: dict[Worker, StepState] = {}
+        self._pressed: set[StepState] = set()
         self._slacks: list[float] = []
         self._accepted: list[int] = []
 
@@ -67,9 +69,15 @@
         for each in waiting:
             if self._is_usable(each):
                 self._put(each)
+        self._pressed = {step for step in self._sets if self._slack.is_short(step)}
         self._slacks = sorted(self._slack_s(step) for step in self._sets)
         self._accepted = sorted(_accepted_ms(step) for step in self._sets)
 
+    @property
+    def is_any_kept(self) -> bool:
+        """Whether workers are kept for any gang."""
+        return bool(self._sets)
+
     def of(self, step: StepState) -> tuple[Worker, ...]:
         """The workers that are kept for a gang, if any."""
         held = self._sets.get(step)
@@ -103,14 +111,17 @@
                 del self._owners[worker]
         return True
 
-    def keeps_from(self, step: StepState) -> bool:
-        """Whether any worker may be kept from a step."""
-        return any(self._is_held_back(step, owner) for owner in self._sets)
+    def test(self, step: StepState, *, is_idle: bool) -> IsKept | None:
+        """Test for workers that are kept from a step; ``None`` if none are.
 
-    def is_kept(self, worker: Worker, step: StepState) -> bool:
-        """Whether a worker is kept from a step."""
-        owner = self._owners.get(worker)
-        return owner is not None and self._is_held_back(step, owner)
+        :param is_idle: whether the pool is idle. Then only gangs with little slack left go first:
+            the kept workers themselves may be what makes the pool look idle.
+        """
+        owners = self._pressed if is_idle else self._sets
+        before = {owner for owner in owners if self._is_held_back(step, owner)}
+        if not before:
+            return None
+        return lambda worker: self._owners.get(worker) in before
 
     def rank(self, step: StepState) -> int | None:
         """Number that is equal for steps from which the same workers are kept.
--- a/src/saddlestack/policy/cluster/lending.py
+++ b/src/saddlestack/policy/cluster/lending.py
@@ -18,6 +18,9 @@
 
 DEFAULT_STOP_S = 5.0
 """Expected time for a run to stop, before any stop has been observed."""
+USUAL_STOP_S = 0.4
+"""Usual time for a run to stop, before any stop has been observed; :data:`DEFAULT_STOP_S` errs to
+the long side."""
 LOAN_GRACE_S = 0.4
 """A borrower may be expected to end this much later than the stops."""
 MAX_DELAYS = 2
@@ -38,6 +41,11 @@
         if run.awaited_s is not None:
             self._stops_s.append(now - run.awaited_s)
 
+    @property
+    def usual_stop_s(self) -> float:
+        """Seconds that a stop usually takes, by those observed."""
+        return median(self._stops_s) if self._stops_s else USUAL_STOP_S
+
     def note_done(self, run: Run, now: float) -> None:
         """Record that a run has ended successfully."""
         if run.started_s is not None:
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import replace
 
@@ -9,6 +10,7 @@
 from saddlestack.policy.cluster.backfill import Backfill
 from saddlestack.policy.cluster.candidates import Candidates, prefers_near
 from saddlestack.policy.cluster.crashes import CrashTracker
+from saddlestack.policy.cluster.gang_preemption import GangPreemption
 from saddlestack.policy.cluster.gang_priority import GangPriority
 from saddlestack.policy.cluster.headroom import headroom_allows
 from saddlestack.policy.cluster.index import CapacityIndex
@@ -80,7 +82,13 @@
         self._slack = Slack(work)
         self._kept_workers = KeptWorkers(self._slack, cluster_state.service_of)
         enabled = options is not None and options.gang_priority
-        self._gang_priority = GangPriority(self._slack, self._kept_workers, enabled=enabled)
+        self._gang_priority = GangPriority(
+            self._slack,
+            self._kept_workers,
+            GangPreemption(self._slack, cluster_state.members, lambda: self._lending.usual_stop_s),
+            enabled=enabled,
+        )
+        self._counts: Counter[str] = Counter()
         self._candidates = Candidates(
             cluster_state, index, self._backfill, self._kept_workers, self._is_open
         )
@@ -97,6 +105,11 @@
         """When waiting work may next borrow reserved resources, on the monotonic clock."""
         return self._stalled.next_loan_s
 
+    def take_counts(self) -> Counter[str]:
+        """Return what to add to the counters of the metrics since the last call, by name."""
+        counts, self._counts = self._counts, Counter()
+        return counts
+
     def add(self, job: Job) -> None:
         """Add a job with work left."""
         self._waiting.add(job)
@@ -271,7 +284,9 @@
             return
         self._failed_shapes.note_kept(shape)
         soonest = self._candidates.places(step, now).soonest()
-        if not self._gang_priority.keep(step, soonest):
+        if self._gang_priority.keep(step, soonest):
+            self._preempt_for_gang(step, now)
+        else:
             self._backfill.keep(soonest, step.occurrence.job.priority)
 
     def _place_on_preferred(self, step: StepState, now: float) -> bool:
@@ -414,9 +429,7 @@
 
         def may_stop(run: Run) -> bool:
             other = run.task.step.occurrence.job
-            if other is job or is_overdue(run, now) or _loses_work_if_stopped(run):
-                return False
-            if run.isolated or self._isolation.has_limited_starts(run):
+            if other is job or not self._is_stoppable(run, now):
                 return False
             if run.stopping or returns_loan(run) or other.priority > job.priority:
                 return True
@@ -438,6 +451,20 @@
                 self._cluster_state.preempt(run, job)
         self._reclaim_loans(self._reservations.reserve(step, found.places, now), now)
 
+    def _preempt_for_gang(self, step: StepState, now: float) -> None:
+        """Stop work of lower priority on the workers that are kept for a gang, if it is due."""
+        victims = self._gang_priority.victims(step, lambda run: self._is_stoppable(run, now), now)
+        for run in victims:
+            self._cluster_state.preempt(run, step.occurrence.job)
+            run.awaited_s = now if run.awaited_s is None else run.awaited_s
+        self._counts["gang_preemptions"] += len(victims)
+
+    def _is_stoppable(self, run: Run, now: float) -> bool:
+        """Whether a run may be stopped for the sake of others at all."""
+        if is_overdue(run, now) or _loses_work_if_stopped(run):
+            return False
+        return not run.isolated and not self._isolation.has_limited_starts(run)
+
     def _release(self, step: StepState) -> None:
         released = self._gang_priority.release(step)
         if self._reservations.release(step) or released:
--- a/src/saddlestack/policy/cluster/slack.py
+++ b/src/saddlestack/policy/cluster/slack.py
@@ -12,11 +12,15 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from saddlestack.policy.cluster.jobs import Occurrence, StepState
+from saddlestack.policy.cluster.jobs import Occurrence, Run, StepState
+from saddlestack.policy.cluster.progress import remaining_s
 
 WORTHLESS_FACTOR = 3.0
 """A job that takes longer than this many times its objective earns nothing."""
 
+SHORT_SLACK_S = 2.0
+"""Slack below this is short even for work that takes less time."""
+
 
 class WorkEstimates(Protocol):
     """Knows how long steps work."""
@@ -76,6 +80,16 @@
         left_s = work.left_s[step.number]
         return self._objective_s(step, work) - self._elapsed_s(step) - left_s
 
+    def is_short(self, step: StepState) -> bool:
+        """Whether the slack of a step is below its work or :data:`SHORT_SLACK_S`, if that is more.
+
+        False for a job that would earn nothing any more.
+        """
+        slack_s, work_s = self.slack_s(step), self.work_s(step)
+        if slack_s is None or work_s is None or self.worthless_for_s(step) is not None:
+            return False
+        return slack_s < max(work_s, SHORT_SLACK_S)
+
     def worthless_for_s(self, step: StepState) -> float | None:
         """Seconds for which a job has been past :data:`WORTHLESS_FACTOR` times its objective.
 
@@ -87,6 +101,20 @@
         past_s = self._elapsed_s(step) - WORTHLESS_FACTOR * self._objective_s(step, work)
         return past_s if past_s > 0 else None
 
+    def is_missed_by_stop(self, run: Run, stop_s: float) -> bool:
+        """Whether the job of a run meets its objective only if the run is not stopped.
+
+        :param stop_s: seconds that a stop takes.
+        """
+        step = run.task.step
+        slack_s, work_s = self.slack_s(step), self.work_s(step)
+        if slack_s is None or work_s is None:
+            return False
+        left_s = remaining_s(run, self._now)
+        again_s = left_s if step.step.checkpoint and run.saved else work_s
+        latest_s = slack_s + work_s
+        return left_s <= latest_s < again_s + stop_s
+
     def _objective_s(self, step: StepState, work: _Work) -> float:
         accepted = step.occurrence.job.accepted
         return accepted.stretch * work.chain_s + accepted.target_ms / 1000
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -29,6 +29,7 @@
     OccurrenceStatus,
     TaskStatus,
 )
+from saddlestack.policy.cluster.victims import count_preemption
 from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.worker_preferences import WorkerPreferences
 from saddlestack.policy.cluster.workers import EARLY_FAILURE_S, EARLY_FAILURE_SHARE, Worker
@@ -480,6 +481,7 @@
 
     def preempt(self, run: Run, job: Job) -> None:
         """Preempt a run, and its gang, for a job that may reclaim the resources."""
+        count_preemption(self.members(run))
         self.stop_group(run, StopReason.PREEMPTED, job.job_id)
 
     def members(self, run: Run) -> Sequence[Run]:
