Hold bulk work back for longer from gangs short of slack

Such work is now held back for gangs short of slack for up to 120 s, twice as long as it earns anything.

--- a/src/saddlestack/policy/cluster/kept_workers.py
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -23,8 +23,12 @@
 """A step that has waited for longer than this is not held back for gangs of its priority that were
 accepted later, so that of any two steps the older one goes first in the end."""
 LOWER_HELD_S = 30.0
-"""A step of lower priority that has waited for longer than this is not held back for gangs. Bulk
-work meets its objective of some 20 s rarely after that, and must not wait for ever."""
+"""A step of lower priority that has waited for longer than this is held back only for gangs that
+are short of slack. Bulk work rarely meets its objective of some 20 s after that."""
+LONGEST_HELD_S = 120.0
+"""A step of lower priority that has waited for longer than this is not held back for any gang, so
+that it does not wait for ever. Bulk work earns nothing after some 60 s. With 30 s, a backlog of
+bulk work took the room back that had just been made for a gang."""
 SOONER_SHARE = 0.5
 """Other workers replace the kept ones if they are available within this share of the time."""
 MIN_SOONER_S = 0.5
@@ -66,10 +70,10 @@
         waiting.sort(key=lambda each: self._slack_s(each.step))
         self._sets.clear()
         self._owners.clear()
+        self._pressed.clear()
         for each in waiting:
             if self._is_usable(each):
                 self._put(each)
-        self._pressed = {step for step in self._sets if self._slack.is_short(step)}
         self._slacks = sorted(self._slack_s(step) for step in self._sets)
         self._accepted = sorted(_accepted_ms(step) for step in self._sets)
 
@@ -106,6 +110,7 @@
         held = self._sets.pop(step, None)
         if held is None:
             return False
+        self._pressed.discard(step)
         for worker in held.workers:
             if self._owners.get(worker) is step:
                 del self._owners[worker]
@@ -135,7 +140,8 @@
             return 0
         waited_s = step.waited_s(self._now)
         if all(owner.occurrence.job.priority < priority for owner in self._sets):
-            return (_CLASSES - 1) * (waited_s > LOWER_HELD_S)
+            periods = (waited_s > LOWER_HELD_S) + (waited_s > LONGEST_HELD_S)
+            return self.rank_count - periods if periods else 0
         older = 0
         if waited_s > EQUAL_HELD_S:
             older = len(self._accepted) - bisect_right(self._accepted, _accepted_ms(step))
@@ -151,6 +157,8 @@
 
     def _put(self, held: KeptSet) -> None:
         self._sets[held.step] = held
+        if self._slack.is_short(held.step):
+            self._pressed.add(held.step)
         for worker in held.workers:
             self._owners.setdefault(worker, held.step)
 
@@ -161,7 +169,8 @@
         priority, favored = step.occurrence.job.priority, owner.occurrence.job.priority
         waited_s = step.waited_s(self._now)
         if priority != favored:
-            return priority > favored and waited_s <= LOWER_HELD_S
+            longest_s = LONGEST_HELD_S if owner in self._pressed else LOWER_HELD_S
+            return priority > favored and waited_s <= longest_s
         if waited_s > EQUAL_HELD_S and _accepted_ms(step) < _accepted_ms(owner):
             return False
         return not step.step.gang or self._slack_s(step) >= self._slack_s(owner)
--- a/tests/test_gang_priority.py
+++ b/tests/test_gang_priority.py
@@ -7,9 +7,13 @@
 
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask
 from saddlestack.policy.cluster.diagnosis import Diagnosis
-from saddlestack.policy.cluster.gang_preemption import MAX_STOPPED_TASKS, PREEMPTION_SLACK_S
+from saddlestack.policy.cluster.gang_preemption import (
+    MAX_STOPPED_TASKS,
+    MAX_TASK_PREEMPTIONS,
+    PREEMPTION_SLACK_S,
+)
 from saddlestack.policy.cluster.jobs import Run, StepState
-from saddlestack.policy.cluster.kept_workers import EQUAL_HELD_S, LOWER_HELD_S
+from saddlestack.policy.cluster.kept_workers import EQUAL_HELD_S, LONGEST_HELD_S, LOWER_HELD_S
 from saddlestack.policy.cluster.reasons import WaitReason
 from saddlestack.policy.cluster.reservations import RESERVATION_TIMEOUT_S
 from saddlestack.policy.cluster.wait_limits import IDLE_POOL_WAIT_S
@@ -215,15 +219,31 @@
         self.assertEqual(self.round(0.1 + EQUAL_HELD_S), [])
         self.assertEqual(self.round(0.1 + EQUAL_HELD_S + MOMENT_S), [self.job_of(older)])
 
-    def test_bulk_work_is_held_back_for_a_time_only(self) -> None:
+    def bulk_is_held_back(self, gang_accepted_s: float, waited_s: float) -> bool:
+        """Whether bulk work that has waited for a time is held back for a gang."""
+        self.use(enabled=True)
         first, _ = self.two_racks()
         self.cluster_state.workers["w21"].suspected = True
-        self.gang()
         bulk = self.submit(work(1, 1))
-        self.round(0.0)
+        bulk.waiting_since_s = 0.0
+        for task in first.tasks:
+            task.preemptions = MAX_TASK_PREEMPTIONS
         self.finish(self.run_of(first), 0.5)
-        self.assertEqual(self.round(LOWER_HELD_S), [])
-        self.assertEqual(self.round(LOWER_HELD_S + MOMENT_S), [self.job_of(bulk)])
+        self.gang(now=gang_accepted_s)
+        started = self.round(waited_s - MOMENT_S / 2) + self.round(waited_s)
+        return self.job_of(bulk) not in started
+
+    def test_bulk_work_is_held_back_for_a_time_only(self) -> None:
+        for limit_s, gang_age_s in ((LOWER_HELD_S, 0.0), (LONGEST_HELD_S, 10.0)):
+            accepted_s = limit_s - gang_age_s
+            self.assertTrue(self.bulk_is_held_back(accepted_s, limit_s))
+            self.assertFalse(self.bulk_is_held_back(accepted_s, limit_s + MOMENT_S))
+
+    def test_a_gang_short_of_slack_holds_bulk_work_back_for_longer(self) -> None:
+        """A backlog of bulk work took the room back that had just been made for a gang."""
+        limit_s = LOWER_HELD_S + MOMENT_S
+        self.assertFalse(self.bulk_is_held_back(limit_s - 6.9, limit_s))
+        self.assertTrue(self.bulk_is_held_back(limit_s - 7.1, limit_s))
 
     def test_beside_an_idle_pool_work_is_held_back_only_for_gangs_short_of_slack(self) -> None:
         """The kept workers themselves made the pool look idle, and bulk work filled them."""
