Share capacity fairly among client accounts within a priority

The first account to hand in a burst filled the pool. With gang_priority on, normal and bulk work goes by the accelerators that its account holds of that priority, counted as runs are assigned and end. Urgent work keeps its order.

--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -11,6 +11,7 @@
 from saddlestack.policy.cluster.candidates import Candidates, prefers_near
 from saddlestack.policy.cluster.crashes import CrashTracker
 from saddlestack.policy.cluster.deferred_stops import DeferredStops
+from saddlestack.policy.cluster.fair_share import AccountUsage, FairShare
 from saddlestack.policy.cluster.gang_preemption import GangPreemption
 from saddlestack.policy.cluster.gang_priority import GangPriority
 from saddlestack.policy.cluster.headroom import headroom_allows
@@ -60,6 +61,7 @@
     """Assigns the waiting steps of all jobs to workers, in priority order.
 
     :param options: the optional decisions; none by default.
+    :param usage: what each client account holds.
     :param work: how long steps work; by default what clients declare.
     """
 
@@ -70,6 +72,7 @@
         worker_preferences: WorkerPreferences,
         crashes: CrashTracker,
         options: SchedulingOptions | None = None,
+        usage: AccountUsage | None = None,
         work: WorkEstimates | None = None,
     ) -> None:
         self._cluster_state = cluster_state
@@ -90,6 +93,7 @@
             GangPreemption(self._slack, cluster_state.members, lambda: self._lending.usual_stop_s),
             enabled=enabled,
         )
+        self._fair_share = FairShare(usage or AccountUsage(), self._slack, enabled=enabled)
         self._deferred = DeferredStops(cluster_state.members, cluster_state.is_worker_reachable)
         self._counts: Counter[str] = Counter()
         self._candidates = Candidates(
@@ -157,7 +161,8 @@
         self._gang_priority.begin_round(now, wall_ms)
         self._isolation.refresh(now)
         entitled = self._waiting.entitled(self._cluster_state.guaranteed)
-        for step in self._waiting.in_order(now, wall_ms, entitled):
+        waiting = self._waiting.in_order(now, wall_ms, entitled)
+        for step in self._fair_share.in_order(waiting, now):
             if self._starts >= MAX_STARTS_PER_ROUND:
                 return True
             self._place(step, entitled, now)
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -15,6 +15,7 @@
 from saddlestack.policy.cluster.crash_findings import CrashFinding
 from saddlestack.policy.cluster.crashes import CrashAssessment, CrashTracker
 from saddlestack.policy.cluster.draining import runs_to_stop
+from saddlestack.policy.cluster.fair_share import AccountUsage
 from saddlestack.policy.cluster.fault_attribution import FailureKind, FaultAttribution
 from saddlestack.policy.cluster.incarnation_end import IncarnationEnd
 from saddlestack.policy.cluster.index import CapacityIndex
@@ -61,8 +62,14 @@
         self._fault_attribution = FaultAttribution(self.workers)
         self._crashes = CrashTracker(self.workers)
         self._findings: list[CrashFinding] = []
+        self._usage = AccountUsage()
         self._planner = Planner(
-            self, self._index, self._worker_preferences, self._crashes, self.options
+            self,
+            self._index,
+            self._worker_preferences,
+            self._crashes,
+            self.options,
+            self._usage,
         )
 
     def configure(
@@ -149,6 +156,7 @@
         run.address = address
         task.run = run
         worker.add(run)
+        self._usage.add(run)
 
     def _incarnation_at(self, worker_id: str, address: str) -> Worker:
         """Return the worker incarnation that was ordered a run at an address.
@@ -388,6 +396,7 @@
             self._worker_preferences.add_faulty(worker, now)
 
     def _finish_run(self, run: Run, how: EndKind, saved: str) -> None:
+        self._usage.remove(run)
         task = run.task
         if task.run is not run:
             return
@@ -528,6 +537,7 @@
         task.record.run = number
         task.record.worker = worker.worker_id
         worker.add(run)
+        self._usage.add(run)
         self._crashes.count_start(task, 1)
         occurrence = task.step.occurrence
         self._mark_changed(occurrence)
