--- /dev/null
+++ b/src/saddlestack/policy/cluster/gang_priority.py
@@ -0,0 +1,100 @@
+"""Decisions in favor of normal gangs, which wait for many workers at once.
+
+Narrow work of lower priority takes each gap as it appears, so that a gang may never find all of its
+workers free together. All decisions here are limited to gangs of normal priority whose slack is
+known; where the option is off, none is made.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from saddlestack.policy.cluster.gang_preemption import GangPreemption
+from saddlestack.policy.cluster.jobs import Run, StepState
+from saddlestack.policy.cluster.kept_workers import KeptWorkers
+from saddlestack.policy.cluster.preemption import Preemption
+from saddlestack.policy.cluster.slack import NORMAL_PRIORITY, Slack
+from saddlestack.policy.cluster.victims import MayStop, least_harmful
+from saddlestack.policy.cluster.workers import Worker
+
+
+class GangPriority:
+    """Decides what is done for waiting gangs.
+
+    :param kept: the workers that are kept for them.
+    :param preemption: chooses what is stopped for them.
+    :param enabled: whether the option is on.
+    """
+
+    def __init__(
+        self, slack: Slack, kept: KeptWorkers, preemption: GangPreemption, *, enabled: bool
+    ) -> None:
+        self._slack = slack
+        self._kept = kept
+        self._preemption = preemption
+        self._enabled = enabled
+
+    @property
+    def is_enabled(self) -> bool:
+        """Whether the option is on."""
+        return self._enabled
+
+    def begin_round(self, now: float, wall_ms: float) -> None:
+        """Set the time, and drop what is kept for gangs that wait no more."""
+        if self._enabled:
+            self._slack.begin_round(now, wall_ms)
+            self._preemption.begin_round(now)
+            self._kept.begin_round(now)
+
+    def keep(self, step: StepState, soonest: Sequence[Worker]) -> bool:
+        """Keep workers for a waiting gang, if it is one that this module favors.
+
+        :param soonest: the workers where it fits soonest.
+        """
+        if not self._is_favored(step) or self._slack.slack_s(step) is None:
+            return False
+        self._kept.keep(step, soonest)
+        return True
+
+    def victims(self, step: StepState, may_stop: MayStop, now: float) -> list[Run]:
+        """Choose the runs to stop now for a gang that workers are kept for."""
+        return self._preemption.victims(step, self._kept.of(step), may_stop, now)
+
+    def least_harmful(
+        self, search: Callable[[MayStop], Preemption | None], may_stop: MayStop, step: StepState
+    ) -> Preemption | None:
+        """Search for a preemption: the cheapest, or with the option on the least harmful.
+
+        :param search: returns the cheapest preemption if only certain runs may be stopped.
+        """
+        return least_harmful(search, may_stop, step) if self._enabled else search(may_stop)
+
+    def release(self, step: StepState) -> bool:
+        """Keep no workers for a step any more; returns whether any were kept."""
+        return self._kept.release(step)
+
+    def opens_headroom(self, step: StepState) -> bool:
+        """Whether the headroom is open to a step because little of its slack is left.
+
+        Only for gangs that may be stopped again, so that urgent work gets the workers back.
+        """
+        return self._is_favored(step) and not step.step.once and self._slack.is_short(step)
+
+    def shape(self, step: StepState, shape: int | None) -> int | None:
+        """The number by which steps are equal if slack counts as well as their shape.
+
+        ``None`` if no other step is equal.
+
+        :param shape: the number of the step's shape.
+        """
+        if not self._enabled or shape is None:
+            return shape
+        rank = self._kept.rank(step)
+        if rank is None:
+            return None
+        return (shape * self._kept.rank_count + rank) * 2 + self.opens_headroom(step)
+
+    def _is_favored(self, step: StepState) -> bool:
+        """Whether a step is a gang of normal priority."""
+        is_normal = step.occurrence.job.priority == NORMAL_PRIORITY
+        return self._enabled and step.step.gang and is_normal and not step.step.long_running
--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -42,6 +42,8 @@
     :param lent_by: steps that have reserved the resources which it borrows; it is preempted for
         them.
     :param awaited_s: since when other work has waited for it to end, or ``None``.
+    :param ends_by_s: when it was expected to have ended by itself as work first waited for that, or
+        ``None``.
     :param never_began: the worker is known never to have begun it.
     :param saved: the latest checkpoint that the worker reported.
     :param percent: progress that the worker reported; a long-running task reports 100 while it
@@ -68,6 +70,7 @@
     stopping: bool = False
     lent_by: frozenset[StepState] = frozenset()
     awaited_s: float | None = None
+    ends_by_s: float | None = None
     never_began: bool = False
     saved: str = ""
     percent: int = 0
@@ -84,6 +87,7 @@
 
     :param avoid: ids of workers on which it failed.
     :param crashed_on: machines whose workers crashed under it in this leader's term.
+    :param preemptions: how often it was stopped for the sake of others in this leader's term.
     """
 
     name: TaskName
@@ -92,6 +96,7 @@
     run: Run | None = None
     avoid: set[str] = field(default_factory=set)
     crashed_on: set[str] = field(default_factory=set)
+    preemptions: int = 0
 
     @property
     def status(self) -> TaskStatus:
@@ -114,6 +119,8 @@
         when one reservation follows another, only when a task of it is assigned.
     :param times_delayed: how often since then runs that had borrowed its reserved resources had to
         be preempted.
+    :param preemptions: how often runs of it were stopped for the sake of others in this leader's
+        term; the stop of a gang counts once.
     :param advice: the adviser's answers for it.
     """
 
@@ -130,6 +137,7 @@
     stalled_since_s: float | None = None
     preempts_since_s: float | None = None
     times_delayed: int = 0
+    preemptions: int = 0
     advice: StepAdvice = field(default_factory=StepAdvice)
 
     @property
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import replace
 
@@ -9,11 +10,17 @@
 from saddlestack.policy.cluster.backfill import Backfill
 from saddlestack.policy.cluster.candidates import Candidates, prefers_near
 from saddlestack.policy.cluster.crashes import CrashTracker
+from saddlestack.policy.cluster.deferred_stops import DeferredStops
+from saddlestack.policy.cluster.fair_share import AccountUsage, FairShare
+from saddlestack.policy.cluster.gang_preemption import GangPreemption
+from saddlestack.policy.cluster.gang_priority import GangPriority
 from saddlestack.policy.cluster.headroom import headroom_allows
 from saddlestack.policy.cluster.index import CapacityIndex
 from saddlestack.policy.cluster.isolation import IsolatedPlacement, Isolation, IsolationPool
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, Job, Run, StepState, Task
+from saddlestack.policy.cluster.kept_workers import KeptWorkers
 from saddlestack.policy.cluster.lending import Lending
+from saddlestack.policy.cluster.options import SchedulingOptions
 from saddlestack.policy.cluster.placement import whole_racks
 from saddlestack.policy.cluster.places import (
     IsKept,
@@ -22,7 +29,7 @@
     WorkerChoice,
 )
 from saddlestack.policy.cluster.planner_context import PlannerContext
-from saddlestack.policy.cluster.preemption import Preemptor
+from saddlestack.policy.cluster.preemption import Preemption, Preemptor
 from saddlestack.policy.cluster.reservations import (
     Reservation,
     Reservations,
@@ -30,7 +37,9 @@
     is_overdue,
 )
 from saddlestack.policy.cluster.shapes import FailedShapes, Shape, ShapeNumbers, StepShapes
+from saddlestack.policy.cluster.slack import Slack, WorkEstimates
 from saddlestack.policy.cluster.stalled import StalledPlacement
+from saddlestack.policy.cluster.victims import MayStop
 from saddlestack.policy.cluster.wait_limits import (
     HEADROOM_WAIT_S,
     is_idle,
@@ -49,7 +58,12 @@
 
 
 class Planner:
-    """Assigns the waiting steps of all jobs to workers, in priority order."""
+    """Assigns the waiting steps of all jobs to workers, in priority order.
+
+    :param options: the optional decisions; none by default.
+    :param usage: what each client account holds.
+    :param work: how long steps work; by default what clients declare.
+    """
 
     def __init__(
         self,
@@ -57,6 +71,9 @@
         index: CapacityIndex,
         worker_preferences: WorkerPreferences,
         crashes: CrashTracker,
+        options: SchedulingOptions | None = None,
+        usage: AccountUsage | None = None,
+        work: WorkEstimates | None = None,
     ) -> None:
         self._cluster_state = cluster_state
         self._index = index
@@ -67,7 +84,21 @@
         self._reservations = Reservations()
         self._lending = Lending()
         self._backfill = Backfill()
-        self._candidates = Candidates(cluster_state, index, self._backfill, self._is_open)
+        self._slack = Slack(work)
+        self._kept_workers = KeptWorkers(self._slack, cluster_state.service_of)
+        enabled = options is not None and options.gang_priority
+        self._gang_priority = GangPriority(
+            self._slack,
+            self._kept_workers,
+            GangPreemption(self._slack, cluster_state.members, lambda: self._lending.usual_stop_s),
+            enabled=enabled,
+        )
+        self._fair_share = FairShare(usage or AccountUsage(), self._slack, enabled=enabled)
+        self._deferred = DeferredStops(cluster_state.members, cluster_state.is_worker_reachable)
+        self._counts: Counter[str] = Counter()
+        self._candidates = Candidates(
+            cluster_state, index, self._backfill, self._kept_workers, self._is_open
+        )
         self._failed_shapes = FailedShapes()
         self._stalled = StalledPlacement(
             cluster_state, self._candidates, self._reservations, self._lending
@@ -78,8 +109,18 @@
 
     @property
     def next_loan_s(self) -> float | None:
-        """When waiting work may next borrow reserved resources, on the monotonic clock."""
-        return self._stalled.next_loan_s
+        """When a round is due for waiting work: a loan or a stop that was put off.
+
+        On the monotonic clock.
+        """
+        due = (self._stalled.next_loan_s, self._deferred.next_due_s)
+        return min((each for each in due if each is not None), default=None)
+
+    def take_counts(self) -> Counter[str]:
+        """Return what to add to the counters of the metrics since the last call, by name."""
+        counts, self._counts = self._counts, Counter[str]()
+        counts["preemptions_spared"] = self._deferred.take_spared()
+        return counts
 
     def add(self, job: Job) -> None:
         """Add a job with work left."""
@@ -116,9 +157,12 @@
         self._backfill.clear()
         self._failed_shapes.clear()
         self._reservations.release_expired(now)
+        self._deferred.release_all_but(lambda step: self._reservations.of(step) is not None)
+        self._gang_priority.begin_round(now, wall_ms)
         self._isolation.refresh(now)
         entitled = self._waiting.entitled(self._cluster_state.guaranteed)
-        for step in self._waiting.in_order(now, wall_ms, entitled):
+        waiting = self._waiting.in_order(now, wall_ms, entitled)
+        for step in self._fair_share.in_order(waiting, now):
             if self._starts >= MAX_STARTS_PER_ROUND:
                 return True
             self._place(step, entitled, now)
@@ -131,6 +175,15 @@
         with self._index.without_refresh():
             return self._candidates.kept(step)
 
+    def held_back_from(self, step: StepState) -> IsKept | None:
+        """Test for workers that are kept from a step for normal gangs; ``None`` if none are."""
+        with self._index.without_refresh():
+            return self._candidates.held_back(step)
+
+    def kept_rank(self, step: StepState) -> int | None:
+        """Number that is equal for steps from which the same workers are kept, if there are any."""
+        return self._kept_workers.rank(step)
+
     def waits_near_data(self, step: StepState, now: float) -> bool:
         """Whether a step waits for a place near its data."""
         with self._index.without_refresh():
@@ -150,7 +203,7 @@
 
     def _place(self, step: StepState, entitled: set[str], now: float) -> None:
         is_top = step.occurrence.job.priority == TOP_PRIORITY
-        shape = self._shape(step, now)
+        shape = self._gang_priority.shape(step, self._shape(step, now))
         full = shape in self._failed_shapes.full
         if not may_start(step):
             self._waiting.remove(step)
@@ -245,7 +298,10 @@
             return
         self._failed_shapes.note_kept(shape)
         soonest = self._candidates.places(step, now).soonest()
-        self._backfill.keep(soonest, step.occurrence.job.priority)
+        if self._gang_priority.keep(step, soonest):
+            self._preempt_for_gang(step, now)
+        else:
+            self._backfill.keep(soonest, step.occurrence.job.priority)
 
     def _place_on_preferred(self, step: StepState, now: float) -> bool:
         """Place a step on preferred workers only, if there are such and it fits there."""
@@ -375,7 +431,7 @@
         if step.occurrence.job.priority == TOP_PRIORITY or step.step.long_running:
             return True
         waited_s = step.waited_s(now)
-        if waited_s > HEADROOM_WAIT_S:
+        if waited_s > HEADROOM_WAIT_S or self._gang_priority.opens_headroom(step):
             return True
         return headroom_allows(self._candidates.service_capacity(step), places, waited_s)
 
@@ -387,9 +443,7 @@
 
         def may_stop(run: Run) -> bool:
             other = run.task.step.occurrence.job
-            if other is job or is_overdue(run, now) or _loses_work_if_stopped(run):
-                return False
-            if run.isolated or self._isolation.has_limited_starts(run):
+            if other is job or not self._is_stoppable(run, now):
                 return False
             if run.stopping or returns_loan(run) or other.priority > job.priority:
                 return True
@@ -398,21 +452,55 @@
         def returns_loan(run: Run) -> bool:
             return step in run.lent_by
 
-        preemptor = Preemptor(self._cluster_state.members, may_stop, returns_loan, now)
+        def search(wanted: int) -> Preemption | None:
+            def cheapest(may_stop: MayStop) -> Preemption | None:
+                preemptor = Preemptor(self._cluster_state.members, may_stop, returns_loan, now)
+                return preemptor.cheapest(step, wanted, domains)
+
+            return self._gang_priority.least_harmful(cheapest, may_stop, step)
+
         wanted = sum(1 for task in step.tasks if self._is_open(task))
         domains = list(places.domains(wanted))
-        found = preemptor.cheapest(step, wanted, domains)
+        found = search(wanted)
         if found is None and not step.step.gang:
-            found = preemptor.cheapest(step, 1, domains)
+            found = search(1)
         if found is None:
             return
-        for run in found.victims:
-            if not returns_loan(run):
-                self._cluster_state.preempt(run, job)
+        victims = [run for run in found.victims if not returns_loan(run)]
+        for run in self._stops_at_once(step, victims, now):
+            self._cluster_state.preempt(run, job)
         self._reclaim_loans(self._reservations.reserve(step, found.places, now), now)
 
+    def _stops_at_once(self, step: StepState, victims: list[Run], now: float) -> list[Run]:
+        """The victims to stop now; with the option on, those about to end have some more time."""
+        if not self._gang_priority.is_enabled:
+            return victims
+        return self._deferred.defer(step, victims, self._lending.usual_stop_s, now)
+
+    def _stop_deferred(self, step: StepState, now: float) -> None:
+        """Stop the victims of a step that have not ended by themselves as expected."""
+        for run in self._deferred.take_due(step, now):
+            self._cluster_state.preempt(run, step.occurrence.job)
+            run.awaited_s = now if run.awaited_s is None else run.awaited_s
+
+    def _preempt_for_gang(self, step: StepState, now: float) -> None:
+        """Stop work of lower priority on the workers that are kept for a gang, if it is due."""
+        victims = self._gang_priority.victims(step, lambda run: self._is_stoppable(run, now), now)
+        for run in victims:
+            self._cluster_state.preempt(run, step.occurrence.job)
+            run.awaited_s = now if run.awaited_s is None else run.awaited_s
+        self._counts["gang_preemptions"] += len(victims)
+
+    def _is_stoppable(self, run: Run, now: float) -> bool:
+        """Whether a run may be stopped for the sake of others at all."""
+        if is_overdue(run, now) or _loses_work_if_stopped(run):
+            return False
+        return not run.isolated and not self._isolation.has_limited_starts(run)
+
     def _release(self, step: StepState) -> None:
-        if self._reservations.release(step):
+        self._deferred.release(step)
+        released = self._gang_priority.release(step)
+        if self._reservations.release(step) or released:
             self._failed_shapes.clear()
             self._stalled.note_released()
 
@@ -435,6 +523,7 @@
         if held is None or held.is_suspected:
             return False
         if not held.is_free:
+            self._stop_deferred(step, now)
             self._reclaim_loans(held, now)
             return False
         places = held.places
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -15,6 +15,7 @@
 from saddlestack.policy.cluster.crash_findings import CrashFinding
 from saddlestack.policy.cluster.crashes import CrashAssessment, CrashTracker
 from saddlestack.policy.cluster.draining import runs_to_stop
+from saddlestack.policy.cluster.fair_share import AccountUsage
 from saddlestack.policy.cluster.fault_attribution import FailureKind, FaultAttribution
 from saddlestack.policy.cluster.incarnation_end import IncarnationEnd
 from saddlestack.policy.cluster.index import CapacityIndex
@@ -29,6 +30,7 @@
     OccurrenceStatus,
     TaskStatus,
 )
+from saddlestack.policy.cluster.victims import count_preemption
 from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.worker_preferences import WorkerPreferences
 from saddlestack.policy.cluster.workers import EARLY_FAILURE_S, EARLY_FAILURE_SHARE, Worker
@@ -60,7 +62,15 @@
         self._fault_attribution = FaultAttribution(self.workers)
         self._crashes = CrashTracker(self.workers)
         self._findings: list[CrashFinding] = []
-        self._planner = Planner(self, self._index, self._worker_preferences, self._crashes)
+        self._usage = AccountUsage()
+        self._planner = Planner(
+            self,
+            self._index,
+            self._worker_preferences,
+            self._crashes,
+            self.options,
+            self._usage,
+        )
 
     def configure(
         self,
@@ -146,6 +156,7 @@
         run.address = address
         task.run = run
         worker.add(run)
+        self._usage.add(run)
 
     def _incarnation_at(self, worker_id: str, address: str) -> Worker:
         """Return the worker incarnation that was ordered a run at an address.
@@ -385,6 +396,7 @@
             self._worker_preferences.add_faulty(worker, now)
 
     def _finish_run(self, run: Run, how: EndKind, saved: str) -> None:
+        self._usage.remove(run)
         task = run.task
         if task.run is not run:
             return
@@ -478,6 +490,7 @@
 
     def preempt(self, run: Run, job: Job) -> None:
         """Preempt a run, and its gang, for a job that may reclaim the resources."""
+        count_preemption(self.members(run))
         self.stop_group(run, StopReason.PREEMPTED, job.job_id)
 
     def members(self, run: Run) -> Sequence[Run]:
@@ -524,6 +537,7 @@
         task.record.run = number
         task.record.worker = worker.worker_id
         worker.add(run)
+        self._usage.add(run)
         self._crashes.count_start(task, 1)
         occurrence = task.step.occurrence
         self._mark_changed(occurrence)
