Place work by the speed of its workers

A gang ends with its slowest member, and the scheduler filled slow and fast workers alike, so that urgent gangs ended late on workers that take 2.4 times as long.

Steps get a speed limit from their objective. Work that tolerates slow workers takes them first, and the headroom counts only empty workers that urgent work can use.

The index keeps its lists of free capacity per speed, so an order by speed costs no sort.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -359,6 +359,8 @@
         self._context.metrics.count("starts", len(changes.starts))
         lent = sum(bool(start.run.lent_by) for start in changes.starts)
         self._context.metrics.count("starts_lent", lent)
+        above_limit = sum(start.run.above_limit for start in changes.starts)
+        self._context.metrics.count("starts_above_limit", above_limit)
         feed_age_s = self._worker_feed.age_s(self._clock.now())
         for start in changes.starts:
             self._context.metrics.time("start_news", feed_age_s)
--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -3,21 +3,42 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
 
 from saddlestack.policy.cluster.backfill import Backfill
 from saddlestack.policy.cluster.fits import FitCache, FitKey
 from saddlestack.policy.cluster.index import CapacityIndex, ServiceCapacity
 from saddlestack.policy.cluster.jobs import StepState, Task
 from saddlestack.policy.cluster.placement import whole_racks
-from saddlestack.policy.cluster.places import IndexedPlaces, IsKept, ListedPlaces, Places
+from saddlestack.policy.cluster.places import (
+    FirstPlaces,
+    IndexedPlaces,
+    IsKept,
+    ListedPlaces,
+    Places,
+)
 from saddlestack.policy.cluster.planner_context import PlannerContext
+from saddlestack.policy.cluster.speed_levels import (
+    MIN_LIMIT,
+    SpeedRank,
+    exceeds,
+    fast_first,
+    slow_first,
+)
+from saddlestack.policy.cluster.speed_limits import SpeedLimit, SpeedLimits
 from saddlestack.policy.cluster.wait_limits import NEAR_DATA_WAIT_S
 from saddlestack.policy.cluster.workers import Worker
 
+MAX_LEVELS_ABOVE = 3
+"""Levels above its limit that a step tries one by one before it takes workers of any speed. Each
+costs a count of the racks that have changed."""
+
 
 class Candidates:
     """Looks up the candidate workers of each step in a round.
 
+    :param speed_limits: computes the speed limits of steps.
     :param is_open: returns whether a task is to be started and need not be isolated.
     """
 
@@ -26,12 +47,14 @@
         cluster_state: PlannerContext,
         index: CapacityIndex,
         backfill: Backfill,
+        speed_limits: SpeedLimits,
         is_open: Callable[[Task], bool],
     ) -> None:
         self._cluster_state = cluster_state
         self._index = index
         self._fits = FitCache(index)
         self._backfill = backfill
+        self._speed_limits = speed_limits
         self._is_open = is_open
 
     def service_capacity(self, step: StepState) -> ServiceCapacity:
@@ -40,23 +63,127 @@
 
     def places(self, step: StepState, now: float) -> Places:
         """The workers that a step may run on."""
+        limit = self.speed_limit(step, now)
+        rank = None if limit is None else limit.rank
         if step.step.per_worker or self._cluster_state.is_advised(step.occurrence.job):
-            return ListedPlaces(step, self.listed(step, now))
+            return ListedPlaces(step, self._within(step, self.listed(step, now), limit), rank)
         fit = self.fit(step)
         kept = self.kept(step)
         near = self._near_data(step, fit, kept, now)
         if near is not None:
-            return ListedPlaces(step, near)
-        return IndexedPlaces(step, self._fits.of(fit), kept)
+            return ListedPlaces(step, self._near_within(step, near, limit), rank)
+        if limit is None:
+            return IndexedPlaces(step, self._fits.of(fit), kept)
+        return self._places_within(step, fit, limit, kept)
+
+    def places_above_limit(self, step: StepState, limit: SpeedLimit, now: float) -> Places:
+        """The workers that a step may run on regardless of its limit, the least slow preferred.
+
+        Workers below the level of the slowest one are used last, since a gang would hold them up.
+        """
+        if step.step.per_worker or self._cluster_state.is_advised(step.occurrence.job):
+            return ListedPlaces(step, self.listed(step, now), limit.rank)
+        factors = self.service_capacity(step).known_factors
+        above = [each for each in factors if exceeds(each, limit.max_factor)]
+        fit, kept = self.fit(step), self.kept(step)
+        keys = [replace(fit, max_factor=each) for each in above[:MAX_LEVELS_ABOVE]]
+        return FirstPlaces(
+            [partial(self._ranked, step, key, fit, kept, slow_first) for key in [*keys, fit]]
+        )
+
+    def speed_limit(self, step: StepState, now: float) -> SpeedLimit | None:
+        """The speed limit of a step; ``None`` if it prefers no worker for its speed.
+
+        A step that could not start within its limit even in an empty pool need not wait for it.
+        """
+        factors = self.service_capacity(step).known_factors
+        if not factors or not exceeds(factors[-1], MIN_LIMIT):
+            return None
+        limit = self._speed_limits.limit(step, factors, now)
+        if limit.restricts:
+            relaxed = limit.relaxed or not self._could_start_within(step, limit)
+            return replace(limit, relaxed=relaxed)
+        return limit if limit.prefers_slow else None
+
+    def _could_start_within(self, step: StepState, limit: SpeedLimit) -> bool:
+        fit = self.fit(step)
+        whole = self._fits.of(fit)
+        fits = self._fits.of(replace(fit, max_factor=limit.max_factor))
+        if step.step.gang and step.step.same_rack and whole.most >= step.at_once:
+            return fits.most >= step.at_once
+        return fits.total_most >= step.at_once
+
+    def _places_within(
+        self, step: StepState, fit: FitKey, limit: SpeedLimit, kept: IsKept | None
+    ) -> Places:
+        """The workers within a step's limit, in the order of their speed.
+
+        A gang is placed on workers of similar speed if possible: it is held up by the slowest one.
+        """
+        within = replace(fit, max_factor=limit.max_factor)
+        last = partial(self._ranked, step, within, fit, kept, limit.rank)
+        if not step.step.gang:
+            return last()
+        if limit.prefers_slow:
+            keys = [replace(within, above=MIN_LIMIT), replace(within, max_factor=MIN_LIMIT)]
+        elif self.service_capacity(step).has_unknown_speeds:
+            keys = [replace(within, known=True)]
+        else:
+            keys = []
+        alike = [partial(self._ranked, step, key, fit, kept, limit.rank) for key in keys]
+        return FirstPlaces([*alike, last])
+
+    def _ranked(
+        self, step: StepState, key: FitKey, fit: FitKey, kept: IsKept | None, rank: SpeedRank
+    ) -> IndexedPlaces:
+        """Workers of some speeds; all others decide as well whether a gang needs one rack."""
+        whole = self._fits.of(fit)
+        fits = whole if key == fit else self._fits.of(key)
+        return IndexedPlaces(step, fits, kept, rank=rank, whole=whole)
+
+    def within_limit(self, step: StepState, workers: list[Worker], now: float) -> list[Worker]:
+        """Those of some workers that are within a step's limit."""
+        return self._within(step, workers, self.speed_limit(step, now))
+
+    def _within(
+        self, step: StepState, workers: list[Worker], limit: SpeedLimit | None
+    ) -> list[Worker]:
+        """Those of some workers that are within a limit.
+
+        None if a gang would have to be spread over several racks for the limit.
+        """
+        if limit is None or not limit.restricts:
+            return workers
+        allowed = [worker for worker in workers if limit.allows(worker)]
+        if step.step.gang and step.step.same_rack and whole_racks(step, workers):
+            return whole_racks(step, allowed)
+        return allowed
+
+    def _near_within(
+        self, step: StepState, near: list[Worker], limit: SpeedLimit | None
+    ) -> list[Worker]:
+        """The workers near a step's data that are within its limit.
+
+        All of them if these could never hold it, since work far from its data takes longer still.
+        """
+        allowed = self._within(step, near, limit)
+        if sum(worker.max_copies(step.step) for worker in allowed) < step.at_once:
+            return near
+        return allowed
 
     def all_places(self, step: StepState, now: float) -> Places:
         """The workers that a step may run on if its preferences are ignored."""
         fit = self.fit(step)
+        limit = self.speed_limit(step, now)
+        rank = None
+        if limit is not None:
+            rank = fast_first if limit.restricts else limit.rank
         if self._cluster_state.is_advised(step.occurrence.job):
-            return ListedPlaces(step, self.with_approval(step, self.eligible(fit, now), now))
+            approved = self.with_approval(step, self.eligible(fit, now), now)
+            return ListedPlaces(step, approved, rank)
         if step.step.per_worker:
-            return ListedPlaces(step, self.eligible(fit, now))
-        return IndexedPlaces(step, self._fits.of(fit), None, spread=True)
+            return ListedPlaces(step, self.eligible(fit, now), rank)
+        return IndexedPlaces(step, self._fits.of(fit), None, spread=True, rank=rank)
 
     def copies(self, step: StepState) -> int:
         """Number of tasks like those of a step that fit now, on all workers together."""
--- a/src/saddlestack/policy/cluster/diagnosis.py
+++ b/src/saddlestack/policy/cluster/diagnosis.py
@@ -19,6 +19,7 @@
 )
 from saddlestack.policy.cluster.jobs import Job, Occurrence, Run, StepState
 from saddlestack.policy.cluster.reasons import WaitReason
+from saddlestack.policy.cluster.speed_limits import SpeedLimit
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.policy.cluster.wait_limits import (
     HEADROOM_WAIT_S,
@@ -39,6 +40,7 @@
 PREFERENCES = frozenset(
     {
         WaitReason.BACKFILL,
+        WaitReason.FASTER_WORKER,
         WaitReason.HEADROOM,
         WaitReason.NEAR_DATA,
         WaitReason.ONE_RACK,
@@ -122,6 +124,7 @@
     priority: int
     long_running: bool
     needs_proven_worker: bool
+    limit: SpeedLimit | None
 
 
 @dataclass(slots=True)
@@ -299,6 +302,8 @@
             return WaitReason.MAKING_ROOM, reserved_until_s
         if feasibility.reason is WaitReason.NEAR_DATA:
             return WaitReason.NEAR_DATA, waiting_since_s + NEAR_DATA_WAIT_S
+        if feasibility.reason is WaitReason.FASTER_WORKER:
+            return WaitReason.FASTER_WORKER, self._cluster_state.planner.limit_until(step)
         return feasibility.reason, feasibility.until_s
 
     def _latest_end_s(
@@ -345,6 +350,7 @@
             step,
             pool,
             self._cluster_state.planner.kept_from(step),
+            limit=self._cluster_state.planner.speed_limit(step, self._now),
             near=self._cluster_state.planner.waits_near_data(step, self._now),
             advised=self._cluster_state.is_advised(step.occurrence.job),
             now=self._now,
@@ -379,6 +385,7 @@
             priority=job.priority,
             long_running=needs.long_running,
             needs_proven_worker=step.needs_proven_worker,
+            limit=self._cluster_state.planner.speed_limit(step, self._now),
         )
 
 
--- a/src/saddlestack/policy/cluster/feasibility.py
+++ b/src/saddlestack/policy/cluster/feasibility.py
@@ -14,6 +14,7 @@
 from saddlestack.policy.cluster.jobs import StepState
 from saddlestack.policy.cluster.places import IsKept, ListedPlaces
 from saddlestack.policy.cluster.reasons import WaitReason
+from saddlestack.policy.cluster.speed_limits import SpeedLimit
 from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.policy.stall import PoolUsage
@@ -22,6 +23,7 @@
 _RELAXATION_ORDER = (
     WaitReason.NEAR_DATA,
     WaitReason.FAILED_THERE,
+    WaitReason.FASTER_WORKER,
     WaitReason.ADVISER,
     WaitReason.BACKFILL,
     WaitReason.RESERVED,
@@ -163,6 +165,7 @@
     """Checks one step against all workers of a service.
 
     :param kept: whether a worker is kept for waiting gangs; ``None`` if no worker is.
+    :param limit: its speed limit while it waits for workers within it, or ``None``.
     :param near: whether the step waits for a place near its data.
     :param advised: whether its starts need the adviser's approval.
     """
@@ -173,6 +176,7 @@
         pool: ServicePool,
         kept: IsKept | None,
         *,
+        limit: SpeedLimit | None = None,
         near: bool,
         advised: bool,
         now: float,
@@ -180,6 +184,7 @@
         self._step = step
         self._pool = pool
         self._kept = kept
+        self._limit = limit
         self._near = near
         self._advised = advised
         self._now = now
@@ -225,7 +230,7 @@
             if label and label not in worker.record.labels:
                 continue
             counted = self._level_with_approval(worker, level)
-            level = self._level_with_backfill(worker, counted)
+            level = self._level_with_limit(worker, self._level_with_backfill(worker, counted))
             self._workers.append(worker)
             self._levels.append(level)
             self._capacity_levels.append(level if examines_each else counted)
@@ -241,6 +246,11 @@
             return level
         return max(level, _LEVEL_OF[WaitReason.BACKFILL])
 
+    def _level_with_limit(self, worker: Worker, level: int) -> int:
+        if self._limit is None or self._limit.allows(worker):
+            return level
+        return max(level, _LEVEL_OF[WaitReason.FASTER_WORKER])
+
     def _exclude_far_from_data(self) -> None:
         """Exclude the other racks while a worker near the data takes work."""
         if not self._near:
--- a/src/saddlestack/policy/cluster/fits.py
+++ b/src/saddlestack/policy/cluster/fits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from heapq import merge
@@ -14,10 +15,11 @@
 
 from saddlestack.policy.cluster.index import CapacityIndex, Rack, ServiceCapacity
 from saddlestack.policy.cluster.releasable import ReleasableRack, ReleasableWorker, by_release_cost
+from saddlestack.policy.cluster.speed_levels import exceeds, known_factor
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import Resources
 
-MAX_FITS = 64
+MAX_FITS = 128
 """Number of cached :class:`FitCapacity`; the least recently used one is evicted. With 350 workers
 in 18 racks one takes 5 KB, and 0.6 ms to count again (median of 20)."""
 
@@ -29,18 +31,38 @@
     :param room: resources of a task.
     :param label: label that the worker must have, or empty.
     :param proven: whether they must not run on workers on probation.
+    :param max_factor: largest known time factor of a worker; infinite for no limit.
+    :param above: a worker's factor must be known and above this; 0 for no such bound.
+    :param known: whether the worker's factor must be known.
     """
 
     service: str
     room: Resources
     label: str
     proven: bool
+    max_factor: float = math.inf
+    above: float = 0.0
+    known: bool = False
 
     def allows(self, worker: Worker, now: float) -> bool:
         """Whether a worker that accepts work may run such tasks."""
         if self.proven and now < worker.probation_s:
             return False
-        return not self.label or self.label in worker.record.labels
+        if self.label and self.label not in worker.record.labels:
+            return False
+        return not self._bounds_speed or self._allows_speed(worker)
+
+    @property
+    def _bounds_speed(self) -> bool:
+        return self.max_factor != math.inf or self.known or self.above > 0.0
+
+    def _allows_speed(self, worker: Worker) -> bool:
+        factor = known_factor(worker)
+        if factor is None:
+            return not self.known and not self.above
+        return not exceeds(factor, self.max_factor) and (
+            not self.above or exceeds(factor, self.above)
+        )
 
 
 @dataclass(slots=True)
@@ -61,13 +83,18 @@
 
 
 class FitCapacity:
-    """How many tasks with the same requirements fit in each rack of a service."""
+    """How many tasks with the same requirements fit in each rack of a service.
+
+    :ivar total: number of tasks that fit now.
+    :ivar total_most: number of tasks that would fit if all workers were empty.
+    """
 
     def __init__(self, fit: FitKey, service_capacity: ServiceCapacity) -> None:
         self.fit = fit
         self.service_capacity = service_capacity
         self.racks: list[RackFit] = []
         self.total = 0
+        self.total_most = 0
         self._now = 0.0
         self._counted_version = -1
         self._by_copies: SortedList[tuple[int, int]] = SortedList()
@@ -127,6 +154,7 @@
             new.free += free.accelerators
         self.racks[rack.number] = new
         self.total += new.copies - old.copies
+        self.total_most += new.most - old.most
         if new.copies != old.copies:
             self._by_copies.remove((old.copies, rack.number))
             self._by_copies.add((new.copies, rack.number))
--- a/src/saddlestack/policy/cluster/headroom.py
+++ b/src/saddlestack/policy/cluster/headroom.py
@@ -21,10 +21,10 @@
 ) -> bool:
     """Whether the headroom allows less urgent work to take some workers.
 
-    It does if the work uses no empty worker, or if the headroom remains. Otherwise it does if less
-    than half of the service is used, or if the work has waited for long enough. That wait is
-    shorter if the pool is mostly free and at least as many empty accelerators remain as the work
-    takes.
+    It does if the work uses no empty worker that is fast enough for urgent work, or if the headroom
+    remains. Otherwise it does if less than half of the service is used, or if the work has waited
+    for long enough. That wait is shorter if the pool is mostly free and at least as many empty
+    accelerators remain as the work takes.
 
     :param service_capacity: capacity of the service.
     :param places: the workers that the work would go to.
@@ -32,6 +32,8 @@
     """
     opened: dict[str, int] = {}
     for worker in {worker: None for worker in places if not worker.runs}:
+        if not service_capacity.counts_for_headroom(worker):
+            continue
         rack = worker.record.rack
         opened[rack] = opened.get(rack, 0) + worker.record.capacity.accelerators
     if not opened:
--- a/src/saddlestack/policy/cluster/index.py
+++ b/src/saddlestack/policy/cluster/index.py
@@ -8,14 +8,22 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
 
 from sortedcontainers import SortedList
 
+from saddlestack.policy.cluster.speed_levels import SpeedRank, exceeds, known_factor
 from saddlestack.policy.cluster.workers import Worker
 
+MAX_URGENT_FACTOR = 1.5625
+"""Largest time factor of a worker that counts in the headroom. Urgent work tolerates a factor of
+1.5 and a little waiting, so it cannot use slower ones in time."""
+
+_FreeList = dict[int, SortedList[tuple[int, int]]]
+"""Free processors and numbers of workers, by their free accelerators."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Contribution:
@@ -24,7 +32,9 @@
     :param service: the service in its record.
     :param rack: the rack in its record.
     :param eligible: whether it accepts work and is not suspected.
-    :param empty: its accelerators if it accepts work and runs nothing, otherwise 0.
+    :param empty: its accelerators if it accepts work, runs nothing and is fast enough for urgent
+        work, otherwise 0.
+    :param speed: its time factor if that is known and counts, otherwise ``None``.
     :param evacuated: whether its data hall is being evacuated. Such a worker does not count in
         :attr:`ServiceCapacity.open` and :attr:`ServiceCapacity.largest_rack`.
     :param present: whether it is listed by the platform and reachable.
@@ -42,6 +52,7 @@
     used_cpu: int
     free_accelerators: int
     free_cpu: int
+    speed: float | None = None
 
 
 class Rack:
@@ -101,7 +112,8 @@
 class ServiceCapacity:
     """Capacity of the workers of one service.
 
-    :ivar empty: accelerators of workers that accept work and run nothing.
+    :ivar empty: accelerators of workers that accept work, run nothing and are fast enough for
+        urgent work.
     :ivar all: usage of all workers.
     :ivar open: usage of workers whose data hall is not being evacuated.
     :ivar present: usage of workers that are listed by the platform and reachable.
@@ -115,7 +127,8 @@
         self.open = Usage()
         self.present = Usage()
         self._by_name: dict[str, Rack] = {}
-        self._by_free: dict[int, SortedList[tuple[int, int]]] = {}
+        self._by_speed: dict[float | None, _FreeList] = {}
+        self._known_factors: tuple[float, ...] = ()
         self._by_number: dict[int, Worker] = {}
         self._by_empty: SortedList[tuple[int, int]] = SortedList()
         self._by_accelerators: SortedList[int] = SortedList()
@@ -126,6 +139,20 @@
         """Accelerators of the rack that has most of them."""
         return self._by_accelerators[-1] if self._by_accelerators else 0
 
+    @property
+    def known_factors(self) -> tuple[float, ...]:
+        """Known time factors of the eligible workers, in ascending order."""
+        return self._known_factors
+
+    @property
+    def has_unknown_speeds(self) -> bool:
+        """Whether the time factor of an eligible worker is unknown."""
+        return None in self._by_speed
+
+    def counts_for_headroom(self, worker: Worker) -> bool:
+        """Whether urgent work can use a worker, so that the headroom counts it while empty."""
+        return not self._known_factors or not exceeds(known_factor(worker), MAX_URGENT_FACTOR)
+
     @property
     def count(self) -> int:
         """Number of its workers."""
@@ -154,12 +181,31 @@
                 return
             yield rack
 
-    def tightest_first(self, accelerators: int, cpu: int) -> Iterator[Worker]:
-        """Eligible workers with at least this much free, those with the least free first."""
-        for free in sorted(self._by_free):
+    def tightest_first(
+        self, accelerators: int, cpu: int, rank: SpeedRank | None = None
+    ) -> Iterator[Worker]:
+        """Eligible workers with at least this much free, those with the least free first.
+
+        :param rank: order of the workers by speed, which precedes how much is free.
+        """
+        if rank is None:
+            yield from self._tightest_of(self._by_speed.values(), accelerators, cpu)
+            return
+        groups: dict[int, list[_FreeList]] = {}
+        for speed, free_list in self._by_speed.items():
+            groups.setdefault(rank(speed), []).append(free_list)
+        for _, group in sorted(groups.items()):
+            yield from self._tightest_of(group, accelerators, cpu)
+
+    def _tightest_of(
+        self, group: Iterable[_FreeList], accelerators: int, cpu: int
+    ) -> Iterator[Worker]:
+        lists = list(group)
+        for free in sorted(set().union(*lists)):
             if free < accelerators:
                 continue
-            for _, number in self._by_free[free].irange((cpu, -1)):
+            places = [each[free].irange((cpu, -1)) for each in lists if free in each]
+            for _, number in places[0] if len(places) == 1 else heapq.merge(*places):
                 yield self._by_number[number]
 
     def put(self, worker: Worker, number: int, contribution: _Contribution) -> None:
@@ -168,7 +214,9 @@
         rack.workers[worker] = contribution.eligible
         self._add(rack, contribution, 1)
         if contribution.eligible:
-            places = self._by_free.setdefault(contribution.free_accelerators, SortedList())
+            places = self._free_list(contribution.speed).setdefault(
+                contribution.free_accelerators, SortedList()
+            )
             places.add((contribution.free_cpu, number))
             self._by_number[number] = worker
         self._touch(rack)
@@ -179,13 +227,27 @@
         del rack.workers[worker]
         self._add(rack, contribution, -1)
         if contribution.eligible:
-            places = self._by_free[contribution.free_accelerators]
+            free_list = self._by_speed[contribution.speed]
+            places = free_list[contribution.free_accelerators]
             places.remove((contribution.free_cpu, number))
             del self._by_number[number]
             if not places:
-                del self._by_free[contribution.free_accelerators]
+                del free_list[contribution.free_accelerators]
+                if not free_list:
+                    del self._by_speed[contribution.speed]
+                    self._note_speeds()
         self._touch(rack)
 
+    def _free_list(self, speed: float | None) -> _FreeList:
+        free_list = self._by_speed.get(speed)
+        if free_list is None:
+            free_list = self._by_speed[speed] = {}
+            self._note_speeds()
+        return free_list
+
+    def _note_speeds(self) -> None:
+        self._known_factors = tuple(sorted(each for each in self._by_speed if each is not None))
+
     def _get_or_add_rack(self, name: str) -> Rack:
         rack = self._by_name.get(name)
         if rack is None:
@@ -221,12 +283,14 @@
 class CapacityIndex:
     """Capacity of all workers, by service.
 
+    :param uses_speeds: whether the time factors of the workers count.
     :ivar now: when the current round began, in seconds on the monotonic clock.
     :ivar leaving: workers that are about to leave.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, uses_speeds: bool = False) -> None:
         self.now = 0.0
+        self._uses_speeds = uses_speeds
         self.leaving: dict[Worker, None] = {}
         self._services: dict[str, ServiceCapacity] = {}
         self._contributions: dict[Worker, _Contribution] = {}
@@ -294,7 +358,9 @@
 
     def _put(self, worker: Worker) -> None:
         number = self._numbers[worker]
-        contribution = self._contributions[worker] = _contribution(worker, self.now)
+        contribution = self._contributions[worker] = _contribution(
+            worker, self.now, uses_speeds=self._uses_speeds
+        )
         service_capacity = self._services.get(contribution.service)
         if service_capacity is None:
             service_capacity = self._services[contribution.service] = ServiceCapacity()
@@ -314,15 +380,17 @@
             self._services[contribution.service].drop(worker, self._numbers[worker], contribution)
 
 
-def _contribution(worker: Worker, now: float) -> _Contribution:
+def _contribution(worker: Worker, now: float, *, uses_speeds: bool) -> _Contribution:
     record = worker.record
     accepts_work = worker.accepts_work(now)
     free = worker.free
+    speed = known_factor(worker) if uses_speeds else None
+    is_empty = accepts_work and not worker.runs and not exceeds(speed, MAX_URGENT_FACTOR)
     return _Contribution(
         service=record.service,
         rack=record.rack,
         eligible=accepts_work and not worker.suspected,
-        empty=record.capacity.accelerators if accepts_work and not worker.runs else 0,
+        empty=record.capacity.accelerators if is_empty else 0,
         evacuated=worker.evacuated,
         present=worker.listed and worker.reachable,
         accelerators=record.capacity.accelerators,
@@ -331,4 +399,5 @@
         used_cpu=worker.used.cpu,
         free_accelerators=free.accelerators,
         free_cpu=free.cpu,
+        speed=speed,
     )
--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -42,6 +42,7 @@
     :param lent_by: steps that have reserved the resources which it borrows; it is preempted for
         them.
     :param awaited_s: since when other work has waited for it to end, or ``None``.
+    :param above_limit: its worker was known to be slower than the speed limit of its step.
     :param never_began: the worker is known never to have begun it.
     :param saved: the latest checkpoint that the worker reported.
     :param percent: progress that the worker reported; a long-running task reports 100 while it
@@ -68,6 +69,7 @@
     stopping: bool = False
     lent_by: frozenset[StepState] = frozenset()
     awaited_s: float | None = None
+    above_limit: bool = False
     never_began: bool = False
     saved: str = ""
     percent: int = 0
--- a/src/saddlestack/policy/cluster/placement.py
+++ b/src/saddlestack/policy/cluster/placement.py
@@ -6,6 +6,7 @@
 
 from saddlestack.policy.cluster.jobs import StepState
 from saddlestack.policy.cluster.releasable import ReleasableRack, ReleasableWorker
+from saddlestack.policy.cluster.speed_levels import SpeedRank, known_factor
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import Resources
 
@@ -49,12 +50,17 @@
     return racks
 
 
-def place_gang(step: StepState, workers: Sequence[Worker], copies: Copies) -> list[Worker] | None:
-    """Choose a worker for each task of a gang; ``None`` if it does not fit completely."""
+def place_gang(
+    step: StepState, workers: Sequence[Worker], copies: Copies, rank: SpeedRank | None = None
+) -> list[Worker] | None:
+    """Choose a worker for each task of a gang; ``None`` if it does not fit completely.
+
+    :param rank: order of the workers by speed, which precedes how much is free.
+    """
     best: list[Worker] | None = None
     best_key: tuple[bool, int] | None = None
     for domain in domains(step, workers):
-        chosen = _fill(step.step.count, domain, copies)
+        chosen = _fill(step.step.count, domain, copies, rank)
         if chosen is None:
             continue
         far = bool(step.step.data_rack) and domain[0].record.rack != step.step.data_rack
@@ -93,16 +99,22 @@
             yield ReleasableWorker.of(worker, lower, copies)
 
 
-def place_task(step: StepState, workers: Iterable[Worker], copies: Copies) -> Worker | None:
-    """Choose the worker for one task: near its data, then the one with the least capacity left."""
+def place_task(
+    step: StepState, workers: Iterable[Worker], copies: Copies, rank: SpeedRank | None = None
+) -> Worker | None:
+    """Choose the worker for one task: near its data, then the one with the least capacity left.
+
+    :param rank: order of the workers by speed, which precedes how much is left.
+    """
     best: Worker | None = None
-    best_key: tuple[bool, int, int] | None = None
+    best_key: tuple[bool, int, int, int] | None = None
     near = step.step.data_rack
     for worker in workers:
         if copies(worker) < 1:
             continue
         left = worker.free - step.step.allocation
-        key = (bool(near) and worker.record.rack != near, left.accelerators, left.cpu)
+        far = bool(near) and worker.record.rack != near
+        key = (far, _rank_of(worker, rank), left.accelerators, left.cpu)
         if best_key is None or key < best_key:
             best, best_key = worker, key
     return best
@@ -115,11 +127,13 @@
     return sorted(workers, key=lambda worker: worker.record.rack != near)
 
 
-def _fill(wanted: int, domain: Sequence[Worker], copies: Copies) -> list[Worker] | None:
+def _fill(
+    wanted: int, domain: Sequence[Worker], copies: Copies, rank: SpeedRank | None
+) -> list[Worker] | None:
     eligible = [(worker, count) for worker in domain if (count := copies(worker)) > 0]
     if sum(count for _, count in eligible) < wanted:
         return None
-    eligible.sort(key=lambda pair: _tightness(pair[0].free))
+    eligible.sort(key=lambda pair: (_rank_of(pair[0], rank), _tightness(pair[0].free)))
     return fill_one_hall(eligible, wanted)
 
 
@@ -152,5 +166,9 @@
     return sum(1 for worker in set(places) if not worker.runs)
 
 
+def _rank_of(worker: Worker, rank: SpeedRank | None) -> int:
+    return 0 if rank is None else rank(known_factor(worker))
+
+
 def _tightness(free: Resources) -> tuple[int, int]:
     return free.accelerators, free.cpu
--- a/src/saddlestack/policy/cluster/places.py
+++ b/src/saddlestack/policy/cluster/places.py
@@ -18,6 +18,7 @@
     soonest,
 )
 from saddlestack.policy.cluster.releasable import ReleasableRack
+from saddlestack.policy.cluster.speed_levels import SpeedRank
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import Resources
 
@@ -67,21 +68,28 @@
 
 
 class ListedPlaces:
-    """A list of workers, each of which is checked. For short lists and what no index covers."""
+    """A list of workers, each of which is checked. For short lists and what no index covers.
 
-    def __init__(self, step: StepState, workers: Sequence[Worker]) -> None:
+    :param rank: order of the workers by speed; ``None`` for none.
+    """
+
+    def __init__(
+        self, step: StepState, workers: Sequence[Worker], rank: SpeedRank | None = None
+    ) -> None:
         self._step = step
         self._workers = workers
+        self._rank = rank
 
     def choose_gang(self) -> list[Worker] | None:
         """Choose listed workers for all tasks of a gang; ``None`` if it does not fit completely."""
-        return place_gang(self._step, self._workers, _free_copies(self._step))
+        return place_gang(self._step, self._workers, _free_copies(self._step), self._rank)
 
     def choose_worker(self, avoid: set[str]) -> Worker | None:
         """Choose a listed worker for one task, as :meth:`WorkerChoice.choose_worker` does."""
         fresh = [worker for worker in self._workers if worker.worker_id not in avoid]
         others = any(worker.max_copies(self._step.step) > 0 for worker in fresh)
-        return place_task(self._step, fresh if others else self._workers, _free_copies(self._step))
+        workers = fresh if others else self._workers
+        return place_task(self._step, workers, _free_copies(self._step), self._rank)
 
     def soonest(self) -> Sequence[Worker]:
         """Choose listed workers where a gang fits once the work of lower priority has ended."""
@@ -100,17 +108,28 @@
 
     :param kept: test for workers that are kept from the step; ``None`` if none are.
     :param spread: whether a gang that needs a single rack may use several.
+    :param rank: order of the workers by speed; ``None`` for none.
+    :param whole: capacity that decides whether a rack could ever hold the gang, if ``fits`` covers
+        only workers of some speeds. Otherwise the gang would be spread over racks for their sake.
     """
 
     def __init__(
-        self, step: StepState, fits: FitCapacity, kept: IsKept | None, *, spread: bool = False
+        self,
+        step: StepState,
+        fits: FitCapacity,
+        kept: IsKept | None,
+        *,
+        spread: bool = False,
+        rank: SpeedRank | None = None,
+        whole: FitCapacity | None = None,
     ) -> None:
         self._step = step
         self._fits = fits
         self._kept = kept
         self._service_capacity = fits.service_capacity
         wants_rack = step.step.same_rack and not spread
-        self._in_rack = wants_rack and fits.most >= step.step.count
+        self._in_rack = wants_rack and (whole or fits).most >= step.step.count
+        self._rank = rank
 
     def choose_gang(self) -> list[Worker] | None:
         """Choose a worker for each task of a gang; ``None`` if it does not fit completely.
@@ -120,17 +139,21 @@
         if not self._in_rack:
             return self._choose_any_racks()
         for rack in self._near():
-            places = place_gang(self._step, self._accepting(rack), _free_copies(self._step))
+            places = self._choose_in(rack)
             if places is not None:
                 return places
         eligible = list(self._fits.holding(self._step.step.count))
         eligible.sort(key=lambda rack: (self._free(rack), rack.number))
         for rack in eligible:
-            places = place_gang(self._step, self._accepting(rack), _free_copies(self._step))
+            places = self._choose_in(rack)
             if places is not None:
                 return places
         return None
 
+    def _choose_in(self, rack: Rack) -> list[Worker] | None:
+        workers = self._accepting(rack)
+        return place_gang(self._step, workers, _free_copies(self._step), self._rank)
+
     def choose_worker(self, avoid: set[str]) -> Worker | None:
         """Choose a worker for one task: in the rack near its data, or else the fullest that fits.
 
@@ -144,7 +167,7 @@
     def _find_worker(self, avoid: set[str]) -> Worker | None:
         for rack in self._near():
             fresh = [w for w in self._accepting(rack) if w.worker_id not in avoid]
-            worker = place_task(self._step, fresh, _free_copies(self._step))
+            worker = place_task(self._step, fresh, _free_copies(self._step), self._rank)
             if worker is not None:
                 return worker
         others = (w for w in self._tightest() if w.worker_id not in avoid)
@@ -241,7 +264,9 @@
     def _tightest(self) -> Iterator[Worker]:
         """Workers on which a task fits, the fullest first."""
         request = self._step.step.allocation
-        for worker in self._service_capacity.tightest_first(request.accelerators, request.cpu):
+        for worker in self._service_capacity.tightest_first(
+            request.accelerators, request.cpu, self._rank
+        ):
             if self._kept is not None and self._kept(worker):
                 continue
             if self._fits.allows(worker) and worker.count_fitting(request, worker.free) > 0:
@@ -284,6 +309,40 @@
         return ()
 
 
+class FirstPlaces:
+    """Several sets of workers that are tried in order, each built only when it is reached.
+
+    :param options: build the sets. The last one includes all others.
+    """
+
+    def __init__(self, options: Sequence[Callable[[], Places]]) -> None:
+        self._options = options
+
+    def choose_gang(self) -> list[Worker] | None:
+        """Choose workers in the first set that holds the gang; ``None`` if none does."""
+        for option in self._options:
+            chosen = option().choose_gang()
+            if chosen is not None:
+                return chosen
+        return None
+
+    def choose_worker(self, avoid: set[str]) -> Worker | None:
+        """Choose a worker in the first set that has one, as :meth:`WorkerChoice.choose_worker`."""
+        for option in self._options:
+            worker = option().choose_worker(avoid)
+            if worker is not None:
+                return worker
+        return None
+
+    def soonest(self) -> Sequence[Worker]:
+        """Choose workers of the last set where a gang fits once lower priorities have ended."""
+        return self._options[-1]().soonest()
+
+    def domains(self, wanted: int) -> Iterable[Sequence[Worker]]:
+        """Groups of workers of the last set to search for runs to preempt."""
+        return self._options[-1]().domains(wanted)
+
+
 class LastResortPlaces:
     """Workers for work that would stall, regardless of recent failures on them.
 
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import replace
 
 from saddlestack.interfaces.workers import EndKind
@@ -30,6 +30,8 @@
     is_overdue,
 )
 from saddlestack.policy.cluster.shapes import FailedShapes, Shape, ShapeNumbers, StepShapes
+from saddlestack.policy.cluster.speed_levels import exceeds, known_factor
+from saddlestack.policy.cluster.speed_limits import SpeedLimit, SpeedLimits
 from saddlestack.policy.cluster.stalled import StalledPlacement
 from saddlestack.policy.cluster.wait_limits import (
     HEADROOM_WAIT_S,
@@ -67,7 +69,10 @@
         self._reservations = Reservations()
         self._lending = Lending()
         self._backfill = Backfill()
-        self._candidates = Candidates(cluster_state, index, self._backfill, self._is_open)
+        self._speed_limits = SpeedLimits(cluster_state)
+        self._candidates = Candidates(
+            cluster_state, index, self._backfill, self._speed_limits, self._is_open
+        )
         self._failed_shapes = FailedShapes()
         self._stalled = StalledPlacement(
             cluster_state, self._candidates, self._reservations, self._lending
@@ -118,6 +123,7 @@
         self._reservations.release_expired(now)
         self._isolation.refresh(now)
         entitled = self._waiting.entitled(self._cluster_state.guaranteed)
+        self._speed_limits.begin_round(now, wall_ms, entitled)
         for step in self._waiting.in_order(now, wall_ms, entitled):
             if self._starts >= MAX_STARTS_PER_ROUND:
                 return True
@@ -136,6 +142,18 @@
         with self._index.without_refresh():
             return bool(step.step.data_rack) and prefers_near(step, now)
 
+    def speed_limit(self, step: StepState, now: float) -> SpeedLimit | None:
+        """The speed limit of a step that still waits for workers within it, or ``None``."""
+        with self._index.without_refresh():
+            limit = self._candidates.speed_limit(step, now)
+        return limit if limit is not None and limit.restricts and not limit.relaxed else None
+
+    def limit_until(self, step: StepState) -> float | None:
+        """When a waiting step starts above its speed limit at the latest."""
+        if step.stalled_since_s is None:
+            return None
+        return step.stalled_since_s + self._speed_limits.max_wait_s(step)
+
     def reserved_until(self, step: StepState) -> float | None:
         """When a step's reservation expires; ``None`` if it has none."""
         reservation = self._reservations.of(step)
@@ -150,7 +168,8 @@
 
     def _place(self, step: StepState, entitled: set[str], now: float) -> None:
         is_top = step.occurrence.job.priority == TOP_PRIORITY
-        shape = self._shape(step, now)
+        limit = self._candidates.speed_limit(step, now)
+        shape = self._shape(step, limit, now)
         full = shape in self._failed_shapes.full
         if not may_start(step):
             self._waiting.remove(step)
@@ -167,15 +186,42 @@
         if not full and self._place_on_preferred(step, now):
             return
         places = self._candidates.places(step, now)
-        if not full and self._place_on(step, shape, places, now):
+        if limit is not None and limit.restricts:
+            if self._place_limited(step, shape, limit, places, now):
+                return
+        elif not full and self._place_on(step, shape, places, now):
             return
         if self._place_without_preferences(step, now):
             return
         if not is_top:
             self._keep_workers(step, shape, now)
-        elif self._reservations.of(step) is None:
+        elif self._reservations.of(step) is None and (limit is None or not limit.restricts):
             self._preempt(step, places, entitled, now)
 
+    # Speed limits
+
+    def _place_limited(
+        self, step: StepState, shape: int | None, limit: SpeedLimit, places: Places, now: float
+    ) -> bool:
+        """Place a step with a speed limit: within it, after preemptions, or at last above it.
+
+        :return: whether the step has started or has a reservation.
+        """
+        is_top = step.occurrence.job.priority == TOP_PRIORITY
+        noted = None if limit.relaxed and not is_top else shape
+        if shape not in self._failed_shapes.full and self._place_on(step, noted, places, now):
+            return True
+        if is_top and self._reservations.of(step) is None:
+            self._preempt(step, places, set(), now)
+        if not limit.relaxed or self._reservations.of(step) is not None:
+            return False
+        above = self._candidates.places_above_limit(step, limit, now)
+        if self._place_on(step, None if is_top else shape, above, now):
+            return True
+        if is_top:
+            self._preempt(step, above, self._speed_limits.entitled, now)
+        return False
+
     # Isolation
 
     def _isolate(self, step: StepState, now: float) -> bool:
@@ -250,7 +296,8 @@
     def _place_on_preferred(self, step: StepState, now: float) -> bool:
         """Place a step on preferred workers only, if there are such and it fits there."""
         for preferred in self._worker_preferences.preferences(step, now):
-            eligible = self._candidates.listed(step, now)
+            listed = self._candidates.listed(step, now)
+            eligible = self._candidates.within_limit(step, listed, now)
             chosen = [worker for worker in eligible if preferred(worker)]
             if step.step.gang and step.step.same_rack:
                 chosen = whole_racks(step, chosen)
@@ -289,7 +336,7 @@
             return self._place_gang(step, shape, places, now)
         return self._place_tasks(step, shape, places, now)
 
-    def _shape(self, step: StepState, now: float) -> int | None:
+    def _shape(self, step: StepState, limit: SpeedLimit | None, now: float) -> int | None:
         """Number of the step's shape; ``None`` if more than its shape decides whether it fits."""
         if self._cluster_state.is_advised(step.occurrence.job):
             return None
@@ -298,7 +345,8 @@
         service = self._cluster_state.service_of(step.occurrence.job)
         if step.shapes is None or step.shapes.service != service:
             step.shapes = self._step_shapes(step, service)
-        return step.shapes.near if prefers_near(step, now) else step.shapes.anywhere
+        shape = step.shapes.near if prefers_near(step, now) else step.shapes.anywhere
+        return shape if limit is None else self._shapes.limited(shape, limit)
 
     def _step_shapes(self, step: StepState, service: str) -> StepShapes:
         needs = step.step
@@ -362,11 +410,21 @@
     def _assign(self, task: Task, worker: Worker, number: int, now: float) -> None:
         self._starts += 1
         self._stalled.note_started(task.name.job_id)
+        is_above_limit = self._is_above_limit(task.step, worker, now)
         self._cluster_state.assign(task, worker, number, now)
         task.step.preempts_since_s = None
         task.step.times_delayed = 0
         if task.run is not None and worker.is_overbooked and _is_reclaimable(task.run):
             task.run.lent_by = self._reservations.lenders(worker)
+        if task.run is not None:
+            task.run.above_limit = is_above_limit
+
+    def _is_above_limit(self, step: StepState, worker: Worker, now: float) -> bool:
+        """Whether a worker is known to be slower than the speed limit of a step."""
+        if not exceeds(known_factor(worker), 1.0):
+            return False
+        limit = self._candidates.speed_limit(step, now)
+        return limit is not None and not limit.allows(worker)
 
     # Headroom
 
@@ -381,7 +439,9 @@
 
     # Preemption
 
-    def _preempt(self, step: StepState, places: Places, entitled: set[str], now: float) -> None:
+    def _preempt(
+        self, step: StepState, places: Places, entitled: Collection[str], now: float
+    ) -> None:
         job = step.occurrence.job
         is_entitled = job.job_id in entitled
 
--- a/src/saddlestack/policy/cluster/planner_context.py
+++ b/src/saddlestack/policy/cluster/planner_context.py
@@ -6,12 +6,18 @@
 from typing import Protocol
 
 from saddlestack.policy.cluster.jobs import Job, Run, StepState, Task
+from saddlestack.policy.cluster.speed_limits import WorkTimes
 from saddlestack.policy.cluster.workers import Worker
 
 
 class PlannerContext(Protocol):
     """Queries and decisions that the planner passes to the cluster state."""
 
+    @property
+    def work_times(self) -> WorkTimes:
+        """Source of the expected duration of work."""
+        ...
+
     def guaranteed(self, account: str) -> int:
         """Accelerators that are guaranteed to an account for jobs of priority 0."""
         ...
--- a/src/saddlestack/policy/cluster/reasons.py
+++ b/src/saddlestack/policy/cluster/reasons.py
@@ -24,6 +24,7 @@
     HEADROOM = "headroom"
     NEAR_DATA = "near_data"
     FAILED_THERE = "failed_there"
+    FASTER_WORKER = "faster_worker"
     ISOLATION = "isolation"
     ADVISER = "adviser"
     BACKFILL = "backfill"
@@ -104,6 +105,10 @@
         "room is free only on workers where it failed, and there are others",
         "room on another worker",
     ),
+    WaitReason.FASTER_WORKER: (
+        "room is free only on workers that are too slow for its objective",
+        "room on a faster worker, or the end of its patience, after which it goes to a slower one",
+    ),
     WaitReason.ISOLATION: (
         "a worker crashed under it, and it is to be started alone",
         "an empty worker, or the end of its patience, after which it goes beside others",
--- a/src/saddlestack/policy/cluster/shapes.py
+++ b/src/saddlestack/policy/cluster/shapes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 
 from saddlestack.work import Resources
@@ -41,6 +42,7 @@
 
     def __init__(self) -> None:
         self._numbers: dict[Shape, int] = {}
+        self._limited: dict[tuple[int, Hashable], int] = {}
         self._next = 0
 
     def number(self, shape: Shape) -> int:
@@ -53,6 +55,17 @@
             self._next += 1
         return number
 
+    def limited(self, shape: int, limit: Hashable) -> int:
+        """Number of a shape with a speed limit. It differs from that of any other limit."""
+        key = (shape, limit)
+        number = self._limited.get(key)
+        if number is None:
+            if len(self._limited) >= MAX_SHAPES:
+                self._limited.clear()
+            number = self._limited[key] = self._next
+            self._next += 1
+        return number
+
 
 @dataclass(frozen=True, slots=True)
 class StepShapes:
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -29,6 +29,7 @@
     OccurrenceStatus,
     TaskStatus,
 )
+from saddlestack.policy.cluster.speed_limits import UnknownWorkTimes, WorkTimes
 from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.worker_preferences import WorkerPreferences
 from saddlestack.policy.cluster.workers import EARLY_FAILURE_S, EARLY_FAILURE_SHARE, Worker
@@ -55,7 +56,8 @@
         self._advised: frozenset[str] = frozenset()
         self._evacuated: frozenset[str] = frozenset()
         self._changed_jobs: dict[str, Job] = {}
-        self._index = CapacityIndex()
+        self._index = CapacityIndex(uses_speeds=self.options.worker_speeds)
+        self._work_times: WorkTimes = UnknownWorkTimes()
         self._worker_preferences = WorkerPreferences()
         self._fault_attribution = FaultAttribution(self.workers)
         self._crashes = CrashTracker(self.workers)
@@ -78,6 +80,11 @@
         self._guaranteed = dict(guaranteed)
         self._services = dict(services)
 
+    @property
+    def work_times(self) -> WorkTimes:
+        """Source of the expected duration of work."""
+        return self._work_times
+
     def guaranteed(self, account: str) -> int:
         """Accelerators that are guaranteed to an account for jobs of priority 0."""
         return self._guaranteed.get(account, 0)
