Restart urgent gangs that a slow worker makes late

A gang that started before its slow worker was known ended late although faster workers were free. It is now stopped once, with the reason slow_worker, if its progress shows that it will miss its objective, that it meets it after a restart, and that room within its limit is free. The room is reserved until the runs have stopped, so that no other work takes it. Long tasks on workers that are known to be usual are no reason, since they take as long elsewhere. Without a known slow worker nothing is restarted.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -337,6 +337,7 @@
             self._sessions.order_stop(stop)
         for pace in changes.paces:
             self._sessions.order_pace(pace)
+        self._context.metrics.count("restarts_slow_worker", changes.slow_restarts)
         self._crash_log.log_findings(changes.findings)
         for question in changes.advice_requests:
             self._tasks.spawn(self._ask_adviser(question))
--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from functools import partial
 
 from saddlestack.policy.cluster.backfill import Backfill
 from saddlestack.policy.cluster.fits import FitCache, FitKey
 from saddlestack.policy.cluster.index import CapacityIndex, ServiceCapacity
-from saddlestack.policy.cluster.jobs import StepState, Task
-from saddlestack.policy.cluster.placement import whole_racks
+from saddlestack.policy.cluster.jobs import Run, StepState, Task
+from saddlestack.policy.cluster.placement import place_gang, whole_racks
 from saddlestack.policy.cluster.places import (
     FirstPlaces,
     IndexedPlaces,
@@ -19,6 +19,7 @@
     Places,
 )
 from saddlestack.policy.cluster.planner_context import PlannerContext
+from saddlestack.policy.cluster.slow_restarts import SlowGang
 from saddlestack.policy.cluster.speed_levels import (
     MIN_LIMIT,
     SpeedRank,
@@ -29,6 +30,7 @@
 from saddlestack.policy.cluster.speed_limits import SpeedLimit, SpeedLimits
 from saddlestack.policy.cluster.wait_limits import NEAR_DATA_WAIT_S
 from saddlestack.policy.cluster.workers import Worker
+from saddlestack.work import Resources
 
 MAX_LEVELS_ABOVE = 3
 """Levels above its limit that a step tries one by one before it takes workers of any speed. Each
@@ -105,6 +107,32 @@
             return replace(limit, relaxed=relaxed)
         return limit if limit.prefers_slow else None
 
+    def restart_places(
+        self, step: StepState, members: Sequence[Run], slow_gang: SlowGang, now: float
+    ) -> list[Worker] | None:
+        """Workers on which a gang fits if its present runs stop; ``None`` if it does not.
+
+        :param members: its present runs.
+        """
+        factors = self.service_capacity(step).known_factors
+        if not factors or not exceeds(factors[-1], MIN_LIMIT):
+            return None
+        held: dict[str, Resources] = {}
+        for run in members:
+            held[run.worker_id] = held.get(run.worker_id, Resources()) + run.allocation
+        eligible = self.eligible(self.fit(step), now)
+        limit = SpeedLimit(slow_gang.max_factor, fast_first)
+        allowed = self._within(step, eligible, limit)
+        allowed = [worker for worker in allowed if worker.worker_id not in slow_gang.slow]
+
+        def copies(worker: Worker) -> int:
+            own = held.get(worker.worker_id, Resources())
+            return worker.copies(step, worker.free + own)
+
+        if step.step.same_rack and whole_racks(step, eligible):
+            allowed = whole_racks(step, allowed)
+        return place_gang(step, allowed, copies, fast_first)
+
     def _could_start_within(self, step: StepState, limit: SpeedLimit) -> bool:
         fit = self.fit(step)
         whole = self._fits.of(fit)
--- a/src/saddlestack/policy/cluster/changes.py
+++ b/src/saddlestack/policy/cluster/changes.py
@@ -47,6 +47,7 @@
     PREEMPTED = "preempted"
     WORKER_LEAVES = "worker_leaves"
     STUCK = "stuck"
+    SLOW_WORKER = "slow_worker"
     NOT_OURS = "not_ours"
 
 
@@ -90,6 +91,7 @@
     :param paces: paces to be ordered at once.
     :param advice_requests: requests to the adviser.
     :param state_updates: jobs and their states, to be published after the records are written.
+    :param slow_restarts: number of gangs that are restarted because a worker was slow.
     :param findings: on tasks under which workers crashed, to be logged.
     """
 
@@ -100,6 +102,7 @@
     advice_requests: list[AdviceRequest] = field(default_factory=list)
     state_updates: list[tuple[Job, JobState]] = field(default_factory=list)
     findings: list[CrashFinding] = field(default_factory=list)
+    slow_restarts: int = 0
 
     def by_job(self) -> list[JobChanges]:
         """The records, and what depends on their writes, grouped by job."""
--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -109,6 +109,7 @@
     :param has_avoided_workers: whether a task failed on some worker and avoids it.
     :param shapes: the numbers of its shapes, once they were computed.
     :param moves: how often it was restarted elsewhere because it had stalled.
+    :param slow_restarts: how often it was restarted elsewhere because a worker was slow.
     :param waiting_since_s: when one of its tasks first waited to be started, or ``None``.
     :param stalled_since_s: since when it has had tasks to start of which none has begun, or
         ``None``.
@@ -128,6 +129,7 @@
     has_avoided_workers: bool = False
     shapes: StepShapes | None = None
     moves: int = 0
+    slow_restarts: int = 0
     waiting_since_s: float | None = None
     stalled_since_s: float | None = None
     preempts_since_s: float | None = None
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -30,6 +30,7 @@
     is_overdue,
 )
 from saddlestack.policy.cluster.shapes import FailedShapes, Shape, ShapeNumbers, StepShapes
+from saddlestack.policy.cluster.slow_restarts import SlowGang
 from saddlestack.policy.cluster.speed_levels import exceeds, known_factor
 from saddlestack.policy.cluster.speed_limits import SpeedLimit, SpeedLimits
 from saddlestack.policy.cluster.stalled import StalledPlacement
@@ -69,9 +70,9 @@
         self._reservations = Reservations()
         self._lending = Lending()
         self._backfill = Backfill()
-        self._speed_limits = SpeedLimits(cluster_state)
+        self.speed_limits = SpeedLimits(cluster_state)
         self._candidates = Candidates(
-            cluster_state, index, self._backfill, self._speed_limits, self._is_open
+            cluster_state, index, self._backfill, self.speed_limits, self._is_open
         )
         self._failed_shapes = FailedShapes()
         self._stalled = StalledPlacement(
@@ -123,13 +124,39 @@
         self._reservations.release_expired(now)
         self._isolation.refresh(now)
         entitled = self._waiting.entitled(self._cluster_state.guaranteed)
-        self._speed_limits.begin_round(now, wall_ms, entitled)
+        self.speed_limits.begin_round(now, wall_ms, entitled)
         for step in self._waiting.in_order(now, wall_ms, entitled):
             if self._starts >= MAX_STARTS_PER_ROUND:
                 return True
             self._place(step, entitled, now)
         return False
 
+    # Restarts of slow gangs
+
+    def restart_places(
+        self, step: StepState, members: Sequence[Run], slow_gang: SlowGang, now: float
+    ) -> list[Worker] | None:
+        """Workers on which a running gang fits after its stop; ``None`` if it must not be stopped.
+
+        The room is free now or held by the gang itself. Without a known slow worker there is no
+        restart, and none for a gang whose starts are limited or need approval.
+        """
+        if self._cluster_state.is_advised(step.occurrence.job) or self._reservations.of(step):
+            return None
+        if any(self._must_continue(run) for run in members):
+            return None
+        with self._index.without_refresh():
+            return self._candidates.restart_places(step, members, slow_gang, now)
+
+    def _must_continue(self, run: Run) -> bool:
+        return (
+            run.isolated or _loses_work_if_stopped(run) or self._isolation.has_limited_starts(run)
+        )
+
+    def reserve_for_restart(self, step: StepState, places: list[Worker], now: float) -> None:
+        """Reserve workers for a gang until its runs have stopped."""
+        self._reservations.reserve(step, places, now)
+
     # Read by the diagnosis
 
     def kept_from(self, step: StepState) -> IsKept | None:
@@ -152,7 +179,7 @@
         """When a waiting step starts above its speed limit at the latest."""
         if step.stalled_since_s is None:
             return None
-        return step.stalled_since_s + self._speed_limits.max_wait_s(step)
+        return step.stalled_since_s + self.speed_limits.max_wait_s(step)
 
     def reserved_until(self, step: StepState) -> float | None:
         """When a step's reservation expires; ``None`` if it has none."""
@@ -219,7 +246,7 @@
         if self._place_on(step, None if is_top else shape, above, now):
             return True
         if is_top:
-            self._preempt(step, above, self._speed_limits.entitled, now)
+            self._preempt(step, above, self.speed_limits.entitled, now)
         return False
 
     # Isolation
--- a/src/saddlestack/policy/cluster/progress.py
+++ b/src/saddlestack/policy/cluster/progress.py
@@ -60,14 +60,14 @@
     step = run.task.step
     if not _is_urgent(run) or run.stopping or run.percent >= NEARLY_DONE_PERCENT:
         return False
-    gang_started_s = _gang_started_s(members)
-    if gang_started_s is None or run.progressed_s is None or step.moves >= MAX_MOVES:
+    began_s = gang_started_s(members)
+    if began_s is None or run.progressed_s is None or step.moves >= MAX_MOVES:
         return False
-    since_s = max(gang_started_s, run.progressed_s)
+    since_s = max(began_s, run.progressed_s)
     limit_s = max(MIN_STUCK_S, STUCK_SHARE * step.step.estimate_ms / 1000)
     if run.task.record.saved:
         limit_s += RESUME_GRACE_S
-    return now - since_s >= max(limit_s, since_s - gang_started_s)
+    return now - since_s >= max(limit_s, since_s - began_s)
 
 
 def _is_urgent(run: Run) -> bool:
@@ -75,11 +75,11 @@
     return step.occurrence.job.priority == TOP_PRIORITY and not step.step.long_running
 
 
-def _gang_started_s(members: Sequence[Run]) -> float | None:
+def gang_started_s(members: Sequence[Run]) -> float | None:
     """When the last member was started, so that all could work; ``None`` before that."""
-    gang_started_s = 0.0
+    began_s = 0.0
     for member in members:
         if member.started_s is None:
             return None
-        gang_started_s = max(gang_started_s, member.started_s)
-    return gang_started_s
+        began_s = max(began_s, member.started_s)
+    return began_s
--- a/src/saddlestack/policy/cluster/speed_limits.py
+++ b/src/saddlestack/policy/cluster/speed_limits.py
@@ -115,28 +115,40 @@
             return SpeedLimit(math.inf, rank)
         return SpeedLimit(max_factor, rank, step.stalled_s(now) >= self.max_wait_s(step))
 
-    def largest_factor(self, step: StepState, now: float, delay_s: float = 0.0) -> float:
+    def largest_factor(self, step: StepState, now: float) -> float:
         """The largest factor with which the job of a step meets its objective, not rounded.
 
         Below 1 if a usual worker is too slow. Infinite for a long-running step. Without known work
         times it is the stretch of the objective.
-
-        :param delay_s: time until the step starts, beyond that of a decision.
         """
         if step.step.long_running:
             return math.inf
-        left_s = self.objective_left_s(step, now)
+        chain_s = self._job_chain_s(step)
         work_left_s = self._chain_s(step)
-        if left_s is None or not work_left_s:
+        if chain_s is None or not work_left_s:
             return step.occurrence.job.accepted.stretch
-        return max(0.0, left_s - DECISION_MARGIN_S - delay_s) / work_left_s
+        left_s = self._objective_left_s(step, now, chain_s)
+        return max(0.0, left_s - DECISION_MARGIN_S) / work_left_s
 
-    def objective_left_s(self, step: StepState, now: float) -> float | None:
-        """Seconds until the objective of a step's job; ``None`` if its work is unknown."""
-        accepted = step.occurrence.job.accepted
+    def work_s(self, step: StepState) -> float | None:
+        """Seconds of work of a task of a step on a usual worker; ``None`` if unknown."""
+        return self.source.work_times.typical_work_s(step)
+
+    def later_work_s(self, step: StepState) -> float | None:
+        """Seconds of work of the steps that follow a step; ``None`` if unknown."""
+        chain_s, work_s = self._chain_s(step), self.work_s(step)
+        return None if chain_s is None or work_s is None else chain_s - work_s
+
+    def objective_left_s(self, step: StepState, now: float, work_s: float) -> float:
+        """Seconds until the objective of a step's job.
+
+        :param work_s: seconds of work of the job, if they are not known otherwise.
+        """
         chain_s = self._job_chain_s(step)
-        if chain_s is None:
-            return None
+        return self._objective_left_s(step, now, work_s if chain_s is None else chain_s)
+
+    def _objective_left_s(self, step: StepState, now: float, chain_s: float) -> float:
+        accepted = step.occurrence.job.accepted
         began_ms = max(accepted.accepted_ms, step.occurrence.due_ms)
         elapsed_s = (now * 1000 + self.wall_offset_ms - began_ms) / 1000
         return accepted.stretch * chain_s + accepted.target_ms / 1000 - elapsed_s
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -29,6 +29,7 @@
     OccurrenceStatus,
     TaskStatus,
 )
+from saddlestack.policy.cluster.slow_restarts import SlowRestarts
 from saddlestack.policy.cluster.speed_limits import UnknownWorkTimes, WorkTimes
 from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.worker_preferences import WorkerPreferences
@@ -63,6 +64,8 @@
         self._crashes = CrashTracker(self.workers)
         self._findings: list[CrashFinding] = []
         self._planner = Planner(self, self._index, self._worker_preferences, self._crashes)
+        self._slow_restarts = SlowRestarts(self._planner.speed_limits, self.workers)
+        self._restarted_gangs = 0
 
     def configure(
         self,
@@ -362,6 +365,23 @@
                 self._attribute_failure(worker, run, FailureKind.STUCK, now)
                 run.task.step.moves += 1
                 self.stop_group(run, StopReason.STUCK)
+            elif self.options.worker_speeds:
+                self._restart_slow(run, now)
+
+    def _restart_slow(self, run: Run, now: float) -> None:
+        """Restart the gang of a run elsewhere if its worker makes it late and others would not."""
+        members = self.members(run)
+        slow_gang = self._slow_restarts.find(run, members, now)
+        if slow_gang is None:
+            return
+        step = run.task.step
+        places = self._planner.restart_places(step, members, slow_gang, now)
+        if places is None:
+            return
+        step.slow_restarts += 1
+        self._restarted_gangs += 1
+        self.stop_group(run, StopReason.SLOW_WORKER)
+        self._planner.reserve_for_restart(step, places, now)
 
     def run_ended(self, worker_id: str, end: EndedTask, now: float) -> None:
         """Record the end of a run as its worker reported it."""
@@ -558,12 +578,14 @@
             paces=self._paces,
             advice_requests=self._advice_requests,
             findings=self._findings,
+            slow_restarts=self._restarted_gangs,
         )
         for key, occurrence in self._changed_occurrences.items():
             changes.records[key] = occurrence.to_record()
         changes.state_updates = [(job, job.state) for job in self._changed_jobs.values()]
         self._starts, self._stops, self._paces, self._advice_requests = [], [], [], []
         self._changed_occurrences, self._changed_jobs, self._findings = {}, {}, []
+        self._restarted_gangs = 0
         return changes
 
     def pending(self, queue: str) -> int:
--- /dev/null
+++ b/tests/test_slow_restarts.py
@@ -0,0 +1,230 @@
+"""Restart of urgent gangs with a member on a slow worker, where that is still in time."""
+
+from __future__ import annotations
+
+import unittest
+
+from saddlestack.interfaces.workers import EndKind, RunningTask
+from saddlestack.policy.cluster.changes import Changes, StopReason
+from saddlestack.policy.cluster.options import SchedulingOptions
+from saddlestack.policy.cluster.slow_restarts import MIN_RUN_S
+from saddlestack.policy.cluster.state import ClusterState
+from saddlestack.work import Step
+from tests.speed_support import SLOW, SpeedCase
+from tests.test_cluster_state import NORMAL, step
+
+WORK_S = 2.3
+
+
+class SlowRestartCase(SpeedCase):
+    """A gang of three tasks of 2.3 s on whole workers, with an objective of 3.75 s."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.begin_pool()
+
+    def begin_pool(self, known_work: bool = True) -> None:
+        self.workers(each=5)
+        if known_work:
+            self.know(WORK_S)
+
+    def begin(self, made: Step | None = None, **job: object) -> str:
+        """Start a gang while no speed is known; then know that w15 is slow."""
+        gang = self.submit(made or step(3, 8, gang=True), **job)  # type: ignore[arg-type]
+        self.plan_at(0.0)
+        self.assertEqual(self.places(gang), ["w11", "w12", "w13"])
+        self.set_factors(w15=SLOW)
+        self.plan_at(0.01)
+        return gang
+
+    def report(self, now: float, **durations_s: float) -> Changes:
+        """Report the progress of all runs; each takes 2.3 s unless another time is given."""
+        for worker in sorted(self.cluster_state.workers.values(), key=lambda w: w.worker_id):
+            duration_s = durations_s.get(worker.worker_id, WORK_S)
+            percent = min(99, int(100 * now / duration_s))
+            rows = [
+                RunningTask(str(name), number, run.saved, percent, 0.0)
+                for (name, number), run in worker.runs.items()
+            ]
+            self.cluster_state.worker_reported(worker.worker_id, rows, now)
+        return self.cluster_state.take_changes()
+
+    def reasons(self, now: float, **durations_s: float) -> list[StopReason]:
+        return [stop.reason for stop in self.report(now, **durations_s).stops]
+
+
+class RateTest(SlowRestartCase):
+    """The speed of the workers of the gang is unknown, and one of them takes 2.4 times as long."""
+
+    def test_a_late_gang_is_restarted_on_other_workers(self) -> None:
+        gang = self.begin()
+        self.report(0.3, w12=5.6)
+        changes = self.report(0.6, w12=5.6)
+        self.assertEqual([stop.reason for stop in changes.stops], [StopReason.SLOW_WORKER] * 3)
+        self.assertEqual(changes.slow_restarts, 1)
+        self.assertEqual(self.cluster_state.take_changes().slow_restarts, 0)
+        self.end(gang, EndKind.STOPPED, 0.9)
+        self.plan_at(0.9)
+        self.assertEqual(self.places(gang), ["w11", "w13", "w14"])
+
+    def test_a_gang_is_restarted_once(self) -> None:
+        gang = self.begin()
+        self.report(0.6, w12=5.6)
+        self.end(gang, EndKind.STOPPED, 0.7)
+        self.plan_at(0.7)
+        runs = list(self.cluster_state.jobs[gang].runs())
+        self.assertEqual(len(runs), 3)
+        found = self.cluster_state._slow_restarts.find(runs[0], runs, 1.3)
+        self.assertIsNone(found)
+        self.assertEqual(self.reasons(1.3, w11=9.0), [])
+
+    def test_it_is_judged_from_a_minimum_time_on(self) -> None:
+        for now, stops in ((MIN_RUN_S - 0.01, 0), (MIN_RUN_S + 0.01, 3)):
+            with self.subTest(now=now):
+                self.setUp()
+                self.begin(target_ms=0.0)
+                # 10 % after 0.39 s is a duration of 3.9 s, beyond the objective of 3.45 s.
+                self.assertEqual(len(self.reasons(now, w12=3.9)), stops)
+
+    def test_it_is_judged_from_a_minimum_of_progress_on(self) -> None:
+        self.begin()
+        self.assertEqual(self.reasons(0.5, w12=5.6), [])  # 8 percent
+        self.assertEqual(len(self.reasons(0.57, w12=5.6)), 3)  # 10 percent
+
+    def test_a_gang_that_will_be_in_time_goes_on(self) -> None:
+        for duration_s, stops in ((3.6, 0), (4.0, 3)):
+            with self.subTest(duration_s=duration_s):
+                self.setUp()
+                self.begin()
+                self.assertEqual(len(self.reasons(0.75, w12=duration_s)), stops)
+
+    def test_a_gang_that_would_be_late_after_the_restart_goes_on(self) -> None:
+        """The restart takes 0.5 s for the stop, 0.1 s for the decision and 2.3 s of work."""
+        for now, stops in ((0.84, 3), (0.86, 0)):
+            with self.subTest(now=now):
+                self.setUp()
+                self.begin()
+                self.assertEqual(len(self.reasons(now, w12=5.6)), stops)
+
+    def test_a_gang_goes_on_without_free_room_within_its_limit(self) -> None:
+        for held, stops in (("w15", 3), ("w14", 0)):
+            with self.subTest(held=held):
+                self.setUp()
+                self.begin()
+                other = self.submit(step(1, 8), stretch=9.0)
+                self.cluster_state.workers["w15" if held == "w14" else "w14"].closing = True
+                self.plan_at(0.02)
+                self.assertEqual(self.places(other), [held])
+                self.cluster_state.workers["w15" if held == "w14" else "w14"].closing = False
+                self.plan_at(0.03)
+                self.assertEqual(len(self.reasons(0.6, w12=5.6)), stops)
+
+    def test_a_gang_of_one_rack_is_restarted_only_within_one(self) -> None:
+        self.workers(racks=2, each=3)
+        made = step(3, 8, gang=True, same_rack=True)
+        gang = self.submit(made)
+        self.plan_at(0.0)
+        rack = {name[:2] for name in self.places(gang)}
+        self.assertEqual(len(rack), 1)
+        slow = self.places(gang)[0]
+        unused = [name for name in self.cluster_state.workers if name not in self.places(gang)]
+        self.set_factors(**{unused[0]: SLOW})
+        self.plan_at(0.01)
+        self.report(0.3, **{slow: 5.6})
+        stops = self.report(0.6, **{slow: 5.6}).stops
+        self.assertEqual(len(stops), 3)
+        self.end(gang, EndKind.STOPPED, 0.8)
+        self.plan_at(0.8)
+        self.assertEqual(len({name[:2] for name in self.places(gang)}), 1)
+        self.assertNotIn(slow, self.places(gang))
+
+    def test_a_long_task_on_a_worker_known_as_usual_is_no_reason(self) -> None:
+        """Guards against restarts of stragglers, which take as long on any worker."""
+        self.begin()
+        self.set_factors(w12=1.0)
+        self.assertEqual(self.reasons(0.6, w12=5.6), [])
+
+    def test_tasks_that_differ_as_on_equal_workers_are_no_reason(self) -> None:
+        """All are late, since the work is longer than expected; the workers are alike."""
+        self.begin()
+        self.assertEqual(self.reasons(0.75, w11=4.0, w12=5.6, w13=4.0), [])
+
+    def test_without_a_known_slow_worker_nothing_is_restarted(self) -> None:
+        self.begin()
+        self.set_factors(w15=1.0)
+        self.plan_at(0.02)
+        self.assertEqual(self.reasons(0.6, w12=5.6), [])
+
+    def test_without_known_work_the_median_member_stands_for_it(self) -> None:
+        self.know(0.0)
+        self.cluster_state._work_times.work_s = None  # type: ignore[attr-defined]
+        self.begin()
+        self.assertEqual(len(self.reasons(0.6, w12=5.6)), 3)
+
+
+class FactorTest(SlowRestartCase):
+    """The factors of all workers of the gang become known while it runs."""
+
+    def test_a_known_slow_worker_is_judged_by_its_factor(self) -> None:
+        """Its member has not reached the minimum of progress yet; the others have."""
+        self.begin()
+        self.set_factors(w11=1.0, w12=SLOW, w13=1.0)
+        self.assertEqual(self.reasons(0.3, w12=5.6), [])
+        self.assertEqual(len(self.reasons(0.45, w12=5.6)), 3)
+
+    def test_a_smaller_factor_is_no_reason(self) -> None:
+        for factor, stops in ((1.25, 0), (1.5625, 3)):
+            with self.subTest(factor=factor):
+                self.setUp()
+                self.begin()
+                self.set_factors(w11=1.0, w12=factor, w13=1.0)
+                self.assertEqual(len(self.reasons(0.7, w12=4.2)), stops)
+
+
+class UnaffectedTest(SlowRestartCase):
+    """Work that is not to be stopped for this."""
+
+    def test_it_is_off_without_the_option(self) -> None:
+        self.cluster_state = ClusterState(SchedulingOptions())
+        self.begin_pool()
+        self.begin()
+        self.assertEqual(self.reasons(0.6, w12=5.6), [])
+
+    def test_less_urgent_gangs_go_on(self) -> None:
+        self.begin(priority=NORMAL, stretch=1.5)
+        self.assertEqual(self.reasons(0.6, w12=5.6), [])
+
+    def test_work_that_runs_once_goes_on_unless_it_has_saved_a_checkpoint(self) -> None:
+        for saved, stops in (("", 0), ("c1", 3)):
+            with self.subTest(saved=saved):
+                self.setUp()
+                gang = self.begin(step(3, 8, gang=True, once=True, checkpoint=True))
+                for run in self.cluster_state.jobs[gang].runs():
+                    run.saved = saved
+                self.assertEqual(len(self.reasons(0.6, w12=5.6)), stops)
+
+    def test_a_gang_that_is_being_stopped_is_not_stopped_again(self) -> None:
+        gang = self.begin()
+        self.cluster_state.cancel(gang)
+        self.cluster_state.take_changes()
+        self.assertEqual(self.reasons(0.6, w12=5.6), [])
+
+    def test_a_gang_of_an_earlier_leader_goes_on(self) -> None:
+        """Failure: the leader is killed. When the runs began is unknown to the next one."""
+        gang = self.begin()
+        for run in self.cluster_state.jobs[gang].runs():
+            run.inherited = True
+        self.assertEqual(self.reasons(0.6, w12=5.6), [])
+
+    def test_a_worker_lost_during_the_restart_only_delays_it(self) -> None:
+        gang = self.begin()
+        self.assertEqual(len(self.reasons(0.6, w12=5.6)), 3)
+        self.cluster_state.worker_ended("w14")
+        self.cluster_state.unlist_worker("w14")
+        self.end(gang, EndKind.STOPPED, 0.9)
+        self.plan_at(0.9)
+        self.assertEqual(self.places(gang), ["w11", "w12", "w13"])
+
+
+if __name__ == "__main__":
+    unittest.main()
