Judge runs by the speed of their workers

Remaining times without progress, the limit after which a run is stuck, the loss of victims and the runs that may borrow assumed equal workers. Each run now has the factor of its worker at its assignment. Times from estimates and from earlier runs are scaled by it, and elapsed times are divided by it where they stand for work. Without a known slow worker the factor is 1.

--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -98,10 +98,10 @@
 
         A step that could not start within its limit even in an empty pool need not wait for it.
         """
-        factors = self.service_capacity(step).known_factors
-        if not factors or not exceeds(factors[-1], MIN_LIMIT):
+        service_capacity = self.service_capacity(step)
+        if not service_capacity.has_slow_workers:
             return None
-        limit = self._speed_limits.limit(step, factors, now)
+        limit = self._speed_limits.limit(step, service_capacity.known_factors, now)
         if limit.restricts:
             relaxed = limit.relaxed or not self._could_start_within(step, limit)
             return replace(limit, relaxed=relaxed)
@@ -114,8 +114,7 @@
 
         :param members: its present runs.
         """
-        factors = self.service_capacity(step).known_factors
-        if not factors or not exceeds(factors[-1], MIN_LIMIT):
+        if not self.service_capacity(step).has_slow_workers:
             return None
         held: dict[str, Resources] = {}
         for run in members:
--- a/src/saddlestack/policy/cluster/index.py
+++ b/src/saddlestack/policy/cluster/index.py
@@ -14,7 +14,7 @@
 
 from sortedcontainers import SortedList
 
-from saddlestack.policy.cluster.speed_levels import SpeedRank, exceeds, known_factor
+from saddlestack.policy.cluster.speed_levels import MIN_LIMIT, SpeedRank, exceeds, known_factor
 from saddlestack.policy.cluster.workers import Worker
 
 MAX_URGENT_FACTOR = 1.5625
@@ -144,6 +144,11 @@
         """Known time factors of the eligible workers, in ascending order."""
         return self._known_factors
 
+    @property
+    def has_slow_workers(self) -> bool:
+        """Whether an eligible worker is known to be slower than a usual one."""
+        return bool(self._known_factors) and exceeds(self._known_factors[-1], MIN_LIMIT)
+
     @property
     def has_unknown_speeds(self) -> bool:
         """Whether the time factor of an eligible worker is unknown."""
@@ -151,7 +156,7 @@
 
     def counts_for_headroom(self, worker: Worker) -> bool:
         """Whether urgent work can use a worker, so that the headroom counts it while empty."""
-        return not self._known_factors or not exceeds(known_factor(worker), MAX_URGENT_FACTOR)
+        return not self.has_slow_workers or not exceeds(known_factor(worker), MAX_URGENT_FACTOR)
 
     @property
     def count(self) -> int:
@@ -348,6 +353,13 @@
             service_capacity = self._services[name] = ServiceCapacity()
         return service_capacity
 
+    def time_factor(self, worker: Worker) -> float:
+        """Time factor of a worker; 1 if it is unknown or no worker of its service is slow."""
+        service_capacity = self._services.get(worker.record.service)
+        if service_capacity is None or not service_capacity.has_slow_workers:
+            return 1.0
+        return known_factor(worker) or 1.0
+
     def _refresh(self) -> None:
         if self._is_frozen:
             return
--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -42,6 +42,7 @@
     :param lent_by: steps that have reserved the resources which it borrows; it is preempted for
         them.
     :param awaited_s: since when other work has waited for it to end, or ``None``.
+    :param time_factor: time factor of its worker at its assignment; 1 if that is unknown.
     :param above_limit: its worker was known to be slower than the speed limit of its step.
     :param never_began: the worker is known never to have begun it.
     :param saved: the latest checkpoint that the worker reported.
@@ -69,6 +70,7 @@
     stopping: bool = False
     lent_by: frozenset[StepState] = frozenset()
     awaited_s: float | None = None
+    time_factor: float = 1.0
     above_limit: bool = False
     never_began: bool = False
     saved: str = ""
--- a/src/saddlestack/policy/cluster/lending.py
+++ b/src/saddlestack/policy/cluster/lending.py
@@ -10,11 +10,12 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from statistics import median
 
 from saddlestack.policy.cluster.jobs import Run, StepState
 from saddlestack.policy.cluster.reservations import Reservation
+from saddlestack.policy.cluster.workers import Worker
 
 DEFAULT_STOP_S = 5.0
 """Expected time for a run to stop, before any stop has been observed."""
@@ -27,9 +28,13 @@
 
 
 class Lending:
-    """Decides which work may borrow, by how long earlier runs and stops took."""
+    """Decides which work may borrow, by how long earlier runs and stops took.
 
-    def __init__(self) -> None:
+    :param time_factor: returns how long work takes on a worker, relative to a usual one.
+    """
+
+    def __init__(self, time_factor: Callable[[Worker], float]) -> None:
+        self._time_factor = time_factor
         self._stops_s: deque[float] = deque(maxlen=MAX_SAMPLES)
         self._runs_s: dict[str, deque[float]] = {}
 
@@ -41,8 +46,9 @@
     def note_done(self, run: Run, now: float) -> None:
         """Record that a run has ended successfully."""
         if run.started_s is not None:
+            # In seconds of a usual worker, since the next run may be on a faster or slower one.
             samples = self._runs_s.setdefault(_queue(run.task.step), deque(maxlen=MAX_SAMPLES))
-            samples.append(now - run.started_s)
+            samples.append((now - run.started_s) / run.time_factor)
 
     def lenders(
         self, step: StepState, reservations: Iterable[Reservation], now: float
@@ -58,12 +64,13 @@
         closed: set[str] = set()
         for each in held:
             is_open = each.step is not step and (each.awaits_stops or expected_s is not None)
-            fits = is_open and run_s < self._lendable_s(each, now) + LOAN_GRACE_S
+            worker_run_s = run_s * max(map(self._time_factor, each.places))
+            fits = is_open and worker_run_s < self._lendable_s(each, now) + LOAN_GRACE_S
             (lending if fits else closed).update(worker.worker_id for worker in each.places)
         return frozenset(lending - closed)
 
     def _expected_run_s(self, step: StepState) -> float | None:
-        """Expected seconds that a run of a step takes; ``None`` if unknown."""
+        """Expected seconds that a run of a step takes on a usual worker; ``None`` if unknown."""
         if step.step.long_running:
             return math.inf
         if step.step.estimate_ms:
@@ -71,10 +78,13 @@
         return max(self._runs_s.get(_queue(step), ()), default=None)
 
     def _observed_run_s(self, step: StepState, held: Iterable[Reservation], now: float) -> float:
-        """Longest time that a current borrower of the step's queue has run so far, in seconds."""
+        """Longest time that a current borrower of the step's queue has run so far.
+
+        In seconds of a usual worker.
+        """
         lent = (run for each in held for run in each.borrowers)
         alike = (run for run in lent if _queue(run.task.step) == _queue(step))
-        return max((now - run.assigned_s for run in alike), default=0.0)
+        return max(((now - run.assigned_s) / run.time_factor for run in alike), default=0.0)
 
     def _lendable_s(self, held: Reservation, now: float) -> float:
         """Seconds for which a reservation may still lend: until its last stop is expected to end.
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -68,7 +68,7 @@
         self._isolated: set[Task] = set()
         self._waiting = WaitingSteps()
         self._reservations = Reservations()
-        self._lending = Lending()
+        self._lending = Lending(index.time_factor)
         self._backfill = Backfill()
         self.speed_limits = SpeedLimits(cluster_state)
         self._candidates = Candidates(
@@ -445,6 +445,7 @@
             task.run.lent_by = self._reservations.lenders(worker)
         if task.run is not None:
             task.run.above_limit = is_above_limit
+            task.run.time_factor = self._index.time_factor(worker)
 
     def _is_above_limit(self, step: StepState, worker: Worker, now: float) -> bool:
         """Whether a worker is known to be slower than the speed limit of a step."""
--- a/src/saddlestack/policy/cluster/preemption.py
+++ b/src/saddlestack/policy/cluster/preemption.py
@@ -146,11 +146,11 @@
         return _Group(members, sum(self.loss(member) for member in members), allocations)
 
     def loss(self, run: Run) -> float:
-        """Core-seconds of work that are lost if a run stops now."""
+        """Core-seconds of work that are lost if a run stops now, as on a usual worker."""
         if run.stopping or self._gives_back(run):
             return 0.0
         since = run.started_s if run.started_s is not None else run.assigned_s
-        lost = max(0.0, self._now - since)
+        lost = max(0.0, self._now - since) / run.time_factor
         if run.task.step.step.checkpoint and run.saved:
             lost = min(lost, CHECKPOINT_LOSS_S)
         if run.task.step.step.gang:
--- a/src/saddlestack/policy/cluster/progress.py
+++ b/src/saddlestack/policy/cluster/progress.py
@@ -18,8 +18,8 @@
 """Minimum time without progress after which a run counts as stuck: three polls, one every
 :data:`PROGRESS_POLL_S`, have to agree."""
 STUCK_SHARE = 0.15
-"""The same as a share of the estimate, if that is longer. A healthy worker makes several percent of
-progress in that time."""
+"""The same as a share of the estimate on that worker, if that is longer. A healthy worker makes
+several percent of progress in that time."""
 RESUME_GRACE_S = 1.0
 """A run that resumes from a checkpoint takes up to this long before it makes progress."""
 NEARLY_DONE_PERCENT = 99
@@ -33,13 +33,17 @@
 
 
 def remaining_s(run: Run, now: float) -> float:
-    """Remaining seconds of a run, estimated from its progress, or else from the step's estimate."""
+    """Remaining seconds of a run, estimated from its progress.
+
+    Without enough progress it is the step's estimate, scaled by the time factor of the worker.
+    """
     since = run.started_s if run.started_s is not None else run.assigned_s
     if run.percent >= MIN_PERCENT:
         done_s = max(0.0, run.reported_s - since)
         left_s = done_s * (100 - run.percent) / run.percent
         return max(0.0, left_s - (now - run.reported_s))
-    return max(0.0, run.task.step.step.estimate_ms / 1000 - (now - since))
+    estimate_s = run.task.step.step.estimate_ms / 1000 * run.time_factor
+    return max(0.0, estimate_s - (now - since))
 
 
 def needs_progress_polls(worker: Worker) -> bool:
@@ -64,7 +68,8 @@
     if began_s is None or run.progressed_s is None or step.moves >= MAX_MOVES:
         return False
     since_s = max(began_s, run.progressed_s)
-    limit_s = max(MIN_STUCK_S, STUCK_SHARE * step.step.estimate_ms / 1000)
+    estimate_s = step.step.estimate_ms / 1000 * run.time_factor
+    limit_s = max(MIN_STUCK_S, STUCK_SHARE * estimate_s)
     if run.task.record.saved:
         limit_s += RESUME_GRACE_S
     return now - since_s >= max(limit_s, since_s - began_s)
