--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -339,6 +339,7 @@
             self._sessions.order_stop(stop)
         for pace in changes.paces:
             self._sessions.order_pace(pace)
+        self._context.metrics.count("restarts_slow_worker", changes.slow_restarts)
         self._crash_log.log_findings(changes.findings)
         for question in changes.advice_requests:
             self._tasks.spawn(self._ask_adviser(question))
@@ -361,6 +362,8 @@
         self._context.metrics.count("starts", len(changes.starts))
         lent = sum(bool(start.run.lent_by) for start in changes.starts)
         self._context.metrics.count("starts_lent", lent)
+        above_limit = sum(start.run.above_limit for start in changes.starts)
+        self._context.metrics.count("starts_above_limit", above_limit)
         feed_age_s = self._worker_feed.age_s(self._clock.now())
         for start in changes.starts:
             self._context.metrics.time("start_news", feed_age_s)
--- a/src/saddlestack/policy/cluster/diagnosis.py
+++ b/src/saddlestack/policy/cluster/diagnosis.py
@@ -19,6 +19,7 @@
 )
 from saddlestack.policy.cluster.jobs import Job, Occurrence, Run, StepState
 from saddlestack.policy.cluster.reasons import WaitReason
+from saddlestack.policy.cluster.speed_limits import SpeedLimit
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.policy.cluster.wait_limits import (
     HEADROOM_WAIT_S,
@@ -40,6 +41,7 @@
     {
         WaitReason.BACKFILL,
         WaitReason.GANG_FIRST,
+        WaitReason.FASTER_WORKER,
         WaitReason.HEADROOM,
         WaitReason.NEAR_DATA,
         WaitReason.ONE_RACK,
@@ -124,6 +126,7 @@
     long_running: bool
     needs_proven_worker: bool
     kept_rank: int
+    limit: SpeedLimit | None
 
 
 @dataclass(slots=True)
@@ -301,6 +304,8 @@
             return WaitReason.MAKING_ROOM, reserved_until_s
         if feasibility.reason is WaitReason.NEAR_DATA:
             return WaitReason.NEAR_DATA, waiting_since_s + NEAR_DATA_WAIT_S
+        if feasibility.reason is WaitReason.FASTER_WORKER:
+            return WaitReason.FASTER_WORKER, self._cluster_state.planner.limit_until(step)
         return feasibility.reason, feasibility.until_s
 
     def _latest_end_s(
@@ -347,6 +352,7 @@
             step,
             pool,
             self._cluster_state.planner.kept_from(step),
+            limit=self._cluster_state.planner.speed_limit(step, self._now),
             near=self._cluster_state.planner.waits_near_data(step, self._now),
             advised=self._cluster_state.is_advised(step.occurrence.job),
             now=self._now,
@@ -386,6 +392,7 @@
             long_running=needs.long_running,
             needs_proven_worker=step.needs_proven_worker,
             kept_rank=kept_rank,
+            limit=self._cluster_state.planner.speed_limit(step, self._now),
         )
 
 
--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -44,6 +44,8 @@
     :param awaited_s: since when other work has waited for it to end, or ``None``.
     :param ends_by_s: when it was expected to have ended by itself as work first waited for that, or
         ``None``.
+    :param time_factor: time factor of its worker at its assignment; 1 if that is unknown.
+    :param above_limit: its worker was known to be slower than the speed limit of its step.
     :param never_began: the worker is known never to have begun it.
     :param saved: the latest checkpoint that the worker reported.
     :param percent: progress that the worker reported; a long-running task reports 100 while it
@@ -71,6 +73,8 @@
     lent_by: frozenset[StepState] = frozenset()
     awaited_s: float | None = None
     ends_by_s: float | None = None
+    time_factor: float = 1.0
+    above_limit: bool = False
     never_began: bool = False
     saved: str = ""
     percent: int = 0
@@ -112,6 +116,7 @@
     :param has_avoided_workers: whether a task failed on some worker and avoids it.
     :param shapes: the numbers of its shapes, once they were computed.
     :param moves: how often it was restarted elsewhere because it had stalled.
+    :param slow_restarts: how often it was restarted elsewhere because a worker was slow.
     :param waiting_since_s: when one of its tasks first waited to be started, or ``None``.
     :param stalled_since_s: since when it has had tasks to start of which none has begun, or
         ``None``.
@@ -133,6 +138,7 @@
     has_avoided_workers: bool = False
     shapes: StepShapes | None = None
     moves: int = 0
+    slow_restarts: int = 0
     waiting_since_s: float | None = None
     stalled_since_s: float | None = None
     preempts_since_s: float | None = None
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import replace
 
 from saddlestack.interfaces.workers import EndKind
@@ -38,6 +38,9 @@
 )
 from saddlestack.policy.cluster.shapes import FailedShapes, Shape, ShapeNumbers, StepShapes
 from saddlestack.policy.cluster.slack import Slack, WorkEstimates
+from saddlestack.policy.cluster.slow_restarts import SlowGang
+from saddlestack.policy.cluster.speed_levels import exceeds, known_factor
+from saddlestack.policy.cluster.speed_limits import SpeedLimit, SpeedLimits
 from saddlestack.policy.cluster.stalled import StalledPlacement
 from saddlestack.policy.cluster.victims import MayStop
 from saddlestack.policy.cluster.wait_limits import (
@@ -82,7 +85,7 @@
         self._isolated: set[Task] = set()
         self._waiting = WaitingSteps()
         self._reservations = Reservations()
-        self._lending = Lending()
+        self._lending = Lending(index.time_factor)
         self._backfill = Backfill()
         self._slack = Slack(work)
         self._kept_workers = KeptWorkers(self._slack, cluster_state.service_of)
@@ -96,8 +99,14 @@
         self._fair_share = FairShare(usage or AccountUsage(), self._slack, enabled=enabled)
         self._deferred = DeferredStops(cluster_state.members, cluster_state.is_worker_reachable)
         self._counts: Counter[str] = Counter()
+        self.speed_limits = SpeedLimits(cluster_state)
         self._candidates = Candidates(
-            cluster_state, index, self._backfill, self._kept_workers, self._is_open
+            cluster_state,
+            index,
+            self._backfill,
+            self._kept_workers,
+            self.speed_limits,
+            self._is_open,
         )
         self._failed_shapes = FailedShapes()
         self._stalled = StalledPlacement(
@@ -161,6 +170,7 @@
         self._gang_priority.begin_round(now, wall_ms)
         self._isolation.refresh(now)
         entitled = self._waiting.entitled(self._cluster_state.guaranteed)
+        self.speed_limits.begin_round(now, wall_ms, entitled)
         waiting = self._waiting.in_order(now, wall_ms, entitled)
         for step in self._fair_share.in_order(waiting, now):
             if self._starts >= MAX_STARTS_PER_ROUND:
@@ -168,6 +178,32 @@
             self._place(step, entitled, now)
         return False
 
+    # Restarts of slow gangs
+
+    def restart_places(
+        self, step: StepState, members: Sequence[Run], slow_gang: SlowGang, now: float
+    ) -> list[Worker] | None:
+        """Workers on which a running gang fits after its stop; ``None`` if it must not be stopped.
+
+        The room is free now or held by the gang itself. Without a known slow worker there is no
+        restart, and none for a gang whose starts are limited or need approval.
+        """
+        if self._cluster_state.is_advised(step.occurrence.job) or self._reservations.of(step):
+            return None
+        if any(self._must_continue(run) for run in members):
+            return None
+        with self._index.without_refresh():
+            return self._candidates.restart_places(step, members, slow_gang, now)
+
+    def _must_continue(self, run: Run) -> bool:
+        return (
+            run.isolated or _loses_work_if_stopped(run) or self._isolation.has_limited_starts(run)
+        )
+
+    def reserve_for_restart(self, step: StepState, places: list[Worker], now: float) -> None:
+        """Reserve workers for a gang until its runs have stopped."""
+        self._reservations.reserve(step, places, now)
+
     # Read by the diagnosis
 
     def kept_from(self, step: StepState) -> IsKept | None:
@@ -189,6 +225,18 @@
         with self._index.without_refresh():
             return bool(step.step.data_rack) and prefers_near(step, now)
 
+    def speed_limit(self, step: StepState, now: float) -> SpeedLimit | None:
+        """The speed limit of a step that still waits for workers within it, or ``None``."""
+        with self._index.without_refresh():
+            limit = self._candidates.speed_limit(step, now)
+        return limit if limit is not None and limit.restricts and not limit.relaxed else None
+
+    def limit_until(self, step: StepState) -> float | None:
+        """When a waiting step starts above its speed limit at the latest."""
+        if step.stalled_since_s is None:
+            return None
+        return step.stalled_since_s + self.speed_limits.max_wait_s(step)
+
     def reserved_until(self, step: StepState) -> float | None:
         """When a step's reservation expires; ``None`` if it has none."""
         reservation = self._reservations.of(step)
@@ -203,7 +251,8 @@
 
     def _place(self, step: StepState, entitled: set[str], now: float) -> None:
         is_top = step.occurrence.job.priority == TOP_PRIORITY
-        shape = self._gang_priority.shape(step, self._shape(step, now))
+        limit = self._candidates.speed_limit(step, now)
+        shape = self._gang_priority.shape(step, self._shape(step, limit, now))
         full = shape in self._failed_shapes.full
         if not may_start(step):
             self._waiting.remove(step)
@@ -220,15 +269,42 @@
         if not full and self._place_on_preferred(step, now):
             return
         places = self._candidates.places(step, now)
-        if not full and self._place_on(step, shape, places, now):
+        if limit is not None and limit.restricts:
+            if self._place_limited(step, shape, limit, places, now):
+                return
+        elif not full and self._place_on(step, shape, places, now):
             return
         if self._place_without_preferences(step, now):
             return
         if not is_top:
             self._keep_workers(step, shape, now)
-        elif self._reservations.of(step) is None:
+        elif self._reservations.of(step) is None and (limit is None or not limit.restricts):
             self._preempt(step, places, entitled, now)
 
+    # Speed limits
+
+    def _place_limited(
+        self, step: StepState, shape: int | None, limit: SpeedLimit, places: Places, now: float
+    ) -> bool:
+        """Place a step with a speed limit: within it, after preemptions, or at last above it.
+
+        :return: whether the step has started or has a reservation.
+        """
+        is_top = step.occurrence.job.priority == TOP_PRIORITY
+        noted = None if limit.relaxed and not is_top else shape
+        if shape not in self._failed_shapes.full and self._place_on(step, noted, places, now):
+            return True
+        if is_top and self._reservations.of(step) is None:
+            self._preempt(step, places, set(), now)
+        if not limit.relaxed or self._reservations.of(step) is not None:
+            return False
+        above = self._candidates.places_above_limit(step, limit, now)
+        if self._place_on(step, None if is_top else shape, above, now):
+            return True
+        if is_top:
+            self._preempt(step, above, self.speed_limits.entitled, now)
+        return False
+
     # Isolation
 
     def _isolate(self, step: StepState, now: float) -> bool:
@@ -306,7 +382,8 @@
     def _place_on_preferred(self, step: StepState, now: float) -> bool:
         """Place a step on preferred workers only, if there are such and it fits there."""
         for preferred in self._worker_preferences.preferences(step, now):
-            eligible = self._candidates.listed(step, now)
+            listed = self._candidates.listed(step, now)
+            eligible = self._candidates.within_limit(step, listed, now)
             chosen = [worker for worker in eligible if preferred(worker)]
             if step.step.gang and step.step.same_rack:
                 chosen = whole_racks(step, chosen)
@@ -345,7 +422,7 @@
             return self._place_gang(step, shape, places, now)
         return self._place_tasks(step, shape, places, now)
 
-    def _shape(self, step: StepState, now: float) -> int | None:
+    def _shape(self, step: StepState, limit: SpeedLimit | None, now: float) -> int | None:
         """Number of the step's shape; ``None`` if more than its shape decides whether it fits."""
         if self._cluster_state.is_advised(step.occurrence.job):
             return None
@@ -354,7 +431,8 @@
         service = self._cluster_state.service_of(step.occurrence.job)
         if step.shapes is None or step.shapes.service != service:
             step.shapes = self._step_shapes(step, service)
-        return step.shapes.near if prefers_near(step, now) else step.shapes.anywhere
+        shape = step.shapes.near if prefers_near(step, now) else step.shapes.anywhere
+        return shape if limit is None else self._shapes.limited(shape, limit)
 
     def _step_shapes(self, step: StepState, service: str) -> StepShapes:
         needs = step.step
@@ -418,11 +496,22 @@
     def _assign(self, task: Task, worker: Worker, number: int, now: float) -> None:
         self._starts += 1
         self._stalled.note_started(task.name.job_id)
+        is_above_limit = self._is_above_limit(task.step, worker, now)
         self._cluster_state.assign(task, worker, number, now)
         task.step.preempts_since_s = None
         task.step.times_delayed = 0
         if task.run is not None and worker.is_overbooked and _is_reclaimable(task.run):
             task.run.lent_by = self._reservations.lenders(worker)
+        if task.run is not None:
+            task.run.above_limit = is_above_limit
+            task.run.time_factor = self._index.time_factor(worker)
+
+    def _is_above_limit(self, step: StepState, worker: Worker, now: float) -> bool:
+        """Whether a worker is known to be slower than the speed limit of a step."""
+        if not exceeds(known_factor(worker), 1.0):
+            return False
+        limit = self._candidates.speed_limit(step, now)
+        return limit is not None and not limit.allows(worker)
 
     # Headroom
 
@@ -437,7 +526,9 @@
 
     # Preemption
 
-    def _preempt(self, step: StepState, places: Places, entitled: set[str], now: float) -> None:
+    def _preempt(
+        self, step: StepState, places: Places, entitled: Collection[str], now: float
+    ) -> None:
         job = step.occurrence.job
         is_entitled = job.job_id in entitled
 
--- a/src/saddlestack/policy/cluster/progress.py
+++ b/src/saddlestack/policy/cluster/progress.py
@@ -18,8 +18,8 @@
 """Minimum time without progress after which a run counts as stuck: three polls, one every
 :data:`PROGRESS_POLL_S`, have to agree."""
 STUCK_SHARE = 0.15
-"""The same as a share of the estimate, if that is longer. A healthy worker makes several percent of
-progress in that time."""
+"""The same as a share of the estimate on that worker, if that is longer. A healthy worker makes
+several percent of progress in that time."""
 RESUME_GRACE_S = 1.0
 """A run that resumes from a checkpoint takes up to this long before it makes progress."""
 NEARLY_DONE_PERCENT = 99
@@ -33,13 +33,17 @@
 
 
 def remaining_s(run: Run, now: float) -> float:
-    """Remaining seconds of a run, estimated from its progress, or else from the step's estimate."""
+    """Remaining seconds of a run, estimated from its progress.
+
+    Without enough progress it is the step's estimate, scaled by the time factor of the worker.
+    """
     since = run.started_s if run.started_s is not None else run.assigned_s
     if run.percent >= MIN_PERCENT:
         done_s = max(0.0, run.reported_s - since)
         left_s = done_s * (100 - run.percent) / run.percent
         return max(0.0, left_s - (now - run.reported_s))
-    return max(0.0, run.task.step.step.estimate_ms / 1000 - (now - since))
+    estimate_s = run.task.step.step.estimate_ms / 1000 * run.time_factor
+    return max(0.0, estimate_s - (now - since))
 
 
 def needs_progress_polls(worker: Worker) -> bool:
@@ -60,14 +64,15 @@
     step = run.task.step
     if not _is_urgent(run) or run.stopping or run.percent >= NEARLY_DONE_PERCENT:
         return False
-    gang_started_s = _gang_started_s(members)
-    if gang_started_s is None or run.progressed_s is None or step.moves >= MAX_MOVES:
+    began_s = gang_started_s(members)
+    if began_s is None or run.progressed_s is None or step.moves >= MAX_MOVES:
         return False
-    since_s = max(gang_started_s, run.progressed_s)
-    limit_s = max(MIN_STUCK_S, STUCK_SHARE * step.step.estimate_ms / 1000)
+    since_s = max(began_s, run.progressed_s)
+    estimate_s = step.step.estimate_ms / 1000 * run.time_factor
+    limit_s = max(MIN_STUCK_S, STUCK_SHARE * estimate_s)
     if run.task.record.saved:
         limit_s += RESUME_GRACE_S
-    return now - since_s >= max(limit_s, since_s - gang_started_s)
+    return now - since_s >= max(limit_s, since_s - began_s)
 
 
 def _is_urgent(run: Run) -> bool:
@@ -75,11 +80,11 @@
     return step.occurrence.job.priority == TOP_PRIORITY and not step.step.long_running
 
 
-def _gang_started_s(members: Sequence[Run]) -> float | None:
+def gang_started_s(members: Sequence[Run]) -> float | None:
     """When the last member was started, so that all could work; ``None`` before that."""
-    gang_started_s = 0.0
+    began_s = 0.0
     for member in members:
         if member.started_s is None:
             return None
-        gang_started_s = max(gang_started_s, member.started_s)
-    return gang_started_s
+        began_s = max(began_s, member.started_s)
+    return began_s
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -30,6 +30,8 @@
     OccurrenceStatus,
     TaskStatus,
 )
+from saddlestack.policy.cluster.slow_restarts import SlowRestarts
+from saddlestack.policy.cluster.speed_limits import UnknownWorkTimes, WorkTimes
 from saddlestack.policy.cluster.victims import count_preemption
 from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.worker_preferences import WorkerPreferences
@@ -57,7 +59,8 @@
         self._advised: frozenset[str] = frozenset()
         self._evacuated: frozenset[str] = frozenset()
         self._changed_jobs: dict[str, Job] = {}
-        self._index = CapacityIndex()
+        self._index = CapacityIndex(uses_speeds=self.options.worker_speeds)
+        self._work_times: WorkTimes = UnknownWorkTimes()
         self._worker_preferences = WorkerPreferences()
         self._fault_attribution = FaultAttribution(self.workers)
         self._crashes = CrashTracker(self.workers)
@@ -71,6 +74,8 @@
             self.options,
             self._usage,
         )
+        self._slow_restarts = SlowRestarts(self._planner.speed_limits, self.workers)
+        self._restarted_gangs = 0
 
     def configure(
         self,
@@ -88,6 +93,11 @@
         self._guaranteed = dict(guaranteed)
         self._services = dict(services)
 
+    @property
+    def work_times(self) -> WorkTimes:
+        """Source of the expected duration of work."""
+        return self._work_times
+
     def guaranteed(self, account: str) -> int:
         """Accelerators that are guaranteed to an account for jobs of priority 0."""
         return self._guaranteed.get(account, 0)
@@ -366,6 +376,23 @@
                 self._attribute_failure(worker, run, FailureKind.STUCK, now)
                 run.task.step.moves += 1
                 self.stop_group(run, StopReason.STUCK)
+            elif self.options.worker_speeds:
+                self._restart_slow(run, now)
+
+    def _restart_slow(self, run: Run, now: float) -> None:
+        """Restart the gang of a run elsewhere if its worker makes it late and others would not."""
+        members = self.members(run)
+        slow_gang = self._slow_restarts.find(run, members, now)
+        if slow_gang is None:
+            return
+        step = run.task.step
+        places = self._planner.restart_places(step, members, slow_gang, now)
+        if places is None:
+            return
+        step.slow_restarts += 1
+        self._restarted_gangs += 1
+        self.stop_group(run, StopReason.SLOW_WORKER)
+        self._planner.reserve_for_restart(step, places, now)
 
     def run_ended(self, worker_id: str, end: EndedTask, now: float) -> None:
         """Record the end of a run as its worker reported it."""
@@ -565,12 +592,14 @@
             paces=self._paces,
             advice_requests=self._advice_requests,
             findings=self._findings,
+            slow_restarts=self._restarted_gangs,
         )
         for key, occurrence in self._changed_occurrences.items():
             changes.records[key] = occurrence.to_record()
         changes.state_updates = [(job, job.state) for job in self._changed_jobs.values()]
         self._starts, self._stops, self._paces, self._advice_requests = [], [], [], []
         self._changed_occurrences, self._changed_jobs, self._findings = {}, {}, []
+        self._restarted_gangs = 0
         return changes
 
     def pending(self, queue: str) -> int:
