Bound the cost of the decisions for gangs

With a crowd of gangs short of slack, rounds took four times as long. Workers that are available sooner are now looked for once a second for each gang, victims for four gangs a round, slack is computed once a round, and the gang with the most slack gives way where 32 keep workers.

--- a/src/saddlestack/policy/cluster/gang_preemption.py
+++ b/src/saddlestack/policy/cluster/gang_preemption.py
@@ -26,6 +26,10 @@
 """A task that was stopped this often for others is not stopped for a gang."""
 MISSED_LOSS_FACTOR = 2.0
 """The loss of work whose own objective would be missed because of the stop counts this often."""
+MAX_SEARCHES_PER_ROUND = 4
+"""Gangs for which a round searches for runs to stop. Such a search takes up to 2 ms."""
+RETRY_S = 0.5
+"""Time after which a search that found nothing is repeated, at the earliest."""
 
 
 @dataclass(slots=True)
@@ -59,9 +63,15 @@
         self._stop_s = stop_s
         self._attempts: dict[int, _Attempt] = {}
         self._stopped: dict[StepState, int] = {}
+        self._failed_s: dict[StepState, float] = {}
+        self._searches = 0
 
     def begin_round(self, now: float) -> None:
         """Drop the attempts that are over."""
+        self._searches = 0
+        self._failed_s = {
+            step: failed_s for step, failed_s in self._failed_s.items() if now - failed_s < RETRY_S
+        }
         self._attempts = {
             priority: each for priority, each in self._attempts.items() if not each.is_over(now)
         }
@@ -77,6 +87,23 @@
         priority = step.occurrence.job.priority
         if not kept or priority in self._attempts or not self._is_due(step):
             return []
+        if step in self._failed_s or self._searches >= MAX_SEARCHES_PER_ROUND:
+            return []
+        self._searches += 1
+        chosen = self._search(step, kept, may_stop, now)
+        stopped = self._stopped.get(step, 0) + len(chosen)
+        if not chosen or stopped > MAX_STOPPED_TASKS:
+            self._failed_s[step] = now
+            return []
+        self._stopped[step] = stopped
+        self._attempts[priority] = _Attempt(step, chosen, now + RESERVATION_TIMEOUT_S)
+        return chosen
+
+    def _search(
+        self, step: StepState, kept: Sequence[Worker], may_stop: MayStop, now: float
+    ) -> list[Run]:
+        """The runs to stop so that a gang fits, those left out that end as soon by themselves."""
+        priority = step.occurrence.job.priority
         stop_s = self._stop_s()
 
         def may_stop_for_gang(run: Run) -> bool:
@@ -90,17 +117,11 @@
         found = preemptor.cheapest(step, step.step.count, [kept])
         if found is None:
             return []
-        chosen = [
+        return [
             run
             for run in found.victims
             if not run.stopping and not self._ends_soon(run, stop_s, now)
         ]
-        stopped = self._stopped.get(step, 0) + len(chosen)
-        if not chosen or stopped > MAX_STOPPED_TASKS:
-            return []
-        self._stopped[step] = stopped
-        self._attempts[priority] = _Attempt(step, chosen, now + RESERVATION_TIMEOUT_S)
-        return chosen
 
     def _is_due(self, step: StepState) -> bool:
         slack_s = self._slack.slack_s(step)
--- a/src/saddlestack/policy/cluster/gang_priority.py
+++ b/src/saddlestack/policy/cluster/gang_priority.py
@@ -46,14 +46,15 @@
             self._preemption.begin_round(now)
             self._kept.begin_round(now)
 
-    def keep(self, step: StepState, soonest: Sequence[Worker]) -> bool:
+    def keep(self, step: StepState, soonest: Callable[[], Sequence[Worker]]) -> bool:
         """Keep workers for a waiting gang, if it is one that this module favors.
 
-        :param soonest: the workers where it fits soonest.
+        :param soonest: returns the workers where it fits soonest.
         """
         if not self._is_favored(step) or self._slack.slack_s(step) is None:
             return False
-        self._kept.keep(step, soonest)
+        if self._kept.needs_search(step):
+            self._kept.keep(step, soonest())
         return True
 
     def victims(self, step: StepState, may_stop: MayStop, now: float) -> list[Run]:
--- a/src/saddlestack/policy/cluster/kept_workers.py
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -15,7 +15,7 @@
 from saddlestack.policy.cluster.jobs import Job, Run, StepState
 from saddlestack.policy.cluster.places import IsKept
 from saddlestack.policy.cluster.progress import remaining_s
-from saddlestack.policy.cluster.slack import Slack
+from saddlestack.policy.cluster.slack import NORMAL_PRIORITY, Slack
 from saddlestack.policy.cluster.waiting import may_start
 from saddlestack.policy.cluster.workers import Worker
 
@@ -33,20 +33,27 @@
 """Other workers replace the kept ones if they are available within this share of the time."""
 MIN_SOONER_S = 0.5
 """They do not if that gains less than this, the longest time between two rounds."""
+RECHECK_S = 1.0
+"""Time between two searches for workers that are available sooner, for one gang. The searches of 32
+gangs in each round took as long as all other decisions."""
 _CLASSES = MAX_KEPT_GANGS + 2
 """Number of different results of each part of :meth:`KeptWorkers.rank`."""
 
 
 @dataclass(slots=True, eq=False)
 class KeptSet:
-    """The workers that are kept for a gang."""
+    """The workers that are kept for a gang.
+
+    :param checked_s: when others were last looked for.
+    """
 
     step: StepState
     workers: tuple[Worker, ...]
+    checked_s: float
 
 
 class KeptWorkers:
-    """The sets of workers that are kept for gangs, at most :data:`MAX_KEPT_GANGS`.
+    """The sets of workers that are kept for normal gangs, at most :data:`MAX_KEPT_GANGS`.
 
     :param service_of: returns the service that runs a job.
     """
@@ -57,15 +64,15 @@
         self._now = 0.0
         self._sets: dict[StepState, KeptSet] = {}
         self._owners: dict[Worker, StepState] = {}
+        self._before: dict[tuple[int, bool], set[StepState]] = {}
         self._pressed: set[StepState] = set()
+        self._loosest_s: float | None = None
         self._slacks: list[float] = []
         self._accepted: list[int] = []
 
     def begin_round(self, now: float) -> None:
         """Drop the sets that are of no more use; the gang whose slack ends first goes first."""
         self._now = now
-        if not self._sets:
-            return
         waiting = [each for each in self._sets.values() if may_start(each.step)]
         waiting.sort(key=lambda each: self._slack_s(each.step))
         self._sets.clear()
@@ -75,6 +82,7 @@
             if self._is_usable(each):
                 self._put(each)
         self._slacks = sorted(self._slack_s(step) for step in self._sets)
+        self._before.clear()
         self._accepted = sorted(_accepted_ms(step) for step in self._sets)
 
     @property
@@ -87,20 +95,37 @@
         held = self._sets.get(step)
         return () if held is None else held.workers
 
+    def needs_search(self, step: StepState) -> bool:
+        """Whether :meth:`keep` needs to know where a gang fits soonest now."""
+        held = self._sets.get(step)
+        if held is not None:
+            return self._now - held.checked_s >= RECHECK_S
+        if len(self._sets) < MAX_KEPT_GANGS:
+            return True
+        if self._loosest_s is None:
+            self._loosest_s = max(self._slack_s(owner) for owner in self._sets)
+        return self._slack_s(step) < self._loosest_s
+
     def keep(self, step: StepState, soonest: Sequence[Worker]) -> None:
-        """Keep the workers where a gang fits soonest, unless its present ones are good enough."""
+        """Keep the workers where a gang fits soonest, unless its present ones are good enough.
+
+        If workers are kept for too many gangs, the one with the most slack gives way.
+        """
         held = self._sets.get(step)
         if held is None:
-            if soonest and len(self._sets) < MAX_KEPT_GANGS:
-                self._put(KeptSet(step, tuple(soonest)))
+            if soonest:
+                if len(self._sets) >= MAX_KEPT_GANGS:
+                    self.release(max(self._sets, key=self._slack_s))
+                self._put(KeptSet(step, tuple(soonest), self._now))
             return
+        held.checked_s = self._now
         if not soonest or set(soonest) == set(held.workers):
             return
         present_s = self._available_s(step, held.workers)
         other_s = self._available_s(step, soonest)
         if other_s < present_s * SOONER_SHARE and present_s - other_s > MIN_SOONER_S:
             self.release(step)
-            self._put(KeptSet(step, tuple(soonest)))
+            self._put(KeptSet(step, tuple(soonest), self._now))
 
     def release(self, step: StepState) -> bool:
         """Keep no workers for a step any more.
@@ -111,6 +136,8 @@
         if held is None:
             return False
         self._pressed.discard(step)
+        self._before.clear()
+        self._loosest_s = None
         for worker in held.workers:
             if self._owners.get(worker) is step:
                 del self._owners[worker]
@@ -122,11 +149,17 @@
         :param is_idle: whether the pool is idle. Then only gangs with little slack left go first:
             the kept workers themselves may be what makes the pool look idle.
         """
-        owners = self._pressed if is_idle else self._sets
-        before = {owner for owner in owners if self._is_held_back(step, owner)}
+        rank = self.rank(step)
+        before = None if rank is None else self._before.get((rank, is_idle))
+        if before is None:
+            owners = self._pressed if is_idle else self._sets
+            before = {owner for owner in owners if self._is_held_back(step, owner)}
+            if rank is not None:
+                self._before[(rank, is_idle)] = before
         if not before:
             return None
-        return lambda worker: self._owners.get(worker) in before
+        owner_of, held_back = self._owners.get, before
+        return lambda worker: owner_of(worker) in held_back
 
     def rank(self, step: StepState) -> int | None:
         """Number that is equal for steps from which the same workers are kept.
@@ -136,12 +169,12 @@
         if step in self._sets:
             return None
         priority = step.occurrence.job.priority
-        if not self._sets or any(owner.occurrence.job.priority > priority for owner in self._sets):
+        if not self._sets or priority < NORMAL_PRIORITY:
             return 0
         waited_s = step.waited_s(self._now)
-        if all(owner.occurrence.job.priority < priority for owner in self._sets):
+        if priority > NORMAL_PRIORITY:
             periods = (waited_s > LOWER_HELD_S) + (waited_s > LONGEST_HELD_S)
-            return self.rank_count - periods if periods else 0
+            return self.rank_count - 1 - periods
         older = 0
         if waited_s > EQUAL_HELD_S:
             older = len(self._accepted) - bisect_right(self._accepted, _accepted_ms(step))
@@ -157,6 +190,8 @@
 
     def _put(self, held: KeptSet) -> None:
         self._sets[held.step] = held
+        self._before.clear()
+        self._loosest_s = None
         if self._slack.is_short(held.step):
             self._pressed.add(held.step)
         for worker in held.workers:
@@ -166,11 +201,10 @@
         """Whether a step is held back for a gang."""
         if owner is step:
             return False
-        priority, favored = step.occurrence.job.priority, owner.occurrence.job.priority
-        waited_s = step.waited_s(self._now)
-        if priority != favored:
+        priority, waited_s = step.occurrence.job.priority, step.waited_s(self._now)
+        if priority != NORMAL_PRIORITY:
             longest_s = LONGEST_HELD_S if owner in self._pressed else LOWER_HELD_S
-            return priority > favored and waited_s <= longest_s
+            return priority > NORMAL_PRIORITY and waited_s <= longest_s
         if waited_s > EQUAL_HELD_S and _accepted_ms(step) < _accepted_ms(owner):
             return False
         return not step.step.gang or self._slack_s(step) >= self._slack_s(owner)
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -297,11 +297,14 @@
         if not step.step.gang or self._backfill.is_full or self._failed_shapes.is_kept(shape):
             return
         self._failed_shapes.note_kept(shape)
-        soonest = self._candidates.places(step, now).soonest()
+
+        def soonest() -> Sequence[Worker]:
+            return self._candidates.places(step, now).soonest()
+
         if self._gang_priority.keep(step, soonest):
             self._preempt_for_gang(step, now)
         else:
-            self._backfill.keep(soonest, step.occurrence.job.priority)
+            self._backfill.keep(soonest(), step.occurrence.job.priority)
 
     def _place_on_preferred(self, step: StepState, now: float) -> bool:
         """Place a step on preferred workers only, if there are such and it fits there."""
@@ -499,8 +502,8 @@
 
     def _release(self, step: StepState) -> None:
         self._deferred.release(step)
-        released = self._gang_priority.release(step)
-        if self._reservations.release(step) or released:
+        self._gang_priority.release(step)
+        if self._reservations.release(step):
             self._failed_shapes.clear()
             self._stalled.note_released()
 
--- a/src/saddlestack/policy/cluster/slack.py
+++ b/src/saddlestack/policy/cluster/slack.py
@@ -60,12 +60,14 @@
         self._now = 0.0
         self._wall_ms = 0.0
         self._work: dict[Occurrence, _Work | None] = {}
+        self._slack: dict[StepState, float | None] = {}
 
     def begin_round(self, now: float, wall_ms: float) -> None:
         """Set the time, and drop what the last round has computed."""
         self._now = now
         self._wall_ms = wall_ms
         self._work.clear()
+        self._slack.clear()
 
     def work_s(self, step: StepState) -> float | None:
         """Seconds of work of a step, or ``None`` if unknown."""
@@ -76,6 +78,11 @@
 
         The work of the step counts in full, also if it has begun.
         """
+        if step not in self._slack:
+            self._slack[step] = self._compute_slack(step)
+        return self._slack[step]
+
+    def _compute_slack(self, step: StepState) -> float | None:
         work = self._work_of(step.occurrence)
         if work is None:
             return None
