Keep workers for gangs behind work of their own priority

A gang short of slack now has the workers kept whose runs of any priority end soonest, found for two gangs a round.

--- a/src/saddlestack/policy/cluster/gang_priority.py
+++ b/src/saddlestack/policy/cluster/gang_priority.py
@@ -7,15 +7,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from saddlestack.policy.cluster.gang_preemption import GangPreemption
 from saddlestack.policy.cluster.jobs import Run, StepState
 from saddlestack.policy.cluster.kept_workers import KeptWorkers
+from saddlestack.policy.cluster.places import Places
 from saddlestack.policy.cluster.preemption import Preemption
 from saddlestack.policy.cluster.slack import NORMAL_PRIORITY, Slack
 from saddlestack.policy.cluster.victims import MayStop, least_harmful
-from saddlestack.policy.cluster.workers import Worker
 
 
 class GangPriority:
@@ -46,15 +46,15 @@
             self._preemption.begin_round(now)
             self._kept.begin_round(now)
 
-    def keep(self, step: StepState, soonest: Callable[[], Sequence[Worker]]) -> bool:
+    def keep(self, step: StepState, places: Callable[[], Places]) -> bool:
         """Keep workers for a waiting gang, if it is one that this module favors.
 
-        :param soonest: returns the workers where it fits soonest.
+        :param places: returns the workers that it may run on.
         """
         if not self._is_favored(step) or self._slack.slack_s(step) is None:
             return False
         if self._kept.needs_search(step):
-            self._kept.keep(step, soonest())
+            self._kept.keep(step, places())
         return True
 
     def victims(self, step: StepState, may_stop: MayStop, now: float) -> list[Run]:
--- a/src/saddlestack/policy/cluster/kept_workers.py
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -13,7 +13,7 @@
 
 from saddlestack.policy.cluster.backfill import MAX_KEPT_GANGS
 from saddlestack.policy.cluster.jobs import Job, Run, StepState
-from saddlestack.policy.cluster.places import IsKept
+from saddlestack.policy.cluster.places import IsKept, Places
 from saddlestack.policy.cluster.progress import remaining_s
 from saddlestack.policy.cluster.slack import NORMAL_PRIORITY, Slack
 from saddlestack.policy.cluster.waiting import may_start
@@ -36,6 +36,8 @@
 RECHECK_S = 1.0
 """Time between two searches for workers that are available sooner, for one gang. The searches of 32
 gangs in each round took as long as all other decisions."""
+MAX_SEARCHES_PER_ROUND = 2
+"""Gangs for which a round searches for the workers whose runs of any priority end soonest."""
 _CLASSES = MAX_KEPT_GANGS + 2
 """Number of different results of each part of :meth:`KeptWorkers.rank`."""
 
@@ -45,11 +47,13 @@
     """The workers that are kept for a gang.
 
     :param checked_s: when others were last looked for.
+    :param awaits_all: whether work of any priority there has to end, rather than of lower ones.
     """
 
     step: StepState
     workers: tuple[Worker, ...]
     checked_s: float
+    awaits_all: bool = False
 
 
 class KeptWorkers:
@@ -66,6 +70,7 @@
         self._owners: dict[Worker, StepState] = {}
         self._before: dict[tuple[int, bool], set[StepState]] = {}
         self._pressed: set[StepState] = set()
+        self._searches_left = 0
         self._loosest_s: float | None = None
         self._slacks: list[float] = []
         self._accepted: list[int] = []
@@ -73,6 +78,7 @@
     def begin_round(self, now: float) -> None:
         """Drop the sets that are of no more use; the gang whose slack ends first goes first."""
         self._now = now
+        self._searches_left = MAX_SEARCHES_PER_ROUND
         waiting = [each for each in self._sets.values() if may_start(each.step)]
         waiting.sort(key=lambda each: self._slack_s(each.step))
         self._sets.clear()
@@ -106,26 +112,49 @@
             self._loosest_s = max(self._slack_s(owner) for owner in self._sets)
         return self._slack_s(step) < self._loosest_s
 
-    def keep(self, step: StepState, soonest: Sequence[Worker]) -> None:
+    def keep(self, step: StepState, places: Places) -> None:
         """Keep the workers where a gang fits soonest, unless its present ones are good enough.
 
         If workers are kept for too many gangs, the one with the most slack gives way.
+
+        :param places: the workers that it may run on.
         """
+        found = self._find(step, places)
         held = self._sets.get(step)
         if held is None:
-            if soonest:
+            if found is not None:
                 if len(self._sets) >= MAX_KEPT_GANGS:
                     self.release(max(self._sets, key=self._slack_s))
-                self._put(KeptSet(step, tuple(soonest), self._now))
+                self._put(found)
             return
         held.checked_s = self._now
-        if not soonest or set(soonest) == set(held.workers):
+        if found is None or set(found.workers) == set(held.workers):
             return
-        present_s = self._available_s(step, held.workers)
-        other_s = self._available_s(step, soonest)
+        present_s = soonest_by_ends(step, held.workers, self._now)[0]
+        other_s = soonest_by_ends(step, found.workers, self._now)[0]
         if other_s < present_s * SOONER_SHARE and present_s - other_s > MIN_SOONER_S:
             self.release(step)
-            self._put(KeptSet(step, tuple(soonest), self._now))
+            self._put(found)
+
+    def _find(self, step: StepState, places: Places) -> KeptSet | None:
+        """The workers where a gang fits soonest.
+
+        If work of its own or a higher priority is in the way everywhere, a gang short of slack
+        waits for the end of that as well.
+        """
+        soonest = places.soonest()
+        if soonest:
+            return KeptSet(step, tuple(soonest), self._now)
+        if not self._slack.is_short(step) or self._searches_left <= 0:
+            return None
+        self._searches_left -= 1
+        found = [
+            soonest_by_ends(step, domain, self._now) for domain in places.domains(step.step.count)
+        ]
+        end_s, workers = min(found, key=lambda each: each[0], default=(math.inf, ()))
+        if math.isinf(end_s):
+            return None
+        return KeptSet(step, tuple(workers), self._now, awaits_all=True)
 
     def release(self, step: StepState) -> bool:
         """Keep no workers for a step any more.
@@ -210,15 +239,17 @@
         return not step.step.gang or self._slack_s(step) >= self._slack_s(owner)
 
     def _is_usable(self, held: KeptSet) -> bool:
-        """Whether a gang still fits on its workers once the work of lower priority has ended."""
+        """Whether a gang still fits on its workers once the work in its way has ended."""
         step = held.step
-        priority = step.occurrence.job.priority
         service = self._service_of(step.occurrence.job)
         copies = 0
         for worker in held.workers:
             if worker.record.service != service or not self._accepts(worker, step):
                 return False
-            lower = worker.lower_priority_usage(priority)
+            if held.awaits_all:
+                copies += worker.max_copies(step.step)
+                continue
+            lower = worker.lower_priority_usage(step.occurrence.job.priority)
             copies += worker.copies(step, worker.free + lower)
         return copies >= step.step.count
 
@@ -228,32 +259,53 @@
         owner = self._owners.get(worker)
         return self._now >= worker.probation_s and owner is None
 
-    def _available_s(self, step: StepState, workers: Sequence[Worker]) -> float:
-        """Seconds until a gang fits on some workers, as runs of lower priority there end."""
-        priority = step.occurrence.job.priority
-        ends: list[tuple[float, int, Worker, Run]] = []
-        free = {worker: worker.free for worker in workers}
-        copies = sum(worker.copies(step, worker.free) for worker in free)
-        for worker in free:
-            for run in worker.runs.values():
-                if run.task.step.occurrence.job.priority > priority:
-                    ends.append((_end_s(run, self._now), len(ends), worker, run))
-        ends.sort()
-        for end_s, _, worker, run in ends:
-            if copies >= step.step.count:
-                break
-            copies -= worker.copies(step, free[worker])
-            free[worker] = free[worker] + run.allocation
-            copies += worker.copies(step, free[worker])
-            if copies >= step.step.count:
-                return end_s
-        return 0.0 if copies >= step.step.count else math.inf
-
     def _slack_s(self, step: StepState) -> float:
         slack_s = self._slack.slack_s(step)
         return math.inf if slack_s is None else slack_s
 
 
+def soonest_by_ends(
+    step: StepState, workers: Sequence[Worker], now: float
+) -> tuple[float, Sequence[Worker]]:
+    """Seconds until a gang fits on some of these workers, as runs there end, and which these are.
+
+    Infinite and none if it does not fit even then.
+    """
+    ends: list[tuple[float, int, Worker, Run]] = []
+    copies: dict[Worker, int] = {}
+    free = {worker: worker.free for worker in workers}
+    for worker in free:
+        count = worker.copies(step, worker.free)
+        if count:
+            copies[worker] = count
+        for run in worker.runs.values():
+            ends.append((_end_s(run, now), len(ends), worker, run))
+    left = step.step.count - sum(copies.values())
+    if left <= 0:
+        return 0.0, _enough(copies, step.step.count)
+    ends.sort()
+    for end_s, _, worker, run in ends:
+        free[worker] = free[worker] + run.allocation
+        count = worker.copies(step, free[worker])
+        if count > copies.get(worker, 0):
+            left -= count - copies.get(worker, 0)
+            copies[worker] = count
+        if left <= 0:
+            return end_s, _enough(copies, step.step.count)
+    return math.inf, ()
+
+
+def _enough(copies: dict[Worker, int], wanted: int) -> Sequence[Worker]:
+    """The first workers that hold the wanted number of tasks."""
+    chosen: list[Worker] = []
+    for worker, count in copies.items():
+        if wanted <= 0:
+            break
+        chosen.append(worker)
+        wanted -= count
+    return chosen
+
+
 def _accepted_ms(step: StepState) -> int:
     return step.occurrence.job.accepted.accepted_ms
 
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -297,14 +297,11 @@
         if not step.step.gang or self._backfill.is_full or self._failed_shapes.is_kept(shape):
             return
         self._failed_shapes.note_kept(shape)
-
-        def soonest() -> Sequence[Worker]:
-            return self._candidates.places(step, now).soonest()
-
-        if self._gang_priority.keep(step, soonest):
+        if self._gang_priority.keep(step, lambda: self._candidates.places(step, now)):
             self._preempt_for_gang(step, now)
-        else:
-            self._backfill.keep(soonest(), step.occurrence.job.priority)
+            return
+        soonest = self._candidates.places(step, now).soonest()
+        self._backfill.keep(soonest, step.occurrence.job.priority)
 
     def _place_on_preferred(self, step: StepState, now: float) -> bool:
         """Place a step on preferred workers only, if there are such and it fits there."""
--- a/tests/test_gang_priority.py
+++ b/tests/test_gang_priority.py
@@ -13,7 +13,12 @@
     PREEMPTION_SLACK_S,
 )
 from saddlestack.policy.cluster.jobs import Run, StepState
-from saddlestack.policy.cluster.kept_workers import EQUAL_HELD_S, LONGEST_HELD_S, LOWER_HELD_S
+from saddlestack.policy.cluster.kept_workers import (
+    EQUAL_HELD_S,
+    LONGEST_HELD_S,
+    LOWER_HELD_S,
+    soonest_by_ends,
+)
 from saddlestack.policy.cluster.lending import USUAL_STOP_S
 from saddlestack.policy.cluster.reasons import WaitReason
 from saddlestack.policy.cluster.reservations import RESERVATION_TIMEOUT_S
@@ -269,6 +274,59 @@
         self.assertEqual(self.round(8.0 + IDLE_POOL_WAIT_S + MOMENT_S), [self.job_of(bulk)])
 
 
+class WorkInTheWayTest(CrowdCase):
+    """A gang of a whole rack waited without end where each rack held other normal work."""
+
+    def first_start_s(self, *, enabled: bool) -> float | None:
+        """When a gang of a rack starts beside a stream of narrow normal work."""
+        self.use(enabled=enabled)
+        self.workers(racks=2, each=2)
+        gang = work(4, 4, gang=True, same_rack=True)
+        found: list[StepState] = []
+
+        def submit(now: float) -> None:
+            self.submit(work(2, 2, 4.0), priority=NORMAL, now=now)
+            if now == 6.0:
+                found.append(self.submit(gang, priority=NORMAL, now=now))
+
+        self.play(60.0, submit)
+        done_s = self.done_s.get(found[0])
+        return None if done_s is None else done_s - 6.0 - 6.0
+
+    def test_a_gang_short_of_slack_waits_for_the_work_that_ends_soonest(self) -> None:
+        self.assertIsNone(self.first_start_s(enabled=False))
+        start_s = self.first_start_s(enabled=True)
+        assert start_s is not None
+        self.assertLessEqual(start_s, 13.0)
+
+    def test_a_gang_with_slack_left_does_not(self) -> None:
+        for now, expected in ((7.0, 0), (7.0 + MOMENT_S, 2)):
+            self.use(enabled=True)
+            self.workers(racks=1, each=2)
+            for name in ("w11", "w12"):
+                self.occupy(work(7, 1, 60.0), name, priority=NORMAL)
+            self.submit(work(2, 8, gang=True, same_rack=True), priority=NORMAL)
+            narrow = self.submit(work(1, 1), now=now)
+            narrow.waiting_since_s = now
+            kept = self.cluster_state.planner.kept_from
+            self.assertEqual(self.round(now) == [], bool(expected))
+            workers = self.cluster_state.workers.values()
+            test = kept(narrow)
+            self.assertEqual(sum(test is not None and test(w) for w in workers), expected)
+
+    def test_the_workers_that_are_free_soonest_are_chosen(self) -> None:
+        self.workers(each=3)
+        self.occupy(work(1, 8, 9.0), "w11")
+        self.occupy(work(2, 4, 4.0), "w12")
+        self.occupy(work(1, 8, 6.0), "w13")
+        gang = self.submit(work(2, 8, gang=True), priority=NORMAL)
+        workers = list(self.cluster_state.workers.values())
+        end_s, chosen = soonest_by_ends(gang, workers, 1.0)
+        self.assertEqual(end_s, 5.0)
+        self.assertEqual([worker.worker_id for worker in chosen], ["w12", "w13"])
+        self.assertEqual(soonest_by_ends(gang, workers[:1], 1.0), (math.inf, ()))
+
+
 DUE_S = 3 * 6.0 + 1.0 - 6.0 - PREEMPTION_SLACK_S
 """When the slack of a normal gang of 6 s is no longer above the limit for preemption."""
 
