--- a/tests/test_gang_priority.py
+++ b/tests/test_gang_priority.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+import random
+from collections import Counter
 from collections.abc import Callable
 
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask
@@ -702,3 +704,60 @@
         """A long-running task reports 100 percent while it works."""
         self.crowd(100, long_running=True)
         self.assertEqual(len(self.preempt()[1]), 1)
+
+
+class RandomCrowdTest(CrowdCase):
+    """Seeded crowds of all priorities: what nothing may break, and what the option is for."""
+
+    SEEDS = range(6)
+    CROWD_S = 45.0
+
+    def crowd(self, seed: int, *, enabled: bool) -> dict[int, list[StepState]]:
+        """Play a crowd that asks for more than there is, until nothing is left to do."""
+        self.use(enabled=enabled)
+        self.workers(racks=3, each=4)
+        rng = random.Random(seed)
+        steps: dict[int, list[StepState]] = {URGENT: [], NORMAL: [], BULK: []}
+
+        def submit(now: float) -> None:
+            self.check()
+            if now >= self.CROWD_S:
+                return
+            bulk = work(rng.choice((2, 5, 8, 20)), 1, rng.uniform(5, 8), once=rng.random() < 0.1)
+            steps[BULK].append(self.submit(bulk, now=now, account=rng.choice("ab")))
+            if rng.random() < 0.15:
+                one_rack = rng.random() < 0.6
+                gang = work(rng.choice((3, 6, 8)), 4, gang=True, same_rack=one_rack)
+                steps[NORMAL].append(self.submit(gang, priority=NORMAL, now=now))
+            if rng.random() < 0.2:
+                one_rack = rng.random() < 0.8
+                gang = work(rng.choice((1, 2, 4)), 8, 2.0, gang=True, same_rack=one_rack)
+                steps[URGENT].append(self.submit(gang, priority=URGENT, now=now))
+
+        self.play(320.0, submit)
+        return steps
+
+    def check(self) -> None:
+        """Check the invariants after a round."""
+        for worker in self.cluster_state.workers.values():
+            self.assertTrue(worker.used.fits(worker.record.capacity))
+            for run in worker.runs.values():
+                step = run.task.step
+                self.assertFalse(run.stopping and step.step.once, run.task.name)
+                if step.step.gang and not run.stopping:
+                    self.assertTrue(all(t.run and not t.run.stopping for t in step.tasks))
+
+    def test_nothing_breaks_and_everything_is_done(self) -> None:
+        for seed in self.SEEDS:
+            steps = self.crowd(seed, enabled=True)
+            left = [step for each in steps.values() for step in each if not step.finished]
+            self.assertEqual(left, [], seed)
+
+    def test_fewer_gangs_are_late_and_no_urgent_job(self) -> None:
+        late: dict[bool, Counter[int]] = {False: Counter(), True: Counter()}
+        for enabled, counts in late.items():
+            for seed in self.SEEDS:
+                for priority, each in self.crowd(seed, enabled=enabled).items():
+                    counts[priority] += sum(self.is_late(step) for step in each)
+        self.assertLessEqual(late[True][URGENT], late[False][URGENT])
+        self.assertLessEqual(late[True][NORMAL], late[False][NORMAL] // 2)
