--- a/src/saddlestack/policy/cluster/kept_workers.py
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -13,9 +13,9 @@
 
 from saddlestack.policy.cluster.backfill import MAX_KEPT_GANGS
 from saddlestack.policy.cluster.jobs import Job, Run, StepState
-from saddlestack.policy.cluster.places import IsKept
+from saddlestack.policy.cluster.places import IsKept, Places
 from saddlestack.policy.cluster.progress import remaining_s
-from saddlestack.policy.cluster.slack import Slack
+from saddlestack.policy.cluster.slack import NORMAL_PRIORITY, Slack
 from saddlestack.policy.cluster.waiting import may_start
 from saddlestack.policy.cluster.workers import Worker
 
@@ -33,20 +33,31 @@
 """Other workers replace the kept ones if they are available within this share of the time."""
 MIN_SOONER_S = 0.5
 """They do not if that gains less than this, the longest time between two rounds."""
+RECHECK_S = 1.0
+"""Time between two searches for workers that are available sooner, for one gang. The searches of 32
+gangs in each round took as long as all other decisions."""
+MAX_SEARCHES_PER_ROUND = 2
+"""Gangs for which a round searches for the workers whose runs of any priority end soonest."""
 _CLASSES = MAX_KEPT_GANGS + 2
 """Number of different results of each part of :meth:`KeptWorkers.rank`."""
 
 
 @dataclass(slots=True, eq=False)
 class KeptSet:
-    """The workers that are kept for a gang."""
+    """The workers that are kept for a gang.
+
+    :param checked_s: when others were last looked for.
+    :param awaits_all: whether work of any priority there has to end, rather than of lower ones.
+    """
 
     step: StepState
     workers: tuple[Worker, ...]
+    checked_s: float
+    awaits_all: bool = False
 
 
 class KeptWorkers:
-    """The sets of workers that are kept for gangs, at most :data:`MAX_KEPT_GANGS`.
+    """The sets of workers that are kept for normal gangs, at most :data:`MAX_KEPT_GANGS`.
 
     :param service_of: returns the service that runs a job.
     """
@@ -57,15 +68,17 @@
         self._now = 0.0
         self._sets: dict[StepState, KeptSet] = {}
         self._owners: dict[Worker, StepState] = {}
+        self._before: dict[tuple[int, bool], set[StepState]] = {}
         self._pressed: set[StepState] = set()
+        self._searches_left = 0
+        self._loosest_s: float | None = None
         self._slacks: list[float] = []
         self._accepted: list[int] = []
 
     def begin_round(self, now: float) -> None:
         """Drop the sets that are of no more use; the gang whose slack ends first goes first."""
         self._now = now
-        if not self._sets:
-            return
+        self._searches_left = MAX_SEARCHES_PER_ROUND
         waiting = [each for each in self._sets.values() if may_start(each.step)]
         waiting.sort(key=lambda each: self._slack_s(each.step))
         self._sets.clear()
@@ -75,6 +88,7 @@
             if self._is_usable(each):
                 self._put(each)
         self._slacks = sorted(self._slack_s(step) for step in self._sets)
+        self._before.clear()
         self._accepted = sorted(_accepted_ms(step) for step in self._sets)
 
     @property
@@ -87,20 +101,60 @@
         held = self._sets.get(step)
         return () if held is None else held.workers
 
-    def keep(self, step: StepState, soonest: Sequence[Worker]) -> None:
-        """Keep the workers where a gang fits soonest, unless its present ones are good enough."""
+    def needs_search(self, step: StepState) -> bool:
+        """Whether :meth:`keep` needs to know where a gang fits soonest now."""
+        held = self._sets.get(step)
+        if held is not None:
+            return self._now - held.checked_s >= RECHECK_S
+        if len(self._sets) < MAX_KEPT_GANGS:
+            return True
+        if self._loosest_s is None:
+            self._loosest_s = max(self._slack_s(owner) for owner in self._sets)
+        return self._slack_s(step) < self._loosest_s
+
+    def keep(self, step: StepState, places: Places) -> None:
+        """Keep the workers where a gang fits soonest, unless its present ones are good enough.
+
+        If workers are kept for too many gangs, the one with the most slack gives way.
+
+        :param places: the workers that it may run on.
+        """
+        found = self._find(step, places)
         held = self._sets.get(step)
         if held is None:
-            if soonest and len(self._sets) < MAX_KEPT_GANGS:
-                self._put(KeptSet(step, tuple(soonest)))
+            if found is not None:
+                if len(self._sets) >= MAX_KEPT_GANGS:
+                    self.release(max(self._sets, key=self._slack_s))
+                self._put(found)
             return
-        if not soonest or set(soonest) == set(held.workers):
+        held.checked_s = self._now
+        if found is None or set(found.workers) == set(held.workers):
             return
-        present_s = self._available_s(step, held.workers)
-        other_s = self._available_s(step, soonest)
+        present_s = soonest_by_ends(step, held.workers, self._now)[0]
+        other_s = soonest_by_ends(step, found.workers, self._now)[0]
         if other_s < present_s * SOONER_SHARE and present_s - other_s > MIN_SOONER_S:
             self.release(step)
-            self._put(KeptSet(step, tuple(soonest)))
+            self._put(found)
+
+    def _find(self, step: StepState, places: Places) -> KeptSet | None:
+        """The workers where a gang fits soonest.
+
+        If work of its own or a higher priority is in the way everywhere, a gang short of slack
+        waits for the end of that as well.
+        """
+        soonest = places.soonest()
+        if soonest:
+            return KeptSet(step, tuple(soonest), self._now)
+        if not self._slack.is_short(step) or self._searches_left <= 0:
+            return None
+        self._searches_left -= 1
+        found = [
+            soonest_by_ends(step, domain, self._now) for domain in places.domains(step.step.count)
+        ]
+        end_s, workers = min(found, key=lambda each: each[0], default=(math.inf, ()))
+        if math.isinf(end_s):
+            return None
+        return KeptSet(step, tuple(workers), self._now, awaits_all=True)
 
     def release(self, step: StepState) -> bool:
         """Keep no workers for a step any more.
@@ -111,6 +165,8 @@
         if held is None:
             return False
         self._pressed.discard(step)
+        self._before.clear()
+        self._loosest_s = None
         for worker in held.workers:
             if self._owners.get(worker) is step:
                 del self._owners[worker]
@@ -122,11 +178,17 @@
         :param is_idle: whether the pool is idle. Then only gangs with little slack left go first:
             the kept workers themselves may be what makes the pool look idle.
         """
-        owners = self._pressed if is_idle else self._sets
-        before = {owner for owner in owners if self._is_held_back(step, owner)}
+        rank = self.rank(step)
+        before = None if rank is None else self._before.get((rank, is_idle))
+        if before is None:
+            owners = self._pressed if is_idle else self._sets
+            before = {owner for owner in owners if self._is_held_back(step, owner)}
+            if rank is not None:
+                self._before[(rank, is_idle)] = before
         if not before:
             return None
-        return lambda worker: self._owners.get(worker) in before
+        owner_of, held_back = self._owners.get, before
+        return lambda worker: owner_of(worker) in held_back
 
     def rank(self, step: StepState) -> int | None:
         """Number that is equal for steps from which the same workers are kept.
@@ -136,12 +198,12 @@
         if step in self._sets:
             return None
         priority = step.occurrence.job.priority
-        if not self._sets or any(owner.occurrence.job.priority > priority for owner in self._sets):
+        if not self._sets or priority < NORMAL_PRIORITY:
             return 0
         waited_s = step.waited_s(self._now)
-        if all(owner.occurrence.job.priority < priority for owner in self._sets):
+        if priority > NORMAL_PRIORITY:
             periods = (waited_s > LOWER_HELD_S) + (waited_s > LONGEST_HELD_S)
-            return self.rank_count - periods if periods else 0
+            return self.rank_count - 1 - periods
         older = 0
         if waited_s > EQUAL_HELD_S:
             older = len(self._accepted) - bisect_right(self._accepted, _accepted_ms(step))
@@ -157,6 +219,8 @@
 
     def _put(self, held: KeptSet) -> None:
         self._sets[held.step] = held
+        self._before.clear()
+        self._loosest_s = None
         if self._slack.is_short(held.step):
             self._pressed.add(held.step)
         for worker in held.workers:
@@ -166,25 +230,26 @@
         """Whether a step is held back for a gang."""
         if owner is step:
             return False
-        priority, favored = step.occurrence.job.priority, owner.occurrence.job.priority
-        waited_s = step.waited_s(self._now)
-        if priority != favored:
+        priority, waited_s = step.occurrence.job.priority, step.waited_s(self._now)
+        if priority != NORMAL_PRIORITY:
             longest_s = LONGEST_HELD_S if owner in self._pressed else LOWER_HELD_S
-            return priority > favored and waited_s <= longest_s
+            return priority > NORMAL_PRIORITY and waited_s <= longest_s
         if waited_s > EQUAL_HELD_S and _accepted_ms(step) < _accepted_ms(owner):
             return False
         return not step.step.gang or self._slack_s(step) >= self._slack_s(owner)
 
     def _is_usable(self, held: KeptSet) -> bool:
-        """Whether a gang still fits on its workers once the work of lower priority has ended."""
+        """Whether a gang still fits on its workers once the work in its way has ended."""
         step = held.step
-        priority = step.occurrence.job.priority
         service = self._service_of(step.occurrence.job)
         copies = 0
         for worker in held.workers:
             if worker.record.service != service or not self._accepts(worker, step):
                 return False
-            lower = worker.lower_priority_usage(priority)
+            if held.awaits_all:
+                copies += worker.max_copies(step.step)
+                continue
+            lower = worker.lower_priority_usage(step.occurrence.job.priority)
             copies += worker.copies(step, worker.free + lower)
         return copies >= step.step.count
 
@@ -194,32 +259,53 @@
         owner = self._owners.get(worker)
         return self._now >= worker.probation_s and owner is None
 
-    def _available_s(self, step: StepState, workers: Sequence[Worker]) -> float:
-        """Seconds until a gang fits on some workers, as runs of lower priority there end."""
-        priority = step.occurrence.job.priority
-        ends: list[tuple[float, int, Worker, Run]] = []
-        free = {worker: worker.free for worker in workers}
-        copies = sum(worker.copies(step, worker.free) for worker in free)
-        for worker in free:
-            for run in worker.runs.values():
-                if run.task.step.occurrence.job.priority > priority:
-                    ends.append((_end_s(run, self._now), len(ends), worker, run))
-        ends.sort()
-        for end_s, _, worker, run in ends:
-            if copies >= step.step.count:
-                break
-            copies -= worker.copies(step, free[worker])
-            free[worker] = free[worker] + run.allocation
-            copies += worker.copies(step, free[worker])
-            if copies >= step.step.count:
-                return end_s
-        return 0.0 if copies >= step.step.count else math.inf
-
     def _slack_s(self, step: StepState) -> float:
         slack_s = self._slack.slack_s(step)
         return math.inf if slack_s is None else slack_s
 
 
+def soonest_by_ends(
+    step: StepState, workers: Sequence[Worker], now: float
+) -> tuple[float, Sequence[Worker]]:
+    """Seconds until a gang fits on some of these workers, as runs there end, and which these are.
+
+    Infinite and none if it does not fit even then.
+    """
+    ends: list[tuple[float, int, Worker, Run]] = []
+    copies: dict[Worker, int] = {}
+    free = {worker: worker.free for worker in workers}
+    for worker in free:
+        count = worker.copies(step, worker.free)
+        if count:
+            copies[worker] = count
+        for run in worker.runs.values():
+            ends.append((_end_s(run, now), len(ends), worker, run))
+    left = step.step.count - sum(copies.values())
+    if left <= 0:
+        return 0.0, _enough(copies, step.step.count)
+    ends.sort()
+    for end_s, _, worker, run in ends:
+        free[worker] = free[worker] + run.allocation
+        count = worker.copies(step, free[worker])
+        if count > copies.get(worker, 0):
+            left -= count - copies.get(worker, 0)
+            copies[worker] = count
+        if left <= 0:
+            return end_s, _enough(copies, step.step.count)
+    return math.inf, ()
+
+
+def _enough(copies: dict[Worker, int], wanted: int) -> Sequence[Worker]:
+    """The first workers that hold the wanted number of tasks."""
+    chosen: list[Worker] = []
+    for worker, count in copies.items():
+        if wanted <= 0:
+            break
+        chosen.append(worker)
+        wanted -= count
+    return chosen
+
+
 def _accepted_ms(step: StepState) -> int:
     return step.occurrence.job.accepted.accepted_ms
 
--- a/tests/test_gang_priority.py
+++ b/tests/test_gang_priority.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+import random
+from collections import Counter
 from collections.abc import Callable
 
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask
@@ -13,7 +15,12 @@
     PREEMPTION_SLACK_S,
 )
 from saddlestack.policy.cluster.jobs import Run, StepState
-from saddlestack.policy.cluster.kept_workers import EQUAL_HELD_S, LONGEST_HELD_S, LOWER_HELD_S
+from saddlestack.policy.cluster.kept_workers import (
+    EQUAL_HELD_S,
+    LONGEST_HELD_S,
+    LOWER_HELD_S,
+    soonest_by_ends,
+)
 from saddlestack.policy.cluster.lending import USUAL_STOP_S
 from saddlestack.policy.cluster.reasons import WaitReason
 from saddlestack.policy.cluster.reservations import RESERVATION_TIMEOUT_S
@@ -269,6 +276,59 @@
         self.assertEqual(self.round(8.0 + IDLE_POOL_WAIT_S + MOMENT_S), [self.job_of(bulk)])
 
 
+class WorkInTheWayTest(CrowdCase):
+    """A gang of a whole rack waited without end where each rack held other normal work."""
+
+    def first_start_s(self, *, enabled: bool) -> float | None:
+        """When a gang of a rack starts beside a stream of narrow normal work."""
+        self.use(enabled=enabled)
+        self.workers(racks=2, each=2)
+        gang = work(4, 4, gang=True, same_rack=True)
+        found: list[StepState] = []
+
+        def submit(now: float) -> None:
+            self.submit(work(2, 2, 4.0), priority=NORMAL, now=now)
+            if now == 6.0:
+                found.append(self.submit(gang, priority=NORMAL, now=now))
+
+        self.play(60.0, submit)
+        done_s = self.done_s.get(found[0])
+        return None if done_s is None else done_s - 6.0 - 6.0
+
+    def test_a_gang_short_of_slack_waits_for_the_work_that_ends_soonest(self) -> None:
+        self.assertIsNone(self.first_start_s(enabled=False))
+        start_s = self.first_start_s(enabled=True)
+        assert start_s is not None
+        self.assertLessEqual(start_s, 13.0)
+
+    def test_a_gang_with_slack_left_does_not(self) -> None:
+        for now, expected in ((7.0, 0), (7.0 + MOMENT_S, 2)):
+            self.use(enabled=True)
+            self.workers(racks=1, each=2)
+            for name in ("w11", "w12"):
+                self.occupy(work(7, 1, 60.0), name, priority=NORMAL)
+            self.submit(work(2, 8, gang=True, same_rack=True), priority=NORMAL)
+            narrow = self.submit(work(1, 1), now=now)
+            narrow.waiting_since_s = now
+            kept = self.cluster_state.planner.kept_from
+            self.assertEqual(self.round(now) == [], bool(expected))
+            workers = self.cluster_state.workers.values()
+            test = kept(narrow)
+            self.assertEqual(sum(test is not None and test(w) for w in workers), expected)
+
+    def test_the_workers_that_are_free_soonest_are_chosen(self) -> None:
+        self.workers(each=3)
+        self.occupy(work(1, 8, 9.0), "w11")
+        self.occupy(work(2, 4, 4.0), "w12")
+        self.occupy(work(1, 8, 6.0), "w13")
+        gang = self.submit(work(2, 8, gang=True), priority=NORMAL)
+        workers = list(self.cluster_state.workers.values())
+        end_s, chosen = soonest_by_ends(gang, workers, 1.0)
+        self.assertEqual(end_s, 5.0)
+        self.assertEqual([worker.worker_id for worker in chosen], ["w12", "w13"])
+        self.assertEqual(soonest_by_ends(gang, workers[:1], 1.0), (math.inf, ()))
+
+
 DUE_S = 3 * 6.0 + 1.0 - 6.0 - PREEMPTION_SLACK_S
 """When the slack of a normal gang of 6 s is no longer above the limit for preemption."""
 
@@ -644,3 +704,60 @@
         """A long-running task reports 100 percent while it works."""
         self.crowd(100, long_running=True)
         self.assertEqual(len(self.preempt()[1]), 1)
+
+
+class RandomCrowdTest(CrowdCase):
+    """Seeded crowds of all priorities: what nothing may break, and what the option is for."""
+
+    SEEDS = range(6)
+    CROWD_S = 45.0
+
+    def crowd(self, seed: int, *, enabled: bool) -> dict[int, list[StepState]]:
+        """Play a crowd that asks for more than there is, until nothing is left to do."""
+        self.use(enabled=enabled)
+        self.workers(racks=3, each=4)
+        rng = random.Random(seed)
+        steps: dict[int, list[StepState]] = {URGENT: [], NORMAL: [], BULK: []}
+
+        def submit(now: float) -> None:
+            self.check()
+            if now >= self.CROWD_S:
+                return
+            bulk = work(rng.choice((2, 5, 8, 20)), 1, rng.uniform(5, 8), once=rng.random() < 0.1)
+            steps[BULK].append(self.submit(bulk, now=now, account=rng.choice("ab")))
+            if rng.random() < 0.15:
+                one_rack = rng.random() < 0.6
+                gang = work(rng.choice((3, 6, 8)), 4, gang=True, same_rack=one_rack)
+                steps[NORMAL].append(self.submit(gang, priority=NORMAL, now=now))
+            if rng.random() < 0.2:
+                one_rack = rng.random() < 0.8
+                gang = work(rng.choice((1, 2, 4)), 8, 2.0, gang=True, same_rack=one_rack)
+                steps[URGENT].append(self.submit(gang, priority=URGENT, now=now))
+
+        self.play(320.0, submit)
+        return steps
+
+    def check(self) -> None:
+        """Check the invariants after a round."""
+        for worker in self.cluster_state.workers.values():
+            self.assertTrue(worker.used.fits(worker.record.capacity))
+            for run in worker.runs.values():
+                step = run.task.step
+                self.assertFalse(run.stopping and step.step.once, run.task.name)
+                if step.step.gang and not run.stopping:
+                    self.assertTrue(all(t.run and not t.run.stopping for t in step.tasks))
+
+    def test_nothing_breaks_and_everything_is_done(self) -> None:
+        for seed in self.SEEDS:
+            steps = self.crowd(seed, enabled=True)
+            left = [step for each in steps.values() for step in each if not step.finished]
+            self.assertEqual(left, [], seed)
+
+    def test_fewer_gangs_are_late_and_no_urgent_job(self) -> None:
+        late: dict[bool, Counter[int]] = {False: Counter(), True: Counter()}
+        for enabled, counts in late.items():
+            for seed in self.SEEDS:
+                for priority, each in self.crowd(seed, enabled=enabled).items():
+                    counts[priority] += sum(self.is_late(step) for step in each)
+        self.assertLessEqual(late[True][URGENT], late[False][URGENT])
+        self.assertLessEqual(late[True][NORMAL], late[False][NORMAL] // 2)
