--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -90,7 +90,8 @@
         fit, kept = self.fit(step), self.kept(step)
         keys = [replace(fit, max_factor=each) for each in above[:MAX_LEVELS_ABOVE]]
         return FirstPlaces(
-            [partial(self._ranked, step, key, fit, kept, slow_first) for key in [*keys, fit]]
+            [partial(self._ranked, step, key, fit, kept, slow_first) for key in keys],
+            self._ranked(step, fit, fit, kept, slow_first),
         )
 
     def speed_limit(self, step: StepState, now: float) -> SpeedLimit | None:
@@ -103,8 +104,9 @@
             return None
         limit = self._speed_limits.limit(step, service_capacity.known_factors, now)
         if limit.restricts:
-            relaxed = limit.relaxed or not self._could_start_within(step, limit)
-            return replace(limit, relaxed=relaxed)
+            if limit.relaxed or self._could_start_within(step, limit):
+                return limit
+            return replace(limit, relaxed=True)
         return limit if limit.prefers_slow else None
 
     def restart_places(
@@ -148,9 +150,9 @@
         A gang is placed on workers of similar speed if possible: it is held up by the slowest one.
         """
         within = replace(fit, max_factor=limit.max_factor)
-        last = partial(self._ranked, step, within, fit, kept, limit.rank)
+        last = self._ranked(step, within, fit, kept, limit.rank)
         if not step.step.gang:
-            return last()
+            return last
         if limit.prefers_slow:
             keys = [replace(within, above=MIN_LIMIT), replace(within, max_factor=MIN_LIMIT)]
         elif self.service_capacity(step).has_unknown_speeds:
@@ -158,7 +160,7 @@
         else:
             keys = []
         alike = [partial(self._ranked, step, key, fit, kept, limit.rank) for key in keys]
-        return FirstPlaces([*alike, last])
+        return FirstPlaces(alike, last)
 
     def _ranked(
         self, step: StepState, key: FitKey, fit: FitKey, kept: IsKept | None, rank: SpeedRank
--- a/src/saddlestack/policy/cluster/index.py
+++ b/src/saddlestack/policy/cluster/index.py
@@ -115,6 +115,7 @@
     :ivar empty: accelerators of workers that accept work, run nothing and are fast enough for
         urgent work.
     :ivar all: usage of all workers.
+    :ivar has_slow_workers: whether an eligible worker is known to be slower than a usual one.
     :ivar open: usage of workers whose data hall is not being evacuated.
     :ivar present: usage of workers that are listed by the platform and reachable.
     """
@@ -129,6 +130,7 @@
         self._by_name: dict[str, Rack] = {}
         self._by_speed: dict[float | None, _FreeList] = {}
         self._known_factors: tuple[float, ...] = ()
+        self.has_slow_workers = False
         self._by_number: dict[int, Worker] = {}
         self._by_empty: SortedList[tuple[int, int]] = SortedList()
         self._by_accelerators: SortedList[int] = SortedList()
@@ -144,11 +146,6 @@
         """Known time factors of the eligible workers, in ascending order."""
         return self._known_factors
 
-    @property
-    def has_slow_workers(self) -> bool:
-        """Whether an eligible worker is known to be slower than a usual one."""
-        return bool(self._known_factors) and exceeds(self._known_factors[-1], MIN_LIMIT)
-
     @property
     def has_unknown_speeds(self) -> bool:
         """Whether the time factor of an eligible worker is unknown."""
@@ -252,6 +249,7 @@
 
     def _note_speeds(self) -> None:
         self._known_factors = tuple(sorted(each for each in self._by_speed if each is not None))
+        self.has_slow_workers = exceeds(max(self._known_factors, default=None), MIN_LIMIT)
 
     def _get_or_add_rack(self, name: str) -> Rack:
         rack = self._by_name.get(name)
--- a/src/saddlestack/policy/cluster/places.py
+++ b/src/saddlestack/policy/cluster/places.py
@@ -131,6 +131,14 @@
         self._in_rack = wants_rack and (whole or fits).most >= step.step.count
         self._rank = rank
 
+    @property
+    def may_fit(self) -> bool:
+        """Whether the tasks fit now if no worker is kept from the step."""
+        wanted = self._step.at_once
+        if self._in_rack:
+            return next(self._fits.holding(wanted), None) is not None
+        return self._fits.total >= wanted
+
     def choose_gang(self) -> list[Worker] | None:
         """Choose a worker for each task of a gang; ``None`` if it does not fit completely.
 
@@ -312,19 +320,23 @@
 class FirstPlaces:
     """Several sets of workers that are tried in order, each built only when it is reached.
 
-    :param options: build the sets. The last one includes all others.
+    :param options: build the sets that are tried first.
+    :param last: the set that includes all others.
     """
 
-    def __init__(self, options: Sequence[Callable[[], Places]]) -> None:
+    def __init__(self, options: Sequence[Callable[[], IndexedPlaces]], last: IndexedPlaces) -> None:
         self._options = options
+        self._last = last
 
     def choose_gang(self) -> list[Worker] | None:
         """Choose workers in the first set that holds the gang; ``None`` if none does."""
+        if not self._last.may_fit:
+            return None
         for option in self._options:
             chosen = option().choose_gang()
             if chosen is not None:
                 return chosen
-        return None
+        return self._last.choose_gang()
 
     def choose_worker(self, avoid: set[str]) -> Worker | None:
         """Choose a worker in the first set that has one, as :meth:`WorkerChoice.choose_worker`."""
@@ -332,15 +344,15 @@
             worker = option().choose_worker(avoid)
             if worker is not None:
                 return worker
-        return None
+        return self._last.choose_worker(avoid)
 
     def soonest(self) -> Sequence[Worker]:
         """Choose workers of the last set where a gang fits once lower priorities have ended."""
-        return self._options[-1]().soonest()
+        return self._last.soonest()
 
     def domains(self, wanted: int) -> Iterable[Sequence[Worker]]:
         """Groups of workers of the last set to search for runs to preempt."""
-        return self._options[-1]().domains(wanted)
+        return self._last.domains(wanted)
 
 
 class LastResortPlaces:
--- a/src/saddlestack/policy/cluster/speed_limits.py
+++ b/src/saddlestack/policy/cluster/speed_limits.py
@@ -80,6 +80,10 @@
         return not exceeds(known_factor(worker), self.max_factor)
 
 
+FAST_FIRST = SpeedLimit(math.inf, fast_first)
+SLOW_FIRST = SpeedLimit(math.inf, slow_first)
+
+
 @dataclass(slots=True)
 class SpeedLimits:
     """Computes the speed limits of steps.
@@ -106,13 +110,13 @@
         is_top = step.occurrence.job.priority == TOP_PRIORITY
         largest = self.largest_factor(step, now)
         if largest < min(1.0, known_factors[0]):
-            return SpeedLimit(math.inf, slow_first)
-        rank = fast_first if is_top else slow_first
-        if not math.isfinite(largest):
-            return SpeedLimit(math.inf, rank)
+            return SLOW_FIRST
+        if not exceeds(known_factors[-1], largest):
+            return FAST_FIRST if is_top else SLOW_FIRST
         max_factor = max(MIN_LIMIT, level_below(largest))
         if not exceeds(known_factors[-1], max_factor):
-            return SpeedLimit(math.inf, rank)
+            return FAST_FIRST if is_top else SLOW_FIRST
+        rank = fast_first if is_top else slow_first
         return SpeedLimit(max_factor, rank, step.stalled_s(now) >= self.max_wait_s(step))
 
     def largest_factor(self, step: StepState, now: float) -> float:
