Learn the speed of workers from the progress of their runs

The scheduler treats all workers as equal, so urgent gangs are placed on workers that take 2.4 times as long and end late. SpeedTracker compares the runs of each step with each other and sets time_factor and speed_known of workers; the cluster state passes it reports, ends and removals where worker_speeds is on.

Where no known worker of a service is slow, both fields keep their defaults, so that decisions are as before. Slow workers are believed from one run only where they are common, since one task of 100 is long by itself.

--- /dev/null
+++ b/src/saddlestack/policy/cluster/speed_services.py
@@ -0,0 +1,128 @@
+"""The speeds of the workers of one service relative to each other."""
+
+from __future__ import annotations
+
+from saddlestack.policy.cluster.speed_levels import (
+    HIGHEST_ALIKE_LEVEL,
+    LOG_LEVEL,
+    next_level,
+)
+from saddlestack.policy.cluster.speed_records import WorkerSpeed
+
+SHIFT_TOLERANCE = 0.05
+"""Change of the median up to which factors stay as they are: a quarter of a level."""
+MIN_COMMON = 3
+"""Workers that have to be slow for slow workers to be common..."""
+COMMON_SHARE = 0.1
+"""...and their share. One task of 100 takes more than three times as long as others, so a share of
+a tenth does not come from these."""
+CONFIRMING_RUNS = 3
+"""Runs that have to agree that a worker is slow where slow workers are not common: one run may be
+long by itself."""
+RENEWAL_S_PER_WORKER = 3e-4
+"""Time from one renewal of all factors to the next, per worker: a renewal takes 2 microseconds per
+worker, so this bounds its share of the processor at one percent."""
+MIN_RENEWAL_S = 0.1
+"""Minimum time from one renewal to the next."""
+MAX_CHANGES = 500
+"""Workers changed in one renewal; the index of free capacity takes in each of them again, and a
+round must not be delayed by thousands. The next round continues."""
+
+
+class ServiceSpeeds:
+    """The known workers of one service, and which factors the decisions use.
+
+    The median of the known workers counts as usual. Where none is slow, all count as alike, so that
+    decisions are the same as without speeds.
+    """
+
+    def __init__(self) -> None:
+        self.known: dict[WorkerSpeed, None] = {}
+        self.is_unequal = False
+        self.is_dirty = False
+        self._shift = 0.0
+        self._slow_common = False
+        self._due_s = 0.0
+
+    def add(self, speed: WorkerSpeed) -> bool:
+        """Add a worker whose estimate is new; returns whether its factor changed at once.
+
+        Where the workers count as alike, the next renewal decides.
+        """
+        self.known[speed] = None
+        speed.known = True
+        self.is_dirty = True
+        self._set_offset(speed)
+        if not self.is_unequal:
+            return False
+        speed.level = self._level(speed)
+        return _publish(speed, is_unequal=True)
+
+    def remove(self, speed: WorkerSpeed) -> bool:
+        """Remove a worker whose speed is not known any more; returns whether its factor changed."""
+        self.known.pop(speed, None)
+        speed.known = False
+        speed.level = None
+        speed.offset = 0.0
+        self.is_dirty = True
+        return _publish(speed, is_unequal=False)
+
+    def renew(self, now: float) -> list[WorkerSpeed]:
+        """Renew levels and factors if it is time; returns the workers whose factor has changed."""
+        if not self.is_dirty or now < self._due_s:
+            return []
+        self.is_dirty = False
+        self._due_s = now + max(MIN_RENEWAL_S, RENEWAL_S_PER_WORKER * len(self.known))
+        self._measure()
+        self.is_unequal = False
+        for speed in self.known:
+            self._set_offset(speed)
+            level = speed.level = self._level(speed)
+            if level is not None and level > HIGHEST_ALIKE_LEVEL:
+                self.is_unequal = True
+        changed: list[WorkerSpeed] = []
+        for speed in self.known:
+            if _publish(speed, is_unequal=self.is_unequal):
+                changed.append(speed)
+                if len(changed) >= MAX_CHANGES:
+                    self.is_dirty = True
+                    self._due_s = now
+                    break
+        return changed
+
+    def _measure(self) -> None:
+        """Find what is usual, and whether slow workers are common."""
+        factors = sorted(speed.belief.log_factor for speed in self.known if speed.belief)
+        if not factors:
+            return
+        middle = factors[len(factors) // 2]
+        if abs(middle - self._shift) > SHIFT_TOLERANCE:
+            self._shift = middle
+        slow_from = self._shift + (HIGHEST_ALIKE_LEVEL + 0.5) * LOG_LEVEL
+        slow = sum(1 for factor in factors if factor > slow_from)
+        self._slow_common = slow >= MIN_COMMON and slow >= COMMON_SHARE * len(factors)
+
+    def _set_offset(self, speed: WorkerSpeed) -> None:
+        if speed.belief is not None:
+            speed.offset = speed.belief.log_factor - self._shift
+
+    def _level(self, speed: WorkerSpeed) -> int | None:
+        """The level of a worker; its present one as long as a slow one is not confirmed."""
+        level = next_level(speed.offset, speed.level)
+        if level <= HIGHEST_ALIKE_LEVEL or self._slow_common:
+            return level
+        if speed.belief is not None and speed.belief.runs >= CONFIRMING_RUNS:
+            return level
+        return speed.level
+
+
+def _publish(speed: WorkerSpeed, *, is_unequal: bool) -> bool:
+    """Set the fields that decisions use; returns whether they changed."""
+    worker = speed.worker
+    is_known = is_unequal and speed.level is not None
+    factor = speed.factor if is_known else 1.0
+    if worker.time_factor == factor and worker.speed_known == is_known:
+        return False
+    worker.time_factor = factor
+    worker.speed_known = is_known
+    return True
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -29,6 +29,7 @@
     OccurrenceStatus,
     TaskStatus,
 )
+from saddlestack.policy.cluster.speeds import SpeedTracker
 from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.worker_preferences import WorkerPreferences
 from saddlestack.policy.cluster.workers import EARLY_FAILURE_S, EARLY_FAILURE_SHARE, Worker
@@ -60,6 +61,7 @@
         self._fault_attribution = FaultAttribution(self.workers)
         self._crashes = CrashTracker(self.workers)
         self._findings: list[CrashFinding] = []
+        self._speeds = SpeedTracker(self.options) if self.options.worker_speeds else None
         self._planner = Planner(self, self._index, self._worker_preferences, self._crashes)
 
     def configure(
@@ -103,6 +105,11 @@
         """The planner. Callers outside this class only read from it."""
         return self._planner
 
+    @property
+    def speeds(self) -> SpeedTracker | None:
+        """The speeds of the workers; ``None`` where they are not learned."""
+        return self._speeds
+
     def add_job(self, accepted: AcceptedJob, records: Mapping[int, OccurrenceRecord]) -> Job:
         """Add a job from the store with its progress. A job that is already known is unchanged."""
         job = self.jobs.get(accepted.job_id)
@@ -206,6 +213,8 @@
         self.jobs.pop(job_id, None)
         self._fault_attribution.forget_job(job_id)
         self._crashes.forget_job(job_id)
+        if self._speeds is not None:
+            self._speeds.forget_job(job_id)
 
     def set_worker(self, record: WorkerRecord, now: float) -> Worker:
         """Add a listed worker incarnation, or update its record."""
@@ -221,6 +230,8 @@
             worker.listed = True
             worker.reachable = True
             worker.outlived_record = False
+        if self._speeds is not None:
+            self._speeds.add_worker(worker)
         return worker
 
     def unlist_worker(self, worker_id: str) -> None:
@@ -254,6 +265,8 @@
         self._apply_assessment(assessment)
         for run in lost:
             self._finish_run(run, EndKind.LAPSED, run.saved)
+            if self._speeds is not None:
+                self._speeds.discard_run(run)
         if not worker.listed:
             self._remove_worker(worker)
 
@@ -307,6 +320,8 @@
         del self.workers[worker.worker_id]
         self._fault_attribution.forget_worker(worker.worker_id)
         self._index.remove(worker)
+        if self._speeds is not None:
+            self._speeds.forget_worker(worker)
 
     def run_started(self, run: Run, now: float) -> None:
         """Record that a worker has confirmed the start of a run."""
@@ -324,6 +339,8 @@
         if run.ordered_s is None and not run.inherited:
             self._crashes.count_start(run.task, -1)
         self._finish_run(run, EndKind.STOPPED, "")
+        if self._speeds is not None:
+            self._speeds.discard_run(run)
 
     def worker_reported(self, worker_id: str, running: Iterable[RunningTask], now: float) -> None:
         """Update the runs that a worker reports, and stop those that are unknown."""
@@ -343,6 +360,8 @@
             run.figure = row.figure
             if row.saved:
                 run.saved = row.saved
+            if self._speeds is not None:
+                self._speeds.observe_progress(worker, run, self.members, now)
         self._restart_stalled(worker, now)
         self._paces += adjust_pace(worker, now)
 
@@ -370,6 +389,8 @@
         self._planner.run_ended(run, end.how, now)
         self._apply_assessment(self._crashes.run_ended(run, end.how, now))
         self._finish_run(run, end.how, end.saved or run.saved)
+        if self._speeds is not None:
+            self._speeds.observe_end(worker, run, end.how, now)
 
     def _record_failure(self, worker: Worker, run: Run, now: float) -> None:
         run.task.avoid.add(worker.worker_id)
@@ -506,6 +527,8 @@
 
         :return: whether the round reached its limit, so that another may follow at once.
         """
+        if self._speeds is not None:
+            self._speeds.refresh(now)
         self._index.begin_round(now)
         self._crashes.tick(now)
         for run in runs_to_stop(self._index.leaving, self.members, now):
--- /dev/null
+++ b/tests/test_speeds.py
@@ -0,0 +1,648 @@
+"""What is learned of the speed of workers, for loads as they occur on workers of unequal speed."""
+
+from __future__ import annotations
+
+import random
+import sys
+import time
+import tracemalloc
+import unittest
+from dataclasses import replace
+
+from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask
+from saddlestack.policy.cluster.jobs import Run
+from saddlestack.policy.cluster.options import SchedulingOptions
+from saddlestack.policy.cluster.speed_evidence import (
+    AGREEMENT,
+    CONTRADICTION,
+    Evidence,
+    confidence_of,
+    decay,
+    drop_contradicted,
+    estimate,
+    weight_for,
+)
+from saddlestack.policy.cluster.speed_levels import (
+    HYSTERESIS_LEVELS,
+    LOG_LEVEL,
+    level_factor,
+    next_level,
+)
+from saddlestack.policy.cluster.speed_records import LEAST_CONFIDENCE
+from saddlestack.policy.cluster.speed_services import CONFIRMING_RUNS
+from saddlestack.policy.cluster.speed_steps import FIRST_PERCENT, FIRST_S
+from saddlestack.policy.cluster.speeds import NEW_INCARNATION_SHARE, SpeedTracker
+from saddlestack.policy.cluster.state import ClusterState
+from saddlestack.policy.cluster.typical_work import MAX_KEPT
+from saddlestack.policy.cluster.workers import Worker
+from saddlestack.work import AcceptedJob, JobRequest, Resources, Step
+from tests.speed_support import (
+    BULK,
+    NORMAL,
+    OPTIONS,
+    SERVICE,
+    SLOW,
+    URGENT,
+    SpeedPool,
+    Workload,
+    make_step,
+    members,
+    task_length,
+    worker_record,
+)
+
+SLOW_FACTOR = 2.4
+HALF_LIFE_S = OPTIONS.speed_memory_s
+SPREAD_LENGTHS = (0.8, 0.9, 1.0, 1.1, 1.25)
+
+
+def names(count: int, first: int = 0) -> list[str]:
+    return [f"w{number}" for number in range(first, first + count)]
+
+
+def wide(
+    pool: SpeedPool, on: list[str], mean_s: float = 6.0, *, job_id: str = "j", **more: object
+) -> list[Run]:
+    """Start a bulk step with one task on each worker, of lengths that differ by a quarter."""
+    lengths = [mean_s * SPREAD_LENGTHS[i % len(SPREAD_LENGTHS)] for i in range(len(on))]
+    return pool.start(make_step(len(on), job_id=job_id, **more), on, lengths)
+
+
+class FirstEvidenceTest(unittest.TestCase):
+    """The first seconds of load decide how many urgent gangs are late."""
+
+    def test_one_wide_bulk_step_tells_slow_workers_before_any_task_ends(self) -> None:
+        slow = names(10)
+        pool = SpeedPool(30, dict.fromkeys(slow, SLOW_FACTOR))
+        runs = wide(pool, names(30))
+        pool.play(4.0)
+        self.assertTrue(all(run.task.run is run for run in runs))
+        for name, worker in pool.workers.items():
+            self.assertTrue(worker.speed_known, name)
+            self.assertEqual(worker.time_factor > SLOW, name in slow, name)
+
+    def test_an_urgent_gang_that_mixes_fast_and_slow_tells_them_within_a_second(self) -> None:
+        slow = names(3)
+        pool = SpeedPool(12, dict.fromkeys(slow, SLOW_FACTOR))
+        step = make_step(12, URGENT, gang=True)
+        pool.start(step, names(12), [2.3] * 12)
+        pool.play(1.2)
+        for name in names(12):
+            self.assertEqual((pool.factor(name) or 1.0) > SLOW, name in slow, name)
+
+    def test_three_workers_are_needed(self) -> None:
+        for count, known in ((2, 0), (3, 3)):
+            with self.subTest(count=count):
+                pool = SpeedPool(count, {"w0": SLOW_FACTOR})
+                for job in range(6):
+                    wide(pool, names(count), job_id=f"j{job}")
+                    pool.play(pool.now + 2.5)
+                found = [name for name in pool.workers if pool.tracker.estimate(name)]
+                self.assertEqual(len(found), known)
+
+    def test_a_rate_counts_from_ten_percent_and_four_tenths_of_a_second_on(self) -> None:
+        for percent, at_s, counts in (
+            (FIRST_PERCENT, FIRST_S, True),
+            (FIRST_PERCENT - 1, FIRST_S, False),
+            (FIRST_PERCENT, FIRST_S - 0.01, False),
+        ):
+            with self.subTest(percent=percent, at_s=at_s):
+                pool = SpeedPool(10)
+                runs = wide(pool, names(10))
+                for run in runs:
+                    run.percent = percent
+                    worker = pool.workers[run.worker_id]
+                    pool.tracker.observe_progress(worker, run, members, at_s)
+                pool.tracker.refresh(at_s)
+                self.assertEqual(pool.tracker.estimate("w1") is not None, counts)
+
+    def test_members_that_wait_for_the_others_and_the_common_end_are_no_evidence(self) -> None:
+        pool = SpeedPool(10)
+        step = make_step(10, NORMAL, gang=True)
+        runs = pool.start(step, names(10), [0.5] + [30.0] * 9)
+        pool.play(1.0)
+        runs[0].percent = 99
+        pool.tracker.observe_progress(pool.workers["w0"], runs[0], members, 1.0)
+        for run in runs:
+            pool.tracker.observe_end(pool.workers[run.worker_id], run, EndKind.DONE, 1.0)
+        pool.tracker.refresh(2.0)
+        self.assertIsNone(pool.tracker.estimate("w0"))
+        self.assertIsNone(pool.tracker.estimate("w5"))
+
+    def test_a_gang_counts_from_the_start_of_its_last_member(self) -> None:
+        pool = SpeedPool(10)
+        runs = pool.start(make_step(10, URGENT, gang=True), names(10), [2.0] * 10)
+        runs[9].started_s = 5.0
+        for run in runs:
+            run.percent = 40
+        for run in runs:
+            pool.tracker.observe_progress(pool.workers[run.worker_id], run, members, 5.8)
+        pool.tracker.refresh(5.8)
+        self.assertEqual({pool.factor(name) for name in names(10)}, {1.0})
+
+    def test_a_third_of_176_workers_is_told_from_the_rest(self) -> None:
+        """With the measured workload and stragglers, from two pieces of evidence on."""
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                pool = SpeedPool(176)
+                slow = rng.sample(list(pool.workers), 176 // 3)
+                pool.factors.update(dict.fromkeys(slow, SLOW_FACTOR))
+                Workload(pool, rng).play(12.0)
+                wrong, judged = pool.misjudged(at_least=2)
+                self.assertGreater(judged, 80)
+                self.assertEqual(pool.unknown(at_least=2), 0)
+                self.assertLess(len(wrong), 0.1 * judged)
+
+
+class AlikeTest(unittest.TestCase):
+    """Where workers are alike, every decision has to stay as it was."""
+
+    def test_stragglers_change_no_factor(self) -> None:
+        rng = random.Random(3)
+        pool = SpeedPool(60)
+        Workload(pool, rng).play(15.0)
+        self.assertGreater(pool.tracker.known_workers, 30)
+        for worker in pool.workers.values():
+            self.assertEqual((worker.time_factor, worker.speed_known), (1.0, False))
+        self.assertEqual(pool.tracker.take_changed(), [])
+
+    def test_factors_up_to_two_levels_count_as_alike(self) -> None:
+        for factor, unequal in ((1.4, False), (2.2, True)):
+            with self.subTest(factor=factor):
+                pool = SpeedPool(30, dict.fromkeys(names(10), factor))
+                for job in range(4):
+                    lengths = [6.0] * 30
+                    pool.start(make_step(30, job_id=f"j{job}"), names(30), lengths)
+                    pool.play(pool.now + 3.0)
+                factors = {worker.time_factor for worker in pool.workers.values()}
+                self.assertEqual(len(factors) > 1, unequal)
+
+    def test_services_are_compared_on_their_own(self) -> None:
+        pool = SpeedPool(24, dict.fromkeys(names(12), SLOW_FACTOR))
+        for name in names(12):
+            worker = pool.workers[name]
+            worker.record = replace(worker.record, service="other")
+            pool.tracker.add_worker(worker)
+        for job in range(3):
+            wide(pool, names(12), job_id=f"a{job}")
+            wide(pool, names(12, first=12), job_id=f"b{job}")
+            pool.play(pool.now + 4.0)
+        self.assertEqual({worker.time_factor for worker in pool.workers.values()}, {1.0})
+
+
+class RobustnessTest(unittest.TestCase):
+    def test_one_very_long_run_marks_no_worker_where_all_are_alike(self) -> None:
+        """Of 100 tasks one takes more than three times as long as the others."""
+        pool = SpeedPool(30)
+        lengths = [6.0] * 30
+        lengths[7] = 6.0 * 8
+        pool.start(make_step(30), names(30), lengths)
+        pool.play(30.0)
+        self.assertIsNone(pool.factor("w7"))
+        self.assertFalse(pool.workers["w7"].speed_known)
+
+    def test_one_very_long_run_among_others_does_not_change_what_is_known(self) -> None:
+        pool = SpeedPool(30, dict.fromkeys(names(8), SLOW_FACTOR))
+        for job in range(3):
+            wide(pool, names(30), job_id=f"j{job}")
+            pool.play(pool.now + 4.0)
+        lengths = [6.0] * 30
+        lengths[20] = 6.0 * 8
+        pool.start(make_step(30, job_id="long"), names(30), lengths)
+        pool.play(pool.now + 20.0)
+        self.assertLess(pool.workers["w20"].time_factor, SLOW)
+
+    def test_a_single_slow_worker_is_found_from_several_runs(self) -> None:
+        """One broken machine of a pool; a single run there could be long by itself."""
+        pool = SpeedPool(30, {"w4": SLOW_FACTOR})
+        for job in range(CONFIRMING_RUNS):
+            if job == CONFIRMING_RUNS - 1:
+                self.assertEqual(pool.workers["w4"].time_factor, 1.0)
+            pool.start(make_step(30, job_id=f"j{job}"), names(30), [4.0] * 30)
+            pool.play(pool.now + 12.0)
+        self.assertGreater(pool.workers["w4"].time_factor, SLOW)
+        self.assertEqual(pool.workers["w5"].time_factor, 1.0)
+
+    def test_a_worker_that_turns_slow_and_recovers(self) -> None:
+        pool = SpeedPool(30, dict.fromkeys(names(6), SLOW_FACTOR))
+        job = 0
+
+        def steps(count: int) -> None:
+            nonlocal job
+            for _ in range(count):
+                job += 1
+                wide(pool, names(30), 3.0, job_id=f"j{job}")
+                pool.play(pool.now + 9.0)
+
+        steps(4)
+        self.assertLess(pool.workers["w20"].time_factor, SLOW)
+        pool.factors["w20"] = SLOW_FACTOR
+        steps(2)
+        self.assertGreater(pool.workers["w20"].time_factor, SLOW)
+        del pool.factors["w20"]
+        steps(2)
+        self.assertLess(pool.workers["w20"].time_factor, SLOW)
+
+    def test_a_level_changes_only_well_beyond_its_boundary(self) -> None:
+        edge = HYSTERESIS_LEVELS * LOG_LEVEL
+        self.assertEqual(next_level(edge - 0.001, 0), 0)
+        self.assertEqual(next_level(edge + 0.001, 0), 1)
+        self.assertEqual(next_level(0.6 * LOG_LEVEL, None), 1)
+        self.assertEqual(next_level(0.3 * LOG_LEVEL, 1), 1)
+        self.assertEqual(level_factor(2), 1.5625)
+
+    def test_levels_rarely_change_while_speeds_stay_the_same(self) -> None:
+        """Each change writes to the store and to the index of free capacity."""
+        rng = random.Random(5)
+        pool = SpeedPool(40, dict.fromkeys(names(13), SLOW_FACTOR))
+        for job in range(20):
+            on = names(40)
+            lengths = [task_length(rng, 3.0) for _ in on]
+            pool.start(make_step(40, job_id=f"j{job}"), on, lengths)
+            pool.play(pool.now + 3.0)
+            if job == 9:
+                pool.tracker.take_changed()
+        self.assertLess(len(pool.tracker.take_changed()), 40)
+
+
+class EvidenceRulesTest(unittest.TestCase):
+    """The estimate from pieces of evidence, with each threshold on both sides."""
+
+    @staticmethod
+    def piece(excess: float, at_s: float = 0.0, weight: float = 1.0) -> Evidence:
+        return Evidence(excess, weight, 1, at_s)
+
+    def test_one_clear_piece_decides_and_three_give_the_median(self) -> None:
+        one = estimate([self.piece(0.875)], None, 0.0, HALF_LIFE_S)
+        assert one is not None
+        self.assertGreater(one.log_factor, 1.5 * LOG_LEVEL)
+        three = [self.piece(0.0), self.piece(2.0), self.piece(0.1)]
+        found = estimate(three, None, 0.0, HALF_LIFE_S)
+        assert found is not None
+        self.assertEqual(found.log_factor, 0.1)
+
+    def test_evidence_decays_but_a_slow_worker_without_work_stays_slow(self) -> None:
+        fresh = estimate([self.piece(0.875)], None, 0.0, HALF_LIFE_S)
+        later = estimate([self.piece(0.875)], None, 3 * HALF_LIFE_S, HALF_LIFE_S)
+        assert fresh is not None and later is not None
+        self.assertAlmostEqual(later.log_factor, fresh.log_factor)
+        self.assertAlmostEqual(later.weight, fresh.weight / 8)
+        self.assertEqual(decay(HALF_LIFE_S, HALF_LIFE_S), 0.5)
+
+    def test_two_new_pieces_replace_older_ones_that_they_contradict(self) -> None:
+        for second, third, dropped in (
+            (0.9, 0.9, True),
+            (0.9, 0.9 - AGREEMENT - 0.01, False),
+            (CONTRADICTION + 0.01, CONTRADICTION + 0.01, True),
+            (CONTRADICTION - 0.01, CONTRADICTION - 0.01, False),
+        ):
+            with self.subTest(second=second, third=third):
+                pieces = [self.piece(0.0, 0), self.piece(second, 1), self.piece(third, 2)]
+                self.assertEqual(drop_contradicted(pieces, None), dropped)
+                self.assertEqual(pieces[0].dropped, dropped)
+
+    def test_confidence_and_weight_are_inverse(self) -> None:
+        for weight in (0.1, 0.5, 3.0):
+            self.assertAlmostEqual(weight_for(confidence_of(weight)), weight)
+
+
+class NoEvidenceTest(unittest.TestCase):
+    """Runs whose duration says nothing about their worker."""
+
+    def known(self, pool: SpeedPool) -> list[str]:
+        return [name for name in pool.workers if pool.tracker.estimate(name) is not None]
+
+    def test_runs_that_did_not_end_well(self) -> None:
+        for how in (EndKind.FAILED, EndKind.STOPPED, EndKind.LAPSED, EndKind.BROKEN):
+            with self.subTest(how=how):
+                pool = SpeedPool(12)
+                runs = wide(pool, names(12))
+                for run in runs:
+                    pool.now = 3.0
+                    pool.end(pool.work_of(run), how)
+                pool.tracker.refresh(3.0)
+                self.assertEqual(self.known(pool), [])
+
+    def test_the_progress_of_a_run_that_fails_is_withdrawn(self) -> None:
+        pool = SpeedPool(12, {"w3": SLOW_FACTOR})
+        runs = wide(pool, names(12))
+        pool.play(3.0)
+        self.assertIn("w3", pool.tracker._workers)
+        pool.end(pool.work_of(runs[3]), EndKind.FAILED)
+        pool.play(6.0)
+        found = pool.tracker.estimate("w3")
+        self.assertTrue(found is None or found.evidence == 0)
+
+    def test_cold_workers(self) -> None:
+        pool = SpeedPool(12)
+        pool.workers["w3"].cold_until_s = 10.0
+        wide(pool, names(12))
+        pool.play(4.0)
+        self.assertNotIn("w3", self.known(pool))
+        self.assertIn("w4", self.known(pool))
+
+    def test_paced_runs(self) -> None:
+        pool = SpeedPool(12)
+        runs = wide(pool, names(12))
+        runs[3].pace = 50
+        pool.play(4.0)
+        self.assertNotIn("w3", self.known(pool))
+
+    def test_a_run_that_is_paced_later_is_withdrawn(self) -> None:
+        pool = SpeedPool(12)
+        runs = wide(pool, names(12))
+        pool.play(1.5)
+        runs[3].pace = 50
+        pool.play(4.6)
+        comparison = pool.tracker._steps[runs[3].task.step]
+        self.assertIsNone(comparison.rates[3].log_duration)
+
+    def test_steps_that_fill_serve_or_last(self) -> None:
+        for more in ({"fills": True}, {"long_running": True}, {"target_ms": 50}):
+            with self.subTest(more=more):
+                pool = SpeedPool(12)
+                wide(pool, names(12), **more)
+                pool.play(10.0)
+                self.assertEqual(self.known(pool), [])
+                self.assertEqual(pool.tracker._steps, {})
+
+    def test_runs_that_resumed(self) -> None:
+        pool = SpeedPool(12)
+        step = make_step(12, checkpoint=True)
+        step.tasks[3].record.saved = "2.0"
+        pool.start(step, names(12), [6.0] * 12)
+        pool.play(8.0)
+        self.assertNotIn("w3", self.known(pool))
+        self.assertIn("w4", self.known(pool))
+
+    def test_runs_far_from_their_data(self) -> None:
+        pool = SpeedPool(20)
+        wide(pool, names(20), data_rack="r1")
+        pool.play(8.0)
+        self.assertEqual(self.known(pool), names(10, first=10))
+
+    def test_inherited_runs_count_by_the_progress_between_two_reports(self) -> None:
+        pool = SpeedPool(12, dict.fromkeys(names(4), SLOW_FACTOR))
+        runs = pool.start(make_step(12), names(12), [20.0] * 12)
+        for run in runs:
+            run.inherited = True
+            pool.work_of(run).done_s = 0.3 * pool.work_of(run).whole_s
+        pool.play(2.0)
+        self.assertEqual(self.known(pool), [])
+        pool.play(14.0)
+        for name in names(12):
+            self.assertEqual((pool.factor(name) or 0.0) > SLOW, name in names(4), name)
+
+    def test_the_end_of_an_inherited_run_is_no_evidence(self) -> None:
+        pool = SpeedPool(12)
+        runs = wide(pool, names(12))
+        for run in runs:
+            run.inherited = True
+            pool.now = 3.0
+            pool.end(pool.work_of(run), EndKind.DONE)
+        pool.tracker.refresh(3.0)
+        self.assertEqual(self.known(pool), [])
+
+
+class MachineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.pool = SpeedPool(30, dict.fromkeys(names(8), SLOW_FACTOR))
+        for job in range(2):
+            wide(self.pool, names(30), job_id=f"j{job}")
+            self.pool.play(self.pool.now + 4.0)
+        self.before = self.pool.tracker.estimate("w2")
+
+    def replace(self, *, overlapping: bool) -> Worker:
+        old = self.pool.workers["w2"]
+        if not overlapping:
+            self.pool.tracker.forget_worker(old)
+        worker = self.pool.add("w2-b", machine="m-w2")
+        if overlapping:
+            self.pool.tracker.forget_worker(old)
+        self.pool.play(self.pool.now + 0.3)
+        return worker
+
+    def test_a_machine_that_returns_keeps_its_factor_with_a_third_of_the_confidence(self) -> None:
+        assert self.before is not None
+        for overlapping in (False, True):
+            with self.subTest(overlapping=overlapping):
+                self.setUp()
+                worker = self.replace(overlapping=overlapping)
+                after = self.pool.tracker.estimate("w2-b")
+                assert after is not None and self.before is not None
+                self.assertEqual(after.factor, self.before.factor)
+                most = self.before.confidence * NEW_INCARNATION_SHARE
+                self.assertLessEqual(after.confidence, most + 0.01)
+                self.assertGreater(worker.time_factor, SLOW)
+
+    def test_a_machine_that_returns_repaired_is_found_usual(self) -> None:
+        worker = self.replace(overlapping=False)
+        for job in range(2):
+            on = ["w2-b" if name == "w2" else name for name in names(30)]
+            wide(self.pool, on, 3.0, job_id=f"k{job}")
+            self.pool.play(self.pool.now + 4.0)
+        self.assertLess(worker.time_factor, SLOW)
+
+    def test_evidence_that_has_decayed_is_forgotten(self) -> None:
+        confidence = self.pool.tracker.estimate("w2")
+        assert confidence is not None
+        self.pool.play(self.pool.now + 7 * HALF_LIFE_S, step_s=5.0)
+        self.assertIsNone(self.pool.tracker.estimate("w2"))
+        self.assertEqual(self.pool.workers["w2"].time_factor, 1.0)
+        self.assertGreater(LEAST_CONFIDENCE, 0.0)
+
+    def test_a_removed_worker_and_its_steps_leave_nothing_behind(self) -> None:
+        pool = self.pool
+        for worker in list(pool.workers.values()):
+            pool.tracker.forget_worker(worker)
+        for step in list(pool.tracker._steps):
+            pool.tracker.forget_job(step.occurrence.job.job_id)
+        pool.tracker.refresh(pool.now + 20 * HALF_LIFE_S)
+        self.assertEqual(pool.tracker._workers, {})
+        self.assertEqual(pool.tracker._steps, {})
+        self.assertEqual(pool.tracker._steps_of_jobs, {})
+        self.assertEqual(pool.tracker._memories, {})
+
+    def test_a_snapshot_restores_the_speeds_in_a_new_leader(self) -> None:
+        rows = self.pool.tracker.snapshot(self.pool.now)
+        self.assertEqual(len(rows), 30)
+        heir = SpeedTracker(OPTIONS)
+        workers = [Worker(worker_record(name)) for name in names(30)]
+        for worker in workers[:15]:
+            heir.add_worker(worker)
+        self.assertEqual(heir.inherit(rows, 100.0), 30)
+        for worker in workers[15:]:
+            heir.add_worker(worker)
+        heir.refresh(100.0)
+        for worker in workers:
+            slow = worker.worker_id in names(8)
+            self.assertEqual(worker.time_factor > SLOW, slow, worker.worker_id)
+        assert self.before is not None
+        found = heir.estimate("w2")
+        assert found is not None
+        self.assertAlmostEqual(found.confidence, self.before.confidence, delta=0.1)
+
+    def test_what_is_inherited_does_not_replace_own_evidence(self) -> None:
+        rows = [replace(row, factor=9.0) for row in self.pool.tracker.snapshot(self.pool.now)]
+        self.assertEqual(self.pool.tracker.inherit(rows, self.pool.now), 0)
+
+
+class TypicalWorkTest(unittest.TestCase):
+    def run_step(self, pool: SpeedPool, seconds: float, **more: object) -> None:
+        step = make_step(10, job_id=f"j{pool.now}", **more)
+        pool.start(step, names(10), [seconds] * 10)
+        pool.play(pool.now + 3 * seconds)
+
+    def test_the_work_on_a_usual_worker_of_ended_runs_of_the_same_queue(self) -> None:
+        pool = SpeedPool(10, dict.fromkeys(names(3), SLOW_FACTOR))
+        for _ in range(4):
+            self.run_step(pool, 4.0)
+        found = pool.tracker.typical_work_s(make_step(1))
+        assert found is not None
+        self.assertAlmostEqual(found, 4.0, delta=0.5)
+        self.assertIsNone(pool.tracker.typical_work_s(make_step(1, queue="unseen")))
+
+    def test_a_gang_that_waits_for_its_slowest_member_counts_as_on_usual_workers(self) -> None:
+        pool = SpeedPool(10, dict.fromkeys(names(3), SLOW_FACTOR))
+        for _ in range(3):
+            self.run_step(pool, 4.0, gang=True)
+        found = pool.tracker.typical_work_s(make_step(1))
+        assert found is not None
+        self.assertAlmostEqual(found, 4.0, delta=0.8)
+
+    def test_an_estimate_is_clamped_to_three_times_the_median_of_the_queue(self) -> None:
+        pool = SpeedPool(10)
+        self.run_step(pool, 4.0)
+        for estimate_ms, seconds in ((100, 4.0 / 3), (5000, 5.0), (90_000, 12.0), (0, None)):
+            step = make_step(1, estimate_ms=estimate_ms)
+            step.number = 1
+            with self.subTest(estimate_ms=estimate_ms):
+                found = pool.tracker.typical_work_s(step)
+                if seconds is None:
+                    self.assertIsNone(found)
+                else:
+                    assert found is not None
+                    self.assertAlmostEqual(found, seconds, delta=0.3)
+        self.assertGreater(MAX_KEPT, 10)
+
+
+class WiringTest(unittest.TestCase):
+    """The calls from the cluster state."""
+
+    def state(self, options: SchedulingOptions | None) -> ClusterState:
+        state = ClusterState(options)
+        for number in range(10):
+            state.set_worker(worker_record(f"w{number}"), 0.0)
+        request = JobRequest(
+            payload="", steps=(Step(count=80, needs=Resources(1000, 1000, 1), estimate_ms=6000),)
+        )
+        job = AcceptedJob(
+            job_id="0" * 16,
+            account="a",
+            queue="q",
+            service=SERVICE,
+            priority=BULK,
+            attempts=3,
+            accepted_ms=0,
+            request=request,
+        )
+        state.add_job(job, {})
+        state.plan(100.0, 0.0)
+        state.plan(200.0, 0.0)
+        for start in state.take_changes().starts:
+            state.run_started(start.run, 200.0)
+        return state
+
+    def report(self, state: ClusterState, now: float, slow: set[str]) -> None:
+        for worker_id, worker in state.workers.items():
+            percent = int((now - 200.0) * (10 if worker_id in slow else 24))
+            rows = [RunningTask(str(name), number, "", percent) for name, number in worker.runs]
+            state.worker_reported(worker_id, rows, now)
+        state.plan(now, 0.0)
+
+    def test_reports_set_the_factors_of_workers(self) -> None:
+        state = self.state(OPTIONS)
+        slow = {"w1", "w2", "w3"}
+        for now in (202.0, 203.0, 203.5):
+            self.report(state, now, slow)
+        busy = [worker for worker in state.workers.values() if worker.runs]
+        self.assertGreater(len(busy), 6)
+        for worker in busy:
+            self.assertEqual(worker.time_factor > SLOW, worker.worker_id in slow)
+
+    def test_ends_lapses_and_removals_reach_the_tracker(self) -> None:
+        state = self.state(OPTIONS)
+        tracker = state.speeds
+        assert tracker is not None
+        self.report(state, 203.0, set())
+        worker = next(each for each in state.workers.values() if each.runs)
+        state.worker_ended(worker.worker_id)
+        step = state.jobs["0" * 16].occurrences[0].steps[0]
+        rates = tracker._steps[step].rates.values()
+        self.assertNotIn(worker.worker_id, {rate.speed.worker.worker_id for rate in rates})
+        for other in list(state.workers.values()):
+            for name, number in list(other.runs):
+                end = EndedTask(1, str(name), number, EndKind.DONE, "")
+                state.run_ended(other.worker_id, end, 205.0)
+        state.unlist_worker("w9")
+        self.assertNotIn("w9", tracker._workers)
+        state.remove_job("0" * 16)
+        self.assertEqual(tracker._steps, {})
+
+    def test_nothing_is_learned_where_the_option_is_off(self) -> None:
+        state = self.state(None)
+        self.report(state, 203.0, {"w1"})
+        self.assertIsNone(state.speeds)
+        self.assertEqual({worker.time_factor for worker in state.workers.values()}, {1.0})
+
+
+class CostTest(unittest.TestCase):
+    """The leader has about one core for 10,000 workers and 120,000 running tasks."""
+
+    def test_a_report_costs_microseconds_and_a_worker_some_kilobytes(self) -> None:
+        workers, tasks_each, steps = 500, 12, 150
+        tracker = SpeedTracker(OPTIONS)
+        made = [Worker(worker_record(f"w{number}")) for number in range(workers)]
+        rng = random.Random(1)
+        runs: list[tuple[Worker, Run]] = []
+        for number in range(steps):
+            step = make_step(workers * tasks_each // steps, job_id=f"j{number}")
+            for task in step.tasks:
+                worker = rng.choice(made)
+                run = Run(task, 1, worker.worker_id, step.step.allocation, 0.0, started_s=0.0)
+                task.run = run
+                runs.append((worker, run))
+        speeds = [rng.uniform(0.8, 1.2) for _ in runs]
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        used_s, reports = 0.0, 0
+        for worker in made:
+            tracker.add_worker(worker)
+        for passes in range(2):
+            for tick in range(1, 9):
+                now = 2.0 * tick
+                began = time.process_time()
+                for number, (worker, run) in enumerate(runs):
+                    run.percent = min(98, int(6.0 * now * speeds[number]))
+                    tracker.observe_progress(worker, run, members, now)
+                    if number % 100 == 0:
+                        tracker.refresh(now - 2.0 + 2.0 * number / len(runs))
+                used_s += time.process_time() - began
+                reports += len(runs)
+            if passes == 0:
+                kilobytes = (tracemalloc.get_traced_memory()[0] - before) / 1024 / workers
+                tracemalloc.stop()
+                used_s, reports = 0.0, 0
+                tracker = SpeedTracker(OPTIONS)
+                for worker in made:
+                    tracker.add_worker(worker)
+        microseconds = 1e6 * used_s / reports
+        if "-v" in sys.argv:
+            print(f"{microseconds:.2f} us per row, {kilobytes:.1f} kB per worker")
+        self.assertLess(kilobytes, 20.0)
+        self.assertLess(microseconds, 60.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
