Keep worker speeds in the store for the next leader

A new leader would begin without any speeds and place urgent gangs on slow workers again. The leader writes the partitions of machines whose level has changed, on the condition of its key; a new leader reads them beside its other records. The data is advisory: lost writes are abandoned and unreadable records skipped, so the scheduler never waits for either.

--- a/src/saddlestack/control/keys.py
+++ b/src/saddlestack/control/keys.py
@@ -1,7 +1,7 @@
 """Keys under which saddlestack keeps durable data in the platform's store.
 
-``job`` and ``cancel`` keys are written by the VM that accepts or cancels a job, ``progress`` keys
-only by the leader, so no key has two writers.
+``job`` and ``cancel`` keys are written by the VM that accepts or cancels a job, ``progress`` and
+``speeds`` keys only by the leader, so no key has two writers.
 """
 
 from __future__ import annotations
@@ -12,6 +12,9 @@
 MEMBERS = "saddlestack/members/"
 REQUESTS = "saddlestack/requests/"
 PROGRESS = "saddlestack/progress/"
+SPEEDS = "saddlestack/speeds/"
+MAX_PARTITION_DIGITS = 6
+"""Longest number of a partition; a million partitions is far beyond any cluster."""
 _WAVES = "saddlestack/waves/"
 _JOB = REQUESTS + "job/"
 _CANCEL = REQUESTS + "cancel/"
@@ -42,6 +45,19 @@
     return PROGRESS + occurrence
 
 
+def speeds_key(partition: int) -> str:
+    """Returns the key of the speeds of one partition of the machines."""
+    return f"{SPEEDS}{partition}"
+
+
+def speeds_partition_of(key: str) -> int | None:
+    """Returns the partition of a ``speeds`` key, or ``None`` for any other key."""
+    text = key.removeprefix(SPEEDS)
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_PARTITION_DIGITS:
+        return None
+    return int(text) if str(int(text)) == text else None
+
+
 def job_of(key: str) -> str | None:
     """Returns the job of a ``job`` key, or ``None`` for any other key."""
     return key.removeprefix(_JOB) if key.startswith(_JOB) else None
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -30,6 +30,7 @@
 from saddlestack.control.peers import Peers
 from saddlestack.control.renewals import Renewals
 from saddlestack.control.sessions import Sessions
+from saddlestack.control.speeds import SpeedStore
 from saddlestack.control.storedjobs import StoredJobs
 from saddlestack.control.upkeep import Upkeep
 from saddlestack.control.waits import CHECK_INTERVAL_S, WaitMonitor
@@ -103,6 +104,7 @@
         self.fence = term.fence
         self.max_lease_s = context.settings.timings.longest_hold_ms / 1000
         self._journal = Journal(context, term.fence)
+        self._speeds = self._open_speeds()
         self._stored_jobs = StoredJobs(context, self.cluster_state, self._journal)
         self._commits = CommitQueue(context, self._journal, self._step_down)
         self._began_s = context.clock.now()
@@ -147,6 +149,8 @@
         await self._commits.stop()
         await self._sessions.stop()
         self.waits.close()
+        if self._speeds is not None:
+            self._speeds.close()
 
     def state(self, job_id: str) -> JobState | None:
         """The state of a job that clients see; ``None`` if the job is unknown here."""
@@ -219,11 +223,27 @@
 
     # Startup
 
+    def _open_speeds(self) -> SpeedStore | None:
+        tracker = self.cluster_state.speeds
+        if tracker is None:
+            return None
+        interval_s = self.cluster_state.options.speed_write_interval_s
+        return SpeedStore(self._context, tracker, self.fence, interval_s, self.reschedule)
+
+    async def _keep_speeds(self, speeds: SpeedStore) -> None:
+        """Read the speeds beside everything else, and write them once the workers are known."""
+        await speeds.load()
+        await self.loaded.wait()
+        await speeds.run()
+
     async def _run_term(self) -> None:
         self._configuration.add_listener(self._on_configuration_changed)
         workers = self._worker_feed
         self._tasks.spawn(workers.run())
         self._tasks.spawn(self._evacuations.run())
+        if self._speeds is not None:
+            self._speeds.start()
+            self._tasks.spawn(self._keep_speeds(self._speeds))
         # No other term can write progress any more, so it is safe to read it before the workers
         # are loaded.
         await self._stored_jobs.load()
@@ -338,6 +358,8 @@
         for pace in changes.paces:
             self._sessions.order_pace(pace)
         self._crash_log.log_findings(changes.findings)
+        if self._speeds is not None:
+            self._speeds.take_changes()
         for question in changes.advice_requests:
             self._tasks.spawn(self._ask_adviser(question))
         by_job = changes.by_job()
--- a/src/saddlestack/policy/cluster/speeds.py
+++ b/src/saddlestack/policy/cluster/speeds.py
@@ -52,6 +52,8 @@
 PERCENT_GROWTH = 2.5
 """Growth of the progress after which a rate is renewed, which makes three rates per run: a later
 rate differs little from the one before."""
+SLOW_FACTOR = 1.5
+"""Factor above which a worker counts as slow in metrics: urgent jobs tolerate no more."""
 SCAN_INTERVAL_S = 0.25
 """Time between two scans for steps with few new rates."""
 EXPIRY_INTERVAL_S = 5.0
@@ -106,10 +108,13 @@
 
 
 class SpeedTracker:
-    """The speeds of all workers of a cluster. Times are seconds on the scheduler's clock."""
+    """The speeds of all workers of a cluster. Times are seconds on the scheduler's clock.
+
+    :ivar half_life_s: time after which evidence counts half.
+    """
 
     def __init__(self, options: SchedulingOptions) -> None:
-        self._half_life_s = options.speed_memory_s
+        self.half_life_s = options.speed_memory_s
         self._workers: dict[str, WorkerSpeed] = {}
         self._machines: dict[str, WorkerSpeed] = {}
         self._memories: dict[str, _Memory] = {}
@@ -173,7 +178,7 @@
             return None
         runs = max(speed.belief.runs, CONFIRMING_RUNS)
         weight = speed.belief.weight / decay(
-            speed.estimated_s - speed.belief.updated_s, self._half_life_s
+            speed.estimated_s - speed.belief.updated_s, self.half_life_s
         )
         weight = min(weight, weight_for(MAX_CONFIDENCE))
         evidence = Evidence(math.log(speed.factor), weight, runs, speed.belief.updated_s)
@@ -414,7 +419,7 @@
             self._expire(now)
         for service in self._services.values():
             for speed in service.renew(now):
-                self._changes.append(speed.change(now, self._half_life_s))
+                self._changes.append(speed.change(now, self.half_life_s))
 
     def _compare(self, comparison: StepComparison, now: float) -> None:
         for speed, piece in comparison.compare(now):
@@ -446,37 +451,37 @@
         speed.pieces = pieces = pieces[-MAX_PIECES:]
         if speed.prior is not None and speed.prior.dropped:
             speed.prior = None
-        speed.belief = estimate(pieces, speed.prior, now, self._half_life_s)
+        speed.belief = estimate(pieces, speed.prior, now, self.half_life_s)
         speed.estimated_s = now
         if self._is_known(speed, now):
             if self._service(speed).add(speed):
-                self._changes.append(speed.change(now, self._half_life_s))
+                self._changes.append(speed.change(now, self.half_life_s))
         else:
             self._set_unknown(speed, now)
 
     def _is_known(self, speed: WorkerSpeed, now: float) -> bool:
         if speed.belief is None:
             return False
-        weight = speed.weight(now, self._half_life_s)
+        weight = speed.weight(now, self.half_life_s)
         if confidence_of(weight) < LEAST_CONFIDENCE:
             return False
         return speed.known or speed.prior is not None or weight >= KNOWN_WEIGHT
 
     def _set_unknown(self, speed: WorkerSpeed, now: float) -> None:
         if speed.known and self._service(speed).remove(speed):
-            self._changes.append(speed.change(now, self._half_life_s))
+            self._changes.append(speed.change(now, self.half_life_s))
 
     def _expire(self, now: float) -> None:
         """Drop speeds that are no longer known, and steps that are over."""
         for speed in self._workers.values():
-            if speed.known and speed.confidence(now, self._half_life_s) < LEAST_CONFIDENCE:
+            if speed.known and speed.confidence(now, self.half_life_s) < LEAST_CONFIDENCE:
                 speed.pieces = []
                 speed.prior = None
                 speed.belief = None
                 self._set_unknown(speed, now)
         for machine, memory in list(self._memories.items()):
             age_s = now - memory.evidence.updated_s
-            weight = memory.evidence.weight * decay(age_s, self._half_life_s)
+            weight = memory.evidence.weight * decay(age_s, self.half_life_s)
             if confidence_of(weight) < LEAST_CONFIDENCE:
                 del self._memories[machine]
         for step in list(self._steps):
@@ -492,7 +497,7 @@
         speed = self._workers.get(worker_id)
         if speed is None:
             return None
-        return speed.estimate(self._latest_s if now is None else now, self._half_life_s)
+        return speed.estimate(self._latest_s if now is None else now, self.half_life_s)
 
     def typical_work_s(self, step: StepState) -> float | None:
         """Seconds that a task of a step works on a usual worker, or ``None`` if unknown."""
@@ -508,6 +513,16 @@
         """Number of workers whose speed is known."""
         return sum(1 for speed in self._workers.values() if speed.level is not None)
 
+    @property
+    def slow_workers(self) -> int:
+        """Number of workers with a factor above :data:`SLOW_FACTOR`."""
+        return sum(1 for s in self._workers.values() if s.worker.time_factor > SLOW_FACTOR)
+
+    @property
+    def machine_count(self) -> int:
+        """Number of machines that have a worker, or of which something is known."""
+        return len(self._machines) + len(self._memories)
+
     def snapshot(
         self, now: float, wanted: Callable[[str], bool] = lambda machine: True
     ) -> list[SpeedRow]:
@@ -518,7 +533,7 @@
         rows = []
         for machine, speed in self._machines.items():
             if wanted(machine):
-                row = speed.row(now, self._half_life_s)
+                row = speed.row(now, self.half_life_s)
                 if row is not None:
                     rows.append(row)
         for machine, memory in self._memories.items():
@@ -536,7 +551,7 @@
             confidence = min(row.confidence, MAX_CONFIDENCE)
             age_s = max(0.0, row.age_s)
             weight = weight_for(confidence)
-            if confidence_of(weight * decay(age_s, self._half_life_s)) < LEAST_CONFIDENCE:
+            if confidence_of(weight * decay(age_s, self.half_life_s)) < LEAST_CONFIDENCE:
                 continue
             evidence = Evidence(math.log(row.factor), weight, CONFIRMING_RUNS, now - age_s)
             speed = self._machines.get(row.machine)
