--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -21,14 +21,14 @@
 )
 from saddlestack.policy.cluster.planner_context import PlannerContext
 from saddlestack.policy.cluster.slow_restarts import SlowGang
-from saddlestack.policy.cluster.speed_levels import (
+from saddlestack.policy.cluster.speed_limits import SpeedLimit, SpeedLimits
+from saddlestack.policy.cluster.speed_rank import (
     MIN_LIMIT,
     SpeedRank,
     exceeds,
     fast_first,
     slow_first,
 )
-from saddlestack.policy.cluster.speed_limits import SpeedLimit, SpeedLimits
 from saddlestack.policy.cluster.wait_limits import NEAR_DATA_WAIT_S
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import Resources
--- a/src/saddlestack/policy/cluster/fits.py
+++ b/src/saddlestack/policy/cluster/fits.py
@@ -15,7 +15,7 @@
 
 from saddlestack.policy.cluster.index import CapacityIndex, Rack, ServiceCapacity
 from saddlestack.policy.cluster.releasable import ReleasableRack, ReleasableWorker, by_release_cost
-from saddlestack.policy.cluster.speed_levels import exceeds, known_factor
+from saddlestack.policy.cluster.speed_rank import exceeds, known_factor
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import Resources
 
--- a/src/saddlestack/policy/cluster/index.py
+++ b/src/saddlestack/policy/cluster/index.py
@@ -14,7 +14,7 @@
 
 from sortedcontainers import SortedList
 
-from saddlestack.policy.cluster.speed_levels import MIN_LIMIT, SpeedRank, exceeds, known_factor
+from saddlestack.policy.cluster.speed_rank import MIN_LIMIT, SpeedRank, exceeds, known_factor
 from saddlestack.policy.cluster.workers import Worker
 
 MAX_URGENT_FACTOR = 1.5625
--- a/src/saddlestack/policy/cluster/placement.py
+++ b/src/saddlestack/policy/cluster/placement.py
@@ -6,7 +6,7 @@
 
 from saddlestack.policy.cluster.jobs import StepState
 from saddlestack.policy.cluster.releasable import ReleasableRack, ReleasableWorker
-from saddlestack.policy.cluster.speed_levels import SpeedRank, known_factor
+from saddlestack.policy.cluster.speed_rank import SpeedRank, known_factor
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import Resources
 
--- a/src/saddlestack/policy/cluster/places.py
+++ b/src/saddlestack/policy/cluster/places.py
@@ -18,7 +18,7 @@
     soonest,
 )
 from saddlestack.policy.cluster.releasable import ReleasableRack
-from saddlestack.policy.cluster.speed_levels import SpeedRank
+from saddlestack.policy.cluster.speed_rank import SpeedRank
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import Resources
 
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -39,8 +39,8 @@
 from saddlestack.policy.cluster.shapes import FailedShapes, Shape, ShapeNumbers, StepShapes
 from saddlestack.policy.cluster.slack import Slack, WorkEstimates
 from saddlestack.policy.cluster.slow_restarts import SlowGang
-from saddlestack.policy.cluster.speed_levels import exceeds, known_factor
 from saddlestack.policy.cluster.speed_limits import SpeedLimit, SpeedLimits
+from saddlestack.policy.cluster.speed_rank import exceeds, known_factor
 from saddlestack.policy.cluster.stalled import StalledPlacement
 from saddlestack.policy.cluster.victims import MayStop
 from saddlestack.policy.cluster.wait_limits import (
--- a/src/saddlestack/policy/cluster/slow_restarts.py
+++ b/src/saddlestack/policy/cluster/slow_restarts.py
@@ -13,8 +13,8 @@
 
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, Run, StepState
 from saddlestack.policy.cluster.progress import NEARLY_DONE_PERCENT, gang_started_s
-from saddlestack.policy.cluster.speed_levels import MIN_LIMIT, exceeds, known_factor, level_below
 from saddlestack.policy.cluster.speed_limits import DECISION_MARGIN_S, SpeedLimits
+from saddlestack.policy.cluster.speed_rank import MIN_LIMIT, exceeds, known_factor, level_below
 from saddlestack.policy.cluster.workers import Worker
 
 MIN_RUN_S = 0.4
--- a/src/saddlestack/policy/cluster/speed_limits.py
+++ b/src/saddlestack/policy/cluster/speed_limits.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, StepState
-from saddlestack.policy.cluster.speed_levels import (
+from saddlestack.policy.cluster.speed_rank import (
     MIN_LIMIT,
     SpeedRank,
     exceeds,
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -32,6 +32,7 @@
 )
 from saddlestack.policy.cluster.slow_restarts import SlowRestarts
 from saddlestack.policy.cluster.speed_limits import UnknownWorkTimes, WorkTimes
+from saddlestack.policy.cluster.speeds import SpeedTracker
 from saddlestack.policy.cluster.victims import count_preemption
 from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.worker_preferences import WorkerPreferences
@@ -60,7 +61,8 @@
         self._evacuated: frozenset[str] = frozenset()
         self._changed_jobs: dict[str, Job] = {}
         self._index = CapacityIndex(uses_speeds=self.options.worker_speeds)
-        self._work_times: WorkTimes = UnknownWorkTimes()
+        self._speeds = SpeedTracker(self.options) if self.options.worker_speeds else None
+        self._work_times: WorkTimes = self._speeds or UnknownWorkTimes()
         self._worker_preferences = WorkerPreferences()
         self._fault_attribution = FaultAttribution(self.workers)
         self._crashes = CrashTracker(self.workers)
@@ -73,6 +75,7 @@
             self._crashes,
             self.options,
             self._usage,
+            self._speeds,
         )
         self._slow_restarts = SlowRestarts(self._planner.speed_limits, self.workers)
         self._restarted_gangs = 0
@@ -123,6 +126,11 @@
         """The planner. Callers outside this class only read from it."""
         return self._planner
 
+    @property
+    def speeds(self) -> SpeedTracker | None:
+        """The speeds of the workers; ``None`` where they are not learned."""
+        return self._speeds
+
     def add_job(self, accepted: AcceptedJob, records: Mapping[int, OccurrenceRecord]) -> Job:
         """Add a job from the store with its progress. A job that is already known is unchanged."""
         job = self.jobs.get(accepted.job_id)
@@ -227,6 +235,8 @@
         self.jobs.pop(job_id, None)
         self._fault_attribution.forget_job(job_id)
         self._crashes.forget_job(job_id)
+        if self._speeds is not None:
+            self._speeds.forget_job(job_id)
 
     def set_worker(self, record: WorkerRecord, now: float) -> Worker:
         """Add a listed worker incarnation, or update its record."""
@@ -242,6 +252,8 @@
             worker.listed = True
             worker.reachable = True
             worker.outlived_record = False
+        if self._speeds is not None:
+            self._speeds.add_worker(worker)
         return worker
 
     def unlist_worker(self, worker_id: str) -> None:
@@ -275,6 +287,8 @@
         self._apply_assessment(assessment)
         for run in lost:
             self._finish_run(run, EndKind.LAPSED, run.saved)
+            if self._speeds is not None:
+                self._speeds.discard_run(run)
         if not worker.listed:
             self._remove_worker(worker)
 
@@ -328,6 +342,8 @@
         del self.workers[worker.worker_id]
         self._fault_attribution.forget_worker(worker.worker_id)
         self._index.remove(worker)
+        if self._speeds is not None:
+            self._speeds.forget_worker(worker)
 
     def run_started(self, run: Run, now: float) -> None:
         """Record that a worker has confirmed the start of a run."""
@@ -345,6 +361,8 @@
         if run.ordered_s is None and not run.inherited:
             self._crashes.count_start(run.task, -1)
         self._finish_run(run, EndKind.STOPPED, "")
+        if self._speeds is not None:
+            self._speeds.discard_run(run)
 
     def worker_reported(self, worker_id: str, running: Iterable[RunningTask], now: float) -> None:
         """Update the runs that a worker reports, and stop those that are unknown."""
@@ -364,6 +382,8 @@
             run.figure = row.figure
             if row.saved:
                 run.saved = row.saved
+            if self._speeds is not None:
+                self._speeds.observe_progress(worker, run, self.members, now)
         self._restart_stalled(worker, now)
         self._paces += adjust_pace(worker, now)
 
@@ -408,6 +428,8 @@
         self._planner.run_ended(run, end.how, now)
         self._apply_assessment(self._crashes.run_ended(run, end.how, now))
         self._finish_run(run, end.how, end.saved or run.saved)
+        if self._speeds is not None:
+            self._speeds.observe_end(worker, run, end.how, now)
 
     def _record_failure(self, worker: Worker, run: Run, now: float) -> None:
         run.task.avoid.add(worker.worker_id)
@@ -546,6 +568,8 @@
 
         :return: whether the round reached its limit, so that another may follow at once.
         """
+        if self._speeds is not None:
+            self._speeds.refresh(now)
         self._index.begin_round(now)
         self._crashes.tick(now)
         for run in runs_to_stop(self._index.leaving, self.members, now):
--- a/tests/test_speed_placement.py
+++ b/tests/test_speed_placement.py
@@ -20,13 +20,13 @@
 from saddlestack.policy.cluster.progress import STUCK_SHARE, is_stuck, remaining_s
 from saddlestack.policy.cluster.reasons import WaitReason
 from saddlestack.policy.cluster.reservations import Reservation
-from saddlestack.policy.cluster.speed_levels import fast_first, level_below, slow_first
 from saddlestack.policy.cluster.speed_limits import (
     DECISION_MARGIN_S,
     ENTITLED_WAIT_S,
     SpeedLimits,
     UnknownWorkTimes,
 )
+from saddlestack.policy.cluster.speed_rank import fast_first, level_below, slow_first
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.policy.cluster.wait_limits import HEADROOM_WAIT_S, IDLE_POOL_WAIT_S
 from saddlestack.work import Step, TaskName
