--- a/src/saddlestack/policy/cluster/deferred_stops.py
+++ b/src/saddlestack/policy/cluster/deferred_stops.py
@@ -29,11 +29,13 @@
         self._victims: dict[StepState, list[Run]] = {}
         self._spared = 0
 
-    @property
-    def next_due_s(self) -> float | None:
-        """When the next stop is due; ``None`` if none was put off."""
+    def next_due_s(self, now: float) -> float | None:
+        """When the next stop is due; ``None`` if none was put off.
+
+        Past times do not count: a victim whose worker may be out of reach cannot be stopped yet.
+        """
         due = [run.ends_by_s for victims in self._victims.values() for run in victims]
-        return min((each for each in due if each is not None), default=None)
+        return min((each for each in due if each is not None and each > now), default=None)
 
     def defer(
         self, step: StepState, victims: Sequence[Run], stop_s: float, now: float
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -113,7 +113,7 @@
 
         On the monotonic clock.
         """
-        due = (self._stalled.next_loan_s, self._deferred.next_due_s)
+        due = (self._stalled.next_loan_s, self._deferred.next_due_s(self._index.now))
         return min((each for each in due if each is not None), default=None)
 
     def take_counts(self) -> Counter[str]:
--- a/tests/test_gang_priority.py
+++ b/tests/test_gang_priority.py
@@ -652,6 +652,14 @@
         self.assertEqual(self.stopped(due_s), [self.job_of(bulk)])
         self.assertEqual(self.spared(), 0)
 
+    def test_a_stop_that_is_overdue_asks_for_no_round(self) -> None:
+        """A due time in the past made the scheduler plan without pause beside a silent worker."""
+        (bulk,) = self.crowd(97)
+        self.preempt()
+        self.cluster_state.workers[self.run_of(bulk).worker_id].suspected = True
+        self.assertEqual(self.stopped(10.0 + USUAL_STOP_S), [])
+        self.assertIsNone(self.cluster_state.planner.next_loan_s)
+
     def test_it_is_waited_for_only_once(self) -> None:
         (bulk,) = self.crowd(97)
         first, _ = self.preempt()
