Derive counts within bounds of speed from those of all workers

Each limit counted every changed rack again. Racks now keep their counts by known factor, and a bound of speed adds up the parts within it, so each worker is counted once whatever the number of limits.

--- a/src/saddlestack/policy/cluster/fits.py
+++ b/src/saddlestack/policy/cluster/fits.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import merge
 
 from sortedcontainers import SortedList
@@ -50,14 +50,20 @@
             return False
         if self.label and self.label not in worker.record.labels:
             return False
-        return not self._bounds_speed or self._allows_speed(worker)
+        return not self.bounds_speed or self.allows_speed(known_factor(worker))
 
     @property
-    def _bounds_speed(self) -> bool:
+    def bounds_speed(self) -> bool:
+        """Whether the speed of a worker matters."""
         return self.max_factor != math.inf or self.known or self.above > 0.0
 
-    def _allows_speed(self, worker: Worker) -> bool:
-        factor = known_factor(worker)
+    @property
+    def of_any_speed(self) -> FitKey:
+        """The same requirements without those of speed."""
+        return replace(self, max_factor=math.inf, above=0.0, known=False)
+
+    def allows_speed(self, factor: float | None) -> bool:
+        """Whether a worker with a known factor, or ``None``, may run such tasks."""
         if factor is None:
             return not self.known and not self.above
         return not exceeds(factor, self.max_factor) and (
@@ -74,12 +80,20 @@
     :param free: free accelerators of its workers.
     :param releasable: by priority, what fits once work of lower priority has ended. Computed on
         demand.
+    :param by_speed: the first three by known factor of the workers; empty if none is known.
     """
 
     copies: int = 0
     most: int = 0
     free: int = 0
     releasable: dict[int, ReleasableRack] = field(default_factory=dict)
+    by_speed: dict[float | None, RackFit] = field(default_factory=dict)
+
+    def add(self, copies: int, most: int, free: int) -> None:
+        """Add a worker, or several."""
+        self.copies += copies
+        self.most += most
+        self.free += free
 
 
 class FitCapacity:
@@ -87,10 +101,19 @@
 
     :ivar total: number of tasks that fit now.
     :ivar total_most: number of tasks that would fit if all workers were empty.
+
+    :param of_any_speed: the capacity without regard to speed, if the requirements bound the speed.
+        Its counts are used, so that each worker is counted once.
     """
 
-    def __init__(self, fit: FitKey, service_capacity: ServiceCapacity) -> None:
+    def __init__(
+        self,
+        fit: FitKey,
+        service_capacity: ServiceCapacity,
+        of_any_speed: FitCapacity | None = None,
+    ) -> None:
         self.fit = fit
+        self.of_any_speed = of_any_speed
         self.service_capacity = service_capacity
         self.racks: list[RackFit] = []
         self.total = 0
@@ -146,12 +169,10 @@
 
     def _count(self, rack: Rack) -> None:
         old = self.racks[rack.number]
-        new = RackFit()
-        for worker in self.workers(rack):
-            free = worker.free
-            new.copies += worker.count_fitting(self.fit.room, free)
-            new.most += self.fit.room.copies_in(worker.record.capacity)
-            new.free += free.accelerators
+        if self.of_any_speed is None:
+            new = self._count_workers(rack)
+        else:
+            new = self._sum_speeds(self.of_any_speed.racks[rack.number])
         self.racks[rack.number] = new
         self.total += new.copies - old.copies
         self.total_most += new.most - old.most
@@ -162,7 +183,35 @@
             self._by_most.remove(old.most)
             self._by_most.add(new.most)
 
+    def _count_workers(self, rack: Rack) -> RackFit:
+        found = RackFit()
+        knows_speeds = bool(self.service_capacity.known_factors)
+        for worker in self.workers(rack):
+            free = worker.free
+            copies = worker.count_fitting(self.fit.room, free)
+            most = self.fit.room.copies_in(worker.record.capacity)
+            found.add(copies, most, free.accelerators)
+            if knows_speeds:
+                speed = known_factor(worker)
+                if speed not in found.by_speed:
+                    found.by_speed[speed] = RackFit()
+                found.by_speed[speed].add(copies, most, free.accelerators)
+        return found
+
+    def _sum_speeds(self, of_any_speed: RackFit) -> RackFit:
+        """The part of a rack's capacity that is within the bounds of speed."""
+        found = RackFit()
+        for speed, part in (of_any_speed.by_speed or {None: of_any_speed}).items():
+            if self.fit.allows_speed(speed):
+                found.add(part.copies, part.most, part.free)
+        return found
+
     def _releasable(self, rack: Rack, priority: int) -> Iterator[ReleasableWorker]:
+        if self.of_any_speed is not None:
+            for each in self.of_any_speed.releasable(rack, priority).workers:
+                if self.fit.allows_speed(known_factor(each.worker)):
+                    yield each
+            return
         for worker in self.workers(rack):
             lower = worker.lower_priority_usage(priority)
             copies = worker.count_fitting(self.fit.room, worker.free + lower)
@@ -180,11 +229,13 @@
     def of(self, fit: FitKey) -> FitCapacity:
         """Capacity for tasks with some requirements, with all changes up to now."""
         service_capacity = self._index.service(fit.service)
+        of_any_speed = self.of(fit.of_any_speed) if fit.bounds_speed else None
         known = self._known.pop(fit, None)
         if known is None:
-            known = FitCapacity(fit, service_capacity)
+            known = FitCapacity(fit, service_capacity, of_any_speed)
             if len(self._known) >= MAX_FITS:
                 del self._known[next(iter(self._known))]
         self._known[fit] = known
+        known.of_any_speed = of_any_speed
         known.refresh(self._index.now)
         return known
--- a/tests/test_speed_placement.py
+++ b/tests/test_speed_placement.py
@@ -5,6 +5,7 @@
 import math
 import random
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -12,7 +13,8 @@
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.cluster.changes import StopReason
 from saddlestack.policy.cluster.diagnosis import Diagnosis
-from saddlestack.policy.cluster.index import MAX_URGENT_FACTOR
+from saddlestack.policy.cluster.fits import FitCache, FitKey
+from saddlestack.policy.cluster.index import MAX_URGENT_FACTOR, CapacityIndex
 from saddlestack.policy.cluster.jobs import Run, weight
 from saddlestack.policy.cluster.lending import Lending
 from saddlestack.policy.cluster.options import SchedulingOptions
@@ -20,7 +22,12 @@
 from saddlestack.policy.cluster.progress import STUCK_SHARE, is_stuck, remaining_s
 from saddlestack.policy.cluster.reasons import WaitReason
 from saddlestack.policy.cluster.reservations import Reservation
-from saddlestack.policy.cluster.speed_levels import fast_first, level_below, slow_first
+from saddlestack.policy.cluster.speed_levels import (
+    fast_first,
+    known_factor,
+    level_below,
+    slow_first,
+)
 from saddlestack.policy.cluster.speed_limits import (
     DECISION_MARGIN_S,
     ENTITLED_WAIT_S,
@@ -29,7 +36,8 @@
 )
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.policy.cluster.wait_limits import HEADROOM_WAIT_S, IDLE_POOL_WAIT_S
-from saddlestack.work import Step, TaskName
+from saddlestack.policy.cluster.workers import Worker
+from saddlestack.work import Resources, Step, TaskName
 from tests import test_cluster_state
 from tests.speed_support import SLOW, USING_SPEEDS, FixedWorkTimes, SpeedCase
 from tests.test_cluster_state import (
@@ -39,6 +47,7 @@
     SERVICE,
     URGENT,
     RetryAllShapes,
+    record,
     step,
 )
 from tests.test_diagnosis import diagnosis_context
@@ -542,6 +551,75 @@
         self.assertEqual(self.run_on("w12", step(1)).time_factor, 1.0)
 
 
+class CountsTest(unittest.TestCase):
+    """Counts by speed are derived from those of all workers, and must equal a count of each."""
+
+    @settings(max_examples=40, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_counts_within_bounds_of_speed_are_those_of_the_workers(self, seed: int) -> None:
+        rng = random.Random(seed)
+        index = CapacityIndex(uses_speeds=True)
+        workers = [Worker(record(f"w{n}", rack=f"r{n % 3}")) for n in range(9)]
+        for worker in workers:
+            index.add(worker)
+        cache = FitCache(index)
+        room = Resources(1000, 1000, 2)
+        fit = FitKey(SERVICE, room, "", proven=False)
+        keys = [
+            fit,
+            replace(fit, max_factor=1.25),
+            replace(fit, max_factor=SLOW, above=1.25),
+            replace(fit, max_factor=1.5625, known=True),
+        ]
+        for number in range(12):
+            worker = rng.choice(workers)
+            if number and rng.random() < 0.7:
+                worker.speed_known = rng.random() < 0.7
+                worker.time_factor = rng.choice(LEVELS)
+            worker.used = Resources(0, 0, rng.randrange(9))
+            if rng.random() < 0.1:
+                cache = FitCache(index)
+            elif rng.random() < 0.2:
+                cache._known.pop(fit, None)
+            index.begin_round(float(number))
+            for key in rng.sample(keys, 2):
+                found = cache.of(key)
+                allowed = [w for w in workers if key.allows(w, float(number))]
+                copies = sum(room.copies_in(w.free) for w in allowed)
+                self.assertEqual(found.total, copies)
+                self.assertEqual(found.total_most, 4 * len(allowed))
+                for rack in found.service_capacity.racks:
+                    counted = [w for w in allowed if w.record.rack == rack.name]
+                    fits = found.racks[rack.number]
+                    self.assertEqual(fits.free, sum(w.free.accelerators for w in counted))
+                    releasable = found.releasable(rack, URGENT).workers
+                    held = [w for w in counted if room.copies_in(w.free)]
+                    self.assertCountEqual([each.worker for each in releasable], held)
+
+    @settings(max_examples=40, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_workers_are_read_in_the_order_of_rank_then_of_free_capacity(self, seed: int) -> None:
+        rng = random.Random(seed)
+        index = CapacityIndex(uses_speeds=True)
+        workers = [Worker(record(f"w{n}", rack=f"r{n % 3}")) for n in range(9)]
+        for worker in workers:
+            worker.speed_known = rng.random() < 0.7
+            worker.time_factor = rng.choice(LEVELS) if worker.speed_known else 1.0
+            worker.used = Resources(rng.randrange(3), 0, rng.randrange(9))
+            index.add(worker)
+        index.begin_round(0.0)
+        capacity = index.service(SERVICE)
+        wanted = [w for w in workers if w.free.accelerators >= 2]
+
+        def tightness(worker: Worker) -> tuple[int, int]:
+            return worker.free.accelerators, worker.free.cpu
+
+        self.assertEqual(list(capacity.tightest_first(2, 1)), sorted(wanted, key=tightness))
+        for rank in (slow_first, fast_first):
+            expected = sorted(wanted, key=lambda w: (rank(known_factor(w)), tightness(w)))
+            self.assertEqual(list(capacity.tightest_first(2, 1, rank)), expected)
+
+
 class EqualWorkersTest(unittest.TestCase):
     """With equal workers all decisions are the same as without speeds."""
 
