Count by speed only while a service has slow workers

Racks keep one count while no worker is slow; counts by known factor are made on demand. Orders by speed read a single list directly if all workers are of one speed.

--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -99,6 +99,8 @@
 
         A step that could not start within its limit even in an empty pool need not wait for it.
         """
+        if not self._index.uses_speeds:
+            return None
         service_capacity = self.service_capacity(step)
         if not service_capacity.has_slow_workers:
             return None
--- a/src/saddlestack/policy/cluster/fits.py
+++ b/src/saddlestack/policy/cluster/fits.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from heapq import merge
 
@@ -80,7 +80,8 @@
     :param free: free accelerators of its workers.
     :param releasable: by priority, what fits once work of lower priority has ended. Computed on
         demand.
-    :param by_speed: the first three by known factor of the workers; empty if none is known.
+    :param by_speed: the first three by known factor of the workers. Counted on demand while no
+        worker is slow.
     """
 
     copies: int = 0
@@ -89,11 +90,11 @@
     releasable: dict[int, ReleasableRack] = field(default_factory=dict)
     by_speed: dict[float | None, RackFit] = field(default_factory=dict)
 
-    def add(self, copies: int, most: int, free: int) -> None:
-        """Add a worker, or several."""
-        self.copies += copies
-        self.most += most
-        self.free += free
+    def add(self, part: RackFit) -> None:
+        """Add the counts of some workers of the rack."""
+        self.copies += part.copies
+        self.most += part.most
+        self.free += part.free
 
 
 class FitCapacity:
@@ -172,7 +173,7 @@
         if self.of_any_speed is None:
             new = self._count_workers(rack)
         else:
-            new = self._sum_speeds(self.of_any_speed.racks[rack.number])
+            new = self._sum_speeds(self.of_any_speed.counts_by_speed(rack))
         self.racks[rack.number] = new
         self.total += new.copies - old.copies
         self.total_most += new.most - old.most
@@ -184,26 +185,42 @@
             self._by_most.add(new.most)
 
     def _count_workers(self, rack: Rack) -> RackFit:
+        if not self.service_capacity.has_slow_workers:
+            return self._count_listed(self.workers(rack))
         found = RackFit()
-        knows_speeds = bool(self.service_capacity.known_factors)
+        found.by_speed = self._count_by_speed(rack)
+        for part in found.by_speed.values():
+            found.add(part)
+        return found
+
+    def counts_by_speed(self, rack: Rack) -> dict[float | None, RackFit]:
+        """Counts of a rack by known factor of its workers."""
+        found = self.racks[rack.number]
+        if not found.by_speed:
+            found.by_speed = self._count_by_speed(rack)
+        return found.by_speed
+
+    def _count_by_speed(self, rack: Rack) -> dict[float | None, RackFit]:
+        groups: dict[float | None, list[Worker]] = {}
         for worker in self.workers(rack):
+            groups.setdefault(known_factor(worker), []).append(worker)
+        return {speed: self._count_listed(group) for speed, group in groups.items()}
+
+    def _count_listed(self, workers: Iterable[Worker]) -> RackFit:
+        found = RackFit()
+        for worker in workers:
             free = worker.free
-            copies = worker.count_fitting(self.fit.room, free)
-            most = self.fit.room.copies_in(worker.record.capacity)
-            found.add(copies, most, free.accelerators)
-            if knows_speeds:
-                speed = known_factor(worker)
-                if speed not in found.by_speed:
-                    found.by_speed[speed] = RackFit()
-                found.by_speed[speed].add(copies, most, free.accelerators)
+            found.copies += worker.count_fitting(self.fit.room, free)
+            found.most += self.fit.room.copies_in(worker.record.capacity)
+            found.free += free.accelerators
         return found
 
-    def _sum_speeds(self, of_any_speed: RackFit) -> RackFit:
+    def _sum_speeds(self, by_speed: Mapping[float | None, RackFit]) -> RackFit:
         """The part of a rack's capacity that is within the bounds of speed."""
         found = RackFit()
-        for speed, part in (of_any_speed.by_speed or {None: of_any_speed}).items():
+        for speed, part in by_speed.items():
             if self.fit.allows_speed(speed):
-                found.add(part.copies, part.most, part.free)
+                found.add(part)
         return found
 
     def _releasable(self, rack: Rack, priority: int) -> Iterator[ReleasableWorker]:
--- a/src/saddlestack/policy/cluster/index.py
+++ b/src/saddlestack/policy/cluster/index.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
+from itertools import chain
 
 from sortedcontainers import SortedList
 
@@ -190,20 +191,20 @@
 
         :param rank: order of the workers by speed, which precedes how much is free.
         """
-        if rank is None:
-            yield from self._tightest_of(self._by_speed.values(), accelerators, cpu)
-            return
+        if rank is None or len(self._by_speed) == 1:
+            return self._tightest_of(list(self._by_speed.values()), accelerators, cpu)
         groups: dict[int, list[_FreeList]] = {}
         for speed, free_list in self._by_speed.items():
             groups.setdefault(rank(speed), []).append(free_list)
-        for _, group in sorted(groups.items()):
-            yield from self._tightest_of(group, accelerators, cpu)
+        return chain.from_iterable(
+            self._tightest_of(groups[each], accelerators, cpu) for each in sorted(groups)
+        )
 
     def _tightest_of(
-        self, group: Iterable[_FreeList], accelerators: int, cpu: int
+        self, lists: Sequence[_FreeList], accelerators: int, cpu: int
     ) -> Iterator[Worker]:
-        lists = list(group)
-        for free in sorted(set().union(*lists)):
+        levels = lists[0] if len(lists) == 1 else set().union(*lists)
+        for free in sorted(levels):
             if free < accelerators:
                 continue
             places = [each[free].irange((cpu, -1)) for each in lists if free in each]
@@ -293,7 +294,7 @@
 
     def __init__(self, *, uses_speeds: bool = False) -> None:
         self.now = 0.0
-        self._uses_speeds = uses_speeds
+        self.uses_speeds = uses_speeds
         self.leaving: dict[Worker, None] = {}
         self._services: dict[str, ServiceCapacity] = {}
         self._contributions: dict[Worker, _Contribution] = {}
@@ -369,7 +370,7 @@
     def _put(self, worker: Worker) -> None:
         number = self._numbers[worker]
         contribution = self._contributions[worker] = _contribution(
-            worker, self.now, uses_speeds=self._uses_speeds
+            worker, self.now, uses_speeds=self.uses_speeds
         )
         service_capacity = self._services.get(contribution.service)
         if service_capacity is None:
--- a/src/saddlestack/policy/cluster/speed_limits.py
+++ b/src/saddlestack/policy/cluster/speed_limits.py
@@ -127,8 +127,8 @@
         """
         if step.step.long_running:
             return math.inf
-        chain_s = self._job_chain_s(step)
         work_left_s = self._chain_s(step)
+        chain_s = None if work_left_s is None else self._job_chain_s(step)
         if chain_s is None or not work_left_s:
             return step.occurrence.job.accepted.stretch
         left_s = self._objective_left_s(step, now, chain_s)
@@ -170,6 +170,8 @@
 
     def _chain_s(self, step: StepState) -> float | None:
         """The longest chain of work from a step on; ``None`` if a part is unknown."""
+        if step.number + 1 == len(step.occurrence.steps):
+            return self.source.work_times.typical_work_s(step)
         chains_s: dict[int, float] = {}
         for other in reversed(step.occurrence.steps[step.number :]):
             work_s = self.source.work_times.typical_work_s(other)
