Skip limits of steps whose shape fits at no speed

A shape that does not fit on workers of any speed does not fit within any limit, so its steps need no limit in that round. A reservation that a step gets for its limit is kept rather than dropped in the same round for work that stalled. Bounds of speed are checked only where there are any.

--- a/src/saddlestack/policy/cluster/fits.py
+++ b/src/saddlestack/policy/cluster/fits.py
@@ -45,12 +45,10 @@
     known: bool = False
 
     def allows(self, worker: Worker, now: float) -> bool:
-        """Whether a worker that accepts work may run such tasks."""
+        """Whether a worker that accepts work may run such tasks, if its speed is allowed."""
         if self.proven and now < worker.probation_s:
             return False
-        if self.label and self.label not in worker.record.labels:
-            return False
-        return not self.bounds_speed or self.allows_speed(known_factor(worker))
+        return not self.label or self.label in worker.record.labels
 
     @property
     def bounds_speed(self) -> bool:
@@ -136,11 +134,17 @@
 
     def allows(self, worker: Worker) -> bool:
         """Whether a worker that accepts work may run such tasks."""
+        if self.of_any_speed is not None and not self.fit.allows_speed(known_factor(worker)):
+            return False
         return self.fit.allows(worker, self._now)
 
     def workers(self, rack: Rack) -> list[Worker]:
         """The workers of a rack that may run such tasks."""
-        return [worker for worker in rack.eligible if self.allows(worker)]
+        fit, now = self.fit, self._now
+        found = [worker for worker in rack.eligible if fit.allows(worker, now)]
+        if self.of_any_speed is None:
+            return found
+        return [worker for worker in found if fit.allows_speed(known_factor(worker))]
 
     def releasable(self, rack: Rack, priority: int) -> ReleasableRack:
         """What fits in a rack once all work of lower priority there has ended."""
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -195,8 +195,11 @@
 
     def _place(self, step: StepState, entitled: set[str], now: float) -> None:
         is_top = step.occurrence.job.priority == TOP_PRIORITY
-        limit = self._candidates.speed_limit(step, now)
-        shape = self._shape(step, limit, now)
+        any_speed = self._shape(step, now)
+        limit = None
+        if is_top or any_speed not in self._failed_shapes.full:
+            limit = self._candidates.speed_limit(step, now)
+        shape = self._limited_shape(any_speed, limit)
         full = shape in self._failed_shapes.full
         if not may_start(step):
             self._waiting.remove(step)
@@ -206,7 +209,7 @@
         cannot_start = full or self._failed_shapes.is_headroom_closed(shape, step.waited_s(now))
         if cannot_start and not is_top:
             if not self._place_without_preferences(step, now):
-                self._keep_workers(step, shape, now)
+                self._keep_workers(step, any_speed, now)
             return
         if self._use_reservation(step, now):
             return
@@ -218,12 +221,19 @@
                 return
         elif not full and self._place_on(step, shape, places, now):
             return
+        elif shape in self._failed_shapes.full:
+            self._failed_shapes.note_full(any_speed)
         if self._place_without_preferences(step, now):
             return
         if not is_top:
-            self._keep_workers(step, shape, now)
-        elif self._reservations.of(step) is None and (limit is None or not limit.restricts):
+            self._keep_workers(step, any_speed, now)
+        elif self._reservations.of(step) is not None:
+            return
+        elif limit is None or not limit.restricts:
             self._preempt(step, places, entitled, now)
+        elif limit.relaxed:
+            above = self._candidates.places_above_limit(step, limit, now)
+            self._preempt(step, above, entitled, now)
 
     # Speed limits
 
@@ -232,22 +242,22 @@
     ) -> bool:
         """Place a step with a speed limit: within it, after preemptions, or at last above it.
 
-        :return: whether the step has started or has a reservation.
+        :return: whether the step has started or has got a reservation.
         """
         is_top = step.occurrence.job.priority == TOP_PRIORITY
         noted = None if limit.relaxed and not is_top else shape
         if shape not in self._failed_shapes.full and self._place_on(step, noted, places, now):
             return True
-        if is_top and self._reservations.of(step) is None:
-            self._preempt(step, places, set(), now)
-        if not limit.relaxed or self._reservations.of(step) is not None:
+        if self._reservations.of(step) is not None:
             return False
-        above = self._candidates.places_above_limit(step, limit, now)
-        if self._place_on(step, None if is_top else shape, above, now):
-            return True
         if is_top:
-            self._preempt(step, above, self.speed_limits.entitled, now)
-        return False
+            self._preempt(step, places, (), now)
+            if self._reservations.of(step) is not None:
+                return True
+        if not limit.relaxed:
+            return False
+        above = self._candidates.places_above_limit(step, limit, now)
+        return self._place_on(step, None if is_top else shape, above, now)
 
     # Isolation
 
@@ -363,8 +373,15 @@
             return self._place_gang(step, shape, places, now)
         return self._place_tasks(step, shape, places, now)
 
-    def _shape(self, step: StepState, limit: SpeedLimit | None, now: float) -> int | None:
-        """Number of the step's shape; ``None`` if more than its shape decides whether it fits."""
+    def _limited_shape(self, shape: int | None, limit: SpeedLimit | None) -> int | None:
+        """Number of a shape with a speed limit."""
+        return shape if shape is None or limit is None else self._shapes.limited(shape, limit)
+
+    def _shape(self, step: StepState, now: float) -> int | None:
+        """Number of the step's shape at any speed.
+
+        ``None`` if more than its shape decides whether it fits.
+        """
         if self._cluster_state.is_advised(step.occurrence.job):
             return None
         if not step.step.gang and (step.step.per_worker or step.has_avoided_workers):
@@ -372,8 +389,7 @@
         service = self._cluster_state.service_of(step.occurrence.job)
         if step.shapes is None or step.shapes.service != service:
             step.shapes = self._step_shapes(step, service)
-        shape = step.shapes.near if prefers_near(step, now) else step.shapes.anywhere
-        return shape if limit is None else self._shapes.limited(shape, limit)
+        return step.shapes.near if prefers_near(step, now) else step.shapes.anywhere
 
     def _step_shapes(self, step: StepState, service: str) -> StepShapes:
         needs = step.step
--- a/tests/test_speed_placement.py
+++ b/tests/test_speed_placement.py
@@ -584,7 +584,8 @@
             index.begin_round(float(number))
             for key in rng.sample(keys, 2):
                 found = cache.of(key)
-                allowed = [w for w in workers if key.allows(w, float(number))]
+                allowed = [w for w in workers if key.allows_speed(known_factor(w))]
+                self.assertEqual([w for w in workers if found.allows(w)], allowed)
                 copies = sum(room.copies_in(w.free) for w in allowed)
                 self.assertEqual(found.total, copies)
                 self.assertEqual(found.total_most, 4 * len(allowed))
