--- a/tests/test_slow_restarts.py
+++ b/tests/test_slow_restarts.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
-from saddlestack.interfaces.workers import EndKind, RunningTask
+from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask
 from saddlestack.policy.cluster.changes import Changes, StopReason
 from saddlestack.policy.cluster.options import SchedulingOptions
-from saddlestack.policy.cluster.slow_restarts import MIN_RUN_S
+from saddlestack.policy.cluster.slow_restarts import MAX_RESTARTS, MIN_RUN_S
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.work import Step
+from tests import test_cluster_state
 from tests.speed_support import SLOW, SpeedCase
 from tests.test_cluster_state import NORMAL, step
 
@@ -226,5 +228,70 @@
         self.assertEqual(self.places(gang), ["w11", "w12", "w13"])
 
 
+class WavesTest(unittest.TestCase):
+    """Urgent gangs arrive on workers of which a third is slow, and some of these are not known."""
+
+    SEEDS = range(20)
+
+    def test_gangs_stay_whole_and_restart_at_most_once(self) -> None:
+        """Guards against parts of a gang that run without the rest, and against lost room."""
+        restarts = sum(self.run_day(seed) for seed in self.SEEDS)
+        self.assertGreater(restarts, 0)
+
+    def run_day(self, seed: int) -> int:
+        """Run random events for 20 s; return the number of restarts."""
+        rng = random.Random(seed)
+        case = SlowRestartCase()
+        case.setUp()
+        case.workers(racks=2, each=4)
+        slow = {name for name in case.cluster_state.workers if rng.random() < 0.35}
+        restarts = 0
+        for tick in range(70):
+            now = tick * 0.3
+            if rng.random() < 0.25:
+                made = step(
+                    rng.randint(2, 4),
+                    rng.choice((2, 4, 8)),
+                    gang=True,
+                    same_rack=rng.random() < 0.5,
+                )
+                case.submit(made, accepted_ms=int(now * 1000))
+            for name in slow:
+                if rng.random() < 0.02:
+                    case.set_factors(**{name: SLOW})
+            self.report(case, slow, now)
+            case.cluster_state.plan(now, now * 1000)
+            changes = case.cluster_state.take_changes()
+            for start in changes.starts:
+                case.cluster_state.run_started(start.run, now)
+            restarts += changes.slow_restarts
+            test_cluster_state.RandomEventsTest().check(case.cluster_state)
+        for job in case.cluster_state.jobs.values():
+            self.assertLessEqual(job.occurrences[0].steps[0].slow_restarts, MAX_RESTARTS)
+        return restarts
+
+    def report(self, case: SlowRestartCase, slow: set[str], now: float) -> None:
+        """Report the progress of all runs; end those that are done or were ordered to stop."""
+        state = case.cluster_state
+        for worker in list(state.workers.values()):
+            duration_s = WORK_S * (SLOW if worker.worker_id in slow else 1.0)
+            rows = []
+            for (name, number), run in list(worker.runs.items()):
+                if run.stopping:
+                    end = EndedTask(1, str(name), number, EndKind.STOPPED, "")
+                    state.run_ended(worker.worker_id, end, now)
+                    continue
+                elapsed_s = now - (run.started_s or 0.0)
+                percent = min(99, int(100 * elapsed_s / duration_s))
+                rows.append(RunningTask(str(name), number, "", percent, 0.0))
+            state.worker_reported(worker.worker_id, rows, now)
+        for job in list(state.jobs.values()):
+            runs = list(job.runs())
+            if runs and all(run.percent >= 99 and not run.stopping for run in runs):
+                for run in runs:
+                    end = EndedTask(1, str(run.task.name), run.number, EndKind.DONE, "")
+                    state.run_ended(run.worker_id, end, now)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_speed_placement.py
+++ b/tests/test_speed_placement.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from saddlestack.interfaces.workers import EndKind
+from saddlestack.interfaces.workers import EndedTask, EndKind
 from saddlestack.policy.cluster.changes import StopReason
 from saddlestack.policy.cluster.diagnosis import Diagnosis
 from saddlestack.policy.cluster.fits import FitCache, FitKey
@@ -551,6 +551,58 @@
         self.assertEqual(self.run_on("w12", step(1)).time_factor, 1.0)
 
 
+class WavesTest(SpeedCase):
+    """Waves of bulk tasks and urgent gangs on a pool of which a third is 2.4 times as slow."""
+
+    @settings(max_examples=25, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_urgent_gangs_are_on_fast_workers_while_these_have_room(self, seed: int) -> None:
+        self.setUp()
+        rng = random.Random(seed)
+        self.workers(racks=3, each=4)
+        for number, name in enumerate(sorted(self.cluster_state.workers)):
+            self.set_factors(**{name: SLOW if number % 3 == 0 else 1.0})
+        self.know(2.3)
+        gangs: list[str] = []
+        bulk_s: dict[bool, int] = {False: 0, True: 0}
+        for tick in range(80):
+            now = tick * 0.25
+            self.end_some(rng, now)
+            if tick % 16 < 8:
+                made = step(rng.randint(4, 12))
+                self.submit(made, priority=BULK, target_ms=3000, accepted_ms=int(now * 1000))
+            if rng.random() < 0.3:
+                gang = step(rng.randint(1, 4), rng.choice((2, 4, 8)), gang=True)
+                gangs.append(self.submit(gang, accepted_ms=int(now * 1000)))
+            waiting = [gang for gang in gangs if not self.places(gang)]
+            free = self.free_on_fast()
+            self.plan_at(now)
+            if len(waiting) == 1 and any(map(self.is_slow, self.places(waiting[0]))):
+                [made] = self.cluster_state.jobs[waiting[0]].accepted.request.steps
+                self.assertLess(sum(each // made.needs.accelerators for each in free), made.count)
+            for worker in self.cluster_state.workers.values():
+                lower = worker.lower_priority_usage(URGENT).accelerators
+                bulk_s[worker.time_factor > 1.0] += lower
+        self.assertGreater(bulk_s[True] / 4, bulk_s[False] / 8)
+
+    def is_slow(self, name: str) -> bool:
+        return self.cluster_state.workers[name].time_factor > 1.0
+
+    def free_on_fast(self) -> list[int]:
+        workers = self.cluster_state.workers.values()
+        return [w.free.accelerators for w in workers if w.time_factor == 1.0]
+
+    def end_some(self, rng: random.Random, now: float) -> None:
+        """End the runs that are being stopped, and some others."""
+        for worker in list(self.cluster_state.workers.values()):
+            for (name, number), run in list(worker.runs.items()):
+                done = rng.random() < 0.1 / worker.time_factor
+                if run.stopping or done:
+                    how = EndKind.STOPPED if run.stopping else EndKind.DONE
+                    end = EndedTask(1, str(name), number, how, "")
+                    self.cluster_state.run_ended(worker.worker_id, end, now)
+
+
 class CountsTest(unittest.TestCase):
     """Counts by speed are derived from those of all workers, and must equal a count of each."""
 
