--- a/src/saddlestack/policy/cluster/fits.py
+++ b/src/saddlestack/policy/cluster/fits.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field, replace
 from heapq import merge
 
 from sortedcontainers import SortedList
@@ -45,19 +45,23 @@
     known: bool = False
 
     def allows(self, worker: Worker, now: float) -> bool:
-        """Whether a worker that accepts work may run such tasks."""
+        """Whether a worker that accepts work may run such tasks, if its speed is allowed."""
         if self.proven and now < worker.probation_s:
             return False
-        if self.label and self.label not in worker.record.labels:
-            return False
-        return not self._bounds_speed or self._allows_speed(worker)
+        return not self.label or self.label in worker.record.labels
 
     @property
-    def _bounds_speed(self) -> bool:
+    def bounds_speed(self) -> bool:
+        """Whether the speed of a worker matters."""
         return self.max_factor != math.inf or self.known or self.above > 0.0
 
-    def _allows_speed(self, worker: Worker) -> bool:
-        factor = known_factor(worker)
+    @property
+    def of_any_speed(self) -> FitKey:
+        """The same requirements without those of speed."""
+        return replace(self, max_factor=math.inf, above=0.0, known=False)
+
+    def allows_speed(self, factor: float | None) -> bool:
+        """Whether a worker with a known factor, or ``None``, may run such tasks."""
         if factor is None:
             return not self.known and not self.above
         return not exceeds(factor, self.max_factor) and (
@@ -74,12 +78,21 @@
     :param free: free accelerators of its workers.
     :param releasable: by priority, what fits once work of lower priority has ended. Computed on
         demand.
+    :param by_speed: the first three by known factor of the workers. Counted on demand while no
+        worker is slow.
     """
 
     copies: int = 0
     most: int = 0
     free: int = 0
     releasable: dict[int, ReleasableRack] = field(default_factory=dict)
+    by_speed: dict[float | None, RackFit] = field(default_factory=dict)
+
+    def add(self, part: RackFit) -> None:
+        """Add the counts of some workers of the rack."""
+        self.copies += part.copies
+        self.most += part.most
+        self.free += part.free
 
 
 class FitCapacity:
@@ -87,10 +100,19 @@
 
     :ivar total: number of tasks that fit now.
     :ivar total_most: number of tasks that would fit if all workers were empty.
+
+    :param of_any_speed: the capacity without regard to speed, if the requirements bound the speed.
+        Its counts are used, so that each worker is counted once.
     """
 
-    def __init__(self, fit: FitKey, service_capacity: ServiceCapacity) -> None:
+    def __init__(
+        self,
+        fit: FitKey,
+        service_capacity: ServiceCapacity,
+        of_any_speed: FitCapacity | None = None,
+    ) -> None:
         self.fit = fit
+        self.of_any_speed = of_any_speed
         self.service_capacity = service_capacity
         self.racks: list[RackFit] = []
         self.total = 0
@@ -112,11 +134,17 @@
 
     def allows(self, worker: Worker) -> bool:
         """Whether a worker that accepts work may run such tasks."""
+        if self.of_any_speed is not None and not self.fit.allows_speed(known_factor(worker)):
+            return False
         return self.fit.allows(worker, self._now)
 
     def workers(self, rack: Rack) -> list[Worker]:
         """The workers of a rack that may run such tasks."""
-        return [worker for worker in rack.eligible if self.allows(worker)]
+        fit, now = self.fit, self._now
+        found = [worker for worker in rack.eligible if fit.allows(worker, now)]
+        if self.of_any_speed is None:
+            return found
+        return [worker for worker in found if fit.allows_speed(known_factor(worker))]
 
     def releasable(self, rack: Rack, priority: int) -> ReleasableRack:
         """What fits in a rack once all work of lower priority there has ended."""
@@ -146,12 +174,10 @@
 
     def _count(self, rack: Rack) -> None:
         old = self.racks[rack.number]
-        new = RackFit()
-        for worker in self.workers(rack):
-            free = worker.free
-            new.copies += worker.count_fitting(self.fit.room, free)
-            new.most += self.fit.room.copies_in(worker.record.capacity)
-            new.free += free.accelerators
+        if self.of_any_speed is None:
+            new = self._count_workers(rack)
+        else:
+            new = self._sum_speeds(self.of_any_speed.counts_by_speed(rack))
         self.racks[rack.number] = new
         self.total += new.copies - old.copies
         self.total_most += new.most - old.most
@@ -162,7 +188,51 @@
             self._by_most.remove(old.most)
             self._by_most.add(new.most)
 
+    def _count_workers(self, rack: Rack) -> RackFit:
+        if not self.service_capacity.has_slow_workers:
+            return self._count_listed(self.workers(rack))
+        found = RackFit()
+        found.by_speed = self._count_by_speed(rack)
+        for part in found.by_speed.values():
+            found.add(part)
+        return found
+
+    def counts_by_speed(self, rack: Rack) -> dict[float | None, RackFit]:
+        """Counts of a rack by known factor of its workers."""
+        found = self.racks[rack.number]
+        if not found.by_speed:
+            found.by_speed = self._count_by_speed(rack)
+        return found.by_speed
+
+    def _count_by_speed(self, rack: Rack) -> dict[float | None, RackFit]:
+        groups: dict[float | None, list[Worker]] = {}
+        for worker in self.workers(rack):
+            groups.setdefault(known_factor(worker), []).append(worker)
+        return {speed: self._count_listed(group) for speed, group in groups.items()}
+
+    def _count_listed(self, workers: Iterable[Worker]) -> RackFit:
+        found = RackFit()
+        for worker in workers:
+            free = worker.free
+            found.copies += worker.count_fitting(self.fit.room, free)
+            found.most += self.fit.room.copies_in(worker.record.capacity)
+            found.free += free.accelerators
+        return found
+
+    def _sum_speeds(self, by_speed: Mapping[float | None, RackFit]) -> RackFit:
+        """The part of a rack's capacity that is within the bounds of speed."""
+        found = RackFit()
+        for speed, part in by_speed.items():
+            if self.fit.allows_speed(speed):
+                found.add(part)
+        return found
+
     def _releasable(self, rack: Rack, priority: int) -> Iterator[ReleasableWorker]:
+        if self.of_any_speed is not None:
+            for each in self.of_any_speed.releasable(rack, priority).workers:
+                if self.fit.allows_speed(known_factor(each.worker)):
+                    yield each
+            return
         for worker in self.workers(rack):
             lower = worker.lower_priority_usage(priority)
             copies = worker.count_fitting(self.fit.room, worker.free + lower)
@@ -180,11 +250,13 @@
     def of(self, fit: FitKey) -> FitCapacity:
         """Capacity for tasks with some requirements, with all changes up to now."""
         service_capacity = self._index.service(fit.service)
+        of_any_speed = self.of(fit.of_any_speed) if fit.bounds_speed else None
         known = self._known.pop(fit, None)
         if known is None:
-            known = FitCapacity(fit, service_capacity)
+            known = FitCapacity(fit, service_capacity, of_any_speed)
             if len(self._known) >= MAX_FITS:
                 del self._known[next(iter(self._known))]
         self._known[fit] = known
+        known.of_any_speed = of_any_speed
         known.refresh(self._index.now)
         return known
--- a/tests/test_speed_placement.py
+++ b/tests/test_speed_placement.py
@@ -5,14 +5,16 @@
 import math
 import random
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from saddlestack.interfaces.workers import EndKind
+from saddlestack.interfaces.workers import EndedTask, EndKind
 from saddlestack.policy.cluster.changes import StopReason
 from saddlestack.policy.cluster.diagnosis import Diagnosis
-from saddlestack.policy.cluster.index import MAX_URGENT_FACTOR
+from saddlestack.policy.cluster.fits import FitCache, FitKey
+from saddlestack.policy.cluster.index import MAX_URGENT_FACTOR, CapacityIndex
 from saddlestack.policy.cluster.jobs import Run, weight
 from saddlestack.policy.cluster.lending import Lending
 from saddlestack.policy.cluster.options import SchedulingOptions
@@ -26,10 +28,11 @@
     SpeedLimits,
     UnknownWorkTimes,
 )
-from saddlestack.policy.cluster.speed_rank import fast_first, level_below, slow_first
+from saddlestack.policy.cluster.speed_rank import fast_first, known_factor, level_below, slow_first
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.policy.cluster.wait_limits import HEADROOM_WAIT_S, IDLE_POOL_WAIT_S
-from saddlestack.work import Step, TaskName
+from saddlestack.policy.cluster.workers import Worker
+from saddlestack.work import Resources, Step, TaskName
 from tests import test_cluster_state
 from tests.speed_support import SLOW, USING_SPEEDS, FixedWorkTimes, SpeedCase
 from tests.test_cluster_state import (
@@ -39,6 +42,7 @@
     SERVICE,
     URGENT,
     RetryAllShapes,
+    record,
     step,
 )
 from tests.test_diagnosis import diagnosis_context
@@ -542,6 +546,128 @@
         self.assertEqual(self.run_on("w12", step(1)).time_factor, 1.0)
 
 
+class WavesTest(SpeedCase):
+    """Waves of bulk tasks and urgent gangs on a pool of which a third is 2.4 times as slow."""
+
+    @settings(max_examples=25, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_urgent_gangs_are_on_fast_workers_while_these_have_room(self, seed: int) -> None:
+        self.setUp()
+        rng = random.Random(seed)
+        self.workers(racks=3, each=4)
+        for number, name in enumerate(sorted(self.cluster_state.workers)):
+            self.set_factors(**{name: SLOW if number % 3 == 0 else 1.0})
+        self.know(2.3)
+        gangs: list[str] = []
+        bulk_s: dict[bool, int] = {False: 0, True: 0}
+        for tick in range(80):
+            now = tick * 0.25
+            self.end_some(rng, now)
+            if tick % 16 < 8:
+                made = step(rng.randint(4, 12))
+                self.submit(made, priority=BULK, target_ms=3000, accepted_ms=int(now * 1000))
+            if rng.random() < 0.3:
+                gang = step(rng.randint(1, 4), rng.choice((2, 4, 8)), gang=True)
+                gangs.append(self.submit(gang, accepted_ms=int(now * 1000)))
+            waiting = [gang for gang in gangs if not self.places(gang)]
+            free = self.free_on_fast()
+            self.plan_at(now)
+            if len(waiting) == 1 and any(map(self.is_slow, self.places(waiting[0]))):
+                [made] = self.cluster_state.jobs[waiting[0]].accepted.request.steps
+                self.assertLess(sum(each // made.needs.accelerators for each in free), made.count)
+            for worker in self.cluster_state.workers.values():
+                lower = worker.lower_priority_usage(URGENT).accelerators
+                bulk_s[worker.time_factor > 1.0] += lower
+        self.assertGreater(bulk_s[True] / 4, bulk_s[False] / 8)
+
+    def is_slow(self, name: str) -> bool:
+        return self.cluster_state.workers[name].time_factor > 1.0
+
+    def free_on_fast(self) -> list[int]:
+        workers = self.cluster_state.workers.values()
+        return [w.free.accelerators for w in workers if w.time_factor == 1.0]
+
+    def end_some(self, rng: random.Random, now: float) -> None:
+        """End the runs that are being stopped, and some others."""
+        for worker in list(self.cluster_state.workers.values()):
+            for (name, number), run in list(worker.runs.items()):
+                done = rng.random() < 0.1 / worker.time_factor
+                if run.stopping or done:
+                    how = EndKind.STOPPED if run.stopping else EndKind.DONE
+                    end = EndedTask(1, str(name), number, how, "")
+                    self.cluster_state.run_ended(worker.worker_id, end, now)
+
+
+class CountsTest(unittest.TestCase):
+    """Counts by speed are derived from those of all workers, and must equal a count of each."""
+
+    @settings(max_examples=40, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_counts_within_bounds_of_speed_are_those_of_the_workers(self, seed: int) -> None:
+        rng = random.Random(seed)
+        index = CapacityIndex(uses_speeds=True)
+        workers = [Worker(record(f"w{n}", rack=f"r{n % 3}")) for n in range(9)]
+        for worker in workers:
+            index.add(worker)
+        cache = FitCache(index)
+        room = Resources(1000, 1000, 2)
+        fit = FitKey(SERVICE, room, "", proven=False)
+        keys = [
+            fit,
+            replace(fit, max_factor=1.25),
+            replace(fit, max_factor=SLOW, above=1.25),
+            replace(fit, max_factor=1.5625, known=True),
+        ]
+        for number in range(12):
+            worker = rng.choice(workers)
+            if number and rng.random() < 0.7:
+                worker.speed_known = rng.random() < 0.7
+                worker.time_factor = rng.choice(LEVELS)
+            worker.used = Resources(0, 0, rng.randrange(9))
+            if rng.random() < 0.1:
+                cache = FitCache(index)
+            elif rng.random() < 0.2:
+                cache._known.pop(fit, None)
+            index.begin_round(float(number))
+            for key in rng.sample(keys, 2):
+                found = cache.of(key)
+                allowed = [w for w in workers if key.allows_speed(known_factor(w))]
+                self.assertEqual([w for w in workers if found.allows(w)], allowed)
+                copies = sum(room.copies_in(w.free) for w in allowed)
+                self.assertEqual(found.total, copies)
+                self.assertEqual(found.total_most, 4 * len(allowed))
+                for rack in found.service_capacity.racks:
+                    counted = [w for w in allowed if w.record.rack == rack.name]
+                    fits = found.racks[rack.number]
+                    self.assertEqual(fits.free, sum(w.free.accelerators for w in counted))
+                    releasable = found.releasable(rack, URGENT).workers
+                    held = [w for w in counted if room.copies_in(w.free)]
+                    self.assertCountEqual([each.worker for each in releasable], held)
+
+    @settings(max_examples=40, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_workers_are_read_in_the_order_of_rank_then_of_free_capacity(self, seed: int) -> None:
+        rng = random.Random(seed)
+        index = CapacityIndex(uses_speeds=True)
+        workers = [Worker(record(f"w{n}", rack=f"r{n % 3}")) for n in range(9)]
+        for worker in workers:
+            worker.speed_known = rng.random() < 0.7
+            worker.time_factor = rng.choice(LEVELS) if worker.speed_known else 1.0
+            worker.used = Resources(rng.randrange(3), 0, rng.randrange(9))
+            index.add(worker)
+        index.begin_round(0.0)
+        capacity = index.service(SERVICE)
+        wanted = [w for w in workers if w.free.accelerators >= 2]
+
+        def tightness(worker: Worker) -> tuple[int, int]:
+            return worker.free.accelerators, worker.free.cpu
+
+        self.assertEqual(list(capacity.tightest_first(2, 1)), sorted(wanted, key=tightness))
+        for rank in (slow_first, fast_first):
+            expected = sorted(wanted, key=lambda w: (rank(known_factor(w)), tightness(w)))
+            self.assertEqual(list(capacity.tightest_first(2, 1, rank)), expected)
+
+
 class EqualWorkersTest(unittest.TestCase):
     """With equal workers all decisions are the same as without speeds."""
 
