--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -56,6 +56,33 @@
 
 
 VARIANTS = (
+    Variant(
+        "speeds",
+        "workers' speeds learned, and work placed by them",
+        (
+            Edit(
+                "control/settings.py",
+                "            worker_speeds=self.worker_speeds,",
+                "            worker_speeds=False,",
+            ),
+        ),
+    ),
+    Variant(
+        "gang priority",
+        "resources collected for waiting gangs",
+        (
+            Edit(
+                "control/settings.py",
+                "            gang_priority=self.gang_priority,",
+                "            gang_priority=False,",
+            ),
+        ),
+    ),
+    Variant(
+        "slow restarts",
+        "urgent gangs restart when a slow worker makes them late",
+        (Edit("policy/cluster/slow_restarts.py", "MAX_RESTARTS = 1", "MAX_RESTARTS = 0"),),
+    ),
     Variant(
         "headroom",
         "headroom for urgent work",
