Compare gangs as exact evidence and hold the reference of worker speeds

Placement selects which workers become known: bulk work goes to known slow workers first. The median of the known workers then moved towards the slow ones, and slow workers were published at levels that urgent work accepts.

Steps and known workers are now split in a faster and a slower group where there are two. Gangs whose members agree give exact evidence from two workers on, and earlier for urgent ones; where the members of gangs are uneven, that evidence is dropped. A single piece of evidence that may be of a slow worker does not publish it as usual.

--- a/src/saddlestack/policy/cluster/speed_evidence.py
+++ b/src/saddlestack/policy/cluster/speed_evidence.py
@@ -36,6 +36,8 @@
     :param runs: runs it was taken from.
     :param updated_s: when it last changed.
     :param dropped: later evidence contradicts it, so that it no longer counts.
+    :param margin: how far the excess may be off by chance.
+    :param is_even: it was taken from runs that were assumed to have equal work.
     """
 
     excess: float
@@ -43,6 +45,8 @@
     runs: int
     updated_s: float
     dropped: bool = False
+    margin: float = 0.0
+    is_even: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -53,12 +57,14 @@
     :param weight: total weight of the evidence, decayed to the time of the estimate.
     :param runs: runs whose evidence agrees with the factor.
     :param updated_s: when the latest piece changed.
+    :param margin: that of the only piece of evidence, 0 where there are several.
     """
 
     log_factor: float
     weight: float
     runs: int
     updated_s: float
+    margin: float = 0.0
 
 
 def confidence_of(weight: float) -> float:
@@ -124,7 +130,8 @@
             runs += piece.runs
         if piece.updated_s > updated_s:
             updated_s = piece.updated_s
-    return Belief(factor, total, runs, updated_s)
+    margin = pieces[0].margin if len(pieces) == 1 and prior is None else 0.0
+    return Belief(factor, total, runs, updated_s, margin)
 
 
 def _shrunken_mean(
--- a/src/saddlestack/policy/cluster/speed_levels.py
+++ b/src/saddlestack/policy/cluster/speed_levels.py
@@ -20,6 +20,12 @@
 HIGHEST_ALIKE_LEVEL = 2
 """Workers up to this level count as alike: a factor of 1.56 also comes from the spread of tasks."""
 
+LOG_SLOW = math.log(1.5)
+"""Logarithm of the factor above which urgent work must not be placed."""
+SLOW_MARGIN_SHARE = 0.5
+"""Share of its margin by which an estimate has to be above :data:`LOG_SLOW`. A usual worker counted
+as slow costs capacity, while a slow one counted as usual makes urgent work late."""
+
 
 def nearest_level(log_factor: float) -> int:
     """The level nearest to the logarithm of a factor."""
@@ -36,3 +42,11 @@
 def level_factor(level: int) -> float:
     """The time factor of a level."""
     return float(LEVEL_RATIO**level)
+
+
+def is_clear(log_factor: float, margin: float) -> bool:
+    """Whether an estimate tells on which side of :data:`LOG_SLOW` a worker is.
+
+    :param margin: how far the estimate may be off by chance.
+    """
+    return not -margin < log_factor - LOG_SLOW < margin * SLOW_MARGIN_SHARE
--- a/src/saddlestack/policy/cluster/speed_services.py
+++ b/src/saddlestack/policy/cluster/speed_services.py
@@ -5,15 +5,23 @@
 from bisect import bisect_right
 from itertools import islice
 
+from saddlestack.policy.cluster.speed_gangs import GangSpread
+from saddlestack.policy.cluster.speed_groups import two_groups
 from saddlestack.policy.cluster.speed_levels import (
     HIGHEST_ALIKE_LEVEL,
     LOG_LEVEL,
+    LOG_SLOW,
+    is_clear,
     next_level,
 )
 from saddlestack.policy.cluster.speed_records import WorkerSpeed
 
 SHIFT_TOLERANCE = 0.05
 """Change of the median up to which factors stay as they are: a quarter of a level."""
+HELD_FROM = 0.4
+"""Change of the median above which it may be that of another group of workers: a factor of 1.5."""
+MAJORITY = 0.5
+"""Share of all workers above which a group of known workers is usual."""
 MIN_COMMON = 3
 """Workers that have to be slow for slow workers to be common..."""
 COMMON_SHARE = 0.1
@@ -37,12 +45,18 @@
 class ServiceSpeeds:
     """The known workers of one service, and which factors the decisions use.
 
-    The median of the known workers counts as usual. Where none is slow, all count as alike, so that
-    decisions are the same as without speeds.
+    The median of the known workers counts as usual, or that of one group where they are a faster
+    and a slower one (see :meth:`_usual`). Where none is slow, all count as alike, so that decisions
+    are the same as without speeds.
+
+    :ivar workers: number of workers, known or not.
+    :ivar gangs: the spread within gangs.
     """
 
     def __init__(self) -> None:
         self.known: dict[WorkerSpeed, None] = {}
+        self.workers = 0
+        self.gangs = GangSpread()
         self.is_unequal = False
         self.is_dirty = False
         self._shift = 0.0
@@ -110,7 +124,7 @@
         if not factors:
             return False
         factors.sort()
-        middle = factors[len(factors) // 2]
+        middle = self._usual(factors)
         shift = middle if abs(middle - self._shift) > SHIFT_TOLERANCE else self._shift
         slow_from = shift + (HIGHEST_ALIKE_LEVEL + 0.5) * LOG_LEVEL
         slow = len(factors) - bisect_right(factors, slow_from)
@@ -120,6 +134,27 @@
         self._shift, self._slow_common, self._is_stale = shift, slow_common, True
         return True
 
+    def _usual(self, factors: list[float]) -> float:
+        """What is usual by the sorted factors of known workers.
+
+        Placement selects which workers become known: mostly the slow ones, if bulk work goes to
+        those first. So the slower of two groups is usual only if it is the majority of all workers,
+        known or not, and a single group far from what was usual replaces it only then.
+        """
+        count = len(factors)
+        middle = factors[count // 2]
+        share_known = min(1.0, len(self.known) / max(1, self.workers))
+        groups = two_groups(factors)
+        if groups is None:
+            is_held = abs(middle - self._shift) > HELD_FROM and share_known <= MAJORITY
+            return self._shift if is_held else middle
+        slower = count - groups.size
+        if slower / count * share_known > MAJORITY or groups.size < max(
+            MIN_COMMON, COMMON_SHARE * count
+        ):
+            return factors[groups.size + slower // 2]
+        return factors[groups.size // 2]
+
     def _set_level(self, speed: WorkerSpeed) -> None:
         self._set_offset(speed)
         speed.level = self._level(speed)
@@ -129,8 +164,17 @@
             speed.offset = speed.belief.log_factor - self._shift
 
     def _level(self, speed: WorkerSpeed) -> int | None:
-        """The level of a worker; its present one as long as a slow one is not confirmed."""
+        """The level of a worker; its present one as long as a slow one is not confirmed.
+
+        There is none while the only evidence does not tell whether the worker is slow. Where slow
+        workers are common, the highest level that counts as alike holds none above 1.5.
+        """
+        margin = 0.0 if speed.belief is None else speed.belief.margin
+        if self._slow_common and not is_clear(speed.offset, margin):
+            return None
         level = next_level(speed.offset, speed.level)
+        if self._slow_common and level == HIGHEST_ALIKE_LEVEL and speed.offset > LOG_SLOW:
+            level += 1
         if level <= HIGHEST_ALIKE_LEVEL or self._slow_common:
             return level
         if speed.belief is not None and speed.belief.runs >= CONFIRMING_RUNS:
--- a/src/saddlestack/policy/cluster/speed_steps.py
+++ b/src/saddlestack/policy/cluster/speed_steps.py
@@ -5,19 +5,41 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from itertools import islice
 
 from saddlestack.policy.cluster.jobs import Run, StepState
 from saddlestack.policy.cluster.speed_evidence import AGREEMENT, Evidence
-from saddlestack.policy.cluster.speed_records import WorkerSpeed
+from saddlestack.policy.cluster.speed_gangs import GangSpread, spread_of
+from saddlestack.policy.cluster.speed_groups import Groups, two_groups
+from saddlestack.policy.cluster.speed_records import KNOWN_WEIGHT, WorkerSpeed
 
 MIN_WORKERS = 3
 """Workers with a rate from which on a step gives evidence."""
+MIN_GANG_WORKERS = 2
+"""The same for a gang of equal members, where each rate is exact."""
 WEIGHT_OF_UNKNOWN = 0.1
 """What a worker of unknown speed adds to the weight of a step's evidence. Where a third of the
 workers is slow, more than half of 3 are slow in one case of four, of 10 in one of twelve."""
 WEIGHT_OF_KNOWN = 0.35
 """The same for a worker of known speed: three of them show what is usual."""
+WEIGHT_IN_DOUBT = 0.02
+"""What a worker of unknown speed adds where slow workers are known to exist, no run is on a worker
+of known speed, and all rates are alike: these may all be slow workers. Placement prefers workers by
+what is known of them, so the unknown ones are no fair sample."""
+WEIGHT_OF_GANG = 2.0
+"""Weight of the evidence of a gang of equal members, twice that of a wide step of uneven tasks."""
+MIN_SHOWN = 5
+"""Workers from which on two groups with uneven tasks show by themselves which ones are slow."""
+PULL_OF_UNKNOWN = 0.25
+"""What a worker of unknown speed counts in the length of a step, against 1 for a known one. With
+uneven tasks it counts as much as fewer than three known ones, whose runs may all be long."""
+FASTER_SHARE = 0.25
+"""Share of the faster of two groups from which on its length is that of the step. Those of the
+other group are then slow; a single fast run of a wide step remains an outlier."""
+UNEVEN_MARGIN = 0.18
+"""How far the logarithm of a single run may be off where tasks are uneven: at a spread of a fifth,
+one run of 300 on a worker with factor 2.4 falls below 1.5 by more than this."""
+GANG_MARGIN = 0.07
+"""The same in a gang of equal members, where whole percents are the largest error."""
 MAX_COMPARED = 64
 """Runs that the length of a step is computed from; more would not make it more exact."""
 MOVED = 0.1
@@ -35,6 +57,11 @@
 """Time from which on a rate counts."""
 WAITING_PERCENT = 99
 """Progress at which the member of a gang waits for the others."""
+URGENT_FIRST_PERCENT = 6
+"""The same for an urgent gang: its members are reported every 0.3 s and have equal work, so that
+8 and 21 percent tell a slow worker."""
+URGENT_FIRST_S = 0.25
+"""The same for an urgent gang."""
 NEVER_PERCENT = 1000
 """Progress that no run reaches."""
 
@@ -79,14 +106,20 @@
     Attributes: ``rates`` by index of the task, ``shares`` by worker, ``length`` the logarithm of
     its seconds on a usual worker, ``running`` the number of tracked runs that have not ended,
     ``gang_began`` the number of the gang's run and when it began, ``is_counted`` whether a gang's
-    length was taken as typical work, ``is_left_out`` whether nothing is learned from the step.
+    length was taken as typical work, ``is_left_out`` whether nothing is learned from the step,
+    ``gangs`` the spread of gangs for a gang of several tasks, ``first_percent`` and ``first_s``
+    from where on a rate counts.
     """
 
     __slots__ = (
         "_changed",
         "_compared_s",
+        "_has_spread",
         "_weight",
+        "first_percent",
+        "first_s",
         "gang_began",
+        "gangs",
         "is_counted",
         "is_left_out",
         "length",
@@ -95,7 +128,16 @@
         "shares",
     )
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        gangs: GangSpread | None = None,
+        first_percent: int = FIRST_PERCENT,
+        first_s: float = FIRST_S,
+    ) -> None:
+        self.gangs = gangs
+        self.first_percent = first_percent
+        self.first_s = first_s
+        self._has_spread = False
         self.rates: dict[int, RunRate] = {}
         self.shares: dict[WorkerSpeed, WorkerShare] = {}
         self.length: float | None = None
@@ -112,6 +154,7 @@
         index = run.task.name.index
         self.discard(index)
         rate = self.rates[index] = RunRate(speed, run.number, began_s)
+        rate.next_percent = self.first_percent
         self.running += 1
         return rate
 
@@ -153,26 +196,46 @@
 
         :param renewal_s: time after which any change is enough.
         """
-        if len(self.shares) < MIN_WORKERS:
+        if len(self.shares) < self._min_workers:
             return False
         if len(self._changed) >= RENEWAL_SHARE * len(self.shares):
             return True
         return now - self._compared_s >= renewal_s
 
-    def compare(self, now: float) -> list[tuple[WorkerSpeed, Evidence]]:
-        """Renew the length of the step; returns the evidence that changed or was withdrawn."""
+    @property
+    def _is_even(self) -> bool:
+        """Whether the runs have equal work."""
+        return self.gangs is not None and self.gangs.is_even
+
+    @property
+    def _min_workers(self) -> int:
+        return MIN_GANG_WORKERS if self._is_even else MIN_WORKERS
+
+    def compare(self, now: float, *, is_unequal: bool) -> list[tuple[WorkerSpeed, Evidence]]:
+        """Renew the length of the step; returns the evidence that changed or was withdrawn.
+
+        :param is_unequal: whether slow workers are known to exist.
+        """
         present = [speed for speed, share in self.shares.items() if share.rates]
         self._compared_s = now
         changed, self._changed = self._changed, {}
-        if len(present) < MIN_WORKERS:
+        if len(present) < self._min_workers:
             self.length = None
             return self._withdraw_all()
-        length = self._median_length()
-        self._weight = _weight_of(present)
+        lengths = self._lengths(present)
+        groups = two_groups([each[0] for each in lengths])
+        self._add_spread(lengths, groups)
+        if len(present) < MIN_SHOWN and not self._is_even:
+            groups = None
+        length = _length_of(lengths, groups)
+        weight = self._weight_of(present, groups, is_unequal=is_unequal)
         renewed: Iterable[WorkerSpeed] = changed
-        if self.length is None or abs(length - self.length) > MOVED:
+        moved = self.length is None or abs(length - self.length) > MOVED
+        if moved:
             self.length = length
+        if moved or weight != self._weight:
             renewed = self.shares
+        self._weight = weight
         found = (self._renew(speed, now if speed in changed else None) for speed in renewed)
         return [each for each in found if each is not None]
 
@@ -185,18 +248,43 @@
                 share.piece = None
         return found
 
-    def _median_length(self) -> float:
-        rates: Iterable[RunRate] = self.rates.values()
-        if len(self.rates) > MAX_COMPARED:
-            rates = islice(rates, 0, None, len(self.rates) // MAX_COMPARED)
-        lengths = [
-            rate.log_duration - rate.speed.offset for rate in rates if rate.log_duration is not None
-        ]
+    def _lengths(self, present: list[WorkerSpeed]) -> list[tuple[float, float]]:
+        """The length of the step by each worker, and what it counts; shortest first."""
+        if len(present) > MAX_COMPARED:
+            present = present[:: len(present) // MAX_COMPARED]
+        known = sum(1 for speed in present if speed.level is not None)
+        pull_of_unknown = PULL_OF_UNKNOWN if self._is_even or known >= MIN_WORKERS else 1.0
+        lengths = []
+        for speed in present:
+            duration = _typical(self.shares[speed].rates, self.length or 0.0)
+            pull = pull_of_unknown if speed.level is None else 1.0
+            lengths.append((duration + (self.length or 0.0) - speed.offset, pull))
         lengths.sort()
-        if not lengths:
-            return self.length or 0.0
-        middle = len(lengths) // 2
-        return lengths[middle] if len(lengths) % 2 else (lengths[middle - 1] + lengths[middle]) / 2
+        return lengths
+
+    def _add_spread(self, lengths: list[tuple[float, float]], groups: Groups | None) -> None:
+        """Note once how far the faster members of a gang agree."""
+        if self.gangs is None or self._has_spread:
+            return
+        faster = lengths if groups is None else lengths[: groups.size]
+        if len(faster) >= 2:
+            self._has_spread = True
+            self.gangs.add(spread_of([each[0] for each in faster]))
+
+    def _weight_of(
+        self, present: list[WorkerSpeed], groups: Groups | None, *, is_unequal: bool
+    ) -> float:
+        """The weight of evidence: how well the step shows what is usual."""
+        known = sum(1 for speed in present if speed.level is not None)
+        unknown = len(present) - known
+        if self._is_even and (known or groups is not None):
+            return WEIGHT_OF_GANG
+        if not known and groups is None and is_unequal:
+            return min(1.0, unknown * WEIGHT_IN_DOUBT)
+        weight = known * WEIGHT_OF_KNOWN + unknown * WEIGHT_OF_UNKNOWN
+        if groups is not None and groups.size >= 2:
+            weight = max(weight, KNOWN_WEIGHT)
+        return min(1.0, weight)
 
     def _renew(self, speed: WorkerSpeed, now: float | None) -> tuple[WorkerSpeed, Evidence] | None:
         """Renew the evidence on a worker.
@@ -217,23 +305,42 @@
         piece.excess = excess
         piece.weight = self._weight
         piece.runs = len(share.rates)
+        piece.margin = self._margin(piece.runs)
+        piece.is_even = self._is_even
         if now is not None:
             piece.updated_s = now
         return speed, piece
 
+    def _margin(self, runs: int) -> float:
+        if self._is_even:
+            return GANG_MARGIN
+        return UNEVEN_MARGIN / math.sqrt(runs)
+
 
 def gives_evidence(step: StepState) -> bool:
     """Whether the durations of a step's runs depend on the speed of their workers alone."""
     return not (step.step.fills or step.step.long_running or step.step.target_ms)
 
 
-def _weight_of(speeds: list[WorkerSpeed]) -> float:
-    weight = 0.0
-    for speed in speeds:
-        weight += WEIGHT_OF_KNOWN if speed.known else WEIGHT_OF_UNKNOWN
-        if weight >= 1.0:
-            return 1.0
-    return weight
+def _length_of(lengths: list[tuple[float, float]], groups: Groups | None) -> float:
+    """The length of a step on a usual worker.
+
+    :param lengths: those by each worker and what they count, shortest first.
+    """
+    total = sum(pull for _, pull in lengths)
+    if groups is not None:
+        faster = lengths[: groups.size]
+        pull = sum(pull for _, pull in faster)
+        if pull >= FASTER_SHARE * total:
+            lengths, total = faster, pull
+    passed = 0.0
+    for index, (length, pull) in enumerate(lengths):
+        passed += pull
+        if passed > total / 2:
+            return length
+        if passed == total / 2:
+            return (length + lengths[index + 1][0]) / 2
+    return lengths[-1][0]
 
 
 def _typical(rates: list[RunRate], length: float) -> float:
--- a/src/saddlestack/policy/cluster/speeds.py
+++ b/src/saddlestack/policy/cluster/speeds.py
@@ -24,6 +24,7 @@
     estimate,
     weight_for,
 )
+from saddlestack.policy.cluster.speed_gangs import GangSpread
 from saddlestack.policy.cluster.speed_records import (
     KNOWN_WEIGHT,
     LEAST_CONFIDENCE,
@@ -38,6 +39,8 @@
     FIRST_S,
     MIN_RENEWAL_S,
     RENEWAL_S_PER_STEP,
+    URGENT_FIRST_PERCENT,
+    URGENT_FIRST_S,
     WAITING_PERCENT,
     RunRate,
     StepComparison,
@@ -145,6 +148,7 @@
         if speed is None:
             speed = WorkerSpeed(worker, worker.machine, worker.record.service)
             self._workers[worker.worker_id] = speed
+            self._service(speed).workers += 1
             self._recall(speed)
         elif speed.machine != worker.machine or speed.service != worker.record.service:
             self._move(speed)
@@ -152,9 +156,11 @@
     def _move(self, speed: WorkerSpeed) -> None:
         """Apply the machine and the service of a new record."""
         self._service(speed).remove(speed)
+        self._service(speed).workers -= 1
         if self._machines.get(speed.machine) is speed:
             del self._machines[speed.machine]
         speed.machine, speed.service = speed.worker.machine, speed.worker.record.service
+        self._service(speed).workers += 1
         self._recall(speed)
         self._urgent[speed] = None
 
@@ -199,6 +205,7 @@
                 self._memories[speed.machine] = memory
         speed.gone = True
         self._service(speed).remove(speed)
+        self._service(speed).workers -= 1
         self._urgent.pop(speed, None)
         self._stale.pop(speed, None)
 
@@ -215,7 +222,7 @@
         :param members: returns all runs of the run's gang, or it alone.
         """
         percent = run.percent
-        if percent < FIRST_PERCENT:
+        if percent < URGENT_FIRST_PERCENT:
             return
         step = run.task.step
         comparison = self._steps.get(step)
@@ -227,6 +234,8 @@
                 if percent >= rate.next_percent:
                     self._renew_rate(comparison, rate, worker, run, now)
                 return
+        if percent < FIRST_PERCENT and not _is_urgent_gang(step):
+            return
         if run.stopping or not step.occurrence.open or not gives_evidence(step):
             return
         if comparison is None:
@@ -276,14 +285,21 @@
         self._close_if_over(step)
 
     def _open(self, step: StepState, worker: Worker, now: float) -> StepComparison:
-        comparison = self._steps[step] = StepComparison()
+        speed = self._speed(worker)
+        comparison = self._steps[step] = self._new_comparison(step, speed)
         runs = len(step.tasks)
         comparison.is_left_out = not self._budget.take(runs, now) and (
-            self._speed(worker).known or not self._first_budget.take(runs, now)
+            speed.known or not self._first_budget.take(runs, now)
         )
         self._steps_of_jobs.setdefault(step.occurrence.job.job_id, {})[step] = None
         return comparison
 
+    def _new_comparison(self, step: StepState, speed: WorkerSpeed) -> StepComparison:
+        gangs = self._service(speed).gangs if step.step.gang and len(step.tasks) > 1 else None
+        if _is_urgent_gang(step):
+            return StepComparison(gangs, URGENT_FIRST_PERCENT, URGENT_FIRST_S)
+        return StepComparison(gangs)
+
     def _open_rate(
         self,
         comparison: StepComparison,
@@ -315,7 +331,7 @@
             self._note(comparison, now)
             return
         elapsed_s = now - rate.began_s
-        if elapsed_s < FIRST_S:
+        if elapsed_s < comparison.first_s:
             return
         done = percent - rate.first_percent if rate.first_percent else min(percent + 0.5, 100.0)
         rate.next_percent = int(rate.first_percent + done * PERCENT_GROWTH)
@@ -428,7 +444,12 @@
                 self._changes.append(speed.change(now, self.half_life_s))
 
     def _compare(self, comparison: StepComparison, now: float) -> None:
-        for speed, piece in comparison.compare(now):
+        gangs = comparison.gangs
+        was_even = gangs is not None and gangs.is_even
+        found = comparison.compare(now, is_unequal=self._is_unequal(comparison))
+        if gangs is not None and was_even and not gangs.is_even:
+            self._drop_even_evidence(gangs)
+        for speed, piece in found:
             if speed.gone:
                 continue
             if not piece.dropped and piece not in speed.pieces:
@@ -436,6 +457,17 @@
             queue = self._stale if speed.known else self._urgent
             queue[speed] = None
 
+    def _drop_even_evidence(self, gangs: GangSpread) -> None:
+        """Drop the evidence of gangs that counted as even, as they turned out to be uneven."""
+        for speed in self._workers.values():
+            if self._service(speed).gangs is gangs and any(p.is_even for p in speed.pieces):
+                for piece in speed.pieces:
+                    piece.dropped = piece.dropped or piece.is_even
+                self._urgent[speed] = None
+
+    def _is_unequal(self, comparison: StepComparison) -> bool:
+        return any(self._service(speed).is_unequal for speed in islice(comparison.shares, 1))
+
     def _estimate_changed(self, now: float, elapsed_s: float) -> None:
         """Estimate workers with new evidence: all unknown ones, and some of the known ones."""
         urgent, self._urgent = self._urgent, {}
@@ -611,6 +643,10 @@
     return began_s
 
 
+def _is_urgent_gang(step: StepState) -> bool:
+    return step.step.gang and len(step.tasks) > 1 and step.occurrence.job.priority == 0
+
+
 def _shows_speed(worker: Worker, run: Run, began_s: float) -> bool:
     """Whether a run has worked at the full speed of its worker since it began."""
     return run.pace >= FULL_PACE and worker.cold_until_s <= began_s
--- a/tests/speed_pool.py
+++ b/tests/speed_pool.py
@@ -28,6 +28,8 @@
 URGENT_POLL_S = 0.3
 SLOW = 1.5
 """Factor above which a worker is slow for urgent work."""
+URGENT_LIMIT = 1.5625
+"""Highest published factor of workers that urgent work is placed on."""
 OPTIONS = SchedulingOptions(worker_speeds=True)
 
 
@@ -273,3 +275,63 @@
             if len(names) == count:
                 return names
         return []
+
+
+@dataclass
+class SelectiveWorkload(Workload):
+    """The same, placed by what is published: bulk on known slow workers, urgent work elsewhere.
+
+    The members of a gang have equal work.
+
+    :ivar urgent_on_usual: urgent tasks that were placed on workers published as usual.
+    :ivar urgent_misplaced: those of them whose worker is slow.
+    """
+
+    urgent_on_usual: int = 0
+    urgent_misplaced: int = 0
+
+    def _submit(self) -> None:
+        rng = self.rng
+        self.jobs += 1
+        job_id = f"{self.jobs:016x}"
+        kind = rng.choices(("urgent", "normal", "bulk"), (6, 2, 2))[0]
+        gang = kind != "bulk"
+        if kind == "urgent":
+            count, mean_s = min(32, max(1, round(rng.expovariate(1 / 5)))), rng.uniform(2.1, 2.5)
+        elif kind == "normal":
+            count, mean_s = min(78, max(1, round(rng.expovariate(1 / 13)))), rng.uniform(5.8, 6.8)
+        else:
+            count, mean_s = max(1, round(rng.gauss(39, 12))), rng.uniform(5.2, 7.6)
+        priority = {"urgent": URGENT, "normal": NORMAL, "bulk": BULK}[kind]
+        names = self._selected(count, urgent=kind == "urgent")
+        if not names:
+            return
+        step = make_step(count, priority, job_id=job_id, queue=kind, gang=gang)
+        lengths = [mean_s if gang else task_length(rng, mean_s) for _ in names]
+        self.pool.start(step, names, lengths)
+        if kind == "urgent":
+            usual = [name for name in names if self.is_published_usual(name)]
+            self.urgent_on_usual += len(usual)
+            self.urgent_misplaced += sum(self.pool.factors.get(each, 1.0) > SLOW for each in usual)
+
+    def is_published_usual(self, name: str) -> bool:
+        """Whether the worker is known as one that urgent work may use."""
+        worker = self.pool.workers[name]
+        return worker.speed_known and worker.time_factor <= URGENT_LIMIT
+
+    def _selected(self, count: int, *, urgent: bool) -> list[str]:
+        workers = list(self.pool.workers.values())
+        self.rng.shuffle(workers)
+
+        def rank(worker: Worker) -> tuple[int, int]:
+            usual = self.is_published_usual(worker.worker_id)
+            group = 1 if not worker.speed_known else (0 if usual is urgent else 2)
+            return group, -len(self.pool.works[worker])
+
+        names: list[str] = []
+        for worker in sorted(workers, key=rank):
+            free = ACCELERATORS - len(self.pool.works[worker])
+            names += [worker.worker_id] * min(free, count - len(names))
+            if len(names) == count:
+                return names
+        return []
