Test worker speeds under placement by speed, and count few faster workers as outliers

While two known workers of three were slow, the slower group was the reference. The spread of a gang is taken when it is first compared: later the speeds that were learned from it explain any spread.

--- a/src/saddlestack/policy/cluster/speed_services.py
+++ b/src/saddlestack/policy/cluster/speed_services.py
@@ -20,6 +20,9 @@
 """Change of the median up to which factors stay as they are: a quarter of a level."""
 HELD_FROM = 0.4
 """Change of the median above which it may be that of another group of workers: a factor of 1.5."""
+FASTER_SHARE = 0.2
+"""Share of the known workers from which on the faster group is usual, unless the slower one is the
+majority. While bulk work fills slow workers first, two of five known workers are fast at least."""
 MAJORITY = 0.5
 """Share of all workers above which a group of known workers is usual."""
 MIN_COMMON = 3
@@ -139,7 +142,8 @@
 
         Placement selects which workers become known: mostly the slow ones, if bulk work goes to
         those first. So the slower of two groups is usual only if it is the majority of all workers,
-        known or not, and a single group far from what was usual replaces it only then.
+        known or not, and a single group far from what was usual replaces it only then. A few faster
+        workers replace nothing.
         """
         count = len(factors)
         middle = factors[count // 2]
@@ -148,12 +152,15 @@
         if groups is None:
             is_held = abs(middle - self._shift) > HELD_FROM and share_known <= MAJORITY
             return self._shift if is_held else middle
-        slower = count - groups.size
-        if slower / count * share_known > MAJORITY or groups.size < max(
-            MIN_COMMON, COMMON_SHARE * count
-        ):
-            return factors[groups.size + slower // 2]
-        return factors[groups.size // 2]
+        faster, slower = factors[: groups.size], factors[groups.size :]
+        if len(slower) / count * share_known > MAJORITY:
+            usual = slower
+        elif len(faster) < FASTER_SHARE * count:
+            is_held = abs(groups.faster - self._shift) < abs(groups.slower - self._shift)
+            usual = faster if is_held else slower
+        else:
+            usual = faster
+        return usual[len(usual) // 2]
 
     def _set_level(self, speed: WorkerSpeed) -> None:
         self._set_offset(speed)
--- a/src/saddlestack/policy/cluster/speed_steps.py
+++ b/src/saddlestack/policy/cluster/speed_steps.py
@@ -263,12 +263,15 @@
         return lengths
 
     def _add_spread(self, lengths: list[tuple[float, float]], groups: Groups | None) -> None:
-        """Note once how far the faster members of a gang agree."""
+        """Note how far the faster members of a gang agree when they are first compared.
+
+        Later the speeds of their workers are known from this very gang, and explain any spread.
+        """
         if self.gangs is None or self._has_spread:
             return
+        self._has_spread = True
         faster = lengths if groups is None else lengths[: groups.size]
         if len(faster) >= 2:
-            self._has_spread = True
             self.gangs.add(spread_of([each[0] for each in faster]))
 
     def _weight_of(
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import sys
 import time
@@ -22,9 +23,14 @@
     estimate,
     weight_for,
 )
+from saddlestack.policy.cluster.speed_gangs import EVEN_SPREAD, GangSpread
+from saddlestack.policy.cluster.speed_groups import MIN_DISTANCE, two_groups
 from saddlestack.policy.cluster.speed_levels import (
     HYSTERESIS_LEVELS,
     LOG_LEVEL,
+    LOG_SLOW,
+    SLOW_MARGIN_SHARE,
+    is_clear,
     level_factor,
     next_level,
 )
@@ -32,10 +38,18 @@
 from saddlestack.policy.cluster.speed_services import (
     COMMON_SHARE,
     CONFIRMING_RUNS,
+    FASTER_SHARE,
+    HELD_FROM,
     MAX_CHANGES,
     MIN_COMMON,
+    ServiceSpeeds,
+)
+from saddlestack.policy.cluster.speed_steps import (
+    FIRST_PERCENT,
+    FIRST_S,
+    URGENT_FIRST_PERCENT,
+    URGENT_FIRST_S,
 )
-from saddlestack.policy.cluster.speed_steps import FIRST_PERCENT, FIRST_S
 from saddlestack.policy.cluster.speeds import (
     FIRST_RUNS_PER_S,
     NEW_INCARNATION_SHARE,
@@ -53,6 +67,8 @@
     SERVICE,
     SLOW,
     URGENT,
+    URGENT_LIMIT,
+    SelectiveWorkload,
     SpeedPool,
     Workload,
     make_step,
@@ -331,6 +347,293 @@
             self.assertAlmostEqual(weight_for(confidence_of(weight)), weight)
 
 
+def play_gang(
+    pool: SpeedPool, on: list[str], lengths: list[float], until_s: float, job_id: str = "g"
+) -> list[Run]:
+    """Start an urgent gang, one member on each worker, and let time pass."""
+    step = make_step(len(on), URGENT, gang=True, job_id=job_id)
+    runs = pool.start(step, on, lengths)
+    pool.play(until_s)
+    return runs
+
+
+class GangEvidenceTest(unittest.TestCase):
+    """Members of a gang on equal workers progress alike, so a gang shows slow workers early."""
+
+    def known_pool(self) -> SpeedPool:
+        """A pool that knows 12 fast and 6 slow workers, and nothing of the other 12."""
+        slow = [*names(6), *names(6, first=18)]
+        pool = SpeedPool(30, dict.fromkeys(slow, SLOW_FACTOR))
+        for job in range(2):
+            wide(pool, names(18), job_id=f"known{job}")
+            pool.play(pool.now + 5.0)
+        return pool
+
+    def test_a_gang_of_two_tells_the_slower_one_from_a_ratio_of_1_75_on(self) -> None:
+        for factor, tells in ((2.0, True), (1.6, False)):
+            with self.subTest(factor=factor):
+                pool = SpeedPool(6, {"w1": factor})
+                play_gang(pool, names(2), [4.0] * 2, 2.0)
+                found = pool.factor("w1")
+                self.assertEqual(pool.factor("w0") is not None, tells)
+                speed = pool.tracker._workers["w1"]
+                self.assertEqual(speed.known and speed.offset > math.log(SLOW), tells, found)
+
+    def test_a_gang_of_two_tells_both_against_a_known_worker(self) -> None:
+        for known in ("w2", "w8"):
+            for unknown in ("w18", "w25"):
+                with self.subTest(known=known, unknown=unknown):
+                    pool = self.known_pool()
+                    play_gang(pool, [known, unknown], [3.0] * 2, pool.now + 1.5)
+                    worker = pool.workers[unknown]
+                    self.assertTrue(worker.speed_known)
+                    self.assertEqual(worker.time_factor > SLOW, unknown == "w18")
+
+    def test_a_gang_of_two_alike_unknown_workers_tells_nothing(self) -> None:
+        pool = self.known_pool()
+        play_gang(pool, ["w18", "w19"], [3.0] * 2, pool.now + 2.0)
+        self.assertIsNone(pool.factor("w18"))
+
+    def test_an_urgent_gang_counts_from_six_percent_and_a_quarter_second_on(self) -> None:
+        for percent, at_s, priority, counts in (
+            (URGENT_FIRST_PERCENT, URGENT_FIRST_S, URGENT, True),
+            (URGENT_FIRST_PERCENT - 1, URGENT_FIRST_S, URGENT, False),
+            (URGENT_FIRST_PERCENT, URGENT_FIRST_S - 0.01, URGENT, False),
+            (URGENT_FIRST_PERCENT, URGENT_FIRST_S, NORMAL, False),
+            (FIRST_PERCENT, FIRST_S, NORMAL, True),
+        ):
+            with self.subTest(percent=percent, at_s=at_s, priority=priority):
+                pool = SpeedPool(6)
+                step = make_step(4, priority, gang=True)
+                runs = pool.start(step, names(4), [3.0] * 4)
+                for run, times in zip(runs, (1, 3, 3, 3), strict=True):
+                    run.percent = percent * times
+                    worker = pool.workers[run.worker_id]
+                    pool.tracker.observe_progress(worker, run, members, at_s)
+                pool.tracker.refresh(at_s)
+                self.assertEqual(pool.tracker._workers["w0"].known, counts)
+
+    def test_eight_against_21_percent_after_0_3_s_tell_a_slow_worker(self) -> None:
+        pool = self.known_pool()
+        play_gang(pool, ["w18", "w24", "w25"], [1.5] * 3, pool.now + 0.65)
+        self.assertGreater(pool.workers["w18"].time_factor, SLOW)
+        self.assertTrue(pool.workers["w24"].speed_known)
+        self.assertLess(pool.workers["w24"].time_factor, SLOW)
+
+    def test_uneven_gangs_mislead_no_decision_where_all_workers_are_alike(self) -> None:
+        for size in (2, 3, 8):
+            for seed in range(3):
+                with self.subTest(size=size, seed=seed):
+                    pool = self.play_uneven(size, seed, slow=[])
+                    factors = {worker.time_factor for worker in pool.workers.values()}
+                    self.assertEqual(factors, {1.0})
+
+    def test_uneven_gangs_mark_few_fast_workers_where_some_are_slow(self) -> None:
+        slow = names(20)
+        for size, most in ((2, 0.0), (3, 0.06), (8, 0.03)):
+            with self.subTest(size=size):
+                marked = 0
+                for seed in range(3):
+                    pool = self.play_uneven(size, seed, slow)
+                    fast = [w for name, w in pool.workers.items() if name not in slow]
+                    marked += sum(worker.time_factor > SLOW for worker in fast)
+                self.assertLessEqual(marked, most * 3 * 40)
+
+    def play_uneven(self, size: int, seed: int, slow: list[str]) -> SpeedPool:
+        rng = random.Random(seed)
+        pool = SpeedPool(60, dict.fromkeys(slow, SLOW_FACTOR))
+        for job in range(60):
+            lengths = [task_length(rng, 2.3) for _ in range(size)]
+            on = rng.sample(names(60), size)
+            play_gang(pool, on, lengths, pool.now + 0.3, job_id=f"g{job}")
+        return pool
+
+    def test_the_spread_of_gangs_is_the_median_of_recent_ones(self) -> None:
+        spread = GangSpread()
+        self.assertTrue(spread.is_even)
+        spread.add(EVEN_SPREAD + 0.01)
+        self.assertTrue(spread.is_even)
+        spread.add(EVEN_SPREAD + 0.01)
+        self.assertFalse(spread.is_even)
+        for _ in range(3):
+            spread.add(EVEN_SPREAD)
+        self.assertTrue(spread.is_even)
+
+    def test_evidence_of_gangs_is_dropped_once_they_turn_out_uneven(self) -> None:
+        """Otherwise early chance differences of two members would last for the half-life."""
+        pool = SpeedPool(12)
+        play_gang(pool, names(2), [4.0, 9.0], 2.0)
+        self.assertTrue(pool.tracker._workers["w1"].known)
+        for job, first in enumerate((2, 5)):
+            play_gang(pool, names(3, first), [3.0, 3.6, 4.4], pool.now + 1.5, job_id=f"u{job}")
+        self.assertFalse(pool.tracker._workers["w1"].known)
+
+
+class GroupsTest(unittest.TestCase):
+    def test_two_groups_need_a_ratio_of_1_75(self) -> None:
+        for distance, found in ((MIN_DISTANCE + 0.01, True), (MIN_DISTANCE - 0.01, False)):
+            values = [0.0, 0.0, 0.0, distance, distance]
+            self.assertEqual(two_groups(values) is not None, found)
+
+    def test_a_wide_spread_is_no_second_group(self) -> None:
+        rng = random.Random(1)
+        for deviation in (0.2, 0.4, 0.8):
+            values = sorted(rng.gauss(0.0, deviation) for _ in range(60))
+            self.assertIsNone(two_groups(values), deviation)
+
+    def test_the_split_is_found_whatever_the_shares_are(self) -> None:
+        rng = random.Random(2)
+        for fast in (4, 20, 36):
+            values = [rng.gauss(0.0, 0.1) for _ in range(fast)]
+            values += [rng.gauss(0.875, 0.1) for _ in range(40 - fast)]
+            found = two_groups(sorted(values))
+            assert found is not None
+            self.assertEqual(found.size, fast)
+
+    def test_one_value_or_none_is_no_group(self) -> None:
+        self.assertIsNone(two_groups([]))
+        self.assertIsNone(two_groups([1.0]))
+
+
+class SelectionTest(unittest.TestCase):
+    """Bulk work is placed on known slow workers first, so the known ones are no fair sample."""
+
+    def test_few_urgent_tasks_go_to_slow_workers_that_are_published_as_usual(self) -> None:
+        """Slow workers published as usual: at most 5 percent; tasks placed there: 1 percent."""
+        totals = {at_s: [0, 0, 0, 0] for at_s in (2.0, 5.0, 12.0)}
+        for seed in range(1, 4):
+            rng = random.Random(seed)
+            pool = SpeedPool(176)
+            slow = rng.sample(list(pool.workers), 176 // 3)
+            pool.factors.update(dict.fromkeys(slow, SLOW_FACTOR))
+            load = SelectiveWorkload(pool, rng)
+            for at_s, total in totals.items():
+                load.play(at_s)
+                usual = [name for name in pool.workers if load.is_published_usual(name)]
+                counts = (
+                    load.urgent_misplaced,
+                    load.urgent_on_usual,
+                    sum(name in slow for name in usual),
+                    len(usual),
+                )
+                total[:] = [a + b for a, b in zip(total, counts, strict=True)]
+        if "-v" in sys.argv:
+            for at_s, (tasks, of_tasks, workers, of_workers) in totals.items():
+                print(f"{at_s} s: {tasks}/{of_tasks} tasks, {workers}/{of_workers} workers")
+        for tasks, of_tasks, workers, of_workers in totals.values():
+            self.assertLessEqual(tasks, 0.01 * of_tasks)
+            self.assertLess(workers, 0.05 * of_workers)
+
+    def play_known(self, slow: int, known: list[str], jobs: int = 2) -> SpeedPool:
+        pool = SpeedPool(60, dict.fromkeys(names(slow), SLOW_FACTOR))
+        for job in range(jobs):
+            wide(pool, known, job_id=f"k{job}")
+            pool.play(pool.now + 8.0)
+        return pool
+
+    def test_the_usual_group_stays_at_1_whichever_workers_are_known(self) -> None:
+        """More than half of the known workers are slow in the second case."""
+        for known in (names(30, first=10), [*names(16), *names(8, first=40)]):
+            with self.subTest(known=known):
+                pool = self.play_known(20, known)
+                for name in known:
+                    worker = pool.workers[name]
+                    self.assertTrue(worker.speed_known, name)
+                    if name in names(20):
+                        self.assertGreater(worker.time_factor, 1.9, name)
+                    else:
+                        self.assertIn(worker.time_factor, (0.8, 1.0, 1.25), name)
+
+    def test_the_slower_group_is_usual_only_if_it_is_the_majority_of_all_workers(self) -> None:
+        for others, usual in ((27, -0.875), (25, 0.0)):
+            with self.subTest(others=others):
+                service = ServiceSpeeds()
+                service.known = dict.fromkeys(range(46))  # type: ignore[arg-type]
+                service.workers = 26 + others
+                found = service._usual([-0.875] * 20 + [0.0] * 26)
+                self.assertEqual(found, usual)
+
+    def test_a_few_faster_workers_do_not_replace_what_is_usual(self) -> None:
+        share = FASTER_SHARE * 50
+        for fast, usual in ((round(share), -0.875), (round(share) - 1, 0.0)):
+            with self.subTest(fast=fast):
+                service = ServiceSpeeds()
+                service.known = dict.fromkeys(range(50))  # type: ignore[arg-type]
+                service.workers = 200
+                self.assertEqual(service._usual([-0.875] * fast + [0.0] * (50 - fast)), usual)
+
+    def test_a_known_group_far_from_what_was_usual_does_not_replace_it(self) -> None:
+        """As where evidence on the fast workers has decayed, and bulk work fills slow ones."""
+        for middle, workers, usual in (
+            (HELD_FROM + 0.01, 60, 0.0),
+            (HELD_FROM - 0.01, 60, HELD_FROM - 0.01),
+            (HELD_FROM + 0.01, 35, HELD_FROM + 0.01),
+        ):
+            with self.subTest(middle=middle, workers=workers):
+                service = ServiceSpeeds()
+                service.known = dict.fromkeys(range(20))  # type: ignore[arg-type]
+                service.workers = workers
+                self.assertEqual(service._usual([middle] * 20), usual)
+
+    def test_a_step_on_unknown_slow_workers_does_not_make_them_usual(self) -> None:
+        pool = self.play_known(20, [*names(6), *names(18, first=40)])
+        wide(pool, names(10, first=8), job_id="unknown")
+        pool.play(pool.now + 10.0)
+        for name in names(10, first=8):
+            worker = pool.workers[name]
+            self.assertFalse(worker.speed_known and worker.time_factor <= URGENT_LIMIT, name)
+
+    def test_a_step_on_known_and_unknown_slow_workers_finds_the_unknown_ones_slow(self) -> None:
+        pool = self.play_known(20, [*names(6), *names(18, first=40)])
+        wide(pool, names(18), job_id="mixed")
+        pool.play(pool.now + 10.0)
+        slow = [name for name in names(18) if pool.workers[name].time_factor > SLOW]
+        self.assertEqual(slow, names(18))
+
+
+class ClearSideTest(unittest.TestCase):
+    """A worker with one piece of evidence is published once its side of 1.5 is clear."""
+
+    def test_an_estimate_near_1_5_is_not_clear(self) -> None:
+        margin = 0.18
+        above = LOG_SLOW + margin * SLOW_MARGIN_SHARE
+        for log_factor, clear in (
+            (LOG_SLOW - margin - 0.001, True),
+            (LOG_SLOW - margin + 0.001, False),
+            (above - 0.001, False),
+            (above + 0.001, True),
+        ):
+            self.assertEqual(is_clear(log_factor, margin), clear, log_factor)
+        self.assertTrue(is_clear(LOG_SLOW, 0.0))
+
+    def test_one_run_of_1_5_times_the_length_is_not_published_and_a_second_one_is(self) -> None:
+        pool = SpeedPool(40, dict.fromkeys(names(10), SLOW_FACTOR))
+        for job in range(2):
+            lengths = [5.0] * 40
+            lengths[20] *= 1.5
+            pool.start(make_step(40, job_id=f"j{job}"), names(40), lengths)
+            pool.play(pool.now + 14.0)
+            self.assertEqual(pool.workers["w20"].speed_known, job == 1)
+            self.assertTrue(pool.workers["w21"].speed_known)
+
+    def test_one_gang_member_of_1_25_times_the_length_is_published(self) -> None:
+        """Evidence of even gangs is precise, so that 1.25 is not compatible with slow."""
+        pool = SpeedPool(40, {**dict.fromkeys(names(10), SLOW_FACTOR), "w20": 1.25})
+        play_gang(pool, names(40), [4.0] * 40, 3.0)
+        self.assertEqual(pool.workers["w20"].time_factor, 1.25)
+        self.assertTrue(pool.workers["w20"].speed_known)
+
+    def test_a_worker_above_1_5_is_not_published_at_a_level_that_urgent_work_accepts(self) -> None:
+        for factor, accepted in ((1.52, False), (1.45, True)):
+            with self.subTest(factor=factor):
+                pool = SpeedPool(40, {**dict.fromkeys(names(10), SLOW_FACTOR), "w20": factor})
+                for job in range(3):
+                    play_gang(pool, names(40), [4.0] * 40, pool.now + 11.0, job_id=f"g{job}")
+                worker = pool.workers["w20"]
+                self.assertTrue(worker.speed_known)
+                self.assertEqual(worker.time_factor <= URGENT_LIMIT, accepted)
+
+
 class NoEvidenceTest(unittest.TestCase):
     """Runs whose duration says nothing about their worker."""
 
