Probe idle workers of unknown speed with work that tolerates slow ones

Patient work filled the known slow workers first and never reached the unknown ones, so part of a pool stayed unknown and urgent gangs started there. Single tasks of steps that are compared now go to idle unknown workers first, one task on each.

--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 from functools import partial
 
@@ -175,6 +175,18 @@
         fits = whole if key == fit else self._fits.of(key)
         return IndexedPlaces(step, fits, kept, rank=rank, whole=whole)
 
+    def first_allowed(
+        self, step: StepState, task: Task, workers: Iterable[Worker], now: float
+    ) -> Worker | None:
+        """The first of some workers on which a task fits and may run; ``None`` if there is none."""
+        fit, kept = self.fit(step), self.kept(step)
+        for worker in workers:
+            if worker.worker_id in task.avoid or not fit.allows(worker, now):
+                continue
+            if worker.copies(step, worker.free) > 0 and not (kept and kept(worker)):
+                return worker
+        return None
+
     def within_limit(self, step: StepState, workers: list[Worker], now: float) -> list[Worker]:
         """Those of some workers that are within a step's limit."""
         return self._within(step, workers, self.speed_limit(step, now))
--- a/src/saddlestack/policy/cluster/index.py
+++ b/src/saddlestack/policy/cluster/index.py
@@ -177,6 +177,17 @@
             best = max(best, empty - opened.get(self.racks[number].name, 0))
         return best
 
+    def of_speed(self, speed: float | None) -> Iterator[Worker]:
+        """Eligible workers with a known factor, or with ``None`` those of unknown speed."""
+        for places in self._by_speed.get(speed, {}).values():
+            for _, number in places:
+                yield self._by_number[number]
+
+    def empty_in_rack(self, worker: Worker) -> tuple[int, int]:
+        """Accelerators on empty workers of a worker's rack, and the number of the rack."""
+        rack = self._by_name[worker.record.rack]
+        return rack.empty, rack.number
+
     def changed_since(self, version: int) -> Iterator[Rack]:
         """Racks that have changed since a version, the latest first."""
         for rack in reversed(self._changed):
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -30,6 +30,7 @@
 )
 from saddlestack.policy.cluster.planner_context import PlannerContext
 from saddlestack.policy.cluster.preemption import Preemption, Preemptor
+from saddlestack.policy.cluster.probes import LearnedSpeeds, Probes
 from saddlestack.policy.cluster.reservations import (
     Reservation,
     Reservations,
@@ -66,6 +67,7 @@
     :param options: the optional decisions; none by default.
     :param usage: what each client account holds.
     :param work: how long steps work; by default what clients declare.
+    :param learned: the learned speeds of workers; ``None`` where they are not learned.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         options: SchedulingOptions | None = None,
         usage: AccountUsage | None = None,
         work: WorkEstimates | None = None,
+        learned: LearnedSpeeds | None = None,
     ) -> None:
         self._cluster_state = cluster_state
         self._index = index
@@ -108,6 +111,7 @@
             self.speed_limits,
             self._is_open,
         )
+        self._probes = Probes(self.speed_limits, learned)
         self._failed_shapes = FailedShapes()
         self._stalled = StalledPlacement(
             cluster_state, self._candidates, self._reservations, self._lending
@@ -164,6 +168,7 @@
         self._isolation_searches = 0
         self._stalled.begin()
         self._backfill.clear()
+        self._probes.begin_round()
         self._failed_shapes.clear()
         self._reservations.release_expired(now)
         self._deferred.release_all_but(lambda step: self._reservations.of(step) is not None)
@@ -263,6 +268,9 @@
             return
         if not self._isolate(step, now):
             return
+        may_probe = not is_top and any_speed not in self._failed_shapes.full
+        if may_probe and not self._probe(step, any_speed, limit, now):
+            return
         cannot_start = full or self._failed_shapes.is_headroom_closed(shape, step.waited_s(now))
         if cannot_start and not is_top:
             if not self._place_without_preferences(step, now):
@@ -316,6 +324,34 @@
         above = self._candidates.places_above_limit(step, limit, now)
         return self._place_on(step, None if is_top else shape, above, now)
 
+    def _probe(
+        self, step: StepState, shape: int | None, limit: SpeedLimit | None, now: float
+    ) -> bool:
+        """Start tasks of a step, one on each of some idle workers whose speed is to be learned.
+
+        :return: whether the step has other tasks to start.
+        """
+        service_capacity = self._candidates.service_capacity(step)
+        service = self._cluster_state.service_of(step.occurrence.job)
+        if self._probes.has_failed(shape) or not self._probes.is_wanted(service, service_capacity):
+            return True
+        if self._reservations.of(step) or self._cluster_state.is_advised(step.occurrence.job):
+            return True
+        if not self._probes.tolerates_slow(step, limit, service_capacity.known_factors, now):
+            return True
+        for task in step.tasks:
+            if not self._is_open(task):
+                continue
+            idle = self._probes.candidates(service, service_capacity, now)
+            worker = self._candidates.first_allowed(step, task, idle, now)
+            if worker is None:
+                self._probes.note_failed(shape)
+                return True
+            self._assign(task, worker, task.record.run + 1, now)
+            self._probes.started(task, worker)
+        self._release(step)
+        return False
+
     # Isolation
 
     def _isolate(self, step: StepState, now: float) -> bool:
