--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -121,8 +121,6 @@
 
         :param members: its present runs.
         """
-        if not self.service_capacity(step).has_slow_workers:
-            return None
         held: dict[str, Resources] = {}
         for run in members:
             held[run.worker_id] = held.get(run.worker_id, Resources()) + run.allocation
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -190,8 +190,8 @@
     ) -> list[Worker] | None:
         """Workers on which a running gang fits after its stop; ``None`` if it must not be stopped.
 
-        The room is free now or held by the gang itself. Without a known slow worker there is no
-        restart, and none for a gang whose starts are limited or need approval.
+        The room is free now or held by the gang itself. There is no restart of a gang whose starts
+        are limited or need approval.
         """
         if self._cluster_state.is_advised(step.occurrence.job) or self._reservations.of(step):
             return None
--- a/src/saddlestack/policy/cluster/speed_limits.py
+++ b/src/saddlestack/policy/cluster/speed_limits.py
@@ -131,7 +131,7 @@
         chain_s = None if work_left_s is None else self._job_chain_s(step)
         if chain_s is None or not work_left_s:
             return step.occurrence.job.accepted.stretch
-        left_s = self._objective_left_s(step, now, chain_s)
+        left_s = self.time_left_s(step, now, chain_s)
         return max(0.0, left_s - DECISION_MARGIN_S) / work_left_s
 
     def work_s(self, step: StepState) -> float | None:
@@ -149,9 +149,10 @@
         :param work_s: seconds of work of the job, if they are not known otherwise.
         """
         chain_s = self._job_chain_s(step)
-        return self._objective_left_s(step, now, work_s if chain_s is None else chain_s)
+        return self.time_left_s(step, now, work_s if chain_s is None else chain_s)
 
-    def _objective_left_s(self, step: StepState, now: float, chain_s: float) -> float:
+    def time_left_s(self, step: StepState, now: float, chain_s: float) -> float:
+        """Seconds until the objective of a step's job, given its longest chain of work."""
         accepted = step.occurrence.job.accepted
         began_ms = max(accepted.accepted_ms, step.occurrence.due_ms)
         elapsed_s = (now * 1000 + self.wall_offset_ms - began_ms) / 1000
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -32,6 +32,7 @@
 )
 from saddlestack.policy.cluster.slow_restarts import SlowRestarts
 from saddlestack.policy.cluster.speed_limits import UnknownWorkTimes, WorkTimes
+from saddlestack.policy.cluster.speed_records import SpeedEstimate
 from saddlestack.policy.cluster.speeds import SpeedTracker
 from saddlestack.policy.cluster.victims import count_preemption
 from saddlestack.policy.cluster.waiting import is_waiting
@@ -78,7 +79,9 @@
             self._speeds,
             self._speeds,
         )
-        self._slow_restarts = SlowRestarts(self._planner.speed_limits, self.workers)
+        self._slow_restarts = SlowRestarts(
+            self._planner.speed_limits, self.workers, self._speed_estimate
+        )
         self._restarted_gangs = 0
 
     def configure(
@@ -400,6 +403,10 @@
             elif self.options.worker_speeds:
                 self._restart_slow(run, now)
 
+    def _speed_estimate(self, worker_id: str) -> SpeedEstimate | None:
+        """What is known of the speed of a worker; ``None`` where speeds are not learned."""
+        return None if self._speeds is None else self._speeds.estimate(worker_id)
+
     def _restart_slow(self, run: Run, now: float) -> None:
         """Restart the gang of a run elsewhere if its worker makes it late and others would not."""
         members = self.members(run)
