Probe only services with a known slow worker

Probes in a pool where no worker is known as slow moved work among equal workers, which test_the_same_work_starts_in_the_same_places_where_workers_are_alike forbids. Without a known slow worker all count as alike again, and decisions are as without speeds. Slow workers of an unequal pool become known by the work on the workers that are used first, and probes begin with the first of them.

--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -30,7 +30,7 @@
 )
 from saddlestack.policy.cluster.planner_context import PlannerContext
 from saddlestack.policy.cluster.preemption import Preemption, Preemptor
-from saddlestack.policy.cluster.probes import LearnedSpeeds, Probes
+from saddlestack.policy.cluster.probes import Probes
 from saddlestack.policy.cluster.reservations import (
     Reservation,
     Reservations,
@@ -67,7 +67,6 @@
     :param options: the optional decisions; none by default.
     :param usage: what each client account holds.
     :param work: how long steps work; by default what clients declare.
-    :param learned: the learned speeds of workers; ``None`` where they are not learned.
     """
 
     def __init__(
@@ -79,7 +78,6 @@
         options: SchedulingOptions | None = None,
         usage: AccountUsage | None = None,
         work: WorkEstimates | None = None,
-        learned: LearnedSpeeds | None = None,
     ) -> None:
         self._cluster_state = cluster_state
         self._index = index
@@ -111,7 +109,7 @@
             self.speed_limits,
             self._is_open,
         )
-        self._probes = Probes(self.speed_limits, learned)
+        self._probes = Probes()
         self._failed_shapes = FailedShapes()
         self._stalled = StalledPlacement(
             cluster_state, self._candidates, self._reservations, self._lending
@@ -268,8 +266,7 @@
             return
         if not self._isolate(step, now):
             return
-        may_probe = not is_top and any_speed not in self._failed_shapes.full
-        if may_probe and not self._probe(step, any_speed, limit, now):
+        if limit is not None and not is_top and not self._probe(step, any_speed, limit, now):
             return
         cannot_start = full or self._failed_shapes.is_headroom_closed(shape, step.waited_s(now))
         if cannot_start and not is_top:
@@ -324,9 +321,7 @@
         above = self._candidates.places_above_limit(step, limit, now)
         return self._place_on(step, None if is_top else shape, above, now)
 
-    def _probe(
-        self, step: StepState, shape: int | None, limit: SpeedLimit | None, now: float
-    ) -> bool:
+    def _probe(self, step: StepState, shape: int | None, limit: SpeedLimit, now: float) -> bool:
         """Start tasks of a step, one on each of some idle workers whose speed is to be learned.
 
         :return: whether the step has other tasks to start.
@@ -337,7 +332,7 @@
             return True
         if self._reservations.of(step) or self._cluster_state.is_advised(step.occurrence.job):
             return True
-        if not self._probes.tolerates_slow(step, limit, service_capacity.known_factors, now):
+        if not self._probes.tolerates_slow(step, limit, service_capacity.known_factors):
             return True
         for task in step.tasks:
             if not self._is_open(task):
--- a/src/saddlestack/policy/cluster/probes.py
+++ b/src/saddlestack/policy/cluster/probes.py
@@ -6,15 +6,13 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Iterator, Sequence
-from typing import Protocol
 
 from saddlestack.policy.cluster.headroom import HEADROOM_SHARE, headroom_allows
-from saddlestack.policy.cluster.index import MAX_URGENT_FACTOR, ServiceCapacity
+from saddlestack.policy.cluster.index import ServiceCapacity
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, Run, StepState, Task
-from saddlestack.policy.cluster.speed_limits import SpeedLimit, SpeedLimits
+from saddlestack.policy.cluster.speed_limits import SpeedLimit
 from saddlestack.policy.cluster.speed_rank import MIN_LIMIT, exceeds
 from saddlestack.policy.cluster.speed_steps import MIN_WORKERS
 from saddlestack.policy.cluster.workers import Worker
@@ -22,35 +20,13 @@
 
 PROBE_SHARE = 0.25
 """Share of the headroom's accelerators on workers that probes use at a time. A probe needs some 2 s
-to tell a speed, so a pool is known within a minute, and urgent work keeps most of the headroom."""
-ALIKE_WORKERS = 16
-"""Workers that have to be known, and none as slow, for the others to count as alike. If a third of
-a pool is slow, all of 16 are usual in one of 700 cases..."""
-ALIKE_SHARE = 0.1
-"""...or this share of the workers, if that is more."""
-
-
-class LearnedSpeeds(Protocol):
-    """Tells of which workers the speed has been learned, whether or not decisions use it."""
-
-    def count_learned(self, service: str) -> int:
-        """Number of workers of a service with a learned speed."""
-        ...
-
-    def is_learned(self, worker: Worker) -> bool:
-        """Whether the speed of a worker has been learned."""
-        ...
+to tell a speed, so a pool is gone through within 32 s, and urgent work keeps most of the headroom."""
 
 
 class Probes:
-    """Chooses the workers to probe, and bounds how many are in use by probes.
-
-    :param learned: the learned speeds; ``None`` where none are learned.
-    """
+    """Chooses the workers to probe, and bounds how many are in use by probes."""
 
-    def __init__(self, limits: SpeedLimits, learned: LearnedSpeeds | None) -> None:
-        self._limits = limits
-        self._learned = learned
+    def __init__(self) -> None:
         self._running: dict[Worker, Run] = {}
         self._held: Counter[str] = Counter()
         self._idle: dict[str, list[Worker]] = {}
@@ -63,7 +39,7 @@
         self._held.clear()
         for worker, run in list(self._running.items()):
             is_running = worker.runs.get((run.task.name, run.number)) is run
-            if not is_running or self._is_learned(worker):
+            if not is_running or worker.speed_known:
                 del self._running[worker]
             else:
                 self._held[worker.record.service] += worker.record.capacity.accelerators
@@ -71,36 +47,23 @@
     def is_wanted(self, service: str, service_capacity: ServiceCapacity) -> bool:
         """Whether a service has idle workers whose speed is to be learned, and may use one.
 
-        Where enough workers are known and none is slow, the others are taken as alike.
+        Without a known slow worker all count as alike, and nothing is probed.
         """
-        if not service_capacity.has_unknown_speeds or not service_capacity.empty:
+        if not service_capacity.has_slow_workers or not service_capacity.has_unknown_speeds:
             return False
-        if not service_capacity.has_slow_workers:
-            if self._learned is None:
-                return False
-            if self._learned.count_learned(service) >= enough_alike(service_capacity.count):
-                return False
         if not self._has_room(service, service_capacity):
             return False
         return bool(self._idle_workers(service, service_capacity))
 
     def tolerates_slow(
-        self,
-        step: StepState,
-        limit: SpeedLimit | None,
-        known_factors: Sequence[float],
-        now: float,
+        self, step: StepState, limit: SpeedLimit, known_factors: Sequence[float]
     ) -> bool:
         """Whether a step may run on a worker that turns out to be slow, and tells its speed.
 
-        :param limit: its speed limit; ``None`` if no worker is known to be slow.
         :param known_factors: the known factors of its service in ascending order.
         """
         if step.occurrence.job.priority == TOP_PRIORITY or not _tells_speed(step):
             return False
-        if limit is None:
-            largest = self._limits.largest_factor(step, now)
-            return largest < 1.0 or exceeds(largest, MAX_URGENT_FACTOR)
         if not limit.restricts:
             return True
         slow = [each for each in known_factors if exceeds(each, MIN_LIMIT)]
@@ -146,31 +109,17 @@
     def _idle_workers(self, service: str, service_capacity: ServiceCapacity) -> list[Worker]:
         found = self._idle.get(service)
         if found is None:
-            found = [
-                worker
-                for worker in service_capacity.of_speed(None)
-                if _is_idle(worker) and not self._is_learned(worker)
-            ]
+            found = [worker for worker in service_capacity.of_speed(None) if _is_idle(worker)]
             found.sort(key=service_capacity.empty_in_rack)
             self._idle[service] = found
         return found
 
-    def _is_learned(self, worker: Worker) -> bool:
-        if worker.speed_known:
-            return True
-        return self._learned is not None and self._learned.is_learned(worker)
-
 
 def _share(service_capacity: ServiceCapacity) -> float:
     """Accelerators of the workers that probes may use at a time."""
     return service_capacity.open.accelerators * HEADROOM_SHARE * PROBE_SHARE
 
 
-def enough_alike(workers: int) -> int:
-    """Number of known workers, none of them slow, from which on all count as alike."""
-    return min(workers, max(ALIKE_WORKERS, math.ceil(workers * ALIKE_SHARE)))
-
-
 def _tells_speed(step: StepState) -> bool:
     """Whether the runs of a step are compared with each other, wherever they run.
 
--- a/src/saddlestack/policy/cluster/speeds.py
+++ b/src/saddlestack/policy/cluster/speeds.py
@@ -507,16 +507,6 @@
             return None
         return speed.estimate(self._latest_s if now is None else now, self.half_life_s)
 
-    def is_learned(self, worker: Worker) -> bool:
-        """Whether the speed of a worker is known, even if decisions do not use it."""
-        speed = self._workers.get(worker.worker_id)
-        return speed is not None and speed.known
-
-    def count_learned(self, service: str) -> int:
-        """Number of workers of a service whose speed is known, as above."""
-        speeds = self._services.get(service)
-        return 0 if speeds is None else len(speeds.known)
-
     def typical_work_s(self, step: StepState) -> float | None:
         """Seconds that a task of a step works on a usual worker, or ``None`` if unknown."""
         return self._work.seconds(step)
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -77,7 +77,6 @@
             self.options,
             self._usage,
             self._speeds,
-            self._speeds,
         )
         self._slow_restarts = SlowRestarts(
             self._planner.speed_limits, self.workers, self._speed_estimate
