--- a/src/saddlestack/policy/cluster/probes.py
+++ b/src/saddlestack/policy/cluster/probes.py
@@ -20,7 +20,8 @@
 
 PROBE_SHARE = 0.25
 """Share of the headroom's accelerators on workers that probes use at a time. A probe needs some 2 s
-to tell a speed, so a pool is gone through within 32 s, and urgent work keeps most of the headroom."""
+to tell a speed, so a pool is gone through within 32 s, and urgent work keeps most of the headroom.
+"""
 
 
 class Probes:
