Compute a speed limit once per step and round, and count workers in one pass

A round computed the limit of a step again for each set of places and each start, and copied keys and grouped workers for each count. Limits are kept for the round, keys are built directly, whether a worker is overcommitted is kept with its free resources, and a shape without a speed limit is numbered once. All decisions stay the same.

--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 from functools import partial
@@ -61,6 +62,12 @@
         self._kept_workers = kept_workers
         self._speed_limits = speed_limits
         self._is_open = is_open
+        self._limits: dict[StepState, SpeedLimit | None] = {}
+        self._limits_s = math.nan
+
+    def begin_round(self) -> None:
+        """Forget the speed limits of the last round."""
+        self._limits.clear()
 
     def service_capacity(self, step: StepState) -> ServiceCapacity:
         """Capacity of the service that a step runs on."""
@@ -91,7 +98,7 @@
         factors = self.service_capacity(step).known_factors
         above = [each for each in factors if exceeds(each, limit.max_factor)]
         fit, kept = self.fit(step), self.kept(step)
-        keys = [replace(fit, max_factor=each) for each in above[:MAX_LEVELS_ABOVE]]
+        keys = [fit.within(each) for each in above[:MAX_LEVELS_ABOVE]]
         return FirstPlaces(
             [partial(self._ranked, step, key, fit, kept, slow_first) for key in keys],
             self._ranked(step, fit, fit, kept, slow_first),
@@ -104,6 +111,14 @@
         """
         if not self._index.uses_speeds:
             return None
+        if now != self._limits_s:
+            self._limits.clear()
+            self._limits_s = now
+        if step not in self._limits:
+            self._limits[step] = self._speed_limit(step, now)
+        return self._limits[step]
+
+    def _speed_limit(self, step: StepState, now: float) -> SpeedLimit | None:
         service_capacity = self.service_capacity(step)
         if not service_capacity.has_slow_workers:
             return None
@@ -140,7 +155,7 @@
     def _could_start_within(self, step: StepState, limit: SpeedLimit) -> bool:
         fit = self.fit(step)
         whole = self._fits.of(fit)
-        fits = self._fits.of(replace(fit, max_factor=limit.max_factor))
+        fits = self._fits.of(fit.within(limit.max_factor))
         if step.step.gang and step.step.same_rack and whole.most >= step.at_once:
             return fits.most >= step.at_once
         return fits.total_most >= step.at_once
@@ -152,14 +167,14 @@
 
         A gang is placed on workers of similar speed if possible: it is held up by the slowest one.
         """
-        within = replace(fit, max_factor=limit.max_factor)
+        within = fit.within(limit.max_factor)
         last = self._ranked(step, within, fit, kept, limit.rank)
         if not step.step.gang:
             return last
         if limit.prefers_slow:
-            keys = [replace(within, above=MIN_LIMIT), replace(within, max_factor=MIN_LIMIT)]
+            keys = [fit.within(limit.max_factor, above=MIN_LIMIT), fit.within(MIN_LIMIT)]
         elif self.service_capacity(step).has_unknown_speeds:
-            keys = [replace(within, known=True)]
+            keys = [fit.within(limit.max_factor, known=True)]
         else:
             keys = []
         alike = [partial(self._ranked, step, key, fit, kept, limit.rank) for key in keys]
--- a/src/saddlestack/policy/cluster/fits.py
+++ b/src/saddlestack/policy/cluster/fits.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from heapq import merge
 
 from sortedcontainers import SortedList
@@ -58,7 +58,11 @@
     @property
     def of_any_speed(self) -> FitKey:
         """The same requirements without those of speed."""
-        return replace(self, max_factor=math.inf, above=0.0, known=False)
+        return self.within(math.inf)
+
+    def within(self, max_factor: float, *, above: float = 0.0, known: bool = False) -> FitKey:
+        """The same requirements with others of speed."""
+        return FitKey(self.service, self.room, self.label, self.proven, max_factor, above, known)
 
     def allows_speed(self, factor: float | None) -> bool:
         """Whether a worker with a known factor, or ``None``, may run such tasks."""
@@ -119,6 +123,8 @@
         self.total_most = 0
         self._now = 0.0
         self._counted_version = -1
+        self._capacity: Resources | None = None
+        self._most_of_one = 0
         self._by_copies: SortedList[tuple[int, int]] = SortedList()
         self._by_most: SortedList[int] = SortedList()
 
@@ -205,20 +211,29 @@
         return found.by_speed
 
     def _count_by_speed(self, rack: Rack) -> dict[float | None, RackFit]:
-        groups: dict[float | None, list[Worker]] = {}
+        found: dict[float | None, RackFit] = {}
         for worker in self.workers(rack):
-            groups.setdefault(known_factor(worker), []).append(worker)
-        return {speed: self._count_listed(group) for speed, group in groups.items()}
+            speed = known_factor(worker)
+            part = found.get(speed)
+            if part is None:
+                part = found[speed] = RackFit()
+            self._count_worker(part, worker)
+        return found
 
     def _count_listed(self, workers: Iterable[Worker]) -> RackFit:
         found = RackFit()
         for worker in workers:
-            free = worker.free
-            found.copies += worker.count_fitting(self.fit.room, free)
-            found.most += self.fit.room.copies_in(worker.record.capacity)
-            found.free += free.accelerators
+            self._count_worker(found, worker)
         return found
 
+    def _count_worker(self, part: RackFit, worker: Worker) -> None:
+        free, capacity = worker.free, worker.record.capacity
+        if capacity != self._capacity:
+            self._capacity, self._most_of_one = capacity, self.fit.room.copies_in(capacity)
+        part.copies += worker.count_fitting(self.fit.room, free)
+        part.most += self._most_of_one
+        part.free += free.accelerators
+
     def _sum_speeds(self, by_speed: Mapping[float | None, RackFit]) -> RackFit:
         """The part of a rack's capacity that is within the bounds of speed."""
         found = RackFit()
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -167,6 +167,7 @@
         self._stalled.begin()
         self._backfill.clear()
         self._probes.begin_round()
+        self._candidates.begin_round()
         self._failed_shapes.clear()
         self._reservations.release_expired(now)
         self._deferred.release_all_but(lambda step: self._reservations.of(step) is not None)
@@ -259,7 +260,9 @@
         limit = None
         if is_top or any_speed not in self._failed_shapes.full:
             limit = self._candidates.speed_limit(step, now)
-        shape = self._gang_priority.shape(step, self._limited_shape(needs, limit))
+        shape = any_speed
+        if limit is not None:
+            shape = self._gang_priority.shape(step, self._limited_shape(needs, limit))
         full = shape in self._failed_shapes.full
         if not may_start(step):
             self._waiting.remove(step)
--- a/src/saddlestack/policy/cluster/slack.py
+++ b/src/saddlestack/policy/cluster/slack.py
@@ -95,9 +95,9 @@
         False for a job that would earn nothing any more.
         """
         slack_s, work_s = self.slack_s(step), self.work_s(step)
-        if slack_s is None or work_s is None or self.worthless_for_s(step) is not None:
+        if slack_s is None or work_s is None or slack_s >= max(work_s, SHORT_SLACK_S):
             return False
-        return slack_s < max(work_s, SHORT_SLACK_S)
+        return self.worthless_for_s(step) is None
 
     def worthless_for_s(self, step: StepState) -> float | None:
         """Seconds for which a job has been past :data:`WORTHLESS_FACTOR` times its objective.
--- a/src/saddlestack/policy/cluster/workers.py
+++ b/src/saddlestack/policy/cluster/workers.py
@@ -126,12 +126,14 @@
     held: dict[int, Resources] = field(default_factory=dict)
     changed: dict[Worker, None] | None = None
     _free: Resources | None = None
+    _overcommitted: bool | None = None
     _last_cold_ms: int = 0
 
     def __setattr__(self, name: str, value: object) -> None:
         object.__setattr__(self, name, value)
         if name in _CAPACITY_FIELDS:
             object.__setattr__(self, "_free", None)
+            object.__setattr__(self, "_overcommitted", None)
         if name in _INDEXED_FIELDS:
             changed = getattr(self, "changed", None)
             if changed is not None:
@@ -175,7 +177,9 @@
     @property
     def is_overcommitted(self) -> bool:
         """Whether its runs hold more than its capacity, which may have shrunk."""
-        return not self.used.fits(self.record.capacity)
+        if self._overcommitted is None:
+            self._overcommitted = not self.used.fits(self.record.capacity)
+        return self._overcommitted
 
     @property
     def is_available(self) -> bool:
