Size the headroom by the demand of urgent work

A fixed quarter of the pool is too small at the crest of a wave of urgent work and keeps workers idle between waves. With the option off no forecast exists and the fixed share applies as before.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -151,6 +151,8 @@
         self.waits.close()
         if self._speeds is not None:
             self._speeds.close()
+        if self.cluster_state.options.demand_forecast:
+            self._context.metrics.gauge("headroom_accelerators", lambda: 0)
 
     def state(self, job_id: str) -> JobState | None:
         """The state of a job that clients see; ``None`` if the job is unknown here."""
@@ -241,6 +243,11 @@
         workers = self._worker_feed
         self._tasks.spawn(workers.run())
         self._tasks.spawn(self._evacuations.run())
+        if self.cluster_state.options.demand_forecast:
+            planner = self.cluster_state.planner
+            self._context.metrics.gauge(
+                "headroom_accelerators", lambda: planner.headroom_accelerators
+            )
         if self._speeds is not None:
             self._speeds.start()
             self._tasks.spawn(self._keep_speeds(self._speeds))
--- a/src/saddlestack/policy/cluster/headroom.py
+++ b/src/saddlestack/policy/cluster/headroom.py
@@ -17,7 +17,10 @@
 
 
 def headroom_allows(
-    service_capacity: ServiceCapacity, places: Sequence[Worker], waited_s: float
+    service_capacity: ServiceCapacity,
+    places: Sequence[Worker],
+    waited_s: float,
+    forecast: float | None = None,
 ) -> bool:
     """Whether the headroom allows less urgent work to take some workers.
 
@@ -29,6 +32,8 @@
     :param service_capacity: capacity of the service.
     :param places: the workers that the work would go to.
     :param waited_s: seconds for which it has waited.
+    :param forecast: accelerators that urgent work is likely to need; by default a fixed share of
+        the service is kept.
     """
     opened: dict[str, int] = {}
     for worker in {worker: None for worker in places if not worker.runs}:
@@ -40,15 +45,13 @@
         return True
     taken = sum(opened.values())
     left = service_capacity.empty - taken
+    kept = service_capacity.open.accelerators * HEADROOM_SHARE if forecast is None else forecast
     in_one = min(
         HEADROOM_PER_RACK,
         service_capacity.largest_rack // 2,
         service_capacity.largest_empty_rack({}),
     )
-    if (
-        left >= service_capacity.open.accelerators * HEADROOM_SHARE
-        and service_capacity.largest_empty_rack(opened) >= in_one
-    ):
+    if left >= kept and service_capacity.largest_empty_rack(opened) >= in_one:
         return True
     if not service_capacity.open.is_half_used or waited_s > HEADROOM_WAIT_S:
         return True
--- a/src/saddlestack/policy/cluster/index.py
+++ b/src/saddlestack/policy/cluster/index.py
@@ -352,6 +352,11 @@
             service_capacity = self._services[name] = ServiceCapacity()
         return service_capacity
 
+    def services(self) -> list[tuple[str, ServiceCapacity]]:
+        """The services that have had workers, each with its name."""
+        self._refresh()
+        return list(self._services.items())
+
     def time_factor(self, worker: Worker) -> float:
         """Time factor of a worker; 1 if it is unknown or no worker of its service is slow."""
         service_capacity = self._services.get(worker.record.service)
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -11,11 +11,12 @@
 from saddlestack.policy.cluster.candidates import Candidates, prefers_near
 from saddlestack.policy.cluster.crashes import CrashTracker
 from saddlestack.policy.cluster.deferred_stops import DeferredStops
+from saddlestack.policy.cluster.demand import DemandForecast
 from saddlestack.policy.cluster.fair_share import AccountUsage, FairShare
 from saddlestack.policy.cluster.gang_preemption import GangPreemption
 from saddlestack.policy.cluster.gang_priority import GangPriority
 from saddlestack.policy.cluster.headroom import headroom_allows
-from saddlestack.policy.cluster.index import CapacityIndex
+from saddlestack.policy.cluster.index import CapacityIndex, ServiceCapacity
 from saddlestack.policy.cluster.isolation import IsolatedPlacement, Isolation, IsolationPool
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, Job, Run, StepState, Task
 from saddlestack.policy.cluster.kept_workers import KeptWorkers
@@ -66,6 +67,7 @@
     :param options: the optional decisions; none by default.
     :param usage: what each client account holds.
     :param work: how long steps work; by default what clients declare.
+    :param demand: forecast of the demand of urgent work; by default the headroom is fixed.
     """
 
     def __init__(
@@ -77,12 +79,14 @@
         options: SchedulingOptions | None = None,
         usage: AccountUsage | None = None,
         work: WorkEstimates | None = None,
+        demand: DemandForecast | None = None,
     ) -> None:
         self._cluster_state = cluster_state
         self._index = index
         self._worker_preferences = worker_preferences
         self._isolation = Isolation(crashes)
         self._isolated: set[Task] = set()
+        self._demand = demand
         self._waiting = WaitingSteps()
         self._reservations = Reservations()
         self._lending = Lending(index.time_factor)
@@ -172,6 +176,8 @@
         entitled = self._waiting.entitled(self._cluster_state.guaranteed)
         self.speed_limits.begin_round(now, wall_ms, entitled)
         waiting = self._waiting.in_order(now, wall_ms, entitled)
+        if self._demand is not None:
+            self._demand.observe(waiting, now)
         for step in self._fair_share.in_order(waiting, now):
             if self._starts >= MAX_STARTS_PER_ROUND:
                 return True
@@ -247,6 +253,15 @@
         with self._index.without_refresh():
             return self._headroom_allows(step, places, now)
 
+    @property
+    def headroom_accelerators(self) -> int:
+        """Accelerators that the forecast keeps for urgent work; 0 without a forecast."""
+        if self._demand is None:
+            return 0
+        with self._index.without_refresh():
+            kept = [self._demand.headroom(*each) for each in self._index.services()]
+        return round(sum(kept))
+
     # Placement
 
     def _place(self, step: StepState, entitled: set[str], now: float) -> None:
@@ -539,7 +554,15 @@
         waited_s = step.waited_s(now)
         if waited_s > HEADROOM_WAIT_S or self._gang_priority.opens_headroom(step):
             return True
-        return headroom_allows(self._candidates.service_capacity(step), places, waited_s)
+        service_capacity = self._candidates.service_capacity(step)
+        forecast = self._forecast(step, service_capacity)
+        return headroom_allows(service_capacity, places, waited_s, forecast)
+
+    def _forecast(self, step: StepState, service_capacity: ServiceCapacity) -> float | None:
+        if self._demand is None:
+            return None
+        service = self._cluster_state.service_of(step.occurrence.job)
+        return self._demand.headroom(service, service_capacity)
 
     # Preemption
 
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -14,6 +14,7 @@
 from saddlestack.policy.cluster.changes import AdviceRequest, Changes, Start, Stop, StopReason
 from saddlestack.policy.cluster.crash_findings import CrashFinding
 from saddlestack.policy.cluster.crashes import CrashAssessment, CrashTracker
+from saddlestack.policy.cluster.demand import DemandForecast
 from saddlestack.policy.cluster.draining import runs_to_stop
 from saddlestack.policy.cluster.fair_share import AccountUsage
 from saddlestack.policy.cluster.fault_attribution import FailureKind, FaultAttribution
@@ -68,6 +69,7 @@
         self._crashes = CrashTracker(self.workers)
         self._findings: list[CrashFinding] = []
         self._usage = AccountUsage()
+        self._demand = DemandForecast(self) if self.options.demand_forecast else None
         self._planner = Planner(
             self,
             self._index,
@@ -76,6 +78,7 @@
             self.options,
             self._usage,
             self._speeds,
+            self._demand,
         )
         self._slow_restarts = SlowRestarts(self._planner.speed_limits, self.workers)
         self._restarted_gangs = 0
@@ -174,7 +177,7 @@
         run.address = address
         task.run = run
         worker.add(run)
-        self._usage.add(run)
+        self._count_run(run)
 
     def _incarnation_at(self, worker_id: str, address: str) -> Worker:
         """Return the worker incarnation that was ordered a run at an address.
@@ -446,6 +449,8 @@
 
     def _finish_run(self, run: Run, how: EndKind, saved: str) -> None:
         self._usage.remove(run)
+        if self._demand is not None:
+            self._demand.run_removed(run)
         task = run.task
         if task.run is not run:
             return
@@ -588,7 +593,7 @@
         task.record.run = number
         task.record.worker = worker.worker_id
         worker.add(run)
-        self._usage.add(run)
+        self._count_run(run)
         self._crashes.count_start(task, 1)
         occurrence = task.step.occurrence
         self._mark_changed(occurrence)
@@ -596,6 +601,12 @@
         ticket = task.step.advice.ticket(worker.worker_id, now) or ""
         self._starts.append(Start(run, occurrence.job.accepted.request.payload, saved, ticket))
 
+    def _count_run(self, run: Run) -> None:
+        """Count a run in what its account and urgent work hold."""
+        self._usage.add(run)
+        if self._demand is not None:
+            self._demand.run_added(run)
+
     def _mark_changed(self, occurrence: Occurrence) -> None:
         self._changed_occurrences[occurrence.key] = occurrence
         self._changed_jobs[occurrence.job.job_id] = occurrence.job
