--- a/src/saddlestack/policy/cluster/demand.py
+++ b/src/saddlestack/policy/cluster/demand.py
@@ -19,10 +19,9 @@
 from saddlestack.policy.cluster.waiting import is_waiting
 
 HORIZON_S = 3.0
-"""How far the forecast looks ahead. Urgent work takes 2.1 to 2.5 s, so what runs now has ended by
-then and what arrives until then is all that is present."""
+"""How far the forecast looks ahead: urgent work takes 2.1 to 2.5 s, and a stop up to 0.4 s."""
 AVERAGE_S = 2.0
-"""Time constant of the averages, short enough to follow a burst that begins within a second."""
+"""Time constant of the average rate, short enough to follow a burst that begins within a second."""
 PEAK_HALF_LIFE_S = 5.0
 """Half-life of peaks: a gang of the size just seen may follow, but a burst of 6 s is over soon."""
 PEAK_MEMORY_S = 20.0
@@ -60,33 +59,34 @@
 
     :param held: what its runs hold now.
     :param rate: fast average of what arrives per second.
-    :param present: fast average of what waits or runs.
+    :param peak_rate: recent peak of ``rate``.
+    :param peak_present: recent peak of what waits or runs.
     """
 
     held: int = 0
     rate: float = 0.0
-    present: float = 0.0
     peak_rate: _Peak = field(default_factory=_Peak)
     peak_present: _Peak = field(default_factory=_Peak)
 
     @property
-    def likely(self) -> float:
-        """What is likely to be present within the horizon."""
-        return max(HORIZON_S * self.peak_rate.value, self.present, self.peak_present.value)
+    def needed(self) -> float:
+        """What is likely to be needed within the horizon beyond what is held.
+
+        Work that ends meanwhile frees no room for what arrives: it shares workers with other work,
+        and gangs need whole ones.
+        """
+        return max(HORIZON_S * self.peak_rate.value, self.peak_present.value - self.held)
 
     def begin(self, waiting: int) -> None:
         """Begin with the work that an earlier leader has left."""
-        self.present = float(self.held + waiting)
-        self.peak_present.observe(self.present, 0.0)
+        self.peak_present.observe(self.held + waiting, 0.0)
 
     def observe(self, arrived: int, waiting: int, elapsed_s: float) -> None:
         """Take in what has arrived and what waits after some time."""
         kept = math.exp(-elapsed_s / AVERAGE_S)
-        present = self.held + waiting
         self.rate = self.rate * kept + arrived / AVERAGE_S
-        self.present = self.present * kept + present * (1 - kept)
         self.peak_rate.observe(self.rate, elapsed_s)
-        self.peak_present.observe(present, elapsed_s)
+        self.peak_present.observe(self.held + waiting, elapsed_s)
 
 
 class DemandForecast:
@@ -141,7 +141,7 @@
         """
         pool = service_capacity.open.accelerators
         demand = self._services.get(service)
-        needed = 0.0 if demand is None else demand.likely - demand.held
+        needed = 0.0 if demand is None else demand.needed
         initial = pool * INITIAL_SHARE * 2 ** (-self._age_s / PEAK_HALF_LIFE_S)
         return min(pool * MAX_SHARE, max(pool * MIN_SHARE, needed, initial))
 
