--- a/benchmarks/demand.py
+++ b/benchmarks/demand.py
@@ -74,7 +74,7 @@
     """What became of the jobs of a day.
 
     :param waits_s: for each urgent gang, the time from its arrival to its last start.
-    :param late: urgent gangs that were not done within their objective.
+    :param late: urgent gangs that were done, but after their objective.
     :param done: accelerator-seconds of normal and of bulk work that is done.
     :param stopped: runs that were stopped for others.
     :param lost: accelerator-seconds of work that was stopped.
