Divide by no evidence, work or sample that is zero

The weight of evidence underflows to 0 after 1,075 half-lives, and the progress of a gang that was reported before the start of its last member gave 0 s of work; both were divided by, which ended the term. The length of a step of 128 runs or more was taken from a sample of all runs: where none of these had a rate yet, as after a takeover, it was one second, and its workers counted as slow.

Evidence without weight counts as none, work of 0 s as unknown, and the sample is taken from the runs that have a rate, of which there are three at least.

--- a/src/saddlestack/policy/cluster/slow_restarts.py
+++ b/src/saddlestack/policy/cluster/slow_restarts.py
@@ -124,7 +124,7 @@
     @property
     def usual_s(self) -> float | None:
         """Seconds that the median member takes on a usual worker; ``None`` if unknown."""
-        if self._median_s is None:
+        if not self._median_s:
             return None
         return self._median_s / (self._median_factor or 1.0)
 
--- a/src/saddlestack/policy/cluster/speed_evidence.py
+++ b/src/saddlestack/policy/cluster/speed_evidence.py
@@ -106,14 +106,15 @@
 
     :param prior: the factor assumed before any piece; without one the worker is assumed usual.
     """
-    if not pieces:
+    per_s = -1.0 / half_life_s
+    weights = [p.weight * math.exp2((now - p.updated_s) * per_s) for p in pieces]
+    total = sum(weights)
+    if not total:
+        # After 1,075 half-lives weights are too small for a float: no evidence is left.
         if prior is None:
             return None
         weight = prior.weight * decay(now - prior.updated_s, half_life_s)
         return Belief(prior.excess, weight, prior.runs, prior.updated_s)
-    per_s = -1.0 / half_life_s
-    weights = [p.weight * math.exp2((now - p.updated_s) * per_s) for p in pieces]
-    total = sum(weights)
     if len(pieces) >= FULL_MEDIAN_PIECES:
         factor = _weighted_median(pieces, weights, total / 2)
     else:
--- a/src/saddlestack/policy/cluster/speed_steps.py
+++ b/src/saddlestack/policy/cluster/speed_steps.py
@@ -5,7 +5,6 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from itertools import islice
 
 from saddlestack.policy.cluster.jobs import Run, StepState
 from saddlestack.policy.cluster.speed_evidence import AGREEMENT, Evidence
@@ -186,15 +185,14 @@
         return found
 
     def _median_length(self) -> float:
-        rates: Iterable[RunRate] = self.rates.values()
-        if len(self.rates) > MAX_COMPARED:
-            rates = islice(rates, 0, None, len(self.rates) // MAX_COMPARED)
         lengths = [
-            rate.log_duration - rate.speed.offset for rate in rates if rate.log_duration is not None
+            rate.log_duration - rate.speed.offset
+            for rate in self.rates.values()
+            if rate.log_duration is not None
         ]
+        if len(lengths) > MAX_COMPARED:
+            lengths = lengths[:: len(lengths) // MAX_COMPARED]
         lengths.sort()
-        if not lengths:
-            return self.length or 0.0
         middle = len(lengths) // 2
         return lengths[middle] if len(lengths) % 2 else (lengths[middle - 1] + lengths[middle]) / 2
 
--- a/tests/test_slow_restarts.py
+++ b/tests/test_slow_restarts.py
@@ -163,6 +163,19 @@
         self.begin()
         self.assertEqual(len(self.reasons(0.6, w12=5.6)), 3)
 
+    def test_progress_from_before_the_last_start_gives_no_work(self) -> None:
+        """The start of a member was confirmed after the others had ended theirs: 0 s of work."""
+        self.begin_pool(known_work=False)
+        self.cluster_state._work_times.work_s = None  # type: ignore[attr-defined]
+        gang = self.begin()
+        self.report(0.3, w11=0.3, w13=0.3)
+        runs = [task.run for task in self.cluster_state.jobs[gang].occurrences[0].steps[0].tasks]
+        for run in runs:
+            assert run is not None
+            run.started_s = 0.3
+        self.set_factors(w11=1.0, w12=SLOW, w13=1.0)
+        self.assertEqual(self.reasons(0.8, w11=0.3, w12=5.6, w13=0.3), [])
+
 
 class FactorTest(SlowRestartCase):
     """The factors of all workers of the gang become known while it runs."""
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -28,14 +28,14 @@
     level_factor,
     next_level,
 )
-from saddlestack.policy.cluster.speed_records import LEAST_CONFIDENCE, SpeedRow
+from saddlestack.policy.cluster.speed_records import LEAST_CONFIDENCE, SpeedRow, WorkerSpeed
 from saddlestack.policy.cluster.speed_services import (
     COMMON_SHARE,
     CONFIRMING_RUNS,
     MAX_CHANGES,
     MIN_COMMON,
 )
-from saddlestack.policy.cluster.speed_steps import FIRST_PERCENT, FIRST_S
+from saddlestack.policy.cluster.speed_steps import FIRST_PERCENT, FIRST_S, StepComparison
 from saddlestack.policy.cluster.speeds import (
     FIRST_RUNS_PER_S,
     NEW_INCARNATION_SHARE,
@@ -326,6 +326,30 @@
                 self.assertEqual(drop_contradicted(pieces, None), dropped)
                 self.assertEqual(pieces[0].dropped, dropped)
 
+    def test_evidence_too_old_for_a_float_counts_as_none(self) -> None:
+        """Weights underflow to 0 after 1,100 half-lives, and the mean was divided by them."""
+        now = 1_100 * HALF_LIFE_S
+        old = [Evidence(0.9, 0.3, 1, 0.0)]
+        self.assertIsNone(estimate(old, None, now, HALF_LIFE_S))
+        prior = Evidence(0.5, 1.0, 3, now)
+        found = estimate(old, prior, now, HALF_LIFE_S)
+        assert found is not None
+        self.assertEqual(found.log_factor, prior.excess)
+
+    def test_a_withdrawn_piece_leaves_only_evidence_of_long_ago(self) -> None:
+        """Three runs on unknown workers leave a piece that is too weak to expire with the speed."""
+        pool = SpeedPool(3)
+        wide(pool, names(3), job_id="before")
+        pool.play(8.0)
+        pool.now = 1_100 * HALF_LIFE_S
+        runs = wide(pool, names(3), job_id="after")
+        for run in runs:
+            pool._push(pool.now + 2.0, pool.workers[run.worker_id])
+        pool.play(pool.now + 3.0)
+        pool.end(pool.work_of(runs[0]), EndKind.FAILED)
+        pool.play(pool.now + 1.0)
+        self.assertIsNone(pool.factor("w0"))
+
     def test_confidence_and_weight_are_inverse(self) -> None:
         for weight in (0.1, 0.5, 3.0):
             self.assertAlmostEqual(weight_for(confidence_of(weight)), weight)
@@ -418,6 +442,18 @@
         for name in names(12):
             self.assertEqual((pool.factor(name) or 0.0) > SLOW, name in names(4), name)
 
+    def test_the_first_rates_of_a_wide_inherited_step_give_its_length(self) -> None:
+        """A sample of all runs missed the few that had a rate, and the length became one second."""
+        comparison = StepComparison()
+        runs = SpeedPool(300).start(make_step(300), names(300), [6.0] * 300)
+        for run in runs:
+            speed = WorkerSpeed(Worker(worker_record(run.worker_id)), run.worker_id, SERVICE)
+            rate = comparison.open_rate(run, speed, 0.0)
+            if run.worker_id in ("w1", "w2", "w3"):
+                comparison.set_duration(rate, 6.0)
+        excesses = [piece.excess for _, piece in comparison.compare(1.0)]
+        self.assertEqual(excesses, [0.0] * 3)
+
     def test_the_end_of_an_inherited_run_is_no_evidence(self) -> None:
         pool = SpeedPool(12)
         runs = wide(pool, names(12))
