Check again whether a run may be stopped once its stop is due

A stop that was put off was ordered up to a second later without another look. A crash in between may have limited the starts of the task, which must then continue. The step that waits for such a run now gives its reservation up and looks for other room in the same round.

--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -585,11 +585,20 @@
             return victims
         return self._deferred.defer(step, victims, self._lending.usual_stop_s, now)
 
-    def _stop_deferred(self, step: StepState, now: float) -> None:
-        """Stop the victims of a step that have not ended by themselves as expected."""
-        for run in self._deferred.take_due(step, now):
+    def _stop_deferred(self, step: StepState, now: float) -> bool:
+        """Stop the victims of a step that have not ended by themselves as expected.
+
+        :return: whether they may still be stopped; otherwise the step has to look for other room.
+        """
+        due = self._deferred.take_due(step, now)
+        members = [each for run in due for each in self._cluster_state.members(run)]
+        if not all(self._is_stoppable(each, now) for each in members):
+            self._release(step)
+            return False
+        for run in due:
             self._cluster_state.preempt(run, step.occurrence.job)
             run.awaited_s = now if run.awaited_s is None else run.awaited_s
+        return True
 
     def _preempt_for_gang(self, step: StepState, now: float) -> None:
         """Stop work of lower priority on the workers that are kept for a gang, if it is due."""
@@ -631,8 +640,8 @@
         if held is None or held.is_suspected:
             return False
         if not held.is_free:
-            self._stop_deferred(step, now)
-            self._reclaim_loans(held, now)
+            if self._stop_deferred(step, now):
+                self._reclaim_loans(held, now)
             return False
         places = held.places
         self._release(step)
--- a/tests/test_gang_priority.py
+++ b/tests/test_gang_priority.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import unittest.mock
 from collections import Counter
 from collections.abc import Callable
 
@@ -652,6 +653,23 @@
         self.assertEqual(self.stopped(due_s), [self.job_of(bulk)])
         self.assertEqual(self.spared(), 0)
 
+    def test_a_run_that_must_continue_by_then_is_not_stopped(self) -> None:
+        """A crash elsewhere limits the starts of a task while its stop is put off."""
+        self.crowd(97, 50)
+        self.preempt()
+        isolation = self.cluster_state.planner._isolation
+        due_s = 10.0 + USUAL_STOP_S
+        limited = {self.run_of(step) for step in self.bulk_near_end()}
+        with unittest.mock.patch.object(isolation, "has_limited_starts", limited.__contains__):
+            stopped = self.stopped(due_s)
+        self.assertEqual(len(stopped), 1)
+        self.assertNotIn(stopped[0], {run.task.name.job_id for run in limited})
+
+    def bulk_near_end(self) -> list[StepState]:
+        """The steps whose only run is about to end."""
+        runs = [run for w in self.cluster_state.workers.values() for run in w.runs.values()]
+        return [run.task.step for run in runs if run.percent == 97]
+
     def test_a_stop_that_is_overdue_asks_for_no_round(self) -> None:
         """A due time in the past made the scheduler plan without pause beside a silent worker."""
         (bulk,) = self.crowd(97)
