Move the reports of runs out of the speed tracker

speeds.py held both the rates of runs and the estimates of workers. The former are now in speed_reports.py, with their budgets; behavior is unchanged.

--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -35,6 +35,7 @@
     next_level,
 )
 from saddlestack.policy.cluster.speed_records import LEAST_CONFIDENCE, SpeedRow
+from saddlestack.policy.cluster.speed_reports import FIRST_RUNS_PER_S, RUNS_PER_S
 from saddlestack.policy.cluster.speed_services import (
     COMMON_SHARE,
     CONFIRMING_RUNS,
@@ -50,12 +51,7 @@
     URGENT_FIRST_PERCENT,
     URGENT_FIRST_S,
 )
-from saddlestack.policy.cluster.speeds import (
-    FIRST_RUNS_PER_S,
-    NEW_INCARNATION_SHARE,
-    RUNS_PER_S,
-    SpeedTracker,
-)
+from saddlestack.policy.cluster.speeds import NEW_INCARNATION_SHARE, SpeedTracker
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.policy.cluster.typical_work import MAX_KEPT
 from saddlestack.policy.cluster.workers import Worker
@@ -682,7 +678,7 @@
         pool.play(1.5)
         runs[3].pace = 50
         pool.play(4.6)
-        comparison = pool.tracker._steps[runs[3].task.step]
+        comparison = pool.tracker._reports.steps[runs[3].task.step]
         self.assertIsNone(comparison.rates[3].log_duration)
 
     def test_steps_that_fill_serve_or_last(self) -> None:
@@ -692,7 +688,7 @@
                 wide(pool, names(12), **more)
                 pool.play(10.0)
                 self.assertEqual(self.known(pool), [])
-                self.assertEqual(pool.tracker._steps, {})
+                self.assertEqual(pool.tracker._reports.steps, {})
 
     def test_runs_that_resumed(self) -> None:
         pool = SpeedPool(12)
@@ -783,12 +779,12 @@
         pool = self.pool
         for worker in list(pool.workers.values()):
             pool.tracker.forget_worker(worker)
-        for step in list(pool.tracker._steps):
+        for step in list(pool.tracker._reports.steps):
             pool.tracker.forget_job(step.occurrence.job.job_id)
         pool.tracker.refresh(pool.now + 20 * HALF_LIFE_S)
         self.assertEqual(pool.tracker._workers, {})
-        self.assertEqual(pool.tracker._steps, {})
-        self.assertEqual(pool.tracker._steps_of_jobs, {})
+        self.assertEqual(pool.tracker._reports.steps, {})
+        self.assertEqual(pool.tracker._reports.steps_of_jobs, {})
         self.assertEqual(pool.tracker._memories, {})
 
     def test_a_snapshot_restores_the_speeds_in_a_new_leader(self) -> None:
@@ -906,7 +902,7 @@
         worker = next(each for each in state.workers.values() if each.runs)
         state.worker_ended(worker.worker_id)
         step = state.jobs["0" * 16].occurrences[0].steps[0]
-        rates = tracker._steps[step].rates.values()
+        rates = tracker._reports.steps[step].rates.values()
         self.assertNotIn(worker.worker_id, {rate.speed.worker.worker_id for rate in rates})
         for other in list(state.workers.values()):
             for name, number in list(other.runs):
@@ -915,7 +911,7 @@
         state.unlist_worker("w9")
         self.assertNotIn("w9", tracker._workers)
         state.remove_job("0" * 16)
-        self.assertEqual(tracker._steps, {})
+        self.assertEqual(tracker._reports.steps, {})
 
     def test_nothing_is_learned_where_the_option_is_off(self) -> None:
         state = self.state(None)
@@ -1001,7 +997,7 @@
             run = Run(step.tasks[0], 1, "w", step.step.allocation, 0.0, started_s=0.0)
             run.percent = 50
             tracker.observe_progress(worker, run, members, now)
-            return not tracker._steps[step].is_left_out
+            return not tracker._reports.steps[step].is_left_out
 
         taken = [report(number, 1.0) for number in range(allowed + 1)]
         self.assertEqual(taken, [True] * allowed + [False])
@@ -1011,9 +1007,9 @@
         pool = SpeedPool(6)
         runs = wide(pool, names(6), 3.0)
         step = runs[0].task.step
-        pool.tracker._open(step, pool.workers["w0"], 0.0).is_left_out = True
+        pool.tracker._reports._open(step, pool.workers["w0"], 0.0).is_left_out = True
         pool.play(5.0)
-        self.assertEqual(pool.tracker._steps, {})
+        self.assertEqual(pool.tracker._reports.steps, {})
         self.assertIsNone(pool.tracker.estimate("w0"))
 
     def test_factors_of_many_workers_change_over_several_rounds(self) -> None:
