--- a/tests/test_unequal_days.py
+++ b/tests/test_unequal_days.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import importlib.util
 import random
 import statistics
 import unittest
@@ -43,7 +42,6 @@
 LEARNT = ((3, 36.0), (11, 30.0))
 """Seeds and seconds of days with avoidable urgent gangs on slow workers if speeds are ignored."""
 FAULTS = ["crash", "drain", "lease_lost", "reborn", "restart"]
-KNOWS_SPEEDS = importlib.util.find_spec("saddlestack.policy.cluster.speed_limits") is not None
 
 
 class SpeedsTest(unittest.TestCase):
@@ -213,7 +211,6 @@
                 self.assertEqual(verdict.broken, [])
                 self.assertGreater(verdict.starts, 0)
 
-    @unittest.skipUnless(KNOWS_SPEEDS, "the scheduler does not know the speeds of workers")
     def test_urgent_gangs_avoid_slow_workers(self) -> None:
         for seed, seconds in LEARNT:
             with self.subTest(seed=seed):
