Follow the configuration before the task of a term begins

A term that was displaced as it began was stopped before its task had added its listener. Removing the listener failed, which ended the task that follows the leader key on this VM, and the rest of the term went on.

The listener is added in the call that begins the term, so that it is there whenever the term is stopped.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -139,6 +139,8 @@
 
     async def run(self) -> None:
         """Load the records from the store, then schedule until stopped."""
+        # Not in the task: a term may be stopped before its task has begun.
+        self._configuration.add_listener(self._on_configuration_changed)
         self._tasks.spawn(self._run_term())
 
     async def stop(self) -> None:
@@ -237,7 +239,6 @@
         await speeds.run()
 
     async def _run_term(self) -> None:
-        self._configuration.add_listener(self._on_configuration_changed)
         workers = self._worker_feed
         self._tasks.spawn(workers.run())
         self._tasks.spawn(self._evacuations.run())
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -61,6 +61,21 @@
             with self.subTest(late_s=late_s):
                 self.play(body, entries=4)
 
+    def test_a_term_that_ends_as_it_begins_leaves_nothing_behind(self) -> None:
+        """The end of such a term failed, and the VM followed the leader key no more."""
+
+        async def body(cluster: PoolCluster) -> None:
+            vm = cluster.members[cluster.leader_name].vm
+            term = vm.leadership.term
+            assert term is not None
+            await vm.deposed()
+            listeners = len(vm.configuration._listeners)
+            await vm.elected(term)
+            await vm.deposed()
+            self.assertEqual(len(vm.configuration._listeners), listeners)
+
+        self.play(body, entries=2)
+
     def test_a_short_store_outage_changes_no_leader(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             before = fences(cluster)
