State when the headroom opens to a gang by its slack

The diagnosis of a wait on the headroom gave the end of the fixed wait, but with gang priority on the headroom opens to a normal gang once its slack is short. The planner now states the earlier of the two, from the same slack that the decision uses.

--- a/src/saddlestack/policy/cluster/diagnosis.py
+++ b/src/saddlestack/policy/cluster/diagnosis.py
@@ -22,7 +22,6 @@
 from saddlestack.policy.cluster.speed_limits import SpeedLimit
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.policy.cluster.wait_limits import (
-    HEADROOM_WAIT_S,
     IDLE_POOL_WAIT_S,
     NEAR_DATA_WAIT_S,
 )
@@ -298,7 +297,7 @@
                 step, list(feasibility.places), self._now
             ):
                 return self._round_reason(), None
-            return WaitReason.HEADROOM, waiting_since_s + HEADROOM_WAIT_S
+            return WaitReason.HEADROOM, self._cluster_state.planner.headroom_until(step, self._now)
         reserved_until_s = self._cluster_state.planner.reserved_until(step)
         if reserved_until_s is not None:
             return WaitReason.MAKING_ROOM, reserved_until_s
--- a/src/saddlestack/policy/cluster/gang_priority.py
+++ b/src/saddlestack/policy/cluster/gang_priority.py
@@ -79,7 +79,11 @@
 
         Only for gangs that may be stopped again, so that urgent work gets the workers back.
         """
-        return self._is_favored(step) and not step.step.once and self._slack.is_short(step)
+        return self._may_open_headroom(step) and self._slack.is_short(step)
+
+    def headroom_opens_s(self, step: StepState) -> float | None:
+        """When the headroom opens to a step by its slack; ``None`` if it does not."""
+        return self._slack.short_from_s(step) if self._may_open_headroom(step) else None
 
     def shape(self, step: StepState, shape: int | None) -> int | None:
         """The number by which steps are equal if slack counts as well as their shape.
@@ -95,6 +99,9 @@
             return None
         return (shape * self._kept.rank_count + rank) * 2 + self.opens_headroom(step)
 
+    def _may_open_headroom(self, step: StepState) -> bool:
+        return self._is_favored(step) and not step.step.once
+
     def _is_favored(self, step: StepState) -> bool:
         """Whether a step is a gang of normal priority."""
         is_normal = step.occurrence.job.priority == NORMAL_PRIORITY
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -242,6 +242,13 @@
         reservation = self._reservations.of(step)
         return None if reservation is None else reservation.expires_s
 
+    def headroom_until(self, step: StepState, now: float) -> float:
+        """When the headroom opens to a waiting step at the latest."""
+        since_s = now if step.waiting_since_s is None else step.waiting_since_s
+        opens_s = self._gang_priority.headroom_opens_s(step)
+        until_s = since_s + HEADROOM_WAIT_S
+        return until_s if opens_s is None else min(until_s, opens_s)
+
     def headroom_allows(self, step: StepState, places: list[Worker], now: float) -> bool:
         """Whether the headroom left by the last round allows a step to take these workers."""
         with self._index.without_refresh():
--- a/src/saddlestack/policy/cluster/slack.py
+++ b/src/saddlestack/policy/cluster/slack.py
@@ -99,6 +99,13 @@
             return False
         return slack_s < max(work_s, SHORT_SLACK_S)
 
+    def short_from_s(self, step: StepState) -> float | None:
+        """When the slack of a step becomes short, on the monotonic clock; ``None`` if unknown."""
+        slack_s, work_s = self.slack_s(step), self.work_s(step)
+        if slack_s is None or work_s is None or self.worthless_for_s(step) is not None:
+            return None
+        return self._now + slack_s - max(work_s, SHORT_SLACK_S)
+
     def worthless_for_s(self, step: StepState) -> float | None:
         """Seconds for which a job has been past :data:`WORTHLESS_FACTOR` times its objective.
 
--- a/tests/test_slack.py
+++ b/tests/test_slack.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from saddlestack.policy.cluster.diagnosis import Diagnosis
 from saddlestack.policy.cluster.jobs import StepState, new_job
 from saddlestack.policy.cluster.options import SchedulingOptions
+from saddlestack.policy.cluster.reasons import WaitReason
 from saddlestack.policy.cluster.slack import Slack
 from saddlestack.policy.cluster.state import ClusterState
+from saddlestack.policy.cluster.wait_limits import HEADROOM_WAIT_S
 from saddlestack.work import AcceptedJob, JobRequest, Resources, Step
 from tests.test_cluster_state import BULK, NORMAL, SERVICE, URGENT, ClusterCase
+from tests.test_diagnosis import diagnosis_context
 
 STRETCH = {URGENT: 1.5, NORMAL: 3.0, BULK: 3.0}
 TARGET_MS = {URGENT: 300.0, NORMAL: 1_000.0, BULK: 3_000.0}
@@ -206,6 +210,29 @@
                 found = self.first_start_s(job, enabled=enabled, priority=priority)
                 self.assertEqual(found, 15.5, (job, enabled))
 
+    def headroom_until_s(self, job: Step, *, enabled: bool = True) -> float | None:
+        """When the wait of a normal job on the headroom ends at the latest, by the diagnosis."""
+        self.crowd(enabled=enabled)
+        self.submit(job, priority=NORMAL)
+        self.round(0.0)
+        context = diagnosis_context(0.2, wall_ms=wall_ms(0.2), planned_s=0.0)
+        (wait,) = Diagnosis(self.cluster_state).scan(context).waits
+        self.assertEqual(wait.reason, WaitReason.HEADROOM)
+        return wait.until_s
+
+    def test_the_diagnosis_states_when_the_headroom_opens(self) -> None:
+        """It stated the end of the fixed wait, although a gang starts when its slack runs out."""
+        self.assertAlmostEqual(self.headroom_until_s(work(2, 4, gang=True)) or 0, 7.0)
+        self.assertAlmostEqual(self.headroom_until_s(work(2, 4, 1.0, gang=True)) or 0, 1.0)
+        for job, enabled in (
+            (work(2, 4, gang=True), False),
+            (work(2, 4, 60.0, gang=True), True),
+            (work(2, 4, None, gang=True), True),
+            (work(2, 4, gang=True, once=True), True),
+        ):
+            found = self.headroom_until_s(job, enabled=enabled)
+            self.assertEqual(found, HEADROOM_WAIT_S, (job, enabled))
+
     def test_a_gang_past_any_value_does_not_get_the_headroom_by_slack(self) -> None:
         for accepted_s, expected in ((-57.0, 1), (-58.0, 0)):
             self.crowd(enabled=True)
