Keep the room that is made for a gang, and stop only what it lacks

Normal gangs with less slack took the room that was being made for a gang, so that it had others stopped again; its kept workers changed while runs stopped; and the search saw only the kept workers, however much was lost there.

- Until the gang starts, but for no longer than a reservation, its workers are kept from all other normal and bulk work, and urgent work takes them last.
- The gang starts there rather than on empty workers that urgent work needs.
- Runs that end by themselves before the slack does count as free room.
- Racks that are kept for no other gang are searched as well, and the one where least is lost is taken.
- Nothing is stopped for a gang that would be late anyway.

--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -9,7 +9,7 @@
 from saddlestack.policy.cluster.backfill import Backfill
 from saddlestack.policy.cluster.fits import FitCache, FitKey
 from saddlestack.policy.cluster.index import CapacityIndex, ServiceCapacity
-from saddlestack.policy.cluster.jobs import Run, StepState, Task
+from saddlestack.policy.cluster.jobs import TOP_PRIORITY, Run, StepState, Task
 from saddlestack.policy.cluster.kept_workers import KeptWorkers
 from saddlestack.policy.cluster.placement import place_gang, whole_racks
 from saddlestack.policy.cluster.places import (
@@ -77,9 +77,13 @@
         near = self._near_data(step, fit, kept, now)
         if near is not None:
             return ListedPlaces(step, self._near_within(step, near, limit), rank)
-        if limit is None:
-            return IndexedPlaces(step, self._fits.of(fit), kept)
-        return self._places_within(step, fit, limit, kept)
+        if limit is not None:
+            return self._places_within(step, fit, limit, kept)
+        last = IndexedPlaces(step, self._fits.of(fit), kept)
+        spared = self._spared_by(step)
+        if spared is None:
+            return last
+        return FirstPlaces([partial(IndexedPlaces, step, self._fits.of(fit), spared)], last)
 
     def places_above_limit(self, step: StepState, limit: SpeedLimit, now: float) -> Places:
         """The workers that a step may run on regardless of its limit, the least slow preferred.
@@ -165,6 +169,10 @@
         else:
             keys = []
         alike = [partial(self._ranked, step, key, fit, kept, limit.rank) for key in keys]
+        spared = self._spared_by(step)
+        if spared is not None:
+            keys.append(within)
+            alike = [partial(self._ranked, step, key, fit, spared, limit.rank) for key in keys]
         return FirstPlaces(alike, last)
 
     def _ranked(
@@ -307,6 +315,11 @@
         is_idle = not self.service_capacity(step).open.is_half_used
         return self._kept_workers.test(step, is_idle=is_idle)
 
+    def _spared_by(self, step: StepState) -> IsKept | None:
+        """Test for workers that room is being made on for a gang, which urgent work takes last."""
+        is_top = step.occurrence.job.priority == TOP_PRIORITY
+        return self._kept_workers.cleared_test if is_top else None
+
     def _kept_by_priority(self, step: StepState) -> IsKept | None:
         priority = step.occurrence.job.priority
         if step.step.long_running or not self._backfill.keeps_from(priority):
--- a/src/saddlestack/policy/cluster/gang_preemption.py
+++ b/src/saddlestack/policy/cluster/gang_preemption.py
@@ -1,12 +1,13 @@
 """Preemption of bulk work for a normal gang whose slack runs out.
 
-Only work on the workers that are kept for the gang is stopped. Nothing is reserved: the workers
-stay kept from all but urgent work, which must not wait for a gang's room.
+Room that is free or becomes free in time counts first, and only the difference is stopped, where
+that loses least. Nothing is reserved: the workers are kept from all but urgent work, which must not
+wait for a gang's room.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from saddlestack.policy.cluster.jobs import Run, StepState
@@ -26,10 +27,29 @@
 """A task that was stopped this often for others is not stopped for a gang."""
 MISSED_LOSS_FACTOR = 2.0
 """The loss of work whose own objective would be missed because of the stop counts this often."""
-MAX_SEARCHES_PER_ROUND = 4
+MAX_SEARCHES_PER_ROUND = 2
 """Gangs for which a round searches for runs to stop. Such a search takes up to 2 ms."""
 RETRY_S = 0.5
 """Time after which a search that found nothing is repeated, at the earliest."""
+START_MARGIN_S = 0.5
+"""Room counts as free in time if runs end this long before the slack does. The next round may be
+0.5 s away if an end is noticed late."""
+MAX_DOMAINS_SEARCHED = 8
+"""Groups of workers that are searched beside those kept for the gang, to bound the cost."""
+
+
+@dataclass(frozen=True, slots=True)
+class MadeRoom:
+    """Where room is made for a gang.
+
+    :param workers: the workers on which it fits then.
+    :param victims: the runs to stop.
+    :param until_s: when it has to have started there.
+    """
+
+    workers: Sequence[Worker]
+    victims: list[Run]
+    until_s: float
 
 
 @dataclass(slots=True)
@@ -77,72 +97,80 @@
         }
         self._stopped = {step: count for step, count in self._stopped.items() if may_start(step)}
 
-    def victims(
-        self, step: StepState, kept: Sequence[Worker], may_stop: MayStop, now: float
-    ) -> list[Run]:
-        """Choose the runs to stop for a gang now; none if its slack or a limit forbids it.
+    def make_room(
+        self, step: StepState, domains: Iterable[Sequence[Worker]], may_stop: MayStop, now: float
+    ) -> MadeRoom | None:
+        """Choose where room is made for a gang now; ``None`` if its slack or a limit forbids it.
 
-        :param kept: the workers that are kept for it.
+        :param domains: groups of workers to search, read only if the gang is due. They must not be
+            kept for others.
         """
         priority = step.occurrence.job.priority
-        if not kept or priority in self._attempts or not self._is_due(step):
-            return []
+        if priority in self._attempts or not self._is_due(step):
+            return None
         if step in self._failed_s or self._searches >= MAX_SEARCHES_PER_ROUND:
-            return []
+            return None
         self._searches += 1
-        chosen = self._search(step, kept, may_stop, now)
-        stopped = self._stopped.get(step, 0) + len(chosen)
-        if not chosen or stopped > MAX_STOPPED_TASKS:
+        made = self._search(step, domains, may_stop, now)
+        stopped = self._stopped.get(step, 0) + (0 if made is None else len(made.victims))
+        if made is None or stopped > MAX_STOPPED_TASKS:
             self._failed_s[step] = now
-            return []
-        self._stopped[step] = stopped
-        self._attempts[priority] = _Attempt(step, chosen, now + RESERVATION_TIMEOUT_S)
-        return chosen
+            return None
+        if made.victims:
+            self._stopped[step] = stopped
+            self._attempts[priority] = _Attempt(step, made.victims, made.until_s)
+        return made
 
     def _search(
-        self, step: StepState, kept: Sequence[Worker], may_stop: MayStop, now: float
-    ) -> list[Run]:
-        """The runs to stop so that a gang fits, those left out that end as soon by themselves."""
+        self, step: StepState, domains: Iterable[Sequence[Worker]], may_stop: MayStop, now: float
+    ) -> MadeRoom | None:
+        """Where a gang fits with the least loss, and the runs that do not end in time for it."""
         priority = step.occurrence.job.priority
         stop_s = self._stop_s()
+        ends_by_s = max(stop_s, (self._slack.slack_s(step) or 0.0) - START_MARGIN_S)
+
+        def ends_in_time(run: Run) -> bool:
+            return run.stopping or ends_within(self._members(run), ends_by_s, now)
 
         def may_stop_for_gang(run: Run) -> bool:
-            if run.stopping or self._ends_soon(run, stop_s, now):
+            if ends_in_time(run):
                 return True
             if run.task.step.occurrence.job.priority <= priority:
                 return False
             return run.task.preemptions < MAX_TASK_PREEMPTIONS and may_stop(run)
 
-        preemptor = _GangPreemptor(self._members, may_stop_for_gang, self._slack, stop_s, now)
-        found = preemptor.cheapest(step, step.step.count, [kept])
+        preemptor = _GangPreemptor(
+            self._members, may_stop_for_gang, ends_in_time, self._slack, stop_s, now
+        )
+        found = preemptor.cheapest(step, step.step.count, domains)
         if found is None:
-            return []
-        return [
-            run
-            for run in found.victims
-            if not run.stopping and not self._ends_soon(run, stop_s, now)
-        ]
+            return None
+        victims = [run for run in found.victims if not ends_in_time(run)]
+        workers = tuple(dict.fromkeys(found.places))
+        held_s = RESERVATION_TIMEOUT_S if victims else ends_by_s
+        return MadeRoom(workers, victims, now + held_s)
 
     def _is_due(self, step: StepState) -> bool:
+        """Whether a gang is short of slack, and would still be in time if it started now."""
         slack_s = self._slack.slack_s(step)
-        if slack_s is None or slack_s >= PREEMPTION_SLACK_S:
-            return False
-        return self._slack.worthless_for_s(step) is None
-
-    def _ends_soon(self, run: Run, stop_s: float, now: float) -> bool:
-        return ends_within(self._members(run), stop_s, now)
+        return slack_s is not None and 0.0 <= slack_s < PREEMPTION_SLACK_S
 
 
 class _GangPreemptor(Preemptor):
     """Searches for the runs to stop for a gang, with the value of the victims' objectives."""
 
     def __init__(
-        self, members: Members, may_stop: MayStop, slack: Slack, stop_s: float, now: float
+        self,
+        members: Members,
+        may_stop: MayStop,
+        ends_in_time: MayStop,
+        slack: Slack,
+        stop_s: float,
+        now: float,
     ) -> None:
-        super().__init__(members, may_stop, self._ends_soon, now)
+        super().__init__(members, may_stop, ends_in_time, now)
         self._slack = slack
         self._stop_s = stop_s
-        self._since_s = now
 
     def loss(self, run: Run) -> float:
         """Core-seconds that are lost if a run stops now, doubled if its job becomes late by it."""
@@ -150,6 +178,3 @@
         if self._slack.is_missed_by_stop(run, self._stop_s):
             lost *= MISSED_LOSS_FACTOR
         return lost
-
-    def _ends_soon(self, run: Run) -> bool:
-        return ends_within(self._members(run), self._stop_s, self._since_s)
--- a/src/saddlestack/policy/cluster/gang_priority.py
+++ b/src/saddlestack/policy/cluster/gang_priority.py
@@ -7,15 +7,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
+from itertools import islice
 
-from saddlestack.policy.cluster.gang_preemption import GangPreemption
+from saddlestack.policy.cluster.gang_preemption import MAX_DOMAINS_SEARCHED, GangPreemption
 from saddlestack.policy.cluster.jobs import Run, StepState
 from saddlestack.policy.cluster.kept_workers import KeptWorkers
 from saddlestack.policy.cluster.places import Places
 from saddlestack.policy.cluster.preemption import Preemption
 from saddlestack.policy.cluster.slack import NORMAL_PRIORITY, Slack
 from saddlestack.policy.cluster.victims import MayStop, least_harmful
+from saddlestack.policy.cluster.workers import Worker
 
 
 class GangPriority:
@@ -57,9 +59,32 @@
             self._kept.keep(step, places())
         return True
 
-    def victims(self, step: StepState, may_stop: MayStop, now: float) -> list[Run]:
-        """Choose the runs to stop now for a gang that workers are kept for."""
-        return self._preemption.victims(step, self._kept.of(step), may_stop, now)
+    def victims(
+        self, step: StepState, places: Callable[[], Places], may_stop: MayStop, now: float
+    ) -> list[Run]:
+        """Choose the runs to stop now for a gang, and keep the workers where it fits then.
+
+        None if the headroom might keep the gang from the workers once they are empty.
+        """
+        if not self.opens_headroom(step):
+            return []
+        made = self._preemption.make_room(step, self._domains(step, places), may_stop, now)
+        if made is None:
+            return []
+        self._kept.clear_room(step, made.workers, made.until_s)
+        return made.victims
+
+    def _domains(self, step: StepState, places: Callable[[], Places]) -> Iterator[Sequence[Worker]]:
+        """The workers that are kept for a gang, then others that are kept for no other gang."""
+        kept = self._kept.of(step)
+        if kept:
+            yield kept
+        for domain in islice(places().domains(step.step.count), MAX_DOMAINS_SEARCHED):
+            yield [worker for worker in domain if not self._kept.is_others(worker, step)]
+
+    def cleared(self, step: StepState) -> tuple[Worker, ...]:
+        """The workers that room is being made on for a gang, if any."""
+        return self._kept.cleared(step)
 
     def least_harmful(
         self, search: Callable[[MayStop], Preemption | None], may_stop: MayStop, step: StepState
--- a/src/saddlestack/policy/cluster/kept_workers.py
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -48,12 +48,15 @@
 
     :param checked_s: when others were last looked for.
     :param awaits_all: whether work of any priority there has to end, rather than of lower ones.
+    :param cleared_until_s: until when room that is being made there is kept from all but urgent
+        work.
     """
 
     step: StepState
     workers: tuple[Worker, ...]
     checked_s: float
     awaits_all: bool = False
+    cleared_until_s: float = -math.inf
 
 
 class KeptWorkers:
@@ -70,6 +73,7 @@
         self._owners: dict[Worker, StepState] = {}
         self._before: dict[tuple[int, bool], set[StepState]] = {}
         self._pressed: set[StepState] = set()
+        self._cleared: set[StepState] = set()
         self._searches_left = 0
         self._loosest_s: float | None = None
         self._slacks: list[float] = []
@@ -80,10 +84,11 @@
         self._now = now
         self._searches_left = MAX_SEARCHES_PER_ROUND
         waiting = [each for each in self._sets.values() if may_start(each.step)]
-        waiting.sort(key=lambda each: self._slack_s(each.step))
+        waiting.sort(key=lambda each: (not self._is_cleared(each), self._slack_s(each.step)))
         self._sets.clear()
         self._owners.clear()
         self._pressed.clear()
+        self._cleared.clear()
         for each in waiting:
             if self._is_usable(each):
                 self._put(each)
@@ -101,8 +106,33 @@
         held = self._sets.get(step)
         return () if held is None else held.workers
 
+    def clear_room(self, step: StepState, workers: Sequence[Worker], until_s: float) -> None:
+        """Keep workers for a gang that room is being made on, from all but urgent work.
+
+        :param until_s: when they are kept like those of other gangs again.
+        """
+        self.release(step)
+        self._put(KeptSet(step, tuple(workers), self._now, cleared_until_s=until_s))
+
+    def cleared(self, step: StepState) -> tuple[Worker, ...]:
+        """The workers that room is being made on for a gang, if any."""
+        return self.of(step) if step in self._cleared else ()
+
+    @property
+    def cleared_test(self) -> IsKept | None:
+        """Test for workers that room is being made on for any gang; ``None`` if there are none."""
+        if not self._cleared:
+            return None
+        return lambda worker: self._owners.get(worker) in self._cleared
+
+    def is_others(self, worker: Worker, step: StepState) -> bool:
+        """Whether a worker is kept for another gang than a step."""
+        return self._owners.get(worker, step) is not step
+
     def needs_search(self, step: StepState) -> bool:
         """Whether :meth:`keep` needs to know where a gang fits soonest now."""
+        if step in self._cleared:
+            return False
         held = self._sets.get(step)
         if held is not None:
             return self._now - held.checked_s >= RECHECK_S
@@ -124,7 +154,7 @@
         if held is None:
             if found is not None:
                 if len(self._sets) >= MAX_KEPT_GANGS:
-                    self.release(max(self._sets, key=self._slack_s))
+                    self.release(max(self._sets.keys() - self._cleared, key=self._slack_s))
                 self._put(found)
             return
         held.checked_s = self._now
@@ -165,6 +195,7 @@
         if held is None:
             return False
         self._pressed.discard(step)
+        self._cleared.discard(step)
         self._before.clear()
         self._loosest_s = None
         for worker in held.workers:
@@ -181,7 +212,7 @@
         rank = self.rank(step)
         before = None if rank is None else self._before.get((rank, is_idle))
         if before is None:
-            owners = self._pressed if is_idle else self._sets
+            owners = self._pressed | self._cleared if is_idle else self._sets
             before = {owner for owner in owners if self._is_held_back(step, owner)}
             if rank is not None:
                 self._before[(rank, is_idle)] = before
@@ -223,6 +254,8 @@
         self._loosest_s = None
         if self._slack.is_short(held.step):
             self._pressed.add(held.step)
+        if self._is_cleared(held):
+            self._cleared.add(held.step)
         for worker in held.workers:
             self._owners.setdefault(worker, held.step)
 
@@ -231,6 +264,8 @@
         if owner is step:
             return False
         priority, waited_s = step.occurrence.job.priority, step.waited_s(self._now)
+        if owner in self._cleared:
+            return priority >= NORMAL_PRIORITY
         if priority != NORMAL_PRIORITY:
             longest_s = LONGEST_HELD_S if owner in self._pressed else LOWER_HELD_S
             return priority > NORMAL_PRIORITY and waited_s <= longest_s
@@ -238,6 +273,9 @@
             return False
         return not step.step.gang or self._slack_s(step) >= self._slack_s(owner)
 
+    def _is_cleared(self, held: KeptSet) -> bool:
+        return self._now <= held.cleared_until_s
+
     def _is_usable(self, held: KeptSet) -> bool:
         """Whether a gang still fits on its workers once the work in its way has ended."""
         step = held.step
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -270,6 +270,8 @@
             return
         if not self._isolate(step, now):
             return
+        if self._place_on_cleared(step, now):
+            return
         cannot_start = full or self._failed_shapes.is_headroom_closed(shape, step.waited_s(now))
         if cannot_start and not is_top:
             if not self._place_without_preferences(step, now):
@@ -409,6 +411,19 @@
                 return True
         return False
 
+    def _place_on_cleared(self, step: StepState, now: float) -> bool:
+        """Start a gang on the workers that room was made on for it, if it fits there by now.
+
+        Others that it fits on are left to urgent work.
+        """
+        cleared = self._gang_priority.cleared(step)
+        chosen = ListedPlaces(step, cleared).choose_gang() if cleared else None
+        if chosen is None or not self._headroom_allows(step, chosen, now):
+            return False
+        self._release(step)
+        self._assign_gang(step, chosen, now)
+        return True
+
     def _place_without_preferences(self, step: StepState, now: float) -> bool:
         """Place work of a job that would stall although the pool is mostly free.
 
@@ -600,7 +615,12 @@
 
     def _preempt_for_gang(self, step: StepState, now: float) -> None:
         """Stop work of lower priority on the workers that are kept for a gang, if it is due."""
-        victims = self._gang_priority.victims(step, lambda run: self._is_stoppable(run, now), now)
+        victims = self._gang_priority.victims(
+            step,
+            lambda: self._candidates.places(step, now),
+            lambda run: self._is_stoppable(run, now),
+            now,
+        )
         for run in victims:
             self._cluster_state.preempt(run, step.occurrence.job)
             run.awaited_s = now if run.awaited_s is None else run.awaited_s
