--- a/src/saddlestack/policy/cluster/gang_priority.py
+++ b/src/saddlestack/policy/cluster/gang_priority.py
@@ -7,15 +7,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
+from itertools import islice
 
-from saddlestack.policy.cluster.gang_preemption import GangPreemption
+from saddlestack.policy.cluster.gang_preemption import MAX_DOMAINS_SEARCHED, GangPreemption
 from saddlestack.policy.cluster.jobs import Run, StepState
 from saddlestack.policy.cluster.kept_workers import KeptWorkers
 from saddlestack.policy.cluster.places import Places
 from saddlestack.policy.cluster.preemption import Preemption
 from saddlestack.policy.cluster.slack import NORMAL_PRIORITY, Slack
 from saddlestack.policy.cluster.victims import MayStop, least_harmful
+from saddlestack.policy.cluster.workers import Worker
 
 
 class GangPriority:
@@ -57,9 +59,32 @@
             self._kept.keep(step, places())
         return True
 
-    def victims(self, step: StepState, may_stop: MayStop, now: float) -> list[Run]:
-        """Choose the runs to stop now for a gang that workers are kept for."""
-        return self._preemption.victims(step, self._kept.of(step), may_stop, now)
+    def victims(
+        self, step: StepState, places: Callable[[], Places], may_stop: MayStop, now: float
+    ) -> list[Run]:
+        """Choose the runs to stop now for a gang, and keep the workers where it fits then.
+
+        None if the headroom might keep the gang from the workers once they are empty.
+        """
+        if not self.opens_headroom(step):
+            return []
+        made = self._preemption.make_room(step, self._domains(step, places), may_stop, now)
+        if made is None:
+            return []
+        self._kept.clear_room(step, made.workers, made.until_s)
+        return made.victims
+
+    def _domains(self, step: StepState, places: Callable[[], Places]) -> Iterator[Sequence[Worker]]:
+        """The workers that are kept for a gang, then others that are kept for no other gang."""
+        kept = self._kept.of(step)
+        if kept:
+            yield kept
+        for domain in islice(places().domains(step.step.count), MAX_DOMAINS_SEARCHED):
+            yield [worker for worker in domain if not self._kept.is_others(worker, step)]
+
+    def cleared(self, step: StepState) -> tuple[Worker, ...]:
+        """The workers that room is being made on for a gang, if any."""
+        return self._kept.cleared(step)
 
     def least_harmful(
         self, search: Callable[[MayStop], Preemption | None], may_stop: MayStop, step: StepState
@@ -79,7 +104,11 @@
 
         Only for gangs that may be stopped again, so that urgent work gets the workers back.
         """
-        return self._is_favored(step) and not step.step.once and self._slack.is_short(step)
+        return self._may_open_headroom(step) and self._slack.is_short(step)
+
+    def headroom_opens_s(self, step: StepState) -> float | None:
+        """When the headroom opens to a step by its slack; ``None`` if it does not."""
+        return self._slack.short_from_s(step) if self._may_open_headroom(step) else None
 
     def shape(self, step: StepState, shape: int | None) -> int | None:
         """The number by which steps are equal if slack counts as well as their shape.
@@ -95,6 +124,9 @@
             return None
         return (shape * self._kept.rank_count + rank) * 2 + self.opens_headroom(step)
 
+    def _may_open_headroom(self, step: StepState) -> bool:
+        return self._is_favored(step) and not step.step.once
+
     def _is_favored(self, step: StepState) -> bool:
         """Whether a step is a gang of normal priority."""
         is_normal = step.occurrence.job.priority == NORMAL_PRIORITY
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -252,6 +252,13 @@
         reservation = self._reservations.of(step)
         return None if reservation is None else reservation.expires_s
 
+    def headroom_until(self, step: StepState, now: float) -> float:
+        """When the headroom opens to a waiting step at the latest."""
+        since_s = now if step.waiting_since_s is None else step.waiting_since_s
+        opens_s = self._gang_priority.headroom_opens_s(step)
+        until_s = since_s + HEADROOM_WAIT_S
+        return until_s if opens_s is None else min(until_s, opens_s)
+
     def headroom_allows(self, step: StepState, places: list[Worker], now: float) -> bool:
         """Whether the headroom left by the last round allows a step to take these workers."""
         with self._index.without_refresh():
@@ -284,6 +291,8 @@
             return
         if not self._isolate(step, now):
             return
+        if self._place_on_cleared(step, now):
+            return
         if limit is not None and not is_top and not self._probe(step, any_speed, limit, now):
             return
         cannot_start = full or self._failed_shapes.is_headroom_closed(shape, step.waited_s(now))
@@ -451,6 +460,19 @@
                 return True
         return False
 
+    def _place_on_cleared(self, step: StepState, now: float) -> bool:
+        """Start a gang on the workers that room was made on for it, if it fits there by now.
+
+        Others that it fits on are left to urgent work.
+        """
+        cleared = self._gang_priority.cleared(step)
+        chosen = ListedPlaces(step, cleared).choose_gang() if cleared else None
+        if chosen is None or not self._headroom_allows(step, chosen, now):
+            return False
+        self._release(step)
+        self._assign_gang(step, chosen, now)
+        return True
+
     def _place_without_preferences(self, step: StepState, now: float) -> bool:
         """Place work of a job that would stall although the pool is mostly free.
 
@@ -659,7 +681,12 @@
 
     def _preempt_for_gang(self, step: StepState, now: float) -> None:
         """Stop work of lower priority on the workers that are kept for a gang, if it is due."""
-        victims = self._gang_priority.victims(step, lambda run: self._is_stoppable(run, now), now)
+        victims = self._gang_priority.victims(
+            step,
+            lambda: self._candidates.places(step, now),
+            lambda run: self._is_stoppable(run, now),
+            now,
+        )
         for run in victims:
             self._cluster_state.preempt(run, step.occurrence.job)
             run.awaited_s = now if run.awaited_s is None else run.awaited_s
