Skip searches for workers to keep that would find none either

With gang priority on, each waiting gang without kept workers was searched for in each round, most of them in vain. A gang is now skipped where another of its shape and speed limit has found no workers in this round and at least as much is kept from it. Racks that hold too little are left out before kept workers are, and budgets of disruptions are looked at only for steps that have one.

--- a/src/saddlestack/policy/cluster/fits.py
+++ b/src/saddlestack/policy/cluster/fits.py
@@ -160,6 +160,13 @@
             known = found[priority] = ReleasableRack.of(self._releasable(rack, priority))
         return known
 
+    def releasable_copies(self, priority: int) -> int:
+        """Number of tasks that fit once all work of lower priority has ended."""
+        racks = self.service_capacity.racks
+        return sum(
+            copies[-1] for rack in racks if (copies := self.releasable(rack, priority).copies)
+        )
+
     def soonest(self, priority: int) -> Iterator[ReleasableWorker]:
         """Workers of all racks, ordered by :func:`by_release_cost`."""
         lists = [self.releasable(rack, priority).workers for rack in self.service_capacity.racks]
--- a/src/saddlestack/policy/cluster/gang_priority.py
+++ b/src/saddlestack/policy/cluster/gang_priority.py
@@ -46,17 +46,25 @@
             self._preemption.begin_round(now)
             self._kept.begin_round(now)
 
-    def keep(self, step: StepState, places: Callable[[], Places]) -> bool:
+    def keep(
+        self, step: StepState, places: Callable[[], Places], shape: Callable[[], int | None]
+    ) -> bool:
         """Keep workers for a waiting gang, if it is one that this module favors.
 
         :param places: returns the workers that it may run on.
+        :param shape: returns the number of its shape with its speed limit.
         """
         if not self._is_favored(step) or self._slack.slack_s(step) is None:
             return False
-        if self._kept.needs_search(step):
-            self._kept.keep(step, places())
+        number = shape()
+        if self._kept.needs_search(step, number):
+            self._kept.keep(step, places(), number)
         return True
 
+    def note_released(self) -> None:
+        """Note that reserved capacity was released, which may suit gangs without workers."""
+        self._kept.forget_failures()
+
     def victims(self, step: StepState, may_stop: MayStop, now: float) -> list[Run]:
         """Choose the runs to stop now for a gang that workers are kept for."""
         return self._preemption.victims(step, self._kept.of(step), may_stop, now)
--- a/src/saddlestack/policy/cluster/kept_workers.py
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -56,6 +56,25 @@
     awaits_all: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Failure:
+    """A gang for which a round has found no workers.
+
+    :param is_long: whether it has waited for longer than :data:`EQUAL_HELD_S`.
+    """
+
+    slack_s: float
+    accepted_ms: int
+    is_long: bool
+
+    def implies(self, other: _Failure) -> bool:
+        """Whether a gang of the same shape finds none either: all that is kept from the one that
+        has failed is kept from it as well."""
+        if other.slack_s < self.slack_s:
+            return False
+        return not other.is_long or (self.is_long and other.accepted_ms >= self.accepted_ms)
+
+
 class KeptWorkers:
     """The sets of workers that are kept for normal gangs, at most :data:`MAX_KEPT_GANGS`.
 
@@ -74,6 +93,7 @@
         self._loosest_s: float | None = None
         self._slacks: list[float] = []
         self._accepted: list[int] = []
+        self._failures: dict[int, _Failure] = {}
 
     def begin_round(self, now: float) -> None:
         """Drop the sets that are of no more use; the gang whose slack ends first goes first."""
@@ -84,6 +104,7 @@
         self._sets.clear()
         self._owners.clear()
         self._pressed.clear()
+        self._failures.clear()
         for each in waiting:
             if self._is_usable(each):
                 self._put(each)
@@ -101,8 +122,13 @@
         held = self._sets.get(step)
         return () if held is None else held.workers
 
-    def needs_search(self, step: StepState) -> bool:
-        """Whether :meth:`keep` needs to know where a gang fits soonest now."""
+    def needs_search(self, step: StepState, shape: int | None) -> bool:
+        """Whether :meth:`keep` needs to know where a gang fits soonest now.
+
+        :param shape: the number of its shape with its speed limit.
+        """
+        if self._has_failed(step, shape):
+            return False
         held = self._sets.get(step)
         if held is not None:
             return self._now - held.checked_s >= RECHECK_S
@@ -112,16 +138,34 @@
             self._loosest_s = max(self._slack_s(owner) for owner in self._sets)
         return self._slack_s(step) < self._loosest_s
 
-    def keep(self, step: StepState, places: Places) -> None:
+    def _has_failed(self, step: StepState, shape: int | None) -> bool:
+        """Whether the search for another gang has shown that a gang without workers finds none."""
+        failure = None if shape is None or step in self._sets else self._failures.get(shape)
+        if failure is None or not failure.implies(self._failure(step)):
+            return False
+        return self._searches_left <= 0 or not self._slack.is_short(step)
+
+    def _failure(self, step: StepState) -> _Failure:
+        is_long = step.waited_s(self._now) > EQUAL_HELD_S
+        return _Failure(self._slack_s(step), _accepted_ms(step), is_long)
+
+    def forget_failures(self) -> None:
+        """Search again for all gangs, since room was released."""
+        self._failures.clear()
+
+    def keep(self, step: StepState, places: Places, shape: int | None) -> None:
         """Keep the workers where a gang fits soonest, unless its present ones are good enough.
 
         If workers are kept for too many gangs, the one with the most slack gives way.
 
         :param places: the workers that it may run on.
+        :param shape: the number of its shape with its speed limit.
         """
         found = self._find(step, places)
         held = self._sets.get(step)
         if held is None:
+            if found is None and shape is not None:
+                self._failures[shape] = self._failure(step)
             if found is not None:
                 if len(self._sets) >= MAX_KEPT_GANGS:
                     self.release(max(self._sets, key=self._slack_s))
@@ -165,6 +209,7 @@
         if held is None:
             return False
         self._pressed.discard(step)
+        self._failures.clear()
         self._before.clear()
         self._loosest_s = None
         for worker in held.workers:
--- a/src/saddlestack/policy/cluster/places.py
+++ b/src/saddlestack/policy/cluster/places.py
@@ -196,9 +196,9 @@
         for number, fit in enumerate(self._fits.racks):
             if fit.most < wanted:
                 continue
-            releasable = self._releasable(self._service_capacity.racks[number], priority)
-            needed = releasable.workers_needed(wanted)
-            if needed is None:
+            releasable = self._releasable(self._service_capacity.racks[number], priority, wanted)
+            needed = None if releasable is None else releasable.workers_needed(wanted)
+            if releasable is None or needed is None:
                 continue
             key = (number not in near, releasable.weights[needed - 1])
             if best is None or key < best:
@@ -223,9 +223,11 @@
 
     def _releasable_weight(self, rack: Rack, wanted: int) -> float:
         """Cores of lower-priority work that has to end so that the wanted tasks fit in a rack."""
-        releasable = self._releasable(rack, self._step.occurrence.job.priority)
-        needed = releasable.workers_needed(wanted)
-        return math.inf if needed is None else releasable.weights[needed - 1]
+        releasable = self._releasable(rack, self._step.occurrence.job.priority, wanted)
+        needed = None if releasable is None else releasable.workers_needed(wanted)
+        if releasable is None or needed is None:
+            return math.inf
+        return releasable.weights[needed - 1]
 
     def _least_lower_work(self, wanted: int) -> list[Worker]:
         """The workers with the least lower-priority work to preempt for each task.
@@ -298,14 +300,25 @@
             for worker in self._accepting(rack)
         )
 
-    def _releasable(self, rack: Rack, priority: int) -> ReleasableRack:
+    def _releasable(self, rack: Rack, priority: int, wanted: int) -> ReleasableRack | None:
+        """What fits in a rack once lower priorities have ended; ``None`` if it is too little.
+
+        Whether it is enough is checked before workers are left out that are kept from the step.
+        """
         releasable = self._fits.releasable(rack, priority)
-        if self._kept is None or not any(self._kept(each.worker) for each in releasable.workers):
+        if not releasable.holds(wanted):
+            return None
+        if self._kept is None:
+            return releasable
+        left = [each for each in releasable.workers if not self._kept(each.worker)]
+        if len(left) == len(releasable.workers):
             return releasable
-        return ReleasableRack.of(each for each in releasable.workers if not self._kept(each.worker))
+        return ReleasableRack.of_ordered(left)
 
     def _soonest_any_racks(self, priority: int) -> Sequence[Worker]:
         missing = self._step.step.count
+        if self._fits.releasable_copies(priority) < missing:
+            return ()
         chosen: list[Worker] = []
         for each in self._fits.soonest(priority):
             if self._kept is not None and self._kept(each.worker):
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -418,7 +418,14 @@
         if not step.step.gang or self._backfill.is_full or self._failed_shapes.is_kept(shape):
             return
         self._failed_shapes.note_kept(shape)
-        if self._gang_priority.keep(step, lambda: self._candidates.places(step, now)):
+
+        def limited_shape() -> int | None:
+            limit = self._candidates.speed_limit(step, now)
+            return self._limited_shape(self._shape(step, now), limit)
+
+        if self._gang_priority.keep(
+            step, lambda: self._candidates.places(step, now), limited_shape
+        ):
             self._preempt_for_gang(step, now)
             return
         soonest = self._candidates.places(step, now).soonest()
@@ -644,6 +651,7 @@
         self._gang_priority.release(step)
         if self._reservations.release(step):
             self._failed_shapes.clear()
+            self._gang_priority.note_released()
             self._stalled.note_released()
 
     def _reclaim_loans(self, held: Reservation, now: float) -> None:
--- a/src/saddlestack/policy/cluster/preemption.py
+++ b/src/saddlestack/policy/cluster/preemption.py
@@ -246,11 +246,7 @@
         groups: dict[_Group, None] = {}
         for run in worker.runs.values():
             group = self._owner.group(run)
-            if (
-                group is not None
-                and group not in self._chosen
-                and self._within_disruption_budgets([group])
-            ):
+            if group is not None and group not in self._chosen and self._may_add(group, []):
                 groups[group] = None
         return sorted(groups, key=lambda group: group.lost)
 
@@ -259,7 +255,7 @@
         chain: list[_Group] = []
         resources = self._available(worker)
         for group in groups:
-            if not self._within_disruption_budgets([*chain, group]):
+            if not self._may_add(group, chain):
                 continue
             chain.append(group)
             resources = resources + group.allocations[worker.worker_id]
@@ -314,6 +310,10 @@
         victims = [run for group in self._chosen for run in group.runs]
         return Preemption(places, victims, sum(group.lost for group in self._chosen))
 
+    def _may_add(self, group: _Group, others: Sequence[_Group]) -> bool:
+        """Whether a group may stop together with others that may; only budgets limit that."""
+        return not group.step.step.may_miss or self._within_disruption_budgets([*others, group])
+
     def _within_disruption_budgets(self, groups: Sequence[_Group]) -> bool:
         """Whether the stop of more groups stays within the disruption budgets of all steps."""
         limited = [group for group in groups if group.step.step.may_miss]
--- a/src/saddlestack/policy/cluster/releasable.py
+++ b/src/saddlestack/policy/cluster/releasable.py
@@ -53,13 +53,21 @@
     @classmethod
     def of(cls, workers: Iterable[ReleasableWorker]) -> ReleasableRack:
         """Order some workers and compute the running totals."""
-        ordered = sorted(workers, key=by_release_cost)
+        return cls.of_ordered(sorted(workers, key=by_release_cost))
+
+    @classmethod
+    def of_ordered(cls, ordered: list[ReleasableWorker]) -> ReleasableRack:
+        """Compute the running totals of workers in their order."""
         copies = list(accumulate(each.copies for each in ordered))
         weights = list(accumulate(each.weight * each.copies for each in ordered))
         return cls(ordered, copies, weights)
 
+    def holds(self, wanted: int) -> bool:
+        """Whether the wanted tasks fit on all workers together."""
+        return bool(self.copies) and self.copies[-1] >= wanted
+
     def workers_needed(self, wanted: int) -> int | None:
         """Number of workers, from the first, that hold the wanted tasks; ``None`` if all do not."""
-        if not self.copies or self.copies[-1] < wanted:
+        if not self.holds(wanted):
             return None
         return bisect_left(self.copies, wanted) + 1
