--- a/src/saddlestack/policy/cluster/kept_workers.py
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -59,6 +59,25 @@
     cleared_until_s: float = -math.inf
 
 
+@dataclass(frozen=True, slots=True)
+class _Failure:
+    """A gang for which a round has found no workers.
+
+    :param is_long: whether it has waited for longer than :data:`EQUAL_HELD_S`.
+    """
+
+    slack_s: float
+    accepted_ms: int
+    is_long: bool
+
+    def implies(self, other: _Failure) -> bool:
+        """Whether a gang of the same shape finds none either: all that is kept from the one that
+        has failed is kept from it as well."""
+        if other.slack_s < self.slack_s:
+            return False
+        return not other.is_long or (self.is_long and other.accepted_ms >= self.accepted_ms)
+
+
 class KeptWorkers:
     """The sets of workers that are kept for normal gangs, at most :data:`MAX_KEPT_GANGS`.
 
@@ -78,6 +97,7 @@
         self._loosest_s: float | None = None
         self._slacks: list[float] = []
         self._accepted: list[int] = []
+        self._failures: dict[int, _Failure] = {}
 
     def begin_round(self, now: float) -> None:
         """Drop the sets that are of no more use; the gang whose slack ends first goes first."""
@@ -89,6 +109,7 @@
         self._owners.clear()
         self._pressed.clear()
         self._cleared.clear()
+        self._failures.clear()
         for each in waiting:
             if self._is_usable(each):
                 self._put(each)
@@ -129,9 +150,12 @@
         """Whether a worker is kept for another gang than a step."""
         return self._owners.get(worker, step) is not step
 
-    def needs_search(self, step: StepState) -> bool:
-        """Whether :meth:`keep` needs to know where a gang fits soonest now."""
-        if step in self._cleared:
+    def needs_search(self, step: StepState, shape: int | None) -> bool:
+        """Whether :meth:`keep` needs to know where a gang fits soonest now.
+
+        :param shape: the number of its shape with its speed limit.
+        """
+        if step in self._cleared or self._has_failed(step, shape):
             return False
         held = self._sets.get(step)
         if held is not None:
@@ -142,19 +166,36 @@
             self._loosest_s = max(self._slack_s(owner) for owner in self._sets)
         return self._slack_s(step) < self._loosest_s
 
-    def keep(self, step: StepState, places: Places) -> None:
+    def _has_failed(self, step: StepState, shape: int | None) -> bool:
+        """Whether the search for another gang has shown that a gang without workers finds none."""
+        failure = None if shape is None or step in self._sets else self._failures.get(shape)
+        if failure is None or not failure.implies(self._failure(step)):
+            return False
+        return self._searches_left <= 0 or not self._slack.is_short(step)
+
+    def _failure(self, step: StepState) -> _Failure:
+        is_long = step.waited_s(self._now) > EQUAL_HELD_S
+        return _Failure(self._slack_s(step), _accepted_ms(step), is_long)
+
+    def forget_failures(self) -> None:
+        """Search again for all gangs, since room was released."""
+        self._failures.clear()
+
+    def keep(self, step: StepState, places: Places, shape: int | None) -> None:
         """Keep the workers where a gang fits soonest, unless its present ones are good enough.
 
         If workers are kept for too many gangs, the one with the most slack gives way.
 
         :param places: the workers that it may run on.
+        :param shape: the number of its shape with its speed limit.
         """
         found = self._find(step, places)
         held = self._sets.get(step)
         if held is None:
-            if found is not None:
-                if len(self._sets) >= MAX_KEPT_GANGS:
-                    self.release(max(self._sets.keys() - self._cleared, key=self._slack_s))
+            if found is None:
+                if shape is not None:
+                    self._failures[shape] = self._failure(step)
+            elif len(self._sets) < MAX_KEPT_GANGS or self._release_loosest():
                 self._put(found)
             return
         held.checked_s = self._now
@@ -186,6 +227,11 @@
             return None
         return KeptSet(step, tuple(workers), self._now, awaits_all=True)
 
+    def _release_loosest(self) -> bool:
+        """Release the set of the gang with the most slack; ``False`` if room is made for all."""
+        others = [step for step in self._sets if step not in self._cleared]
+        return bool(others) and self.release(max(others, key=self._slack_s))
+
     def release(self, step: StepState) -> bool:
         """Keep no workers for a step any more.
 
@@ -196,6 +242,7 @@
             return False
         self._pressed.discard(step)
         self._cleared.discard(step)
+        self._failures.clear()
         self._before.clear()
         self._loosest_s = None
         for worker in held.workers:
