Stop bulk work for the restart of a slow gang

A restart needed room that was free at once, which a loaded pool rarely has. Bulk work that urgent gangs may preempt is now stopped together with the gang if nothing else gives room; gangs and other urgent work are not. Room is searched for at most once in 0.3 s for a gang, since each of its members reports that often.

--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -139,19 +139,24 @@
         held: dict[str, Resources] = {}
         for run in members:
             held[run.worker_id] = held.get(run.worker_id, Resources()) + run.allocation
-        eligible = self.eligible(self.fit(step), now)
-        limit = SpeedLimit(slow_gang.max_factor, fast_first)
-        allowed = self._within(step, eligible, limit)
-        allowed = [worker for worker in allowed if worker.worker_id not in slow_gang.slow]
+        allowed = self.restart_workers(step, slow_gang, now)
 
         def copies(worker: Worker) -> int:
             own = held.get(worker.worker_id, Resources())
             return worker.copies(step, worker.free + own)
 
-        if step.step.same_rack and whole_racks(step, eligible):
-            allowed = whole_racks(step, allowed)
         return place_gang(step, allowed, copies, fast_first)
 
+    def restart_workers(self, step: StepState, slow_gang: SlowGang, now: float) -> list[Worker]:
+        """The workers on which a slow gang may start again, whether or not they have room."""
+        eligible = self.eligible(self.fit(step), now)
+        limit = SpeedLimit(slow_gang.max_factor, fast_first)
+        allowed = self._within(step, eligible, limit)
+        allowed = [worker for worker in allowed if worker.worker_id not in slow_gang.slow]
+        if step.step.same_rack and whole_racks(step, eligible):
+            return whole_racks(step, allowed)
+        return allowed
+
     def _could_start_within(self, step: StepState, limit: SpeedLimit) -> bool:
         fit = self.fit(step)
         whole = self._fits.of(fit)
--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -117,6 +118,7 @@
     :param shapes: the numbers of its shapes, once they were computed.
     :param moves: how often it was restarted elsewhere because it had stalled.
     :param slow_restarts: how often it was restarted elsewhere because a worker was slow.
+    :param no_restart_room_s: when there was last no room for such a restart.
     :param waiting_since_s: when one of its tasks first waited to be started, or ``None``.
     :param stalled_since_s: since when it has had tasks to start of which none has begun, or
         ``None``.
@@ -139,6 +141,7 @@
     shapes: StepShapes | None = None
     moves: int = 0
     slow_restarts: int = 0
+    no_restart_room_s: float = -math.inf
     waiting_since_s: float | None = None
     stalled_since_s: float | None = None
     preempts_since_s: float | None = None
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -21,7 +21,7 @@
 from saddlestack.policy.cluster.kept_workers import KeptWorkers
 from saddlestack.policy.cluster.lending import Lending
 from saddlestack.policy.cluster.options import SchedulingOptions
-from saddlestack.policy.cluster.placement import whole_racks
+from saddlestack.policy.cluster.placement import domains, whole_racks
 from saddlestack.policy.cluster.places import (
     IsKept,
     ListedPlaces,
@@ -39,11 +39,11 @@
 )
 from saddlestack.policy.cluster.shapes import FailedShapes, Shape, ShapeNumbers, StepShapes
 from saddlestack.policy.cluster.slack import Slack, WorkEstimates
-from saddlestack.policy.cluster.slow_restarts import SlowGang
+from saddlestack.policy.cluster.slow_restarts import RestartRoom, SlowGang
 from saddlestack.policy.cluster.speed_limits import SpeedLimit, SpeedLimits
 from saddlestack.policy.cluster.speed_rank import exceeds, known_factor
 from saddlestack.policy.cluster.stalled import StalledPlacement
-from saddlestack.policy.cluster.victims import MayStop
+from saddlestack.policy.cluster.victims import Harm, MayStop, harm_of
 from saddlestack.policy.cluster.wait_limits import (
     HEADROOM_WAIT_S,
     is_idle,
@@ -186,27 +186,44 @@
 
     def restart_places(
         self, step: StepState, members: Sequence[Run], slow_gang: SlowGang, now: float
-    ) -> list[Worker] | None:
-        """Workers on which a running gang fits after its stop; ``None`` if it must not be stopped.
+    ) -> RestartRoom | None:
+        """Where a running gang fits after its stop; ``None`` if it must not be stopped.
 
-        The room is free now or held by the gang itself. There is no restart of a gang whose starts
-        are limited or need approval.
+        The room is free now, held by the gang itself, or else held by bulk work that is stopped
+        together with the gang. There is no restart of a gang whose starts are limited or need
+        approval.
         """
         if self._cluster_state.is_advised(step.occurrence.job) or self._reservations.of(step):
             return None
         if any(self._must_continue(run) for run in members):
             return None
         with self._index.without_refresh():
-            return self._candidates.restart_places(step, members, slow_gang, now)
+            places = self._candidates.restart_places(step, members, slow_gang, now)
+            if places is not None:
+                return RestartRoom(places, [])
+            workers = self._candidates.restart_workers(step, slow_gang, now)
+        own = set(members)
+
+        def may_stop(run: Run) -> bool:
+            return run in own or (harm_of(run) is Harm.BULK and self._is_stoppable(run, now))
+
+        # Stopping the gang's own runs loses nothing more than the restart itself does.
+        preemptor = Preemptor(self._cluster_state.members, may_stop, own.__contains__, now)
+        found = preemptor.cheapest(step, step.step.count, domains(step, workers))
+        if found is None:
+            return None
+        return RestartRoom(found.places, [run for run in found.victims if run not in own])
 
     def _must_continue(self, run: Run) -> bool:
         return (
             run.isolated or _loses_work_if_stopped(run) or self._isolation.has_limited_starts(run)
         )
 
-    def reserve_for_restart(self, step: StepState, places: list[Worker], now: float) -> None:
-        """Reserve workers for a gang until its runs have stopped."""
-        self._reservations.reserve(step, places, now)
+    def reserve_for_restart(self, step: StepState, room: RestartRoom, now: float) -> None:
+        """Reserve workers for a gang until its runs and those in its way have stopped."""
+        for run in room.victims:
+            self._cluster_state.preempt(run, step.occurrence.job)
+        self._reservations.reserve(step, room.places, now)
 
     # Read by the diagnosis
 
@@ -604,12 +621,12 @@
         def search(wanted: int) -> Preemption | None:
             def cheapest(may_stop: MayStop) -> Preemption | None:
                 preemptor = Preemptor(self._cluster_state.members, may_stop, returns_loan, now)
-                return preemptor.cheapest(step, wanted, domains)
+                return preemptor.cheapest(step, wanted, searched)
 
             return self._gang_priority.least_harmful(cheapest, may_stop, step)
 
         wanted = sum(1 for task in step.tasks if self._is_open(task))
-        domains = list(places.domains(wanted))
+        searched = list(places.domains(wanted))
         found = search(wanted)
         if found is None and not step.step.gang:
             found = search(1)
--- a/src/saddlestack/policy/cluster/slow_restarts.py
+++ b/src/saddlestack/policy/cluster/slow_restarts.py
@@ -38,6 +38,9 @@
 Estimates from one or two pieces were wrong in either direction."""
 STOP_S = 0.5
 """Time that a stop takes, with its report."""
+SEARCH_INTERVAL_S = 0.3
+"""Time between two searches for room for one gang. Each of its members reports every 0.3 s, and a
+search takes milliseconds."""
 MAX_RESTARTS = 1
 """Maximum number of times that a step is restarted because of a slow worker."""
 
@@ -57,6 +60,18 @@
     max_factor: float
 
 
+@dataclass(frozen=True, slots=True)
+class RestartRoom:
+    """Where a slow gang starts again.
+
+    :param places: a worker for each of its tasks.
+    :param victims: runs of others that have to stop for it.
+    """
+
+    places: list[Worker]
+    victims: list[Run]
+
+
 class SlowRestarts:
     """Finds the gangs to restart.
 
@@ -78,6 +93,8 @@
         """
         if not _may_judge(run, members):
             return None
+        if now - run.task.step.no_restart_room_s < SEARCH_INTERVAL_S:
+            return None
         began_s = gang_started_s(members)
         if began_s is None or now - began_s < MIN_RUN_S:
             return None
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -413,13 +413,14 @@
         if slow_gang is None:
             return
         step = run.task.step
-        places = self._planner.restart_places(step, members, slow_gang, now)
-        if places is None:
+        room = self._planner.restart_places(step, members, slow_gang, now)
+        if room is None:
+            step.no_restart_room_s = now
             return
         step.slow_restarts += 1
         self._restarted_gangs += 1
         self.stop_group(run, StopReason.SLOW_WORKER)
-        self._planner.reserve_for_restart(step, places, now)
+        self._planner.reserve_for_restart(step, room, now)
 
     def run_ended(self, worker_id: str, end: EndedTask, now: float) -> None:
         """Record the end of a run as its worker reported it."""
--- a/tests/test_slow_restarts.py
+++ b/tests/test_slow_restarts.py
@@ -4,6 +4,8 @@
 
 import random
 import unittest
+from collections import Counter
+from unittest import mock
 
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask
 from saddlestack.policy.cluster.changes import Changes, StopReason
@@ -11,6 +13,7 @@
 from saddlestack.policy.cluster.slow_restarts import (
     MAX_RESTARTS,
     MIN_RUN_S,
+    SEARCH_INTERVAL_S,
     USUAL_EVIDENCE,
 )
 from saddlestack.policy.cluster.speed_records import SpeedEstimate
@@ -18,7 +21,7 @@
 from saddlestack.work import Step
 from tests import test_cluster_state
 from tests.speed_support import SLOW, SpeedCase
-from tests.test_cluster_state import NORMAL, step
+from tests.test_cluster_state import BULK, NORMAL, URGENT, step
 
 WORK_S = 2.3
 
@@ -126,6 +129,63 @@
                 self.plan_at(0.03)
                 self.assertEqual(len(self.reasons(0.6, w12=5.6)), stops)
 
+    def begin_beside(self, made: Step, *names: str, **job: object) -> tuple[str, str]:
+        """Fill some workers with other work, then start a gang on w11, w12 and w13."""
+        workers = self.cluster_state.workers
+        for name, worker in workers.items():
+            worker.closing = name not in names
+        other = self.submit(made, stretch=9.0, **job)  # type: ignore[arg-type]
+        self.plan_at(0.0)
+        self.assertEqual(set(self.places(other)), set(names))
+        for worker in workers.values():
+            worker.closing = False
+        return self.begin(), other
+
+    def test_bulk_work_is_stopped_for_the_restart(self) -> None:
+        """Bulk work fills the room that the gang needs. It stops at the same time as the gang."""
+        gang, bulk = self.begin_beside(step(8), "w14", priority=BULK)
+        stops = self.report(0.6, w12=5.6).stops
+        reasons = {stop.task.job_id: stop.reason for stop in stops}
+        self.assertEqual(reasons, {gang: StopReason.SLOW_WORKER, bulk: StopReason.PREEMPTED})
+        self.assertEqual(len(stops), 3 + 8)
+        self.end(gang, EndKind.STOPPED, 0.8)
+        self.plan_at(0.8)
+        self.assertEqual(self.places(gang), [])
+        self.end(bulk, EndKind.STOPPED, 0.9)
+        self.plan_at(0.9)
+        self.assertEqual(self.places(gang), ["w11", "w13", "w14"])
+
+    def test_only_as_much_bulk_work_is_stopped_as_needed(self) -> None:
+        self.workers(each=6)
+        gang, bulk = self.begin_beside(step(16), "w14", "w16", priority=BULK)
+        stops = self.report(0.6, w12=5.6).stops
+        self.assertEqual(Counter(stop.task.job_id for stop in stops), {gang: 3, bulk: 8})
+
+    def test_room_is_searched_for_once_in_a_while(self) -> None:
+        """Guards against a search for each report of each member of a wide gang."""
+        self.begin_beside(step(1, 8), "w14")
+        with mock.patch.object(
+            self.cluster_state._planner, "restart_places", return_value=None
+        ) as search:
+            for now, searches in (
+                (0.45, 1),
+                (0.45 + SEARCH_INTERVAL_S - 0.01, 1),
+                (0.45 + SEARCH_INTERVAL_S + 0.01, 2),
+            ):
+                self.report(now, w12=5.6)
+                self.assertEqual(search.call_count, searches)
+
+    def test_no_other_work_is_stopped_for_the_restart(self) -> None:
+        for priority, made in (
+            (URGENT, step(1, 8)),
+            (NORMAL, step(2, 4, gang=True)),
+            (BULK, step(8, once=True)),
+        ):
+            with self.subTest(priority=priority):
+                self.setUp()
+                self.begin_beside(made, "w14", priority=priority)
+                self.assertEqual(self.reasons(0.6, w12=5.6), [])
+
     def test_a_gang_of_one_rack_is_restarted_only_within_one(self) -> None:
         self.workers(racks=2, each=3)
         made = step(3, 8, gang=True, same_rack=True)
