Skip steps of a shape that fits at no speed after its wait

Where a step that no longer waits for workers within its limit fits nowhere, others of its shape fit at no limit, so their limits need not be computed.

--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -301,6 +301,8 @@
         if limit is not None and limit.restricts:
             if self._place_limited(step, shape, limit, places, now):
                 return
+            if limit.relaxed and not is_top and shape in self._failed_shapes.full:
+                self._failed_shapes.note_full(any_speed)
         elif not full and self._place_on(step, shape, places, now):
             return
         elif shape in self._failed_shapes.full:
