Give a gang's room precedence over looser sets in the same round

Workers that room is made on could still count as kept for a gang with more slack until the next round, so that another search of the round could take them. They now belong to the gang at once, and searches leave out whatever is kept for others.

--- a/src/saddlestack/policy/cluster/gang_priority.py
+++ b/src/saddlestack/policy/cluster/gang_priority.py
@@ -76,10 +76,8 @@
 
     def _domains(self, step: StepState, places: Callable[[], Places]) -> Iterator[Sequence[Worker]]:
         """The workers that are kept for a gang, then others that are kept for no other gang."""
-        kept = self._kept.of(step)
-        if kept:
-            yield kept
-        for domain in islice(places().domains(step.step.count), MAX_DOMAINS_SEARCHED):
+        others = islice(places().domains(step.step.count), MAX_DOMAINS_SEARCHED)
+        for domain in (self._kept.of(step), *others):
             yield [worker for worker in domain if not self._kept.is_others(worker, step)]
 
     def cleared(self, step: StepState) -> tuple[Worker, ...]:
--- a/src/saddlestack/policy/cluster/kept_workers.py
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -113,6 +113,8 @@
         """
         self.release(step)
         self._put(KeptSet(step, tuple(workers), self._now, cleared_until_s=until_s))
+        # Of a gang with more slack, workers may be kept that were found for this one as well.
+        self._owners.update(dict.fromkeys(workers, step))
 
     def cleared(self, step: StepState) -> tuple[Worker, ...]:
         """The workers that room is being made on for a gang, if any."""
--- a/tests/test_gang_priority.py
+++ b/tests/test_gang_priority.py
@@ -19,15 +19,17 @@
     EQUAL_HELD_S,
     LONGEST_HELD_S,
     LOWER_HELD_S,
+    KeptWorkers,
     soonest_by_ends,
 )
 from saddlestack.policy.cluster.lending import USUAL_STOP_S
 from saddlestack.policy.cluster.reasons import WaitReason
 from saddlestack.policy.cluster.reservations import RESERVATION_TIMEOUT_S
+from saddlestack.policy.cluster.slack import Slack
 from saddlestack.policy.cluster.victims import MAX_REPORT_AGE_S
 from saddlestack.policy.cluster.wait_limits import IDLE_POOL_WAIT_S
 from saddlestack.work import Step
-from tests.test_cluster_state import BULK, NORMAL, URGENT, record
+from tests.test_cluster_state import BULK, NORMAL, SERVICE, URGENT, record
 from tests.test_diagnosis import diagnosis_context
 from tests.test_slack import MOMENT_S, ROUND_S, ContentionCase, wall_ms, work
 
@@ -529,6 +531,18 @@
         self.assertEqual(self.round(now), [self.job_of(urgent)])
         self.assertIsNone(gang.tasks[0].run)
 
+    def test_the_room_is_not_that_of_a_gang_with_more_slack_any_more(self) -> None:
+        """Until the next round the workers counted as kept for the gang that was found first."""
+        self.workers(each=2)
+        loose, gang = self.gang(1), self.gang(1)
+        kept = KeptWorkers(Slack(), lambda job: SERVICE)
+        workers = list(self.cluster_state.workers.values())
+        kept.begin_round(0.0)
+        kept.clear_room(loose, workers, -1.0)
+        kept.clear_room(gang, workers[:1], 1.0)
+        self.assertEqual([kept.is_others(each, loose) for each in workers], [True, False])
+        self.assertEqual((kept.cleared(gang), kept.cleared(loose)), ((workers[0],), ()))
+
     def test_the_gang_starts_on_its_room_and_leaves_other_workers_free(self) -> None:
         gang = self.cleared_rack()
         now = DUE_S + 1.4
