Keep a gang's room that other work is about to leave

Other gangs then took what had been freed. Such a set now counts runs of any priority, until the time at which the room is given up.

--- a/src/saddlestack/policy/cluster/kept_workers.py
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -112,7 +112,8 @@
         :param until_s: when they are kept like those of other gangs again.
         """
         self.release(step)
-        self._put(KeptSet(step, tuple(workers), self._now, cleared_until_s=until_s))
+        # Runs of any priority that are about to end there count as room.
+        self._put(KeptSet(step, tuple(workers), self._now, True, until_s))
         # Of a gang with more slack, workers may be kept that were found for this one as well.
         self._owners.update(dict.fromkeys(workers, step))
 
--- a/tests/test_gang_priority.py
+++ b/tests/test_gang_priority.py
@@ -543,6 +543,23 @@
         self.assertEqual([kept.is_others(each, loose) for each in workers], [True, False])
         self.assertEqual((kept.cleared(gang), kept.cleared(loose)), ((workers[0],), ()))
 
+    def test_room_that_normal_work_is_about_to_leave_is_kept_too(self) -> None:
+        """The workers were given up in the next round, and other gangs took what was freed."""
+        self.workers(each=1)
+        ending = self.occupy(work(1, 4, 13.0), "w11", priority=NORMAL)
+        self.occupy(work(4, 1, 60.0), "w11")
+        gang = self.gang(1)
+        self.stopped(0.0)
+        self.report(ending, 98, DUE_S + 1)
+        self.assertEqual(len(self.stopped(DUE_S + 1)), 4)
+        now = DUE_S + 1.2
+        self.stop_ends(now)
+        tight = self.submit(work(1, 4, gang=True), priority=NORMAL, now=now - 13.0)
+        tight.waiting_since_s = now - 13.0
+        self.assertEqual(self.round(now), [])
+        self.finish(self.run_of(ending), now + 0.1)
+        self.assertEqual(self.round(now + 0.1), [self.job_of(gang)])
+
     def test_the_gang_starts_on_its_room_and_leaves_other_workers_free(self) -> None:
         gang = self.cleared_rack()
         now = DUE_S + 1.4
