Test the order of waiting work, levels and deferred stops by value

Half and twice of the times of the fair share, of the levels that count as alike, and of the runs kept for typical work went unnoticed, as did a deferred stop that is dropped with another one.

--- a/tests/test_hard_load_thresholds.py
+++ b/tests/test_hard_load_thresholds.py
@@ -7,9 +7,13 @@
 
 import math
 import unittest
+from unittest import mock
+
+import msgspec
 
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.cluster.deferred_stops import DeferredStops
+from saddlestack.policy.cluster.fair_share import FairShare
 from saddlestack.policy.cluster.jobs import Run, StepState
 from saddlestack.policy.cluster.speed_evidence import (
     Belief,
@@ -18,6 +22,7 @@
     drop_contradicted,
     estimate,
 )
+from saddlestack.policy.cluster.speed_levels import nearest_level
 from saddlestack.policy.cluster.speed_limits import SpeedLimits
 from saddlestack.policy.cluster.speed_records import WorkerSpeed
 from saddlestack.policy.cluster.speed_services import ServiceSpeeds
@@ -122,12 +127,14 @@
 class ServiceTest(unittest.TestCase):
     """Which workers count as slow where slow ones are rare or common."""
 
-    def speeds(self, count: int, slow: int = 0, runs: int = 9) -> list[WorkerSpeed]:
+    def speeds(
+        self, count: int, slow: int = 0, runs: int = 9, slow_factor: float = 2.4
+    ) -> list[WorkerSpeed]:
         found = []
         for number in range(count):
             name = f"w{number}"
             speed = WorkerSpeed(Worker(worker_record(name)), name, SERVICE)
-            factor = math.log(2.4) if number < slow else 0.0
+            factor = math.log(slow_factor) if number < slow else 0.0
             speed.belief = Belief(factor, 5.0, runs, 0.0)
             found.append(speed)
         return found
@@ -139,6 +146,18 @@
         service.renew(1.0)
         return sum(speed.worker.time_factor > 1.5 for speed in speeds)
 
+    def test_workers_up_to_two_levels_count_as_alike(self) -> None:
+        for level, slow in ((2, 0), (3, 8)):
+            speeds = self.speeds(20, slow=8, slow_factor=1.25**level)
+            self.assertEqual(self.slow_after(speeds), slow)
+            self.assertEqual(speeds[0].worker.speed_known, slow > 0)
+
+    def test_levels_end_at_ten(self) -> None:
+        """Work that takes longer than 9.3 times is an outlier."""
+        self.assertEqual(nearest_level(math.log(9.0)), 10)
+        self.assertEqual(nearest_level(math.log(100.0)), 10)
+        self.assertEqual(nearest_level(-math.log(100.0)), -10)
+
     def test_a_rare_slow_worker_needs_three_runs(self) -> None:
         self.assertEqual(self.slow_after(self.speeds(40, slow=1, runs=2)), 0)
         self.assertEqual(self.slow_after(self.speeds(40, slow=1, runs=3)), 1)
@@ -223,10 +242,10 @@
 
     def test_the_latest_32_runs_count(self) -> None:
         work = TypicalWork()
-        for seconds in [1.0] * 40 + [2.0] * 16:
+        for seconds in [1.0] * 40 + [2.0] * 15:
             work.add(make_step(1), math.log(seconds))
-        self.assertAlmostEqual(work.seconds(make_step(1)) or 0.0, 2.0)
-        work.add(make_step(1), math.log(1.0))
+        self.assertAlmostEqual(work.seconds(make_step(1)) or 0.0, 1.0)
+        work.add(make_step(1), math.log(2.0))
         self.assertAlmostEqual(work.seconds(make_step(1)) or 0.0, 2.0)
 
 
@@ -255,6 +274,45 @@
             self.assertEqual(deferred.take_due(step, due_s), [run])
 
 
+class SeveralVictimsTest(unittest.TestCase):
+    """A step waits for two runs that are about to end; their stops are due at different times."""
+
+    def test_a_stop_that_is_not_due_remains_put_off(self) -> None:
+        step = make_step(1, job_id="urgent")
+        runs = SpeedPool(2).start(make_step(2), ["w0", "w1"], [10.0] * 2)
+        deferred = DeferredStops(lambda each: [each], lambda each: True)
+        for run, due_s in zip(runs, (9.2, 9.3), strict=True):
+            run.ends_by_s = due_s
+        self.assertEqual(deferred.defer(step, runs, 0.4, 9.0), [])
+        self.assertEqual(deferred.take_due(step, 9.2), runs[:1])
+        self.assertEqual(deferred.take_due(step, 9.3), runs[1:])
+
+
+class OrderTest(unittest.TestCase):
+    """Two accounts compete: the one that holds more has waited for longer."""
+
+    def order(self, waited_s: float, worthless_s: float | None = None) -> list[str]:
+        """Job ids in order, where the first has waited and may be past any value."""
+        first, second = make_step(1, job_id="first"), make_step(1, job_id="second")
+        first.waiting_since_s, second.waiting_since_s = 100.0 - waited_s, 100.0
+        usage, slack = mock.Mock(), mock.Mock()
+        usage.held = {first: 0 if worthless_s else 9, second: 0}.__getitem__
+        slack.worthless_for_s = {first: worthless_s, second: None}.__getitem__
+        share = FairShare(usage, slack, enabled=True)
+        second.occurrence.job.accepted = msgspec.structs.replace(
+            second.occurrence.job.accepted, account="b"
+        )
+        return [each.occurrence.job.job_id for each in share.in_order([first, second], 100.0)]
+
+    def test_a_step_goes_first_after_eight_seconds(self) -> None:
+        self.assertEqual(self.order(8.0), ["second", "first"])
+        self.assertEqual(self.order(8.1), ["first", "second"])
+
+    def test_a_job_past_any_value_goes_last_for_fifteen_seconds(self) -> None:
+        self.assertEqual(self.order(0.0, 15.0), ["second", "first"])
+        self.assertEqual(self.order(0.0, 15.1), ["first", "second"])
+
+
 class EndTest(unittest.TestCase):
     """Runs that are too short to show the speed of their worker."""
 
