Let last attempts wait for healthy workers during a wave of faults

An urgent gang on its last attempt that did not fit on healthy workers at once was placed on workers of unknown health. During a wave of faulty workers these are the free ones, and the gang failed three times in 0.5 s.

With scheduling.last_attempt_wait_s an urgent or normal step on its last attempt is placed only on healthy workers, for at most that long, while several workers are known to be faulty. Urgent work stops lower priorities there if the stops end within the wait.

With the default of 0 no step waits, so that decisions are as before.

--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -16,9 +16,11 @@
 SCHEDULING_RANGES = {
     "speed_memory_s": (5.0, 3600.0),
     "speed_write_interval_s": (1.0, 60.0),
+    "last_attempt_wait_s": (0.0, 2.0),
 }
 """Lowest and highest value of the numbers under ``scheduling``. Evidence of less than 5 s is a
-single run; more than one write a second would cost more store calls than all other upkeep."""
+single run; more than one write a second would cost more store calls than all other upkeep. In a
+mostly free pool no work may spend more than 2 s on preferences."""
 LEADER_CORES = 1.0
 """Processor cores that a leader needs.
 
@@ -60,6 +62,7 @@
     speed_write_interval_s: float = 2.0
     gang_priority: bool = False
     demand_forecast: bool = False
+    last_attempt_wait_s: float = 0.0
 
     @property
     def options(self) -> SchedulingOptions:
@@ -70,6 +73,7 @@
             speed_write_interval_s=self.speed_write_interval_s,
             gang_priority=self.gang_priority,
             demand_forecast=self.demand_forecast,
+            last_attempt_wait_s=self.last_attempt_wait_s,
         )
 
 
--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -22,7 +22,7 @@
 )
 from saddlestack.policy.cluster.planner_context import PlannerContext
 from saddlestack.policy.cluster.slow_restarts import SlowGang
-from saddlestack.policy.cluster.speed_limits import SpeedLimit, SpeedLimits
+from saddlestack.policy.cluster.speed_limits import FAST_FIRST, SpeedLimit, SpeedLimits
 from saddlestack.policy.cluster.speed_rank import (
     MIN_LIMIT,
     SpeedRank,
@@ -31,6 +31,7 @@
     slow_first,
 )
 from saddlestack.policy.cluster.wait_limits import NEAR_DATA_WAIT_S
+from saddlestack.policy.cluster.worker_preferences import Preference
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import Resources
 
@@ -257,19 +258,41 @@
             proven=step.needs_proven_worker,
         )
 
+    def preferred_places(self, step: StepState, preferred: Preference, now: float) -> ListedPlaces:
+        """The preferred ones of the workers that a step may run on, within its speed limit.
+
+        A gang that needs a single rack keeps to racks whose preferred workers could hold it, unless
+        no rack could hold it.
+        """
+        listed = self.listed(step, now)
+        if sum(worker.max_copies(step.step) for worker in listed) < step.at_once:
+            listed = self._open_to(step, now)
+        limit = self.speed_limit(step, now)
+        if limit is not None and limit.relaxed:
+            limit = FAST_FIRST
+        chosen = [worker for worker in self._within(step, listed, limit) if preferred(worker)]
+        if step.step.gang and step.step.same_rack and whole_racks(step, listed):
+            chosen = whole_racks(step, chosen)
+        return ListedPlaces(step, chosen, None if limit is None else limit.rank)
+
     def listed(self, step: StepState, now: float) -> list[Worker]:
         """List the workers that a step may run on. This checks each worker of the service."""
-        kept = self.kept(step)
-        eligible = self.eligible(self.fit(step), now)
-        eligible = [worker for worker in eligible if kept is None or not kept(worker)]
-        if self._cluster_state.is_advised(step.occurrence.job):
-            eligible = self.with_approval(step, eligible, now)
+        eligible = self._open_to(step, now)
         if not step.step.data_rack or not prefers_near(step, now):
             return eligible
         return [
             worker for worker in eligible if worker.record.rack == step.step.data_rack
         ] or eligible
 
+    def _open_to(self, step: StepState, now: float) -> list[Worker]:
+        """The workers that a step may run on, near its data or not."""
+        kept = self.kept(step)
+        eligible = self.eligible(self.fit(step), now)
+        eligible = [worker for worker in eligible if kept is None or not kept(worker)]
+        if self._cluster_state.is_advised(step.occurrence.job):
+            eligible = self.with_approval(step, eligible, now)
+        return eligible
+
     def _near_data(
         self, step: StepState, fit: FitKey, kept: IsKept | None, now: float
     ) -> list[Worker] | None:
--- a/src/saddlestack/policy/cluster/diagnosis.py
+++ b/src/saddlestack/policy/cluster/diagnosis.py
@@ -43,6 +43,7 @@
         WaitReason.GANG_FIRST,
         WaitReason.FASTER_WORKER,
         WaitReason.HEADROOM,
+        WaitReason.HEALTHY_WORKER,
         WaitReason.NEAR_DATA,
         WaitReason.ONE_RACK,
         WaitReason.PROBATION,
@@ -127,6 +128,7 @@
     needs_proven_worker: bool
     kept_rank: int
     limit: SpeedLimit | None
+    awaits_healthy: bool
 
 
 @dataclass(slots=True)
@@ -306,6 +308,8 @@
             return WaitReason.NEAR_DATA, waiting_since_s + NEAR_DATA_WAIT_S
         if feasibility.reason is WaitReason.FASTER_WORKER:
             return WaitReason.FASTER_WORKER, self._cluster_state.planner.limit_until(step)
+        if feasibility.reason is WaitReason.HEALTHY_WORKER:
+            return WaitReason.HEALTHY_WORKER, self._cluster_state.planner.healthy_until(step)
         return feasibility.reason, feasibility.until_s
 
     def _latest_end_s(
@@ -357,6 +361,7 @@
             advised=self._cluster_state.is_advised(step.occurrence.job),
             now=self._now,
             held_back=self._cluster_state.planner.held_back_from(step),
+            healthy=self._cluster_state.planner.awaited_healthy(step, self._now),
         ).check()
         if kind is not None:
             self._cache[kind] = found
@@ -393,6 +398,7 @@
             needs_proven_worker=step.needs_proven_worker,
             kept_rank=kept_rank,
             limit=self._cluster_state.planner.speed_limit(step, self._now),
+            awaits_healthy=self._cluster_state.planner.awaited_healthy(step, self._now) is not None,
         )
 
 
--- a/src/saddlestack/policy/cluster/feasibility.py
+++ b/src/saddlestack/policy/cluster/feasibility.py
@@ -16,6 +16,7 @@
 from saddlestack.policy.cluster.reasons import WaitReason
 from saddlestack.policy.cluster.speed_limits import SpeedLimit
 from saddlestack.policy.cluster.waiting import is_waiting
+from saddlestack.policy.cluster.worker_preferences import Preference
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.policy.stall import PoolUsage
 from saddlestack.work import Resources
@@ -24,6 +25,7 @@
     WaitReason.NEAR_DATA,
     WaitReason.FAILED_THERE,
     WaitReason.FASTER_WORKER,
+    WaitReason.HEALTHY_WORKER,
     WaitReason.ADVISER,
     WaitReason.BACKFILL,
     WaitReason.GANG_FIRST,
@@ -168,6 +170,7 @@
     :param kept: whether a worker is kept for waiting gangs; ``None`` if no worker is.
     :param held_back: whether it is kept for a gang by that gang's slack; ``None`` if no worker is.
     :param limit: its speed limit while it waits for workers within it, or ``None``.
+    :param healthy: test for the workers it waits for on its last attempt; ``None`` if for none.
     :param near: whether the step waits for a place near its data.
     :param advised: whether its starts need the adviser's approval.
     """
@@ -183,12 +186,14 @@
         advised: bool,
         now: float,
         held_back: IsKept | None = None,
+        healthy: Preference | None = None,
     ) -> None:
         self._step = step
         self._held_back = held_back
         self._pool = pool
         self._kept = kept
         self._limit = limit
+        self._healthy = healthy
         self._near = near
         self._advised = advised
         self._now = now
@@ -235,6 +240,7 @@
                 continue
             counted = self._level_with_approval(worker, level)
             level = self._level_with_limit(worker, self._level_with_backfill(worker, counted))
+            level = self._level_with_health(worker, level)
             self._workers.append(worker)
             self._levels.append(level)
             self._capacity_levels.append(level if examines_each else counted)
@@ -257,6 +263,11 @@
             return level
         return max(level, _LEVEL_OF[WaitReason.FASTER_WORKER])
 
+    def _level_with_health(self, worker: Worker, level: int) -> int:
+        if self._healthy is None or self._healthy(worker):
+            return level
+        return max(level, _LEVEL_OF[WaitReason.HEALTHY_WORKER])
+
     def _exclude_far_from_data(self) -> None:
         """Exclude the other racks while a worker near the data takes work."""
         if not self._near:
--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -126,6 +126,7 @@
         be preempted.
     :param preemptions: how often runs of it were stopped for the sake of others in this leader's
         term; the stop of a gang counts once.
+    :param awaited_healthy: whether it waited for healthy workers on its last attempt.
     :param advice: the adviser's answers for it.
     """
 
@@ -144,6 +145,7 @@
     preempts_since_s: float | None = None
     times_delayed: int = 0
     preemptions: int = 0
+    awaited_healthy: bool = False
     advice: StepAdvice = field(default_factory=StepAdvice)
 
     @property
--- a/src/saddlestack/policy/cluster/options.py
+++ b/src/saddlestack/policy/cluster/options.py
@@ -15,6 +15,8 @@
     :param gang_priority: collect resources for waiting gangs before work of lower priority, and
         share them fairly among client accounts.
     :param demand_forecast: size the headroom by the recent demand of urgent work.
+    :param last_attempt_wait_s: maximum seconds for which a step on its last attempt waits for
+        healthy workers while several workers are faulty; 0 for no wait.
     """
 
     worker_speeds: bool = False
@@ -22,3 +24,4 @@
     speed_write_interval_s: float = 2.0
     gang_priority: bool = False
     demand_forecast: bool = False
+    last_attempt_wait_s: float = 0.0
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -20,6 +20,7 @@
 from saddlestack.policy.cluster.isolation import IsolatedPlacement, Isolation, IsolationPool
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, Job, Run, StepState, Task
 from saddlestack.policy.cluster.kept_workers import KeptWorkers
+from saddlestack.policy.cluster.last_attempts import LastAttempts
 from saddlestack.policy.cluster.lending import Lending
 from saddlestack.policy.cluster.options import SchedulingOptions
 from saddlestack.policy.cluster.placement import whole_racks
@@ -50,7 +51,7 @@
     is_idle,
 )
 from saddlestack.policy.cluster.waiting import WaitingSteps, is_waiting, may_start
-from saddlestack.policy.cluster.worker_preferences import WorkerPreferences
+from saddlestack.policy.cluster.worker_preferences import Preference, WorkerPreferences
 from saddlestack.policy.cluster.workers import Worker
 
 MAX_STARTS_PER_ROUND = 400
@@ -113,6 +114,8 @@
             self.speed_limits,
             self._is_open,
         )
+        max_wait_s = 0.0 if options is None else options.last_attempt_wait_s
+        self._last_attempts = LastAttempts(max_wait_s, worker_preferences)
         self._probes = Probes()
         self._failed_shapes = FailedShapes()
         self._stalled = StalledPlacement(
@@ -124,17 +127,22 @@
 
     @property
     def next_loan_s(self) -> float | None:
-        """When a round is due for waiting work: a loan or a stop that was put off.
+        """When a round is due for waiting work: a loan, a stop that was put off, the end of a wait.
 
         On the monotonic clock.
         """
-        due = (self._stalled.next_loan_s, self._deferred.next_due_s(self._index.now))
+        due = (
+            self._stalled.next_loan_s,
+            self._deferred.next_due_s(self._index.now),
+            self._last_attempts.next_end_s,
+        )
         return min((each for each in due if each is not None), default=None)
 
     def take_counts(self) -> Counter[str]:
         """Return what to add to the counters of the metrics since the last call, by name."""
         counts, self._counts = self._counts, Counter[str]()
         counts["preemptions_spared"] = self._deferred.take_spared()
+        counts["last_attempts_waited"] = self._last_attempts.take_waited()
         return counts
 
     def add(self, job: Job) -> None:
@@ -179,6 +187,7 @@
         self._isolation.refresh(now)
         entitled = self._waiting.entitled(self._cluster_state.guaranteed)
         self.speed_limits.begin_round(now, wall_ms, entitled)
+        self._last_attempts.begin_round(entitled)
         waiting = self._waiting.in_order(now, wall_ms, entitled)
         if self._demand is not None:
             self._demand.observe(waiting, now)
@@ -247,6 +256,16 @@
             return None
         return step.stalled_since_s + self.speed_limits.max_wait_s(step)
 
+    def awaited_healthy(self, step: StepState, now: float) -> Preference | None:
+        """Test for the workers that a step on its last attempt waits for; ``None`` if for none."""
+        if not self._last_attempts.awaits_healthy(step, now):
+            return None
+        return self._last_attempts.healthy(now)
+
+    def healthy_until(self, step: StepState) -> float:
+        """When a step on its last attempt may be placed on any worker again."""
+        return self._last_attempts.until_s(step)
+
     def reserved_until(self, step: StepState) -> float | None:
         """When a step's reservation expires; ``None`` if it has none."""
         reservation = self._reservations.of(step)
@@ -284,6 +303,9 @@
             return
         if not self._isolate(step, now):
             return
+        if self._last_attempts.awaits_healthy(step, now):
+            self._place_on_healthy(step, any_speed, now)
+            return
         if limit is not None and not is_top and not self._probe(step, any_speed, limit, now):
             return
         cannot_start = full or self._failed_shapes.is_headroom_closed(shape, step.waited_s(now))
@@ -315,6 +337,31 @@
             above = self._candidates.places_above_limit(step, limit, now)
             self._preempt(step, above, entitled, now)
 
+    # Last attempts
+
+    def _place_on_healthy(self, step: StepState, shape: int | None, now: float) -> None:
+        """Place a step on its last attempt on healthy workers, or let it wait for them.
+
+        Urgent work stops work of lower priority there, if the stops end within its wait. The
+        workers where a normal gang fits soonest are kept for it.
+        """
+        healthy = self._last_attempts.healthy(now)
+        held = self._reservations.of(step)
+        if held is not None and not all(healthy(worker) for worker in held.places):
+            self._release(step)
+        if self._use_reservation(step, now):
+            return
+        places = self._candidates.preferred_places(step, healthy, now)
+        if self._place_on(step, None, places, now):
+            return
+        self._last_attempts.note_waiting(step)
+        if step.occurrence.job.priority == TOP_PRIORITY:
+            left_s = self._last_attempts.until_s(step) - now
+            if self._reservations.of(step) is None and left_s >= self._lending.usual_stop_s:
+                self._preempt(step, places, (), now)
+        elif step.step.gang:
+            self._keep_soonest(step, shape, places)
+
     # Speed limits
 
     def _place_limited(
@@ -439,6 +486,13 @@
         soonest = self._candidates.places(step, now).soonest()
         self._backfill.keep(soonest, step.occurrence.job.priority)
 
+    def _keep_soonest(self, step: StepState, shape: int | None, places: Places) -> None:
+        """Keep those of some workers where a gang fits soonest, for one gang of each shape."""
+        if self._backfill.is_full or self._failed_shapes.is_kept(shape):
+            return
+        self._failed_shapes.note_kept(shape)
+        self._backfill.keep(places.soonest(), step.occurrence.job.priority)
+
     def _place_on_preferred(self, step: StepState, now: float) -> bool:
         """Place a step on preferred workers only, if there are such and it fits there."""
         for preferred in self._worker_preferences.preferences(step, now):
--- a/src/saddlestack/policy/cluster/reasons.py
+++ b/src/saddlestack/policy/cluster/reasons.py
@@ -25,6 +25,7 @@
     NEAR_DATA = "near_data"
     FAILED_THERE = "failed_there"
     FASTER_WORKER = "faster_worker"
+    HEALTHY_WORKER = "healthy_worker"
     ISOLATION = "isolation"
     ADVISER = "adviser"
     BACKFILL = "backfill"
@@ -110,6 +111,10 @@
         "room is free only on workers that are too slow for its objective",
         "room on a faster worker, or the end of its patience, after which it goes to a slower one",
     ),
+    WaitReason.HEALTHY_WORKER: (
+        "its next failure is its last, and room is free only on workers that may be faulty",
+        "room on a healthy worker, or the end of its patience, after which it goes to any worker",
+    ),
     WaitReason.ISOLATION: (
         "a worker crashed under it, and it is to be started alone",
         "an empty worker, or the end of its patience, after which it goes beside others",
--- a/src/saddlestack/policy/cluster/worker_preferences.py
+++ b/src/saddlestack/policy/cluster/worker_preferences.py
@@ -61,24 +61,25 @@
             return False
         if step.on_last_attempt:
             return True
-        return step.occurrence.job.priority == TOP_PRIORITY and self._has_several_faulty(now)
+        return step.occurrence.job.priority == TOP_PRIORITY and self.has_several_faulty(now)
 
     def is_healthy(self, worker: Worker, now: float) -> bool:
         """Whether a run has recently made progress or succeeded on a worker."""
         since_s = now - HEALTHY_WINDOW_S
-        if self._has_several_faulty(now):
+        if self.has_several_faulty(now):
             since_s = max(since_s, min(self._faulty_since.values()) - DETECTION_TIME_S)
         return worker.last_healthy_s is not None and worker.last_healthy_s > since_s
 
+    def has_several_faulty(self, now: float) -> bool:
+        """Whether several workers were recently detected as faulty, so that others may be."""
+        self._expire(now)
+        return len(self._faulty_since) >= FAULTY_WORKERS
+
     def _has_cold(self, now: float) -> bool:
         for worker in [worker for worker in self._cold if not worker.is_cold(now)]:
             del self._cold[worker]
         return bool(self._cold)
 
-    def _has_several_faulty(self, now: float) -> bool:
-        self._expire(now)
-        return len(self._faulty_since) >= FAULTY_WORKERS
-
     def _expire(self, now: float) -> None:
         """Clear the faulty workers once none was detected for a while."""
         if self._faulty_since and now - max(self._faulty_since.values()) > FAULTY_WINDOW_S:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -84,13 +84,16 @@
             peer_ports=(7000, 7010),
             store="127.0.0.1:3",
             timings=Timings(longest_hold_ms=6000, grace_s=6, status_s=120),
-            scheduling=Scheduling(speed_memory_s=4.0, speed_write_interval_s=61.0),
+            scheduling=Scheduling(
+                speed_memory_s=4.0, speed_write_interval_s=61.0, last_attempt_wait_s=2.1
+            ),
         )
         self.assertEqual(
             check_entry(settings),
             [
                 "scheduling.speed_memory_s: expected 5 to 3600, got 4",
                 "scheduling.speed_write_interval_s: expected 1 to 60, got 61",
+                "scheduling.last_attempt_wait_s: expected 0 to 2, got 2.1",
             ],
         )
 
