Count failed runs of a gang as work of its job

A gang that failed by itself after 1.6 s of 2 s looked past its objective, and its retry went to the slowest workers. The objective includes such runs, as no scheduler avoids them. One module computes it now for speed limits and slack.

--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -117,6 +117,8 @@
     :param has_avoided_workers: whether a task failed on some worker and avoids it.
     :param shapes: the numbers of its shapes, once they were computed.
     :param moves: how often it was restarted elsewhere because it had stalled.
+    :param failed_work_s: seconds of work, on a usual worker, of the gang's runs that failed after
+        they had done some.
     :param slow_restarts: how often it was restarted elsewhere because a worker was slow.
     :param no_restart_room_s: when there was last no room for such a restart.
     :param waiting_since_s: when one of its tasks first waited to be started, or ``None``.
@@ -141,6 +143,7 @@
     has_avoided_workers: bool = False
     shapes: StepShapes | None = None
     moves: int = 0
+    failed_work_s: float = 0.0
     slow_restarts: int = 0
     no_restart_room_s: float = -math.inf
     waiting_since_s: float | None = None
--- a/src/saddlestack/policy/cluster/slack.py
+++ b/src/saddlestack/policy/cluster/slack.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from saddlestack.policy.cluster.jobs import Occurrence, Run, StepState
+from saddlestack.policy.cluster.objective import objective_s
 from saddlestack.policy.cluster.progress import remaining_s
 
 NORMAL_PRIORITY = 1
@@ -132,8 +133,7 @@
         return left_s <= latest_s < again_s + stop_s
 
     def _objective_s(self, step: StepState, work: _Work) -> float:
-        accepted = step.occurrence.job.accepted
-        return accepted.stretch * work.chain_s + accepted.target_ms / 1000
+        return objective_s(step, work.chain_s)
 
     def _elapsed_s(self, step: StepState) -> float:
         """Seconds since the objective began to count.
--- a/src/saddlestack/policy/cluster/speed_limits.py
+++ b/src/saddlestack/policy/cluster/speed_limits.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, StepState
+from saddlestack.policy.cluster.objective import objective_s
 from saddlestack.policy.cluster.speed_rank import (
     MIN_LIMIT,
     SpeedRank,
@@ -156,7 +157,7 @@
         accepted = step.occurrence.job.accepted
         began_ms = max(accepted.accepted_ms, step.occurrence.due_ms)
         elapsed_s = (now * 1000 + self.wall_offset_ms - began_ms) / 1000
-        return accepted.stretch * chain_s + accepted.target_ms / 1000 - elapsed_s
+        return objective_s(step, chain_s) - elapsed_s
 
     def _job_chain_s(self, step: StepState) -> float | None:
         """The longest chain of work of a step's occurrence; ``None`` if a part is unknown."""
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -446,6 +446,7 @@
         run.task.avoid.add(worker.worker_id)
         run.task.step.has_avoided_workers = True
         kind = FailureKind.EARLY if _is_early(run, now) else FailureKind.LATE
+        _count_failed_work(run, kind, now)
         self._attribute_failure(worker, run, kind, now)
 
     def _attribute_failure(self, worker: Worker, run: Run, kind: FailureKind, now: float) -> None:
@@ -666,6 +667,15 @@
     return now - since_s < min(EARLY_FAILURE_S, EARLY_FAILURE_SHARE * estimate_ms / 1000)
 
 
+def _count_failed_work(run: Run, kind: FailureKind, now: float) -> None:
+    """Add the time of a gang's failed run to its work, once for all members."""
+    step = run.task.step
+    is_counted = run.number <= step.record.failed_run
+    if step.step.gang and not is_counted and kind is FailureKind.LATE:
+        since_s = run.started_s if run.started_s is not None else run.assigned_s
+        step.failed_work_s += (now - since_s) / run.time_factor
+
+
 def _has_begun(run: Run, how: EndKind) -> bool:
     """Whether a run may have begun its work."""
     return not run.never_began and how is not EndKind.ALONE
--- a/tests/test_speed_placement.py
+++ b/tests/test_speed_placement.py
@@ -87,6 +87,28 @@
         self.assertEqual(self.limit(2.3, 0.05), (1.5625, False))
         self.assertEqual(self.limit(2.3, 0.2), (1.25, False))
 
+    def test_a_run_that_failed_by_itself_belongs_to_the_work(self) -> None:
+        """Otherwise a gang that has failed late counts as lost and is retried on slow workers."""
+        job_id = self.submit(step(1, gang=True))
+        made = self.cluster_state.jobs[job_id].occurrences[0].steps[0]
+        limits = SpeedLimits(_Source(2.0))
+        for failed_s, prefers_slow in ((0.0, True), (1.5, False)):
+            made.failed_work_s = failed_s
+            found = limits.limit(made, (1.0, 10.0), now=1.6)
+            self.assertEqual(found.prefers_slow, prefers_slow)
+
+    def test_the_work_of_a_failed_gang_counts_once_for_all_members(self) -> None:
+        """An early failure is its worker's fault and adds nothing."""
+        self.workers(each=2)
+        job_id = self.submit(step(2, 8, gang=True))
+        made = self.cluster_state.jobs[job_id].occurrences[0].steps[0]
+        self.plan_at(0.0)
+        self.end(job_id, EndKind.FAILED, 0.1)
+        self.assertEqual(made.failed_work_s, 0.0)
+        self.plan_at(30.0)
+        self.end(job_id, EndKind.FAILED, 31.5)
+        self.assertAlmostEqual(made.failed_work_s, 1.5)
+
     def test_the_limit_is_at_least_the_smallest_one(self) -> None:
         self.assertEqual(self.limit(2.3, 1.3), (1.25, False))
 
