--- a/tests/test_hard_load_thresholds.py
+++ b/tests/test_hard_load_thresholds.py
@@ -34,6 +34,7 @@
 from tests.speed_pool import OPTIONS, SERVICE, SpeedPool, make_step, worker_record
 from tests.speed_support import SpeedCase
 from tests.test_cluster_state import step as step_of
+from tests.test_slow_restarts import SlowRestartCase
 
 HALF_LIFE_S = OPTIONS.speed_memory_s
 
@@ -81,6 +82,19 @@
         self.assertEqual(limits.largest_factor(made[0], 0.0), 1.5)
 
 
+class RestartTest(SlowRestartCase):
+    """An urgent gang that a slow worker makes late."""
+
+    def test_it_is_restarted_once_only(self) -> None:
+        for restarts, stops in ((0, 3), (1, 0)):
+            with self.subTest(restarts=restarts):
+                self.setUp()
+                gang = self.begin()
+                made = self.cluster_state.jobs[gang].occurrences[0].steps[0]
+                made.slow_restarts = restarts
+                self.assertEqual(len(self.reasons(0.6, w12=5.6)), stops)
+
+
 class EvidenceTest(unittest.TestCase):
     """Pieces of evidence that differ by the spread of tasks, and by a worker that turns slow."""
 
