Judge workers for last attempts by runs that began during the wave

Last attempts wait for workers on which a run that started no earlier than 0.3 s before the first detection has made progress. Other preferences for healthy workers are unchanged.

--- a/src/saddlestack/policy/cluster/last_attempts.py
+++ b/src/saddlestack/policy/cluster/last_attempts.py
@@ -68,12 +68,12 @@
         return step.stalled_since_s + min(self._max_wait_s, limit_s)
 
     def healthy(self, now: float) -> Preference:
-        """Test for workers that are known to be healthy."""
+        """Test for workers that have proved to be healthy since others turned faulty."""
 
-        def is_healthy(worker: Worker) -> bool:
-            return self._worker_preferences.is_healthy(worker, now)
+        def has_proved_healthy(worker: Worker) -> bool:
+            return self._worker_preferences.has_proved_healthy(worker, now)
 
-        return is_healthy
+        return has_proved_healthy
 
     def note_waiting(self, step: StepState) -> None:
         """Record that a step waits because it did not fit on healthy workers."""
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -432,6 +432,7 @@
             return
         if end.how is EndKind.DONE:
             worker.record_success(now)
+            worker.note_proof(run)
             self._fault_attribution.record_success(worker_id)
         elif end.how is EndKind.FAILED:
             self._record_failure(worker, run, now)
--- a/src/saddlestack/policy/cluster/worker_preferences.py
+++ b/src/saddlestack/policy/cluster/worker_preferences.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator
 
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, StepState
@@ -22,6 +23,10 @@
 """While several workers are faulty, a worker is healthy only if a run made progress there after the
 first detection, or at most this long before it. It takes at least two polls of 0.3 s, and 0.6 s
 without progress, to detect a faulty worker."""
+PROOF_MARGIN_S = 0.3
+"""While several workers are faulty, a worker has proved to be healthy only by a run that started
+after the first detection, or at most this long before it: runs that started before the workers
+turned faulty go on there. Detection takes two failures of 0.03 s and the rounds between them."""
 
 
 Preference = Callable[[Worker], bool]
@@ -70,6 +75,13 @@
             since_s = max(since_s, min(self._faulty_since.values()) - DETECTION_TIME_S)
         return worker.last_healthy_s is not None and worker.last_healthy_s > since_s
 
+    def has_proved_healthy(self, worker: Worker, now: float) -> bool:
+        """Whether a worker is healthy by a run that started when others were already faulty."""
+        if not self.is_healthy(worker, now) or worker.proven_start_s is None:
+            return False
+        since_s = min(self._faulty_since.values(), default=-math.inf) - PROOF_MARGIN_S
+        return worker.proven_start_s > since_s
+
     def has_several_faulty(self, now: float) -> bool:
         """Whether several workers were recently detected as faulty, so that others may be."""
         self._expire(now)
--- a/src/saddlestack/policy/cluster/workers.py
+++ b/src/saddlestack/policy/cluster/workers.py
@@ -87,6 +87,7 @@
     :param last_charged_s: when a failure was last attributed to it.
     :param fails_late: a failure that came after its run had done work was attributed to it.
     :param last_healthy_s: when a run last made progress or succeeded there.
+    :param proven_start_s: latest start of a run that has made progress or succeeded there.
     :param time_factor: how long work takes there relative to a usual worker of its service, rounded
         to a level; above 1 is slower.
     :param speed_known: whether there is evidence of its speed.
@@ -118,6 +119,7 @@
     last_charged_s: float = 0.0
     fails_late: bool = False
     last_healthy_s: float | None = None
+    proven_start_s: float | None = None
     time_factor: float = 1.0
     speed_known: bool = False
     used: Resources = field(default_factory=Resources)
@@ -315,6 +317,13 @@
         self.busy_s = 0.0
         self.clear_failures()
 
+    def note_proof(self, run: Run) -> None:
+        """Record that a run made progress or succeeded there, by when it started."""
+        if run.started_s is None:
+            return
+        if self.proven_start_s is None or run.started_s > self.proven_start_s:
+            self.proven_start_s = run.started_s
+
     def clear_failures(self) -> None:
         """Clear its strikes, with the quarantine, probation and trial that followed from them."""
         self.strikes = 0
@@ -332,6 +341,7 @@
         late is cleared only by a run that succeeds.
         """
         self.last_healthy_s = now
+        self.note_proof(run)
         if not self.strikes or self.fails_late or run.started_s is None:
             return
         if run.started_s > self.last_charged_s and now - run.started_s > EARLY_FAILURE_S:
--- a/tests/test_last_attempts.py
+++ b/tests/test_last_attempts.py
@@ -19,7 +19,11 @@
 from saddlestack.policy.cluster.speed_limits import ENTITLED_WAIT_S
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.policy.cluster.wait_limits import IDLE_POOL_WAIT_S
-from saddlestack.policy.cluster.worker_preferences import FAULTY_WINDOW_S, FAULTY_WORKERS
+from saddlestack.policy.cluster.worker_preferences import (
+    FAULTY_WINDOW_S,
+    FAULTY_WORKERS,
+    PROOF_MARGIN_S,
+)
 from saddlestack.policy.stall import STALL_S
 from saddlestack.work import Step
 from tests.test_cluster_state import BULK, NORMAL, PATIENT, URGENT, ClusterCase, record, step
@@ -59,7 +63,8 @@
     def prove(self, *names: str, now: float = BEGIN_S) -> None:
         """Let runs make progress on workers."""
         for name in names:
-            self.cluster_state.workers[name].last_healthy_s = now
+            worker = self.cluster_state.workers[name]
+            worker.last_healthy_s = worker.proven_start_s = now
 
     def step_of(self, job_id: str) -> StepState:
         return self.cluster_state.jobs[job_id].occurrences[0].steps[0]
@@ -140,6 +145,30 @@
             self.plan(BEGIN_S + 0.6)
             self.assertEqual((self.places(gang), self.counted()), (["w13", "w22"], 1))
 
+    def test_a_worker_is_proved_by_runs_that_started_during_the_wave(self) -> None:
+        """Guards against faulty workers on which runs go on that began before the wave."""
+        for started_s, waits in ((-0.01, True), (0.01, False)):
+            self.use(WAIT_S)
+            self.pool()
+            self.prove("w13", "w22")
+            self.cluster_state.workers["w13"].proven_start_s = WAVE_S - PROOF_MARGIN_S + started_s
+            self.assertEqual(self.started_at(self.gang()) > 0, waits)
+
+    def test_a_run_proves_its_worker_by_progress_and_by_its_end(self) -> None:
+        for at_end in (False, True):
+            self.use(WAIT_S)
+            self.workers(each=1)
+            job = self.add(step(1, 8))
+            self.plan(BEGIN_S)
+            worker = self.cluster_state.workers["w11"]
+            self.assertIsNone(worker.proven_start_s)
+            [run] = list(worker.runs.values())
+            if at_end:
+                self.end(job, EndKind.DONE, BEGIN_S + 1.0)
+            else:
+                worker.record_progress(run, BEGIN_S + 1.0)
+            self.assertEqual(worker.proven_start_s, BEGIN_S)
+
     def test_after_the_wait_it_starts_anywhere(self) -> None:
         for priority in (URGENT, NORMAL):
             self.use(WAIT_S)
