--- a/tests/test_last_attempts.py
+++ b/tests/test_last_attempts.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 from saddlestack.control.settings import SCHEDULING_RANGES, Scheduling
@@ -25,7 +26,7 @@
     PROOF_MARGIN_S,
 )
 from saddlestack.policy.stall import STALL_S
-from saddlestack.work import Step
+from saddlestack.work import JobState, Step
 from tests.test_cluster_state import BULK, NORMAL, PATIENT, URGENT, ClusterCase, record, step
 from tests.test_diagnosis import diagnosis_context
 
@@ -366,6 +367,79 @@
             self.assertEqual(not self.places(bulk), waits)
 
 
+class SeededWavesTest(unittest.TestCase):
+    """Seeded waves in which 15 percent of 54 workers fail all that they start."""
+
+    SEEDS = range(48)
+
+    def test_fewer_gangs_fail_with_the_wait(self) -> None:
+        """Guards against a wait that ends on faulty workers, since these looked healthy."""
+        failed = {
+            wait_s: sum(WaveScene(seed, wait_s).gang_failed() for seed in self.SEEDS)
+            for wait_s in (0.0, WAIT_S)
+        }
+        self.assertGreater(failed[0.0], 0)
+        self.assertLess(failed[WAIT_S], failed[0.0] / 2, failed)
+
+
+class WaveScene(LastAttemptCase):
+    """Bulk work holds half of the pool, and an urgent gang of 14 workers arrives in the wave."""
+
+    TICK_S = 0.05
+    WAVE_S = (3.0, 9.0)
+    ARRIVAL_S = (3.1, 4.5)
+    END_S = 8.0
+    RUN_S = 2.5
+    BULK_INTERVAL_S = 0.5
+    BULK_TASKS = (14, 24)
+    FAULTY_SHARE = 0.15
+
+    def __init__(self, seed: int, wait_s: float) -> None:
+        super().__init__()
+        self.setUp()
+        self.use(wait_s)
+        self.rng = random.Random(seed)
+        self.workers(racks=6, each=9)
+        names = sorted(self.cluster_state.workers)
+        self.faulty = set(self.rng.sample(names, round(self.FAULTY_SHARE * len(names))))
+        self.began_s: dict[Run, float] = {}
+
+    def gang_failed(self) -> bool:
+        """Whether the job of the gang failed."""
+        arrival_s = self.rng.uniform(*self.ARRIVAL_S)
+        gang = ""
+        for tick in range(round(self.END_S / self.TICK_S)):
+            now = tick * self.TICK_S
+            self.advance(now)
+            if tick % round(self.BULK_INTERVAL_S / self.TICK_S) == 0:
+                count = self.rng.randint(*self.BULK_TASKS)
+                self.add(step(count, 4), priority=BULK, attempts=9)
+            if not gang and now >= arrival_s:
+                gang = self.add(step(14, 8, gang=True))
+            self.plan(now)
+        return self.state(gang) is JobState.FAILED
+
+    def advance(self, now: float) -> None:
+        """Let runs fail, stop, end or make progress."""
+        begin_s, end_s = self.WAVE_S
+        for worker in list(self.cluster_state.workers.values()):
+            for run in list(worker.runs.values()):
+                if run not in self.began_s:
+                    self.began_s[run] = now
+                    if begin_s <= now < end_s and run.worker_id in self.faulty:
+                        self.finish(run, EndKind.FAILED, now)
+                elif run.stopping:
+                    self.finish(run, EndKind.STOPPED, now)
+                elif now - self.began_s[run] >= self.RUN_S:
+                    self.finish(run, EndKind.DONE, now)
+                elif run.task.step.step.gang or now % 0.5 < self.TICK_S:
+                    worker.record_progress(run, now)
+
+    def finish(self, run: Run, how: EndKind, now: float) -> None:
+        end = EndedTask(1, str(run.task.name), run.number, how, "")
+        self.cluster_state.run_ended(run.worker_id, end, now)
+
+
 class SettingTest(unittest.TestCase):
     def test_the_setting_is_off_by_default_and_reaches_the_options(self) -> None:
         self.assertEqual(SchedulingOptions().last_attempt_wait_s, 0.0)
