Split the planner into modules with one job each

step_placement places a step by a sequence of named attempts, step_preemption stops others for it and holds its reservation, and the starts in isolation, as probes and on healthy workers, the headroom, the shape numbers, the keeping of workers for gangs, the restarts of gangs and the queries of the diagnosis have modules of their own. The planner builds these parts and runs the rounds.

Tests that replaced a private part of the planner now replace it where it is used.

--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -96,7 +96,7 @@
         "workers kept from backfill for waiting gangs",
         (
             Edit(
-                "policy/cluster/planner.py",
+                "policy/cluster/gang_keeping.py",
                 "        self._backfill.keep(",
                 "        Backfill().keep(",
             ),
--- a/src/saddlestack/policy/cluster/diagnosis.py
+++ b/src/saddlestack/policy/cluster/diagnosis.py
@@ -280,7 +280,7 @@
         feasibility = self._feasibility(step)
         if feasibility is None:
             return Wait(job.job_id, WaitReason.LEFT_OUT, since_s, tasks, later)
-        if self._cluster_state.planner.awaits_isolation(step):
+        if self._cluster_state.planner.waits.awaits_isolation(step):
             could_start = self._has_capacity(step, feasibility)
             return Wait(
                 job.job_id, WaitReason.ISOLATION, since_s, tasks, later, could_start=could_start
@@ -295,20 +295,22 @@
         """The reason of a wait, and when it ends if a time is known."""
         waiting_since_s = self._now if step.waiting_since_s is None else step.waiting_since_s
         if feasibility.reason is None:
-            if self._cluster_state.planner.headroom_allows(
+            if self._cluster_state.planner.waits.headroom_allows(
                 step, list(feasibility.places), self._now
             ):
                 return self._round_reason(), None
-            return WaitReason.HEADROOM, self._cluster_state.planner.headroom_until(step, self._now)
-        reserved_until_s = self._cluster_state.planner.reserved_until(step)
+            return WaitReason.HEADROOM, self._cluster_state.planner.waits.headroom_until(
+                step, self._now
+            )
+        reserved_until_s = self._cluster_state.planner.waits.reserved_until(step)
         if reserved_until_s is not None:
             return WaitReason.MAKING_ROOM, reserved_until_s
         if feasibility.reason is WaitReason.NEAR_DATA:
             return WaitReason.NEAR_DATA, waiting_since_s + NEAR_DATA_WAIT_S
         if feasibility.reason is WaitReason.FASTER_WORKER:
-            return WaitReason.FASTER_WORKER, self._cluster_state.planner.limit_until(step)
+            return WaitReason.FASTER_WORKER, self._cluster_state.planner.waits.limit_until(step)
         if feasibility.reason is WaitReason.HEALTHY_WORKER:
-            return WaitReason.HEALTHY_WORKER, self._cluster_state.planner.healthy_until(step)
+            return WaitReason.HEALTHY_WORKER, self._cluster_state.planner.waits.healthy_until(step)
         return feasibility.reason, feasibility.until_s
 
     def _latest_end_s(
@@ -354,13 +356,13 @@
         found = FeasibilityCheck(
             step,
             pool,
-            self._cluster_state.planner.kept_from(step),
-            limit=self._cluster_state.planner.speed_limit(step, self._now),
-            near=self._cluster_state.planner.waits_near_data(step, self._now),
+            self._cluster_state.planner.waits.kept_from(step),
+            limit=self._cluster_state.planner.waits.speed_limit(step, self._now),
+            near=self._cluster_state.planner.waits.waits_near_data(step, self._now),
             advised=self._cluster_state.is_advised(step.occurrence.job),
             now=self._now,
-            held_back=self._cluster_state.planner.held_back_from(step),
-            healthy=self._cluster_state.planner.awaited_healthy(step, self._now),
+            held_back=self._cluster_state.planner.waits.held_back_from(step),
+            healthy=self._cluster_state.planner.waits.awaited_healthy(step, self._now),
         ).check()
         if kind is not None:
             self._cache[kind] = found
@@ -377,12 +379,14 @@
         job = step.occurrence.job
         if self._cluster_state.is_advised(job) or step.has_avoided_workers or step.step.per_worker:
             return None
-        kept_rank = self._cluster_state.planner.kept_rank(step)
+        kept_rank = self._cluster_state.planner.waits.kept_rank(step)
         if kept_rank is None:
             return None
         needs = step.step
         near = (
-            needs.data_rack if self._cluster_state.planner.waits_near_data(step, self._now) else ""
+            needs.data_rack
+            if self._cluster_state.planner.waits.waits_near_data(step, self._now)
+            else ""
         )
         return _StepKind(
             service=self._cluster_state.service_of(job),
@@ -396,8 +400,9 @@
             long_running=needs.long_running,
             needs_proven_worker=step.needs_proven_worker,
             kept_rank=kept_rank,
-            limit=self._cluster_state.planner.speed_limit(step, self._now),
-            awaits_healthy=self._cluster_state.planner.awaited_healthy(step, self._now) is not None,
+            limit=self._cluster_state.planner.waits.speed_limit(step, self._now),
+            awaits_healthy=self._cluster_state.planner.waits.awaited_healthy(step, self._now)
+            is not None,
         )
 
 
--- a/src/saddlestack/policy/cluster/victims.py
+++ b/src/saddlestack/policy/cluster/victims.py
@@ -102,3 +102,14 @@
     if run.task.step.step.long_running or run.percent < MIN_PERCENT:
         return False
     return now - run.reported_s <= MAX_REPORT_AGE_S and remaining_s(run, now) <= seconds
+
+
+def is_reclaimable(run: Run) -> bool:
+    """Whether a run can be preempted to return a loan, regardless of its step's other runs."""
+    return not loses_work_if_stopped(run) and not run.task.step.step.may_miss
+
+
+def loses_work_if_stopped(run: Run) -> bool:
+    """Whether a run may not be repeated and has no checkpoint, so that stopping loses its work."""
+    step = run.task.step.step
+    return step.once and not (step.checkpoint and run.saved)
--- a/tests/test_cluster_state.py
+++ b/tests/test_cluster_state.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+import unittest.mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -11,6 +12,7 @@
 from saddlestack.codec import from_msgpack, to_msgpack
 from saddlestack.interfaces.machines import Leave, Wave
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask, WorkerRecord
+from saddlestack.policy.cluster import planner
 from saddlestack.policy.cluster.advice import StepAdvice
 from saddlestack.policy.cluster.changes import Changes, StopReason
 from saddlestack.policy.cluster.draining import SAVE_MARGIN_S
@@ -560,10 +562,10 @@
         outcomes = []
         for retries_all in (False, True):
             rng = random.Random(seed)
-            cluster_state = ClusterState()
+            shapes = RetryAllShapes if retries_all else FailedShapes
+            with unittest.mock.patch.object(planner, "FailedShapes", shapes):
+                cluster_state = ClusterState()
             cluster_state.configure({"depots": 8}, {"q": SERVICE})
-            if retries_all:
-                cluster_state._planner._failed_shapes = RetryAllShapes()
             now = 0.0
             outcome = []
             for number in range(60):
--- a/tests/test_gang_priority.py
+++ b/tests/test_gang_priority.py
@@ -119,7 +119,7 @@
         return self.submit(gang, priority=NORMAL, now=now, **more)  # type: ignore[arg-type]
 
     def kept_from(self, step: StepState) -> set[str]:
-        kept = self.cluster_state.planner.kept_from(step)
+        kept = self.cluster_state.planner.waits.kept_from(step)
         workers = self.cluster_state.workers.values()
         return {w.worker_id for w in workers if kept is not None and kept(w)}
 
@@ -313,7 +313,7 @@
             self.submit(work(2, 8, gang=True, same_rack=True), priority=NORMAL)
             narrow = self.submit(work(1, 1), now=now)
             narrow.waiting_since_s = now
-            kept = self.cluster_state.planner.kept_from
+            kept = self.cluster_state.planner.waits.kept_from
             self.assertEqual(self.round(now) == [], bool(expected))
             workers = self.cluster_state.workers.values()
             test = kept(narrow)
--- a/tests/test_speed_placement.py
+++ b/tests/test_speed_placement.py
@@ -5,12 +5,14 @@
 import math
 import random
 import unittest
+import unittest.mock
 from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from saddlestack.interfaces.workers import EndedTask, EndKind
+from saddlestack.policy.cluster import planner
 from saddlestack.policy.cluster.changes import StopReason
 from saddlestack.policy.cluster.diagnosis import Diagnosis
 from saddlestack.policy.cluster.fits import FitCache, FitKey
@@ -22,6 +24,7 @@
 from saddlestack.policy.cluster.progress import STUCK_SHARE, is_stuck, remaining_s
 from saddlestack.policy.cluster.reasons import WaitReason
 from saddlestack.policy.cluster.reservations import Reservation
+from saddlestack.policy.cluster.shapes import FailedShapes
 from saddlestack.policy.cluster.speed_limits import (
     DECISION_MARGIN_S,
     ENTITLED_WAIT_S,
@@ -740,10 +743,10 @@
         outcomes = []
         for retries_all in (False, True):
             rng = random.Random(seed)
-            cluster_state = ClusterState(USING_SPEEDS)
+            shapes = RetryAllShapes if retries_all else FailedShapes
+            with unittest.mock.patch.object(planner, "FailedShapes", shapes):
+                cluster_state = ClusterState(USING_SPEEDS)
             cluster_state.configure({"depots": 8}, {"q": SERVICE})
-            if retries_all:
-                cluster_state._planner._failed_shapes = RetryAllShapes()
             now = 0.0
             outcome: list[object] = []
             for number in range(60):
--- a/tests/test_stall_detection.py
+++ b/tests/test_stall_detection.py
@@ -8,14 +8,14 @@
 import asyncio
 import unittest
 import unittest.mock
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 
 import msgspec
 
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.cluster.jobs import StepState
-from saddlestack.policy.cluster.planner import Planner
+from saddlestack.policy.cluster.step_placement import StepPlacement
 from saddlestack.policy.stall import STALL_S
 from saddlestack.standins.loop import WALL_EPOCH_S
 from saddlestack.work import JobRequest, Step, TaskName
@@ -46,26 +46,26 @@
 @contextmanager
 def skipped_job(job_id: str, until: float) -> Iterator[None]:
     """Make the planner skip a job before a time."""
-    plain = Planner._place
+    plain = StepPlacement.place
 
-    def place(self: Planner, step: StepState, entitled: set[str], now: float) -> None:
+    def place(self: StepPlacement, step: StepState, entitled: Collection[str], now: float) -> None:
         if step.occurrence.job.job_id != job_id or now >= until:
             plain(self, step, entitled, now)
 
-    with unittest.mock.patch.object(Planner, "_place", place):
+    with unittest.mock.patch.object(StepPlacement, "place", place):
         yield
 
 
 @contextmanager
 def skipped_step(number: int, until: float) -> Iterator[None]:
     """Make the planner skip all steps with a number before a time."""
-    plain = Planner._place
+    plain = StepPlacement.place
 
-    def place(self: Planner, step: StepState, entitled: set[str], now: float) -> None:
+    def place(self: StepPlacement, step: StepState, entitled: Collection[str], now: float) -> None:
         if step.number != number or now >= until:
             plain(self, step, entitled, now)
 
-    with unittest.mock.patch.object(Planner, "_place", place):
+    with unittest.mock.patch.object(StepPlacement, "place", place):
         yield
 
 
@@ -285,7 +285,7 @@
     """Stall detection as part of a day, and the kinds of jobs and faults that are named."""
 
     def test_an_unexplained_stall_is_a_violation_of_its_day(self) -> None:
-        with unittest.mock.patch.object(Planner, "_place", lambda *args: None):
+        with unittest.mock.patch.object(StepPlacement, "place", lambda *args: None):
             verdict = day_of(SEED, 6.0, calm=True).play()
         self.assertTrue(verdict.standstills.unexplained)
         self.assertEqual(verdict.broken, [str(e) for e in verdict.standstills.unexplained])
