Stop no more work for faster workers than an urgent job has itself

Stops for the sake of speed alone may now lose at most the core-seconds of the urgent step. Otherwise it waits within its objective and then starts on slower workers.

--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -109,6 +109,10 @@
             self._ranked(step, fit, fit, kept, slow_first),
         )
 
+    def core_seconds(self, step: StepState) -> float:
+        """Core-seconds of work of a step on usual workers; infinite if its work is not known."""
+        return self._speed_limits.core_seconds(step)
+
     def speed_limit(self, step: StepState, now: float) -> SpeedLimit | None:
         """The speed limit of a step; ``None`` if it prefers no worker for its speed.
 
--- a/src/saddlestack/policy/cluster/speed_limits.py
+++ b/src/saddlestack/policy/cluster/speed_limits.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from saddlestack.policy.cluster.jobs import TOP_PRIORITY, StepState
+from saddlestack.policy.cluster.jobs import TOP_PRIORITY, StepState, weight
 from saddlestack.policy.cluster.objective import objective_s
 from saddlestack.policy.cluster.speed_rank import (
     MIN_LIMIT,
@@ -139,6 +139,17 @@
         """Seconds of work of a task of a step on a usual worker; ``None`` if unknown."""
         return self.source.work_times.typical_work_s(step)
 
+    def core_seconds(self, step: StepState) -> float:
+        """Core-seconds of work of all tasks of a step; infinite if its work is not known.
+
+        Stops that make room on faster workers may lose no more than this: a wide gang lost several
+        times the work of the urgent job that was to be in time in its place, and was late itself.
+        """
+        work_s = self.work_s(step)
+        if work_s is None:
+            return math.inf
+        return step.step.count * weight(step.step.allocation) * work_s
+
     def later_work_s(self, step: StepState) -> float | None:
         """Seconds of work of the steps that follow a step; ``None`` if unknown."""
         chain_s, work_s = self._chain_s(step), self.work_s(step)
--- a/src/saddlestack/policy/cluster/step_placement.py
+++ b/src/saddlestack/policy/cluster/step_placement.py
@@ -182,7 +182,8 @@
             return True
         if not self._preemption.has_reservation(step):
             if request.is_top:
-                self._preemption.preempt(step, places, (), now)
+                own_work = self._candidates.core_seconds(step)
+                self._preemption.preempt(step, places, (), now, max_loss=own_work)
                 if self._preemption.has_reservation(step):
                     return True
             if limit.relaxed:
--- a/src/saddlestack/policy/cluster/step_preemption.py
+++ b/src/saddlestack/policy/cluster/step_preemption.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Collection, Sequence
 
@@ -84,15 +85,21 @@
     # Preemption
 
     def preempt(
-        self, step: StepState, places: Places, entitled: Collection[str], now: float
+        self,
+        step: StepState,
+        places: Places,
+        entitled: Collection[str],
+        now: float,
+        max_loss: float = math.inf,
     ) -> None:
         """Stop the runs whose stop is cheapest so that a step fits, and reserve their resources.
 
         :param places: the workers that the step may run on.
         :param entitled: ids of top-priority jobs that are within their account's guarantee.
+        :param max_loss: core-seconds that the stops may lose at most.
         """
         found = self._search(step, places, self._may_stop(step, entitled, now), now)
-        if found is None:
+        if found is None or found.lost > max_loss:
             return
         victims = [run for run in found.victims if step not in run.lent_by]
         for run in self._stops_at_once(step, victims, now):
