--- a/tests/test_speed_placement.py
+++ b/tests/test_speed_placement.py
@@ -199,6 +199,20 @@
         self.assertEqual(self.places(gang), ["w11"])
         self.assertEqual(set(self.places(bulk)), {"w12"})
 
+    def test_stops_for_speed_lose_no_more_than_the_work_of_the_urgent_step(self) -> None:
+        """Wide gangs were stopped, and late, for urgent jobs of a fraction of their work."""
+        for elapsed_s, is_stopped in ((1.9, True), (2.1, False)):
+            self.setUp()
+            self.know(2.0)
+            self.workers(each=2)
+            held = self.submit(step(1, 8), priority=BULK)
+            self.plan_at(0.0)
+            self.set_factors(w11=1.0, w12=SLOW)
+            accepted_ms = int(elapsed_s * 1000)
+            gang = self.submit(step(1, 8, gang=True), accepted_ms=accepted_ms)
+            self.assertEqual(self.plan_at(elapsed_s), [held] if is_stopped else [])
+            self.assertEqual(self.places(gang), [])
+
     def fill_fast(self, **job: object) -> str:
         """Fill w11 with urgent work, and know that only w12 is slow."""
         self.workers(each=2)
