--- a/src/saddlestack/policy/cluster/step_preemption.py
+++ b/src/saddlestack/policy/cluster/step_preemption.py
@@ -78,7 +78,7 @@
         return not is_overdue(run, now) and not self.must_continue(run)
 
     def must_continue(self, run: Run) -> bool:
-        """Whether a run must not be stopped: it is isolated, or could not be repeated as often."""
+        """Whether a run is isolated, or may not be started again as often as any other."""
         return loses_work_if_stopped(run) or run.isolated or self._isolation.has_limited_starts(run)
 
     # Preemption
