--- a/tests/test_hard_load_thresholds.py
+++ b/tests/test_hard_load_thresholds.py
@@ -208,9 +208,9 @@
             make_step(count), [f"w{number}" for number in range(count)], [6.0] * count
         ):
             speed = WorkerSpeed(Worker(worker_record(run.worker_id)), run.worker_id, SERVICE)
-            speed.known = len(comparison.rates) < known
+            speed.level = 0 if len(comparison.rates) < known else None
             comparison.set_duration(comparison.open_rate(run, speed, 0.0), 6.0)
-        found = comparison.compare(1.0)
+        found = comparison.compare(1.0, is_unequal=False)
         return round(found[0][1].weight, 6) if found else None
 
     def test_three_known_workers_or_ten_unknown_ones_show_what_is_usual(self) -> None:
@@ -234,7 +234,7 @@
         ]
         for rate in rates:
             comparison.set_duration(rate, 6.0)
-        comparison.compare(1.0)
+        comparison.compare(1.0, is_unequal=False)
         for rate in rates[:3]:
             comparison.set_duration(rate, 7.0)
         self.assertFalse(comparison.is_due(1.4, 0.5))
