--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -61,7 +61,7 @@
     :raises InvalidList: a listed test is not in the suite.
     """
     names = {each.test for each in listed}
-    tests = list(_flatten(suite))
+    tests = list(flatten(suite))
     missing = names - {test.id() for test in tests}
     if missing:
         raise InvalidList(f"no such tests: {', '.join(sorted(missing))}")
@@ -75,9 +75,10 @@
     return KnownRed(*fields)
 
 
-def _flatten(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+def flatten(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+    """Yields each test of a suite."""
     for each in suite:
         if isinstance(each, unittest.TestSuite):
-            yield from _flatten(each)
+            yield from flatten(each)
         else:
             yield each
