--- a/src/saddlestack/policy/cluster/reasons.py
+++ b/src/saddlestack/policy/cluster/reasons.py
@@ -109,11 +109,11 @@
     ),
     WaitReason.FASTER_WORKER: (
         "room is free only on workers that are too slow for its objective",
-        "room on a faster worker, or the end of its patience, after which it goes to a slower one",
+        "room on a faster worker, or the end of its wait, after which it goes to a slower one",
     ),
     WaitReason.HEALTHY_WORKER: (
         "its next failure is its last, and room is free only on workers that may be faulty",
-        "room on a healthy worker, or the end of its patience, after which it goes to any worker",
+        "room on a healthy worker, or the end of its wait, after which it goes to any worker",
     ),
     WaitReason.ISOLATION: (
         "a worker crashed under it, and it is to be started alone",
@@ -129,7 +129,7 @@
     ),
     WaitReason.GANG_FIRST: (
         "the workers that it would fill are kept for a gang that has less time left",
-        "the start of that gang, other room, or the end of its patience, after which it goes there",
+        "the start of that gang, other room, or the end of its wait, after which it goes there",
     ),
     WaitReason.RESERVED: (
         "the free room is reserved for urgent work that waits for runs to stop",
