--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -16,6 +16,7 @@
 SCHEDULING_RANGES = {
     "speed_memory_s": (5.0, 3600.0),
     "speed_write_interval_s": (1.0, 60.0),
+    "gang_priority_min_workers": (0, 100_000),
     "last_attempt_wait_s": (0.0, 2.0),
 }
 """Lowest and highest value of the numbers under ``scheduling``. Evidence of less than 5 s is a
@@ -61,6 +62,7 @@
     speed_memory_s: float = 60.0
     speed_write_interval_s: float = 2.0
     gang_priority: bool = False
+    gang_priority_min_workers: int = 0
     demand_forecast: bool = False
     last_attempt_wait_s: float = 0.0
 
@@ -72,6 +74,7 @@
             speed_memory_s=self.speed_memory_s,
             speed_write_interval_s=self.speed_write_interval_s,
             gang_priority=self.gang_priority,
+            gang_priority_min_workers=self.gang_priority_min_workers,
             demand_forecast=self.demand_forecast,
             last_attempt_wait_s=self.last_attempt_wait_s,
         )
--- a/src/saddlestack/policy/cluster/fair_share.py
+++ b/src/saddlestack/policy/cluster/fair_share.py
@@ -8,7 +8,7 @@
 
 import heapq
 from collections import Counter, deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from itertools import groupby
 
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, Run, StepState
@@ -50,20 +50,20 @@
 class FairShare:
     """Orders waiting steps.
 
-    :param enabled: whether the option is on.
+    :param is_enabled: returns whether steps are ordered so.
     """
 
-    def __init__(self, usage: AccountUsage, slack: Slack, *, enabled: bool) -> None:
+    def __init__(self, usage: AccountUsage, slack: Slack, is_enabled: Callable[[], bool]) -> None:
         self._usage = usage
         self._slack = slack
-        self._enabled = enabled
+        self._is_enabled = is_enabled
 
     def in_order(self, steps: list[StepState], now: float) -> Iterable[StepState]:
         """Order steps that are in order of priority and, within it, of acceptance.
 
         The order depends on what starts meanwhile: it is determined step by step.
         """
-        return self._in_order(steps, now) if self._enabled else steps
+        return self._in_order(steps, now) if self._is_enabled() else steps
 
     def _in_order(self, steps: list[StepState], now: float) -> Iterator[StepState]:
         for priority, group in groupby(steps, _priority):
--- a/src/saddlestack/policy/cluster/gang_priority.py
+++ b/src/saddlestack/policy/cluster/gang_priority.py
@@ -26,24 +26,39 @@
     :param kept: the workers that are kept for them.
     :param preemption: chooses what is stopped for them.
     :param enabled: whether the option is on.
+    :param min_workers: workers of a pool from which on these decisions are made.
     """
 
     def __init__(
-        self, slack: Slack, kept: KeptWorkers, preemption: GangPreemption, *, enabled: bool
+        self,
+        slack: Slack,
+        kept: KeptWorkers,
+        preemption: GangPreemption,
+        *,
+        enabled: bool,
+        min_workers: int = 0,
     ) -> None:
         self._slack = slack
         self._kept = kept
         self._preemption = preemption
+        self._is_on = enabled
+        self._min_workers = min_workers
         self._enabled = enabled
 
     @property
     def is_enabled(self) -> bool:
-        """Whether the option is on."""
+        """Whether the option is on and the pool is large enough for it."""
         return self._enabled
 
-    def begin_round(self, now: float, wall_ms: float) -> None:
-        """Set the time, and drop what is kept for gangs that wait no more."""
-        if self._enabled:
+    def begin_round(self, now: float, wall_ms: float, workers: int) -> None:
+        """Set the time, and drop what is kept for gangs that wait no more.
+
+        :param workers: number of workers of the pool.
+        """
+        self._enabled = self._is_on and workers >= self._min_workers
+        if self._is_on:
+            if not self._enabled:
+                self._kept.clear()
             self._slack.begin_round(now, wall_ms)
             self._preemption.begin_round(now)
             self._kept.begin_round(now)
--- a/src/saddlestack/policy/cluster/index.py
+++ b/src/saddlestack/policy/cluster/index.py
@@ -363,6 +363,11 @@
             service_capacity = self._services[name] = ServiceCapacity()
         return service_capacity
 
+    @property
+    def worker_count(self) -> int:
+        """Number of workers of all services."""
+        return len(self._numbers)
+
     def services(self) -> list[tuple[str, ServiceCapacity]]:
         """The services that have had workers, each with its name."""
         self._refresh()
--- a/src/saddlestack/policy/cluster/kept_workers.py
+++ b/src/saddlestack/policy/cluster/kept_workers.py
@@ -117,6 +117,11 @@
         self._before.clear()
         self._accepted = sorted(_accepted_ms(step) for step in self._sets)
 
+    def clear(self) -> None:
+        """Keep no workers for any gang."""
+        for step in list(self._sets):
+            self.release(step)
+
     @property
     def is_any_kept(self) -> bool:
         """Whether workers are kept for any gang."""
--- a/src/saddlestack/policy/cluster/options.py
+++ b/src/saddlestack/policy/cluster/options.py
@@ -14,6 +14,8 @@
     :param speed_write_interval_s: minimum seconds between two writes of speeds to the store.
     :param gang_priority: collect resources for waiting gangs before work of lower priority, and
         share them fairly among client accounts.
+    :param gang_priority_min_workers: workers of a pool from which on ``gang_priority`` takes
+        effect.
     :param demand_forecast: size the headroom by the recent demand of urgent work.
     :param last_attempt_wait_s: maximum seconds for which a step on its last attempt waits for
         healthy workers while several workers are faulty; 0 for no wait.
@@ -23,5 +25,6 @@
     speed_memory_s: float = 60.0
     speed_write_interval_s: float = 2.0
     gang_priority: bool = False
+    gang_priority_min_workers: int = 0
     demand_forecast: bool = False
     last_attempt_wait_s: float = 0.0
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -85,14 +85,14 @@
         self.speed_limits = SpeedLimits(cluster_state)
         options = options or SchedulingOptions()
         self._last_attempts = LastAttempts(options.last_attempt_wait_s, worker_preferences)
-        self._build_gang_decisions(Slack(work), usage, enabled=options.gang_priority)
+        self._build_gang_decisions(Slack(work), usage, options)
         self._build_searches()
         self._build_starts()
         self._placement = self._build_placement()
         self.waits = self._build_queries()
 
     def _build_gang_decisions(
-        self, slack: Slack, usage: AccountUsage | None, *, enabled: bool
+        self, slack: Slack, usage: AccountUsage | None, options: SchedulingOptions
     ) -> None:
         """Build what decides in favor of normal gangs, and on the shares of accounts."""
         cluster_state = self._cluster_state
@@ -102,9 +102,12 @@
             slack,
             self._kept_workers,
             GangPreemption(slack, cluster_state.members, lambda: self._lending.usual_stop_s),
-            enabled=enabled,
+            enabled=options.gang_priority,
+            min_workers=options.gang_priority_min_workers,
+        )
+        self._fair_share = FairShare(
+            usage or AccountUsage(), slack, lambda: self._gang_priority.is_enabled
         )
-        self._fair_share = FairShare(usage or AccountUsage(), slack, enabled=enabled)
 
     def _build_searches(self) -> None:
         """Build what finds workers for steps."""
@@ -288,7 +291,7 @@
         self._candidates.begin_round()
         self._failed_shapes.clear()
         self._preemption.begin_round(now)
-        self._gang_priority.begin_round(now, wall_ms)
+        self._gang_priority.begin_round(now, wall_ms, self._index.worker_count)
         self._isolation.refresh(now)
         entitled = self._waiting.entitled(self._cluster_state.guaranteed)
         self.speed_limits.begin_round(now, wall_ms, entitled)
--- a/tests/test_hard_load_thresholds.py
+++ b/tests/test_hard_load_thresholds.py
@@ -312,7 +312,7 @@
         usage, slack = mock.Mock(), mock.Mock()
         usage.held = {first: 0 if worthless_s else 9, second: 0}.__getitem__
         slack.worthless_for_s = {first: worthless_s, second: None}.__getitem__
-        share = FairShare(usage, slack, enabled=True)
+        share = FairShare(usage, slack, lambda: True)
         second.occurrence.job.accepted = msgspec.structs.replace(
             second.occurrence.job.accepted, account="b"
         )
--- a/tests/test_slack.py
+++ b/tests/test_slack.py
@@ -38,9 +38,10 @@
         super().setUp()
         self.use(enabled=self.ENABLED)
 
-    def use(self, *, enabled: bool) -> None:
+    def use(self, *, enabled: bool, min_workers: int = 0) -> None:
         """Begin anew, with the option on or off."""
-        self.cluster_state = ClusterState(SchedulingOptions(gang_priority=enabled))
+        options = SchedulingOptions(gang_priority=enabled, gang_priority_min_workers=min_workers)
+        self.cluster_state = ClusterState(options)
         self.jobs = 0
 
     def submit(
@@ -161,9 +162,9 @@
 class HeadroomBySlackTest(ContentionCase):
     """Normal gangs waited 15 s beside empty workers that were kept for urgent work."""
 
-    def crowd(self, *, enabled: bool) -> None:
+    def crowd(self, *, enabled: bool, min_workers: int = 0) -> None:
         """Four workers, of which bulk work fills all but one; that one is the headroom."""
-        self.use(enabled=enabled)
+        self.use(enabled=enabled, min_workers=min_workers)
         self.workers(each=4)
         for worker_id in ("w11", "w12", "w13"):
             self.occupy(work(8, 1, 60.0), worker_id)
@@ -182,6 +183,15 @@
         self.assertEqual(self.first_start_s(gang, enabled=False), 15.5)
         self.assertEqual(self.first_start_s(gang, enabled=True), 7.5)
 
+    def test_a_pool_below_the_minimum_decides_as_without_the_option(self) -> None:
+        """In a pool of few racks the workers kept for gangs left urgent work without a rack."""
+        for min_workers, starts in ((4, True), (5, False)):
+            self.crowd(enabled=True, min_workers=min_workers)
+            step = self.submit(work(2, 4, gang=True), priority=NORMAL)
+            self.assertEqual(self.round(0.0), [])
+            expected = [step.occurrence.job.job_id] if starts else []
+            self.assertEqual(self.round(7.5), expected)
+
     def test_the_threshold_is_the_work_from_both_sides(self) -> None:
         self.crowd(enabled=True)
         step = self.submit(work(2, 4, gang=True), priority=NORMAL)
