Log refused calls and overdue watches, and gauge the age of what is watched

A refused call gave no version, and a lost answer of a watch left no line until its time-out of 4 s, so nobody could tell «not yet arrived» from «refused» or «removed», nor a quiet store from a lost answer.

New: call_refused with version and age_s, watch_overdue, the gauges configuration_version and NAME_age_ms of each feed. The age counts from when the last answered call was sent, or from the end of a watch that returned nothing. No decision depends on them yet.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -34,8 +34,13 @@
         self.current: PoolConfiguration | None = None
         self._listeners: list[Listener] = []
         self._feed = Feed(
-            context, context.documents.locations.configuration_prefix, self._receive, self._receive
+            context,
+            context.documents.locations.configuration_prefix,
+            self._receive,
+            self._receive,
+            name="configuration",
         )
+        context.metrics.gauge("configuration_version", self._version)
 
     def add_listener(self, listener: Listener) -> None:
         """Calls a listener with each new configuration, starting with the current one."""
@@ -51,6 +56,14 @@
         """Starts to follow the document."""
         self.tasks.spawn(self._feed.run())
 
+    def age_s(self) -> float:
+        """Returns how old the configuration in force may be, in seconds."""
+        return self._feed.age_s(self.clock.now())
+
+    def _version(self) -> int:
+        """The version for the gauge; 0 before the first configuration."""
+        return 0 if self.current is None else self.current.version
+
     def _receive(self, items: tuple[Item, ...]) -> None:
         for item in items:
             if item.key == self._key and item.revision:
--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -22,6 +22,7 @@
 from saddlestack.control.leadership import Leadership, Term
 from saddlestack.control.membership import Membership
 from saddlestack.control.peers import Peers
+from saddlestack.control.refusals import ConfiguredCalls
 from saddlestack.control.relays import Relays
 from saddlestack.control.renewals import Renewals
 from saddlestack.control.scheduler import Scheduler
@@ -100,10 +101,12 @@
         access = StoreAccess(self.context, self.peers, relays)
         self.jobs = Jobs(self.context, access, leader_rpc)
         gateway = Gateway(self.jobs, lambda: self.configuration.current, self._is_ready)
-        self.clients = HttpServer(gateway.handle, max_connections=MAX_CONNECTIONS)
+        client_calls = ConfiguredCalls(gateway.handle, self.configuration)
+        self.clients = HttpServer(client_calls.handle, max_connections=MAX_CONNECTIONS)
         self.readiness = HttpServer(gateway.readiness)
         self.metrics_server = HttpServer(self._serve_metrics)
-        callers = JobApi(self.jobs, lambda: self.configuration.current)
+        api = JobApi(self.jobs, lambda: self.configuration.current)
+        callers = ConfiguredCalls(api.handle, self.configuration)
         self.callers = HttpServer(callers.handle, max_connections=MAX_CONNECTIONS)
         self.scheduler: Scheduler | None = None
         self._stopping = 0
--- a/src/saddlestack/control/evacuations.py
+++ b/src/saddlestack/control/evacuations.py
@@ -30,7 +30,9 @@
         self._prefix = context.documents.locations.evacuations_prefix
         self._on_change = on_change
         self._halls: frozenset[str] = frozenset()
-        self._feed = Feed(context, self._prefix, self._on_snapshot, self._on_changes)
+        self._feed = Feed(
+            context, self._prefix, self._on_snapshot, self._on_changes, name="evacuations"
+        )
 
     @property
     def loaded(self) -> asyncio.Event:
--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from saddlestack.control.context import EntryContext
-from saddlestack.interfaces.store import HistoryGone, Item, StoreUnavailable
+from saddlestack.interfaces.store import HistoryGone, Item, Listing, StoreUnavailable
 from saddlestack.policy.retry import backoff_delay
 
 log = logging.getLogger("saddlestack.feed")
@@ -17,6 +17,8 @@
 """Timeout of one watch. It is short, since a watch on a dead connection returns nothing."""
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
+NEVER_READ = -1
+"""Value of a feed's gauge before its first answer."""
 FULL_BATCH = 250
 """A watch that returns this many changes is followed by the next one without a pause.
 
@@ -37,6 +39,7 @@
     Reads everything, then watches. If the store no longer has the changes since, reads everything
     again. A change may be delivered twice, but is never skipped.
 
+    :param name: names the gauge ``NAME_age_ms``.
     :param wait_s: timeout of one watch.
     :param gap_s: pause between a change and the next watch, so that many changes take one call;
         there is no pause while the feed is likely behind.
@@ -49,6 +52,7 @@
         on_snapshot: OnSnapshot,
         on_change: OnChange,
         *,
+        name: str,
         wait_s: float = WATCH_TIMEOUT_S,
         gap_s: float = 0.0,
     ) -> None:
@@ -59,15 +63,33 @@
         self._wait_s = wait_s
         self._gap_s = gap_s
         self._failures = 0
-        self._answered_s = -math.inf
+        self._current_as_of_s = -math.inf
+        self._gauge = f"{name}_age_ms"
         self.loaded = asyncio.Event()
 
     def age_s(self, now: float) -> float:
-        """Returns the seconds since the store last answered, which is how old the data may be."""
-        return now - self._answered_s
+        """Returns how old the data may be at most, in seconds.
+
+        It is known to have been current when the last answered call was sent, or at the end of the
+        last watch that returned nothing.
+        """
+        return now - self._current_as_of_s
 
     async def run(self) -> None:
         """Follows the prefix until cancelled."""
+        metrics = self._context.metrics
+        metrics.gauge(self._gauge, self._age_ms)
+        try:
+            await self._follow()
+        finally:
+            metrics.remove_gauge(self._gauge, self._age_ms)
+
+    def _age_ms(self) -> int:
+        """The age for the gauge; :data:`NEVER_READ` before the first answer."""
+        age_s = self.age_s(self._context.clock.now())
+        return NEVER_READ if math.isinf(age_s) else round(1000 * age_s)
+
+    async def _follow(self) -> None:
         while True:
             try:
                 await self._watch()
@@ -87,26 +109,35 @@
 
     async def _watch(self) -> None:
         store = self._context.store
+        clock = self._context.clock
+        sent_s = clock.now()
         listing = await store.list(self._prefix)
         self._failures = 0
-        self._answered_s = self._context.clock.now()
+        self._current_as_of_s = sent_s
         self._on_snapshot(listing.items)
         self.loaded.set()
         revision = listing.revision
         while True:
+            sent_s = clock.now()
             try:
                 changes = await store.watch(self._prefix, revision, self._wait_s)
             except StoreUnavailable as error:
                 await self._back_off(error)
                 continue
             self._failures = 0
-            self._answered_s = self._context.clock.now()
+            self._current_as_of_s = self._as_of_s(sent_s, changes)
             revision = max(revision, changes.revision)
             if changes.items:
                 self._on_change(changes.items)
                 if len(changes.items) < FULL_BATCH:
                     await asyncio.sleep(self._gap_s)
 
+    def _as_of_s(self, sent_s: float, changes: Listing) -> float:
+        """Returns the time at which the changes were complete."""
+        end_s = sent_s + self._wait_s
+        waited_in_vain = not changes.items and self._context.clock.now() >= end_s
+        return end_s if waited_in_vain else sent_s
+
     async def _back_off(self, error: StoreUnavailable) -> None:
         if not self._failures:
             log.warning(
--- a/src/saddlestack/control/guarded.py
+++ b/src/saddlestack/control/guarded.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
@@ -25,6 +26,8 @@
 
 T = TypeVar("T")
 
+log = logging.getLogger("saddlestack.guarded")
+
 
 class _CallAbandoned(Exception):
     """The store is available again, but has not answered a call that was sent before."""
@@ -51,7 +54,12 @@
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
         """Returns changes after a revision; removed keys have revision 0."""
-        return await self._retried(lambda: self._store.watch(prefix, after, wait_s))
+        loop = asyncio.get_running_loop()
+        overdue = loop.call_later(wait_s + self._health.overdue_after_s, _log_overdue, prefix)
+        try:
+            return await self._retried(lambda: self._store.watch(prefix, after, wait_s))
+        finally:
+            overdue.cancel()
 
     async def transact(self, transaction: Transaction) -> Committed | Conflict:
         """Applies a transaction atomically."""
@@ -104,3 +112,7 @@
             raise
         finally:
             task.cancel()
+
+
+def _log_overdue(prefix: str) -> None:
+    log.warning("watch is overdue", extra={"event": "watch_overdue", "prefix": prefix})
--- a/src/saddlestack/control/membership.py
+++ b/src/saddlestack/control/membership.py
@@ -96,7 +96,7 @@
         self._invalid_removed_s = -math.inf
         self._invalid_records = InvalidRecords(context.metrics, "member")
         self._must_register = False
-        self._feed = Feed(context, MEMBERS, self._replace, self._change)
+        self._feed = Feed(context, MEMBERS, self._replace, self._change, name="members")
 
     @property
     def loaded(self) -> asyncio.Event:
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -120,6 +120,7 @@
             context.documents.locations.workers_prefix,
             self._on_worker_snapshot,
             self._on_worker_changes,
+            name="workers",
             wait_s=WORKER_WATCH_WAIT_S,
             gap_s=WORKER_FEED_GAP_S,
         )
@@ -261,6 +262,7 @@
             keys.REQUESTS,
             self._apply_requests,
             self._apply_requests,
+            name="requests",
             wait_s=REQUESTS_WAIT_S,
         )
         self._tasks.spawn(requests.run())
--- a/src/saddlestack/control/upkeep.py
+++ b/src/saddlestack/control/upkeep.py
@@ -60,7 +60,11 @@
         self._waves: dict[int, WaveState] = {}
         self._completed: set[int] = set()
         self._feed = Feed(
-            context, context.documents.locations.waves_prefix, self._on_waves, self._on_waves
+            context,
+            context.documents.locations.waves_prefix,
+            self._on_waves,
+            self._on_waves,
+            name="waves",
         )
         self._new_items: list[Item] = []
         self._invalid_records = InvalidRecords(context.metrics, "wave")
--- a/src/saddlestack/services/metrics.py
+++ b/src/saddlestack/services/metrics.py
@@ -66,6 +66,12 @@
         """Register a gauge, read when the metrics are viewed."""
         self._gauges[name] = read
 
+    def remove_gauge(self, name: str, read: Callable[[], int]) -> None:
+        """Remove a gauge, unless another one was registered under its name since."""
+        if self._gauges.get(name) == read:
+            del self._gauges[name]
+            self._counters.pop(name, None)
+
     def view(self) -> MetricsView:
         """The current metrics."""
         for name, read in self._gauges.items():
--- a/src/saddlestack/standins/pool/store.py
+++ b/src/saddlestack/standins/pool/store.py
@@ -27,6 +27,7 @@
 
 ANSWER_S = 0.004
 CALL_TIMEOUT_S = 1.0
+LIST_TIMEOUT_S = 3.0
 WATCH_SLACK_S = 1.0
 SILENCE_CHECK_S = 0.1
 MAX_ENTRIES = 32
@@ -230,6 +231,8 @@
     :param lose_answers: number of writes that are applied and not answered.
     :param late_s: delay of the writes whose answers are lost.
     :param stale: whether the VM's connections are dead until it opens new ones.
+    :param lost_watches: prefixes whose watches get no answer, unlike all other calls.
+    :param lost_lists: number of listings that get no answer, by prefix.
     :param slow_lists: additional latency of listings, by prefix.
     """
 
@@ -239,6 +242,8 @@
     lose_answers: int = 0
     late_s: float = 0.0
     stale: bool = False
+    lost_watches: frozenset[str] = frozenset()
+    lost_lists: dict[str, int] = field(default_factory=dict)
     slow_lists: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -272,6 +277,10 @@
     async def list(self, prefix: str) -> Listing:
         """Return all keys under a prefix."""
         await self._begin_call()
+        if self.faults.lost_lists.get(prefix, 0):
+            self.faults.lost_lists[prefix] -= 1
+            await asyncio.sleep(LIST_TIMEOUT_S)
+            raise StoreUnavailable("no answer to the listing")
         await asyncio.sleep(self.faults.slow_lists.get(prefix, 0.0))
         return Listing(tuple(self.state.keys(prefix)), self.state.revision)
 
@@ -280,7 +289,7 @@
         until = _now() + wait_s
         if not self.faults.is_unresponsive:
             await self._begin_call()
-        while not self.faults.is_unresponsive:
+        while not self.faults.is_unresponsive and prefix not in self.faults.lost_watches:
             if self.faults.refusing:
                 await self._raise_unavailable()
             items = self.state.changes(prefix, after)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -19,6 +19,7 @@
 from saddlestack.control.feed import Feed
 from saddlestack.control.scheduler import WORKER_FEED_GAP_S, WORKER_WATCH_WAIT_S
 from saddlestack.interfaces.store import Item, Listing
+from saddlestack.services.metrics import Metrics
 from saddlestack.standins.loop import VirtualClock, run
 
 CHANGES_PER_S = 2_000
@@ -74,12 +75,16 @@
                 nonlocal received
                 received = items[-1].revision
 
-            context = SimpleNamespace(store=store, rng=random.Random(1), clock=VirtualClock())
+            clock = VirtualClock()
+            context = SimpleNamespace(
+                store=store, rng=random.Random(1), clock=clock, metrics=Metrics("entry-1", clock)
+            )
             feed = Feed(
                 cast(EntryContext, cast(Any, context)),
                 "servers/",
                 lambda items: None,
                 changed,
+                name="workers",
                 wait_s=WORKER_WATCH_WAIT_S,
                 gap_s=WORKER_FEED_GAP_S,
             )
--- /dev/null
+++ b/tests/test_late_configuration.py
@@ -0,0 +1,111 @@
+"""A confirmed configuration is in force in time, whatever happens to single answers of the store.
+
+Guards against calls that are handled as only an older configuration allows: an added queue that is
+unknown, a removed key that is still accepted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import unittest
+from collections.abc import Awaitable, Callable
+
+from saddlestack.control.feed import WATCH_TIMEOUT_S
+from saddlestack.standins.loop import run
+from saddlestack.standins.pool.cluster import PoolCluster
+from saddlestack.standins.pool.documents import KEY, QUEUES
+from saddlestack.wire.http import HttpClient, Response
+
+HOST_HEADER = "jobs.example"
+CALL_S = 3.0
+SETTLED_S = 4.0
+MAX_QUIET_AGE_S = 2 * WATCH_TIMEOUT_S + 0.1
+"""A watch that returned a change shows no more than that nothing was missing when it was sent."""
+
+Body = Callable[[PoolCluster], Awaitable[None]]
+
+
+def play(body: Body, *, entries: int = 3, seed: int = 1) -> None:
+    """Runs a coroutine against a started cluster, on a virtual clock."""
+
+    async def main() -> None:
+        cluster = PoolCluster(entries=entries, seed=seed)
+        await cluster.start()
+        try:
+            await body(cluster)
+        finally:
+            await cluster.stop()
+
+    run(main())
+
+
+async def get(cluster: PoolCluster, name: str, path: str, key: str = KEY) -> Response:
+    """Sends a client's call to one VM."""
+    client = HttpClient("127.0.0.1", cluster.member(name).vm.clients.port)
+    headers = (("saddlestack-credential", key),)
+    try:
+        return await client.request("GET", path, timeout=CALL_S, headers=headers, host=HOST_HEADER)
+    finally:
+        client.close()
+
+
+def gauges(cluster: PoolCluster, name: str) -> dict[str, int]:
+    """Returns the counters and gauges of one VM."""
+    return cluster.member(name).vm.metrics.view().counters
+
+
+class ObservabilityTest(unittest.TestCase):
+    def test_gauges_show_the_version_and_the_age(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            cluster.configure()
+            await asyncio.sleep(SETTLED_S)
+            for name in cluster.members:
+                found = gauges(cluster, name)
+                self.assertEqual(found["configuration_version"], cluster.version)
+                self.assertLess(found["configuration_age_ms"], MAX_QUIET_AGE_S * 1000)
+                self.assertIn("members_age_ms", found)
+            for feed in ("workers", "requests", "evacuations", "waves"):
+                self.assertIn(f"{feed}_age_ms", gauges(cluster, cluster.leader_name))
+            cluster.member(cluster.leader_name).view.faults.silent = True
+            name = cluster.leader_name
+            before = gauges(cluster, name)["configuration_age_ms"]
+            await asyncio.sleep(SETTLED_S)
+            self.assertGreaterEqual(gauges(cluster, name)["configuration_age_ms"], before + 3_900)
+
+        play(body)
+
+    def test_a_refused_call_is_logged_with_the_version_and_its_age(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            queue = QUEUES[0][0]
+            with self.assertLogs("saddlestack.refusals", logging.INFO) as caught:
+                self.assertEqual((await get(cluster, "entry-1", "/no-queue/")).status, 404)
+                refused = await get(cluster, "entry-1", f"/{queue}/", key="no-key")
+                self.assertEqual(refused.status, 401)
+            for record, status in zip(caught.records, (404, 401), strict=True):
+                found = vars(record)
+                self.assertEqual((found["event"], found["status"]), ("call_refused", status))
+                self.assertEqual(found["version"], cluster.version)
+                self.assertLess(found["age_s"], MAX_QUIET_AGE_S)
+                self.assertNotIn("no-key", str(found))
+
+        play(body)
+
+    def test_a_watch_without_an_answer_is_logged_while_heartbeats_are_answered(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            member = cluster.member("entry-1")
+            await asyncio.sleep(SETTLED_S)
+            with self.assertLogs("saddlestack", logging.WARNING) as caught:
+                member.view.faults.lost_watches = frozenset({"op/"})
+                await asyncio.sleep(SETTLED_S)
+            overdue = [
+                record for record in caught.records if vars(record).get("event") == "watch_overdue"
+            ]
+            self.assertEqual({vars(record)["prefix"] for record in overdue}, {"op/"})
+            self.assertTrue(member.vm.health.is_available)
+
+        play(body)
+
+
+if __name__ == "__main__":
+    unittest.main()
