--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import random
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -15,10 +16,15 @@
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import PoolCluster
 from saddlestack.standins.pool.documents import KEY, QUEUES
+from saddlestack.standins.pool.store import StoreFaults
 from saddlestack.wire.http import HttpClient, Response
 
 HOST_HEADER = "jobs.example"
 CALL_S = 3.0
+APPLY_S = 2.0
+"""The platform's bound for a confirmed configuration to be in force."""
+GIVEN_UP_S = 30.0
+CONFIGURATION_PREFIX = "op/"
 SETTLED_S = 4.0
 MAX_QUIET_AGE_S = 2 * WATCH_TIMEOUT_S + 0.1
 """A watch that returned a change shows no more than that nothing was missing when it was sent."""
@@ -55,6 +61,46 @@
     return cluster.member(name).vm.metrics.view().counters
 
 
+async def seconds_until_in_force(cluster: PoolCluster, name: str) -> float:
+    """Returns how long it takes until a VM has the newest configuration in force."""
+    loop = asyncio.get_running_loop()
+    start_s = loop.time()
+    while loop.time() < start_s + GIVEN_UP_S:
+        current = cluster.member(name).vm.configuration.current
+        if current is not None and current.version == cluster.version:
+            break
+        await asyncio.sleep(0.01)
+    return loop.time() - start_s
+
+
+class LostAnswerTest(unittest.TestCase):
+    """The calls that follow the configuration lose an answer, while heartbeats are answered."""
+
+    def assert_in_force_in_time(self, seed: int, lose: Callable[[StoreFaults], None]) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            name = f"entry-{seed % 3 + 1}"
+            faults = cluster.member(name).view.faults
+            await asyncio.sleep(random.Random(seed).uniform(4.0, 8.0))
+            lose(faults)
+            cluster.configure()
+            await asyncio.sleep(0.05)
+            faults.lost_watches = frozenset()
+            late_s = 0.05 + await seconds_until_in_force(cluster, name)
+            self.assertLess(late_s, APPLY_S)
+            self.assertTrue(cluster.member(name).vm.health.is_available)
+
+        with self.subTest(seed=seed):
+            play(body, seed=seed)
+
+    # An added queue was unknown for up to 4 s where one answer to a watch was lost.
+    def test_a_lost_answer_to_a_watch_does_not_hold_a_configuration_back(self) -> None:
+        def lose(faults: StoreFaults) -> None:
+            faults.lost_watches = frozenset({CONFIGURATION_PREFIX})
+
+        for seed in range(1, 13):
+            self.assert_in_force_in_time(seed, lose)
+
+
 class ObservabilityTest(unittest.TestCase):
     def test_gauges_show_the_version_and_the_age(self) -> None:
         async def body(cluster: PoolCluster) -> None:
