Abandon a watch as soon as its answer is overdue

Callers were refused with 404 on a queue added more than 2 s before, and served with keys that had been removed. A watch whose answer was lost, or whose connection had gone silent, was waited for up to 4 s, since heartbeats on another connection showed the store as available.

A watch now ends when its answer is late by the time after which a heartbeat is overdue (0.25 to 0.8 s, doubled while no watch is answered), for the leader key and all feeds alike. The configuration is watched for half of the bound, the new setting timings.configuration_apply_ms: a lost answer then costs 1.25 s, a pause of up to 0.1 s and one answer, of 2 s.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from saddlestack.control.context import EntryContext
-from saddlestack.control.feed import Feed
+from saddlestack.control.feed import WATCH_TIMEOUT_S, Feed
 from saddlestack.control.invalidrecords import InvalidRecords
 from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.documents import PoolConfiguration
@@ -17,6 +17,10 @@
 
 NAME = "pool configuration"
 
+WATCH_SHARE = 0.5
+"""Timeout of a watch as a share of the time in which a configuration has to be in force. If an
+answer is lost, the next watch, a pause and its answer fit into the rest."""
+
 Listener = Callable[[PoolConfiguration], None]
 
 
@@ -33,12 +37,14 @@
         self._invalid_records = InvalidRecords(context.metrics, "configuration")
         self.current: PoolConfiguration | None = None
         self._listeners: list[Listener] = []
+        apply_s = context.settings.timings.configuration_apply_ms / 1000
         self._feed = Feed(
             context,
             context.documents.locations.configuration_prefix,
             self._receive,
             self._receive,
             name="configuration",
+            wait_s=min(WATCH_TIMEOUT_S, WATCH_SHARE * apply_s),
         )
         context.metrics.gauge("configuration_version", self._version)
 
--- a/src/saddlestack/control/guarded.py
+++ b/src/saddlestack/control/guarded.py
@@ -28,6 +28,9 @@
 
 log = logging.getLogger("saddlestack.guarded")
 
+MAX_DOUBLINGS = 4
+"""How often the time by which a watch may be late is doubled while no watch is answered."""
+
 
 class _CallAbandoned(Exception):
     """The store is available again, but has not answered a call that was sent before."""
@@ -39,6 +42,7 @@
     def __init__(self, store: MetadataStore, health: StoreHealth) -> None:
         self._store = store
         self._health = health
+        self._overdue_watches: dict[str, int] = {}
 
     def reconnect(self) -> None:
         """Uses new connections from now on."""
@@ -53,13 +57,24 @@
         return await self._retried(lambda: self._store.list(prefix))
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
-        """Returns changes after a revision; removed keys have revision 0."""
-        loop = asyncio.get_running_loop()
-        overdue = loop.call_later(wait_s + self._health.overdue_after_s, _log_overdue, prefix)
+        """Returns changes after a revision; removed keys have revision 0.
+
+        Heartbeats do not show that the connection of a watch is unresponsive, so a watch is
+        abandoned as soon as it is overdue. Its successor may take longer, since a large answer may
+        need the time.
+
+        :raises StoreUnavailable: no answer in time.
+        """
+        overdue_in_a_row = self._overdue_watches.pop(prefix, 0)
+        limit_s = wait_s + self._health.overdue_after_s * 2**overdue_in_a_row
         try:
-            return await self._retried(lambda: self._store.watch(prefix, after, wait_s))
-        finally:
-            overdue.cancel()
+            async with asyncio.timeout(limit_s):
+                return await self._retried(lambda: self._store.watch(prefix, after, wait_s))
+        except TimeoutError:
+            self._overdue_watches[prefix] = min(overdue_in_a_row + 1, MAX_DOUBLINGS)
+            self._health.probe_now()
+            log.warning("watch is overdue", extra={"event": "watch_overdue", "prefix": prefix})
+            raise StoreUnavailable("the watch is overdue") from None
 
     async def transact(self, transaction: Transaction) -> Committed | Conflict:
         """Applies a transaction atomically."""
@@ -112,7 +127,3 @@
             raise
         finally:
             task.cancel()
-
-
-def _log_overdue(prefix: str) -> None:
-    log.warning("watch is overdue", extra={"event": "watch_overdue", "prefix": prefix})
--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -22,6 +22,8 @@
 """Lowest and highest value of the numbers under ``scheduling``. Evidence of less than 5 s is a
 single run; more than one write a second would cost more store calls than all other upkeep. In a
 mostly free pool no work may spend more than 2 s on preferences."""
+CONFIGURATION_APPLY_RANGE_MS = (500.0, 600_000.0)
+"""A watch takes a fraction of this time, and each one is a call to the store."""
 LEADER_CORES = 1.0
 """Processor cores that a leader needs.
 
@@ -45,6 +47,7 @@
     :param retention_s: how long a finished job stays known, so that repeated requests find it.
     :param machine_lease_ms: minimum time between orders about the same machine by two holders.
     :param upkeep_s: how long a machine is down for upkeep.
+    :param configuration_apply_ms: time after which a confirmed configuration is in force.
     """
 
     longest_hold_ms: float
@@ -53,6 +56,7 @@
     retention_s: float = 3600.0
     machine_lease_ms: float = 3000
     upkeep_s: float = 2.0
+    configuration_apply_ms: float = 2000
 
 
 class Scheduling(Model, frozen=True):
@@ -175,6 +179,11 @@
         value = getattr(settings.timings, key)
         if value <= 0:
             faults.append(f"timings.{key}: expected a number above 0, got {value}")
+    apply_ms = settings.timings.configuration_apply_ms
+    least_ms, most_ms = CONFIGURATION_APPLY_RANGE_MS
+    if not least_ms <= apply_ms <= most_ms:
+        expected = f"expected {least_ms:g} to {most_ms:g}"
+        faults.append(f"timings.configuration_apply_ms: {expected}, got {apply_ms:g}")
     for key, (lowest, highest) in SCHEDULING_RANGES.items():
         value = getattr(settings.scheduling, key)
         if not lowest <= value <= highest:
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -12,7 +12,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-from saddlestack.control.feed import WATCH_TIMEOUT_S
+from saddlestack.control.configuration import WATCH_SHARE
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import PoolCluster
 from saddlestack.standins.pool.documents import KEY, QUEUES
@@ -26,7 +26,7 @@
 GIVEN_UP_S = 30.0
 CONFIGURATION_PREFIX = "op/"
 SETTLED_S = 4.0
-MAX_QUIET_AGE_S = 2 * WATCH_TIMEOUT_S + 0.1
+MAX_QUIET_AGE_S = 2 * WATCH_SHARE * APPLY_S + 0.1
 """A watch that returned a change shows no more than that nothing was missing when it was sent."""
 
 Body = Callable[[PoolCluster], Awaitable[None]]
