Read small prefixes again when the answer to a listing is overdue

Callers waited for a leader where one answer was lost: to the first listing of the evacuations a new leader makes, or to the listing of the leader key. Each was waited for 3 s, as for the configuration.

All feeds but those of workers and requests, whose listings may take seconds, and the leader key now read again after 0.5 s, doubled with each failure.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from saddlestack.control.context import EntryContext
-from saddlestack.control.feed import WATCH_TIMEOUT_S, Feed
+from saddlestack.control.feed import LIST_TIMEOUT_S, WATCH_TIMEOUT_S, Feed
 from saddlestack.control.invalidrecords import InvalidRecords
 from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.documents import PoolConfiguration
@@ -47,7 +47,7 @@
             self._receive,
             name="configuration",
             wait_s=min(WATCH_TIMEOUT_S, WATCH_SHARE * apply_s),
-            list_timeout_s=LIST_SHARE * apply_s,
+            list_timeout_s=min(LIST_TIMEOUT_S, LIST_SHARE * apply_s),
         )
         context.metrics.gauge("configuration_version", self._version)
 
--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from saddlestack.control.context import EntryContext
-from saddlestack.interfaces.store import HistoryGone, Item, Listing, StoreUnavailable
+from saddlestack.interfaces.store import HistoryGone, Item, Listing, MetadataStore, StoreUnavailable
 from saddlestack.policy.retry import backoff_delay
 
 log = logging.getLogger("saddlestack.feed")
@@ -27,12 +27,28 @@
 after half a minute, compared with 0.4 s without the pause.
 """
 
+LIST_TIMEOUT_S = 0.5
+"""Timeout of the first listing of a prefix with few keys."""
+
 OnSnapshot = Callable[[tuple[Item, ...]], None]
 """Receives all items under the prefix."""
 OnChange = Callable[[tuple[Item, ...]], None]
 """Receives changed items; those of removed keys have revision 0."""
 
 
+async def list_within(store: MetadataStore, prefix: str, limit_s: float) -> Listing:
+    """Reads all keys under a prefix.
+
+    :param limit_s: time for the answer; may be infinite.
+    :raises StoreUnavailable: no answer in time.
+    """
+    try:
+        async with asyncio.timeout(None if math.isinf(limit_s) else limit_s):
+            return await store.list(prefix)
+    except TimeoutError:
+        raise StoreUnavailable("the listing is overdue") from None
+
+
 class Feed:
     """Keeps a service up to date with a prefix of the store.
 
@@ -42,7 +58,7 @@
     :param name: names the gauge ``NAME_age_ms``.
     :param wait_s: timeout of one watch.
     :param list_timeout_s: time after which a listing is read again, doubled with each failure;
-        only for prefixes that are read in much less. The store's own timeout is longer.
+        infinite for prefixes that may take longer, which have the store's own timeout.
     :param gap_s: pause between a change and the next watch, so that many changes take one call;
         there is no pause while the feed is likely behind.
     """
@@ -56,7 +72,7 @@
         *,
         name: str,
         wait_s: float = WATCH_TIMEOUT_S,
-        list_timeout_s: float = math.inf,
+        list_timeout_s: float = LIST_TIMEOUT_S,
         gap_s: float = 0.0,
     ) -> None:
         self._context = context
@@ -115,7 +131,8 @@
         store = self._context.store
         clock = self._context.clock
         sent_s = clock.now()
-        listing = await self._list()
+        limit_s = self._list_timeout_s * 2**self._failures
+        listing = await list_within(store, self._prefix, limit_s)
         self._failures = 0
         self._current_as_of_s = sent_s
         self._on_snapshot(listing.items)
@@ -136,18 +153,6 @@
                 if len(changes.items) < FULL_BATCH:
                     await asyncio.sleep(self._gap_s)
 
-    async def _list(self) -> Listing:
-        """Reads everything.
-
-        :raises StoreUnavailable: no answer in time.
-        """
-        limit_s = self._list_timeout_s * 2**self._failures
-        try:
-            async with asyncio.timeout(None if math.isinf(limit_s) else limit_s):
-                return await self._context.store.list(self._prefix)
-        except TimeoutError:
-            raise StoreUnavailable("the listing is overdue") from None
-
     def _as_of_s(self, sent_s: float, changes: Listing) -> float:
         """Returns the time at which the changes were complete."""
         end_s = sent_s + self._wait_s
--- a/src/saddlestack/control/leadership.py
+++ b/src/saddlestack/control/leadership.py
@@ -11,6 +11,7 @@
 
 from saddlestack.codec import from_json, to_json
 from saddlestack.control.context import EntryContext
+from saddlestack.control.feed import LIST_TIMEOUT_S, list_within
 from saddlestack.control.invalidrecords import InvalidRecords
 from saddlestack.control.keys import LEADER
 from saddlestack.errors import SaddlestackError
@@ -164,9 +165,13 @@
             await self._depose("found displaced")
 
     async def _run(self) -> None:
+        failures = 0
         while True:
             try:
-                listing = await self._context.store.list(LEADER)
+                limit_s = LIST_TIMEOUT_S * 2**failures
+                failures += 1
+                listing = await list_within(self._context.store, LEADER, limit_s)
+                failures = 0
                 present = [item for item in listing.items if item.key == LEADER]
                 await self._observe(present[0] if present else Item(LEADER, b"", 0))
                 await self._watch(listing.revision)
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -121,6 +121,7 @@
             self._on_worker_snapshot,
             self._on_worker_changes,
             name="workers",
+            list_timeout_s=math.inf,
             wait_s=WORKER_WATCH_WAIT_S,
             gap_s=WORKER_FEED_GAP_S,
         )
@@ -263,6 +264,7 @@
             self._apply_requests,
             self._apply_requests,
             name="requests",
+            list_timeout_s=math.inf,
             wait_s=REQUESTS_WAIT_S,
         )
         self._tasks.spawn(requests.run())
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -13,6 +13,7 @@
 from collections.abc import Awaitable, Callable
 
 from saddlestack.control.configuration import WATCH_SHARE
+from saddlestack.control.keys import LEADER
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import PoolCluster
 from saddlestack.standins.pool.documents import KEY, QUEUES
@@ -126,6 +127,24 @@
 
         play(body)
 
+    # A new leader started nothing for 3 s where one answer to its first listings was lost.
+    def test_a_lost_answer_to_a_listing_does_not_hold_a_new_leader_back(self) -> None:
+        for prefix in ("op/evacuate/", LEADER):
+
+            async def body(cluster: PoolCluster, prefix: str = prefix) -> None:
+                for member in cluster.members.values():
+                    member.view.faults.lost_lists = {prefix: 1}
+                cluster.store.put(LEADER, b"")
+                cluster.store.forget_history()
+                await cluster.kill(cluster.leader_name)
+                start_s = asyncio.get_running_loop().time()
+                cluster.store.remove(LEADER)
+                await cluster.until(lambda: cluster.leader is not None)
+                self.assertLess(asyncio.get_running_loop().time() - start_s, APPLY_S)
+
+            with self.subTest(prefix):
+                play(body)
+
 
 class ObservabilityTest(unittest.TestCase):
     def test_gauges_show_the_version_and_the_age(self) -> None:
