Limit the doubling of the time for a listing

After an outage of some 20 minutes a VM would never have read its configuration again: the time for a listing was doubled with each failure without a limit, and overflows after 1,024 of them.

The time is doubled four times at most. The test, an outage of 1,500 s in virtual time, failed (nothing in force after 30 s) and passes.

--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -30,18 +30,24 @@
 LIST_TIMEOUT_S = 0.5
 """Timeout of the first listing of a prefix with few keys."""
 
+MAX_DOUBLINGS = 4
+
 OnSnapshot = Callable[[tuple[Item, ...]], None]
 """Receives all items under the prefix."""
 OnChange = Callable[[tuple[Item, ...]], None]
 """Receives changed items; those of removed keys have revision 0."""
 
 
-async def list_within(store: MetadataStore, prefix: str, limit_s: float) -> Listing:
+async def list_within(
+    store: MetadataStore, prefix: str, timeout_s: float, failures: int
+) -> Listing:
     """Reads all keys under a prefix.
 
-    :param limit_s: time for the answer; may be infinite.
+    :param timeout_s: time for the answer, doubled with each failure; may be infinite.
+    :param failures: how often this has failed in a row.
     :raises StoreUnavailable: no answer in time.
     """
+    limit_s = timeout_s * 2 ** min(failures, MAX_DOUBLINGS)
     try:
         async with asyncio.timeout(None if math.isinf(limit_s) else limit_s):
             return await store.list(prefix)
@@ -131,8 +137,7 @@
         store = self._context.store
         clock = self._context.clock
         sent_s = clock.now()
-        limit_s = self._list_timeout_s * 2**self._failures
-        listing = await list_within(store, self._prefix, limit_s)
+        listing = await list_within(store, self._prefix, self._list_timeout_s, self._failures)
         self._failures = 0
         self._current_as_of_s = sent_s
         self._on_snapshot(listing.items)
--- a/src/saddlestack/control/leadership.py
+++ b/src/saddlestack/control/leadership.py
@@ -165,17 +165,17 @@
             await self._depose("found displaced")
 
     async def _run(self) -> None:
+        store = self._context.store
         failures = 0
         while True:
             try:
-                limit_s = LIST_TIMEOUT_S * 2**failures
-                failures += 1
-                listing = await list_within(self._context.store, LEADER, limit_s)
+                listing = await list_within(store, LEADER, LIST_TIMEOUT_S, failures)
                 failures = 0
                 present = [item for item in listing.items if item.key == LEADER]
                 await self._observe(present[0] if present else Item(LEADER, b"", 0))
                 await self._watch(listing.revision)
             except (HistoryGone, StoreUnavailable):
+                failures += 1
                 await self._context.health.wait_for_recovery(
                     self._context.rng.uniform(RETRY_S / 4, RETRY_S)
                 )
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -25,6 +25,7 @@
 APPLY_S = 2.0
 """The platform's bound for a confirmed configuration to be in force."""
 GIVEN_UP_S = 30.0
+LONG_OUTAGE_S = 1500.0
 CONFIGURATION_PREFIX = "op/"
 SETTLED_S = 4.0
 MAX_QUIET_AGE_S = 2 * WATCH_SHARE * APPLY_S + 0.1
@@ -127,6 +128,22 @@
 
         play(body)
 
+    # The time for a listing was doubled without a limit, which overflows after 1,024 failures.
+    def test_a_configuration_is_in_force_soon_after_a_long_outage(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            for member in cluster.members.values():
+                member.view.faults.refusing = True
+            cluster.evacuate("hall-9")
+            cluster.store.forget_history()
+            await asyncio.sleep(LONG_OUTAGE_S)
+            cluster.configure()
+            for member in cluster.members.values():
+                member.view.faults.refusing = False
+            self.assertLess(await seconds_until_in_force(cluster, "entry-1"), APPLY_S)
+            await cluster.until(lambda: cluster.leader is not None)
+
+        play(body)
+
     # A new leader started nothing for 3 s where one answer to its first listings was lost.
     def test_a_lost_answer_to_a_listing_does_not_hold_a_new_leader_back(self) -> None:
         for prefix in ("op/evacuate/", LEADER):
