Count a gang's failed run for each of its members in the stand-in

test_a_failed_member_counts_once_for_its_gang depended on the order of timers: the members of a gang end at the same instant, and the stand-in counted a failure of the member that it advanced first alone. Where another one is first in the second run, the third run fails as well, and a job with three attempts fails rightly.

The plan's «two runs fail» now holds for a gang as for a task, whatever the order. The check stays as strict: a product that counted each broken member as a failure has used up its three attempts after the first run.

--- a/src/saddlestack/standins/pool/workers.py
+++ b/src/saddlestack/standins/pool/workers.py
@@ -43,7 +43,8 @@
     """What the tasks of a job do, encoded as JSON in the payload of the job.
 
     :param work_s: duration of the work in seconds.
-    :param failures: number of runs of each task that fail, at the end of their work.
+    :param failures: number of runs of each task that fail, at the end of their work; a gang's
+        members fail together.
     :param room: accelerators that each task needs.
     :param cpu: thousandths of a core that each task needs.
     :param memory_mb: memory that each task needs. Workers of a soak refuse a task that does not
@@ -533,6 +534,8 @@
             if other is not run and other.ended is None and whole:
                 broken = EndKind.DONE if how is EndKind.DONE else EndKind.BROKEN
                 self._record_end(other_worker, other, broken)
+                if how is EndKind.FAILED:
+                    self._failed[other.task] += 1
 
     def _record_end(self, worker: PoolWorker, run: PoolRun, how: EndKind) -> None:
         run.ended = how
