Read the configuration through other VMs, and confirm refusals

A VM that the store turned away, or that was cut off from it, kept its configuration for as long as that lasted, although it reached VMs with a newer one and served calls through them: it refused added queues with 404 and served removed keys. And any refusal rested on a configuration of any age, as after an outage or a stop of the process.

New: while the feed of the configuration is not answered, the document is read every quarter of the bound by the way that clients' calls take, directly or through a VM that the store answers. A call that would be refused by a configuration older than 0.9 of the bound is refused only after a read that confirms it; without one it is answered 503 with Retry-After, and where the read finds a newer version the call is handled by that.

Why it holds: the age counts from when the last answered call was sent, so it is an upper bound. Known queues and keys are still served while nobody reaches the store.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 
 from saddlestack.control.context import EntryContext
-from saddlestack.control.feed import LIST_TIMEOUT_S, WATCH_TIMEOUT_S, Feed
+from saddlestack.control.feed import LIST_TIMEOUT_S, NEVER_READ, WATCH_TIMEOUT_S, Feed
 from saddlestack.control.invalidrecords import InvalidRecords
 from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.documents import PoolConfiguration
@@ -38,6 +39,7 @@
         self._key = context.documents.locations.configuration_key
         self._invalid_records = InvalidRecords(context.metrics, "configuration")
         self.current: PoolConfiguration | None = None
+        self._read_s = -math.inf
         self._listeners: list[Listener] = []
         apply_s = context.settings.timings.configuration_apply_ms / 1000
         self._feed = Feed(
@@ -45,11 +47,12 @@
             context.documents.locations.configuration_prefix,
             self._receive,
             self._receive,
-            name="configuration",
+            name="configuration_feed",
             wait_s=min(WATCH_TIMEOUT_S, WATCH_SHARE * apply_s),
             list_timeout_s=min(LIST_TIMEOUT_S, LIST_SHARE * apply_s),
         )
         context.metrics.gauge("configuration_version", self._version)
+        context.metrics.gauge("configuration_age_ms", self._age_ms)
 
     def add_listener(self, listener: Listener) -> None:
         """Calls a listener with each new configuration, starting with the current one."""
@@ -65,9 +68,27 @@
         """Starts to follow the document."""
         self.tasks.spawn(self._feed.run())
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the store is not answering the calls that follow the document."""
+        return self._feed.is_behind or not self._context.health.is_available
+
     def age_s(self) -> float:
-        """Returns how old the configuration in force may be, in seconds."""
-        return self._feed.age_s(self.clock.now())
+        """Returns how old the configuration in force may be at most, in seconds."""
+        now = self.clock.now()
+        return min(self._feed.age_s(now), now - self._read_s)
+
+    def receive(self, item: Item, read_s: float) -> None:
+        """Applies the document as it was read in another way than by this VM's feed.
+
+        :param read_s: when the read was sent.
+        """
+        self._receive((item,))
+        self._read_s = max(self._read_s, read_s)
+
+    def _age_ms(self) -> int:
+        age_s = self.age_s()
+        return NEVER_READ if math.isinf(age_s) else round(1000 * age_s)
 
     def _version(self) -> int:
         """The version for the gauge; 0 before the first configuration."""
--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -22,6 +22,7 @@
 from saddlestack.control.leadership import Leadership, Term
 from saddlestack.control.membership import Membership
 from saddlestack.control.peers import Peers
+from saddlestack.control.refresh import ConfigurationRefresh
 from saddlestack.control.refusals import ConfiguredCalls
 from saddlestack.control.relays import Relays
 from saddlestack.control.renewals import Renewals
@@ -99,14 +100,15 @@
         leader_rpc = LeaderRpc(self.peers, self.leadership, lambda: self.scheduler)
         relays = Relays(self.peers, self.membership, self.health)
         access = StoreAccess(self.context, self.peers, relays)
+        self.refresh = ConfigurationRefresh(self.context, self.configuration, access)
         self.jobs = Jobs(self.context, access, leader_rpc)
         gateway = Gateway(self.jobs, lambda: self.configuration.current, self._is_ready)
-        client_calls = ConfiguredCalls(gateway.handle, self.configuration)
+        client_calls = ConfiguredCalls(gateway.handle, self.configuration, self.refresh)
         self.clients = HttpServer(client_calls.handle, max_connections=MAX_CONNECTIONS)
         self.readiness = HttpServer(gateway.readiness)
         self.metrics_server = HttpServer(self._serve_metrics)
         api = JobApi(self.jobs, lambda: self.configuration.current)
-        callers = ConfiguredCalls(api.handle, self.configuration)
+        callers = ConfiguredCalls(api.handle, self.configuration, self.refresh)
         self.callers = HttpServer(callers.handle, max_connections=MAX_CONNECTIONS)
         self.scheduler: Scheduler | None = None
         self._stopping = 0
@@ -131,6 +133,7 @@
         await self.configuration.start()
         await self.membership.start()
         await self.leadership.start()
+        await self.refresh.start()
         log.info("started", extra={"event": "started", "data_hall": self.settings.data_hall})
 
     async def drain(self) -> None:
@@ -156,6 +159,7 @@
         await self.readiness.stop()
         await self.metrics_server.stop()
         await self.callers.stop()
+        await self.refresh.stop()
         await self.peers.stop()
         await self._tasks.cancel()
         log.info("stopped", extra={"event": "stopped"})
--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -101,6 +101,11 @@
         """
         return now - self._current_as_of_s
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the last call was not answered."""
+        return self._failures > 0
+
     async def run(self) -> None:
         """Follows the prefix until cancelled."""
         metrics = self._context.metrics
--- a/src/saddlestack/control/refusals.py
+++ b/src/saddlestack/control/refusals.py
@@ -1,10 +1,14 @@
-"""Handles calls that are refused because of the configuration: an unknown queue or key."""
+"""Handles calls that are refused because of the configuration: an unknown queue or key.
+
+Such a refusal is definite, so it must not rest on a configuration that may be out of date.
+"""
 
 from __future__ import annotations
 
 import logging
 
 from saddlestack.control.configuration import Configuration
+from saddlestack.control.refresh import ConfigurationRefresh
 from saddlestack.errors import ErrorKind, SaddlestackError
 from saddlestack.wire.http import Handler, Request, Response
 
@@ -13,6 +17,19 @@
 CONFIGURED_KINDS = frozenset({ErrorKind.NOT_FOUND, ErrorKind.UNAUTHENTICATED, ErrorKind.FORBIDDEN})
 """Kinds of errors that another version of the configuration might not cause."""
 
+RETRY_AFTER_S = 1.0
+
+
+class OutOfDate(SaddlestackError):
+    """The call would be refused by a configuration that may be out of date."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            ErrorKind.CELL_UNAVAILABLE,
+            "the configuration may be out of date",
+            retry_after=RETRY_AFTER_S,
+        )
+
 
 class ConfiguredCalls:
     """Wraps a handler whose refusals depend on the configuration.
@@ -20,9 +37,12 @@
     :param handler: refuses a call before it has any effect.
     """
 
-    def __init__(self, handler: Handler, configuration: Configuration) -> None:
+    def __init__(
+        self, handler: Handler, configuration: Configuration, refresh: ConfigurationRefresh
+    ) -> None:
         self._handler = handler
         self._configuration = configuration
+        self._refresh = refresh
 
     async def handle(self, request: Request) -> Response:
         """Handles one call.
@@ -30,12 +50,25 @@
         :raises SaddlestackError: the call is refused.
         """
         try:
-            return await self._handler(request)
+            return await self._handle(request)
         except SaddlestackError as error:
-            if error.kind in CONFIGURED_KINDS:
+            if error.kind in CONFIGURED_KINDS or isinstance(error, OutOfDate):
                 self._log(request, error)
             raise
 
+    async def _handle(self, request: Request) -> Response:
+        refused_by = self._configuration.current
+        try:
+            return await self._handler(request)
+        except SaddlestackError as error:
+            if error.kind not in CONFIGURED_KINDS:
+                raise
+            if not await self._refresh.confirm():
+                raise OutOfDate from error
+            if self._configuration.current is refused_by:
+                raise
+        return await self._handler(request)
+
     def _log(self, request: Request, error: SaddlestackError) -> None:
         current = self._configuration.current
         log.info(
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from saddlestack.control.entry import EntryVm
@@ -133,11 +133,26 @@
         assert leader is not None
         return leader.settings.vm
 
-    def configure(self, *, guaranteed: int = GUARANTEED) -> None:
-        """Write a new version of the configuration to the store."""
+    def configure(
+        self,
+        *,
+        guaranteed: int = GUARANTEED,
+        more_queues: Collection[str] = (),
+        more_keys: Collection[str] = (),
+    ) -> None:
+        """Write a new version of the configuration to the store.
+
+        :param more_queues: names of additional queues.
+        :param more_keys: additional API keys of the first account.
+        """
         self.version += 1
         document = pool_document(
-            self.version, attempts=ATTEMPTS, guaranteed=guaranteed, advised=self.advised
+            self.version,
+            attempts=ATTEMPTS,
+            guaranteed=guaranteed,
+            advised=self.advised,
+            more_queues=more_queues,
+            more_keys=more_keys,
         )
         self.store.put("op/config", document)
 
--- a/src/saddlestack/standins/pool/documents.py
+++ b/src/saddlestack/standins/pool/documents.py
@@ -14,13 +14,21 @@
 
 
 def pool_document(
-    version: int, *, attempts: int, guaranteed: int, advised: Collection[str] = ()
+    version: int,
+    *,
+    attempts: int,
+    guaranteed: int,
+    advised: Collection[str] = (),
+    more_queues: Collection[str] = (),
+    more_keys: Collection[str] = (),
 ) -> bytes:
     """Return a document with one queue per priority and two client accounts.
 
     :param attempts: maximum number of attempts for a task.
     :param guaranteed: accelerators that are guaranteed to the first account.
     :param advised: queues whose starts need the adviser's approval.
+    :param more_queues: names of additional queues of normal priority.
+    :param more_keys: additional API keys of the first account.
     """
     routes = [
         {
@@ -32,14 +40,14 @@
             "max-attempts": attempts,
             **({"advice": {"decide-ms": 10}} if name in advised else {}),
         }
-        for name, priority in QUEUES
+        for name, priority in (*QUEUES, *((name, 1) for name in more_queues))
     ]
     document = {
         "version": version,
         "routes": routes,
         "services": [{"name": SERVICE, "admission-check": True}],
         "tenants": [
-            {"name": ACCOUNT, "api-keys": [KEY], "guaranteed": {"gpu": guaranteed}},
+            {"name": ACCOUNT, "api-keys": [KEY, *more_keys], "guaranteed": {"gpu": guaranteed}},
             {"name": "others", "api-keys": ["another-key"]},
         ],
     }
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import unittest
 from collections.abc import Awaitable, Callable
@@ -24,6 +25,7 @@
 CALL_S = 3.0
 APPLY_S = 2.0
 """The platform's bound for a confirmed configuration to be in force."""
+SECOND_KEY = "a-second-key"
 GIVEN_UP_S = 30.0
 LONG_OUTAGE_S = 1500.0
 CONFIGURATION_PREFIX = "op/"
@@ -163,6 +165,74 @@
                 play(body)
 
 
+class UnreachableStoreTest(unittest.TestCase):
+    """A VM does not reach the store, while other VMs may."""
+
+    # A VM that the store turned away served removed keys and refused added queues for as long as
+    # that lasted, though it reached VMs that had the new configuration.
+    def test_a_vm_that_the_store_turns_away_gets_the_configuration_through_others(self) -> None:
+        for fault in ("silent", "refusing"):
+
+            async def body(cluster: PoolCluster, fault: str = fault) -> None:
+                cluster.configure(more_keys=[SECOND_KEY])
+                await asyncio.sleep(SETTLED_S)
+                setattr(cluster.member("entry-2").view.faults, fault, True)
+                for version in range(4):
+                    queue = f"queue-{version}"
+                    await asyncio.sleep(0.9)
+                    cluster.configure(more_queues=[queue])
+                    self.assertLess(await seconds_until_in_force(cluster, "entry-2"), APPLY_S)
+                    found = await get(cluster, "entry-2", f"/{queue}/")
+                    self.assertEqual(found.status, 200)
+                    removed = await get(cluster, "entry-2", f"/{queue}/", key=SECOND_KEY)
+                    self.assertEqual(removed.status, 401)
+                    unknown = await get(cluster, "entry-2", "/no-queue/")
+                    self.assertEqual(unknown.status, 404)
+
+            with self.subTest(fault):
+                play(body)
+
+    # «No such queue» is definite: a client does not come back. It was answered from a
+    # configuration of any age.
+    def test_a_refusal_that_may_be_out_of_date_is_unavailable_instead(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            for member in cluster.members.values():
+                member.view.faults.silent = True
+            await asyncio.sleep(SETTLED_S)
+            for path, key in (("/no-queue/", KEY), (f"/{QUEUES[0][0]}/", "no-key")):
+                found = await get(cluster, "entry-1", path, key)
+                self.assertEqual(found.status, 503)
+                self.assertEqual(found.headers["retry-after"], "1")
+            for member in cluster.members.values():
+                member.view.faults.silent = False
+            await asyncio.sleep(APPLY_S)
+            self.assertEqual((await get(cluster, "entry-1", "/no-queue/")).status, 404)
+
+        play(body)
+
+    def test_a_refusal_is_confirmed_by_a_read_before_it_is_sent(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(SETTLED_S)
+            member = cluster.member("entry-1")
+            member.vm.configuration._feed._current_as_of_s = -math.inf
+            reads = cluster.store.reads
+            self.assertEqual((await get(cluster, "entry-1", "/no-queue/")).status, 404)
+            self.assertGreater(cluster.store.reads, reads)
+
+        play(body)
+
+    def test_a_call_that_is_refused_by_an_old_version_is_handled_by_the_new_one(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(SETTLED_S)
+            member = cluster.member("entry-1")
+            member.view.faults.lost_watches = frozenset({CONFIGURATION_PREFIX})
+            member.vm.configuration._feed._current_as_of_s = -math.inf
+            cluster.configure(more_queues=["added"])
+            self.assertEqual((await get(cluster, "entry-1", "/added/")).status, 200)
+
+        play(body)
+
+
 class ObservabilityTest(unittest.TestCase):
     def test_gauges_show_the_version_and_the_age(self) -> None:
         async def body(cluster: PoolCluster) -> None:
@@ -175,8 +245,9 @@
                 self.assertIn("members_age_ms", found)
             for feed in ("workers", "requests", "evacuations", "waves"):
                 self.assertIn(f"{feed}_age_ms", gauges(cluster, cluster.leader_name))
-            cluster.member(cluster.leader_name).view.faults.silent = True
             name = cluster.leader_name
+            for member in cluster.members.values():
+                member.view.faults.silent = True
             before = gauges(cluster, name)["configuration_age_ms"]
             await asyncio.sleep(SETTLED_S)
             self.assertGreaterEqual(gauges(cluster, name)["configuration_age_ms"], before + 3_900)
