Tell every listener of a configuration, also where one of them fails

Found by reading: a service that could not apply a configuration kept the services after it from being told, for good, since the version already counted as in force when everything was read again.

Each listener is called by itself; a failure is logged and counted. The test failed ([1] in place of [1, 2, 3]) and passes.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -113,4 +113,15 @@
             extra={"event": "configuration", "version": configuration.version},
         )
         for listener in list(self._listeners):
+            self._notify(listener, configuration)
+
+    def _notify(self, listener: Listener, configuration: PoolConfiguration) -> None:
+        """Calls a listener. A defect of one must not keep the others from the configuration."""
+        try:
             listener(configuration)
+        except Exception:
+            log.exception(
+                "listener failed",
+                extra={"event": "configuration_listener_failed", "version": configuration.version},
+            )
+            self._context.metrics.count("configuration_listener_failures")
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -15,6 +15,7 @@
 
 from saddlestack.control.configuration import WATCH_SHARE
 from saddlestack.control.keys import LEADER
+from saddlestack.interfaces.documents import PoolConfiguration
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import PoolCluster
 from saddlestack.standins.pool.documents import KEY, QUEUES
@@ -233,6 +234,32 @@
         play(body)
 
 
+class FailingListenerTest(unittest.TestCase):
+    # A service that could not apply a configuration kept the ones after it from being told of it:
+    # the version counted as in force, so it was not told to anybody again.
+    def test_a_failing_listener_does_not_keep_others_from_a_configuration(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            configuration = cluster.member("entry-1").vm.configuration
+            told: list[int] = []
+
+            def fail(current: PoolConfiguration) -> None:
+                if current.version > 1:
+                    raise RuntimeError("a defect")
+
+            configuration.add_listener(fail)
+            configuration.add_listener(lambda current: told.append(current.version))
+            cluster.configure()
+            await asyncio.sleep(SETTLED_S)
+            cluster.configure()
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(told, [1, 2, 3])
+            found = gauges(cluster, "entry-1")
+            self.assertEqual(found["configuration_listener_failures"], 2)
+            self.assertNotIn("feed_failures", found)
+
+        play(body)
+
+
 class ObservabilityTest(unittest.TestCase):
     def test_gauges_show_the_version_and_the_age(self) -> None:
         async def body(cluster: PoolCluster) -> None:
