Refuse configurations that are not whole or do not fit together

Documents of any content were taken whole: one without queues ({"version": 9}) made every call a 404, and one of a very high version kept each later valid one out, as lower versions are passed over. The reader checked types only and rested on the store to accept none but valid ones.

The product checks how its parts fit: names are distinct, no two queues at one host and prefix, a queue's service exists, a key belongs to one account. An empty list of routes, version 0, unknown fields and missing tenants or limits are still taken. What is refused is counted and logged once, and the configuration in force stays.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -13,6 +13,7 @@
 from saddlestack.interfaces.documents import PoolConfiguration
 from saddlestack.interfaces.store import Item
 from saddlestack.kernel.service import Service
+from saddlestack.policy.pool_configuration import faults_of
 
 log = logging.getLogger("saddlestack.configuration")
 
@@ -105,6 +106,10 @@
         except SaddlestackError as error:
             self._invalid_records.report(item.key, str(error))
             return
+        faults = faults_of(configuration)
+        if faults:
+            self._invalid_records.report(item.key, "; ".join(faults))
+            return
         if self.current is not None and configuration.version <= self.current.version:
             return
         self.current = configuration
--- a/src/saddlestack/platform/documents.py
+++ b/src/saddlestack/platform/documents.py
@@ -51,6 +51,9 @@
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 _Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
 _Time = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+_Amount = Annotated[float, msgspec.Meta(ge=0)]
+_Identifier = Annotated[str, msgspec.Meta(min_length=1)]
+_Path = Annotated[str, msgspec.Meta(pattern="^/")]
 
 DOCUMENT_LOCATIONS = DocumentLocations(
     configuration_prefix="op/",
@@ -80,44 +83,46 @@
 
 
 class _Route(msgspec.Struct, rename="kebab"):
-    name: str
-    host: str
-    path_prefix: str
-    service: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: float = 0.0
-    timeout_ms: float = 3000.0
+    name: _Identifier
+    host: _Identifier
+    path_prefix: _Path
+    service: _Identifier
+    priority: _Count = 0
+    max_attempts: _Count = 1
+    stretch: _Amount = 1.0
+    target_latency_ms: _Amount = 0.0
+    timeout_ms: _Amount = 3000.0
     no_auth: bool = False
     advice: _Advice | None = None
 
 
 class _Guaranteed(msgspec.Struct):
-    gpu: int = 0
+    gpu: _Count = 0
 
 
 class _Tenant(msgspec.Struct, rename="kebab"):
-    name: str
+    name: _Identifier
     api_keys: list[str] = []
     guaranteed: _Guaranteed | None = None
 
 
 class _Service(msgspec.Struct, rename="kebab"):
-    name: str
+    name: _Identifier
     admission_check: bool = False
     headroom: bool = False
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
-    max_body_bytes: int = 262_144
+    max_body_bytes: _Positive = 262_144
 
 
 class _Configuration(msgspec.Struct, rename="kebab"):
-    version: int
-    routes: list[_Route] = []
+    """The configuration, which is always whole: it names its routes and services, even if none."""
+
+    version: _Count
+    routes: list[_Route]
+    services: list[_Service]
     tenants: list[_Tenant] = []
-    services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -163,7 +168,10 @@
 
         :raises SaddlestackError: the document is invalid.
         """
-        document = from_json(value, _Configuration, DOCUMENT_LOCATIONS.configuration_key)
+        key = DOCUMENT_LOCATIONS.configuration_key
+        document = from_json(value, _Configuration, key)
+        if has_repeated_keys(value, key):
+            raise invalid("expected each field only once", key)
         return PoolConfiguration(
             version=document.version,
             queues=tuple(_queue(route) for route in document.routes),
--- a/tests/malformed.py
+++ b/tests/malformed.py
@@ -181,6 +181,79 @@
     return {f"labels: {name}": encoded(labels=value) for name, value in values.items()}
 
 
+def configuration_document(**changes: object) -> dict[str, object]:
+    """Return a valid configuration in which some parts are replaced."""
+    document: dict[str, object] = {
+        "version": 7,
+        "routes": [_route("checks", "/a/"), _route("nested", "/a/b/")],
+        "services": [{"name": "pool", "admission-check": True}],
+        "limits": {"max-body-bytes": 2000},
+        "tenants": [
+            {"name": "depots", "api-keys": ["k1", "k2"], "guaranteed": {"gpu": 8}},
+            {"name": "others", "api-keys": ["k3"]},
+        ],
+    }
+    return {**document, **changes}
+
+
+def _route(name: str, prefix: str) -> dict[str, object]:
+    return {"name": name, "host": "jobs.example", "path-prefix": prefix, "service": "pool"}
+
+
+def configurations() -> dict[str, bytes]:
+    """Return invalid configurations, by what is wrong with them."""
+    encode = msgspec.json.encode
+    valid = configuration_document()
+    rows = unreadable()
+    for part in ("version", "routes", "services"):
+        left = {name: value for name, value in valid.items() if name != part}
+        rows[f"no {part}"] = encode(left)
+    rows["nothing but a version"] = b'{"version":9}'
+    for name, value in {**NOT_A_NUMBER, "fractional": 1.5, "negative": -1}.items():
+        rows[f"version: {name}"] = encode({**valid, "version": value})
+    for field in ("max-attempts", "timeout-ms", "target-latency-ms", "stretch", "priority"):
+        route = {**_route("checks", "/a/"), field: -1}
+        rows[f"{field}: negative"] = encode({**valid, "routes": [route]})
+    rows["timeout-ms: too large"] = encode(valid).replace(
+        b'"name":"checks"', b'"name":"checks","timeout-ms":1e999'
+    )
+    for field in ("name", "host", "path-prefix", "service"):
+        rows[f"{field}: empty"] = encode({**valid, "routes": [{**_route("x", "/x/"), field: ""}]})
+    rows["path-prefix: relative"] = encode({**valid, "routes": [_route("x", "x/")]})
+    for limit in (-1, 0):
+        rows[f"max-body-bytes: {limit}"] = encode({**valid, "limits": {"max-body-bytes": limit}})
+    tenant = {"name": "depots", "api-keys": ["k1"], "guaranteed": {"gpu": -8}}
+    rows["guaranteed: negative"] = encode({**valid, "tenants": [tenant]})
+    rows["a field twice"] = encode(valid)[:-1] + b',"version":3}'
+    rows["a field twice, spelled in another way"] = encode(valid)[:-1] + b',"\\u0076ersion":3}'
+    return rows
+
+
+def unfitting_configurations() -> dict[str, bytes]:
+    """Return configurations whose parts do not fit together, by what is wrong with them."""
+    encode = msgspec.json.encode
+    valid = configuration_document()
+    checks = _route("checks", "/a/")
+    tenants = [{"name": "depots", "api-keys": ["k1"]}, {"name": "others", "api-keys": ["k1"]}]
+    return {
+        "a service that does not exist": encode(
+            {**valid, "routes": [{**checks, "service": "none"}]}
+        ),
+        "two queues of one name": encode({**valid, "routes": [checks, _route("checks", "/b/")]}),
+        "two queues at one place": encode({**valid, "routes": [checks, _route("others", "/a/")]}),
+        "two queues at one place, in capitals": encode(
+            {**valid, "routes": [checks, {**_route("others", "/a/"), "host": "JOBS.example"}]}
+        ),
+        "one key of two accounts": encode({**valid, "tenants": tenants}),
+        "two accounts of one name": encode(
+            {**valid, "tenants": [tenants[0], {"name": "depots", "api-keys": ["k2"]}]}
+        ),
+        "two services of one name": encode(
+            {**valid, "services": [{"name": "pool"}, {"name": "pool"}]}
+        ),
+    }
+
+
 WORKER_IDS = {
     "empty": "",
     "blank": "i 1",
--- a/tests/test_own_records.py
+++ b/tests/test_own_records.py
@@ -27,7 +27,7 @@
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.standins.pool.documents import pool_document
 from saddlestack.work import JobState
-from tests.malformed import unreadable
+from tests.malformed import configurations, unfitting_configurations, unreadable
 from tests.test_inherited import HOLD_S, INHERITED_S, A, B, InheritedCase
 
 C = "00000000000000cc"
@@ -232,6 +232,28 @@
 
         self.play(body)
 
+    # A document of any version was taken whole, and one of a very high version kept every later
+    # valid one out.
+    def test_an_invalid_configuration_of_a_high_version_keeps_no_later_one_out(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            invalid = {**configurations(), **unfitting_configurations()}
+            for value in invalid.values():
+                cluster.store.put("op/config", value.replace(b'"version":7', b'"version":9999'))
+                await asyncio.sleep(0.1)
+                for member in cluster.members.values():
+                    current = member.vm.configuration.current
+                    assert current is not None
+                    self.assertEqual((current.version, value), (cluster.version, value))
+            cluster.configure()
+            await asyncio.sleep(SETTLED_S)
+            for member in cluster.members.values():
+                current = member.vm.configuration.current
+                assert current is not None
+                self.assertEqual(current.version, cluster.version)
+            await self.assert_serves(cluster)
+
+        self.play(body)
+
     def test_a_bad_configuration_is_logged_once(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             bad = pool_document(9, attempts=3, guaranteed=0)[:-1]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -46,10 +46,20 @@
 from saddlestack.platform.kv import CALL_TIMEOUT_S, KvStore
 from saddlestack.platform.machines import HttpAdviser, HttpMachines
 from saddlestack.platform.orders import MAX_ENDS_PER_REPORT, HttpWorkerOrders
+from saddlestack.policy.pool_configuration import faults_of
 from saddlestack.standins.loop import run
 from saddlestack.wire.http import HttpServer, Request, Response
 from saddlestack.work import AcceptedJob, JobRequest, JobState, Resources
-from tests.malformed import WORKER_IDS, encoded, mutated, unreadable, without, worker_records
+from tests.malformed import (
+    WORKER_IDS,
+    configuration_document,
+    configurations,
+    encoded,
+    mutated,
+    unreadable,
+    without,
+    worker_records,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
 CONFIGURATION = {
@@ -596,6 +606,43 @@
             with self.subTest(name), self.assertRaises(SaddlestackError):
                 documents.configuration(value)
 
+    # Documents that leave no queue, or whose version is negative or given twice, were taken whole.
+    def test_an_invalid_configuration_is_rejected(self) -> None:
+        documents = PlatformDocuments()
+        for name, value in configurations().items():
+            with self.subTest(name):
+                with self.assertRaises(SaddlestackError) as caught:
+                    documents.configuration(value)
+                self.assertIn("op/config", str(caught.exception))
+
+    def test_a_configuration_that_the_pages_allow_is_decoded(self) -> None:
+        valid = configuration_document()
+        changes: list[dict[str, object]] = [
+            {},
+            {"version": 0},
+            {"routes": []},
+            {"routes": [], "services": [], "tenants": []},
+            {"limits": {}},
+            {"unknown": {"twice": [1, 1]}},
+        ]
+        for change in changes:
+            with self.subTest(change):
+                value = msgspec.json.encode({**valid, **change})
+                self.assertEqual(faults_of(PlatformDocuments().configuration(value)), [])
+        sparse = {name: valid[name] for name in ("version", "routes", "services")}
+        read = PlatformDocuments().configuration(msgspec.json.encode(sparse))
+        self.assertEqual((read.accounts, read.limits.body_bytes), ((), 262_144))
+
+    def test_a_randomly_changed_configuration_is_decoded_or_rejected(self) -> None:
+        rng = random.Random(8)
+        encoded_configuration = msgspec.json.encode(configuration_document())
+        for _ in range(5000):
+            value = mutated(encoded_configuration, rng)
+            with self.subTest(value), contextlib.suppress(SaddlestackError):
+                read = PlatformDocuments().configuration(value)
+                self.assertGreaterEqual(read.version, 0)
+                faults_of(read)
+
     def test_an_error_names_the_document(self) -> None:
         with self.assertRaises(SaddlestackError) as caught:
             PlatformDocuments().configuration(b'{"version": "x"}')
