Count ends that were acknowledged after a lapse when looking for stalls

Traced: its four tasks ended at 4.25 s, the leader had the ends 1 ms later, committed them and showed the job as completed; its client was connected to a stopped VM and learned that at 8.1 s. The worker was idle then, so the acknowledgement went out with the next order to it, after its lease had expired, and the check took the tasks for ones to be run again.

An end that a VM has acknowledged at any time is now the end of its task there. The checks for second runs and attempts keep the stricter rule. An end that is never acknowledged still leaves the task to run.

--- a/src/saddlestack/soak/runnable_periods.py
+++ b/src/saddlestack/soak/runnable_periods.py
@@ -44,7 +44,9 @@
 ) -> list[RunnablePeriod]:
     """Return the runnable periods of all steps of a job.
 
-    A done run counts only if a VM acknowledged its end; otherwise the task has to run again.
+    A done run counts only if a VM acknowledged its end; otherwise the task has to run again. The
+    end of the last work on a worker is acknowledged with the next order, which may be after its
+    lease has expired.
 
     :param runs: all runs of the job.
     :param epoch_s: the Unix epoch on the monotonic clock.
@@ -68,7 +70,7 @@
     """When each step was done; for a gang, one end stands for all."""
     ends: dict[tuple[int, int], dict[int, float]] = defaultdict(dict)
     for run in runs:
-        if run.is_done and run.is_acknowledged:
+        if run.is_done and run.acknowledged_s is not None:
             tasks = ends[run.task.occurrence, run.task.step]
             tasks[run.task.index] = min(run.ended_s, tasks.get(run.task.index, math.inf))
     found = {}
--- a/tests/test_soak_stalls.py
+++ b/tests/test_soak_stalls.py
@@ -117,6 +117,13 @@
         self.add_second_runs(7.0, 8.0)
         self.assertEqual([(each.since_s, each.until_s) for each in self.found()], [(3.0, 7.0)])
 
+    def test_an_end_that_is_acknowledged_after_the_lease_expired_counts(self) -> None:
+        """Soak of the configuration shape, seed 2: a completed job counted as stalled for 3.9 s."""
+        for index in range(2):
+            self.builder.begin("a", 1.0, index=index)
+            self.builder.end("a", 3.0, index=index, acknowledged_s=7.0, lease_expired=True)
+        self.assertEqual(self.found(), [])
+
     def test_no_stall_in_a_half_used_pool(self) -> None:
         self.use_workers("ab", 0.5, 30.0)
         self.assertEqual([each.since_s for each in self.found()], [30.0])
