--- a/src/saddlestack/control/refusals.py
+++ b/src/saddlestack/control/configured_calls.py
@@ -12,7 +12,7 @@
 from saddlestack.errors import ErrorKind, SaddlestackError
 from saddlestack.wire.http import Handler, Request, Response
 
-log = logging.getLogger("saddlestack.refusals")
+log = logging.getLogger("saddlestack.calls")
 
 CONFIGURED_KINDS = frozenset({ErrorKind.NOT_FOUND, ErrorKind.UNAUTHENTICATED, ErrorKind.FORBIDDEN})
 """Kinds of errors that another version of the configuration might not cause."""
--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -12,6 +12,7 @@
 
 from saddlestack.control.access import StoreAccess
 from saddlestack.control.configuration import Configuration
+from saddlestack.control.configured_calls import ConfiguredCalls
 from saddlestack.control.context import EntryContext, OrdersFactory
 from saddlestack.control.guarded import GuardedStore
 from saddlestack.control.halls import PingQuestion, answer_ping
@@ -23,7 +24,6 @@
 from saddlestack.control.membership import Membership
 from saddlestack.control.peers import Peers
 from saddlestack.control.refresh import ConfigurationRefresh
-from saddlestack.control.refusals import ConfiguredCalls
 from saddlestack.control.relays import Relays
 from saddlestack.control.renewals import Renewals
 from saddlestack.control.scheduler import Scheduler
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -284,7 +284,7 @@
     def test_a_refused_call_is_logged_with_the_version_and_its_age(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             queue = QUEUES[0][0]
-            with self.assertLogs("saddlestack.refusals", logging.INFO) as caught:
+            with self.assertLogs("saddlestack.calls", logging.INFO) as caught:
                 self.assertEqual((await get(cluster, "entry-1", "/no-queue/")).status, 404)
                 refused = await get(cluster, "entry-1", f"/{queue}/", key="no-key")
                 self.assertEqual(refused.status, 401)
