Read a refused configuration once more

A value that was damaged in one answer counted as an invalid document, and the VM kept the older configuration until the next change. A refused document is now read once beside the feed, and no more than once, so that a document that is invalid in the store costs one call.

The test failed (nothing in force after 30 s) and passes. Tested besides, and sound before: unreadable documents in the same answer, and a job of a queue that the leader does not know yet.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -41,6 +41,7 @@
         self._invalid_records = InvalidRecords(context.metrics, "configuration")
         self.current: PoolConfiguration | None = None
         self._read_s = -math.inf
+        self._is_refused = False
         self._listeners: list[Listener] = []
         apply_s = context.settings.timings.configuration_apply_ms / 1000
         self._feed = Feed(
@@ -71,8 +72,13 @@
 
     @property
     def is_behind(self) -> bool:
-        """Whether the store is not answering the calls that follow the document."""
-        return self._feed.is_behind or not self._context.health.is_available
+        """Whether the document has to be read beside its feed.
+
+        That is the case while the store does not answer the feed, and once after a document was
+        refused, since it may have been damaged on the way.
+        """
+        is_unanswered = self._feed.is_behind or not self._context.health.is_available
+        return is_unanswered or self._is_refused
 
     def age_s(self) -> float:
         """Returns how old the configuration in force may be at most, in seconds."""
@@ -85,6 +91,7 @@
         :param read_s: when the read was sent.
         """
         self._receive((item,))
+        self._is_refused = False
         self._read_s = max(self._read_s, read_s)
 
     def _age_ms(self) -> int:
@@ -104,11 +111,11 @@
         try:
             configuration = self._context.documents.configuration(item.value)
         except SaddlestackError as error:
-            self._invalid_records.report(item.key, str(error))
+            self._refuse(item, str(error))
             return
         faults = faults_of(configuration)
         if faults:
-            self._invalid_records.report(item.key, "; ".join(faults))
+            self._refuse(item, "; ".join(faults))
             return
         if self.current is not None and configuration.version <= self.current.version:
             return
@@ -120,6 +127,10 @@
         for listener in list(self._listeners):
             self._notify(listener, configuration)
 
+    def _refuse(self, item: Item, reason: str) -> None:
+        self._is_refused = True
+        self._invalid_records.report(item.key, reason)
+
     def _notify(self, listener: Listener, configuration: PoolConfiguration) -> None:
         """Calls a listener. A defect of one must not keep the others from the configuration."""
         try:
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import math
 import random
@@ -16,16 +17,19 @@
 from saddlestack.control.configuration import WATCH_SHARE
 from saddlestack.control.keys import LEADER
 from saddlestack.interfaces.documents import PoolConfiguration
+from saddlestack.interfaces.store import Item
 from saddlestack.standins.loop import run
-from saddlestack.standins.pool.cluster import PoolCluster
+from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.standins.pool.documents import KEY, QUEUES
 from saddlestack.standins.pool.store import StoreFaults
 from saddlestack.wire.http import HttpClient, Response
+from saddlestack.work import JobState
 
 HOST_HEADER = "jobs.example"
 CALL_S = 3.0
 APPLY_S = 2.0
 """The platform's bound for a confirmed configuration to be in force."""
+JOB = "00000000000000aa"
 SECOND_KEY = "a-second-key"
 GIVEN_UP_S = 30.0
 LONG_OUTAGE_S = 1500.0
@@ -234,6 +238,69 @@
         play(body)
 
 
+class MixedAnswerTest(unittest.TestCase):
+    """A configuration comes in one answer with other documents, or damaged."""
+
+    def test_unreadable_documents_in_the_same_answer_do_not_hold_it_back(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(SETTLED_S)
+            cluster.store.put("op/wave/3", b"{")
+            cluster.store.put("op/evacuate/hall-9", b"\xff")
+            cluster.configure()
+            cluster.store.put("op/unknown", b"\x00")
+            for name in cluster.members:
+                self.assertLess(await seconds_until_in_force(cluster, name), 0.1)
+
+        play(body)
+
+    # A value that was damaged in one answer counted as an invalid document, and the VM kept the
+    # older configuration until the next change.
+    def test_a_value_that_is_damaged_in_one_answer_is_read_again(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(SETTLED_S)
+            configuration = cluster.member("entry-1").vm.configuration
+            real_receive = configuration._receive
+
+            def receive_damaged(items: tuple[Item, ...]) -> None:
+                cut = (dataclasses.replace(item, value=item.value[:-3]) for item in items)
+                real_receive(tuple(cut))
+
+            configuration._feed._on_change = receive_damaged
+            cluster.configure()
+            await asyncio.sleep(0.05)
+            configuration._feed._on_change = real_receive
+            self.assertLess(await seconds_until_in_force(cluster, "entry-1"), APPLY_S)
+
+        play(body)
+
+    def test_an_invalid_document_is_not_read_again_and_again(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            cluster.store.put("op/config", b"{")
+            await asyncio.sleep(60.0)
+            for name in cluster.members:
+                self.assertEqual(gauges(cluster, name)["configuration_reads"], 1)
+
+        play(body)
+
+    def test_a_job_of_a_queue_that_its_leader_does_not_know_yet_is_run(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(SETTLED_S)
+            leader = cluster.member(cluster.leader_name)
+            other = next(name for name in cluster.members if name != cluster.leader_name)
+            leader.view.faults.lost_watches = frozenset({CONFIGURATION_PREFIX})
+            cluster.configure(more_queues=["added"])
+            await seconds_until_in_force(cluster, other)
+            call = dataclasses.replace(
+                cluster.call("normal"),
+                queue=dataclasses.replace(cluster.call("normal").queue, name="added"),
+            )
+            await cluster.member(other).vm.jobs.submit(call, JOB, job(1))
+            await cluster.until_state(JOB, JobState.COMPLETED)
+            leader.view.faults.lost_watches = frozenset()
+
+        play(body)
+
+
 class FailingListenerTest(unittest.TestCase):
     # A service that could not apply a configuration kept the ones after it from being told of it:
     # the version counted as in force, so it was not told to anybody again.
