Give a watch that is repeated after an outage its whole time

A watch that was abandoned after an outage and sent again had only the rest of the first one's time, and was logged as overdue and retried although the store had answered in time. The limit now holds for each attempt.

The test failed (StoreUnavailable after 1.25 s) and passes.

--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -26,11 +26,10 @@
 receives no more than 1,600 changes per second, while 3,000 workers write 2,000: it was 5 s behind
 after half a minute, compared with 0.4 s without the pause.
 """
-
 LIST_TIMEOUT_S = 0.5
 """Timeout of the first listing of a prefix with few keys."""
-
 MAX_DOUBLINGS = 4
+"""How often that time is doubled while no listing is answered."""
 
 OnSnapshot = Callable[[tuple[Item, ...]], None]
 """Receives all items under the prefix."""
--- a/src/saddlestack/control/guarded.py
+++ b/src/saddlestack/control/guarded.py
@@ -68,8 +68,9 @@
         overdue_in_a_row = self._overdue_watches.pop(prefix, 0)
         limit_s = wait_s + self._health.overdue_after_s * 2**overdue_in_a_row
         try:
-            async with asyncio.timeout(limit_s):
-                return await self._retried(lambda: self._store.watch(prefix, after, wait_s))
+            return await self._retried(
+                lambda: _within(limit_s, self._store.watch(prefix, after, wait_s))
+            )
         except TimeoutError:
             self._overdue_watches[prefix] = min(overdue_in_a_row + 1, MAX_DOUBLINGS)
             self._health.probe_now()
@@ -127,3 +128,12 @@
             raise
         finally:
             task.cancel()
+
+
+async def _within(limit_s: float, call: Awaitable[T]) -> T:
+    """Waits for the answer to a call.
+
+    :raises TimeoutError: no answer in time.
+    """
+    async with asyncio.timeout(limit_s):
+        return await call
--- a/tests/test_watch_bounds.py
+++ b/tests/test_watch_bounds.py
@@ -10,17 +10,20 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any, cast
 
 import msgspec
 
 from saddlestack.control.configuration import WATCH_SHARE
 from saddlestack.control.entry import EntryVm
 from saddlestack.control.feed import FIRST_RETRY_S, WATCH_TIMEOUT_S
+from saddlestack.control.guarded import GuardedStore
 from saddlestack.control.health import MIN_OVERDUE_S
 from saddlestack.control.keys import LEADER, MEMBERS, REQUESTS
 from saddlestack.control.leadership import MAX_CAMPAIGN_DELAY_S, RETRY_S
 from saddlestack.control.scheduler import REQUESTS_WAIT_S, WORKER_FEED_GAP_S, WORKER_WATCH_WAIT_S
-from saddlestack.standins.loop import run
+from saddlestack.interfaces.store import Listing, StoreUnavailable
+from saddlestack.standins.loop import VirtualClock, run
 from saddlestack.standins.pool.cluster import PoolCluster, job
 
 SETTLED_S = 4.3
@@ -190,5 +193,66 @@
                 self.assertLess(run(body(after_s)), bound_s)
 
 
+class LostOnceStore:
+    """A store that never answers the first watch, and answers each later one after its wait."""
+
+    def __init__(self) -> None:
+        self.watches = 0
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
+        self.watches += 1
+        await asyncio.sleep(3600.0 if self.watches == 1 else wait_s)
+        return Listing((), after)
+
+
+class FakeHealth:
+    """Tells once that the store is available again."""
+
+    def __init__(self) -> None:
+        self.clock = VirtualClock()
+        self.overdue_after_s = MIN_OVERDUE_S
+        self.recovery: asyncio.Future[float] = asyncio.get_running_loop().create_future()
+
+    def recover(self) -> None:
+        recovery, self.recovery = self.recovery, asyncio.get_running_loop().create_future()
+        recovery.set_result(self.clock.now())
+
+    def probe_now(self) -> None:
+        return None
+
+
+class RepeatedWatchTest(unittest.TestCase):
+    # A watch that was sent again after an outage had only the rest of the first one's time.
+    def test_a_watch_that_is_repeated_after_an_outage_has_its_whole_time(self) -> None:
+        async def main() -> None:
+            health, store = FakeHealth(), LostOnceStore()
+            guarded = GuardedStore(cast(Any, store), cast(Any, health))
+            asyncio.get_running_loop().call_later(0.9, health.recover)
+            found = await guarded.watch("op/", 7, 1.0)
+            self.assertEqual((found.revision, store.watches), (7, 2))
+            self.assertAlmostEqual(health.clock.now(), 1.9, places=2)
+
+        run(main())
+
+    def test_a_watch_without_an_answer_has_twice_the_time_the_next_time(self) -> None:
+        async def main() -> None:
+            health, store = FakeHealth(), LostOnceStore()
+            guarded = GuardedStore(cast(Any, store), cast(Any, health))
+            for limit_s in (1.25, 1.5, 2.0, 3.0, 5.0, 5.0):
+                store.watches = 0
+                start_s = health.clock.now()
+                with self.assertRaises(StoreUnavailable):
+                    await guarded.watch("op/", 7, 1.0)
+                self.assertAlmostEqual(health.clock.now() - start_s, limit_s, places=2)
+            await guarded.watch("op/", 7, 1.0)
+            store.watches = 0
+            start_s = health.clock.now()
+            with self.assertRaises(StoreUnavailable):
+                await guarded.watch("op/", 7, 1.0)
+            self.assertAlmostEqual(health.clock.now() - start_s, 1.25, places=2)
+
+        run(main())
+
+
 if __name__ == "__main__":
     unittest.main()
