--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -23,7 +23,7 @@
 single run; more than one write a second would cost more store calls than all other upkeep. In a
 mostly free pool no work may spend more than 2 s on preferences."""
 CONFIGURATION_APPLY_RANGE_MS = (1_000.0, 600_000.0)
-"""A watch takes half of this time. After it, a lost answer takes 0.4 s to be noticed and repeated."""
+"""A watch takes half of it, and it takes 0.4 s to notice a lost answer and to repeat the watch."""
 LEADER_CORES = 1.0
 """Processor cores that a leader needs.
 
