--- a/src/saddlestack/soak/store_link.py
+++ b/src/saddlestack/soak/store_link.py
@@ -64,10 +64,12 @@
         self.delay_s = delay_s
         if fault is LinkFault.RESET:
             self._reset_all()
-        if fault in {LinkFault.STALE, LinkFault.STALE_SOME}:
-            share = 1.0 if fault is LinkFault.STALE else STALE_SHARE
+        if fault is LinkFault.STALE:
+            for connection in self._connections:
+                connection.stale = True
+        if fault is LinkFault.STALE_SOME:
             for connection in sorted(self._connections, key=lambda each: each.number):
-                connection.stale = connection.stale or self._rng.random() < share
+                connection.stale = connection.stale or self._rng.random() < STALE_SHARE
         if fault not in {LinkFault.SILENT, LinkFault.ONE_WAY}:
             held, self._held = self._held, []
             for deliver in held:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,6 +40,7 @@
 from saddlestack.soak.vm_faults import VmFaults
 from saddlestack.standins.loop import run as run_virtually
 from saddlestack.standins.pool.workers import TaskPlan
+from saddlestack.standins.ports import LOOPBACK
 from saddlestack.wire.http import AnswerLost, HttpClient, Request, Response
 from saddlestack.work import JobState
 
@@ -539,6 +540,22 @@
 
         self.play(body)
 
+    def test_some_connections_go_stale_while_others_work(self) -> None:
+        async def body(way: StoreLink, client: HttpClient, handled: list[str]) -> None:
+            clients = [HttpClient(LOOPBACK, way.port) for _ in range(20)]
+            for each in clients:
+                await each.request("POST", "/x?n=1", timeout=1.0)
+            way.set_fault(LinkFault.STALE_SOME)
+            calls = (each.request("POST", "/x?n=2", timeout=0.3) for each in clients)
+            found = await asyncio.gather(*calls, return_exceptions=True)
+            lost = sum(isinstance(each, AnswerLost) for each in found)
+            self.assertTrue(3 < lost < 17, lost)
+            self.assertEqual(handled.count("2"), len(clients) - lost)
+            for each in clients:
+                each.close()
+
+        self.play(body)
+
     def test_delay(self) -> None:
         async def body(way: StoreLink, client: HttpClient, handled: list[str]) -> None:
             way.set_fault(LinkFault.DELAY, 0.05)
