--- a/src/saddlestack/soak/configuration_probes.py
+++ b/src/saddlestack/soak/configuration_probes.py
@@ -16,6 +16,7 @@
 PROBE_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 3.0
 JUDGED_STATUSES = frozenset({200, 401, 404})
+"""Other statuses do not depend on the configuration."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/saddlestack/soak/configurations.py
+++ b/src/saddlestack/soak/configurations.py
@@ -1,5 +1,8 @@
-"""Changes the configuration during a soak, as operators do: in series, with queues and keys added,
-removed and added again, and now and then a document that is invalid."""
+"""Changes the configuration during a soak, as operators do.
+
+Changes come in series. They add queues and keys, remove them and add them again, and now and then a
+document is invalid.
+"""
 
 from __future__ import annotations
 
