Log how much of an answer had arrived when it is given up

A watch that is overdue may be lost, or its answer may be arriving over a slow link; logs told neither the size of a document nor how much of it had arrived. Connections now report what they receive to whoever tracks the call (kernel/transfers.py): `watch_overdue` and `answer_abandoned` tell bytes and seconds, `configuration` and a gauge the size.

No decision changes.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -40,6 +40,7 @@
         self._key = context.documents.locations.configuration_key
         self._invalid_records = InvalidRecords(context.metrics, "configuration")
         self.current: PoolConfiguration | None = None
+        self._bytes = 0
         self._read_s = -math.inf
         self._is_refused = False
         self._listeners: list[Listener] = []
@@ -55,6 +56,7 @@
         )
         context.metrics.gauge("configuration_version", self._version)
         context.metrics.gauge("configuration_age_ms", self._age_ms)
+        context.metrics.gauge("configuration_bytes", lambda: self._bytes)
 
     def add_listener(self, listener: Listener) -> None:
         """Calls a listener with each new configuration, starting with the current one."""
@@ -120,9 +122,14 @@
         if self.current is not None and configuration.version <= self.current.version:
             return
         self.current = configuration
+        self._bytes = len(item.value)
         log.info(
             "configuration in force",
-            extra={"event": "configuration", "version": configuration.version},
+            extra={
+                "event": "configuration",
+                "version": configuration.version,
+                "bytes": self._bytes,
+            },
         )
         for listener in list(self._listeners):
             self._notify(listener, configuration)
--- a/src/saddlestack/control/guarded.py
+++ b/src/saddlestack/control/guarded.py
@@ -23,6 +23,7 @@
     Transaction,
     WriteInDoubt,
 )
+from saddlestack.kernel.transfers import Transfer, tracked
 
 T = TypeVar("T")
 
@@ -67,15 +68,19 @@
         """
         overdue_in_a_row = self._overdue_watches.pop(prefix, 0)
         limit_s = wait_s + self._health.overdue_after_s * 2**overdue_in_a_row
-        try:
-            return await self._retried(
-                lambda: _within(limit_s, self._store.watch(prefix, after, wait_s))
-            )
-        except TimeoutError:
-            self._overdue_watches[prefix] = min(overdue_in_a_row + 1, MAX_DOUBLINGS)
-            self._health.probe_now()
-            log.warning("watch is overdue", extra={"event": "watch_overdue", "prefix": prefix})
-            raise StoreUnavailable("the watch is overdue") from None
+        with tracked(self._health.clock) as transfer:
+            try:
+                return await self._retried(
+                    lambda: _within(limit_s, self._store.watch(prefix, after, wait_s))
+                )
+            except TimeoutError:
+                self._overdue_watches[prefix] = min(overdue_in_a_row + 1, MAX_DOUBLINGS)
+                self._health.probe_now()
+                log.warning(
+                    "watch is overdue",
+                    extra={"event": "watch_overdue", "prefix": prefix, **_progress(transfer)},
+                )
+                raise StoreUnavailable("the watch is overdue") from None
 
     async def transact(self, transaction: Transaction) -> Committed | Conflict:
         """Applies a transaction atomically."""
@@ -113,7 +118,8 @@
         :raises _CallAbandoned: the store has answered a heartbeat that was sent later.
         """
         sent = self._health.clock.now()
-        task = asyncio.ensure_future(call)
+        with tracked(self._health.clock) as transfer:
+            task = asyncio.ensure_future(call)
         try:
             while True:
                 recovery = self._health.recovery
@@ -127,9 +133,25 @@
             self._health.probe_now()
             raise
         finally:
+            if not task.done():
+                _log_abandoned(transfer)
             task.cancel()
 
 
+def _log_abandoned(transfer: Transfer) -> None:
+    """Logs a call that ends after a part of its answer has arrived."""
+    if transfer.received:
+        log.warning(
+            "answer is abandoned",
+            extra={"event": "answer_abandoned", **_progress(transfer)},
+        )
+
+
+def _progress(transfer: Transfer) -> dict[str, float]:
+    """Fields of a log line."""
+    return {"received": transfer.received, "receiving_s": round(transfer.receiving_s(), 3)}
+
+
 async def _within(limit_s: float, call: Awaitable[T]) -> T:
     """Waits for the answer to a call.
 
--- a/src/saddlestack/wire/http.py
+++ b/src/saddlestack/wire/http.py
@@ -15,6 +15,7 @@
 from saddlestack.codec import from_json, to_json
 from saddlestack.errors import ErrorKind, SaddlestackError
 from saddlestack.kernel.service import TaskGroup
+from saddlestack.kernel.transfers import report_received
 from saddlestack.models import ErrorBody
 from saddlestack.wire.dialer import Dialer, Reader, Writer
 
@@ -507,6 +508,7 @@
             if event is h11.NEED_DATA:
                 chunk = await self._reader.read(READ_SIZE)
                 self._bytes += len(chunk)
+                report_received(len(chunk))
                 self._h11.receive_data(chunk)
             elif isinstance(event, h11.Response):
                 response.status = event.status_code
