Test large configurations over narrow links

Stand-ins can give a VM a link of limited bandwidth, which queues what the VM's connections receive, and serve the store to it over HTTP.

--- a/src/saddlestack/standins/network.py
+++ b/src/saddlestack/standins/network.py
@@ -1,4 +1,4 @@
-"""A simulated network between data halls that can be partitioned.
+"""A simulated network: partitions between data halls, and links of limited bandwidth.
 
 A partition delays connections and data until it heals; it raises no connection errors.
 """
@@ -6,11 +6,16 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 
 from saddlestack.wire.dialer import CONNECT_TIMEOUT_S, Dialer, Reader, Writer
 
 PLATFORM = "platform"
 CLIENTS = "clients"
+LINK_CHUNK = 16 * 1024
+"""Bytes that a link carries of one connection before it carries those of others."""
+LINK_WINDOW = 512 * 1024
+"""Bytes of one connection that may wait for a link: the receive window of a long transfer."""
 
 
 class Network:
@@ -136,3 +141,74 @@
         self._flusher = None
         for data in buffered:
             self._writer.write(data)
+
+
+class Link:
+    """A link of limited bandwidth, which its connections share in the order of their data.
+
+    :param bytes_per_s: bandwidth.
+    :ivar carried: bytes carried so far.
+    """
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._free_s = 0.0
+        self.carried = 0
+
+    def queue(self, size: int) -> float:
+        """Queue some bytes behind all others; return when they have passed the link."""
+        now = asyncio.get_running_loop().time()
+        self._free_s = max(now, self._free_s) + size / self._bytes_per_s
+        self.carried += size
+        return self._free_s
+
+
+class LinkDialer(Dialer):
+    """Opens connections whose incoming data passes a :class:`Link`."""
+
+    def __init__(self, link: Link) -> None:
+        self._link = link
+
+    async def open(
+        self, address: str, port: int, timeout: float = CONNECT_TIMEOUT_S
+    ) -> tuple[Reader, Writer]:
+        """Connect.
+
+        :raises OSError: refused, unreachable or timed out.
+        """
+        async with asyncio.timeout(timeout):
+            reader, writer = await asyncio.open_connection(address, port)
+        delayed = asyncio.StreamReader()
+        pump = asyncio.get_running_loop().create_task(_pump(reader, delayed, self._link))
+        return delayed, _LinkWriter(writer, pump)
+
+
+class _LinkWriter:
+    def __init__(self, writer: asyncio.StreamWriter, pump: asyncio.Task[None]) -> None:
+        self._writer = writer
+        self._pump = pump
+
+    def write(self, data: bytes) -> None:
+        self._writer.write(data)
+
+    async def drain(self) -> None:
+        await self._writer.drain()
+
+    def close(self) -> None:
+        self._pump.cancel()
+        self._writer.close()
+
+
+async def _pump(reader: asyncio.StreamReader, delayed: asyncio.StreamReader, link: Link) -> None:
+    """Pass on the data of a connection as it arrives over a link."""
+    loop = asyncio.get_running_loop()
+    under_way: deque[float] = deque()
+    while data := await reader.read(LINK_CHUNK):
+        arrives_s = link.queue(len(data))
+        loop.call_at(arrives_s, delayed.feed_data, data)
+        under_way.append(arrives_s)
+        if len(under_way) * LINK_CHUNK >= LINK_WINDOW:
+            await asyncio.sleep(under_way.popleft() - loop.time())
+    if under_way:
+        await asyncio.sleep(under_way[-1] - loop.time())
+    delayed.feed_eof()
--- a/src/saddlestack/standins/pool/cluster.py
+++ b/src/saddlestack/standins/pool/cluster.py
@@ -4,21 +4,26 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
 from saddlestack.control.entry import EntryVm
 from saddlestack.control.settings import EntrySettings, Timings
 from saddlestack.interfaces.clients import ClientCall
 from saddlestack.interfaces.documents import Queue
+from saddlestack.interfaces.store import MetadataStore
 from saddlestack.interfaces.workers import WorkerOrders, WorkerRecord
+from saddlestack.platform.handlers import StoreHandler
+from saddlestack.platform.kv import KvStore
 from saddlestack.standins.loop import VirtualClock
+from saddlestack.standins.network import Link, LinkDialer
 from saddlestack.standins.pool.documents import ACCOUNT, HOST, QUEUES, SERVICE, pool_document
 from saddlestack.standins.pool.machines import PoolAdviser, PoolMachines
 from saddlestack.standins.pool.orders import PoolWorkerOrders
 from saddlestack.standins.pool.store import StoreState, StoreView
 from saddlestack.standins.pool.workers import TaskPlan, WorkerPool, WorkerTimes, payload
 from saddlestack.standins.ports import free_ports
+from saddlestack.wire.http import HttpServer
 from saddlestack.work import JobRequest, JobState, Resources, Step
 
 ATTEMPTS = 3
@@ -32,6 +37,8 @@
 class _Member:
     vm: EntryVm
     view: StoreView
+    link: Link | None = None
+    store_server: HttpServer | None = None
     cut_from_workers: bool = False
 
 
@@ -43,6 +50,8 @@
     :param racks: number of racks, each in a data hall of its own.
     :param workers: number of workers per rack.
     :param advised: queues whose starts need the adviser's approval.
+    :param links: bandwidth of entry VMs by name, in bytes per second. Such a VM calls the store
+        over HTTP, and receives its answers and those of other VMs over the link.
     :param members: entry VMs by name.
     :param version: version of the configuration.
     :ivar contacted_workers: incarnation names of the workers that some VM has created orders for.
@@ -58,6 +67,7 @@
     machines: PoolMachines = field(init=False)
     adviser: PoolAdviser = field(default_factory=PoolAdviser)
     advised: frozenset[str] = frozenset()
+    links: Mapping[str, float] = field(default_factory=dict)
     members: dict[str, _Member] = field(default_factory=dict)
     version: int = 0
     contacted_workers: set[str] = field(default_factory=set)
@@ -92,16 +102,19 @@
         """Start an entry VM."""
         self._vm_count += 1
         view = StoreView(self.store)
+        link = Link(self.links[name]) if name in self.links else None
+        store_server, store = await _serve(view, link)
         vm = EntryVm(
             _settings(name, self.times),
             clock=VirtualClock(),
             rng=random.Random(self.seed * 1000 + self._vm_count),
-            store=view,
+            dialer=None if link is None else LinkDialer(link),
+            store=store,
             orders=lambda record: self._orders(name, record),
             machines=self.machines,
             adviser=self.adviser,
         )
-        self.members[name] = _Member(vm, view)
+        self.members[name] = _Member(vm, view, link, store_server)
         await vm.start()
         return vm
 
@@ -112,6 +125,8 @@
         member.cut_from_workers = True
         member.vm.abort()
         await member.vm.stop()
+        if member.store_server is not None:
+            await member.store_server.stop()
 
     def member(self, name: str) -> _Member:
         """An entry VM and its connections to the store and the workers."""
@@ -279,6 +294,15 @@
     return JobRequest(payload=payload(plan), steps=(step,))
 
 
+async def _serve(view: StoreView, link: Link | None) -> tuple[HttpServer | None, MetadataStore]:
+    """Serve the store over HTTP to a VM that has a link."""
+    if link is None:
+        return None, view
+    server = HttpServer(StoreHandler(view).handle)
+    await server.start("127.0.0.1", 0)
+    return server, KvStore("127.0.0.1", server.port, dialer=LinkDialer(link))
+
+
 def _settings(name: str, times: WorkerTimes) -> EntrySettings:
     first = free_ports(2)
     return EntrySettings(
