Judge answers of the store by their progress

Callers saw calls handled by an older configuration for many seconds after a change was confirmed. A watch was abandoned 1.25 to 1.75 s after it was sent, though most of a large answer had arrived over a slow link, and the next one began anew; a listing after 0.5 s.

Time-outs now hold for the beginning of an answer. One that has begun is waited for as long as it keeps arriving (1 s between two parts, 30 s in all), so a dead connection is still told from a slow one, after the same time as before.

--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -8,7 +8,9 @@
 from collections.abc import Callable
 
 from saddlestack.control.context import EntryContext
+from saddlestack.control.guarded import STALL_S
 from saddlestack.interfaces.store import HistoryGone, Item, Listing, MetadataStore, StoreUnavailable
+from saddlestack.kernel.transfers import receive
 from saddlestack.policy.retry import backoff_delay
 
 log = logging.getLogger("saddlestack.feed")
@@ -42,14 +44,14 @@
 ) -> Listing:
     """Reads all keys under a prefix.
 
-    :param timeout_s: time for the answer, doubled with each failure; may be infinite.
+    :param timeout_s: time for the beginning of the answer, doubled with each failure; may be
+        infinite.
     :param failures: how often this has failed in a row.
     :raises StoreUnavailable: no answer in time.
     """
     limit_s = timeout_s * 2 ** min(failures, MAX_DOUBLINGS)
     try:
-        async with asyncio.timeout(None if math.isinf(limit_s) else limit_s):
-            return await store.list(prefix)
+        return await receive(store.list(prefix), begin_s=limit_s, stall_s=STALL_S)
     except TimeoutError:
         raise StoreUnavailable("the listing is overdue") from None
 
--- a/src/saddlestack/control/guarded.py
+++ b/src/saddlestack/control/guarded.py
@@ -23,7 +23,7 @@
     Transaction,
     WriteInDoubt,
 )
-from saddlestack.kernel.transfers import Transfer, tracked
+from saddlestack.kernel.transfers import Transfer, receive, tracked
 
 T = TypeVar("T")
 
@@ -33,6 +33,10 @@
 """How often the time by which a watch may be late is doubled while no watch is answered."""
 
 
+STALL_S = 1.0
+"""Time in which nothing of an answer may arrive once it has begun: some retransmissions."""
+
+
 class _CallAbandoned(Exception):
     """The store is available again, but has not answered a call that was sent before."""
 
@@ -61,17 +65,19 @@
         """Returns changes after a revision; removed keys have revision 0.
 
         Heartbeats do not show that the connection of a watch is unresponsive, so a watch is
-        abandoned as soon as it is overdue. Its successor may take longer, since a large answer may
-        need the time.
+        abandoned as soon as it is overdue. One whose answer has begun to arrive is not, as long as
+        it keeps arriving. Its successor may take longer, since the store may need the time.
 
         :raises StoreUnavailable: no answer in time.
         """
         overdue_in_a_row = self._overdue_watches.pop(prefix, 0)
         limit_s = wait_s + self._health.overdue_after_s * 2**overdue_in_a_row
-        with tracked(self._health.clock) as transfer:
+        with tracked() as transfer:
             try:
                 return await self._retried(
-                    lambda: _within(limit_s, self._store.watch(prefix, after, wait_s))
+                    lambda: receive(
+                        self._store.watch(prefix, after, wait_s), begin_s=limit_s, stall_s=STALL_S
+                    )
                 )
             except TimeoutError:
                 self._overdue_watches[prefix] = min(overdue_in_a_row + 1, MAX_DOUBLINGS)
@@ -118,7 +124,7 @@
         :raises _CallAbandoned: the store has answered a heartbeat that was sent later.
         """
         sent = self._health.clock.now()
-        with tracked(self._health.clock) as transfer:
+        with tracked() as transfer:
             task = asyncio.ensure_future(call)
         try:
             while True:
@@ -150,12 +156,3 @@
 def _progress(transfer: Transfer) -> dict[str, float]:
     """Fields of a log line."""
     return {"received": transfer.received, "receiving_s": round(transfer.receiving_s(), 3)}
-
-
-async def _within(limit_s: float, call: Awaitable[T]) -> T:
-    """Waits for the answer to a call.
-
-    :raises TimeoutError: no answer in time.
-    """
-    async with asyncio.timeout(limit_s):
-        return await call
--- a/src/saddlestack/platform/kv.py
+++ b/src/saddlestack/platform/kv.py
@@ -24,6 +24,7 @@
     Transaction,
     WriteInDoubt,
 )
+from saddlestack.kernel.transfers import receive
 from saddlestack.platform import paths
 from saddlestack.platform.messages import (
     CommittedBody,
@@ -48,6 +49,11 @@
 1.25 MB per second."""
 LIST_TIMEOUT_S = 3.0
 WATCH_SLACK_S = 1.0
+STALL_TIMEOUT_S = 1.0
+"""Time in which nothing of an answer may arrive once it has begun. The time-outs of reads hold for
+the beginning: a large answer may take longer over a slow link."""
+ANSWER_TIMEOUT_S = 30.0
+"""Time for a whole answer, so that one that hardly arrives ends as well."""
 MAX_WAIT_MS = 30_000
 ANSWER = "answer of the store"
 
@@ -168,10 +174,13 @@
 
     async def _read(self, path: str, timeout: float) -> Response:
         self.calls += 1
+        request = self._http.request("GET", path, timeout=timeout + ANSWER_TIMEOUT_S)
         try:
-            return await self._http.request("GET", path, timeout=timeout)
+            return await receive(request, begin_s=timeout, stall_s=STALL_TIMEOUT_S)
         except (NotSent, AnswerLost) as error:
             raise StoreUnavailable(str(error)) from error
+        except TimeoutError as error:
+            raise StoreUnavailable(f"GET {path}: {type(error).__name__}") from error
 
     async def _write(
         self, method: str, path: str, body: object, timeout: float = CALL_TIMEOUT_S
