Count arriving answers as a sign of the store

Heartbeats wait behind a large answer on a slow link. The store then counted as lost while it delivered, and when the late heartbeat was answered, the transfer was abandoned, the configuration was read beside its feed, and all of it took the link from the next transfer.

While parts of an answer arrive, an overdue heartbeat shows no outage, and a heartbeat ends only calls of whose answer nothing has arrived since it was sent.

--- a/src/saddlestack/control/guarded.py
+++ b/src/saddlestack/control/guarded.py
@@ -121,27 +121,34 @@
     async def _guarded(self, call: Awaitable[T]) -> T:
         """Waits for the answer to a call.
 
-        :raises _CallAbandoned: the store has answered a heartbeat that was sent later.
+        :raises _CallAbandoned: the store has answered a heartbeat that was sent later, and nothing
+            of the answer to the call has arrived since.
         """
-        sent = self._health.clock.now()
-        with tracked() as transfer:
+        latest = self._health.clock.now()
+
+        def record_received() -> None:
+            nonlocal latest
+            latest = self._health.clock.now()
+            self._health.record_received()
+
+        with tracked(record_received) as transfer:
             task = asyncio.ensure_future(call)
-        try:
-            while True:
-                recovery = self._health.recovery
-                waited_for: set[asyncio.Future[Any]] = {task, recovery}
-                await asyncio.wait(waited_for, return_when=asyncio.FIRST_COMPLETED)
-                if task.done():
-                    return task.result()
-                if recovery.result() > sent:
-                    raise _CallAbandoned
-        except (StoreUnavailable, WriteInDoubt):
-            self._health.probe_now()
-            raise
-        finally:
-            if not task.done():
-                _log_abandoned(transfer)
-            task.cancel()
+            try:
+                while True:
+                    recovery = self._health.recovery
+                    waited_for: set[asyncio.Future[Any]] = {task, recovery}
+                    await asyncio.wait(waited_for, return_when=asyncio.FIRST_COMPLETED)
+                    if task.done():
+                        return task.result()
+                    if recovery.result() > latest:
+                        raise _CallAbandoned
+            except (StoreUnavailable, WriteInDoubt):
+                self._health.probe_now()
+                raise
+            finally:
+                if not task.done():
+                    _log_abandoned(transfer)
+                task.cancel()
 
 
 def _log_abandoned(transfer: Transfer) -> None:
--- a/src/saddlestack/control/health.py
+++ b/src/saddlestack/control/health.py
@@ -65,6 +65,7 @@
         self._latest_answered_s = -math.inf
         self._recovered_s = -math.inf
         self._unavailable_since_s: float | None = None
+        self._received_s = -math.inf
         self._interval_s = HEARTBEAT_S
 
     def set_vm_count(self, vms: int) -> None:
@@ -103,6 +104,14 @@
         """Sends a heartbeat early, because a call failed or was not answered in time."""
         self._probe_due.set()
 
+    def record_received(self) -> None:
+        """Records that a part of an answer has arrived.
+
+        Heartbeats wait behind a large answer on a slow link. While it arrives, one that is overdue
+        shows no outage.
+        """
+        self._received_s = self.clock.now()
+
     async def wait_for_recovery(self, seconds: float) -> None:
         """Waits for some seconds, or until the store is available again."""
         await asyncio.wait({self.recovery}, timeout=seconds)
@@ -118,20 +127,31 @@
 
     async def _send_heartbeat(self) -> None:
         sent = self.clock.now()
-        loop = asyncio.get_running_loop()
-        overdue = loop.call_later(
-            self.overdue_after_s, self._mark_unavailable, sent, "heartbeat is overdue"
-        )
+        overdue = self.tasks.spawn(self._mark_overdue(sent))
         try:
             async with asyncio.timeout(HEARTBEAT_TIMEOUT_S):
                 await self._renew()
-        except (StoreUnavailable, TimeoutError) as error:
-            self._mark_unavailable(sent, str(error) or "no answer to a heartbeat")
+        except StoreUnavailable as error:
+            self._mark_unavailable(sent, str(error))
+        except TimeoutError:
+            if not self._is_delivering():
+                self._mark_unavailable(sent, "no answer to a heartbeat")
         else:
             self._record_answer(sent)
         finally:
             overdue.cancel()
 
+    async def _mark_overdue(self, sent: float) -> None:
+        """Handles a heartbeat as soon as it is overdue and nothing else arrives."""
+        await asyncio.sleep(self.overdue_after_s)
+        while self._is_delivering():
+            await asyncio.sleep(MIN_PROBE_INTERVAL_S)
+        self._mark_unavailable(sent, "heartbeat is overdue")
+
+    def _is_delivering(self) -> bool:
+        """Whether an answer is arriving."""
+        return self.clock.now() - self._received_s < MIN_OVERDUE_S
+
     async def _renew(self) -> None:
         if self._lease is None:
             self._lease, _ = await self._store.grant_lease(LEASE_S)
