Pass new configurations on between VMs, compressed

A VM whose answer of the store was lost, or arrived over a slow link, had to receive the whole document from the store, often beside other reads of it, each ended after 0.6 s: calls were handled by an older version for longer than the platform allows.

A configuration of doubtful age is confirmed by a watch that does not wait in place of a whole read. Whole reads are left for documents that were refused as damaged.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -23,7 +23,9 @@
 """Timeout of a watch as a share of the time in which a configuration has to be in force. If an
 answer is lost, the next watch, a pause and its answer fit into the rest."""
 LIST_SHARE = 0.25
-"""Timeout of the first listing as a share of the same time. The document is small."""
+"""Time for the beginning of the first listing as a share of the same time."""
+DELIVERY_S = 0.1
+"""An answer that arrives for longer than this has a large document, or a slow link."""
 
 Listener = Callable[[PoolConfiguration], None]
 
@@ -32,6 +34,9 @@
     """Follows the operators' configuration document.
 
     Older versions than the current one are ignored while the process runs.
+
+    :ivar is_refused: whether the last document was refused; it may have been damaged on the way.
+    :ivar document: the document in force; its revision is 0 before the first one.
     """
 
     def __init__(self, context: EntryContext) -> None:
@@ -40,9 +45,9 @@
         self._key = context.documents.locations.configuration_key
         self._invalid_records = InvalidRecords(context.metrics, "configuration")
         self.current: PoolConfiguration | None = None
-        self._bytes = 0
+        self.document = Item(self._key, b"", 0)
         self._read_s = -math.inf
-        self._is_refused = False
+        self.is_refused = False
         self._listeners: list[Listener] = []
         apply_s = context.settings.timings.configuration_apply_ms / 1000
         self._feed = Feed(
@@ -54,9 +59,9 @@
             wait_s=min(WATCH_TIMEOUT_S, WATCH_SHARE * apply_s),
             list_timeout_s=min(LIST_TIMEOUT_S, LIST_SHARE * apply_s),
         )
-        context.metrics.gauge("configuration_version", self._version)
+        context.metrics.gauge("configuration_version", lambda: self.version)
         context.metrics.gauge("configuration_age_ms", self._age_ms)
-        context.metrics.gauge("configuration_bytes", lambda: self._bytes)
+        context.metrics.gauge("configuration_bytes", lambda: len(self.document.value))
 
     def add_listener(self, listener: Listener) -> None:
         """Calls a listener with each new configuration, starting with the current one."""
@@ -72,15 +77,29 @@
         """Starts to follow the document."""
         self.tasks.spawn(self._feed.run())
 
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before the first one."""
+        return 0 if self.current is None else self.current.version
+
     @property
     def is_behind(self) -> bool:
         """Whether the document has to be read beside its feed.
 
-        That is the case while the store does not answer the feed, and once after a document was
-        refused, since it may have been damaged on the way.
+        That is the case while the store does not answer the feed, or its answer takes long to
+        arrive, and once after a document was refused.
         """
         is_unanswered = self._feed.is_behind or not self._context.health.is_available
-        return is_unanswered or self._is_refused
+        return is_unanswered or self.is_delivering or self.is_refused
+
+    @property
+    def is_delivering(self) -> bool:
+        """Whether an answer of the store has been arriving for some time."""
+        return self._feed.receiving_s() > DELIVERY_S
+
+    async def poll(self) -> None:
+        """Asks the store for a newer document, without waiting for one."""
+        await self._feed.poll()
 
     def age_s(self) -> float:
         """Returns how old the configuration in force may be at most, in seconds."""
@@ -93,17 +112,17 @@
         :param read_s: when the read was sent.
         """
         self._receive((item,))
-        self._is_refused = False
+        self.is_refused = False
+        self.confirm(read_s)
+
+    def confirm(self, read_s: float) -> None:
+        """Records that the configuration in force was the newest at some time."""
         self._read_s = max(self._read_s, read_s)
 
     def _age_ms(self) -> int:
         age_s = self.age_s()
         return NEVER_READ if math.isinf(age_s) else round(1000 * age_s)
 
-    def _version(self) -> int:
-        """The version for the gauge; 0 before the first configuration."""
-        return 0 if self.current is None else self.current.version
-
     def _receive(self, items: tuple[Item, ...]) -> None:
         for item in items:
             if item.key == self._key and item.revision:
@@ -122,20 +141,20 @@
         if self.current is not None and configuration.version <= self.current.version:
             return
         self.current = configuration
-        self._bytes = len(item.value)
+        self.document = item
         log.info(
             "configuration in force",
             extra={
                 "event": "configuration",
                 "version": configuration.version,
-                "bytes": self._bytes,
+                "bytes": len(item.value),
             },
         )
         for listener in list(self._listeners):
             self._notify(listener, configuration)
 
     def _refuse(self, item: Item, reason: str) -> None:
-        self._is_refused = True
+        self.is_refused = True
         self._invalid_records.report(item.key, reason)
 
     def _notify(self, listener: Listener, configuration: PoolConfiguration) -> None:
--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -12,6 +12,7 @@
 
 from saddlestack.control.access import StoreAccess
 from saddlestack.control.configuration import Configuration
+from saddlestack.control.configuration_copies import ConfigurationCopies
 from saddlestack.control.configured_calls import ConfiguredCalls
 from saddlestack.control.context import EntryContext, OrdersFactory
 from saddlestack.control.guarded import GuardedStore
@@ -100,7 +101,8 @@
         leader_rpc = LeaderRpc(self.peers, self.leadership, lambda: self.scheduler)
         relays = Relays(self.peers, self.membership, self.health)
         access = StoreAccess(self.context, self.peers, relays)
-        self.refresh = ConfigurationRefresh(self.context, self.configuration, access)
+        copies = ConfigurationCopies(self.context, self.configuration, self.peers, self.membership)
+        self.refresh = ConfigurationRefresh(self.context, self.configuration, access, copies)
         self.jobs = Jobs(self.context, access, leader_rpc)
         gateway = Gateway(self.jobs, lambda: self.configuration.current, self._is_ready)
         client_calls = ConfiguredCalls(gateway.handle, self.configuration, self.refresh)
--- a/src/saddlestack/control/guarded.py
+++ b/src/saddlestack/control/guarded.py
@@ -47,7 +47,7 @@
     def __init__(self, store: MetadataStore, health: StoreHealth) -> None:
         self._store = store
         self._health = health
-        self._overdue_watches: dict[str, int] = {}
+        self._overdue_watches: dict[tuple[str, float], int] = {}
 
     def reconnect(self) -> None:
         """Uses new connections from now on."""
@@ -70,7 +70,7 @@
 
         :raises StoreUnavailable: no answer in time.
         """
-        overdue_in_a_row = self._overdue_watches.pop(prefix, 0)
+        overdue_in_a_row = self._overdue_watches.pop((prefix, wait_s), 0)
         limit_s = wait_s + self._health.overdue_after_s * 2**overdue_in_a_row
         with tracked() as transfer:
             try:
@@ -80,7 +80,7 @@
                     )
                 )
             except TimeoutError:
-                self._overdue_watches[prefix] = min(overdue_in_a_row + 1, MAX_DOUBLINGS)
+                self._overdue_watches[prefix, wait_s] = min(overdue_in_a_row + 1, MAX_DOUBLINGS)
                 self._health.probe_now()
                 log.warning(
                     "watch is overdue",
--- a/src/saddlestack/control/peers.py
+++ b/src/saddlestack/control/peers.py
@@ -75,10 +75,13 @@
             link.close()
         await super().stop()
 
-    async def ask(self, vm: str, question: object, kind: type[T]) -> T:
+    async def ask(
+        self, vm: str, question: object, kind: type[T], *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> T:
         """Sends a question to a VM, which may be this one.
 
         :param kind: type of the answer.
+        :param timeout_s: time for the answer.
         :raises SaddlestackError: the answer is an error.
         :raises PeerUnavailable: the VM could not be reached, or did not answer.
         """
@@ -91,7 +94,7 @@
             raise PeerUnavailable(f"{vm} is not known")
         link = await self._link(member)
         try:
-            return await link.call(method, question, kind, CALL_TIMEOUT_S)
+            return await link.call(method, question, kind, timeout_s)
         except LinkLost as error:
             link.close()
             raise PeerUnavailable(str(error), sent=True) from error
--- a/src/saddlestack/control/refresh.py
+++ b/src/saddlestack/control/refresh.py
@@ -1,26 +1,31 @@
-"""Reads the configuration through any VM that reaches the store, where following it does not work.
+"""Keeps the configuration up to date where following it in the store does not suffice.
 
 The feed of the configuration has one call at a time on this VM's own connection. If the store turns
-this VM away, or is cut off from it, another VM may still reach it.
+this VM away, loses an answer, or delivers a large one over a slow link, another VM may already have
+the configuration.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 
-from saddlestack.control.access import StoreAccess, StoreUnreachable
+from saddlestack.control.access import HEDGE_DELAY_S, StoreAccess, StoreUnreachable
 from saddlestack.control.configuration import Configuration
+from saddlestack.control.configuration_copies import ConfigurationCopies
 from saddlestack.control.context import EntryContext
 from saddlestack.kernel.service import Service
 
 log = logging.getLogger("saddlestack.configuration")
 
 NAME = "configuration refresh"
+CHECK_INTERVAL_S = 0.1
+"""Interval at which the feed is checked."""
 INTERVAL_SHARE = 0.25
 """Interval between reads, as a share of the time in which a configuration has to be in force."""
 READ_TIMEOUT_S = 0.6
-"""Time for one read: a relay is asked after 0.3 s, and answers within 0.25 s."""
+"""Time for one read: another VM is asked after 0.3 s, and answers within 0.25 s."""
 MAX_AGE_SHARE = 0.9
 """Age, as a share of the same time, up to which a refusal rests on the configuration as it is."""
 MAX_INTERVAL_S = 1.0
@@ -28,73 +33,96 @@
 
 
 class ConfigurationRefresh(Service):
-    """Keeps the configuration up to date while its feed gets no answers.
+    """Gets the configuration from other VMs while its feed is behind, and confirms it by reads.
 
     :ivar max_age_s: age up to which the configuration counts as current.
     """
 
     def __init__(
-        self, context: EntryContext, configuration: Configuration, access: StoreAccess
+        self,
+        context: EntryContext,
+        configuration: Configuration,
+        access: StoreAccess,
+        copies: ConfigurationCopies,
     ) -> None:
         super().__init__(NAME, context.clock)
         self._configuration = configuration
         self._access = access
+        self._copies = copies
+        self._health = context.health
         self._key = context.documents.locations.configuration_key
         self._metrics = context.metrics
-        self._reading: asyncio.Task[bool] | None = None
+        self._reading: asyncio.Task[None] | None = None
         apply_s = context.settings.timings.configuration_apply_ms / 1000
         self._interval_s = INTERVAL_SHARE * apply_s
         self.max_age_s = MAX_AGE_SHARE * apply_s
 
     async def start(self) -> None:
-        """Starts to read the configuration whenever its feed gets no answers."""
+        """Starts to update the configuration whenever its feed is behind."""
         self.tasks.spawn(self._run())
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the configuration is current."""
+        return self._configuration.age_s() <= self.max_age_s
+
     async def confirm(self) -> bool:
         """Makes sure that the configuration is current, if necessary by a read.
 
         :return: whether it is current.
         """
-        if self._configuration.age_s() > self.max_age_s:
+        if not self.is_current:
             await self._read()
-        return self._configuration.age_s() <= self.max_age_s
+        return self.is_current
 
     async def _run(self) -> None:
         interval_s = self._interval_s
         while True:
-            await asyncio.sleep(interval_s)
-            if await self._read_if_behind():
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            if not self._configuration.is_behind:
+                interval_s = self._interval_s
+                continue
+            try:
+                await self._read()
+            except Exception:
+                # The loop must not end: the configuration would grow old, unnoticed.
+                log.exception("refresh failed", extra={"event": "refresh_failed"})
+            await asyncio.sleep(interval_s - CHECK_INTERVAL_S)
+            if self.is_current:
                 interval_s = self._interval_s
             else:
                 interval_s = max(self._interval_s, min(2 * interval_s, MAX_INTERVAL_S))
 
-    async def _read_if_behind(self) -> bool:
-        """Reads the configuration if its feed is behind.
-
-        :return: whether the configuration is up to date.
-        """
-        try:
-            return not self._configuration.is_behind or await self._read()
-        except Exception:
-            # The loop must not end: the configuration would grow old, unnoticed.
-            log.exception("refresh failed", extra={"event": "refresh_failed"})
-            return False
-
-    async def _read(self) -> bool:
-        """Reads the configuration; concurrent callers share one read.
-
-        :return: whether it could be read.
-        """
+    async def _read(self) -> None:
+        """Updates the configuration; concurrent callers share one read."""
         if self._reading is None or self._reading.done():
             self._reading = self.tasks.spawn(self._read_once())
-        return await asyncio.shield(self._reading)
+        await asyncio.shield(self._reading)
 
-    async def _read_once(self) -> bool:
-        sent_s = self.clock.now()
+    async def _read_once(self) -> None:
         self._metrics.count("configuration_reads")
-        try:
+        if self._configuration.is_refused:
+            await self._read_document()
+        elif self._configuration.is_behind:
+            await self._copies.update()
+        else:
+            await self._poll()
+
+    async def _read_document(self) -> None:
+        """Reads the whole document."""
+        sent_s = self.clock.now()
+        with contextlib.suppress(StoreUnreachable):
             item = await self._access.get(self._key, sent_s + READ_TIMEOUT_S)
-        except StoreUnreachable:
-            return False
-        self._configuration.receive(item, sent_s)
-        return True
+            self._configuration.receive(item, sent_s)
+
+    async def _poll(self) -> None:
+        """Asks the store for a newer document, and other VMs as well if it does not answer soon."""
+        polling = self.tasks.spawn(self._configuration.poll())
+        try:
+            await asyncio.wait({polling}, timeout=HEDGE_DELAY_S)
+            if not self.is_current:
+                await self._copies.update()
+            if not self.is_current:
+                await asyncio.wait({polling}, timeout=READ_TIMEOUT_S - HEDGE_DELAY_S)
+        finally:
+            polling.cancel()
