Let an answer that has begun arrive after an outage

A late heartbeat that was answered ended transfers in which nothing had arrived since it was sent, for instance while packets were sent again. An answer that has begun is now left to its own limit for stalls. The document that another VM has already passed on is not decoded again, and the leader's term is tested while it receives large documents.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -129,6 +129,8 @@
                 self._apply(item)
 
     def _apply(self, item: Item) -> None:
+        if item == self.document:
+            return  # Already received through another VM.
         try:
             configuration = self._context.documents.configuration(item.value)
         except SaddlestackError as error:
--- a/src/saddlestack/control/guarded.py
+++ b/src/saddlestack/control/guarded.py
@@ -1,8 +1,9 @@
 """Wraps the store so that calls lost in an outage don't wait for their timeout.
 
 When the store is available again, each call is abandoned that was sent before the heartbeat which
-was answered. Reads, watches and renewals are retried at once. For a write, the outcome is reported
-as unknown, so that the caller repeats it under the same conditions.
+was answered, unless a part of its answer has arrived. Reads, watches and renewals are retried at
+once. For a write, the outcome is reported as unknown, so that the caller repeats it under the same
+conditions.
 """
 
 from __future__ import annotations
@@ -31,8 +32,6 @@
 
 MAX_DOUBLINGS = 4
 """How often the time by which a watch may be late is doubled while no watch is answered."""
-
-
 STALL_S = 1.0
 """Time in which nothing of an answer may arrive once it has begun: some retransmissions."""
 
@@ -122,16 +121,10 @@
         """Waits for the answer to a call.
 
         :raises _CallAbandoned: the store has answered a heartbeat that was sent later, and nothing
-            of the answer to the call has arrived since.
+            of the answer to the call has arrived.
         """
-        latest = self._health.clock.now()
-
-        def record_received() -> None:
-            nonlocal latest
-            latest = self._health.clock.now()
-            self._health.record_received()
-
-        with tracked(record_received) as transfer:
+        sent = self._health.clock.now()
+        with tracked(self._health.record_received) as transfer:
             task = asyncio.ensure_future(call)
             try:
                 while True:
@@ -140,7 +133,7 @@
                     await asyncio.wait(waited_for, return_when=asyncio.FIRST_COMPLETED)
                     if task.done():
                         return task.result()
-                    if recovery.result() > latest:
+                    if recovery.result() > sent and not transfer.received:
                         raise _CallAbandoned
             except (StoreUnavailable, WriteInDoubt):
                 self._health.probe_now()
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -158,6 +158,26 @@
                 play(body, links=narrow_links(), seed=seed)
 
 
+class LeaderTest(unittest.TestCase):
+    """The leader's own link is narrow, and large configurations follow each other."""
+
+    # Renewals wait behind a large answer as heartbeats do.
+    def test_a_leader_keeps_its_term_while_it_receives_a_large_document(self) -> None:
+        for seed in range(1, 4):
+
+            async def body(cluster: PoolCluster) -> None:
+                name = cluster.leader_name
+                scheduler = cluster.member(name).vm.scheduler
+                for _ in range(6):
+                    cluster.configure(more_queues=queues(HUGE))
+                    await asyncio.sleep(1.2)
+                self.assertEqual(cluster.leader_name, name)
+                self.assertIs(cluster.member(name).vm.scheduler, scheduler)
+
+            with self.subTest(seed=seed):
+                play(body, links=narrow_links(), seed=seed)
+
+
 class LostAnswerTest(unittest.TestCase):
     """The answer that has a large configuration is lost, or its connection goes silent."""
 
