--- a/src/saddlestack/soak/configurations.py
+++ b/src/saddlestack/soak/configurations.py
@@ -24,7 +24,6 @@
 """Keys of the first account that are given and taken away."""
 INVALID_VERSION_STEP = 1_000_000
 MAX_SERIES = 6
-SERIES_PAUSE_S = (0.05, 0.4)
 
 
 @dataclass(slots=True)
@@ -106,7 +105,7 @@
                 if self._rng.random() < self._mix.invalid_share:
                     await self._write_invalid()
                 await self._write_next()
-                await asyncio.sleep(self._rng.uniform(*SERIES_PAUSE_S))
+                await asyncio.sleep(self._rng.uniform(*self._mix.series_pause_s))
 
     async def restore(self) -> None:
         """Write a valid version, in case the last document was invalid."""
--- a/src/saddlestack/soak/platform.py
+++ b/src/saddlestack/soak/platform.py
@@ -5,8 +5,9 @@
 import asyncio
 import contextlib
 import itertools
+import random
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 import msgspec
@@ -79,12 +80,21 @@
 class SoakPlatform:
     """Controls the store's process: starts it, sends it faults, and receives its messages.
 
+    :param bandwidths: bytes per second of the links of VMs whose bandwidth is limited.
     :ivar ports: the port of each VM's link to the store.
     :ivar records_port: the port to which workers write their records.
     :ivar loads: load reports of the process.
     """
 
-    def __init__(self, shape: SoakShape, vms: Sequence[str], folder: Path, seed: int) -> None:
+    def __init__(
+        self,
+        shape: SoakShape,
+        vms: Sequence[str],
+        folder: Path,
+        seed: int,
+        bandwidths: Mapping[str, float],
+    ) -> None:
+        self._bandwidths = dict(bandwidths)
         self._shape = shape
         self._folder = folder
         self._seed = seed
@@ -121,6 +131,7 @@
             heartbeat_s=self._shape.times.heartbeat_s,
             history_s=self._shape.times.history_s,
             configuration=configuration(self._shape),
+            bandwidths=self._bandwidths,
         )
         path = self._folder / "store.json"
         path.write_bytes(msgspec.json.encode(settings))
@@ -245,7 +256,7 @@
     ]
     routes += [
         {"name": name, "host": HOST, "path-prefix": f"/{name}/", "service": SERVICE}
-        for name in queues
+        for name in (*queues, *_idle_queues(shape))
     ]
     tenants = [
         {
@@ -260,6 +271,13 @@
     return to_json({"version": version, "routes": routes, "services": services, "tenants": tenants})
 
 
+def _idle_queues(shape: SoakShape) -> list[str]:
+    """Return the names of the queues that make the document large; they hardly compress."""
+    count = 0 if shape.configuration is None else shape.configuration.idle_queues
+    names = random.Random(count)
+    return [f"idle-{names.getrandbits(64):016x}" for _ in range(count)]
+
+
 async def _stop_process(process: asyncio.subprocess.Process) -> None:
     try:
         async with asyncio.timeout(STOP_TIMEOUT_S):
--- a/src/saddlestack/soak/run.py
+++ b/src/saddlestack/soak/run.py
@@ -8,6 +8,7 @@
 import shutil
 import signal
 import tempfile
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -61,7 +62,8 @@
         self._folder = folder
         self._sites = entry_sites(plan.shape)
         vms = [site.name for site in self._sites]
-        self._platform = SoakPlatform(plan.shape, vms, folder, rng.getrandbits(64))
+        bandwidths = _bandwidths(plan.shape, self._sites)
+        self._platform = SoakPlatform(plan.shape, vms, folder, rng.getrandbits(64), bandwidths)
         self._load_rng = random.Random(rng.getrandbits(64))
         self._fault_rng = random.Random(rng.getrandbits(64))
         self._drift_rng = random.Random(f"{plan.seed} drift")
@@ -199,6 +201,14 @@
     ]
 
 
+def _bandwidths(shape: SoakShape, sites: Sequence[EntrySite]) -> dict[str, float]:
+    """Return the bandwidth of the VMs whose links to the store are limited."""
+    bandwidth = shape.weak_link_bytes_s
+    if bandwidth is None:
+        return {}
+    return {site.name: bandwidth for site in sites if not site.strong}
+
+
 async def run(plan: SoakPlan) -> SoakReport:
     """Run a plan; the logs are kept if an invariant was violated.
 
--- a/src/saddlestack/soak/shape.py
+++ b/src/saddlestack/soak/shape.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -245,12 +246,19 @@
 
     :param pause_s: the minimum and maximum time between two series.
     :param invalid_share: the share of changes before which an invalid document is written.
+    :param series_pause_s: the minimum and maximum time between two changes of a series.
+    :param idle_queues: the number of additional queues without jobs, which make the document large.
     """
 
     pause_s: tuple[float, float]
     invalid_share: float = 0.0
+    series_pause_s: tuple[float, float] = (0.05, 0.4)
+    idle_queues: int = 0
 
 
+MIN_LINK_BYTES_S = 1000.0
+MAX_IDLE_QUEUES = 8500
+"""So many keep the document below the largest value of the platform's store."""
 CONFIGURATION_CHANGES = ConfigurationMix(pause_s=(0.1, 2.0), invalid_share=0.1)
 
 
@@ -266,6 +274,8 @@
         independently as well; ``None`` for none.
     :param configuration: changes of the configuration; ``None`` for none.
     :param scheduling: the optional scheduling decisions of the entry VMs.
+    :param weak_link_bytes_s: bandwidth between the store and VMs that are not strong, in bytes per
+        second; ``None`` if it is not limited.
     """
 
     name: str
@@ -282,6 +292,7 @@
     failing: FailingJobs | None = None
     configuration: ConfigurationMix | None = None
     scheduling: Scheduling = Scheduling()
+    weak_link_bytes_s: float | None = None
 
     @property
     def vms(self) -> int:
@@ -344,6 +355,10 @@
         yield from _failing_errors(shape.failing, shape)
     if shape.configuration is not None:
         yield from _configuration_errors(shape.configuration)
+    if shape.weak_link_bytes_s is not None:
+        yield from _check_range(
+            "weak_link_bytes_s", shape.weak_link_bytes_s, MIN_LINK_BYTES_S, math.inf
+        )
     for key in ("lead_s", "settle_s"):
         yield from _check_range(key, getattr(shape, key), 0, 3600)
 
@@ -437,9 +452,11 @@
 
 
 def _configuration_errors(mix: ConfigurationMix) -> Iterator[str]:
-    least, longest = mix.pause_s
-    if not 0 < least <= longest:
-        yield "configuration.pause_s: expected two times above 0, the shorter one first"
+    for name in ("pause_s", "series_pause_s"):
+        least, longest = getattr(mix, name)
+        if not 0 < least <= longest:
+            yield f"configuration.{name}: expected two times above 0, the shorter one first"
+    yield from _check_range("configuration.idle_queues", mix.idle_queues, 0, MAX_IDLE_QUEUES)
     yield from _check_range("configuration.invalid_share", mix.invalid_share, 0, 1)
 
 
--- a/src/saddlestack/soak/store_link.py
+++ b/src/saddlestack/soak/store_link.py
@@ -13,6 +13,7 @@
 from urllib.parse import parse_qsl, urlsplit
 
 from saddlestack.soak.store_messages import LinkFault
+from saddlestack.standins.network import Link, LinkQueue
 from saddlestack.wire.http import Request, Response
 
 HEAD_END = b"\r\n\r\n"
@@ -26,12 +27,14 @@
 class StoreLink:
     """Serves one VM on a port of its own.
 
+    :param bandwidth: link that all answers to the VM share; ``None`` if it is not limited.
     :ivar fault: the current fault, or ``None``.
     :ivar delay_s: delay of calls and answers, for :attr:`LinkFault.DELAY`.
     :ivar calls: the number of calls handled so far.
     """
 
-    def __init__(self, handler: Handler, rng: random.Random) -> None:
+    def __init__(self, handler: Handler, rng: random.Random, bandwidth: Link | None = None) -> None:
+        self.bandwidth = bandwidth
         self._handler = handler
         self._rng = rng
         self._server: asyncio.Server | None = None
@@ -132,6 +135,7 @@
         self._transport: asyncio.Transport | None = None
         self._reads: set[asyncio.Task[None]] = set()
         self._writes: set[asyncio.Task[None]] = set()
+        self._sending: asyncio.Task[None] | None = None
         self.stale = False
         self.number = 0
 
@@ -147,6 +151,8 @@
         self._link.remove(self)
         for task in self._reads:
             task.cancel()
+        if self._sending is not None:
+            self._sending.cancel()
 
     def data_received(self, data: bytes) -> None:
         if self.stale:
@@ -191,6 +197,14 @@
         self._link.deliver_answer(lambda: self._write(data))
 
     def _write(self, data: bytes) -> None:
+        bandwidth = self._link.bandwidth
+        if bandwidth is None:
+            self._deliver(data)
+            return
+        send = LinkQueue(bandwidth, self._deliver).send(data)
+        self._sending = asyncio.get_running_loop().create_task(send)
+
+    def _deliver(self, data: bytes) -> None:
         if self._transport is not None and not self.stale:
             self._transport.write(data)
 
--- a/src/saddlestack/soak/store_messages.py
+++ b/src/saddlestack/soak/store_messages.py
@@ -19,6 +19,7 @@
     :param heartbeat_s: the interval between a worker's writes to its record.
     :param history_s: how long changes are kept for watches.
     :param configuration: the operators' configuration.
+    :param bandwidths: bytes per second of the links of VMs whose bandwidth is limited.
     """
 
     parent_port: int
@@ -27,6 +28,7 @@
     heartbeat_s: float
     history_s: float
     configuration: bytes
+    bandwidths: dict[str, float] = {}
 
 
 class LinkFault(enum.StrEnum):
--- a/src/saddlestack/soak/store_process.py
+++ b/src/saddlestack/soak/store_process.py
@@ -48,6 +48,7 @@
     VmHeld,
 )
 from saddlestack.soak.stream import MessageStream
+from saddlestack.standins.network import Link
 from saddlestack.standins.pool.store import StoreState, StoreView
 from saddlestack.standins.ports import LOOPBACK
 from saddlestack.wire.http import Request, Response
@@ -65,12 +66,15 @@
     :ivar fault_number: number of the current fault of the link.
     """
 
-    def __init__(self, process: StoreProcess, vm: str, rng: random.Random) -> None:
+    def __init__(
+        self, process: StoreProcess, vm: str, rng: random.Random, bandwidth: float | None
+    ) -> None:
         self._process = process
         self._vm = vm
         self.view = StoreView(process.state, check_s=WATCH_CHECK_INTERVAL_S)
         self._store_handler = StoreHandler(self.view)
-        self.link = StoreLink(self._handle, rng)
+        link = None if bandwidth is None else Link(bandwidth)
+        self.link = StoreLink(self._handle, rng, link)
         self.fault_number = 0
 
     def heal(self) -> None:
@@ -107,7 +111,8 @@
         self.state.observers.append(self._report_leader_change)
         self._records = WorkerRecords(self.state, settings.heartbeat_s)
         self._vms = {
-            vm: VmStore(self, vm, random.Random(rng.getrandbits(64))) for vm in settings.vms
+            vm: VmStore(self, vm, random.Random(rng.getrandbits(64)), settings.bandwidths.get(vm))
+            for vm in settings.vms
         }
         self._leader_lease = 0
         self._pause_at_renewal: dict[str, int] = {}
--- a/src/saddlestack/standins/network.py
+++ b/src/saddlestack/standins/network.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 from saddlestack.wire.dialer import CONNECT_TIMEOUT_S, Dialer, Reader, Writer
 
@@ -199,16 +200,38 @@
         self._writer.close()
 
 
+class LinkQueue:
+    """What one connection has under way on a link, up to its window.
+
+    :param deliver: called with each chunk of data once it has passed the link.
+    """
+
+    def __init__(self, link: Link, deliver: Callable[[bytes], None]) -> None:
+        self._link = link
+        self._deliver = deliver
+        self._under_way: deque[float] = deque()
+
+    async def send(self, data: bytes) -> None:
+        """Queue data, and wait while the window is full."""
+        loop = asyncio.get_running_loop()
+        for first in range(0, len(data), LINK_CHUNK):
+            chunk = data[first : first + LINK_CHUNK]
+            arrives_s = self._link.queue(len(chunk))
+            loop.call_at(arrives_s, self._deliver, chunk)
+            self._under_way.append(arrives_s)
+            if len(self._under_way) * LINK_CHUNK >= LINK_WINDOW:
+                await asyncio.sleep(self._under_way.popleft() - loop.time())
+
+    async def drain(self) -> None:
+        """Wait until everything has passed the link."""
+        if self._under_way:
+            await asyncio.sleep(self._under_way[-1] - asyncio.get_running_loop().time())
+
+
 async def _pump(reader: asyncio.StreamReader, delayed: asyncio.StreamReader, link: Link) -> None:
     """Pass on the data of a connection as it arrives over a link."""
-    loop = asyncio.get_running_loop()
-    under_way: deque[float] = deque()
+    queue = LinkQueue(link, delayed.feed_data)
     while data := await reader.read(LINK_CHUNK):
-        arrives_s = link.queue(len(data))
-        loop.call_at(arrives_s, delayed.feed_data, data)
-        under_way.append(arrives_s)
-        if len(under_way) * LINK_CHUNK >= LINK_WINDOW:
-            await asyncio.sleep(under_way.popleft() - loop.time())
-    if under_way:
-        await asyncio.sleep(under_way[-1] - loop.time())
+        await queue.send(data)
+    await queue.drain()
     delayed.feed_eof()
--- a/tests/test_soak_configuration.py
+++ b/tests/test_soak_configuration.py
@@ -31,6 +31,7 @@
 from saddlestack.soak.shape import FaultKind, check, load
 
 SHAPE = Path(__file__).parent.parent / "deploy" / "soak" / "configuration.json"
+LARGE_SHAPE = SHAPE.with_name("large-configuration.json")
 BASE = frozenset({"urgent"})
 KEY = "key"
 VM = "hall-1-entry-1"
@@ -145,12 +146,21 @@
     def test_errors_of_the_mix_are_named(self) -> None:
         shape = load(SHAPE)
         assert shape.configuration is not None
-        mix = msgspec.structs.replace(shape.configuration, pause_s=(2.0, 1.0), invalid_share=1.5)
+        mix = msgspec.structs.replace(
+            shape.configuration,
+            pause_s=(2.0, 1.0),
+            series_pause_s=(0.0, 1.0),
+            idle_queues=-1,
+            invalid_share=1.5,
+        )
         self.assertEqual(
-            list(check(msgspec.structs.replace(shape, configuration=mix))),
+            list(check(msgspec.structs.replace(shape, configuration=mix, weak_link_bytes_s=0.0))),
             [
                 "configuration.pause_s: expected two times above 0, the shorter one first",
+                "configuration.series_pause_s: expected two times above 0, the shorter one first",
+                "configuration.idle_queues: expected 0 to 8500, got -1",
                 "configuration.invalid_share: expected 0 to 1, got 1.5",
+                "weak_link_bytes_s: expected 1000 to inf, got 0",
             ],
         )
 
@@ -165,6 +175,15 @@
         self.assertGreater(report.configurations.versions, 10)
         self.assertGreater(report.configurations.judged, 200)
 
+    # Calls were handled by older versions where a document took most of a second to arrive.
+    def test_large_configurations_are_in_force_in_time_over_narrow_links(self) -> None:
+        report = asyncio.run(run(SoakPlan(load(LARGE_SHAPE), seed=1, seconds=14.0)))
+        self.assertEqual([broken.text for broken in report.broken], [], f"logs: {report.logs}")
+        self.assertEqual(report.troubled, [], f"logs: {report.logs}")
+        assert report.configurations is not None
+        self.assertGreater(report.configurations.versions, 4)
+        self.assertGreater(report.configurations.judged, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
