--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -24,8 +24,6 @@
 answer is lost, the next watch, a pause and its answer fit into the rest."""
 LIST_SHARE = 0.25
 """Time for the beginning of the first listing as a share of the same time."""
-DELIVERY_S = 0.1
-"""An answer that arrives for longer than this has a large document, or a slow link."""
 
 Listener = Callable[[PoolConfiguration], None]
 
@@ -86,16 +84,11 @@
     def is_behind(self) -> bool:
         """Whether the document has to be read beside its feed.
 
-        That is the case while the store does not answer the feed, or its answer takes long to
-        arrive, and once after a document was refused.
+        That is the case while the store does not answer the feed, and once after a document was
+        refused.
         """
         is_unanswered = self._feed.is_behind or not self._context.health.is_available
-        return is_unanswered or self.is_delivering or self.is_refused
-
-    @property
-    def is_delivering(self) -> bool:
-        """Whether an answer of the store has been arriving for some time."""
-        return self._feed.receiving_s() > DELIVERY_S
+        return is_unanswered or self.is_refused
 
     async def poll(self) -> None:
         """Asks the store for a newer document, without waiting for one."""
--- a/src/saddlestack/control/configuration_copies.py
+++ b/src/saddlestack/control/configuration_copies.py
@@ -1,8 +1,8 @@
 """Copies of the configuration that VMs get from each other.
 
-A copy is compressed, so that it passes a slow link while the store's answer, which is many times
-larger, is still arriving. Asking for the version first keeps VMs from sending each other documents
-that they have. The idea is that of one watch for many: "Node-level Traffic Reuse Capability".
+A copy is compressed: over a slow link it takes a fraction of the time of an answer of the store.
+Asking for the version first keeps VMs from sending each other documents that they have. The idea is
+that of one watch for many: "Node-level Traffic Reuse Capability".
 """
 
 from __future__ import annotations
--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from saddlestack.control.context import EntryContext
 from saddlestack.control.guarded import STALL_S
 from saddlestack.interfaces.store import HistoryGone, Item, Listing, MetadataStore, StoreUnavailable
-from saddlestack.kernel.transfers import Transfer, receive, tracked
+from saddlestack.kernel.transfers import receive
 from saddlestack.policy.retry import backoff_delay
 
 log = logging.getLogger("saddlestack.feed")
@@ -91,7 +90,6 @@
         self._list_timeout_s = list_timeout_s
         self._gap_s = gap_s
         self._failures = 0
-        self._transfer: Transfer | None = None
         self._revision = 0
         self._current_as_of_s = -math.inf
         self._gauge = f"{name}_age_ms"
@@ -110,10 +108,6 @@
         """Whether the last call was not answered."""
         return self._failures > 0
 
-    def receiving_s(self) -> float:
-        """Returns for how long an answer has been arriving, in seconds; 0 if none is."""
-        return 0.0 if self._transfer is None else self._transfer.receiving_s()
-
     async def poll(self) -> None:
         """Receives the changes up to now, beside the watch that may be waiting for more."""
         if not self.loaded.is_set():
@@ -163,8 +157,7 @@
         store = self._context.store
         clock = self._context.clock
         sent_s = clock.now()
-        with self._receiving():
-            listing = await list_within(store, self._prefix, self._list_timeout_s, self._failures)
+        listing = await list_within(store, self._prefix, self._list_timeout_s, self._failures)
         self._failures = 0
         self._current_as_of_s = sent_s
         self._on_snapshot(listing.items)
@@ -173,8 +166,7 @@
         while True:
             sent_s = clock.now()
             try:
-                with self._receiving():
-                    changes = await store.watch(self._prefix, self._revision, self._wait_s)
+                changes = await store.watch(self._prefix, self._revision, self._wait_s)
             except StoreUnavailable as error:
                 await self._back_off(error)
                 continue
@@ -186,15 +178,6 @@
                 if len(changes.items) < FULL_BATCH:
                     await asyncio.sleep(self._gap_s)
 
-    @contextlib.contextmanager
-    def _receiving(self) -> Iterator[None]:
-        """Tracks the answer to a call that is made in the context."""
-        with tracked() as self._transfer:
-            try:
-                yield
-            finally:
-                self._transfer = None
-
     def _as_of_s(self, sent_s: float, changes: Listing) -> float:
         """Returns the time at which the changes were complete."""
         end_s = sent_s + self._wait_s
--- a/src/saddlestack/control/guarded.py
+++ b/src/saddlestack/control/guarded.py
@@ -124,7 +124,7 @@
             of the answer to the call has arrived.
         """
         sent = self._health.clock.now()
-        with tracked(self._health.record_received) as transfer:
+        with tracked(self._record_received) as transfer:
             task = asyncio.ensure_future(call)
             try:
                 while True:
@@ -143,6 +143,9 @@
                     _log_abandoned(transfer)
                 task.cancel()
 
+    def _record_received(self) -> None:
+        self._health.record_received()
+
 
 def _log_abandoned(transfer: Transfer) -> None:
     """Logs a call that ends after a part of its answer has arrived."""
