Ask other VMs when an answer hardly arrives

An answer that trickles in is waited for, since it has begun and its connection is not silent; the configuration in force was then as old as that took. A VM now asks others once an answer has been arriving for half of the bound, and does not poll the store beside it.

--- a/src/saddlestack/control/configuration.py
+++ b/src/saddlestack/control/configuration.py
@@ -24,6 +24,9 @@
 answer is lost, the next watch, a pause and its answer fit into the rest."""
 LIST_SHARE = 0.25
 """Time for the beginning of the first listing as a share of the same time."""
+DELIVERY_SHARE = 0.5
+"""Share of the same time for which an answer may be arriving before other VMs are asked. While it
+takes a slow link, their answers wait behind it."""
 
 Listener = Callable[[PoolConfiguration], None]
 
@@ -48,6 +51,7 @@
         self.is_refused = False
         self._listeners: list[Listener] = []
         apply_s = context.settings.timings.configuration_apply_ms / 1000
+        self._delivery_s = DELIVERY_SHARE * apply_s
         self._feed = Feed(
             context,
             context.documents.locations.configuration_prefix,
@@ -84,11 +88,12 @@
     def is_behind(self) -> bool:
         """Whether the document has to be read beside its feed.
 
-        That is the case while the store does not answer the feed, and once after a document was
-        refused.
+        That is the case while the store does not answer the feed, or its answer hardly arrives, and
+        once after a document was refused.
         """
         is_unanswered = self._feed.is_behind or not self._context.health.is_available
-        return is_unanswered or self.is_refused
+        is_slow = self._feed.receiving_s() > self._delivery_s
+        return is_unanswered or is_slow or self.is_refused
 
     async def poll(self) -> None:
         """Asks the store for a newer document, without waiting for one."""
--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from saddlestack.control.context import EntryContext
 from saddlestack.control.guarded import STALL_S
 from saddlestack.interfaces.store import HistoryGone, Item, Listing, MetadataStore, StoreUnavailable
-from saddlestack.kernel.transfers import receive
+from saddlestack.kernel.transfers import Transfer, receive, tracked
 from saddlestack.policy.retry import backoff_delay
 
 log = logging.getLogger("saddlestack.feed")
@@ -90,6 +91,7 @@
         self._list_timeout_s = list_timeout_s
         self._gap_s = gap_s
         self._failures = 0
+        self._transfer: Transfer | None = None
         self._revision = 0
         self._current_as_of_s = -math.inf
         self._gauge = f"{name}_age_ms"
@@ -108,9 +110,16 @@
         """Whether the last call was not answered."""
         return self._failures > 0
 
+    def receiving_s(self) -> float:
+        """Returns for how long an answer has been arriving, in seconds; 0 if none is."""
+        return 0.0 if self._transfer is None else self._transfer.receiving_s()
+
     async def poll(self) -> None:
-        """Receives the changes up to now, beside the watch that may be waiting for more."""
-        if not self.loaded.is_set():
+        """Receives the changes up to now, beside the watch that may be waiting for more.
+
+        An answer that is arriving brings them, and a second one would take as long.
+        """
+        if not self.loaded.is_set() or self.receiving_s() > 0:
             return
         sent_s = self._context.clock.now()
         try:
@@ -157,7 +166,8 @@
         store = self._context.store
         clock = self._context.clock
         sent_s = clock.now()
-        listing = await list_within(store, self._prefix, self._list_timeout_s, self._failures)
+        with self._receiving():
+            listing = await list_within(store, self._prefix, self._list_timeout_s, self._failures)
         self._failures = 0
         self._current_as_of_s = sent_s
         self._on_snapshot(listing.items)
@@ -166,7 +176,8 @@
         while True:
             sent_s = clock.now()
             try:
-                changes = await store.watch(self._prefix, self._revision, self._wait_s)
+                with self._receiving():
+                    changes = await store.watch(self._prefix, self._revision, self._wait_s)
             except StoreUnavailable as error:
                 await self._back_off(error)
                 continue
@@ -178,6 +189,15 @@
                 if len(changes.items) < FULL_BATCH:
                     await asyncio.sleep(self._gap_s)
 
+    @contextlib.contextmanager
+    def _receiving(self) -> Iterator[None]:
+        """Tracks the answer to the call that is made in the context."""
+        with tracked() as self._transfer:
+            try:
+                yield
+            finally:
+                self._transfer = None
+
     def _as_of_s(self, sent_s: float, changes: Listing) -> float:
         """Returns the time at which the changes were complete."""
         end_s = sent_s + self._wait_s
--- a/src/saddlestack/control/refresh.py
+++ b/src/saddlestack/control/refresh.py
@@ -1,7 +1,7 @@
 """Keeps the configuration up to date where following it in the store does not suffice.
 
 The feed of the configuration has one call at a time on this VM's own connection. If the store turns
-this VM away, or an answer is lost, another VM may already have the configuration.
+this VM away, or an answer is lost or hardly arrives, another VM may already have the configuration.
 """
 
 from __future__ import annotations
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -12,14 +12,19 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+from saddlestack.platform.kv import KvStore
 from saddlestack.standins.loop import run
+from saddlestack.standins.network import Link, LinkDialer
 from saddlestack.standins.pool.cluster import PoolCluster
 from saddlestack.standins.pool.store import StoreFaults
+from saddlestack.wire.dialer import Dialer, Reader, Writer
 
 APPLY_S = 2.0
 """The platform's bound for a confirmed configuration to be in force."""
 NARROW_BYTES_S = 1_250_000.0
 """10 Mbit/s, the slowest link of a deployment."""
+TRICKLE_BYTES_S = 60_000.0
+"""A connection that loses most of its packets."""
 WIDE_BYTES_S = 25_000_000.0
 MAX_DOCUMENT = 1_048_576
 """Largest value of the platform's store, in bytes; an answer has it in base64."""
@@ -90,6 +95,13 @@
     return loop.time() - start_s
 
 
+class TricklingDialer(Dialer):
+    """Opens connections each of which delivers hardly anything."""
+
+    async def open(self, address: str, port: int, timeout: float = 2.0) -> tuple[Reader, Writer]:
+        return await LinkDialer(Link(TRICKLE_BYTES_S)).open(address, port, timeout)
+
+
 class ChangeTest(unittest.TestCase):
     """A large configuration changes, and no answer is lost."""
 
@@ -226,6 +238,20 @@
 
         play(body, links=narrow_links())
 
+    # A connection that delivered hardly anything was waited for, since it had not gone silent.
+    def test_an_answer_that_hardly_arrives_does_not_hold_a_change_back(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            store = cluster.member("entry-2").vm.health._store
+            assert isinstance(store, KvStore)
+            store._http._dialer = TricklingDialer()
+            store.close()
+            await asyncio.sleep(SETTLED_S)
+            cluster.configure(more_queues=queues(LARGE))
+            self.assertLess(await seconds_until_in_force(cluster), APPLY_S)
+            self.assertTrue(cluster.member("entry-2").vm.health.is_available)
+
+        play(body, links=mixed_links())
+
     def _faults(self, cluster: PoolCluster, name: str) -> StoreFaults:
         return cluster.member(name).view.faults
 
