Count neither ends of connections nor polls as progress of watches

The end of a connection was recorded as a part of an answer, of no bytes, so that it extended the wait and counted as a sign of the store for 0.25 s. A poll that is overdue no longer gives the next watch more time, and watches of different lengths no longer have an entry each.

The test of closed connections fails without its change: the answer counts as arriving for 1 s.

--- a/src/saddlestack/control/guarded.py
+++ b/src/saddlestack/control/guarded.py
@@ -46,7 +46,7 @@
     def __init__(self, store: MetadataStore, health: StoreHealth) -> None:
         self._store = store
         self._health = health
-        self._overdue_watches: dict[tuple[str, float], int] = {}
+        self._overdue_watches: dict[tuple[str, bool], int] = {}
 
     def reconnect(self) -> None:
         """Uses new connections from now on."""
@@ -67,9 +67,11 @@
         abandoned as soon as it is overdue. One whose answer has begun to arrive is not, as long as
         it keeps arriving. Its successor may take longer, since the store may need the time.
 
+        :param wait_s: time for a change; a watch without any counts apart from those that wait.
         :raises StoreUnavailable: no answer in time.
         """
-        overdue_in_a_row = self._overdue_watches.pop((prefix, wait_s), 0)
+        key = (prefix, wait_s > 0)
+        overdue_in_a_row = self._overdue_watches.pop(key, 0)
         limit_s = wait_s + self._health.overdue_after_s * 2**overdue_in_a_row
         with tracked() as transfer:
             try:
@@ -79,7 +81,7 @@
                     )
                 )
             except TimeoutError:
-                self._overdue_watches[prefix, wait_s] = min(overdue_in_a_row + 1, MAX_DOUBLINGS)
+                self._overdue_watches[key] = min(overdue_in_a_row + 1, MAX_DOUBLINGS)
                 self._health.probe_now()
                 log.warning(
                     "watch is overdue",
--- a/src/saddlestack/wire/http.py
+++ b/src/saddlestack/wire/http.py
@@ -508,7 +508,8 @@
             if event is h11.NEED_DATA:
                 chunk = await self._reader.read(READ_SIZE)
                 self._bytes += len(chunk)
-                report_received(len(chunk))
+                if chunk:
+                    report_received(len(chunk))
                 self._h11.receive_data(chunk)
             elif isinstance(event, h11.Response):
                 response.status = event.status_code
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -95,6 +95,13 @@
             await reader.read()
             writer.close()
 
+        self.play_server(serve, body)
+
+    def play_server(
+        self,
+        serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+        body: Callable[[KvStore], Awaitable[None]],
+    ) -> None:
         async def main() -> None:
             server = await asyncio.start_server(serve, "127.0.0.1", 0)
             store = KvStore("127.0.0.1", server.sockets[0].getsockname()[1])
@@ -114,6 +121,19 @@
 
         self.play([0.5] + 6 * [0.9 * STALL_TIMEOUT_S], body)
 
+    def test_the_end_of_a_connection_is_no_part_of_an_answer(self) -> None:
+        async def body(store: KvStore) -> None:
+            with tracked() as transfer, self.assertRaises(StoreUnavailable):
+                await store.get("k")
+            await asyncio.sleep(STALL_TIMEOUT_S)
+            self.assertEqual((transfer.received, transfer.receiving_s()), (0, 0.0))
+
+        async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(1000)
+            writer.close()
+
+        self.play_server(hang_up, body)
+
     def test_an_answer_that_stops_is_unavailable(self) -> None:
         async def body(store: KvStore) -> None:
             with self.assertRaises(StoreUnavailable):
