Test the largest document at a VM that the store turns away

It was read whole through another VM within 0.6 s, which does not suffice for 1 MB over 10 Mbit/s: not in force after 30 s on.

--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -238,6 +238,18 @@
 
         play(body, links=narrow_links())
 
+    # A large document did not fit into the time of a call to another VM, and never came into force.
+    def test_a_vm_that_the_store_turns_away_gets_the_largest_document(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            self._faults(cluster, "entry-3").refusing = True
+            await asyncio.sleep(SETTLED_S)
+            for _ in range(3):
+                cluster.configure(more_queues=queues(HUGE))
+                self.assertLess(await seconds_until_in_force(cluster), APPLY_S)
+                await asyncio.sleep(0.3)
+
+        play(body, links=mixed_links())
+
     # A connection that delivered hardly anything was waited for, since it had not gone silent.
     def test_an_answer_that_hardly_arrives_does_not_hold_a_change_back(self) -> None:
         async def body(cluster: PoolCluster) -> None:
