--- a/benchmarks/documents.py
+++ b/benchmarks/documents.py
@@ -12,11 +12,12 @@
 
 from saddlestack.standins.loop import run
 from saddlestack.standins.pool.cluster import PoolCluster
+from saddlestack.standins.pool.documents import idle_queues
 
 MBIT_BYTES = 125_000.0
 LINKS_MBIT = (2, 5, 10, 20)
 WIDE_MBIT = 200
-QUEUES = (40, 2200, 4400, 7500)
+QUEUES = (40, 2000, 4000, 7300)
 NAMES = ("entry-1", "entry-2", "entry-3", "entry-4")
 SETTLED_S = 12.0
 GIVEN_UP_S = 30.0
@@ -25,26 +26,20 @@
 PREFIX = "op/"
 
 
-def queues(count: int) -> list[str]:
-    """Returns names that hardly compress."""
-    names = random.Random(count)
-    return [f"{names.getrandbits(64):016x}" for _ in range(count)]
-
-
 async def seconds(
     count: int, links: dict[str, float], seed: int, *, is_lost: bool
 ) -> tuple[float, int]:
     """Returns how long a change takes to be in force everywhere, and the document's size."""
     cluster = PoolCluster(entries=len(links), seed=seed, links=links)
     await cluster.start()
-    cluster.configure(more_queues=queues(count))
+    cluster.configure(more_queues=idle_queues(count))
     await asyncio.sleep(SETTLED_S + random.Random(seed).uniform(0.0, 1.0))
     loop = asyncio.get_running_loop()
     faults = cluster.member(NAMES[-1]).view.faults
     if is_lost:
         faults.lost_watches = frozenset({PREFIX})
     start_s = loop.time()
-    cluster.configure(more_queues=queues(count))
+    cluster.configure(more_queues=idle_queues(count))
     await asyncio.sleep(STEP_S)
     faults.lost_watches = frozenset()
     while loop.time() < start_s + GIVEN_UP_S:
--- a/src/saddlestack/soak/platform.py
+++ b/src/saddlestack/soak/platform.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import itertools
-import random
 import sys
 from collections.abc import Mapping, Sequence
 from pathlib import Path
@@ -31,7 +30,7 @@
     VmHeld,
 )
 from saddlestack.soak.stream import MessageStream
-from saddlestack.standins.pool.documents import HOST, SERVICE
+from saddlestack.standins.pool.documents import HOST, SERVICE, idle_queues
 from saddlestack.standins.ports import LOOPBACK
 
 START_TIMEOUT_S = 20.0
@@ -254,9 +253,10 @@
         }
         for kind in shape.kinds
     ]
+    idle = 0 if shape.configuration is None else shape.configuration.idle_queues
     routes += [
         {"name": name, "host": HOST, "path-prefix": f"/{name}/", "service": SERVICE}
-        for name in (*queues, *_idle_queues(shape))
+        for name in (*queues, *idle_queues(idle))
     ]
     tenants = [
         {
@@ -271,13 +271,6 @@
     return to_json({"version": version, "routes": routes, "services": services, "tenants": tenants})
 
 
-def _idle_queues(shape: SoakShape) -> list[str]:
-    """Return the names of the queues that make the document large; they hardly compress."""
-    count = 0 if shape.configuration is None else shape.configuration.idle_queues
-    names = random.Random(count)
-    return [f"idle-{names.getrandbits(64):016x}" for _ in range(count)]
-
-
 async def _stop_process(process: asyncio.subprocess.Process) -> None:
     try:
         async with asyncio.timeout(STOP_TIMEOUT_S):
--- a/src/saddlestack/standins/pool/documents.py
+++ b/src/saddlestack/standins/pool/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Collection
 
 import msgspec
@@ -13,6 +14,12 @@
 QUEUES = (("urgent", 0), ("normal", 1), ("bulk", 2))
 
 
+def idle_queues(count: int) -> list[str]:
+    """Return names of queues that make a document large; they hardly compress."""
+    names = random.Random(count)
+    return [f"idle-{names.getrandbits(64):016x}" for _ in range(count)]
+
+
 def pool_document(
     version: int,
     *,
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -16,6 +16,7 @@
 from saddlestack.standins.loop import run
 from saddlestack.standins.network import Link, LinkDialer
 from saddlestack.standins.pool.cluster import PoolCluster
+from saddlestack.standins.pool.documents import idle_queues
 from saddlestack.standins.pool.store import StoreFaults
 from saddlestack.wire.dialer import Dialer, Reader, Writer
 
@@ -29,9 +30,9 @@
 MAX_DOCUMENT = 1_048_576
 """Largest value of the platform's store, in bytes; an answer has it in base64."""
 BASE64_FACTOR = 4 / 3
-LARGE = 4200
+LARGE = 4100
 """Number of queues; a document of some 550 KB."""
-HUGE = 6400
+HUGE = 7300
 """Number of queues; a document of nearly :data:`MAX_DOCUMENT`."""
 STEP_S = 0.01
 GIVEN_UP_S = 30.0
@@ -42,12 +43,6 @@
 Body = Callable[[PoolCluster], Awaitable[None]]
 
 
-def queues(count: int) -> list[str]:
-    """Returns names that hardly compress, as those of a deployment."""
-    names = random.Random(count)
-    return [f"{names.getrandbits(64):016x}" for _ in range(count)]
-
-
 def play(body: Body, *, links: dict[str, float], seed: int = 1) -> None:
     """Runs a coroutine against a started cluster, on a virtual clock."""
 
@@ -110,7 +105,7 @@
     ) -> None:
         async def body(cluster: PoolCluster) -> None:
             for _ in range(changes):
-                cluster.configure(more_queues=queues(count))
+                cluster.configure(more_queues=idle_queues(count))
                 self.assertLess(await seconds_until_in_force(cluster), APPLY_S)
                 self.assertLess(len(cluster.store.item("op/config").value), MAX_DOCUMENT)
 
@@ -142,7 +137,7 @@
 
             async def body(cluster: PoolCluster) -> None:
                 before = {name: _carried(cluster, name) for name in cluster.members}
-                cluster.configure(more_queues=queues(LARGE))
+                cluster.configure(more_queues=idle_queues(LARGE))
                 await seconds_until_in_force(cluster)
                 await asyncio.sleep(APPLY_S)
                 for name in cluster.members:
@@ -156,7 +151,7 @@
     # abandoned when it was back.
     def test_the_store_counts_as_available_while_it_delivers(self) -> None:
         async def body(cluster: PoolCluster) -> None:
-            cluster.configure(more_queues=queues(HUGE))
+            cluster.configure(more_queues=idle_queues(HUGE))
             late_s = 0.0
             while not all(is_in_force(cluster, name) for name in cluster.members):
                 for name, member in cluster.members.items():
@@ -181,7 +176,7 @@
                 name = cluster.leader_name
                 scheduler = cluster.member(name).vm.scheduler
                 for _ in range(6):
-                    cluster.configure(more_queues=queues(HUGE))
+                    cluster.configure(more_queues=idle_queues(HUGE))
                     await asyncio.sleep(1.2)
                 self.assertEqual(cluster.leader_name, name)
                 self.assertIs(cluster.member(name).vm.scheduler, scheduler)
@@ -200,7 +195,7 @@
             async def body(cluster: PoolCluster, seed: int = seed) -> None:
                 faults = self._faults(cluster, NARROW[seed % len(NARROW)])
                 faults.lost_watches = frozenset({CONFIGURATION_PREFIX})
-                cluster.configure(more_queues=queues(LARGE))
+                cluster.configure(more_queues=idle_queues(LARGE))
                 await asyncio.sleep(0.05)
                 faults.lost_watches = frozenset()
                 self.assertLess(0.05 + await seconds_until_in_force(cluster), APPLY_S)
@@ -211,7 +206,7 @@
     # A listing was abandoned after 0.5, 1, 2 and 4 s, each of them a transfer for nothing.
     def test_a_large_listing_is_received_once(self) -> None:
         async def body(cluster: PoolCluster) -> None:
-            cluster.configure(more_queues=queues(HUGE))
+            cluster.configure(more_queues=idle_queues(HUGE))
             await seconds_until_in_force(cluster)
             before = {name: _carried(cluster, name) for name in NARROW}
             cluster.evacuate("hall-9")
@@ -226,7 +221,7 @@
     # The second read of a document that was refused ended after 0.6 s, and began again and again.
     def test_a_large_document_that_is_refused_is_read_once_more(self) -> None:
         async def body(cluster: PoolCluster) -> None:
-            cluster.configure(more_queues=queues(HUGE))
+            cluster.configure(more_queues=idle_queues(HUGE))
             await seconds_until_in_force(cluster)
             await asyncio.sleep(SETTLED_S)
             before = {name: _carried(cluster, name) for name in NARROW}
@@ -244,7 +239,7 @@
             self._faults(cluster, "entry-3").refusing = True
             await asyncio.sleep(SETTLED_S)
             for _ in range(3):
-                cluster.configure(more_queues=queues(HUGE))
+                cluster.configure(more_queues=idle_queues(HUGE))
                 self.assertLess(await seconds_until_in_force(cluster), APPLY_S)
                 await asyncio.sleep(0.3)
 
@@ -258,7 +253,7 @@
             store._http._dialer = TricklingDialer()
             store.close()
             await asyncio.sleep(SETTLED_S)
-            cluster.configure(more_queues=queues(LARGE))
+            cluster.configure(more_queues=idle_queues(LARGE))
             self.assertLess(await seconds_until_in_force(cluster), APPLY_S)
             self.assertTrue(cluster.member("entry-2").vm.health.is_available)
 
