Reserve the loopback network of a soak

A soak now holds a socket in its network while it runs, and takes the next one where it cannot; the test has two at the same time.

--- a/src/saddlestack/soak/run.py
+++ b/src/saddlestack/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 import shutil
 import signal
@@ -20,6 +19,7 @@
 from saddlestack.soak.hosts import WorkerHosts
 from saddlestack.soak.load import Load
 from saddlestack.soak.meters import Meters
+from saddlestack.soak.networks import FIRST_NETWORK, NetworkReservation
 from saddlestack.soak.platform import SoakPlatform
 from saddlestack.soak.processes import OWN_PROGRAM, EntryProcess, EntrySite, Program
 from saddlestack.soak.readiness import Readiness
@@ -31,8 +31,6 @@
 from saddlestack.standins.ports import LOOPBACK
 
 READY_TIMEOUT_S = 60.0
-FIRST_NETWORK = 130
-NETWORKS = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +58,8 @@
         rng = random.Random(plan.seed)
         self._plan = plan
         self._folder = folder
-        self._sites = entry_sites(plan.shape)
+        self._network = NetworkReservation()
+        self._sites = entry_sites(plan.shape, self._network.number)
         vms = [site.name for site in self._sites]
         bandwidths = _bandwidths(plan.shape, self._sites)
         self._platform = SoakPlatform(plan.shape, vms, folder, rng.getrandbits(64), bandwidths)
@@ -80,6 +79,7 @@
             if self._hosts is not None:
                 await self._hosts.stop()
             await self._platform.stop()
+            self._network.close()
 
     async def _run_load(self) -> SoakReport:
         hosts = self._hosts = await self._start_hosts()
@@ -183,12 +183,11 @@
                 await asyncio.sleep(0.05)
 
 
-def entry_sites(shape: SoakShape) -> list[EntrySite]:
+def entry_sites(shape: SoakShape, network: int = FIRST_NETWORK) -> list[EntrySite]:
     """Return the sites of a shape's entry VMs, each with a loopback address of its own.
 
-    Addresses depend on the process id, so that concurrent soaks do not collide.
+    :param network: the second byte of their addresses.
     """
-    network = FIRST_NETWORK + os.getpid() % NETWORKS
     return [
         EntrySite(
             name=f"{hall.name}-entry-{number}",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,7 @@
 from saddlestack.soak.load import ALWAYS_FAILS, Load, SubmittedJob, draw, request
 from saddlestack.soak.logsearch import lines_of
 from saddlestack.soak.meters import Usage, VmUsage
+from saddlestack.soak.networks import NetworkReservation
 from saddlestack.soak.platform import TermHistory, configuration
 from saddlestack.soak.processes import EntryProcess, EntrySite
 from saddlestack.soak.proxy import ConnectionFault, Proxy
@@ -156,6 +157,17 @@
         self.assertEqual(len({site.address for site in sites}), 41)
         self.assertEqual(sum(site.strong for site in sites), 6)
 
+    # Networks followed from process ids modulo 100: of soaks at the same time two had the same,
+    # and one of them never started.
+    def test_soaks_at_the_same_time_have_networks_of_their_own(self) -> None:
+        first, second = NetworkReservation(), NetworkReservation()
+        self.assertNotEqual(first.number, second.number)
+        first.close()
+        again = NetworkReservation()
+        self.assertEqual(again.number, first.number)
+        again.close()
+        second.close()
+
     def test_the_configuration_can_be_read(self) -> None:
         shape = load(GROWN)
         document = PlatformDocuments().configuration(configuration(shape))
