--- a/tests/run.py
+++ b/tests/run.py
@@ -20,6 +20,7 @@
 """Processes that run tests. Some tests start up to ten processes of their own in real time."""
 TAKEN_FIRST = (
     "tests.test_soak",
+    "tests.test_large",
     "tests.test_unequal",
     "tests.test_speed",
     "tests.test_gang",
