--- a/src/saddlestack/standins/ports.py
+++ b/src/saddlestack/standins/ports.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+import random
 import socket
 
 LOOPBACK = "127.0.0.1"
-MAX_PORT = 65_535
+FIRST_PORT = 10_000
+END_PORT = 32_768
+"""First port that Linux hands out for connections and for servers on port 0."""
+_random = random.SystemRandom()
 
 
 def free_ports(count: int) -> int:
-    """Return the first of ``count`` consecutive ports that are free now."""
+    """Return the first of ``count`` consecutive ports that are free now.
+
+    They lie below the ports that the system hands out itself, so that no other socket is given one
+    of them before it is bound.
+    """
     while True:
-        with socket.socket() as probe:
-            probe.bind((LOOPBACK, 0))
-            first = int(probe.getsockname()[1])
-        if first + count <= MAX_PORT and all(_is_free(first + n) for n in range(count)):
+        first = _random.randrange(FIRST_PORT, END_PORT - count)
+        if all(_is_free(first + n) for n in range(count)):
             return first
 
 
