--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -9,7 +9,7 @@
 
 from saddlestack.interfaces.store import StoreUnavailable
 from saddlestack.kernel.transfers import receive, report_received, tracked
-from saddlestack.platform.kv import STALL_TIMEOUT_S, KvStore
+from saddlestack.platform.kv import ANSWER_TIMEOUT_S, CALL_TIMEOUT_S, STALL_TIMEOUT_S, KvStore
 from saddlestack.standins.loop import run
 
 BEGIN_S = 0.5
@@ -134,6 +134,17 @@
 
         self.play_server(hang_up, body)
 
+    # Without a limit for all of it, an answer that hardly arrives would hold its caller for good.
+    def test_an_answer_that_hardly_arrives_ends_after_its_whole_time(self) -> None:
+        async def body(store: KvStore) -> None:
+            start_s = asyncio.get_running_loop().time()
+            with self.assertRaises(StoreUnavailable):
+                await store.get("k")
+            taken_s = asyncio.get_running_loop().time() - start_s
+            self.assertLess(taken_s, ANSWER_TIMEOUT_S + 2 * CALL_TIMEOUT_S)
+
+        self.play([0.5] + 60 * [0.9 * STALL_TIMEOUT_S], body)
+
     def test_an_answer_that_stops_is_unavailable(self) -> None:
         async def body(store: KvStore) -> None:
             with self.assertRaises(StoreUnavailable):
