Review: a lasting task that failed on all free workers is never started again

A worker that holds another lasting task counts as an alternative to the workers that the task avoids, so it waits for that worker for ever.

--- a/review/standins.py
+++ b/review/standins.py
@@ -37,6 +37,8 @@
 MOVED_S = 2.0
 """`stop-timeout-ms`, `maintenance-s` and the other bounds are those of thjorfe-saddle."""
 GANG_S = 3.0
+FAIL_AFTER_S = 0.02
+"""A worker that fails all that it starts does so at once."""
 LEADER_KEY = "saddlestack/leader"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -128,6 +130,8 @@
         self.state = "ready"
         self.is_cut = False
         self.is_unhealthy = False
+        self.fails_all = False
+        self.kind = "a"
         self.changed = asyncio.Event()
         self.server = HttpServer(self.handle)
         self.beat: asyncio.Task | None = None
@@ -160,7 +164,7 @@
             "service": SERVICE, "address": f"127.0.0.1:{self.server.port}", "zone": self.zone,
             "version": "v1", "slots": 8, "state": self.state, "cold-left-ms": 0,
             "capacity": {"cpu": 32000, "mem-mb": 65536, "gpu": 8},
-            "labels": ["a", self.rack], "clock-ms": self.clock_ms(), "seq": 1,
+            "labels": [self.kind, self.rack], "clock-ms": self.clock_ms(), "seq": 1,
             "machine": self.machine,
         }
         self.pool.store.state.put(f"servers/{self.wid}", json.dumps(record).encode())
@@ -272,6 +276,8 @@
         spec = json.loads(body["spec"])
         if sum(1 for _ in self.runs) * int(spec.get("gpu", 8)) + int(spec.get("gpu", 8)) > 8:
             return self.answer(409, "room")
+        if self.fails_all:
+            spec = {**spec, "work_s": FAIL_AFTER_S, "how": "failed", "lasts": False}
         run = self.runs[(name, number)] = Run(name, number, spec, time.monotonic())
         self.pool.starts.append((self.pool.record.now(), self.wid, name, number))
         self.pool.record.line(f"worker {self.wid} ({self.machine}) runs {name} run={number}")
@@ -318,13 +324,14 @@
         self.max_hold_s = 6.0
         self.starts: list[tuple[float, str, str, int]] = []
         self.ends: list[tuple[float, str, str, int, str]] = []
-        self._places: dict[str, tuple[str, str]] = {}
+        self._places: dict[str, tuple[str, str, str]] = {}
         self._count = 0
 
-    async def add(self, machine: str, zone: str, rack: str) -> Worker:
-        self._places[machine] = (zone, rack)
+    async def add(self, machine: str, zone: str, rack: str, kind: str = "a") -> Worker:
+        self._places[machine] = (zone, rack, kind)
         self._count += 1
         worker = Worker(self, machine, zone, rack, f"i-{self._count:04x}-{machine}")
+        worker.kind = kind
         self.workers[machine] = worker
         self.states[machine] = "up"
         await worker.start()
@@ -367,7 +374,7 @@
         if request.path == "/api/machines":
             rows = [
                 {"machine": name, "pool": SERVICE, "state": self.pool.states[name],
-                 "zone": worker.zone, "labels": ["a", worker.rack],
+                 "zone": worker.zone, "labels": [worker.kind, worker.rack],
                  "capacity": {"cpu": 32000, "mem-mb": 65536, "gpu": 8}, "id": worker.wid}
                 for name, worker in self.pool.workers.items()
             ]
@@ -518,13 +525,15 @@
         }
         self.store.state.put("op/config", json.dumps(document).encode())
 
-    async def start(self, vms: int, machines: int) -> None:
+    async def start(self, vms: int, machines: int, special: int = 0) -> None:
+        """Start all; the first `special` machines are of kind b, all others of kind a."""
         self.configure()
         self._expiry = asyncio.get_running_loop().create_task(self._expire())
         address = await self.machines.start()
         for number in range(machines):
             zone = HALLS[number % len(HALLS)]
-            await self.pool.add(f"m-{number + 1}", zone, f"r{number % len(HALLS) + 1}-1")
+            kind = "b" if number < special else "a"
+            await self.pool.add(f"m-{number + 1}", zone, f"r{number % len(HALLS) + 1}-1", kind)
         for number in range(vms):
             name = f"front-{HALLS[number % len(HALLS)]}-{number // len(HALLS) + 1}"
             store = await self.store.serve(name)
