Log crashes that count toward no suspect, and their reversal

A job whose workers were cut off in turn was shown as failed. The log told of the third loss on: the first two made the task no suspect, and were not logged. Nothing told a crash that was inferred from missing answers from one that another incarnation's answer had proved, nor whether a crash had been taken back since.

`crash_counted` and `crash_reverted` are findings of their own, and each finding carries `unheard`. No decision changes.

--- a/src/saddlestack/control/crashlog.py
+++ b/src/saddlestack/control/crashlog.py
@@ -49,5 +49,6 @@
                 "crashes": finding.crashes,
                 "odds": round(finding.odds, 3),
                 "beside": finding.beside,
+                "unheard": finding.unheard,
             },
         )
--- a/src/saddlestack/policy/cluster/crashes.py
+++ b/src/saddlestack/policy/cluster/crashes.py
@@ -184,6 +184,7 @@
             self._remove_from_rate(crash)
             for item in crash.evidence:
                 self._revert(item, assessment, uncount=True)
+                assessment.findings.append(_reverted_finding(item.task, worker_id))
         return assessment
 
     def run_ended(self, run: Run, how: EndKind, now: float) -> CrashAssessment:
@@ -293,17 +294,26 @@
         return assessment
 
     def _classify(self, task: Task, crash: _Crash, assessment: CrashAssessment) -> None:
-        """Classify a task after a crash as a suspect or a culprit, if it is one."""
+        """Classify a task after a crash, and record the finding."""
         record = _record(task)
-        if record is None or not self._rule.is_suspect(record):
+        if record is None:
             return
-        kind = CrashFindingKind.SUSPECT
-        if self._rule.is_culprit(record):
-            kind = CrashFindingKind.GIVEN_UP
-            assessment.culprits.append(task)
-        beside = crash.runs - 1
+        kind = CrashFindingKind.COUNTED
+        if self._rule.is_suspect(record):
+            kind = CrashFindingKind.SUSPECT
+            if self._rule.is_culprit(record):
+                kind = CrashFindingKind.GIVEN_UP
+                assessment.culprits.append(task)
         assessment.findings.append(
-            CrashFinding(kind, task.name, crash.worker_id, record.crashes, record.odds, beside)
+            CrashFinding(
+                kind,
+                task.name,
+                crash.worker_id,
+                record.crashes,
+                record.odds,
+                beside=crash.runs - 1,
+                unheard=crash.end.unheard,
+            )
         )
 
     def _log_odds(self, record: CrashRecord) -> float:
@@ -413,6 +423,13 @@
                 del self._likely_tasks[key]
 
 
+def _reverted_finding(task: Task, worker_id: str) -> CrashFinding:
+    record = _record(task) or CrashRecord()
+    return CrashFinding(
+        CrashFindingKind.REVERTED, task.name, worker_id, record.crashes, record.odds
+    )
+
+
 def _count_without(jobs: Iterable[frozenset[str]], task: Task) -> int:
     """The number of workers that ran no task of a task's job."""
     return sum(1 for each in jobs if task.name.job_id not in each)
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -21,6 +21,7 @@
 from saddlestack.models import JobState as CallerState
 from saddlestack.policy.cluster.crash_findings import CrashFinding, CrashFindingKind
 from saddlestack.policy.cluster.diagnosis import Diagnosis, DiagnosisContext
+from saddlestack.policy.cluster.incarnation_end import IncarnationEnd
 from saddlestack.policy.cluster.reasons import WaitReason
 from saddlestack.policy.cluster.records import FailureCause
 from saddlestack.services.metrics import Metrics
@@ -28,7 +29,7 @@
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.standins.pool.documents import KEY
 from saddlestack.work import JobState, TaskName
-from tests.test_cluster_state import step
+from tests.test_cluster_state import record, step
 from tests.test_crashes import SOON_S, CrashCase
 from tests.test_pool import PoolTest
 
@@ -131,6 +132,24 @@
         self.assertEqual(metrics.view().counters["crash_suspect"], many)
 
 
+class EvidenceTest(CrashCase):
+    def test_a_crash_that_makes_no_suspect_is_reported_and_so_is_its_reversal(self) -> None:
+        self.workers(racks=1, each=2)
+        job_id = self.add(step(1, 1))
+        self.plan(0.0)
+        worker_id = self.run_of(job_id).worker_id
+        self.cluster_state.unlist_worker(worker_id)
+        self.cluster_state.worker_ended(worker_id, IncarnationEnd(0.0, 9.0, unheard=True))
+        (counted,) = self.cluster_state.take_changes().findings
+        self.assertIs(counted.kind, CrashFindingKind.COUNTED)
+        self.assertEqual((counted.worker_id, counted.crashes), (worker_id, 1))
+        self.assertTrue(counted.unheard)
+        back = self.cluster_state.set_worker(record(worker_id), 12.0)
+        self.cluster_state.record_answer(back, 12.0)
+        kinds = [each.kind for each in self.cluster_state.take_changes().findings]
+        self.assertIn(CrashFindingKind.REVERTED, kinds)
+
+
 class ClearTest(CrashCase):
     def test_a_job_that_is_cleared_starts_beside_others_and_its_starts_still_count(self) -> None:
         self.workers(racks=1, each=2)
