Fail no job on missing answers alone

What callers saw: a job whose workers were cut off five times in a row was shown as failed, although no run of it failed and no worker crashed.

Cause: a worker that does not answer, and whose record has expired, counted as crashed once its leases had lapsed. The worker's next answer takes the crash back, but nothing calls an idle worker that is listed again. So it was taken back only where the leader happened to call it, never by a later leader, which did not know the worker, and the count of starts not at all.

Change: such a crash is unconfirmed. It counts for isolation and for the limit of starts, but gives no task up. The record keeps it with the worker's id, machine and address, so any leader decides it: an answer of that life reverts it, with the count of starts where fewer than three crashes are left; an answer of another life on the machine, or at the address, confirms it. While none does, a task that has used up its starts waits, 60 s and twice as long after each further start, so that starts on workers that never return stay few. A silent end that is less likely under the task than by chance counts as a run that survived until the last answer.

Why it holds: a job fails for crashes only by confirmed ones. A task that crashes its workers still starts at most twice after three of them, counted from silence on; it is given up once three workers were replaced.

--- a/benchmarks/crashing.py
+++ b/benchmarks/crashing.py
@@ -78,6 +78,10 @@
         """See :meth:`CrashRule.is_culprit`."""
         return record.log_odds >= MIN_CRASHES or record.later_starts >= MAX_LATER_STARTS
 
+    def awaits_confirmation(self, record: CrashRecord) -> bool:
+        """See :meth:`CrashRule.awaits_confirmation`."""
+        return False
+
 
 RULES: dict[str, CrashRule] = {"odds": CrashOdds(), "counts": SoloCrashCount()}
 
--- a/src/saddlestack/cli/crashes.py
+++ b/src/saddlestack/cli/crashes.py
@@ -82,7 +82,8 @@
         else ""
     )
     beside = f"beside it died {named}{more}" if others else "nothing died beside it"
-    return f"{what} at {crash.time}: {crash.worker} crashed ({count}); {beside}"
+    end = "stopped answering" if crash.unheard else "crashed"
+    return f"{what} at {crash.time}: {crash.worker} {end} ({count}); {beside}"
 
 
 @click.command("suspects")
--- a/src/saddlestack/cli/loglines.py
+++ b/src/saddlestack/cli/loglines.py
@@ -29,6 +29,7 @@
     :param crashes: of events ``crash_...``: number of counted crashes of workers under the task.
     :param odds: odds that the task crashes its workers.
     :param beside: number of other runs that were lost with the worker.
+    :param unheard: whether only missing answers show that the worker crashed.
     :param machine: of an event ``worker_speed``: its machine, if its record names one.
     :param factor: how long work takes on the worker, relative to a usual worker.
     :param confidence: confidence in that factor, from 0 to 1.
@@ -73,6 +74,7 @@
     crashes: int = 0
     odds: float = 0.0
     beside: int = 0
+    unheard: bool = False
     machine: str | None = None
     factor: float = 1.0
     confidence: float = 0.0
--- a/src/saddlestack/control/jobcodec.py
+++ b/src/saddlestack/control/jobcodec.py
@@ -90,8 +90,12 @@
 
 
 def _is_valid_crash(crash: CrashRecord) -> bool:
-    finite = math.isfinite(crash.log_odds) and math.isfinite(crash.span_s)
-    return finite and crash.crashes > 0 and crash.span_s > 0 and crash.later_starts >= 0
+    if not math.isfinite(crash.log_odds) or not math.isfinite(crash.span_s):
+        return False
+    if not all(math.isfinite(each.log_odds) for each in crash.unconfirmed):
+        return False
+    counted = crash.crashes > 0 and crash.confirmed_crashes >= 0
+    return counted and crash.span_s > 0 and crash.later_starts >= 0
 
 
 def _is_valid_task(task: TaskRecord) -> bool:
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -441,6 +441,8 @@
             await asyncio.sleep(TICK_S)
             self._end_workers_without_address()
             self._sessions.close_orphaned()
+            for worker in list(self.cluster_state.workers_to_ask()):
+                self._sessions.suspect_worker(worker)
             self.reschedule()
 
     async def _remove_expired_jobs(self) -> None:
--- a/src/saddlestack/policy/cluster/crash_findings.py
+++ b/src/saddlestack/policy/cluster/crash_findings.py
@@ -15,6 +15,9 @@
     """A crash counts toward the task, which is no suspect yet."""
     SUSPECT = "suspect"
     """The task may crash its workers."""
+    CONFIRMED = "confirmed"
+    """Another incarnation answers on the machine of a worker that counted as crashed for lack of
+    answers."""
     REVERTED = "reverted"
     """The worker of a counted crash answers, so the crash no longer counts."""
     CLEARED = "cleared"
--- a/src/saddlestack/policy/cluster/crash_rule.py
+++ b/src/saddlestack/policy/cluster/crash_rule.py
@@ -96,6 +96,10 @@
         """Whether a task that waits to be started has to be given up."""
         ...
 
+    def awaits_confirmation(self, record: CrashRecord) -> bool:
+        """Whether a task has used up its limited starts, while some of its crashes may be none."""
+        ...
+
 
 class CrashOdds:
     """Odds that a task crashes all of its workers, updated with each crash and each survival.
@@ -162,14 +166,15 @@
         """The record of a task, updated with a run that survived for some time without a crash.
 
         The odds are multiplied by the probability that a task which crashes its workers survives
-        for so long. If the run outlived :attr:`CrashRecord.span_s`, at most one crash stays counted
-        and the count of later starts returns to 0.
+        for so long. If the run outlived :attr:`CrashRecord.span_s`, at most one crash stays
+        counted, a confirmed one if there is any, and the count of later starts returns to 0.
         """
         log_odds = clamp_log_odds(record.log_odds + math.log(self._survival(record, lived_s)))
         if lived_s <= record.span_s:
             return msgspec.structs.replace(record, log_odds=log_odds)
         # The task does not crash every worker that starts it, so the limit on its starts is lifted.
-        return CrashRecord(min(record.crashes, 1), log_odds, record.span_s)
+        kept = () if record.confirmed_crashes else record.unconfirmed[-1:]
+        return CrashRecord(min(record.crashes, 1), log_odds, record.span_s, unconfirmed=kept)
 
     def is_suspect(self, record: CrashRecord) -> bool:
         """Whether the odds are at least :attr:`SUSPECT_ODDS`."""
@@ -187,11 +192,20 @@
         """Whether a task that waits to be started has to be given up.
 
         This is so once it has used up its limited starts, or after at least :data:`MIN_CRASHES`
-        crashes if its odds are at least :attr:`CULPRIT_ODDS`.
+        crashes if its odds are at least :attr:`CULPRIT_ODDS`. Unconfirmed crashes do not count.
         """
-        if record.later_starts >= MAX_LATER_STARTS:
+        if (
+            record.later_starts >= MAX_LATER_STARTS
+            and record.confirmed_crashes >= LIMIT_STARTS_FROM
+        ):
             return True
-        return record.crashes >= MIN_CRASHES and record.log_odds >= math.log(self.CULPRIT_ODDS)
+        return record.confirmed_crashes >= MIN_CRASHES and (
+            record.confirmed_log_odds >= math.log(self.CULPRIT_ODDS)
+        )
+
+    def awaits_confirmation(self, record: CrashRecord) -> bool:
+        """Whether a task has used up its limited starts and is no culprit."""
+        return record.later_starts >= MAX_LATER_STARTS and not self.is_culprit(record)
 
     def _updated_record(self, exposure: CrashExposure, share: float, others: float) -> CrashRecord:
         record, lifetime = exposure.record, exposure.lifetime
@@ -202,7 +216,9 @@
             noticed_s = lifetime.min_s + min(lifetime.max_s - lifetime.min_s, MAX_NOTICE_DELAY_S)
             span_s = max(span_s, noticed_s, self.MIN_SPAN_S)
         log_odds = clamp_log_odds(_log(share) - _log(others))
-        return CrashRecord(record.crashes + counts, log_odds, span_s, record.later_starts)
+        return msgspec.structs.replace(
+            record, crashes=record.crashes + counts, log_odds=log_odds, span_s=span_s
+        )
 
     def _odds(self, record: CrashRecord) -> float:
         if not record.crashes:
--- a/src/saddlestack/policy/cluster/crashes.py
+++ b/src/saddlestack/policy/cluster/crashes.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import defaultdict, deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -19,6 +19,7 @@
 from saddlestack.policy.cluster.crash_rule import (
     CRASH_RULE,
     LIMIT_STARTS_FROM,
+    MAX_LATER_STARTS,
     CrashExposure,
     CrashRule,
 )
@@ -30,7 +31,14 @@
     may_have_started,
 )
 from saddlestack.policy.cluster.jobs import Job, Run, StepState, Task
-from saddlestack.policy.cluster.records import CrashRecord, TaskStatus, clamp_log_odds
+from saddlestack.policy.cluster.records import (
+    CrashRecord,
+    TaskStatus,
+    UnconfirmedCrash,
+    clamp_log_odds,
+)
+from saddlestack.policy.cluster.unconfirmed_crashes import UnconfirmedCrashes
+from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.workers import Worker
 
 MAX_CRASHES = 64
@@ -54,6 +62,11 @@
 SAME_MACHINE_RATE = 0.1
 """Expected ends per second of a worker on a machine that has crashed under the same task before.
 The machine itself may crash repeatedly; a suspect goes to other machines if there are any."""
+FIRST_RETRY_S = 60.0
+"""How long a task that has used up its limited starts waits for its unconfirmed crashes to be
+decided before it is started once more. The wait doubles with each such start. Workers that crashed
+are replaced after some seconds."""
+MAX_RETRY_DOUBLINGS = 10
 MIN_LIKELY_TASKS = 2
 """Once this many tasks of a step are likely to crash their workers, all tasks of the step are
 suspects, since they run the same program."""
@@ -113,7 +126,9 @@
         self._rates = CrashRates()
         self._latest_crashes: deque[_Crash] = deque(maxlen=MAX_CRASHES)
         self._crashed_workers: set[str] = set()
-        self._unconfirmed_ends: dict[str, tuple[list[Run], IncarnationEnd]] = {}
+        self._listed_ends: dict[str, tuple[list[Run], IncarnationEnd]] = {}
+        self._unconfirmed = UnconfirmedCrashes()
+        self._held_since: dict[Task, float] = {}
         self._likely_tasks: defaultdict[tuple[str, int], set[Task]] = defaultdict(set)
 
     def is_suspect(self, task: Task) -> bool:
@@ -155,38 +170,41 @@
         """Record that an incarnation of a worker has ended, or seems to have.
 
         An announced end is no evidence against a task. A worker that is still listed and only
-        unreachable is probably alive; it counts as crashed once its record is removed.
+        unreachable is probably alive; it counts as crashed once its record is removed. Even then
+        it may only be cut off, so that the crash is not confirmed.
         """
         runs = [run for run in worker.runs.values() if may_have_started(run)]
         if not runs or is_announced(worker, end):
             return CrashAssessment()
         if end.unheard and worker.listed:
-            self._unconfirmed_ends[worker.worker_id] = (runs, end)
+            self._listed_ends[worker.worker_id] = (runs, end)
             return CrashAssessment()
         return self._record_crash(worker, runs, end)
 
     def record_removed(self, worker: Worker) -> CrashAssessment:
         """Record that a worker's record was removed; if it was unreachable, it has crashed."""
-        unconfirmed = self._unconfirmed_ends.pop(worker.worker_id, None)
-        if unconfirmed is None:
+        listed_end = self._listed_ends.pop(worker.worker_id, None)
+        if listed_end is None:
             return CrashAssessment()
-        return self._record_crash(worker, *unconfirmed)
+        return self._record_crash(worker, *listed_end)
+
+    def record_answer(self, worker: Worker) -> CrashAssessment:
+        """Record that an incarnation answers.
 
-    def record_answer(self, worker_id: str) -> CrashAssessment:
-        """Record that an incarnation answers, which reverts any crash of it."""
-        self._unconfirmed_ends.pop(worker_id, None)
+        It has not crashed, and any earlier incarnation on its machine is over.
+        """
         assessment = CrashAssessment()
-        if worker_id not in self._crashed_workers:
-            return assessment
-        self._crashed_workers.discard(worker_id)
-        for crash in [each for each in self._latest_crashes if each.worker_id == worker_id]:
-            self._latest_crashes.remove(crash)
-            self._remove_from_rate(crash)
-            for item in crash.evidence:
-                self._revert(item, assessment, uncount=True)
-                assessment.findings.append(_reverted_finding(item.task, worker_id))
+        self._listed_ends.pop(worker.worker_id, None)
+        if worker.worker_id in self._crashed_workers:
+            self._revert_crashes(worker, assessment)
+        if not self._unconfirmed.is_empty:
+            self._decide_unconfirmed(worker, assessment)
         return assessment
 
+    def deciding_workers(self) -> Iterator[Worker]:
+        """Yield the listed workers whose answer decides whether an unconfirmed crash was one."""
+        return self._unconfirmed.deciding_workers(self._workers)
+
     def run_ended(self, run: Run, how: EndKind, now: float) -> CrashAssessment:
         """Record that a run ended without a crash of its worker.
 
@@ -209,13 +227,27 @@
         """
         record = _record(task)
         if record is not None and record.crashes >= LIMIT_STARTS_FROM:
-            record.later_starts += count
+            record.later_starts = max(0, record.later_starts + count)
 
     def has_limited_starts(self, task: Task) -> bool:
         """Whether the remaining starts of a task are limited, so that none should be wasted."""
         record = _record(task)
         return record is not None and record.crashes >= LIMIT_STARTS_FROM
 
+    def is_held(self, task: Task, now: float) -> bool:
+        """Whether a task may not be started until its unconfirmed crashes are decided."""
+        until_s = self.held_until(task, now)
+        return until_s is not None and now < until_s
+
+    def held_until(self, task: Task, now: float) -> float | None:
+        """When a held task is started once more at the latest; ``None`` if it is not held."""
+        record = _record(task)
+        if record is None or not self._rule.awaits_confirmation(record):
+            self._held_since.pop(task, None)
+            return None
+        doublings = min(record.later_starts - MAX_LATER_STARTS, MAX_RETRY_DOUBLINGS)
+        return self._held_since.setdefault(task, now) + FIRST_RETRY_S * float(2**doublings)
+
     def is_out_of_starts(self, task: Task) -> bool:
         """Whether a task that would have to be started again fails its job instead."""
         record = _record(task)
@@ -223,15 +255,15 @@
 
     def give_up_finding(self, task: Task) -> CrashFinding:
         """The finding for a task that is given up."""
-        record = _record(task) or CrashRecord()
-        return CrashFinding(
-            CrashFindingKind.GIVEN_UP, task.name, crashes=record.crashes, odds=record.odds
-        )
+        return self._finding(CrashFindingKind.GIVEN_UP, task)
 
     def forget_job(self, job_id: str) -> None:
         """Remove a job that is over."""
         for key in [key for key in self._likely_tasks if key[0] == job_id]:
             del self._likely_tasks[key]
+        self._unconfirmed.forget_job(job_id)
+        for task in [each for each in self._held_since if each.name.job_id == job_id]:
+            del self._held_since[task]
 
     def clear(self, job: Job) -> CrashAssessment:
         """Reset the odds of all tasks of a job, at an operator's request; crashes still count."""
@@ -239,15 +271,21 @@
         for occurrence in job.occurrences:
             for step in occurrence.steps:
                 for index, record in list(step.record.crashes.items()):
-                    prior = self._rule.prior_log_odds
-                    cleared = msgspec.structs.replace(record, log_odds=prior)
+                    cleared = msgspec.structs.replace(
+                        record,
+                        log_odds=self._rule.prior_log_odds,
+                        unconfirmed=tuple(map(_without_odds, record.unconfirmed)),
+                    )
                     self._store(step.tasks[index], cleared, assessment)
         return assessment
 
     def inherit(self, task: Task) -> None:
         """Take over the evidence about a task from the records of earlier leaders."""
         record = _record(task)
-        if record is not None and self._rule.is_likely(record):
+        if record is None:
+            return
+        self._unconfirmed.replace(task, (), record.unconfirmed)
+        if self._rule.is_likely(record):
             self._note_likely(task, likely=True)
 
     def _record_crash(
@@ -275,15 +313,22 @@
             _job_ids(runs),
             len(runs),
         )
-        for run, before, after in zip(runs, exposures, updated, strict=True):
+        for run, exposure, record in zip(runs, exposures, updated, strict=True):
+            before = exposure.record
             item = _Evidence(
                 run.task,
-                after.crashes - before.record.crashes,
-                after.log_odds - self._log_odds(before.record),
+                record.crashes - before.crashes,
+                record.log_odds - self._log_odds(before),
             )
+            if end.unheard and not item.crashes:
+                self._record_survival(run.task, exposure.lifetime.min_s, assessment)
+                continue
+            if end.unheard:
+                record = _with_unconfirmed(record, worker, item.log_odds)
             crash.evidence.append(item)
             run.task.crashed_on.add(worker.machine)
-            self._store(run.task, after, assessment, lost=True)
+            self._held_since.pop(run.task, None)
+            self._store(run.task, record, assessment, lost=True)
             self._classify(run.task, crash, assessment)
         self._latest_crashes.append(crash)
         self._crashed_workers = {each.worker_id for each in self._latest_crashes}
@@ -293,6 +338,73 @@
             self._clear_others(task, assessment)
         return assessment
 
+    def _record_survival(self, task: Task, lived_s: float, assessment: CrashAssessment) -> None:
+        """Record that a run lived for some time before its worker stopped answering."""
+        record = _record(task)
+        if record is not None:
+            self._store(task, self._rule.survived(record, lived_s), assessment, lost=True)
+
+    def _revert_crashes(self, worker: Worker, assessment: CrashAssessment) -> None:
+        """Revert the crashes of a worker that answers. Unconfirmed ones are left in the records."""
+        worker_id = worker.worker_id
+        self._crashed_workers.discard(worker_id)
+        for crash in [each for each in self._latest_crashes if each.worker_id == worker_id]:
+            self._latest_crashes.remove(crash)
+            self._remove_from_rate(crash)
+            for item in crash.evidence if not crash.end.unheard else ():
+                self._revert(item, assessment, uncount=True)
+                item.task.crashed_on.discard(worker.machine)
+                assessment.findings.append(
+                    self._finding(CrashFindingKind.REVERTED, item.task, worker_id)
+                )
+
+    def _decide_unconfirmed(self, worker: Worker, assessment: CrashAssessment) -> None:
+        """Decide the unconfirmed crashes of a worker that answers, and of its predecessors."""
+        for task in self._unconfirmed.tasks_of(worker.worker_id):
+            self._revert_unconfirmed(task, worker, assessment)
+        for predecessor in self._unconfirmed.predecessors_of(worker):
+            for task in self._unconfirmed.tasks_of(predecessor):
+                self._confirm(task, predecessor, assessment)
+
+    def _revert_unconfirmed(self, task: Task, worker: Worker, assessment: CrashAssessment) -> None:
+        """Revert the unconfirmed crash of a worker from the record of a task."""
+        record = _record(task)
+        if record is None:
+            return
+        worker_id = worker.worker_id
+        crash = next(each for each in record.unconfirmed if each.worker == worker_id)
+        crashes = record.crashes - 1
+        reverted = msgspec.structs.replace(
+            record,
+            crashes=crashes,
+            log_odds=clamp_log_odds(record.log_odds - crash.log_odds),
+            later_starts=record.later_starts if crashes >= LIMIT_STARTS_FROM else 0,
+            unconfirmed=tuple(each for each in record.unconfirmed if each is not crash),
+        )
+        task.crashed_on.discard(worker.machine)
+        self._store(task, reverted, assessment, lost=True)
+        assessment.findings.append(self._finding(CrashFindingKind.REVERTED, task, worker_id))
+
+    def _confirm(self, task: Task, worker_id: str, assessment: CrashAssessment) -> None:
+        """Confirm the crash of a worker. A task that waits to be started may be given up now."""
+        record = _record(task)
+        if record is None:
+            return
+        rest = tuple(each for each in record.unconfirmed if each.worker != worker_id)
+        confirmed = msgspec.structs.replace(record, unconfirmed=rest)
+        self._store(task, confirmed, assessment, lost=True)
+        kind = CrashFindingKind.CONFIRMED
+        if is_waiting(task) and self._rule.is_culprit(confirmed):
+            kind = CrashFindingKind.GIVEN_UP
+            assessment.culprits.append(task)
+        assessment.findings.append(self._finding(kind, task, worker_id))
+
+    def _finding(self, kind: CrashFindingKind, task: Task, worker_id: str = "") -> CrashFinding:
+        record = _record(task)
+        if record is None:
+            return CrashFinding(kind, task.name, worker_id)
+        return CrashFinding(kind, task.name, worker_id, record.crashes, record.odds)
+
     def _classify(self, task: Task, crash: _Crash, assessment: CrashAssessment) -> None:
         """Classify a task after a crash, and record the finding."""
         record = _record(task)
@@ -368,8 +480,21 @@
             for item in crash.evidence:
                 if item.task is not culprit:
                     self._revert(item, assessment, uncount=False)
+                    self._keep_count_only(item.task, crash.worker_id, assessment)
             crash.evidence = [item for item in crash.evidence if item.task is culprit]
 
+    def _keep_count_only(self, task: Task, worker_id: str, assessment: CrashAssessment) -> None:
+        """Note that the odds of an unconfirmed crash have been reverted, but not its count."""
+        record = _record(task)
+        if record is None:
+            return
+        unconfirmed = tuple(
+            _without_odds(each) if each.worker == worker_id else each for each in record.unconfirmed
+        )
+        if unconfirmed != record.unconfirmed:
+            kept = msgspec.structs.replace(record, unconfirmed=unconfirmed)
+            self._store(task, kept, assessment, lost=True)
+
     def _remove_from_rate(self, crash: _Crash) -> None:
         """Remove a crash from the base rate, since a task caused it or it did not happen."""
         self._rates.record_crash(crash.service, -crash.unexplained)
@@ -402,11 +527,16 @@
         crashes = task.step.record.crashes
         index = task.name.index
         known = index in crashes
+        before = crashes[index].unconfirmed if known else ()
         cleared = self._rule.is_cleared(record) and not lost
         if _is_unfinished(task) and record.crashes and not cleared:
             crashes[index] = record
         else:
             crashes.pop(index, None)
+            self._held_since.pop(task, None)
+        self._unconfirmed.replace(
+            task, before, crashes[index].unconfirmed if index in crashes else ()
+        )
         if known and index not in crashes:
             assessment.findings.append(CrashFinding(CrashFindingKind.CLEARED, task.name))
         if known or index in crashes:
@@ -423,11 +553,16 @@
                 del self._likely_tasks[key]
 
 
-def _reverted_finding(task: Task, worker_id: str) -> CrashFinding:
-    record = _record(task) or CrashRecord()
-    return CrashFinding(
-        CrashFindingKind.REVERTED, task.name, worker_id, record.crashes, record.odds
+def _with_unconfirmed(record: CrashRecord, worker: Worker, log_odds: float) -> CrashRecord:
+    """A record with its latest crash marked as unconfirmed."""
+    crash = UnconfirmedCrash(
+        worker.worker_id, max(0.0, log_odds), worker.record.machine, worker.record.address
     )
+    return msgspec.structs.replace(record, unconfirmed=(*record.unconfirmed, crash))
+
+
+def _without_odds(crash: UnconfirmedCrash) -> UnconfirmedCrash:
+    return msgspec.structs.replace(crash, log_odds=0.0)
 
 
 def _count_without(jobs: Iterable[frozenset[str]], task: Task) -> int:
--- a/src/saddlestack/policy/cluster/diagnosis.py
+++ b/src/saddlestack/policy/cluster/diagnosis.py
@@ -280,6 +280,11 @@
         feasibility = self._feasibility(step)
         if feasibility is None:
             return Wait(job.job_id, WaitReason.LEFT_OUT, since_s, tasks, later)
+        held_until_s = self._cluster_state.planner.waits.held_until(step, self._now)
+        if held_until_s is not None:
+            reason = WaitReason.UNCONFIRMED_CRASH
+            could_start = self._has_capacity(step, feasibility)
+            return Wait(job.job_id, reason, since_s, tasks, later, held_until_s, could_start)
         if self._cluster_state.planner.waits.awaits_isolation(step):
             could_start = self._has_capacity(step, feasibility)
             return Wait(
--- a/src/saddlestack/policy/cluster/isolated_starts.py
+++ b/src/saddlestack/policy/cluster/isolated_starts.py
@@ -48,17 +48,21 @@
     def start(self, step: StepState, now: float) -> bool:
         """Start tasks of a step that may crash their workers in isolation.
 
+        Tasks with unconfirmed crashes that have used up their starts are not started at all.
+
         :return: whether the step has other tasks to start.
         """
         self._open_tasks.clear()
-        suspects = self._isolation.suspects(step)
-        if not suspects:
+        held = self._isolation.held_tasks(step, now)
+        suspects = [task for task in self._isolation.suspects(step) if task not in held]
+        if not held and not suspects:
             return True
         self._preemption.release(step)
+        self._open_tasks.isolate(held)
         self._open_tasks.isolate(suspects)
         pool = self._service_pool(step)
         eligible = self._eligible(step, now) if self._searches < MAX_ISOLATED_PER_ROUND else []
-        for tasks in [suspects] if step.step.gang else [[task] for task in suspects]:
+        for tasks in _groups(step, suspects):
             self._searches += 1
             if self._searches > MAX_ISOLATED_PER_ROUND:
                 break
@@ -93,3 +97,10 @@
             self._starts.assign(task, worker, number, now)
             if task.run is not None:
                 task.run.isolated = found.alone
+
+
+def _groups(step: StepState, suspects: Sequence[Task]) -> list[Sequence[Task]]:
+    """The tasks that are placed together: all of a gang, else each alone."""
+    if not step.step.gang:
+        return [[task] for task in suspects]
+    return [suspects] if suspects else []
--- a/src/saddlestack/policy/cluster/isolation.py
+++ b/src/saddlestack/policy/cluster/isolation.py
@@ -103,6 +103,21 @@
             return step.tasks if any(map(self._crashes.is_suspect, step.tasks)) else []
         return [task for task in step.tasks if is_waiting(task) and self._crashes.is_suspect(task)]
 
+    def held_tasks(self, step: StepState, now: float) -> list[Task]:
+        """The tasks of a step that wait for unconfirmed crashes to be decided; all for a gang."""
+        if not self._crashes.may_have_suspects(step):
+            return []
+        held = [
+            task for task in step.tasks if is_waiting(task) and self._crashes.is_held(task, now)
+        ]
+        return step.tasks if held and step.step.gang else held
+
+    def held_until(self, step: StepState, now: float) -> float | None:
+        """When all held tasks of a step are started at the latest; ``None`` if none is held."""
+        held = self.held_tasks(step, now)
+        ends = [self._crashes.held_until(task, now) for task in held]
+        return max((end for end in ends if end is not None), default=None)
+
     def has_limited_starts(self, run: Run) -> bool:
         """Whether the task of a run may be started only a few more times."""
         return self._crashes.may_have_suspects(run.task.step) and self._crashes.has_limited_starts(
--- a/src/saddlestack/policy/cluster/reasons.py
+++ b/src/saddlestack/policy/cluster/reasons.py
@@ -27,6 +27,7 @@
     FASTER_WORKER = "faster_worker"
     HEALTHY_WORKER = "healthy_worker"
     ISOLATION = "isolation"
+    UNCONFIRMED_CRASH = "unconfirmed_crash"
     ADVISER = "adviser"
     BACKFILL = "backfill"
     GANG_FIRST = "gang_first"
@@ -119,6 +120,10 @@
         "a worker crashed under it, and it is to be started alone",
         "an empty worker, or the end of its patience, after which it goes beside others",
     ),
+    WaitReason.UNCONFIRMED_CRASH: (
+        "several workers stopped answering under it, and may have crashed or be cut off",
+        "an answer of these workers or their successors, or the end of its wait, which doubles",
+    ),
     WaitReason.ADVISER: (
         "the adviser has given leave for no worker with room enough",
         "the adviser's answer",
--- a/src/saddlestack/policy/cluster/records.py
+++ b/src/saddlestack/policy/cluster/records.py
@@ -67,19 +67,46 @@
     saved: str = ""
 
 
+class UnconfirmedCrash(msgspec.Struct, array_like=True, frozen=True):
+    """A counted crash that only missing answers show. The worker may have been cut off instead.
+
+    :param worker: id of the worker incarnation.
+    :param log_odds: what the crash added to the log odds of the task.
+    :param machine: the machine that it ran on; empty if unknown.
+    :param address: where it was called; empty if unknown.
+    """
+
+    worker: str
+    log_odds: float = 0.0
+    machine: str = ""
+    address: str = ""
+
+
 class CrashRecord(msgspec.Struct, array_like=True):
     """Evidence from crashes of workers that a task causes them.
 
-    :param crashes: number of counted crashes of workers that ran it.
+    :param crashes: number of counted crashes of workers that ran it, unconfirmed ones included.
     :param log_odds: natural logarithm of the odds that it crashes its workers.
     :param span_s: the longest time from a start of it to such a crash, in seconds.
     :param later_starts: number of starts since the crash from which on starts are counted.
+    :param unconfirmed: the counted crashes that may yet turn out to be none, oldest first.
     """
 
     crashes: int = 0
     log_odds: float = 0.0
     span_s: float = 0.0
     later_starts: int = 0
+    unconfirmed: tuple[UnconfirmedCrash, ...] = ()
+
+    @property
+    def confirmed_crashes(self) -> int:
+        """Number of counted crashes without the unconfirmed ones."""
+        return self.crashes - len(self.unconfirmed)
+
+    @property
+    def confirmed_log_odds(self) -> float:
+        """Log odds without what unconfirmed crashes added."""
+        return self.log_odds - sum(crash.log_odds for crash in self.unconfirmed)
 
     @property
     def odds(self) -> float:
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import replace
 
 from saddlestack.interfaces.workers import EndedTask, EndKind, RunningTask, WorkerRecord
@@ -303,7 +303,11 @@
         worker.last_answer_s = now
         worker.unreachable_since_s = None
         worker.outlived_record = not worker.listed
-        self._apply_assessment(self._crashes.record_answer(worker.worker_id))
+        self._apply_assessment(self._crashes.record_answer(worker))
+
+    def workers_to_ask(self) -> Iterator[Worker]:
+        """Yield the listed workers whose answer decides whether another one has crashed."""
+        return self._crashes.deciding_workers()
 
     def clear_suspects(self, job_id: str) -> int:
         """Clear the suspicion that tasks of a job crash their workers; they start normally again.
--- a/src/saddlestack/policy/cluster/wait_queries.py
+++ b/src/saddlestack/policy/cluster/wait_queries.py
@@ -94,6 +94,10 @@
         with self._index.without_refresh():
             return self._headroom.allows(step, places, now)
 
+    def held_until(self, step: StepState, now: float) -> float | None:
+        """When a step is started although its unconfirmed crashes are not decided, if it waits."""
+        return self._isolation.held_until(step, now)
+
     def awaits_isolation(self, step: StepState) -> bool:
         """Whether tasks of a step wait for workers to run isolated on."""
         return self._isolation.has_waiting_tasks(step)
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -77,6 +77,10 @@
         self.assertIn("2 workers crashed under it", last)
         self.assertIn("nothing died beside it", last)
 
+    def test_explain_does_not_call_a_silent_worker_crashed(self) -> None:
+        silent = line(4.0, "crash_suspect", task=TASK, worker="w1", crashes=3, unheard=True)
+        self.assertIn("w1 stopped answering", describe(silent, LINES))
+
     def test_only_some_of_many_lost_runs_are_named(self) -> None:
         lost = [
             line(4.0, "run_over", task=f"{OTHER}.0.0.{index}", worker="w1")
