Give back the starts that a worker refused

Two starts that workers refused with 503 or 409, after three crashes under a task, used up its starts: the job failed although the task had not run again.

Cause: a limited start is counted when it is assigned, and was given back only if its order had never been sent. A refusal says that the run has not begun either, which the session knows and the count was not told.

Change: a session that releases a run of which no start was carried out clears the time of its order, which is what the count goes by.

Why it holds: a run is released only after a refusal or an order that did not leave, and with no earlier try in doubt. A start in doubt still counts.

--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -371,6 +371,7 @@
         """Free the task of a run of which no start is in flight and none was carried out."""
         self._unanswered_starts.record_answered(self.worker.worker_id, key)
         self._reports.order_withdrawn(key)
+        run.ordered_s = None
         self._owner.cluster_state.run_not_started(run)
         self._owner.reschedule()
 
--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -36,7 +36,8 @@
     :param allocation: the resources that it holds.
     :param assigned_s: when it was assigned.
     :param inherited: an earlier leader assigned it, and its outcome is not yet known.
-    :param ordered_s: when its start order was first sent to the worker, or ``None``.
+    :param ordered_s: when its start order was first sent to the worker, or ``None`` if none was
+        sent, or each was refused.
     :param started_s: when the worker confirmed its start, or ``None``.
     :param isolated: no other run may join it on its worker, since it may crash the worker.
     :param stopping: whether a stop was ordered.
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -23,6 +23,7 @@
     RunningTask,
     StartOrder,
     StartReply,
+    WorkerBusy,
     WorkerFenced,
     WorkerReplaced,
     WorkerReport,
@@ -31,12 +32,13 @@
 from saddlestack.kernel.clock import Clock
 from saddlestack.platform.orders import MAX_ENDS_PER_REPORT
 from saddlestack.policy.cluster.changes import Changes, StopReason
+from saddlestack.policy.cluster.crash_rule import LIMIT_STARTS_FROM
 from saddlestack.policy.cluster.progress import MIN_STUCK_S, PROGRESS_POLL_S
-from saddlestack.policy.cluster.records import TaskStatus
+from saddlestack.policy.cluster.records import CrashRecord, TaskStatus
 from saddlestack.policy.cluster.state import ClusterState
-from saddlestack.policy.cluster.workers import Worker
+from saddlestack.policy.cluster.workers import BUSY_QUARANTINE_S, Worker
 from saddlestack.standins.loop import run
-from saddlestack.work import AcceptedJob, JobRequest, Resources, Step, TaskName
+from saddlestack.work import AcceptedJob, JobRequest, JobState, Resources, Step, TaskName
 from tests.test_cluster_state import SERVICE, record
 
 JOB = f"{1:016x}"
@@ -398,6 +400,23 @@
 
         self.play(body)
 
+    # Two refused starts after three crashes used up the starts of a task that had not run again.
+    def test_a_refused_start_does_not_count_toward_the_limit_after_crashes(self) -> None:
+        async def body(scene: Scene) -> None:
+            step = scene.cluster_state.jobs[JOB].occurrences[0].steps[0]
+            limited = CrashRecord(LIMIT_STARTS_FROM, 0.0, 100.0)
+            step.record.crashes[0] = limited
+            for fault, refusal in ((None, Refusal.CAPACITY), (WorkerBusy("503"), None)):
+                scene.orders.start_faults = [fault]
+                scene.orders.refusals = [refusal] if refusal else []
+                scene.assign()
+                await asyncio.sleep(BUSY_QUARANTINE_S + 0.1)
+                self.assertIs(scene.status, TaskStatus.WAITING)
+                self.assertEqual(step.record.crashes[0], limited)
+            self.assertIs(scene.cluster_state.jobs[JOB].state, JobState.QUEUED)
+
+        self.play(body)
+
     def test_a_start_in_doubt_is_stopped_before_its_task_is_freed(self) -> None:
         """The first try was not answered: it may be carried out seconds later."""
 
