Count a crash whose record outlasts the lease

What callers would see: a task that crashes its workers is started more often than it may be while the store is away.

Cause: a silent worker that is still listed is judged once its record goes. If another incarnation answers at its address first, the session marks it as unlisted itself and reports its end with no runs left, so the crash was counted by neither.

Change: a replacement decides the end that is kept for the listed worker, as a confirmed crash.

--- a/src/saddlestack/policy/cluster/crashes.py
+++ b/src/saddlestack/policy/cluster/crashes.py
@@ -9,7 +9,7 @@
 import math
 from collections import defaultdict, deque
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -171,9 +171,13 @@
 
         An announced end is no evidence against a task. A worker that is still listed and only
         unreachable is probably alive; it counts as crashed once its record is removed. Even then
-        it may only be cut off, so that the crash is not confirmed.
+        it may only be cut off, so that the crash is not confirmed. Once it is known to have been
+        replaced, the crash is confirmed.
         """
         runs = [run for run in worker.runs.values() if may_have_started(run)]
+        if not runs and not end.unheard and worker.worker_id in self._listed_ends:
+            runs, silent_end = self._listed_ends.pop(worker.worker_id)
+            end = replace(silent_end, unheard=False)
         if not runs or is_announced(worker, end):
             return CrashAssessment()
         if end.unheard and worker.listed:
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -347,6 +347,19 @@
         self.assertIs(wait.reason, WaitReason.UNCONFIRMED_CRASH)
         self.assertEqual(wait.until_s, 60.0 + FIRST_RETRY_S)
 
+    # A crash behind an outage of the store was not counted, so the limit of starts began too late.
+    def test_a_listed_worker_that_was_silent_and_then_replaced_has_crashed(self) -> None:
+        self.workers(racks=1, each=2)
+        job_id = self.add(step(1, 8))
+        self.plan(0.0)
+        worker_id = self.run_of(job_id).worker_id
+        self.cluster_state.worker_ended(worker_id, IncarnationEnd(0.2, 0.5, unheard=True))
+        self.assertIsNone(self.known(job_id))
+        self.cluster_state.worker_ended(worker_id, IncarnationEnd(0.2, 0.5))
+        known = self.known(job_id)
+        assert known is not None
+        self.assertEqual((known.crashes, known.unconfirmed), (1, ()))
+
     def test_a_run_that_outlives_the_crashes_lifts_the_limit(self) -> None:
         self.workers(racks=2, each=6)
         job_id = self.add(step(1, 8, long_running=True))
