Count no crash of a worker that announced its end after it fell silent

What callers would see: a job given up after workers that were cut off from the VMs, and not from the store, had left as announced. Found by reading related paths; no run has shown it.

Cause: the end of a silent worker that is still listed was kept, and counted as a crash when its record went, although the worker had written meanwhile that it leaves, and so was alive.

Change: an announcement that arrived after the worker was found silent discards the kept end.

The test failed before. tests.test_silent_workers and tests.test_crashes pass.

--- a/src/saddlestack/policy/cluster/crashes.py
+++ b/src/saddlestack/policy/cluster/crashes.py
@@ -100,6 +100,14 @@
     unexplained: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _SilentEnd:
+    """The end of a worker that does not answer and is still listed, with the runs that it lost."""
+
+    runs: list[Run]
+    end: IncarnationEnd
+
+
 @dataclass(slots=True)
 class CrashAssessment:
     """The consequences of an event for the tasks involved.
@@ -126,7 +134,7 @@
         self._rates = CrashRates()
         self._latest_crashes: deque[_Crash] = deque(maxlen=MAX_CRASHES)
         self._crashed_workers: set[str] = set()
-        self._listed_ends: dict[str, tuple[list[Run], IncarnationEnd]] = {}
+        self._listed_ends: dict[str, _SilentEnd] = {}
         self._unconfirmed = UnconfirmedCrashes()
         self._held_since: dict[Task, float] = {}
         self._likely_tasks: defaultdict[tuple[str, int], set[Task]] = defaultdict(set)
@@ -175,22 +183,34 @@
         replaced, the crash is confirmed.
         """
         runs = [run for run in worker.runs.values() if may_have_started(run)]
-        if not runs and not end.unheard and worker.worker_id in self._listed_ends:
-            runs, silent_end = self._listed_ends.pop(worker.worker_id)
-            end = replace(silent_end, unheard=False)
+        if not runs and not end.unheard:
+            silent = self._take_listed_end(worker)
+            if silent is not None:
+                runs, end = silent.runs, replace(silent.end, unheard=False)
         if not runs or is_announced(worker, end):
             return CrashAssessment()
         if end.unheard and worker.listed:
-            self._listed_ends[worker.worker_id] = (runs, end)
+            self._listed_ends[worker.worker_id] = _SilentEnd(runs, end)
             return CrashAssessment()
         return self._record_crash(worker, runs, end)
 
     def record_removed(self, worker: Worker) -> CrashAssessment:
         """Record that a worker's record was removed; if it was unreachable, it has crashed."""
-        listed_end = self._listed_ends.pop(worker.worker_id, None)
-        if listed_end is None:
+        silent = self._take_listed_end(worker)
+        if silent is None:
             return CrashAssessment()
-        return self._record_crash(worker, *listed_end)
+        return self._record_crash(worker, silent.runs, silent.end)
+
+    def _take_listed_end(self, worker: Worker) -> _SilentEnd | None:
+        """Remove the end that is kept for a silent worker, and return it unless the worker lived.
+
+        A worker that has announced since then that it leaves had not crashed.
+        """
+        silent = self._listed_ends.pop(worker.worker_id, None)
+        announced_s = worker.draining_since_s
+        if silent is None or announced_s is None or announced_s <= silent.end.noticed_s:
+            return silent
+        return None
 
     def record_answer(self, worker: Worker) -> CrashAssessment:
         """Record that an incarnation answers.
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -360,6 +360,17 @@
         assert known is not None
         self.assertEqual((known.crashes, known.unconfirmed), (1, ()))
 
+    # A worker that left as announced counted as crashed if it had been cut off from the VMs before.
+    def test_a_silent_worker_that_announces_its_end_later_has_not_crashed(self) -> None:
+        self.workers(racks=1, each=2)
+        job_id = self.add(step(1, 8))
+        self.plan(0.0)
+        worker_id = self.run_of(job_id).worker_id
+        self.cluster_state.worker_ended(worker_id, IncarnationEnd(0.2, 0.5, unheard=True))
+        self.cluster_state.set_worker(record(worker_id, draining=True, remaining_ms=500), 12.0)
+        self.cluster_state.unlist_worker(worker_id)
+        self.assertIsNone(self.known(job_id))
+
     def test_a_run_that_outlives_the_crashes_lifts_the_limit(self) -> None:
         self.workers(racks=2, each=6)
         job_id = self.add(step(1, 8, long_running=True))
