Let the diagnosis of a held job change nothing

Queries of the diagnosis are read-only, but asking until when a job is held could begin its wait, and looked at each task of steps without any evidence. The wait begins in planning rounds alone; steps without evidence cost one look. tests.test_silent_workers, test_crashes and test_diagnosis pass.

--- a/src/saddlestack/policy/cluster/crashes.py
+++ b/src/saddlestack/policy/cluster/crashes.py
@@ -261,16 +261,19 @@
     def is_held(self, task: Task, now: float) -> bool:
         """Whether a task may not be started until its unconfirmed crashes are decided."""
         until_s = self.held_until(task, now)
-        return until_s is not None and now < until_s
+        if until_s is None:
+            self._held_since.pop(task, None)
+            return False
+        self._held_since.setdefault(task, now)
+        return now < until_s
 
     def held_until(self, task: Task, now: float) -> float | None:
         """When a held task is started once more at the latest; ``None`` if it is not held."""
         record = _record(task)
         if record is None or not self._rule.awaits_confirmation(record):
-            self._held_since.pop(task, None)
             return None
         doublings = min(record.later_starts - MAX_LATER_STARTS, MAX_RETRY_DOUBLINGS)
-        return self._held_since.setdefault(task, now) + FIRST_RETRY_S * float(2**doublings)
+        return self._held_since.get(task, now) + FIRST_RETRY_S * float(2**doublings)
 
     def is_out_of_starts(self, task: Task) -> bool:
         """Whether a task that would have to be started again fails its job instead."""
--- a/src/saddlestack/policy/cluster/isolation.py
+++ b/src/saddlestack/policy/cluster/isolation.py
@@ -114,9 +114,10 @@
 
     def held_until(self, step: StepState, now: float) -> float | None:
         """When all held tasks of a step are started at the latest; ``None`` if none is held."""
-        held = self.held_tasks(step, now)
-        ends = [self._crashes.held_until(task, now) for task in held]
-        return max((end for end in ends if end is not None), default=None)
+        if not self._crashes.may_have_suspects(step):
+            return None
+        ends = [self._crashes.held_until(task, now) for task in step.tasks if is_waiting(task)]
+        return max((end for end in ends if end is not None and end > now), default=None)
 
     def has_limited_starts(self, run: Run) -> bool:
         """Whether the task of a run may be started only a few more times."""
