--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -52,7 +52,8 @@
     cluster.worker_pool.expire_record(worker)
     await asyncio.sleep(for_s - RECORD_EXPIRES_S)
     worker.unreachable = False
-    cluster.worker_pool.record(worker)
+    if worker.up:
+        cluster.worker_pool.record(worker)
 
 
 class CutsInTurn:
