Confirm the configuration before any call after a pause

Cause: refusals by the configuration wait for it to be confirmed, successes did not. Of the calls that had arrived during the pause the refused ones were handled by the new version, the others by the old one, 0.6 ms before it was in force.

Change: a task notices a pause of the process by its own lateness; calls after one wait for the same read as refusals. If it fails, calls are handled as they were.

Why it holds: no call is handled between the pause and the read. A VM that is not paused does no read more (a test counts them).

PauseTest failed before (200, expected 404).

--- a/src/saddlestack/control/configured_calls.py
+++ b/src/saddlestack/control/configured_calls.py
@@ -1,6 +1,8 @@
-"""Handles calls that are refused because of the configuration: an unknown queue or key.
+"""Handles calls by a configuration that is current, as far as their outcome depends on it.
 
-Such a refusal is definite, so it must not rest on a configuration that may be out of date.
+A refusal for an unknown queue or key is definite, so it must not rest on a configuration that may
+be out of date. After a pause of the process no call may, since others may already wait for a newer
+one.
 """
 
 from __future__ import annotations
@@ -57,6 +59,7 @@
             raise
 
     async def _handle(self, request: Request) -> Response:
+        await self._refresh.confirm_after_pause()
         refused_by = self._configuration.current
         try:
             return await self._handler(request)
--- a/src/saddlestack/control/refresh.py
+++ b/src/saddlestack/control/refresh.py
@@ -28,6 +28,8 @@
 """How long a call waits for a read: another VM is asked after 0.3 s, and answers in 0.25 s."""
 MAX_AGE_SHARE = 0.9
 """Age, as a share of the same time, up to which a refusal rests on the configuration as it is."""
+MAX_PAUSE_S = 0.5
+"""A check that comes this late shows that the process was stopped, or starved, in between."""
 MAX_INTERVAL_S = 1.0
 """Longest interval between reads. In an outage each read queries three VMs of every data hall."""
 
@@ -51,6 +53,8 @@
         self._key = context.documents.locations.configuration_key
         self._metrics = context.metrics
         self._reading: asyncio.Task[None] | None = None
+        self._checked_s = self.clock.now()
+        self._was_paused = False
         apply_s = context.settings.timings.configuration_apply_ms / 1000
         self._interval_s = INTERVAL_SHARE * apply_s
         self.max_age_s = MAX_AGE_SHARE * apply_s
@@ -58,6 +62,7 @@
     async def start(self) -> None:
         """Starts to update the configuration whenever its feed is behind."""
         self.tasks.spawn(self._run())
+        self.tasks.spawn(self._watch_for_pauses())
 
     @property
     def is_current(self) -> bool:
@@ -73,6 +78,27 @@
             await asyncio.wait({self._start_read()}, timeout=READ_TIMEOUT_S)
         return self.is_current
 
+    async def confirm_after_pause(self) -> None:
+        """Makes sure that the configuration is current if the process was paused.
+
+        Calls that arrived meanwhile would otherwise be handled by an older version than those that
+        wait for a read. If the read fails, later calls are handled without another one.
+        """
+        self._note_pause()
+        if self._was_paused:
+            await self.confirm()
+            self._was_paused = False
+
+    def _note_pause(self) -> None:
+        now = self.clock.now()
+        self._was_paused = self._was_paused or now - self._checked_s > MAX_PAUSE_S
+        self._checked_s = now
+
+    async def _watch_for_pauses(self) -> None:
+        while True:
+            self._note_pause()
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
     async def _run(self) -> None:
         interval_s = self._interval_s
         while True:
--- a/tests/test_configured_calls.py
+++ b/tests/test_configured_calls.py
@@ -24,6 +24,7 @@
         self.confirmed = 0
         self.is_confirmed = True
         self.has_newer = False
+        self.was_paused = False
 
     async def handle(self, request: Request) -> Response:
         self.handled += 1
@@ -31,6 +32,10 @@
             raise SaddlestackError(self.refusals.pop(0), "refused")
         return Response(200)
 
+    async def confirm_after_pause(self) -> None:
+        if self.was_paused:
+            await self.confirm()
+
     async def confirm(self) -> bool:
         self.confirmed += 1
         if self.has_newer:
@@ -51,6 +56,11 @@
         self.assertEqual(self.call().status, 200)
         self.assertEqual((self.handled, self.confirmed), (1, 0))
 
+    def test_a_call_after_a_pause_is_confirmed_before_it_is_handled(self) -> None:
+        self.was_paused = True
+        self.assertEqual(self.call().status, 200)
+        self.assertEqual((self.handled, self.confirmed), (1, 1))
+
     def test_each_refusal_by_the_configuration_is_confirmed(self) -> None:
         for kind in sorted(CONFIGURED_KINDS):
             with self.subTest(kind):
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -35,6 +35,7 @@
 LONG_OUTAGE_S = 1500.0
 CONFIGURATION_PREFIX = "op/"
 SETTLED_S = 4.0
+PAUSED_S = 2.2
 MAX_QUIET_AGE_S = 2 * WATCH_SHARE * APPLY_S + 0.1
 """A watch that returned a change shows no more than that nothing was missing when it was sent."""
 
@@ -238,6 +239,50 @@
         play(body)
 
 
+class PauseTest(unittest.TestCase):
+    # A VM that was paused while the configuration changed handled some calls by the new version
+    # and, after these, others by the old one.
+
+    def test_a_call_after_a_pause_is_not_handled_by_an_older_version(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await self.change_during_pause(cluster)
+            self.assertEqual((await get(cluster, "entry-1", "/removed/")).status, 404)
+
+        play(body)
+
+    def test_a_vm_that_was_paused_during_an_outage_still_handles_calls(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await self.change_during_pause(cluster)
+            for member in cluster.members.values():
+                member.view.faults.silent = True
+            for _ in range(2):
+                self.assertEqual((await get(cluster, "entry-1", "/removed/")).status, 200)
+
+        play(body)
+
+    def test_calls_without_a_pause_are_not_confirmed(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            await asyncio.sleep(SETTLED_S)
+            before = gauges(cluster, "entry-1").get("configuration_reads", 0)
+            for _ in range(20):
+                await get(cluster, "entry-1", f"/{QUEUES[0][0]}/")
+                await asyncio.sleep(0.3)
+            self.assertEqual(gauges(cluster, "entry-1").get("configuration_reads", 0), before)
+
+        play(body)
+
+    async def change_during_pause(self, cluster: PoolCluster) -> None:
+        """Remove a queue while the clock of one VM passes, and nothing reaches the VM."""
+        cluster.configure(more_queues=["removed"])
+        await asyncio.sleep(SETTLED_S)
+        member = cluster.member("entry-1")
+        member.view.faults.lost_watches = frozenset({CONFIGURATION_PREFIX})
+        cluster.configure()
+        clock = member.vm.configuration.clock
+        before_s = clock.now
+        clock.now = lambda: before_s() + PAUSED_S  # type: ignore[method-assign]
+
+
 class MixedAnswerTest(unittest.TestCase):
     """A configuration comes in one answer with other documents, or damaged."""
 
