Give back the starts of a crash that is taken back, and split the module

What callers would see: a job given up although fewer than three workers had crashed under its task.

Change: below three crashes the count of starts returns to 0, for confirmed crashes as for unconfirmed ones. A revert never drops the crashes that are left, however low the odds are.

--- a/src/saddlestack/control/jobcodec.py
+++ b/src/saddlestack/control/jobcodec.py
@@ -94,8 +94,7 @@
         return False
     if not all(math.isfinite(each.log_odds) for each in crash.unconfirmed):
         return False
-    counted = crash.crashes > 0 and crash.confirmed_crashes >= 0
-    return counted and crash.span_s > 0 and crash.later_starts >= 0
+    return crash.crashes > 0 and crash.span_s > 0 and crash.later_starts >= 0
 
 
 def _is_valid_task(task: TaskRecord) -> bool:
--- a/src/saddlestack/policy/cluster/crashes.py
+++ b/src/saddlestack/policy/cluster/crashes.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 
@@ -27,10 +27,10 @@
     IncarnationEnd,
     is_announced,
     lifetime_of,
-    may_coincide,
     may_have_started,
 )
 from saddlestack.policy.cluster.jobs import Job, Run, StepState, Task
+from saddlestack.policy.cluster.latest_crashes import Crash, Evidence, LatestCrashes, job_ids
 from saddlestack.policy.cluster.records import (
     CrashRecord,
     TaskStatus,
@@ -41,8 +41,6 @@
 from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.workers import Worker
 
-MAX_CRASHES = 64
-"""Maximum number of crashes, the latest ones, whose evidence can still be reverted."""
 OUTLIVED_RECORD_RATE = 0.2
 """Expected ends per second of a worker that still answers after its record was removed. Such a
 worker serves for a few more seconds."""
@@ -55,10 +53,6 @@
 CORRELATED_LOSS_RATE = 0.5
 """Expected ends per second for each other worker of the rack that was lost at the same time, unless
 it ran the same job. A correlated loss is not caused by a task."""
-CORRELATED_LOSS_SHARE = 0.75
-"""Minimum share of the busy workers of a rack in a correlated loss."""
-MIN_CORRELATED_LOSSES = 3
-"""Minimum number of workers in a correlated loss."""
 SAME_MACHINE_RATE = 0.1
 """Expected ends per second of a worker on a machine that has crashed under the same task before.
 The machine itself may crash repeatedly; a suspect goes to other machines if there are any."""
@@ -72,34 +66,6 @@
 suspects, since they run the same program."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Evidence:
-    """The evidence that a crash added to one task."""
-
-    task: Task
-    crashes: int
-    log_odds: float
-
-
-@dataclass(slots=True)
-class _Crash:
-    """One crash, with what is needed to revert it.
-
-    :param jobs: ids of the jobs that ran on the worker.
-    :param runs: number of runs on the worker.
-    :param unexplained: the probability that no task caused it.
-    """
-
-    worker_id: str
-    service: str
-    rack: str
-    end: IncarnationEnd
-    jobs: frozenset[str]
-    runs: int
-    evidence: list[_Evidence] = field(default_factory=list)
-    unexplained: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class _SilentEnd:
     """The end of a worker that does not answer and is still listed, with the runs that it lost."""
@@ -132,8 +98,7 @@
         self._workers = workers
         self._rule = rule or CRASH_RULE
         self._rates = CrashRates()
-        self._latest_crashes: deque[_Crash] = deque(maxlen=MAX_CRASHES)
-        self._crashed_workers: set[str] = set()
+        self._latest_crashes = LatestCrashes(workers)
         self._listed_ends: dict[str, _SilentEnd] = {}
         self._unconfirmed = UnconfirmedCrashes()
         self._held_since: dict[Task, float] = {}
@@ -219,8 +184,8 @@
         """
         assessment = CrashAssessment()
         self._listed_ends.pop(worker.worker_id, None)
-        if worker.worker_id in self._crashed_workers:
-            self._revert_crashes(worker, assessment)
+        for crash in self._latest_crashes.take(worker.worker_id):
+            self._revert_crash(crash, worker, assessment)
         if not self._unconfirmed.is_empty:
             self._decide_unconfirmed(worker, assessment)
         return assessment
@@ -319,9 +284,25 @@
         self, worker: Worker, runs: Sequence[Run], end: IncarnationEnd
     ) -> CrashAssessment:
         service = worker.record.service or runs[0].task.step.occurrence.job.accepted.service
+        exposures = self._exposures(worker, runs, end, service)
+        updated = self._rule.update(exposures)
+        crash = Crash(worker.worker_id, service, worker.record.rack, end, job_ids(runs), len(runs))
+        assessment = CrashAssessment()
+        for run, exposure, record in zip(runs, exposures, updated, strict=True):
+            self._add_evidence(crash, run.task, exposure, record, worker, assessment)
+        self._latest_crashes.add(crash)
+        crash.unexplained = _unexplained(updated)
+        self._rates.record_crash(service, crash.unexplained)
+        for task in assessment.culprits:
+            self._clear_others(task, assessment)
+        return assessment
+
+    def _exposures(
+        self, worker: Worker, runs: Sequence[Run], end: IncarnationEnd, service: str
+    ) -> list[CrashExposure]:
         base_rate = self._rates.base_rate(service)
-        extra_rate = self._extra_rate(worker, end)
-        lost_together = self._lost_together(worker, end)
+        extra_rate = _extra_rate(worker, end)
+        lost_together = self._latest_crashes.lost_together(worker, end)
         exposures = []
         for run in runs:
             record = _record(run.task) or CrashRecord()
@@ -330,40 +311,34 @@
             rate += SAME_MACHINE_RATE * (worker.machine in run.task.crashed_on)
             gang = run.task.step if run.task.step.step.gang else None
             exposures.append(CrashExposure(record, lifetime_of(run, end), rate, base_rate, gang))
-        updated = self._rule.update(exposures)
-        assessment = CrashAssessment()
-        crash = _Crash(
-            worker.worker_id,
-            service,
-            worker.record.rack,
-            end,
-            _job_ids(runs),
-            len(runs),
-        )
-        for run, exposure, record in zip(runs, exposures, updated, strict=True):
-            before = exposure.record
-            item = _Evidence(
-                run.task,
-                record.crashes - before.crashes,
-                record.log_odds - self._log_odds(before),
-            )
-            if end.unheard and not item.crashes:
-                self._record_survival(run.task, exposure.lifetime.min_s, assessment)
-                continue
-            if end.unheard:
-                record = _with_unconfirmed(record, worker, item.log_odds)
-            crash.evidence.append(item)
-            run.task.crashed_on.add(worker.machine)
-            self._held_since.pop(run.task, None)
-            self._store(run.task, record, assessment, lost=True)
-            self._classify(run.task, crash, assessment)
-        self._latest_crashes.append(crash)
-        self._crashed_workers = {each.worker_id for each in self._latest_crashes}
-        crash.unexplained = _unexplained(updated)
-        self._rates.record_crash(service, crash.unexplained)
-        for task in assessment.culprits:
-            self._clear_others(task, assessment)
-        return assessment
+        return exposures
+
+    def _add_evidence(
+        self,
+        crash: Crash,
+        task: Task,
+        exposure: CrashExposure,
+        record: CrashRecord,
+        worker: Worker,
+        assessment: CrashAssessment,
+    ) -> None:
+        """Store the evidence that a crash adds to one task.
+
+        :param record: the task's record, updated with the crash.
+        """
+        before = exposure.record
+        log_odds = before.log_odds if before.crashes else self._rule.prior_log_odds
+        added = Evidence(task, record.crashes - before.crashes, record.log_odds - log_odds)
+        if crash.end.unheard:
+            if not added.crashes:
+                self._record_survival(task, exposure.lifetime.min_s, assessment)
+                return
+            record = _with_unconfirmed(record, worker, added.log_odds)
+        crash.evidence.append(added)
+        task.crashed_on.add(worker.machine)
+        self._held_since.pop(task, None)
+        self._store(task, record, assessment, lost=True)
+        self._classify(task, crash, assessment)
 
     def _record_survival(self, task: Task, lived_s: float, assessment: CrashAssessment) -> None:
         """Record that a run lived for some time before its worker stopped answering."""
@@ -371,19 +346,17 @@
         if record is not None:
             self._store(task, self._rule.survived(record, lived_s), assessment, lost=True)
 
-    def _revert_crashes(self, worker: Worker, assessment: CrashAssessment) -> None:
-        """Revert the crashes of a worker that answers. Unconfirmed ones are left in the records."""
-        worker_id = worker.worker_id
-        self._crashed_workers.discard(worker_id)
-        for crash in [each for each in self._latest_crashes if each.worker_id == worker_id]:
-            self._latest_crashes.remove(crash)
-            self._remove_from_rate(crash)
-            for item in crash.evidence if not crash.end.unheard else ():
-                self._revert(item, assessment, uncount=True)
-                item.task.crashed_on.discard(worker.machine)
-                assessment.findings.append(
-                    self._finding(CrashFindingKind.REVERTED, item.task, worker_id)
-                )
+    def _revert_crash(self, crash: Crash, worker: Worker, assessment: CrashAssessment) -> None:
+        """Revert a crash of a worker that answers, as far as it is not unconfirmed."""
+        self._remove_from_rate(crash)
+        for item in crash.evidence:
+            if _unconfirmed_crash(item.task, crash.worker_id) is not None:
+                continue
+            self._revert(item, assessment, uncount=True)
+            item.task.crashed_on.discard(worker.machine)
+            assessment.findings.append(
+                self._finding(CrashFindingKind.REVERTED, item.task, crash.worker_id)
+            )
 
     def _decide_unconfirmed(self, worker: Worker, assessment: CrashAssessment) -> None:
         """Decide the unconfirmed crashes of a worker that answers, and of its predecessors."""
@@ -396,21 +369,16 @@
     def _revert_unconfirmed(self, task: Task, worker: Worker, assessment: CrashAssessment) -> None:
         """Revert the unconfirmed crash of a worker from the record of a task."""
         record = _record(task)
-        if record is None:
+        crash = _unconfirmed_crash(task, worker.worker_id)
+        if record is None or crash is None:
             return
-        worker_id = worker.worker_id
-        crash = next(each for each in record.unconfirmed if each.worker == worker_id)
-        crashes = record.crashes - 1
+        rest = tuple(each for each in record.unconfirmed if each is not crash)
         reverted = msgspec.structs.replace(
-            record,
-            crashes=crashes,
-            log_odds=clamp_log_odds(record.log_odds - crash.log_odds),
-            later_starts=record.later_starts if crashes >= LIMIT_STARTS_FROM else 0,
-            unconfirmed=tuple(each for each in record.unconfirmed if each is not crash),
+            record, log_odds=clamp_log_odds(record.log_odds - crash.log_odds), unconfirmed=rest
         )
         task.crashed_on.discard(worker.machine)
-        self._store(task, reverted, assessment, lost=True)
-        assessment.findings.append(self._finding(CrashFindingKind.REVERTED, task, worker_id))
+        self._store(task, _uncount(reverted, 1), assessment, lost=True)
+        assessment.findings.append(self._finding(CrashFindingKind.REVERTED, task, worker.worker_id))
 
     def _confirm(self, task: Task, worker_id: str, assessment: CrashAssessment) -> None:
         """Confirm the crash of a worker. A task that waits to be started may be given up now."""
@@ -432,7 +400,7 @@
             return CrashFinding(kind, task.name, worker_id)
         return CrashFinding(kind, task.name, worker_id, record.crashes, record.odds)
 
-    def _classify(self, task: Task, crash: _Crash, assessment: CrashAssessment) -> None:
+    def _classify(self, task: Task, crash: Crash, assessment: CrashAssessment) -> None:
         """Classify a task after a crash, and record the finding."""
         record = _record(task)
         if record is None:
@@ -455,45 +423,6 @@
             )
         )
 
-    def _log_odds(self, record: CrashRecord) -> float:
-        return record.log_odds if record.crashes else self._rule.prior_log_odds
-
-    def _extra_rate(self, worker: Worker, end: IncarnationEnd) -> float:
-        """Expected ends per second beyond the base rate, given how the worker ended."""
-        rate = 0.0
-        if not worker.listed and worker.outlived_record:
-            rate += OUTLIVED_RECORD_RATE
-        if end.unheard:
-            rate += LEASE_EXPIRED_RATE
-        if end.last_answer_s == -math.inf:
-            rate += NEVER_ANSWERED_RATE
-        return rate
-
-    def _lost_together(self, worker: Worker, end: IncarnationEnd) -> list[frozenset[str]]:
-        """The jobs of each other worker of the rack that was lost at the same time.
-
-        Empty if the loss is not large enough to count as correlated.
-        """
-        rack = worker.record.rack
-        lost_workers = {
-            crash.worker_id: crash.jobs
-            for crash in self._latest_crashes
-            if crash.rack == rack and may_coincide(crash.end, end)
-        }
-        others = [
-            other
-            for other in self._workers.values()
-            if other is not worker and other.record.rack == rack and other.runs
-        ]
-        for other in others:
-            if other.unreachable_since_s is None:
-                continue
-            if may_coincide(IncarnationEnd(other.last_answer_s, other.unreachable_since_s), end):
-                lost_workers[other.worker_id] = _job_ids(other.runs.values())
-        busy = len(lost_workers) + sum(1 for other in others if other.worker_id not in lost_workers)
-        least = max(MIN_CORRELATED_LOSSES, CORRELATED_LOSS_SHARE * (busy + 1))
-        return list(lost_workers.values()) if len(lost_workers) + 1 >= least else []
-
     def _clear_others(self, culprit: Task, assessment: CrashAssessment) -> None:
         """Revert the odds that other tasks owe to crashes of a task that is given up.
 
@@ -522,12 +451,12 @@
             kept = msgspec.structs.replace(record, unconfirmed=unconfirmed)
             self._store(task, kept, assessment, lost=True)
 
-    def _remove_from_rate(self, crash: _Crash) -> None:
+    def _remove_from_rate(self, crash: Crash) -> None:
         """Remove a crash from the base rate, since a task caused it or it did not happen."""
         self._rates.record_crash(crash.service, -crash.unexplained)
         crash.unexplained = 0.0
 
-    def _revert(self, item: _Evidence, assessment: CrashAssessment, *, uncount: bool) -> None:
+    def _revert(self, item: Evidence, assessment: CrashAssessment, *, uncount: bool) -> None:
         """Revert the evidence that a crash added to a task.
 
         :param uncount: the worker did not crash, so that the crash is not counted either.
@@ -535,11 +464,12 @@
         record = _record(item.task)
         if record is None:
             return
-        crashes = max(0, record.crashes - item.crashes) if uncount else record.crashes
         # Exonerating evidence is not reverted: the record may have been reset since.
         log_odds = clamp_log_odds(record.log_odds - max(0.0, item.log_odds))
-        rest = msgspec.structs.replace(record, crashes=crashes, log_odds=log_odds)
-        self._store(item.task, rest, assessment, lost=not uncount)
+        rest = msgspec.structs.replace(record, log_odds=log_odds)
+        if uncount:
+            rest = _uncount(rest, item.crashes)
+        self._store(item.task, rest, assessment, lost=True)
 
     def _store(
         self, task: Task, record: CrashRecord, assessment: CrashAssessment, *, lost: bool = False
@@ -588,6 +518,31 @@
     return msgspec.structs.replace(record, unconfirmed=(*record.unconfirmed, crash))
 
 
+def _unconfirmed_crash(task: Task, worker_id: str) -> UnconfirmedCrash | None:
+    """The unconfirmed crash of a worker that counts toward a task, if there is one."""
+    record = _record(task) or CrashRecord()
+    return next((each for each in record.unconfirmed if each.worker == worker_id), None)
+
+
+def _uncount(record: CrashRecord, crashes: int) -> CrashRecord:
+    """A record with fewer crashes; starts count from the third of those that are left."""
+    left = max(len(record.unconfirmed), record.crashes - crashes)
+    later_starts = record.later_starts if left >= LIMIT_STARTS_FROM else 0
+    return msgspec.structs.replace(record, crashes=left, later_starts=later_starts)
+
+
+def _extra_rate(worker: Worker, end: IncarnationEnd) -> float:
+    """Expected ends per second beyond the base rate, given how a worker ended."""
+    rate = 0.0
+    if not worker.listed and worker.outlived_record:
+        rate += OUTLIVED_RECORD_RATE
+    if end.unheard:
+        rate += LEASE_EXPIRED_RATE
+    if end.last_answer_s == -math.inf:
+        rate += NEVER_ANSWERED_RATE
+    return rate
+
+
 def _without_odds(crash: UnconfirmedCrash) -> UnconfirmedCrash:
     return msgspec.structs.replace(crash, log_odds=0.0)
 
@@ -606,10 +561,6 @@
     return task.step.occurrence.open and task.status is not TaskStatus.DONE
 
 
-def _job_ids(runs: Iterable[Run]) -> frozenset[str]:
-    return frozenset(run.task.name.job_id for run in runs)
-
-
 def _survived_s(run: Run, now: float) -> float:
     """How long a run is known to have been on its worker."""
     return 0.0 if run.started_s is None else max(0.0, now - run.started_s)
--- a/src/saddlestack/policy/cluster/records.py
+++ b/src/saddlestack/policy/cluster/records.py
@@ -101,7 +101,7 @@
     @property
     def confirmed_crashes(self) -> int:
         """Number of counted crashes without the unconfirmed ones."""
-        return self.crashes - len(self.unconfirmed)
+        return max(0, self.crashes - len(self.unconfirmed))
 
     @property
     def confirmed_log_odds(self) -> float:
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -9,9 +9,11 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import replace
 
 from saddlestack.codec import from_msgpack, to_msgpack
+from saddlestack.control.jobcodec import check_progress
 from saddlestack.interfaces.workers import EndKind, WorkerRecord
 from saddlestack.policy.cluster.crash_findings import CrashFindingKind
 from saddlestack.policy.cluster.crash_rule import LIMIT_STARTS_FROM, MAX_LATER_STARTS
@@ -19,7 +21,7 @@
 from saddlestack.policy.cluster.diagnosis import Diagnosis, DiagnosisContext
 from saddlestack.policy.cluster.incarnation_end import IncarnationEnd
 from saddlestack.policy.cluster.reasons import WaitReason
-from saddlestack.policy.cluster.records import OccurrenceRecord
+from saddlestack.policy.cluster.records import CrashRecord, OccurrenceRecord
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.standins.pool.workers import PoolWorker, TaskPlan, payload
@@ -230,6 +232,58 @@
     return replace(record(worker_id), machine=f"m-{where}", address=f"{where}:1")
 
 
+class RandomEvidenceTest(CrashCase):
+    """Random losses, answers and replacements of workers under a few jobs."""
+
+    def test_the_evidence_stays_consistent(self) -> None:
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self.play(random.Random(seed))
+
+    def play(self, rng: random.Random) -> None:
+        names = [f"w{number}" for number in range(8)]
+        for name in names:
+            self.cluster_state.set_worker(record_at(name), 0.0)
+        jobs = [self.add(step(1, 2)), self.add(step(2, 4, gang=True)), self.add(step(3, 8))]
+        for time in range(150):
+            now = time * 2.0
+            self.plan(now)
+            self.cause(rng, rng.choice(names), now)
+            for job_id in jobs:
+                self.check(job_id)
+
+    def cause(self, rng: random.Random, name: str, now: float) -> None:
+        """Lose a worker, or let it or its successor answer."""
+        workers = self.cluster_state.workers
+        lives = [each for each in workers if each.partition("-")[0] == name]
+        life = rng.choice(lives) if lives else name
+        event = rng.choice(("unheard", "unheard", "listed", "replaced", "answer", "successor"))
+        if event == "successor":
+            life = f"{name}-{rng.randrange(1000)}"
+        if event in {"answer", "successor"}:
+            worker = self.cluster_state.set_worker(record_at(life, name), now)
+            self.cluster_state.record_answer(worker, now)
+            return
+        if event == "unheard":
+            self.cluster_state.unlist_worker(life)
+        end = IncarnationEnd(now, now + 0.5, unheard=event != "replaced")
+        self.cluster_state.worker_ended(life, end)
+
+    def check(self, job_id: str) -> None:
+        job_state = self.cluster_state.jobs[job_id]
+        (occurrence,) = job_state.occurrences
+        check_progress(job_state.accepted, {0: occurrence.to_record()})
+        index = self.cluster_state._crashes._unconfirmed
+        for each in occurrence.steps[0].tasks if occurrence.open else ():
+            known = self.known(job_id, each.name.index) or CrashRecord()
+            self.assertGreaterEqual(known.crashes, len(known.unconfirmed))
+            for crash in known.unconfirmed:
+                self.assertIn(each, index.tasks_of(crash.worker))
+            if known.crashes < LIMIT_STARTS_FROM:
+                self.assertEqual(known.later_starts, 0)
+
+
 class UnconfirmedCrashTest(CrashCase):
     """Evidence from ends that only missing answers show."""
 
@@ -348,6 +402,24 @@
         self.assertIs(wait.reason, WaitReason.UNCONFIRMED_CRASH)
         self.assertEqual(wait.until_s, 60.0 + FIRST_RETRY_S)
 
+    # The starts that a crash had used up stayed counted after the crash was taken back.
+    def test_a_crash_that_is_taken_back_gives_its_starts_back(self) -> None:
+        self.workers(racks=2, each=6)
+        job_id = self.add(step(1, 8))
+        self.plan(0.0)
+        worker_id = self.run_of(job_id).worker_id
+        step_record = self.task(job_id).step.record
+        step_record.crashes[0] = CrashRecord(LIMIT_STARTS_FROM - 1, -3.0, 100.0)
+        self.cluster_state.worker_ended(worker_id, IncarnationEnd(0.1, 0.6))
+        self.plan(10.0)
+        known = self.known(job_id)
+        assert known is not None
+        self.assertEqual((known.crashes, known.later_starts), (LIMIT_STARTS_FROM, 1))
+        self.answer(worker_id, 11.0)
+        known = self.known(job_id)
+        assert known is not None
+        self.assertEqual((known.crashes, known.later_starts), (LIMIT_STARTS_FROM - 1, 0))
+
     # A crash behind an outage of the store was not counted, so the limit of starts began too late.
     def test_a_listed_worker_that_was_silent_and_then_replaced_has_crashed(self) -> None:
         self.workers(racks=1, each=2)
