Search no workers for tasks that are only held

A step whose tasks all wait for unconfirmed crashes looked for workers to isolate them on, in each round, and used none. The search is a method of its own and runs for suspects alone. 69 tests of crashes and silent workers pass.

--- a/src/saddlestack/policy/cluster/crash_rule.py
+++ b/src/saddlestack/policy/cluster/crash_rule.py
@@ -194,14 +194,10 @@
         This is so once it has used up its limited starts, or after at least :data:`MIN_CRASHES`
         crashes if its odds are at least :attr:`CULPRIT_ODDS`. Unconfirmed crashes do not count.
         """
-        if (
-            record.later_starts >= MAX_LATER_STARTS
-            and record.confirmed_crashes >= LIMIT_STARTS_FROM
-        ):
+        crashes = record.confirmed_crashes
+        if crashes >= LIMIT_STARTS_FROM and record.later_starts >= MAX_LATER_STARTS:
             return True
-        return record.confirmed_crashes >= MIN_CRASHES and (
-            record.confirmed_log_odds >= math.log(self.CULPRIT_ODDS)
-        )
+        return crashes >= MIN_CRASHES and record.confirmed_log_odds >= math.log(self.CULPRIT_ODDS)
 
     def awaits_confirmation(self, record: CrashRecord) -> bool:
         """Whether a task has used up its limited starts and is no culprit."""
--- a/src/saddlestack/policy/cluster/isolated_starts.py
+++ b/src/saddlestack/policy/cluster/isolated_starts.py
@@ -58,11 +58,15 @@
         if not held and not suspects:
             return True
         self._preemption.release(step)
-        self._open_tasks.isolate(held)
-        self._open_tasks.isolate(suspects)
+        self._open_tasks.isolate([*held, *suspects])
+        if suspects:
+            self._start_isolated(step, suspects, now)
+        return any(map(self._open_tasks.is_open, step.tasks))
+
+    def _start_isolated(self, step: StepState, suspects: Sequence[Task], now: float) -> None:
         pool = self._service_pool(step)
         eligible = self._eligible(step, now) if self._searches < MAX_ISOLATED_PER_ROUND else []
-        for tasks in _groups(step, suspects):
+        for tasks in [suspects] if step.step.gang else [[task] for task in suspects]:
             self._searches += 1
             if self._searches > MAX_ISOLATED_PER_ROUND:
                 break
@@ -72,7 +76,6 @@
                 eligible = [worker for worker in eligible if not worker.isolating]
             elif not found.must_wait:
                 self._open_tasks.reopen(tasks)
-        return any(map(self._open_tasks.is_open, step.tasks))
 
     def _service_pool(self, step: StepState) -> IsolationPool:
         service_capacity = self._candidates.service_capacity(step)
@@ -97,10 +100,3 @@
             self._starts.assign(task, worker, number, now)
             if task.run is not None:
                 task.run.isolated = found.alone
-
-
-def _groups(step: StepState, suspects: Sequence[Task]) -> list[Sequence[Task]]:
-    """The tasks that are placed together: all of a gang, else each alone."""
-    if not step.step.gang:
-        return [[task] for task in suspects]
-    return [suspects] if suspects else []
