Test a late start that the next life of a worker has begun

Traced in its logs: an earlier leader's start to life A of a worker arrived 9.2 s late, behind a cut, at life B under the same id; the new leader heard that A had been replaced, took the run for over, and started its task elsewhere 4 ms before it stopped the run on B.

--- a/tests/test_restarted.py
+++ b/tests/test_restarted.py
@@ -252,6 +252,23 @@
 
         self.play_one_rack(body, workers=2, entries=3)
 
+    # Two runs of one task: an order that an earlier leader sent to one incarnation was carried out by
+    # the next, behind a cut, and the new leader took it for over as the first one was replaced.
+    def test_an_order_of_an_earlier_leader_that_the_next_incarnation_has_begun(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            late = await self.unanswered_start(cluster)
+            await cluster.kill(cluster.leader_name)
+            late.unreachable = True
+            incarnation = cluster.worker_pool.restart(late)
+            incarnation.unreachable = True
+            for worker in list(cluster.worker_pool.workers.values()):
+                worker.late_orders = 0
+            await cluster.until(lambda: cluster.worker_pool.starts_of(SECOND) == 1)
+            late.unreachable = incarnation.unreachable = False
+            await cluster.until_state(SECOND, JobState.COMPLETED)
+
+        self.play_one_rack(body, workers=2, entries=3)
+
     def test_a_record_that_was_gone_belongs_to_another_incarnation(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             late = await self.unanswered_start(cluster)
