--- a/tests/test_restarted.py
+++ b/tests/test_restarted.py
@@ -252,8 +252,8 @@
 
         self.play_one_rack(body, workers=2, entries=3)
 
-    # Two runs of one task: an order that an earlier leader sent to one incarnation was carried out by
-    # the next, behind a cut, and the new leader took it for over as the first one was replaced.
+    # Two runs of one task: the next incarnation carries out an earlier leader's order behind a cut,
+    # and the new leader takes the run for over, since the first incarnation was replaced.
     def test_an_order_of_an_earlier_leader_that_the_next_incarnation_has_begun(self) -> None:
         async def body(cluster: PoolCluster) -> None:
             late = await self.unanswered_start(cluster)
