Hold only tasks that lack confirmed crashes

A task counted as awaiting its crashes whenever it was no culprit, also where all of them are confirmed.

--- a/src/saddlestack/policy/cluster/crash_rule.py
+++ b/src/saddlestack/policy/cluster/crash_rule.py
@@ -200,8 +200,9 @@
         return crashes >= MIN_CRASHES and record.confirmed_log_odds >= math.log(self.CULPRIT_ODDS)
 
     def awaits_confirmation(self, record: CrashRecord) -> bool:
-        """Whether a task has used up its limited starts and is no culprit."""
-        return record.later_starts >= MAX_LATER_STARTS and not self.is_culprit(record)
+        """Whether a task has used up its limited starts, without enough confirmed crashes."""
+        is_unconfirmed = record.confirmed_crashes < LIMIT_STARTS_FROM
+        return is_unconfirmed and record.later_starts >= MAX_LATER_STARTS
 
     def _updated_record(self, exposure: CrashExposure, share: float, others: float) -> CrashRecord:
         record, lifetime = exposure.record, exposure.lifetime
