--- a/review/standins2/workers.py
+++ b/review/standins2/workers.py
@@ -84,7 +84,7 @@
             "state": "draining" if self.leaving else "ready",
             "cold-left-ms": 0,
             "capacity": {"cpu": cpu, "mem-mb": memory, "gpu": gpu},
-            "labels": ["a", self.rack],
+            "labels": ["a", self.rack, *self.pool.labels.get(self.machine, [])],
             "clock-ms": self.clock_ms(),
             "machine": self.machine,
             "seq": self.seq,
@@ -219,6 +219,7 @@
         self.service = service
         self.max_hold_s = max_hold_s
         self.workers: dict[str, Worker] = {}
+        self.labels: dict[str, list[str]] = {}
         self.runs: list[Run] = []
         self.records: list[dict] = []
         self.began_s = time.monotonic()
