--- /dev/null
+++ b/review/more2/avail/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../../.." && exec python3 review/more2/avail/case.py
