Start no later time of a job that has failed

Callers saw a job that runs several times as failed, cancelled it, got a 200, and each later time was started all the same when it fell due.

Whether an occurrence is open was decided by its own status and the job's cancel, while whether a job is over also counted a failed occurrence. The queue of waiting steps asked the first. Now both ask the same two flags of the job; that it has failed is kept instead of searched for in all its occurrences.

All that starts, reserves or suspects work goes through Occurrence.open, so it ends at once with the job, whichever way the job failed and whether or not it is cancelled afterwards.

--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -241,8 +241,8 @@
 
     @property
     def open(self) -> bool:
-        """Whether it has work left and its job is not cancelled."""
-        return self.status is OccurrenceStatus.OPEN and not self.job.cancelled
+        """Whether it has work left, and its job has neither failed nor been cancelled."""
+        return self.status is OccurrenceStatus.OPEN and not (self.job.failed or self.job.cancelled)
 
     def to_record(self) -> OccurrenceRecord:
         """The record to be written to the store."""
@@ -265,6 +265,7 @@
 class Job:
     """An accepted job.
 
+    :param failed: whether one of its occurrences has failed. None of them starts anything more.
     :param begun: whether a run of it has started, or the store has progress of it.
     :param published_state: its state according to the records in the store. Clients see this one.
     :param over_since_s: since when it is known to be over, or ``None``.
@@ -272,6 +273,7 @@
 
     accepted: AcceptedJob
     occurrences: list[Occurrence] = field(default_factory=list)
+    failed: bool = False
     cancelled: bool = False
     begun: bool = False
     published_state: JobState = JobState.QUEUED
@@ -287,11 +289,6 @@
         """Priority of the job; 0 is the most urgent and may preempt others."""
         return self.accepted.priority
 
-    @property
-    def failed(self) -> bool:
-        """Whether one of its occurrences has failed."""
-        return any(each.status is OccurrenceStatus.FAILED for each in self.occurrences)
-
     @property
     def cause(self) -> str:
         """Why it failed, a :class:`FailureCause`; empty if it has not, or if unknown."""
@@ -349,6 +346,7 @@
     job = Job(accepted)
     for number in range(accepted.request.occurrences):
         job.occurrences.append(_occurrence(job, number, records.get(number)))
+    job.failed = any(each.status is OccurrenceStatus.FAILED for each in job.occurrences)
     job.begun = bool(records)
     job.published_state = job.state
     return job
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -536,6 +536,7 @@
             return
         occurrence.status = OccurrenceStatus.FAILED
         occurrence.cause = cause.value
+        occurrence.job.failed = True
         self._crashes.forget_job(occurrence.job.job_id)
         self._mark_changed(occurrence)
         self._changed_jobs[occurrence.job.job_id] = occurrence.job
--- a/tests/test_cluster_state.py
+++ b/tests/test_cluster_state.py
@@ -16,6 +16,7 @@
 from saddlestack.policy.cluster.advice import StepAdvice
 from saddlestack.policy.cluster.changes import Changes, StopReason
 from saddlestack.policy.cluster.draining import SAVE_MARGIN_S
+from saddlestack.policy.cluster.jobs import Task
 from saddlestack.policy.cluster.pacing import adjust_pace
 from saddlestack.policy.cluster.records import OccurrenceRecord, TaskStatus
 from saddlestack.policy.cluster.shapes import FailedShapes
@@ -75,7 +76,13 @@
                 self.cluster_state.set_worker(made, 0.0)
 
     def add(
-        self, *steps: Step, priority: int = URGENT, account: str = "depots", attempts: int = 3
+        self,
+        *steps: Step,
+        priority: int = URGENT,
+        account: str = "depots",
+        attempts: int = 3,
+        times: int = 0,
+        interval_ms: int = 0,
     ) -> str:
         self.jobs += 1
         job_id = f"{self.jobs:016x}"
@@ -87,13 +94,13 @@
             priority=priority,
             attempts=attempts,
             accepted_ms=self.jobs,
-            request=JobRequest(payload="", steps=steps),
+            request=JobRequest(payload="", steps=steps, times=times, interval_ms=interval_ms),
         )
         self.cluster_state.add_job(accepted, {})
         return job_id
 
-    def plan(self, now: float = 0.0) -> Changes:
-        self.cluster_state.plan(now, 0.0)
+    def plan(self, now: float = 0.0, wall_ms: float = 0.0) -> Changes:
+        self.cluster_state.plan(now, wall_ms)
         changes = self.cluster_state.take_changes()
         for start in changes.starts:
             self.cluster_state.run_started(start.run, now)
@@ -106,6 +113,12 @@
                     end = EndedTask(1, str(key[0]), run.number, how, saved)
                     self.cluster_state.run_ended(worker.worker_id, end, now)
 
+    def end_run(self, task: Task, how: EndKind, now: float) -> None:
+        """End the present run of a task, as its worker reports it."""
+        assert task.run is not None
+        end = EndedTask(1, str(task.name), task.run.number, how, "")
+        self.cluster_state.run_ended(task.run.worker_id, end, now)
+
     def state(self, job_id: str) -> JobState:
         return self.cluster_state.jobs[job_id].state
 
