Keep a cancelled job cancelled while its last runs end

A job whose tasks run only once turned with any such end.

A job fails only while the occurrence of the failed run is open, which it is not once the job is over.

--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -531,8 +531,11 @@
         self._fail_job(step.occurrence, FailureCause.ATTEMPTS)
 
     def _fail_job(self, occurrence: Occurrence, cause: FailureCause) -> None:
-        """Fail a job: none of its tasks starts again, and its runs are stopped."""
-        if occurrence.status is not OccurrenceStatus.OPEN:
+        """Fail a job: none of its tasks starts again, and its runs are stopped.
+
+        A job that is over keeps its state while its last runs end.
+        """
+        if not occurrence.open:
             return
         occurrence.status = OccurrenceStatus.FAILED
         occurrence.cause = cause.value
--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -105,6 +105,25 @@
         self.assertEqual(self.starts_later(job), [])
         self.assertIs(self.state(job), JobState.CANCELLED)
 
+    def test_a_cancelled_job_stays_cancelled_however_its_runs_end(self) -> None:
+        """A run that was being stopped, or failed just then, turned the job into a failed one."""
+        steps = {
+            "task": step(1),
+            "once": step(1, once=True),
+            "gang": step(2, gang=True),
+            "lasting": step(1, long_running=True),
+        }
+        for name, each in steps.items():
+            for how in EndKind:
+                with self.subTest(name, how=how):
+                    self.setUp()
+                    job = self.submit(each, attempts=1)
+                    self.plan(QUIET_S)
+                    self.cluster_state.cancel(job)
+                    self.end(job, how, QUIET_S + 1)
+                    self.assertIs(self.state(job), JobState.CANCELLED)
+                    self.assertEqual(self.starts_later(job), [])
+
 
 if __name__ == "__main__":
     unittest.main()
