Open the times of a job as they fall due

Callers saw that after one job of 8,760 times nothing started any more and most calls got no answer: each leader held all its times in memory, searched them for a failed one for each of them, and lost its lease in that turn of the event loop.

A leader now opens an occurrence when it falls due and drops it once it is done and none of its runs is left. What it asked the occurrences is counted as it changes: those that are done, their tasks, the runs. Records of done occurrences are only counted when they are read. A round opens at most 1,000 tasks, as thousands of times may be due at once.

--- a/src/saddlestack/control/storedjobs.py
+++ b/src/saddlestack/control/storedjobs.py
@@ -120,8 +120,8 @@
         for job in expired[:MAX_REMOVALS_PER_TICK]:
             # The job is removed first: without its progress a new leader would run it again.
             job_keys = (keys.job_key(job.job_id), keys.cancel_key(job.job_id))
-            records = [keys.progress_key(each.key) for each in job.occurrences]
-            if not await self._journal.remove([*job_keys, *records]):
+            occurrences = (f"{job.job_id}.{number}" for number in range(job.opened_count))
+            if not await self._journal.remove([*job_keys, *map(keys.progress_key, occurrences)]):
                 return
             self._mark_removed(job.job_id)
             log.info("job removed", extra={"event": "forgotten", "job": job.job_id})
--- a/src/saddlestack/policy/cluster/diagnosis.py
+++ b/src/saddlestack/policy/cluster/diagnosis.py
@@ -241,9 +241,11 @@
         return occurrence.due_ms <= self._context.wall_ms
 
     def _waits_until_due(self, job: Job, since_s: float) -> Wait:
-        to_come = [each for each in job.occurrences if each.open]
-        tasks = sum(len(step.tasks) for each in to_come[:1] for step in each.steps)
-        due_ms = min((each.due_ms for each in to_come), default=0)
+        to_come = [each.due_ms for each in job.occurrences if each.open]
+        if job.next_due_ms is not None:
+            to_come.append(job.next_due_ms)
+        tasks = sum(step.count for step in job.accepted.request.steps) if to_come else 0
+        due_ms = min(to_come, default=0)
         until_s = self._now + (due_ms - self._context.wall_ms) / 1000
         return Wait(job.job_id, WaitReason.NOT_DUE, since_s, tasks, until_s=until_s)
 
--- a/src/saddlestack/policy/cluster/fault_attribution.py
+++ b/src/saddlestack/policy/cluster/fault_attribution.py
@@ -233,17 +233,12 @@
     def _evidence(self, worker_id: str, failure: _Failure, now: float) -> JobEvidence:
         job = failure.job
         elsewhere = self._failures_by_job[job.job_id].count_elsewhere(worker_id, failure.kind)
-        succeeded = _count_done(job)
+        succeeded = job.done_tasks
         if failure.kind is not FailureKind.LATE:
             succeeded += _count_survivors(job, worker_id, now)
         return JobEvidence(failure.kind, elsewhere, succeeded)
 
 
-def _count_done(job: Job) -> int:
-    """The number of tasks of a job that are done."""
-    return sum(step.done for occurrence in job.occurrences for step in occurrence.steps)
-
-
 def _count_survivors(job: Job, worker_id: str, now: float) -> int:
     """The number of runs of a job on other workers that can no longer fail early."""
     tasks = islice(_tasks(job), MAX_TASKS_EXAMINED)
--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -6,11 +6,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
 from saddlestack.policy.cluster.advice import StepAdvice
 from saddlestack.policy.cluster.records import (
+    FailureCause,
     OccurrenceRecord,
     OccurrenceStatus,
     StepRecord,
@@ -109,6 +110,16 @@
         """Status of the task in its record."""
         return self.record.status
 
+    def set_run(self, run: Run) -> None:
+        """Set its present run, which is or may be on some worker. It must have none."""
+        self.run = run
+        self.step.occurrence.count_run(1)
+
+    def clear_run(self) -> None:
+        """Clear its present run, which is over."""
+        self.run = None
+        self.step.occurrence.count_run(-1)
+
 
 @dataclass(slots=True, eq=False)
 class StepState:
@@ -225,6 +236,7 @@
 
     :param due_ms: milliseconds since 1970 before which nothing may start; 0 means at once.
     :param cause: why it failed, a :class:`FailureCause`; empty if it has not, or if unknown.
+    :param run_count: number of its runs that are, or may be, on some worker.
     """
 
     job: Job
@@ -233,6 +245,7 @@
     status: OccurrenceStatus
     steps: list[StepState]
     cause: str = ""
+    run_count: int = 0
 
     @property
     def key(self) -> str:
@@ -244,6 +257,27 @@
         """Whether it has work left, and its job has neither failed nor been cancelled."""
         return self.status is OccurrenceStatus.OPEN and not (self.job.failed or self.job.cancelled)
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether it is done and none of its runs is left."""
+        return self.status is OccurrenceStatus.DONE and not self.run_count
+
+    def count_run(self, change: int) -> None:
+        """Count a run that begins (1) or is over (-1)."""
+        self.run_count += change
+        self.job.run_count += change
+
+    def complete(self) -> None:
+        """Note that all its steps are done."""
+        self.status = OccurrenceStatus.DONE
+        self.job.done_occurrences += 1
+
+    def fail(self, cause: FailureCause) -> None:
+        """Note that it has failed, and so its job."""
+        self.status = OccurrenceStatus.FAILED
+        self.cause = cause.value
+        self.job.failed = True
+
     def to_record(self) -> OccurrenceRecord:
         """The record to be written to the store."""
         if self.status is not OccurrenceStatus.OPEN:
@@ -265,6 +299,14 @@
 class Job:
     """An accepted job.
 
+    An occurrence is opened when it falls due, and dropped once it is settled, since a job may have
+    thousands of them.
+
+    :param occurrences: those that have been opened and are not settled, by number.
+    :param opened_count: how many occurrences have been opened. The next one has this number.
+    :param done_occurrences: how many occurrences are done.
+    :param done_tasks: number of tasks that are done, without occurrences of earlier terms.
+    :param run_count: number of its runs that are, or may be, on some worker.
     :param failed: whether one of its occurrences has failed. None of them starts anything more.
     :param begun: whether a run of it has started, or the store has progress of it.
     :param published_state: its state according to the records in the store. Clients see this one.
@@ -273,6 +315,10 @@
 
     accepted: AcceptedJob
     occurrences: list[Occurrence] = field(default_factory=list)
+    opened_count: int = 0
+    done_occurrences: int = 0
+    done_tasks: int = 0
+    run_count: int = 0
     failed: bool = False
     cancelled: bool = False
     begun: bool = False
@@ -299,7 +345,7 @@
         """Its current state, including changes that are not yet in the store."""
         if self.failed:
             return JobState.FAILED
-        if all(each.status is OccurrenceStatus.DONE for each in self.occurrences):
+        if self.done_occurrences == self.accepted.request.occurrences:
             return JobState.COMPLETED
         if self.cancelled:
             return JobState.CANCELLED
@@ -313,12 +359,31 @@
     @property
     def settled(self) -> bool:
         """Whether it is published as over and none of its runs is left."""
-        if self.published_state not in FINAL_STATES:
-            return False
-        return next(self.runs(), None) is None
+        return self.published_state in FINAL_STATES and not self.run_count
+
+    @property
+    def next_due_ms(self) -> int | None:
+        """When the next occurrence is to be opened, in ms since 1970; ``None`` if none is left."""
+        if self.over or self.opened_count == self.accepted.request.occurrences:
+            return None
+        return self.accepted.request.due_ms(self.opened_count)
+
+    def open_next(self) -> Occurrence:
+        """Open the next occurrence."""
+        occurrence = _occurrence(self, self.opened_count, None)
+        self.occurrences.append(occurrence)
+        self.opened_count += 1
+        return occurrence
+
+    def drop_settled(self, occurrence: Occurrence) -> None:
+        """Drop an occurrence if it is settled. Nothing refers to it any more."""
+        if occurrence.is_settled and occurrence in self.occurrences:
+            self.occurrences.remove(occurrence)
 
     def runs(self) -> Iterator[Run]:
         """Its runs that are, or may be, on some worker."""
+        if not self.run_count:
+            return
         for occurrence in self.occurrences:
             for step in occurrence.steps:
                 for task in step.tasks:
@@ -327,25 +392,29 @@
 
     @property
     def accelerators(self) -> int:
-        """Accelerators that the first step of its largest open occurrence takes at once."""
-        return max(
-            (
-                sum(s.step.count * s.step.needs.accelerators for s in each.steps[:1])
-                for each in self.occurrences
-                if each.open
-            ),
-            default=0,
-        )
-
-
-def new_job(accepted: AcceptedJob, records: dict[int, OccurrenceRecord]) -> Job:
+        """Accelerators that the first step of an occurrence takes at once; 0 if it is over."""
+        if self.over:
+            return 0
+        first = self.accepted.request.steps[0]
+        return first.count * first.needs.accelerators
+
+
+def new_job(accepted: AcceptedJob, records: Mapping[int, OccurrenceRecord]) -> Job:
     """Build a job from its request and its progress in the store.
 
     :param records: by number of the occurrence; those without a record have not begun.
     """
     job = Job(accepted)
-    for number in range(accepted.request.occurrences):
-        job.occurrences.append(_occurrence(job, number, records.get(number)))
+    job.opened_count = max(records, default=-1) + 1
+    for number in range(job.opened_count):
+        record = records.get(number)
+        if record is not None and record.status is OccurrenceStatus.DONE:
+            job.done_occurrences += 1
+        else:
+            job.occurrences.append(_occurrence(job, number, record))
+    if not accepted.request.times and not job.opened_count:
+        job.open_next()
+    job.done_tasks = sum(step.done for each in job.occurrences for step in each.steps)
     job.failed = any(each.status is OccurrenceStatus.FAILED for each in job.occurrences)
     job.begun = bool(records)
     job.published_state = job.state
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -276,7 +276,7 @@
             if self._starts.count >= MAX_STARTS_PER_ROUND:
                 return True
             self._placement.place(step, entitled, now)
-        return False
+        return self._waiting.has_due(wall_ms)
 
     def _begin_round(self, now: float, wall_ms: float) -> set[str]:
         """Reset what holds for one round only, and release what has expired.
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -142,7 +142,7 @@
         job = self.jobs.get(accepted.job_id)
         if job is not None:
             return job
-        job = new_job(accepted, dict(records))
+        job = new_job(accepted, records)
         self.jobs[accepted.job_id] = job
         for occurrence in job.occurrences:
             record = records.get(occurrence.number)
@@ -178,7 +178,7 @@
         )
         run.saved = record.saved
         run.address = address
-        task.run = run
+        task.set_run(run)
         worker.add(run)
         self._count_run(run)
 
@@ -468,7 +468,7 @@
         task = run.task
         if task.run is not run:
             return
-        task.run = None
+        task.clear_run()
         step = task.step
         occurrence = step.occurrence
         self._mark_changed(occurrence)
@@ -510,9 +510,10 @@
                 each.record.status = TaskStatus.DONE
                 each.record.saved = ""
                 step.done += 1
+                step.occurrence.job.done_tasks += 1
         occurrence = step.occurrence
         if occurrence.status is OccurrenceStatus.OPEN and all(s.finished for s in occurrence.steps):
-            occurrence.status = OccurrenceStatus.DONE
+            occurrence.complete()
             self._changed_jobs[occurrence.job.job_id] = occurrence.job
         self._planner.step_finished(step)
 
@@ -537,9 +538,7 @@
         """
         if not occurrence.open:
             return
-        occurrence.status = OccurrenceStatus.FAILED
-        occurrence.cause = cause.value
-        occurrence.job.failed = True
+        occurrence.fail(cause)
         self._crashes.forget_job(occurrence.job.job_id)
         self._mark_changed(occurrence)
         self._changed_jobs[occurrence.job.job_id] = occurrence.job
@@ -606,7 +605,7 @@
         """
         run = Run(task, number, worker.worker_id, task.step.step.allocation, assigned_s=now)
         run.address = worker.record.address
-        task.run = run
+        task.set_run(run)
         task.record.status = TaskStatus.ASSIGNED
         task.record.run = number
         task.record.worker = worker.worker_id
@@ -649,6 +648,7 @@
         )
         for key, occurrence in self._changed_occurrences.items():
             changes.records[key] = occurrence.to_record()
+            occurrence.job.drop_settled(occurrence)
         changes.state_updates = [(job, job.state) for job in self._changed_jobs.values()]
         self._starts, self._stops, self._paces, self._advice_requests = [], [], [], []
         self._changed_occurrences, self._changed_jobs, self._findings = {}, {}, []
--- a/src/saddlestack/policy/cluster/waiting.py
+++ b/src/saddlestack/policy/cluster/waiting.py
@@ -10,9 +10,17 @@
 from saddlestack.policy.cluster.jobs import TOP_PRIORITY, Job, Occurrence, StepState, Task
 from saddlestack.policy.cluster.records import TaskStatus
 
+MAX_TASKS_OPENED_PER_ROUND = 1_000
+"""A round opens no further occurrence after this many tasks, since thousands of occurrences may be
+due at once."""
+
 _Order = tuple[int, int]
 """Sort key: priority, then when the job was accepted. Equal steps keep their order of arrival."""
 
+_Due = tuple[int, int, Job, Occurrence | None]
+"""When an occurrence is due in milliseconds since 1970, a number that breaks ties, its job, and the
+occurrence; ``None`` stands for the job's next one, which is not opened yet."""
+
 Guaranteed = Callable[[str], int]
 """Returns the accelerators that are guaranteed to a client account for jobs of top priority."""
 
@@ -24,7 +32,7 @@
         self._steps: SortedKeyList[StepState, _Order] = SortedKeyList(key=_order)
         self._queued: set[StepState] = set()
         self._newly_queued: list[StepState] = []
-        self._due: list[tuple[int, int, Occurrence]] = []
+        self._due: list[_Due] = []
         self._top_jobs: dict[str, Job] = {}
         self._count = 0
 
@@ -38,10 +46,14 @@
             if not occurrence.open:
                 continue
             if occurrence.due_ms:
-                self._count += 1
-                heapq.heappush(self._due, (occurrence.due_ms, self._count, occurrence))
+                self._await(occurrence.due_ms, job, occurrence)
             else:
                 self._open(occurrence)
+        self._await_next(job)
+
+    def has_due(self, wall_ms: float) -> bool:
+        """Whether occurrences that are due have yet to be opened."""
+        return bool(self._due) and self._due[0][0] <= wall_ms
 
     def requeue(self, step: StepState, *, ran: bool) -> None:
         """Queue a step again whose task has to run again.
@@ -72,8 +84,7 @@
 
         :param entitled: ids of top-priority jobs that are within their account's guarantee.
         """
-        while self._due and self._due[0][0] <= wall_ms:
-            self._open(heapq.heappop(self._due)[2])
+        self._open_due(wall_ms)
         for step in self._newly_queued:
             if step.stalled_since_s is None:
                 step.stalled_since_s = now
@@ -102,6 +113,29 @@
                 found.add(job.job_id)
         return found
 
+    def _await(self, due_ms: int, job: Job, occurrence: Occurrence | None) -> None:
+        self._count += 1
+        heapq.heappush(self._due, (due_ms, self._count, job, occurrence))
+
+    def _await_next(self, job: Job) -> None:
+        """Wait until the next occurrence of a job is due, if there is one."""
+        due_ms = job.next_due_ms
+        if due_ms is not None:
+            self._await(due_ms, job, None)
+
+    def _open_due(self, wall_ms: float) -> None:
+        """Open occurrences that are due; :meth:`has_due` tells whether some are left."""
+        opened = 0
+        while self.has_due(wall_ms) and opened < MAX_TASKS_OPENED_PER_ROUND:
+            _, _, job, occurrence = heapq.heappop(self._due)
+            if job.over:
+                continue
+            if occurrence is None:
+                occurrence = job.open_next()
+                self._await_next(job)
+            self._open(occurrence)
+            opened += sum(len(step.tasks) for step in occurrence.steps)
+
     def _open(self, occurrence: Occurrence) -> None:
         if occurrence.open:
             for step in occurrence.steps:
