Let a new leader read its jobs in many turns of the event loop

A new leader read all progress in one turn of its event loop and added all jobs in another.

Reading, adding and restoring give way to other tasks after 500 tasks each. A wide job is restored in parts. Nothing is decided before all is read, and a job that is already cancelled is cancelled in the turn that adds it, as others may act in between when a list is read again in the middle of a term.

--- a/src/saddlestack/control/feed.py
+++ b/src/saddlestack/control/feed.py
@@ -34,10 +34,10 @@
 MAX_DOUBLINGS = 4
 """How often that time is doubled while no listing is answered."""
 
-OnSnapshot = Callable[[tuple[Item, ...]], None]
-"""Receives all items under the prefix."""
-OnChange = Callable[[tuple[Item, ...]], None]
-"""Receives changed items; those of removed keys have revision 0."""
+OnSnapshot = Callable[[tuple[Item, ...]], Awaitable[None] | None]
+"""Receives all items under the prefix. Asynchronous if that may take several turns."""
+OnChange = Callable[[tuple[Item, ...]], Awaitable[None] | None]
+"""Receives changed items; those of removed keys have revision 0. Asynchronous as above."""
 CatchUp = Callable[[], Awaitable[int]]
 """Gets the latest changes in another way; returns the revision that the next watch follows."""
 SLOW_ANSWER_S = 0.25
@@ -135,7 +135,7 @@
             return
         self._current_as_of_s = max(self._current_as_of_s, sent_s)
         if changes.items:
-            self._on_change(changes.items)
+            await _completed(self._on_change(changes.items))
 
     async def run(self) -> None:
         """Follows the prefix until cancelled."""
@@ -177,7 +177,7 @@
             listing = await list_within(store, self._prefix, self._list_timeout_s, self._failures)
         self._failures = 0
         self._current_as_of_s = sent_s
-        self._on_snapshot(listing.items)
+        await _completed(self._on_snapshot(listing.items))
         self.loaded.set()
         self._revision = listing.revision
         while True:
@@ -192,7 +192,7 @@
             self._current_as_of_s = max(self._current_as_of_s, self._as_of_s(sent_s, changes))
             self._revision = max(self._revision, changes.revision)
             if changes.items:
-                self._on_change(changes.items)
+                await _completed(self._on_change(changes.items))
                 if len(changes.items) < FULL_BATCH:
                     await asyncio.sleep(self._gap_s)
             if self._catch_up is not None and transfer.receiving_s() > SLOW_ANSWER_S:
@@ -224,3 +224,9 @@
         await self._context.health.wait_for_recovery(
             backoff_delay(self._failures, FIRST_RETRY_S, LONGEST_RETRY_S, self._context.rng)
         )
+
+
+async def _completed(handling: Awaitable[None] | None) -> None:
+    """Waits for a handler that is asynchronous."""
+    if handling is not None:
+        await handling
--- a/src/saddlestack/control/leaderrpc.py
+++ b/src/saddlestack/control/leaderrpc.py
@@ -178,7 +178,8 @@
         return ClearAnswer(scheduler.clear_suspects(order.job_id))
 
     async def _notice_request(self, notice: WrittenNotice) -> NoticeTaken:
-        self._leading_scheduler().receive_notice(Item(notice.key, notice.value, notice.revision))
+        item = Item(notice.key, notice.value, notice.revision)
+        await self._leading_scheduler().receive_notice(item)
         return NoticeTaken()
 
     async def _pending(self, question: PendingQuestion) -> PendingAnswer:
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -181,9 +181,9 @@
         self.reschedule()
         return found
 
-    def receive_notice(self, item: Item) -> None:
+    async def receive_notice(self, item: Item) -> None:
         """Apply a request that a VM has just written, before the watch of the store delivers it."""
-        self._apply_requests((item,))
+        await self._apply_requests((item,))
 
     # Used by worker sessions
 
@@ -313,8 +313,8 @@
         self.cluster_state.evacuate(halls)
         self.reschedule()
 
-    def _apply_requests(self, items: tuple[Item, ...]) -> None:
-        self._worker_list.add_services(self._stored_jobs.apply(items))
+    async def _apply_requests(self, items: tuple[Item, ...]) -> None:
+        self._worker_list.add_services(await self._stored_jobs.apply(items))
         self.reschedule()
 
     def _on_worker_snapshot(self, items: tuple[Item, ...]) -> None:
--- a/src/saddlestack/control/storedjobs.py
+++ b/src/saddlestack/control/storedjobs.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from saddlestack.control import jobcodec, keys
 from saddlestack.control.context import EntryContext
@@ -15,6 +15,7 @@
 from saddlestack.control.journal import Journal
 from saddlestack.errors import SaddlestackError
 from saddlestack.interfaces.store import Item, StoreUnavailable
+from saddlestack.kernel.turns import Turns
 from saddlestack.policy.cluster.records import OccurrenceRecord
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.work import AcceptedJob
@@ -22,6 +23,9 @@
 log = logging.getLogger("saddlestack.requests")
 
 LOAD_RETRY_DELAY_S = 0.2
+TASKS_PER_TURN = 500
+"""Tasks that are read or added in one turn of the event loop. A pool may have 120,000 of them, and
+adding all of those takes longer than the leader's lease lasts."""
 MAX_REMOVALS_PER_TICK = 5
 MAX_REMOVED_JOBS = 5_000
 """Removed jobs that are remembered, in 0.5 MB. At 5 removals per tick of 0.5 s these are the
@@ -52,50 +56,59 @@
                 break
             except StoreUnavailable:
                 await self._context.health.wait_for_recovery(LOAD_RETRY_DELAY_S)
+        turns = Turns(TASKS_PER_TURN)
         for item in listing.items:
             self._journal.note_revision(item)
-            self._load(item)
+            await turns.spend(self._load(item))
 
-    def _load(self, item: Item) -> None:
+    def _load(self, item: Item) -> int:
+        """Load one record; returns the number of tasks in it, or 1 if it has none."""
         name = item.key.removeprefix(keys.PROGRESS)
         try:
             job_id, number = keys.occurrence_of(item.key)
         except ValueError:
             self._invalid_records.report(item.key, "expected JOB.NUMBER")
-            return
+            return 1
         try:
-            self._records.setdefault(job_id, {})[number] = jobcodec.decode_occurrence(
-                name, item.value
-            )
+            record = jobcodec.decode_occurrence(name, item.value)
         except SaddlestackError as error:
             self._invalid_records.report(item.key, str(error))
             self._unreadable_jobs.add(job_id)
+            return 1
+        self._records.setdefault(job_id, {})[number] = record
+        return max(1, sum(len(step.tasks) for step in record.steps))
 
     def finish_loading(self) -> None:
         """Note that everything has been read: a job that is applied after this has no progress."""
         self._is_loaded = True
 
-    def apply(self, items: Iterable[Item]) -> set[str]:
-        """Apply requests that were written; returns the services of the accepted jobs."""
-        cancelled: list[str] = []
+    async def apply(self, items: Sequence[Item]) -> set[str]:
+        """Apply requests that were written; returns the services of the accepted jobs.
+
+        Many of them take several turns of the event loop. A job that is already cancelled is
+        cancelled in the turn in which it is added, so that nothing of it starts in between.
+        """
+        written = [item for item in items if item.revision]
+        cancelled = set(filter(None, (keys.cancelled_job_of(item.key) for item in written)))
         services: set[str] = set()
-        for item in items:
-            if not item.revision:
-                continue
+        turns = Turns(TASKS_PER_TURN)
+        for item in written:
             job_id = keys.job_of(item.key)
-            if job_id is not None:
-                accepted = self._accept(job_id, item)
-                if accepted is not None:
-                    services.add(accepted.service)
+            if job_id is None:
                 continue
-            job_id = keys.cancelled_job_of(item.key)
-            if job_id is not None:
-                cancelled.append(job_id)
+            accepted = await self._accept(job_id, item, turns)
+            if job_id in cancelled:
+                self._cluster_state.cancel(job_id)
+            if accepted is not None:
+                services.add(accepted.service)
+                await turns.spend(sum(step.count for step in accepted.request.steps))
         for job_id in cancelled:
             self._cluster_state.cancel(job_id)
+            await turns.spend()
         return services
 
-    def _accept(self, job_id: str, item: Item) -> AcceptedJob | None:
+    async def _accept(self, job_id: str, item: Item, turns: Turns) -> AcceptedJob | None:
+        """Add a job, in several turns if it has much progress; ``None`` if it is not used."""
         if job_id in self._unreadable_jobs or item.revision <= self._removed_revisions.get(
             job_id, 0
         ):
@@ -109,7 +122,8 @@
             if job_id not in self._cluster_state.jobs:
                 self._unreadable_jobs.add(job_id)
             return None
-        self._cluster_state.add_job(accepted, records)
+        for tasks in self._cluster_state.add_job_in_parts(accepted, records):
+            await turns.spend(tasks)
         self._revisions[job_id] = max(item.revision, self._revisions.get(job_id, 0))
         return accepted
 
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -41,6 +41,9 @@
 from saddlestack.policy.cluster.workers import EARLY_FAILURE_S, EARLY_FAILURE_SHARE, Worker
 from saddlestack.work import AcceptedJob, JobState, Resources, TaskName
 
+TASKS_PER_PART = 500
+"""Tasks whose runs are restored in one part of the addition of a job."""
+
 
 class ClusterState:
     """Jobs and workers of a cluster, and the scheduling decisions of its leader.
@@ -139,23 +142,42 @@
 
     def add_job(self, accepted: AcceptedJob, records: Mapping[int, OccurrenceRecord]) -> Job:
         """Add a job from the store with its progress. A job that is already known is unchanged."""
-        job = self.jobs.get(accepted.job_id)
-        if job is not None:
-            return job
+        for _ in self.add_job_in_parts(accepted, records):
+            pass
+        return self.jobs[accepted.job_id]
+
+    def add_job_in_parts(
+        self, accepted: AcceptedJob, records: Mapping[int, OccurrenceRecord]
+    ) -> Iterator[int]:
+        """Add a job like :meth:`add_job`, in parts that each take little time.
+
+        Nothing may be decided about the job before the last part. A job without progress is added
+        in one part.
+
+        :return: yields the number of tasks in each part.
+        """
+        if accepted.job_id in self.jobs:
+            return
         job = new_job(accepted, records)
         self.jobs[accepted.job_id] = job
         for occurrence in job.occurrences:
             record = records.get(occurrence.number)
-            addresses = {} if record is None else record.addresses
-            for step in occurrence.steps:
-                for task in step.tasks:
-                    self._restore_run(task, addresses)
-                for index in step.record.crashes:
-                    self._crashes.inherit(step.tasks[index])
+            if record is not None:
+                for step in occurrence.steps:
+                    yield from self._restore_step(step, record.addresses)
         self._stop_leftovers(job)
         self._fault_attribution.inherit(job)
         self._planner.add(job)
-        return job
+
+    def _restore_step(self, step: StepState, addresses: Mapping[str, str]) -> Iterator[int]:
+        """Restore the runs of a step, and the evidence about its tasks, in parts."""
+        for first in range(0, len(step.tasks), TASKS_PER_PART):
+            tasks = step.tasks[first : first + TASKS_PER_PART]
+            for task in tasks:
+                self._restore_run(task, addresses)
+            yield len(tasks)
+        for index in step.record.crashes:
+            self._crashes.inherit(step.tasks[index])
 
     def _stop_leftovers(self, job: Job) -> None:
         """Stop runs that an earlier leader had yet to stop. The store holds no pending stops."""
