Keep a step's limit of tasks per worker where work is preempted for it

Callers saw two tasks of an urgent step on one worker, though the step allows one: room had been reserved for it, and while the last preempted run was stopping, tasks of the step started beside the reservation, which kept its places. The last task was then given the first place, on a worker that held one by then.

Each start now gives back the place of the step's reservation that it makes needless, and a reservation is free only where the limit allows its places. All starts pass TaskStarts.assign, so this holds for each way of a task to a worker. Others may use what was given back at once.

--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -131,7 +131,6 @@
     def _build_starts(self) -> None:
         """Build what starts tasks, and what stops others for them."""
         cluster_state, index, candidates = self._cluster_state, self._index, self._candidates
-        starts = TaskStarts(cluster_state, index, candidates, self._reservations, self._stalled)
         preemption = StepPreemption(
             cluster_state,
             candidates,
@@ -143,6 +142,9 @@
             self._failed_shapes,
             self._open_tasks,
         )
+        starts = TaskStarts(
+            cluster_state, index, candidates, self._reservations, preemption, self._stalled
+        )
         self._starts = starts
         self._preemption = preemption
         self._isolated_starts = IsolatedStarts(
--- a/src/saddlestack/policy/cluster/reservations.py
+++ b/src/saddlestack/policy/cluster/reservations.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from saddlestack.policy.cluster.jobs import Run, StepState
+from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import Resources
 
@@ -81,7 +82,19 @@
         if worker.is_overcommitted:
             return False
         free = worker.record.capacity - used
-        return self.step.step.allocation.copies_in(free) >= self.places.count(worker)
+        copies = worker.within_limit(self.step, self.step.step.allocation.copies_in(free))
+        return copies >= self.places.count(worker)
+
+    def surplus_place(self, worker: Worker) -> Worker | None:
+        """A place that its step does not need now that a task of it has started on a worker.
+
+        It is on that worker if the step's limit of tasks per worker allows no more there.
+        """
+        count = self.places.count(worker)
+        if worker.within_limit(self.step, count) < count:
+            return worker
+        waiting = sum(1 for task in self.step.tasks if is_waiting(task))
+        return self.places[-1] if len(self.places) > waiting else None
 
 
 class Reservations:
@@ -123,6 +136,21 @@
             worker.reserved = worker.reserved - step.step.allocation
         return True
 
+    def release_surplus(self, step: StepState, worker: Worker) -> bool:
+        """Release the place that a step needs no more since a task of it has started on a worker.
+
+        :return: whether there was one.
+        """
+        held = self.of(step)
+        place = None if held is None else held.surplus_place(worker)
+        if held is None or place is None:
+            return False
+        held.places.remove(place)
+        place.reserved = place.reserved - step.step.allocation
+        if not held.places:
+            del self._held[id(step)]
+        return True
+
     def __len__(self) -> int:
         return len(self._held)
 
--- a/src/saddlestack/policy/cluster/step_preemption.py
+++ b/src/saddlestack/policy/cluster/step_preemption.py
@@ -195,9 +195,18 @@
         self._deferred.release(step)
         self._gang_priority.release(step)
         if self._reservations.release(step):
-            self._failed_shapes.clear()
-            self._gang_priority.note_released()
-            self._stalled.note_released()
+            self._note_released()
+
+    def task_started(self, step: StepState, worker: Worker) -> None:
+        """Release what a step needs no more now that a task of it has started on a worker."""
+        if self._reservations.release_surplus(step, worker):
+            self._note_released()
+
+    def _note_released(self) -> None:
+        """Note that resources were released, so that steps may fit that did not in this round."""
+        self._failed_shapes.clear()
+        self._gang_priority.note_released()
+        self._stalled.note_released()
 
     def _stop_deferred(self, step: StepState, now: float) -> bool:
         """Stop the victims of a step that have not ended by themselves as expected.
--- a/src/saddlestack/policy/cluster/task_starts.py
+++ b/src/saddlestack/policy/cluster/task_starts.py
@@ -9,6 +9,7 @@
 from saddlestack.policy.cluster.reservations import Reservations
 from saddlestack.policy.cluster.speed_rank import exceeds, known_factor
 from saddlestack.policy.cluster.stalled import StalledPlacement
+from saddlestack.policy.cluster.step_preemption import StepPreemption
 from saddlestack.policy.cluster.victims import is_reclaimable
 from saddlestack.policy.cluster.workers import Worker
 
@@ -22,12 +23,14 @@
         index: CapacityIndex,
         candidates: Candidates,
         reservations: Reservations,
+        preemption: StepPreemption,
         stalled: StalledPlacement,
     ) -> None:
         self._cluster_state = cluster_state
         self._index = index
         self._candidates = candidates
         self._reservations = reservations
+        self._preemption = preemption
         self._stalled = stalled
         self._count = 0
 
@@ -53,6 +56,7 @@
         self._stalled.note_started(task.name.job_id)
         is_above_limit = self._is_above_limit(task.step, worker, now)
         self._cluster_state.assign(task, worker, number, now)
+        self._preemption.task_started(task.step, worker)
         task.step.preempts_since_s = None
         task.step.times_delayed = 0
         if task.run is not None and worker.is_overbooked and is_reclaimable(task.run):
--- a/src/saddlestack/policy/cluster/workers.py
+++ b/src/saddlestack/policy/cluster/workers.py
@@ -280,15 +280,15 @@
         return (
             0
             if self.is_overcommitted
-            else self._within_worker_limit(step, step.step.allocation.copies_in(resources))
+            else self.within_limit(step, step.step.allocation.copies_in(resources))
         )
 
     def copies(self, step: StepState, resources: Resources) -> int:
         """Tasks of a step that fit into some of its resources."""
-        return self._within_worker_limit(step, self.count_fitting(step.step.allocation, resources))
+        return self.within_limit(step, self.count_fitting(step.step.allocation, resources))
 
-    def _within_worker_limit(self, step: StepState, copies: int) -> int:
-        """Apply a step's limit of tasks per worker, if it has one."""
+    def within_limit(self, step: StepState, copies: int) -> int:
+        """The most of some more tasks of a step that its limit of tasks per worker allows."""
         limit = step.step.per_worker
         if not limit:
             return copies
--- a/tests/test_cluster_state.py
+++ b/tests/test_cluster_state.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 import unittest.mock
+from collections import Counter
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -21,7 +22,7 @@
 from saddlestack.policy.cluster.records import OccurrenceRecord, TaskStatus
 from saddlestack.policy.cluster.shapes import FailedShapes
 from saddlestack.policy.cluster.state import ClusterState
-from saddlestack.policy.cluster.workers import PROBATION_S
+from saddlestack.policy.cluster.workers import PROBATION_S, Worker
 from saddlestack.policy.retry import backoff_delay
 from saddlestack.policy.upkeep import MachineStatus, WaveState
 from saddlestack.work import AcceptedJob, JobRequest, JobState, Resources, Step, TaskName
@@ -656,12 +657,21 @@
                     seen.add(run.task.name)
             self.assertEqual(used, worker.used)
             self.assertTrue(used.fits(worker.record.capacity))
+            self.check_placement(worker)
             self.assertTrue(Resources().fits(worker.reserved))
         for job in cluster_state.jobs.values():
             for occurrence in job.occurrences:
                 for each in occurrence.steps:
                     self.check_step(each)
 
+    def check_placement(self, worker: Worker) -> None:
+        """Check that a worker may run what it runs, and no more tasks of a step than it may."""
+        steps = Counter(run.task.step for run in worker.runs.values())
+        for each, count in steps.items():
+            self.assertTrue(worker.matches(each.step))
+            if each.step.per_worker:
+                self.assertLessEqual(count, each.step.per_worker, worker.worker_id)
+
     def check_step(self, each) -> None:  # type: ignore[no-untyped-def]
         runs = [task.run for task in each.tasks if task.run is not None]
         if each.step.gang and runs and not any(run.stopping for run in runs):
