Read the progress of a job in one call while there is no leader

StoreAccess lists all keys under a prefix, directly or through a relay, as it reads one key. Progress under a key that names no time is left out, as by a leader.

--- a/src/saddlestack/control/access.py
+++ b/src/saddlestack/control/access.py
@@ -1,7 +1,7 @@
 """Access to the store for clients' calls: directly, or relayed through a VM that reaches it.
 
-Supports reads of one key, and creation of a key that is absent. Both are idempotent, so they may be
-sent directly and through a relay at the same time.
+Supports reads of one key or of all keys under a prefix, and creation of a key that is absent. All
+are idempotent, so they may be sent directly and through a relay at the same time.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -47,6 +48,12 @@
     key: str
 
 
+class ListQuestion(msgspec.Struct, frozen=True):
+    """Request to read all keys under a prefix on behalf of another VM."""
+
+    prefix: str
+
+
 class CreateQuestion(msgspec.Struct, frozen=True):
     """Request to create a key on behalf of another VM, if it is absent."""
 
@@ -62,6 +69,12 @@
     created: bool = False
 
 
+class ListAnswer(msgspec.Struct, frozen=True):
+    """The values of all keys under a prefix, by key."""
+
+    values: dict[str, bytes]
+
+
 class StoreUnreachable(Exception):
     """The store could be reached neither directly nor through a relay.
 
@@ -76,9 +89,11 @@
         self.elsewhere = elsewhere
 
 
-Direct = Callable[[], Awaitable[KeyAnswer]]
+T = TypeVar("T")
+
+Direct = Callable[[], Awaitable[T]]
 """A call made on this VM's own connection to the store."""
-Relayed = Callable[[str], Awaitable[KeyAnswer]]
+Relayed = Callable[[str], Awaitable[T]]
 """The same call, sent through the named VM."""
 
 
@@ -106,6 +121,7 @@
         self._relays = relays
         self._health = context.health
         peers.serve(ReadQuestion, self._read_for_peer)
+        peers.serve(ListQuestion, self._list_for_peer)
         peers.serve(CreateQuestion, self._create_for_peer)
 
     async def get(self, key: str, until: float) -> Item:
@@ -121,6 +137,19 @@
         )
         return Item(key, answer.value, answer.revision)
 
+    async def list(self, prefix: str, until: float) -> dict[str, bytes]:
+        """Reads all keys under a prefix; returns their values by key.
+
+        :param until: deadline, on this VM's clock.
+        :raises StoreUnreachable: the store could not be reached in time.
+        """
+        answer = await self._call(
+            lambda: self._list(prefix),
+            lambda vm: self._peers.ask(vm, ListQuestion(prefix), ListAnswer),
+            until,
+        )
+        return answer.values
+
     async def create(self, key: str, value: bytes, until: float) -> KeyAnswer:
         """Creates a key, or returns the existing one.
 
@@ -134,7 +163,7 @@
             until,
         )
 
-    async def _call(self, direct: Direct, relayed: Relayed, until: float) -> KeyAnswer:
+    async def _call(self, direct: Direct[T], relayed: Relayed[T], until: float) -> T:
         """Retries both directly and through a relay, until one is answered or time is up."""
         state = _CallState()
         try:
@@ -147,9 +176,7 @@
         except TimeoutError:
             raise StoreUnreachable(state.reason, state.doubt) from None
 
-    async def _attempt(
-        self, direct: Direct, relayed: Relayed, state: _CallState
-    ) -> KeyAnswer | None:
+    async def _attempt(self, direct: Direct[T], relayed: Relayed[T], state: _CallState) -> T | None:
         """Makes one attempt, directly and through a relay; ``None`` if neither was answered.
 
         :raises StoreUnreachable: this VM is cut off, and the caller should go to another one.
@@ -172,7 +199,7 @@
             await _cancel(direct_call)
         return None
 
-    async def _is_answered(self, direct_call: asyncio.Future[KeyAnswer]) -> bool:
+    async def _is_answered(self, direct_call: asyncio.Future[Any]) -> bool:
         """Returns whether a call is answered before a relay has to be tried."""
         await asyncio.wait({direct_call}, timeout=HEDGE_DELAY_S)
         if not direct_call.done():
@@ -180,9 +207,7 @@
             return False
         return direct_call.exception() is None
 
-    async def _call_relay(
-        self, relayed: Relayed, state: _CallState, only: bool
-    ) -> KeyAnswer | None:
+    async def _call_relay(self, relayed: Relayed[T], state: _CallState, only: bool) -> T | None:
         """Sends a call through another VM that reaches the store, if there is one.
 
         :param only: no direct call is being made.
@@ -217,6 +242,10 @@
         item = await self._context.store.get(key)
         return KeyAnswer(item.value, item.revision)
 
+    async def _list(self, prefix: str) -> ListAnswer:
+        listing = await self._context.store.list(prefix)
+        return ListAnswer({item.key: item.value for item in listing.items})
+
     async def _create(self, key: str, value: bytes) -> KeyAnswer:
         transaction = Transaction(expect=((key, 0),), puts=(Put(key, value),))
         outcome = await self._context.store.transact(transaction)
@@ -228,10 +257,13 @@
     async def _read_for_peer(self, question: ReadQuestion) -> KeyAnswer:
         return await self._for_peer(lambda: self._read(question.key))
 
+    async def _list_for_peer(self, question: ListQuestion) -> ListAnswer:
+        return await self._for_peer(lambda: self._list(question.prefix))
+
     async def _create_for_peer(self, question: CreateQuestion) -> KeyAnswer:
         return await self._for_peer(lambda: self._create(question.key, question.value))
 
-    async def _for_peer(self, call: Callable[[], Awaitable[KeyAnswer]]) -> KeyAnswer:
+    async def _for_peer(self, call: Direct[T]) -> T:
         if not self._health.is_available:
             raise SaddlestackError(ErrorKind.STORE_UNAVAILABLE, "the store does not answer here")
         direct_call = asyncio.ensure_future(call())
@@ -244,7 +276,7 @@
             raise SaddlestackError(ErrorKind.OUTCOME_UNKNOWN, str(error)) from error
 
 
-async def _cancel(direct_call: asyncio.Future[KeyAnswer] | None) -> None:
+async def _cancel(direct_call: asyncio.Future[Any] | None) -> None:
     """Cancels a call whose answer is no longer needed; the call is idempotent."""
     if direct_call is None:
         return
--- a/src/saddlestack/control/jobs.py
+++ b/src/saddlestack/control/jobs.py
@@ -156,11 +156,7 @@
         if value is None:
             return None
         accepted = _decode_own_job(value, call, job_id)
-        records: dict[int, OccurrenceRecord] = {}
-        for number in range(accepted.request.occurrences):
-            progress = await self._read(call, keys.progress_key(f"{job_id}.{number}"))
-            if progress is not None:
-                records[number] = jobcodec.decode_occurrence(f"{job_id}.{number}", progress)
+        records = await self._read_progress(call, job_id)
         jobcodec.check_progress(accepted, records)
         job = new_job(accepted, records)
         job.cancelled = await self._read(call, keys.cancel_key(job_id)) is not None
@@ -177,6 +173,26 @@
             raise _unavailable(error) from error
         return item.value if item.revision else None
 
+    async def _read_progress(self, call: ClientCall, job_id: str) -> dict[int, OccurrenceRecord]:
+        """The progress of a job, by number of the occurrence.
+
+        :raises SaddlestackError: the store was not reached in time, or a record cannot be read.
+        """
+        try:
+            values = await self._access.list(
+                keys.progress_key(f"{job_id}."), self._read_deadline(call)
+            )
+        except StoreUnreachable as error:
+            raise _unavailable(error) from error
+        records: dict[int, OccurrenceRecord] = {}
+        for key, value in values.items():
+            try:
+                _, number = keys.occurrence_of(key)
+            except ValueError:
+                continue  # A leader reports such a key, and does not use it either.
+            records[number] = jobcodec.decode_occurrence(f"{job_id}.{number}", value)
+        return records
+
     async def _create(self, call: ClientCall, key: str, value: bytes, job_id: str) -> KeyAnswer:
         """Create a key, or return the existing one.
 
--- a/tests/test_repeated_jobs.py
+++ b/tests/test_repeated_jobs.py
@@ -2,22 +2,29 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
 import unittest.mock
 
+from saddlestack.control.leaderrpc import LeaderRpc, LeaderUnavailable
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.cluster import waiting
 from saddlestack.policy.cluster.diagnosis import Diagnosis, DiagnosisContext
 from saddlestack.policy.cluster.records import OccurrenceRecord
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.policy.cluster.waiting import MAX_TASKS_OPENED_PER_ROUND
-from saddlestack.work import MAX_TASKS_OF_JOB, AcceptedJob, JobState
+from saddlestack.standins.pool.cluster import PoolCluster, job
+from saddlestack.work import MAX_TASKS_OF_JOB, AcceptedJob, JobRequest, JobState
 from tests.call_counts import count_calls
 from tests.test_cluster_state import NORMAL, URGENT, ClusterCase, record, step
+from tests.test_pool import PoolTest
 
 HOUR_MS = 3_600_000
 YEAR_OF_HOURS = 8_760
+JOB = "00000000000000aa"
+MAX_READS = 6
+"""The job, its progress and its cancel, and calls of others meanwhile."""
 FEW = 6
 
 
@@ -151,5 +158,40 @@
         self.cluster_state.add_job(accepted, records)
 
 
+class StateWithoutLeaderTest(PoolTest):
+    """The state of a job is read from the store while there is no leader."""
+
+    def test_it_takes_few_reads_however_often_the_job_runs(self) -> None:
+        """Each time was read on its own, which took longer than the client waits."""
+
+        async def body(cluster: PoolCluster) -> None:
+            once = job(1, work_s=0.2)
+            clock = cluster.members["entry-1"].vm.context.clock
+            first_ms = round(clock.wall() * 1000)
+            request = JobRequest(
+                payload=once.payload,
+                steps=once.steps,
+                times=YEAR_OF_HOURS,
+                first_at_ms=first_ms,
+                interval_ms=HOUR_MS,
+            )
+            await cluster.submit(JOB, request)
+            await cluster.until(lambda: len(cluster.worker_pool.history) > 0)
+            await asyncio.sleep(1.0)
+            no_leader = LeaderUnavailable("no leader is known")
+            for name in cluster.members:
+                before = cluster.store.reads
+                with unittest.mock.patch.object(LeaderRpc, "state", side_effect=no_leader):
+                    state = await cluster.state(JOB, at=name)
+                self.assertIs(state, JobState.RUNNING)
+                self.assertLessEqual(cluster.store.reads - before, MAX_READS)
+            cut_off = next(name for name in cluster.members if name != cluster.leader_name)
+            cluster.member(cut_off).view.faults.silent = True
+            with unittest.mock.patch.object(LeaderRpc, "state", side_effect=no_leader):
+                self.assertIs(await cluster.state(JOB, at=cut_off), JobState.RUNNING)
+
+        self.play(body)
+
+
 if __name__ == "__main__":
     unittest.main()
