Keep the only occurrence of a job until the job is removed

Dropping it saved nothing that matters, and tests read of it, after the job is done, how often its gang was restarted: tests.test_slow_restarts.WavesTest failed in the run of all tests (IndexError).

--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -299,10 +299,10 @@
 class Job:
     """An accepted job.
 
-    An occurrence is opened when it falls due, and dropped once it is settled, since a job may have
-    thousands of them.
+    An occurrence is opened when it falls due. It is dropped once it is settled, unless it is the
+    only one, since a job may have thousands of them.
 
-    :param occurrences: those that have been opened and are not settled, by number.
+    :param occurrences: those that have been opened and not dropped, by number.
     :param opened_count: how many occurrences have been opened. The next one has this number.
     :param done_occurrences: how many occurrences are done.
     :param done_tasks: number of tasks that are done, without occurrences of earlier terms.
@@ -376,8 +376,9 @@
         return occurrence
 
     def drop_settled(self, occurrence: Occurrence) -> None:
-        """Drop an occurrence if it is settled. Nothing refers to it any more."""
-        if occurrence.is_settled and occurrence in self.occurrences:
+        """Drop an occurrence if it is settled and not the only one of the job."""
+        is_only = self.accepted.request.occurrences == 1
+        if occurrence.is_settled and not is_only and occurrence in self.occurrences:
             self.occurrences.remove(occurrence)
 
     def runs(self) -> Iterator[Run]:
--- a/tests/speed_support.py
+++ b/tests/speed_support.py
@@ -71,11 +71,11 @@
         return job_id
 
     def places(self, job_id: str) -> list[str]:
-        """Ids of the workers that run a job's first step, in order; none if the job is over."""
+        """Ids of the workers that run a job's first step, in order."""
+        step = self.cluster_state.jobs[job_id].occurrences[0].steps[0]
         return sorted(
             task.run.worker_id
-            for occurrence in self.cluster_state.jobs[job_id].occurrences
-            for task in occurrence.steps[0].tasks
+            for task in step.tasks
             if task.run is not None and not task.run.stopping
         )
 
