Ask for approval again where it expires while room is being made

Steps of a queue with an adviser were started on what had been reserved for them, or cleared for a gang, although the approval of their workers had expired during the stops.

A reservation is used, and a cleared room, only while each of its workers is approved; what is missing is asked for while the stops go on.

tests/test_worker_limits.py: the test fails for a gang and for single tasks before the change, and passes after it.

--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -345,6 +345,18 @@
                 self._cluster_state.request_advice(step, unknown)
         return allowed
 
+    def has_approval(self, step: StepState, workers: Sequence[Worker], now: float) -> bool:
+        """Whether a step may start on all of some workers; if not, requests the missing advice."""
+        advice = step.advice
+        if not self._cluster_state.is_advised(step.occurrence.job):
+            return True
+        if all(advice.ticket(worker.worker_id, now) is not None for worker in workers):
+            return True
+        unknown = () if advice.asking else advice.unknown(dict.fromkeys(workers), now)
+        if unknown:
+            self._cluster_state.request_advice(step, unknown)
+        return False
+
     def _fits_on(self, step: StepState, workers: list[Worker]) -> bool:
         """Whether all waiting tasks of a step fit on these workers."""
         if step.step.gang:
--- a/src/saddlestack/policy/cluster/planner.py
+++ b/src/saddlestack/policy/cluster/planner.py
@@ -161,6 +161,7 @@
         """Build what places each step."""
         shapes = StepShapeNumbers(self._cluster_state)
         starts = StepStarts(
+            self._candidates,
             self._starts,
             self._preemption,
             self._headroom,
--- a/src/saddlestack/policy/cluster/step_preemption.py
+++ b/src/saddlestack/policy/cluster/step_preemption.py
@@ -175,17 +175,21 @@
     def take_reserved(self, step: StepState, now: float) -> list[Worker] | None:
         """Release the reservation of a step once it is free, and return its workers.
 
-        Until then the stops and loans that delay it are followed up.
+        Until then the stops and loans that delay it are followed up, and approvals that expire
+        meanwhile are requested again.
 
         :return: ``None`` if the step has no reservation or still has to wait for it.
         """
         held = self._reservations.of(step)
         if held is None or held.is_suspected:
             return None
+        is_approved = self._candidates.has_approval(step, held.places, now)
         if not held.is_free:
             if self._stop_deferred(step, now):
                 self._reclaim_loans(held, now)
             return None
+        if not is_approved:
+            return None
         places = held.places
         self.release(step)
         return places
--- a/src/saddlestack/policy/cluster/step_starts.py
+++ b/src/saddlestack/policy/cluster/step_starts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from saddlestack.policy.cluster.candidates import Candidates
 from saddlestack.policy.cluster.gang_priority import GangPriority
 from saddlestack.policy.cluster.headroom_gate import HeadroomGate
 from saddlestack.policy.cluster.jobs import StepState
@@ -17,6 +18,7 @@
 
     def __init__(
         self,
+        candidates: Candidates,
         starts: TaskStarts,
         preemption: StepPreemption,
         headroom: HeadroomGate,
@@ -24,6 +26,7 @@
         failed_shapes: FailedShapes,
         open_tasks: OpenTasks,
     ) -> None:
+        self._candidates = candidates
         self._starts = starts
         self._preemption = preemption
         self._headroom = headroom
@@ -66,6 +69,8 @@
         chosen = ListedPlaces(step, cleared).choose_gang() if cleared else None
         if chosen is None or not self._headroom.allows(step, chosen, now):
             return False
+        if not self._candidates.has_approval(step, chosen, now):
+            return False
         self._preemption.release(step)
         self._starts.assign_gang(step, chosen, now)
         return True
--- a/tests/test_worker_limits.py
+++ b/tests/test_worker_limits.py
@@ -6,10 +6,12 @@
 import unittest
 from collections import Counter
 
+from saddlestack.interfaces.machines import Leave
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.cluster.jobs import Run, StepState
 from saddlestack.policy.cluster.options import SchedulingOptions
 from saddlestack.policy.cluster.state import ClusterState
+from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import Step
 from tests.test_cluster_state import BULK, NORMAL, PATIENT, URGENT, ClusterCase, record, step
 
@@ -96,6 +98,48 @@
         self.assertEqual(sum(reserved), 2)
 
 
+class ApprovalTest(LimitCase):
+    """An urgent step whose starts need the adviser's approval, which expires during the stops."""
+
+    VALID_S = 2.0
+
+    def approve(self, now: float, *workers: str) -> None:
+        """Answer the open request of each step that asks."""
+        for request in self.cluster_state.take_changes().advice_requests:
+            approvals = [Leave(each, "ticket", self.VALID_S) for each in workers]
+            request.step.advice.record_answer(request.workers, approvals, now)
+            request.step.advice.asking = False
+
+    def test_no_task_starts_without_approval(self) -> None:
+        """Tasks were started on what was reserved for them, and their workers rejected them."""
+        for gang in (False, True):
+            with self.subTest(gang=gang):
+                self.setUp()
+                self.cluster_state.configure({}, {}, ["q"])
+                self.workers(each=2)
+                for worker in self.cluster_state.workers.values():
+                    self.occupy(worker)
+                job = self.add(step(2, 8, gang=gang), priority=URGENT)
+                self.cluster_state.plan(PATIENT, 0.0)
+                self.approve(PATIENT, "w11", "w12")
+                stops = self.plan(PATIENT).stops
+                self.assertEqual(len(stops), 2)
+                for stop in stops:
+                    self.end(stop.task.job_id, EndKind.STOPPED, PATIENT + 1.8)
+                    self.cluster_state.cancel(stop.task.job_id)
+                self.cluster_state.plan(PATIENT + 1.8, 0.0)
+                self.assertIsNone(self.step_of(job).tasks[0].run)
+                self.approve(PATIENT + 1.9, "w11", "w12")
+                starts = self.plan(PATIENT + 1.9).starts
+                self.assertEqual([start.ticket for start in starts], ["ticket", "ticket"])
+
+    def occupy(self, worker: Worker) -> None:
+        """Fill a worker with bulk work."""
+        job = self.add(step(1, ACCELERATORS), priority=BULK)
+        self.cluster_state.assign(self.step_of(job).tasks[0], worker, 1, 0.0)
+        self.cluster_state.take_changes()
+
+
 class RandomLimitsTest(LimitCase):
     """Random urgent and other steps with limits, on a full pool whose runs stop one by one."""
 
