Decide in one place who may see a job and change it

A caller without a key read the state of another account's job, and cancelled it, by its id on the path of a queue that needs no key. Only accounts were compared, in two places, and a call without an account passed.

A job belongs to the account and to the queue that it was submitted on. To a caller who may not see it a job does not exist (410); another account's key gets 403 as before. A job whose queue has left the configuration stays reachable for its account.

The stand-in cluster asks for a job as the caller who submitted it; it asked on one queue for jobs of all, which the rule now refuses.

--- a/src/saddlestack/control/entry.py
+++ b/src/saddlestack/control/entry.py
@@ -18,6 +18,7 @@
 from saddlestack.control.guarded import GuardedStore
 from saddlestack.control.halls import PingQuestion, answer_ping
 from saddlestack.control.health import StoreHealth
+from saddlestack.control.jobaccess import JobAccessCheck
 from saddlestack.control.jobapi import JobApi
 from saddlestack.control.jobs import Jobs
 from saddlestack.control.leaderrpc import LeaderRpc
@@ -98,13 +99,14 @@
         self.peers.serve(PingQuestion, answer_ping)
         self.renewals = Renewals(self.peers, self.membership, self._renews)
         self.leadership = Leadership(self.context, self, lambda: self.membership.is_listed)
-        leader_rpc = LeaderRpc(self.peers, self.leadership, lambda: self.scheduler)
+        access_check = JobAccessCheck(self.configuration)
+        leader_rpc = LeaderRpc(self.peers, self.leadership, lambda: self.scheduler, access_check)
         relays = Relays(self.peers, self.membership, self.health)
         access = StoreAccess(self.context, self.peers, relays)
         copies = ConfigurationCopies(self.context, self.configuration, self.peers, self.membership)
         self.configuration.update_from(copies.update)
         self.refresh = ConfigurationRefresh(self.context, self.configuration, copies)
-        self.jobs = Jobs(self.context, access, leader_rpc)
+        self.jobs = Jobs(self.context, access, leader_rpc, access_check)
         gateway = Gateway(self.jobs, lambda: self.configuration.current, self._is_ready)
         client_calls = ConfiguredCalls(gateway.handle, self.configuration, self.refresh)
         self.clients = HttpServer(client_calls.handle, max_connections=MAX_CONNECTIONS)
--- a/src/saddlestack/control/jobapi.py
+++ b/src/saddlestack/control/jobapi.py
@@ -94,7 +94,7 @@
                 ErrorKind.FORBIDDEN, f"the key does not belong to account {body.account}"
             )
         queue = _queue_for(body.job_class, configuration)
-        call = ClientCall(queue, account.name, CALL_DEADLINE_S)
+        call = ClientCall(queue, account.name, CALL_DEADLINE_S, names_queue=False)
         job_id = job_id_of(account.name, body.request)
         await self._jobs.submit(call, job_id, as_request(body))
         return json_response(await self._view(call, body.request, job_id), 202)
@@ -103,7 +103,7 @@
         self, method: str, name: str, account: ClientAccount, configuration: PoolConfiguration
     ) -> Response:
         job_id = job_id_of(account.name, name)
-        call = ClientCall(configuration.queues[0], account.name, CALL_DEADLINE_S)
+        call = _call_by_name(account, configuration)
         if method == "DELETE" and not await self._jobs.cancel(call, job_id):
             raise _not_found(name)
         view = await self._view(call, name, job_id)
@@ -116,7 +116,7 @@
     ) -> Response:
         """Clear the tasks of a job of the suspicion that they crash their workers."""
         job_id = job_id_of(account.name, name)
-        call = ClientCall(configuration.queues[0], account.name, CALL_DEADLINE_S)
+        call = _call_by_name(account, configuration)
         await self._jobs.clear(call, job_id)
         return json_response(await self._view(call, name, job_id))
 
@@ -180,6 +180,11 @@
     raise SaddlestackError(ErrorKind.NOT_FOUND, f"no queue accepts {job_class.value} jobs")
 
 
+def _call_by_name(account: ClientAccount, configuration: PoolConfiguration) -> ClientCall:
+    """A call about a job that an account has submitted on any queue."""
+    return ClientCall(configuration.queues[0], account.name, CALL_DEADLINE_S, names_queue=False)
+
+
 def _class_of(priority: int) -> JobClass:
     return next((c for c, p in _PRIORITIES.items() if p == priority), JobClass.BULK)
 
--- a/src/saddlestack/control/jobs.py
+++ b/src/saddlestack/control/jobs.py
@@ -8,12 +8,14 @@
 from saddlestack.control import jobcodec, keys
 from saddlestack.control.access import KeyAnswer, StoreAccess, StoreUnreachable
 from saddlestack.control.context import EntryContext
+from saddlestack.control.jobaccess import JobAccessCheck
 from saddlestack.control.leaderrpc import LeaderRpc, LeaderUnavailable
 from saddlestack.errors import ErrorKind, SaddlestackError, invalid
 from saddlestack.interfaces.clients import ClientCall
 from saddlestack.interfaces.store import Item
 from saddlestack.policy.cluster.jobs import new_job
 from saddlestack.policy.cluster.records import OccurrenceRecord
+from saddlestack.policy.job_access import JobAccess
 from saddlestack.work import AcceptedJob, JobRequest, JobState, Step, faults_of
 
 log = logging.getLogger("saddlestack.jobs")
@@ -31,8 +33,15 @@
 class Jobs:
     """Handles clients' calls. An accepted job is in the store before the client gets an answer."""
 
-    def __init__(self, context: EntryContext, access: StoreAccess, leader_rpc: LeaderRpc) -> None:
+    def __init__(
+        self,
+        context: EntryContext,
+        access: StoreAccess,
+        leader_rpc: LeaderRpc,
+        access_check: JobAccessCheck,
+    ) -> None:
         self._access = access
+        self._access_check = access_check
         self._metrics = context.metrics
         self._leader_rpc = leader_rpc
         self._clock = context.clock
@@ -52,7 +61,7 @@
         if answer.created:
             self._leader_rpc.notify(Item(keys.job_key(job_id), answer.value, answer.revision))
         else:
-            accepted = _decode_own_job(answer.value, call, job_id)
+            accepted = self._repeated(answer.value, call, job_id)
         self._metrics.time("accept", self._clock.now() - began)
         self._metrics.count("jobs_accepted" if answer.created else "jobs_repeated")
         log.info(
@@ -72,14 +81,17 @@
         return accepted
 
     async def accepted(self, call: ClientCall, job_id: str) -> AcceptedJob | None:
-        """A job as it was accepted; ``None`` if no such job exists."""
+        """A job as it was accepted; ``None`` if no such job exists for the caller.
+
+        :raises SaddlestackError: it belongs to another client account, or cannot be read.
+        """
         value = await self._read(call, keys.job_key(job_id))
-        return None if value is None else _decode_own_job(value, call, job_id)
+        return None if value is None else self._visible(value, call, job_id)
 
     async def state(self, call: ClientCall, job_id: str) -> JobState | None:
         """A job's state; ``None`` if no such job exists."""
         try:
-            state = await self._leader_rpc.state(job_id, call.account)
+            state = await self._leader_rpc.state(job_id, call.caller)
             if state is not None:
                 return state
         except LeaderUnavailable as error:
@@ -92,7 +104,7 @@
     async def waits(self, call: ClientCall, job_id: str) -> str | None:
         """What a job waits for, or why it failed; ``None`` if it does not wait or it is unknown."""
         try:
-            return await self._leader_rpc.waits(job_id, call.account)
+            return await self._leader_rpc.waits(job_id, call.caller)
         except LeaderUnavailable as error:
             log.info(
                 "reason of wait is unknown",
@@ -102,10 +114,8 @@
 
     async def cancel(self, call: ClientCall, job_id: str) -> bool:
         """Cancel a job; ``False`` if no such job exists."""
-        value = await self._read(call, keys.job_key(job_id))
-        if value is None:
+        if await self.accepted(call, job_id) is None:
             return False
-        _decode_own_job(value, call, job_id)
         answer = await self._create(call, keys.cancel_key(job_id), call.account.encode(), job_id)
         self._leader_rpc.notify(Item(keys.cancel_key(job_id), answer.value, answer.revision))
         log.info("cancelled", extra={"event": "cancelled", "job": job_id})
@@ -118,7 +128,7 @@
         :raises SaddlestackError: no leader is available.
         """
         try:
-            return await self._leader_rpc.clear(job_id, call.account)
+            return await self._leader_rpc.clear(job_id, call.caller)
         except LeaderUnavailable as error:
             raise SaddlestackError(
                 ErrorKind.CELL_UNAVAILABLE, f"no leader is available: {error}", retry_after=1
@@ -151,11 +161,31 @@
             target_ms=queue.target_ms,
         )
 
+    def _repeated(self, value: bytes, call: ClientCall, job_id: str) -> AcceptedJob:
+        """The job that was accepted before under the id of a submitted one.
+
+        :raises SaddlestackError: it is not the caller's, or cannot be read.
+        """
+        accepted = self._visible(value, call, job_id)
+        if accepted is None:
+            raise SaddlestackError(ErrorKind.FORBIDDEN, f"job {job_id} belongs to another queue")
+        return accepted
+
+    def _visible(self, value: bytes, call: ClientCall, job_id: str) -> AcceptedJob | None:
+        """Decode the stored record of a job; ``None`` if the caller may not know of it.
+
+        :raises SaddlestackError: it belongs to another client account, or cannot be read.
+        """
+        accepted = jobcodec.decode_job(job_id, value)
+        access = self._access_check.access(call.caller, accepted)
+        if access is JobAccess.FORBIDDEN:
+            raise SaddlestackError(ErrorKind.FORBIDDEN, f"job {job_id} belongs to another account")
+        return accepted if access is JobAccess.ALLOWED else None
+
     async def _state_in_store(self, call: ClientCall, job_id: str) -> JobState | None:
-        value = await self._read(call, keys.job_key(job_id))
-        if value is None:
+        accepted = await self.accepted(call, job_id)
+        if accepted is None:
             return None
-        accepted = _decode_own_job(value, call, job_id)
         records = await self._read_progress(call, job_id)
         jobcodec.check_progress(accepted, records)
         job = new_job(accepted, records)
@@ -241,17 +271,6 @@
     return " ".join([text, f"{step.estimate_ms}ms", *flags, step.data_rack, step.label]).strip()
 
 
-def _decode_own_job(value: bytes, call: ClientCall, job_id: str) -> AcceptedJob:
-    """Decode the stored record of a job, for a caller that may see it.
-
-    :raises SaddlestackError: it belongs to another client account, or cannot be read.
-    """
-    accepted = jobcodec.decode_job(job_id, value)
-    if call.account and accepted.account and accepted.account != call.account:
-        raise SaddlestackError(ErrorKind.FORBIDDEN, f"job {job_id} belongs to another account")
-    return accepted
-
-
 def _unavailable(error: StoreUnreachable) -> SaddlestackError:
     retry_after = 0.0 if error.elsewhere else RETRY_AFTER_S
     return SaddlestackError(ErrorKind.STORE_UNAVAILABLE, error.reason, retry_after=retry_after)
--- a/src/saddlestack/control/leaderrpc.py
+++ b/src/saddlestack/control/leaderrpc.py
@@ -8,11 +8,14 @@
 
 import msgspec
 
+from saddlestack.control.jobaccess import JobAccessCheck
 from saddlestack.control.leadership import Leadership
 from saddlestack.control.peers import Peers, PeerUnavailable
 from saddlestack.control.scheduler import Scheduler
 from saddlestack.errors import ErrorKind, SaddlestackError
+from saddlestack.interfaces.clients import Caller
 from saddlestack.interfaces.store import Item
+from saddlestack.policy.job_access import JobAccess
 from saddlestack.work import JobState
 
 log = logging.getLogger("saddlestack.desk")
@@ -21,10 +24,15 @@
 
 
 class StateQuestion(msgspec.Struct, frozen=True):
-    """Asks for the state of an account's job; an empty account sees all jobs."""
+    """Asks for the state of a job.
+
+    :param account: client account of the caller.
+    :param queue: queue of the caller; ``None`` if the call names none.
+    """
 
     job_id: str
     account: str
+    queue: str | None = None
 
 
 class StateAnswer(msgspec.Struct, frozen=True):
@@ -34,10 +42,15 @@
 
 
 class WaitQuestion(msgspec.Struct, frozen=True):
-    """Asks what an account's job waits for; an empty account sees all jobs."""
+    """Asks what a job waits for.
+
+    :param account: client account of the caller.
+    :param queue: queue of the caller; ``None`` if the call names none.
+    """
 
     job_id: str
     account: str
+    queue: str | None = None
 
 
 class WaitAnswer(msgspec.Struct, frozen=True):
@@ -47,10 +60,15 @@
 
 
 class ClearOrder(msgspec.Struct, frozen=True):
-    """Clears the tasks of an account's job of suspicion; an empty account may clear all jobs."""
+    """Clears the tasks of a job of suspicion.
+
+    :param account: client account of the caller.
+    :param queue: queue of the caller; ``None`` if the call names none.
+    """
 
     job_id: str
     account: str
+    queue: str | None = None
 
 
 class ClearAnswer(msgspec.Struct, frozen=True):
@@ -94,9 +112,14 @@
     """
 
     def __init__(
-        self, peers: Peers, leadership: Leadership, scheduler: Callable[[], Scheduler | None]
+        self,
+        peers: Peers,
+        leadership: Leadership,
+        scheduler: Callable[[], Scheduler | None],
+        access_check: JobAccessCheck,
     ) -> None:
         self._peers = peers
+        self._access_check = access_check
         self._leadership = leadership
         self._scheduler = scheduler
         peers.serve(StateQuestion, self._state)
@@ -105,27 +128,30 @@
         peers.serve(PendingQuestion, self._pending)
         peers.serve(WrittenNotice, self._notice_request)
 
-    async def state(self, job_id: str, account: str) -> JobState | None:
+    async def state(self, job_id: str, caller: Caller) -> JobState | None:
         """A job's state; ``None`` if the leader does not know the job.
 
         :raises LeaderUnavailable: no leader answered.
         """
-        return (await self._ask(StateQuestion(job_id, account), StateAnswer)).state
+        question = StateQuestion(job_id, caller.account, caller.queue)
+        return (await self._ask(question, StateAnswer)).state
 
-    async def waits(self, job_id: str, account: str) -> str | None:
+    async def waits(self, job_id: str, caller: Caller) -> str | None:
         """What a job waits for; ``None`` if it does not wait, or the leader does not know it.
 
         :raises LeaderUnavailable: no leader answered.
         """
-        return (await self._ask(WaitQuestion(job_id, account), WaitAnswer)).waits
+        question = WaitQuestion(job_id, caller.account, caller.queue)
+        return (await self._ask(question, WaitAnswer)).waits
 
-    async def clear(self, job_id: str, account: str) -> int:
+    async def clear(self, job_id: str, caller: Caller) -> int:
         """Clear the tasks of a job of the suspicion that they crash their workers.
 
         :return: how many tasks were suspects.
         :raises LeaderUnavailable: no leader answered.
         """
-        return (await self._ask(ClearOrder(job_id, account), ClearAnswer)).suspects
+        question = ClearOrder(job_id, caller.account, caller.queue)
+        return (await self._ask(question, ClearAnswer)).suspects
 
     async def pending(self, queue: str) -> int:
         """How many jobs of a queue have not started.
@@ -161,19 +187,19 @@
 
     async def _state(self, question: StateQuestion) -> StateAnswer:
         scheduler = self._leading_scheduler()
-        if not _is_visible(scheduler, question.job_id, question.account):
+        if not self._may_access(scheduler, question):
             return StateAnswer(None)
         return StateAnswer(scheduler.state(question.job_id))
 
     async def _waits(self, question: WaitQuestion) -> WaitAnswer:
         scheduler = self._leading_scheduler()
-        if not _is_visible(scheduler, question.job_id, question.account):
+        if not self._may_access(scheduler, question):
             return WaitAnswer(None)
         return WaitAnswer(scheduler.waits.of(question.job_id))
 
     async def _clear(self, order: ClearOrder) -> ClearAnswer:
         scheduler = self._leading_scheduler()
-        if not _is_visible(scheduler, order.job_id, order.account):
+        if not self._may_access(scheduler, order):
             return ClearAnswer(0)
         return ClearAnswer(scheduler.clear_suspects(order.job_id))
 
@@ -185,8 +211,13 @@
     async def _pending(self, question: PendingQuestion) -> PendingAnswer:
         return PendingAnswer(self._leading_scheduler().pending(question.queue))
 
+    def _may_access(
+        self, scheduler: Scheduler, question: StateQuestion | WaitQuestion | ClearOrder
+    ) -> bool:
+        """Whether a caller may see a job and change it; a job that is unknown here is not judged.
 
-def _is_visible(scheduler: Scheduler, job_id: str, account: str) -> bool:
-    """Whether an account may see a job: not if another account is known to have submitted it."""
-    owner = scheduler.account(job_id)
-    return not owner or not account or owner == account
+        The VM that was called answers for a job that the caller may not access.
+        """
+        job = scheduler.accepted(question.job_id)
+        caller = Caller(question.account, question.queue)
+        return job is None or self._access_check.access(caller, job) is JobAccess.ALLOWED
--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -43,7 +43,7 @@
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.policy.suspicion import Suspicion
-from saddlestack.work import JobState
+from saddlestack.work import AcceptedJob, JobState
 
 log = logging.getLogger("saddlestack.scheduler")
 
@@ -163,10 +163,10 @@
         job = self.cluster_state.jobs.get(job_id)
         return None if job is None else job.published_state
 
-    def account(self, job_id: str) -> str | None:
-        """The client account of a job; ``None`` if the job is unknown here."""
+    def accepted(self, job_id: str) -> AcceptedJob | None:
+        """A job as it was accepted; ``None`` if it is unknown here."""
         job = self.cluster_state.jobs.get(job_id)
-        return None if job is None else job.accepted.account
+        return None if job is None else job.accepted
 
     def pending(self, queue: str) -> int:
         """The number of accepted jobs of a queue none of whose tasks has started."""
--- a/src/saddlestack/interfaces/clients.py
+++ b/src/saddlestack/interfaces/clients.py
@@ -9,16 +9,35 @@
 from saddlestack.work import AcceptedJob, JobRequest, JobState
 
 
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who makes a call about a job.
+
+    :param account: client account of the caller's key; empty without a key, as open queues allow.
+    :param queue: name of the called queue; ``None`` if the call names none.
+    """
+
+    account: str
+    queue: str | None
+
+
 @dataclass(frozen=True, slots=True)
 class ClientCall:
     """The caller of a request and the queue that it is for.
 
     :param deadline_s: seconds until the client stops waiting.
+    :param names_queue: whether the caller named the queue. Otherwise a job may be on any queue.
     """
 
     queue: Queue
     account: str
     deadline_s: float
+    names_queue: bool = True
+
+    @property
+    def caller(self) -> Caller:
+        """Who makes the call."""
+        return Caller(self.account, self.queue.name if self.names_queue else None)
 
 
 class JobService(Protocol):
--- a/src/saddlestack/standins/pool/documents.py
+++ b/src/saddlestack/standins/pool/documents.py
@@ -27,6 +27,7 @@
     guaranteed: int,
     advised: Collection[str] = (),
     more_queues: Collection[str] = (),
+    open_queues: Collection[str] = (),
     more_keys: Collection[str] = (),
 ) -> bytes:
     """Return a document with one queue per priority and two client accounts.
@@ -35,6 +36,7 @@
     :param guaranteed: accelerators that are guaranteed to the first account.
     :param advised: queues whose starts need the adviser's approval.
     :param more_queues: names of additional queues of normal priority.
+    :param open_queues: those of the queues that need no API key.
     :param more_keys: additional API keys of the first account.
     """
     routes = [
@@ -45,6 +47,7 @@
             "service": SERVICE,
             "priority": priority,
             "max-attempts": attempts,
+            "no-auth": name in open_queues,
             **({"advice": {"decide-ms": 10}} if name in advised else {}),
         }
         for name, priority in (*QUEUES, *((name, 1) for name in more_queues))
