--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -25,7 +25,6 @@
 """The most urgent priority. Jobs of it may preempt others."""
 WORKING_PERCENT = 100
 """Progress that a long-running task reports while it works."""
-"""Progress that a long-running task reports while it works."""
 ACCELERATOR_CORES = 8
 """Cores that an accelerator counts as where amounts of work are compared."""
 
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -16,6 +16,7 @@
 from saddlestack.policy.cluster.crashes import CrashAssessment, CrashTracker
 from saddlestack.policy.cluster.demand import DemandForecast
 from saddlestack.policy.cluster.draining import runs_to_stop
+from saddlestack.policy.cluster.failed_runs import count_failed_work, failure_kind
 from saddlestack.policy.cluster.fair_share import AccountUsage
 from saddlestack.policy.cluster.fault_attribution import FailureKind, FaultAttribution
 from saddlestack.policy.cluster.incarnation_end import IncarnationEnd
@@ -38,7 +39,7 @@
 from saddlestack.policy.cluster.victims import count_preemption
 from saddlestack.policy.cluster.waiting import is_waiting
 from saddlestack.policy.cluster.worker_preferences import WorkerPreferences
-from saddlestack.policy.cluster.workers import EARLY_FAILURE_S, EARLY_FAILURE_SHARE, Worker
+from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import AcceptedJob, JobState, Resources, TaskName
 
 TASKS_PER_PART = 500
@@ -472,8 +473,8 @@
     def _record_failure(self, worker: Worker, run: Run, now: float) -> None:
         run.task.avoid.add(worker.worker_id)
         run.task.step.has_avoided_workers = True
-        kind = FailureKind.EARLY if _is_early(run, now) else FailureKind.LATE
-        _count_failed_work(run, kind, now)
+        kind = failure_kind(run, now)
+        count_failed_work(run, kind, now)
         self._attribute_failure(worker, run, kind, now)
 
     def _attribute_failure(self, worker: Worker, run: Run, kind: FailureKind, now: float) -> None:
@@ -686,27 +687,6 @@
         )
 
 
-def _is_early(run: Run, now: float) -> bool:
-    """Whether a failed run ended too early to have done any work.
-
-    The limit is lower for tasks with a short estimate, which may have been near their end.
-    """
-    since_s = run.started_s if run.started_s is not None else run.assigned_s
-    estimate_ms = run.task.step.step.estimate_ms
-    if not estimate_ms:
-        return now - since_s < EARLY_FAILURE_S
-    return now - since_s < min(EARLY_FAILURE_S, EARLY_FAILURE_SHARE * estimate_ms / 1000)
-
-
-def _count_failed_work(run: Run, kind: FailureKind, now: float) -> None:
-    """Add the time of a gang's failed run to its work, once for all members."""
-    step = run.task.step
-    is_counted = run.number <= step.record.failed_run
-    if step.step.gang and not is_counted and kind is FailureKind.LATE:
-        since_s = run.started_s if run.started_s is not None else run.assigned_s
-        step.failed_work_s += (now - since_s) / run.time_factor
-
-
 def _has_begun(run: Run, how: EndKind) -> bool:
     """Whether a run may have begun its work."""
     return not run.never_began and how is not EndKind.ALONE
--- a/tests/call_counts.py
+++ b/tests/call_counts.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from types import FrameType
 
+from saddlestack.policy.cluster.diagnosis import DiagnosisContext
+
 
 def count_calls(function: Callable[[], object]) -> int:
     """Returns the number of Python and built-in functions that are called while one runs.
@@ -27,3 +29,16 @@
         sys.setprofile(None)
         gc.enable()
     return count
+
+
+def quiet_context(now: float) -> DiagnosisContext:
+    """Returns the context of a scan at a time when nothing is written and no round is due."""
+    return DiagnosisContext(
+        now=now,
+        wall_ms=0.0,
+        planned_s=now - 0.5,
+        round_full=False,
+        round_due=False,
+        is_writing=lambda _: False,
+        lease_until_s=lambda _: 0.0,
+    )
--- a/tests/test_load_turns.py
+++ b/tests/test_load_turns.py
@@ -15,7 +15,7 @@
 from saddlestack.control.storedjobs import StoredJobs
 from saddlestack.interfaces.store import Item, Listing, MetadataStore
 from saddlestack.kernel.turns import Turns
-from saddlestack.policy.cluster.diagnosis import Diagnosis, DiagnosisContext
+from saddlestack.policy.cluster.diagnosis import Diagnosis
 from saddlestack.policy.cluster.records import (
     OccurrenceRecord,
     OccurrenceStatus,
@@ -26,7 +26,7 @@
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.standins.loop import VirtualClock, run
 from saddlestack.work import MAX_TASKS_OF_JOB, AcceptedJob, JobRequest, JobState
-from tests.call_counts import count_calls
+from tests.call_counts import count_calls, quiet_context
 from tests.support import bare_context
 from tests.test_cluster_state import SERVICE, step
 
@@ -152,15 +152,7 @@
             for each in worker.runs.values():
                 each.started_s = 0.0
         diagnosis = Diagnosis(cluster_state)
-        context = DiagnosisContext(
-            now=1.0,
-            wall_ms=0.0,
-            planned_s=0.5,
-            round_full=False,
-            round_due=False,
-            is_writing=lambda _: False,
-            lease_until_s=lambda _: 0.0,
-        )
+        context = quiet_context(1.0)
         self.assertLess(count_calls(lambda: diagnosis.scan(context)), MAX_CALLS_PER_TURN)
         self.assertEqual(diagnosis.scan(context).waits, [])
 
--- a/tests/test_repeated_jobs.py
+++ b/tests/test_repeated_jobs.py
@@ -10,13 +10,13 @@
 from saddlestack.control.leaderrpc import LeaderRpc, LeaderUnavailable
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.cluster import waiting
-from saddlestack.policy.cluster.diagnosis import Diagnosis, DiagnosisContext
+from saddlestack.policy.cluster.diagnosis import Diagnosis
 from saddlestack.policy.cluster.records import OccurrenceRecord
 from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.policy.cluster.waiting import MAX_TASKS_OPENED_PER_ROUND
 from saddlestack.standins.pool.cluster import PoolCluster, job
 from saddlestack.work import MAX_TASKS_OF_JOB, AcceptedJob, JobRequest, JobState
-from tests.call_counts import count_calls
+from tests.call_counts import count_calls, quiet_context
 from tests.test_cluster_state import NORMAL, URGENT, ClusterCase, record, step
 from tests.test_pool import PoolTest
 
@@ -47,15 +47,7 @@
 
         state = self.cluster_state
         diagnosis = Diagnosis(state)
-        context = DiagnosisContext(
-            now=2.0,
-            wall_ms=0.0,
-            planned_s=1.0,
-            round_full=False,
-            round_due=False,
-            is_writing=lambda _: False,
-            lease_until_s=lambda _: 0.0,
-        )
+        context = quiet_context(2.0)
         calls = {"add": count_calls(add)}
         calls["first round"] = count_calls(lambda: self.plan(0.0))
         calls["end"] = count_calls(lambda: self.end(job, EndKind.DONE))
