--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from collections.abc import Callable
 
 from saddlestack.interfaces.workers import EndKind
-from saddlestack.work import JobState, Step
+from saddlestack.standins.pool.cluster import ATTEMPTS, PoolCluster, job
+from saddlestack.work import JobRequest, JobState, Step
 from tests.test_cluster_state import step
 from tests.test_crashes import PAUSE_S, QUIET_S, SOON_S, CrashCase
+from tests.test_pool import PoolTest
 
 TIMES = 4
 INTERVAL_S = 10.0
 MAX_CRASHES = 40
+JOB = "00000000000000aa"
 
 
 class RepeatedJobTest(CrashCase):
@@ -125,5 +129,33 @@
                     self.assertEqual(self.starts_later(job), [])
 
 
+class FailedJobTest(PoolTest):
+    """A deployment with a job whose first time fails."""
+
+    def test_no_later_time_starts_under_this_leader_or_the_next(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            first_ms = round(cluster.members["entry-1"].vm.context.clock.wall() * 1000)
+            once = job(1, work_s=0.2, failures=ATTEMPTS)
+            request = JobRequest(
+                payload=once.payload,
+                steps=once.steps,
+                times=TIMES,
+                first_at_ms=first_ms,
+                interval_ms=round(INTERVAL_S * 1000),
+            )
+            await cluster.submit(JOB, request)
+            await cluster.until_state(JOB, JobState.FAILED)
+            self.assertEqual(cluster.worker_pool.starts_of(JOB), ATTEMPTS)
+            self.assertTrue(await cluster.cancel(JOB))
+            await asyncio.sleep(1.5 * INTERVAL_S)
+            self.assertEqual(cluster.worker_pool.starts_of(JOB), ATTEMPTS)
+            await cluster.kill(cluster.leader_name)
+            await asyncio.sleep(TIMES * INTERVAL_S)
+            self.assertEqual(cluster.worker_pool.starts_of(JOB), ATTEMPTS)
+            self.assertIs(await cluster.state(JOB), JobState.FAILED)
+
+        self.play(body)
+
+
 if __name__ == "__main__":
     unittest.main()
