--- a/src/saddlestack/standins/pool/documents.py
+++ b/src/saddlestack/standins/pool/documents.py
@@ -47,7 +47,7 @@
             "service": SERVICE,
             "priority": priority,
             "max-attempts": attempts,
-            "no-auth": name in open_queues,
+            **({"no-auth": True} if name in open_queues else {}),
             **({"advice": {"decide-ms": 10}} if name in advised else {}),
         }
         for name, priority in (*QUEUES, *((name, 1) for name in more_queues))
--- a/tests/simulation/told.py
+++ b/tests/simulation/told.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import replace
 
 from saddlestack.errors import SaddlestackError
 from saddlestack.work import FINAL_STATES, JobState
@@ -48,7 +49,7 @@
     async def _ask(self, vm: Vm, job_id: str) -> None:
         if vm.entry is None:
             return
-        call = client_call("normal", self._accounts[job_id])
+        call = replace(client_call("normal", self._accounts[job_id]), names_queue=False)
         try:
             state = await vm.entry.jobs.state(call, job_id)
         except SaddlestackError:
