Count the finished times of a job toward the turn that reads it

A new leader counted the tasks of a job toward a turn of its event loop, and not its records. Jobs that have run nearly all of their times have few tasks left and thousands of records: twelve of 10,000 times, the 120,000 tasks of the target, were added in one turn of 362,394 function calls, of 125,000 allowed.

The records of a job now count as well, so that such jobs are added in a turn each.

tests/test_load_turns.py: test_repeated_jobs_are_read_in_many_turns fails with 362,394 calls before the change and passes after it.

--- a/src/saddlestack/control/storedjobs.py
+++ b/src/saddlestack/control/storedjobs.py
@@ -122,6 +122,7 @@
             if job_id not in self._cluster_state.jobs:
                 self._unreadable_jobs.add(job_id)
             return None
+        await turns.spend(len(records))
         for tasks in self._cluster_state.add_job_in_parts(accepted, records):
             await turns.spend(tasks)
         self._revisions[job_id] = max(item.revision, self._revisions.get(job_id, 0))
--- a/tests/test_load_turns.py
+++ b/tests/test_load_turns.py
@@ -48,7 +48,7 @@
     return f"{number:016x}"
 
 
-def accepted_job(number: int, count: int) -> AcceptedJob:
+def accepted_job(number: int, count: int, times: int) -> AcceptedJob:
     return AcceptedJob(
         job_id=job_id_of(number),
         account="depots",
@@ -57,7 +57,7 @@
         priority=1,
         attempts=2,
         accepted_ms=number,
-        request=JobRequest(payload="", steps=(step(count),)),
+        request=JobRequest(payload="", steps=(step(count),), times=times),
     )
 
 
@@ -73,16 +73,28 @@
     """A store that has records of jobs and lists them.
 
     :param begun: whether the jobs have progress.
+    :param times: how often each job runs; all times but the last are done.
     """
 
-    def __init__(self, jobs: int, count: int, *, begun: bool = True) -> None:
+    def __init__(self, jobs: int, count: int, *, begun: bool = True, times: int = 0) -> None:
         numbers = range(jobs)
         self.requests = [
-            Item(keys.job_key(job_id_of(each)), to_msgpack(accepted_job(each, count)), 2)
+            Item(keys.job_key(job_id_of(each)), to_msgpack(accepted_job(each, count, times)), 2)
             for each in numbers
         ]
-        self.progress = tuple(
-            Item(keys.progress_key(f"{job_id_of(each)}.0"), to_msgpack(progress_of(each, count)), 3)
+        done = to_msgpack(OccurrenceRecord(OccurrenceStatus.DONE))
+        earlier = tuple(
+            Item(keys.progress_key(f"{job_id_of(each)}.{time}"), done, 3)
+            for each in numbers
+            for time in range(times - 1)
+        )
+        last = max(0, times - 1)
+        self.progress = earlier + tuple(
+            Item(
+                keys.progress_key(f"{job_id_of(each)}.{last}"),
+                to_msgpack(progress_of(each, count)),
+                3,
+            )
             for each in numbers
             if begun
         )
@@ -161,6 +173,15 @@
         self.assertLess(progress, MAX_CALLS_PER_TURN)
         self.assertLess(requests, MAX_CALLS_PER_TURN)
 
+    def test_repeated_jobs_are_read_in_many_turns(self) -> None:
+        """Each has run almost all of its times, and the target's 120,000 tasks are in them."""
+        stored = StoredItems(12, 1, times=MAX_TASKS_OF_JOB)
+        cluster_state, progress, requests = self.load(stored)
+        jobs = cluster_state.jobs.values()
+        self.assertEqual({job.done_occurrences for job in jobs}, {MAX_TASKS_OF_JOB - 1})
+        self.assertLess(progress, MAX_CALLS_PER_TURN)
+        self.assertLess(requests, MAX_CALLS_PER_TURN)
+
     def test_wide_jobs_that_have_not_begun_are_read_in_many_turns(self) -> None:
         cluster_state, _, requests = self.load(StoredItems(60, 2_000, begun=False))
         self.assertEqual(len(cluster_state.jobs), 60)
