--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from saddlestack.interfaces.workers import EndKind
+from saddlestack.policy.cluster.state import ClusterState
 from saddlestack.standins.pool.cluster import ATTEMPTS, PoolCluster, job
 from saddlestack.work import JobRequest, JobState, Step
 from tests.test_cluster_state import step
@@ -128,6 +129,34 @@
                     self.assertIs(self.state(job), JobState.CANCELLED)
                     self.assertEqual(self.starts_later(job), [])
 
+    def test_a_later_leader_stops_what_other_times_of_a_failed_job_still_run(self) -> None:
+        """The leader that failed the job is lost before its stops have an effect."""
+        for is_cancelled in (False, True):
+            with self.subTest(cancelled=is_cancelled):
+                self.setUp()
+                job = self.submit(step(1), attempts=1)
+                self.plan(QUIET_S)
+                changes = self.plan(QUIET_S + INTERVAL_S, INTERVAL_S * 1000)
+                records = {1: changes.records[f"{job}.1"]}
+                first, second = self.cluster_state.jobs[job].occurrences[:2]
+                self.end_run(first.steps[0].tasks[0], EndKind.FAILED, QUIET_S + INTERVAL_S + 1)
+                records[0] = self.cluster_state.take_changes().records[f"{job}.0"]
+                run = second.steps[0].tasks[0].run
+                assert run is not None
+                accepted = self.cluster_state.jobs[job].accepted
+                self.cluster_state = ClusterState()
+                self.workers(racks=4, each=4)
+                self.cluster_state.add_job(accepted, records)
+                if is_cancelled:
+                    self.cluster_state.cancel(job)
+                stops = self.cluster_state.take_changes().stops
+                self.assertEqual(
+                    [(s.task, s.worker_id) for s in stops], [(run.task.name, run.worker_id)]
+                )
+                self.end(job, EndKind.STOPPED, QUIET_S + INTERVAL_S + 2)
+                self.assertEqual(self.starts_later(job), [])
+                self.assertIs(self.state(job), JobState.FAILED)
+
 
 class FailedJobTest(PoolTest):
     """A deployment with a job whose first time fails."""
--- a/tests/test_job_access.py
+++ b/tests/test_job_access.py
@@ -13,11 +13,14 @@
 import unittest.mock
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import msgspec
 
 from saddlestack.control import leaderrpc
+from saddlestack.control.configuration import Configuration
+from saddlestack.control.jobaccess import JobAccessCheck
 from saddlestack.control.leaderrpc import LeaderRpc, LeaderUnavailable
 from saddlestack.errors import ErrorKind, SaddlestackError
 from saddlestack.interfaces.clients import Caller, ClientCall, JobService
@@ -81,6 +84,19 @@
                 self.assertIs(found, expected)
 
 
+class CheckTest(unittest.TestCase):
+    def test_it_judges_by_the_configuration_in_force(self) -> None:
+        """Before the first one, no queue is known, so jobs are judged by their account."""
+        check = JobAccessCheck(cast(Configuration, SimpleNamespace(current=None)))
+        found = accepted_job(ACCOUNT, CLOSED)
+        self.assertIs(check.access(Caller(ACCOUNT, "urgent"), found), ALLOWED)
+        self.assertIs(check.access(Caller(KEYLESS, OPEN), found), HIDDEN)
+        current = SimpleNamespace(queues=(SimpleNamespace(name=CLOSED),))
+        check = JobAccessCheck(cast(Configuration, SimpleNamespace(current=current)))
+        self.assertIs(check.access(Caller(ACCOUNT, "urgent"), found), HIDDEN)
+        self.assertIs(check.access(Caller(ACCOUNT, CLOSED), found), ALLOWED)
+
+
 Call = Callable[[JobService, ClientCall], Awaitable[object]]
 
 CALLS: dict[str, Call | None] = {
--- a/tests/test_worker_limits.py
+++ b/tests/test_worker_limits.py
@@ -82,6 +82,34 @@
         places = [task.run.worker_id for task in made.tasks if task.run is not None]
         self.assertEqual(len(set(places)), 3)
 
+    def test_a_leader_that_takes_over_during_the_stops_keeps_the_limit(self) -> None:
+        """The store names the runs, and no reservation or pending stop."""
+        for limit, count in ((1, 3), (2, 6)):
+            with self.subTest(limit=limit):
+                self.setUp()
+                self.fill_with_bulk(6)
+                urgent = self.add(step(count, 2, per_worker=limit), priority=URGENT)
+                stops = self.plan(PATIENT + 1).stops
+                self.end(stops[0].task.job_id, EndKind.STOPPED, PATIENT + 1.1)
+                self.plan(PATIENT + 1.1)
+                self.assertTrue(any(task.run for task in self.step_of(urgent).tasks))
+                old = self.cluster_state.jobs
+                self.cluster_state = ClusterState()
+                self.workers(each=6)
+                for each in old.values():
+                    records = {0: each.occurrences[0].to_record()} if each.begun else {}
+                    self.cluster_state.add_job(each.accepted, records)
+                self.check_limits()
+                for number in range(12):
+                    now = PATIENT + 2 + number / 4
+                    for run in self.runs():
+                        if run.stopping:
+                            self.end_run(run.task, EndKind.STOPPED, now)
+                            break
+                    self.plan(now)
+                    self.check_limits()
+                self.assertTrue(all(task.run for task in self.step_of(urgent).tasks))
+
     def test_what_is_reserved_goes_back_when_all_tasks_have_started(self) -> None:
         self.stop_in_turn(step(3, 2, per_worker=1), 6)
         for worker in self.cluster_state.workers.values():
