--- a/review/standins3/http.py
+++ b/review/standins3/http.py
@@ -68,6 +68,7 @@
         """Close the listener and all connections."""
         if self._server is not None:
             self._server.close()
+            self._server = None
         self.reset_connections()
         for task in list(self._tasks):
             task.cancel()
--- a/review/standins3/workers.py
+++ b/review/standins3/workers.py
@@ -1,7 +1,8 @@
 """Workers, the machines that they run on, and the service for whole machines.
 
-Orders, leases, fencing tokens and gangs follow PROTOCOL.md, "Running tasks" and "Machines". The
-length of a task stands in the job's ``spec``: ``{"ms": 800}``, with ``"gang": N`` for gangs.
+Orders, leases, fencing tokens and gangs follow PROTOCOL.md, "Running tasks" and "Machines". What a
+task does stands in the job's ``spec``: ``{"ms": 800, "gpu": 1}``, ``"gang": N`` for the size of its
+gang, or ``"lasts": true`` instead of the time.
 """
 
 from __future__ import annotations
@@ -18,6 +19,10 @@
 MAINTENANCE_S = 2.0
 GANG_TIMEOUT_S = 3.0
 TICK_S = 0.02
+SHORT_START_S = 0.2
+GPUS = 8
+BEATS_OF_SILENCE = 3
+"""A worker's entry is removed after this many heartbeats without one."""
 
 
 @dataclass
@@ -35,12 +40,33 @@
         """Name of the run's gang: the step and the run's number."""
         return f"{self.task.rpartition('.')[0]}#{self.number}"
 
+    @property
+    def lasts(self) -> bool:
+        """Whether it runs until it is stopped."""
+        return bool(self.spec.get("lasts"))
+
+    @property
+    def gpus(self) -> int:
+        """Accelerators that it holds."""
+        return int(str(self.spec.get("gpu", 0)))
+
+    @property
+    def length_s(self) -> float:
+        """Seconds of work."""
+        return float(str(self.spec.get("ms", 1000))) / 1000
+
+    def is_done(self, now: float) -> bool:
+        """Whether it has done its work."""
+        since_s = self.works_since_s
+        return since_s is not None and not self.lasts and now - since_s >= self.length_s
+
     def percent(self, now: float) -> int:
         """Progress in percent."""
         if self.works_since_s is None:
             return 0
-        length_s = float(str(self.spec.get("ms", 1000))) / 1000
-        return min(99, int(100 * (now - self.works_since_s) / length_s))
+        if self.lasts:
+            return 100 if now - self.works_since_s >= SHORT_START_S else 0
+        return min(99, int(100 * (now - self.works_since_s) / self.length_s))
 
 
 @dataclass
@@ -114,6 +140,31 @@
         self.state = state
         self._server.reset_connections()
 
+    def crash(self) -> None:
+        """End the present life without a word; its entry stays until its silence is noticed."""
+        life = self.life
+        if life is None:
+            return
+        for run in life.runs.values():
+            self._pool.record.note("run", "dies", task=run.task, run=run.number, machine=self.name)
+        self._pool.record.note("worker", "crashes", machine=self.name, worker=life.worker)
+        self.life = None
+        self.state = "down"
+        self._server.stop()
+        key = f"servers/{life.worker}"
+        loop = asyncio.get_running_loop()
+        loop.call_later(BEATS_OF_SILENCE * HEARTBEAT_S, self._pool.store.delete, key)
+
+    async def restart(self) -> None:
+        """Start a new life at the same address after a crash."""
+        await self._server.start(self.address, self.port)
+        self.begin_life()
+
+    def fail(self, run: Run) -> None:
+        """Let a task fail by its own fault."""
+        assert self.life is not None
+        self._end(self.life, run, "failed")
+
     def drain(self, remaining_s: float) -> None:
         """State that the worker is about to leave."""
         assert self.life is not None
@@ -140,7 +191,7 @@
             "slots": 8,
             "state": "draining" if life.draining else "ready",
             "cold-left-ms": 0,
-            "capacity": {"cpu": 32000, "mem-mb": 65536, "gpu": 8},
+            "capacity": {"cpu": 32000, "mem-mb": 65536, "gpu": GPUS},
             "labels": ["a", self.rack],
             "clock-ms": self._clock_ms(),
             "machine": self.name,
@@ -163,7 +214,7 @@
                     run.works_since_s = now
                 elif now - run.began_s > GANG_TIMEOUT_S:
                     self._end(life, run, "alone")
-            elif (now - run.works_since_s) * 1000 >= float(str(run.spec.get("ms", 1000))):
+            elif run.is_done(now):
                 self._end(life, run, "done")
         if life.runs and self._clock_ms() >= life.lease_until_ms:
             while life.runs:
@@ -241,6 +292,8 @@
         if clock_ms >= float(str(body["deadline-ms"])):
             return 409, {"clock-ms": clock_ms, "reason": "late"}
         run = Run(task, number, json.loads(str(body.get("spec") or "{}")), _now())
+        if run.gpus + sum(other.gpus for other in life.runs.values()) > GPUS:
+            return 409, {"clock-ms": clock_ms, "reason": "room"}
         life.runs[key] = run
         self._pool.record.note(
             "run",
@@ -363,7 +416,7 @@
             "state": machine.state,
             "zone": machine.hall,
             "labels": ["a", machine.rack],
-            "capacity": {"cpu": 32000, "mem-mb": 65536, "gpu": 8},
+            "capacity": {"cpu": 32000, "mem-mb": 65536, "gpu": GPUS},
             "id": machine.life.worker if machine.life else "",
         }
 
