Show that jobs are not given as pending after a change of leader

Two workers refuse every start for 6.5 s, the leader is stopped as planned, and the five VMs that were not disturbed give 1 of 4 jobs as pending.

--- a/review/standins3/workers.py
+++ b/review/standins3/workers.py
@@ -101,6 +101,7 @@
     """A machine, and the worker that lives on it.
 
     :ivar life: the present life; ``None`` while the machine is down or taken away.
+    :ivar is_unhealthy: whether it answers every order with 503, and does nothing.
     """
 
     def __init__(self, name: str, address: str, hall: str, rack: str, pool: Pool) -> None:
@@ -111,6 +112,7 @@
         self.port = 0
         self.life: Life | None = None
         self.state = "down"
+        self.is_unhealthy = False
         self._pool = pool
         self._lives = 0
         self._seq = 0
@@ -248,6 +250,9 @@
             raise Silence  # The machine is off: it says nothing.
         if request.headers.get("saddlestack-target-instance") != life.worker:
             return 421, None
+        if self.is_unhealthy:
+            self._pool.record.note("worker", "is busy", machine=self.name, path=request.path)
+            return 503, None
         body = request.body
         if body["fence"] < life.fence:
             return 409, {"clock-ms": self._clock_ms(), "reason": "fence"}
