--- a/review/standins3/workers.py
+++ b/review/standins3/workers.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from dataclasses import dataclass, field
 
 from .http import Answer, Request, Server, Silence
@@ -328,6 +329,7 @@
         self.hold_ms = hold_ms
         self.zero_s = _now()
         self.machines: dict[str, Machine] = {}
+        self._members: Counter[str] = Counter()
 
     async def add(self, name: str, address: str, hall: str, rack: str) -> Machine:
         """Add a machine and start its worker."""
@@ -341,6 +343,7 @@
         beat_s = _now()
         while True:
             await asyncio.sleep(TICK_S)
+            self._count_members()
             for machine in self.machines.values():
                 machine.tick()
             if _now() >= beat_s + HEARTBEAT_S:
@@ -350,17 +353,18 @@
 
     def is_gang_present(self, run: Run) -> bool:
         """Whether all members of a run's gang are present; true without a gang."""
-        size = int(str(run.spec.get("gang", 0)))
-        return self._members(run.gang) >= size
+        return self._members[run.gang] >= int(str(run.spec.get("gang", 0)))
 
     def end_gang(self, run: Run, how: str) -> None:
         """End the other members of a gang."""
         for machine in self.machines.values():
             machine.end_member(run.gang, how)
 
-    def _members(self, gang: str) -> int:
+    def _count_members(self) -> None:
         lives = [machine.life for machine in self.machines.values() if machine.life is not None]
-        return sum(1 for life in lives for run in life.runs.values() if run.gang == gang)
+        self._members = Counter(
+            run.gang for life in lives for run in life.runs.values() if run.spec.get("gang")
+        )
 
 
 class MachineService:
