Show that a planned replacement of workers makes a job fail

Workers that end without a notice are replaced one after the other, in the order of their ids. After the fifth a job of 30 s is shown as failed, though no worker crashed and no run failed.

--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -27,7 +27,6 @@
 FRONT, READY = 8521, 8523
 BOUNDS = {
     "config-apply-ms": 2000,
-    "max-hold-ms": 6000,
     "grace-s": 6.0,
     "status_s": 120,
     "lease-ms": 3000,
@@ -45,7 +44,7 @@
         self.folder = folder
         self.process: asyncio.subprocess.Process | None = None
 
-    def write_settings(self, store: str, machines: str) -> None:
+    def write_settings(self, store: str, machines: str, hold_ms: float) -> None:
         """Write what ``deploy/settings.template`` yields for a small deployment."""
         settings = {
             "vm": self.name,
@@ -61,7 +60,7 @@
             "scheduling": {"worker_speeds": True, "last_attempt_wait_s": 1.5},
             "timings": {
                 "configuration_apply_ms": BOUNDS["config-apply-ms"],
-                "longest_hold_ms": BOUNDS["max-hold-ms"],
+                "longest_hold_ms": hold_ms,
                 "grace_s": BOUNDS["grace-s"],
                 "status_s": BOUNDS["status_s"],
                 "machine_lease_ms": BOUNDS["lease-ms"],
@@ -117,7 +116,7 @@
 class Deployment:
     """Entry VMs, store, workers and the service for machines, all on loopback addresses."""
 
-    def __init__(self, case: Path, vms: int = 6, machines: int = 8) -> None:
+    def __init__(self, case: Path, vms: int = 6, machines: int = 8, hold_ms: float = 6000) -> None:
         self.record = Record(case / "record.txt")
         self.store = Store()
         self.pool: Pool
@@ -126,6 +125,7 @@
         self.addresses: dict[str, StoreAddress] = {}
         self.waves: dict[int, list[str]] = {}
         self._counts = (vms, machines)
+        self._hold_ms = hold_ms
         self._folder = tempfile.TemporaryDirectory(prefix="saddlestack-review-")
         self._tasks: list[asyncio.Task[None]] = []
         # An address block of its own, so that the ports are free.
@@ -142,7 +142,7 @@
     async def _start(self) -> None:
         folder = Path(self._folder.name)
         loop = asyncio.get_running_loop()
-        self.pool = Pool(self.store, self.record, SERVICE, BOUNDS["max-hold-ms"])
+        self.pool = Pool(self.store, self.record, SERVICE, self._hold_ms)
         self.machine_service = MachineService(self.pool, self.record, self.waves)
         cloud = f"{self._net}.250"
         cloud_port = await self.machine_service.server.start(cloud, 0)
@@ -157,7 +157,9 @@
             vm = Vm(f"front-{hall}-{number // 3 + 1}", f"{self._net}.{10 + number}", hall, folder)
             address = StoreAddress(self.store, vm.name)
             port = await address.server.start(f"{self._net}.{200 + number}", 0)
-            vm.write_settings(f"{self._net}.{200 + number}:{port}", f"{cloud}:{cloud_port}")
+            vm.write_settings(
+                f"{self._net}.{200 + number}:{port}", f"{cloud}:{cloud_port}", self._hold_ms
+            )
             self.vms.append(vm)
             self.addresses[vm.name] = address
         self._tasks = [loop.create_task(self.store.run()), loop.create_task(self.pool.run())]
--- a/review/standins3/workers.py
+++ b/review/standins3/workers.py
@@ -102,6 +102,7 @@
     """A machine, and the worker that lives on it.
 
     :ivar life: the present life; ``None`` while the machine is down or taken away.
+    :ivar has_entry: whether the worker writes its entry in the store.
     :ivar is_unhealthy: whether it answers every order with 503, and does nothing.
     """
 
@@ -114,6 +115,7 @@
         self.life: Life | None = None
         self.state = "down"
         self.is_unhealthy = False
+        self.has_entry = True
         self._pool = pool
         self._lives = 0
         self._seq = 0
@@ -129,6 +131,7 @@
         self._lives += 1
         self.life = Life(f"i-{self.name}-{self._lives}")
         self.state = "up"
+        self.has_entry = True
         self._pool.record.note("worker", "begins", machine=self.name, worker=self.life.worker)
         self.write_record()
 
@@ -158,8 +161,24 @@
         loop = asyncio.get_running_loop()
         loop.call_later(BEATS_OF_SILENCE * HEARTBEAT_S, self._pool.store.delete, key)
 
+    async def leave(self, serves_s: float) -> None:
+        """End as planned without a notice: the entry goes, and the worker serves on for a while."""
+        life = self.life
+        if life is None:
+            return
+        self._pool.record.note("worker", "leaves", machine=self.name, worker=life.worker)
+        self.has_entry = False
+        self._pool.store.delete(f"servers/{life.worker}")
+        await asyncio.sleep(serves_s)
+        for run in life.runs.values():
+            self._pool.record.note("run", "dies", task=run.task, run=run.number, machine=self.name)
+        self._pool.record.note("worker", "has left", machine=self.name, worker=life.worker)
+        self.life = None
+        self.state = "down"
+        self._server.stop()
+
     async def restart(self) -> None:
-        """Start a new life at the same address after a crash."""
+        """Start a new life at the same address."""
         await self._server.start(self.address, self.port)
         self.begin_life()
 
@@ -183,7 +202,7 @@
     def write_record(self) -> None:
         """Write the worker's entry in the store."""
         life = self.life
-        if life is None:
+        if life is None or not self.has_entry:
             return
         self._seq += 1
         entry: dict[str, object] = {
