--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import os
 import random
@@ -258,9 +257,11 @@
 def main(case: Case) -> None:
     """Run a case; exit with 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
-        with contextlib.suppress(KeyboardInterrupt):
-            sys.exit(0 if asyncio.run(_limited(case, trouble)) else 1)
+        sys.exit(0 if asyncio.run(_limited(case, trouble)) else 1)
+    except KeyboardInterrupt:
+        sys.exit(2)
     except (CannotRun, TimeoutError, OSError) as error:
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
