Return a suspect to the machine that crashed, where no other has room

Cause: a task that may crash its workers leaves out the machines that crashed under it. That preference was applied to all eligible workers, whether they had room or not, in the search for an empty worker and again in the one after the longest wait. A likely suspect that finds nothing waits on, and is not handed to the placement that knows stalled work, so nothing ended the wait.

Evidence: on the scheduling state alone the same task is not started in the 3 s after the return of its worker, while another one of its size is started there in the round of the return.

Change: after the longest wait the machines that crashed under the task follow last. Workers that are kept for suspects belong to that search as well: a gang missed the worker that it had kept.

Why it holds: the search after the longest wait covers all workers that are eligible or kept. The starts of a task are bounded by the record of its crashes, on whichever machines they come.

--- a/src/saddlestack/policy/cluster/isolation.py
+++ b/src/saddlestack/policy/cluster/isolation.py
@@ -143,50 +143,64 @@
         closed = [
             worker for worker in self._closed_workers if worker.record.service == pool.service
         ]
-        kept = [
-            worker for worker in closed if pool.may_reserve and self._may_use(worker, step, now)
-        ]
-        kept = _on_other_machines(tasks, kept)
+        kept = [worker for worker in closed if pool.may_reserve and _may_use(worker, step, now)]
         most = math.ceil(
             pool.workers / (IDLE_POOL_ISOLATION_SHARE if pool.idle else ISOLATION_SHARE)
         )
         left = most - sum(1 for worker in closed if not _is_filled(worker))
-        eligible = _on_other_machines(
-            tasks, [each for each in eligible if each.reserved == Resources()]
-        )
-        empty = [worker for worker in eligible if not worker.runs]
-        likely = any(map(self._crashes.is_likely, tasks))
-        if likely and self._is_running(step):
+        eligible = [each for each in eligible if each.reserved == Resources()]
+        others = _on_other_machines(tasks, eligible) or eligible
+        if any(map(self._crashes.is_likely, tasks)) and self._is_running(step):
             return IsolatedPlacement()
-        found = self._choose_workers(tasks, [*kept, *empty], len(kept) + max(0, left))
+        found = self._choose_empty(tasks, _on_other_machines(tasks, kept) or kept, others, left)
         if found:
             return self._isolate(first, found, now)
         if now - began_s > (IDLE_POOL_MAX_WAIT_S if pool.idle else MAX_WAIT_S):
-            found = self._least_work_at_risk(tasks, eligible, now)
-            if found and left > 0:
-                return self._isolate(first, found, now)
-            if found and not likely:
-                self._waiting_since.pop(first, None)
-                return IsolatedPlacement(found, alone=False)
-            return IsolatedPlacement(must_wait=likely)
-        if left > 0 and not kept and pool.may_reserve:
-            self._keep_soonest_empty(step, eligible, now)
+            return self._place_overdue(tasks, [*kept, *eligible], left, now)
+        if left > 0 and not any(not worker.runs for worker in kept) and pool.may_reserve:
+            self._keep_soonest_empty(step, others, now)
         return IsolatedPlacement()
 
-    def _may_use(self, worker: Worker, step: StepState, now: float) -> bool:
-        empty = not worker.runs and worker.accepts_isolated(now) and not worker.suspected
-        proven = not step.needs_proven_worker or now >= worker.probation_s
-        return empty and proven and worker.matches(step.step)
+    def _place_overdue(
+        self, tasks: Sequence[Task], workers: Sequence[Worker], left: int, now: float
+    ) -> IsolatedPlacement:
+        """Place tasks that have waited for the maximum time where they put the least work at risk.
+
+        Machines that have crashed under them are used if no other one has room, since it is unknown
+        whether any other one ever will.
+
+        :param workers: eligible workers, and those that are kept for isolated runs.
+        :param left: number of further workers that may be used for isolated runs.
+        """
+        first = tasks[0]
+        likely = any(map(self._crashes.is_likely, tasks))
+        others = _on_other_machines(tasks, workers)
+        found = self._least_work_at_risk(tasks, others, now) or self._least_work_at_risk(
+            tasks, workers, now
+        )
+        if found and (left > 0 or all(worker.isolating for worker in found)):
+            return self._isolate(first, found, now)
+        if found and not likely:
+            self._waiting_since.pop(first, None)
+            return IsolatedPlacement(found, alone=False)
+        return IsolatedPlacement(must_wait=likely)
 
     def _is_running(self, step: StepState) -> bool:
         """Whether a run of the step's job is isolated. Likely culprits run one at a time."""
         return any(run.isolated for run in step.occurrence.job.runs())
 
-    def _choose_workers(
-        self, tasks: Sequence[Task], workers: Sequence[Worker], most: int
+    def _choose_empty(
+        self, tasks: Sequence[Task], kept: Sequence[Worker], others: Sequence[Worker], left: int
     ) -> list[Worker]:
-        """A worker for each task, on a limited number of workers; empty if there is none."""
+        """An empty worker for each task; empty if there is none, or too few may be used.
+
+        :param kept: workers that are kept for isolated runs.
+        :param left: number of workers that may be used besides these.
+        """
         step = tasks[0].step
+        kept = [worker for worker in kept if not worker.runs]
+        workers = [*kept, *(worker for worker in others if not worker.runs)]
+        most = len(kept) + max(0, left)
         if not step.step.gang:
             fitting = [worker for worker in workers if worker.copies(step, worker.free) > 0]
             return next(([each] for each in fitting if most > 0 or _fills(step, each)), [])
@@ -229,19 +243,26 @@
             self._closed_workers[soonest_empty] = now
 
 
+def _may_use(worker: Worker, step: StepState, now: float) -> bool:
+    """Whether a worker that is kept for isolated runs is free for one of a step."""
+    if any(run.isolated for run in worker.runs.values()) or worker.suspected:
+        return False
+    proven = not step.needs_proven_worker or now >= worker.probation_s
+    return worker.accepts_isolated(now) and proven and worker.matches(step.step)
+
+
 def _is_waiting(task: Task) -> bool:
     return task.step.occurrence.open and is_waiting(task)
 
 
 def _on_other_machines(tasks: Sequence[Task], workers: Sequence[Worker]) -> list[Worker]:
-    """Workers on machines that have not crashed under some tasks; all workers if there are none.
+    """Workers on machines that have not crashed under any of some tasks.
 
     A crash on another machine is stronger evidence about a task.
     """
-    others = [
+    return [
         worker for worker in workers if not any(worker.machine in task.crashed_on for task in tasks)
     ]
-    return others or list(workers)
 
 
 def _least_workers(step: StepState, workers: Sequence[Worker]) -> int:
--- /dev/null
+++ b/tests/test_isolation_waits.py
@@ -0,0 +1,124 @@
+"""Waits of tasks that have to be started alone, since they may crash their workers.
+
+Guards against this failure: a worker crashed once under a task. It was back seconds later, empty,
+and no other worker that the task may run on had room. The task was never started again, since it
+kept waiting for a worker on another machine.
+"""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from saddlestack.interfaces.workers import EndKind
+from saddlestack.policy.cluster.changes import Start
+from saddlestack.policy.cluster.crash_rule import LIMIT_STARTS_FROM, MAX_LATER_STARTS
+from saddlestack.policy.cluster.incarnation_end import IncarnationEnd
+from saddlestack.work import JobState
+from tests.test_cluster_state import NORMAL, step
+from tests.test_crashes import NOTICED_S, SOON_S, CrashCase
+
+DOWN_S = 4.5
+"""Time from a crash until the machine has a worker again."""
+ROUND_S = 0.5
+MAX_STALL_S = 3.0
+"""No accepted work may stall for this long beside free capacity."""
+
+
+class WaitCase(CrashCase):
+    """Crashes after which the same machine has a worker again, and rounds as the leader runs."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.lives = 0
+
+    def crash_machine(self, worker_id: str, at_s: float) -> None:
+        """Crash a worker; its machine has an empty one from :data:`DOWN_S` later on."""
+        worker = self.cluster_state.workers[worker_id]
+        self.cluster_state.record_answer(worker, at_s - 0.001)
+        self.cluster_state.worker_ended(worker_id, IncarnationEnd(at_s - 0.001, at_s + NOTICED_S))
+        self.cluster_state.unlist_worker(worker_id)
+        self.lives += 1
+        life = replace(worker.record, worker_id=f"life{self.lives}")
+        self.rounds(at_s + NOTICED_S, at_s + DOWN_S)
+        self.cluster_state.set_worker(life, at_s + DOWN_S)
+
+    def rounds(self, from_s: float, to_s: float) -> list[Start]:
+        """Run planning rounds over some time; returns what they start."""
+        starts: list[Start] = []
+        now = from_s
+        while now < to_s:
+            starts += self.plan(now).starts
+            now += ROUND_S
+        return starts
+
+    def serve(self, workers: int, accelerators: int) -> str:
+        """Add lasting work to each of some workers."""
+        serving = step(workers, accelerators, per_worker=1, long_running=True)
+        job = self.add(serving, priority=NORMAL)
+        self.assertEqual(len(self.plan().starts), workers)
+        return job
+
+
+class SameMachineTest(WaitCase):
+    """The machine that crashed is the only one with room."""
+
+    def check_restart(self, **kind: object) -> None:
+        self.workers(racks=1, each=4)
+        self.serve(3, 5)
+        job = self.add(step(1, 4, **kind), priority=NORMAL)
+        self.assertEqual(len(self.plan().starts), 1)
+        worker_id = self.run_of(job).worker_id
+        self.assertEqual(len(self.cluster_state.workers[worker_id].runs), 1)
+        self.crash_machine(worker_id, SOON_S)
+        back_s = SOON_S + DOWN_S
+        starts = self.rounds(back_s, back_s + MAX_STALL_S)
+        self.assertEqual([start.run.task.name.job_id for start in starts], [job])
+
+    def test_a_suspect_returns_to_it(self) -> None:
+        self.check_restart()
+
+    def test_a_lasting_suspect_returns_to_it(self) -> None:
+        self.check_restart(long_running=True)
+
+    def test_a_gang_returns_to_it(self) -> None:
+        """The gang has room there only, and on a machine that has not crashed under it."""
+        self.workers(racks=1, each=5)
+        self.serve(3, 5)
+        gang = self.add(step(2, 8, gang=True), priority=NORMAL)
+        self.assertEqual(len(self.plan().starts), 2)
+        self.crash_machine(self.run_of(gang).worker_id, SOON_S)
+        member = self.run_of(gang, 1)
+        self.end_run(member.task, EndKind.STOPPED, SOON_S + NOTICED_S)
+        back_s = SOON_S + DOWN_S
+        starts = self.rounds(back_s, back_s + MAX_STALL_S)
+        self.assertEqual([start.run.task.name.job_id for start in starts], [gang, gang])
+
+    def test_another_machine_is_preferred(self) -> None:
+        self.workers(racks=1, each=4)
+        self.serve(2, 5)
+        job = self.add(step(1, 4), priority=NORMAL)
+        self.plan()
+        crashed = self.cluster_state.workers[self.run_of(job).worker_id].machine
+        self.crash_machine(self.run_of(job).worker_id, SOON_S)
+        self.rounds(SOON_S + DOWN_S, SOON_S + DOWN_S + MAX_STALL_S)
+        self.assertNotEqual(self.cluster_state.workers[self.run_of(job).worker_id].machine, crashed)
+
+    def test_a_task_that_crashes_it_each_time_is_given_up_within_its_starts(self) -> None:
+        self.workers(racks=1, each=4)
+        self.serve(3, 5)
+        job = self.add(step(1, 4), priority=NORMAL)
+        self.plan()
+        starts = 1
+        now = 0.0
+        while self.task(job).run is not None and starts <= LIMIT_STARTS_FROM + MAX_LATER_STARTS:
+            self.crash_machine(self.run_of(job).worker_id, now + SOON_S)
+            back_s = now + SOON_S + DOWN_S
+            starts += len(self.rounds(back_s, back_s + MAX_STALL_S))
+            now = back_s + MAX_STALL_S
+        self.assertIs(self.state(job), JobState.FAILED)
+        self.assertLessEqual(starts, LIMIT_STARTS_FROM + MAX_LATER_STARTS)
+
+
+if __name__ == "__main__":
+    unittest.main()
