Record that a job has begun, in place of taking an assignment for it

Cause: a record of progress is written when a task is assigned, before its order leaves. A later leader, and a VM without a leader, took any such record for the beginning of the job. What the workers had answered, a refusal or nothing yet, was known to the former leader alone.

Evidence: on the scheduling state alone, a job whose only start was refused is `running` for a state that reads its record, and `queued` with the change.

Change: the record says whether a worker has begun one of its runs, from what a worker said: a confirmed start, a report that lists the run, or its end. The first such answer of a job is written at once. Records of earlier versions, which do not say, count as before.

Why it holds: readers show what the record says, and clients see `running` only once that is stored. Work that lost its worker keeps the mark, so it is not pending again.

Found on the way: a run whose start was not confirmed, and which ended before the next report, did not count as begun for the leader either.

tests.test_inherited compared a record with an address to one of an earlier version, so that every later field counted toward the bytes of an address. It now compares with the same record without the address, and allows two bytes less.

--- a/src/saddlestack/policy/cluster/jobs.py
+++ b/src/saddlestack/policy/cluster/jobs.py
@@ -236,6 +236,7 @@
     :param due_ms: milliseconds since 1970 before which nothing may start; 0 means at once.
     :param cause: why it failed, a :class:`FailureCause`; empty if it has not, or if unknown.
     :param run_count: number of its runs that are, or may be, on some worker.
+    :param begun: whether a worker has begun one of its runs, as far as is known.
     """
 
     job: Job
@@ -245,6 +246,7 @@
     steps: list[StepState]
     cause: str = ""
     run_count: int = 0
+    begun: bool = False
 
     @property
     def key(self) -> str:
@@ -282,7 +284,7 @@
         if self.status is not OccurrenceStatus.OPEN:
             return OccurrenceRecord(self.status, cause=self.cause)
         steps = [step.record for step in self.steps]
-        return OccurrenceRecord(self.status, steps, self._addresses())
+        return OccurrenceRecord(self.status, steps, self._addresses(), begun=self.begun)
 
     def _addresses(self) -> dict[str, str]:
         """Addresses of the workers that hold its runs, by worker id."""
@@ -307,7 +309,7 @@
     :param done_tasks: number of tasks that are done, without occurrences of earlier terms.
     :param run_count: number of its runs that are, or may be, on some worker.
     :param failed: whether one of its occurrences has failed. None of them starts anything more.
-    :param begun: whether a run of it has started, or the store has progress of it.
+    :param begun: whether one of its occurrences has begun.
     :param published_state: its state according to the records in the store. Clients see this one.
     :param over_since_s: since when it is known to be over, or ``None``.
     """
@@ -416,7 +418,7 @@
         job.open_next()
     job.done_tasks = sum(step.done for each in job.occurrences for step in each.steps)
     job.failed = any(each.status is OccurrenceStatus.FAILED for each in job.occurrences)
-    job.begun = bool(records)
+    job.begun = any(record.may_have_begun for record in records.values())
     job.published_state = job.state
     return job
 
@@ -426,6 +428,7 @@
     due_ms = job.accepted.request.due_ms(number)
     cause = "" if record is None else record.cause
     occurrence = Occurrence(job, number, due_ms, status, [], cause)
+    occurrence.begun = record is not None and record.may_have_begun
     for index, step in enumerate(job.accepted.request.steps):
         kept = record.steps[index] if record is not None and record.steps else None
         occurrence.steps.append(_step(occurrence, index, step, kept))
--- a/src/saddlestack/policy/cluster/records.py
+++ b/src/saddlestack/policy/cluster/records.py
@@ -145,9 +145,21 @@
         record may lapse, and a new leader has to poll the worker for the outcome of the runs.
         Stored per worker rather than per task, since many tasks of a wide step run on one worker.
     :param cause: a :class:`FailureCause`; empty if it has not failed or no cause was stored.
+    :param begun: whether a worker has begun one of its runs. An assignment does not show that: the
+        worker may refuse it. ``None`` in records of earlier versions.
     """
 
     status: OccurrenceStatus
     steps: list[StepRecord] = []
     addresses: dict[str, str] = {}
     cause: str = ""
+    begun: bool | None = None
+
+    @property
+    def may_have_begun(self) -> bool:
+        """Whether a worker has begun one of its runs, or may have, if the record does not say."""
+        if self.status is not OccurrenceStatus.OPEN:
+            return True
+        if self.begun is not None:
+            return self.begun
+        return any(task.run for step in self.steps for task in step.tasks)
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -382,8 +382,18 @@
         """Record that a worker has confirmed the start of a run."""
         if run.started_s is None:
             run.started_s = now
-        run.task.step.occurrence.job.begun = True
-        self._changed_jobs[run.task.name.job_id] = run.task.step.occurrence.job
+        self._note_begun(run.task.step.occurrence)
+
+    def _note_begun(self, occurrence: Occurrence) -> None:
+        """Note that a worker has begun a run. That is recorded once for each job.
+
+        An assignment in the record does not show it: the worker may refuse the run, or be lost.
+        """
+        occurrence.begun = True
+        job = occurrence.job
+        if not job.begun and not job.over:
+            self._mark_changed(occurrence)
+        job.begun = True
 
     def run_not_started(self, run: Run) -> None:
         """End a run that never began and never will."""
@@ -464,6 +474,7 @@
             self._fault_attribution.record_success(worker_id)
         elif end.how is EndKind.FAILED:
             self._record_failure(worker, run, now)
+        self._note_begun(run.task.step.occurrence)
         self._planner.run_ended(run, end.how, now)
         self._apply_assessment(self._crashes.run_ended(run, end.how, now))
         self._finish_run(run, end.how, end.saved or run.saved)
--- a/tests/test_inherited.py
+++ b/tests/test_inherited.py
@@ -381,10 +381,10 @@
 
     def test_an_address_is_kept_once_a_worker_however_many_tasks_run_there(self) -> None:
         for tasks in (1, 1000):
-            older = to_msgpack(OlderRecord(OccurrenceStatus.OPEN, self.steps(tasks)))
-            newer = to_msgpack(self.record(tasks))
-            most = len(self.LIFE) + len(self.ADDRESS) + 4
-            self.assertLessEqual(len(newer) - len(older), most)
+            without = to_msgpack(OccurrenceRecord(OccurrenceStatus.OPEN, self.steps(tasks)))
+            with_address = to_msgpack(self.record(tasks))
+            most = len(self.LIFE) + len(self.ADDRESS) + 2
+            self.assertLessEqual(len(with_address) - len(without), most)
 
 
 if __name__ == "__main__":
