Bound the wait of a likely suspect for other isolated runs of its job

Cause: tasks that are likely to crash their workers run one at a time within a job, each until its odds are low again. With strong evidence that takes tens of times the age at the crash, and work that lasts does not end before.

Change: such a task waits until each isolated run of the job has outlived the crashes of its step; one that crashes every worker that starts it mostly would have done so by then. Tasks of lasting work wait for the usual maximum only, 2 s, since each of them is to be at work. Their number is bounded by the share of workers for isolated runs.

Why it holds: the wait rests on the age of the crashes, which is known, not on the odds.

--- a/src/saddlestack/policy/cluster/crashes.py
+++ b/src/saddlestack/policy/cluster/crashes.py
@@ -125,6 +125,14 @@
             return self._is_suspect_step(run.task.step)
         return self._rule.is_suspect(self._rule.survived(record, _survived_s(run, now)))
 
+    def has_outlived(self, run: Run, now: float) -> bool:
+        """Whether a run has survived for longer than any run of its step that was lost in a crash.
+
+        A task that crashes each worker that starts it would probably have crashed this one by now.
+        """
+        crashes = run.task.step.record.crashes.values()
+        return _survived_s(run, now) > max((record.span_s for record in crashes), default=0.0)
+
     def may_have_suspects(self, step: StepState) -> bool:
         """Whether any task of a step may be a suspect; a cheap check."""
         return bool(step.record.crashes) or (
--- a/src/saddlestack/policy/cluster/isolation.py
+++ b/src/saddlestack/policy/cluster/isolation.py
@@ -29,7 +29,8 @@
 MAX_WAIT_S = 8.0
 """Maximum wait of a suspect for an empty worker."""
 IDLE_POOL_MAX_WAIT_S = 2.0
-"""The same while the pool is mostly free, since no accepted work may stall for 3 s then."""
+"""The same while the pool is mostly free, since no accepted work may stall for 3 s then, and for
+lasting work, which may not stall in a pool in use either."""
 KEEP_TIMEOUT_S = 10.0
 """Maximum time for which a worker is kept until it is empty."""
 
@@ -150,12 +151,13 @@
         left = most - sum(1 for worker in closed if not _is_filled(worker))
         eligible = [each for each in eligible if each.reserved == Resources()]
         others = _on_other_machines(tasks, eligible) or eligible
-        if any(map(self._crashes.is_likely, tasks)) and self._is_running(step):
+        overdue = now - began_s > _max_wait_s(step, pool)
+        if any(map(self._crashes.is_likely, tasks)) and self._awaits_others(step, overdue, now):
             return IsolatedPlacement()
         found = self._choose_empty(tasks, _on_other_machines(tasks, kept) or kept, others, left)
         if found:
             return self._isolate(first, found, now)
-        if now - began_s > (IDLE_POOL_MAX_WAIT_S if pool.idle else MAX_WAIT_S):
+        if overdue:
             return self._place_overdue(tasks, [*kept, *eligible], left, now)
         if left > 0 and not any(not worker.runs for worker in kept) and pool.may_reserve:
             self._keep_soonest_empty(step, others, now)
@@ -185,9 +187,16 @@
             return IsolatedPlacement(found, alone=False)
         return IsolatedPlacement(must_wait=likely)
 
-    def _is_running(self, step: StepState) -> bool:
-        """Whether a run of the step's job is isolated. Likely culprits run one at a time."""
-        return any(run.isolated for run in step.occurrence.job.runs())
+    def _awaits_others(self, step: StepState, overdue: bool, now: float) -> bool:
+        """Whether likely culprits of a step wait for isolated runs of their job.
+
+        They run one at a time, until each run has outlived the crashes of its step. Overdue tasks
+        of lasting work do not wait, since each of them is to be at work.
+        """
+        if overdue and step.step.long_running:
+            return False
+        runs = step.occurrence.job.runs()
+        return any(run.isolated and not self._crashes.has_outlived(run, now) for run in runs)
 
     def _choose_empty(
         self, tasks: Sequence[Task], kept: Sequence[Worker], others: Sequence[Worker], left: int
@@ -243,6 +252,11 @@
             self._closed_workers[soonest_empty] = now
 
 
+def _max_wait_s(step: StepState, pool: IsolationPool) -> float:
+    """Maximum wait of a step's suspects for an empty worker."""
+    return IDLE_POOL_MAX_WAIT_S if pool.idle or step.step.long_running else MAX_WAIT_S
+
+
 def _may_use(worker: Worker, step: StepState, now: float) -> bool:
     """Whether a worker that is kept for isolated runs is free for one of a step."""
     if any(run.isolated for run in worker.runs.values()) or worker.suspected:
--- a/tests/test_isolation_waits.py
+++ b/tests/test_isolation_waits.py
@@ -14,9 +14,10 @@
 from saddlestack.policy.cluster.changes import Start
 from saddlestack.policy.cluster.crash_rule import LIMIT_STARTS_FROM, MAX_LATER_STARTS
 from saddlestack.policy.cluster.incarnation_end import IncarnationEnd
+from saddlestack.policy.cluster.records import MAX_LOG_ODDS
 from saddlestack.work import JobState
 from tests.test_cluster_state import NORMAL, step
-from tests.test_crashes import NOTICED_S, SOON_S, CrashCase
+from tests.test_crashes import NOTICED_S, PAUSE_S, SOON_S, CrashCase
 
 DOWN_S = 4.5
 """Time from a crash until the machine has a worker again."""
@@ -120,5 +121,44 @@
         self.assertLessEqual(starts, LIMIT_STARTS_FROM + MAX_LATER_STARTS)
 
 
+class OneAfterAnotherTest(WaitCase):
+    """Tasks of one job that are likely to crash their workers, after a crash under each."""
+
+    def crash_each(self, count: int, **kind: object) -> str:
+        """Crash the workers of all tasks of a job soon after their start; returns the job."""
+        self.workers(racks=3, each=8)
+        job = self.add(step(count, 4, per_worker=1, **kind), priority=NORMAL)
+        self.plan()
+        for index in range(count):
+            self.crash_under(job, 0.0, index)
+            self.assertTrue(self.cluster_state._crashes.is_likely(self.task(job, index)))
+        return job
+
+    def waiting(self, job: str, count: int) -> int:
+        return sum(1 for index in range(count) if self.task(job, index).run is None)
+
+    def test_lasting_tasks_do_not_wait_for_each_other_to_survive(self) -> None:
+        """The second one waited until the first had survived, 15 to 42 s in an idle pool."""
+        job = self.crash_each(3, long_running=True)
+        self.rounds(PAUSE_S, PAUSE_S + MAX_STALL_S)
+        self.assertEqual(self.waiting(job, 3), 0)
+
+    def test_other_tasks_wait_while_one_may_crash_at_the_age_of_the_last_crash(self) -> None:
+        job = self.crash_each(2)
+        self.assertEqual(len(self.plan(PAUSE_S).starts), 1)
+        self.assertEqual(self.plan(PAUSE_S + SOON_S).starts, [])
+        self.assertEqual(self.waiting(job, 2), 1)
+
+    def test_other_tasks_start_once_one_has_outlived_the_last_crash(self) -> None:
+        """The bound of the wait is the age at the crash, however strong the evidence is."""
+        job = self.crash_each(2)
+        for index in (0, 1):
+            self.known(job, index).log_odds = MAX_LOG_ODDS
+        self.plan(PAUSE_S)
+        outlived_s = PAUSE_S + max(self.known(job, index).span_s for index in (0, 1))
+        self.rounds(PAUSE_S, outlived_s + MAX_STALL_S)
+        self.assertEqual(self.waiting(job, 2), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
