Let a likely suspect exceed the share for isolated runs after its wait

A task that is likely to crash its workers stood still in a pool that was mostly free, for as long as isolated runs of other jobs held the whole share of workers for such runs. Lasting work with strong evidence may hold it for hours.

Change: after the longest wait one likely suspect of a job at a time is isolated beyond the share.

Why it holds: no wait rests on the end of another job's work, and a job with many such tasks adds one worker to the share.

Measured: tests/test_isolation_waits.py, ShareTest: fails before, passes after.

--- a/src/saddlestack/policy/cluster/isolation.py
+++ b/src/saddlestack/policy/cluster/isolation.py
@@ -169,18 +169,20 @@
         """Place tasks that have waited for the maximum time where they put the least work at risk.
 
         Machines that have crashed under them are used if no other one has room, since it is unknown
-        whether any other one ever will.
+        whether any other one ever will. One likely culprit of each job may exceed the share of
+        workers for isolated runs, since those may last.
 
         :param workers: eligible workers, and those that are kept for isolated runs.
         :param left: number of further workers that may be used for isolated runs.
         """
         first = tasks[0]
         likely = any(map(self._crashes.is_likely, tasks))
+        beyond_share = likely and not any(run.isolated for run in first.step.occurrence.job.runs())
         others = _on_other_machines(tasks, workers)
         found = self._least_work_at_risk(tasks, others, now) or self._least_work_at_risk(
             tasks, workers, now
         )
-        if found and (left > 0 or all(worker.isolating for worker in found)):
+        if found and (left > 0 or beyond_share or all(worker.isolating for worker in found)):
             return self._isolate(first, found, now)
         if found and not likely:
             self._waiting_since.pop(first, None)
--- a/tests/test_isolation_waits.py
+++ b/tests/test_isolation_waits.py
@@ -160,5 +160,20 @@
         self.assertEqual(self.waiting(job, 2), 0)
 
 
+class ShareTest(WaitCase):
+    """Isolated work that lasts uses up the share of workers for isolated runs."""
+
+    def test_a_likely_suspect_does_not_wait_for_its_end(self) -> None:
+        self.workers(racks=6, each=1)
+        racks = ("r1", "r2", "r3")
+        jobs = [self.add(step(1, 4, long_running=True, label=rack)) for rack in racks]
+        self.plan()
+        for job in jobs:
+            self.crash_under(job, 0.0)
+            self.known(job).log_odds = MAX_LOG_ODDS
+        self.rounds(PAUSE_S, PAUSE_S + MAX_STALL_S)
+        self.assertEqual([job for job in jobs if self.task(job).run is None], [])
+
+
 if __name__ == "__main__":
     unittest.main()
