Search for every waiting suspect in turn

A round searches workers for 20 suspects at most, always for the first 20 in order. Where these found none, for want of a label or of room beside lasting work, later ones were never searched for, beside free workers.

Change: if more than 20 wait, the next round goes on with those that were not searched for, and all begin their wait when they are first seen.

Measured: tests/test_isolation_waits.py, SearchTest: fails before, passes after.

--- a/src/saddlestack/policy/cluster/isolated_starts.py
+++ b/src/saddlestack/policy/cluster/isolated_starts.py
@@ -15,7 +15,8 @@
 from saddlestack.policy.cluster.workers import Worker
 
 MAX_ISOLATED_PER_ROUND = 20
-"""Tasks or gangs that are to be isolated for which a round searches all workers."""
+"""Tasks or gangs that are to be isolated for which a round searches all workers. If more wait, the
+next round goes on with those that were not searched for."""
 
 
 class IsolatedStarts:
@@ -39,11 +40,18 @@
         self._preemption = preemption
         self._starts = starts
         self._open_tasks = open_tasks
-        self._searches = 0
+        self._first_searched = 0
+        self._seen = 0
+        self._placed = 0
 
     def begin_round(self) -> None:
-        """Reset the number of searches."""
-        self._searches = 0
+        """Choose the tasks or gangs to search for in this round, by their position."""
+        searched = min(self._seen - self._first_searched, MAX_ISOLATED_PER_ROUND)
+        self._first_searched += searched - self._placed
+        if self._first_searched >= self._seen - self._placed:
+            self._first_searched = 0
+        self._seen = 0
+        self._placed = 0
 
     def start(self, step: StepState, now: float) -> bool:
         """Start tasks of a step that may crash their workers in isolation.
@@ -65,18 +73,27 @@
 
     def _start_isolated(self, step: StepState, suspects: Sequence[Task], now: float) -> None:
         pool = self._service_pool(step)
-        eligible = self._eligible(step, now) if self._searches < MAX_ISOLATED_PER_ROUND else []
+        eligible: list[Worker] | None = None
         for tasks in [suspects] if step.step.gang else [[task] for task in suspects]:
-            self._searches += 1
-            if self._searches > MAX_ISOLATED_PER_ROUND:
-                break
+            self._isolation.note_waiting(tasks, now)
+            if not self._is_turn_of_next():
+                continue
+            if eligible is None:
+                eligible = self._eligible(step, now)
             found = self._isolation.find(tasks, eligible, pool, now)
             if found.places:
+                self._placed += 1
                 self._assign(tasks, found, now)
                 eligible = [worker for worker in eligible if not worker.isolating]
             elif not found.must_wait:
                 self._open_tasks.reopen(tasks)
 
+    def _is_turn_of_next(self) -> bool:
+        """Whether this round searches for the next task or gang; counts it."""
+        position = self._seen - self._first_searched
+        self._seen += 1
+        return 0 <= position < MAX_ISOLATED_PER_ROUND
+
     def _service_pool(self, step: StepState) -> IsolationPool:
         service_capacity = self._candidates.service_capacity(step)
         job = step.occurrence.job
--- a/src/saddlestack/policy/cluster/isolation.py
+++ b/src/saddlestack/policy/cluster/isolation.py
@@ -130,6 +130,10 @@
         """Whether a step has tasks that wait to be started alone."""
         return any(task.step is step for task in self._waiting_since)
 
+    def note_waiting(self, tasks: Sequence[Task], now: float) -> None:
+        """Note that a task, or a whole gang, waits to be started alone."""
+        self._waiting_since.setdefault(tasks[0], now)
+
     def find(
         self, tasks: Sequence[Task], eligible: Sequence[Worker], pool: IsolationPool, now: float
     ) -> IsolatedPlacement:
--- a/tests/test_isolation_waits.py
+++ b/tests/test_isolation_waits.py
@@ -14,7 +14,8 @@
 from saddlestack.policy.cluster.changes import Start
 from saddlestack.policy.cluster.crash_rule import LIMIT_STARTS_FROM, MAX_LATER_STARTS
 from saddlestack.policy.cluster.incarnation_end import IncarnationEnd
-from saddlestack.policy.cluster.records import MAX_LOG_ODDS
+from saddlestack.policy.cluster.isolated_starts import MAX_ISOLATED_PER_ROUND
+from saddlestack.policy.cluster.records import MAX_LOG_ODDS, CrashRecord
 from saddlestack.work import JobState
 from tests.test_cluster_state import NORMAL, step
 from tests.test_crashes import NOTICED_S, PAUSE_S, SOON_S, CrashCase
@@ -175,5 +176,22 @@
         self.assertEqual([job for job in jobs if self.task(job).run is None], [])
 
 
+class SearchTest(WaitCase):
+    """More suspects wait than a round searches workers for."""
+
+    def add_suspect(self, **kind: object) -> str:
+        job = self.add(step(1, 4, **kind), priority=NORMAL)
+        self.task(job).step.record.crashes[0] = CrashRecord(1, log_odds=1.0, span_s=1.0)
+        return job
+
+    def test_suspects_without_a_worker_do_not_keep_others_waiting(self) -> None:
+        self.workers(racks=1, each=4)
+        for _ in range(2 * MAX_ISOLATED_PER_ROUND):
+            self.add_suspect(label="none")
+        job = self.add_suspect()
+        self.rounds(0.0, MAX_STALL_S)
+        self.assertIsNotNone(self.task(job).run)
+
+
 if __name__ == "__main__":
     unittest.main()
