Request advice for the tasks that have to be started alone

On a queue whose starts need approval, a task that is likely to crash its workers stood still once its approved workers were gone or their tickets over, beside workers that nobody had asked about.

Cause: advice is requested if the tasks that may start like any others do not fit on the approved workers. Suspects are not among those, so none was ever missing.

Change: the search for suspects says how many tasks have to fit.

Measured: tests/test_isolation_waits.py, ApprovalTest: fails before, passes after.

--- a/src/saddlestack/policy/cluster/isolated_starts.py
+++ b/src/saddlestack/policy/cluster/isolated_starts.py
@@ -79,7 +79,7 @@
             if not self._is_turn_of_next():
                 continue
             if eligible is None:
-                eligible = self._eligible(step, now)
+                eligible = self._eligible(step, len(suspects), now)
             found = self._isolation.find(tasks, eligible, pool, now)
             if found.places:
                 self._placed += 1
@@ -104,11 +104,14 @@
             not self._cluster_state.is_advised(job),
         )
 
-    def _eligible(self, step: StepState, now: float) -> list[Worker]:
-        """Workers that may run a step's tasks, regardless of the step's preferences."""
+    def _eligible(self, step: StepState, wanted: int, now: float) -> list[Worker]:
+        """Workers that may run a step's tasks, regardless of the step's preferences.
+
+        :param wanted: number of tasks to be isolated, none of which counts as one to start.
+        """
         eligible = self._candidates.eligible(self._candidates.fit(step), now)
         if self._cluster_state.is_advised(step.occurrence.job):
-            eligible = self._candidates.with_approval(step, eligible, now)
+            eligible = self._candidates.with_approval(step, eligible, now, wanted)
         return eligible
 
     def _assign(self, tasks: Sequence[Task], found: IsolatedPlacement, now: float) -> None:
--- a/tests/test_isolation_waits.py
+++ b/tests/test_isolation_waits.py
@@ -10,6 +10,7 @@
 import unittest
 from dataclasses import replace
 
+from saddlestack.interfaces.machines import Leave
 from saddlestack.interfaces.workers import EndKind
 from saddlestack.policy.cluster.changes import Start
 from saddlestack.policy.cluster.crash_rule import LIMIT_STARTS_FROM, MAX_LATER_STARTS
@@ -18,7 +19,7 @@
 from saddlestack.policy.cluster.records import MAX_LOG_ODDS, CrashRecord
 from saddlestack.work import JobState
 from tests.test_cluster_state import NORMAL, step
-from tests.test_crashes import NOTICED_S, PAUSE_S, SOON_S, CrashCase
+from tests.test_crashes import NOTICED_S, PAUSE_S, QUIET_S, SOON_S, CrashCase
 
 DOWN_S = 4.5
 """Time from a crash until the machine has a worker again."""
@@ -193,5 +194,20 @@
         self.assertIsNotNone(self.task(job).run)
 
 
+class ApprovalTest(WaitCase):
+    """Starts need the adviser's approval, and the approved worker is gone."""
+
+    def test_approval_of_other_workers_is_requested_for_a_suspect(self) -> None:
+        self.workers(racks=1, each=3)
+        self.cluster_state.configure({}, {}, ["q"])
+        job = self.add(step(1, 4), priority=NORMAL)
+        advice = self.task(job).step.advice
+        advice.record_answer(("w11",), [Leave("w11", "ticket", QUIET_S)], 0.0)
+        self.assertEqual(len(self.plan().starts), 1)
+        self.crash_under(job, 0.0)
+        requests = self.plan(PAUSE_S).advice_requests
+        self.assertEqual([request.step for request in requests], [self.task(job).step])
+
+
 if __name__ == "__main__":
     unittest.main()
