--- a/src/saddlestack/control/settings.py
+++ b/src/saddlestack/control/settings.py
@@ -23,8 +23,12 @@
 """Lowest and highest value of the numbers under ``scheduling``. Evidence of less than 5 s is a
 single run; more than one write a second would cost more store calls than all other upkeep. In a
 mostly free pool no work may spend more than 2 s on preferences."""
-CONFIGURATION_APPLY_RANGE_MS = (1_000.0, 600_000.0)
-"""A watch takes half of it, and it takes 0.4 s to notice a lost answer and to repeat the watch."""
+TIMING_RANGES_MS = {
+    "configuration_apply_ms": (1_000.0, 600_000.0),
+    "drain_ms": (0.0, 600_000.0),
+}
+"""Lowest and highest value of times under ``timings``. A watch takes half of the time in which a
+configuration is in force, and it takes 0.4 s to notice a lost answer and to repeat the watch."""
 LEADER_CORES = 1.0
 """Processor cores that a leader needs.
 
@@ -182,11 +186,11 @@
         value = getattr(settings.timings, key)
         if value <= 0:
             faults.append(f"timings.{key}: expected a number above 0, got {value}")
-    apply_ms = settings.timings.configuration_apply_ms
-    least_ms, most_ms = CONFIGURATION_APPLY_RANGE_MS
-    if not least_ms <= apply_ms <= most_ms:
-        expected = f"expected {least_ms:g} to {most_ms:g}"
-        faults.append(f"timings.configuration_apply_ms: {expected}, got {apply_ms:g}")
+    for key, (least_ms, most_ms) in TIMING_RANGES_MS.items():
+        time_ms = getattr(settings.timings, key)
+        if not least_ms <= time_ms <= most_ms:
+            expected = f"expected {least_ms:g} to {most_ms:g}"
+            faults.append(f"timings.{key}: {expected}, got {time_ms:g}")
     for key, (lowest, highest) in SCHEDULING_RANGES.items():
         value = getattr(settings.scheduling, key)
         if not lowest <= value <= highest:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -115,6 +115,21 @@
             with self.subTest(value):
                 self.assertEqual(check_entry(settings), [expected])
 
+    def test_a_minimum_drain_time_out_of_range_is_named_with_its_range(self) -> None:
+        for value, shown in ((-1.0, "-1"), (600_001.0, "600001"), (math.nan, "nan")):
+            settings = EntrySettings(
+                vm="a",
+                data_hall="b",
+                clients="127.0.0.1:1",
+                readiness="127.0.0.1:2",
+                peer_ports=(7000, 7010),
+                store="127.0.0.1:3",
+                timings=Timings(longest_hold_ms=6000, grace_s=6, status_s=120, drain_ms=value),
+            )
+            expected = f"timings.drain_ms: expected 0 to 600000, got {shown}"
+            with self.subTest(value):
+                self.assertEqual(check_entry(settings), [expected])
+
     def test_optional_scheduling_decisions_are_off_by_default(self) -> None:
         self.assertEqual(Scheduling().options, SchedulingOptions())
 
