Poll workers whose records were removed only once the state is loaded

Before that, a report lists runs of jobs that have not been added yet, and these would be stopped as unknown. It goes over a session that is open, and there is none before.

--- a/src/saddlestack/control/listing.py
+++ b/src/saddlestack/control/listing.py
@@ -142,7 +142,7 @@
         self._unlist(incarnation, self._clock.now() if is_stable else None)
         worker = self._cluster_state.workers.get(incarnation)
         if worker is not None:
-            self._sessions.suspect_worker(worker)
+            self._sessions.poll_now(worker)
 
     def _unlist(self, incarnation: str, withdrawn_s: float | None = None) -> None:
         """Starts nothing more on an incarnation; its runs continue.
