Let each likely suspect of a job exceed the share in its turn

What callers saw: nothing yet; found by reading the change that lets one likely suspect of a job exceed the share of workers for isolated runs. A second one of the job waited for the odds of the first one's run, or its end, though it waits only until that run has outlived the crashes elsewhere.

Change: both places ask the same: whether the job has isolated runs that have not outlived its crashes.

Measured: tests/test_isolation_waits.py, ShareTest: the new test fails before, passes after.

--- a/src/saddlestack/policy/cluster/isolation.py
+++ b/src/saddlestack/policy/cluster/isolation.py
@@ -173,15 +173,15 @@
         """Place tasks that have waited for the maximum time where they put the least work at risk.
 
         Machines that have crashed under them are used if no other one has room, since it is unknown
-        whether any other one ever will. One likely culprit of each job may exceed the share of
-        workers for isolated runs, since those may last.
+        whether any other one ever will. Likely culprits may exceed the share of workers for
+        isolated runs, since those may last, but of each job one after the other.
 
         :param workers: eligible workers, and those that are kept for isolated runs.
         :param left: number of further workers that may be used for isolated runs.
         """
         first = tasks[0]
         likely = any(map(self._crashes.is_likely, tasks))
-        beyond_share = likely and not any(run.isolated for run in first.step.occurrence.job.runs())
+        beyond_share = likely and not self._has_unproven_runs(first.step, now)
         others = _on_other_machines(tasks, workers)
         found = self._least_work_at_risk(tasks, others, now) or self._least_work_at_risk(
             tasks, workers, now
@@ -201,6 +201,10 @@
         """
         if overdue and step.step.long_running:
             return False
+        return self._has_unproven_runs(step, now)
+
+    def _has_unproven_runs(self, step: StepState, now: float) -> bool:
+        """Whether the step's job has isolated runs that have not outlived its crashes."""
         runs = step.occurrence.job.runs()
         return any(run.isolated and not self._crashes.has_outlived(run, now) for run in runs)
 
--- a/tests/test_isolation_waits.py
+++ b/tests/test_isolation_waits.py
@@ -176,6 +176,19 @@
         self.rounds(PAUSE_S, PAUSE_S + MAX_STALL_S)
         self.assertEqual([job for job in jobs if self.task(job).run is None], [])
 
+    def test_nor_does_another_one_of_its_job(self) -> None:
+        self.workers(racks=6, each=1)
+        lasting = [self.add(step(1, 5, long_running=True, label=rack)) for rack in ("r1", "r2")]
+        job = self.add(step(2, 5, per_worker=1))
+        self.plan()
+        tasks = [self.task(lasting[0]), self.task(lasting[1]), self.task(job, 0), self.task(job, 1)]
+        for task in tasks:
+            self.crash_under(task.name.job_id, 0.0, task.name.index)
+        for task in tasks:
+            task.step.record.crashes[task.name.index].log_odds = MAX_LOG_ODDS
+        self.rounds(PAUSE_S, PAUSE_S + 2 * MAX_STALL_S)
+        self.assertEqual([task.name for task in tasks if task.run is None], [])
+
 
 class SearchTest(WaitCase):
     """More suspects wait than a round searches workers for."""
