Poll workers that withdraw their records without suspecting them

The poll marked the worker as suspected, which means that a call to it was not answered. It is now a poll and nothing else, and goes only to workers that have announced nothing: for the others it would decide nothing.

--- a/src/saddlestack/control/listing.py
+++ b/src/saddlestack/control/listing.py
@@ -131,7 +131,8 @@
     def _removed(self, worker_id: str) -> None:
         """Handles a removed record. Runs may continue, whatever their worker announced before.
 
-        The worker is polled at once: whether it still answers tells a planned end from a crash.
+        A worker that has announced nothing is polled at once: whether it still answers tells a
+        planned end from a crash.
         """
         self._unknown_service.pop(worker_id, None)
         incarnation = self._incarnations.get(worker_id, worker_id)
@@ -141,8 +142,8 @@
         is_stable = self._health.available_s > RECORD_RETURN_S
         self._unlist(incarnation, self._clock.now() if is_stable else None)
         worker = self._cluster_state.workers.get(incarnation)
-        if worker is not None:
-            self._sessions.poll_now(worker)
+        if worker is not None and not worker.record.draining:
+            self._sessions.poll(worker)
 
     def _unlist(self, incarnation: str, withdrawn_s: float | None = None) -> None:
         """Starts nothing more on an incarnation; its runs continue.
--- a/src/saddlestack/control/session.py
+++ b/src/saddlestack/control/session.py
@@ -143,6 +143,11 @@
             self._tasks.spawn(self._poll_now())
             self._wake.set()
 
+    def poll(self) -> None:
+        """Poll the worker at once, beside the poll that waits for runs to end."""
+        if not self.over:
+            self._tasks.spawn(self._poll_now())
+
     # Orders
 
     async def _pace(self, run: Run, percent: int) -> None:
--- a/src/saddlestack/control/sessions.py
+++ b/src/saddlestack/control/sessions.py
@@ -111,13 +111,13 @@
         if session is not None:
             session.suspect()
 
-    def poll_now(self, worker: Worker) -> None:
+    def poll(self, worker: Worker) -> None:
         """Poll a worker at once, if there is a session with it.
 
         There is none while the state is being loaded, when its runs would be taken for unknown.
         """
         if self._is_open(worker):
-            self._sessions[worker.worker_id].suspect()
+            self._sessions[worker.worker_id].poll()
 
     def revoke_starts(self, incarnation: str) -> None:
         """Make a new incarnation refuse starts that its predecessor may not have carried out.
