--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -59,6 +59,18 @@
 
 
 class EntrySettingsTest(unittest.TestCase):
+    def entry(self, **timings: float) -> EntrySettings:
+        """Settings of an entry VM, some of whose times differ."""
+        return EntrySettings(
+            vm="a",
+            data_hall="b",
+            clients="127.0.0.1:1",
+            readiness="127.0.0.1:2",
+            peer_ports=(7000, 7010),
+            store="127.0.0.1:3",
+            timings=Timings(longest_hold_ms=6000, grace_s=6, status_s=120, **timings),
+        )
+
     def test_machine_sizes_must_be_above_0(self) -> None:
         timings = Timings(longest_hold_ms=6000, grace_s=6, status_s=120)
         settings = EntrySettings(
@@ -100,35 +112,16 @@
 
     def test_a_bound_for_configurations_out_of_range_is_named_with_its_range(self) -> None:
         for value, shown in ((999.0, "999"), (600_001.0, "600001"), (math.nan, "nan")):
-            settings = EntrySettings(
-                vm="a",
-                data_hall="b",
-                clients="127.0.0.1:1",
-                readiness="127.0.0.1:2",
-                peer_ports=(7000, 7010),
-                store="127.0.0.1:3",
-                timings=Timings(
-                    longest_hold_ms=6000, grace_s=6, status_s=120, configuration_apply_ms=value
-                ),
-            )
             expected = f"timings.configuration_apply_ms: expected 1000 to 600000, got {shown}"
             with self.subTest(value):
+                settings = self.entry(configuration_apply_ms=value)
                 self.assertEqual(check_entry(settings), [expected])
 
     def test_a_minimum_drain_time_out_of_range_is_named_with_its_range(self) -> None:
         for value, shown in ((-1.0, "-1"), (600_001.0, "600001"), (math.nan, "nan")):
-            settings = EntrySettings(
-                vm="a",
-                data_hall="b",
-                clients="127.0.0.1:1",
-                readiness="127.0.0.1:2",
-                peer_ports=(7000, 7010),
-                store="127.0.0.1:3",
-                timings=Timings(longest_hold_ms=6000, grace_s=6, status_s=120, drain_ms=value),
-            )
             expected = f"timings.drain_ms: expected 0 to 600000, got {shown}"
             with self.subTest(value):
-                self.assertEqual(check_entry(settings), [expected])
+                self.assertEqual(check_entry(self.entry(drain_ms=value)), [expected])
 
     def test_optional_scheduling_decisions_are_off_by_default(self) -> None:
         self.assertEqual(Scheduling().options, SchedulingOptions())
