--- a/src/saddlestack/policy/cluster/candidates.py
+++ b/src/saddlestack/policy/cluster/candidates.py
@@ -344,9 +344,7 @@
         allowed = [w for w in eligible if advice.ticket(w.worker_id, now) is not None]
         if step.step.gang and step.step.same_rack and whole_racks(step, eligible):
             allowed = whole_racks(step, allowed)
-        if wanted is None:
-            wanted = sum(1 for task in step.tasks if self._is_open(task))
-        if not advice.asking and not _fits_on(step, allowed, wanted):
+        if not advice.asking and not self._fits_on(step, allowed, wanted):
             unknown = advice.unknown(eligible, now)
             if unknown:
                 self._cluster_state.request_advice(step, unknown)
@@ -364,6 +362,15 @@
             self._cluster_state.request_advice(step, unknown)
         return False
 
+    def _fits_on(self, step: StepState, workers: list[Worker], wanted: int | None) -> bool:
+        """Whether some tasks of a step, or the whole gang, fit on these workers."""
+        if step.step.gang:
+            return ListedPlaces(step, workers).choose_gang() is not None
+        fitting = sum(worker.copies(step, worker.free) for worker in workers)
+        if wanted is None:
+            wanted = sum(1 for task in step.tasks if self._is_open(task))
+        return fitting >= wanted
+
     def kept(self, step: StepState) -> IsKept | None:
         """Test for workers that are kept for gangs that go before a step.
 
@@ -398,13 +405,6 @@
         return lambda worker: self._backfill.is_kept(worker, priority)
 
 
-def _fits_on(step: StepState, workers: list[Worker], wanted: int) -> bool:
-    """Whether some tasks of a step, or the whole gang, fit on these workers."""
-    if step.step.gang:
-        return ListedPlaces(step, workers).choose_gang() is not None
-    return sum(worker.copies(step, worker.free) for worker in workers) >= wanted
-
-
 def prefers_near(step: StepState, now: float) -> bool:
     """Whether a step, if it has data, still waits for workers near it."""
     return step.waited_s(now) < NEAR_DATA_WAIT_S
