Keep the count of crashes after a run that was too short to show anything

Cause: a run that was stopped 0.2 s after its start removed the record of two crashes, since their odds were low. Only a run that outlives those that were lost shows that the task does not crash every worker.

Change: a shorter run keeps the record, and so the count; the odds fall as before.

Measured: the new test of tests/test_crashes.py raises before and passes after.

--- a/src/saddlestack/policy/cluster/crashes.py
+++ b/src/saddlestack/policy/cluster/crashes.py
@@ -226,8 +226,12 @@
             return assessment
         if how is EndKind.DONE and not run.task.step.step.long_running:
             self._store(run.task, CrashRecord(), assessment)
-        else:
-            self._store(run.task, self._rule.survived(record, _survived_s(run, now)), assessment)
+            return assessment
+        lived_s = _survived_s(run, now)
+        # A run that ended sooner than others were lost does not show that the task is sound.
+        too_short = lived_s <= record.span_s
+        survived = self._rule.survived(record, lived_s)
+        self._store(run.task, survived, assessment, keep=too_short)
         return assessment
 
     def count_start(self, task: Task, count: int) -> None:
@@ -358,14 +362,14 @@
         crash.evidence.append(added)
         task.crashed_on.add(worker.machine)
         self._held_since.pop(task, None)
-        self._store(task, record, assessment, lost=True)
+        self._store(task, record, assessment, keep=True)
         self._classify(task, crash, assessment)
 
     def _record_survival(self, task: Task, lived_s: float, assessment: CrashAssessment) -> None:
         """Record that a run lived for some time before its worker stopped answering."""
         record = _record(task)
         if record is not None:
-            self._store(task, self._rule.survived(record, lived_s), assessment, lost=True)
+            self._store(task, self._rule.survived(record, lived_s), assessment, keep=True)
 
     def _revert_crash(self, crash: Crash, worker: Worker, assessment: CrashAssessment) -> None:
         """Revert a crash of a worker that answers, as far as it is not unconfirmed."""
@@ -398,7 +402,7 @@
             record, log_odds=clamp_log_odds(record.log_odds - crash.log_odds), unconfirmed=rest
         )
         task.crashed_on.discard(worker.machine)
-        self._store(task, _uncount(reverted, 1), assessment, lost=True)
+        self._store(task, _uncount(reverted, 1), assessment, keep=True)
         assessment.findings.append(self._finding(CrashFindingKind.REVERTED, task, worker.worker_id))
 
     def _confirm(self, task: Task, worker_id: str, assessment: CrashAssessment) -> None:
@@ -408,7 +412,7 @@
             return
         rest = tuple(each for each in record.unconfirmed if each.worker != worker_id)
         confirmed = msgspec.structs.replace(record, unconfirmed=rest)
-        self._store(task, confirmed, assessment, lost=True)
+        self._store(task, confirmed, assessment, keep=True)
         kind = CrashFindingKind.CONFIRMED
         if is_waiting(task) and self._rule.is_culprit(confirmed):
             kind = CrashFindingKind.GIVEN_UP
@@ -470,7 +474,7 @@
         )
         if unconfirmed != record.unconfirmed:
             kept = msgspec.structs.replace(record, unconfirmed=unconfirmed)
-            self._store(task, kept, assessment, lost=True)
+            self._store(task, kept, assessment, keep=True)
 
     def _remove_from_rate(self, crash: Crash) -> None:
         """Remove a crash from the base rate, since a task caused it or it did not happen."""
@@ -490,23 +494,24 @@
         rest = msgspec.structs.replace(record, log_odds=log_odds)
         if uncount:
             rest = _uncount(rest, item.crashes)
-        self._store(item.task, rest, assessment, lost=True)
+        self._store(item.task, rest, assessment, keep=True)
 
     def _store(
-        self, task: Task, record: CrashRecord, assessment: CrashAssessment, *, lost: bool = False
+        self, task: Task, record: CrashRecord, assessment: CrashAssessment, *, keep: bool = False
     ) -> None:
         """Store the evidence about a task.
 
         The record is removed once a run has survived for long enough or the task is done, but never
         because of a crash.
 
-        :param lost: its run was lost with its worker, or may have been.
+        :param keep: whether to keep the record however low the odds are, since its run was lost
+            with its worker, or may have been, or was too short.
         """
         crashes = task.step.record.crashes
         index = task.name.index
         known = index in crashes
         before = crashes[index].unconfirmed if known else ()
-        cleared = self._rule.is_cleared(record) and not lost
+        cleared = self._rule.is_cleared(record) and not keep
         if _is_unfinished(task) and record.crashes and not cleared:
             crashes[index] = record
         else:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -201,6 +201,16 @@
             self.end(job, EndKind.STOPPED, 10.0 * time + 2.5)
         self.assertIs(self.state(job), JobState.RUNNING)
 
+    def test_a_run_that_is_stopped_sooner_keeps_the_count_however_low_the_odds_are(self) -> None:
+        """A stop 0.2 s after the start removed the record of two crashes; four more followed."""
+        self.workers(racks=1, each=4)
+        job = self.add(step(1, 1))
+        self.plan()
+        weak = CrashRecord(crashes=2, log_odds=-7.5, span_s=2.0)
+        self.task(job).step.record.crashes[0] = weak
+        self.end(job, EndKind.STOPPED, SOON_S)
+        self.assertEqual(self.known(job).crashes, 2)
+
     def test_a_start_that_was_never_sent_is_not_counted(self) -> None:
         self.workers(racks=1, each=4)
         job = self.add(step(1, 8))
