Record that a job has begun with its next record, or within 2 s

While a record is in flight other decisions about its job wait, and one more write is one more that may lose its answer.

Change: the next record of the job says that it has begun; where none comes for another reason, one is written within 2 s, by which the count of pending jobs may be old. Clients see `running`, and no longer a pending job, once that is stored, so no later reader shows less than an earlier one.

--- a/src/saddlestack/control/scheduler.py
+++ b/src/saddlestack/control/scheduler.py
@@ -443,6 +443,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._end_workers_without_address()
+            self.cluster_state.record_begun(self._clock.now())
             self._sessions.close_orphaned()
             for worker in list(self.cluster_state.workers_to_ask()):
                 self._sessions.suspect_worker(worker)
--- a/src/saddlestack/policy/cluster/state.py
+++ b/src/saddlestack/policy/cluster/state.py
@@ -42,6 +42,9 @@
 from saddlestack.policy.cluster.workers import Worker
 from saddlestack.work import AcceptedJob, JobState, Resources, TaskName
 
+BEGUN_RECORD_DELAY_S = 1.5
+"""How long after its first run has begun the record of a job says so at the latest, in seconds.
+With the tick of 0.5 s this is 2 s, by which the number of pending jobs may be out of date."""
 TASKS_PER_PART = 500
 """Tasks whose runs are restored in one part of the addition of a job."""
 
@@ -69,6 +72,7 @@
         self._advised: frozenset[str] = frozenset()
         self._evacuated: frozenset[str] = frozenset()
         self._changed_jobs: dict[str, Job] = {}
+        self._begun_unrecorded: dict[str, tuple[Occurrence, float]] = {}
         self._index = CapacityIndex(uses_speeds=self.options.worker_speeds)
         self._speeds = SpeedTracker(self.options) if self.options.worker_speeds else None
         self._work_times: WorkTimes = self._speeds or UnknownWorkTimes()
@@ -265,6 +269,7 @@
     def remove_job(self, job_id: str) -> None:
         """Remove a job that is no longer in the store."""
         self.jobs.pop(job_id, None)
+        self._begun_unrecorded.pop(job_id, None)
         self._fault_attribution.forget_job(job_id)
         self._crashes.forget_job(job_id)
         if self._speeds is not None:
@@ -389,19 +394,30 @@
         """Record that a worker has confirmed the start of a run."""
         if run.started_s is None:
             run.started_s = now
-        self._note_begun(run.task.step.occurrence)
+        self._note_begun(run.task.step.occurrence, now)
 
-    def _note_begun(self, occurrence: Occurrence) -> None:
-        """Note that a worker has begun a run. That is recorded once for each job.
+    def _note_begun(self, occurrence: Occurrence, now: float) -> None:
+        """Note that a worker has begun a run; each later record of the occurrence says so.
 
         An assignment in the record does not show it: the worker may refuse the run, or be lost.
         """
         occurrence.begun = True
         job = occurrence.job
         if not job.begun and not job.over:
-            self._mark_changed(occurrence)
+            self._begun_unrecorded[job.job_id] = (occurrence, now)
         job.begun = True
 
+    def record_begun(self, now: float) -> None:
+        """Have records written of jobs that have begun since their last record.
+
+        Not of those that began within :data:`BEGUN_RECORD_DELAY_S`: most of them are written for
+        another reason soon, and while a record is being written, other decisions about its job
+        wait.
+        """
+        for occurrence, begun_s in list(self._begun_unrecorded.values()):
+            if now - begun_s >= BEGUN_RECORD_DELAY_S:
+                self._mark_changed(occurrence)
+
     def run_not_started(self, run: Run) -> None:
         """End a run that never began and never will."""
         worker = self.workers.get(run.worker_id)
@@ -481,7 +497,7 @@
             self._fault_attribution.record_success(worker_id)
         elif end.how is EndKind.FAILED:
             self._record_failure(worker, run, now)
-        self._note_begun(run.task.step.occurrence)
+        self._note_begun(run.task.step.occurrence, now)
         self._planner.run_ended(run, end.how, now)
         self._apply_assessment(self._crashes.run_ended(run, end.how, now))
         self._finish_run(run, end.how, end.saved or run.saved)
@@ -668,6 +684,9 @@
     def _mark_changed(self, occurrence: Occurrence) -> None:
         self._changed_occurrences[occurrence.key] = occurrence
         self._changed_jobs[occurrence.job.job_id] = occurrence.job
+        unrecorded = self._begun_unrecorded.get(occurrence.job.job_id)
+        if unrecorded is not None and unrecorded[0] is occurrence:
+            del self._begun_unrecorded[occurrence.job.job_id]
 
     @property
     def has_changes(self) -> bool:
@@ -697,11 +716,16 @@
         return changes
 
     def pending(self, queue: str) -> int:
-        """Number of accepted jobs of a queue of which no task has started."""
+        """Number of accepted jobs of a queue of which no task has started.
+
+        As clients see it: a job that has begun counts until that is in the store, so that no later
+        leader counts it again.
+        """
         return sum(
             1
             for job in self.jobs.values()
-            if job.accepted.queue == queue and job.state is JobState.QUEUED
+            if job.accepted.queue == queue and job.published_state is JobState.QUEUED
+            if not job.over
         )
 
 
