Test what readers see around a loss, and outages that look like withdrawals

Cause: on reading the change again, one check asserted less than at first and one had no test. Since the beginning of a job is stored up to 2 s late, the test of lost leaders waited that long, so nothing was asserted before. That a record which goes in an outage of the store does not count as withdrawn was tested from the state on, not from the store's health.

Change: leader and workers are lost 0.1 to 2.5 s after the jobs came, and no later reader shows less. A record is removed with an outage of the store and without.

--- a/tests/test_begun_records.py
+++ b/tests/test_begun_records.py
@@ -10,6 +10,7 @@
 import asyncio
 import unittest
 from collections.abc import Mapping
+from functools import partial
 
 import msgspec
 
@@ -305,6 +306,28 @@
 
         self.play(body)
 
+    def test_no_later_reader_shows_less_whenever_the_leader_and_the_workers_are_lost(self) -> None:
+        """Also before it is stored that the jobs have begun."""
+
+        async def play_at(cluster: PoolCluster, after_s: float) -> None:
+            for job_id in JOBS:
+                await cluster.submit(job_id, job(1, work_s=60.0, accelerators=4))
+            await asyncio.sleep(after_s)
+            shown = {job_id: await cluster.state(job_id) for job_id in JOBS}
+            (pending,) = await self.pending(cluster)
+            for worker in list(cluster.worker_pool.workers.values()):
+                cluster.worker_pool.crash(worker, recorded=False)
+            await cluster.kill(cluster.leader_name)
+            for job_id, state in shown.items():
+                if state is JobState.RUNNING:
+                    self.assertIs(await cluster.state(job_id), JobState.RUNNING)
+            await cluster.until(lambda: cluster.leader is not None)
+            self.assertLessEqual(max(await self.pending(cluster)), pending)
+
+        for after_s in (0.1, 0.5, 1.0, 1.4, 1.6, 2.0, 2.5):
+            with self.subTest(after_s=after_s):
+                self.play(partial(play_at, after_s=after_s))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_planned_ends.py
+++ b/tests/test_planned_ends.py
@@ -40,6 +40,9 @@
 MAX_STALL_S = 3.0
 LEASE_S = 11.0
 REMOVED_S = 1.0
+QUIET_START_S = 5.0
+OUTAGE_S = 0.6
+"""Shorter than the lease of the leader, which has to see the removal."""
 
 ENTRIES = ("listed", "draining", "closing", "withdrawn", "lapsed", "never_seen")
 """What is known of the record of the worker: it is there; it announces the end; the leader itself
@@ -236,6 +239,44 @@
 
         self.play(body, racks=2, workers=8)
 
+    def outlived(self, cluster: PoolCluster, worker: PoolWorker) -> Worker | None:
+        """A worker as the present leader sees it, once it has answered without a record."""
+        leader = cluster.leader
+        if leader is None or leader.scheduler is None:
+            return None
+        seen = leader.scheduler.cluster_state.workers.get(worker.worker_id)
+        return seen if seen is not None and seen.outlived_record else None
+
+    async def lose_record(self, cluster: PoolCluster, *, outage: bool) -> float | None:
+        """Remove the record of the job's worker; returns when it counts as withdrawn."""
+        await asyncio.sleep(QUIET_START_S)
+        await cluster.submit(JOB, job(1, accelerators=2, work_s=WORK_S))
+        await cluster.until(lambda: cluster.worker_pool.starts_of(JOB) == 1)
+        worker = cluster.worker_pool.workers[cluster.worker_pool.history[0].worker]
+        for member in cluster.members.values():
+            member.view.faults.silent = outage
+        if outage:
+            await asyncio.sleep(OUTAGE_S)
+        cluster.worker_pool.expire_record(worker)
+        for member in cluster.members.values():
+            member.view.faults.silent = False
+        await cluster.until(lambda: self.outlived(cluster, worker) is not None)
+        seen = self.outlived(cluster, worker)
+        assert seen is not None
+        return seen.withdrawn_s
+
+    def test_a_record_that_goes_in_an_outage_of_the_store_is_not_withdrawn(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            self.assertIsNone(await self.lose_record(cluster, outage=True))
+
+        self.play(body)
+
+    def test_a_record_that_goes_while_the_store_answers_is_withdrawn(self) -> None:
+        async def body(cluster: PoolCluster) -> None:
+            self.assertIsNotNone(await self.lose_record(cluster, outage=False))
+
+        self.play(body)
+
     def test_a_task_that_crashes_its_workers_is_bounded_beside_workers_that_leave(self) -> None:
         """The record of each worker is removed as the task starts there, just before the crash."""
 
